--- /dev/null
+++ b/agent/adapter-slots/src/index.ts
@@ -0,0 +1,1 @@
+export {SlotTable, type Pin, type SlotReservation} from './slot-table.js';
--- /dev/null
+++ b/agent/target-client/src/index.ts
@@ -0,0 +1,2 @@
+export {EngineClient} from './engine-client.js';
+export {ENGINE_HEALTH_SCHEMA, type EngineHealth} from './engine-messages.js';
--- /dev/null
+++ b/cli/marigoldspur/src/index.ts
@@ -0,0 +1,1 @@
+export {runCommandLine, type CommandLineOptions} from './command-line.js';
--- /dev/null
+++ b/cli/marigoldspur/src/main.ts
@@ -0,0 +1,8 @@
+#!/usr/bin/env node
+import {runCommandLine} from './command-line.js';
+
+process.exitCode = await runCommandLine(process.argv.slice(2), {
+  variables: process.env,
+  write: text => process.stdout.write(text),
+  writeError: text => process.stderr.write(text),
+});
--- /dev/null
+++ b/cli/operator-commands/src/operator-session.ts
@@ -0,0 +1,62 @@
+import http from 'node:http';
+import {createTRPCClient, httpLink} from '@trpc/client';
+import {Result} from 'true-myth';
+import {ControlClient} from '@marigoldspur/control-client';
+import type {Fault} from '@marigoldspur/faults';
+import {linkFetch} from '@marigoldspur/http-link';
+import type {Member} from '@marigoldspur/messages';
+import type {ProcessRouter} from '@marigoldspur/process-api';
+
+/** A tRPC client of one process. */
+export type ProcessClient = ReturnType<typeof processClient>;
+
+/** An operator's connections to the system. */
+export interface OperatorSession {
+  readonly control: ControlClient;
+  /** Base URLs of the replicas of control. */
+  readonly controlUrls: readonly string[];
+  /** The processes that control knows. */
+  members(): Promise<Result<readonly Member[], Fault>>;
+  /** The client of a process. */
+  process(url: string): ProcessClient;
+  /** A time limit for one call, as a `performance.now()` time. */
+  deadline(): number;
+  close(): void;
+}
+
+/** Opens an operator's session with control. */
+export function openSession(
+  urls: readonly string[],
+  options: {readonly timeoutMs: number},
+): OperatorSession {
+  const agent = new http.Agent({keepAlive: true});
+  const control = new ControlClient({urls});
+  const deadline = () => performance.now() + options.timeoutMs;
+  return {
+    control,
+    controlUrls: urls,
+    deadline,
+    process: url => processClient(url, agent),
+    members: async () => {
+      const delta = await control.call(
+        (replica, signal) =>
+          replica.watchMembers.query(
+            {table: '', version: 0, waitMs: 0},
+            {signal},
+          ),
+        deadline(),
+      );
+      return delta.map(value => value.changed);
+    },
+    close: () => {
+      agent.destroy();
+      control.close();
+    },
+  };
+}
+
+function processClient(url: string, agent: http.Agent) {
+  return createTRPCClient<ProcessRouter>({
+    links: [httpLink({url: `${url}/trpc/process`, fetch: linkFetch(agent)})],
+  });
+}
--- /dev/null
+++ b/cli/operator-commands/src/system-status.ts
@@ -0,0 +1,68 @@
+import {Result} from 'true-myth';
+import type {Fault} from '@marigoldspur/faults';
+import type {OperatorSession} from './operator-session.js';
+
+/** One process in the system's status. */
+export interface ProcessRow {
+  readonly id: string;
+  readonly role: string;
+  readonly zone: string;
+  readonly revision: number;
+  /** Revisions behind the newest one seen. */
+  readonly behind: number;
+  readonly state: 'ready' | 'draining' | 'unreachable';
+  readonly facts: string;
+}
+
+/** Asks every known process for its status. */
+export async function systemStatus(
+  session: OperatorSession,
+): Promise<Result<ProcessRow[], Fault>> {
+  const members = await session.members();
+  if (members.isErr) {
+    return Result.err(members.error);
+  }
+  const urls = [
+    ...session.controlUrls,
+    ...members.value.map(member => member.url),
+  ];
+  const rows = await Promise.all(urls.map(url => processRow(session, url)));
+  const newest = Math.max(...rows.map(row => row.revision));
+  return Result.ok(
+    rows.map(row => ({
+      ...row,
+      behind: row.state === 'unreachable' ? 0 : newest - row.revision,
+    })),
+  );
+}
+
+async function processRow(
+  session: OperatorSession,
+  url: string,
+): Promise<ProcessRow> {
+  try {
+    const status = await session.process(url).status.query();
+    const facts = Object.entries(status.facts)
+      .map(([name, value]) => `${name}=${value}`)
+      .join(' ');
+    return {
+      id: status.id,
+      role: status.role,
+      zone: status.zone,
+      revision: status.revision,
+      behind: 0,
+      state: status.draining ? 'draining' : 'ready',
+      facts,
+    };
+  } catch {
+    return {
+      id: url,
+      role: '',
+      zone: '',
+      revision: 0,
+      behind: 0,
+      state: 'unreachable',
+      facts: '',
+    };
+  }
+}
--- /dev/null
+++ b/contracts/control-api/src/index.ts
@@ -0,0 +1,8 @@
+export {controlRouter} from './router.js';
+export type {ControlRouter} from './router.js';
+export type {
+  ControlService,
+  ControlStatus,
+  SettingsDelta,
+  SettingsView,
+} from './service.js';
--- /dev/null
+++ b/contracts/control-api/src/service.ts
@@ -0,0 +1,68 @@
+import type {
+  Claim,
+  ClaimOutcome,
+  Completion,
+  Member,
+  MembersDelta,
+  Permit,
+  PermitRequest,
+} from '@marigoldspur/messages';
+import type {Change, ChangeOutcome, Tree} from '@marigoldspur/settings-schema';
+
+/** The settings tree at one revision. */
+export interface SettingsView {
+  readonly revision: number;
+  readonly tree: Tree;
+}
+
+/** What a follower needs to reach a later revision. */
+export interface SettingsDelta {
+  readonly revision: number;
+  /** The whole tree, where the changes are no longer kept. */
+  readonly tree?: Tree;
+  /** Else the changes after the follower's revision, in order. */
+  readonly changes: readonly Change[];
+}
+
+/** The state of one replica of control. */
+export interface ControlStatus {
+  readonly id: string;
+  readonly role: 'leader' | 'follower' | 'candidate' | 'learner';
+  readonly term: number;
+  /** Base URL of the leader, where known. */
+  readonly leaderUrl?: string;
+  readonly commitIndex: number;
+  readonly lastIndex: number;
+  readonly revision: number;
+  /** Identities of the voters. */
+  readonly voters: readonly string[];
+}
+
+/**
+ * What a replica of control does for its callers. Methods throw a `Fault`:
+ * `NOT_LEADER` with the leader's URL in the message, or `NO_QUORUM`.
+ */
+export interface ControlService {
+  /** Reads the tree; `fresh` reads confirm with a quorum first. */
+  readSettings(fresh: boolean): Promise<SettingsView>;
+  /** Waits up to `waitMs` for a revision after `revision`. */
+  watchSettings(revision: number, waitMs: number): Promise<SettingsDelta>;
+  changeSettings(change: Change): Promise<ChangeOutcome>;
+  /** The latest accepted changes, newest first. */
+  settingsHistory(limit: number): Promise<readonly Change[]>;
+  takeClaim(claim: Claim): Promise<ClaimOutcome>;
+  completeClaim(completion: Completion): Promise<void>;
+  /** Announces a process; the answer states its lease. */
+  heartbeat(member: Member): Promise<{leaseMs: number; revision: number}>;
+  /** Grants a fencing number, larger than any before for the target. */
+  grantFence(target: string, boot: string): Promise<number>;
+  /** Waits up to `waitMs` for a version of the member table after `version`. */
+  watchMembers(
+    table: string,
+    version: number,
+    waitMs: number,
+  ): Promise<MembersDelta>;
+  acquirePermit(request: PermitRequest): Promise<Permit>;
+  releasePermit(permit: string, loaded: boolean): Promise<void>;
+  status(): ControlStatus;
+}
--- /dev/null
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -0,0 +1,182 @@
+/** One kind of event: its stable number and what it means. */
+export interface EventKind {
+  readonly number: number;
+  readonly level: 'debug' | 'info' | 'warn' | 'error';
+  readonly meaning: string;
+}
+
+/**
+ * Every event that a process may record. Numbers are never reused:
+ * 1xx process life, 2xx control, 3xx members, 4xx requests at the entry,
+ * 5xx requests at the agent, 6xx adapter loads, 7xx links.
+ */
+export const CATALOGUE = {
+  'process-started': {
+    number: 100,
+    level: 'info',
+    meaning: 'The process is ready to serve.',
+  },
+  'process-draining': {
+    number: 101,
+    level: 'info',
+    meaning: 'The process takes no new work and ends what runs.',
+  },
+  'process-stopped': {
+    number: 102,
+    level: 'info',
+    meaning: 'The process ended its work and exits.',
+  },
+  'process-failed': {
+    number: 103,
+    level: 'error',
+    meaning: 'The process cannot go on and exits.',
+  },
+  'insecure-loopback': {
+    number: 104,
+    level: 'warn',
+    meaning: 'No keys are set, so the process binds to loopback only.',
+  },
+  'change-accepted': {
+    number: 200,
+    level: 'info',
+    meaning: 'A settings change was committed.',
+  },
+  'change-rejected': {
+    number: 201,
+    level: 'info',
+    meaning: 'A settings change was rejected.',
+  },
+  'settings-in-force': {
+    number: 202,
+    level: 'info',
+    meaning: 'A settings revision is in force in this process.',
+  },
+  'claim-taken': {
+    number: 210,
+    level: 'info',
+    meaning: 'A request that may not be repeated was claimed.',
+  },
+  'claim-refused': {
+    number: 211,
+    level: 'info',
+    meaning: 'A claim was refused since its key is taken.',
+  },
+  'permit-granted': {
+    number: 220,
+    level: 'info',
+    meaning: 'A permit to load from the weight store was granted.',
+  },
+  'member-joined': {
+    number: 300,
+    level: 'info',
+    meaning: 'A process or target announced itself.',
+  },
+  'member-leaving': {
+    number: 301,
+    level: 'info',
+    meaning: 'A process or target takes no new work.',
+  },
+  'member-expired': {
+    number: 302,
+    level: 'warn',
+    meaning: 'The lease of a process or target ran out.',
+  },
+  'request-received': {
+    number: 400,
+    level: 'debug',
+    meaning: 'A caller’s request was read.',
+  },
+  'request-dispatched': {
+    number: 401,
+    level: 'debug',
+    meaning: 'An attempt was sent to a target.',
+  },
+  'request-answered': {
+    number: 402,
+    level: 'debug',
+    meaning: 'The caller has its whole answer.',
+  },
+  'request-refused': {
+    number: 403,
+    level: 'info',
+    meaning: 'The caller got a refusal.',
+  },
+  'request-torn': {
+    number: 404,
+    level: 'warn',
+    meaning: 'An answer broke off after its first byte reached the caller.',
+  },
+  'request-cancelled': {
+    number: 405,
+    level: 'info',
+    meaning: 'The caller went away before the answer was whole.',
+  },
+  'attempt-received': {
+    number: 500,
+    level: 'debug',
+    meaning: 'An attempt reached the agent.',
+  },
+  'attempt-forwarded': {
+    number: 501,
+    level: 'debug',
+    meaning: 'An attempt was forwarded to the target under a pin.',
+  },
+  'attempt-ended': {
+    number: 502,
+    level: 'debug',
+    meaning: 'The target’s answer was relayed whole.',
+  },
+  'attempt-refused': {
+    number: 503,
+    level: 'info',
+    meaning: 'An attempt was refused before it reached the target.',
+  },
+  'attempt-failed': {
+    number: 504,
+    level: 'warn',
+    meaning: 'An attempt broke off after it was forwarded.',
+  },
+  'load-ordered': {
+    number: 600,
+    level: 'info',
+    meaning: 'The target was ordered to load an adapter.',
+  },
+  'load-finished': {
+    number: 601,
+    level: 'info',
+    meaning: 'The target holds the adapter.',
+  },
+  'load-failed': {
+    number: 602,
+    level: 'warn',
+    meaning: 'A load failed.',
+  },
+  'adapter-evicted': {
+    number: 603,
+    level: 'info',
+    meaning: 'An adapter left its slot.',
+  },
+  'target-restarted': {
+    number: 604,
+    level: 'warn',
+    meaning: 'The target returned with another boot identity and empty slots.',
+  },
+  'link-lost': {
+    number: 700,
+    level: 'warn',
+    meaning: 'A link to another process failed.',
+  },
+  'link-restored': {
+    number: 701,
+    level: 'info',
+    meaning: 'A link to another process works again.',
+  },
+} as const satisfies Record<string, EventKind>;
+
+/** Name of a kind of event. */
+export type EventName = keyof typeof CATALOGUE;
+
+/** The stable number of a kind of event. */
+export function eventNumber(name: EventName): number {
+  return CATALOGUE[name].number;
+}
--- /dev/null
+++ b/contracts/faults/src/fault.ts
@@ -0,0 +1,49 @@
+import {type Finding, formatFindings} from './finding.js';
+
+/** The codes of errors that cross a package or a process boundary. */
+export type FaultCode =
+  | 'INVALID_INPUT'
+  | 'NOT_LEADER'
+  | 'NO_QUORUM'
+  | 'CONFLICT'
+  | 'NOT_FOUND'
+  | 'UNAVAILABLE'
+  | 'TIMEOUT'
+  | 'TORN_ANSWER'
+  | 'TOO_LARGE'
+  | 'CORRUPT_DATA'
+  | 'DISK_FULL'
+  | 'STOPPING'
+  | 'FENCED'
+  | 'LOAD_FAILED'
+  | 'REFUSED'
+  | 'INTERNAL';
+
+/** An error with a code that callers can act on. */
+export class Fault extends Error {
+  constructor(
+    readonly code: FaultCode,
+    message: string,
+    options?: ErrorOptions,
+  ) {
+    super(message, options);
+    this.name = 'Fault';
+  }
+}
+
+/** An input that was rejected, with every finding. */
+export class InvalidInput extends Fault {
+  constructor(readonly findings: readonly Finding[]) {
+    super('INVALID_INPUT', formatFindings(findings));
+    this.name = 'InvalidInput';
+  }
+}
+
+/** Wraps anything thrown into a fault, keeping it as the cause. */
+export function toFault(thrown: unknown): Fault {
+  if (thrown instanceof Fault) {
+    return thrown;
+  }
+  const message = thrown instanceof Error ? thrown.message : String(thrown);
+  return new Fault('INTERNAL', message, {cause: thrown});
+}
--- /dev/null
+++ b/contracts/messages/src/hop.ts
@@ -0,0 +1,109 @@
+import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
+import {Result} from 'true-myth';
+import type {Finding} from '@marigoldspur/faults';
+import {
+  formatModel,
+  parseModel,
+  type AdapterVersion,
+} from '@marigoldspur/settings-schema';
+
+/** Names of the headers that go with a request between entry and agent. */
+export const HOP_HEADERS = {
+  request: 'x-marigoldspur-request',
+  attempt: 'x-marigoldspur-attempt',
+  model: 'x-marigoldspur-model',
+  target: 'x-marigoldspur-target',
+  revision: 'x-marigoldspur-revision',
+  budget: 'x-marigoldspur-budget-ms',
+  priority: 'x-marigoldspur-priority',
+  repeatable: 'x-marigoldspur-repeatable',
+  time: 'x-marigoldspur-time',
+  /** On answers: `not-run`, `unknown` or `failed` where the agent refused. */
+  outcome: 'x-marigoldspur-outcome',
+  /** On answers: machine-readable reason of a refusal. */
+  reason: 'x-marigoldspur-reason',
+  /** Trailer of answers: number of body bytes; an answer without it is torn. */
+  end: 'x-marigoldspur-end',
+} as const;
+
+/** The adapter and version of a request, or undefined for plain services. */
+export type HopModel = AdapterVersion | undefined;
+
+/** What the entry tells the agent about an attempt. */
+export interface Hop {
+  /** Identity of the request. */
+  readonly request: string;
+  /** Number of the attempt, from 1. */
+  readonly attempt: number;
+  readonly model: HopModel;
+  /** Name of the target that the attempt is meant for. */
+  readonly target: string;
+  /** Settings revision in force at the sender. */
+  readonly revision: number;
+  /** Milliseconds within which the answer has to end, counted from receipt. */
+  readonly budgetMs: number;
+  /** Priority; 0 is served first. */
+  readonly priority: number;
+  readonly repeatable: boolean;
+}
+
+/** Writes a hop as headers. */
+export function formatHop(hop: Hop): OutgoingHttpHeaders {
+  return {
+    [HOP_HEADERS.request]: hop.request,
+    [HOP_HEADERS.attempt]: String(hop.attempt),
+    ...(hop.model && {[HOP_HEADERS.model]: formatModel(hop.model)}),
+    [HOP_HEADERS.target]: hop.target,
+    [HOP_HEADERS.revision]: String(hop.revision),
+    [HOP_HEADERS.budget]: String(Math.max(0, Math.round(hop.budgetMs))),
+    [HOP_HEADERS.priority]: String(hop.priority),
+    [HOP_HEADERS.repeatable]: String(hop.repeatable),
+  };
+}
+
+/** Reads a hop from headers; all findings are reported together. */
+export function parseHop(headers: IncomingHttpHeaders): Result<Hop, Finding[]> {
+  const findings: Finding[] = [];
+  const text = (name: string) => {
+    const value = headers[name];
+    if (typeof value !== 'string' || value === '') {
+      findings.push({place: name, reason: 'is missing or repeated'});
+      return '';
+    }
+    return value;
+  };
+  const integer = (name: string) => {
+    const value = text(name);
+    if (value !== '' && !/^\d{1,15}$/.test(value)) {
+      findings.push({place: name, reason: 'must be a whole number'});
+    }
+    return Number(value);
+  };
+  const hop: Hop = {
+    request: text(HOP_HEADERS.request),
+    attempt: integer(HOP_HEADERS.attempt),
+    model: modelHeader(headers, findings),
+    target: text(HOP_HEADERS.target),
+    revision: integer(HOP_HEADERS.revision),
+    budgetMs: integer(HOP_HEADERS.budget),
+    priority: integer(HOP_HEADERS.priority),
+    repeatable: text(HOP_HEADERS.repeatable) === 'true',
+  };
+  return findings.length === 0 ? Result.ok(hop) : Result.err(findings);
+}
+
+function modelHeader(
+  headers: IncomingHttpHeaders,
+  findings: Finding[],
+): HopModel {
+  const value = headers[HOP_HEADERS.model];
+  if (value === undefined) {
+    return undefined;
+  }
+  const parsed = parseModel(String(value));
+  if (parsed.isErr) {
+    findings.push({place: HOP_HEADERS.model, reason: parsed.error.reason});
+    return undefined;
+  }
+  return parsed.value;
+}
--- /dev/null
+++ b/contracts/messages/src/index.ts
@@ -0,0 +1,33 @@
+export {
+  MEMBER_SCHEMA,
+  MEMBERS_DELTA_SCHEMA,
+  TARGET_REPORT_SCHEMA,
+  type Member,
+  type MembersDelta,
+  type ProcessRole,
+  type TargetReport,
+} from './member.js';
+export {
+  formatHop,
+  HOP_HEADERS,
+  parseHop,
+  type Hop,
+  type HopModel,
+} from './hop.js';
+export {
+  CLAIM_SCHEMA,
+  CLAIM_OUTCOME_SCHEMA,
+  COMPLETION_SCHEMA,
+  STORED_ANSWER_SCHEMA,
+  type Claim,
+  type ClaimOutcome,
+  type Completion,
+  type StoredAnswer,
+} from './claim.js';
+export {
+  PERMIT_REQUEST_SCHEMA,
+  PERMIT_SCHEMA,
+  type Permit,
+  type PermitRequest,
+} from './permit.js';
+export {PROCESS_STATUS_SCHEMA, type ProcessStatus} from './process-status.js';
--- /dev/null
+++ b/contracts/messages/src/permit.ts
@@ -0,0 +1,31 @@
+import {z} from 'zod';
+
+/** Asks for a permit to load an adapter from a weight store. */
+export const PERMIT_REQUEST_SCHEMA = z.object({
+  store: z.string(),
+  agent: z.string(),
+  /** Adapter and version, `adapter@version`. */
+  model: z.string(),
+  /** Requests that wait for the load; 0 for a prefetch. */
+  waiters: z.int().min(0),
+  /** Priority of the most urgent waiter; 0 is served first. */
+  priority: z.int().min(0).max(9),
+  /** Milliseconds that the oldest waiter has waited. */
+  oldestWaitMs: z.number().min(0),
+  /** How long the caller waits for an answer to this call, in milliseconds. */
+  waitMs: z.int().min(0).max(60_000),
+});
+
+/** Asks for a permit to load. */
+export type PermitRequest = z.infer<typeof PERMIT_REQUEST_SCHEMA>;
+
+/** Answer to a permit request. */
+export const PERMIT_SCHEMA = z.object({
+  /** Identity of the permit; undefined when none came free in time. */
+  permit: z.string().optional(),
+  /** After this time, in milliseconds, the permit is free again by itself. */
+  validMs: z.int(),
+});
+
+/** Answer to a permit request. */
+export type Permit = z.infer<typeof PERMIT_SCHEMA>;
--- /dev/null
+++ b/contracts/process-api/src/index.ts
@@ -0,0 +1,2 @@
+export {processRouter} from './router.js';
+export type {ProcessRouter, ProcessService} from './router.js';
--- /dev/null
+++ b/contracts/process-api/src/router.ts
@@ -0,0 +1,39 @@
+import {initTRPC} from '@trpc/server';
+import {z} from 'zod';
+import type {Event} from '@marigoldspur/event-catalogue';
+import type {ProcessStatus} from '@marigoldspur/messages';
+
+const MAX_EVENTS = 10_000;
+
+/** What every process does for operators. */
+export interface ProcessService {
+  status(): ProcessStatus;
+  /** Events after a sequence number, of one request where given. */
+  events(after: number, limit: number, request?: string): readonly Event[];
+  /** Starts a graceful shutdown. */
+  drain(): void;
+}
+
+const trpc = initTRPC.context<object>().create();
+
+/** Serves a process service over tRPC. */
+export function processRouter(service: ProcessService) {
+  return trpc.router({
+    status: trpc.procedure.query(() => service.status()),
+    events: trpc.procedure
+      .input(
+        z.object({
+          after: z.int().min(0),
+          limit: z.int().min(1).max(MAX_EVENTS),
+          request: z.string().optional(),
+        }),
+      )
+      .query(({input}) =>
+        service.events(input.after, input.limit, input.request),
+      ),
+    drain: trpc.procedure.mutation(() => service.drain()),
+  });
+}
+
+/** Type of the router, for clients. */
+export type ProcessRouter = ReturnType<typeof processRouter>;
--- /dev/null
+++ b/contracts/settings-schema/src/settings.ts
@@ -0,0 +1,64 @@
+import {z} from 'zod';
+
+/** Every setting that a level of the tree may override, with its default. */
+export const SETTINGS_SCHEMA = z.object({
+  /** Priority of requests; 0 is served first. */
+  priority: z.int().min(0).max(9).default(5),
+  /** Requests that may run at once per customer at one entry. */
+  concurrency: z.int().min(1).max(100_000).default(256),
+  /** Requests that may wait for admission at one entry. */
+  queueLimit: z.int().min(0).max(100_000).default(1_024),
+  /** Longest wait for admission, in milliseconds. */
+  queueDeadlineMs: z.int().min(1).max(600_000).default(2_000),
+  /** Longest time to the first byte of an answer, in milliseconds. */
+  firstByteTimeoutMs: z.int().min(10).max(600_000).default(30_000),
+  /** Longest time of one request, in milliseconds. */
+  requestTimeoutMs: z.int().min(10).max(3_600_000).default(120_000),
+  /** Largest body of a request, in bytes. */
+  maxBodyBytes: z.int().min(1_024).max(67_108_864).default(1_048_576),
+  /** Whether a request may be run again after an unclear end. */
+  repeatable: z.boolean().default(true),
+  /** Attempts for one request, the first one included. */
+  maxAttempts: z.int().min(1).max(10).default(3),
+  /** Retries as a share of requests. */
+  retryBudgetRatio: z.number().min(0).max(1).default(0.1),
+  /** Weight of load stalls against batch efficiency: 1 is stalls only. */
+  stallWeight: z.number().min(0).max(1).default(0.5),
+  /** Policy that chooses the target of a request. */
+  placement: z
+    .enum(['random', 'least-loaded', 'hash-home', 'resident-first'])
+    .default('hash-home'),
+  /** Policy that chooses the adapter that leaves a slot. */
+  eviction: z.enum(['lru', 'decayed-frequency']).default('lru'),
+  /** Policy that orders the loads that wait. */
+  loadOrder: z.enum(['first-come', 'least-harm']).default('first-come'),
+  /** How long a result of a claimed request is kept, in milliseconds. */
+  claimRetentionMs: z.int().min(1_000).max(604_800_000).default(86_400_000),
+  /** What to do with repeatable requests while control is out of reach. */
+  whileIsolated: z.enum(['serve', 'refuse']).default('serve'),
+  /** How long settings may be unconfirmed before the process counts as isolated, in milliseconds. */
+  isolationBoundMs: z.int().min(500).max(3_600_000).default(10_000),
+});
+
+/** The settings in force at one level of the tree. */
+export type Settings = z.infer<typeof SETTINGS_SCHEMA>;
+
+/** The settings that one level overrides; unknown names are findings. */
+export const OVERRIDES_SCHEMA = z.strictObject(
+  Object.fromEntries(
+    Object.entries(SETTINGS_SCHEMA.shape).map(([name, schema]) => [
+      name,
+      schema.unwrap().optional(),
+    ]),
+  ) as {
+    [Name in keyof Settings]: z.ZodOptional<
+      ReturnType<(typeof SETTINGS_SCHEMA.shape)[Name]['unwrap']>
+    >;
+  },
+);
+
+/** The settings that one level overrides. */
+export type Overrides = z.infer<typeof OVERRIDES_SCHEMA>;
+
+/** The settings in force where no level overrides anything. */
+export const DEFAULT_SETTINGS: Settings = SETTINGS_SCHEMA.parse({});
--- /dev/null
+++ b/control/control-server/src/command.ts
@@ -0,0 +1,42 @@
+import {z} from 'zod';
+import {
+  CLAIM_SCHEMA,
+  COMPLETION_SCHEMA,
+  type ClaimOutcome,
+} from '@marigoldspur/messages';
+import {CHANGE_SCHEMA, type ChangeOutcome} from '@marigoldspur/settings-schema';
+
+/** One command of the replicated log. */
+export const COMMAND_SCHEMA = z.discriminatedUnion('command', [
+  z.object({command: z.literal('change-settings'), change: CHANGE_SCHEMA}),
+  z.object({
+    command: z.literal('take-claim'),
+    claim: CLAIM_SCHEMA,
+    /** The leader's clock when it proposed, in milliseconds since the epoch. */
+    at: z.number(),
+  }),
+  z.object({
+    command: z.literal('complete-claim'),
+    completion: COMPLETION_SCHEMA,
+  }),
+  z.object({
+    command: z.literal('lose-entry'),
+    entry: z.string(),
+    boot: z.string(),
+  }),
+  z.object({
+    command: z.literal('grant-fence'),
+    target: z.string(),
+    boot: z.string(),
+  }),
+]);
+
+/** One command of the replicated log. */
+export type Command = z.infer<typeof COMMAND_SCHEMA>;
+
+/** The answer to a command. */
+export type CommandAnswer =
+  | {readonly command: 'change-settings'; readonly outcome: ChangeOutcome}
+  | {readonly command: 'take-claim'; readonly outcome: ClaimOutcome}
+  | {readonly command: 'grant-fence'; readonly fence: number}
+  | {readonly command: 'done'};
--- /dev/null
+++ b/control/control-server/src/control-machine.ts
@@ -0,0 +1,73 @@
+import {ClaimState, type ClaimsSnapshot} from '@marigoldspur/request-claims';
+import {
+  SettingsState,
+  type SettingsSnapshot,
+} from '@marigoldspur/settings-tree';
+import type {StateMachine} from '@marigoldspur/replicated-log';
+import type {Command, CommandAnswer} from './command.js';
+
+interface Snapshot {
+  readonly settings: SettingsSnapshot;
+  readonly claims: ClaimsSnapshot;
+  readonly fence: number;
+}
+
+/** What control keeps through the log: settings, claims and fencing numbers. */
+export class ControlMachine implements StateMachine<Command, CommandAnswer> {
+  readonly settings = new SettingsState();
+  readonly claims = new ClaimState();
+  private fence = 0;
+  private readonly listeners = new Set<() => void>();
+
+  /** Calls `listener` after each settings change that is applied. */
+  onSettings(listener: () => void): void {
+    this.listeners.add(listener);
+  }
+
+  apply(command: Command): CommandAnswer {
+    switch (command.command) {
+      case 'change-settings': {
+        const outcome = this.settings.apply(command.change);
+        this.announceSettings();
+        return {command: 'change-settings', outcome};
+      }
+      case 'take-claim': {
+        this.claims.expire(command.at);
+        const outcome = this.claims.take(command.claim, command.at);
+        return {command: 'take-claim', outcome};
+      }
+      case 'complete-claim':
+        this.claims.complete(command.completion);
+        return {command: 'done'};
+      case 'lose-entry':
+        this.claims.loseEntry(command.entry, command.boot);
+        return {command: 'done'};
+      case 'grant-fence':
+        this.fence += 1;
+        return {command: 'grant-fence', fence: this.fence};
+    }
+  }
+
+  snapshot(): string {
+    const snapshot: Snapshot = {
+      settings: this.settings.snapshot(),
+      claims: this.claims.snapshot(),
+      fence: this.fence,
+    };
+    return JSON.stringify(snapshot);
+  }
+
+  restore(text: string): void {
+    const snapshot = JSON.parse(text) as Snapshot;
+    this.settings.restore(snapshot.settings);
+    this.claims.restore(snapshot.claims);
+    this.fence = snapshot.fence;
+    this.announceSettings();
+  }
+
+  private announceSettings(): void {
+    for (const listener of this.listeners) {
+      listener();
+    }
+  }
+}
--- /dev/null
+++ b/control/control-server/src/control-settings.ts
@@ -0,0 +1,38 @@
+import {z} from 'zod';
+import {
+  DURATION_MS_SCHEMA,
+  LIST_SCHEMA,
+  PORT_SCHEMA,
+} from '@marigoldspur/process-settings';
+import {NAME_SCHEMA} from '@marigoldspur/settings-schema';
+
+/** Settings of a control process. */
+export const CONTROL_SETTINGS_SCHEMA = z.object({
+  id: NAME_SCHEMA.describe('Name of the process, stable over restarts'),
+  zone: NAME_SCHEMA.describe('Availability zone'),
+  host: z.string().default('127.0.0.1').describe('Address to listen on'),
+  port: PORT_SCHEMA.describe('Port for other processes and operators'),
+  peers: LIST_SCHEMA.prefault('').describe(
+    'Base URLs of all replicas of control, this one included',
+  ),
+  dataFolder: z.string().min(1).describe('Folder of the durable state'),
+  leaseMs: DURATION_MS_SCHEMA.default(3_000).describe(
+    'How long a member lives without a heartbeat, in milliseconds',
+  ),
+  loadsAtOnce: z.coerce
+    .number()
+    .int()
+    .min(1)
+    .default(1)
+    .describe('Loads that may run at once per weight store'),
+  permitValidMs: DURATION_MS_SCHEMA.default(30_000).describe(
+    'After this time an unreturned load permit is free again, in milliseconds',
+  ),
+  logLevel: z
+    .enum(['debug', 'info', 'warn', 'error', 'silent'])
+    .default('info')
+    .describe('Lowest level of logged events'),
+});
+
+/** Settings of a control process. */
+export type ControlSettings = z.infer<typeof CONTROL_SETTINGS_SCHEMA>;
--- /dev/null
+++ b/control/control-server/src/index.ts
@@ -0,0 +1,7 @@
+export {startControl} from './start-control.js';
+export {
+  CONTROL_SETTINGS_SCHEMA,
+  type ControlSettings,
+} from './control-settings.js';
+export {COMMAND_SCHEMA, type Command} from './command.js';
+export {ControlMachine} from './control-machine.js';
--- /dev/null
+++ b/control/control-server/src/main.ts
@@ -0,0 +1,12 @@
+#!/usr/bin/env node
+import {runProcess} from '@marigoldspur/process-life';
+import {CONTROL_SETTINGS_SCHEMA} from './control-settings.js';
+import {startControl} from './start-control.js';
+
+await runProcess({
+  name: 'marigoldspur-control',
+  version: '0.1.0',
+  about: 'keeps settings, claims, members and load permits',
+  schema: CONTROL_SETTINGS_SCHEMA,
+  start: startControl,
+});
--- /dev/null
+++ b/control/control-server/src/start-control.ts
@@ -0,0 +1,94 @@
+import path from 'node:path';
+import {controlRouter} from '@marigoldspur/control-api';
+import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
+import {PermitDesk} from '@marigoldspur/load-permits';
+import {MemberTable} from '@marigoldspur/membership';
+import {processMetrics} from '@marigoldspur/metrics';
+import {bootIdentity, type Task} from '@marigoldspur/process-life';
+import {startProcessServer} from '@marigoldspur/process-server';
+import {openSingleReplica} from '@marigoldspur/replicated-log';
+import {ControlDesk} from './control-desk.js';
+import {ControlMachine} from './control-machine.js';
+import type {ControlSettings} from './control-settings.js';
+
+const LEASE_CHECK_MS = 200;
+const VERSION = '0.1.0';
+
+/** Starts a replica of control. */
+export async function startControl(
+  settings: ControlSettings,
+  drain: () => void,
+): Promise<Task> {
+  const boot = bootIdentity();
+  const startedAt = performance.now();
+  const events = new EventLog({
+    process: settings.id,
+    sinks: [jsonLineSink(settings.logLevel)],
+  });
+  const machine = new ControlMachine();
+  const log = await openSingleReplica(machine, {
+    folder: path.join(settings.dataFolder, 'log'),
+    id: settings.id,
+  });
+  const members = new MemberTable({table: boot, leaseMs: settings.leaseMs});
+  const permits = new PermitDesk({
+    loadsAtOnce: settings.loadsAtOnce,
+    validMs: settings.permitValidMs,
+  });
+  const desk = new ControlDesk({
+    id: settings.id,
+    leaseMs: settings.leaseMs,
+    machine,
+    log,
+    members,
+    permits,
+    events,
+  });
+  let draining = false;
+  const server = await startProcessServer({
+    address: {host: settings.host, port: settings.port},
+    metrics: processMetrics({
+      process: settings.id,
+      role: 'control',
+      zone: settings.zone,
+    }),
+    ready: () => !draining,
+    routers: {control: controlRouter(desk)},
+    service: {
+      status: () => ({
+        id: settings.id,
+        role: 'control',
+        zone: settings.zone,
+        boot,
+        version: VERSION,
+        revision: machine.settings.revision,
+        ready: !draining,
+        draining,
+        uptimeMs: performance.now() - startedAt,
+        facts: {
+          log: desk.status().role,
+          term: desk.status().term,
+          commitIndex: desk.status().commitIndex,
+          claims: machine.claims.size,
+          members: members.members().length,
+        },
+      }),
+      events: (after, limit, request) => events.after(after, limit, request),
+      drain,
+    },
+  });
+  const leaseCheck = setInterval(
+    () => desk.checkLeases(Date.now()),
+    LEASE_CHECK_MS,
+  );
+  events.record('process-started', {url: server.url, boot});
+  return {
+    async stop() {
+      draining = true;
+      events.record('process-draining');
+      clearInterval(leaseCheck);
+      await log.stop();
+      events.record('process-stopped');
+    },
+  };
+}
--- /dev/null
+++ b/control/load-permits/src/index.ts
@@ -0,0 +1,1 @@
+export {PermitDesk, type PermitDeskOptions} from './permit-desk.js';
--- /dev/null
+++ b/control/request-claims/src/index.ts
@@ -0,0 +1,1 @@
+export {ClaimState, type ClaimsSnapshot} from './claim-state.js';
--- /dev/null
+++ b/control/settings-tree/src/resolve.ts
@@ -0,0 +1,139 @@
+import {
+  DEFAULT_SETTINGS,
+  type Adapter,
+  type AdapterVersion,
+  type Overrides,
+  type Service,
+  type Settings,
+  type Tree,
+} from '@marigoldspur/settings-schema';
+
+/** One setting in force at a level, and the level it comes from. */
+export interface EffectiveSetting {
+  readonly setting: string;
+  readonly value: string | number | boolean;
+  /** Path of the level, or `default`. */
+  readonly level: string;
+}
+
+/** Where an adapter stands in the tree. */
+export interface AdapterPlace {
+  readonly customer: string;
+  readonly service: string;
+  readonly adapter: Adapter;
+}
+
+/** The settings in force at a path, each with the level it comes from; undefined where the path does not exist. */
+export function settingsAt(
+  tree: Tree,
+  path: string,
+): EffectiveSetting[] | undefined {
+  const levels = levelsOf(tree, path);
+  if (levels === undefined) {
+    return undefined;
+  }
+  return Object.entries(DEFAULT_SETTINGS).map(([setting, value]) => {
+    const name = setting as keyof Settings;
+    const level = levels.findLast(
+      candidate => candidate.overrides[name] !== undefined,
+    );
+    return {
+      setting,
+      value: level?.overrides[name] ?? value,
+      level: level?.path ?? 'default',
+    };
+  });
+}
+
+/** The settings in force at a path; undefined where the path does not exist. */
+export function settingsOf(tree: Tree, path: string): Settings | undefined {
+  const levels = levelsOf(tree, path);
+  if (levels === undefined) {
+    return undefined;
+  }
+  return Object.assign(
+    {},
+    DEFAULT_SETTINGS,
+    ...levels.map(level => level.overrides),
+  );
+}
+
+/** The service at a path of two segments. */
+export function serviceOf(
+  tree: Tree,
+  customer: string,
+  service: string,
+): Service | undefined {
+  return own(own(tree.customers, customer)?.services, service);
+}
+
+/** Finds the adapter that a request of a customer names; undefined searches all customers. */
+export function adapterOf(
+  tree: Tree,
+  customer: string | undefined,
+  model: AdapterVersion,
+): AdapterPlace | undefined {
+  const names =
+    customer === undefined ? Object.keys(tree.customers) : [customer];
+  for (const name of names) {
+    const services = own(tree.customers, name)?.services ?? {};
+    for (const [service, value] of Object.entries(services)) {
+      const adapters = value.kind === 'model' ? value.adapters : {};
+      const adapter = own(adapters, model.adapter);
+      if (adapter !== undefined) {
+        return {customer: name, service, adapter};
+      }
+    }
+  }
+  return undefined;
+}
+
+interface Level {
+  readonly path: string;
+  readonly overrides: Overrides;
+}
+
+function levelsOf(tree: Tree, path: string): Level[] | undefined {
+  const [customerName, serviceName, adapterName] = path.split('/').slice(1);
+  const levels: Level[] = [{path: '/', overrides: tree.settings}];
+  if (!customerName) {
+    return levels;
+  }
+  const customer = own(tree.customers, customerName);
+  if (customer === undefined) {
+    return undefined;
+  }
+  levels.push({path: `/${customerName}`, overrides: customer.settings});
+  if (serviceName === undefined) {
+    return levels;
+  }
+  const service = own(customer.services, serviceName);
+  if (service === undefined) {
+    return undefined;
+  }
+  const servicePath = `/${customerName}/${serviceName}`;
+  levels.push({path: servicePath, overrides: service.settings});
+  if (adapterName === undefined) {
+    return levels;
+  }
+  const adapters = service.kind === 'model' ? service.adapters : {};
+  const adapter = own(adapters, adapterName);
+  if (adapter === undefined) {
+    return undefined;
+  }
+  levels.push({
+    path: `${servicePath}/${adapterName}`,
+    overrides: adapter.settings,
+  });
+  return levels;
+}
+
+/** Reads a record's own entry, so that names such as `constructor` find nothing. */
+function own<T>(
+  record: Record<string, T> | undefined,
+  name: string,
+): T | undefined {
+  return record !== undefined && Object.hasOwn(record, name)
+    ? record[name]
+    : undefined;
+}
--- /dev/null
+++ b/entry/admission/src/index.ts
@@ -0,0 +1,1 @@
+export {Admission, type Admitted} from './admission.js';
--- /dev/null
+++ b/entry/caller-api/src/model-list.ts
@@ -0,0 +1,38 @@
+import {formatModel, type Tree} from '@marigoldspur/settings-schema';
+
+/** Answer of `GET /v1/models`, in OpenAI's shape. */
+export interface ModelList {
+  readonly object: 'list';
+  readonly data: ReadonlyArray<{
+    readonly id: string;
+    readonly object: 'model';
+    readonly created: number;
+    readonly owned_by: string;
+  }>;
+}
+
+/** Lists the versions that a customer may name; undefined lists all customers'. */
+export function modelList(tree: Tree, customer: string | undefined): ModelList {
+  const data = [];
+  for (const [owner, {services}] of Object.entries(tree.customers)) {
+    if (customer !== undefined && customer !== owner) {
+      continue;
+    }
+    for (const service of Object.values(services)) {
+      const adapters = service.kind === 'model' ? service.adapters : {};
+      for (const [adapter, {versions}] of Object.entries(adapters)) {
+        for (const [version, {retired}] of Object.entries(versions)) {
+          if (!retired) {
+            data.push({
+              id: formatModel({adapter, version}),
+              object: 'model' as const,
+              created: 0,
+              owned_by: owner,
+            });
+          }
+        }
+      }
+    }
+  }
+  return {object: 'list', data};
+}
--- /dev/null
+++ b/entry/dispatch/src/target-directory.ts
@@ -0,0 +1,80 @@
+import type {Member} from '@marigoldspur/messages';
+import type {Candidate, Placement} from '@marigoldspur/placement';
+
+/** A target with the agent beside it. */
+export interface Destination {
+  readonly target: string;
+  /** Base URL of the agent. */
+  readonly url: string;
+  /** Boot identity of the agent. */
+  readonly boot: string;
+}
+
+/** What a request needs of a target. */
+export interface DestinationNeed {
+  readonly customer: string;
+  readonly service: string;
+  /** Adapter and version, `adapter@version`; undefined for a plain service. */
+  readonly model: string | undefined;
+  /** Targets that were tried already. */
+  readonly tried: ReadonlySet<string>;
+}
+
+/** Chooses among the targets that are known to serve. */
+export class TargetDirectory {
+  private readonly sent = new Map<string, number>();
+
+  /** `members` gives the members known now; `zone` is the entry's. */
+  constructor(
+    private readonly members: () => readonly Member[],
+    private readonly zone: string,
+  ) {}
+
+  /** The destination of a request at time `now`; undefined where no target serves it. */
+  choose(
+    need: DestinationNeed,
+    placement: Placement,
+    now: number,
+  ): Destination | undefined {
+    const agents = this.members().filter(member => serves(member, need));
+    const candidates = agents.map(agent => this.candidate(agent));
+    const request = {model: need.model, zone: this.zone};
+    const chosen = placement.choose(request, candidates, now);
+    const agent = agents.find(member => member.target?.name === chosen?.name);
+    if (agent?.target === undefined) {
+      return undefined;
+    }
+    return {target: agent.target.name, url: agent.url, boot: agent.boot};
+  }
+
+  /** Counts an attempt as sent until the returned function is called. */
+  begin(target: string): () => void {
+    this.sent.set(target, (this.sent.get(target) ?? 0) + 1);
+    return () => this.sent.set(target, (this.sent.get(target) ?? 1) - 1);
+  }
+
+  private candidate(agent: Member): Candidate {
+    const target = agent.target!;
+    const reported = target.running + target.waiting;
+    return {
+      name: target.name,
+      zone: agent.zone,
+      resident: new Set(target.resident),
+      slots: target.slots,
+      load: Math.max(reported, this.sent.get(target.name) ?? 0),
+      batchLimit: target.batchLimit,
+    };
+  }
+}
+
+function serves(member: Member, need: DestinationNeed): boolean {
+  const {target} = member;
+  return (
+    target !== undefined &&
+    !member.leaving &&
+    target.healthy &&
+    target.customer === need.customer &&
+    target.service === need.service &&
+    !need.tried.has(target.name)
+  );
+}
--- /dev/null
+++ b/entry/entry-server/src/entry-metrics.ts
@@ -0,0 +1,45 @@
+import {Counter, Gauge, Histogram, type Registry} from 'prom-client';
+
+const LATENCY_BUCKETS_SECONDS = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.48, 1, 2.5, 5, 10, 30,
+];
+
+/** The metrics of the request path at an entry. */
+export class EntryMetrics {
+  private readonly requests: Counter<'service' | 'outcome'>;
+  private readonly firstByte: Histogram<'service'>;
+  private readonly running: Gauge;
+
+  constructor(registry: Registry) {
+    this.requests = new Counter({
+      name: 'marigoldspur_requests_total',
+      help: 'Requests by how they ended',
+      labelNames: ['service', 'outcome'],
+      registers: [registry],
+    });
+    this.firstByte = new Histogram({
+      name: 'marigoldspur_first_byte_seconds',
+      help: 'Time to the first byte of an answer',
+      labelNames: ['service'],
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers: [registry],
+    });
+    this.running = new Gauge({
+      name: 'marigoldspur_requests_running',
+      help: 'Requests that run or wait now',
+      registers: [registry],
+    });
+  }
+
+  ended(service: string, outcome: string): void {
+    this.requests.inc({service, outcome});
+  }
+
+  answered(service: string, seconds: number): void {
+    this.firstByte.observe({service}, seconds);
+  }
+
+  setRunning(count: number): void {
+    this.running.set(count);
+  }
+}
--- /dev/null
+++ b/lab/lab/src/child.ts
@@ -0,0 +1,63 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createInterface} from 'node:readline';
+import {fileURLToPath} from 'node:url';
+
+/** A child process with the events that it logged. */
+export interface Child {
+  readonly name: string;
+  readonly process: ChildProcess;
+  /** Lines of the process's standard error. */
+  readonly lines: readonly string[];
+  /** Resolves with the first line, past or to come, that `matches`; rejects when the process ends first. */
+  line(matches: (line: string) => boolean): Promise<string>;
+  /** Resolves to the exit code, or to the name of the signal that ended it. */
+  readonly ended: Promise<number | string>;
+  signal(signal: NodeJS.Signals): void;
+}
+
+/** Starts a program of the workspace by its package, as a child of the lab. */
+export function startChild(
+  name: string,
+  packageName: string,
+  args: readonly string[],
+): Child {
+  const index = fileURLToPath(import.meta.resolve(packageName));
+  const main = index.replace(/index\.js$/, 'main.js');
+  const child = spawn(process.execPath, [main, ...args], {
+    stdio: ['ignore', 'ignore', 'pipe'],
+  });
+  const lines: string[] = [];
+  const listeners = new Set<(line: string) => void>();
+  createInterface({input: child.stderr!}).on('line', line => {
+    lines.push(line);
+    listeners.forEach(listener => listener(line));
+  });
+  const ended = new Promise<number | string>(resolve => {
+    child.on('exit', (code, signal) => resolve(code ?? signal ?? 'unknown'));
+  });
+  return {
+    name,
+    process: child,
+    lines,
+    ended,
+    signal: signal => void child.kill(signal),
+    line: matches =>
+      new Promise((resolve, reject) => {
+        const known = lines.find(matches);
+        if (known !== undefined) {
+          resolve(known);
+          return;
+        }
+        const listener = (line: string) => {
+          if (matches(line)) {
+            listeners.delete(listener);
+            resolve(line);
+          }
+        };
+        listeners.add(listener);
+        void ended.then(end =>
+          reject(new Error(`${name} ended with ${end}: ${lines.join('\n')}`)),
+        );
+      }),
+  };
+}
--- /dev/null
+++ b/lab/lab/src/deployments.ts
@@ -0,0 +1,82 @@
+import type {Tree} from '@marigoldspur/settings-schema';
+
+/** Equal targets of one service. */
+export interface TargetGroup {
+  readonly service: string;
+  readonly kind: 'engine' | 'service';
+  readonly count: number;
+}
+
+/** One customer's targets, as the brief gives them. */
+export interface Deployment {
+  readonly customer: string;
+  readonly zones: readonly string[];
+  readonly targets: readonly TargetGroup[];
+  /** Loads a second of the weight store. */
+  readonly loadsPerSecond: number;
+}
+
+/** The deployments of today's two users. */
+export function deployments(): Deployment[] {
+  return [
+    {
+      customer: 'callao',
+      zones: ['lima-a', 'lima-b', 'lima-c'],
+      targets: [
+        {service: 'lm-desk', kind: 'engine', count: 12},
+        {service: 'chart-api', kind: 'service', count: 3},
+      ],
+      loadsPerSecond: 4,
+    },
+    {
+      customer: 'fretwell',
+      zones: ['lake-a', 'lake-b', 'lake-c', 'lake-d'],
+      targets: [
+        {service: 'luthier-ai', kind: 'engine', count: 8},
+        {service: 'rental-desk', kind: 'service', count: 4},
+      ],
+      loadsPerSecond: 3,
+    },
+  ];
+}
+
+/** A settings tree with `adaptersEach` adapters of one version for each model service. */
+export function deploymentTree(
+  list: readonly Deployment[],
+  adaptersEach: number,
+): Tree {
+  const customers: Tree['customers'] = {};
+  for (const {customer, targets} of list) {
+    const services: Tree['customers'][string]['services'] = {};
+    for (const {service, kind} of targets) {
+      services[service] =
+        kind === 'engine'
+          ? {
+              kind: 'model',
+              baseModel: 'base-8b',
+              store: `${customer}-store`,
+              settings: {},
+              adapters: adapterRecord(customer, adaptersEach),
+            }
+          : {
+              kind: 'plain',
+              pathPrefix: service,
+              settings: {repeatable: false},
+            };
+    }
+    customers[customer] = {settings: {}, services};
+  }
+  return {settings: {}, customers};
+}
+
+function adapterRecord(customer: string, count: number) {
+  return Object.fromEntries(
+    Array.from({length: count}, (_, index) => [
+      `${customer}-${index}`,
+      {
+        settings: {},
+        versions: {v1: {digest: `digest-${index}`, retired: false}},
+      },
+    ]),
+  );
+}
--- /dev/null
+++ b/lab/lab/src/index.ts
@@ -0,0 +1,8 @@
+export {
+  deployments,
+  deploymentTree,
+  type Deployment,
+  type TargetGroup,
+} from './deployments.js';
+export {startSystem, type System, type SystemOptions} from './system.js';
+export {startChild, type Child} from './child.js';
--- /dev/null
+++ b/lab/lab/src/lab-command.ts
@@ -0,0 +1,86 @@
+import yargs from 'yargs';
+import {
+  startBalancer,
+  startEngine,
+  startPlainService,
+  startWeightStore,
+  type StandIn,
+} from '@marigoldspur/stand-ins';
+import {runDemo} from './demo.js';
+
+const port = {
+  type: 'number',
+  default: 0,
+  describe: 'Port on loopback',
+} as const;
+
+/** Runs one command of the lab. */
+export async function runLab(args: readonly string[]): Promise<void> {
+  await yargs([...args])
+    .scriptName('marigoldspur-lab')
+    .version('0.1.0')
+    .command(
+      'engine',
+      'Stand-in for a model engine',
+      options =>
+        options
+          .option('port', port)
+          .option('slots', {type: 'number', default: 6})
+          .option('batch-limit', {type: 'number', default: 16})
+          .option('store-url', {type: 'string', demandOption: true})
+          .option('first-token-ms', {type: 'number', default: 20})
+          .option('token-ms', {type: 'number', default: 5})
+          .option('checks-fence', {type: 'boolean', default: true}),
+      async flags => announce(await startEngine(flags)),
+    )
+    .command(
+      'service',
+      'Stand-in for a plain service',
+      options =>
+        options
+          .option('port', port)
+          .option('call-ms', {type: 'number', default: 5}),
+      async flags => announce(await startPlainService(flags)),
+    )
+    .command(
+      'store',
+      'Stand-in for the weight store',
+      options =>
+        options
+          .option('port', port)
+          .option('loads-per-second', {type: 'number', default: 4}),
+      async flags => announce(await startWeightStore(flags)),
+    )
+    .command(
+      'balancer',
+      'Stand-in for the platform’s balancer',
+      options =>
+        options
+          .option('port', port)
+          .option('entries', {type: 'string', demandOption: true})
+          .option('check-ms', {type: 'number', default: 200}),
+      async flags =>
+        announce(
+          await startBalancer({...flags, entries: flags.entries.split(',')}),
+        ),
+    )
+    .command(
+      'demo',
+      'Start both deployments, send requests and print what ran where',
+      options => options,
+      async () => {
+        const good = await runDemo(text => process.stdout.write(text));
+        process.exitCode = good ? 0 : 1;
+      },
+    )
+    .demandCommand(1, 'name a command')
+    .strict()
+    .parseAsync();
+}
+
+function announce(standIn: StandIn): void {
+  process.stderr.write(`ready ${standIn.url}\n`);
+  const stop = () => void standIn.stop().then(() => process.exit(0));
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+}
--- /dev/null
+++ b/lab/lab/test/whole-path.test.ts
@@ -0,0 +1,102 @@
+import {expect} from 'chai';
+import OpenAI from 'openai';
+import {deploymentTree, startSystem, type System} from '@marigoldspur/lab';
+
+const DEPLOYMENT = {
+  customer: 'callao',
+  zones: ['lima-a', 'lima-b', 'lima-c'],
+  targets: [
+    {service: 'lm-desk', kind: 'engine', count: 2},
+    {service: 'chart-api', kind: 'service', count: 1},
+  ],
+  loadsPerSecond: 50,
+} as const;
+
+let system: System;
+let client: OpenAI;
+
+before(async () => {
+  system = await startSystem({
+    deployments: [DEPLOYMENT],
+    tree: deploymentTree([DEPLOYMENT], 10),
+    controls: 1,
+    entries: 2,
+  });
+  await system.settled();
+  client = new OpenAI({
+    baseURL: `${system.balancerUrl}/v1`,
+    apiKey: 'none',
+    maxRetries: 0,
+  });
+});
+
+after(() => system?.stop());
+
+it('whole path: a chat completion runs on the version it names', async () => {
+  const answer = await client.chat.completions.create({
+    model: 'callao-3@v1',
+    messages: [{role: 'user', content: 'Draft the recap.'}],
+  });
+  expect(answer.model).to.equal('callao-3@v1');
+  expect(answer.choices[0].message.content).to.match(/^callao-3@v1/);
+});
+
+it('whole path: a streamed completion arrives whole', async () => {
+  const stream = await client.completions.create({
+    model: 'callao-4@v1',
+    prompt: 'Summarise the clause.',
+    max_tokens: 5,
+    stream: true,
+  });
+  const words: string[] = [];
+  for await (const chunk of stream) {
+    words.push(chunk.choices[0].text);
+  }
+  expect(words.join('')).to.equal('callao-4@v1 w1 w2 w3 w4');
+});
+
+it('whole path: models lists what may be named', async () => {
+  const list = await client.models.list();
+  expect(list.data.map(model => model.id)).to.include('callao-9@v1');
+});
+
+it('whole path: a plain service gets method, path and body', async () => {
+  const answer = await fetch(`${system.balancerUrl}/chart-api/laytime?port=1`, {
+    method: 'PUT',
+    body: 'days=3',
+  });
+  expect(await answer.json()).to.include({
+    method: 'PUT',
+    url: '/laytime?port=1',
+    body: 'days=3',
+  });
+});
+
+it('whole path: an unknown version is a typed error', async () => {
+  const answer = await fetch(`${system.balancerUrl}/v1/completions`, {
+    method: 'POST',
+    body: JSON.stringify({model: 'callao-1@v9', prompt: ''}),
+  });
+  expect(answer.status).to.equal(404);
+  const {error} = (await answer.json()) as {error: Record<string, unknown>};
+  expect(error).to.include({code: 'unknown_version', outcome: 'not-run'});
+});
+
+it('whole path: a resent key gets the first answer and runs once', async () => {
+  const send = () =>
+    fetch(`${system.balancerUrl}/chart-api/indication`, {
+      method: 'POST',
+      body: 'tonnes=50000',
+      headers: {'idempotency-key': 'indication-1'},
+    });
+  const first = await (await send()).text();
+  const second = await (await send()).text();
+  expect(second).to.equal(first);
+  const target = system.targets.find(pair => pair.name === 'chart-api-0');
+  const record = (await (
+    await fetch(`${target?.url}/record`)
+  ).json()) as Array<{
+    model: string;
+  }>;
+  expect(record.filter(run => run.model === '/indication')).to.have.length(1);
+});
--- /dev/null
+++ b/lab/stand-ins/src/index.ts
@@ -0,0 +1,7 @@
+export {startEngine, type EngineOptions} from './engine.js';
+export {startPlainService, type PlainServiceOptions} from './plain-service.js';
+export {startWeightStore, type WeightStoreOptions} from './weight-store.js';
+export {startBalancer, type BalancerOptions} from './balancer.js';
+export type {StandIn} from './stand-in.js';
+export {ENGINE_FAULTS_SCHEMA, type EngineFaults} from './engine-faults.js';
+export type {RunRecord} from './run-record.js';
--- /dev/null
+++ b/machines/change-signal/src/change-signal.ts
@@ -0,0 +1,24 @@
+/** Wakes those who wait for a value to change. */
+export class ChangeSignal {
+  private readonly waiters = new Set<() => void>();
+
+  /** Wakes everyone who waits. */
+  notify(): void {
+    const waiters = [...this.waiters];
+    this.waiters.clear();
+    waiters.forEach(wake => wake());
+  }
+
+  /** Resolves at the next notification, or after `waitMs`. */
+  wait(waitMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const wake = () => {
+        clearTimeout(timer);
+        this.waiters.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, waitMs);
+      this.waiters.add(wake);
+    });
+  }
+}
--- /dev/null
+++ b/machines/change-signal/src/index.ts
@@ -0,0 +1,1 @@
+export {ChangeSignal} from './change-signal.js';
--- /dev/null
+++ b/machines/event-log/src/hybrid-clock.ts
@@ -0,0 +1,51 @@
+/** A point in hybrid logical time. */
+export interface HybridTime {
+  /** Milliseconds since the epoch. */
+  readonly time: number;
+  /** Order within one millisecond. */
+  readonly tick: number;
+}
+
+/** Hybrid logical clock (Kulkarni et al., 2014): close to wall time and causal over messages. */
+export class HybridClock {
+  private time = 0;
+  private tick = 0;
+
+  /** The time of a local event at wall time `now`, in milliseconds. */
+  advance(now: number): HybridTime {
+    if (now > this.time) {
+      this.time = now;
+      this.tick = 0;
+    } else {
+      this.tick += 1;
+    }
+    return {time: this.time, tick: this.tick};
+  }
+
+  /** Takes in the time of a received message. */
+  observe(remote: HybridTime, now: number): HybridTime {
+    if (remote.time > this.time && remote.time > now) {
+      this.time = remote.time;
+      this.tick = remote.tick + 1;
+      return {time: this.time, tick: this.tick};
+    }
+    if (remote.time === this.time) {
+      this.tick = Math.max(this.tick, remote.tick);
+    }
+    return this.advance(now);
+  }
+}
+
+/** Writes a hybrid time as a header value. */
+export function formatHybridTime(time: HybridTime): string {
+  return `${time.time}.${time.tick}`;
+}
+
+/** Reads a hybrid time from a header value; undefined when it is malformed. */
+export function parseHybridTime(text: unknown): HybridTime | undefined {
+  const match = /^(\d{1,15})\.(\d{1,9})$/.exec(String(text));
+  if (match === null) {
+    return undefined;
+  }
+  return {time: Number(match[1]), tick: Number(match[2])};
+}
--- /dev/null
+++ b/machines/event-log/src/index.ts
@@ -0,0 +1,12 @@
+export {
+  EventLog,
+  type EventDetails,
+  type EventLogOptions,
+} from './event-log.js';
+export {
+  formatHybridTime,
+  HybridClock,
+  parseHybridTime,
+  type HybridTime,
+} from './hybrid-clock.js';
+export {jsonLineSink, type EventSink} from './json-lines.js';
--- /dev/null
+++ b/machines/event-log/src/json-lines.ts
@@ -0,0 +1,24 @@
+import loglevel from 'loglevel';
+import {
+  CATALOGUE,
+  type Event,
+  type EventName,
+} from '@marigoldspur/event-catalogue';
+
+/** Takes each recorded event. */
+export interface EventSink {
+  write(event: Event): void;
+}
+
+/** Writes events as JSON lines through loglevel, at the level the catalogue states. */
+export function jsonLineSink(level: loglevel.LogLevelDesc): EventSink {
+  const logger = loglevel.getLogger('marigoldspur');
+  logger.methodFactory = () => line => process.stderr.write(`${line}\n`);
+  logger.setLevel(level, false);
+  return {
+    write(event) {
+      const kind = CATALOGUE[event.name as EventName];
+      logger[kind.level](JSON.stringify({level: kind.level, ...event}));
+    },
+  };
+}
--- /dev/null
+++ b/machines/http-link/src/open-request.ts
@@ -0,0 +1,20 @@
+import http from 'node:http';
+
+/** One outgoing HTTP request. */
+export interface OutgoingCall {
+  readonly url: URL;
+  readonly method: string;
+  readonly headers: http.OutgoingHttpHeaders;
+  readonly agent: http.Agent;
+  readonly signal?: AbortSignal;
+}
+
+/** Opens a request; the caller writes its body and ends it. */
+export function openRequest(call: OutgoingCall): http.ClientRequest {
+  return http.request(call.url, {
+    method: call.method,
+    headers: call.headers,
+    agent: call.agent,
+    signal: call.signal,
+  });
+}
--- /dev/null
+++ b/machines/metrics/src/index.ts
@@ -0,0 +1,1 @@
+export {processMetrics, type ProcessMetrics} from './process-metrics.js';
--- /dev/null
+++ b/machines/metrics/src/process-metrics.ts
@@ -0,0 +1,18 @@
+import {collectDefaultMetrics, Registry} from 'prom-client';
+
+/** The metrics of one process. */
+export interface ProcessMetrics {
+  readonly registry: Registry;
+}
+
+/** Creates the registry of a process with Node's own metrics and its labels. */
+export function processMetrics(labels: {
+  readonly process: string;
+  readonly role: string;
+  readonly zone: string;
+}): ProcessMetrics {
+  const registry = new Registry();
+  registry.setDefaultLabels(labels);
+  collectDefaultMetrics({register: registry});
+  return {registry};
+}
--- /dev/null
+++ b/machines/process-life/src/run-process.ts
@@ -0,0 +1,69 @@
+import type {z} from 'zod';
+import {formatFindings, toFault} from '@marigoldspur/faults';
+import {
+  readProcessSettings,
+  type ProcessCommand,
+} from '@marigoldspur/process-settings';
+
+/** A running part of the system. */
+export interface Task {
+  /** Ends the work that runs and resolves when all of it is done. */
+  stop(): Promise<void>;
+}
+
+/** A program: its settings and how to start it. */
+export interface ProcessDefinition<
+  Schema extends z.ZodObject,
+> extends ProcessCommand<Schema> {
+  /** Starts the program; `drain` asks the process to shut down gracefully. */
+  start(settings: z.infer<Schema>, drain: () => void): Promise<Task>;
+}
+
+const EXIT_FAILED = 1;
+const EXIT_BAD_SETTINGS = 2;
+
+/** Runs a program until SIGTERM or SIGINT; a second signal ends it at once. */
+export async function runProcess<Schema extends z.ZodObject>(
+  definition: ProcessDefinition<Schema>,
+): Promise<void> {
+  const read = await readProcessSettings(definition, {
+    args: process.argv.slice(2),
+    variables: process.env,
+  });
+  if (read.isErr) {
+    process.stderr.write(`${formatFindings(read.error)}\n`);
+    process.exit(EXIT_BAD_SETTINGS);
+  }
+  if (read.value.checkOnly) {
+    process.stdout.write('settings are valid\n');
+    return;
+  }
+  try {
+    const {signalled, signal} = stopSignal();
+    const task = await definition.start(read.value.settings, signal);
+    await signalled;
+    await task.stop();
+    process.exit(0);
+  } catch (thrown) {
+    process.stderr.write(`${definition.name}: ${toFault(thrown).message}\n`);
+    process.exit(EXIT_FAILED);
+  }
+}
+
+function stopSignal(): {signalled: Promise<void>; signal: () => void} {
+  let signal: () => void = () => {};
+  const signalled = new Promise<void>(resolve => {
+    signal = resolve;
+  });
+  let signals = 0;
+  const receive = () => {
+    signals += 1;
+    if (signals > 1) {
+      process.exit(EXIT_FAILED);
+    }
+    signal();
+  };
+  process.on('SIGTERM', receive);
+  process.on('SIGINT', receive);
+  return {signalled, signal};
+}
--- /dev/null
+++ b/machines/process-server/src/index.ts
@@ -0,0 +1,5 @@
+export {
+  startProcessServer,
+  type ProcessServer,
+  type ProcessServerOptions,
+} from './process-server.js';
--- /dev/null
+++ b/machines/process-server/src/process-server.ts
@@ -0,0 +1,110 @@
+import http from 'node:http';
+import type {AnyRouter} from '@trpc/server';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import {closeServer, listen, type Address} from '@marigoldspur/http-link';
+import type {ProcessMetrics} from '@marigoldspur/metrics';
+import {processRouter, type ProcessService} from '@marigoldspur/process-api';
+
+/** Handles requests that no page of the process server answers. */
+type Handler = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+) => void;
+
+/** What a process server offers. */
+export interface ProcessServerOptions {
+  readonly address: Address;
+  readonly service: ProcessService;
+  readonly metrics: ProcessMetrics;
+  /** Whether the process takes new work. */
+  readonly ready: () => boolean;
+  /** Further tRPC routers by the first segment of their path below `/trpc/`. */
+  readonly routers?: Readonly<Record<string, AnyRouter>>;
+  readonly fallback?: Handler;
+}
+
+/** A listening process server. */
+export interface ProcessServer {
+  readonly url: string;
+  /** Stops accepting and waits until each connection has ended. */
+  close(): Promise<void>;
+}
+
+const MAX_BATCH_SIZE = 16;
+const MAX_TRPC_BODY_BYTES = 33_554_432;
+const HEADERS_TIMEOUT_MS = 10_000;
+const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+
+/** Serves `/healthz`, `/readyz`, `/metrics` and the tRPC routers of a process. */
+export async function startProcessServer(
+  options: ProcessServerOptions,
+): Promise<ProcessServer> {
+  const routers = {process: processRouter(options.service), ...options.routers};
+  const handlers = new Map<string, Handler>();
+  for (const [name, router] of Object.entries(routers)) {
+    handlers.set(`/trpc/${name}/`, trpcHandler(`/trpc/${name}/`, router));
+  }
+  const server = http.createServer((request, response) => {
+    const path = (request.url ?? '/').split('?', 1)[0];
+    for (const [prefix, handler] of handlers) {
+      if (path.startsWith(prefix)) {
+        handler(request, response);
+        return;
+      }
+    }
+    void answerPage(path, options, request, response);
+  });
+  server.headersTimeout = HEADERS_TIMEOUT_MS;
+  server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+  server.requestTimeout = 0;
+  const address = await listen(server, options.address);
+  return {
+    url: `http://${address.host}:${address.port}`,
+    close: () => closeServer(server),
+  };
+}
+
+function trpcHandler(basePath: string, router: AnyRouter): Handler {
+  return createHTTPHandler({
+    router,
+    basePath,
+    maxBodySize: MAX_TRPC_BODY_BYTES,
+    allowBatching: MAX_BATCH_SIZE > 1,
+  });
+}
+
+async function answerPage(
+  path: string,
+  options: ProcessServerOptions,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Promise<void> {
+  switch (path) {
+    case '/healthz':
+      response.end('ok\n');
+      return;
+    case '/readyz':
+      response.statusCode = options.ready() ? 200 : 503;
+      response.end(options.ready() ? 'ready\n' : 'not ready\n');
+      return;
+    case '/metrics':
+      response.setHeader('content-type', options.metrics.registry.contentType);
+      response.end(await options.metrics.registry.metrics());
+      return;
+    default:
+      answerOther(options, request, response);
+  }
+}
+
+function answerOther(
+  options: ProcessServerOptions,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): void {
+  if (options.fallback !== undefined) {
+    options.fallback(request, response);
+    return;
+  }
+  response.statusCode = 404;
+  response.end('not found\n');
+}
--- /dev/null
+++ b/policy/eviction/src/create-eviction.ts
@@ -0,0 +1,16 @@
+import {DecayedFrequencyEviction} from './decayed-frequency-eviction.js';
+import type {Eviction} from './eviction.js';
+import {LruEviction} from './lru-eviction.js';
+
+/** Name of an eviction policy, as in the settings. */
+export type EvictionName = 'lru' | 'decayed-frequency';
+
+/** Creates the eviction policy that the settings name. */
+export function createEviction(name: EvictionName): Eviction {
+  switch (name) {
+    case 'lru':
+      return new LruEviction();
+    case 'decayed-frequency':
+      return new DecayedFrequencyEviction();
+  }
+}
--- /dev/null
+++ b/policy/load-order/src/index.ts
@@ -0,0 +1,3 @@
+export type {LoadOrder, PendingLoad} from './load-order.js';
+export {FirstComeOrder} from './first-come-order.js';
+export {LeastHarmOrder} from './least-harm-order.js';
--- /dev/null
+++ b/policy/load-order/src/load-order.ts
@@ -0,0 +1,20 @@
+/** A load that waits for a permit. */
+export interface PendingLoad {
+  /** Adapter and version, `adapter@version`. */
+  readonly model: string;
+  /** When the load was asked for, in milliseconds. */
+  readonly askedAt: number;
+  /** Requests that wait for it; 0 for a prefetch. */
+  readonly waiters: number;
+  /** Priority of the most urgent waiter; 0 is served first. */
+  readonly priority: number;
+}
+
+/** Chooses the next load of a weight store. */
+export interface LoadOrder {
+  /** The load to run at time `now`, in milliseconds; undefined where none waits. */
+  next<Load extends PendingLoad>(
+    loads: readonly Load[],
+    now: number,
+  ): Load | undefined;
+}
--- /dev/null
+++ b/policy/placement/src/create-placement.ts
@@ -0,0 +1,26 @@
+import {HashHomePlacement} from './hash-home-placement.js';
+import {LeastLoadedPlacement} from './least-loaded-placement.js';
+import type {Placement} from './placement.js';
+import {RandomPlacement} from './random-placement.js';
+import {ResidentFirstPlacement} from './resident-first-placement.js';
+
+/** Name of a placement policy, as in the settings. */
+export type PlacementName =
+  'random' | 'least-loaded' | 'hash-home' | 'resident-first';
+
+/** Creates the placement policy that the settings name. */
+export function createPlacement(
+  name: PlacementName,
+  random: () => number,
+): Placement {
+  switch (name) {
+    case 'random':
+      return new RandomPlacement(random);
+    case 'least-loaded':
+      return new LeastLoadedPlacement();
+    case 'hash-home':
+      return new HashHomePlacement();
+    case 'resident-first':
+      return new ResidentFirstPlacement();
+  }
+}
--- /dev/null
+++ b/policy/placement/src/index.ts
@@ -0,0 +1,6 @@
+export type {Candidate, Placement, PlacementRequest} from './placement.js';
+export {HashHomePlacement} from './hash-home-placement.js';
+export {LeastLoadedPlacement} from './least-loaded-placement.js';
+export {RandomPlacement} from './random-placement.js';
+export {ResidentFirstPlacement} from './resident-first-placement.js';
+export {createPlacement, type PlacementName} from './create-placement.js';
--- /dev/null
+++ b/policy/placement/src/placement.ts
@@ -0,0 +1,31 @@
+/** A target that may serve a request. */
+export interface Candidate {
+  readonly name: string;
+  readonly zone: string;
+  /** Adapters that the target holds, as `adapter@version`. */
+  readonly resident: ReadonlySet<string>;
+  /** Adapter slots of the target; 0 for a plain service. */
+  readonly slots: number;
+  /** Requests that run or wait there, with those sent since its last report. */
+  readonly load: number;
+  /** Requests that the target runs in one batch at most. */
+  readonly batchLimit: number;
+}
+
+/** What is placed. */
+export interface PlacementRequest {
+  /** Adapter and version, `adapter@version`; undefined for a plain service. */
+  readonly model: string | undefined;
+  /** Zone of the entry. */
+  readonly zone: string;
+}
+
+/** Chooses the target of a request. */
+export interface Placement {
+  /** The target to use at time `now`, in milliseconds; undefined without candidates. */
+  choose(
+    request: PlacementRequest,
+    candidates: readonly Candidate[],
+    now: number,
+  ): Candidate | undefined;
+}
--- /dev/null
+++ b/policy/placement/src/resident-first-placement.ts
@@ -0,0 +1,26 @@
+import {LeastLoadedPlacement} from './least-loaded-placement.js';
+import type {Candidate, Placement, PlacementRequest} from './placement.js';
+import {rendezvousOrder} from './rendezvous.js';
+
+/** Chooses a target that holds the adapter and has room, else the adapter's home. */
+export class ResidentFirstPlacement implements Placement {
+  private readonly leastLoaded = new LeastLoadedPlacement();
+
+  choose(
+    request: PlacementRequest,
+    candidates: readonly Candidate[],
+  ): Candidate | undefined {
+    const {model} = request;
+    if (model === undefined) {
+      return this.leastLoaded.choose(request, candidates);
+    }
+    const holders = candidates.filter(
+      candidate =>
+        candidate.resident.has(model) && candidate.load < candidate.batchLimit,
+    );
+    if (holders.length > 0) {
+      return this.leastLoaded.choose(request, holders);
+    }
+    return rendezvousOrder(model, candidates)[0];
+  }
+}
--- /dev/null
+++ b/zones/control-client/src/control-client.ts
@@ -0,0 +1,125 @@
+import http from 'node:http';
+import {createTRPCClient, httpLink, TRPCClientError} from '@trpc/client';
+import {Result} from 'true-myth';
+import type {ControlRouter} from '@marigoldspur/control-api';
+import {Fault, type FaultCode} from '@marigoldspur/faults';
+import {linkFetch} from '@marigoldspur/http-link';
+
+/** A tRPC client of one replica of control. */
+export type ReplicaClient = ReturnType<typeof replicaClient>;
+
+/** Options of a control client. */
+export interface ControlClientOptions {
+  /** Base URLs of the replicas of control. */
+  readonly urls: readonly string[];
+  /** Longest time of one call that does not wait, in milliseconds. */
+  readonly timeoutMs?: number;
+}
+
+const DEFAULT_TIMEOUT_MS = 2_000;
+const RETRY_PAUSE_MS = 50;
+
+/** Calls control: finds the leader, and turns to another replica when one is out of reach. */
+export class ControlClient {
+  private readonly agent = new http.Agent({keepAlive: true});
+  private readonly replicas = new Map<string, ReplicaClient>();
+  private preferred: string;
+
+  constructor(private readonly options: ControlClientOptions) {
+    this.preferred = options.urls[0];
+  }
+
+  /**
+   * Calls the leader, trying each replica until `deadlineMs` (a `performance.now()`
+   * time). Only calls that may be repeated belong here: each command of control is
+   * idempotent by its identity.
+   */
+  async call<T>(
+    call: (replica: ReplicaClient, signal: AbortSignal) => Promise<T>,
+    deadlineMs: number,
+  ): Promise<Result<T, Fault>> {
+    let fault = new Fault('UNAVAILABLE', 'control is out of reach');
+    let attempt = 0;
+    while (performance.now() < deadlineMs) {
+      const url = this.preferred;
+      const timeoutMs = Math.min(
+        this.options.timeoutMs ?? DEFAULT_TIMEOUT_MS,
+        deadlineMs - performance.now(),
+      );
+      try {
+        const signal = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)));
+        return Result.ok(await call(this.replica(url), signal));
+      } catch (thrown) {
+        fault = faultOf(thrown);
+        if (!isWorthRetry(fault)) {
+          return Result.err(fault);
+        }
+        this.preferred = this.nextReplica(url, fault);
+      }
+      attempt += 1;
+      if (attempt % this.options.urls.length === 0) {
+        await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+      }
+    }
+    return Result.err(fault);
+  }
+
+  /** The client of one replica. */
+  replica(url: string): ReplicaClient {
+    let client = this.replicas.get(url);
+    if (client === undefined) {
+      client = replicaClient(url, this.agent);
+      this.replicas.set(url, client);
+    }
+    return client;
+  }
+
+  /** The replica that calls go to first. */
+  get preferredUrl(): string {
+    return this.preferred;
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.agent.destroy();
+  }
+
+  private nextReplica(tried: string, fault: Fault): string {
+    const {urls} = this.options;
+    if (fault.code === 'NOT_LEADER' && urls.includes(fault.message)) {
+      return fault.message;
+    }
+    return urls[(urls.indexOf(tried) + 1) % urls.length];
+  }
+}
+
+function replicaClient(url: string, agent: http.Agent) {
+  return createTRPCClient<ControlRouter>({
+    links: [httpLink({url: `${url}/trpc/control`, fetch: linkFetch(agent)})],
+  });
+}
+
+function isWorthRetry(fault: Fault): boolean {
+  return [
+    'NOT_LEADER',
+    'NO_QUORUM',
+    'UNAVAILABLE',
+    'TIMEOUT',
+    'STOPPING',
+  ].includes(fault.code);
+}
+
+function faultOf(thrown: unknown): Fault {
+  if (thrown instanceof TRPCClientError) {
+    const data = thrown.data as
+      {fault?: FaultCode; code?: string} | null | undefined;
+    if (data?.fault !== undefined) {
+      return new Fault(data.fault, thrown.message, {cause: thrown});
+    }
+    if (data?.code === 'BAD_REQUEST') {
+      return new Fault('INVALID_INPUT', thrown.message, {cause: thrown});
+    }
+  }
+  const message = thrown instanceof Error ? thrown.message : String(thrown);
+  return new Fault('UNAVAILABLE', message, {cause: thrown});
+}
--- /dev/null
+++ b/zones/membership/src/index.ts
@@ -0,0 +1,5 @@
+export {
+  MemberTable,
+  type MemberChange,
+  type MemberTableOptions,
+} from './member-table.js';
