Mutual TLS between processes, operators' tokens and callers' keys

Cause: every call was trusted. Now a certificate of the system's own authority makes a caller a process, a token makes it an operator with a role, and a caller's key names its customer; key files are read again when they change. Without keys only loopback is served, and an event says so.

Ruled out: requiring client certificates on every connection, since operators come with tokens only. Tests make their own keys.

--- a/agent/agent-server/src/agent-settings.ts
+++ b/agent/agent-server/src/agent-settings.ts
@@ -4,13 +4,14 @@
   LIST_SCHEMA,
   PORT_SCHEMA,
 } from '@marigoldspur/process-settings';
+import {LINK_SETTINGS} from '@marigoldspur/link-security';
 import {NAME_SCHEMA} from '@marigoldspur/settings-schema';
 
 /** Settings of an agent process. */
 export const AGENT_SETTINGS_SCHEMA = z.object({
   id: NAME_SCHEMA.describe('Name of the process, stable over restarts'),
   zone: NAME_SCHEMA.describe('Availability zone'),
-  host: z.string().default('127.0.0.1').describe('Address to listen on'),
+  ...LINK_SETTINGS,
   port: PORT_SCHEMA.describe('Port for entries and operators'),
   control: LIST_SCHEMA.describe('Base URLs of the replicas of control'),
   target: NAME_SCHEMA.describe('Name of the target beside the agent'),
--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -6,6 +6,7 @@
 } from '@marigoldspur/control-client';
 import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
 import {createEviction} from '@marigoldspur/eviction';
+import {openLinkSecurity} from '@marigoldspur/link-security';
 import {processMetrics} from '@marigoldspur/metrics';
 import type {Member, TargetReport} from '@marigoldspur/messages';
 import {bootIdentity, type Task} from '@marigoldspur/process-life';
@@ -34,7 +35,11 @@
     process: settings.id,
     sinks: [jsonLineSink(settings.logLevel)],
   });
-  const client = new ControlClient({urls: settings.control});
+  const security = await openLinkSecurity(settings, events);
+  const client = new ControlClient({
+    urls: settings.control,
+    agent: security.createAgent(),
+  });
   const follower = new SettingsFollower(client, events);
   await follower.start(performance.now() + START_TIMEOUT_MS);
   const engine = await prepareEngine(settings, client, follower, events, boot);
@@ -52,6 +57,7 @@
   let draining = false;
   const server = await startProcessServer({
     address: {host: settings.host, port: settings.port},
+    security,
     metrics: processMetrics({
       process: settings.id,
       role: 'agent',
@@ -120,6 +126,7 @@
       engine?.watch.stop();
       await follower.stop();
       client.close();
+      security.stop();
       events.record('process-stopped');
     },
   };
--- a/contracts/control-api/src/router.ts
+++ b/contracts/control-api/src/router.ts
@@ -1,5 +1,11 @@
 import {initTRPC, TRPCError} from '@trpc/server';
 import {z} from 'zod';
+import {
+  allows,
+  type Access,
+  type CallContext,
+  type Caller,
+} from '@marigoldspur/access';
 import {Fault, toFault} from '@marigoldspur/faults';
 import {
   CLAIM_SCHEMA,
@@ -7,14 +13,14 @@
   MEMBER_SCHEMA,
   PERMIT_REQUEST_SCHEMA,
 } from '@marigoldspur/messages';
-import {CHANGE_SCHEMA} from '@marigoldspur/settings-schema';
+import {CHANGE_SCHEMA, type Change} from '@marigoldspur/settings-schema';
 import type {ControlService} from './service.js';
 
 const MAX_WAIT_MS = 60_000;
 const MAX_HISTORY = 1_000;
 const waitSchema = z.int().min(0).max(MAX_WAIT_MS);
 
-const trpc = initTRPC.context<object>().create({
+const trpc = initTRPC.context<CallContext>().create({
   errorFormatter: ({shape, error}) => ({
     ...shape,
     data: {
@@ -24,39 +30,55 @@
   }),
 });
 
+function procedureFor(access: Access) {
+  return trpc.procedure.use(({ctx, next}) => {
+    if (!allows(ctx.caller, access)) {
+      throw new TRPCError({
+        code: 'FORBIDDEN',
+        message: `needs ${access} rights`,
+      });
+    }
+    return next();
+  });
+}
+
 /** Serves a control service over tRPC. */
 export function controlRouter(service: ControlService) {
-  const procedure = trpc.procedure;
+  const viewer = procedureFor('viewer');
+  const operator = procedureFor('operator');
+  const peer = procedureFor('process');
   return trpc.router({
-    readSettings: procedure
+    readSettings: viewer
       .input(z.object({fresh: z.boolean()}))
       .query(({input}) => answer(() => service.readSettings(input.fresh))),
-    watchSettings: procedure
+    watchSettings: viewer
       .input(z.object({revision: z.int().min(0), waitMs: waitSchema}))
       .query(({input}) =>
         answer(() => service.watchSettings(input.revision, input.waitMs)),
       ),
-    changeSettings: procedure
+    changeSettings: operator
       .input(CHANGE_SCHEMA)
-      .mutation(({input}) => answer(() => service.changeSettings(input))),
-    settingsHistory: procedure
+      .mutation(({input, ctx}) =>
+        answer(() => service.changeSettings(signed(input, ctx.caller))),
+      ),
+    settingsHistory: viewer
       .input(z.object({limit: z.int().min(1).max(MAX_HISTORY)}))
       .query(({input}) => answer(() => service.settingsHistory(input.limit))),
-    takeClaim: procedure
+    takeClaim: peer
       .input(CLAIM_SCHEMA)
       .mutation(({input}) => answer(() => service.takeClaim(input))),
-    completeClaim: procedure
+    completeClaim: peer
       .input(COMPLETION_SCHEMA)
       .mutation(({input}) => answer(() => service.completeClaim(input))),
-    heartbeat: procedure
+    heartbeat: peer
       .input(MEMBER_SCHEMA)
       .mutation(({input}) => answer(() => service.heartbeat(input))),
-    grantFence: procedure
+    grantFence: peer
       .input(z.object({target: z.string(), boot: z.string()}))
       .mutation(({input}) =>
         answer(() => service.grantFence(input.target, input.boot)),
       ),
-    watchMembers: procedure
+    watchMembers: viewer
       .input(
         z.object({
           table: z.string(),
@@ -69,21 +91,26 @@
           service.watchMembers(input.table, input.version, input.waitMs),
         ),
       ),
-    acquirePermit: procedure
+    acquirePermit: peer
       .input(PERMIT_REQUEST_SCHEMA)
       .mutation(({input}) => answer(() => service.acquirePermit(input))),
-    releasePermit: procedure
+    releasePermit: peer
       .input(z.object({permit: z.string(), loaded: z.boolean()}))
       .mutation(({input}) =>
         answer(() => service.releasePermit(input.permit, input.loaded)),
       ),
-    status: procedure.query(() => service.status()),
+    status: viewer.query(() => service.status()),
   });
 }
 
 /** Type of the router, for clients. */
 export type ControlRouter = ReturnType<typeof controlRouter>;
 
+/** An operator's change carries the operator's own name. */
+function signed(change: Change, caller: Caller): Change {
+  return caller.kind === 'operator' ? {...change, author: caller.name} : change;
+}
+
 async function answer<T>(call: () => Promise<T>): Promise<T> {
   try {
     return await call();
--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -36,6 +36,17 @@
     level: 'warn',
     meaning: 'No keys are set, so the process binds to loopback only.',
   },
+  'keys-reloaded': {
+    number: 105,
+    level: 'info',
+    meaning: 'A key file changed and its new content is used.',
+  },
+  'keys-rejected': {
+    number: 106,
+    level: 'warn',
+    meaning:
+      'A key file changed and is malformed; the last good content stays.',
+  },
   'change-accepted': {
     number: 200,
     level: 'info',
--- a/contracts/faults/src/fault.ts
+++ b/contracts/faults/src/fault.ts
@@ -15,6 +15,7 @@
   | 'DISK_FULL'
   | 'STOPPING'
   | 'FENCED'
+  | 'FORBIDDEN'
   | 'LOAD_FAILED'
   | 'REFUSED'
   | 'INTERNAL';
--- a/contracts/process-api/src/router.ts
+++ b/contracts/process-api/src/router.ts
@@ -1,5 +1,6 @@
-import {initTRPC} from '@trpc/server';
+import {initTRPC, TRPCError} from '@trpc/server';
 import {z} from 'zod';
+import {allows, type Access, type CallContext} from '@marigoldspur/access';
 import type {Event} from '@marigoldspur/event-catalogue';
 import type {ProcessStatus} from '@marigoldspur/messages';
 
@@ -14,13 +15,25 @@
   drain(): void;
 }
 
-const trpc = initTRPC.context<object>().create();
+const trpc = initTRPC.context<CallContext>().create();
+
+function procedureFor(access: Access) {
+  return trpc.procedure.use(({ctx, next}) => {
+    if (!allows(ctx.caller, access)) {
+      throw new TRPCError({
+        code: 'FORBIDDEN',
+        message: `needs ${access} rights`,
+      });
+    }
+    return next();
+  });
+}
 
 /** Serves a process service over tRPC. */
 export function processRouter(service: ProcessService) {
   return trpc.router({
-    status: trpc.procedure.query(() => service.status()),
-    events: trpc.procedure
+    status: procedureFor('viewer').query(() => service.status()),
+    events: procedureFor('viewer')
       .input(
         z.object({
           after: z.int().min(0),
@@ -31,7 +44,7 @@
       .query(({input}) =>
         service.events(input.after, input.limit, input.request),
       ),
-    drain: trpc.procedure.mutation(() => service.drain()),
+    drain: procedureFor('operator').mutation(() => service.drain()),
   });
 }
 
--- a/control/control-server/src/control-settings.ts
+++ b/control/control-server/src/control-settings.ts
@@ -4,13 +4,14 @@
   LIST_SCHEMA,
   PORT_SCHEMA,
 } from '@marigoldspur/process-settings';
+import {LINK_SETTINGS} from '@marigoldspur/link-security';
 import {NAME_SCHEMA} from '@marigoldspur/settings-schema';
 
 /** Settings of a control process. */
 export const CONTROL_SETTINGS_SCHEMA = z.object({
   id: NAME_SCHEMA.describe('Name of the process, stable over restarts'),
   zone: NAME_SCHEMA.describe('Availability zone'),
-  host: z.string().default('127.0.0.1').describe('Address to listen on'),
+  ...LINK_SETTINGS,
   port: PORT_SCHEMA.describe('Port for other processes and operators'),
   peers: LIST_SCHEMA.prefault('').describe(
     'Base URLs of all replicas of control, this one included',
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -3,6 +3,7 @@
 import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
 import {PermitDesk} from '@marigoldspur/load-permits';
 import {MemberTable} from '@marigoldspur/membership';
+import {openLinkSecurity} from '@marigoldspur/link-security';
 import {processMetrics} from '@marigoldspur/metrics';
 import {bootIdentity, type Task} from '@marigoldspur/process-life';
 import {startProcessServer} from '@marigoldspur/process-server';
@@ -25,6 +26,7 @@
     process: settings.id,
     sinks: [jsonLineSink(settings.logLevel)],
   });
+  const security = await openLinkSecurity(settings, events);
   const machine = new ControlMachine();
   const log = await openSingleReplica(machine, {
     folder: path.join(settings.dataFolder, 'log'),
@@ -47,6 +49,7 @@
   let draining = false;
   const server = await startProcessServer({
     address: {host: settings.host, port: settings.port},
+    security,
     metrics: processMetrics({
       process: settings.id,
       role: 'control',
@@ -88,6 +91,7 @@
       events.record('process-draining');
       clearInterval(leaseCheck);
       await log.stop();
+      security.stop();
       events.record('process-stopped');
     },
   };
--- /dev/null
+++ b/entry/caller-keys/src/caller-key-table.ts
@@ -0,0 +1,56 @@
+import type {IncomingHttpHeaders} from 'node:http';
+import {Result} from 'true-myth';
+import {
+  CALLER_KEYS_SCHEMA,
+  secretDigest,
+  type CallerKeys,
+} from '@marigoldspur/access';
+import type {EventLog} from '@marigoldspur/event-log';
+import {Refusal} from '@marigoldspur/faults';
+import {KeyFile, parseWith} from '@marigoldspur/key-files';
+
+const STATUS_UNAUTHORIZED = 401;
+const BEARER = 'Bearer ';
+
+/** Finds the customer of a caller. */
+export interface CallerKeyTable {
+  /** The customer of a request's key; undefined where no keys are set, so that any customer's names are served. */
+  customerOf(headers: IncomingHttpHeaders): Result<string | undefined, Refusal>;
+  stop(): void;
+}
+
+/** Opens the table of callers' keys; without a file every caller is let in. */
+export async function openCallerKeys(options: {
+  readonly file: string | undefined;
+  readonly events: EventLog;
+}): Promise<CallerKeyTable> {
+  const {file, events} = options;
+  if (file === undefined) {
+    return {customerOf: () => Result.ok(undefined), stop: () => {}};
+  }
+  const parse = parseWith(CALLER_KEYS_SCHEMA);
+  const keyFile = await KeyFile.open({file, parse, events});
+  return {
+    customerOf: headers => customerOf(keyFile.current, headers),
+    stop: () => keyFile.stop(),
+  };
+}
+
+function customerOf(
+  keys: CallerKeys,
+  headers: IncomingHttpHeaders,
+): Result<string | undefined, Refusal> {
+  const header = headers.authorization ?? '';
+  if (!header.startsWith(BEARER)) {
+    return Result.err(unauthorized('missing_key', 'a key is needed'));
+  }
+  const digest = secretDigest(header.slice(BEARER.length));
+  const key = keys.keys.find(each => each.sha256 === digest);
+  return key === undefined
+    ? Result.err(unauthorized('bad_key', 'the key is not known'))
+    : Result.ok(key.customer);
+}
+
+function unauthorized(reason: string, message: string): Refusal {
+  return new Refusal('not-run', STATUS_UNAUTHORIZED, reason, message);
+}
--- /dev/null
+++ b/entry/caller-keys/src/index.ts
@@ -0,0 +1,1 @@
+export {openCallerKeys, type CallerKeyTable} from './caller-key-table.js';
--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -43,7 +43,8 @@
 
 /** Sends attempts to agents. */
 export class AttemptClient {
-  private readonly agent = new http.Agent({keepAlive: true});
+  /** `agent` makes the connections. */
+  constructor(private readonly agent: http.Agent) {}
 
   /** Sends an attempt; resolves with the head of the answer or with what is known of the failure. */
   send(attempt: Attempt): Promise<Result<AttemptAnswer, Refusal>> {
--- a/entry/entry-server/src/entry-settings.ts
+++ b/entry/entry-server/src/entry-settings.ts
@@ -4,14 +4,34 @@
   LIST_SCHEMA,
   PORT_SCHEMA,
 } from '@marigoldspur/process-settings';
+import {LINK_SETTINGS} from '@marigoldspur/link-security';
 import {NAME_SCHEMA} from '@marigoldspur/settings-schema';
 
 /** Settings of an entry process. */
 export const ENTRY_SETTINGS_SCHEMA = z.object({
   id: NAME_SCHEMA.describe('Name of the process, stable over restarts'),
   zone: NAME_SCHEMA.describe('Availability zone'),
-  host: z.string().default('127.0.0.1').describe('Address to listen on'),
+  ...LINK_SETTINGS,
   callerPort: PORT_SCHEMA.describe('Port for callers, behind the balancer'),
+  callerKeys: z
+    .string()
+    .min(1)
+    .optional()
+    .describe(
+      'Keys of callers, JSON or YAML file; without it every caller is let in',
+    ),
+  callerTlsCert: z
+    .string()
+    .min(1)
+    .optional()
+    .describe(
+      'Certificate that callers see, PEM file; without it callers speak HTTP',
+    ),
+  callerTlsKey: z
+    .string()
+    .min(1)
+    .optional()
+    .describe('Private key of the certificate that callers see, PEM file'),
   port: PORT_SCHEMA.describe('Port for other processes and operators'),
   control: LIST_SCHEMA.describe('Base URLs of the replicas of control'),
   settleMs: DURATION_MS_SCHEMA.default(2_000).describe(
--- a/entry/entry-server/src/request-desk.ts
+++ b/entry/entry-server/src/request-desk.ts
@@ -8,6 +8,7 @@
   writeRefusal,
   type CallerRequest,
 } from '@marigoldspur/caller-api';
+import type {CallerKeyTable} from '@marigoldspur/caller-keys';
 import type {SettingsFollower} from '@marigoldspur/control-client';
 import {
   collectAnswer,
@@ -37,6 +38,7 @@
   readonly directory: TargetDirectory;
   readonly attempts: AttemptClient;
   readonly claims: ClaimDesk;
+  readonly keys: CallerKeyTable;
   readonly events: EventLog;
   readonly metrics: EntryMetrics;
   readonly maxBodyBytes: number;
@@ -101,9 +103,14 @@
     const gone = new AbortController();
     response.on('close', () => gone.abort());
     const {revision, tree} = this.options.settings.settings;
+    const customer = this.options.keys.customerOf(request.headers);
+    if (customer.isErr) {
+      this.refuse(response, id, customer.error);
+      return;
+    }
     if (request.method === 'GET' && request.url === '/v1/models') {
       response.setHeader('content-type', 'application/json');
-      response.end(JSON.stringify(modelList(tree, undefined)));
+      response.end(JSON.stringify(modelList(tree, customer.value)));
       return;
     }
     const body = await readBody(request, this.options.maxBodyBytes);
@@ -121,7 +128,7 @@
     const head = {
       method: request.method ?? 'GET',
       url: request.url ?? '/',
-      customer: undefined,
+      customer: customer.value,
     };
     const read = readCallerRequest(head, body.value, tree);
     if (read.isErr) {
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -1,5 +1,5 @@
-import http from 'node:http';
 import {Admission} from '@marigoldspur/admission';
+import {openCallerKeys} from '@marigoldspur/caller-keys';
 import {
   ControlClient,
   MemberFollower,
@@ -9,11 +9,13 @@
 import {AttemptClient, TargetDirectory} from '@marigoldspur/dispatch';
 import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
 import {closeServer, listen} from '@marigoldspur/http-link';
+import {openLinkSecurity} from '@marigoldspur/link-security';
 import {processMetrics} from '@marigoldspur/metrics';
 import type {Member} from '@marigoldspur/messages';
 import {bootIdentity, type Task} from '@marigoldspur/process-life';
 import {startProcessServer} from '@marigoldspur/process-server';
 import {ClaimDesk} from './claim-desk.js';
+import {createCallerServer} from './caller-server.js';
 import {EntryMetrics} from './entry-metrics.js';
 import type {EntrySettings} from './entry-settings.js';
 import {RequestDesk} from './request-desk.js';
@@ -35,7 +37,11 @@
     process: settings.id,
     sinks: [jsonLineSink(settings.logLevel)],
   });
-  const client = new ControlClient({urls: settings.control});
+  const security = await openLinkSecurity(settings, events);
+  const client = new ControlClient({
+    urls: settings.control,
+    agent: security.createAgent(),
+  });
   const follower = new SettingsFollower(client, events);
   await follower.start(performance.now() + START_TIMEOUT_MS);
   const members = new MemberFollower(client);
@@ -45,12 +51,14 @@
     role: 'entry',
     zone: settings.zone,
   });
-  const attempts = new AttemptClient();
+  const keys = await openCallerKeys({file: settings.callerKeys, events});
+  const attempts = new AttemptClient(security.createAgent());
   const desk = new RequestDesk({
     settings: follower,
     admission: new Admission(),
     directory: new TargetDirectory(() => members.members(), settings.zone),
     attempts,
+    keys,
     claims: new ClaimDesk(client, {entry: settings.id, boot}),
     events,
     metrics: new EntryMetrics(metrics.registry),
@@ -58,7 +66,8 @@
     random: Math.random,
   });
   let draining = false;
-  const callers = http.createServer(
+  const callers = await createCallerServer(
+    settings,
     {maxHeaderSize: MAX_HEADER_BYTES},
     (request, response) => {
       if (request.url === '/readyz') {
@@ -71,6 +80,7 @@
       }
       void desk.handle(request, response);
     },
+    events,
   );
   callers.headersTimeout = HEADERS_TIMEOUT_MS;
   callers.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
@@ -80,6 +90,7 @@
   });
   const server = await startProcessServer({
     address: {host: settings.host, port: settings.port},
+    security,
     metrics,
     ready: () => !draining,
     service: {
@@ -125,6 +136,8 @@
       await follower.stop();
       attempts.close();
       client.close();
+      keys.stop();
+      security.stop();
       events.record('process-stopped');
     },
   };
--- /dev/null
+++ b/lab/test-keys/src/index.ts
@@ -0,0 +1,1 @@
+export {createAuthority, type Authority, type KeyPair} from './authority.js';
--- a/machines/http-link/src/open-request.ts
+++ b/machines/http-link/src/open-request.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import https from 'node:https';
 
 /** One outgoing HTTP request. */
 export interface OutgoingCall {
@@ -11,7 +12,8 @@
 
 /** Opens a request; the caller writes its body and ends it. */
 export function openRequest(call: OutgoingCall): http.ClientRequest {
-  return http.request(call.url, {
+  const {request} = call.url.protocol === 'https:' ? https : http;
+  return request(call.url, {
     method: call.method,
     headers: call.headers,
     agent: call.agent,
--- /dev/null
+++ b/machines/link-security/src/index.ts
@@ -0,0 +1,10 @@
+export {
+  LINK_SETTINGS,
+  LINK_SETTINGS_SCHEMA,
+  type LinkSettings,
+} from './link-settings.js';
+export type {LinkSecurity} from './link-security.js';
+export {LoopbackSecurity} from './loopback-security.js';
+export {MutualTlsSecurity} from './mutual-tls-security.js';
+export {openLinkSecurity} from './open-link-security.js';
+export {OperatorTokenTable} from './operator-token-table.js';
--- /dev/null
+++ b/machines/link-security/src/loopback-security.ts
@@ -0,0 +1,25 @@
+import http from 'node:http';
+import type {Caller} from '@marigoldspur/access';
+import type {LinkSecurity} from './link-security.js';
+
+/** No keys: whoever reaches the loopback address is taken for a process of the system. */
+export class LoopbackSecurity implements LinkSecurity {
+  readonly scheme = 'http';
+
+  createServer(
+    options: http.ServerOptions,
+    handler: http.RequestListener,
+  ): http.Server {
+    return http.createServer(options, handler);
+  }
+
+  createAgent(): http.Agent {
+    return new http.Agent({keepAlive: true});
+  }
+
+  callerOf(): Caller {
+    return {kind: 'process'};
+  }
+
+  stop(): void {}
+}
--- /dev/null
+++ b/machines/link-security/src/open-link-security.ts
@@ -0,0 +1,100 @@
+import {isIP} from 'node:net';
+import {
+  OPERATOR_TOKENS_SCHEMA,
+  type OperatorTokens,
+} from '@marigoldspur/access';
+import type {EventLog} from '@marigoldspur/event-log';
+import {type Finding, InvalidInput} from '@marigoldspur/faults';
+import {KeyFile, parseWith} from '@marigoldspur/key-files';
+import type {LinkSecurity} from './link-security.js';
+import type {LinkSettings} from './link-settings.js';
+import {LoopbackSecurity} from './loopback-security.js';
+import {MutualTlsSecurity} from './mutual-tls-security.js';
+import {OperatorTokenTable} from './operator-token-table.js';
+
+/** Reads the keys that the settings name; without keys only loopback is allowed. Throws `InvalidInput`. */
+export async function openLinkSecurity(
+  settings: LinkSettings,
+  events: EventLog,
+): Promise<LinkSecurity> {
+  const {tlsCert, tlsKey, tlsCa} = settings;
+  const findings = linkFindings(settings);
+  if (findings.length > 0) {
+    throw new InvalidInput(findings);
+  }
+  if (tlsCert === undefined || tlsKey === undefined || tlsCa === undefined) {
+    events.record('insecure-loopback', {host: settings.host});
+    return new LoopbackSecurity();
+  }
+  const files: Array<KeyFile<unknown>> = [];
+  const text = async (file: string) => {
+    const opened = await KeyFile.open({file, parse: pem, events, onReload});
+    files.push(opened);
+    return opened;
+  };
+  const onReload = () => security.replaceKeys(keys());
+  const [cert, key, ca] = [
+    await text(tlsCert),
+    await text(tlsKey),
+    await text(tlsCa),
+  ];
+  const keys = () => ({cert: cert.current, key: key.current, ca: ca.current});
+  const tokens = await openTokens(settings.operatorTokens, events);
+  const security = new MutualTlsSecurity(
+    keys(),
+    new OperatorTokenTable(() => tokens?.current ?? {tokens: []}),
+    () => [...files, ...(tokens ? [tokens] : [])].forEach(file => file.stop()),
+  );
+  return security;
+}
+
+function linkFindings(settings: LinkSettings): Finding[] {
+  const {host, tlsCert, tlsKey, tlsCa, operatorTokens} = settings;
+  const files = {'--tls-cert': tlsCert, '--tls-key': tlsKey, '--tls-ca': tlsCa};
+  const missing = Object.entries(files).filter(
+    ([, file]) => file === undefined,
+  );
+  if (missing.length > 0 && missing.length < Object.keys(files).length) {
+    return missing.map(([place]) => ({
+      place,
+      reason: 'is needed beside the other TLS files',
+    }));
+  }
+  if (missing.length === 0) {
+    return [];
+  }
+  const findings: Finding[] = [];
+  if (!isLoopback(host)) {
+    findings.push({
+      place: '--host',
+      reason: `${host} is no loopback address, which needs --tls-cert, --tls-key and --tls-ca`,
+    });
+  }
+  if (operatorTokens !== undefined) {
+    findings.push({
+      place: '--operator-tokens',
+      reason: 'needs --tls-cert, --tls-key and --tls-ca',
+    });
+  }
+  return findings;
+}
+
+function isLoopback(host: string): boolean {
+  return (isIP(host) === 4 && host.startsWith('127.')) || host === '::1';
+}
+
+function pem(text: string): string {
+  if (!text.includes('-----BEGIN ')) {
+    throw new InvalidInput([{place: '.', reason: 'is no PEM file'}]);
+  }
+  return text;
+}
+
+function openTokens(
+  file: string | undefined,
+  events: EventLog,
+): Promise<KeyFile<OperatorTokens>> | undefined {
+  return file === undefined
+    ? undefined
+    : KeyFile.open({file, parse: parseWith(OPERATOR_TOKENS_SCHEMA), events});
+}
--- /dev/null
+++ b/machines/link-security/test/link-security.test.ts
@@ -0,0 +1,184 @@
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import http from 'node:http';
+import https from 'node:https';
+import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {expect} from 'chai';
+import {secretDigest} from '@marigoldspur/access';
+import {EventLog} from '@marigoldspur/event-log';
+import {InvalidInput, toFault} from '@marigoldspur/faults';
+import {
+  LINK_SETTINGS_SCHEMA,
+  openLinkSecurity,
+  type LinkSecurity,
+} from '@marigoldspur/link-security';
+import {createAuthority, type Authority} from '@marigoldspur/test-keys';
+
+let folder: string;
+let authority: Authority;
+let events: EventLog;
+const opened: LinkSecurity[] = [];
+const servers: http.Server[] = [];
+
+before(async () => {
+  folder = await mkdtemp(path.join(tmpdir(), 'marigoldspur-keys-'));
+  authority = createAuthority();
+});
+
+beforeEach(() => {
+  events = new EventLog({process: 'test'});
+});
+
+after(async () => {
+  servers.forEach(server => server.close());
+  servers.forEach(server => server.closeAllConnections());
+  opened.forEach(security => security.stop());
+  await rm(folder, {recursive: true});
+});
+
+function file(name: string): string {
+  return path.join(folder, name);
+}
+
+async function secured(name: string): Promise<LinkSecurity> {
+  const {cert, key} = authority.issue(name);
+  await writeFile(file(`${name}.crt`), cert);
+  await writeFile(file(`${name}.key`), key);
+  await writeFile(file('ca.crt'), authority.ca);
+  await writeFile(
+    file('tokens.yaml'),
+    JSON.stringify({
+      tokens: [{name: 'ana', role: 'viewer', sha256: secretDigest('s3cret')}],
+    }),
+  );
+  const security = await openLinkSecurity(
+    LINK_SETTINGS_SCHEMA.parse({
+      tlsCert: file(`${name}.crt`),
+      tlsKey: file(`${name}.key`),
+      tlsCa: file('ca.crt'),
+      operatorTokens: file('tokens.yaml'),
+    }),
+    events,
+  );
+  opened.push(security);
+  return security;
+}
+
+/** Serves the caller that the security sees. */
+async function serve(security: LinkSecurity): Promise<string> {
+  const server = security.createServer({}, (request, response) => {
+    response.end(JSON.stringify(security.callerOf(request)));
+  });
+  servers.push(server);
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  return `${security.scheme}://127.0.0.1:${port}/`;
+}
+
+function get(url: string, options: https.RequestOptions): Promise<unknown> {
+  return new Promise((resolve, reject) => {
+    https
+      .get(url, options, response => {
+        let text = '';
+        response.on('data', chunk => (text += chunk));
+        response.on('end', () => resolve(JSON.parse(text)));
+      })
+      .on('error', reject);
+  });
+}
+
+it('links: a certificate of the authority makes a process', async () => {
+  const url = await serve(await secured('server'));
+  const client = await secured('client');
+  const caller = await get(url, {agent: client.createAgent()});
+  expect(caller).to.deep.equal({kind: 'process'});
+});
+
+it('links: a certificate of another authority makes nobody', async () => {
+  const url = await serve(await secured('server'));
+  const foreign = createAuthority().issue('foreign');
+  const caller = await get(url, {...foreign, ca: authority.ca});
+  expect(caller).to.deep.equal({kind: 'anonymous'});
+});
+
+it('links: a token makes an operator, a wrong one nobody', async () => {
+  const url = await serve(await secured('server'));
+  const call = (token: string) =>
+    get(url, {
+      ca: authority.ca,
+      headers: {authorization: `Bearer ${token}`},
+    });
+  expect(await call('s3cret')).to.deep.equal({
+    kind: 'operator',
+    name: 'ana',
+    role: 'viewer',
+  });
+  expect(await call('wrong')).to.deep.equal({kind: 'anonymous'});
+});
+
+it('links: a server of another authority is not trusted', async () => {
+  const url = await serve(await secured('server'));
+  const other = createAuthority();
+  const call = get(url, {...other.issue('client'), ca: other.ca});
+  const fault = await call.then(() => undefined, toFault);
+  expect(fault?.message).to.match(/certificate|signature/);
+});
+
+it('links: keys are reloaded without a restart, malformed ones are not taken', async () => {
+  const security = await secured('server');
+  const url = await serve(security);
+  const rejected = () =>
+    events.after(0, 100).some(event => event.name === 'keys-rejected');
+  await writeFile(file('tokens.yaml'), 'tokens: [{name: 1}]');
+  while (!rejected()) {
+    await new Promise(resolve => setTimeout(resolve, 20));
+  }
+  const headers = (token: string) => ({authorization: `Bearer ${token}`});
+  const ca = authority.ca;
+  expect(await get(url, {ca, headers: headers('s3cret')})).to.include({
+    name: 'ana',
+  });
+  await writeFile(
+    file('tokens.yaml'),
+    JSON.stringify({
+      tokens: [{name: 'bo', role: 'operator', sha256: secretDigest('new')}],
+    }),
+  );
+  let caller: unknown;
+  do {
+    caller = await get(url, {ca, headers: headers('new')});
+  } while ((caller as {name?: string}).name !== 'bo');
+  expect(caller).to.include({role: 'operator'});
+  expect(await get(url, {ca, headers: headers('s3cret')})).to.include({
+    kind: 'anonymous',
+  });
+});
+
+it('links: without keys only loopback is allowed, and it is said', async () => {
+  const security = await openLinkSecurity(
+    LINK_SETTINGS_SCHEMA.parse({}),
+    events,
+  );
+  expect(security.scheme).to.equal('http');
+  expect(events.after(0, 1)[0].name).to.equal('insecure-loopback');
+  const open = openLinkSecurity(
+    LINK_SETTINGS_SCHEMA.parse({host: '0.0.0.0'}),
+    events,
+  );
+  const fault = await open.then(() => undefined, toFault);
+  expect(fault).to.be.instanceOf(InvalidInput);
+  expect(fault?.message).to.match(/--host/);
+});
+
+it('links: half of the TLS files is a finding for each missing one', async () => {
+  const open = openLinkSecurity(
+    LINK_SETTINGS_SCHEMA.parse({tlsCert: 'a.crt'}),
+    events,
+  );
+  const fault = (await open.then(() => undefined, toFault)) as InvalidInput;
+  expect(fault.findings.map(finding => finding.place)).to.deep.equal([
+    '--tls-key',
+    '--tls-ca',
+  ]);
+});
--- a/machines/process-server/src/process-server.ts
+++ b/machines/process-server/src/process-server.ts
@@ -1,7 +1,9 @@
-import http from 'node:http';
+import type http from 'node:http';
 import type {AnyRouter} from '@trpc/server';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import type {CallContext} from '@marigoldspur/access';
 import {closeServer, listen, type Address} from '@marigoldspur/http-link';
+import type {LinkSecurity} from '@marigoldspur/link-security';
 import type {ProcessMetrics} from '@marigoldspur/metrics';
 import {processRouter, type ProcessService} from '@marigoldspur/process-api';
 
@@ -14,11 +16,15 @@
 /** What a process server offers. */
 export interface ProcessServerOptions {
   readonly address: Address;
+  readonly security: LinkSecurity;
   readonly service: ProcessService;
   readonly metrics: ProcessMetrics;
   /** Whether the process takes new work. */
   readonly ready: () => boolean;
-  /** Further tRPC routers by the first segment of their path below `/trpc/`. */
+  /**
+   * Further tRPC routers by the first segment of their path below `/trpc/`. Those of
+   * `control` check each call; all others serve only processes of the system.
+   */
   readonly routers?: Readonly<Record<string, AnyRouter>>;
   readonly fallback?: Handler;
 }
@@ -30,7 +36,8 @@
   close(): Promise<void>;
 }
 
-const MAX_BATCH_SIZE = 16;
+/** Routers whose procedures check their callers themselves. */
+const SELF_CHECKING_PATHS = new Set(['/trpc/process/', '/trpc/control/']);
 const MAX_TRPC_BODY_BYTES = 33_554_432;
 const HEADERS_TIMEOUT_MS = 10_000;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
@@ -42,9 +49,10 @@
   const routers = {process: processRouter(options.service), ...options.routers};
   const handlers = new Map<string, Handler>();
   for (const [name, router] of Object.entries(routers)) {
-    handlers.set(`/trpc/${name}/`, trpcHandler(`/trpc/${name}/`, router));
+    const basePath = `/trpc/${name}/`;
+    handlers.set(basePath, trpcHandler(basePath, router, options.security));
   }
-  const server = http.createServer((request, response) => {
+  const server = options.security.createServer({}, (request, response) => {
     const path = (request.url ?? '/').split('?', 1)[0];
     for (const [prefix, handler] of handlers) {
       if (path.startsWith(prefix)) {
@@ -59,18 +67,29 @@
   server.requestTimeout = 0;
   const address = await listen(server, options.address);
   return {
-    url: `http://${address.host}:${address.port}`,
+    url: `${options.security.scheme}://${address.host}:${address.port}`,
     close: () => closeServer(server),
   };
 }
 
-function trpcHandler(basePath: string, router: AnyRouter): Handler {
-  return createHTTPHandler({
+function trpcHandler(
+  basePath: string,
+  router: AnyRouter,
+  security: LinkSecurity,
+): Handler {
+  const handler = createHTTPHandler({
     router,
     basePath,
     maxBodySize: MAX_TRPC_BODY_BYTES,
-    allowBatching: MAX_BATCH_SIZE > 1,
+    createContext: ({req}): CallContext => ({caller: security.callerOf(req)}),
   });
+  if (SELF_CHECKING_PATHS.has(basePath)) {
+    return handler;
+  }
+  return (request, response) =>
+    isProcess(security, request)
+      ? handler(request, response)
+      : forbid(response);
 }
 
 async function answerPage(
@@ -102,9 +121,26 @@
   response: http.ServerResponse,
 ): void {
   if (options.fallback !== undefined) {
-    options.fallback(request, response);
+    if (isProcess(options.security, request)) {
+      options.fallback(request, response);
+    } else {
+      forbid(response);
+    }
     return;
   }
   response.statusCode = 404;
   response.end('not found\n');
 }
+
+function isProcess(
+  security: LinkSecurity,
+  request: http.IncomingMessage,
+): boolean {
+  return security.callerOf(request).kind === 'process';
+}
+
+function forbid(response: http.ServerResponse): void {
+  response.statusCode = 403;
+  response.setHeader('connection', 'close');
+  response.end('only processes of the system may call this\n');
+}
--- a/zones/control-client/src/control-client.ts
+++ b/zones/control-client/src/control-client.ts
@@ -14,6 +14,10 @@
   readonly urls: readonly string[];
   /** Longest time of one call that does not wait, in milliseconds. */
   readonly timeoutMs?: number;
+  /** Makes the connections; plain HTTP without it. */
+  readonly agent?: http.Agent;
+  /** Token of an operator; processes need none. */
+  readonly token?: string;
 }
 
 const DEFAULT_TIMEOUT_MS = 2_000;
@@ -21,12 +25,13 @@
 
 /** Calls control: finds the leader, and turns to another replica when one is out of reach. */
 export class ControlClient {
-  private readonly agent = new http.Agent({keepAlive: true});
+  private readonly agent: http.Agent;
   private readonly replicas = new Map<string, ReplicaClient>();
   private preferred: string;
 
   constructor(private readonly options: ControlClientOptions) {
     this.preferred = options.urls[0];
+    this.agent = options.agent ?? new http.Agent({keepAlive: true});
   }
 
   /**
@@ -68,7 +73,7 @@
   replica(url: string): ReplicaClient {
     let client = this.replicas.get(url);
     if (client === undefined) {
-      client = replicaClient(url, this.agent);
+      client = replicaClient(url, this.agent, this.options.token);
       this.replicas.set(url, client);
     }
     return client;
@@ -93,9 +98,15 @@
   }
 }
 
-function replicaClient(url: string, agent: http.Agent) {
+function replicaClient(url: string, agent: http.Agent, token?: string) {
   return createTRPCClient<ControlRouter>({
-    links: [httpLink({url: `${url}/trpc/control`, fetch: linkFetch(agent)})],
+    links: [
+      httpLink({
+        url: `${url}/trpc/control`,
+        fetch: linkFetch(agent),
+        headers: token === undefined ? {} : {authorization: `Bearer ${token}`},
+      }),
+    ],
   });
 }
 
@@ -116,6 +127,9 @@
     if (data?.fault !== undefined) {
       return new Fault(data.fault, thrown.message, {cause: thrown});
     }
+    if (data?.code === 'FORBIDDEN') {
+      return new Fault('FORBIDDEN', thrown.message, {cause: thrown});
+    }
     if (data?.code === 'BAD_REQUEST') {
       return new Fault('INVALID_INPUT', thrown.message, {cause: thrown});
     }
