Suspect targets from the evidence of the data path

Cause: an entry learns of a silently cut target only when its lease of 3 s ends; until then each request sent there is lost time.

A pure table scores failed connects, silences and broken answers, halves the scores with time, names the probes that are due, and takes suspicion of 80% of the candidates as the process's own isolation.

--- /dev/null
+++ b/zones/suspicion/src/index.ts
@@ -0,0 +1,6 @@
+export {
+  SuspicionTable,
+  type Evidence,
+  type Judgement,
+  type SuspicionOptions,
+} from './suspicion-table.js';
