--- a/lab/stand-ins/src/index.ts
+++ b/lab/stand-ins/src/index.ts
@@ -4,4 +4,4 @@
 export {startBalancer, type BalancerOptions} from './balancer.js';
 export type {StandIn} from './stand-in.js';
 export {ENGINE_FAULTS_SCHEMA, type EngineFaults} from './engine-faults.js';
-export type {RunRecord} from './run-record.js';
+export type {OrderRecord, RunRecord, TokenTime} from './run-record.js';
--- a/lab/stand-ins/src/plain-service.ts
+++ b/lab/stand-ins/src/plain-service.ts
@@ -24,6 +24,10 @@
       sendJson(response, 200, record);
       return;
     }
+    if (request.url === '/health') {
+      sendJson(response, 200, {running: record.length});
+      return;
+    }
     if (body.isErr) {
       response.destroy();
       return;
--- a/lab/stand-ins/src/run-record.ts
+++ b/lab/stand-ins/src/run-record.ts
@@ -11,4 +11,29 @@
   readonly startedAt: number;
   /** How it ended. */
   end: 'running' | 'whole' | 'cancelled' | 'failed';
+  /** Boot identity of the engine that ran it. */
+  readonly boot?: string;
+  /** For each token, when it was made, in milliseconds since the epoch, and how many requests the batch held. */
+  readonly tokens?: TokenTime[];
+}
+
+/** When a token was made and in what company. */
+export interface TokenTime {
+  readonly at: number;
+  readonly batch: number;
+}
+
+/** An order that an engine took, for the checks of histories. */
+export interface OrderRecord {
+  readonly order: 'load' | 'unload';
+  readonly model: string;
+  readonly fence: number;
+  readonly boot: string;
+  /** When it arrived, in milliseconds since the epoch. */
+  readonly at: number;
+  /** Adapters of the requests that ran then. */
+  readonly inUse: readonly string[];
+  /** Whether it took away an adapter that a request used. */
+  readonly evictedInUse: boolean;
+  outcome: 'running' | 'done' | 'refused' | 'fenced' | 'failed';
 }
