--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -136,6 +136,31 @@
     level: 'warn',
     meaning: 'An attempt broke off after it was forwarded.',
   },
+  'attempt-repeated': {
+    number: 505,
+    level: 'warn',
+    meaning: 'An attempt came twice; its second copy was not run.',
+  },
+  'attempt-cancelled': {
+    number: 506,
+    level: 'info',
+    meaning: 'The entry went away, so the target was told to stop.',
+  },
+  'answer-crossed': {
+    number: 507,
+    level: 'warn',
+    meaning: 'An answer of another request, adapter or boot was dropped.',
+  },
+  'answer-torn': {
+    number: 508,
+    level: 'warn',
+    meaning: 'An answer lacked its end and was not ended cleanly.',
+  },
+  'attempt-stopped': {
+    number: 509,
+    level: 'debug',
+    meaning: 'The target confirmed that a broken-off attempt has stopped.',
+  },
   'load-ordered': {
     number: 600,
     level: 'info',
@@ -161,6 +186,46 @@
     level: 'warn',
     meaning: 'The target returned with another boot identity and empty slots.',
   },
+  'load-backed-off': {
+    number: 605,
+    level: 'info',
+    meaning: 'A load is not tried again until its pause is over.',
+  },
+  'load-dropped': {
+    number: 606,
+    level: 'info',
+    meaning: 'A load that nobody waits for was dropped before it began.',
+  },
+  'order-unclear': {
+    number: 607,
+    level: 'warn',
+    meaning: 'The answer to an order was lost, so the target is asked.',
+  },
+  'orders-held': {
+    number: 608,
+    level: 'warn',
+    meaning: 'No orders are given while the lease is not confirmed.',
+  },
+  'orders-taken-over': {
+    number: 609,
+    level: 'info',
+    meaning: 'The agent may order evictions: none before it can any more.',
+  },
+  'loads-isolated': {
+    number: 610,
+    level: 'warn',
+    meaning: 'Control is away, so loads go at the share of this agent.',
+  },
+  'adapter-distrusted': {
+    number: 611,
+    level: 'warn',
+    meaning: 'The target lists an adapter that it does not serve.',
+  },
+  'slots-differ': {
+    number: 612,
+    level: 'warn',
+    meaning: 'The target has fewer adapter slots than it says.',
+  },
   'link-lost': {
     number: 700,
     level: 'warn',
--- a/contracts/messages/src/member.ts
+++ b/contracts/messages/src/member.ts
@@ -26,6 +26,8 @@
   waiting: z.int().min(0),
   /** Requests that the target runs in one batch at most. */
   batchLimit: z.int().min(1),
+  /** Fencing number of the agent's orders; absent for a plain service. */
+  fence: z.int().min(0).optional(),
 });
 
 /** What an agent reports of the target beside it. */
--- a/machines/process-server/src/process-server.ts
+++ b/machines/process-server/src/process-server.ts
@@ -21,6 +21,12 @@
   /** Further tRPC routers by the first segment of their path below `/trpc/`. */
   readonly routers?: Readonly<Record<string, AnyRouter>>;
   readonly fallback?: Handler;
+  /**
+   * Takes requests with `Expect: 100-continue` in place of `fallback`, before their
+   * body is sent; it calls `writeContinue` or answers at once. By default each is
+   * continued and goes to `fallback`.
+   */
+  readonly checkContinue?: Handler;
 }
 
 /** A listening process server. */
@@ -54,6 +60,10 @@
     }
     void answerPage(path, options, request, response);
   });
+  const {checkContinue} = options;
+  if (checkContinue !== undefined) {
+    server.on('checkContinue', checkContinue);
+  }
   server.headersTimeout = HEADERS_TIMEOUT_MS;
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   server.requestTimeout = 0;
--- a/zones/control-client/src/heartbeat.ts
+++ b/zones/control-client/src/heartbeat.ts
@@ -1,3 +1,5 @@
+import type {Result} from 'true-myth';
+import type {Fault} from '@marigoldspur/faults';
 import type {Member} from '@marigoldspur/messages';
 import type {ControlClient} from './control-client.js';
 
@@ -10,10 +12,18 @@
   stop(): void;
 }
 
-/** Announces a process to control at a steady pace. */
+/** What control answered to a heartbeat. */
+export interface HeartbeatAnswer {
+  /** When the heartbeat was sent, a `performance.now()` time. */
+  readonly sentAt: number;
+  readonly result: Result<unknown, Fault>;
+}
+
+/** Announces a process to control at a steady pace; `answered` gets each answer. */
 export function startHeartbeat(
   client: ControlClient,
   member: () => Member,
+  answered: (answer: HeartbeatAnswer) => void = () => {},
 ): Heartbeat {
   let busy = false;
   const beat = async () => {
@@ -21,11 +31,13 @@
       return;
     }
     busy = true;
-    await client.call(
+    const sentAt = performance.now();
+    const result = await client.call(
       (replica, signal) => replica.heartbeat.mutate(member(), {signal}),
-      performance.now() + HEARTBEAT_MS * 2,
+      sentAt + HEARTBEAT_MS * 2,
     );
     busy = false;
+    answered({sentAt, result});
   };
   const timer = setInterval(() => void beat(), HEARTBEAT_MS);
   void beat();
--- a/zones/control-client/src/index.ts
+++ b/zones/control-client/src/index.ts
@@ -1,4 +1,8 @@
 export {ControlClient, type ControlClientOptions} from './control-client.js';
 export {SettingsFollower, type SettingsInForce} from './settings-follower.js';
 export {MemberFollower} from './member-follower.js';
-export {startHeartbeat} from './heartbeat.js';
+export {
+  startHeartbeat,
+  type Heartbeat,
+  type HeartbeatAnswer,
+} from './heartbeat.js';
