Give whole answers and typed refusals at the entry

The request desk did everything in one file, and four faults hid in it: - a refused connection was reported as unknown, since an errored socket no longer counts as connecting (seen: ECONNREFUSED gave link_broke_off); - 'not run' was said after an earlier attempt that may have run; - a stream without its data: [DONE] ended cleanly; - a large answer was collected whole, up to 64 MB each.

Desk split into reading, attempts, claims, sending and refusing. A request that may not be repeated now waits for the agent's 100 Continue before its body goes out, so a frozen agent provably did not run it. Answers cut at each of their bytes, doubled, crossed and late are tests. Shutdown closes connections whose answer began before it, which kept it waiting for 65 s. Retries draw on a budget. A claim whose answer was lost is given back.

--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -111,6 +111,36 @@
     level: 'info',
     meaning: 'The caller went away before the answer was whole.',
   },
+  'attempt-retried': {
+    number: 406,
+    level: 'info',
+    meaning: 'A request is tried again at another target.',
+  },
+  'answer-replayed': {
+    number: 407,
+    level: 'info',
+    meaning: 'A resend got the answer that was kept from the first run.',
+  },
+  'completion-lost': {
+    number: 408,
+    level: 'warn',
+    meaning: 'Control did not take the end of a claimed request.',
+  },
+  'answer-crossed': {
+    number: 409,
+    level: 'warn',
+    meaning: 'An answer to another request was dropped.',
+  },
+  'request-error': {
+    number: 410,
+    level: 'error',
+    meaning: 'Serving a request failed inside the entry.',
+  },
+  'shutdown-bound-reached': {
+    number: 411,
+    level: 'warn',
+    meaning: 'Requests still ran when the time for a shutdown was over.',
+  },
   'attempt-received': {
     number: 500,
     level: 'debug',
--- a/contracts/messages/src/claim.ts
+++ b/contracts/messages/src/claim.ts
@@ -4,6 +4,11 @@
 export const STORED_ANSWER_SCHEMA = z.object({
   status: z.int(),
   contentType: z.string(),
+  /** Further headers that the caller gets again. */
+  headers: z
+    .array(z.object({name: z.string(), value: z.string()}))
+    .max(100)
+    .optional(),
   /** Body, base64. */
   body: z.string(),
 });
--- /dev/null
+++ b/entry/caller-api/src/client-error.ts
@@ -0,0 +1,42 @@
+import {Refusal} from '@marigoldspur/faults';
+import {refusalBody} from './write-refusal.js';
+
+/** The raw HTTP answer to a connection whose bytes could not be read as a request. */
+export function clientErrorAnswer(code: string): string {
+  const refusal = refusalOf(code);
+  const body = refusalBody(refusal, '');
+  return [
+    `HTTP/1.1 ${refusal.status} ${refusal.reason}`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+    '',
+    body,
+  ].join('\r\n');
+}
+
+function refusalOf(code: string): Refusal {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return new Refusal(
+        'not-run',
+        431,
+        'headers_too_large',
+        'the headers are too large',
+      );
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return new Refusal(
+        'not-run',
+        408,
+        'request_too_slow',
+        'the request did not arrive in time',
+      );
+    default:
+      return new Refusal(
+        'not-run',
+        400,
+        'malformed_request',
+        'the request is not valid HTTP',
+      );
+  }
+}
--- a/entry/caller-api/src/index.ts
+++ b/entry/caller-api/src/index.ts
@@ -7,3 +7,4 @@
 } from './read-caller-request.js';
 export {modelList, type ModelList} from './model-list.js';
 export {refusalBody, writeRefusal} from './write-refusal.js';
+export {clientErrorAnswer} from './client-error.js';
--- a/entry/caller-api/src/write-refusal.ts
+++ b/entry/caller-api/src/write-refusal.ts
@@ -1,6 +1,9 @@
 import type {ServerResponse} from 'node:http';
 import type {Refusal} from '@marigoldspur/faults';
 
+/** When to ask again after a refusal that does not say it, in seconds. */
+const DEFAULT_RETRY_SECONDS = 1;
+
 /** The body of a refusal, in OpenAI's error shape with the outcome beside it. */
 export function refusalBody(refusal: Refusal, request: string): string {
   return JSON.stringify({
@@ -26,13 +29,18 @@
     return;
   }
   const body = refusalBody(refusal, request);
+  const retryAfter = retryAfterSeconds(refusal);
   response.writeHead(refusal.status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(body),
     'x-request-id': request,
-    ...(refusal.retryAfterSeconds !== undefined && {
-      'retry-after': String(refusal.retryAfterSeconds),
-    }),
+    ...(retryAfter !== undefined && {'retry-after': String(retryAfter)}),
   });
   response.end(body);
 }
+
+function retryAfterSeconds(refusal: Refusal): number | undefined {
+  const passes = refusal.status >= 500 || refusal.status === 429;
+  const fallback = passes ? DEFAULT_RETRY_SECONDS : undefined;
+  return refusal.retryAfterSeconds ?? fallback;
+}
--- /dev/null
+++ b/entry/dispatch/src/answer-end.ts
@@ -0,0 +1,52 @@
+import {HOP_HEADERS} from '@marigoldspur/messages';
+import type {AttemptAnswer} from './attempt.js';
+
+const STREAM_END = 'data: [DONE]';
+/** The end marker with the line ends that may follow it. */
+const TAIL_BYTES = STREAM_END.length + 8;
+const BODILESS_STATUSES = new Set([204, 205, 304]);
+
+/** Decides from the bytes of an answer whether all of it came. */
+export class AnswerEnd {
+  private bytes = 0;
+  private tail: Buffer = Buffer.alloc(0);
+
+  /** `endsWithDone` asks for the `data: [DONE]` that ends an engine's stream. */
+  constructor(
+    private readonly answer: AttemptAnswer,
+    private readonly endsWithDone: boolean,
+  ) {}
+
+  /** Takes the next bytes of the body. */
+  add(chunk: Buffer): void {
+    this.bytes += chunk.length;
+    if (this.endsWithDone) {
+      this.tail = Buffer.concat([this.tail, chunk]).subarray(-TAIL_BYTES);
+    }
+  }
+
+  /** Whether the answer, at its end, is whole. */
+  isWhole(): boolean {
+    const {message} = this.answer;
+    if (!message.complete) {
+      return false;
+    }
+    if (hasNoBody(this.answer)) {
+      return this.bytes === 0;
+    }
+    const counted = message.trailers[HOP_HEADERS.end] === String(this.bytes);
+    return counted && (!this.endsWithDone || this.isDone());
+  }
+
+  private isDone(): boolean {
+    return this.tail.toString('latin1').trimEnd().endsWith(STREAM_END);
+  }
+}
+
+/** Whether an answer has no body by its method or status, and so no trailer (RFC 9110, 6.4.1). */
+function hasNoBody(answer: AttemptAnswer): boolean {
+  return (
+    answer.method === 'HEAD' ||
+    BODILESS_STATUSES.has(answer.message.statusCode ?? 0)
+  );
+}
--- /dev/null
+++ b/entry/dispatch/src/attempt.ts
@@ -0,0 +1,25 @@
+import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+import type {Hop} from '@marigoldspur/messages';
+import type {Destination} from './target-directory.js';
+
+/** One try of a request at one target. */
+export interface Attempt {
+  readonly hop: Hop;
+  readonly destination: Destination;
+  readonly method: string;
+  /** Path on the target. */
+  readonly url: string;
+  /** The caller's headers; those of a connection or of this system are left out. */
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+  readonly signal: AbortSignal;
+  /** Longest time to the first byte of the answer, in milliseconds. */
+  readonly firstByteTimeoutMs: number;
+}
+
+/** The beginning of a target's answer; its body is still to be read. */
+export interface AttemptAnswer {
+  readonly hop: Hop;
+  readonly method: string;
+  readonly message: IncomingMessage;
+}
--- a/entry/dispatch/src/index.ts
+++ b/entry/dispatch/src/index.ts
@@ -1,7 +1,10 @@
+export {AttemptClient} from './attempt-client.js';
+export type {Attempt, AttemptAnswer} from './attempt.js';
+export {answerHeaders} from './attempt-headers.js';
 export {
-  AttemptClient,
-  type Attempt,
-  type AttemptAnswer,
-} from './attempt-client.js';
-export {collectAnswer, streamAnswer, type StreamEnd} from './relay-answer.js';
+  relayAnswer,
+  type Relayed,
+  type RelayEnd,
+  type RelayOptions,
+} from './relay-answer.js';
 export {TargetDirectory, type Destination} from './target-directory.js';
--- a/entry/dispatch/src/relay-answer.ts
+++ b/entry/dispatch/src/relay-answer.ts
@@ -1,65 +1,208 @@
-import type {ServerResponse} from 'node:http';
-import {Result} from 'true-myth';
-import {Fault} from '@marigoldspur/faults';
-import {readBody} from '@marigoldspur/http-link';
-import {HOP_HEADERS} from '@marigoldspur/messages';
-import type {AttemptAnswer} from './attempt-client.js';
-
-/** How the relay of a streamed answer ended. */
-export type StreamEnd = 'whole' | 'torn' | 'cancelled';
-
-/** Reads a whole answer; one without its end marker is a `TORN_ANSWER`. */
-export async function collectAnswer(
-  answer: AttemptAnswer,
-  limitBytes: number,
-): Promise<Result<Buffer, Fault>> {
-  const body = await readBody(answer.message, limitBytes);
-  return body.andThen(bytes =>
-    isWhole(answer, bytes.length)
-      ? Result.ok<Buffer, Fault>(bytes)
-      : Result.err(new Fault('TORN_ANSWER', 'the answer has no end marker')),
-  );
+import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
+import {AnswerEnd} from './answer-end.js';
+import {answerHeaders} from './attempt-headers.js';
+import type {AttemptAnswer} from './attempt.js';
+
+/**
+ * How the relay of an answer ended: `whole`; `torn` after its first byte went to the
+ * caller; `lost` before that; `cancelled` by the caller.
+ */
+export type RelayEnd = 'whole' | 'torn' | 'lost' | 'cancelled';
+
+/** How an answer is relayed. */
+export interface RelayOptions {
+  /** Headers that go to the caller beside the target's. */
+  readonly headers: OutgoingHttpHeaders;
+  /** Bytes of an answer that are collected before the first one goes out; 0 streams at once. */
+  readonly collectBytes: number;
+  /** Whether the answer has to end with an engine's `data: [DONE]`. */
+  readonly endsWithDone: boolean;
+  /** Bytes of the body that are kept for a resend. */
+  readonly keepBytes: number;
+  /** Whether the answer is read to its end though the caller went away. */
+  readonly outlivesCaller: boolean;
+  /** Ends the relay, as at the request's deadline. */
+  readonly signal: AbortSignal;
 }
 
-/** Streams an answer to the caller at the caller's pace; a torn one is never ended cleanly. */
-export function streamAnswer(
+/** What became of an answer. */
+export interface Relayed {
+  readonly end: RelayEnd;
+  readonly status: number;
+  /** The whole body where it fits into `keepBytes`. */
+  readonly body: Buffer | undefined;
+}
+
+/**
+ * Relays a target's answer at the caller's pace. Nothing goes to the caller before
+ * `collectBytes` have come or the answer is whole; a torn answer is never ended cleanly.
+ */
+export function relayAnswer(
   answer: AttemptAnswer,
   response: ServerResponse,
-): Promise<StreamEnd> {
+  options: RelayOptions,
+): Promise<Relayed> {
   return new Promise(resolve => {
+    new AnswerRelay(answer, response, options, resolve).start();
+  });
+}
+
+class AnswerRelay {
+  private readonly end: AnswerEnd;
+  private readonly status: number;
+  private pending: Buffer[] = [];
+  private pendingBytes = 0;
+  private kept: Buffer[] | undefined = [];
+  private keptBytes = 0;
+  private begun = false;
+  private callerGone = false;
+  private complete = false;
+  private settled = false;
+
+  constructor(
+    private readonly answer: AttemptAnswer,
+    private readonly response: ServerResponse,
+    private readonly options: RelayOptions,
+    private readonly resolve: (relayed: Relayed) => void,
+  ) {
+    this.end = new AnswerEnd(answer, options.endsWithDone);
+    this.status = answer.message.statusCode ?? 502;
+  }
+
+  start(): void {
+    const {answer, response, options} = this;
     const {message} = answer;
-    let bytes = 0;
-    const tear = () => {
-      response.destroy();
-      resolve('torn');
-    };
-    message.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (!response.write(chunk)) {
-        message.pause();
-      }
-    });
+    message.on('data', (chunk: Buffer) => this.take(chunk));
+    message.on('end', () => this.finish());
+    message.on('error', () => this.breakOff());
+    message.on('close', () => this.breakOff());
     response.on('drain', () => message.resume());
-    message.on('error', tear);
-    message.on('close', () => {
-      if (!message.complete) {
-        tear();
-      }
-    });
-    message.on('end', () => {
-      if (message.complete && isWhole(answer, bytes)) {
-        response.end(() => resolve('whole'));
-      } else {
-        tear();
-      }
-    });
-    response.on('close', () => {
-      message.destroy();
-      resolve(response.writableFinished ? 'whole' : 'cancelled');
+    response.on('close', () => this.loseCaller());
+    options.signal.addEventListener('abort', this.abandon, {once: true});
+    if (response.destroyed) {
+      this.loseCaller();
+    }
+    if (options.signal.aborted) {
+      this.abandon();
+    }
+  }
+
+  private take(chunk: Buffer): void {
+    this.end.add(chunk);
+    this.keep(chunk);
+    if (this.callerGone) {
+      return;
+    }
+    if (this.begun) {
+      this.write(chunk);
+      return;
+    }
+    this.pending.push(chunk);
+    this.pendingBytes += chunk.length;
+    if (this.pendingBytes > this.options.collectBytes) {
+      this.begin({});
+      this.flush();
+    }
+  }
+
+  private keep(chunk: Buffer): void {
+    this.keptBytes += chunk.length;
+    if (this.keptBytes > this.options.keepBytes) {
+      this.kept = undefined;
+    }
+    this.kept?.push(chunk);
+  }
+
+  private begin(length: OutgoingHttpHeaders): void {
+    this.begun = true;
+    this.response.writeHead(this.status, {
+      ...answerHeaders(this.answer.message),
+      ...length,
+      ...this.options.headers,
     });
-  });
-}
+  }
+
+  private flush(): void {
+    this.pending.forEach(chunk => this.write(chunk));
+    this.pending = [];
+  }
+
+  private write(chunk: Buffer): void {
+    if (!this.response.write(chunk)) {
+      this.answer.message.pause();
+    }
+  }
+
+  private finish(): void {
+    if (!this.end.isWhole()) {
+      this.breakOff();
+      return;
+    }
+    this.complete = true;
+    if (this.callerGone) {
+      this.settle('whole');
+      return;
+    }
+    if (!this.begun) {
+      this.begin(this.wholeLength());
+    }
+    this.flush();
+    this.response.end(() => this.settle('whole'));
+  }
+
+  private wholeLength(): OutgoingHttpHeaders {
+    const {message, method} = this.answer;
+    if (method === 'HEAD') {
+      const length = message.headers['content-length'];
+      return length === undefined ? {} : {'content-length': length};
+    }
+    return this.status === 204 || this.status === 304
+      ? {}
+      : {'content-length': this.pendingBytes};
+  }
+
+  private breakOff(): void {
+    if (!this.complete) {
+      this.abandon();
+    }
+  }
+
+  private readonly abandon = () => {
+    if (this.settled) {
+      return;
+    }
+    this.settle(this.begun ? 'torn' : 'lost');
+    if (this.begun) {
+      this.response.destroy();
+    }
+    this.answer.message.destroy();
+  };
+
+  private loseCaller(): void {
+    if (this.response.writableFinished) {
+      this.settle('whole');
+      return;
+    }
+    this.callerGone = true;
+    this.pending = [];
+    if (this.options.outlivesCaller && !this.complete) {
+      this.answer.message.resume();
+      return;
+    }
+    this.settle(this.options.outlivesCaller ? 'whole' : 'cancelled');
+    this.answer.message.destroy();
+  }
 
-function isWhole(answer: AttemptAnswer, bytes: number): boolean {
-  return answer.message.trailers[HOP_HEADERS.end] === String(bytes);
+  private settle(end: RelayEnd): void {
+    if (this.settled) {
+      return;
+    }
+    this.settled = true;
+    this.options.signal.removeEventListener('abort', this.abandon);
+    const body =
+      end === 'whole' && this.kept !== undefined
+        ? Buffer.concat(this.kept)
+        : undefined;
+    this.resolve({end, status: this.status, body});
+  }
 }
--- /dev/null
+++ b/entry/dispatch/test/attempt-client.test.ts
@@ -0,0 +1,164 @@
+import {expect} from 'chai';
+import {Result} from 'true-myth';
+import {
+  AttemptClient,
+  type Attempt,
+  type AttemptAnswer,
+} from '@marigoldspur/dispatch';
+import type {Refusal} from '@marigoldspur/faults';
+import {HOP_HEADERS} from '@marigoldspur/messages';
+import {
+  agentAnswer,
+  attemptAt,
+  HOP,
+  startFakeAgent,
+  type FakeAgent,
+} from './fake-agent.js';
+
+const ONCE = {...HOP, repeatable: false};
+const REFUSAL = [
+  'HTTP/1.1 503 Service Unavailable',
+  `${HOP_HEADERS.outcome}: not-run`,
+  `${HOP_HEADERS.reason}: load_failed`,
+  'retry-after: 7',
+  'content-length: 22',
+  '',
+  '{"message":"too late"}',
+].join('\r\n');
+
+let agent: FakeAgent | undefined;
+const client = new AttemptClient();
+
+afterEach(() => agent?.stop());
+after(() => client.close());
+
+async function send(
+  serve: Parameters<typeof startFakeAgent>[0],
+  changes: Partial<Attempt> = {},
+): Promise<Result<AttemptAnswer, Refusal>> {
+  agent = await startFakeAgent(serve);
+  return client.send(attemptAt(agent, changes));
+}
+
+function refusalOf(sent: Result<AttemptAnswer, Refusal>): Refusal {
+  if (sent.isOk) {
+    throw new Error('the attempt was answered');
+  }
+  return sent.error;
+}
+
+it('attempt: a frozen agent never saw the body of what may not be repeated', async () => {
+  const received: string[] = [];
+  const sent = await send((_, bytes) => received.push(bytes), {
+    hop: ONCE,
+    firstByteTimeoutMs: 50,
+  });
+  expect(refusalOf(sent)).to.include({
+    outcome: 'not-run',
+    reason: 'no_answer_in_time',
+  });
+  expect(received.join('')).to.not.contain('recap@v1"}');
+});
+
+it('attempt: a frozen agent may have run what was sent at once', async () => {
+  const sent = await send(() => {}, {firstByteTimeoutMs: 50});
+  expect(refusalOf(sent)).to.include({outcome: 'unknown', status: 504});
+});
+
+it('attempt: the body follows the agent’s 100 Continue', async () => {
+  let continued = false;
+  const sent = await send(
+    (socket, bytes) => {
+      if (!continued) {
+        continued = true;
+        socket.write('HTTP/1.1 100 Continue\r\n\r\n');
+      } else if (bytes.endsWith('0\r\n\r\n')) {
+        socket.write(agentAnswer('text/plain', 'done', ONCE));
+      }
+    },
+    {hop: ONCE},
+  );
+  expect(sent.isOk).to.equal(true);
+});
+
+it('attempt: an agent lost after 100 Continue leaves the outcome unknown', async () => {
+  let continued = false;
+  const sent = await send(
+    (socket, bytes) => {
+      if (!continued) {
+        continued = true;
+        socket.write('HTTP/1.1 100 Continue\r\n\r\n');
+      } else if (bytes.endsWith('0\r\n\r\n')) {
+        socket.destroy();
+      }
+    },
+    {hop: ONCE},
+  );
+  expect(refusalOf(sent)).to.include({outcome: 'unknown', status: 502});
+});
+
+it('attempt: an agent lost before 100 Continue did not run it', async () => {
+  const sent = await send(socket => socket.destroy(), {hop: ONCE});
+  expect(refusalOf(sent).outcome).to.equal('not-run');
+});
+
+it('attempt: a refusal instead of 100 Continue is passed on', async () => {
+  const sent = await send(socket => socket.write(REFUSAL), {hop: ONCE});
+  expect(refusalOf(sent)).to.include({
+    outcome: 'not-run',
+    reason: 'load_failed',
+    message: 'too late',
+    retryAfterSeconds: 7,
+  });
+});
+
+it('attempt: nobody listening means not run', async () => {
+  agent = await startFakeAgent(() => {});
+  agent.stop();
+  const sent = await client.send(attemptAt(agent));
+  expect(refusalOf(sent)).to.include({
+    outcome: 'not-run',
+    reason: 'agent_unreachable',
+  });
+});
+
+it('attempt: an answer to another request is dropped', async () => {
+  const crossed = {...HOP, request: 'request-2'};
+  const sent = await send(socket =>
+    socket.write(agentAnswer('text/plain', 'not yours', crossed)),
+  );
+  expect(refusalOf(sent).reason).to.equal('crossed_answer');
+});
+
+it('attempt: a late answer to an earlier attempt is dropped', async () => {
+  const earlier = {...HOP, attempt: 1};
+  const sent = await send(
+    socket => socket.write(agentAnswer('text/plain', 'late', earlier)),
+    {hop: {...HOP, attempt: 2}},
+  );
+  expect(refusalOf(sent).reason).to.equal('crossed_answer');
+});
+
+it('attempt: callers’ own hop and connection headers do not pass', async () => {
+  let head = '';
+  await send(
+    (socket, bytes) => {
+      head = bytes.toLowerCase();
+      socket.write(agentAnswer('text/plain', 'done'));
+    },
+    {
+      headers: {
+        [HOP_HEADERS.target]: 'smuggled',
+        'x-marigoldspur-unheard-of': 'smuggled',
+        connection: 'keep-alive, x-private',
+        'x-private': 'smuggled',
+        'transfer-encoding': 'smuggled',
+        authorization: 'Bearer smuggled',
+        'x-kept': 'kept',
+      },
+    },
+  );
+  expect(head).to.contain('x-kept: kept');
+  expect(head).to.not.contain('smuggled');
+  expect(head.split(HOP_HEADERS.target)).to.have.length(2);
+});
--- /dev/null
+++ b/entry/dispatch/test/relay-answer.test.ts
@@ -0,0 +1,149 @@
+import http from 'node:http';
+import {expect} from 'chai';
+import {
+  AttemptClient,
+  relayAnswer,
+  type Relayed,
+  type RelayOptions,
+} from '@marigoldspur/dispatch';
+import {listen} from '@marigoldspur/http-link';
+import {agentAnswer, attemptAt, startFakeAgent} from './fake-agent.js';
+
+const STREAM_BODY = 'data: {"text":"a"}\n\ndata: [DONE]\n\n';
+const OPTIONS: RelayOptions = {
+  headers: {'x-request-id': 'request-1'},
+  collectBytes: 1_000_000,
+  endsWithDone: false,
+  keepBytes: 0,
+  outlivesCaller: false,
+  signal: new AbortController().signal,
+};
+const STREAM_OPTIONS = {...OPTIONS, collectBytes: 0, endsWithDone: true};
+
+interface Seen {
+  /** What the caller got; undefined when it broke off. */
+  readonly answer: {status: number; headers: Headers; body: string} | undefined;
+  /** How the relay ended; undefined where the answer had no head. */
+  readonly relayed: Relayed | undefined;
+}
+
+const client = new AttemptClient();
+after(() => client.close());
+
+/** Lets a caller ask an entry that relays what the agent's bytes say. */
+async function relay(
+  bytes: string,
+  options: RelayOptions,
+  ends = true,
+): Promise<Seen> {
+  const agent = await startFakeAgent(socket =>
+    ends ? socket.end(bytes, 'latin1') : socket.write(bytes, 'latin1'),
+  );
+  let relayed: Relayed | undefined;
+  const server = http.createServer(async (_, response) => {
+    const sent = await client.send(attemptAt(agent));
+    if (sent.isOk) {
+      relayed = await relayAnswer(sent.value, response, options);
+    }
+    if (!response.headersSent) {
+      response.writeHead(502).end();
+    }
+  });
+  const address = await listen(server, {host: '127.0.0.1', port: 0});
+  try {
+    const answer = await ask(`http://127.0.0.1:${address.port}`);
+    return {answer, relayed};
+  } finally {
+    agent.stop();
+    server.close();
+    server.closeAllConnections();
+  }
+}
+
+async function ask(url: string): Promise<Seen['answer']> {
+  try {
+    const answer = await fetch(url);
+    const body = await answer.text();
+    return {status: answer.status, headers: answer.headers, body};
+  } catch {
+    return undefined;
+  }
+}
+
+it('relay: an answer cut at any byte never ends as if complete', async () => {
+  const bytes = agentAnswer('application/json', '{"answer":"whole"}');
+  for (let cut = 0; cut < bytes.length; cut += 1) {
+    const {answer} = await relay(bytes.slice(0, cut), OPTIONS);
+    expect(answer?.status, `cut at ${cut}`).to.equal(502);
+  }
+  const {answer} = await relay(bytes, OPTIONS);
+  expect(answer).to.include({status: 200, body: '{"answer":"whole"}'});
+});
+
+it('relay: a stream cut at any byte never ends as if complete', async () => {
+  const bytes = agentAnswer('text/event-stream', STREAM_BODY);
+  for (let cut = 0; cut < bytes.length; cut += 1) {
+    const {answer} = await relay(bytes.slice(0, cut), STREAM_OPTIONS);
+    expect(answer?.status ?? 502, `cut at ${cut}`).to.equal(502);
+  }
+  const {answer} = await relay(bytes, STREAM_OPTIONS);
+  expect(answer).to.include({status: 200, body: STREAM_BODY});
+});
+
+it('relay: a well-framed stream without its last event is torn', async () => {
+  const bytes = agentAnswer('text/event-stream', 'data: {"text":"a"}\n\n');
+  const {answer, relayed} = await relay(bytes, STREAM_OPTIONS);
+  expect(answer).to.equal(undefined);
+  expect(relayed?.end).to.equal('torn');
+});
+
+it('relay: a trailer with another length is torn', async () => {
+  const bytes = agentAnswer('application/json', '{}').replace(
+    'end: 2',
+    'end: 3',
+  );
+  const {answer, relayed} = await relay(bytes, OPTIONS);
+  expect(answer?.status).to.equal(502);
+  expect(relayed?.end).to.equal('lost');
+});
+
+it('relay: a doubled answer arrives once', async () => {
+  const bytes = agentAnswer('application/json', '{"answer":1}');
+  const {answer} = await relay(bytes + bytes, OPTIONS);
+  expect(answer).to.include({status: 200, body: '{"answer":1}'});
+});
+
+it('relay: a body over the bound is streamed, and torn when it breaks off', async () => {
+  const bytes = agentAnswer('application/json', 'x'.repeat(64));
+  const options = {...OPTIONS, collectBytes: 16};
+  const whole = await relay(bytes, options);
+  expect(whole.answer?.body).to.have.length(64);
+  expect(whole.answer?.headers.get('content-length')).to.equal(null);
+  const cut = await relay(bytes.slice(0, -20), options);
+  expect(cut.answer).to.equal(undefined);
+  expect(cut.relayed?.end).to.equal('torn');
+});
+
+it('relay: headers arrive as the target gave them', async () => {
+  const bytes = agentAnswer('application/json', '{}');
+  const {answer} = await relay(bytes, OPTIONS);
+  expect(answer?.headers.getSetCookie()).to.deep.equal(['a=1', 'b=2']);
+  const names = [...(answer?.headers.keys() ?? [])];
+  expect(names.filter(name => name.startsWith('x-marigoldspur'))).to.be.empty;
+});
+
+it('relay: a small body is kept for a resend, a larger one is not', async () => {
+  const bytes = agentAnswer('application/json', '{"kept":1}');
+  const kept = await relay(bytes, {...OPTIONS, keepBytes: 100});
+  expect(kept.relayed?.body?.toString()).to.equal('{"kept":1}');
+  const dropped = await relay(bytes, {...OPTIONS, keepBytes: 4});
+  expect(dropped.relayed?.body).to.equal(undefined);
+});
+
+it('relay: a stream that stops coming ends as torn at its deadline', async () => {
+  const bytes = agentAnswer('text/event-stream', STREAM_BODY);
+  const head = bytes.slice(0, bytes.indexOf('[DONE]'));
+  const signal = AbortSignal.timeout(200);
+  const {answer} = await relay(head, {...STREAM_OPTIONS, signal}, false);
+  expect(answer).to.equal(undefined);
+});
--- /dev/null
+++ b/entry/entry-server/src/answer-sender.ts
@@ -0,0 +1,111 @@
+import type {ServerResponse} from 'node:http';
+import {Result} from 'true-myth';
+import {
+  answerHeaders,
+  relayAnswer,
+  type AttemptAnswer,
+  type Relayed,
+} from '@marigoldspur/dispatch';
+import type {EventLog} from '@marigoldspur/event-log';
+import {Refusal} from '@marigoldspur/faults';
+import type {StoredAnswer} from '@marigoldspur/messages';
+import type {EntryMetrics} from './entry-metrics.js';
+import {isRepeatable, type Job} from './job.js';
+
+/** What an answer sender works with. */
+export interface AnswerSenderOptions {
+  readonly events: EventLog;
+  readonly metrics: EntryMetrics;
+}
+
+const MAX_STORED_ANSWER_BYTES = 65_536;
+const MAX_STORED_HEADERS = 100;
+const MAX_COLLECTED_BYTES = 1_048_576;
+const RETRY_SOON_SECONDS = 1;
+const EVENTS = {
+  whole: 'request-answered',
+  torn: 'request-torn',
+  cancelled: 'request-cancelled',
+} as const;
+/** Headers that a resend gets anew. */
+const FRESH_HEADERS = new Set(['content-type', 'date']);
+
+/** Sends targets' answers to callers. */
+export class AnswerSender {
+  constructor(private readonly options: AnswerSenderOptions) {}
+
+  /** Relays an answer; resolves to what is kept of it for a resend. */
+  async send(
+    job: Job,
+    answer: AttemptAnswer,
+    response: ServerResponse,
+  ): Promise<Result<StoredAnswer | undefined, Refusal>> {
+    const {metrics} = this.options;
+    const contentType = answer.message.headers['content-type'] ?? '';
+    const streamed = contentType.startsWith('text/event-stream');
+    const waited = performance.now() - job.startedAt;
+    metrics.answered(job.request.service, waited / 1_000);
+    const relayed = await relayAnswer(answer, response, {
+      headers: {'x-request-id': job.id},
+      collectBytes: streamed ? 0 : MAX_COLLECTED_BYTES,
+      endsWithDone:
+        streamed &&
+        job.request.kind === 'model' &&
+        answer.message.statusCode === 200,
+      keepBytes: job.key === undefined ? 0 : MAX_STORED_ANSWER_BYTES,
+      outlivesCaller: !isRepeatable(job),
+      signal: job.signal,
+    });
+    return this.conclude(job, answer, relayed);
+  }
+
+  private conclude(
+    job: Job,
+    answer: AttemptAnswer,
+    relayed: Relayed,
+  ): Result<StoredAnswer | undefined, Refusal> {
+    const {events, metrics} = this.options;
+    const {end, status} = relayed;
+    if (end === 'lost') {
+      return Result.err(tornAnswer());
+    }
+    events.record(EVENTS[end], {status}, job.id);
+    metrics.ended(job.request.service, end);
+    if (end !== 'whole') {
+      return Result.err(tornAnswer());
+    }
+    return Result.ok(
+      relayed.body === undefined || job.key === undefined
+        ? undefined
+        : storedAnswer(answer, status, relayed.body),
+    );
+  }
+}
+
+function tornAnswer(): Refusal {
+  return new Refusal(
+    'unknown',
+    502,
+    'torn_answer',
+    'the answer broke off',
+    RETRY_SOON_SECONDS,
+  );
+}
+
+function storedAnswer(
+  answer: AttemptAnswer,
+  status: number,
+  body: Buffer,
+): StoredAnswer {
+  const headers = Object.entries(answerHeaders(answer.message))
+    .filter(([name]) => !FRESH_HEADERS.has(name))
+    .flatMap(([name, value]) =>
+      [value ?? []].flat().map(text => ({name, value: String(text)})),
+    );
+  return {
+    status,
+    contentType: answer.message.headers['content-type'] ?? '',
+    headers: headers.slice(0, MAX_STORED_HEADERS),
+    body: body.toString('base64'),
+  };
+}
--- /dev/null
+++ b/entry/entry-server/src/attempt-runner.ts
@@ -0,0 +1,182 @@
+import type {ServerResponse} from 'node:http';
+import {setTimeout as pause} from 'node:timers/promises';
+import {Result} from 'true-myth';
+import {
+  type AttemptAnswer,
+  type AttemptClient,
+  type Destination,
+  type TargetDirectory,
+} from '@marigoldspur/dispatch';
+import type {EventLog} from '@marigoldspur/event-log';
+import {Refusal} from '@marigoldspur/faults';
+import type {Hop, StoredAnswer} from '@marigoldspur/messages';
+import {createPlacement} from '@marigoldspur/placement';
+import {
+  afterAttempts,
+  mayRetry,
+  retryPauseMs,
+  type RetryBudget,
+} from '@marigoldspur/retries';
+import {formatModel} from '@marigoldspur/settings-schema';
+import type {AnswerSender} from './answer-sender.js';
+import {budgetMs, isRepeatable, type Job} from './job.js';
+
+/** What an attempt runner works with. */
+export interface AttemptRunnerOptions {
+  readonly directory: TargetDirectory;
+  readonly attempts: AttemptClient;
+  readonly answers: AnswerSender;
+  readonly retries: RetryBudget;
+  readonly events: EventLog;
+  /** Gives numbers from 0 up to, not including, 1. */
+  readonly random: () => number;
+}
+
+/** How a run ended: the answer that is kept for a resend, where there is one. */
+export type RunEnd = Result<StoredAnswer | undefined, Refusal>;
+
+const RETRY_SOON_SECONDS = 1;
+
+/** Runs jobs at one target after another until one answers. */
+export class AttemptRunner {
+  constructor(private readonly options: AttemptRunnerOptions) {}
+
+  /** Runs a job and answers its caller; a refusal is left to be sent. */
+  async run(job: Job, response: ServerResponse): Promise<RunEnd> {
+    this.options.retries.earn(job.settings.retryBudgetRatio);
+    const tried = new Set<string>();
+    const refusals: Refusal[] = [];
+    for (let attempt = 1; ; attempt += 1) {
+      const destination = this.chooseDestination(job, tried);
+      if (destination === undefined) {
+        return Result.err(refusals.at(-1) ?? noTarget());
+      }
+      if (job.callerGone.aborted) {
+        return Result.err(afterAttempts(refusals, callerGone()));
+      }
+      tried.add(destination.target);
+      const ended = await this.attempt(job, destination, attempt, response);
+      if (ended.isOk) {
+        return ended;
+      }
+      const refusal = afterAttempts(refusals, ended.error);
+      refusals.push(refusal);
+      if (!this.triesAgain(job, refusal, attempt, response)) {
+        return Result.err(refusal);
+      }
+      await this.pauseBeforeRetry(job, attempt + 1, refusal);
+    }
+  }
+
+  private triesAgain(
+    job: Job,
+    refusal: Refusal,
+    attempt: number,
+    response: ServerResponse,
+  ): boolean {
+    if (attempt >= job.settings.maxAttempts || job.signal.aborted) {
+      return false;
+    }
+    const allowed = mayRetry({
+      refusal,
+      repeatable: isRepeatable(job),
+      answerBegun: response.headersSent,
+    });
+    return allowed && this.options.retries.spend();
+  }
+
+  private async pauseBeforeRetry(
+    job: Job,
+    attempt: number,
+    refusal: Refusal,
+  ): Promise<void> {
+    const {events, random} = this.options;
+    const {reason, outcome} = refusal;
+    events.record('attempt-retried', {attempt, reason, outcome}, job.id);
+    await pause(retryPauseMs(attempt, random()));
+  }
+
+  private chooseDestination(
+    job: Job,
+    tried: ReadonlySet<string>,
+  ): Destination | undefined {
+    const {request, settings} = job;
+    const {directory, random} = this.options;
+    const model =
+      request.kind === 'model' ? formatModel(request.model) : undefined;
+    return directory.choose(
+      {customer: request.customer, service: request.service, model, tried},
+      createPlacement(settings.placement, random),
+      performance.now(),
+    );
+  }
+
+  private async attempt(
+    job: Job,
+    destination: Destination,
+    attempt: number,
+    response: ServerResponse,
+  ): Promise<RunEnd> {
+    const {directory, events} = this.options;
+    const {target} = destination;
+    const end = directory.begin(target);
+    events.record('request-dispatched', {attempt, target}, job.id);
+    try {
+      const sent = await this.send(job, destination, attempt);
+      return sent.isErr
+        ? Result.err(sent.error)
+        : await this.options.answers.send(job, sent.value, response);
+    } finally {
+      end();
+    }
+  }
+
+  private async send(
+    job: Job,
+    destination: Destination,
+    attempt: number,
+  ): Promise<Result<AttemptAnswer, Refusal>> {
+    const sent = await this.options.attempts.send({
+      hop: hopOf(job, destination.target, attempt),
+      destination,
+      method: job.method,
+      url: job.request.url,
+      headers: job.headers,
+      body: job.body,
+      signal: job.signal,
+      firstByteTimeoutMs: job.settings.firstByteTimeoutMs,
+    });
+    if (sent.isErr && sent.error.reason === 'crossed_answer') {
+      this.options.events.record('answer-crossed', {attempt}, job.id);
+    }
+    return sent;
+  }
+}
+
+function hopOf(job: Job, target: string, attempt: number): Hop {
+  const {request, settings} = job;
+  return {
+    request: job.id,
+    attempt,
+    model: request.kind === 'model' ? request.model : undefined,
+    target,
+    revision: job.revision,
+    budgetMs: budgetMs(job, performance.now()),
+    priority: settings.priority,
+    repeatable: isRepeatable(job),
+  };
+}
+
+function noTarget(): Refusal {
+  return new Refusal(
+    'not-run',
+    503,
+    'no_target',
+    'no target serves this now',
+    RETRY_SOON_SECONDS,
+  );
+}
+
+function callerGone(): Refusal {
+  return new Refusal('not-run', 499, 'caller_gone', 'the caller went away');
+}
--- /dev/null
+++ b/entry/entry-server/src/caller-server.ts
@@ -0,0 +1,88 @@
+import http from 'node:http';
+import type {Socket} from 'node:net';
+import {setTimeout as pause} from 'node:timers/promises';
+import {closeServer} from '@marigoldspur/http-link';
+import {clientErrorAnswer} from '@marigoldspur/caller-api';
+
+/** What a caller server works with. */
+export interface CallerServerOptions {
+  /** Serves one request. */
+  readonly handle: (
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ) => Promise<void>;
+  /** Whether the process shuts down. */
+  readonly draining: () => boolean;
+}
+
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 30_000;
+const TIMEOUT_CHECK_MS = 1_000;
+const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+const MAX_HEADER_BYTES = 16_384;
+const CLOSE_IDLE_MS = 50;
+
+/** The server of callers' connections. */
+export class CallerServer {
+  readonly server: http.Server;
+  /** Connections with a request that is being answered. */
+  private readonly answering = new WeakMap<Socket, number>();
+
+  constructor(private readonly options: CallerServerOptions) {
+    this.server = http.createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      },
+      (request, response) => this.take(request, response),
+    );
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      this.refuseConnection(error, socket as Socket),
+    );
+  }
+
+  /** Stops accepting and resolves once every running request has ended. */
+  async close(): Promise<void> {
+    let closed = false;
+    const ended = closeServer(this.server).then(() => {
+      closed = true;
+    });
+    // A connection whose answer had begun before the shutdown stays open when it ends.
+    while (!closed) {
+      this.server.closeIdleConnections();
+      await Promise.race([ended, pause(CLOSE_IDLE_MS)]);
+    }
+  }
+
+  private take(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    if (this.options.draining()) {
+      response.setHeader('connection', 'close');
+    }
+    if (request.url === '/readyz') {
+      response.statusCode = this.options.draining() ? 503 : 200;
+      response.end(this.options.draining() ? 'not ready\n' : 'ready\n');
+      return;
+    }
+    const {socket} = request;
+    this.answering.set(socket, (this.answering.get(socket) ?? 0) + 1);
+    response.on('close', () =>
+      this.answering.set(socket, (this.answering.get(socket) ?? 1) - 1),
+    );
+    void this.options.handle(request, response);
+  }
+
+  /** Answers what is not HTTP, where no other answer is on its way on the connection. */
+  private refuseConnection(error: NodeJS.ErrnoException, socket: Socket): void {
+    const busy = (this.answering.get(socket) ?? 0) > 0;
+    if (!busy && socket.writable) {
+      socket.end(clientErrorAnswer(error.code ?? ''));
+    }
+    socket.destroySoon();
+  }
+}
--- a/entry/entry-server/src/claim-desk.ts
+++ b/entry/entry-server/src/claim-desk.ts
@@ -1,11 +1,21 @@
 import {createHash} from 'node:crypto';
+import {setTimeout as pause} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import type {ControlClient} from '@marigoldspur/control-client';
+import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
-import type {Claim, Completion, StoredAnswer} from '@marigoldspur/messages';
+import type {
+  Claim,
+  ClaimOutcome,
+  Completion,
+  StoredAnswer,
+} from '@marigoldspur/messages';
 
-/** Who claims: the entry and its boot. */
-export interface Claimer {
+/** What a claim desk works with. */
+export interface ClaimDeskOptions {
+  readonly client: Pick<ControlClient, 'call'>;
+  readonly events: EventLog;
+  /** Entry that claims, and its boot. */
   readonly entry: string;
   readonly boot: string;
 }
@@ -26,95 +36,139 @@
   | {readonly result: 'granted'}
   | {readonly result: 'answered'; readonly answer: StoredAnswer};
 
-const CLAIM_TIMEOUT_MS = 5_000;
-const COMPLETION_TIMEOUT_MS = 30_000;
+/** Longest time that a caller waits for its claim; past it the request is refused. */
+const CLAIM_TIMEOUT_MS = 1_500;
+const COMPLETION_CALL_MS = 5_000;
+const COMPLETION_PAUSE_MS = 200;
 const RETRY_SOON_SECONDS = 1;
 
 /** Claims requests that may not be repeated, before they are dispatched. */
 export class ClaimDesk {
-  constructor(
-    private readonly client: ControlClient,
-    private readonly claimer: Claimer,
-  ) {}
+  private readonly pending = new Set<Promise<void>>();
+
+  constructor(private readonly options: ClaimDeskOptions) {}
+
+  /** Ends of claims that control has not taken yet. */
+  get pendingCompletions(): number {
+    return this.pending.size;
+  }
 
   /** Takes a claim; a refusal says what is known of the first run. */
   async take(need: ClaimNeed): Promise<Result<ClaimResult, Refusal>> {
-    const claim: Claim = {
-      customer: need.customer,
-      key: need.key,
-      digest: digestOf(need),
-      request: need.request,
-      ...this.claimer,
-      retentionMs: need.retentionMs,
-    };
-    const taken = await this.client.call(
+    const claim = claimOf(need, this.options);
+    const taken = await this.options.client.call(
       (replica, signal) => replica.takeClaim.mutate(claim, {signal}),
       performance.now() + CLAIM_TIMEOUT_MS,
     );
     if (taken.isErr) {
+      // The claim may have been taken though its answer was lost: give it back.
+      const {customer, key, request, retentionMs} = need;
+      const completion = {customer, key, request, result: 'not-run'} as const;
+      this.complete(completion, retentionMs);
+      return Result.err(claimUnavailable());
+    }
+    return resultOf(taken.value);
+  }
+
+  /** Ends a claim: control is asked until it answers or `retentionMs` is over. */
+  complete(completion: Completion, retentionMs: number): void {
+    const told = this.tell(completion, performance.now() + retentionMs);
+    this.pending.add(told);
+    void told.finally(() => this.pending.delete(told));
+  }
+
+  /** Resolves once control took every completion, at the latest after `waitMs`. */
+  async settled(waitMs: number): Promise<void> {
+    const stop = new AbortController();
+    const bound = pause(waitMs, undefined, {signal: stop.signal}).catch(
+      () => {},
+    );
+    await Promise.race([Promise.all(this.pending), bound]);
+    stop.abort();
+  }
+
+  private async tell(completion: Completion, deadline: number): Promise<void> {
+    const {client, events} = this.options;
+    while (performance.now() < deadline) {
+      const done = await client.call(
+        (replica, signal) => replica.completeClaim.mutate(completion, {signal}),
+        Math.min(deadline, performance.now() + COMPLETION_CALL_MS),
+      );
+      if (done.isOk) {
+        return;
+      }
+      const {code, message} = done.error;
+      events.record('completion-lost', {code, message}, completion.request);
+      if (code === 'INVALID_INPUT') {
+        return;
+      }
+      await pause(COMPLETION_PAUSE_MS);
+    }
+  }
+}
+
+function claimOf(
+  need: ClaimNeed,
+  claimer: {readonly entry: string; readonly boot: string},
+): Claim {
+  const {customer, key, request, retentionMs} = need;
+  const {entry, boot} = claimer;
+  const digest = digestOf(need);
+  return {customer, key, digest, request, entry, boot, retentionMs};
+}
+
+function resultOf(outcome: ClaimOutcome): Result<ClaimResult, Refusal> {
+  switch (outcome.outcome) {
+    case 'granted':
+      return Result.ok({result: 'granted'});
+    case 'running':
+      return Result.err(
+        conflict(
+          'already_running',
+          `request ${outcome.request} with this key runs now`,
+          RETRY_SOON_SECONDS,
+        ),
+      );
+    case 'completed':
+      return outcome.answer !== undefined
+        ? Result.ok({result: 'answered', answer: outcome.answer})
+        : Result.err(
+            conflict(
+              'already_run',
+              `request ${outcome.request} ran with this key; its answer was not kept`,
+            ),
+          );
+    case 'unknown':
+      return Result.err(
+        conflict(
+          'outcome_unknown',
+          `request ${outcome.request} with this key may have run and is not repeated`,
+        ),
+      );
+    case 'mismatch':
       return Result.err(
         new Refusal(
           'not-run',
-          503,
-          'claim_unavailable',
-          'the request could not be claimed',
-          RETRY_SOON_SECONDS,
+          422,
+          'key_reused',
+          'the key was used with another request',
         ),
       );
-    }
-    const outcome = taken.value;
-    switch (outcome.outcome) {
-      case 'granted':
-        return Result.ok({result: 'granted'});
-      case 'running':
-        return Result.err(
-          new Refusal(
-            'unknown',
-            409,
-            'already_running',
-            `request ${outcome.request} with this key runs now`,
-            RETRY_SOON_SECONDS,
-          ),
-        );
-      case 'completed':
-        return outcome.answer !== undefined
-          ? Result.ok({result: 'answered', answer: outcome.answer})
-          : Result.err(
-              new Refusal(
-                'unknown',
-                409,
-                'already_run',
-                `request ${outcome.request} ran with this key; its answer was not kept`,
-              ),
-            );
-      case 'unknown':
-        return Result.err(
-          new Refusal(
-            'unknown',
-            409,
-            'outcome_unknown',
-            `request ${outcome.request} with this key may have run and is not repeated`,
-          ),
-        );
-      case 'mismatch':
-        return Result.err(
-          new Refusal(
-            'not-run',
-            422,
-            'key_reused',
-            'the key was used with another request',
-          ),
-        );
-    }
   }
+}
 
-  /** Ends a claim; control is asked until it answers or the time is over. */
-  complete(completion: Completion): void {
-    void this.client.call(
-      (replica, signal) => replica.completeClaim.mutate(completion, {signal}),
-      performance.now() + COMPLETION_TIMEOUT_MS,
-    );
-  }
+function conflict(reason: string, message: string, retryAfter?: number) {
+  return new Refusal('unknown', 409, reason, message, retryAfter);
+}
+
+function claimUnavailable(): Refusal {
+  return new Refusal(
+    'not-run',
+    503,
+    'claim_unavailable',
+    'the request could not be claimed',
+    RETRY_SOON_SECONDS,
+  );
 }
 
 function digestOf(need: ClaimNeed): string {
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -1,4 +1,3 @@
-import http from 'node:http';
 import {Admission} from '@marigoldspur/admission';
 import {
   ControlClient,
@@ -8,7 +7,7 @@
 } from '@marigoldspur/control-client';
 import {AttemptClient, TargetDirectory} from '@marigoldspur/dispatch';
 import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
-import {closeServer, listen} from '@marigoldspur/http-link';
+import {listen} from '@marigoldspur/http-link';
 import {processMetrics} from '@marigoldspur/metrics';
 import type {Member} from '@marigoldspur/messages';
 import {bootIdentity, type Task} from '@marigoldspur/process-life';
@@ -16,13 +15,18 @@
 import {ClaimDesk} from './claim-desk.js';
 import {EntryMetrics} from './entry-metrics.js';
 import type {EntrySettings} from './entry-settings.js';
+import {AnswerSender} from './answer-sender.js';
+import {AttemptRunner} from './attempt-runner.js';
+import {CallerServer} from './caller-server.js';
+import {ClaimedRunner} from './claimed-runner.js';
 import {RequestDesk} from './request-desk.js';
+import {RequestReader} from './request-reader.js';
+import {RetryBudget} from '@marigoldspur/retries';
 
 const VERSION = '0.1.0';
 const START_TIMEOUT_MS = 60_000;
-const HEADERS_TIMEOUT_MS = 10_000;
-const KEEP_ALIVE_TIMEOUT_MS = 65_000;
-const MAX_HEADER_BYTES = 16_384;
+/** Time that the ends of claimed requests get to reach control at a shutdown. */
+const COMPLETIONS_MS = 10_000;
 
 /** Starts an entry. */
 export async function startEntry(
@@ -45,36 +49,35 @@
     role: 'entry',
     zone: settings.zone,
   });
+  const entryMetrics = new EntryMetrics(metrics.registry);
   const attempts = new AttemptClient();
-  const desk = new RequestDesk({
-    settings: follower,
-    admission: new Admission(),
+  const claims = new ClaimDesk({client, events, entry: settings.id, boot});
+  const runner = new AttemptRunner({
     directory: new TargetDirectory(() => members.members(), settings.zone),
     attempts,
-    claims: new ClaimDesk(client, {entry: settings.id, boot}),
+    answers: new AnswerSender({events, metrics: entryMetrics}),
+    retries: new RetryBudget(),
     events,
-    metrics: new EntryMetrics(metrics.registry),
-    maxBodyBytes: settings.maxBodyBytes,
     random: Math.random,
   });
+  const desk = new RequestDesk({
+    settings: follower,
+    reader: new RequestReader({
+      settings: follower,
+      maxBodyBytes: settings.maxBodyBytes,
+    }),
+    admission: new Admission(),
+    runner,
+    claimed: new ClaimedRunner({claims, runner, events}),
+    events,
+    metrics: entryMetrics,
+  });
   let draining = false;
-  const callers = http.createServer(
-    {maxHeaderSize: MAX_HEADER_BYTES},
-    (request, response) => {
-      if (request.url === '/readyz') {
-        response.statusCode = draining ? 503 : 200;
-        response.end(draining ? 'not ready\n' : 'ready\n');
-        return;
-      }
-      if (draining) {
-        response.setHeader('connection', 'close');
-      }
-      void desk.handle(request, response);
-    },
-  );
-  callers.headersTimeout = HEADERS_TIMEOUT_MS;
-  callers.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
-  const callerAddress = await listen(callers, {
+  const callers = new CallerServer({
+    handle: (request, response) => desk.handle(request, response),
+    draining: () => draining,
+  });
+  const callerAddress = await listen(callers.server, {
     host: settings.host,
     port: settings.callerPort,
   });
@@ -119,7 +122,11 @@
       draining = true;
       events.record('process-draining');
       await pause(settings.settleMs);
-      await Promise.race([closeServer(callers), pause(settings.drainMs)]);
+      await Promise.race([callers.close(), pause(settings.drainMs)]);
+      if (desk.running > 0) {
+        events.record('shutdown-bound-reached', {running: desk.running});
+      }
+      await claims.settled(COMPLETIONS_MS);
       heartbeat.stop();
       await members.stop();
       await follower.stop();
--- /dev/null
+++ b/entry/retries/src/index.ts
@@ -0,0 +1,7 @@
+export {RetryBudget} from './retry-budget.js';
+export {
+  afterAttempts,
+  mayRetry,
+  retryPauseMs,
+  type RetryCase,
+} from './retry-rules.js';
