--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -122,6 +122,36 @@
     level: 'info',
     meaning: 'The caller went away before the answer was whole.',
   },
+  'attempt-retried': {
+    number: 406,
+    level: 'info',
+    meaning: 'A request is tried again at another target.',
+  },
+  'answer-replayed': {
+    number: 407,
+    level: 'info',
+    meaning: 'A resend got the answer that was kept from the first run.',
+  },
+  'completion-lost': {
+    number: 408,
+    level: 'warn',
+    meaning: 'Control did not take the end of a claimed request.',
+  },
+  'answer-crossed': {
+    number: 409,
+    level: 'warn',
+    meaning: 'An answer to another request was dropped.',
+  },
+  'request-error': {
+    number: 410,
+    level: 'error',
+    meaning: 'Serving a request failed inside the entry.',
+  },
+  'shutdown-bound-reached': {
+    number: 411,
+    level: 'warn',
+    meaning: 'Requests still ran when the time for a shutdown was over.',
+  },
   'attempt-received': {
     number: 500,
     level: 'debug',
@@ -157,12 +187,12 @@
     level: 'info',
     meaning: 'The entry went away, so the target was told to stop.',
   },
-  'answer-crossed': {
+  'target-answer-crossed': {
     number: 507,
     level: 'warn',
     meaning: 'An answer of another request, adapter or boot was dropped.',
   },
-  'answer-torn': {
+  'target-answer-torn': {
     number: 508,
     level: 'warn',
     meaning: 'An answer lacked its end and was not ended cleanly.',
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -8,23 +8,28 @@
 } from '@marigoldspur/control-client';
 import {AttemptClient, TargetDirectory} from '@marigoldspur/dispatch';
 import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
-import {closeServer, listen} from '@marigoldspur/http-link';
+import {listen} from '@marigoldspur/http-link';
 import {openLinkSecurity} from '@marigoldspur/link-security';
 import {processMetrics} from '@marigoldspur/metrics';
 import type {Member} from '@marigoldspur/messages';
 import {bootIdentity, type Task} from '@marigoldspur/process-life';
 import {startProcessServer} from '@marigoldspur/process-server';
 import {ClaimDesk} from './claim-desk.js';
-import {createCallerServer} from './caller-server.js';
 import {EntryMetrics} from './entry-metrics.js';
 import type {EntrySettings} from './entry-settings.js';
+import {AnswerSender} from './answer-sender.js';
+import {AttemptRunner} from './attempt-runner.js';
+import {CallerServer} from './caller-server.js';
+import {openCallerTls} from './caller-tls.js';
+import {ClaimedRunner} from './claimed-runner.js';
 import {RequestDesk} from './request-desk.js';
+import {RequestReader} from './request-reader.js';
+import {RetryBudget} from '@marigoldspur/retries';
 
 const VERSION = '0.1.0';
 const START_TIMEOUT_MS = 60_000;
-const HEADERS_TIMEOUT_MS = 10_000;
-const KEEP_ALIVE_TIMEOUT_MS = 65_000;
-const MAX_HEADER_BYTES = 16_384;
+/** Time that the ends of claimed requests get to reach control at a shutdown. */
+const COMPLETIONS_MS = 10_000;
 
 /** Starts an entry. */
 export async function startEntry(
@@ -51,40 +56,40 @@
     role: 'entry',
     zone: settings.zone,
   });
+  const entryMetrics = new EntryMetrics(metrics.registry);
   const keys = await openCallerKeys({file: settings.callerKeys, events});
+  const callerTls = await openCallerTls(settings, events);
   const attempts = new AttemptClient(security.createAgent());
-  const desk = new RequestDesk({
-    settings: follower,
-    admission: new Admission(),
+  const claims = new ClaimDesk({client, events, entry: settings.id, boot});
+  const runner = new AttemptRunner({
     directory: new TargetDirectory(() => members.members(), settings.zone),
     attempts,
-    keys,
-    claims: new ClaimDesk(client, {entry: settings.id, boot}),
+    answers: new AnswerSender({events, metrics: entryMetrics}),
+    retries: new RetryBudget(),
     events,
-    metrics: new EntryMetrics(metrics.registry),
-    maxBodyBytes: settings.maxBodyBytes,
     random: Math.random,
   });
-  let draining = false;
-  const callers = await createCallerServer(
-    settings,
-    {maxHeaderSize: MAX_HEADER_BYTES},
-    (request, response) => {
-      if (request.url === '/readyz') {
-        response.statusCode = draining ? 503 : 200;
-        response.end(draining ? 'not ready\n' : 'ready\n');
-        return;
-      }
-      if (draining) {
-        response.setHeader('connection', 'close');
-      }
-      void desk.handle(request, response);
-    },
+  const desk = new RequestDesk({
+    settings: follower,
+    keys,
+    reader: new RequestReader({
+      settings: follower,
+      keys,
+      maxBodyBytes: settings.maxBodyBytes,
+    }),
+    admission: new Admission(),
+    runner,
+    claimed: new ClaimedRunner({claims, runner, events}),
     events,
-  );
-  callers.headersTimeout = HEADERS_TIMEOUT_MS;
-  callers.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
-  const callerAddress = await listen(callers, {
+    metrics: entryMetrics,
+  });
+  let draining = false;
+  const callers = new CallerServer({
+    handle: (request, response) => desk.handle(request, response),
+    draining: () => draining,
+    tls: callerTls,
+  });
+  const callerAddress = await listen(callers.server, {
     host: settings.host,
     port: settings.callerPort,
   });
@@ -130,13 +135,18 @@
       draining = true;
       events.record('process-draining');
       await pause(settings.settleMs);
-      await Promise.race([closeServer(callers), pause(settings.drainMs)]);
+      await Promise.race([callers.close(), pause(settings.drainMs)]);
+      if (desk.running > 0) {
+        events.record('shutdown-bound-reached', {running: desk.running});
+      }
+      await claims.settled(COMPLETIONS_MS);
       heartbeat.stop();
       await members.stop();
       await follower.stop();
       attempts.close();
       client.close();
       keys.stop();
+      callerTls.stop();
       security.stop();
       events.record('process-stopped');
     },
