Admit by customer and priority, and refuse predicted lateness at once

A caller that went away freed its turn while its request still ran, since p-queue ends a task when its signal aborts; a turn now lasts until the run ends. Customers share an entry by fewest running first. A wait that would pass the queue's deadline is refused at once, with when to come back computed from the mean time of a request. Contact with control is counted from heartbeats, since a settings watch alone is silent for 10 s.

--- a/entry/admission/src/admission.ts
+++ b/entry/admission/src/admission.ts
@@ -2,62 +2,159 @@
 import {Result} from 'true-myth';
 import {Refusal} from '@marigoldspur/faults';
 import type {Settings} from '@marigoldspur/settings-schema';
+import {FairQueue, type FairOptions, type Run} from './fair-queue.js';
+import {WaitEstimate} from './wait-estimate.js';
 
 /** The right to run one request. */
 export interface Admitted {
-  /** Gives the right back. */
-  release(): void;
+  /** Gives the right back at time `now`, in milliseconds. */
+  release(now: number): void;
 }
 
+/** Options of an admission. */
+export interface AdmissionOptions {
+  /** Requests of all customers that run at once. */
+  readonly maxRunning: number;
+  /** Gives numbers from 0 up to, not including, 1. */
+  readonly random: () => number;
+}
+
+/** The settings that bind admission. */
+export type AdmissionSettings = Pick<
+  Settings,
+  'concurrency' | 'priority' | 'queueDeadlineMs' | 'queueLimit'
+>;
+
+interface CustomerQueue {
+  readonly turns: PQueue;
+  readonly estimate: WaitEstimate;
+}
+
+type SharedQueue = PQueue<FairQueue, FairOptions>;
+type EndTurn = () => void;
+
 const LOWEST_PRIORITY = 9;
-const RETRY_SOON_SECONDS = 1;
+const MAX_RETRY_SECONDS = 60;
+/** Spread of the times at which refused callers come back. */
+const RETRY_SPREAD = 0.5;
 
-/** Admits requests within each customer's concurrency, most urgent first. */
+/**
+ * Admits requests within each customer's concurrency, most urgent first, and within
+ * the entry's own, customers with the fewest running requests first.
+ */
 export class Admission {
-  private readonly queues = new Map<string, PQueue>();
+  private readonly customers = new Map<string, CustomerQueue>();
+  private readonly shared: SharedQueue;
 
-  /** Waits for admission up to the queue's deadline; refuses at once when the queue is full. */
-  admit(
+  constructor(private readonly options: AdmissionOptions) {
+    this.shared = new PQueue<FairQueue, FairOptions>({
+      concurrency: options.maxRunning,
+      queueClass: FairQueue,
+    });
+  }
+
+  /**
+   * Waits for admission up to the queue's deadline; refuses at once when the queue is
+   * full or the wait, as far as can be told at time `now`, would be too long.
+   */
+  async admit(
     customer: string,
-    settings: Settings,
+    settings: AdmissionSettings,
     signal: AbortSignal,
+    now: number,
   ): Promise<Result<Admitted, Refusal>> {
-    const queue = this.queueOf(customer);
-    queue.concurrency = settings.concurrency;
-    const waits = queue.pending >= settings.concurrency;
-    if (waits && queue.size >= settings.queueLimit) {
-      return Promise.resolve(Result.err(tooBusy('the queue is full')));
+    const {turns, estimate} = this.queueOf(customer);
+    turns.concurrency = settings.concurrency;
+    const waitMs = estimate.waitMs(settings.concurrency, settings.priority);
+    if (estimate.waiting >= settings.queueLimit && waitMs > 0) {
+      return Result.err(this.tooBusy('the queue is full', waitMs));
+    }
+    if (waitMs > settings.queueDeadlineMs) {
+      return Result.err(this.tooBusy('the wait would be too long', waitMs));
     }
-    return new Promise(resolve => {
-      const patience = new AbortController();
-      const end = () => patience.abort();
-      const timer = setTimeout(end, settings.queueDeadlineMs);
-      signal.addEventListener('abort', end, {once: true});
-      const run = () =>
-        new Promise<void>(release => {
-          clearTimeout(timer);
-          resolve(Result.ok({release}));
-        });
-      queue
-        .add(run, {
-          priority: LOWEST_PRIORITY - settings.priority,
-          signal: patience.signal,
-        })
-        .catch(() => resolve(Result.err(tooBusy('the wait was too long'))))
-        .finally(() => signal.removeEventListener('abort', end));
+    const patience = AbortSignal.any([
+      signal,
+      AbortSignal.timeout(settings.queueDeadlineMs),
+    ]);
+    const priority = LOWEST_PRIORITY - settings.priority;
+    estimate.wait(settings.priority);
+    const end = await this.takeTurns(turns, customer, priority, patience);
+    estimate.stopWaiting(settings.priority);
+    if (end === undefined) {
+      return Result.err(this.tooBusy('the wait was too long', waitMs));
+    }
+    estimate.begin();
+    return Result.ok({
+      release: at => {
+        estimate.end(at - now);
+        end();
+      },
     });
   }
 
-  private queueOf(customer: string): PQueue {
-    let queue = this.queues.get(customer);
+  /** Takes a turn of the customer, then one of the entry; undefined when `signal` ends the wait. */
+  private async takeTurns(
+    turns: PQueue,
+    customer: string,
+    priority: number,
+    signal: AbortSignal,
+  ): Promise<EndTurn | undefined> {
+    const own = await takeTurn(
+      (run, patience) => turns.add(run, {priority, signal: patience}),
+      signal,
+    );
+    if (own === undefined) {
+      return undefined;
+    }
+    const shared = await takeTurn(
+      (run, patience) =>
+        this.shared.add(run, {customer, priority, signal: patience}),
+      signal,
+    );
+    if (shared === undefined) {
+      own();
+      return undefined;
+    }
+    return () => {
+      shared();
+      own();
+    };
+  }
+
+  private queueOf(customer: string): CustomerQueue {
+    let queue = this.customers.get(customer);
     if (queue === undefined) {
-      queue = new PQueue();
-      this.queues.set(customer, queue);
+      queue = {turns: new PQueue(), estimate: new WaitEstimate()};
+      this.customers.set(customer, queue);
     }
     return queue;
   }
+
+  private tooBusy(message: string, waitMs: number): Refusal {
+    const spread = 1 + RETRY_SPREAD * this.options.random();
+    const seconds = Math.ceil((waitMs * spread) / 1_000);
+    const retryAfter = Math.min(MAX_RETRY_SECONDS, Math.max(1, seconds));
+    return new Refusal('not-run', 429, 'too_busy', message, retryAfter);
+  }
 }
 
-function tooBusy(message: string): Refusal {
-  return new Refusal('not-run', 429, 'too_busy', message, RETRY_SOON_SECONDS);
+/** Waits for a turn in a queue; one that has begun lasts until it is ended. */
+function takeTurn(
+  add: (run: Run, patience: AbortSignal) => Promise<unknown>,
+  signal: AbortSignal,
+): Promise<EndTurn | undefined> {
+  return new Promise(resolve => {
+    const patience = new AbortController();
+    const giveUp = () => patience.abort();
+    signal.addEventListener('abort', giveUp, {once: true});
+    if (signal.aborted) {
+      giveUp();
+    }
+    const run = () =>
+      new Promise<void>(endTurn => {
+        signal.removeEventListener('abort', giveUp);
+        resolve(endTurn);
+      });
+    add(run, patience.signal).catch(() => resolve(undefined));
+  });
 }
--- a/entry/admission/src/index.ts
+++ b/entry/admission/src/index.ts
@@ -1,1 +1,6 @@
-export {Admission, type Admitted} from './admission.js';
+export {
+  Admission,
+  type AdmissionOptions,
+  type AdmissionSettings,
+  type Admitted,
+} from './admission.js';
--- a/entry/entry-server/src/entry-settings.ts
+++ b/entry/entry-server/src/entry-settings.ts
@@ -28,6 +28,12 @@
     .describe(
       'Largest body that is read before the customer is known, in bytes',
     ),
+  maxRunning: z.coerce
+    .number()
+    .int()
+    .min(1)
+    .default(2_048)
+    .describe('Requests of all customers that run at once'),
   logLevel: z
     .enum(['debug', 'info', 'warn', 'error', 'silent'])
     .default('info')
--- a/entry/entry-server/src/request-desk.ts
+++ b/entry/entry-server/src/request-desk.ts
@@ -7,6 +7,7 @@
 import {Refusal, toFault} from '@marigoldspur/faults';
 import type {AttemptRunner} from './attempt-runner.js';
 import type {ClaimedRunner} from './claimed-runner.js';
+import type {ControlContact} from './control-contact.js';
 import type {EntryMetrics} from './entry-metrics.js';
 import {isolationRefusal} from './isolation.js';
 import type {Job} from './job.js';
@@ -15,6 +16,7 @@
 /** What a request desk works with. */
 export interface RequestDeskOptions {
   readonly settings: SettingsFollower;
+  readonly contact: ControlContact;
   readonly reader: RequestReader;
   readonly admission: Admission;
   readonly runner: AttemptRunner;
@@ -82,9 +84,9 @@
     job: Job,
     response: ServerResponse,
   ): Promise<Refusal | undefined> {
-    const {settings, admission, runner, claimed} = this.options;
+    const {contact, admission, runner, claimed} = this.options;
     const now = performance.now();
-    const isolated = isolationRefusal(job, settings.lastConfirmed, now);
+    const isolated = isolationRefusal(job, contact.lastConfirmed, now);
     if (isolated !== undefined) {
       return isolated;
     }
@@ -92,6 +94,7 @@
       job.request.customer,
       job.settings,
       job.callerGone,
+      now,
     );
     if (admitted.isErr) {
       return admitted.error;
@@ -103,7 +106,7 @@
       const ended = await runner.run(job, response);
       return ended.isErr ? ended.error : undefined;
     } finally {
-      admitted.value.release();
+      admitted.value.release(performance.now());
     }
   }
 
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -19,6 +19,7 @@
 import {AttemptRunner} from './attempt-runner.js';
 import {CallerServer} from './caller-server.js';
 import {ClaimedRunner} from './claimed-runner.js';
+import {ControlContact} from './control-contact.js';
 import {RequestDesk} from './request-desk.js';
 import {RequestReader} from './request-reader.js';
 import {RetryBudget} from '@marigoldspur/retries';
@@ -60,13 +61,18 @@
     events,
     random: Math.random,
   });
+  const contact = new ControlContact(follower);
   const desk = new RequestDesk({
     settings: follower,
+    contact,
     reader: new RequestReader({
       settings: follower,
       maxBodyBytes: settings.maxBodyBytes,
     }),
-    admission: new Admission(),
+    admission: new Admission({
+      maxRunning: settings.maxRunning,
+      random: Math.random,
+    }),
     runner,
     claimed: new ClaimedRunner({claims, runner, events}),
     events,
@@ -111,7 +117,9 @@
     revision: follower.settings.revision,
     leaving: draining,
   });
-  const heartbeat = startHeartbeat(client, member);
+  const heartbeat = startHeartbeat(client, member, ({revision}) =>
+    contact.heard(revision, performance.now()),
+  );
   events.record('process-started', {
     url: server.url,
     callers: `http://${callerAddress.host}:${callerAddress.port}`,
--- a/zones/control-client/src/heartbeat.ts
+++ b/zones/control-client/src/heartbeat.ts
@@ -1,6 +1,12 @@
 import type {Member} from '@marigoldspur/messages';
 import type {ControlClient} from './control-client.js';
 
+/** The answer to a heartbeat. */
+export interface HeartbeatAnswer {
+  /** The latest settings revision that control knows. */
+  readonly revision: number;
+}
+
 const HEARTBEAT_MS = 500;
 
 /** A running heartbeat. */
@@ -14,6 +20,7 @@
 export function startHeartbeat(
   client: ControlClient,
   member: () => Member,
+  onAnswer: (answer: HeartbeatAnswer) => void = () => {},
 ): Heartbeat {
   let busy = false;
   const beat = async () => {
@@ -21,11 +28,14 @@
       return;
     }
     busy = true;
-    await client.call(
+    const answer = await client.call(
       (replica, signal) => replica.heartbeat.mutate(member(), {signal}),
       performance.now() + HEARTBEAT_MS * 2,
     );
     busy = false;
+    if (answer.isOk) {
+      onAnswer(answer.value);
+    }
   };
   const timer = setInterval(() => void beat(), HEARTBEAT_MS);
   void beat();
