--- /dev/null
+++ b/entry/entry-server/test/claim-desk.test.ts
@@ -0,0 +1,157 @@
+import {expect} from 'chai';
+import {Result} from 'true-myth';
+import type {ControlClient} from '@marigoldspur/control-client';
+import {EventLog} from '@marigoldspur/event-log';
+import {Fault} from '@marigoldspur/faults';
+import type {Claim, ClaimOutcome, Completion} from '@marigoldspur/messages';
+import {ClaimState} from '@marigoldspur/request-claims';
+import {ClaimDesk, type ClaimNeed} from '../src/claim-desk.js';
+
+const RETENTION_MS = 60_000;
+const NEED: ClaimNeed = {
+  customer: 'callao',
+  key: 'indication-1',
+  method: 'POST',
+  url: '/indication',
+  body: Buffer.from('tonnes=50000'),
+  request: 'request-1',
+  retentionMs: RETENTION_MS,
+};
+
+/** Control in memory; answers and calls are lost where the test says so. */
+class FakeControl {
+  readonly claims = new ClaimState();
+  lostAnswers = 0;
+  lostCalls = 0;
+
+  readonly client = {
+    call: async (call: (replica: unknown, signal: AbortSignal) => unknown) => {
+      if (this.lostCalls > 0) {
+        this.lostCalls -= 1;
+        return Result.err(new Fault('NO_QUORUM', 'no quorum'));
+      }
+      const answer = await call(this.replica, new AbortController().signal);
+      if (this.lostAnswers > 0) {
+        this.lostAnswers -= 1;
+        return Result.err(new Fault('UNAVAILABLE', 'the answer was lost'));
+      }
+      return Result.ok(answer);
+    },
+  } as unknown as Pick<ControlClient, 'call'>;
+
+  private readonly replica = {
+    takeClaim: {
+      mutate: async (claim: Claim): Promise<ClaimOutcome> =>
+        this.claims.take(claim, 0),
+    },
+    completeClaim: {
+      mutate: async (completion: Completion): Promise<void> =>
+        this.claims.complete(completion),
+    },
+  };
+}
+
+function deskAt(control: FakeControl, entry = 'entry-0'): ClaimDesk {
+  return new ClaimDesk({
+    client: control.client,
+    events: new EventLog({process: entry}),
+    entry,
+    boot: `${entry}-boot`,
+  });
+}
+
+function completed(body: string): Completion {
+  const {customer, key, request} = NEED;
+  const answer = {status: 201, contentType: 'text/plain', body};
+  return {customer, key, request, result: 'completed', answer};
+}
+
+async function reasonOf(desk: ClaimDesk, need: ClaimNeed): Promise<string> {
+  const taken = await desk.take(need);
+  return taken.isOk ? taken.value.result : taken.error.reason;
+}
+
+it('claims: a resend through another entry while the first runs is refused', async () => {
+  const control = new FakeControl();
+  await deskAt(control).take(NEED);
+  const resend = await deskAt(control, 'entry-1').take({
+    ...NEED,
+    request: 'request-2',
+  });
+  expect(resend.isErr && resend.error).to.include({
+    reason: 'already_running',
+    outcome: 'unknown',
+    status: 409,
+    retryAfterSeconds: 1,
+  });
+});
+
+it('claims: a resend after the end gets the stored answer', async () => {
+  const control = new FakeControl();
+  const desk = deskAt(control);
+  await desk.take(NEED);
+  desk.complete(completed('MTAw'), RETENTION_MS);
+  await desk.settled(RETENTION_MS);
+  const resend = await desk.take({...NEED, request: 'request-2'});
+  expect(resend.isOk && resend.value).to.deep.include({
+    result: 'answered',
+    answer: {status: 201, contentType: 'text/plain', body: 'MTAw'},
+  });
+});
+
+it('claims: another body under the same key is refused as not run', async () => {
+  const control = new FakeControl();
+  const desk = deskAt(control);
+  await desk.take(NEED);
+  const other = {...NEED, request: 'request-2', body: Buffer.from('other')};
+  expect(await reasonOf(desk, other)).to.equal('key_reused');
+});
+
+it('claims: without control the request is refused and the key stays free', async () => {
+  const control = new FakeControl();
+  const desk = deskAt(control);
+  control.lostCalls = 1;
+  const refused = await desk.take(NEED);
+  expect(refused.isErr && refused.error).to.include({
+    reason: 'claim_unavailable',
+    outcome: 'not-run',
+  });
+  await desk.settled(RETENTION_MS);
+  expect(await reasonOf(desk, {...NEED, request: 'request-2'})).to.equal(
+    'granted',
+  );
+});
+
+it('claims: a claim whose answer was lost is given back', async () => {
+  const control = new FakeControl();
+  const desk = deskAt(control);
+  control.lostAnswers = 1;
+  expect(await reasonOf(desk, NEED)).to.equal('claim_unavailable');
+  await desk.settled(RETENTION_MS);
+  expect(await reasonOf(desk, {...NEED, request: 'request-2'})).to.equal(
+    'granted',
+  );
+});
+
+it('claims: a completion reaches control though the first tries fail', async () => {
+  const control = new FakeControl();
+  const desk = deskAt(control);
+  await desk.take(NEED);
+  control.lostCalls = 3;
+  desk.complete(completed('MTAw'), RETENTION_MS);
+  expect(desk.pendingCompletions).to.equal(1);
+  await desk.settled(RETENTION_MS);
+  expect(desk.pendingCompletions).to.equal(0);
+  expect(await reasonOf(desk, {...NEED, request: 'request-2'})).to.equal(
+    'answered',
+  );
+});
+
+it('claims: a lost entry’s request is unknown for good', async () => {
+  const control = new FakeControl();
+  await deskAt(control).take(NEED);
+  control.claims.loseEntry('entry-0', 'entry-0-boot');
+  const desk = deskAt(control, 'entry-1');
+  const resend = {...NEED, request: 'request-2'};
+  expect(await reasonOf(desk, resend)).to.equal('outcome_unknown');
+});
