--- a/zones/control-client/src/heartbeat.ts
+++ b/zones/control-client/src/heartbeat.ts
@@ -12,11 +12,19 @@
   stop(): void;
 }
 
-/** What control answered to a heartbeat. */
+/** What control says to a heartbeat that it took. */
+export interface HeartbeatReceipt {
+  /** How long the member lives without a further heartbeat, in milliseconds. */
+  readonly leaseMs: number;
+  /** The latest settings revision that control knows. */
+  readonly revision: number;
+}
+
+/** What became of a heartbeat. */
 export interface HeartbeatAnswer {
   /** When the heartbeat was sent, a `performance.now()` time. */
   readonly sentAt: number;
-  readonly result: Result<unknown, Fault>;
+  readonly result: Result<HeartbeatReceipt, Fault>;
 }
 
 /** Announces a process to control at a steady pace; `answered` gets each answer. */
