--- /dev/null
+++ b/cli/marigoldspur/src/command.ts
@@ -0,0 +1,103 @@
+import {readFile} from 'node:fs/promises';
+import type {Result} from 'true-myth';
+import {z} from 'zod';
+import {InvalidInput, schemaFindings, type Fault} from '@marigoldspur/faults';
+import {
+  openSession,
+  type OperatorSession,
+} from '@marigoldspur/operator-commands';
+
+/** Where a command writes to. */
+export interface Console {
+  readonly write: (text: string) => void;
+  readonly writeError: (text: string) => void;
+}
+
+/** Exit codes of the command-line client. */
+export const EXIT = {
+  /** The command did what it was asked for. */
+  done: 0,
+  /** The command failed. */
+  failed: 1,
+  /** The input has findings. */
+  badInput: 2,
+  /** Another change took the number. */
+  conflict: 3,
+  /** Control or a quorum of it was out of reach; the outcome of a change is open. */
+  unavailable: 4,
+  /** The operator's token does not allow it. */
+  forbidden: 5,
+} as const;
+
+/** Flags that each command takes. */
+export const COMMON_FLAGS_SCHEMA = z.object({
+  control: z
+    .string()
+    .transform(text => text.split(',').map(url => url.trim()))
+    .pipe(z.array(z.url({protocol: /^https?$/})).min(1)),
+  timeoutMs: z.coerce.number().int().min(1),
+  author: z.string().min(1).max(128),
+  token: z.string().min(1).optional(),
+  ca: z.string().min(1).optional(),
+  json: z.boolean(),
+  wait: z.boolean().default(false),
+  number: z.coerce.number().int().min(1).optional(),
+});
+
+/** Flags that each command takes. */
+export type CommonFlags = z.infer<typeof COMMON_FLAGS_SCHEMA>;
+
+/** What a command works with. */
+export interface CommandContext extends Console {
+  readonly session: OperatorSession;
+  readonly flags: CommonFlags;
+}
+
+/** Runs a command with its session; resolves to the exit code. */
+export type Command<Arguments> = (
+  context: CommandContext,
+  args: Arguments,
+) => Promise<number>;
+
+/** Turns a command into a handler for the argument parser. */
+export type Handle = <Arguments>(
+  command: Command<Arguments>,
+) => (args: Arguments) => Promise<void>;
+
+/** Opens the session that the flags ask for; throws `InvalidInput`. */
+export async function openContext(
+  args: unknown,
+  console: Console,
+): Promise<CommandContext> {
+  const parsed = COMMON_FLAGS_SCHEMA.safeParse(args);
+  if (!parsed.success) {
+    throw new InvalidInput(schemaFindings(parsed.error));
+  }
+  const flags = parsed.data;
+  const ca = flags.ca === undefined ? undefined : await readPem(flags.ca);
+  const {timeoutMs, token} = flags;
+  const session = openSession(flags.control, {timeoutMs, ca, token});
+  return {...console, session, flags};
+}
+
+/** The value of a result; throws its fault. */
+export function valueOf<T>(result: Result<T, Fault>): T {
+  if (result.isErr) {
+    throw result.error;
+  }
+  return result.value;
+}
+
+/** Renders a value for programs. */
+export function toJson(value: unknown): string {
+  return `${JSON.stringify(value, null, 2)}\n`;
+}
+
+async function readPem(file: string): Promise<string> {
+  try {
+    return await readFile(file, 'utf8');
+  } catch (thrown) {
+    const reason = thrown instanceof Error ? thrown.message : String(thrown);
+    throw new InvalidInput([{place: '--ca', reason}]);
+  }
+}
--- /dev/null
+++ b/cli/marigoldspur/src/commands/settings-commands.ts
@@ -0,0 +1,176 @@
+import type {Argv} from 'yargs';
+import {InvalidInput} from '@marigoldspur/faults';
+import {
+  diffTrees,
+  formatTable,
+  overriddenSettings,
+  readSettings,
+  readTreeFile,
+} from '@marigoldspur/operator-commands';
+import type {Tree} from '@marigoldspur/settings-schema';
+import {settingsAt} from '@marigoldspur/settings-tree';
+import {
+  EXIT,
+  toJson,
+  valueOf,
+  type CommandContext,
+  type Handle,
+} from '../command.js';
+import {submit} from '../submit.js';
+
+const DEFAULT_HISTORY = 20;
+
+/** Adds the commands that read and change the settings tree. */
+export function settingsCommands(parser: Argv, handle: Handle): Argv {
+  return parser
+    .command(
+      'get [path]',
+      'Show the settings in force at a path, each with its level',
+      args =>
+        args.positional('path', {type: 'string', default: '/'}).option('tree', {
+          type: 'boolean',
+          default: false,
+          describe: 'Print the whole tree as JSON',
+        }),
+      handle(getSettings),
+    )
+    .command(
+      'set <path> <setting> <value>',
+      'Override a setting at a path',
+      args =>
+        args
+          .positional('path', {type: 'string', demandOption: true})
+          .positional('setting', {type: 'string', demandOption: true})
+          .positional('value', {type: 'string', demandOption: true}),
+      handle((context, {path, setting, value}) =>
+        submit(context, [
+          {edit: 'set', path, setting, value: parseValue(value)},
+        ]),
+      ),
+    )
+    .command(
+      'unset <path> <setting>',
+      'Inherit a setting at a path again',
+      args =>
+        args
+          .positional('path', {type: 'string', demandOption: true})
+          .positional('setting', {type: 'string', demandOption: true}),
+      handle((context, {path, setting}) =>
+        submit(context, [{edit: 'unset', path, setting}]),
+      ),
+    )
+    .command(
+      'diff <file>',
+      'Show how the tree in a JSON or YAML file differs from the one in force',
+      args => args.positional('file', {type: 'string', demandOption: true}),
+      handle(diffSettings),
+    )
+    .command(
+      'apply <file>',
+      'Replace the tree by the one in a JSON or YAML file, as one change',
+      args =>
+        args
+          .positional('file', {type: 'string', demandOption: true})
+          .option('dry-run', {
+            type: 'boolean',
+            default: false,
+            describe: 'Only show what would change',
+          }),
+      handle(applySettings),
+    )
+    .command(
+      'history',
+      'Show the latest accepted changes',
+      args => args.option('limit', {type: 'number', default: DEFAULT_HISTORY}),
+      handle(showHistory),
+    )
+    .demandCommand(1, 'name a settings command');
+}
+
+async function getSettings(
+  context: CommandContext,
+  args: {readonly path: string; readonly tree: boolean},
+): Promise<number> {
+  const {revision, tree} = valueOf(await readSettings(context.session));
+  if (args.tree) {
+    context.write(toJson(tree));
+    return EXIT.done;
+  }
+  const rows = settingsAt(tree, args.path);
+  if (rows === undefined) {
+    throw new InvalidInput([
+      {place: 'path', reason: `${args.path} does not exist`},
+    ]);
+  }
+  context.write(
+    context.flags.json ? toJson({revision, settings: rows}) : formatTable(rows),
+  );
+  return EXIT.done;
+}
+
+async function diffSettings(
+  context: CommandContext,
+  args: {readonly file: string},
+): Promise<number> {
+  const wanted = await readTree(args.file);
+  const {tree} = valueOf(await readSettings(context.session));
+  const rows = diffTrees(tree, wanted);
+  context.write(context.flags.json ? toJson(rows) : formatTable(rows));
+  return EXIT.done;
+}
+
+async function applySettings(
+  context: CommandContext,
+  args: {readonly file: string; readonly dryRun: boolean},
+): Promise<number> {
+  const wanted = await readTree(args.file);
+  const {tree} = valueOf(await readSettings(context.session));
+  const differences = diffTrees(tree, wanted).length;
+  context.writeError(`${args.file}: ${differences} values differ\n`);
+  const inForce = overriddenSettings(wanted);
+  if (!context.flags.json) {
+    context.write(formatTable(inForce));
+  }
+  if (args.dryRun) {
+    return EXIT.done;
+  }
+  return submit(context, [{edit: 'replace', value: wanted}]);
+}
+
+async function showHistory(
+  context: CommandContext,
+  args: {readonly limit: number},
+): Promise<number> {
+  const {session, flags} = context;
+  const changes = valueOf(
+    await session.control.call(
+      (replica, signal) =>
+        replica.settingsHistory.query({limit: args.limit}, {signal}),
+      session.deadline(),
+    ),
+  );
+  const rows = changes.map(change => ({
+    revision: change.number,
+    author: change.author,
+    edits: change.edits.map(edit => edit.edit).join(' '),
+    change: change.id,
+  }));
+  context.write(flags.json ? toJson(changes) : formatTable(rows));
+  return EXIT.done;
+}
+
+async function readTree(file: string): Promise<Tree> {
+  const tree = await readTreeFile(file);
+  if (tree.isErr) {
+    throw new InvalidInput(tree.error);
+  }
+  return tree.value;
+}
+
+function parseValue(text: string): string | number | boolean {
+  if (text === 'true' || text === 'false') {
+    return text === 'true';
+  }
+  const number = Number(text);
+  return text.trim() !== '' && Number.isFinite(number) ? number : text;
+}
--- /dev/null
+++ b/cli/marigoldspur/src/commands/system-commands.ts
@@ -0,0 +1,95 @@
+import {setTimeout as pause} from 'node:timers/promises';
+import type {Argv} from 'yargs';
+import type {Event} from '@marigoldspur/event-catalogue';
+import {
+  drainProcess,
+  formatEvent,
+  formatTable,
+  systemStatus,
+  targetRows,
+  TimelineReader,
+} from '@marigoldspur/operator-commands';
+import {
+  EXIT,
+  toJson,
+  valueOf,
+  type CommandContext,
+  type Handle,
+} from '../command.js';
+
+const FOLLOW_MS = 500;
+
+/** Adds the commands that show the system and drain its processes. */
+export function systemCommands(parser: Argv, handle: Handle): Argv {
+  return parser
+    .command(
+      'status',
+      'Show every process and the settings revision it has in force',
+      args => args,
+      handle(async context => {
+        const rows = valueOf(await systemStatus(context.session));
+        context.write(context.flags.json ? toJson(rows) : formatTable(rows));
+        return EXIT.done;
+      }),
+    )
+    .command(
+      'targets',
+      'Show every target with its load',
+      args => args,
+      handle(async context => {
+        const members = valueOf(await context.session.members());
+        const rows = targetRows(members);
+        context.write(context.flags.json ? toJson(rows) : formatTable(rows));
+        return EXIT.done;
+      }),
+    )
+    .command(
+      'timeline',
+      'Show the events of all processes in order',
+      args =>
+        args
+          .option('request', {
+            type: 'string',
+            describe: 'Only the events of one request',
+          })
+          .option('follow', {
+            type: 'boolean',
+            default: false,
+            describe: 'Go on until interrupted',
+          }),
+      handle(showTimeline),
+    )
+    .command(
+      'drain <process>',
+      'Shut a process down gracefully',
+      args => args.positional('process', {type: 'string', demandOption: true}),
+      handle(async (context, args) => {
+        const url = valueOf(await drainProcess(context.session, args.process));
+        context.write(`${args.process} at ${url} drains\n`);
+        return EXIT.done;
+      }),
+    );
+}
+
+async function showTimeline(
+  context: CommandContext,
+  args: {readonly request?: string; readonly follow: boolean},
+): Promise<number> {
+  const reader = new TimelineReader(context.session, args.request);
+  do {
+    const events = valueOf(await reader.next());
+    context.write(render(events, context.flags.json));
+    if (args.follow) {
+      await pause(FOLLOW_MS);
+    }
+  } while (args.follow);
+  return EXIT.done;
+}
+
+/** One event a line, for programs as JSON lines. */
+function render(events: readonly Event[], asJson: boolean): string {
+  return events
+    .map(event => (asJson ? JSON.stringify(event) : formatEvent(event)))
+    .map(line => `${line}\n`)
+    .join('');
+}
--- a/cli/marigoldspur/src/index.ts
+++ b/cli/marigoldspur/src/index.ts
@@ -1,1 +1,2 @@
-export {runCommandLine, type CommandLineOptions} from './command-line.js';
+export {runCommandLine, type CommandLineOptions} from './run-command-line.js';
+export {EXIT, type Console} from './command.js';
--- a/cli/marigoldspur/src/main.ts
+++ b/cli/marigoldspur/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-import {runCommandLine} from './command-line.js';
+import {runCommandLine} from './run-command-line.js';
 
 process.exitCode = await runCommandLine(process.argv.slice(2), {
   variables: process.env,
--- /dev/null
+++ b/cli/operator-commands/src/drain-process.ts
@@ -0,0 +1,28 @@
+import {Result} from 'true-myth';
+import {Fault, toFault} from '@marigoldspur/faults';
+import type {OperatorSession} from './operator-session.js';
+import {processUrls} from './process-urls.js';
+
+/** Starts a graceful shutdown of the process with an identity; resolves to its URL. */
+export async function drainProcess(
+  session: OperatorSession,
+  id: string,
+): Promise<Result<string, Fault>> {
+  const members = await session.members();
+  if (members.isErr) {
+    return Result.err(members.error);
+  }
+  for (const url of processUrls(session, members.value)) {
+    const client = session.process(url);
+    const status = await client.status.query().catch(() => undefined);
+    if (status?.id === id) {
+      try {
+        await client.drain.mutate();
+        return Result.ok(url);
+      } catch (thrown) {
+        return Result.err(toFault(thrown));
+      }
+    }
+  }
+  return Result.err(new Fault('NOT_FOUND', `no process ${id} was reached`));
+}
--- a/cli/operator-commands/src/format-table.ts
+++ b/cli/operator-commands/src/format-table.ts
@@ -1,25 +1,20 @@
-/** Renders rows of equal shape as a table for people. */
-export function formatTable(
-  rows: ReadonlyArray<Readonly<Record<string, string | number | boolean>>>,
-): string {
-  if (rows.length === 0) {
+/** A row of a table: cells by the name of their column. */
+export type TableRow = Readonly<Record<string, string | number | boolean>>;
+
+/** Renders rows of equal columns as a table for people. */
+export function formatTable(rows: readonly object[]): string {
+  const cells = rows.map(row =>
+    Object.values(row as TableRow).map(value => String(value)),
+  );
+  if (cells.length === 0) {
     return '(none)\n';
   }
-  const columns = Object.keys(rows[0]);
-  const cells = [
-    columns,
-    ...rows.map(row => columns.map(name => String(row[name]))),
-  ];
-  const widths = columns.map((_, index) =>
-    Math.max(...cells.map(line => line[index].length)),
+  const lines = [Object.keys(rows[0]), ...cells];
+  const widths = lines[0].map((_, column) =>
+    Math.max(...lines.map(line => line[column].length)),
   );
-  return cells
-    .map(line =>
-      line
-        .map((cell, index) => cell.padEnd(widths[index]))
-        .join('  ')
-        .trimEnd(),
-    )
-    .map(line => `${line}\n`)
+  return lines
+    .map(line => line.map((cell, column) => cell.padEnd(widths[column])))
+    .map(line => `${line.join('  ').trimEnd()}\n`)
     .join('');
 }
--- a/cli/operator-commands/src/operator-session.ts
+++ b/cli/operator-commands/src/operator-session.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import https from 'node:https';
 import {createTRPCClient, httpLink} from '@trpc/client';
 import {Result} from 'true-myth';
 import {ControlClient} from '@marigoldspur/control-client';
@@ -10,6 +11,16 @@
 /** A tRPC client of one process. */
 export type ProcessClient = ReturnType<typeof processClient>;
 
+/** Options of an operator's session. */
+export interface SessionOptions {
+  /** Longest time of one command, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Certificate authority of the system, in PEM; without it the session speaks plain HTTP. */
+  readonly ca?: string;
+  /** Token of the operator. */
+  readonly token?: string;
+}
+
 /** An operator's connections to the system. */
 export interface OperatorSession {
   readonly control: ControlClient;
@@ -27,16 +38,20 @@
 /** Opens an operator's session with control. */
 export function openSession(
   urls: readonly string[],
-  options: {readonly timeoutMs: number},
+  options: SessionOptions,
 ): OperatorSession {
-  const agent = new http.Agent({keepAlive: true});
-  const control = new ControlClient({urls});
-  const deadline = () => performance.now() + options.timeoutMs;
+  const {ca, token, timeoutMs} = options;
+  const agent =
+    ca === undefined
+      ? new http.Agent({keepAlive: true})
+      : new https.Agent({keepAlive: true, ca});
+  const control = new ControlClient({urls, agent, token});
+  const deadline = () => performance.now() + timeoutMs;
   return {
     control,
     controlUrls: urls,
     deadline,
-    process: url => processClient(url, agent),
+    process: url => processClient(url, agent, token),
     members: async () => {
       const delta = await control.call(
         (replica, signal) =>
@@ -48,15 +63,18 @@
       );
       return delta.map(value => value.changed);
     },
-    close: () => {
-      agent.destroy();
-      control.close();
-    },
+    close: () => control.close(),
   };
 }
 
-function processClient(url: string, agent: http.Agent) {
+function processClient(url: string, agent: http.Agent, token?: string) {
   return createTRPCClient<ProcessRouter>({
-    links: [httpLink({url: `${url}/trpc/process`, fetch: linkFetch(agent)})],
+    links: [
+      httpLink({
+        url: `${url}/trpc/process`,
+        fetch: linkFetch(agent),
+        headers: token === undefined ? {} : {authorization: `Bearer ${token}`},
+      }),
+    ],
   });
 }
--- /dev/null
+++ b/cli/operator-commands/src/overridden-settings.ts
@@ -0,0 +1,28 @@
+import type {Tree} from '@marigoldspur/settings-schema';
+import {settingsAt} from '@marigoldspur/settings-tree';
+
+/** One setting in force at a service that is not the default. */
+export interface OverriddenSetting {
+  readonly path: string;
+  readonly setting: string;
+  readonly value: string;
+  /** Path of the level that the value comes from. */
+  readonly level: string;
+}
+
+/** The settings in force at each service that some level overrides. */
+export function overriddenSettings(tree: Tree): OverriddenSetting[] {
+  const paths = Object.entries(tree.customers).flatMap(([customer, level]) =>
+    Object.keys(level.services).map(service => `/${customer}/${service}`),
+  );
+  return paths.flatMap(path =>
+    (settingsAt(tree, path) ?? [])
+      .filter(({level}) => level !== 'default')
+      .map(({setting, value, level}) => ({
+        path,
+        setting,
+        value: String(value),
+        level,
+      })),
+  );
+}
--- a/cli/operator-commands/src/submit-change.ts
+++ b/cli/operator-commands/src/submit-change.ts
@@ -1,25 +1,31 @@
 import {randomUUID} from 'node:crypto';
 import {Result} from 'true-myth';
 import type {Fault} from '@marigoldspur/faults';
-import type {ChangeOutcome, Edit} from '@marigoldspur/settings-schema';
+import type {Change, ChangeOutcome, Edit} from '@marigoldspur/settings-schema';
 import type {OperatorSession} from './operator-session.js';
+import {readSettings} from './read-settings.js';
 
-/** Sends edits as one change with the next number; a lost answer is asked for again. */
+/** How a change is submitted. */
+export interface SubmitOptions {
+  /** Name that the change carries. */
+  readonly author: string;
+  /** Revision that the change makes; the next one where it is not given. */
+  readonly number?: number;
+}
+
+/** Sends edits as one change; a lost answer is asked for again under the same identity. */
 export async function submitChange(
   session: OperatorSession,
   edits: readonly Edit[],
-  options: {readonly author: string; readonly number?: number},
+  options: SubmitOptions,
 ): Promise<Result<ChangeOutcome, Fault>> {
-  const view = await session.control.call(
-    (replica, signal) => replica.readSettings.query({fresh: true}, {signal}),
-    session.deadline(),
-  );
-  if (view.isErr) {
-    return Result.err(view.error);
+  const number = await numberOf(session, options);
+  if (number.isErr) {
+    return Result.err(number.error);
   }
-  const change = {
+  const change: Change = {
     id: randomUUID(),
-    number: options.number ?? view.value.revision + 1,
+    number: number.value,
     author: options.author,
     edits: [...edits],
   };
@@ -28,3 +34,14 @@
     session.deadline(),
   );
 }
+
+async function numberOf(
+  session: OperatorSession,
+  options: SubmitOptions,
+): Promise<Result<number, Fault>> {
+  if (options.number !== undefined) {
+    return Result.ok(options.number);
+  }
+  const view = await readSettings(session);
+  return view.map(({revision}) => revision + 1);
+}
--- a/cli/operator-commands/src/system-status.ts
+++ b/cli/operator-commands/src/system-status.ts
@@ -1,16 +1,18 @@
 import {Result} from 'true-myth';
 import type {Fault} from '@marigoldspur/faults';
 import type {OperatorSession} from './operator-session.js';
+import {processUrls} from './process-urls.js';
 
 /** One process in the system's status. */
 export interface ProcessRow {
   readonly id: string;
   readonly role: string;
   readonly zone: string;
+  /** Settings revision that the process has in force. */
   readonly revision: number;
   /** Revisions behind the newest one seen. */
   readonly behind: number;
-  readonly state: 'ready' | 'draining' | 'unreachable';
+  readonly state: 'ready' | 'not ready' | 'draining' | 'unreachable';
   readonly facts: string;
 }
 
@@ -22,10 +24,7 @@
   if (members.isErr) {
     return Result.err(members.error);
   }
-  const urls = [
-    ...session.controlUrls,
-    ...members.value.map(member => member.url),
-  ];
+  const urls = processUrls(session, members.value);
   const rows = await Promise.all(urls.map(url => processRow(session, url)));
   const newest = Math.max(...rows.map(row => row.revision));
   return Result.ok(
@@ -42,18 +41,12 @@
 ): Promise<ProcessRow> {
   try {
     const status = await session.process(url).status.query();
+    const {id, role, zone, revision, draining, ready} = status;
     const facts = Object.entries(status.facts)
       .map(([name, value]) => `${name}=${value}`)
       .join(' ');
-    return {
-      id: status.id,
-      role: status.role,
-      zone: status.zone,
-      revision: status.revision,
-      behind: 0,
-      state: status.draining ? 'draining' : 'ready',
-      facts,
-    };
+    const state = draining ? 'draining' : ready ? 'ready' : 'not ready';
+    return {id, role, zone, revision, behind: 0, state, facts};
   } catch {
     return {
       id: url,
--- a/cli/operator-commands/src/timeline.ts
+++ b/cli/operator-commands/src/timeline.ts
@@ -2,35 +2,51 @@
 import type {Event} from '@marigoldspur/event-catalogue';
 import type {Fault} from '@marigoldspur/faults';
 import type {OperatorSession} from './operator-session.js';
+import {processUrls} from './process-urls.js';
 
 const MAX_EVENTS_PER_PROCESS = 10_000;
 
+/** Reads the events of all processes, each event once. */
+export class TimelineReader {
+  /** The last event read of each process, by URL. */
+  private readonly read = new Map<string, number>();
+
+  /** Reads only the events of `request` where it is given. */
+  constructor(
+    private readonly session: OperatorSession,
+    private readonly request?: string,
+  ) {}
+
+  /** The events since the last call, in hybrid time; processes out of reach are left out. */
+  async next(): Promise<Result<Event[], Fault>> {
+    const members = await this.session.members();
+    if (members.isErr) {
+      return Result.err(members.error);
+    }
+    const urls = processUrls(this.session, members.value);
+    const lists = await Promise.all(urls.map(url => this.eventsOf(url)));
+    return Result.ok(lists.flat().sort(byTime));
+  }
+
+  private async eventsOf(url: string): Promise<readonly Event[]> {
+    const after = this.read.get(url) ?? 0;
+    const query = {after, limit: MAX_EVENTS_PER_PROCESS, request: this.request};
+    try {
+      const events = await this.session.process(url).events.query(query);
+      this.read.set(url, events.at(-1)?.sequence ?? after);
+      return events;
+    } catch {
+      return [];
+    }
+  }
+}
+
 /** The kept events of all processes in hybrid time, of one request where given. */
-export async function mergedTimeline(
+export function mergedTimeline(
   session: OperatorSession,
   options: {readonly request?: string},
 ): Promise<Result<Event[], Fault>> {
-  const members = await session.members();
-  if (members.isErr) {
-    return Result.err(members.error);
-  }
-  const urls = [
-    ...session.controlUrls,
-    ...members.value.map(member => member.url),
-  ];
-  const lists = await Promise.all(
-    urls.map(url =>
-      session
-        .process(url)
-        .events.query({
-          after: 0,
-          limit: MAX_EVENTS_PER_PROCESS,
-          request: options.request,
-        })
-        .catch(() => []),
-    ),
-  );
-  return Result.ok(lists.flat().sort(byTime));
+  return new TimelineReader(session, options.request).next();
 }
 
 /** Renders an event as one line. */
