Replicate control's log over several replicas

Cause: control ran on one replica, so the loss of its host lost the settings and claims. A pure decision core (control/consensus), synced files (control/log-storage) and tRPC links (control/log-links) now stand behind the same ReplicatedLog interface; the single replica is gone, a group of one is served by the same code.

--- /dev/null
+++ b/control/consensus/src/entry-log.ts
@@ -0,0 +1,139 @@
+import {EMPTY_CONFIGURATION, type Configuration} from './configuration.js';
+import type {Entry, Position, SnapshotPlace} from './entry.js';
+
+interface ConfigurationChange {
+  readonly index: number;
+  readonly configuration: Configuration;
+}
+
+/** The entries that a replica holds after the place where they were compacted. */
+export class EntryLog {
+  private base: SnapshotPlace = {
+    index: 0,
+    term: 0,
+    configuration: EMPTY_CONFIGURATION,
+  };
+  private entries: Entry[] = [];
+  private configurations: ConfigurationChange[] = [];
+
+  constructor(base: SnapshotPlace | undefined, entries: readonly Entry[]) {
+    if (base !== undefined) {
+      this.base = base;
+    }
+    this.put(entries);
+  }
+
+  /** The place before the first held entry. */
+  get start(): SnapshotPlace {
+    return this.base;
+  }
+
+  /** The place of the last entry. */
+  get last(): Position {
+    return this.entries.at(-1) ?? this.base;
+  }
+
+  /** The term of an entry; undefined where it is compacted away or not there. */
+  termAt(index: number): number | undefined {
+    if (index === this.base.index) {
+      return this.base.term;
+    }
+    return this.entryAt(index)?.term;
+  }
+
+  /** The configuration in effect: the latest in the log, committed or not. */
+  get configuration(): Configuration {
+    return this.configurations.at(-1)?.configuration ?? this.base.configuration;
+  }
+
+  /** Index of the entry that set the configuration in effect. */
+  get configurationIndex(): number {
+    return this.configurations.at(-1)?.index ?? this.base.index;
+  }
+
+  /** The configuration in effect at an index. */
+  configurationAt(index: number): Configuration {
+    const latest = this.configurations.findLast(
+      change => change.index <= index,
+    );
+    return latest?.configuration ?? this.base.configuration;
+  }
+
+  /** Entries from an index on, as many as fit `maxBytes`, at least one. */
+  from(index: number, maxBytes: number, maxCount: number): Entry[] {
+    const first = index - this.base.index - 1;
+    const taken: Entry[] = [];
+    let bytes = 0;
+    for (let at = first; at < this.entries.length; at += 1) {
+      bytes += this.entries[at].bytes;
+      if (taken.length > 0 && (bytes > maxBytes || taken.length >= maxCount)) {
+        break;
+      }
+      taken.push(this.entries[at]);
+    }
+    return taken;
+  }
+
+  /** Entries after `from` up to and with `to`. */
+  between(from: number, to: number): Entry[] {
+    const start = this.base.index;
+    return this.entries.slice(
+      Math.max(0, from - start),
+      Math.max(0, to - start),
+    );
+  }
+
+  /** Puts entries at their indexes; what stood there and after is dropped. */
+  put(entries: readonly Entry[]): void {
+    if (entries.length === 0) {
+      return;
+    }
+    const first = entries[0].index;
+    this.entries.length = first - this.base.index - 1;
+    this.configurations = this.configurations.filter(
+      change => change.index < first,
+    );
+    for (const entry of entries) {
+      this.entries.push(entry);
+      if (entry.content.kind === 'configuration') {
+        const {configuration} = entry.content;
+        this.configurations.push({index: entry.index, configuration});
+      }
+    }
+  }
+
+  /** The first index of the run of entries with the term at `index`. */
+  firstOfTerm(index: number): number {
+    const term = this.termAt(index);
+    let first = index;
+    while (first - 1 > this.base.index && this.termAt(first - 1) === term) {
+      first -= 1;
+    }
+    return first;
+  }
+
+  /** Drops the entries up to and with an index. */
+  compact(index: number): void {
+    const term = this.termAt(index);
+    if (term === undefined || index <= this.base.index) {
+      return;
+    }
+    const configuration = this.configurationAt(index);
+    this.entries = this.entries.slice(index - this.base.index);
+    this.configurations = this.configurations.filter(
+      change => change.index > index,
+    );
+    this.base = {index, term, configuration};
+  }
+
+  /** Drops everything and goes on after a snapshot. */
+  reset(place: SnapshotPlace): void {
+    this.base = place;
+    this.entries = [];
+    this.configurations = [];
+  }
+
+  private entryAt(index: number): Entry | undefined {
+    return this.entries[index - this.base.index - 1];
+  }
+}
--- /dev/null
+++ b/control/consensus/src/snapshot-receiver.ts
@@ -0,0 +1,57 @@
+import type {Snapshot} from './entry.js';
+import type {MessageOf} from './messages.js';
+
+interface Incoming {
+  readonly from: string;
+  readonly term: number;
+  readonly index: number;
+  readonly parts: string[];
+  received: number;
+}
+
+/** Puts the parts of a snapshot together, in order and without gaps. */
+export class SnapshotReceiver {
+  private incoming: Incoming | undefined;
+
+  /** Takes a part; the answer is the whole snapshot once it is complete. */
+  take(part: MessageOf<'snapshot-part'>): Snapshot | undefined {
+    if (!this.continues(part)) {
+      this.incoming = {
+        from: part.from,
+        term: part.term,
+        index: part.index,
+        parts: [],
+        received: 0,
+      };
+    }
+    const incoming = this.incoming!;
+    if (part.offset === incoming.received) {
+      incoming.parts.push(part.data);
+      incoming.received += part.data.length;
+    }
+    if (incoming.received < part.total) {
+      return undefined;
+    }
+    this.incoming = undefined;
+    return {
+      index: part.index,
+      term: part.snapshotTerm,
+      configuration: part.configuration,
+      data: incoming.parts.join(''),
+    };
+  }
+
+  /** Characters received so far. */
+  get received(): number {
+    return this.incoming?.received ?? 0;
+  }
+
+  private continues(part: MessageOf<'snapshot-part'>): boolean {
+    return (
+      this.incoming !== undefined &&
+      this.incoming.from === part.from &&
+      this.incoming.term === part.term &&
+      this.incoming.index === part.index
+    );
+  }
+}
--- a/control/control-server/src/control-settings.ts
+++ b/control/control-server/src/control-settings.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {
+  BOOLEAN_SCHEMA,
   DURATION_MS_SCHEMA,
   LIST_SCHEMA,
   PORT_SCHEMA,
@@ -15,6 +16,30 @@
   peers: LIST_SCHEMA.prefault('').describe(
     'Base URLs of all replicas of control, this one included',
   ),
+  advertisedUrl: z
+    .string()
+    .optional()
+    .describe(
+      'Base URL of this process in `peers`, where it is not host and port',
+    ),
+  bootstrap: BOOLEAN_SCHEMA.prefault('false').describe(
+    'Whether control may form a new group once all replicas answer with an empty data folder; for the first start only',
+  ),
+  electionTimeoutMs: DURATION_MS_SCHEMA.default(1_000).describe(
+    'Shortest time without a leader before an election, in milliseconds; the longest is twice that',
+  ),
+  heartbeatMs: DURATION_MS_SCHEMA.default(200).describe(
+    'Time between heartbeats of the leader, in milliseconds',
+  ),
+  proposeTimeoutMs: DURATION_MS_SCHEMA.default(2_000).describe(
+    'Longest time until a command is committed, in milliseconds; later its outcome is open',
+  ),
+  snapshotEntries: z.coerce
+    .number()
+    .int()
+    .min(1)
+    .default(10_000)
+    .describe('Committed commands after which a snapshot is saved'),
   dataFolder: z.string().min(1).describe('Folder of the durable state'),
   leaseMs: DURATION_MS_SCHEMA.default(3_000).describe(
     'How long a member lives without a heartbeat, in milliseconds',
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -6,12 +6,13 @@
 import {processMetrics} from '@marigoldspur/metrics';
 import {bootIdentity, type Task} from '@marigoldspur/process-life';
 import {startProcessServer} from '@marigoldspur/process-server';
-import {openSingleReplica} from '@marigoldspur/replicated-log';
+import {openReplicatedLog} from '@marigoldspur/replicated-log';
 import {ControlDesk} from './control-desk.js';
 import {ControlMachine} from './control-machine.js';
 import type {ControlSettings} from './control-settings.js';
 
 const LEASE_CHECK_MS = 200;
+const EXIT_DISK_FAILED = 3;
 const VERSION = '0.1.0';
 
 /** Starts a replica of control. */
@@ -26,9 +27,17 @@
     sinks: [jsonLineSink(settings.logLevel)],
   });
   const machine = new ControlMachine();
-  const log = await openSingleReplica(machine, {
+  const {log, router} = await openReplicatedLog(machine, {
     folder: path.join(settings.dataFolder, 'log'),
-    id: settings.id,
+    url: settings.advertisedUrl ?? `http://${settings.host}:${settings.port}`,
+    peers: settings.peers,
+    bootstrap: settings.bootstrap,
+    electionTimeoutMs: settings.electionTimeoutMs,
+    heartbeatMs: settings.heartbeatMs,
+    proposeTimeoutMs: settings.proposeTimeoutMs,
+    snapshotEntries: settings.snapshotEntries,
+    events,
+    onFatal: () => process.exit(EXIT_DISK_FAILED),
   });
   const members = new MemberTable({table: boot, leaseMs: settings.leaseMs});
   const permits = new PermitDesk({
@@ -52,8 +61,8 @@
       role: 'control',
       zone: settings.zone,
     }),
-    ready: () => !draining,
-    routers: {control: controlRouter(desk)},
+    ready: () => !draining && log.isReady(),
+    routers: {control: controlRouter(desk), log: router},
     service: {
       status: () => ({
         id: settings.id,
@@ -62,7 +71,7 @@
         boot,
         version: VERSION,
         revision: machine.settings.revision,
-        ready: !draining,
+        ready: !draining && log.isReady(),
         draining,
         uptimeMs: performance.now() - startedAt,
         facts: {
--- /dev/null
+++ b/control/log-links/src/index.ts
@@ -0,0 +1,9 @@
+export {ReplicaLink, type ReplicaLinkOptions} from './replica-link.js';
+export {replicaRouter, type ReplicaRouter} from './replica-router.js';
+export {
+  DELIVERY_SCHEMA,
+  type Delivery,
+  type DeliveryAnswer,
+  type ReplicaIdentity,
+  type ReplicaService,
+} from './replica-service.js';
--- /dev/null
+++ b/control/log-storage/src/node-file-system.ts
@@ -0,0 +1,70 @@
+import {
+  mkdir,
+  open,
+  readdir,
+  readFile,
+  rename,
+  rm,
+  type FileHandle,
+} from 'node:fs/promises';
+import type {AppendFile, FileSystem} from './file-system.js';
+
+/** The file system of the machine. */
+export class NodeFileSystem implements FileSystem {
+  async makeFolder(folder: string): Promise<void> {
+    await mkdir(folder, {recursive: true});
+  }
+
+  list(folder: string): Promise<string[]> {
+    return readdir(folder);
+  }
+
+  read(file: string): Promise<Uint8Array> {
+    return readFile(file);
+  }
+
+  async open(file: string): Promise<AppendFile> {
+    return new NodeAppendFile(await open(file, 'a'));
+  }
+
+  rename(from: string, to: string): Promise<void> {
+    return rename(from, to);
+  }
+
+  remove(file: string): Promise<void> {
+    return rm(file);
+  }
+
+  async syncFolder(folder: string): Promise<void> {
+    const handle = await open(folder, 'r');
+    try {
+      await handle.sync();
+    } finally {
+      await handle.close();
+    }
+  }
+}
+
+class NodeAppendFile implements AppendFile {
+  constructor(private readonly handle: FileHandle) {}
+
+  async append(bytes: Uint8Array): Promise<void> {
+    let written = 0;
+    while (written < bytes.length) {
+      const rest = bytes.subarray(written);
+      written += (await this.handle.write(rest)).bytesWritten;
+    }
+  }
+
+  truncate(length: number): Promise<void> {
+    return this.handle.truncate(length);
+  }
+
+  sync(): Promise<void> {
+    return this.handle.datasync();
+  }
+
+  close(): Promise<void> {
+    return this.handle.close();
+  }
+}
--- /dev/null
+++ b/control/replicated-log/src/batch-writer.ts
@@ -0,0 +1,116 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Batch, Consensus} from '@marigoldspur/consensus';
+import {Fault} from '@marigoldspur/faults';
+import type {LogStorage} from '@marigoldspur/log-storage';
+
+/** Options of a batch writer. */
+export interface BatchWriterOptions {
+  readonly consensus: Consensus;
+  readonly storage: LogStorage;
+  /** A batch is durable. */
+  readonly onSynced: (batch: Batch) => void;
+  /** The disk has run full, or has room again. */
+  readonly onDiskFull: (full: boolean) => void;
+  /** What is on the disk is unknown: the process must end. */
+  readonly onFatal: (thrown: unknown) => void;
+}
+
+const ROOM_CHECK_MS = 250;
+
+/**
+ * Makes batches durable one after the other. What is proposed while one is
+ * synced goes into the next: one sync for many.
+ */
+export class BatchWriter {
+  private running = false;
+  private full = false;
+  private stopped = false;
+  private waiters: Array<() => void> = [];
+  private idle: Promise<void> = Promise.resolve();
+
+  constructor(private readonly options: BatchWriterOptions) {}
+
+  /** Whether the disk is full. */
+  get diskFull(): boolean {
+    return this.full;
+  }
+
+  /** Starts writing what waits. */
+  start(): void {
+    if (!this.running && !this.stopped) {
+      this.running = true;
+      this.idle = this.run();
+    }
+  }
+
+  /** Resolves once everything decided before the call is durable. */
+  flushed(): Promise<void> {
+    return new Promise(resolve => {
+      this.waiters.push(resolve);
+      this.start();
+    });
+  }
+
+  /** Ends after the batch in work; a batch that waits for room is given up. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    await this.idle;
+  }
+
+  private async run(): Promise<void> {
+    try {
+      await this.writeAll();
+    } catch (thrown) {
+      this.stopped = true;
+      this.options.onFatal(thrown);
+    } finally {
+      this.running = false;
+    }
+  }
+
+  private async writeAll(): Promise<void> {
+    for (;;) {
+      const waiters = this.waiters;
+      this.waiters = [];
+      const batch = this.options.consensus.takeBatch();
+      if (batch === undefined) {
+        waiters.forEach(resolve => resolve());
+        return;
+      }
+      const written = await this.write(batch);
+      if (!written) {
+        return;
+      }
+      this.options.consensus.synced(batch);
+      this.options.onSynced(batch);
+      waiters.forEach(resolve => resolve());
+    }
+  }
+
+  /** False where the writer was stopped before there was room. */
+  private async write(batch: Batch): Promise<boolean> {
+    for (;;) {
+      try {
+        await this.options.storage.save(batch.operations);
+        this.noteDisk(false);
+        return true;
+      } catch (thrown) {
+        if (!(thrown instanceof Fault) || thrown.code !== 'DISK_FULL') {
+          throw thrown;
+        }
+        this.noteDisk(true);
+      }
+      if (this.stopped) {
+        return false;
+      }
+      await delay(ROOM_CHECK_MS);
+    }
+  }
+
+  private noteDisk(full: boolean): void {
+    if (full !== this.full) {
+      this.full = full;
+      this.options.onDiskFull(full);
+    }
+  }
+}
--- a/control/replicated-log/src/index.ts
+++ b/control/replicated-log/src/index.ts
@@ -1,2 +1,11 @@
-export type {LogStatus, ReplicatedLog, StateMachine} from './replicated-log.js';
-export {openSingleReplica} from './single-replica.js';
+export {
+  openReplicatedLog,
+  type OpenedLog,
+  type ReplicatedLogOptions,
+} from './open-replicated-log.js';
+export type {
+  LogStatus,
+  ReplicatedLog,
+  ReplicaStatus,
+  StateMachine,
+} from './replicated-log.js';
--- /dev/null
+++ b/control/replicated-log/src/open-replicated-log.ts
@@ -0,0 +1,104 @@
+import {Consensus} from '@marigoldspur/consensus';
+import type {EventLog} from '@marigoldspur/event-log';
+import {toFault, type Fault} from '@marigoldspur/faults';
+import {replicaRouter, type ReplicaRouter} from '@marigoldspur/log-links';
+import {openLogStorage, type FileSystem} from '@marigoldspur/log-storage';
+import {LogReplica} from './log-replica.js';
+import type {ReplicatedLog, StateMachine} from './replicated-log.js';
+
+/** Options of a replicated log. */
+export interface ReplicatedLogOptions {
+  /** Folder of the log's files. */
+  readonly folder: string;
+  /** Base URL at which the other replicas reach this one. */
+  readonly url: string;
+  /** Base URLs of all replicas; none stands for this one alone. */
+  readonly peers: readonly string[];
+  /** Whether this replica may form a new group, where all replicas are new. */
+  readonly bootstrap: boolean;
+  readonly events: EventLog;
+  /** The process must end: what is on its disk is unknown. */
+  readonly onFatal: (fault: Fault) => void;
+  /** Shortest time without a leader before an election, in milliseconds. */
+  readonly electionTimeoutMs?: number;
+  readonly heartbeatMs?: number;
+  /** Longest time until a command is committed, in milliseconds. */
+  readonly proposeTimeoutMs?: number;
+  /** Applied entries after which a snapshot is saved. */
+  readonly snapshotEntries?: number;
+  /** Entries kept after a snapshot for replicas that lag. */
+  readonly keptEntries?: number;
+  readonly segmentBytes?: number;
+  readonly files?: FileSystem;
+}
+
+/** An opened log, and what the other replicas call. */
+export interface OpenedLog<Command, Answer> {
+  readonly log: ReplicatedLog<Command, Answer>;
+  /** Served by the process under `/trpc/log/`. */
+  readonly router: ReplicaRouter;
+}
+
+const DEFAULT_ELECTION_TIMEOUT_MS = 1_000;
+const DEFAULT_HEARTBEAT_MS = 200;
+const DEFAULT_PROPOSE_TIMEOUT_MS = 2_000;
+const DEFAULT_SNAPSHOT_ENTRIES = 10_000;
+const DEFAULT_KEPT_ENTRIES = 1_000;
+
+/**
+ * Opens one replica of a replicated log and starts it. Throws `CORRUPT_DATA`
+ * where something that was synced is damaged or missing.
+ */
+export async function openReplicatedLog<Command, Answer>(
+  machine: StateMachine<Command, Answer>,
+  options: ReplicatedLogOptions,
+): Promise<OpenedLog<Command, Answer>> {
+  const {folder, files, segmentBytes, events} = options;
+  const opened = await openLogStorage({folder, files, segmentBytes}).catch(
+    thrown => {
+      events.record('log-corrupt', {reason: toFault(thrown).message});
+      throw thrown;
+    },
+  );
+  if (opened.tornBytes > 0) {
+    events.record('log-tail-cut', {bytes: opened.tornBytes});
+  }
+  if (opened.data !== undefined) {
+    machine.restore(opened.data);
+  }
+  const {id, recovered, storage} = opened;
+  const electionTimeoutMs =
+    options.electionTimeoutMs ?? DEFAULT_ELECTION_TIMEOUT_MS;
+  const consensus = new Consensus(
+    {
+      id,
+      electionTimeoutMs,
+      heartbeatMs: options.heartbeatMs ?? DEFAULT_HEARTBEAT_MS,
+      random: Math.random,
+    },
+    recovered,
+    performance.now(),
+  );
+  events.record('log-opened', {
+    replica: id,
+    group: consensus.group,
+    term: consensus.term,
+    lastIndex: consensus.lastIndex,
+    isNew: opened.isNew,
+  });
+  const replica = new LogReplica(
+    {machine, consensus, storage},
+    {
+      url: options.url,
+      peers: options.peers.length === 0 ? [options.url] : options.peers,
+      bootstrap: options.bootstrap,
+      electionTimeoutMs,
+      proposeTimeoutMs: options.proposeTimeoutMs ?? DEFAULT_PROPOSE_TIMEOUT_MS,
+      snapshotEntries: options.snapshotEntries ?? DEFAULT_SNAPSHOT_ENTRIES,
+      keptEntries: options.keptEntries ?? DEFAULT_KEPT_ENTRIES,
+      events,
+      onFatal: options.onFatal,
+    },
+  );
+  return {log: replica, router: replicaRouter(replica)};
+}
--- /dev/null
+++ b/control/replicated-log/src/repair-desk.ts
@@ -0,0 +1,193 @@
+import {randomUUID} from 'node:crypto';
+import {
+  nextConfiguration,
+  replicasOf,
+  type Configuration,
+  type Consensus,
+  type Sighting,
+} from '@marigoldspur/consensus';
+import type {EventLog} from '@marigoldspur/event-log';
+import type {ReplicaIdentity} from '@marigoldspur/log-links';
+
+/** Options of a repair desk. */
+export interface RepairDeskOptions {
+  readonly consensus: Consensus;
+  /** Base URL of this replica. */
+  readonly url: string;
+  /** Base URLs of all replicas. */
+  readonly peers: readonly string[];
+  /** Whether this replica may form the group. */
+  readonly bootstrap: boolean;
+  /** Age from which an unheard learner is not caught up, in milliseconds. */
+  readonly silenceMs: number;
+  readonly events: EventLog;
+  /** Asks who answers at a URL. */
+  readonly identify: (url: string) => Promise<ReplicaIdentity>;
+}
+
+/** Age from which a sighting is no longer used, in milliseconds. */
+const SIGHTING_VALID_MS = 3_000;
+
+interface TimedSighting extends Sighting {
+  readonly at: number;
+}
+
+interface Promotion {
+  readonly id: string;
+  readonly url: string;
+  /** Index of the entry that made it a voter. */
+  readonly index: number;
+}
+
+/** Forms the group, and keeps a caught-up voter at each configured URL. */
+export class RepairDesk {
+  private readonly sightings = new Map<string, TimedSighting>();
+  private promotions: Promotion[] = [];
+  private probing = false;
+  private waitAnnounced = false;
+
+  constructor(private readonly options: RepairDeskOptions) {}
+
+  /** A replica answered at a URL. */
+  sighted(url: string, identity: ReplicaIdentity, now: number): void {
+    const {id, group} = identity;
+    if (this.options.peers.includes(url) && url !== this.options.url) {
+      this.sightings.set(url, {url, id, group, at: now});
+    }
+  }
+
+  /** Takes the next step, if one is due. */
+  tick(now: number): void {
+    const {consensus} = this.options;
+    if (consensus.group === '') {
+      void this.form(now);
+    } else if (consensus.leaderReady) {
+      void this.probe(now);
+      this.repair(now);
+      this.reportRepaired();
+    }
+  }
+
+  /** A change of the replicas was committed. */
+  committed(before: Configuration, after: Configuration, index: number): void {
+    const {events} = this.options;
+    const was = new Set(before.voters.map(voter => voter.id));
+    const is = new Set(after.voters.map(voter => voter.id));
+    const known = new Set(replicasOf(before).map(replica => replica.id));
+    for (const {id, url} of after.learners) {
+      if (!known.has(id)) {
+        events.record('learner-added', {replica: id, url});
+      }
+    }
+    for (const {id, url} of before.voters.filter(voter => !is.has(voter.id))) {
+      events.record('voter-removed', {replica: id, url});
+    }
+    for (const {id, url} of after.voters.filter(voter => !was.has(voter.id))) {
+      events.record('voter-added', {replica: id, url});
+      this.promotions.push({id, url, index});
+    }
+  }
+
+  private repair(now: number): void {
+    const {consensus} = this.options;
+    const fresh = [...this.sightings.values()].filter(
+      sighting => now - sighting.at <= SIGHTING_VALID_MS,
+    );
+    const next = nextConfiguration({
+      group: consensus.group,
+      configuration: consensus.configuration,
+      sightings: fresh,
+      isCaughtUp: id => this.isCaughtUp(id, now),
+    });
+    if (next !== undefined) {
+      consensus.changeConfiguration(next, now);
+    }
+  }
+
+  private isCaughtUp(id: string, now: number): boolean {
+    const {consensus, silenceMs} = this.options;
+    const progress = consensus.progressOf(id);
+    return (
+      progress !== undefined &&
+      progress.match >= consensus.commitIndex &&
+      now - progress.heardAt < silenceMs
+    );
+  }
+
+  private reportRepaired(): void {
+    const {consensus, events} = this.options;
+    this.promotions = this.promotions.filter(({id, url, index}) => {
+      const match = consensus.progressOf(id)?.match ?? 0;
+      if (match >= index && id !== consensus.id) {
+        events.record('replica-repaired', {replica: id, url, index});
+        return false;
+      }
+      return true;
+    });
+  }
+
+  /** Asks at the URLs where no replica of the group is known. */
+  private async probe(now: number): Promise<void> {
+    const {consensus, peers, url: own} = this.options;
+    const known = replicasOf(consensus.configuration).map(({url}) => url);
+    const unknown = peers.filter(url => url !== own && !known.includes(url));
+    await this.identifyAll(unknown, now);
+  }
+
+  private async identifyAll(
+    urls: readonly string[],
+    now: number,
+  ): Promise<Array<ReplicaIdentity | undefined>> {
+    if (this.probing) {
+      return [];
+    }
+    this.probing = true;
+    const answers = await Promise.all(
+      urls.map(url => this.options.identify(url).catch(() => undefined)),
+    );
+    this.probing = false;
+    answers.forEach((answer, index) => {
+      if (answer !== undefined) {
+        this.sighted(urls[index], answer, now);
+      }
+    });
+    return answers;
+  }
+
+  /**
+   * Forms the group, once every other replica answers that it belongs to none:
+   * so a replica that lost its disk cannot form a second group beside the first.
+   */
+  private async form(now: number): Promise<void> {
+    const {consensus, url, events} = this.options;
+    const peers = [...this.options.peers].sort();
+    if (!this.options.bootstrap || peers[0] !== url) {
+      this.announceWait();
+      return;
+    }
+    if (this.probing) {
+      return;
+    }
+    const others = peers.filter(peer => peer !== url);
+    const answers = await this.identifyAll(others, now);
+    const allNew = answers.every(answer => answer?.group === '');
+    if (consensus.group !== '' || consensus.lastIndex > 0) {
+      return;
+    }
+    if (!allNew) {
+      this.announceWait();
+      return;
+    }
+    const group = randomUUID();
+    consensus.bootstrap(group, url, now);
+    events.record('group-formed', {group, replica: consensus.id});
+  }
+
+  private announceWait(): void {
+    if (!this.waitAnnounced) {
+      this.waitAnnounced = true;
+      const {id} = this.options.consensus;
+      this.options.events.record('group-awaited', {replica: id});
+    }
+  }
+}
--- /dev/null
+++ b/lab/cut-link/src/index.ts
@@ -0,0 +1,6 @@
+export {
+  openCutLink,
+  type CutLink,
+  type CutLinkOptions,
+  type LinkState,
+} from './cut-link.js';
--- a/lab/lab/src/system.ts
+++ b/lab/lab/src/system.ts
@@ -127,6 +127,7 @@
       ...['--zone', `zone-${index}`],
       ...['--port', String(port)],
       ...['--peers', urls.join(',')],
+      ...['--bootstrap', 'true'],
       ...['--data-folder', path.join(folder, `control-${index}`)],
       ...level,
     ]),
