--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -3,6 +3,7 @@
 import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
 import {PermitDesk} from '@marigoldspur/load-permits';
 import {MemberTable} from '@marigoldspur/membership';
+import {openLinkSecurity} from '@marigoldspur/link-security';
 import {processMetrics} from '@marigoldspur/metrics';
 import {bootIdentity, type Task} from '@marigoldspur/process-life';
 import {startProcessServer} from '@marigoldspur/process-server';
@@ -26,10 +27,11 @@
     process: settings.id,
     sinks: [jsonLineSink(settings.logLevel)],
   });
+  const security = await openLinkSecurity(settings, events);
   const machine = new ControlMachine();
   const {log, router} = await openReplicatedLog(machine, {
     folder: path.join(settings.dataFolder, 'log'),
-    url: settings.advertisedUrl ?? `http://${settings.host}:${settings.port}`,
+    url: settings.advertisedUrl ?? ownUrl(settings, security.scheme),
     peers: settings.peers,
     bootstrap: settings.bootstrap,
     electionTimeoutMs: settings.electionTimeoutMs,
@@ -37,6 +39,7 @@
     proposeTimeoutMs: settings.proposeTimeoutMs,
     snapshotEntries: settings.snapshotEntries,
     events,
+    agent: security.createAgent(),
     onFatal: () => process.exit(EXIT_DISK_FAILED),
   });
   const members = new MemberTable({table: boot, leaseMs: settings.leaseMs});
@@ -56,6 +59,7 @@
   let draining = false;
   const server = await startProcessServer({
     address: {host: settings.host, port: settings.port},
+    security,
     metrics: processMetrics({
       process: settings.id,
       role: 'control',
@@ -97,7 +101,12 @@
       events.record('process-draining');
       clearInterval(leaseCheck);
       await log.stop();
+      security.stop();
       events.record('process-stopped');
     },
   };
 }
+
+function ownUrl(settings: ControlSettings, scheme: string): string {
+  return `${scheme}://${settings.host}:${settings.port}`;
+}
--- a/control/replicated-log/src/log-replica.ts
+++ b/control/replicated-log/src/log-replica.ts
@@ -1,4 +1,4 @@
-import http from 'node:http';
+import type http from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import {
@@ -47,6 +47,8 @@
   /** Entries kept after a snapshot for replicas that lag. */
   readonly keptEntries: number;
   readonly events: EventLog;
+  /** Connections to the other replicas. */
+  readonly agent: http.Agent;
   /** The process must end: what is on its disk is unknown. */
   readonly onFatal: (fault: Fault) => void;
 }
@@ -74,7 +76,6 @@
   private readonly reads: PendingReads;
   private readonly writer: BatchWriter;
   private readonly repairs: RepairDesk;
-  private readonly agent = new http.Agent({keepAlive: true});
   private readonly links = new Map<string, ReplicaLink>();
   /** URLs of replicas by identity, as their deliveries state them. */
   private readonly senders = new Map<string, string>();
@@ -198,7 +199,7 @@
     this.proposals.failOthers(undefined);
     this.reads.fail(new Fault('STOPPING', 'the replica is stopping'));
     this.links.forEach(link => link.close());
-    this.agent.destroy();
+    this.settings.agent.destroy();
     await this.parts.storage.close();
   }
 
@@ -285,7 +286,7 @@
     const link = new ReplicaLink({
       from: {id: this.consensus.id, url: this.settings.url},
       url,
-      agent: this.agent,
+      agent: this.settings.agent,
       timeoutMs: this.settings.electionTimeoutMs,
       onAnswer: answer => this.takeAnswer(url, answer),
     });
--- a/control/replicated-log/src/open-replicated-log.ts
+++ b/control/replicated-log/src/open-replicated-log.ts
@@ -1,3 +1,4 @@
+import http from 'node:http';
 import {Consensus} from '@marigoldspur/consensus';
 import type {EventLog} from '@marigoldspur/event-log';
 import {toFault, type Fault} from '@marigoldspur/faults';
@@ -30,6 +31,8 @@
   readonly keptEntries?: number;
   readonly segmentBytes?: number;
   readonly files?: FileSystem;
+  /** Connections to the other replicas. */
+  readonly agent?: http.Agent;
 }
 
 /** An opened log, and what the other replicas call. */
@@ -97,6 +100,7 @@
       snapshotEntries: options.snapshotEntries ?? DEFAULT_SNAPSHOT_ENTRIES,
       keptEntries: options.keptEntries ?? DEFAULT_KEPT_ENTRIES,
       events,
+      agent: options.agent ?? new http.Agent({keepAlive: true}),
       onFatal: options.onFatal,
     },
   );
