--- a/agent/adapter-slots/test/slot-table.test.ts
+++ b/agent/adapter-slots/test/slot-table.test.ts
@@ -1,14 +1,19 @@
 import {expect} from 'chai';
 import {LruEviction} from '@marigoldspur/eviction';
-import {SlotTable} from '@marigoldspur/adapter-slots';
+import {SlotTable, type SlotReservation} from '@marigoldspur/adapter-slots';
 
 function table(slots: number): SlotTable {
   return new SlotTable(slots, new LruEviction());
 }
 
+function reserve(slots: SlotTable, model: string, now: number) {
+  const reservation = slots.reserve(model, now);
+  expect(reservation, `a slot for ${model}`).to.not.equal(undefined);
+  return reservation as SlotReservation;
+}
+
 function load(slots: SlotTable, model: string, now: number): void {
-  slots.reserve(model, now);
-  slots.loaded(model, now);
+  slots.loaded(reserve(slots, model, now), now);
 }
 
 it('slots: a pinned adapter is never evicted', () => {
@@ -44,3 +49,51 @@
   slots.pin('a@1', 2)?.release(3);
   expect(slots.reserve('c@1', 4)?.evict).to.equal('b@1');
 });
+
+it('slots: an adapter that is leaving is not loaded meanwhile', () => {
+  const slots = table(2);
+  load(slots, 'a@1', 0);
+  load(slots, 'b@1', 1);
+  const first = reserve(slots, 'c@1', 2);
+  expect(first.evict).to.equal('a@1');
+  expect(slots.reserve('a@1', 3)).to.equal(undefined);
+  slots.loaded(first, 4);
+  expect(slots.reserve('a@1', 5)?.evict).to.equal('b@1');
+});
+
+it('slots: a load that ends after a reset is not taken over', () => {
+  const slots = table(1);
+  const reservation = reserve(slots, 'a@1', 0);
+  slots.reset(1, [], 1);
+  expect(slots.loaded(reservation, 2)).to.equal(false);
+  expect(slots.resident()).to.deep.equal([]);
+});
+
+it('slots: a distrusted adapter takes no requests and leaves first', () => {
+  const slots = table(3);
+  load(slots, 'a@1', 0);
+  load(slots, 'b@1', 1);
+  slots.distrust('b@1');
+  expect(slots.pin('b@1', 2)).to.equal(undefined);
+  expect(slots.reserve('b@1', 3)).to.deep.equal({model: 'b@1', evict: 'b@1'});
+});
+
+it('slots: a distrusted adapter in use stays', () => {
+  const slots = table(1);
+  load(slots, 'a@1', 0);
+  const pin = slots.pin('a@1', 1);
+  slots.distrust('a@1');
+  expect(slots.reserve('a@1', 2)).to.equal(undefined);
+  expect(slots.reserve('b@1', 2)).to.equal(undefined);
+  pin?.release(3);
+  expect(slots.reserve('a@1', 4)?.evict).to.equal('a@1');
+});
+
+it('slots: what runs after a takeover is pinned', () => {
+  const slots = table(1);
+  slots.reset(1, ['a@1'], 0);
+  const pin = slots.pinRunning('a@1', 0);
+  expect(slots.reserve('b@1', 1)).to.equal(undefined);
+  pin.release(2);
+  expect(slots.reserve('b@1', 3)?.evict).to.equal('a@1');
+});
--- a/agent/agent-server/src/adapter-host.ts
+++ b/agent/agent-server/src/adapter-host.ts
@@ -1,81 +1,102 @@
 import PQueue from 'p-queue';
 import {Result} from 'true-myth';
-import type {
-  Pin,
-  SlotReservation,
-  SlotTable,
-} from '@marigoldspur/adapter-slots';
+import type {Pin, SlotTable} from '@marigoldspur/adapter-slots';
 import {ChangeSignal} from '@marigoldspur/change-signal';
 import type {EventLog} from '@marigoldspur/event-log';
-import {Fault, toFault} from '@marigoldspur/faults';
-import type {EngineClient} from '@marigoldspur/target-client';
-import type {LoadGate, LoadTicket} from './load-gate.js';
-
-/** An adapter that a request needs. */
-export interface AdapterNeed {
-  /** Adapter and version, `adapter@version`. */
-  readonly model: string;
-  readonly digest: string;
-  readonly store: string;
-  /** Priority; 0 is served first. */
-  readonly priority: number;
-  /** Latest time at which it is of use, a `performance.now()` time. */
-  readonly deadlineMs: number;
-  /** Aborted once the request no longer needs it. */
-  readonly signal: AbortSignal;
-}
+import {Fault, Refusal, toFault} from '@marigoldspur/faults';
+import {LoadBackoff, LoadForecast} from '@marigoldspur/load-queue';
+import type {AgentMetrics} from './agent-metrics.js';
+import type {LeaseKeeper} from './lease-keeper.js';
+import type {LoadGate} from './load-gate.js';
+import {PendingLoad, type AdapterNeed} from './pending-load.js';
+import type {SlotOrders} from './slot-orders.js';
 
 /** What an adapter host works with. */
 export interface AdapterHostOptions {
   readonly agent: string;
   readonly slots: SlotTable;
-  readonly engine: EngineClient;
+  readonly orders: SlotOrders;
+  readonly keeper: LeaseKeeper;
   readonly gate: LoadGate;
   readonly events: EventLog;
+  readonly metrics: AgentMetrics;
+  readonly backoff?: LoadBackoff;
 }
 
-interface Load {
-  readonly need: AdapterNeed;
-  readonly askedAt: number;
-  readonly waiters: Set<AdapterNeed>;
-  readonly done: Promise<Result<unknown, Fault>>;
-}
-
-const SLOT_WAIT_MS = 1_000;
+/** Loads that ask for a permit at once; more wait by priority. */
+const LOADS_ASKING = 32;
+const SLOT_WAIT_MS = 250;
+const MAX_PRIORITY = 9;
+const SECOND_MS = 1_000;
+const LONGEST_RETRY_SECONDS = 60;
 
 /** Brings adapters into the slots of one engine and pins them for requests. */
 export class AdapterHost {
-  private readonly loads = new Map<string, Load>();
-  private readonly queue = new PQueue({concurrency: 1});
+  private readonly loads = new Map<string, PendingLoad>();
+  private readonly queue = new PQueue({concurrency: LOADS_ASKING});
   private readonly released = new ChangeSignal();
-
-  constructor(private readonly options: AdapterHostOptions) {}
+  private readonly forecast = new LoadForecast();
+  private readonly backoff: LoadBackoff;
+  private lastEndedAt = 0;
+  /** Loads that wait for a permit, each of which will take a slot. */
+  private asking = 0;
+
+  constructor(private readonly options: AdapterHostOptions) {
+    this.backoff = options.backoff ?? new LoadBackoff();
+  }
 
   /** Requests that wait for a load. */
   get waiting(): number {
     return [...this.loads.values()].reduce(
-      (sum, load) => sum + load.waiters.size,
+      (sum, load) => sum + load.waiters,
       0,
     );
   }
 
   /** Pins an adapter, after a load shared with others who need it. */
-  async acquire(need: AdapterNeed): Promise<Result<Pin, Fault>> {
-    while (isWanted(need)) {
+  async acquire(need: AdapterNeed): Promise<Result<Pin, Refusal>> {
+    const startedAt = performance.now();
+    while (!need.signal.aborted && performance.now() < need.deadlineMs) {
       const pin = this.options.slots.pin(need.model, performance.now());
       if (pin !== undefined) {
+        const stallMs = performance.now() - startedAt;
+        this.options.metrics.loadStall.observe(stallMs / SECOND_MS);
         return Result.ok(this.announceRelease(pin));
       }
-      const loaded = await this.shareLoad(need);
-      if (loaded.isErr) {
-        return Result.err(loaded.error);
+      const hopeless = this.hopeless(need, performance.now());
+      if (hopeless !== undefined) {
+        return Result.err(hopeless);
       }
+      await this.shareLoad(need);
     }
     return Result.err(
-      new Fault('TIMEOUT', 'the adapter was not loaded in time'),
+      notLoaded('load_too_late', 'the adapter was not loaded in time', 1_000),
     );
   }
 
+  /** Takes note that the engine does not serve an adapter that it lists. */
+  distrust(model: string): void {
+    this.options.slots.distrust(model);
+    this.options.events.record('adapter-distrusted', {model});
+    this.backoff.failed(model, performance.now());
+  }
+
+  /** Why a load can't serve a need; undefined when it may. */
+  private hopeless(need: AdapterNeed, now: number): Refusal | undefined {
+    const pauseMs = this.backoff.pauseLeft(need.model, now);
+    if (pauseMs > 0 && !this.loads.has(need.model)) {
+      const message = 'the load failed and is tried again later';
+      return notLoaded('load_failed', message, pauseMs);
+    }
+    if (this.loads.has(need.model)) {
+      return undefined;
+    }
+    const waitMs = this.forecast.waitMs(this.loads.size);
+    return now + waitMs > need.deadlineMs
+      ? notLoaded('load_too_late', 'the load would end too late', waitMs)
+      : undefined;
+  }
+
   private announceRelease(pin: Pin): Pin {
     return {
       model: pin.model,
@@ -86,153 +107,101 @@
     };
   }
 
-  private async shareLoad(need: AdapterNeed): Promise<Result<unknown, Fault>> {
+  private async shareLoad(need: AdapterNeed): Promise<void> {
     const load = this.loads.get(need.model) ?? this.startLoad(need);
-    load.waiters.add(need);
-    const givenUp = aborted(need);
-    const result = await Promise.race([load.done, givenUp.promise]);
-    givenUp.stop();
-    load.waiters.delete(need);
-    return result;
+    await load.wait(need);
   }
 
-  private startLoad(need: AdapterNeed): Load {
-    const waiters = new Set([need]);
-    const askedAt = performance.now();
+  private startLoad(need: AdapterNeed): PendingLoad {
+    const load = new PendingLoad(need, performance.now());
+    this.loads.set(need.model, load);
     const run = async () => {
-      const result = await this.run(need, waiters, askedAt);
+      const result = await this.run(load);
       this.loads.delete(need.model);
-      return result;
+      this.takeResult(load, result);
+      load.settle();
     };
-    const load = {need, askedAt, waiters, done: this.queue.add(run)};
-    this.loads.set(need.model, load);
+    void this.queue.add(run, {priority: MAX_PRIORITY - need.priority});
     return load;
   }
 
-  private async run(
-    need: AdapterNeed,
-    waiters: ReadonlySet<AdapterNeed>,
-    askedAt: number,
-  ): Promise<Result<unknown, Fault>> {
-    const reservation = await this.reserve(need.model, waiters);
-    if (reservation === undefined) {
-      return Result.err(
-        new Fault('TIMEOUT', 'no adapter slot came free in time'),
-      );
-    }
-    const ticket = await this.enterGate(need, waiters, askedAt);
-    if (ticket.isErr) {
-      this.giveUp(reservation);
-      return Result.err(ticket.error);
-    }
-    try {
-      return await this.loadInto(reservation, need);
-    } catch (thrown) {
-      return Result.err(toFault(thrown));
-    } finally {
-      const {slots} = this.options;
-      ticket.value.release(slots.resident().includes(need.model));
+  private takeResult(load: PendingLoad, result: Result<unknown, Fault>): void {
+    const {events, metrics} = this.options;
+    const {model} = load;
+    const now = performance.now();
+    if (result.isOk) {
+      this.forecast.ended(now - Math.max(load.askedAt, this.lastEndedAt));
+      this.lastEndedAt = now;
+      this.backoff.succeeded(model);
+      metrics.loads.inc({outcome: 'loaded'});
+    } else if (result.error.code === 'TIMEOUT') {
+      events.record('load-dropped', {model});
+      metrics.loads.inc({outcome: 'dropped'});
+    } else {
+      const pauseMs = Math.round(this.backoff.failed(model, now));
+      events.record('load-backed-off', {model, pauseMs});
+      metrics.loads.inc({outcome: 'failed'});
     }
+    this.released.notify();
   }
 
-  private async reserve(
-    model: string,
-    waiters: ReadonlySet<AdapterNeed>,
-  ): Promise<SlotReservation | undefined> {
-    while ([...waiters].some(isWanted)) {
-      const reservation = this.options.slots.reserve(model, performance.now());
-      if (reservation !== undefined) {
-        return reservation;
+  private async run(load: PendingLoad): Promise<Result<unknown, Fault>> {
+    while (!load.signal.aborted) {
+      if (!this.hasRoom()) {
+        await this.released.wait(SLOT_WAIT_MS);
+        continue;
+      }
+      const result = await this.tryOnce(load);
+      if (result.isOk || result.error.code !== 'CONFLICT') {
+        return result;
       }
       await this.released.wait(SLOT_WAIT_MS);
     }
-    return undefined;
+    return Result.err(new Fault('TIMEOUT', 'nobody waits any more'));
   }
 
-  private enterGate(
-    need: AdapterNeed,
-    waiters: ReadonlySet<AdapterNeed>,
-    askedAt: number,
-  ): Promise<Result<LoadTicket, Fault>> {
-    const needs = [...waiters];
-    return this.options.gate.enter(
-      {
-        store: need.store,
-        agent: this.options.agent,
-        model: need.model,
-        waiters: needs.length,
-        priority: Math.min(need.priority, ...needs.map(each => each.priority)),
-        oldestWaitMs: performance.now() - askedAt,
-      },
-      Math.max(need.deadlineMs, ...needs.map(each => each.deadlineMs)),
-    );
+  /** Whether a slot is left for one more load that asks for a permit. */
+  private hasRoom(): boolean {
+    const {keeper, slots} = this.options;
+    const mayOrder = keeper.mayOrder(performance.now());
+    return mayOrder && slots.available > this.asking;
   }
 
-  /** The adapter that had to leave was not unloaded, so the target still holds it. */
-  private giveUp(reservation: SlotReservation): void {
-    this.options.slots.drop(reservation.model);
-    if (reservation.evict !== undefined) {
-      this.options.slots.restore(reservation.evict, performance.now());
+  /** Asks for a permit, and only with it takes a slot. */
+  private async tryOnce(load: PendingLoad): Promise<Result<unknown, Fault>> {
+    const {agent, gate, orders, slots} = this.options;
+    this.asking += 1;
+    const ticket = await gate.enter(() => load.ask(agent), load.signal);
+    this.asking -= 1;
+    if (ticket.isErr) {
+      return ticket;
     }
-    this.released.notify();
-  }
-
-  private async loadInto(
-    reservation: SlotReservation,
-    need: AdapterNeed,
-  ): Promise<Result<unknown, Fault>> {
-    const {engine, events, slots} = this.options;
-    if (reservation.evict !== undefined) {
-      const evicted = await engine.unload(reservation.evict);
-      if (evicted.isErr) {
-        slots.drop(need.model);
-        return Result.err(evicted.error);
-      }
-      events.record('adapter-evicted', {model: reservation.evict});
+    const reservation = load.signal.aborted
+      ? undefined
+      : slots.reserve(load.model, performance.now());
+    if (reservation === undefined) {
+      ticket.value.release(false);
+      return Result.err(new Fault('CONFLICT', 'no slot is free'));
     }
-    const startedAt = performance.now();
-    events.record('load-ordered', {model: need.model});
-    const ordered = await engine.load(need.model, need.digest);
-    const held = ordered.isOk ? await engine.resident() : undefined;
-    if (held?.isOk && held.value.includes(need.model)) {
-      slots.loaded(need.model, performance.now());
-      const tookMs = Math.round(performance.now() - startedAt);
-      events.record('load-finished', {model: need.model, tookMs});
-      return Result.ok(undefined);
+    try {
+      const result = await orders.carryOut(reservation, load.digest);
+      ticket.value.release(result.isOk);
+      return result;
+    } catch (thrown) {
+      slots.cancel(reservation, false);
+      ticket.value.release(false);
+      return Result.err(toFault(thrown));
     }
-    slots.drop(need.model);
-    this.released.notify();
-    const reason = ordered.isErr
-      ? ordered.error.message
-      : 'not held after load';
-    events.record('load-failed', {model: need.model, reason});
-    return Result.err(new Fault('LOAD_FAILED', reason));
   }
 }
 
-function isWanted(need: AdapterNeed): boolean {
-  return !need.signal.aborted && performance.now() < need.deadlineMs;
-}
-
-/** Resolves to a fault when the need is given up or its deadline passes. */
-function aborted(need: AdapterNeed) {
-  let stop = () => {};
-  const promise = new Promise<Result<unknown, Fault>>(resolve => {
-    const end = () => {
-      stop();
-      resolve(
-        Result.err(new Fault('TIMEOUT', 'the adapter was not loaded in time')),
-      );
-    };
-    const timer = setTimeout(
-      end,
-      Math.max(0, need.deadlineMs - performance.now()),
-    );
-    stop = () => {
-      clearTimeout(timer);
-      need.signal.removeEventListener('abort', end);
-    };
-    need.signal.addEventListener('abort', end, {once: true});
-  });
-  return {promise, stop};
+function notLoaded(reason: string, message: string, retryMs: number): Refusal {
+  const seconds = Math.max(1, Math.ceil(retryMs / SECOND_MS));
+  return new Refusal(
+    'not-run',
+    503,
+    reason,
+    message,
+    Math.min(LONGEST_RETRY_SECONDS, seconds),
+  );
 }
--- a/agent/agent-server/src/agent-settings.ts
+++ b/agent/agent-server/src/agent-settings.ts
@@ -32,6 +32,19 @@
   loadTimeoutMs: DURATION_MS_SCHEMA.default(20_000).describe(
     'Longest time of one load, in milliseconds',
   ),
+  fenceChecked: z
+    .stringbool()
+    .default(false)
+    .describe('Whether the engine refuses orders with an old fencing number'),
+  orderLeaseMs: DURATION_MS_SCHEMA.default(5_000).describe(
+    'How long orders may be given without confirmation by control, in milliseconds; equal in all agents',
+  ),
+  isolatedLoadsPerSecond: z.coerce
+    .number()
+    .positive()
+    .max(1_000)
+    .default(0.3)
+    .describe('Loads a second of this agent while control is away'),
   drainMs: DURATION_MS_SCHEMA.default(60_000).describe(
     'Longest time that running requests get at a shutdown, in milliseconds',
   ),
--- a/agent/agent-server/src/attempt-desk.ts
+++ b/agent/agent-server/src/attempt-desk.ts
@@ -1,40 +1,65 @@
-import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import type {Pin} from '@marigoldspur/adapter-slots';
 import type {SettingsFollower} from '@marigoldspur/control-client';
 import type {EventLog} from '@marigoldspur/event-log';
 import {formatFindings, Refusal} from '@marigoldspur/faults';
-import {openRequest, readBody} from '@marigoldspur/http-link';
-import {HOP_HEADERS, parseHop, type Hop} from '@marigoldspur/messages';
+import {readBody} from '@marigoldspur/http-link';
+import {parseHop, type Hop} from '@marigoldspur/messages';
 import {formatModel} from '@marigoldspur/settings-schema';
-import {adapterOf, serviceOf} from '@marigoldspur/settings-tree';
 import type {AdapterHost} from './adapter-host.js';
-import {refuseAttempt, relayAnswer} from './attempt-answer.js';
+import type {AgentMetrics} from './agent-metrics.js';
+import {findAdapter} from './find-adapter.js';
+import {refuseAttempt} from './attempt-answer.js';
+import {attemptId} from './attempt-headers.js';
+import {readBodyModel} from './body-model.js';
+import {notRun} from './not-run.js';
+import type {LeaseKeeper} from './lease-keeper.js';
+import {SeenAttempts} from './seen-attempts.js';
+import {TargetForwarder} from './target-forwarder.js';
 import type {TargetWatch} from './target-watch.js';
 
+/** The parts of an agent that only an engine's has. */
+export interface EngineParts {
+  readonly host: AdapterHost;
+  readonly watch: TargetWatch;
+  readonly keeper: LeaseKeeper;
+}
+
 /** What an attempt desk works with. */
 export interface AttemptDeskOptions {
   readonly target: string;
   readonly targetUrl: string;
   readonly customer: string;
   readonly service: string;
-  readonly settings: SettingsFollower;
+  readonly settings: Pick<SettingsFollower, 'settings'>;
   readonly events: EventLog;
+  readonly metrics: AgentMetrics;
+  /** Largest body, in bytes. */
   readonly maxBodyBytes: number;
+  /** Bytes of all bodies held at once. */
+  readonly maxHeldBytes: number;
   /** Absent for a plain service. */
-  readonly host?: AdapterHost;
-  readonly watch?: TargetWatch;
+  readonly engine?: EngineParts;
+  /** Whether a plain service answers its health check. */
+  readonly serviceHealthy?: () => boolean;
 }
 
-const RETRY_SOON_SECONDS = 1;
+const ENGINE_PATHS = new Set(['/v1/chat/completions', '/v1/completions']);
+const STATUS_TOO_LARGE = 413;
 
 /** Takes attempts from entries, checks them and forwards them to the target. */
 export class AttemptDesk {
-  private readonly agent = new http.Agent({keepAlive: true});
+  private readonly seen = new SeenAttempts();
+  private readonly forwarder: TargetForwarder;
   private running = 0;
+  private heldBytes = 0;
   private closed = false;
 
-  constructor(private readonly options: AttemptDeskOptions) {}
+  constructor(private readonly options: AttemptDeskOptions) {
+    this.forwarder = new TargetForwarder(options);
+  }
 
   /** Attempts that run or wait here. */
   get load(): number {
@@ -46,215 +71,228 @@
     this.closed = true;
   }
 
-  /** Takes one attempt. */
-  async handle(request: IncomingMessage, response: ServerResponse) {
+  /**
+   * Takes one attempt. One that `expects` to be told to continue is told so only once
+   * it is checked and its adapter pinned; until its body comes, it has not run.
+   */
+  async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    expects = false,
+  ): Promise<void> {
     this.running += 1;
     try {
-      await this.attempt(request, response);
+      await this.attempt(request, response, expects);
     } finally {
       this.running -= 1;
     }
   }
 
-  private async attempt(request: IncomingMessage, response: ServerResponse) {
+  private async attempt(
+    request: IncomingMessage,
+    response: ServerResponse,
+    expects: boolean,
+  ): Promise<void> {
     const startedAt = performance.now();
     const hop = parseHop(request.headers);
     if (hop.isErr) {
       const message = formatFindings(hop.error);
-      refuseAttempt(response, notRun(400, 'bad_hop', message));
+      this.refuse(undefined, response, notRun(400, 'bad_hop', message));
       return;
     }
-    const {request: id, attempt} = hop.value;
+    const {request: id, attempt, budgetMs} = hop.value;
     this.options.events.record('attempt-received', {attempt}, id);
     const gone = new AbortController();
     response.on('close', () => gone.abort());
-    const body = await readBody(request, this.options.maxBodyBytes);
-    if (body.isErr) {
-      this.refuse(
-        hop.value,
-        response,
-        notRun(400, 'bad_body', body.error.message),
-      );
-      return;
-    }
-    const deadlineMs = startedAt + hop.value.budgetMs;
-    const pin = await this.admit(
-      hop.value,
-      body.value,
-      deadlineMs,
-      gone.signal,
-    );
-    if (pin.isErr) {
-      this.refuse(hop.value, response, pin.error);
-      return;
-    }
+    const bytes = Number(request.headers['content-length'] ?? 0);
+    this.heldBytes += bytes;
     try {
-      await this.forward(
-        hop.value,
-        request,
-        body.value,
-        response,
-        gone.signal,
-        deadlineMs,
-      );
+      const done = await this.run(hop.value, request, response, {
+        expects,
+        deadlineMs: startedAt + budgetMs,
+        signal: gone.signal,
+      });
+      if (done.isErr) {
+        this.refuse(hop.value, response, done.error);
+      }
     } finally {
-      pin.value?.release(performance.now());
+      this.heldBytes -= bytes;
     }
   }
 
-  /** Checks the attempt and pins its adapter; undefined for a plain service. */
-  private async admit(
+  private async run(
     hop: Hop,
-    body: Buffer,
-    deadlineMs: number,
-    signal: AbortSignal,
-  ): Promise<Result<Pin | undefined, Refusal>> {
-    const {host, watch, target, customer, service} = this.options;
-    if (this.closed) {
-      return Result.err(notRun(503, 'target_leaving', 'the target is leaving'));
+    request: IncomingMessage,
+    response: ServerResponse,
+    options: {expects: boolean; deadlineMs: number; signal: AbortSignal},
+  ): Promise<Result<void, Refusal>> {
+    const {deadlineMs, expects, signal} = options;
+    const refusal = this.preliminary(hop, request);
+    if (refusal !== undefined) {
+      return Result.err(refusal);
+    }
+    let body = expects ? undefined : await this.takeBody(hop, request);
+    if (body?.isErr) {
+      return Result.err(body.error);
+    }
+    const pin = await this.pin(hop, deadlineMs, signal);
+    if (pin.isErr) {
+      return Result.err(pin.error);
+    }
+    if (body === undefined) {
+      response.writeContinue();
+      body = await this.takeBody(hop, request);
     }
+    const late = body.isErr
+      ? body.error
+      : await this.lastCheck(hop, pin.value?.boot, deadlineMs, signal);
+    if (late !== undefined || body.isErr) {
+      pin.value?.pin.release(performance.now());
+      return late === undefined ? Result.ok(undefined) : Result.err(late);
+    }
+    await this.forwarder.forward({
+      hop,
+      request,
+      body: body.value,
+      response,
+      deadlineMs,
+      signal,
+      pin: pin.value?.pin,
+      boot: pin.value?.boot,
+    });
+    return Result.ok(undefined);
+  }
+
+  /** What speaks against an attempt before its body is read. */
+  private preliminary(hop: Hop, request: IncomingMessage): Refusal | undefined {
+    const {engine, maxBodyBytes, maxHeldBytes, target} = this.options;
+    const bytes = Number(request.headers['content-length'] ?? 0);
     if (hop.target !== target) {
-      return Result.err(
-        notRun(421, 'wrong_target', `this is target ${target}`),
-      );
+      return notRun(421, 'wrong_target', `this is target ${target}`);
+    }
+    if ((engine === undefined) !== (hop.model === undefined)) {
+      return notRun(400, 'wrong_kind', 'the target is of another kind');
+    }
+    if (engine !== undefined && !ENGINE_PATHS.has(request.url ?? '')) {
+      return notRun(404, 'unknown_path', 'no such path on an engine');
+    }
+    if (request.headers['transfer-encoding'] !== undefined) {
+      return notRun(411, 'length_required', 'an attempt states its length');
+    }
+    if (bytes > maxBodyBytes) {
+      return notRun(STATUS_TOO_LARGE, 'too_large', 'the body is too large');
+    }
+    if (this.closed || engine?.watch.state.leaving === true) {
+      return notRun(503, 'target_leaving', 'the target is leaving');
+    }
+    if (!this.isHealthy()) {
+      return notRun(503, 'target_down', 'the target does not answer');
+    }
+    if (this.heldBytes > maxHeldBytes) {
+      return notRun(503, 'agent_full', 'the agent holds too many bodies');
+    }
+    return this.repeated(hop);
+  }
+
+  private isHealthy(): boolean {
+    const {engine, serviceHealthy} = this.options;
+    return engine?.watch.state.healthy ?? serviceHealthy?.() ?? true;
+  }
+
+  /** A repeated attempt may have run, so it is not called `not-run`. */
+  private repeated(hop: Hop): Refusal | undefined {
+    if (this.seen.add(attemptId(hop), performance.now())) {
+      return undefined;
     }
-    if (host === undefined || hop.model === undefined) {
-      return (host === undefined) === (hop.model === undefined)
-        ? Result.ok(undefined)
-        : Result.err(
-            notRun(400, 'wrong_kind', 'the target is of another kind'),
-          );
+    const {attempt, request} = hop;
+    this.options.events.record('attempt-repeated', {attempt}, request);
+    const message = 'the attempt came before and is not run again';
+    return new Refusal('unknown', 409, 'repeated_attempt', message);
+  }
+
+  /** Reads a body and checks that it names the adapter of the hop. */
+  private async takeBody(
+    hop: Hop,
+    request: IncomingMessage,
+  ): Promise<Result<Buffer, Refusal>> {
+    const body = await readBody(request, this.options.maxBodyBytes);
+    if (body.isErr) {
+      return Result.err(notRun(400, 'bad_body', body.error.message));
     }
-    if (watch?.state.healthy !== true) {
-      return Result.err(
-        notRun(503, 'target_down', 'the engine does not answer'),
-      );
+    if (hop.model === undefined) {
+      return Result.ok(body.value);
     }
-    const model = formatModel(hop.model);
-    if (bodyModel(body) !== model) {
-      return Result.err(
-        notRun(400, 'model_mismatch', 'body and header differ'),
-      );
+    const model = readBodyModel(body.value);
+    if (model.isErr) {
+      return Result.err(notRun(400, 'bad_body', model.error));
     }
-    const {tree} = this.options.settings.settings;
-    const place = adapterOf(tree, customer, hop.model);
-    const version = place?.adapter.versions[hop.model.version];
-    const settings = serviceOf(tree, customer, service);
-    if (
-      place?.service !== service ||
-      version === undefined ||
-      settings?.kind !== 'model'
-    ) {
-      return Result.err(
-        notRun(503, 'unknown_adapter', `${model} is not known here yet`),
-      );
+    return model.value === formatModel(hop.model)
+      ? Result.ok(body.value)
+      : Result.err(notRun(400, 'model_mismatch', 'body and header differ'));
+  }
+
+  /** Pins the attempt's adapter, with the boot that holds it; undefined for a plain service. */
+  private async pin(
+    hop: Hop,
+    deadlineMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<{pin: Pin; boot: string} | undefined, Refusal>> {
+    const {engine} = this.options;
+    if (engine === undefined || hop.model === undefined) {
+      return Result.ok(undefined);
     }
-    const pin = await host.acquire({
-      model,
-      digest: version.digest,
-      store: settings.store,
+    const found = await findAdapter(hop, hop.model, this.options);
+    if (found.isErr) {
+      return Result.err(found.error);
+    }
+    const pin = await engine.host.acquire({
+      ...found.value,
+      model: formatModel(hop.model),
       priority: hop.priority,
       deadlineMs,
       signal,
     });
-    return pin.mapErr(fault => notRun(503, 'load_failed', fault.message));
+    return pin.map(held => ({pin: held, boot: engine.watch.state.boot}));
   }
 
-  private forward(
+  /** What speaks against forwarding at this moment. */
+  private async lastCheck(
     hop: Hop,
-    request: IncomingMessage,
-    body: Buffer,
-    response: ServerResponse,
-    signal: AbortSignal,
+    boot: string | undefined,
     deadlineMs: number,
-  ): Promise<void> {
-    const {events, targetUrl} = this.options;
-    events.record('attempt-forwarded', {attempt: hop.attempt}, hop.request);
-    const budgetMs = Math.max(1, Math.ceil(deadlineMs - performance.now()));
-    return new Promise(resolve => {
-      const call = openRequest({
-        url: new URL(request.url ?? '/', targetUrl),
-        method: request.method ?? 'POST',
-        headers: forwardedHeaders(request, body, hop),
-        agent: this.agent,
-        signal: AbortSignal.any([signal, AbortSignal.timeout(budgetMs)]),
-      });
-      call.on('error', error => {
-        const reached = call.socket !== null && !call.socket.connecting;
-        this.refuse(hop, response, brokenTarget(reached, error.message));
-        resolve();
-      });
-      call.on('response', answer => {
-        void relayAnswer(hop, answer, response).then(whole => {
-          const name = whole ? 'attempt-ended' : 'attempt-failed';
-          events.record(name, {attempt: hop.attempt}, hop.request);
-          resolve();
-        });
-      });
-      call.end(body);
-    });
+    signal: AbortSignal,
+  ): Promise<Refusal | undefined> {
+    const {engine, events} = this.options;
+    const mayForward = await (engine?.keeper.mayForward() ?? true);
+    // After a pause of the process the end of the link is read in the next turn.
+    await nextTurn();
+    if (signal.aborted) {
+      events.record('attempt-cancelled', {attempt: hop.attempt}, hop.request);
+      return notRun(499, 'entry_gone', 'the entry went away');
+    }
+    if (!mayForward) {
+      return notRun(503, 'no_lease', 'another agent may serve the target');
+    }
+    if (performance.now() >= deadlineMs) {
+      return notRun(503, 'too_late', 'the time for the attempt is over');
+    }
+    return engine !== undefined && engine.watch.state.boot !== boot
+      ? notRun(503, 'target_restarted', 'the engine restarted')
+      : undefined;
   }
 
-  private refuse(hop: Hop, response: ServerResponse, refusal: Refusal): void {
-    const {attempt, request} = hop;
+  private refuse(
+    hop: Hop | undefined,
+    response: ServerResponse,
+    refusal: Refusal,
+  ): void {
     const {reason, outcome} = refusal;
+    this.options.metrics.attempts.inc({end: outcome});
     this.options.events.record(
-      outcome === 'not-run' ? 'attempt-refused' : 'attempt-failed',
-      {attempt, reason, outcome},
-      request,
+      'attempt-refused',
+      {attempt: hop?.attempt ?? 0, reason, outcome},
+      hop?.request,
     );
-    refuseAttempt(response, refusal);
+    refuseAttempt(hop, response, refusal);
   }
 }
-
-function notRun(status: number, reason: string, message: string): Refusal {
-  return new Refusal('not-run', status, reason, message, RETRY_SOON_SECONDS);
-}
-
-function brokenTarget(reached: boolean, message: string): Refusal {
-  return reached
-    ? new Refusal(
-        'unknown',
-        502,
-        'target_broke_off',
-        message,
-        RETRY_SOON_SECONDS,
-      )
-    : notRun(503, 'target_unreachable', message);
-}
-
-function bodyModel(body: Buffer): string | undefined {
-  try {
-    const parsed = JSON.parse(body.toString('utf8')) as {model?: unknown};
-    return typeof parsed.model === 'string' ? parsed.model : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
-const HOP_HEADER_NAMES = new Set<string>(Object.values(HOP_HEADERS));
-const DROPPED_HEADERS = new Set([
-  'connection',
-  'host',
-  'keep-alive',
-  'expect',
-  'transfer-encoding',
-  'content-length',
-]);
-
-function forwardedHeaders(
-  request: IncomingMessage,
-  body: Buffer,
-  hop: Hop,
-): http.OutgoingHttpHeaders {
-  const kept = Object.entries(request.headers).filter(
-    ([name]) => !HOP_HEADER_NAMES.has(name) && !DROPPED_HEADERS.has(name),
-  );
-  return {
-    ...Object.fromEntries(kept),
-    'content-length': body.length,
-    [HOP_HEADERS.request]: hop.request,
-    [HOP_HEADERS.attempt]: String(hop.attempt),
-    [HOP_HEADERS.priority]: String(hop.priority),
-  };
-}
--- a/agent/agent-server/src/load-gate.ts
+++ b/agent/agent-server/src/load-gate.ts
@@ -1,3 +1,4 @@
+import PQueue from 'p-queue';
 import {Result} from 'true-myth';
 import type {ControlClient} from '@marigoldspur/control-client';
 import {Fault} from '@marigoldspur/faults';
@@ -9,48 +10,79 @@
   release(loaded: boolean): void;
 }
 
+/** What an agent asks a load for, as it stands now. */
+export type LoadAsk = Omit<PermitRequest, 'waitMs'>;
+
 /** Hands out the right to load from a weight store. */
 export interface LoadGate {
-  /** Waits for a ticket until `deadlineMs`, a `performance.now()` time. */
+  /** Waits for a ticket until `signal` is aborted; `ask` tells who waits for the load now. */
   enter(
-    request: Omit<PermitRequest, 'waitMs'>,
-    deadlineMs: number,
+    ask: () => LoadAsk,
+    signal: AbortSignal,
   ): Promise<Result<LoadTicket, Fault>>;
 }
 
+/** Options of a gate that works without control. */
+export interface ShareLoadGateOptions {
+  /** Loads a second that this agent may do. */
+  readonly loadsPerSecond: number;
+}
+
+/** Options of a gate that turns from control to the agent's share. */
+export interface FallbackLoadGateOptions {
+  readonly control: LoadGate;
+  readonly share: LoadGate;
+  /** Whether control is away. */
+  readonly isAway: () => boolean;
+  /** Called when a load goes at the agent's share. */
+  readonly turned: () => void;
+}
+
 const PERMIT_WAIT_MS = 5_000;
 const CALL_SLACK_MS = 1_000;
 const RELEASE_WAIT_MS = 5_000;
+const AWAY_POLL_MS = 200;
+const SECOND_MS = 1_000;
 
 /** Asks control for each ticket. */
 export class ControlLoadGate implements LoadGate {
   constructor(private readonly client: ControlClient) {}
 
   async enter(
-    request: Omit<PermitRequest, 'waitMs'>,
-    deadlineMs: number,
+    ask: () => LoadAsk,
+    signal: AbortSignal,
   ): Promise<Result<LoadTicket, Fault>> {
-    while (performance.now() < deadlineMs) {
-      const waitMs = Math.round(
-        Math.min(PERMIT_WAIT_MS, deadlineMs - performance.now()),
-      );
-      const answer = await this.client.call(
-        replica =>
-          replica.acquirePermit.mutate(
-            {...request, waitMs: Math.max(0, waitMs)},
-            {signal: AbortSignal.timeout(waitMs + CALL_SLACK_MS)},
-          ),
-        Math.min(deadlineMs, performance.now() + waitMs + CALL_SLACK_MS),
-      );
-      if (answer.isErr) {
+    while (!signal.aborted) {
+      const asked = this.askOnce(ask());
+      const answer = await Promise.race([asked, aborted(signal)]);
+      if (answer === undefined) {
+        void asked.then(late => late.map(ticket => ticket?.release(false)));
+      } else if (answer.isErr) {
         return Result.err(answer.error);
-      }
-      const {permit} = answer.value;
-      if (permit !== undefined) {
-        return Result.ok({release: loaded => this.release(permit, loaded)});
+      } else if (answer.value !== undefined) {
+        return Result.ok(answer.value);
       }
     }
-    return Result.err(new Fault('TIMEOUT', 'no load permit came free in time'));
+    return notWanted();
+  }
+
+  /** Asks once; undefined where no permit came free. */
+  private async askOnce(
+    ask: LoadAsk,
+  ): Promise<Result<LoadTicket | undefined, Fault>> {
+    const answer = await this.client.call(
+      replica =>
+        replica.acquirePermit.mutate(
+          {...ask, waitMs: PERMIT_WAIT_MS},
+          {signal: AbortSignal.timeout(PERMIT_WAIT_MS + CALL_SLACK_MS)},
+        ),
+      performance.now() + PERMIT_WAIT_MS + CALL_SLACK_MS,
+    );
+    return answer.map(({permit}) =>
+      permit === undefined
+        ? undefined
+        : {release: loaded => this.release(permit, loaded)},
+    );
   }
 
   private release(permit: string, loaded: boolean): void {
@@ -61,3 +93,82 @@
     );
   }
 }
+
+/** Hands out tickets at the agent's share of the store's rate, one load at a time. */
+export class ShareLoadGate implements LoadGate {
+  private readonly queue: PQueue;
+
+  constructor(options: ShareLoadGateOptions) {
+    this.queue = new PQueue({
+      concurrency: 1,
+      interval: SECOND_MS / options.loadsPerSecond,
+      intervalCap: 1,
+    });
+  }
+
+  enter(
+    ask: () => LoadAsk,
+    signal: AbortSignal,
+  ): Promise<Result<LoadTicket, Fault>> {
+    return new Promise(resolve => {
+      const run = () =>
+        new Promise<void>(release =>
+          resolve(Result.ok({release: () => release()})),
+        );
+      this.queue
+        .add(run, {signal, priority: -ask().priority})
+        .catch(() => resolve(notWanted()));
+    });
+  }
+}
+
+/** Asks control, or keeps to the agent's share while control is away. */
+export class FallbackLoadGate implements LoadGate {
+  constructor(private readonly options: FallbackLoadGateOptions) {}
+
+  async enter(
+    ask: () => LoadAsk,
+    signal: AbortSignal,
+  ): Promise<Result<LoadTicket, Fault>> {
+    const {control, isAway, share, turned} = this.options;
+    while (!signal.aborted) {
+      if (isAway()) {
+        turned();
+        return share.enter(ask, signal);
+      }
+      const lost = new AbortController();
+      const poll = setInterval(() => {
+        if (isAway()) {
+          lost.abort();
+        }
+      }, AWAY_POLL_MS);
+      const ticket = await control.enter(
+        ask,
+        AbortSignal.any([signal, lost.signal]),
+      );
+      clearInterval(poll);
+      if (ticket.isOk) {
+        return ticket;
+      }
+      if (!lost.signal.aborted) {
+        await aborted(
+          AbortSignal.any([signal, AbortSignal.timeout(AWAY_POLL_MS)]),
+        );
+      }
+    }
+    return notWanted();
+  }
+}
+
+function notWanted<T>(): Result<T, Fault> {
+  return Result.err(new Fault('TIMEOUT', 'nobody waits for the load any more'));
+}
+
+function aborted(signal: AbortSignal): Promise<undefined> {
+  return new Promise(resolve => {
+    if (signal.aborted) {
+      resolve(undefined);
+    }
+    signal.addEventListener('abort', () => resolve(undefined), {once: true});
+  });
+}
--- /dev/null
+++ b/agent/agent-server/src/prepare-engine.ts
@@ -0,0 +1,118 @@
+import {SlotTable} from '@marigoldspur/adapter-slots';
+import type {
+  ControlClient,
+  SettingsFollower,
+} from '@marigoldspur/control-client';
+import type {EventLog} from '@marigoldspur/event-log';
+import {createEviction} from '@marigoldspur/eviction';
+import {OrderLease} from '@marigoldspur/order-lease';
+import {settingsOf} from '@marigoldspur/settings-tree';
+import {EngineClient} from '@marigoldspur/target-client';
+import {AdapterHost} from './adapter-host.js';
+import type {AgentMetrics} from './agent-metrics.js';
+import type {AgentSettings} from './agent-settings.js';
+import type {EngineParts} from './attempt-desk.js';
+import {LeaseKeeper} from './lease-keeper.js';
+import {ControlLoadGate, FallbackLoadGate, ShareLoadGate} from './load-gate.js';
+import {SlotOrders} from './slot-orders.js';
+import {TargetWatch} from './target-watch.js';
+
+/** What the engine's part of an agent is made from. */
+export interface PrepareEngineOptions {
+  readonly client: ControlClient;
+  readonly follower: SettingsFollower;
+  readonly events: EventLog;
+  readonly metrics: AgentMetrics;
+  readonly boot: string;
+  /** Called when the state of the target changes. */
+  readonly changed: () => void;
+}
+
+/** The parts of an agent that only an engine's has. */
+export interface PreparedEngine extends EngineParts {
+  readonly slots: SlotTable;
+  /** Fencing number of the orders. */
+  readonly fence: number;
+}
+
+const GRANT_TIMEOUT_MS = 60_000;
+
+/** Prepares the orders to an engine under a new fencing number. */
+export async function prepareEngine(
+  settings: AgentSettings,
+  options: PrepareEngineOptions,
+): Promise<PreparedEngine> {
+  const {client, events, follower, metrics} = options;
+  const askedAt = performance.now();
+  const fence = await grantFence(settings, options);
+  const path = `/${settings.customer}/${settings.service}`;
+  const policy = settingsOf(follower.settings.tree, path)?.eviction ?? 'lru';
+  const slots = new SlotTable(0, createEviction(policy));
+  const engine = new EngineClient(
+    settings.targetUrl,
+    () => fence,
+    settings.loadTimeoutMs,
+  );
+  const lease = new OrderLease(
+    {
+      leaseMs: settings.orderLeaseMs,
+      orderMs: settings.loadTimeoutMs,
+      fenceChecked: settings.fenceChecked,
+    },
+    performance.now(),
+  );
+  lease.confirmed(askedAt);
+  const keeper = new LeaseKeeper(lease, events);
+  const watch = new TargetWatch({
+    engine,
+    slots,
+    events,
+    metrics,
+    keeper,
+    changed: options.changed,
+  });
+  watch.start(settings.healthIntervalMs);
+  const gate = new FallbackLoadGate({
+    control: new ControlLoadGate(client),
+    share: new ShareLoadGate({
+      loadsPerSecond: settings.isolatedLoadsPerSecond,
+    }),
+    isAway: () => keeper.controlAway(performance.now()),
+    turned: () => events.record('loads-isolated'),
+  });
+  const settleMs = settings.loadTimeoutMs;
+  const orders = new SlotOrders({
+    slots,
+    engine,
+    watch,
+    keeper,
+    events,
+    settleMs,
+  });
+  const agent = settings.id;
+  const host = new AdapterHost({
+    agent,
+    slots,
+    orders,
+    keeper,
+    gate,
+    events,
+    metrics,
+  });
+  return {slots, watch, host, keeper, fence};
+}
+
+async function grantFence(
+  settings: AgentSettings,
+  {boot, client}: PrepareEngineOptions,
+): Promise<number> {
+  const granted = await client.call(
+    (replica, signal) =>
+      replica.grantFence.mutate({target: settings.target, boot}, {signal}),
+    performance.now() + GRANT_TIMEOUT_MS,
+  );
+  if (granted.isErr) {
+    throw granted.error;
+  }
+  return granted.value;
+}
--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -1,26 +1,23 @@
-import {SlotTable} from '@marigoldspur/adapter-slots';
+import type {Member, TargetReport} from '@marigoldspur/messages';
 import {
   ControlClient,
   SettingsFollower,
   startHeartbeat,
 } from '@marigoldspur/control-client';
 import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
-import {createEviction} from '@marigoldspur/eviction';
 import {processMetrics} from '@marigoldspur/metrics';
-import type {Member, TargetReport} from '@marigoldspur/messages';
 import {bootIdentity, type Task} from '@marigoldspur/process-life';
 import {startProcessServer} from '@marigoldspur/process-server';
-import {settingsOf} from '@marigoldspur/settings-tree';
-import {EngineClient} from '@marigoldspur/target-client';
-import {AdapterHost} from './adapter-host.js';
+import {agentMetrics} from './agent-metrics.js';
 import type {AgentSettings} from './agent-settings.js';
 import {AttemptDesk} from './attempt-desk.js';
-import {ControlLoadGate} from './load-gate.js';
-import {TargetWatch} from './target-watch.js';
+import {prepareEngine} from './prepare-engine.js';
+import {ServiceWatch} from './service-watch.js';
 
 const VERSION = '0.1.0';
 const START_TIMEOUT_MS = 60_000;
 const MAX_BODY_BYTES = 67_108_864;
+const MAX_HELD_BYTES = 67_108_864;
 const DRAIN_POLL_MS = 20;
 
 /** Starts the agent beside a target. */
@@ -37,7 +34,23 @@
   const client = new ControlClient({urls: settings.control});
   const follower = new SettingsFollower(client, events);
   await follower.start(performance.now() + START_TIMEOUT_MS);
-  const engine = await prepareEngine(settings, client, follower, events, boot);
+  const processRegistry = processMetrics({
+    process: settings.id,
+    role: 'agent',
+    zone: settings.zone,
+  });
+  const metrics = agentMetrics(processRegistry.registry);
+  let announce = () => {};
+  const changed = () => announce();
+  const parts = {client, follower, events, metrics, boot, changed};
+  const engine =
+    settings.targetKind === 'engine'
+      ? await prepareEngine(settings, parts)
+      : undefined;
+  const service = new ServiceWatch(settings.targetUrl, changed);
+  if (engine === undefined) {
+    service.start(settings.healthIntervalMs);
+  }
   const desk = new AttemptDesk({
     target: settings.target,
     targetUrl: settings.targetUrl,
@@ -45,20 +58,34 @@
     service: settings.service,
     settings: follower,
     events,
+    metrics,
     maxBodyBytes: MAX_BODY_BYTES,
-    host: engine?.host,
-    watch: engine?.watch,
+    maxHeldBytes: MAX_HELD_BYTES,
+    engine,
+    serviceHealthy: () => service.healthy,
   });
   let draining = false;
+  const isLeaving = () => draining || engine?.watch.state.leaving === true;
+  const report = (): TargetReport => ({
+    name: settings.target,
+    customer: settings.customer,
+    service: settings.service,
+    boot: engine?.watch.state.boot ?? boot,
+    healthy: engine?.watch.state.healthy ?? service.healthy,
+    slots: engine?.slots.size ?? 0,
+    resident: engine?.slots.resident() ?? [],
+    running: desk.load,
+    waiting: engine?.host.waiting ?? 0,
+    batchLimit: engine?.watch.state.batchLimit ?? settings.batchLimit,
+    fence: engine?.fence,
+  });
   const server = await startProcessServer({
     address: {host: settings.host, port: settings.port},
-    metrics: processMetrics({
-      process: settings.id,
-      role: 'agent',
-      zone: settings.zone,
-    }),
+    metrics: processRegistry,
     ready: () => !draining,
     fallback: (request, response) => void desk.handle(request, response),
+    checkContinue: (request, response) =>
+      void desk.handle(request, response, true),
     service: {
       status: () => ({
         id: settings.id,
@@ -81,18 +108,6 @@
       drain,
     },
   });
-  const report = (): TargetReport => ({
-    name: settings.target,
-    customer: settings.customer,
-    service: settings.service,
-    boot: engine?.watch.state.boot ?? boot,
-    healthy: engine?.watch.state.healthy ?? true,
-    slots: engine?.slots.size ?? 0,
-    resident: engine?.slots.resident() ?? [],
-    running: desk.load,
-    waiting: engine?.host.waiting ?? 0,
-    batchLimit: engine?.watch.state.batchLimit ?? settings.batchLimit,
-  });
   const member = (): Member => ({
     id: settings.id,
     role: 'agent',
@@ -100,15 +115,21 @@
     boot,
     url: server.url,
     revision: follower.settings.revision,
-    leaving: draining,
+    leaving: isLeaving(),
     target: report(),
   });
-  const heartbeat = startHeartbeat(client, member);
+  const heartbeat = startHeartbeat(client, member, answer =>
+    engine?.keeper.answered(answer),
+  );
+  engine?.keeper.use(heartbeat);
+  announce = () => void heartbeat.beat();
   events.record('process-started', {url: server.url, boot});
   return {
     async stop() {
       draining = true;
       events.record('process-draining');
+      // A heartbeat that is on its way may not say yet that the process leaves.
+      await heartbeat.beat();
       await heartbeat.beat();
       await pause(settings.settleMs);
       desk.close();
@@ -118,6 +139,7 @@
       }
       heartbeat.stop();
       engine?.watch.stop();
+      service.stop();
       await follower.stop();
       client.close();
       events.record('process-stopped');
@@ -125,46 +147,6 @@
   };
 }
 
-async function prepareEngine(
-  settings: AgentSettings,
-  client: ControlClient,
-  follower: SettingsFollower,
-  events: EventLog,
-  boot: string,
-) {
-  if (settings.targetKind === 'service') {
-    return undefined;
-  }
-  const granted = await client.call(
-    (replica, signal) =>
-      replica.grantFence.mutate({target: settings.target, boot}, {signal}),
-    performance.now() + START_TIMEOUT_MS,
-  );
-  if (granted.isErr) {
-    throw granted.error;
-  }
-  const fence = granted.value;
-  const path = `/${settings.customer}/${settings.service}`;
-  const policy = settingsOf(follower.settings.tree, path)?.eviction ?? 'lru';
-  const slots = new SlotTable(0, createEviction(policy));
-  const engine = new EngineClient(
-    settings.targetUrl,
-    () => fence,
-    settings.loadTimeoutMs,
-  );
-  const watch = new TargetWatch(engine, slots, events);
-  watch.start(settings.healthIntervalMs);
-  const gate = new ControlLoadGate(client);
-  const host = new AdapterHost({
-    agent: settings.id,
-    slots,
-    engine,
-    gate,
-    events,
-  });
-  return {slots, watch, host};
-}
-
 function pause(ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms));
 }
--- a/agent/agent-server/src/target-watch.ts
+++ b/agent/agent-server/src/target-watch.ts
@@ -1,6 +1,13 @@
-import type {SlotTable} from '@marigoldspur/adapter-slots';
+import type {Pin, SlotTable} from '@marigoldspur/adapter-slots';
 import type {EventLog} from '@marigoldspur/event-log';
-import type {EngineClient, EngineHealth} from '@marigoldspur/target-client';
+import type {
+  EngineClient,
+  EngineHealth,
+  EngineRequest,
+} from '@marigoldspur/target-client';
+import type {AgentMetrics} from './agent-metrics.js';
+import type {LeaseKeeper} from './lease-keeper.js';
+import {RunWatch} from './run-watch.js';
 
 /** What is known of a target. */
 export interface TargetState {
@@ -9,6 +16,18 @@
   readonly batchLimit: number;
   readonly running: number;
   readonly waiting: number;
+  readonly leaving: boolean;
+}
+
+/** What a target watch works with. */
+export interface TargetWatchOptions {
+  readonly engine: EngineClient;
+  readonly slots: SlotTable;
+  readonly events: EventLog;
+  readonly metrics: AgentMetrics;
+  readonly keeper: LeaseKeeper;
+  /** Called when the target turns healthy or not, leaves or restarts. */
+  readonly changed: () => void;
 }
 
 const UNKNOWN: TargetState = {
@@ -17,18 +36,22 @@
   batchLimit: 1,
   running: 0,
   waiting: 0,
+  leaving: false,
 };
+const RECONCILE_EVERY_CHECKS = 8;
 
-/** Checks an engine's health at a steady pace and takes note of its restarts. */
+/** Checks an engine's health at a steady pace, and takes note of its restarts and of what runs there. */
 export class TargetWatch {
   private current: TargetState = UNKNOWN;
   private timer?: NodeJS.Timeout;
+  private checking?: Promise<void>;
+  private checks = 0;
+  private stopped = false;
+  private readonly runs: RunWatch;
 
-  constructor(
-    private readonly engine: EngineClient,
-    private readonly slots: SlotTable,
-    private readonly events: EventLog,
-  ) {}
+  constructor(private readonly options: TargetWatchOptions) {
+    this.runs = new RunWatch(options.engine);
+  }
 
   get state(): TargetState {
     return this.current;
@@ -37,39 +60,131 @@
   start(intervalMs: number): void {
     const check = async () => {
       await this.check();
-      this.timer = setTimeout(() => void check(), intervalMs);
+      if (!this.stopped) {
+        this.timer = setTimeout(() => void check(), intervalMs);
+      }
     };
     void check();
   }
 
   stop(): void {
+    this.stopped = true;
+    this.runs.stop();
     clearTimeout(this.timer);
   }
 
-  /** Reads the engine's health once. */
-  async check(): Promise<void> {
-    const health = await this.engine.health();
+  /** Reads the engine's health once; joins a check that runs. */
+  check(): Promise<void> {
+    this.checking ??= this.readState().finally(() => {
+      this.checking = undefined;
+    });
+    return this.checking;
+  }
+
+  /** Brings the slots in line with what the engine lists now. */
+  async reconcile(): Promise<void> {
+    const {engine, slots} = this.options;
+    const {version} = slots;
+    const listing = await engine.resident();
+    const fits =
+      listing.isOk &&
+      slots.version === version &&
+      (listing.value.boot ?? this.current.boot) === this.current.boot;
+    if (fits) {
+      slots.reconcile(listing.value.items, performance.now());
+    }
+  }
+
+  /** Has the engine stop a request, and releases its pin once it has stopped. */
+  releaseWhenStopped(id: string, pin: Pin): void {
+    void this.options.engine.abort(id);
+    this.runs.hold(id, this.current.boot, pin);
+  }
+
+  /** Pins what runs in the engine without this agent having sent it. */
+  adopt(running: readonly EngineRequest[]): void {
+    for (const {id, model} of running) {
+      const pin = this.options.slots.pinRunning(model, performance.now());
+      this.runs.hold(id, this.current.boot, pin);
+    }
+  }
+
+  private async readState(): Promise<void> {
+    const before = this.current;
+    const health = await this.options.engine.health();
     if (health.isErr) {
-      this.current = {...this.current, healthy: false};
+      this.current = {...before, healthy: false};
+    } else if (health.value.boot !== before.boot) {
+      await this.takeOver(health.value.boot);
+    } else {
+      this.current = stateOf(health.value);
+      await this.sample();
+    }
+    const {healthy, leaving, boot} = this.current;
+    if (
+      healthy !== before.healthy ||
+      leaving !== before.leaving ||
+      boot !== before.boot
+    ) {
+      this.options.changed();
+    }
+  }
+
+  private async sample(): Promise<void> {
+    const {running, batchLimit} = this.current;
+    if (running > 0) {
+      this.options.metrics.batchFill.observe(running / batchLimit);
+    }
+    this.checks += 1;
+    if (this.checks % RECONCILE_EVERY_CHECKS === 0) {
+      await this.reconcile();
+    }
+  }
+
+  /** Takes over what an engine holds and runs, as after a restart of either side. */
+  private async takeOver(boot: string): Promise<void> {
+    const {engine, events, keeper, slots} = this.options;
+    this.current = {...this.current, healthy: false};
+    await this.showFence();
+    const health = await engine.health();
+    const loading = health.isOk ? health.value.loading : undefined;
+    if (!keeper.lease.mayTakeOver(performance.now(), loading)) {
       return;
     }
-    if (health.value.boot !== this.current.boot) {
-      await this.takeOver(health.value);
+    const running = await engine.running();
+    const resident = await engine.resident();
+    if (health.isErr || running.isErr || resident.isErr) {
       return;
     }
-    this.current = {healthy: true, ...health.value};
+    const boots = [health.value, running.value, resident.value];
+    if (boots.some(answer => (answer.boot ?? boot) !== boot)) {
+      return;
+    }
+    if (this.current.boot !== '') {
+      events.record('target-restarted', {boot});
+    }
+    slots.reset(health.value.slots, resident.value.items, performance.now());
+    this.current = stateOf(health.value);
+    this.adopt(running.value.items);
+    events.record('orders-taken-over', {boot});
   }
 
-  private async takeOver(health: EngineHealth): Promise<void> {
-    const resident = await this.engine.resident();
-    if (resident.isErr) {
-      this.current = {...this.current, healthy: false};
+  /** Shows the engine the fencing number, so that it refuses the orders of the agent before. */
+  private async showFence(): Promise<void> {
+    const {engine, keeper} = this.options;
+    keeper.lease.fenceForgotten();
+    if (!keeper.lease.isConfirmed(performance.now())) {
       return;
     }
-    if (this.current.boot !== '') {
-      this.events.record('target-restarted', {boot: health.boot});
+    const shown = await engine.showFence();
+    if (shown.isOk) {
+      keeper.lease.fenceShown();
+    } else if (shown.error.code === 'FENCED') {
+      keeper.lease.revoke();
     }
-    this.slots.reset(health.slots, resident.value, performance.now());
-    this.current = {healthy: true, ...health};
   }
 }
+
+function stateOf(health: EngineHealth): TargetState {
+  return {healthy: true, ...health};
+}
--- /dev/null
+++ b/agent/order-lease/src/index.ts
@@ -0,0 +1,1 @@
+export {OrderLease, type OrderLeaseOptions} from './order-lease.js';
--- a/agent/target-client/src/engine-client.ts
+++ b/agent/target-client/src/engine-client.ts
@@ -4,15 +4,38 @@
 import {Fault, type FaultCode} from '@marigoldspur/faults';
 import {openRequest, readBody} from '@marigoldspur/http-link';
 import {
+  BOOT_HEADER,
   ENGINE_HEALTH_SCHEMA,
   ENGINE_MODELS_SCHEMA,
+  ENGINE_REQUESTS_SCHEMA,
   type EngineHealth,
+  type EngineRequest,
 } from './engine-messages.js';
 
+/** What an engine lists, and the boot that listed it. */
+export interface Listing<Item> {
+  /** Boot identity; undefined where the engine does not tell. */
+  readonly boot?: string;
+  readonly items: Item[];
+}
+
+/** An engine's confirmation of an order. */
+export interface Confirmation {
+  /** Boot identity; undefined where the engine does not tell. */
+  readonly boot?: string;
+}
+
+interface Reply extends Confirmation {
+  readonly text: string;
+}
+
 const MAX_REPLY_BYTES = 1_048_576;
 const HEALTH_TIMEOUT_MS = 1_000;
 const FENCE_HEADER = 'x-fencing-number';
 const STATUS_CONFLICT = 409;
+const STATUS_BAD_REQUEST = 400;
+/** An adapter that no tree can name, so that ordering it away changes nothing. */
+const NO_ADAPTER = '@';
 
 /** Gives orders to a model engine and reads its state. */
 export class EngineClient {
@@ -26,51 +49,73 @@
   ) {}
 
   /** Reads the engine's health. */
-  health(): Promise<Result<EngineHealth, Fault>> {
-    return this.read('/health', ENGINE_HEALTH_SCHEMA);
+  async health(): Promise<Result<EngineHealth, Fault>> {
+    const reply = await this.read('/health');
+    return reply.andThen(({text}) => parse(text, ENGINE_HEALTH_SCHEMA));
   }
 
   /** The adapters that the engine says it holds, as `adapter@version`. */
-  async resident(): Promise<Result<string[], Fault>> {
-    const models = await this.read('/v1/models', ENGINE_MODELS_SCHEMA);
-    return models.map(list => list.data.map(model => model.id));
+  async resident(): Promise<Result<Listing<string>, Fault>> {
+    const reply = await this.read('/v1/models');
+    return reply.andThen(({text, boot}) =>
+      parse(text, ENGINE_MODELS_SCHEMA).map(list => ({
+        boot,
+        items: list.data.map(model => model.id),
+      })),
+    );
+  }
+
+  /** The requests that run or wait in the engine. */
+  async running(): Promise<Result<Listing<EngineRequest>, Fault>> {
+    const reply = await this.read('/v1/requests');
+    return reply.andThen(({text, boot}) =>
+      parse(text, ENGINE_REQUESTS_SCHEMA).map(list => ({
+        boot,
+        items: list.data,
+      })),
+    );
   }
 
-  /** Orders a load; resolves when the engine says it is done. */
-  load(model: string, digest: string): Promise<Result<unknown, Fault>> {
+  /** Asks the engine to stop a request. */
+  abort(id: string): Promise<Result<Confirmation, Fault>> {
+    const body = JSON.stringify({request_ids: [id]});
+    return this.send('POST', '/v1/abort_requests', body, HEALTH_TIMEOUT_MS);
+  }
+
+  /**
+   * Orders a load; resolves when the engine says it is done. `UNAVAILABLE` and
+   * `TORN_ANSWER` leave open whether it was.
+   */
+  load(model: string, digest: string): Promise<Result<Confirmation, Fault>> {
     return this.order('/v1/load_lora_adapter', {
       lora_name: model,
       lora_path: digest,
     });
   }
 
-  /** Orders an eviction. */
-  unload(model: string): Promise<Result<unknown, Fault>> {
+  /** Orders an eviction, with the same faults as a load. */
+  unload(model: string): Promise<Result<Confirmation, Fault>> {
     return this.order('/v1/unload_lora_adapter', {lora_name: model});
   }
 
+  /** Shows the engine the fencing number with an order that changes nothing. */
+  showFence(): Promise<Result<Confirmation, Fault>> {
+    return this.unload(NO_ADAPTER);
+  }
+
   /** Closes all connections. */
   close(): void {
     this.agent.destroy();
   }
 
-  private async read<Schema extends z.ZodType>(
-    path: string,
-    schema: Schema,
-  ): Promise<Result<z.infer<Schema>, Fault>> {
-    const reply = await this.send('GET', path, undefined, HEALTH_TIMEOUT_MS);
-    return reply.andThen(text => {
-      const parsed = schema.safeParse(parseJson(text));
-      return parsed.success
-        ? Result.ok<z.infer<Schema>, Fault>(parsed.data)
-        : Result.err(new Fault('INVALID_INPUT', `${path}: unexpected answer`));
-    });
+  private read(path: string): Promise<Result<Reply, Fault>> {
+    return this.send('GET', path, undefined, HEALTH_TIMEOUT_MS);
   }
 
   private order(
     path: string,
     body: Readonly<Record<string, string>>,
-  ): Promise<Result<unknown, Fault>> {
+  ): Promise<Result<Confirmation, Fault>> {
     return this.send('POST', path, JSON.stringify(body), this.orderTimeoutMs);
   }
 
@@ -79,7 +124,7 @@
     path: string,
     body: string | undefined,
     timeoutMs: number,
-  ): Promise<Result<string, Fault>> {
+  ): Promise<Result<Reply, Fault>> {
     return new Promise(resolve => {
       const call = openRequest({
         url: new URL(path, this.baseUrl),
@@ -88,7 +133,10 @@
         signal: AbortSignal.timeout(timeoutMs),
         headers: {
           [FENCE_HEADER]: String(this.fence()),
-          ...(body !== undefined && {'content-type': 'application/json'}),
+          ...(body !== undefined && {
+            'content-type': 'application/json',
+            'content-length': Buffer.byteLength(body),
+          }),
         },
       });
       call.on('error', error =>
@@ -104,19 +152,37 @@
 
 async function readReply(
   response: http.IncomingMessage,
-): Promise<Result<string, Fault>> {
+): Promise<Result<Reply, Fault>> {
   const body = await readBody(response, MAX_REPLY_BYTES);
   const status = response.statusCode ?? 0;
+  const boot = response.headers[BOOT_HEADER];
   return body.andThen(bytes => {
     const text = bytes.toString('utf8');
     return status === 200
-      ? Result.ok<string, Fault>(text)
+      ? Result.ok<Reply, Fault>({text, boot: boot?.toString()})
       : Result.err(new Fault(faultCode(status), `status ${status}: ${text}`));
   });
 }
 
 function faultCode(status: number): FaultCode {
-  return status === STATUS_CONFLICT ? 'FENCED' : 'LOAD_FAILED';
+  switch (status) {
+    case STATUS_CONFLICT:
+      return 'FENCED';
+    case STATUS_BAD_REQUEST:
+      return 'REFUSED';
+    default:
+      return 'LOAD_FAILED';
+  }
+}
+
+function parse<Schema extends z.ZodType>(
+  text: string,
+  schema: Schema,
+): Result<z.infer<Schema>, Fault> {
+  const parsed = schema.safeParse(parseJson(text));
+  return parsed.success
+    ? Result.ok<z.infer<Schema>, Fault>(parsed.data)
+    : Result.err(new Fault('INVALID_INPUT', 'unexpected answer of the engine'));
 }
 
 function parseJson(text: string): unknown {
--- a/agent/target-client/src/engine-messages.ts
+++ b/agent/target-client/src/engine-messages.ts
@@ -10,6 +10,10 @@
   batchLimit: z.int().min(1),
   running: z.int().min(0),
   waiting: z.int().min(0),
+  /** Loads that run; absent where the engine does not tell. */
+  loading: z.int().min(0).optional(),
+  /** Whether the engine takes no new work. */
+  leaving: z.boolean().default(false),
 });
 
 /** Answer of `GET /health` of an engine. */
@@ -19,3 +23,19 @@
 export const ENGINE_MODELS_SCHEMA = z.object({
   data: z.array(z.object({id: z.string()})),
 });
+
+/** Answer of `GET /v1/requests` of an engine: what runs or waits there. */
+export const ENGINE_REQUESTS_SCHEMA = z.object({
+  data: z.array(z.object({id: z.string(), model: z.string()})),
+});
+
+/** A request that runs or waits in an engine. */
+export type EngineRequest = z.infer<
+  typeof ENGINE_REQUESTS_SCHEMA
+>['data'][number];
+
+/** Header of each answer of an engine: the boot identity that gave it. */
+export const BOOT_HEADER = 'x-engine-boot';
+
+/** Header of a request and of its answer: the identity of the request at the engine. */
+export const REQUEST_ID_HEADER = 'x-request-id';
--- a/lab/lab/src/system.ts
+++ b/lab/lab/src/system.ts
@@ -191,6 +191,7 @@
         ...['--target', name],
         ...['--target-url', `${LOOPBACK}:${targetPort}`],
         ...['--target-kind', group.kind],
+        ...['--fence-checked', 'true'],
         ...['--customer', deployment.customer],
         ...['--service', group.service],
         ...level,
--- a/zones/control-client/src/heartbeat.ts
+++ b/zones/control-client/src/heartbeat.ts
@@ -25,20 +25,20 @@
   member: () => Member,
   answered: (answer: HeartbeatAnswer) => void = () => {},
 ): Heartbeat {
-  let busy = false;
-  const beat = async () => {
-    if (busy) {
-      return;
-    }
-    busy = true;
+  let beating: Promise<void> | undefined;
+  const send = async () => {
     const sentAt = performance.now();
     const result = await client.call(
       (replica, signal) => replica.heartbeat.mutate(member(), {signal}),
       sentAt + HEARTBEAT_MS * 2,
     );
-    busy = false;
+    beating = undefined;
     answered({sentAt, result});
   };
+  const beat = () => {
+    beating ??= send();
+    return beating;
+  };
   const timer = setInterval(() => void beat(), HEARTBEAT_MS);
   void beat();
   return {
