--- /dev/null
+++ b/agent/agent-server/src/agent-settings.js
@@ -0,0 +1,44 @@
+import { z } from 'zod';
+import { DURATION_MS_SCHEMA, LIST_SCHEMA, PORT_SCHEMA, } from '@marigoldspur/process-settings';
+import { LINK_SETTINGS } from '@marigoldspur/link-security';
+import { NAME_SCHEMA } from '@marigoldspur/settings-schema';
+/** Settings of an agent process. */
+export const AGENT_SETTINGS_SCHEMA = z.object({
+    id: NAME_SCHEMA.describe('Name of the process, stable over restarts'),
+    zone: NAME_SCHEMA.describe('Availability zone'),
+    ...LINK_SETTINGS,
+    port: PORT_SCHEMA.describe('Port for entries and operators'),
+    control: LIST_SCHEMA.describe('Base URLs of the replicas of control'),
+    target: NAME_SCHEMA.describe('Name of the target beside the agent'),
+    targetUrl: z.url().describe('Base URL of the target'),
+    targetKind: z
+        .enum(['engine', 'service'])
+        .describe('Whether the target is a model engine or a plain service'),
+    customer: NAME_SCHEMA.describe('Customer that the target belongs to'),
+    service: NAME_SCHEMA.describe('Service that the target belongs to'),
+    batchLimit: z.coerce
+        .number()
+        .int()
+        .min(1)
+        .default(64)
+        .describe('Requests that a plain service runs at once'),
+    healthIntervalMs: DURATION_MS_SCHEMA.default(250).describe('Time between health checks of the target, in milliseconds'),
+    loadTimeoutMs: DURATION_MS_SCHEMA.default(20_000).describe('Longest time of one load, in milliseconds'),
+    fenceChecked: z
+        .stringbool()
+        .default(false)
+        .describe('Whether the engine refuses orders with an old fencing number'),
+    orderLeaseMs: DURATION_MS_SCHEMA.default(5_000).describe('How long orders may be given without confirmation by control, in milliseconds; equal in all agents'),
+    isolatedLoadsPerSecond: z.coerce
+        .number()
+        .positive()
+        .max(1_000)
+        .default(0.3)
+        .describe('Loads a second of this agent while control is away'),
+    drainMs: DURATION_MS_SCHEMA.default(60_000).describe('Longest time that running requests get at a shutdown, in milliseconds'),
+    settleMs: DURATION_MS_SCHEMA.default(1_000).describe('Time between the announcement of a shutdown and its start, in milliseconds'),
+    logLevel: z
+        .enum(['debug', 'info', 'warn', 'error', 'silent'])
+        .default('info')
+        .describe('Lowest level of logged events'),
+});
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -42,6 +42,7 @@
 
 const wanted = process.argv.slice(2);
 const files = packageFolders()
+  .filter(folder => existsSync(path.join(folder, 'package.json')))
   .map(folder => path.join(folder, 'lib', 'test'))
   .filter(folder => existsSync(folder))
   .flatMap(folder => testFiles(folder))
