--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -1,4 +1,5 @@
-import http, {type IncomingMessage} from 'node:http';
+import type http from 'node:http';
+import type {IncomingMessage} from 'node:http';
 import {Result} from 'true-myth';
 import {Refusal} from '@marigoldspur/faults';
 import {openRequest} from '@marigoldspur/http-link';
@@ -11,7 +12,8 @@
 
 /** Sends attempts to agents. */
 export class AttemptClient {
-  private readonly agent = new http.Agent({keepAlive: true});
+  /** `agent` makes the connections. */
+  constructor(private readonly agent: http.Agent) {}
 
   /**
    * Sends an attempt; resolves with the head of the answer or with what is known of
--- a/entry/dispatch/test/attempt-client.test.ts
+++ b/entry/dispatch/test/attempt-client.test.ts
@@ -1,3 +1,4 @@
+import http from 'node:http';
 import {expect} from 'chai';
 import {Result} from 'true-myth';
 import {
@@ -27,7 +28,7 @@
 ].join('\r\n');
 
 let agent: FakeAgent | undefined;
-const client = new AttemptClient();
+const client = new AttemptClient(new http.Agent({keepAlive: true}));
 
 afterEach(() => agent?.stop());
 after(() => client.close());
--- a/entry/dispatch/test/relay-answer.test.ts
+++ b/entry/dispatch/test/relay-answer.test.ts
@@ -27,7 +27,7 @@
   readonly relayed: Relayed | undefined;
 }
 
-const client = new AttemptClient();
+const client = new AttemptClient(new http.Agent({keepAlive: true}));
 after(() => client.close());
 
 /** Lets a caller ask an entry that relays what the agent's bytes say. */
--- a/entry/entry-server/src/caller-server.ts
+++ b/entry/entry-server/src/caller-server.ts
@@ -22,22 +22,26 @@
 const MAX_HEADER_BYTES = 16_384;
 const CLOSE_IDLE_MS = 50;
 
-/** The server of callers' connections. */
+/** Bounds of callers' connections. */
+export const CALLER_SERVER_OPTIONS: http.ServerOptions = {
+  maxHeaderSize: MAX_HEADER_BYTES,
+  headersTimeout: HEADERS_TIMEOUT_MS,
+  requestTimeout: REQUEST_TIMEOUT_MS,
+  connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+  keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+};
+
+/** Serves callers' connections. */
 export class CallerServer {
-  readonly server: http.Server;
   /** Connections with a request that is being answered. */
   private readonly answering = new WeakMap<Socket, number>();
 
-  constructor(private readonly options: CallerServerOptions) {
-    this.server = http.createServer(
-      {
-        maxHeaderSize: MAX_HEADER_BYTES,
-        headersTimeout: HEADERS_TIMEOUT_MS,
-        requestTimeout: REQUEST_TIMEOUT_MS,
-        connectionsCheckingInterval: TIMEOUT_CHECK_MS,
-        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-      },
-      (request, response) => this.take(request, response),
+  constructor(
+    private readonly server: http.Server,
+    private readonly options: CallerServerOptions,
+  ) {
+    this.server.on('request', (request, response) =>
+      this.take(request, response),
     );
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.refuseConnection(error, socket as Socket),
--- a/entry/entry-server/src/request-desk.ts
+++ b/entry/entry-server/src/request-desk.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Admission} from '@marigoldspur/admission';
 import {modelList, writeRefusal} from '@marigoldspur/caller-api';
+import type {CallerKeyTable} from '@marigoldspur/caller-keys';
 import type {SettingsFollower} from '@marigoldspur/control-client';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal, toFault} from '@marigoldspur/faults';
@@ -17,6 +18,7 @@
 export interface RequestDeskOptions {
   readonly settings: SettingsFollower;
   readonly contact: ControlContact;
+  readonly keys: CallerKeyTable;
   readonly reader: RequestReader;
   readonly admission: Admission;
   readonly runner: AttemptRunner;
@@ -56,11 +58,21 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const owner = this.options.keys.customerOf(request.headers);
+    if (owner.isErr) {
+      this.refuse(response, id, owner.error);
+      return;
+    }
     if (request.method === 'GET' && request.url === '/v1/models') {
-      this.listModels(response);
+      this.listModels(response, owner.value);
       return;
     }
-    const job = await this.options.reader.read(id, request, response);
+    const job = await this.options.reader.read(
+      id,
+      request,
+      response,
+      owner.value,
+    );
     if (job.isErr) {
       this.refuse(response, id, job.error);
       return;
@@ -73,10 +85,13 @@
     }
   }
 
-  private listModels(response: ServerResponse): void {
+  private listModels(
+    response: ServerResponse,
+    customer: string | undefined,
+  ): void {
     const {tree} = this.options.settings.settings;
     response.setHeader('content-type', 'application/json');
-    response.end(JSON.stringify(modelList(tree, undefined)));
+    response.end(JSON.stringify(modelList(tree, customer)));
   }
 
   /** Answers a job, or gives the refusal that is left to be sent. */
--- a/entry/entry-server/src/request-reader.ts
+++ b/entry/entry-server/src/request-reader.ts
@@ -21,11 +21,13 @@
 export class RequestReader {
   constructor(private readonly options: RequestReaderOptions) {}
 
-  /** Reads the body and looks up what the request names; what is wrong is refused. */
+  /** Reads the body and looks up what the request names; what is wrong is refused.
+   * `customer` is the caller's; undefined where no keys are set. */
   async read(
     id: string,
     request: IncomingMessage,
     response: ServerResponse,
+    customer: string | undefined,
   ): Promise<Result<Job, Refusal>> {
     const startedAt = performance.now();
     const gone = new AbortController();
@@ -46,7 +48,7 @@
     }
     const {revision, tree} = this.options.settings.settings;
     const method = request.method ?? 'GET';
-    const head = {method, url: request.url ?? '/', customer: undefined};
+    const head = {method, url: request.url ?? '/', customer};
     const read = readCallerRequest(head, body.value, tree);
     if (read.isErr) {
       return Result.err(read.error);
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -1,4 +1,5 @@
 import {Admission} from '@marigoldspur/admission';
+import {openCallerKeys} from '@marigoldspur/caller-keys';
 import {
   ControlClient,
   MemberFollower,
@@ -8,6 +9,7 @@
 import {AttemptClient, TargetDirectory} from '@marigoldspur/dispatch';
 import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
 import {listen} from '@marigoldspur/http-link';
+import {openLinkSecurity} from '@marigoldspur/link-security';
 import {processMetrics} from '@marigoldspur/metrics';
 import type {Member} from '@marigoldspur/messages';
 import {bootIdentity, type Task} from '@marigoldspur/process-life';
@@ -17,7 +19,8 @@
 import type {EntrySettings} from './entry-settings.js';
 import {AnswerSender} from './answer-sender.js';
 import {AttemptRunner} from './attempt-runner.js';
-import {CallerServer} from './caller-server.js';
+import {CALLER_SERVER_OPTIONS, CallerServer} from './caller-server.js';
+import {createCallerServer} from './create-caller-server.js';
 import {ClaimedRunner} from './claimed-runner.js';
 import {ControlContact} from './control-contact.js';
 import {RequestDesk} from './request-desk.js';
@@ -40,7 +43,11 @@
     process: settings.id,
     sinks: [jsonLineSink(settings.logLevel)],
   });
-  const client = new ControlClient({urls: settings.control});
+  const security = await openLinkSecurity(settings, events);
+  const client = new ControlClient({
+    urls: settings.control,
+    agent: security.createAgent(),
+  });
   const follower = new SettingsFollower(client, events);
   await follower.start(performance.now() + START_TIMEOUT_MS);
   const members = new MemberFollower(client);
@@ -51,7 +58,8 @@
     zone: settings.zone,
   });
   const entryMetrics = new EntryMetrics(metrics.registry);
-  const attempts = new AttemptClient();
+  const keys = await openCallerKeys({file: settings.callerKeys, events});
+  const attempts = new AttemptClient(security.createAgent());
   const claims = new ClaimDesk({client, events, entry: settings.id, boot});
   const runner = new AttemptRunner({
     directory: new TargetDirectory(() => members.members(), settings.zone),
@@ -65,6 +73,7 @@
   const desk = new RequestDesk({
     settings: follower,
     contact,
+    keys,
     reader: new RequestReader({
       settings: follower,
       maxBodyBytes: settings.maxBodyBytes,
@@ -79,16 +88,22 @@
     metrics: entryMetrics,
   });
   let draining = false;
-  const callers = new CallerServer({
+  const callerServer = await createCallerServer(
+    settings,
+    CALLER_SERVER_OPTIONS,
+    events,
+  );
+  const callers = new CallerServer(callerServer, {
     handle: (request, response) => desk.handle(request, response),
     draining: () => draining,
   });
-  const callerAddress = await listen(callers.server, {
+  const callerAddress = await listen(callerServer, {
     host: settings.host,
     port: settings.callerPort,
   });
   const server = await startProcessServer({
     address: {host: settings.host, port: settings.port},
+    security,
     metrics,
     ready: () => !draining,
     service: {
@@ -117,9 +132,11 @@
     revision: follower.settings.revision,
     leaving: draining,
   });
-  const heartbeat = startHeartbeat(client, member, ({revision}) =>
-    contact.heard(revision, performance.now()),
-  );
+  const heartbeat = startHeartbeat(client, member, ({result, sentAt}) => {
+    if (result.isOk) {
+      contact.heard(result.value.revision, sentAt);
+    }
+  });
   events.record('process-started', {
     url: server.url,
     callers: `http://${callerAddress.host}:${callerAddress.port}`,
@@ -140,6 +157,8 @@
       await follower.stop();
       attempts.close();
       client.close();
+      keys.stop();
+      security.stop();
       events.record('process-stopped');
     },
   };
--- a/zones/control-client/src/heartbeat.ts
+++ b/zones/control-client/src/heartbeat.ts
@@ -1,12 +1,8 @@
+import type {Result} from 'true-myth';
+import type {Fault} from '@marigoldspur/faults';
 import type {Member} from '@marigoldspur/messages';
 import type {ControlClient} from './control-client.js';
 
-/** The answer to a heartbeat. */
-export interface HeartbeatAnswer {
-  /** The latest settings revision that control knows. */
-  readonly revision: number;
-}
-
 const HEARTBEAT_MS = 500;
 
 /** A running heartbeat. */
@@ -16,11 +12,19 @@
   stop(): void;
 }
 
-/** Announces a process to control at a steady pace. */
+/** What control answered to a heartbeat. */
+export interface HeartbeatAnswer {
+  /** When the heartbeat was sent, a `performance.now()` time. */
+  readonly sentAt: number;
+  /** The latest settings revision that control knows. */
+  readonly result: Result<{readonly revision: number}, Fault>;
+}
+
+/** Announces a process to control at a steady pace; `answered` gets each answer. */
 export function startHeartbeat(
   client: ControlClient,
   member: () => Member,
-  onAnswer: (answer: HeartbeatAnswer) => void = () => {},
+  answered: (answer: HeartbeatAnswer) => void = () => {},
 ): Heartbeat {
   let busy = false;
   const beat = async () => {
@@ -28,14 +32,13 @@
       return;
     }
     busy = true;
-    const answer = await client.call(
+    const sentAt = performance.now();
+    const result = await client.call(
       (replica, signal) => replica.heartbeat.mutate(member(), {signal}),
-      performance.now() + HEARTBEAT_MS * 2,
+      sentAt + HEARTBEAT_MS * 2,
     );
     busy = false;
-    if (answer.isOk) {
-      onAnswer(answer.value);
-    }
+    answered({sentAt, result});
   };
   const timer = setInterval(() => void beat(), HEARTBEAT_MS);
   void beat();
