Leave silent agents early, and route round suspected targets

A frozen agent still accepts connections, so attempts waited for the whole first-byte bound (30 s) at it, and new ones joined them. An attempt without a byte for 500 ms has its agent probed; two failed probes suspect the agent, end the attempts that wait there (not those that may not be repeated and were sent), and keep new work away until a probe is answered. A slow target beside a live agent is waited for.

--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -147,6 +147,16 @@
     level: 'warn',
     meaning: 'Requests still ran when the time for a shutdown was over.',
   },
+  'target-suspected': {
+    number: 412,
+    level: 'warn',
+    meaning: 'A target gets no work from this entry until it answers again.',
+  },
+  'target-trusted': {
+    number: 413,
+    level: 'info',
+    meaning: 'A suspected target answered and gets work again.',
+  },
   'attempt-received': {
     number: 500,
     level: 'debug',
--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -1,19 +1,23 @@
 import type http from 'node:http';
 import type {IncomingMessage} from 'node:http';
 import {Result} from 'true-myth';
-import {Refusal} from '@marigoldspur/faults';
+import {Refusal, type RefusalOutcome} from '@marigoldspur/faults';
 import {openRequest} from '@marigoldspur/http-link';
 import {HOP_HEADERS} from '@marigoldspur/messages';
 import {readAgentRefusal} from './agent-refusal.js';
 import {attemptHeaders} from './attempt-headers.js';
 import type {Attempt, AttemptAnswer} from './attempt.js';
+import type {TargetHealth} from './target-health.js';
 
 const RETRY_SOON_SECONDS = 1;
 
 /** Sends attempts to agents. */
 export class AttemptClient {
-  /** `agent` makes the connections. */
-  constructor(private readonly agent: http.Agent) {}
+  /** `agent` makes the connections; `health` is told what attempts see. */
+  constructor(
+    private readonly agent: http.Agent,
+    private readonly health: TargetHealth,
+  ) {}
 
   /**
    * Sends an attempt; resolves with the head of the answer or with what is known of
@@ -21,52 +25,7 @@
    * Continue` before its body goes out, so that it provably did not run until then.
    */
   send(attempt: Attempt): Promise<Result<AttemptAnswer, Refusal>> {
-    return new Promise(resolve => {
-      const late = new AbortController();
-      const timer = setTimeout(
-        () => late.abort(),
-        Math.min(attempt.firstByteTimeoutMs, attempt.hop.budgetMs),
-      );
-      const call = openRequest({
-        url: new URL(attempt.url, attempt.destination.url),
-        method: attempt.method,
-        headers: attemptHeaders(attempt),
-        agent: this.agent,
-        signal: AbortSignal.any([attempt.signal, late.signal]),
-      });
-      let connected = false;
-      call.on('socket', socket => {
-        connected = !socket.connecting;
-        socket.once('connect', () => (connected = true));
-      });
-      let bodySent = false;
-      const sendBody = () => {
-        if (!call.destroyed) {
-          bodySent = true;
-          call.end(attempt.body);
-        }
-      };
-      call.on('error', error => {
-        clearTimeout(timer);
-        const reached = bodySent && connected;
-        resolve(Result.err(brokenLink(reached, late.signal.aborted, error)));
-      });
-      call.on('response', message => {
-        clearTimeout(timer);
-        void readHead(attempt, message).then(answer => {
-          if (answer.isErr && !bodySent) {
-            call.destroy();
-          }
-          resolve(answer);
-        });
-      });
-      if (attempt.hop.repeatable) {
-        sendBody();
-      } else {
-        call.on('continue', sendBody);
-        call.flushHeaders();
-      }
-    });
+    return new AttemptExchange(attempt, this.agent, this.health).run();
   }
 
   /** Closes all connections. */
@@ -75,49 +34,135 @@
   }
 }
 
+/** One attempt on its way. */
+class AttemptExchange {
+  private readonly late = new AbortController();
+  private readonly silent = new AbortController();
+  private connected = false;
+  private bodySent = false;
+  private message: IncomingMessage | undefined;
+
+  constructor(
+    private readonly attempt: Attempt,
+    private readonly agent: http.Agent,
+    private readonly health: TargetHealth,
+  ) {}
+
+  run(): Promise<Result<AttemptAnswer, Refusal>> {
+    const {attempt, late, silent} = this;
+    const call = openRequest({
+      url: new URL(attempt.url, attempt.destination.url),
+      method: attempt.method,
+      headers: attemptHeaders(attempt),
+      agent: this.agent,
+      signal: AbortSignal.any([attempt.signal, late.signal, silent.signal]),
+    });
+    const timer = setTimeout(
+      () => late.abort(),
+      Math.min(attempt.firstByteTimeoutMs, attempt.hop.budgetMs),
+    );
+    const endWatch = this.health.watch({
+      destination: attempt.destination,
+      bytesRead: () => this.message?.socket.bytesRead ?? 0,
+      onSilent: () => this.giveUp(),
+    });
+    call.on('close', endWatch);
+    call.on('socket', socket => {
+      this.connected = !socket.connecting;
+      socket.once('connect', () => (this.connected = true));
+    });
+    const answered = new Promise<Result<AttemptAnswer, Refusal>>(resolve => {
+      call.on('error', error => resolve(Result.err(this.failure(error))));
+      call.on('response', message => {
+        this.message = message;
+        resolve(this.readAnswer(call, message));
+      });
+    });
+    this.sendBody(call);
+    return answered.finally(() => clearTimeout(timer));
+  }
+
+  private sendBody(call: http.ClientRequest): void {
+    const send = () => {
+      if (!call.destroyed) {
+        this.bodySent = true;
+        call.end(this.attempt.body);
+      }
+    };
+    if (this.attempt.hop.repeatable) {
+      send();
+      return;
+    }
+    call.on('continue', send);
+    call.flushHeaders();
+  }
+
+  /** Leaves a silent agent, but not one that may be running what may not be repeated. */
+  private giveUp(): void {
+    if (this.attempt.hop.repeatable || !this.bodySent) {
+      this.silent.abort();
+    }
+  }
+
+  private async readAnswer(
+    call: http.ClientRequest,
+    message: IncomingMessage,
+  ): Promise<Result<AttemptAnswer, Refusal>> {
+    this.health.succeeded(this.attempt.destination, performance.now());
+    const answer = await readHead(this.attempt, message);
+    if (answer.isErr && !this.bodySent) {
+      call.destroy();
+    }
+    return answer;
+  }
+
+  private failure(error: Error): Refusal {
+    const {attempt, connected, late, silent} = this;
+    const reached = this.bodySent && connected;
+    const outcome = reached ? 'unknown' : 'not-run';
+    if (late.signal.aborted) {
+      const message = 'the target did not answer in time';
+      return refusal(outcome, 504, 'no_answer_in_time', message);
+    }
+    if (silent.signal.aborted) {
+      const message = 'the agent does not answer';
+      return refusal(outcome, reached ? 502 : 503, 'agent_silent', message);
+    }
+    if (!attempt.signal.aborted) {
+      const evidence = connected ? 'broken' : 'connect-failed';
+      this.health.failed(attempt.destination, evidence, performance.now());
+    }
+    return reached
+      ? refusal(outcome, 502, 'link_broke_off', error.message)
+      : refusal(outcome, 503, 'agent_unreachable', error.message);
+  }
+}
+
+function refusal(
+  outcome: RefusalOutcome,
+  status: number,
+  reason: string,
+  message: string,
+): Refusal {
+  return new Refusal(outcome, status, reason, message, RETRY_SOON_SECONDS);
+}
+
 async function readHead(
   attempt: Attempt,
   message: IncomingMessage,
 ): Promise<Result<AttemptAnswer, Refusal>> {
   const {hop, method} = attempt;
-  const refusal = await readAgentRefusal(message);
-  if (refusal !== undefined) {
-    return Result.err(refusal);
+  const refused = await readAgentRefusal(message);
+  if (refused !== undefined) {
+    return Result.err(refused);
   }
   const crossed =
     message.headers[HOP_HEADERS.request] !== hop.request ||
     message.headers[HOP_HEADERS.attempt] !== String(hop.attempt);
   if (crossed) {
     message.destroy();
-    return Result.err(
-      new Refusal(
-        'unknown',
-        502,
-        'crossed_answer',
-        'the answer belongs to another request',
-        RETRY_SOON_SECONDS,
-      ),
-    );
+    const text = 'the answer belongs to another request';
+    return Result.err(refusal('unknown', 502, 'crossed_answer', text));
   }
   return Result.ok({hop, method, message});
 }
-
-function brokenLink(reached: boolean, late: boolean, error: Error): Refusal {
-  const outcome = reached ? 'unknown' : 'not-run';
-  if (late) {
-    return new Refusal(
-      outcome,
-      504,
-      'no_answer_in_time',
-      'the target did not answer in time',
-      RETRY_SOON_SECONDS,
-    );
-  }
-  return new Refusal(
-    outcome,
-    reached ? 502 : 503,
-    reached ? 'link_broke_off' : 'agent_unreachable',
-    error.message,
-    RETRY_SOON_SECONDS,
-  );
-}
--- a/entry/dispatch/src/index.ts
+++ b/entry/dispatch/src/index.ts
@@ -8,3 +8,4 @@
   type RelayOptions,
 } from './relay-answer.js';
 export {TargetDirectory, type Destination} from './target-directory.js';
+export {TargetHealth, type TargetHealthOptions} from './target-health.js';
--- a/entry/dispatch/src/target-directory.ts
+++ b/entry/dispatch/src/target-directory.ts
@@ -1,4 +1,5 @@
 import type {Member} from '@marigoldspur/messages';
+import type {TargetHealth} from './target-health.js';
 import type {Candidate, Placement} from '@marigoldspur/placement';
 
 /** A target with the agent beside it. */
@@ -28,6 +29,7 @@
   constructor(
     private readonly members: () => readonly Member[],
     private readonly zone: string,
+    private readonly health: Pick<TargetHealth, 'usable'>,
   ) {}
 
   /** The destination of a request at time `now`; undefined where no target serves it. */
@@ -36,15 +38,15 @@
     placement: Placement,
     now: number,
   ): Destination | undefined {
-    const agents = this.members().filter(member => serves(member, need));
+    const serving = this.members().filter(member => serves(member, need));
+    const usable = this.health.usable(serving.map(destinationOf), now);
+    const names = new Set(usable.map(destination => destination.target));
+    const agents = serving.filter(agent => names.has(agent.target!.name));
     const candidates = agents.map(agent => this.candidate(agent));
     const request = {model: need.model, zone: this.zone};
     const chosen = placement.choose(request, candidates, now);
     const agent = agents.find(member => member.target?.name === chosen?.name);
-    if (agent?.target === undefined) {
-      return undefined;
-    }
-    return {target: agent.target.name, url: agent.url, boot: agent.boot};
+    return agent && destinationOf(agent);
   }
 
   /** Counts an attempt as sent until the returned function is called. */
@@ -67,6 +69,10 @@
   }
 }
 
+function destinationOf(agent: Member): Destination {
+  return {target: agent.target!.name, url: agent.url, boot: agent.boot};
+}
+
 function serves(member: Member, need: DestinationNeed): boolean {
   const {target} = member;
   return (
--- a/entry/dispatch/test/attempt-client.test.ts
+++ b/entry/dispatch/test/attempt-client.test.ts
@@ -1,16 +1,12 @@
-import http from 'node:http';
 import {expect} from 'chai';
 import {Result} from 'true-myth';
-import {
-  AttemptClient,
-  type Attempt,
-  type AttemptAnswer,
-} from '@marigoldspur/dispatch';
+import {type Attempt, type AttemptAnswer} from '@marigoldspur/dispatch';
 import type {Refusal} from '@marigoldspur/faults';
 import {HOP_HEADERS} from '@marigoldspur/messages';
 import {
   agentAnswer,
   attemptAt,
+  createClient,
   HOP,
   startFakeAgent,
   type FakeAgent,
@@ -28,7 +24,7 @@
 ].join('\r\n');
 
 let agent: FakeAgent | undefined;
-const client = new AttemptClient(new http.Agent({keepAlive: true}));
+const client = createClient();
 
 afterEach(() => agent?.stop());
 after(() => client.close());
--- a/entry/dispatch/test/fake-agent.ts
+++ b/entry/dispatch/test/fake-agent.ts
@@ -1,7 +1,13 @@
+import http from 'node:http';
 import net from 'node:net';
-import {formatHop, HOP_HEADERS, type Hop} from '@marigoldspur/messages';
+import {EventLog} from '@marigoldspur/event-log';
+import {HOP_HEADERS, type Hop} from '@marigoldspur/messages';
 import {listen} from '@marigoldspur/http-link';
-import type {Attempt} from '@marigoldspur/dispatch';
+import {
+  AttemptClient,
+  TargetHealth,
+  type Attempt,
+} from '@marigoldspur/dispatch';
 
 /** A hop of a request that may be repeated. */
 export const HOP: Hop = {
@@ -90,5 +96,9 @@
   ].join('\r\n');
 }
 
-/** Names of the hop's headers, as the agent reads them. */
-export const HOP_NAMES = Object.keys(formatHop(HOP));
+/** A client for attempts. */
+export function createClient(): AttemptClient {
+  const agent = new http.Agent({keepAlive: true});
+  const events = new EventLog({process: 'entry-0'});
+  return new AttemptClient(agent, new TargetHealth({agent, events}));
+}
--- a/entry/dispatch/test/relay-answer.test.ts
+++ b/entry/dispatch/test/relay-answer.test.ts
@@ -1,13 +1,17 @@
 import http from 'node:http';
 import {expect} from 'chai';
 import {
-  AttemptClient,
   relayAnswer,
   type Relayed,
   type RelayOptions,
 } from '@marigoldspur/dispatch';
 import {listen} from '@marigoldspur/http-link';
-import {agentAnswer, attemptAt, startFakeAgent} from './fake-agent.js';
+import {
+  agentAnswer,
+  attemptAt,
+  createClient,
+  startFakeAgent,
+} from './fake-agent.js';
 
 const STREAM_BODY = 'data: {"text":"a"}\n\ndata: [DONE]\n\n';
 const OPTIONS: RelayOptions = {
@@ -27,7 +31,7 @@
   readonly relayed: Relayed | undefined;
 }
 
-const client = new AttemptClient(new http.Agent({keepAlive: true}));
+const client = createClient();
 after(() => client.close());
 
 /** Lets a caller ask an entry that relays what the agent's bytes say. */
--- /dev/null
+++ b/entry/dispatch/test/target-health.test.ts
@@ -0,0 +1,72 @@
+import http from 'node:http';
+import {setTimeout as pause} from 'node:timers/promises';
+import {expect} from 'chai';
+import {TargetHealth} from '@marigoldspur/dispatch';
+import {EventLog} from '@marigoldspur/event-log';
+import {
+  agentAnswer,
+  attemptAt,
+  createClient,
+  HOP,
+  startFakeAgent,
+  type FakeAgent,
+} from './fake-agent.js';
+
+const LONGER_THAN_SILENCE_MS = 2_500;
+const HEALTHY = 'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n';
+
+let agent: FakeAgent | undefined;
+const client = createClient();
+
+afterEach(() => agent?.stop());
+after(() => client.close());
+
+it('health: a silent agent is left before the first-byte bound', async () => {
+  agent = await startFakeAgent(() => {});
+  const sent = await client.send(attemptAt(agent));
+  expect(sent.isErr && sent.error).to.include({
+    reason: 'agent_silent',
+    outcome: 'unknown',
+  });
+});
+
+it('health: a silent agent did not run what may not be repeated', async () => {
+  agent = await startFakeAgent(() => {});
+  const hop = {...HOP, repeatable: false};
+  const sent = await client.send(attemptAt(agent, {hop}));
+  expect(sent.isErr && sent.error).to.include({
+    reason: 'agent_silent',
+    outcome: 'not-run',
+  });
+});
+
+it('health: a slow target beside a live agent is waited for', async () => {
+  agent = await startFakeAgent(async (socket, bytes) => {
+    if (bytes.startsWith('GET /healthz')) {
+      socket.write(HEALTHY);
+      return;
+    }
+    await pause(LONGER_THAN_SILENCE_MS);
+    socket.write(agentAnswer('text/plain', 'slow'));
+  });
+  const sent = await client.send(attemptAt(agent));
+  expect(sent.isOk).to.equal(true);
+});
+
+it('health: a target that refuses connections gets no work while others serve', () => {
+  const health = new TargetHealth({
+    agent: new http.Agent(),
+    events: new EventLog({process: 'entry-0'}),
+  });
+  const destinations = ['a', 'b', 'c'].map(target => ({
+    target,
+    url: 'http://127.0.0.1:1',
+    boot: 'boot-1',
+  }));
+  health.failed(destinations[1], 'connect-failed', 0);
+  const usable = health.usable(destinations, 0).map(({target}) => target);
+  expect(usable).to.deep.equal(['a', 'c']);
+  const restarted = {...destinations[1], boot: 'boot-2'};
+  expect(health.usable([restarted, destinations[0]], 0)).to.have.length(2);
+  health.stop();
+});
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -6,7 +6,11 @@
   SettingsFollower,
   startHeartbeat,
 } from '@marigoldspur/control-client';
-import {AttemptClient, TargetDirectory} from '@marigoldspur/dispatch';
+import {
+  AttemptClient,
+  TargetDirectory,
+  TargetHealth,
+} from '@marigoldspur/dispatch';
 import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
 import {listen} from '@marigoldspur/http-link';
 import {openLinkSecurity} from '@marigoldspur/link-security';
@@ -59,10 +63,16 @@
   });
   const entryMetrics = new EntryMetrics(metrics.registry);
   const keys = await openCallerKeys({file: settings.callerKeys, events});
-  const attempts = new AttemptClient(security.createAgent());
+  const linkAgent = security.createAgent();
+  const health = new TargetHealth({agent: linkAgent, events});
+  const attempts = new AttemptClient(linkAgent, health);
   const claims = new ClaimDesk({client, events, entry: settings.id, boot});
   const runner = new AttemptRunner({
-    directory: new TargetDirectory(() => members.members(), settings.zone),
+    directory: new TargetDirectory(
+      () => members.members(),
+      settings.zone,
+      health,
+    ),
     attempts,
     answers: new AnswerSender({events, metrics: entryMetrics}),
     retries: new RetryBudget(),
@@ -155,6 +165,7 @@
       heartbeat.stop();
       await members.stop();
       await follower.stop();
+      health.stop();
       attempts.close();
       client.close();
       keys.stop();
