--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -137,6 +137,11 @@
     level: 'warn',
     meaning: 'Control did not take the end of a claimed request.',
   },
+  'answer-crossed': {
+    number: 409,
+    level: 'warn',
+    meaning: 'An answer to another request was dropped.',
+  },
   'request-error': {
     number: 410,
     level: 'error',
@@ -192,12 +197,12 @@
     level: 'info',
     meaning: 'The entry went away, so the target was told to stop.',
   },
-  'answer-crossed': {
+  'target-answer-crossed': {
     number: 507,
     level: 'warn',
     meaning: 'An answer of another request, adapter or boot was dropped.',
   },
-  'answer-torn': {
+  'target-answer-torn': {
     number: 508,
     level: 'warn',
     meaning: 'An answer lacked its end and was not ended cleanly.',
--- a/entry/entry-server/src/caller-server.ts
+++ b/entry/entry-server/src/caller-server.ts
@@ -1,8 +1,9 @@
-import http from 'node:http';
+import type http from 'node:http';
 import type {Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
 import {closeServer} from '@marigoldspur/http-link';
 import {clientErrorAnswer} from '@marigoldspur/caller-api';
+import type {CallerTls} from './caller-tls.js';
 
 /** What a caller server works with. */
 export interface CallerServerOptions {
@@ -13,6 +14,7 @@
   ) => Promise<void>;
   /** Whether the process shuts down. */
   readonly draining: () => boolean;
+  readonly tls: CallerTls;
 }
 
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -22,26 +24,22 @@
 const MAX_HEADER_BYTES = 16_384;
 const CLOSE_IDLE_MS = 50;
 
-/** Bounds of callers' connections. */
-export const CALLER_SERVER_OPTIONS: http.ServerOptions = {
-  maxHeaderSize: MAX_HEADER_BYTES,
-  headersTimeout: HEADERS_TIMEOUT_MS,
-  requestTimeout: REQUEST_TIMEOUT_MS,
-  connectionsCheckingInterval: TIMEOUT_CHECK_MS,
-  keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-};
-
-/** Serves callers' connections. */
+/** The server of callers' connections. */
 export class CallerServer {
+  readonly server: http.Server;
   /** Connections with a request that is being answered. */
   private readonly answering = new WeakMap<Socket, number>();
 
-  constructor(
-    private readonly server: http.Server,
-    private readonly options: CallerServerOptions,
-  ) {
-    this.server.on('request', (request, response) =>
-      this.take(request, response),
+  constructor(private readonly options: CallerServerOptions) {
+    this.server = options.tls.createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      },
+      (request, response) => this.take(request, response),
     );
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.refuseConnection(error, socket as Socket),
--- a/entry/entry-server/src/request-desk.ts
+++ b/entry/entry-server/src/request-desk.ts
@@ -18,8 +18,8 @@
 export interface RequestDeskOptions {
   readonly settings: SettingsFollower;
   readonly contact: ControlContact;
-  readonly keys: CallerKeyTable;
   readonly reader: RequestReader;
+  readonly keys: CallerKeyTable;
   readonly admission: Admission;
   readonly runner: AttemptRunner;
   readonly claimed: ClaimedRunner;
@@ -58,21 +58,11 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const owner = this.options.keys.customerOf(request.headers);
-    if (owner.isErr) {
-      this.refuse(response, id, owner.error);
-      return;
-    }
     if (request.method === 'GET' && request.url === '/v1/models') {
-      this.listModels(response, owner.value);
+      this.listModels(id, request, response);
       return;
     }
-    const job = await this.options.reader.read(
-      id,
-      request,
-      response,
-      owner.value,
-    );
+    const job = await this.options.reader.read(id, request, response);
     if (job.isErr) {
       this.refuse(response, id, job.error);
       return;
@@ -86,12 +76,18 @@
   }
 
   private listModels(
+    id: string,
+    request: IncomingMessage,
     response: ServerResponse,
-    customer: string | undefined,
   ): void {
+    const customer = this.options.keys.customerOf(request.headers);
+    if (customer.isErr) {
+      this.refuse(response, id, customer.error);
+      return;
+    }
     const {tree} = this.options.settings.settings;
     response.setHeader('content-type', 'application/json');
-    response.end(JSON.stringify(modelList(tree, customer)));
+    response.end(JSON.stringify(modelList(tree, customer.value)));
   }
 
   /** Answers a job, or gives the refusal that is left to be sent. */
--- a/entry/entry-server/src/request-reader.ts
+++ b/entry/entry-server/src/request-reader.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Result} from 'true-myth';
 import {readCallerRequest, type CallerRequest} from '@marigoldspur/caller-api';
+import type {CallerKeyTable} from '@marigoldspur/caller-keys';
 import type {SettingsFollower} from '@marigoldspur/control-client';
 import {Refusal} from '@marigoldspur/faults';
 import {readBody} from '@marigoldspur/http-link';
@@ -11,6 +12,7 @@
 /** What a request reader works with. */
 export interface RequestReaderOptions {
   readonly settings: SettingsFollower;
+  readonly keys: CallerKeyTable;
   /** Largest body that is read before the service is known, in bytes. */
   readonly maxBodyBytes: number;
 }
@@ -21,17 +23,20 @@
 export class RequestReader {
   constructor(private readonly options: RequestReaderOptions) {}
 
-  /** Reads the body and looks up what the request names; what is wrong is refused.
-   * `customer` is the caller's; undefined where no keys are set. */
+  /** Reads the body and looks up what the request names; what is wrong is refused. */
   async read(
     id: string,
     request: IncomingMessage,
     response: ServerResponse,
-    customer: string | undefined,
   ): Promise<Result<Job, Refusal>> {
     const startedAt = performance.now();
     const gone = new AbortController();
     response.on('close', () => gone.abort());
+    const customer = this.options.keys.customerOf(request.headers);
+    if (customer.isErr) {
+      dropRest(request);
+      return Result.err(customer.error);
+    }
     const body = await readBody(request, this.options.maxBodyBytes);
     if (body.isErr) {
       const {code, message} = body.error;
@@ -48,7 +53,8 @@
     }
     const {revision, tree} = this.options.settings.settings;
     const method = request.method ?? 'GET';
-    const head = {method, url: request.url ?? '/', customer};
+    const url = request.url ?? '/';
+    const head = {method, url, customer: customer.value};
     const read = readCallerRequest(head, body.value, tree);
     if (read.isErr) {
       return Result.err(read.error);
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -23,8 +23,8 @@
 import type {EntrySettings} from './entry-settings.js';
 import {AnswerSender} from './answer-sender.js';
 import {AttemptRunner} from './attempt-runner.js';
-import {CALLER_SERVER_OPTIONS, CallerServer} from './caller-server.js';
-import {createCallerServer} from './create-caller-server.js';
+import {CallerServer} from './caller-server.js';
+import {openCallerTls} from './caller-tls.js';
 import {ClaimedRunner} from './claimed-runner.js';
 import {ControlContact} from './control-contact.js';
 import {RequestDesk} from './request-desk.js';
@@ -63,6 +63,7 @@
   });
   const entryMetrics = new EntryMetrics(metrics.registry);
   const keys = await openCallerKeys({file: settings.callerKeys, events});
+  const callerTls = await openCallerTls(settings, events);
   const linkAgent = security.createAgent();
   const health = new TargetHealth({agent: linkAgent, events});
   const attempts = new AttemptClient(linkAgent, health);
@@ -82,10 +83,11 @@
   const contact = new ControlContact(follower);
   const desk = new RequestDesk({
     settings: follower,
-    contact,
     keys,
+    contact,
     reader: new RequestReader({
       settings: follower,
+      keys,
       maxBodyBytes: settings.maxBodyBytes,
     }),
     admission: new Admission({
@@ -98,16 +100,12 @@
     metrics: entryMetrics,
   });
   let draining = false;
-  const callerServer = await createCallerServer(
-    settings,
-    CALLER_SERVER_OPTIONS,
-    events,
-  );
-  const callers = new CallerServer(callerServer, {
+  const callers = new CallerServer({
     handle: (request, response) => desk.handle(request, response),
     draining: () => draining,
+    tls: callerTls,
   });
-  const callerAddress = await listen(callerServer, {
+  const callerAddress = await listen(callers.server, {
     host: settings.host,
     port: settings.callerPort,
   });
@@ -169,6 +167,7 @@
       attempts.close();
       client.close();
       keys.stop();
+      callerTls.stop();
       security.stop();
       events.record('process-stopped');
     },
