--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -26,11 +26,6 @@
     level: 'info',
     meaning: 'The process ended its work and exits.',
   },
-  'process-failed': {
-    number: 103,
-    level: 'error',
-    meaning: 'The process cannot go on and exits.',
-  },
   'insecure-loopback': {
     number: 104,
     level: 'warn',
@@ -368,16 +363,6 @@
     level: 'warn',
     meaning: 'The target has fewer adapter slots than it says.',
   },
-  'link-lost': {
-    number: 700,
-    level: 'warn',
-    meaning: 'A link to another process failed.',
-  },
-  'link-restored': {
-    number: 701,
-    level: 'info',
-    meaning: 'A link to another process works again.',
-  },
 } as const satisfies Record<string, EventKind>;
 
 /** Name of a kind of event. */
--- a/contracts/settings-schema/src/settings.ts
+++ b/contracts/settings-schema/src/settings.ts
@@ -2,42 +2,106 @@
 
 /** Every setting that a level of the tree may override, with its default. */
 export const SETTINGS_SCHEMA = z.object({
-  /** Priority of requests; 0 is served first. */
-  priority: z.int().min(0).max(9).default(5),
-  /** Requests that may run at once per customer at one entry. */
-  concurrency: z.int().min(1).max(100_000).default(256),
-  /** Requests that may wait for admission at one entry. */
-  queueLimit: z.int().min(0).max(100_000).default(1_024),
-  /** Longest wait for admission, in milliseconds. */
-  queueDeadlineMs: z.int().min(1).max(600_000).default(2_000),
-  /** Longest time to the first byte of an answer, in milliseconds. */
-  firstByteTimeoutMs: z.int().min(10).max(600_000).default(30_000),
-  /** Longest time of one request, in milliseconds. */
-  requestTimeoutMs: z.int().min(10).max(3_600_000).default(120_000),
-  /** Largest body of a request, in bytes. */
-  maxBodyBytes: z.int().min(1_024).max(67_108_864).default(1_048_576),
-  /** Whether a request may be run again after an unclear end. */
-  repeatable: z.boolean().default(true),
-  /** Attempts for one request, the first one included. */
-  maxAttempts: z.int().min(1).max(10).default(3),
-  /** Retries as a share of requests. */
-  retryBudgetRatio: z.number().min(0).max(1).default(0.1),
-  /** Weight of load stalls against batch efficiency: 1 is stalls only. */
-  stallWeight: z.number().min(0).max(1).default(0.5),
-  /** Policy that chooses the target of a request. */
+  priority: z
+    .int()
+    .min(0)
+    .max(9)
+    .default(5)
+    .describe('Priority of requests; 0 is served first'),
+  concurrency: z
+    .int()
+    .min(1)
+    .max(100_000)
+    .default(256)
+    .describe('Requests that may run at once per customer at one entry'),
+  queueLimit: z
+    .int()
+    .min(0)
+    .max(100_000)
+    .default(1_024)
+    .describe('Requests that may wait for admission at one entry'),
+  queueDeadlineMs: z
+    .int()
+    .min(1)
+    .max(600_000)
+    .default(2_000)
+    .describe('Longest wait for admission, in milliseconds'),
+  firstByteTimeoutMs: z
+    .int()
+    .min(10)
+    .max(600_000)
+    .default(30_000)
+    .describe('Longest time to the first byte of an answer, in milliseconds'),
+  requestTimeoutMs: z
+    .int()
+    .min(10)
+    .max(3_600_000)
+    .default(120_000)
+    .describe('Longest time of one request, in milliseconds'),
+  maxBodyBytes: z
+    .int()
+    .min(1_024)
+    .max(67_108_864)
+    .default(1_048_576)
+    .describe('Largest body of a request, in bytes'),
+  repeatable: z
+    .boolean()
+    .default(true)
+    .describe('Whether a request may be run again after an unclear end'),
+  maxAttempts: z
+    .int()
+    .min(1)
+    .max(10)
+    .default(3)
+    .describe('Attempts for one request, the first one included'),
+  retryBudgetRatio: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0.1)
+    .describe('Retries as a share of requests'),
+  stallWeight: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0.5)
+    .describe(
+      'Weight of load stalls against batch efficiency: 1 is stalls only',
+    ),
   placement: z
     .enum(['random', 'least-loaded', 'hash-home', 'resident-first'])
-    .default('hash-home'),
-  /** Policy that chooses the adapter that leaves a slot. */
-  eviction: z.enum(['lru', 'decayed-frequency']).default('lru'),
-  /** Policy that orders the loads that wait. */
-  loadOrder: z.enum(['first-come', 'least-harm']).default('first-come'),
-  /** How long a result of a claimed request is kept, in milliseconds. */
-  claimRetentionMs: z.int().min(1_000).max(604_800_000).default(86_400_000),
-  /** What to do with repeatable requests while control is out of reach. */
-  whileIsolated: z.enum(['serve', 'refuse']).default('serve'),
-  /** How long settings may be unconfirmed before the process counts as isolated, in milliseconds. */
-  isolationBoundMs: z.int().min(500).max(3_600_000).default(10_000),
+    .default('hash-home')
+    .describe('Policy that chooses the target of a request'),
+  eviction: z
+    .enum(['lru', 'decayed-frequency'])
+    .default('lru')
+    .describe('Policy that chooses the adapter that leaves a slot'),
+  loadOrder: z
+    .enum(['first-come', 'least-harm'])
+    .default('first-come')
+    .describe('Policy that orders the loads that wait'),
+  claimRetentionMs: z
+    .int()
+    .min(1_000)
+    .max(604_800_000)
+    .default(86_400_000)
+    .describe(
+      'How long a result of a claimed request is kept, in milliseconds',
+    ),
+  whileIsolated: z
+    .enum(['serve', 'refuse'])
+    .default('serve')
+    .describe(
+      'What to do with repeatable requests while control is out of reach',
+    ),
+  isolationBoundMs: z
+    .int()
+    .min(500)
+    .max(3_600_000)
+    .default(10_000)
+    .describe(
+      'How long settings may be unconfirmed before the process counts as isolated, in milliseconds',
+    ),
 });
 
 /** The settings in force at one level of the tree. */
--- /dev/null
+++ b/lab/reference-docs/src/index.ts
@@ -0,0 +1,3 @@
+export {eventsPage} from './events-page.js';
+export {settingsPage} from './settings-page.js';
+export {referencePages, type ReferencePage} from './reference-pages.js';
--- /dev/null
+++ b/lab/reference-docs/test/reference-pages.test.ts
@@ -0,0 +1,43 @@
+import {readFile, readdir} from 'node:fs/promises';
+import path from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {expect} from 'chai';
+import {CATALOGUE} from '@marigoldspur/event-catalogue';
+import {referencePages} from '@marigoldspur/reference-docs';
+
+const ROOT = fileURLToPath(new URL('../../../..', import.meta.url));
+const DOMAINS = ['control', 'entry', 'agent', 'zones', 'machines'];
+
+it('docs: the pages written from the code are up to date', async () => {
+  for (const {file, text} of referencePages()) {
+    const stands = await readFile(path.join(ROOT, file), 'utf8');
+    expect(stands, `${file}: run npm run docs`).to.equal(text);
+  }
+});
+
+it('docs: event numbers are unique', () => {
+  const numbers = Object.values(CATALOGUE).map(kind => kind.number);
+  expect(new Set(numbers).size).to.equal(numbers.length);
+});
+
+it('docs: every event of the catalogue is recorded somewhere', async () => {
+  const texts = await Promise.all(DOMAINS.map(domain => sourceOf(domain)));
+  const source = texts.join('\n');
+  const unused = Object.keys(CATALOGUE).filter(
+    name => !source.includes(`'${name}'`),
+  );
+  expect(unused).to.deep.equal([]);
+});
+
+/** The text of every source file of a domain. */
+async function sourceOf(domain: string): Promise<string> {
+  const folder = path.join(ROOT, domain);
+  const names = await readdir(folder, {recursive: true});
+  const files = names.filter(
+    name => /^[^/]+\/src\/.*\.ts$/.test(name) && !name.endsWith('.d.ts'),
+  );
+  const texts = await Promise.all(
+    files.map(name => readFile(path.join(folder, name), 'utf8')),
+  );
+  return texts.join('\n');
+}
