--- a/control/consensus/src/consensus.ts
+++ b/control/consensus/src/consensus.ts
@@ -61,6 +61,8 @@
   readonly heartbeatMs: number;
   /** A number from 0 up to 1; spreads the election timeouts. */
   readonly random: () => number;
+  /** Largest content of entries in one message, in bytes; one entry may be larger. */
+  readonly appendBytes?: number;
   /** Largest part of a snapshot in one message, in characters. */
   readonly snapshotPartLength?: number;
 }
@@ -68,6 +70,8 @@
 const MAX_APPEND_BYTES = 1_048_576;
 const MAX_APPEND_ENTRIES = 512;
 const MAX_UNANSWERED_ENTRIES = 4_096;
+/** Entries that are kept at most for replicas that receive a snapshot. */
+const MAX_HELD_ENTRIES = 100_000;
 const SNAPSHOT_PART_LENGTH = 262_144;
 
 /**
@@ -173,6 +177,11 @@
     return this.role === 'leader' && this.commit >= this.termStart;
   }
 
+  /** The term of an entry; undefined where it is compacted away or not there. */
+  termAt(index: number): number | undefined {
+    return this.log.termAt(index);
+  }
+
   /** What this leader knows about a replica. */
   progressOf(id: string): Readonly<Progress> | undefined {
     return this.progress.get(id);
@@ -251,7 +260,7 @@
     if (!this.leaderReady || !this.configurationCommitted) {
       return false;
     }
-    if (votersChanged(this.configuration, configuration) > 1) {
+    if (!this.votersMayChange(this.configuration, configuration)) {
       return false;
     }
     this.appendOwn({kind: 'configuration', configuration}, 0, now);
@@ -360,9 +369,15 @@
     };
   }
 
-  /** Drops entries that a durable snapshot covers. */
-  compact(index: number): void {
-    this.log.compact(Math.min(index, this.applied));
+  /**
+   * Drops entries that a durable snapshot covers, but for those that a replica
+   * which receives a snapshot needs after it.
+   */
+  compact(index: number, now: number): void {
+    const needed = this.receivesSnapshot(now) ? this.offer!.index : Infinity;
+    const heldTooMany = index - this.log.start.index > MAX_HELD_ENTRIES;
+    const limit = heldTooMany ? Infinity : needed;
+    this.log.compact(Math.min(index, this.applied, limit));
   }
 
   /** Whether a replica needs a snapshot that `offerSnapshot` should give. */
@@ -417,6 +432,16 @@
     return this.state.vote !== '' && this.state.vote !== candidate;
   }
 
+  /** Whether majorities of two configurations always share a voter. */
+  protected votersMayChange(from: Configuration, to: Configuration): boolean {
+    return votersChanged(from, to) <= 1;
+  }
+
+  /** Whether a read waits until a majority confirms the leader. */
+  protected readNeedsMajority(): boolean {
+    return true;
+  }
+
   private mayCampaign(): boolean {
     return isVoter(this.configuration, this.id);
   }
@@ -673,7 +698,7 @@
     }
     const entries = this.log.from(
       progress.next,
-      MAX_APPEND_BYTES,
+      this.options.appendBytes ?? MAX_APPEND_BYTES,
       MAX_APPEND_ENTRIES,
     );
     progress.next += entries.length;
@@ -804,7 +829,9 @@
           : (this.progress.get(voter.id)?.round ?? 0),
       )
       .sort((a, b) => b - a);
-    const confirmed = rounds[majority(voters.length) - 1] ?? 0;
+    const confirmed = this.readNeedsMajority()
+      ? (rounds[majority(voters.length) - 1] ?? 0)
+      : this.round;
     for (const read of this.reads.confirm(confirmed)) {
       if (read.from === this.id) {
         this.readResults.push(read);
@@ -891,6 +918,17 @@
     }
   }
 
+  /** Whether a replica that answers is in the middle of a snapshot. */
+  private receivesSnapshot(now: number): boolean {
+    const {offer} = this;
+    return [...this.progress.values()].some(
+      progress =>
+        offer !== undefined &&
+        progress.snapshot?.index === offer.index &&
+        now - progress.heardAt < this.options.electionTimeoutMs,
+    );
+  }
+
   private releaseOffer(): void {
     const used = [...this.progress.values()].some(
       progress => progress.snapshot !== undefined,
--- /dev/null
+++ b/control/consensus/test/group.test.ts
@@ -0,0 +1,185 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {GroupModel, numbersFrom, Violation, type Flaw} from './group-model.js';
+
+const RUNS = Number(process.env.MODEL_RUNS ?? 1_000);
+const FLAWED_RUNS = 3_000;
+/** Fixed, but for searches with `MODEL_SEED` set. */
+const SEED = Number(process.env.MODEL_SEED ?? 20261203);
+
+const STEPS = 120;
+
+/** One step of a run: what happens, and to whom. */
+interface Step {
+  readonly kind: keyof typeof WEIGHTS;
+  readonly host: number;
+  readonly other: number;
+  readonly at: number;
+}
+
+/** How often each kind of step comes. */
+const WEIGHTS = {
+  run: 16,
+  runTwo: 10,
+  shuffle: 16,
+  propose: 14,
+  read: 8,
+  crash: 5,
+  restart: 7,
+  powerLoss: 2,
+  cut: 3,
+  isolate: 4,
+  mend: 3,
+  mendAll: 6,
+  freeze: 4,
+  thaw: 6,
+  handOver: 2,
+  repair: 8,
+  replaceDisk: 3,
+} as const;
+
+const step: fc.Arbitrary<Step> = fc.record({
+  kind: fc.oneof(
+    ...Object.entries(WEIGHTS).map(([kind, weight]) => ({
+      weight,
+      arbitrary: fc.constant(kind as Step['kind']),
+    })),
+  ),
+  host: fc.nat(4),
+  other: fc.nat(4),
+  at: fc.nat(1_000),
+});
+
+interface Run {
+  readonly size: number;
+  readonly seed: number;
+  readonly steps: readonly Step[];
+}
+
+const run: fc.Arbitrary<Run> = fc.record({
+  size: fc.constantFrom(3, 3, 5),
+  seed: fc.nat(),
+  steps: fc.array(step, {
+    minLength: STEPS,
+    maxLength: STEPS,
+    size: 'max',
+  }),
+});
+
+function take(model: GroupModel, {kind, host, other, at}: Step): void {
+  const {hosts} = model;
+  const one = hosts[host % hosts.length];
+  const two = hosts[other % hosts.length];
+  switch (kind) {
+    case 'run':
+      return model.run(hosts, 1 + (at % 12));
+    case 'runTwo':
+      return model.run([one, two], 1 + (at % 40));
+    case 'shuffle':
+      return model.shuffle(1 + (at % 40));
+    case 'propose':
+      return model.propose(at % 4 === 0 ? one : (model.leader() ?? one));
+    case 'read':
+      return model.read(one);
+    case 'crash':
+      return model.crash(one);
+    case 'restart':
+      return model.restart(one);
+    case 'powerLoss':
+      hosts.forEach(each => model.crash(each));
+      hosts.forEach(each => model.restart(each));
+      return;
+    case 'cut':
+      return model.cut(one, two, true);
+    case 'isolate':
+      for (const each of hosts) {
+        model.cut(one, each, true);
+        model.cut(each, one, true);
+      }
+      return;
+    case 'mend':
+      return model.cut(one, two, false);
+    case 'mendAll':
+      return model.mendAll();
+    case 'freeze':
+      one.isFrozen = one.replica !== undefined;
+      return;
+    case 'thaw':
+      one.isFrozen = false;
+      return;
+    case 'handOver':
+      return model.handOver(one);
+    case 'repair':
+      return model.repair();
+    case 'replaceDisk':
+      // One disk at a time: the promise is to survive the next one after the repair.
+      return model.isWhole ? model.replaceDisk(one) : undefined;
+  }
+}
+
+function play({size, seed, steps}: Run, flaw?: Flaw): GroupModel {
+  const model = new GroupModel(size, numbersFrom(seed), flaw);
+  for (const next of steps) {
+    take(model, next);
+  }
+  return model;
+}
+
+/** Ends all faults; true where the group is whole again and takes a command. */
+function heal(model: GroupModel): boolean {
+  model.mendAll();
+  for (const host of model.hosts) {
+    host.isFrozen = false;
+    model.restart(host);
+  }
+  const before = model.committedCommands;
+  return model.settle(() => {
+    const leader = model.leader();
+    const isAnswered = model.committedCommands > before;
+    if (leader !== undefined && !isAnswered) {
+      model.propose(leader);
+    }
+    return model.isWhole && isAnswered;
+  });
+}
+
+/** The first violation that a run without a mechanism is caught with. */
+function violation(flaw: Flaw, seed: number): string | undefined {
+  const details = fc.check(
+    fc.property(run, faults => {
+      play(faults, flaw);
+    }),
+    {seed, numRuns: FLAWED_RUNS, endOnFailure: true},
+  );
+  const {errorInstance} = details;
+  if (errorInstance !== null && !(errorInstance instanceof Violation)) {
+    throw errorInstance;
+  }
+  return errorInstance?.message;
+}
+
+it('group: nothing committed is lost, and it heals, over any faults', () => {
+  let commands = 0;
+  fc.assert(
+    fc.property(run, faults => {
+      const model = play(faults);
+      expect(heal(model), 'heals once the faults are over').to.equal(true);
+      commands += model.committedCommands;
+    }),
+    {seed: SEED, numRuns: RUNS, endOnFailure: true},
+  );
+  expect(commands).to.be.greaterThan(RUNS);
+});
+
+const FLAWS: readonly Flaw[] = [
+  'votes are sent before they are synced',
+  'acknowledgements are sent before the entries are synced',
+  'a lagging replica may win an election',
+  'a replica votes twice in a term',
+];
+
+for (const flaw of FLAWS) {
+  it(`group: caught where ${flaw}`, () => {
+    expect(violation(flaw, SEED)).to.be.a('string');
+  });
+}
--- /dev/null
+++ b/control/consensus/test/repair-plan.test.ts
@@ -0,0 +1,57 @@
+import {expect} from 'chai';
+import {nextConfiguration, type RepairView} from '@marigoldspur/consensus';
+
+const a = {id: 'a', url: 'url-a'};
+const b = {id: 'b', url: 'url-b'};
+const c = {id: 'c', url: 'url-c'};
+const replacement = {id: 'd', url: 'url-c'};
+
+function view(changes: Partial<RepairView>): RepairView {
+  return {
+    group: 'group',
+    configuration: {voters: [a, b, c], learners: []},
+    sightings: [],
+    isCaughtUp: () => false,
+    ...changes,
+  };
+}
+
+it('repair: a new identity at a known URL becomes a learner', () => {
+  const next = nextConfiguration(
+    view({sightings: [{...replacement, group: ''}]}),
+  );
+  expect(next).to.deep.equal({voters: [a, b, c], learners: [replacement]});
+});
+
+it('repair: a replica of another group is left alone', () => {
+  const sightings = [{...replacement, group: 'other'}];
+  expect(nextConfiguration(view({sightings}))).to.equal(undefined);
+});
+
+it('repair: a learner that is not caught up does not count', () => {
+  const configuration = {voters: [a, b, c], learners: [replacement]};
+  expect(nextConfiguration(view({configuration}))).to.equal(undefined);
+});
+
+it('repair: the lost voter leaves before its replacement counts', () => {
+  const isCaughtUp = () => true;
+  const first = nextConfiguration(
+    view({
+      configuration: {voters: [a, b, c], learners: [replacement]},
+      isCaughtUp,
+    }),
+  );
+  expect(first).to.deep.equal({voters: [a, b], learners: [replacement]});
+  const second = nextConfiguration(view({configuration: first, isCaughtUp}));
+  expect(second).to.deep.equal({voters: [a, b, replacement], learners: []});
+});
+
+it('repair: a learner whose disk is lost again is replaced', () => {
+  const next = nextConfiguration(
+    view({
+      configuration: {voters: [a, b, c], learners: [replacement]},
+      sightings: [{id: 'e', url: 'url-c', group: ''}],
+    }),
+  );
+  expect(next?.learners).to.deep.equal([{id: 'e', url: 'url-c'}]);
+});
--- /dev/null
+++ b/control/log-storage/test/log-storage.test.ts
@@ -0,0 +1,284 @@
+import {expect} from 'chai';
+import type {Entry, LogOperation, Snapshot} from '@marigoldspur/consensus';
+import {
+  openLogStorage,
+  type FileSystem,
+  type OpenedStorage,
+} from '@marigoldspur/log-storage';
+import {FakeDisk} from './fake-disk.js';
+
+const FOLDER = '/data/log';
+const SEGMENT_BYTES = 600;
+const CONFIGURATION = {voters: [{id: 'a', url: 'url'}], learners: []};
+
+function open(files: FileSystem): Promise<OpenedStorage> {
+  return openLogStorage({folder: FOLDER, files, segmentBytes: SEGMENT_BYTES});
+}
+
+function entry(index: number, term = 1, text = `command ${index}`): Entry {
+  const content = {kind: 'command', command: text} as const;
+  return {index, term, bytes: text.length, content};
+}
+
+function put(...entries: Entry[]): LogOperation[] {
+  return [{operation: 'entries', entries}];
+}
+
+function vote(term: number, candidate: string): LogOperation {
+  const state = {group: 'group', term, vote: candidate};
+  return {operation: 'state', state};
+}
+
+function snapshotAt(index: number, term = 1): Snapshot {
+  return {index, term, configuration: CONFIGURATION, data: `up to ${index}`};
+}
+
+async function faultOf(work: Promise<unknown>): Promise<unknown> {
+  return work.then(
+    () => undefined,
+    thrown => thrown.code,
+  );
+}
+
+async function snapshotBytes(snapshot: Snapshot): Promise<number> {
+  const disk = new FakeDisk();
+  const {storage} = await open(disk);
+  await storage.saveSnapshot(snapshot);
+  return disk.contentOf(disk.files('snapshot-')[0]).length;
+}
+
+async function filled(disk: FakeDisk, count: number): Promise<OpenedStorage> {
+  const opened = await open(disk);
+  await opened.storage.save([vote(1, 'a')]);
+  for (let index = 1; index <= count; index += 1) {
+    await opened.storage.save(put(entry(index)));
+  }
+  return opened;
+}
+
+function lastSegment(disk: FakeDisk): string {
+  return disk.files('log-').at(-1)!;
+}
+
+it('storage: what was saved is there after power loss', async () => {
+  const disk = new FakeDisk();
+  const first = await filled(disk, 20);
+  await first.storage.save([vote(3, 'b'), ...put(entry(18, 3))]);
+  disk.losePower();
+  const {id, isNew, recovered} = await open(disk);
+  expect({id, isNew}).to.deep.equal({id: first.id, isNew: false});
+  expect(recovered.state).to.deep.equal({group: 'group', term: 3, vote: 'b'});
+  expect(
+    recovered.entries.map(({index, term}) => [index, term]).slice(-2),
+  ).to.deep.equal([
+    [17, 1],
+    [18, 3],
+  ]);
+  expect(disk.files('log-')).to.have.length.greaterThan(2);
+});
+
+it('storage: one sync saves many entries', async () => {
+  const disk = new FakeDisk();
+  const {storage} = await open(disk);
+  const before = disk.syncs;
+  const entries = Array.from({length: 50}, (_, at) => entry(at + 1));
+  await storage.save([vote(1, 'a'), ...put(...entries)]);
+  expect(disk.syncs - before).to.equal(1);
+});
+
+it('torn tail: cut at each byte, with nothing lost before it', async () => {
+  const disk = new FakeDisk();
+  const {storage} = await filled(disk, 3);
+  const before = disk.contentOf(lastSegment(disk));
+  await storage.save(put(entry(4), entry(5)));
+  const after = disk.contentOf(lastSegment(disk));
+  for (let length = before.length; length < after.length; length += 1) {
+    const torn = disk.copy();
+    torn.setContent(lastSegment(torn), after.subarray(0, length));
+    const opened = await open(torn);
+    expect(opened.recovered.entries, `${length}`).to.have.length(3);
+    expect(opened.tornBytes).to.equal(length - before.length);
+    await opened.storage.save(put(entry(4, 2)));
+    torn.losePower();
+    const again = await open(torn);
+    expect(again.recovered.entries.at(-1), `${length}`).to.include({
+      index: 4,
+      term: 2,
+    });
+  }
+});
+
+it('torn tail: a write whose first bytes never arrived is cut too', async () => {
+  const disk = new FakeDisk();
+  await filled(disk, 3);
+  disk.tear(lastSegment(disk), Buffer.alloc(100));
+  const {recovered, tornBytes} = await open(disk);
+  expect(recovered.entries).to.have.length(3);
+  expect(tornBytes).to.equal(100);
+});
+
+it('corrupt middle: any changed byte before the last write refuses to start', async () => {
+  const disk = new FakeDisk();
+  const {storage} = await filled(disk, 3);
+  const name = lastSegment(disk);
+  const end = disk.contentOf(name).length;
+  await storage.save(put(entry(4)));
+  for (let at = 0; at < end; at += 1) {
+    const corrupt = disk.copy();
+    const bytes = Buffer.from(corrupt.contentOf(name));
+    bytes[at] ^= 0x40;
+    corrupt.setContent(name, bytes);
+    expect(await faultOf(open(corrupt)), `${at}`).to.equal('CORRUPT_DATA');
+  }
+});
+
+it('corrupt middle: a damaged or missing segment refuses to start', async () => {
+  const disk = new FakeDisk();
+  await filled(disk, 30);
+  const names = disk.files('log-');
+  expect(names.length).to.be.greaterThan(2);
+  for (const name of names.slice(0, -1)) {
+    const cut = disk.copy();
+    cut.setContent(name, cut.contentOf(name).subarray(0, -1));
+    expect(await faultOf(open(cut)), `cut ${name}`).to.equal('CORRUPT_DATA');
+    const missing = disk.copy();
+    await missing.remove(name);
+    expect(await faultOf(open(missing)), `no ${name}`).to.equal('CORRUPT_DATA');
+  }
+});
+
+it('corrupt data: a damaged snapshot or identity refuses to start', async () => {
+  const disk = new FakeDisk();
+  const {storage} = await filled(disk, 10);
+  await storage.saveSnapshot(snapshotAt(8));
+  for (const name of [...disk.files('snapshot-'), ...disk.files('identity')]) {
+    const corrupt = disk.copy();
+    const bytes = Buffer.from(corrupt.contentOf(name));
+    bytes[bytes.length - 1] ^= 1;
+    corrupt.setContent(name, bytes);
+    expect(await faultOf(open(corrupt)), name).to.equal('CORRUPT_DATA');
+  }
+});
+
+it('corrupt data: a log whose identity is gone refuses to start', async () => {
+  const disk = new FakeDisk();
+  await filled(disk, 3);
+  await disk.remove(`${FOLDER}/identity`);
+  expect(await faultOf(open(disk))).to.equal('CORRUPT_DATA');
+});
+
+it('failed sync: the error is not taken for a full disk', async () => {
+  const disk = new FakeDisk();
+  const {storage} = await filled(disk, 2);
+  disk.failsSync = true;
+  expect(await faultOf(storage.save(put(entry(3))))).to.equal('EIO');
+});
+
+it('disk full: nothing is lost, and the same write succeeds with room', async () => {
+  for (let room = 0; room < 150; room += 7) {
+    const disk = new FakeDisk();
+    const {storage} = await filled(disk, 5);
+    disk.room = room;
+    const batch = put(entry(6), entry(7));
+    expect(await faultOf(storage.save(batch)), `${room}`).to.equal('DISK_FULL');
+    const down = disk.copy();
+    expect((await open(down)).recovered.entries).to.have.length(5);
+    disk.room = Infinity;
+    await storage.save(batch);
+    disk.losePower();
+    expect((await open(disk)).recovered.entries).to.have.length(7);
+  }
+});
+
+it('disk full: a new segment or snapshot waits for room', async () => {
+  const disk = new FakeDisk();
+  const {storage} = await filled(disk, 12);
+  disk.room = 20;
+  const saved = storage.saveSnapshot(snapshotAt(12));
+  expect(await faultOf(saved)).to.equal('DISK_FULL');
+  expect(disk.files('snapshot-')).to.deep.equal([]);
+  disk.room = 20;
+  for (let index = 13; index < 25; index += 1) {
+    disk.room = 20;
+    const full = storage.save(put(entry(index)));
+    expect(await faultOf(full)).to.equal('DISK_FULL');
+    disk.room = Infinity;
+    await storage.save(put(entry(index)));
+  }
+  disk.losePower();
+  expect((await open(disk)).recovered.entries).to.have.length(24);
+});
+
+it('snapshot: it is there after power loss, and replaces the log before it', async () => {
+  const disk = new FakeDisk();
+  const {storage} = await filled(disk, 40);
+  const before = disk.files('log-').length;
+  await storage.saveSnapshot(snapshotAt(30));
+  disk.losePower();
+  const {recovered, data} = await open(disk);
+  expect(data).to.equal('up to 30');
+  expect(recovered.entries[0].index).to.equal(31);
+  expect(recovered.entries.at(-1)?.index).to.equal(40);
+  expect(disk.files('log-').length).to.be.lessThan(before);
+});
+
+it('snapshot: without syncs of the folder, power loss takes it or the log', async () => {
+  const lossOf = async (skipsFolderSync: boolean): Promise<unknown> => {
+    const disk = new FakeDisk();
+    const {storage} = await filled(disk, 40);
+    disk.skipsFolderSync = skipsFolderSync;
+    await storage.saveSnapshot(snapshotAt(40));
+    await storage.saveSnapshot(snapshotAt(40));
+    disk.losePower();
+    return (await open(disk)).data;
+  };
+  expect(await lossOf(false)).to.equal('up to 40');
+  expect(await lossOf(true)).to.equal(undefined);
+});
+
+it('installed snapshot: replaces the log, over power loss at each point', async () => {
+  const disk = new FakeDisk();
+  const {storage} = await filled(disk, 5);
+  const install: LogOperation[] = [
+    {operation: 'install', snapshot: snapshotAt(9, 2)},
+  ];
+  await storage.save(install);
+  await storage.save(put(entry(10, 2)));
+  disk.losePower();
+  const {recovered, data} = await open(disk);
+  expect(data).to.equal('up to 9');
+  expect(recovered.entries.map(({index}) => index)).to.deep.equal([10]);
+});
+
+it('installed snapshot: a crash before the log was dropped leaves no mixture', async () => {
+  for (const [index, term] of [
+    [9, 2],
+    [4, 2],
+  ]) {
+    const disk = new FakeDisk();
+    const {storage} = await filled(disk, 6);
+    const snapshot = snapshotAt(index, term);
+    disk.room = await snapshotBytes(snapshot);
+    const cutShort = storage.save([{operation: 'install', snapshot}]);
+    expect(await faultOf(cutShort)).to.equal('DISK_FULL');
+    disk.room = Infinity;
+    disk.losePower();
+    const first = await open(disk);
+    expect(first.recovered.entries).to.deep.equal([]);
+    await first.storage.save(put(entry(index + 1, term)));
+    disk.losePower();
+    const second = await open(disk);
+    expect(second.recovered.entries).to.deep.equal([entry(index + 1, term)]);
+  }
+});
+
+it('identity: kept over restarts, new in an empty folder', async () => {
+  const disk = new FakeDisk();
+  const first = await open(disk);
+  disk.losePower();
+  const second = await open(disk);
+  const other = await open(new FakeDisk());
+  expect(first.isNew).to.equal(true);
+  expect(second).to.include({id: first.id, isNew: false});
+  expect(other.id).to.not.equal(first.id);
+});
--- a/control/replicated-log/src/log-replica.ts
+++ b/control/replicated-log/src/log-replica.ts
@@ -379,7 +379,10 @@
       return;
     }
     this.snapshotIndex = Math.max(this.snapshotIndex, place.index);
-    this.consensus.compact(place.index - this.settings.keptEntries);
+    this.consensus.compact(
+      place.index - this.settings.keptEntries,
+      performance.now(),
+    );
     const {index} = place;
     const {length} = data;
     this.settings.events.record('snapshot-saved', {index, length});
