--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -6,7 +6,11 @@
   SettingsFollower,
   startHeartbeat,
 } from '@marigoldspur/control-client';
-import {AttemptClient, TargetDirectory} from '@marigoldspur/dispatch';
+import {
+  AttemptClient,
+  TargetDirectory,
+  TargetHealth,
+} from '@marigoldspur/dispatch';
 import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
 import {listen} from '@marigoldspur/http-link';
 import {openLinkSecurity} from '@marigoldspur/link-security';
@@ -22,6 +26,7 @@
 import {CallerServer} from './caller-server.js';
 import {openCallerTls} from './caller-tls.js';
 import {ClaimedRunner} from './claimed-runner.js';
+import {ControlContact} from './control-contact.js';
 import {RequestDesk} from './request-desk.js';
 import {RequestReader} from './request-reader.js';
 import {RetryBudget} from '@marigoldspur/retries';
@@ -59,25 +64,36 @@
   const entryMetrics = new EntryMetrics(metrics.registry);
   const keys = await openCallerKeys({file: settings.callerKeys, events});
   const callerTls = await openCallerTls(settings, events);
-  const attempts = new AttemptClient(security.createAgent());
+  const linkAgent = security.createAgent();
+  const health = new TargetHealth({agent: linkAgent, events});
+  const attempts = new AttemptClient(linkAgent, health);
   const claims = new ClaimDesk({client, events, entry: settings.id, boot});
   const runner = new AttemptRunner({
-    directory: new TargetDirectory(() => members.members(), settings.zone),
+    directory: new TargetDirectory(
+      () => members.members(),
+      settings.zone,
+      health,
+    ),
     attempts,
     answers: new AnswerSender({events, metrics: entryMetrics}),
     retries: new RetryBudget(),
     events,
     random: Math.random,
   });
+  const contact = new ControlContact(follower);
   const desk = new RequestDesk({
     settings: follower,
     keys,
+    contact,
     reader: new RequestReader({
       settings: follower,
       keys,
       maxBodyBytes: settings.maxBodyBytes,
     }),
-    admission: new Admission(),
+    admission: new Admission({
+      maxRunning: settings.maxRunning,
+      random: Math.random,
+    }),
     runner,
     claimed: new ClaimedRunner({claims, runner, events}),
     events,
@@ -124,7 +140,11 @@
     revision: follower.settings.revision,
     leaving: draining,
   });
-  const heartbeat = startHeartbeat(client, member);
+  const heartbeat = startHeartbeat(client, member, ({result, sentAt}) => {
+    if (result.isOk) {
+      contact.heard(result.value.revision, sentAt);
+    }
+  });
   events.record('process-started', {
     url: server.url,
     callers: `http://${callerAddress.host}:${callerAddress.port}`,
@@ -143,6 +163,7 @@
       heartbeat.stop();
       await members.stop();
       await follower.stop();
+      health.stop();
       attempts.close();
       client.close();
       keys.stop();
--- a/zones/control-client/src/heartbeat.ts
+++ b/zones/control-client/src/heartbeat.ts
@@ -12,11 +12,19 @@
   stop(): void;
 }
 
-/** What control answered to a heartbeat. */
+/** What control says to a heartbeat that it took. */
+export interface HeartbeatReceipt {
+  /** How long the member lives without a further heartbeat, in milliseconds. */
+  readonly leaseMs: number;
+  /** The latest settings revision that control knows. */
+  readonly revision: number;
+}
+
+/** What became of a heartbeat. */
 export interface HeartbeatAnswer {
   /** When the heartbeat was sent, a `performance.now()` time. */
   readonly sentAt: number;
-  readonly result: Result<unknown, Fault>;
+  readonly result: Result<HeartbeatReceipt, Fault>;
 }
 
 /** Announces a process to control at a steady pace; `answered` gets each answer. */
@@ -25,20 +33,20 @@
   member: () => Member,
   answered: (answer: HeartbeatAnswer) => void = () => {},
 ): Heartbeat {
-  let busy = false;
-  const beat = async () => {
-    if (busy) {
-      return;
-    }
-    busy = true;
+  let beating: Promise<void> | undefined;
+  const send = async () => {
     const sentAt = performance.now();
     const result = await client.call(
       (replica, signal) => replica.heartbeat.mutate(member(), {signal}),
       sentAt + HEARTBEAT_MS * 2,
     );
-    busy = false;
+    beating = undefined;
     answered({sentAt, result});
   };
+  const beat = () => {
+    beating ??= send();
+    return beating;
+  };
   const timer = setInterval(() => void beat(), HEARTBEAT_MS);
   void beat();
   return {
