Give every resend its first answer, keep versions immutable, carry 36,000 adapters

Cause: only accepted changes had their first answer kept, so a resend of a loser or of an invalid change could be decided anew and win. A version could return with another digest or without its retirement through remove and create or a whole file. A set of an unknown setting placed its finding at the edit (the test of it now asks for the setting).

--- a/control/settings-tree/src/index.ts
+++ b/control/settings-tree/src/index.ts
@@ -7,4 +7,9 @@
   type AdapterPlace,
   type EffectiveSetting,
 } from './resolve.js';
-export {SettingsState, type SettingsSnapshot} from './settings-state.js';
+export {
+  SettingsState,
+  type Decision,
+  type SettingsSnapshot,
+  type SettingsStateOptions,
+} from './settings-state.js';
--- a/control/settings-tree/src/resolve.ts
+++ b/control/settings-tree/src/resolve.ts
@@ -7,6 +7,7 @@
   type Settings,
   type Tree,
 } from '@marigoldspur/settings-schema';
+import {customersWith} from './adapter-index.js';
 
 /** One setting in force at a level, and the level it comes from. */
 export interface EffectiveSetting {
@@ -74,7 +75,7 @@
   model: AdapterVersion,
 ): AdapterPlace | undefined {
   const names =
-    customer === undefined ? Object.keys(tree.customers) : [customer];
+    customer === undefined ? customersWith(tree, model.adapter) : [customer];
   for (const name of names) {
     const services = own(tree.customers, name)?.services ?? {};
     for (const [service, value] of Object.entries(services)) {
@@ -129,7 +130,7 @@
 }
 
 /** Reads a record's own entry, so that names such as `constructor` find nothing. */
-function own<T>(
+export function own<T>(
   record: Record<string, T> | undefined,
   name: string,
 ): T | undefined {
--- a/control/settings-tree/src/settings-state.ts
+++ b/control/settings-tree/src/settings-state.ts
@@ -1,26 +1,75 @@
+import {createHash} from 'node:crypto';
 import {
   emptyTree,
   type Change,
   type ChangeOutcome,
   type Tree,
 } from '@marigoldspur/settings-schema';
-import {applyEdits} from './apply-edits.js';
+import {applyEdits, MAX_FINDINGS} from './apply-edits.js';
+import {VersionHistory, type RemovedVersion} from './version-history.js';
 
-/** Changes kept for followers that are behind and for resends. */
-const KEPT_CHANGES = 4_096;
+/** Bounds of what a settings state keeps. */
+export interface SettingsStateOptions {
+  /** Accepted changes kept for followers that are behind. */
+  readonly keptChanges?: number;
+  /** Bytes of the kept changes, as JSON. */
+  readonly keptBytes?: number;
+  /** Answers kept for resends; each finding counts as one more. */
+  readonly keptAnswers?: number;
+}
+
+/** The first answer to a change. */
+export interface Decision {
+  readonly id: string;
+  /** Digest of the whole change. */
+  readonly digest: string;
+  readonly outcome: ChangeOutcome;
+}
 
 /** Everything a settings state holds, for snapshots. */
 export interface SettingsSnapshot {
   readonly revision: number;
   readonly tree: Tree;
   readonly changes: readonly Change[];
+  /** The kept answers, oldest first. */
+  readonly decisions: readonly Decision[];
+  readonly removedVersions: readonly RemovedVersion[];
 }
 
-/** The settings tree at its latest revision, with the changes that led there. */
+interface KeptChange {
+  readonly change: Change;
+  readonly bytes: number;
+}
+
+const DEFAULTS: Required<SettingsStateOptions> = {
+  keptChanges: 4_096,
+  keptBytes: 8_388_608,
+  keptAnswers: 16_384,
+};
+const DIGEST_LENGTH = 32;
+
+/**
+ * The settings tree at its latest revision, with the changes that led there.
+ *
+ * A change is decided once. Its first answer, whichever it is, is kept and given to
+ * each resend until 16,384 later answers and findings were given. Past that an
+ * accepted change is still never applied again, since its number is taken: the
+ * resend is told `conflict`.
+ */
 export class SettingsState {
   private currentRevision = 0;
   private currentTree: Tree = emptyTree();
-  private changes: Change[] = [];
+  private changes: KeptChange[] = [];
+  private keptBytes = 0;
+  private keptAnswers = 0;
+  private decisions = new Map<string, Decision>();
+  private winners = new Map<number, string>();
+  private readonly versions = new VersionHistory();
+  private readonly options: Required<SettingsStateOptions>;
+
+  constructor(options: SettingsStateOptions = {}) {
+    this.options = {...DEFAULTS, ...options};
+  }
 
   get revision(): number {
     return this.currentRevision;
@@ -32,24 +81,15 @@
 
   /** Decides a change: the first to make a number wins, a resend gets its first answer. */
   apply(change: Change): ChangeOutcome {
-    const first = this.changes.find(kept => kept.id === change.id);
+    const text = JSON.stringify(change);
+    const digest = digestOf(text);
+    const first = this.decisions.get(change.id);
     if (first !== undefined) {
-      return {outcome: 'accepted', revision: first.number};
+      return first.digest === digest ? first.outcome : identityTaken();
     }
-    if (change.number !== this.currentRevision + 1) {
-      const winner = this.changes.find(kept => kept.number === change.number);
-      return {
-        outcome: 'conflict',
-        revision: this.currentRevision,
-        winner: winner?.id,
-      };
-    }
-    const next = applyEdits(this.currentTree, change.edits);
-    if (next.isErr) {
-      return {outcome: 'invalid', findings: next.error};
-    }
-    this.accept(change, next.value);
-    return {outcome: 'accepted', revision: change.number};
+    const outcome = this.decide(change, text.length);
+    this.keepDecision({id: change.id, digest, outcome});
+    return outcome;
   }
 
   /** The changes after a revision; undefined where they are no longer kept. */
@@ -58,12 +98,17 @@
     if (wanted < 0 || wanted > this.changes.length) {
       return undefined;
     }
-    return this.changes.slice(this.changes.length - wanted);
+    return this.changes
+      .slice(this.changes.length - wanted)
+      .map(kept => kept.change);
   }
 
   /** The latest accepted changes, newest first. */
   history(limit: number): Change[] {
-    return this.changes.slice(-limit).reverse();
+    return this.changes
+      .slice(-limit)
+      .map(kept => kept.change)
+      .reverse();
   }
 
   /** Everything the state holds. */
@@ -71,7 +116,9 @@
     return {
       revision: this.currentRevision,
       tree: this.currentTree,
-      changes: this.changes,
+      changes: this.changes.map(kept => kept.change),
+      decisions: [...this.decisions.values()],
+      removedVersions: this.versions.snapshot(),
     };
   }
 
@@ -79,15 +126,93 @@
   restore(snapshot: SettingsSnapshot): void {
     this.currentRevision = snapshot.revision;
     this.currentTree = snapshot.tree;
-    this.changes = [...snapshot.changes];
+    this.changes = snapshot.changes.map(change => ({
+      change,
+      bytes: JSON.stringify(change).length,
+    }));
+    this.keptBytes = this.changes.reduce((sum, kept) => sum + kept.bytes, 0);
+    this.decisions = new Map();
+    this.winners = new Map();
+    this.keptAnswers = 0;
+    snapshot.decisions.forEach(decision => this.keepDecision(decision));
+    this.versions.restore(snapshot.removedVersions);
+  }
+
+  private decide(change: Change, bytes: number): ChangeOutcome {
+    if (change.number !== this.currentRevision + 1) {
+      return {
+        outcome: 'conflict',
+        revision: this.currentRevision,
+        winner: this.winners.get(change.number),
+      };
+    }
+    const next = applyEdits(this.currentTree, change.edits);
+    if (next.isErr) {
+      return {outcome: 'invalid', findings: next.error};
+    }
+    const findings = this.versions.check(
+      this.currentTree,
+      next.value,
+      change.edits,
+    );
+    if (findings.length > 0) {
+      return {outcome: 'invalid', findings: findings.slice(0, MAX_FINDINGS)};
+    }
+    this.accept(change, next.value, bytes);
+    return {outcome: 'accepted', revision: change.number};
   }
 
-  private accept(change: Change, tree: Tree): void {
+  private accept(change: Change, tree: Tree, bytes: number): void {
+    this.versions.record(this.currentTree, tree, change.edits);
     this.currentTree = tree;
     this.currentRevision = change.number;
-    this.changes.push(change);
-    if (this.changes.length > KEPT_CHANGES) {
-      this.changes = this.changes.slice(-KEPT_CHANGES);
+    this.changes.push({change, bytes});
+    this.keptBytes += bytes;
+    while (
+      this.changes.length > this.options.keptChanges ||
+      this.keptBytes > this.options.keptBytes
+    ) {
+      this.keptBytes -= this.changes.shift()!.bytes;
     }
   }
+
+  private keepDecision(decision: Decision): void {
+    this.decisions.set(decision.id, decision);
+    this.keptAnswers += weightOf(decision);
+    const {outcome} = decision;
+    if (outcome.outcome === 'accepted') {
+      this.winners.set(outcome.revision, decision.id);
+    }
+    while (
+      this.keptAnswers > this.options.keptAnswers &&
+      this.decisions.size > 1
+    ) {
+      this.dropOldestDecision();
+    }
+  }
+
+  private dropOldestDecision(): void {
+    const oldest = this.decisions.values().next().value!;
+    this.decisions.delete(oldest.id);
+    this.keptAnswers -= weightOf(oldest);
+    if (oldest.outcome.outcome === 'accepted') {
+      this.winners.delete(oldest.outcome.revision);
+    }
+  }
+}
+
+function weightOf({outcome}: Decision): number {
+  return outcome.outcome === 'invalid' ? 1 + outcome.findings.length : 1;
+}
+
+function digestOf(text: string): string {
+  return createHash('sha256')
+    .update(text)
+    .digest('hex')
+    .slice(0, DIGEST_LENGTH);
+}
+
+function identityTaken(): ChangeOutcome {
+  const reason = 'another change was sent under this identity';
+  return {outcome: 'invalid', findings: [{place: 'id', reason}]};
 }
--- a/control/settings-tree/test/settings-state.test.ts
+++ b/control/settings-tree/test/settings-state.test.ts
@@ -77,7 +77,11 @@
   expect(outcome.outcome).to.equal('invalid');
   const places =
     outcome.outcome === 'invalid' ? outcome.findings.map(f => f.place) : [];
-  expect(places).to.deep.equal(['edits.0.priority', 'edits.1', 'edits.2.path']);
+  expect(places).to.deep.equal([
+    'edits.0.priority',
+    'edits.1.nonsense',
+    'edits.2.path',
+  ]);
   expect(state.revision).to.equal(0);
 });
 
@@ -85,3 +89,182 @@
   const state = new SettingsState();
   expect(settingsOf(state.tree, '/constructor')).to.equal(undefined);
 });
+
+function modelService(versions: Record<string, {digest: string}>): Edit[] {
+  const customer = createCustomer('callao');
+  const service: Edit = {
+    edit: 'create-service',
+    path: '/callao/lm-desk',
+    value: {
+      kind: 'model',
+      baseModel: 'base',
+      store: 'store',
+      settings: {},
+      adapters: {recap: {settings: {}, versions: withRetired(versions)}},
+    },
+  };
+  return [customer, service];
+}
+
+function withRetired(versions: Record<string, {digest: string}>) {
+  return Object.fromEntries(
+    Object.entries(versions).map(([name, value]) => [
+      name,
+      {...value, retired: false},
+    ]),
+  );
+}
+
+function addVersion(version: string, digest: string, retired = false): Edit {
+  const path = '/callao/lm-desk/recap';
+  return {edit: 'add-version', path, version, value: {digest, retired}};
+}
+
+function stateWithRecap(): SettingsState {
+  const state = new SettingsState();
+  const {outcome} = state.apply(
+    change(1, ...modelService({v1: {digest: 'd1'}})),
+  );
+  expect(outcome).to.equal('accepted');
+  return state;
+}
+
+it('settings: a resend of a loser and of an invalid change gets the first answer', () => {
+  const state = new SettingsState();
+  const winner = change(1, createCustomer('callao'));
+  const loser = change(1, createCustomer('fretwell'));
+  const invalid = change(2, {edit: 'remove', path: '/nobody'});
+  state.apply(winner);
+  const firstLost = state.apply(loser);
+  const firstInvalid = state.apply(invalid);
+  state.apply(change(2, createCustomer('nobody')));
+  expect(state.apply(loser)).to.deep.equal(firstLost);
+  expect(state.apply(invalid)).to.deep.equal(firstInvalid);
+  expect(state.revision).to.equal(2);
+});
+
+it('settings: resends get the first answer after a snapshot', () => {
+  const state = new SettingsState();
+  const sent = [
+    change(1, createCustomer('callao')),
+    change(1, createCustomer('fretwell')),
+    change(2, {edit: 'remove', path: '/nobody'}),
+  ];
+  const first = sent.map(each => state.apply(each));
+  const restored = new SettingsState();
+  restored.restore(JSON.parse(JSON.stringify(state.snapshot())));
+  restored.apply(change(2, createCustomer('fretwell')));
+  expect(sent.map(each => restored.apply(each))).to.deep.equal(first);
+});
+
+it('settings: past the kept answers an accepted change is still not applied again', () => {
+  const state = new SettingsState({keptAnswers: 2});
+  const first = change(1, createCustomer('callao'));
+  state.apply(first);
+  for (let number = 2; number <= 4; number += 1) {
+    state.apply(change(number, createCustomer(`customer-${number}`)));
+  }
+  expect(state.apply(first)).to.include({outcome: 'conflict', revision: 4});
+});
+
+it('settings: an identity used for another change is invalid', () => {
+  const state = new SettingsState();
+  const first = change(1, createCustomer('callao'));
+  state.apply(first);
+  const other = {...first, edits: [createCustomer('fretwell')]};
+  expect(state.apply(other).outcome).to.equal('invalid');
+});
+
+it('settings: kept changes are bounded by bytes and the whole is given past them', () => {
+  const state = new SettingsState({keptBytes: 400});
+  for (let number = 1; number <= 10; number += 1) {
+    state.apply(change(number, createCustomer(`customer-${number}`)));
+  }
+  expect(state.changesAfter(0)).to.equal(undefined);
+  expect(state.changesAfter(9)).to.have.length(1);
+});
+
+it('settings: a version never changes its digest', () => {
+  const state = stateWithRecap();
+  const outcome = state.apply(change(2, addVersion('v1', 'd2')));
+  expect(outcome.outcome).to.equal('invalid');
+});
+
+it('settings: a removed version does not return with another digest', () => {
+  const state = stateWithRecap();
+  const remove: Edit = {edit: 'remove', path: '/callao/lm-desk/recap'};
+  const create = (digest: string): Edit => ({
+    edit: 'create-adapter',
+    path: '/callao/lm-desk/recap',
+    value: {settings: {}, versions: {v1: {digest, retired: false}}},
+  });
+  expect(state.apply(change(2, remove, create('d2'))).outcome).to.equal(
+    'invalid',
+  );
+  expect(state.apply(change(2, remove)).outcome).to.equal('accepted');
+  const restored = new SettingsState();
+  restored.restore(JSON.parse(JSON.stringify(state.snapshot())));
+  expect(restored.apply(change(3, create('d2'))).outcome).to.equal('invalid');
+  expect(restored.apply(change(3, create('d1'))).outcome).to.equal('accepted');
+});
+
+it('settings: a whole file neither changes a digest nor revives a version', () => {
+  const state = stateWithRecap();
+  const path = '/callao/lm-desk/recap';
+  state.apply(change(2, {edit: 'retire-version', path, version: 'v1'}));
+  const replace = (version: {digest: string; retired: boolean}) => {
+    const tree = structuredClone(state.tree);
+    const service = tree.customers['callao'].services['lm-desk'];
+    if (service.kind === 'model') {
+      service.adapters['recap'].versions['v1'] = version;
+    }
+    return change(3, {edit: 'replace', value: tree});
+  };
+  const swapped = state.apply(replace({digest: 'd2', retired: true}));
+  const revived = state.apply(replace({digest: 'd1', retired: false}));
+  expect(swapped.outcome).to.equal('invalid');
+  expect(revived.outcome).to.equal('invalid');
+  expect(state.apply(change(3, addVersion('v1', 'd1'))).outcome).to.equal(
+    'invalid',
+  );
+  const same = state.apply(replace({digest: 'd1', retired: true}));
+  expect(same.outcome).to.equal('accepted');
+});
+
+it('settings: a service that doubles a name is reported', () => {
+  const state = stateWithRecap();
+  const double: Edit = {
+    edit: 'create-service',
+    path: '/callao/other',
+    value: {
+      kind: 'model',
+      baseModel: 'base',
+      store: 'store',
+      settings: {},
+      adapters: {recap: {settings: {}, versions: {}}},
+    },
+  };
+  expect(state.apply(change(2, double)).outcome).to.equal('invalid');
+});
+
+it('settings: a change leaves the tree before it as it was', () => {
+  const state = stateWithRecap();
+  const before = state.tree;
+  const text = JSON.stringify(before);
+  state.apply(
+    change(
+      2,
+      addVersion('v2', 'd2'),
+      addVersion('v3', 'd3'),
+      {edit: 'set', path: '/callao', setting: 'priority', value: 1},
+      {
+        edit: 'set',
+        path: '/callao/lm-desk/recap',
+        setting: 'priority',
+        value: 2,
+      },
+    ),
+  );
+  expect(JSON.stringify(before)).to.equal(text);
+  expect(settingsOf(state.tree, '/callao/lm-desk/recap')?.priority).to.equal(2);
+});
--- /dev/null
+++ b/lab/spread-bench/src/index.ts
@@ -0,0 +1,6 @@
+export {
+  measureTree,
+  sizedTree,
+  type TreeCost,
+  type TreeShape,
+} from './tree-bench.js';
