--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -36,6 +36,17 @@
     level: 'warn',
     meaning: 'No keys are set, so the process binds to loopback only.',
   },
+  'keys-reloaded': {
+    number: 105,
+    level: 'info',
+    meaning: 'A key file changed and its new content is used.',
+  },
+  'keys-rejected': {
+    number: 106,
+    level: 'warn',
+    meaning:
+      'A key file changed and is malformed; the last good content stays.',
+  },
   'change-accepted': {
     number: 200,
     level: 'info',
@@ -111,6 +122,36 @@
     level: 'info',
     meaning: 'The caller went away before the answer was whole.',
   },
+  'attempt-retried': {
+    number: 406,
+    level: 'info',
+    meaning: 'A request is tried again at another target.',
+  },
+  'answer-replayed': {
+    number: 407,
+    level: 'info',
+    meaning: 'A resend got the answer that was kept from the first run.',
+  },
+  'completion-lost': {
+    number: 408,
+    level: 'warn',
+    meaning: 'Control did not take the end of a claimed request.',
+  },
+  'answer-crossed': {
+    number: 409,
+    level: 'warn',
+    meaning: 'An answer to another request was dropped.',
+  },
+  'request-error': {
+    number: 410,
+    level: 'error',
+    meaning: 'Serving a request failed inside the entry.',
+  },
+  'shutdown-bound-reached': {
+    number: 411,
+    level: 'warn',
+    meaning: 'Requests still ran when the time for a shutdown was over.',
+  },
   'attempt-received': {
     number: 500,
     level: 'debug',
@@ -136,6 +177,31 @@
     level: 'warn',
     meaning: 'An attempt broke off after it was forwarded.',
   },
+  'attempt-repeated': {
+    number: 505,
+    level: 'warn',
+    meaning: 'An attempt came twice; its second copy was not run.',
+  },
+  'attempt-cancelled': {
+    number: 506,
+    level: 'info',
+    meaning: 'The entry went away, so the target was told to stop.',
+  },
+  'target-answer-crossed': {
+    number: 507,
+    level: 'warn',
+    meaning: 'An answer of another request, adapter or boot was dropped.',
+  },
+  'target-answer-torn': {
+    number: 508,
+    level: 'warn',
+    meaning: 'An answer lacked its end and was not ended cleanly.',
+  },
+  'attempt-stopped': {
+    number: 509,
+    level: 'debug',
+    meaning: 'The target confirmed that a broken-off attempt has stopped.',
+  },
   'load-ordered': {
     number: 600,
     level: 'info',
@@ -161,6 +227,46 @@
     level: 'warn',
     meaning: 'The target returned with another boot identity and empty slots.',
   },
+  'load-backed-off': {
+    number: 605,
+    level: 'info',
+    meaning: 'A load is not tried again until its pause is over.',
+  },
+  'load-dropped': {
+    number: 606,
+    level: 'info',
+    meaning: 'A load that nobody waits for was dropped before it began.',
+  },
+  'order-unclear': {
+    number: 607,
+    level: 'warn',
+    meaning: 'The answer to an order was lost, so the target is asked.',
+  },
+  'orders-held': {
+    number: 608,
+    level: 'warn',
+    meaning: 'No orders are given while the lease is not confirmed.',
+  },
+  'orders-taken-over': {
+    number: 609,
+    level: 'info',
+    meaning: 'The agent may order evictions: none before it can any more.',
+  },
+  'loads-isolated': {
+    number: 610,
+    level: 'warn',
+    meaning: 'Control is away, so loads go at the share of this agent.',
+  },
+  'adapter-distrusted': {
+    number: 611,
+    level: 'warn',
+    meaning: 'The target lists an adapter that it does not serve.',
+  },
+  'slots-differ': {
+    number: 612,
+    level: 'warn',
+    meaning: 'The target has fewer adapter slots than it says.',
+  },
   'link-lost': {
     number: 700,
     level: 'warn',
