--- a/control/control-server/src/command.ts
+++ b/control/control-server/src/command.ts
@@ -18,11 +18,13 @@
   z.object({
     command: z.literal('complete-claim'),
     completion: COMPLETION_SCHEMA,
+    at: z.number(),
   }),
   z.object({
     command: z.literal('lose-entry'),
     entry: z.string(),
     boot: z.string(),
+    at: z.number(),
   }),
   z.object({
     command: z.literal('grant-fence'),
--- a/control/control-server/src/control-machine.ts
+++ b/control/control-server/src/control-machine.ts
@@ -32,15 +32,14 @@
         return {command: 'change-settings', outcome};
       }
       case 'take-claim': {
-        this.claims.expire(command.at);
         const outcome = this.claims.take(command.claim, command.at);
         return {command: 'take-claim', outcome};
       }
       case 'complete-claim':
-        this.claims.complete(command.completion);
+        this.claims.complete(command.completion, command.at);
         return {command: 'done'};
       case 'lose-entry':
-        this.claims.loseEntry(command.entry, command.boot);
+        this.claims.loseEntry(command.entry, command.boot, command.at);
         return {command: 'done'};
       case 'grant-fence':
         this.fence += 1;
--- a/control/request-claims/src/claim-state.ts
+++ b/control/request-claims/src/claim-state.ts
@@ -5,87 +5,271 @@
   StoredAnswer,
 } from '@marigoldspur/messages';
 
+/** Bounds of what a claim state keeps. */
+export interface ClaimStateOptions {
+  /** Claims kept at once; beyond it new keys are refused. */
+  readonly maxClaims?: number;
+  /** Bytes of kept answers; beyond it the oldest answers are dropped. */
+  readonly maxAnswerBytes?: number;
+  /** Largest answer that is kept, in bytes. */
+  readonly maxAnswerSize?: number;
+  /** After this time a claim that never ended counts as unknown, in milliseconds. */
+  readonly runningLimitMs?: number;
+}
+
+/** An entry that holds running claims. */
+export interface ClaimHolder {
+  readonly entry: string;
+  readonly boot: string;
+}
+
 interface ClaimRow {
   readonly digest: string;
   readonly request: string;
   readonly entry: string;
   readonly boot: string;
-  readonly expiresAt: number;
+  readonly retentionMs: number;
+  /** When a running claim counts as unknown, or an ended one is dropped. */
+  endsAt: number;
   state: 'running' | 'completed' | 'unknown';
   answer?: StoredAnswer;
 }
 
-/** Everything a claim state holds, for snapshots: rows by customer and key. */
-export type ClaimsSnapshot = ReadonlyArray<readonly [string, ClaimRow]>;
+/** Everything a claim state holds, for snapshots: its clock, and rows by customer and key. */
+export interface ClaimsSnapshot {
+  readonly clock: number;
+  readonly rows: ReadonlyArray<readonly [string, ClaimRow]>;
+}
+
+const DEFAULTS: Required<ClaimStateOptions> = {
+  maxClaims: 100_000,
+  maxAnswerBytes: 16_777_216,
+  maxAnswerSize: 16_384,
+  runningLimitMs: 7_200_000,
+};
+const BUCKET_MS = 60_000;
+const MAX_RETRY_AFTER_MS = 60_000;
 
-/** The claims of requests that may not be repeated. */
+/**
+ * The claims of requests that may not be repeated.
+ *
+ * A running claim never runs out: it ends by its completion, by the loss of its
+ * entry, or as unknown after two hours, which is over the longest request. From its
+ * end it is kept for its retention, so a key may be used again only when a run under
+ * it ended at least that long ago. An unknown outcome stays unknown.
+ *
+ * The state's clock is the highest time that any command gave, so it never runs
+ * backwards when leaders' clocks differ.
+ */
 export class ClaimState {
   private rows = new Map<string, ClaimRow>();
+  private clock = 0;
+  private answerBytes = 0;
+  /** Rows with an answer, in the order of their ends. */
+  private readonly answered = new Set<string>();
+  private readonly running = new Map<string, Set<string>>();
+  private readonly buckets = new Map<number, string[]>();
+  private sweptBucket = -Infinity;
+  private readonly options: Required<ClaimStateOptions>;
+
+  constructor(options: ClaimStateOptions = {}) {
+    this.options = {...DEFAULTS, ...options};
+  }
 
   /** Claims kept now. */
   get size(): number {
     return this.rows.size;
   }
 
-  /** Decides a claim at time `now`, in milliseconds; the first for a key wins. */
-  take(claim: Claim, now: number): ClaimOutcome {
+  /** Bytes of the answers kept now. */
+  get keptAnswerBytes(): number {
+    return this.answerBytes;
+  }
+
+  /** The entries that hold running claims. */
+  holders(): ClaimHolder[] {
+    return [...this.running.keys()].map(text => {
+      const [entry, boot] = JSON.parse(text) as [string, string];
+      return {entry, boot};
+    });
+  }
+
+  /** Decides a claim proposed at time `at`, in milliseconds; the first for a key wins. */
+  take(claim: Claim, at: number): ClaimOutcome {
+    this.advance(at);
     const id = rowId(claim.customer, claim.key);
-    const row = this.rows.get(id);
-    if (row === undefined || row.expiresAt <= now) {
-      this.rows.set(id, {
-        digest: claim.digest,
-        request: claim.request,
-        entry: claim.entry,
-        boot: claim.boot,
-        expiresAt: now + claim.retentionMs,
-        state: 'running',
-      });
-      return {outcome: 'granted'};
-    }
-    return outcomeOf(row, claim);
-  }
-
-  /** Ends a claim; only the request that holds it may. */
-  complete(completion: Completion): void {
+    const row = this.live(id);
+    if (row !== undefined) {
+      return outcomeOf(row, claim);
+    }
+    if (this.rows.size >= this.options.maxClaims) {
+      return {outcome: 'full', retryAfterMs: MAX_RETRY_AFTER_MS};
+    }
+    this.insert(id, {
+      digest: claim.digest,
+      request: claim.request,
+      entry: claim.entry,
+      boot: claim.boot,
+      retentionMs: claim.retentionMs,
+      endsAt: this.clock + this.options.runningLimitMs,
+      state: 'running',
+    });
+    return {outcome: 'granted'};
+  }
+
+  /** Ends a running claim; only the request that holds it may. */
+  complete(completion: Completion, at: number): void {
+    this.advance(at);
     const id = rowId(completion.customer, completion.key);
-    const row = this.rows.get(id);
-    if (row === undefined || row.request !== completion.request) {
+    const row = this.live(id);
+    if (row?.state !== 'running' || row.request !== completion.request) {
       return;
     }
     if (completion.result === 'not-run') {
-      this.rows.delete(id);
+      this.drop(id, row);
       return;
     }
-    row.state = completion.result;
-    row.answer = completion.answer;
+    this.end(id, row, completion.result);
+    this.keepAnswer(id, row, completion.answer);
   }
 
   /** Marks the running claims of an entry that is lost as unknown, for good. */
-  loseEntry(entry: string, boot: string): void {
-    for (const row of this.rows.values()) {
-      if (row.state === 'running' && row.entry === entry && row.boot === boot) {
-        row.state = 'unknown';
-      }
-    }
-  }
-
-  /** Drops the claims whose retention ended before `now`. */
-  expire(now: number): void {
-    for (const [id, row] of this.rows) {
-      if (row.expiresAt <= now) {
-        this.rows.delete(id);
+  loseEntry(entry: string, boot: string, at: number): void {
+    this.advance(at);
+    for (const id of [...(this.running.get(holderKey(entry, boot)) ?? [])]) {
+      const row = this.live(id);
+      if (row?.state === 'running') {
+        this.end(id, row, 'unknown');
       }
     }
   }
 
   /** Everything the state holds. */
   snapshot(): ClaimsSnapshot {
-    return [...this.rows];
+    return {clock: this.clock, rows: [...this.rows]};
   }
 
   /** Takes over a snapshot. */
   restore(snapshot: ClaimsSnapshot): void {
-    this.rows = new Map(snapshot.map(([id, row]) => [id, {...row}]));
+    this.rows = new Map();
+    this.answered.clear();
+    this.running.clear();
+    this.buckets.clear();
+    this.answerBytes = 0;
+    this.sweptBucket = -Infinity;
+    this.clock = snapshot.clock;
+    for (const [id, row] of snapshot.rows) {
+      const {answer, ...rest} = row;
+      const copy: ClaimRow = {...rest};
+      this.insert(id, copy);
+      this.keepAnswer(id, copy, answer);
+    }
+  }
+
+  /** The row of a key as it stands at the state's clock. */
+  private live(id: string): ClaimRow | undefined {
+    const row = this.rows.get(id);
+    if (row === undefined || row.endsAt > this.clock) {
+      return row;
+    }
+    if (row.state === 'running') {
+      this.end(id, row, 'unknown');
+      return row;
+    }
+    this.drop(id, row);
+    return undefined;
+  }
+
+  private insert(id: string, row: ClaimRow): void {
+    this.rows.set(id, row);
+    this.schedule(id, row.endsAt);
+    if (row.state === 'running') {
+      const key = holderKey(row.entry, row.boot);
+      const held = this.running.get(key) ?? new Set();
+      this.running.set(key, held.add(id));
+    }
+  }
+
+  private end(
+    id: string,
+    row: ClaimRow,
+    state: 'completed' | 'unknown',
+  ): void {
+    this.release(id, row);
+    row.state = state;
+    row.endsAt = this.clock + row.retentionMs;
+    // The order of rows is the order of their ends, which a snapshot keeps.
+    this.rows.delete(id);
+    this.rows.set(id, row);
+    this.schedule(id, row.endsAt);
+  }
+
+  private drop(id: string, row: ClaimRow): void {
+    this.release(id, row);
+    this.dropAnswer(id, row);
+    this.rows.delete(id);
+  }
+
+  private release(id: string, row: ClaimRow): void {
+    const key = holderKey(row.entry, row.boot);
+    const held = this.running.get(key);
+    held?.delete(id);
+    if (held?.size === 0) {
+      this.running.delete(key);
+    }
+  }
+
+  private keepAnswer(
+    id: string,
+    row: ClaimRow,
+    answer: StoredAnswer | undefined,
+  ): void {
+    if (answer === undefined || sizeOf(answer) > this.options.maxAnswerSize) {
+      return;
+    }
+    row.answer = answer;
+    this.answerBytes += sizeOf(answer);
+    this.answered.add(id);
+    for (const oldest of this.answered) {
+      if (this.answerBytes <= this.options.maxAnswerBytes) {
+        return;
+      }
+      this.dropAnswer(oldest, this.rows.get(oldest)!);
+    }
+  }
+
+  private dropAnswer(id: string, row: ClaimRow): void {
+    if (row.answer !== undefined) {
+      this.answerBytes -= sizeOf(row.answer);
+      row.answer = undefined;
+      this.answered.delete(id);
+    }
+  }
+
+  private schedule(id: string, endsAt: number): void {
+    const bucket = Math.floor(endsAt / BUCKET_MS);
+    const ids = this.buckets.get(bucket);
+    if (ids === undefined) {
+      this.buckets.set(bucket, [id]);
+    } else {
+      ids.push(id);
+    }
+  }
+
+  /** Moves the clock on and settles the rows whose time is over, by whole minutes. */
+  private advance(at: number): void {
+    this.clock = Math.max(this.clock, at);
+    const current = Math.floor(this.clock / BUCKET_MS);
+    if (current <= this.sweptBucket) {
+      return;
+    }
+    this.sweptBucket = current;
+    const due = [...this.buckets.keys()].filter(bucket => bucket < current);
+    for (const bucket of due.sort((a, b) => a - b)) {
+      const ids = this.buckets.get(bucket)!;
+      this.buckets.delete(bucket);
+      ids.forEach(id => this.live(id));
+    }
   }
 }
 
@@ -93,15 +277,26 @@
   return `${customer}/${key}`;
 }
 
+function holderKey(entry: string, boot: string): string {
+  return JSON.stringify([entry, boot]);
+}
+
+function sizeOf(answer: StoredAnswer): number {
+  return answer.body.length + answer.contentType.length;
+}
+
 function outcomeOf(row: ClaimRow, claim: Claim): ClaimOutcome {
   if (row.digest !== claim.digest) {
     return {outcome: 'mismatch', request: row.request};
   }
-  if (row.state === 'running' && row.request === claim.request) {
-    return {outcome: 'granted'};
-  }
   if (row.state === 'completed') {
     return {outcome: 'completed', request: row.request, answer: row.answer};
   }
-  return {outcome: row.state, request: row.request};
+  const isResend =
+    row.request === claim.request &&
+    row.entry === claim.entry &&
+    row.boot === claim.boot;
+  return row.state === 'running' && isResend
+    ? {outcome: 'granted'}
+    : {outcome: row.state, request: row.request};
 }
--- a/control/request-claims/src/index.ts
+++ b/control/request-claims/src/index.ts
@@ -1,1 +1,6 @@
-export {ClaimState, type ClaimsSnapshot} from './claim-state.js';
+export {
+  ClaimState,
+  type ClaimHolder,
+  type ClaimsSnapshot,
+  type ClaimStateOptions,
+} from './claim-state.js';
