--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -22,6 +22,7 @@
 import {CallerServer} from './caller-server.js';
 import {openCallerTls} from './caller-tls.js';
 import {ClaimedRunner} from './claimed-runner.js';
+import {ControlContact} from './control-contact.js';
 import {RequestDesk} from './request-desk.js';
 import {RequestReader} from './request-reader.js';
 import {RetryBudget} from '@marigoldspur/retries';
@@ -69,15 +70,20 @@
     events,
     random: Math.random,
   });
+  const contact = new ControlContact(follower);
   const desk = new RequestDesk({
     settings: follower,
     keys,
+    contact,
     reader: new RequestReader({
       settings: follower,
       keys,
       maxBodyBytes: settings.maxBodyBytes,
     }),
-    admission: new Admission(),
+    admission: new Admission({
+      maxRunning: settings.maxRunning,
+      random: Math.random,
+    }),
     runner,
     claimed: new ClaimedRunner({claims, runner, events}),
     events,
@@ -124,7 +130,11 @@
     revision: follower.settings.revision,
     leaving: draining,
   });
-  const heartbeat = startHeartbeat(client, member);
+  const heartbeat = startHeartbeat(client, member, ({result}) => {
+    if (result.isOk) {
+      contact.heard(result.value.revision, performance.now());
+    }
+  });
   events.record('process-started', {
     url: server.url,
     callers: `http://${callerAddress.host}:${callerAddress.port}`,
