Keep claims over lost entries and leaders, and one agent per target

Cause: a running claim ran out with its retention, so a key could be granted twice while the first run went on; an entry that died during a change of leader was in no table that could expire it, so its claims stayed running; at was the clock of whichever leader proposed; a returned agent and its older one both stood in the table; a new leader's empty table looked complete.

The entry's claim desk got the refusal claims_full and its test the new time argument (additive).

--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -92,6 +92,32 @@
     level: 'warn',
     meaning: 'The lease of a process or target ran out.',
   },
+  'member-fenced': {
+    number: 303,
+    level: 'warn',
+    meaning: 'An agent lost its target to another with a newer fencing number.',
+  },
+  'members-settled': {
+    number: 304,
+    level: 'info',
+    meaning: 'A new leader’s member table counts as complete.',
+  },
+  'claims-lost': {
+    number: 250,
+    level: 'warn',
+    meaning:
+      'An entry with running claims is lost; their outcome counts as unknown.',
+  },
+  'stream-lost': {
+    number: 305,
+    level: 'warn',
+    meaning: 'The stream from a replica of control fell silent or broke.',
+  },
+  'settings-pulled': {
+    number: 306,
+    level: 'info',
+    meaning: 'Settings were taken from a process that was ahead.',
+  },
   'request-received': {
     number: 400,
     level: 'debug',
--- a/contracts/messages/src/member.ts
+++ b/contracts/messages/src/member.ts
@@ -65,6 +65,8 @@
   changed: z.array(MEMBER_SCHEMA),
   /** Identities of the members that are gone. */
   removed: z.array(z.string()),
+  /** False while members may not have announced themselves yet, as after a change of leader. */
+  complete: z.boolean().default(true),
 });
 
 /** What changed in the member table. */
--- a/control/control-server/src/control-desk.ts
+++ b/control/control-server/src/control-desk.ts
@@ -7,7 +7,7 @@
 import type {EventLog} from '@marigoldspur/event-log';
 import {Fault} from '@marigoldspur/faults';
 import type {PermitDesk} from '@marigoldspur/load-permits';
-import type {MemberChange, MemberTable} from '@marigoldspur/membership';
+import {MemberTable, type MemberChange} from '@marigoldspur/membership';
 import type {
   Claim,
   ClaimOutcome,
@@ -26,10 +26,11 @@
 /** What a control desk works with. */
 export interface ControlDeskOptions {
   readonly id: string;
+  /** Boot identity of the process. */
+  readonly boot: string;
   readonly leaseMs: number;
   readonly machine: ControlMachine;
   readonly log: ReplicatedLog<Command, CommandAnswer>;
-  readonly members: MemberTable;
   readonly permits: PermitDesk;
   readonly events: EventLog;
 }
@@ -39,7 +40,16 @@
   private readonly settingsSignal = new ChangeSignal();
   private readonly membersSignal = new ChangeSignal();
 
+  private term = -1;
+  private table: MemberTable;
+  /** Since when each holder of running claims has not been a member. */
+  private readonly absentSince = new Map<string, number>();
+
   constructor(private readonly options: ControlDeskOptions) {
+    this.table = new MemberTable({
+      table: options.boot,
+      leaseMs: options.leaseMs,
+    });
     options.machine.onSettings(() => this.settingsSignal.notify());
   }
 
@@ -102,17 +112,24 @@
   }
 
   async completeClaim(completion: Completion): Promise<void> {
-    await this.propose({command: 'complete-claim', completion});
+    const at = Date.now();
+    await this.propose({command: 'complete-claim', completion, at});
   }
 
   async heartbeat(
     member: Member,
   ): Promise<{leaseMs: number; revision: number}> {
-    this.requireLeader();
-    const change = this.options.members.announce(member, Date.now());
-    if (change !== undefined) {
-      this.membersSignal.notify();
-      this.recordMember(change);
+    const now = performance.now();
+    const members = this.requireOffice(now);
+    const granted =
+      member.target && this.options.machine.fenceOf(member.target.name);
+    const {fenced, changes} = members.announce(member, now, granted);
+    this.recordMembers(changes);
+    if (fenced) {
+      throw new Fault(
+        'FENCED',
+        `another agent holds ${member.target?.name} under a newer number`,
+      );
     }
     return {
       leaseMs: this.options.leaseMs,
@@ -133,17 +150,16 @@
     version: number,
     waitMs: number,
   ): Promise<MembersDelta> {
-    this.requireLeader();
-    const {members} = this.options;
+    const members = this.requireOffice(performance.now());
     const known = members.delta(table, version);
     if (!known.whole && known.version === version) {
       await this.membersSignal.wait(waitMs);
     }
-    return members.delta(table, version);
+    return this.requireOffice(performance.now()).delta(table, version);
   }
 
   async acquirePermit(request: PermitRequest): Promise<Permit> {
-    this.requireLeader();
+    this.requireOffice(performance.now());
     const permit = await this.options.permits.acquire(request);
     if (permit.permit !== undefined) {
       this.options.events.record('permit-granted', {
@@ -167,23 +183,64 @@
     };
   }
 
-  /** Ends the leases that ran out before `now`, and the claims of lost entries. */
+  /** Members that this replica knows as leader. */
+  get memberCount(): number {
+    return this.table.members().length;
+  }
+
+  /** Ends the leases that ran out before `now`, a `performance.now()` time, and the claims of lost entries. */
   checkLeases(now: number): void {
-    const expired = this.options.members.expire(now);
-    if (expired.length > 0) {
+    if (this.options.log.status().role !== 'leader') {
+      return;
+    }
+    const members = this.requireOffice(now);
+    const {complete, version} = members;
+    const expired = members.expire(now);
+    if (members.version !== version) {
       this.membersSignal.notify();
     }
-    for (const change of expired) {
-      this.recordMember(change);
-      const {role, id, boot} = change.member;
-      if (role === 'entry') {
-        void this.propose({command: 'lose-entry', entry: id, boot}).catch(
-          () => {},
-        );
+    if (members.complete && !complete) {
+      const count = members.members().length;
+      this.options.events.record('members-settled', {members: count});
+    }
+    this.recordMembers(expired);
+    this.loseAbsentHolders(members, now);
+  }
+
+  /** Ends the claims of entries that were no members for a whole lease, or that returned with another boot. */
+  private loseAbsentHolders(members: MemberTable, now: number): void {
+    const holders = this.options.machine.claims.holders();
+    const known = new Set<string>();
+    for (const {entry, boot} of holders) {
+      const key = `${entry}/${boot}`;
+      known.add(key);
+      const member = members.member(entry);
+      if (member?.boot === boot) {
+        this.absentSince.delete(key);
+        continue;
+      }
+      const since = this.absentSince.get(key) ?? now;
+      this.absentSince.set(key, since);
+      if (now - since >= this.options.leaseMs) {
+        this.absentSince.delete(key);
+        this.loseEntry(entry, boot);
+      }
+    }
+    for (const key of this.absentSince.keys()) {
+      if (!known.has(key)) {
+        this.absentSince.delete(key);
       }
     }
   }
 
+  private loseEntry(entry: string, boot: string): void {
+    this.options.events.record('claims-lost', {entry, boot});
+    const at = Date.now();
+    this.propose({command: 'lose-entry', entry, boot, at}).catch(() => {
+      // The next check of leases proposes it again.
+    });
+  }
+
   private async propose(command: Command): Promise<CommandAnswer> {
     const proposed = await this.options.log.propose(command);
     if (proposed.isErr) {
@@ -192,26 +249,33 @@
     return proposed.value;
   }
 
-  private requireLeader(): void {
-    const {role, leaderUrl} = this.options.log.status();
+  /** The member table of this term's office; throws where this replica doesn't lead. */
+  private requireOffice(now: number): MemberTable {
+    const {role, leaderUrl, term} = this.options.log.status();
     if (role !== 'leader') {
       throw new Fault('NOT_LEADER', leaderUrl ?? '');
     }
+    if (term !== this.term) {
+      this.term = term;
+      this.absentSince.clear();
+      this.table = new MemberTable({
+        table: `${this.options.boot}/${term}`,
+        leaseMs: this.options.leaseMs,
+        completeAt: now + this.options.leaseMs,
+      });
+    }
+    return this.table;
   }
 
-  private recordMember(change: MemberChange): void {
-    const {id, role, zone} = change.member;
-    switch (change.kind) {
-      case 'joined':
-        this.options.events.record('member-joined', {member: id, role, zone});
-        return;
-      case 'leaving':
-        this.options.events.record('member-leaving', {member: id, role, zone});
-        return;
-      case 'expired':
-        this.options.events.record('member-expired', {member: id, role, zone});
-        return;
-      case 'changed':
+  private recordMembers(changes: readonly MemberChange[]): void {
+    if (changes.length > 0) {
+      this.membersSignal.notify();
+    }
+    for (const {kind, member} of changes) {
+      if (kind !== 'changed') {
+        const {id, role, zone} = member;
+        this.options.events.record(`member-${kind}`, {member: id, role, zone});
+      }
     }
   }
 }
--- a/control/control-server/src/control-machine.ts
+++ b/control/control-server/src/control-machine.ts
@@ -10,13 +10,19 @@
   readonly settings: SettingsSnapshot;
   readonly claims: ClaimsSnapshot;
   readonly fence: number;
+  /** The newest fencing number of each target. */
+  readonly targetFences: ReadonlyArray<readonly [string, number]>;
 }
 
+/** Targets whose newest fencing number is kept; the longest unused are dropped. */
+const MAX_TARGET_FENCES = 20_000;
+
 /** What control keeps through the log: settings, claims and fencing numbers. */
 export class ControlMachine implements StateMachine<Command, CommandAnswer> {
   readonly settings = new SettingsState();
   readonly claims = new ClaimState();
   private fence = 0;
+  private targetFences = new Map<string, number>();
   private readonly listeners = new Set<() => void>();
 
   /** Calls `listener` after each settings change that is applied. */
@@ -42,16 +48,22 @@
         this.claims.loseEntry(command.entry, command.boot, command.at);
         return {command: 'done'};
       case 'grant-fence':
-        this.fence += 1;
+        this.grantFence(command.target);
         return {command: 'grant-fence', fence: this.fence};
     }
   }
 
+  /** The newest fencing number granted for a target. */
+  fenceOf(target: string): number | undefined {
+    return this.targetFences.get(target);
+  }
+
   snapshot(): string {
     const snapshot: Snapshot = {
       settings: this.settings.snapshot(),
       claims: this.claims.snapshot(),
       fence: this.fence,
+      targetFences: [...this.targetFences],
     };
     return JSON.stringify(snapshot);
   }
@@ -61,9 +73,19 @@
     this.settings.restore(snapshot.settings);
     this.claims.restore(snapshot.claims);
     this.fence = snapshot.fence;
+    this.targetFences = new Map(snapshot.targetFences);
     this.announceSettings();
   }
 
+  private grantFence(target: string): void {
+    this.fence += 1;
+    this.targetFences.delete(target);
+    this.targetFences.set(target, this.fence);
+    if (this.targetFences.size > MAX_TARGET_FENCES) {
+      this.targetFences.delete(this.targetFences.keys().next().value!);
+    }
+  }
+
   private announceSettings(): void {
     for (const listener of this.listeners) {
       listener();
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -2,7 +2,6 @@
 import {controlRouter} from '@marigoldspur/control-api';
 import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
 import {PermitDesk} from '@marigoldspur/load-permits';
-import {MemberTable} from '@marigoldspur/membership';
 import {openLinkSecurity} from '@marigoldspur/link-security';
 import {processMetrics} from '@marigoldspur/metrics';
 import {bootIdentity, type Task} from '@marigoldspur/process-life';
@@ -32,17 +31,16 @@
     folder: path.join(settings.dataFolder, 'log'),
     id: settings.id,
   });
-  const members = new MemberTable({table: boot, leaseMs: settings.leaseMs});
   const permits = new PermitDesk({
     loadsAtOnce: settings.loadsAtOnce,
     validMs: settings.permitValidMs,
   });
   const desk = new ControlDesk({
     id: settings.id,
+    boot,
     leaseMs: settings.leaseMs,
     machine,
     log,
-    members,
     permits,
     events,
   });
@@ -73,7 +71,7 @@
           term: desk.status().term,
           commitIndex: desk.status().commitIndex,
           claims: machine.claims.size,
-          members: members.members().length,
+          members: desk.memberCount,
         },
       }),
       events: (after, limit, request) => events.after(after, limit, request),
@@ -81,7 +79,7 @@
     },
   });
   const leaseCheck = setInterval(
-    () => desk.checkLeases(Date.now()),
+    () => desk.checkLeases(performance.now()),
     LEASE_CHECK_MS,
   );
   events.record('process-started', {url: server.url, boot});
--- a/control/request-claims/src/claim-state.ts
+++ b/control/request-claims/src/claim-state.ts
@@ -190,11 +190,7 @@
     }
   }
 
-  private end(
-    id: string,
-    row: ClaimRow,
-    state: 'completed' | 'unknown',
-  ): void {
+  private end(id: string, row: ClaimRow, state: 'completed' | 'unknown'): void {
     this.release(id, row);
     row.state = state;
     row.endsAt = this.clock + row.retentionMs;
--- /dev/null
+++ b/control/request-claims/test/claim-model.test.ts
@@ -0,0 +1,109 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import type {Claim} from '@marigoldspur/messages';
+import {ClaimState} from '@marigoldspur/request-claims';
+
+const RUNS = {seed: 4, numRuns: 300};
+const RETENTION_MS = 30_000;
+
+const STEP = fc.record({
+  kind: fc.constantFrom('take', 'not-run', 'completed', 'lose', 'restart'),
+  key: fc.constantFrom('k1', 'k2', 'k3'),
+  request: fc.integer({min: 0, max: 5}),
+  boot: fc.constantFrom('b1', 'b2'),
+  pauseMs: fc.integer({min: -5_000, max: 20_000}),
+});
+
+/** What is known of a key: who was granted it, and how that ended. */
+interface Grant {
+  readonly request: string;
+  readonly boot: string;
+  state: 'running' | 'not-run' | 'completed' | 'unknown';
+  endedAt: number;
+}
+
+it('claims model: no key is granted twice unless the first provably did not run or is long over', () => {
+  fc.assert(
+    fc.property(fc.array(STEP, {maxLength: 80}), steps => {
+      let claims = new ClaimState();
+      const grants = new Map<string, Grant>();
+      let at = 0;
+      let clock = 0;
+      for (const step of steps) {
+        at = Math.max(0, at + step.pauseMs);
+        clock = Math.max(clock, at);
+        const request = `${step.key}-${step.request}-${step.boot}`;
+        const grant = grants.get(step.key);
+        switch (step.kind) {
+          case 'take': {
+            const outcome = claims.take(claimOf(step, request), at);
+            if (outcome.outcome === 'granted') {
+              expect(mayRun(grant, request, clock)).to.equal(true);
+              grants.set(step.key, {
+                request,
+                boot: step.boot,
+                state: 'running',
+                endedAt: clock,
+              });
+            } else if (outcome.outcome !== 'full') {
+              expect(outcome.outcome).to.equal(grant?.state);
+            }
+            break;
+          }
+          case 'not-run':
+          case 'completed':
+            claims.complete(
+              {
+                customer: 'callao',
+                key: step.key,
+                request,
+                result: step.kind,
+              },
+              at,
+            );
+            if (grant?.state === 'running' && grant.request === request) {
+              grant.state = step.kind;
+              grant.endedAt = clock;
+            }
+            break;
+          case 'lose':
+            claims.loseEntry('entry-0', step.boot, at);
+            for (const held of grants.values()) {
+              if (held.state === 'running' && held.boot === step.boot) {
+                held.state = 'unknown';
+                held.endedAt = clock;
+              }
+            }
+            break;
+          case 'restart': {
+            const snapshot = JSON.parse(JSON.stringify(claims.snapshot()));
+            claims = new ClaimState();
+            claims.restore(snapshot);
+          }
+        }
+      }
+    }),
+    RUNS,
+  );
+});
+
+function mayRun(grant: Grant | undefined, request: string, clock: number) {
+  return (
+    grant === undefined ||
+    grant.state === 'not-run' ||
+    (grant.state === 'running' && grant.request === request) ||
+    (grant.state !== 'running' && clock >= grant.endedAt + RETENTION_MS)
+  );
+}
+
+function claimOf(step: {key: string; boot: string}, request: string): Claim {
+  return {
+    customer: 'callao',
+    key: step.key,
+    digest: 'd',
+    request,
+    entry: 'entry-0',
+    boot: step.boot,
+    retentionMs: RETENTION_MS,
+  };
+}
--- a/entry/entry-server/src/claim-desk.ts
+++ b/entry/entry-server/src/claim-desk.ts
@@ -41,6 +41,7 @@
 const COMPLETION_CALL_MS = 5_000;
 const COMPLETION_PAUSE_MS = 200;
 const RETRY_SOON_SECONDS = 1;
+const MS_PER_SECOND = 1_000;
 
 /** Claims requests that may not be repeated, before they are dispatched. */
 export class ClaimDesk {
@@ -154,6 +155,16 @@
           'the key was used with another request',
         ),
       );
+    case 'full':
+      return Result.err(
+        new Refusal(
+          'not-run',
+          503,
+          'claims_full',
+          'no more keys can be kept now',
+          Math.ceil(outcome.retryAfterMs / MS_PER_SECOND),
+        ),
+      );
   }
 }
 
--- a/entry/entry-server/test/claim-desk.test.ts
+++ b/entry/entry-server/test/claim-desk.test.ts
@@ -46,7 +46,7 @@
     },
     completeClaim: {
       mutate: async (completion: Completion): Promise<void> =>
-        this.claims.complete(completion),
+        this.claims.complete(completion, 0),
     },
   };
 }
@@ -150,7 +150,7 @@
 it('claims: a lost entry’s request is unknown for good', async () => {
   const control = new FakeControl();
   await deskAt(control).take(NEED);
-  control.claims.loseEntry('entry-0', 'entry-0-boot');
+  control.claims.loseEntry('entry-0', 'entry-0-boot', 0);
   const desk = deskAt(control, 'entry-1');
   const resend = {...NEED, request: 'request-2'};
   expect(await reasonOf(desk, resend)).to.equal('outcome_unknown');
--- a/zones/membership/src/index.ts
+++ b/zones/membership/src/index.ts
@@ -1,5 +1,6 @@
 export {
   MemberTable,
+  type Announcement,
   type MemberChange,
   type MemberTableOptions,
 } from './member-table.js';
--- a/zones/membership/src/member-table.ts
+++ b/zones/membership/src/member-table.ts
@@ -6,14 +6,23 @@
   readonly table: string;
   /** How long a member lives without a heartbeat, in milliseconds. */
   readonly leaseMs: number;
+  /** Until this time members may not have announced themselves yet, in milliseconds. */
+  readonly completeAt?: number;
 }
 
 /** What a heartbeat or a check of leases changed. */
 export interface MemberChange {
-  readonly kind: 'joined' | 'changed' | 'leaving' | 'expired';
+  readonly kind: 'joined' | 'changed' | 'leaving' | 'expired' | 'fenced';
   readonly member: Member;
 }
 
+/** What became of a heartbeat. */
+export interface Announcement {
+  /** True where another agent holds the target under a newer fencing number. */
+  readonly fenced: boolean;
+  readonly changes: readonly MemberChange[];
+}
+
 interface Row {
   member: Member;
   text: string;
@@ -23,53 +32,73 @@
 
 const MAX_KEPT_REMOVALS = 4_096;
 
-/** The processes and targets that announced themselves, with their leases. */
+/**
+ * The processes and targets that announced themselves, with their leases.
+ *
+ * A target has one agent: where two announce it, the newer fencing number wins and
+ * the other is fenced. A table that starts empty, as after a change of leader, is
+ * complete only once each member had a lease's time to announce itself.
+ */
 export class MemberTable {
   private readonly rows = new Map<string, Row>();
   private readonly removals = new Map<string, number>();
+  /** The agent that holds each target under a fencing number. */
+  private readonly holders = new Map<string, string>();
   private currentVersion = 0;
   private oldestDelta = 0;
+  private isComplete: boolean;
+
+  constructor(private readonly options: MemberTableOptions) {
+    this.isComplete = options.completeAt === undefined;
+  }
 
-  constructor(private readonly options: MemberTableOptions) {}
+  /** Identity of the table. */
+  get id(): string {
+    return this.options.table;
+  }
 
   /** Version of the table; it rises with each change. */
   get version(): number {
     return this.currentVersion;
   }
 
-  /** Takes a heartbeat at time `now`, in milliseconds. */
-  announce(member: Member, now: number): MemberChange | undefined {
-    const leaseEnd = now + this.options.leaseMs;
-    const text = JSON.stringify(member);
-    const row = this.rows.get(member.id);
-    if (row !== undefined && row.text === text) {
-      row.leaseEnd = leaseEnd;
-      return undefined;
+  /** Whether each member had time to announce itself. */
+  get complete(): boolean {
+    return this.isComplete;
+  }
+
+  /**
+   * Takes a heartbeat at time `now`, in milliseconds. `granted` is the newest
+   * fencing number that was granted for the member's target, where one was.
+   */
+  announce(member: Member, now: number, granted?: number): Announcement {
+    const fence = member.target?.fence;
+    if (fence !== undefined && fence < this.newestFence(member, granted)) {
+      const changes = this.remove(member.id, 'fenced');
+      return {fenced: true, changes};
     }
-    this.currentVersion += 1;
-    this.removals.delete(member.id);
-    this.rows.set(member.id, {
-      member,
-      text,
-      version: this.currentVersion,
-      leaseEnd,
-    });
-    return {kind: kindOf(row?.member, member), member};
+    const changes = this.takeTarget(member);
+    const change = this.put(member, now + this.options.leaseMs);
+    return {
+      fenced: false,
+      changes: change === undefined ? changes : [...changes, change],
+    };
   }
 
-  /** Removes the members whose leases ended before `now`. */
+  /**
+   * Removes the members whose leases ended before `now`, and settles the table.
+   * Both raise the version.
+   */
   expire(now: number): MemberChange[] {
-    const changes: MemberChange[] = [];
-    for (const [id, row] of this.rows) {
-      if (row.leaseEnd < now) {
-        this.currentVersion += 1;
-        this.rows.delete(id);
-        this.removals.set(id, this.currentVersion);
-        changes.push({kind: 'expired', member: row.member});
-      }
+    const ended = [...this.rows]
+      .filter(([, row]) => row.leaseEnd < now)
+      .flatMap(([id]) => this.remove(id, 'expired'));
+    if (!this.isComplete && now >= this.options.completeAt!) {
+      this.isComplete = true;
+      this.currentVersion += 1;
     }
     this.dropOldRemovals();
-    return changes;
+    return ended;
   }
 
   /** All members. */
@@ -77,6 +106,11 @@
     return [...this.rows.values()].map(row => row.member);
   }
 
+  /** The member with an identity. */
+  member(id: string): Member | undefined {
+    return this.rows.get(id)?.member;
+  }
+
   /** What changed after `version` of `table`; the whole table where that is not known. */
   delta(table: string, version: number): MembersDelta {
     const whole =
@@ -92,9 +126,58 @@
       whole,
       changed: changed.map(row => row.member),
       removed: whole ? [] : removed.map(([id]) => id),
+      complete: this.isComplete,
     };
   }
 
+  private newestFence(member: Member, granted = 0): number {
+    const holder = this.holders.get(member.target!.name);
+    const held = holder === undefined ? undefined : this.member(holder);
+    return Math.max(granted, held?.target?.fence ?? 0);
+  }
+
+  /** Makes the member the one holder of its target. */
+  private takeTarget(member: Member): MemberChange[] {
+    if (member.target?.fence === undefined) {
+      return [];
+    }
+    const {name} = member.target;
+    const holder = this.holders.get(name);
+    this.holders.set(name, member.id);
+    return holder === undefined || holder === member.id
+      ? []
+      : this.remove(holder, 'fenced');
+  }
+
+  private put(member: Member, leaseEnd: number): MemberChange | undefined {
+    const text = JSON.stringify(member);
+    const row = this.rows.get(member.id);
+    if (row !== undefined && row.text === text) {
+      row.leaseEnd = leaseEnd;
+      return undefined;
+    }
+    this.currentVersion += 1;
+    this.removals.delete(member.id);
+    const version = this.currentVersion;
+    this.rows.set(member.id, {member, text, version, leaseEnd});
+    return {kind: kindOf(row?.member, member), member};
+  }
+
+  private remove(id: string, kind: 'expired' | 'fenced'): MemberChange[] {
+    const row = this.rows.get(id);
+    if (row === undefined) {
+      return [];
+    }
+    this.currentVersion += 1;
+    this.rows.delete(id);
+    this.removals.set(id, this.currentVersion);
+    const name = row.member.target?.name;
+    if (name !== undefined && this.holders.get(name) === id) {
+      this.holders.delete(name);
+    }
+    return [{kind, member: row.member}];
+  }
+
   private dropOldRemovals(): void {
     for (const [id, version] of this.removals) {
       if (this.removals.size <= MAX_KEPT_REMOVALS) {
--- a/zones/membership/test/member-table.test.ts
+++ b/zones/membership/test/member-table.test.ts
@@ -56,3 +56,75 @@
   expect(delta.whole).to.equal(true);
   expect(delta.changed).to.have.length(1);
 });
+
+function agent(id: string, fence: number, leaving = false): Member {
+  return {
+    ...member(id),
+    leaving,
+    target: {
+      name: 'lm-desk-0',
+      customer: 'callao',
+      service: 'lm-desk',
+      boot: 'engine',
+      healthy: true,
+      slots: 6,
+      resident: [],
+      running: 0,
+      waiting: 0,
+      batchLimit: 16,
+      fence,
+    },
+  };
+}
+
+it('members: of two agents of a target the newer number wins and the older is fenced', () => {
+  const members = table();
+  members.announce(agent('a', 1), 0);
+  const taken = members.announce(agent('b', 2), 10);
+  expect(taken.changes.map(change => change.kind)).to.deep.equal([
+    'fenced',
+    'joined',
+  ]);
+  expect(members.announce(agent('a', 1), 20).fenced).to.equal(true);
+  expect(members.members().map(each => each.id)).to.deep.equal(['b']);
+});
+
+it('members: an agent older than the granted number is fenced in an empty table', () => {
+  const members = table();
+  expect(members.announce(agent('a', 1), 0, 2).fenced).to.equal(true);
+  expect(members.members()).to.deep.equal([]);
+  expect(members.announce(agent('b', 2), 0, 2).fenced).to.equal(false);
+});
+
+it('members: one that returns with another boot joins again', () => {
+  const members = table();
+  members.announce(member('a'), 0);
+  const again = members.announce({...member('a'), boot: 'second'}, 10);
+  expect(again.changes.map(change => change.kind)).to.deep.equal(['joined']);
+});
+
+it('members: a leaving target is told in the next delta', () => {
+  const members = table();
+  members.announce(agent('a', 1), 0);
+  const {version} = members.delta('t', 0);
+  const left = members.announce(agent('a', 1, true), 10);
+  expect(left.changes.map(change => change.kind)).to.deep.equal(['leaving']);
+  expect(members.delta('t', version).changed[0].leaving).to.equal(true);
+});
+
+it('members: a new leader’s table is complete only after a lease', () => {
+  const members = new MemberTable({
+    table: 't',
+    leaseMs: LEASE_MS,
+    completeAt: LEASE_MS,
+  });
+  members.announce(member('a'), 10);
+  members.expire(LEASE_MS - 1);
+  const early = members.delta('', 0);
+  expect(early.complete).to.equal(false);
+  members.announce(member('a'), 900);
+  members.expire(LEASE_MS);
+  const later = members.delta('t', early.version);
+  expect(later.complete).to.equal(true);
+  expect(later.version).to.be.greaterThan(early.version);
+});
