Stream settings and members, and leave a replica that falls silent

Cause: the follower's long poll of 10 s stayed with the preferred replica, so a silently cut control host kept its followers on an old revision for up to 12 s, and one that was cut from its peers only, for good.

Followers now hold one stream (tRPC subscription over server-sent events) to a replica of their own choice. The replica confirms its state with a quorum each second, one confirmation for all streams, and ends them with NO_QUORUM where it can't; silence of 2.5 s ends a stream on the follower's side. heard() pulls from whoever is ahead. A member follower keeps the members of the earlier table until a new leader's is complete.

--- a/contracts/control-api/src/router.ts
+++ b/contracts/control-api/src/router.ts
@@ -56,6 +56,11 @@
       .query(({input}) =>
         answer(() => service.watchSettings(input.revision, input.waitMs)),
       ),
+    followSettings: viewer
+      .input(z.object({revision: z.int().min(0)}))
+      .subscription(({input, signal}) =>
+        stream(service.followSettings(input.revision, signalOf(signal))),
+      ),
     changeSettings: operator
       .input(CHANGE_SCHEMA)
       .mutation(({input, ctx}) =>
@@ -91,6 +96,13 @@
           service.watchMembers(input.table, input.version, input.waitMs),
         ),
       ),
+    followMembers: viewer
+      .input(z.object({table: z.string(), version: z.int().min(0)}))
+      .subscription(({input, signal}) =>
+        stream(
+          service.followMembers(input.table, input.version, signalOf(signal)),
+        ),
+      ),
     acquirePermit: peer
       .input(PERMIT_REQUEST_SCHEMA)
       .mutation(({input}) => answer(() => service.acquirePermit(input))),
@@ -115,11 +127,27 @@
   try {
     return await call();
   } catch (thrown) {
-    const fault = toFault(thrown);
-    throw new TRPCError({
-      code: 'INTERNAL_SERVER_ERROR',
-      message: fault.message,
-      cause: fault,
-    });
+    throw trpcError(thrown);
   }
 }
+
+async function* stream<T>(messages: AsyncIterable<T>): AsyncGenerator<T> {
+  try {
+    yield* messages;
+  } catch (thrown) {
+    throw trpcError(thrown);
+  }
+}
+
+function signalOf(signal: AbortSignal | undefined): AbortSignal {
+  return signal ?? new AbortController().signal;
+}
+
+function trpcError(thrown: unknown): TRPCError {
+  const fault = toFault(thrown);
+  return new TRPCError({
+    code: 'INTERNAL_SERVER_ERROR',
+    message: fault.message,
+    cause: fault,
+  });
+}
--- a/contracts/control-api/src/service.ts
+++ b/contracts/control-api/src/service.ts
@@ -22,6 +22,8 @@
   readonly tree?: Tree;
   /** Else the changes after the follower's revision, in order. */
   readonly changes: readonly Change[];
+  /** True where a quorum confirmed within about a second that nothing newer is committed. */
+  readonly confirmed?: boolean;
 }
 
 /** The state of one replica of control. */
@@ -47,6 +49,15 @@
   readSettings(fresh: boolean): Promise<SettingsView>;
   /** Waits up to `waitMs` for a revision after `revision`. */
   watchSettings(revision: number, waitMs: number): Promise<SettingsDelta>;
+  /**
+   * Streams the changes after `revision` in batches, and a confirmed delta at least
+   * each second. Throws `NO_QUORUM` once this replica can't confirm its state, so
+   * that the follower turns to another one.
+   */
+  followSettings(
+    revision: number,
+    signal: AbortSignal,
+  ): AsyncIterable<SettingsDelta>;
   changeSettings(change: Change): Promise<ChangeOutcome>;
   /** The latest accepted changes, newest first. */
   settingsHistory(limit: number): Promise<readonly Change[]>;
@@ -62,6 +73,12 @@
     version: number,
     waitMs: number,
   ): Promise<MembersDelta>;
+  /** Streams the member table, and an empty delta at least each second; the leader's alone. */
+  followMembers(
+    table: string,
+    version: number,
+    signal: AbortSignal,
+  ): AsyncIterable<MembersDelta>;
   acquirePermit(request: PermitRequest): Promise<Permit>;
   releasePermit(permit: string, loaded: boolean): Promise<void>;
   status(): ControlStatus;
--- a/contracts/process-api/src/router.ts
+++ b/contracts/process-api/src/router.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {allows, type Access, type CallContext} from '@marigoldspur/access';
 import type {Event} from '@marigoldspur/event-catalogue';
+import type {SettingsDelta} from '@marigoldspur/control-api';
 import type {ProcessStatus} from '@marigoldspur/messages';
 
 const MAX_EVENTS = 10_000;
@@ -13,6 +14,8 @@
   events(after: number, limit: number, request?: string): readonly Event[];
   /** Starts a graceful shutdown. */
   drain(): void;
+  /** The settings in force after a revision, where the process gives them to others. */
+  settings?(revision: number): SettingsDelta;
 }
 
 const trpc = initTRPC.context<CallContext>().create();
@@ -44,6 +47,9 @@
       .query(({input}) =>
         service.events(input.after, input.limit, input.request),
       ),
+    settings: procedureFor('process')
+      .input(z.object({revision: z.int().min(0)}))
+      .query(({input}) => service.settings?.(input.revision)),
     drain: procedureFor('operator').mutation(() => service.drain()),
   });
 }
--- a/control/control-server/src/control-desk.ts
+++ b/control/control-server/src/control-desk.ts
@@ -22,6 +22,12 @@
 import {ChangeSignal} from '@marigoldspur/change-signal';
 import type {Command, CommandAnswer} from './command.js';
 import type {ControlMachine} from './control-machine.js';
+import {QuorumContact} from './quorum-contact.js';
+
+/** Longest time between two messages of a stream, in milliseconds. */
+const STREAM_IDLE_MS = 1_000;
+/** Time in which changes of members are gathered into one delta, in milliseconds. */
+const MEMBERS_BATCH_MS = 100;
 
 /** What a control desk works with. */
 export interface ControlDeskOptions {
@@ -40,6 +46,7 @@
   private readonly settingsSignal = new ChangeSignal();
   private readonly membersSignal = new ChangeSignal();
 
+  private readonly contact: QuorumContact;
   private term = -1;
   private table: MemberTable;
   /** Since when each holder of running claims has not been a member. */
@@ -50,6 +57,7 @@
       table: options.boot,
       leaseMs: options.leaseMs,
     });
+    this.contact = new QuorumContact(options.log);
     options.machine.onSettings(() => this.settingsSignal.notify());
   }
 
@@ -72,10 +80,47 @@
     if (settings.revision <= revision) {
       await this.settingsSignal.wait(waitMs);
     }
-    const changes = settings.changesAfter(revision);
-    return changes === undefined
-      ? {revision: settings.revision, tree: settings.tree, changes: []}
-      : {revision: settings.revision, changes};
+    return this.deltaAfter(revision);
+  }
+
+  async *followSettings(
+    revision: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<SettingsDelta> {
+    const {settings} = this.options.machine;
+    let known = revision;
+    while (!signal.aborted) {
+      await this.contact.confirm(performance.now());
+      const confirmed = this.deltaAfter(known);
+      yield {...confirmed, confirmed: true};
+      known = Math.max(known, confirmed.revision);
+      if (settings.revision <= known) {
+        await this.settingsSignal.wait(STREAM_IDLE_MS);
+      }
+      while (settings.revision > known && !signal.aborted) {
+        const delta = this.deltaAfter(known);
+        yield delta;
+        known = delta.revision;
+      }
+    }
+  }
+
+  async *followMembers(
+    table: string,
+    version: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<MembersDelta> {
+    let known = {table, version};
+    while (!signal.aborted) {
+      const members = this.requireOffice(performance.now());
+      const delta = members.delta(known.table, known.version);
+      yield delta;
+      known = delta;
+      if (members.version === known.version) {
+        await this.membersSignal.wait(STREAM_IDLE_MS);
+      }
+      await pause(MEMBERS_BATCH_MS);
+    }
   }
 
   async changeSettings(change: Change): Promise<ChangeOutcome> {
@@ -241,6 +286,17 @@
     });
   }
 
+  private deltaAfter(revision: number): SettingsDelta {
+    const {settings} = this.options.machine;
+    const changes = settings.changesAfter(revision);
+    if (changes !== undefined) {
+      return {revision: settings.revision, changes};
+    }
+    return settings.revision < revision
+      ? {revision: settings.revision, changes: []}
+      : {revision: settings.revision, tree: settings.tree, changes: []};
+  }
+
   private async propose(command: Command): Promise<CommandAnswer> {
     const proposed = await this.options.log.propose(command);
     if (proposed.isErr) {
@@ -279,3 +335,7 @@
     }
   }
 }
+
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/zones/control-client/src/control-client.ts
+++ b/zones/control-client/src/control-client.ts
@@ -4,10 +4,15 @@
 import type {ControlRouter} from '@marigoldspur/control-api';
 import {Fault, type FaultCode} from '@marigoldspur/faults';
 import {linkFetch} from '@marigoldspur/http-link';
+import type {ProcessRouter} from '@marigoldspur/process-api';
+import {runSubscription, type Subscription} from './event-stream.js';
 
 /** A tRPC client of one replica of control. */
 export type ReplicaClient = ReturnType<typeof replicaClient>;
 
+/** A tRPC client of one process. */
+export type ProcessClient = ReturnType<typeof processClient>;
+
 /** Options of a control client. */
 export interface ControlClientOptions {
   /** Base URLs of the replicas of control. */
@@ -20,12 +25,14 @@
   readonly token?: string;
 }
 
+const MAX_PROCESS_CLIENTS = 64;
 const DEFAULT_TIMEOUT_MS = 2_000;
 const RETRY_PAUSE_MS = 50;
 
 /** Calls control: finds the leader, and turns to another replica when one is out of reach. */
 export class ControlClient {
   private readonly agent: http.Agent;
+  private readonly processes = new Map<string, ProcessClient>();
   private readonly replicas = new Map<string, ReplicaClient>();
   private preferred: string;
 
@@ -69,6 +76,40 @@
     return Result.err(fault);
   }
 
+  /**
+   * Opens a subscription of one replica and resolves with the fault that ended it.
+   * Silence for `stallMs` ends it, so that a cut host is noticed.
+   */
+  subscribe(
+    url: string,
+    subscription: Omit<Subscription, 'url' | 'agent' | 'token'>,
+  ): Promise<Fault> {
+    return runSubscription({
+      ...subscription,
+      url: `${url}/trpc/control`,
+      agent: this.agent,
+      token: this.options.token,
+    });
+  }
+
+  /** Base URLs of the replicas of control. */
+  get urls(): readonly string[] {
+    return this.options.urls;
+  }
+
+  /** The client of one process, over the same connections. */
+  process(url: string): ProcessClient {
+    let client = this.processes.get(url);
+    if (client === undefined) {
+      client = processClient(url, this.agent);
+      this.processes.set(url, client);
+      if (this.processes.size > MAX_PROCESS_CLIENTS) {
+        this.processes.delete(this.processes.keys().next().value!);
+      }
+    }
+    return client;
+  }
+
   /** The client of one replica. */
   replica(url: string): ReplicaClient {
     let client = this.replicas.get(url);
@@ -110,6 +151,12 @@
   });
 }
 
+function processClient(url: string, agent: http.Agent) {
+  return createTRPCClient<ProcessRouter>({
+    links: [httpLink({url: `${url}/trpc/process`, fetch: linkFetch(agent)})],
+  });
+}
+
 function isWorthRetry(fault: Fault): boolean {
   return [
     'NOT_LEADER',
--- a/zones/control-client/src/member-follower.ts
+++ b/zones/control-client/src/member-follower.ts
@@ -1,20 +1,36 @@
+import {EventLog} from '@marigoldspur/event-log';
 import type {Member, MembersDelta} from '@marigoldspur/messages';
 import type {ControlClient} from './control-client.js';
+import {StreamFollower} from './stream-follower.js';
 
-const WATCH_MS = 10_000;
-const WATCH_SLACK_MS = 2_000;
-const PAUSE_MS = 200;
-
-/** Keeps a process's copy of the member table up to date. */
+/**
+ * Keeps a process's copy of the member table up to date.
+ *
+ * After a change of leader the new table starts empty: until it is complete, members
+ * of the earlier one stay.
+ */
 export class MemberFollower {
   private readonly rows = new Map<string, Member>();
+  /** Members of an earlier table that the new one has not named yet. */
+  private readonly heldOver = new Set<string>();
   private table = '';
   private version = 0;
-  private running = true;
-  private loop: Promise<void> = Promise.resolve();
-  private readonly stopping = new AbortController();
+  private readonly stream: StreamFollower;
 
-  constructor(private readonly client: ControlClient) {}
+  constructor(
+    client: ControlClient,
+    events: EventLog = new EventLog({process: 'member-follower'}),
+  ) {
+    this.stream = new StreamFollower(
+      client,
+      {
+        procedure: 'followMembers',
+        input: () => ({table: this.table, version: this.version}),
+        onMessage: message => this.take(message as MembersDelta),
+      },
+      events,
+    );
+  }
 
   /** The members known now. */
   members(): Member[] {
@@ -27,45 +43,36 @@
   }
 
   start(): void {
-    this.loop = this.follow();
+    this.stream.start();
   }
 
   async stop(): Promise<void> {
-    this.running = false;
-    this.stopping.abort();
-    await this.loop;
+    await this.stream.stop();
   }
 
-  private async follow(): Promise<void> {
-    while (this.running) {
-      const delta = await this.client.call(
-        replica =>
-          replica.watchMembers.query(
-            {table: this.table, version: this.version, waitMs: WATCH_MS},
-            {
-              signal: AbortSignal.any([
-                this.stopping.signal,
-                AbortSignal.timeout(WATCH_MS + WATCH_SLACK_MS),
-              ]),
-            },
-          ),
-        performance.now() + WATCH_MS + WATCH_SLACK_MS,
-      );
-      if (delta.isOk) {
-        this.take(delta.value);
-      } else if (this.running) {
-        await new Promise(resolve => setTimeout(resolve, PAUSE_MS));
+  /** Takes a delta of the member table. */
+  take(delta: MembersDelta): void {
+    if (delta.whole) {
+      for (const id of this.rows.keys()) {
+        this.heldOver.add(id);
       }
     }
-  }
-
-  private take(delta: MembersDelta): void {
-    if (delta.whole) {
-      this.rows.clear();
+    for (const member of delta.changed) {
+      this.rows.set(member.id, member);
+      this.heldOver.delete(member.id);
+    }
+    for (const id of delta.removed) {
+      this.drop(id);
+    }
+    if (delta.complete) {
+      this.heldOver.forEach(id => this.drop(id));
     }
-    delta.changed.forEach(member => this.rows.set(member.id, member));
-    delta.removed.forEach(id => this.rows.delete(id));
     this.table = delta.table;
     this.version = delta.version;
   }
+
+  private drop(id: string): void {
+    this.rows.delete(id);
+    this.heldOver.delete(id);
+  }
 }
--- a/zones/control-client/src/settings-follower.ts
+++ b/zones/control-client/src/settings-follower.ts
@@ -1,9 +1,10 @@
 import type {SettingsDelta} from '@marigoldspur/control-api';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Fault} from '@marigoldspur/faults';
-import {emptyTree, type Tree} from '@marigoldspur/settings-schema';
+import {emptyTree, type Change, type Tree} from '@marigoldspur/settings-schema';
 import {applyEdits} from '@marigoldspur/settings-tree';
 import type {ControlClient} from './control-client.js';
+import {StreamFollower} from './stream-follower.js';
 
 /** The settings that a process works with. */
 export interface SettingsInForce {
@@ -11,22 +12,51 @@
   readonly tree: Tree;
 }
 
-const WATCH_MS = 10_000;
-const WATCH_SLACK_MS = 2_000;
-const PAUSE_MS = 200;
+/** Changes kept to give to processes that are behind. */
+const KEPT_CHANGES = 64;
+/** Edits of the kept changes; past them the whole tree is given. */
+const KEPT_EDITS = 1_000;
+const PULL_TIMEOUT_MS = 2_000;
+/** Before this pause a refused or failed pull is not tried again, in milliseconds. */
+const PULL_PAUSE_MS = 200;
 
-/** Keeps the settings tree of a process up to date; its revision only rises. */
+/**
+ * Keeps the settings tree of a process up to date; its revision only rises.
+ *
+ * It follows one replica of control on a stream and turns to another when that one
+ * falls silent or can't confirm its state. Besides, it pulls from any process that is
+ * seen ahead: wire it so where requests and heartbeats pass:
+ *
+ * - at the entry, with the revision in an agent's answer and the agent's URL:
+ *   `follower.heard(revision, agentUrl)`;
+ * - at the agent, with the revision in the hop and the entry's URL (`hop.origin`):
+ *   `follower.heard(hop.revision, hop.origin)`;
+ * - with the revision in the answer to a heartbeat: `follower.heard(revision)`;
+ * - in the `service` of the process server: `settings: revision =>
+ *   follower.deltaAfter(revision)`, so that others can pull from this process.
+ */
 export class SettingsFollower {
   private current: SettingsInForce = {revision: 0, tree: emptyTree()};
   private confirmedAt = -Infinity;
-  private running = true;
-  private loop: Promise<void> = Promise.resolve();
-  private readonly stopping = new AbortController();
+  private recent: Change[] = [];
+  private pulling = false;
+  private nextPullAt = -Infinity;
+  private readonly stream: StreamFollower;
 
   constructor(
     private readonly client: ControlClient,
     private readonly events: EventLog,
-  ) {}
+  ) {
+    this.stream = new StreamFollower(
+      client,
+      {
+        procedure: 'followSettings',
+        input: () => ({revision: this.current.revision}),
+        onMessage: message => this.takeStreamed(message as SettingsDelta),
+      },
+      events,
+    );
+  }
 
   /** The settings in force. */
   get settings(): SettingsInForce {
@@ -40,6 +70,7 @@
 
   /** Reads the tree confirmed by a quorum, then follows it. */
   async start(deadlineMs: number): Promise<void> {
+    const sentAt = performance.now();
     const fresh = await this.client.call(
       (replica, signal) => replica.readSettings.query({fresh: true}, {signal}),
       deadlineMs,
@@ -48,62 +79,126 @@
       throw fresh.error;
     }
     this.enforce(fresh.value);
-    this.loop = this.follow();
+    this.confirmedAt = sentAt;
+    this.stream.start();
   }
 
   /** Ends the following. */
   async stop(): Promise<void> {
-    this.running = false;
-    this.stopping.abort();
-    await this.loop;
+    await this.stream.stop();
+  }
+
+  /**
+   * Takes note that a process has `revision` in force. Where that is ahead, pulls the
+   * newer settings from it, or from control where no `url` is given.
+   */
+  heard(revision: number, url?: string): void {
+    const now = performance.now();
+    if (
+      revision <= this.current.revision ||
+      this.pulling ||
+      now < this.nextPullAt
+    ) {
+      return;
+    }
+    this.pulling = true;
+    void this.pull(url).finally(() => {
+      this.pulling = false;
+      this.nextPullAt = performance.now() + PULL_PAUSE_MS;
+    });
   }
 
-  private async follow(): Promise<void> {
-    while (this.running) {
-      const deadline = performance.now() + WATCH_MS + WATCH_SLACK_MS;
-      const delta = await this.client.call(
-        replica =>
-          replica.watchSettings.query(
-            {revision: this.current.revision, waitMs: WATCH_MS},
-            {
-              signal: AbortSignal.any([
-                this.stopping.signal,
-                AbortSignal.timeout(WATCH_MS + WATCH_SLACK_MS),
-              ]),
-            },
-          ),
-        deadline,
-      );
-      if (delta.isOk) {
-        this.take(delta.value);
-      } else if (this.running) {
-        await new Promise(resolve => setTimeout(resolve, PAUSE_MS));
+  /** What a process at `revision` needs to reach the settings in force here. */
+  deltaAfter(revision: number): SettingsDelta {
+    const {revision: latest, tree} = this.current;
+    const missing = latest - revision;
+    if (missing <= 0) {
+      return {revision: latest, changes: []};
+    }
+    return missing <= this.recent.length
+      ? {revision: latest, changes: this.recent.slice(-missing)}
+      : {revision: latest, tree, changes: []};
+  }
+
+  private async pull(url: string | undefined): Promise<void> {
+    const {revision} = this.current;
+    const signal = AbortSignal.timeout(PULL_TIMEOUT_MS);
+    try {
+      const delta =
+        url === undefined
+          ? await this.pullFromControl(revision)
+          : await this.client.process(url).settings.query({revision}, {signal});
+      if (delta !== undefined && this.take(delta)) {
+        this.events.record('settings-pulled', {
+          revision: this.current.revision,
+          ...(url !== undefined && {url}),
+        });
       }
+    } catch {
+      // The next one ahead that is heard of is asked.
     }
   }
 
-  private take(delta: SettingsDelta): void {
-    this.confirmedAt = performance.now();
-    if (delta.revision <= this.current.revision) {
-      return;
+  private async pullFromControl(
+    revision: number,
+  ): Promise<SettingsDelta | undefined> {
+    const delta = await this.client.call(
+      (replica, signal) =>
+        replica.watchSettings.query({revision, waitMs: 0}, {signal}),
+      performance.now() + PULL_TIMEOUT_MS,
+    );
+    return delta.unwrapOr(undefined as SettingsDelta | undefined);
+  }
+
+  private takeStreamed(delta: SettingsDelta): void {
+    this.take(delta);
+    if (delta.confirmed && delta.revision >= this.current.revision) {
+      this.confirmedAt = performance.now();
+    }
+  }
+
+  /** Puts a delta in force; false where it brings nothing newer. */
+  private take(delta: SettingsDelta): boolean {
+    const before = this.current.revision;
+    if (delta.revision <= before) {
+      return false;
     }
     if (delta.tree !== undefined) {
+      this.recent = [];
       this.enforce({revision: delta.revision, tree: delta.tree});
-      return;
+      return true;
     }
-    for (const change of delta.changes) {
-      if (change.number === this.current.revision + 1) {
-        const next = applyEdits(this.current.tree, change.edits);
-        if (next.isErr) {
-          throw new Fault('CORRUPT_DATA', 'an accepted change does not apply');
-        }
-        this.enforce({revision: change.number, tree: next.value});
-      }
+    const news = delta.changes.filter(change => change.number > before);
+    const follows = news.every(
+      (change, index) => change.number === before + 1 + index,
+    );
+    if (!follows || news.length !== delta.revision - before) {
+      throw new Fault('CORRUPT_DATA', 'a delta does not follow the settings');
+    }
+    const next = applyEdits(
+      this.current.tree,
+      news.flatMap(change => change.edits),
+    );
+    if (next.isErr) {
+      throw new Fault('CORRUPT_DATA', 'an accepted change does not apply');
     }
+    this.remember(news);
+    this.enforce({revision: delta.revision, tree: next.value});
+    return true;
+  }
+
+  private remember(changes: readonly Change[]): void {
+    this.recent = [...this.recent, ...changes].slice(-KEPT_CHANGES);
+    let edits = 0;
+    const tooOld = this.recent.findLastIndex(change => {
+      edits += change.edits.length;
+      const isWhole = change.edits.some(edit => edit.edit === 'replace');
+      return isWhole || edits > KEPT_EDITS;
+    });
+    this.recent = this.recent.slice(tooOld + 1);
   }
 
   private enforce(settings: SettingsInForce): void {
-    this.confirmedAt = performance.now();
     if (settings.revision > this.current.revision) {
       this.current = settings;
       this.events.record('settings-in-force', {revision: settings.revision});
