--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -6,7 +6,11 @@
   SettingsFollower,
   startHeartbeat,
 } from '@marigoldspur/control-client';
-import {AttemptClient, TargetDirectory} from '@marigoldspur/dispatch';
+import {
+  AttemptClient,
+  TargetDirectory,
+  TargetHealth,
+} from '@marigoldspur/dispatch';
 import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
 import {listen} from '@marigoldspur/http-link';
 import {openLinkSecurity} from '@marigoldspur/link-security';
@@ -60,10 +64,16 @@
   const entryMetrics = new EntryMetrics(metrics.registry);
   const keys = await openCallerKeys({file: settings.callerKeys, events});
   const callerTls = await openCallerTls(settings, events);
-  const attempts = new AttemptClient(security.createAgent());
+  const linkAgent = security.createAgent();
+  const health = new TargetHealth({agent: linkAgent, events});
+  const attempts = new AttemptClient(linkAgent, health);
   const claims = new ClaimDesk({client, events, entry: settings.id, boot});
   const runner = new AttemptRunner({
-    directory: new TargetDirectory(() => members.members(), settings.zone),
+    directory: new TargetDirectory(
+      () => members.members(),
+      settings.zone,
+      health,
+    ),
     attempts,
     answers: new AnswerSender({events, metrics: entryMetrics}),
     retries: new RetryBudget(),
@@ -130,9 +140,9 @@
     revision: follower.settings.revision,
     leaving: draining,
   });
-  const heartbeat = startHeartbeat(client, member, ({result}) => {
+  const heartbeat = startHeartbeat(client, member, ({result, sentAt}) => {
     if (result.isOk) {
-      contact.heard(result.value.revision, performance.now());
+      contact.heard(result.value.revision, sentAt);
     }
   });
   events.record('process-started', {
@@ -153,6 +163,7 @@
       heartbeat.stop();
       await members.stop();
       await follower.stop();
+      health.stop();
       attempts.close();
       client.close();
       keys.stop();
