Prove the log with control processes under kills, freezes, cuts and lost disks

Three real control processes, each with cut links of its own to the others (lab/cut-link sends a process's connections through them), under a load of claims; every granted claim is asked for again at the end. Stories: leader killed twice, frozen and thawed, cut off both ways, cut one way, a disk lost and a second host's disk right after the repair was reported, leader drained.

--- a/contracts/control-api/src/service.ts
+++ b/contracts/control-api/src/service.ts
@@ -36,6 +36,18 @@
   readonly revision: number;
   /** Identities of the voters. */
   readonly voters: readonly string[];
+  /** Identity of the replica, kept in its data folder. */
+  readonly replica?: string;
+  /** All replicas of the group; how far each is, the leader alone knows. */
+  readonly replicas?: ReadonlyArray<{
+    readonly id: string;
+    readonly url: string;
+    readonly role: 'voter' | 'learner';
+    /** The last index that the replica holds, synced. */
+    readonly matchIndex?: number;
+  }>;
+  /** Whether the replica's disk is full. */
+  readonly diskFull?: boolean;
 }
 
 /**
--- a/control/log-storage/test/log-storage.test.ts
+++ b/control/log-storage/test/log-storage.test.ts
@@ -147,6 +147,18 @@
   }
 });
 
+it('corrupt middle: a missing segment refuses to start where the rest holds no entries', async () => {
+  const disk = new FakeDisk();
+  const {storage} = await filled(disk, 2);
+  const [withEntries] = disk.files('log-');
+  for (let term = 2; disk.files('log-').length < 3; term += 1) {
+    await storage.save([vote(term, 'b')]);
+  }
+  await open(disk.copy());
+  await disk.remove(withEntries);
+  expect(await faultOf(open(disk))).to.equal('CORRUPT_DATA');
+});
+
 it('corrupt data: a damaged snapshot or identity refuses to start', async () => {
   const disk = new FakeDisk();
   const {storage} = await filled(disk, 10);
--- a/lab/cut-link/src/cut-link.ts
+++ b/lab/cut-link/src/cut-link.ts
@@ -20,6 +20,7 @@
   readonly port: number;
   /** Bytes that were carried, both ways. */
   readonly bytes: () => number;
+  readonly state: () => LinkState;
   /** Cuts or mends the link. What is sent while it is cut stays unsent, as on a cut cable. */
   set(state: LinkState): void;
   close(): Promise<void>;
@@ -71,6 +72,7 @@
   return {
     port,
     bytes: () => bytes,
+    state: () => state,
     set: next => {
       state = next;
       pairs.forEach(pair => apply(pair, state));
--- a/lab/cut-link/src/index.ts
+++ b/lab/cut-link/src/index.ts
@@ -4,3 +4,4 @@
   type CutLinkOptions,
   type LinkState,
 } from './cut-link.js';
+export {redirectVariables} from './redirect-variables.js';
--- a/lab/lab/src/child.ts
+++ b/lab/lab/src/child.ts
@@ -20,11 +20,13 @@
   name: string,
   packageName: string,
   args: readonly string[],
+  variables: NodeJS.ProcessEnv = {},
 ): Child {
   const index = fileURLToPath(import.meta.resolve(packageName));
   const main = index.replace(/index\.js$/, 'main.js');
   const child = spawn(process.execPath, [main, ...args], {
     stdio: ['ignore', 'ignore', 'pipe'],
+    env: {...process.env, ...variables},
   });
   const lines: string[] = [];
   const listeners = new Set<(line: string) => void>();
--- a/lab/lab/src/index.ts
+++ b/lab/lab/src/index.ts
@@ -6,3 +6,4 @@
 } from './deployments.js';
 export {startSystem, type System, type SystemOptions} from './system.js';
 export {startChild, type Child} from './child.js';
+export {freePorts} from './ports.js';
--- /dev/null
+++ b/lab/log-trials/src/index.ts
@@ -0,0 +1,12 @@
+export {
+  ClaimLoad,
+  lostClaims,
+  takeClaim,
+  type ClaimLoadOptions,
+  type ClaimRecord,
+} from './claim-load.js';
+export {
+  ControlGroup,
+  ControlHost,
+  type ControlGroupOptions,
+} from './control-group.js';
