--- a/lab/log-trials/src/control-group.ts
+++ b/lab/log-trials/src/control-group.ts
@@ -216,7 +216,9 @@
       }
       await delay(POLL_MS);
     }
-    const lines = this.hosts.flatMap(({child}) => child?.lines.slice(-10) ?? []);
+    const lines = this.hosts.flatMap(
+      ({child}) => child?.lines.slice(-10) ?? [],
+    );
     throw new Error(`no ${what} in time:\n${lines.join('\n')}`);
   }
 }
--- a/lab/log-trials/test/control-group.test.ts
+++ b/lab/log-trials/test/control-group.test.ts
@@ -78,18 +78,16 @@
 it('control group: a leader cut off silently accepts and confirms nothing', async () => {
   const cutOff = await group.leader();
   group.isolate(cutOff, true);
-  const accepted = await takeClaim(
-    group.client,
-    'probe',
-    'probe',
-    {timeoutMs: 30_000},
-  );
+  const accepted = await takeClaim(group.client, 'probe', 'probe', {
+    timeoutMs: 30_000,
+  });
   expect(accepted?.outcome).to.equal('granted');
   const replica = group.client.replica(cutOff.url);
   const signal = AbortSignal.timeout(10_000);
-  const fresh = await replica.readSettings
-    .query({fresh: true}, {signal})
-    .then(() => 'answered', () => 'refused');
+  const fresh = await replica.readSettings.query({fresh: true}, {signal}).then(
+    () => 'answered',
+    () => 'refused',
+  );
   expect(fresh).to.equal('refused');
   expect((await group.status(cutOff))?.role).to.not.equal('leader');
   const {term} = (await group.status(await group.leader(cutOff)))!;
