--- a/agent/agent-server/src/attempt-desk.ts
+++ b/agent/agent-server/src/attempt-desk.ts
@@ -127,7 +127,7 @@
     options: {expects: boolean; deadlineMs: number; signal: AbortSignal},
   ): Promise<Result<void, Refusal>> {
     const {deadlineMs, expects, signal} = options;
-    const refusal = this.preliminary(hop, request);
+    const refusal = this.preliminary(hop, request, expects);
     if (refusal !== undefined) {
       return Result.err(refusal);
     }
@@ -164,7 +164,11 @@
   }
 
   /** What speaks against an attempt before its body is read. */
-  private preliminary(hop: Hop, request: IncomingMessage): Refusal | undefined {
+  private preliminary(
+    hop: Hop,
+    request: IncomingMessage,
+    expects: boolean,
+  ): Refusal | undefined {
     const {engine, maxBodyBytes, maxHeldBytes, target} = this.options;
     const bytes = Number(request.headers['content-length'] ?? 0);
     if (hop.target !== target) {
@@ -176,7 +180,8 @@
     if (engine !== undefined && !ENGINE_PATHS.has(request.url ?? '')) {
       return notRun(404, 'unknown_path', 'no such path on an engine');
     }
-    if (request.headers['transfer-encoding'] !== undefined) {
+    // A body that waits to be continued is held only once it is admitted.
+    if (request.headers['transfer-encoding'] !== undefined && !expects) {
       return notRun(411, 'length_required', 'an attempt states its length');
     }
     if (bytes > maxBodyBytes) {
--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -5,6 +5,7 @@
   startHeartbeat,
 } from '@marigoldspur/control-client';
 import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
+import {openLinkSecurity} from '@marigoldspur/link-security';
 import {processMetrics} from '@marigoldspur/metrics';
 import {bootIdentity, type Task} from '@marigoldspur/process-life';
 import {startProcessServer} from '@marigoldspur/process-server';
@@ -31,7 +32,11 @@
     process: settings.id,
     sinks: [jsonLineSink(settings.logLevel)],
   });
-  const client = new ControlClient({urls: settings.control});
+  const security = await openLinkSecurity(settings, events);
+  const client = new ControlClient({
+    urls: settings.control,
+    agent: security.createAgent(),
+  });
   const follower = new SettingsFollower(client, events);
   await follower.start(performance.now() + START_TIMEOUT_MS);
   const processRegistry = processMetrics({
@@ -81,6 +86,7 @@
   });
   const server = await startProcessServer({
     address: {host: settings.host, port: settings.port},
+    security,
     metrics: processRegistry,
     ready: () => !draining,
     fallback: (request, response) => void desk.handle(request, response),
@@ -142,6 +148,7 @@
       service.stop();
       await follower.stop();
       client.close();
+      security.stop();
       events.record('process-stopped');
     },
   };
--- a/agent/agent-server/src/target-forwarder.ts
+++ b/agent/agent-server/src/target-forwarder.ts
@@ -232,9 +232,9 @@
     case 'cancelled':
       return 'attempt-cancelled';
     case 'crossed':
-      return 'answer-crossed';
+      return 'target-answer-crossed';
     case 'torn':
-      return 'answer-torn';
+      return 'target-answer-torn';
     case 'unreached':
     case 'not-held':
       return 'attempt-refused';
--- /dev/null
+++ b/agent/agent-server/test/attempts.test.ts
@@ -0,0 +1,193 @@
+import http from 'node:http';
+import {expect} from 'chai';
+import {formatHop} from '@marigoldspur/messages';
+import {
+  eventually,
+  Fixture,
+  fixtureTree,
+  hopOf,
+  type StartedAgent,
+} from './agent-fixture.js';
+
+let fixture: Fixture;
+let agent: StartedAgent;
+
+before(async () => {
+  ({fixture, agent} = await Fixture.start({slots: 4, tokenMs: 5}));
+});
+
+async function runsOf(request: string): Promise<number> {
+  const record = await fixture.record();
+  return record.filter(run => run.request === request).length;
+}
+
+it('attempts: the same attempt never runs twice', async () => {
+  const sending = {model: 'a@v1', request: 'twice', attempt: 1};
+  const [first, second] = await Promise.all([
+    fixture.send(agent, sending),
+    fixture.send(agent, sending),
+  ]);
+  const third = await fixture.send(agent, sending);
+  const statuses = [first.status, second.status].sort();
+  expect(statuses).to.deep.equal([200, 409]);
+  expect(third.headers['x-marigoldspur-outcome']).to.equal('unknown');
+  expect(await runsOf('twice')).to.equal(1);
+});
+
+it('attempts: body and header must name the same adapter', async () => {
+  const answer = await fixture.send(agent, {
+    model: 'a@v1',
+    request: 'mismatch',
+    body: JSON.stringify({model: 'a@v2', prompt: ''}),
+  });
+  expect(answer.headers).to.include({
+    'x-marigoldspur-outcome': 'not-run',
+    'x-marigoldspur-reason': 'model_mismatch',
+  });
+  expect(await runsOf('mismatch')).to.equal(0);
+});
+
+it('attempts: a body that names its model twice is refused', async () => {
+  for (const body of [
+    '{"model":"a@v2","model":"a@v1","prompt":""}',
+    '{"\\u006dodel":"a@v2","model":"a@v1"}',
+    '{"Model":"a@v2","model":"a@v1"}',
+  ]) {
+    const sending = {model: 'a@v1', request: 'doubled', body};
+    const answer = await fixture.send(agent, sending);
+    expect(answer.headers['x-marigoldspur-reason'], body).to.be.oneOf([
+      'bad_body',
+      'repeated_attempt',
+    ]);
+  }
+  expect(await runsOf('doubled')).to.equal(0);
+});
+
+it('attempts: only the paths of completions reach an engine', async () => {
+  const answer = await fixture.send(agent, {
+    model: 'a@v1',
+    path: '/v1/unload_lora_adapter',
+  });
+  expect(answer.headers['x-marigoldspur-reason']).to.equal('unknown_path');
+});
+
+it('attempts: one that expects to be continued is continued only under a pin', async () => {
+  fixture.control.grants = false;
+  const body = JSON.stringify({model: 'b@v1', prompt: ''});
+  const call = http.request(new URL('/v1/completions', agent.url), {
+    method: 'POST',
+    headers: {
+      ...formatHop(hopOf({model: 'b@v1', request: 'expects'})),
+      'content-length': body.length,
+      expect: '100-continue',
+    },
+  });
+  let continued = false;
+  const status = new Promise<number>(resolve => {
+    call.on('continue', () => {
+      continued = true;
+      call.end(body);
+    });
+    call.on('response', response => {
+      response.resume();
+      resolve(response.statusCode ?? 0);
+    });
+  });
+  call.flushHeaders();
+  await eventually(() =>
+    fixture.control.permitRequests.some(ask => ask.model === 'b@v1'),
+  );
+  expect(continued).to.equal(false);
+  fixture.control.grants = true;
+  expect(await status).to.equal(200);
+  expect(continued).to.equal(true);
+});
+
+it('attempts: one whose entry went away before the pin does not run', async () => {
+  fixture.control.grants = false;
+  const gone = new AbortController();
+  const sending = {model: 'c@v1', request: 'gone', signal: gone.signal};
+  const sent = fixture.send(agent, sending).catch(() => 'gone');
+  await eventually(() =>
+    fixture.control.permitRequests.some(ask => ask.model === 'c@v1'),
+  );
+  gone.abort();
+  expect(await sent).to.equal('gone');
+  fixture.control.grants = true;
+  const after = await fixture.send(agent, {model: 'd@v1'});
+  expect(after.whole).to.equal(true);
+  const loads = (await fixture.orders()).map(order => order.model);
+  expect(loads).to.include('d@v1').and.not.include('c@v1');
+  expect(await runsOf('gone')).to.equal(0);
+});
+
+it('attempts: a budget that is over before the pin is not run', async () => {
+  fixture.control.grants = false;
+  const sending = {model: 'c@v1', request: 'late', budgetMs: 100};
+  const answer = await fixture.send(agent, sending);
+  fixture.control.grants = true;
+  expect(answer.headers).to.include({
+    'x-marigoldspur-outcome': 'not-run',
+    'x-marigoldspur-reason': 'load_too_late',
+  });
+  expect(answer.headers['retry-after']).to.match(/^\d+$/);
+  expect(await runsOf('late')).to.equal(0);
+});
+
+it('attempts: one with newer settings waits for them', async () => {
+  const tree = fixtureTree();
+  const desk = tree.customers['callao'].services['desk'];
+  if (desk.kind === 'model') {
+    desk.adapters['new'] = {
+      settings: {},
+      versions: {v1: {digest: 'd', retired: false}},
+    };
+  }
+  const sent = fixture.send(agent, {model: 'new@v1', revision: 2});
+  setTimeout(() => fixture.control.change(tree), 100);
+  expect((await sent).status).to.equal(200);
+});
+
+it('attempts: a retired version ends what runs and takes nothing new', async () => {
+  let begun = false;
+  const running = fixture.send(agent, {
+    model: 'a@v1',
+    stream: true,
+    tokens: 100,
+    onData: () => {
+      begun = true;
+    },
+  });
+  await eventually(() => begun);
+  fixture.control.change(fixtureTree(true));
+  const refused = await eventually(async () => {
+    const answer = await fixture.send(agent, {model: 'a@v1', revision: 3});
+    return answer.status === 404 && answer;
+  });
+  expect(refused.headers['x-marigoldspur-reason']).to.equal('retired_version');
+  expect((await running).whole).to.equal(true);
+});
+
+it('attempts: a graceful stop ends what runs and refuses what is new', async () => {
+  const {fixture: other, agent: leaving} = await Fixture.start({tokenMs: 5});
+  let begun = false;
+  const running = other.send(leaving, {
+    model: 'a@v1',
+    stream: true,
+    tokens: 200,
+    onData: () => {
+      begun = true;
+    },
+  });
+  await eventually(() => begun);
+  const stopped = leaving.task.stop();
+  const refused = await eventually(async () => {
+    const answer = await other.send(leaving, {model: 'a@v1'});
+    return answer.status === 503 && answer;
+  });
+  expect(refused.headers['x-marigoldspur-reason']).to.equal('target_leaving');
+  const [member] = [...other.control.members.values()];
+  expect(member.leaving).to.equal(true);
+  expect((await running).whole).to.equal(true);
+  await stopped;
+});
--- /dev/null
+++ b/agent/agent-server/test/fake-control.ts
@@ -0,0 +1,143 @@
+import {
+  controlRouter,
+  type ControlService,
+  type ControlStatus,
+  type SettingsDelta,
+  type SettingsView,
+} from '@marigoldspur/control-api';
+import {ChangeSignal} from '@marigoldspur/change-signal';
+import {EventLog} from '@marigoldspur/event-log';
+import {Fault} from '@marigoldspur/faults';
+import {openLinkSecurity} from '@marigoldspur/link-security';
+import type {
+  ClaimOutcome,
+  Member,
+  MembersDelta,
+  Permit,
+  PermitRequest,
+} from '@marigoldspur/messages';
+import {processMetrics} from '@marigoldspur/metrics';
+import {startProcessServer} from '@marigoldspur/process-server';
+import {
+  emptyTree,
+  type ChangeOutcome,
+  type Tree,
+} from '@marigoldspur/settings-schema';
+
+/** A control of one process in memory, whose answers a test decides. */
+export class FakeControl implements ControlService {
+  /** Members by identity and boot, as last announced. */
+  readonly members = new Map<string, Member>();
+  readonly permitRequests: PermitRequest[] = [];
+  /** Whether permits are granted. */
+  grants = true;
+  /** Whether calls get no answer. */
+  away = false;
+  url = '';
+  private readonly changed = new ChangeSignal();
+  private readonly fences = new Map<string, string>();
+  private fence = 0;
+  private permits = 0;
+  private view: SettingsView = {revision: 1, tree: emptyTree()};
+
+  async start(tree: Tree): Promise<void> {
+    this.view = {revision: 1, tree};
+    const labels = {process: 'control', role: 'control', zone: 'a'};
+    const server = await startProcessServer({
+      address: {host: '127.0.0.1', port: 0},
+      security: await openLinkSecurity(
+        {host: '127.0.0.1'},
+        new EventLog({process: 'control'}),
+      ),
+      metrics: processMetrics(labels),
+      ready: () => true,
+      routers: {control: controlRouter(this)},
+      service: {
+        status: () => {
+          throw new Fault('NOT_FOUND', 'no status');
+        },
+        events: () => [],
+        drain: () => {},
+      },
+    });
+    this.url = server.url;
+  }
+
+  /** Accepts a new tree. */
+  change(tree: Tree): void {
+    this.view = {revision: this.view.revision + 1, tree};
+    this.changed.notify();
+  }
+
+  async readSettings(): Promise<SettingsView> {
+    return this.view;
+  }
+
+  async watchSettings(
+    revision: number,
+    waitMs: number,
+  ): Promise<SettingsDelta> {
+    if (this.view.revision <= revision) {
+      await this.changed.wait(waitMs);
+    }
+    return {...this.view, changes: []};
+  }
+
+  async heartbeat(member: Member) {
+    await this.reachable();
+    const target = member.target?.name ?? '';
+    this.members.set(`${member.id}/${member.boot}`, member);
+    if (this.fences.has(target) && this.fences.get(target) !== member.boot) {
+      throw new Fault('FENCED', 'a newer agent has the target');
+    }
+    return {leaseMs: 3_000, revision: this.view.revision};
+  }
+
+  async grantFence(target: string, boot: string): Promise<number> {
+    this.fences.set(target, boot);
+    this.fence += 1;
+    return this.fence;
+  }
+
+  async acquirePermit(request: PermitRequest): Promise<Permit> {
+    this.permitRequests.push(request);
+    const end = performance.now() + request.waitMs;
+    while (!this.grants && performance.now() < end) {
+      await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    await this.reachable();
+    this.permits += 1;
+    const permit = this.grants ? String(this.permits) : undefined;
+    return {permit, validMs: 30_000};
+  }
+
+  async releasePermit(): Promise<void> {}
+
+  async changeSettings(): Promise<ChangeOutcome> {
+    throw new Fault('NOT_FOUND', 'not part of this control');
+  }
+
+  async settingsHistory() {
+    return [];
+  }
+
+  async takeClaim(): Promise<ClaimOutcome> {
+    throw new Fault('NOT_FOUND', 'not part of this control');
+  }
+
+  async completeClaim(): Promise<void> {}
+
+  async watchMembers(): Promise<MembersDelta> {
+    throw new Fault('NOT_FOUND', 'not part of this control');
+  }
+
+  status(): ControlStatus {
+    throw new Fault('NOT_FOUND', 'not part of this control');
+  }
+
+  private async reachable(): Promise<void> {
+    while (this.away) {
+      await new Promise(resolve => setTimeout(resolve, 10));
+    }
+  }
+}
--- /dev/null
+++ b/entry/entry-server/src/caller-tls.ts
@@ -0,0 +1,46 @@
+import http from 'node:http';
+import https from 'node:https';
+import type {EventLog} from '@marigoldspur/event-log';
+import {InvalidInput} from '@marigoldspur/faults';
+import {KeyFile} from '@marigoldspur/key-files';
+import type {EntrySettings} from './entry-settings.js';
+
+/** Creates servers for callers. */
+export interface CallerTls {
+  createServer(
+    options: http.ServerOptions,
+    handler: http.RequestListener,
+  ): http.Server;
+  stop(): void;
+}
+
+/** Reads the certificate that callers see; without one they speak plain HTTP. Throws `InvalidInput`. */
+export async function openCallerTls(
+  settings: EntrySettings,
+  events: EventLog,
+): Promise<CallerTls> {
+  const {callerTlsCert, callerTlsKey} = settings;
+  if ((callerTlsCert === undefined) !== (callerTlsKey === undefined)) {
+    const place = '--caller-tls-cert, --caller-tls-key';
+    throw new InvalidInput([{place, reason: 'are needed together'}]);
+  }
+  if (callerTlsCert === undefined || callerTlsKey === undefined) {
+    return {createServer: http.createServer, stop: () => {}};
+  }
+  const servers = new Set<https.Server>();
+  const parse = (text: string) => text;
+  const keys = () => ({cert: cert.current, key: key.current});
+  const onReload = () =>
+    servers.forEach(server => server.setSecureContext(keys()));
+  const open = (file: string) => KeyFile.open({file, parse, events, onReload});
+  const cert = await open(callerTlsCert);
+  const key = await open(callerTlsKey);
+  return {
+    createServer: (options, handler) => {
+      const server = https.createServer({...options, ...keys()}, handler);
+      servers.add(server);
+      return server;
+    },
+    stop: () => [cert, key].forEach(file => file.stop()),
+  };
+}
--- a/lab/stand-ins/src/engine.ts
+++ b/lab/stand-ins/src/engine.ts
@@ -253,7 +253,7 @@
   private abort(text: string, response: ServerResponse): void {
     const {request_ids: ids} = ABORT_SCHEMA.parse(JSON.parse(text));
     for (const run of this.runs) {
-      if (ids.includes(run.id)) {
+      if (ids.includes(run.id) && this.faults.lateCancelMs === 0) {
         run.cut();
       }
     }
