Prove the agent's mechanisms, each shown failing with it off

Bodies are awaited only until the budget is over; the eviction policy follows the settings while the agent runs.

--- /dev/null
+++ b/agent/adapter-slots/test/slot-model.test.ts
@@ -0,0 +1,166 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {LruEviction} from '@marigoldspur/eviction';
+import {
+  SlotTable,
+  type Pin,
+  type SlotReservation,
+} from '@marigoldspur/adapter-slots';
+
+const SEED = Number(process.env['FAST_CHECK_SEED'] ?? 7);
+const RUNS = Number(process.env['FAST_CHECK_RUNS'] ?? 500);
+const SLOTS = 2;
+const MODELS = ['a@1', 'b@1', 'c@1', 'd@1'];
+
+type Step =
+  | {do: 'need' | 'distrust'; model: string}
+  | {do: 'end'; which: number}
+  | {do: 'load' | 'fail' | 'keep'; which: number}
+  | {do: 'engine-restart' | 'agent-restart' | 'reconcile'};
+
+interface Running {
+  readonly model: string;
+  readonly pin: Pin;
+}
+
+/** An engine and the table of its agent, with what runs and what is ordered. */
+class World {
+  table = new SlotTable(SLOTS, new LruEviction());
+  readonly held = new Set<string>();
+  running: Running[] = [];
+  ordered: SlotReservation[] = [];
+  private now = 0;
+
+  take(step: Step): void {
+    this.now += 1;
+    switch (step.do) {
+      case 'need':
+        return this.need(step.model);
+      case 'distrust':
+        return this.table.distrust(step.model);
+      case 'end':
+        return this.running
+          .splice(step.which % Math.max(1, this.running.length), 1)
+          .forEach(run => run.pin.release(this.now));
+      case 'load':
+      case 'fail':
+      case 'keep':
+        return this.ordered
+          .splice(step.which % Math.max(1, this.ordered.length), 1)
+          .forEach(order => this.settle(order, step.do));
+      case 'engine-restart':
+        this.held.clear();
+        this.running = [];
+        return this.table.reset(SLOTS, [], this.now);
+      case 'agent-restart':
+        return this.restartAgent();
+      case 'reconcile':
+        return this.table.reconcile([...this.held], this.now);
+    }
+  }
+
+  check(): void {
+    for (const run of this.running) {
+      expect(this.held.has(run.model), `${run.model} is in use`).to.equal(true);
+    }
+    expect(this.held.size).to.be.at.most(SLOTS);
+    for (const model of this.table.resident()) {
+      expect(this.held.has(model), `${model} is resident`).to.equal(true);
+    }
+  }
+
+  private need(model: string): void {
+    const pin = this.table.pin(model, this.now);
+    if (pin !== undefined) {
+      this.running.push({model, pin});
+      return;
+    }
+    const order = this.table.reserve(model, this.now);
+    if (order !== undefined) {
+      this.ordered.push(order);
+    }
+  }
+
+  /** An engine that restarted meanwhile has nothing to unload; its load is not believed. */
+  private settle(order: SlotReservation, how: 'load' | 'fail' | 'keep'): void {
+    const stale = !this.table.unsettled().includes(order.model);
+    if (stale || how === 'keep') {
+      this.table.cancel(order, true);
+      return;
+    }
+    if (order.evict !== undefined) {
+      this.held.delete(order.evict);
+    }
+    if (how === 'fail') {
+      this.table.cancel(order, false);
+      return;
+    }
+    this.held.add(order.model);
+    this.table.loaded(order, this.now);
+  }
+
+  /** The new agent knows only what the engine lists and runs. */
+  private restartAgent(): void {
+    this.ordered = [];
+    this.table = new SlotTable(SLOTS, new LruEviction());
+    this.table.reset(SLOTS, [...this.held], this.now);
+    this.running = this.running.map(({model}) => ({
+      model,
+      pin: this.table.pinRunning(model, this.now),
+    }));
+  }
+}
+
+const model = fc.constantFrom(...MODELS);
+const which = fc.nat(5);
+const step: fc.Arbitrary<Step> = fc.oneof(
+  {weight: 6, arbitrary: fc.record({do: fc.constant('need' as const), model})},
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      do: fc.constant('end' as const),
+      which,
+    }),
+  },
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      do: fc.constant('load' as const),
+      which,
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      do: fc.constantFrom('fail' as const, 'keep' as const),
+      which,
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({do: fc.constant('distrust' as const), model}),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      do: fc.constantFrom(
+        'engine-restart' as const,
+        'agent-restart' as const,
+        'reconcile' as const,
+      ),
+    }),
+  },
+);
+
+it('slots model: what runs stays held, and residents are the engine’s', () => {
+  fc.assert(
+    fc.property(fc.array(step, {maxLength: 60}), steps => {
+      const world = new World();
+      for (const each of steps) {
+        world.take(each);
+        world.check();
+      }
+    }),
+    {seed: SEED, numRuns: RUNS},
+  );
+});
--- a/agent/agent-server/src/attempt-desk.ts
+++ b/agent/agent-server/src/attempt-desk.ts
@@ -131,7 +131,9 @@
     if (refusal !== undefined) {
       return Result.err(refusal);
     }
-    let body = expects ? undefined : await this.takeBody(hop, request);
+    let body = expects
+      ? undefined
+      : await this.takeBody(hop, request, deadlineMs);
     if (body?.isErr) {
       return Result.err(body.error);
     }
@@ -141,7 +143,7 @@
     }
     if (body === undefined) {
       response.writeContinue();
-      body = await this.takeBody(hop, request);
+      body = await this.takeBody(hop, request, deadlineMs);
     }
     const late = body.isErr
       ? body.error
@@ -150,6 +152,9 @@
       pin.value?.pin.release(performance.now());
       return late === undefined ? Result.ok(undefined) : Result.err(late);
     }
+    const unstated = request.headers['content-length'] === undefined;
+    const bytes = unstated ? body.value.length : 0;
+    this.heldBytes += bytes;
     await this.forwarder.forward({
       hop,
       request,
@@ -160,6 +165,7 @@
       pin: pin.value?.pin,
       boot: pin.value?.boot,
     });
+    this.heldBytes -= bytes;
     return Result.ok(undefined);
   }
 
@@ -219,8 +225,12 @@
   private async takeBody(
     hop: Hop,
     request: IncomingMessage,
+    deadlineMs: number,
   ): Promise<Result<Buffer, Refusal>> {
+    const leftMs = Math.max(0, deadlineMs - performance.now());
+    const late = setTimeout(() => request.destroy(), leftMs);
     const body = await readBody(request, this.options.maxBodyBytes);
+    clearTimeout(late);
     if (body.isErr) {
       return Result.err(notRun(400, 'bad_body', body.error.message));
     }
--- a/agent/agent-server/src/prepare-engine.ts
+++ b/agent/agent-server/src/prepare-engine.ts
@@ -4,8 +4,8 @@
   SettingsFollower,
 } from '@marigoldspur/control-client';
 import type {EventLog} from '@marigoldspur/event-log';
-import {createEviction} from '@marigoldspur/eviction';
 import {OrderLease} from '@marigoldspur/order-lease';
+import {DEFAULT_SETTINGS} from '@marigoldspur/settings-schema';
 import {settingsOf} from '@marigoldspur/settings-tree';
 import {EngineClient} from '@marigoldspur/target-client';
 import {AdapterHost} from './adapter-host.js';
@@ -14,6 +14,7 @@
 import type {EngineParts} from './attempt-desk.js';
 import {LeaseKeeper} from './lease-keeper.js';
 import {ControlLoadGate, FallbackLoadGate, ShareLoadGate} from './load-gate.js';
+import {SettingsEviction} from './settings-eviction.js';
 import {SlotOrders} from './slot-orders.js';
 import {TargetWatch} from './target-watch.js';
 
@@ -46,8 +47,9 @@
   const askedAt = performance.now();
   const fence = await grantFence(settings, options);
   const path = `/${settings.customer}/${settings.service}`;
-  const policy = settingsOf(follower.settings.tree, path)?.eviction ?? 'lru';
-  const slots = new SlotTable(0, createEviction(policy));
+  const policy = () =>
+    (settingsOf(follower.settings.tree, path) ?? DEFAULT_SETTINGS).eviction;
+  const slots = new SlotTable(0, new SettingsEviction(policy));
   const engine = new EngineClient(
     settings.targetUrl,
     () => fence,
