--- a/agent/agent-server/test/pins.test.ts
+++ b/agent/agent-server/test/pins.test.ts
@@ -78,7 +78,15 @@
     expect(byFresh.whole).to.equal(true);
     expect((await running.answer)?.whole).to.equal(true);
     await expectNoneEvictedInUse(fixture);
-    const models = (await fixture.orders()).map(order => order.model);
-    expect(models).to.not.include('c@v1');
+    const late = await fixture.send(old, {model: 'c@v1', budgetMs: 500});
+    const held = await fixture.send(old, {model: 'b@v1', budgetMs: 500});
+    for (const refused of [late, held]) {
+      expect(refused.headers['x-marigoldspur-outcome']).to.equal('not-run');
+    }
+    const orders = await fixture.orders();
+    const done = orders.filter(order => order.outcome === 'done');
+    expect(done.map(order => order.model)).to.not.include('c@v1');
+    const runs = await fixture.record();
+    expect(runs.map(run => run.model)).to.deep.equal(['a@v1', 'b@v1']);
   });
 }
--- a/agent/order-lease/test/order-lease.test.ts
+++ b/agent/order-lease/test/order-lease.test.ts
@@ -163,3 +163,14 @@
   lease.fenceForgotten();
   expect(lease.holds(10_000)).to.equal(false);
 });
+
+it('order lease: once revoked it is never confirmed again', () => {
+  const options = {leaseMs: LEASE_MS, orderMs: ORDER_MS, fenceChecked: true};
+  const lease = new OrderLease(options, 0);
+  lease.fenceShown();
+  lease.revoke();
+  lease.confirmed(10);
+  lease.fenceShown();
+  expect(lease.holds(20)).to.equal(false);
+  expect(lease.mayTakeOver(20, 0)).to.equal(false);
+});
--- a/scripts/sync-references.mjs
+++ b/scripts/sync-references.mjs
@@ -1,5 +1,5 @@
 /* Keeps the tsconfig references equal to the workspace dependencies; --check only reports. */
-import {readdirSync, readFileSync, writeFileSync} from 'node:fs';
+import {existsSync, readdirSync, readFileSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 
 const ROOT = path.resolve(import.meta.dirname, '..');
@@ -9,14 +9,14 @@
   return JSON.parse(readFileSync(file, 'utf8'));
 }
 
-const folders = readJson(path.join(ROOT, 'package.json')).workspaces.flatMap(
-  pattern => {
+const folders = readJson(path.join(ROOT, 'package.json'))
+  .workspaces.flatMap(pattern => {
     const domain = pattern.replace('/*', '');
     return readdirSync(path.join(ROOT, domain)).map(
       name => `${domain}/${name}`,
     );
-  },
-);
+  })
+  .filter(folder => existsSync(path.join(ROOT, folder, 'package.json')));
 const manifests = new Map(
   folders.map(folder => [
     folder,
