--- /dev/null
+++ b/lab/history/src/settings-rules.ts
@@ -0,0 +1,79 @@
+import type {Finding} from '@marigoldspur/faults';
+import type {History, LinesOf} from './history.js';
+import type {Rule} from './rule.js';
+
+/** Time after which an accepted revision has to be in force everywhere. */
+const IN_FORCE_BOUND_MS = 4_000;
+
+/** An accepted configuration never reverts. */
+export const NEVER_REVERTS: Rule = {
+  name: 'never-reverts',
+  promise: 'An accepted configuration never reverts.',
+  check(history) {
+    const latest = new Map<string, number>();
+    return history.of('in-force').flatMap(({process, revision}) => {
+      const before = latest.get(process) ?? 0;
+      latest.set(process, Math.max(before, revision));
+      return revision < before
+        ? [{place: process, reason: `fell from ${before} to ${revision}`}]
+        : [];
+    });
+  },
+};
+
+/** An accepted configuration is in force everywhere within seconds. */
+export const IN_FORCE_EVERYWHERE: Rule = {
+  name: 'in-force-everywhere',
+  promise: 'An accepted configuration is in force everywhere within seconds.',
+  check: history =>
+    history
+      .of('accepted')
+      .flatMap(accepted => lateProcesses(history, accepted)),
+};
+
+/** The rules on settings. */
+export const SETTINGS_RULES = [NEVER_REVERTS, IN_FORCE_EVERYWHERE];
+
+function lateProcesses(
+  history: History,
+  {revision, at}: LinesOf<'accepted'>,
+): Finding[] {
+  const bound = at + IN_FORCE_BOUND_MS;
+  const end = history.of('end').at(-1)?.at ?? Infinity;
+  if (end < bound) {
+    return [];
+  }
+  const inForce = history.of('in-force');
+  return [...runningBetween(history, at, bound)]
+    .filter(
+      process =>
+        !inForce.some(
+          line =>
+            line.process === process &&
+            line.revision >= revision &&
+            line.at <= bound,
+        ),
+    )
+    .map(process => ({
+      place: process,
+      reason: `revision ${revision} was not in force in time`,
+    }));
+}
+
+/** Processes that ran all the time from `from` to `to`. */
+function runningBetween(
+  history: History,
+  from: number,
+  to: number,
+): Set<string> {
+  const running = new Set<string>();
+  for (const {process, state, at} of history.of('process')) {
+    const up = state === 'started' || state === 'thawed';
+    if (up && at <= from) {
+      running.add(process);
+    } else if (!up && at <= to) {
+      running.delete(process);
+    }
+  }
+  return running;
+}
