State the length of an attempt's body, and run load under faults

The length is stated again; a request without a body has nothing to hold back and is sent at once, so a lost agent leaves its outcome unknown.

--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -5,7 +5,7 @@
 import {openRequest} from '@marigoldspur/http-link';
 import {HOP_HEADERS} from '@marigoldspur/messages';
 import {readAgentRefusal} from './agent-refusal.js';
-import {attemptHeaders} from './attempt-headers.js';
+import {attemptHeaders, waitsForContinue} from './attempt-headers.js';
 import type {Attempt, AttemptAnswer} from './attempt.js';
 import type {TargetHealth} from './target-health.js';
 
@@ -89,7 +89,7 @@
         call.end(this.attempt.body);
       }
     };
-    if (this.attempt.hop.repeatable) {
+    if (!waitsForContinue(this.attempt)) {
       send();
       return;
     }
--- a/entry/dispatch/src/attempt-headers.ts
+++ b/entry/dispatch/src/attempt-headers.ts
@@ -30,17 +30,22 @@
 export function attemptHeaders(attempt: Attempt): OutgoingHttpHeaders {
   const kept = passedHeaders(attempt.headers);
   ENTRY_HEADERS.forEach(name => delete kept[name]);
-  const {body, hop} = attempt;
   return {
     ...kept,
-    ...formatHop(hop),
-    ...(hop.repeatable
-      ? {'content-length': body.length}
-      : // Chunked, so that even an empty body ends only once it is sent.
-        {'transfer-encoding': 'chunked', expect: '100-continue'}),
+    ...formatHop(attempt.hop),
+    'content-length': attempt.body.length,
+    ...(waitsForContinue(attempt) && {expect: '100-continue'}),
   };
 }
 
+/**
+ * Whether the body waits for the agent's `100 Continue`: where the request may not be
+ * repeated, unless it has no body to hold back.
+ */
+export function waitsForContinue(attempt: Attempt): boolean {
+  return !attempt.hop.repeatable && attempt.body.length > 0;
+}
+
 /** The headers of a target's answer that the caller gets. */
 export function answerHeaders(message: IncomingMessage): OutgoingHttpHeaders {
   return passedHeaders(message.headers);
--- /dev/null
+++ b/lab/fault-runs/src/event-lines.ts
@@ -0,0 +1,33 @@
+import type {HistoryLine} from '@marigoldspur/history';
+import type {Child} from '@marigoldspur/lab';
+
+interface LoggedEvent {
+  readonly name?: string;
+  readonly time: number;
+  readonly process: string;
+  readonly details?: Readonly<Record<string, unknown>>;
+}
+
+/** The events that a process logged. */
+export function loggedEvents(child: Child): LoggedEvent[] {
+  return child.lines.flatMap(line => {
+    try {
+      return [JSON.parse(line) as LoggedEvent];
+    } catch {
+      return [];
+    }
+  });
+}
+
+/** When revisions came into force in one life of a process; each life begins anew. */
+export function inForceLines(child: Child, life: number): HistoryLine[] {
+  return loggedEvents(child)
+    .filter(event => event.name === 'settings-in-force')
+    .map(event => ({
+      line: 'in-force',
+      process: event.process,
+      life,
+      revision: Number(event.details?.revision),
+      at: event.time,
+    }));
+}
--- /dev/null
+++ b/lab/fault-runs/src/fault-injector.ts
@@ -0,0 +1,146 @@
+import {setTimeout as pause} from 'node:timers/promises';
+import type {HistoryLine} from '@marigoldspur/history';
+import {startChild, type Child, type System} from '@marigoldspur/lab';
+import {
+  collectRecord,
+  isEngine,
+  type RecordedTarget,
+} from './collect-record.js';
+import type {PlannedFault} from './fault-plan.js';
+
+const PACKAGES = {
+  control: '@marigoldspur/control-server',
+  entry: '@marigoldspur/entry-server',
+  agent: '@marigoldspur/agent-server',
+  target: '@marigoldspur/lab',
+} as const;
+
+/** What a process does in the system. */
+export type ChildRole = keyof typeof PACKAGES;
+
+interface Place {
+  readonly role: ChildRole;
+  /** All lives of the process, the latest last. */
+  readonly lives: Child[];
+  /** Present in targets. */
+  readonly recorded?: RecordedTarget;
+}
+
+const CUT_TOKENS = 2;
+const CUT_ANSWERS = 3;
+
+/** Injects faults into a system and undoes them; knows every life of each process. */
+export class FaultInjector {
+  private readonly places: Place[];
+
+  constructor(
+    private readonly system: System,
+    private readonly record: (line: HistoryLine) => void,
+  ) {
+    this.places = [
+      ...system.controls.map(child => place('control', child)),
+      ...system.entries.map(child => place('entry', child)),
+      ...system.targets.map(pair => place('agent', pair.agent)),
+      ...system.targets.map(pair => place('target', pair.target, pair)),
+    ];
+  }
+
+  /** Every life of every process of a role. */
+  livesOf(role: ChildRole): Child[] {
+    return this.placesOf(role).flatMap(({lives}) => lives);
+  }
+
+  /** Injects a fault and resolves once it is undone. */
+  async inject(fault: PlannedFault): Promise<void> {
+    await pause(fault.atMs);
+    const [verb, noun] = fault.kind.split('-');
+    if (fault.kind === 'restart-engine' || fault.kind === 'cut-answers') {
+      await this.faultEngine(fault);
+      return;
+    }
+    const places = this.placesOf(noun as ChildRole);
+    const victim = places[fault.victim % places.length];
+    if (verb === 'kill') {
+      await this.kill(victim, fault.lastsMs);
+    } else {
+      await this.freeze(victim, fault.lastsMs);
+    }
+  }
+
+  /** Ends the processes that were started again. */
+  async stop(): Promise<void> {
+    for (const {lives} of this.places) {
+      const current = lives.at(-1)!;
+      current.signal('SIGKILL');
+      await current.ended;
+    }
+  }
+
+  private async kill(victim: Place, lastsMs: number): Promise<void> {
+    const child = victim.lives.at(-1)!;
+    if (victim.recorded !== undefined) {
+      await this.saveRecord(victim.recorded);
+    }
+    child.signal('SIGKILL');
+    await child.ended;
+    this.note(child.name, 'stopped');
+    await pause(lastsMs);
+    const args = child.process.spawnargs.slice(2);
+    const next = startChild(child.name, PACKAGES[victim.role], args);
+    victim.lives.push(next);
+    await next.line(
+      line => line.includes('"process-started"') || line.startsWith('ready '),
+    );
+    this.note(child.name, 'started');
+  }
+
+  private async freeze(victim: Place, lastsMs: number): Promise<void> {
+    const child = victim.lives.at(-1)!;
+    child.signal('SIGSTOP');
+    this.note(child.name, 'frozen');
+    await pause(lastsMs);
+    child.signal('SIGCONT');
+    this.note(child.name, 'thawed');
+  }
+
+  /** A killed target loses its record, so it is read just before. */
+  private async saveRecord(recorded: RecordedTarget): Promise<void> {
+    const {name: target} = recorded;
+    const from = Date.now();
+    const lines = await collectRecord(recorded);
+    lines.forEach(line => this.record(line));
+    this.record({line: 'record-lost', target, from, to: Date.now()});
+  }
+
+  private async faultEngine(fault: PlannedFault): Promise<void> {
+    const engines = this.system.targets.filter(isEngine);
+    const engine = engines[fault.victim % engines.length];
+    const faults =
+      fault.kind === 'restart-engine'
+        ? {restart: true}
+        : {cutAfterTokens: CUT_TOKENS, cutAnswers: CUT_ANSWERS};
+    await fetch(`${engine.url}/faults`, {
+      method: 'POST',
+      body: JSON.stringify(faults),
+    });
+  }
+
+  private note(
+    process: string,
+    state: 'started' | 'stopped' | 'frozen' | 'thawed',
+  ): void {
+    this.record({line: 'process', process, state, at: Date.now()});
+  }
+
+  private placesOf(role: ChildRole): Place[] {
+    return this.places.filter(each => each.role === role);
+  }
+}
+
+function place(
+  role: ChildRole,
+  child: Child,
+  recorded?: RecordedTarget,
+): Place {
+  return {role, lives: [child], ...(recorded && {recorded})};
+}
--- /dev/null
+++ b/lab/fault-runs/src/index.ts
@@ -0,0 +1,3 @@
+export {FAULT_KINDS, type FaultKind} from './fault-plan.js';
+export {runFaults, type FaultRun, type FaultRunOptions} from './run-faults.js';
+export type {Summary} from './summary.js';
--- /dev/null
+++ b/lab/fault-runs/src/load-plan.ts
@@ -0,0 +1,65 @@
+import type {Random} from './random.js';
+
+/** One request of the load. */
+export interface PlannedRequest {
+  /** When it is sent, from the start of the load, in milliseconds. */
+  readonly atMs: number;
+  /** What is asked for, unique in the run. */
+  readonly operation: string;
+  readonly kind: 'streamed' | 'completion' | 'keyed-call' | 'single-call';
+  /** Adapter and version, or the path on the plain service. */
+  readonly model: string;
+  /** Tokens of a completion. */
+  readonly tokens: number;
+}
+
+/** Options of a load. */
+export interface LoadOptions {
+  readonly requestsPerSecond: number;
+  readonly seconds: number;
+  /** Adapters that requests name, as `adapter@version`. */
+  readonly models: readonly string[];
+}
+
+const KINDS = [
+  'streamed',
+  'streamed',
+  'completion',
+  'keyed-call',
+  'single-call',
+] as const;
+const MIN_TOKENS = 3;
+const MAX_TOKENS = 40;
+const CALL_PATH = '/indication';
+
+/** Plans requests at a steady rate. */
+export function planLoad(
+  options: LoadOptions,
+  random: Random,
+): PlannedRequest[] {
+  const {requestsPerSecond, seconds, models} = options;
+  const count = Math.round(requestsPerSecond * seconds);
+  return Array.from({length: count}, (_, index) => {
+    const kind = random.pick(KINDS);
+    const model = random.pick(models);
+    return {
+      atMs: (index * 1_000) / requestsPerSecond,
+      operation: `op-${index}`,
+      kind,
+      model: kind.endsWith('call') ? CALL_PATH : model,
+      tokens: random.integer(MIN_TOKENS, MAX_TOKENS),
+    };
+  });
+}
+
+/** The text of a whole answer of the stand-ins. */
+export function expectedText(request: PlannedRequest): string {
+  if (request.kind.endsWith('call')) {
+    return request.operation;
+  }
+  const words = Array.from(
+    {length: request.tokens - 1},
+    (_, i) => ` w${i + 1}`,
+  );
+  return [request.model, ...words].join('');
+}
--- /dev/null
+++ b/lab/fault-runs/src/main.ts
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import {runCommand} from './command.js';
+
+await runCommand(process.argv.slice(2));
--- /dev/null
+++ b/lab/fault-runs/src/summary.ts
@@ -0,0 +1,50 @@
+import type {AnsweredCall, History} from '@marigoldspur/history';
+
+/** How the calls of a run ended, in numbers. */
+export interface Summary {
+  readonly [name: string]: string | number;
+  readonly calls: number;
+  readonly answered: number;
+  /** Refusals that say "not run". */
+  readonly notRun: number;
+  /** Refusals that say "unknown" or "failed", and answers that broke off. */
+  readonly unknown: number;
+  /** Connections that ended without an answer. */
+  readonly none: number;
+  /** 99th percentile of the time to a refusal, in milliseconds. */
+  readonly refusalP99Ms: number;
+  /** 99th percentile of the time to a whole answer, in milliseconds. */
+  readonly answerP99Ms: number;
+  /** Runs at targets for each operation that ran. */
+  readonly runsPerOperation: number;
+}
+
+/** Sums up a history. */
+export function summarise(history: History): Summary {
+  const calls = history.answeredCalls();
+  const answered = calls.filter(isAnswered);
+  const refused = calls.filter(({answer}) => answer.outcome !== undefined);
+  const notRun = refused.filter(({answer}) => answer.outcome === 'not-run');
+  const none = calls.filter(({answer}) => answer.ended === 'none');
+  const runs = history.of('run').length;
+  const operations = history.runsByOperation().size;
+  return {
+    calls: calls.length,
+    answered: answered.length,
+    notRun: notRun.length,
+    unknown: calls.length - answered.length - notRun.length - none.length,
+    none: none.length,
+    refusalP99Ms: p99(refused),
+    answerP99Ms: p99(answered),
+    runsPerOperation: Number((runs / Math.max(1, operations)).toFixed(3)),
+  };
+}
+
+function isAnswered({answer}: AnsweredCall): boolean {
+  return answer.ended === 'whole' && (answer.status ?? 0) < 300;
+}
+
+function p99(calls: readonly AnsweredCall[]): number {
+  const times = calls.map(({answer}) => answer.tookMs).sort((a, b) => a - b);
+  return times[Math.ceil(times.length * 0.99) - 1] ?? 0;
+}
--- a/lab/history/src/answer-rules.ts
+++ b/lab/history/src/answer-rules.ts
@@ -57,9 +57,10 @@
     return succeeded(history)
       .filter(({call, answer}) => {
         const own = runs.get(call.operation) ?? [];
-        return !own.some(
+        const ran = own.some(
           run => answer.replayed || run.request === answer.request,
         );
+        return !ran && !mayBeLost(history, {call, answer});
       })
       .map(each => ({
         place: placeOf(each),
@@ -149,6 +150,13 @@
   return findings;
 }
 
+/** Whether a run of the call may be missing from a target's record. */
+function mayBeLost(history: History, {call, answer}: AnsweredCall): boolean {
+  return history
+    .of('record-lost')
+    .some(({from, to}) => call.at <= to && answer.at >= from);
+}
+
 function succeeded(history: History): AnsweredCall[] {
   return history
     .answeredCalls()
--- a/lab/history/src/history-line.ts
+++ b/lab/history/src/history-line.ts
@@ -81,6 +81,8 @@
 export const IN_FORCE_SCHEMA = z.object({
   line: z.literal('in-force'),
   process: z.string(),
+  /** Number of the process's life; each one begins anew. */
+  life: z.int(),
   revision: z.int(),
   at: z.number(),
 });
@@ -93,6 +95,14 @@
   at: z.number(),
 });
 
+/** A target lost what it recorded in a time. */
+export const RECORD_LOST_SCHEMA = z.object({
+  line: z.literal('record-lost'),
+  target: z.string(),
+  from: z.number(),
+  to: z.number(),
+});
+
 /** The run of the history ended. */
 export const END_SCHEMA = z.object({line: z.literal('end'), at: z.number()});
 
@@ -106,6 +116,7 @@
   ACCEPTED_SCHEMA,
   IN_FORCE_SCHEMA,
   PROCESS_SCHEMA,
+  RECORD_LOST_SCHEMA,
   END_SCHEMA,
 ]);
 
--- a/lab/history/src/settings-rules.ts
+++ b/lab/history/src/settings-rules.ts
@@ -11,9 +11,10 @@
   promise: 'An accepted configuration never reverts.',
   check(history) {
     const latest = new Map<string, number>();
-    return history.of('in-force').flatMap(({process, revision}) => {
-      const before = latest.get(process) ?? 0;
-      latest.set(process, Math.max(before, revision));
+    return history.of('in-force').flatMap(({process, life, revision}) => {
+      const lived = `${process}, life ${life}`;
+      const before = latest.get(lived) ?? 0;
+      latest.set(lived, Math.max(before, revision));
       return revision < before
         ? [{place: process, reason: `fell from ${before} to ${revision}`}]
         : [];
