--- a/lab/fault-runs/src/fault-injector.ts
+++ b/lab/fault-runs/src/fault-injector.ts
@@ -83,7 +83,7 @@
     }
     child.signal('SIGKILL');
     await child.ended;
-    this.note(child.name, 'stopped');
+    this.note(victim, 'stopped');
     await pause(lastsMs);
     const args = child.process.spawnargs.slice(2);
     const next = startChild(child.name, PACKAGES[victim.role], args);
@@ -91,16 +91,16 @@
     await next.line(
       line => line.includes('"process-started"') || line.startsWith('ready '),
     );
-    this.note(child.name, 'started');
+    this.note(victim, 'started');
   }
 
   private async freeze(victim: Place, lastsMs: number): Promise<void> {
     const child = victim.lives.at(-1)!;
     child.signal('SIGSTOP');
-    this.note(child.name, 'frozen');
+    this.note(victim, 'frozen');
     await pause(lastsMs);
     child.signal('SIGCONT');
-    this.note(child.name, 'thawed');
+    this.note(victim, 'thawed');
   }
 
   /** A killed target loses its record, so it is read just before. */
@@ -125,10 +125,15 @@
     });
   }
 
+  /** Records the state of a process that keeps settings in force. */
   private note(
-    process: string,
+    {role, lives}: Place,
     state: 'started' | 'stopped' | 'frozen' | 'thawed',
   ): void {
+    if (role !== 'entry' && role !== 'agent') {
+      return;
+    }
+    const process = lives[0].name;
     this.record({line: 'process', process, state, at: Date.now()});
   }
 
