--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -161,8 +161,7 @@
       }
       await claims.settled(COMPLETIONS_MS);
       heartbeat.stop();
-      await members.stop();
-      await follower.stop();
+      await Promise.all([members.stop(), follower.stop()]);
       health.stop();
       attempts.close();
       client.close();
--- a/lab/fault-runs/src/fault-injector.ts
+++ b/lab/fault-runs/src/fault-injector.ts
@@ -24,6 +24,8 @@
   readonly lives: Child[];
   /** Present in targets. */
   readonly recorded?: RecordedTarget;
+  /** Whether a fault has it now. */
+  faulted: boolean;
 }
 
 const CUT_TOKENS = 2;
@@ -58,13 +60,26 @@
       await this.faultEngine(fault);
       return;
     }
-    const places = this.placesOf(noun as ChildRole);
-    const victim = places[fault.victim % places.length];
+    const victim = this.chooseVictim(noun as ChildRole, fault.victim);
+    if (victim === undefined) {
+      return;
+    }
+    victim.faulted = true;
     if (verb === 'kill') {
       await this.kill(victim, fault.lastsMs);
     } else {
       await this.freeze(victim, fault.lastsMs);
     }
+    victim.faulted = false;
+  }
+
+  /** The process at a position, or the next one that no fault has. */
+  private chooseVictim(role: ChildRole, position: number): Place | undefined {
+    const places = this.placesOf(role);
+    const first = position % places.length;
+    return [...places.slice(first), ...places.slice(0, first)].find(
+      ({faulted}) => !faulted,
+    );
   }
 
   /** Ends the processes that were started again. */
@@ -147,5 +162,5 @@
   child: Child,
   recorded?: RecordedTarget,
 ): Place {
-  return {role, lives: [child], ...(recorded && {recorded})};
+  return {role, lives: [child], faulted: false, ...(recorded && {recorded})};
 }
--- a/lab/fault-runs/src/run-faults.ts
+++ b/lab/fault-runs/src/run-faults.ts
@@ -43,6 +43,8 @@
 const ENTRIES = 2;
 const FIRST_TOKEN_MS = 20;
 const TOKEN_MS = 20;
+/** Long enough for faults to hit running calls. */
+const SERVICE_CALL_MS = 300;
 const WARM_UP_MS = 1_000;
 const CHANGE_MS = 1_500;
 const QUIET_MS = 1_500;
@@ -69,6 +71,7 @@
     entries: ENTRIES,
     firstTokenMs: FIRST_TOKEN_MS,
     tokenMs: TOKEN_MS,
+    serviceCallMs: SERVICE_CALL_MS,
   });
   const injector = new FaultInjector(system, record);
   try {
--- /dev/null
+++ b/lab/fault-runs/test/bad-input.test.ts
@@ -0,0 +1,197 @@
+import net from 'node:net';
+import {expect} from 'chai';
+import {deploymentTree, startSystem, type System} from '@marigoldspur/lab';
+
+const DEPLOYMENT = {
+  customer: 'callao',
+  zones: ['lima-a'],
+  targets: [
+    {service: 'lm-desk', kind: 'engine', count: 1},
+    {service: 'chart-api', kind: 'service', count: 1},
+  ],
+  loadsPerSecond: 50,
+} as const;
+const IDLE_CONNECTIONS = 2_000;
+const GOOD_REQUEST = 'GET /v1/models HTTP/1.1\r\nhost: entry\r\n\r\n';
+
+let system: System;
+let port: number;
+
+before(async () => {
+  system = await startSystem({
+    deployments: [DEPLOYMENT],
+    tree: deploymentTree([DEPLOYMENT], 2),
+    controls: 1,
+    entries: 1,
+  });
+  await system.settled();
+  port = Number(new URL(system.entryUrls[0]).port);
+});
+
+after(() => system?.stop());
+
+/** Sends raw bytes; resolves to what came back once `until` holds or the connection ended. */
+function exchange(
+  bytes: string | Buffer,
+  until: (text: string) => boolean = () => false,
+): Promise<string> {
+  return new Promise(resolve => {
+    const socket = net.connect(port, '127.0.0.1', () => socket.write(bytes));
+    let text = '';
+    socket.on('data', chunk => {
+      text += chunk.toString('latin1');
+      if (until(text)) {
+        socket.destroy();
+      }
+    });
+    socket.on('error', () => {});
+    socket.on('close', () => resolve(text));
+  });
+}
+
+async function expectOthersServed(): Promise<void> {
+  const answer = await fetch(`${system.entryUrls[0]}/v1/models`);
+  expect(answer.status).to.equal(200);
+}
+
+function post(path: string, headers: string[], body: string): string {
+  const head = [`POST ${path} HTTP/1.1`, 'host: entry', ...headers];
+  return `${head.join('\r\n')}\r\n\r\n${body}`;
+}
+
+function completion(body: string): string {
+  const length = `content-length: ${Buffer.byteLength(body)}`;
+  return post('/v1/completions', [length, 'connection: close'], body);
+}
+
+it('bad input: broken JSON is a typed 400', async () => {
+  const text = await exchange(completion('{"model": "callao-1@v1", '));
+  expect(text).to.match(/^HTTP\/1.1 400/);
+  expect(text).to.contain('"outcome":"not-run"');
+});
+
+it('bad input: JSON nested without end is a typed 400', async () => {
+  const text = await exchange(completion('['.repeat(500_000)));
+  expect(text).to.match(/^HTTP\/1.1 400/);
+  await expectOthersServed();
+});
+
+it('bad input: what is not HTTP is a typed 400', async () => {
+  const text = await exchange('what is this\r\n\r\n');
+  expect(text).to.match(/^HTTP\/1.1 400/);
+  expect(text).to.contain('malformed_request');
+});
+
+it('bad input: headers over the bound are a typed 431', async () => {
+  const header = `x-large: ${'x'.repeat(20_000)}`;
+  const text = await exchange(post('/v1/completions', [header], ''));
+  expect(text).to.match(/^HTTP\/1.1 431/);
+  expect(text).to.contain('headers_too_large');
+});
+
+it('bad input: two lengths, or length and chunks, are refused', async () => {
+  const smuggled = [
+    ['content-length: 5', 'content-length: 6'],
+    ['content-length: 5', 'transfer-encoding: chunked'],
+    ['transfer-encoding: chunked, identity'],
+  ];
+  for (const headers of smuggled) {
+    const text = await exchange(post('/chart-api/x', headers, '0\r\n\r\n'));
+    expect(text, headers.join()).to.match(/^HTTP\/1.1 400/);
+  }
+});
+
+it('bad input: a broken chunk is refused and not run', async () => {
+  const headers = ['transfer-encoding: chunked'];
+  const bytes = post('/chart-api/broken-chunk', headers, 'zz\r\nbody\r\n');
+  await exchange(bytes);
+  const target = system.targets.find(pair => pair.name === 'chart-api-0');
+  const record = await (await fetch(`${target?.url}/record`)).text();
+  expect(record).to.not.contain('broken-chunk');
+  await expectOthersServed();
+});
+
+it('bad input: a body over the service’s bound is a typed 413', async () => {
+  const answer = await fetch(`${system.entryUrls[0]}/chart-api/large`, {
+    method: 'POST',
+    body: 'x'.repeat(1_048_577),
+  });
+  expect(answer.status).to.equal(413);
+  expect(await answer.text()).to.contain('"outcome":"not-run"');
+});
+
+it('bad input: a body over the entry’s bound is refused while it is sent', async () => {
+  const answer = await fetch(`${system.entryUrls[0]}/chart-api/huge`, {
+    method: 'POST',
+    body: Buffer.alloc(12_000_000),
+  });
+  expect(answer.status).to.equal(413);
+  await expectOthersServed();
+});
+
+it('bad input: pipelined requests are answered in order', async () => {
+  const first = post('/chart-api/first', ['content-length: 3'], 'one');
+  const second = post('/chart-api/second', ['content-length: 3'], 'two');
+  const text = await exchange(first + second, seen =>
+    /"body":"one"[^]*"body":"two"/.test(seen),
+  );
+  expect(text.indexOf('/first')).to.be.below(text.indexOf('/second'));
+  expect(text).to.contain('/second');
+});
+
+it('bad input: callers’ hop headers reach no target', async () => {
+  const answer = await fetch(`${system.entryUrls[0]}/chart-api/smuggle`, {
+    method: 'POST',
+    body: 'smuggled',
+    headers: {
+      'x-marigoldspur-request': 'chosen-by-the-caller',
+      'x-marigoldspur-target': 'lm-desk-0',
+      'x-marigoldspur-repeatable': 'true',
+    },
+  });
+  expect(answer.status).to.equal(200);
+  const target = system.targets.find(pair => pair.name === 'chart-api-0');
+  const record = await (await fetch(`${target?.url}/record`)).text();
+  expect(record).to.contain('smuggled');
+  expect(record).to.not.contain('chosen-by-the-caller');
+});
+
+it('bad input: thousands of idle connections harm no other caller', async () => {
+  const sockets = await Promise.all(
+    Array.from(
+      {length: IDLE_CONNECTIONS},
+      () =>
+        new Promise<net.Socket>((resolve, reject) => {
+          const socket = net.connect(port, '127.0.0.1', () => resolve(socket));
+          socket.on('error', reject);
+        }),
+    ),
+  );
+  await expectOthersServed();
+  const text = await exchange(GOOD_REQUEST, seen => seen.includes('"data"'));
+  expect(text).to.match(/^HTTP\/1.1 200/);
+  sockets.forEach(socket => socket.destroy());
+});
+
+it('bad input: headers that arrive too slowly end the connection', async () => {
+  const text = await exchange('GET /v1/models HTTP/1.1\r\nhost: entry\r\n');
+  expect(text).to.match(/^HTTP\/1.1 408/);
+  expect(text).to.contain('request_too_slow');
+});
+
+it('bad input: a caller that goes away has its run cancelled at the engine', async () => {
+  const body = JSON.stringify({
+    model: 'callao-1@v1',
+    prompt: 'cancelled by the caller',
+    stream: true,
+    max_tokens: 2_000,
+  });
+  const text = await exchange(completion(body), seen => seen.includes('w3'));
+  expect(text).to.contain('callao-1@v1');
+  const engine = system.targets.find(pair => pair.name === 'lm-desk-0');
+  let record = '';
+  while (!record.includes('"cancelled"')) {
+    record = await (await fetch(`${engine?.url}/record`)).text();
+  }
+  expect(record).to.contain('"cancelled"');
+});
--- a/lab/lab/src/system.ts
+++ b/lab/lab/src/system.ts
@@ -21,6 +21,8 @@
   readonly firstTokenMs?: number;
   /** Time between tokens of an engine, in milliseconds. */
   readonly tokenMs?: number;
+  /** Time of one call of a plain service, in milliseconds. */
+  readonly serviceCallMs?: number;
   readonly logLevel?: string;
 }
 
@@ -213,7 +215,11 @@
   options: SystemOptions,
 ): Child {
   if (kind === 'service') {
-    return startChild(name, LAB, ['service', '--port', String(port)]);
+    return startChild(name, LAB, [
+      'service',
+      ...['--port', String(port)],
+      ...['--call-ms', String(options.serviceCallMs ?? 5)],
+    ]);
   }
   return startChild(name, LAB, [
     'engine',
