--- a/lab/fault-runs/src/command.ts
+++ b/lab/fault-runs/src/command.ts
@@ -17,6 +17,7 @@
   ['freeze-target'],
   ['restart-engine'],
   ['kill-control'],
+  ['freeze-zone'],
 ];
 
 /** Runs one command of the fault runs. */
--- a/lab/fault-runs/src/event-lines.ts
+++ b/lab/fault-runs/src/event-lines.ts
@@ -5,6 +5,7 @@
   readonly name?: string;
   readonly time: number;
   readonly process: string;
+  readonly request?: string;
   readonly details?: Readonly<Record<string, unknown>>;
 }
 
@@ -31,3 +32,14 @@
       at: event.time,
     }));
 }
+
+/** When an entry tried requests again. */
+export function retryLines(child: Child): HistoryLine[] {
+  return loggedEvents(child)
+    .filter(event => event.name === 'attempt-retried')
+    .map(event => ({
+      line: 'retry',
+      request: event.request ?? '',
+      at: event.time,
+    }));
+}
--- a/lab/fault-runs/src/fault-injector.ts
+++ b/lab/fault-runs/src/fault-injector.ts
@@ -60,6 +60,10 @@
       await this.faultEngine(fault);
       return;
     }
+    if (fault.kind === 'freeze-zone') {
+      await this.freezeZone(fault);
+      return;
+    }
     const victim = this.chooseVictim(noun as ChildRole, fault.victim);
     if (victim === undefined) {
       return;
@@ -118,6 +122,17 @@
     this.note(victim, 'thawed');
   }
 
+  /** Freezes the agents and targets of one zone at once. */
+  private async freezeZone(fault: PlannedFault): Promise<void> {
+    const agents = this.placesOf('agent');
+    const zones = [...new Set(agents.map(zoneOf))];
+    const zone = zones[fault.victim % zones.length];
+    const places = agents.flatMap((agent, index) =>
+      zoneOf(agent) === zone ? [agent, this.placesOf('target')[index]] : [],
+    );
+    await Promise.all(places.map(each => this.freeze(each, fault.lastsMs)));
+  }
+
   /** A killed target loses its record, so it is read just before. */
   private async saveRecord(recorded: RecordedTarget): Promise<void> {
     const {name: target} = recorded;
@@ -164,3 +179,9 @@
 ): Place {
   return {role, lives: [child], faulted: false, ...(recorded && {recorded})};
 }
+
+/** The zone that an agent was started with. */
+function zoneOf({lives}: Place): string {
+  const args = lives[0].process.spawnargs;
+  return args[args.indexOf('--zone') + 1];
+}
--- a/lab/fault-runs/src/fault-plan.ts
+++ b/lab/fault-runs/src/fault-plan.ts
@@ -11,6 +11,7 @@
   'restart-engine',
   'cut-answers',
   'kill-control',
+  'freeze-zone',
 ] as const;
 
 /** What goes wrong. */
--- a/lab/fault-runs/src/run-faults.ts
+++ b/lab/fault-runs/src/run-faults.ts
@@ -14,7 +14,7 @@
 import {submitChange} from '@marigoldspur/operator-commands';
 import {Caller} from './caller.js';
 import {collectRecord, runningAt} from './collect-record.js';
-import {inForceLines} from './event-lines.js';
+import {inForceLines, retryLines} from './event-lines.js';
 import {FaultInjector} from './fault-injector.js';
 import {planFaults, type FaultKind} from './fault-plan.js';
 import {planLoad} from './load-plan.js';
@@ -178,5 +178,6 @@
   const inForce = (['entry', 'agent'] as const).flatMap(role =>
     injector.livesOf(role).flatMap((child, life) => inForceLines(child, life)),
   );
-  return [...records.flat(), ...inForce];
+  const retries = injector.livesOf('entry').flatMap(retryLines);
+  return [...records.flat(), ...inForce, ...retries];
 }
--- a/lab/fault-runs/src/summary.ts
+++ b/lab/fault-runs/src/summary.ts
@@ -15,8 +15,10 @@
   readonly refusalP99Ms: number;
   /** 99th percentile of the time to a whole answer, in milliseconds. */
   readonly answerP99Ms: number;
-  /** Runs at targets for each operation that ran. */
-  readonly runsPerOperation: number;
+  /** Attempts at targets for each call. */
+  readonly attemptsPerCall: number;
+  /** The most attempts in one second as a multiple of the mean calls in one. */
+  readonly peak: number;
 }
 
 /** Sums up a history. */
@@ -26,8 +28,7 @@
   const refused = calls.filter(({answer}) => answer.outcome !== undefined);
   const notRun = refused.filter(({answer}) => answer.outcome === 'not-run');
   const none = calls.filter(({answer}) => answer.ended === 'none');
-  const runs = history.of('run').length;
-  const operations = history.runsByOperation().size;
+  const retries = history.of('retry').length;
   return {
     calls: calls.length,
     answered: answered.length,
@@ -36,10 +37,27 @@
     none: none.length,
     refusalP99Ms: p99(refused),
     answerP99Ms: p99(answered),
-    runsPerOperation: Number((runs / Math.max(1, operations)).toFixed(3)),
+    attemptsPerCall: round((calls.length + retries) / calls.length),
+    peak: peak(history),
   };
 }
 
+function peak(history: History): number {
+  const attempts = [...history.of('call'), ...history.of('retry')];
+  const calls = history.of('call').map(call => call.at);
+  const perSecond = new Map<number, number>();
+  for (const {at} of attempts) {
+    const second = Math.floor(at / 1_000);
+    perSecond.set(second, (perSecond.get(second) ?? 0) + 1);
+  }
+  const seconds = (calls.at(-1)! - calls[0]) / 1_000;
+  return round(Math.max(...perSecond.values()) / (calls.length / seconds));
+}
+
+function round(value: number): number {
+  return Number(value.toFixed(3));
+}
+
 function isAnswered({answer}: AnsweredCall): boolean {
   return answer.ended === 'whole' && (answer.status ?? 0) < 300;
 }
--- a/lab/history/src/history-line.ts
+++ b/lab/history/src/history-line.ts
@@ -95,6 +95,13 @@
   at: z.number(),
 });
 
+/** An entry tried a request again at another target. */
+export const RETRY_SCHEMA = z.object({
+  line: z.literal('retry'),
+  request: z.string(),
+  at: z.number(),
+});
+
 /** A target lost what it recorded in a time. */
 export const RECORD_LOST_SCHEMA = z.object({
   line: z.literal('record-lost'),
@@ -116,6 +123,7 @@
   ACCEPTED_SCHEMA,
   IN_FORCE_SCHEMA,
   PROCESS_SCHEMA,
+  RETRY_SCHEMA,
   RECORD_LOST_SCHEMA,
   END_SCHEMA,
 ]);
