--- a/agent/agent-server/test/fake-control.ts
+++ b/agent/agent-server/test/fake-control.ts
@@ -24,6 +24,8 @@
   type Tree,
 } from '@marigoldspur/settings-schema';
 
+const FOLLOW_MS = 500;
+
 /** A control of one process in memory, whose answers a test decides. */
 export class FakeControl implements ControlService {
   /** Members by identity and boot, as last announced. */
@@ -83,6 +85,18 @@
     return {...this.view, changes: []};
   }
 
+  async *followSettings(
+    revision: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<SettingsDelta> {
+    let known = revision;
+    while (!signal.aborted) {
+      const delta = await this.watchSettings(known, FOLLOW_MS);
+      known = delta.revision;
+      yield delta;
+    }
+  }
+
   async heartbeat(member: Member) {
     await this.reachable();
     const target = member.target?.name ?? '';
@@ -131,6 +145,10 @@
     throw new Fault('NOT_FOUND', 'not part of this control');
   }
 
+  followMembers(): AsyncIterable<MembersDelta> {
+    throw new Fault('NOT_FOUND', 'not part of this control');
+  }
+
   status(): ControlStatus {
     throw new Fault('NOT_FOUND', 'not part of this control');
   }
