--- a/lab/agent-lab/src/engine-system.ts
+++ b/lab/agent-lab/src/engine-system.ts
@@ -1,7 +1,12 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import {deploymentTree, startChild, type Child} from '@marigoldspur/lab';
+import {
+  deploymentTree,
+  freePorts,
+  startChild,
+  type Child,
+} from '@marigoldspur/lab';
 import {
   openSession,
   submitChange,
@@ -61,13 +66,17 @@
     children.push(child);
     return child;
   };
+  const [controlPort] = await freePorts(1);
+  const controlUrl = `http://127.0.0.1:${controlPort}`;
   const control = start('control', '@marigoldspur/control-server', [
     ...['--id', 'control-0'],
     ...['--zone', 'lima-a'],
-    ...['--port', '0'],
+    ...['--port', String(controlPort)],
+    ...['--peers', controlUrl],
+    ...['--bootstrap', 'true'],
     ...['--data-folder', path.join(folder, 'control')],
   ]);
-  const controlUrl = startedUrl(await control.line(isStarted));
+  await control.line(isStarted);
   const session = openSession([controlUrl], {timeoutMs: SESSION_TIMEOUT_MS});
   const {loadsPerSecond} = options;
   const tree = deploymentTree(
