Measure the log, test its task, tell commits with the next entry

Cause: with one proposer the announcement of each commit kept the links busy, so the next entry waited for it. Commits now travel with the next entry, or after 10 ms.

--- a/contracts/control-api/src/service.ts
+++ b/contracts/control-api/src/service.ts
@@ -36,6 +36,7 @@
   readonly revision: number;
   /** Identities of the voters. */
   readonly voters: readonly string[];
+  readonly appliedIndex?: number;
   /** Identity of the replica, kept in its data folder. */
   readonly replica?: string;
   /** All replicas of the group; how far each is, the leader alone knows. */
--- a/control/consensus/src/consensus.ts
+++ b/control/consensus/src/consensus.ts
@@ -69,6 +69,8 @@
 
 const MAX_APPEND_BYTES = 1_048_576;
 const MAX_APPEND_ENTRIES = 512;
+/** How long a commit waits for an entry to carry it to the others. */
+const COMMIT_ANNOUNCE_MS = 10;
 const MAX_UNANSWERED_ENTRIES = 4_096;
 /** Entries that are kept at most for replicas that receive a snapshot. */
 const MAX_HELD_ENTRIES = 100_000;
@@ -105,6 +107,8 @@
   private handOverUntil = 0;
   private handOverSent = false;
   private replicationDue = false;
+  /** When a commit is told that no entry has carried by then. */
+  private announceAt = Infinity;
   private messages: Message[] = [];
   private operations: LogOperation[] = [];
   private heldMessages: Message[] = [];
@@ -625,6 +629,8 @@
   private broadcast(now: number): void {
     this.round += 1;
     this.heartbeatAt = now + this.options.heartbeatMs;
+    this.replicationDue = false;
+    this.announceAt = Infinity;
     for (const [id, progress] of this.progress) {
       if (id !== this.id) {
         this.sendAppend(id, progress, now, true);
@@ -665,13 +671,14 @@
   private sendDue(now: number): void {
     if (this.reads.needsRound(this.round)) {
       this.broadcast(now);
-    } else if (this.replicationDue) {
+    } else if (this.replicationDue || now >= this.announceAt) {
       this.sendNew(now);
     }
-    this.replicationDue = false;
   }
 
   private sendNew(now: number): void {
+    this.replicationDue = false;
+    this.announceAt = Infinity;
     for (const [id, progress] of this.progress) {
       const unanswered = progress.next - 1 - progress.match;
       if (id !== this.id && unanswered < MAX_UNANSWERED_ENTRIES) {
@@ -783,7 +790,7 @@
       this.becomeFollower(this.term, undefined, now);
       return;
     }
-    this.replicationDue = true;
+    this.announceAt = Math.min(this.announceAt, now + COMMIT_ANNOUNCE_MS);
   }
 
   private heard(
--- a/lab/cut-link/src/cut-link.ts
+++ b/lab/cut-link/src/cut-link.ts
@@ -20,6 +20,8 @@
   readonly port: number;
   /** Bytes that were carried, both ways. */
   readonly bytes: () => number;
+  /** Pieces that were carried, both ways: about one for each HTTP request and answer. */
+  readonly pieces: () => number;
   readonly state: () => LinkState;
   /** Cuts or mends the link. What is sent while it is cut stays unsent, as on a cut cable. */
   set(state: LinkState): void;
@@ -40,6 +42,7 @@
   const pairs = new Set<SocketPair>();
   let state: LinkState = {forward: true, backward: true};
   let bytes = 0;
+  let pieces = 0;
   const server = net.createServer(near => {
     const far = net.connect(targetPort, LOOPBACK);
     const pair = {near, far};
@@ -57,10 +60,12 @@
     }
     near.on('data', chunk => {
       bytes += chunk.length;
+      pieces += 1;
       far.write(chunk);
     });
     far.on('data', chunk => {
       bytes += chunk.length;
+      pieces += 1;
       near.write(chunk);
     });
     apply(pair, state);
@@ -72,6 +77,7 @@
   return {
     port,
     bytes: () => bytes,
+    pieces: () => pieces,
     state: () => state,
     set: next => {
       state = next;
--- a/lab/log-trials/src/claim-load.ts
+++ b/lab/log-trials/src/claim-load.ts
@@ -13,6 +13,10 @@
 export interface ClaimLoadOptions {
   /** Claims that run at once. */
   readonly proposers: number;
+  /** Claims after which the load ends by itself. */
+  readonly limit?: number;
+  /** Starts each key. */
+  readonly prefix?: string;
   /** Longest time of one claim, in milliseconds. */
   readonly claimTimeoutMs?: number;
   /** Takes the time that a granted claim took, in milliseconds. */
@@ -42,6 +46,11 @@
     return this.granted.length;
   }
 
+  /** Resolves once a load with a limit has ended. */
+  async done(): Promise<void> {
+    await Promise.all(this.workers);
+  }
+
   /** Ends the load once the claims that run are answered. */
   async stop(): Promise<ClaimRecord> {
     this.running = false;
@@ -50,9 +59,10 @@
   }
 
   private async work(): Promise<void> {
-    while (this.running) {
+    const {limit = Infinity, prefix = 'key'} = this.options;
+    while (this.running && this.count < limit) {
       this.count += 1;
-      const key = `key-${this.count}`;
+      const key = `${prefix}-${this.count}`;
       const startedAt = performance.now();
       const outcome = await takeClaim(this.client, key, 'first', {
         timeoutMs: this.options.claimTimeoutMs ?? CLAIM_TIMEOUT_MS,
--- a/lab/log-trials/src/control-group.ts
+++ b/lab/log-trials/src/control-group.ts
@@ -144,6 +144,19 @@
       .catch(() => undefined);
   }
 
+  /** A client that knows only some hosts. */
+  clientOf(hosts: readonly ControlHost[]): ControlClient {
+    return new ControlClient({urls: hosts.map(host => host.url)});
+  }
+
+  /** Waits until a host has applied the log up to an index. */
+  async applied(host: ControlHost, index: number): Promise<void> {
+    await this.wait(`${index} applied`, async () => {
+      const status = await this.status(host);
+      return (status?.appliedIndex ?? 0) >= index ? true : undefined;
+    });
+  }
+
   /** Waits until a host leads, other than `except`. */
   async leader(except?: ControlHost): Promise<ControlHost> {
     const others = this.hosts.filter(host => host !== except);
--- /dev/null
+++ b/lab/log-trials/src/latency-meter.ts
@@ -0,0 +1,34 @@
+import {build} from 'hdr-histogram-js';
+
+/** Accepted commands or writes of one measurement. */
+export interface Throughput {
+  readonly what: string;
+  readonly perSecond: number;
+  readonly medianMs: number;
+  readonly p99Ms: number;
+}
+
+const MICROSECONDS_PER_MS = 1_000;
+const MS_PER_SECOND = 1_000;
+
+/** Counts what ended and how long it took. */
+export class LatencyMeter {
+  private readonly times = build();
+
+  record(durationMs: number): void {
+    const microseconds = Math.round(durationMs * MICROSECONDS_PER_MS);
+    this.times.recordValue(Math.max(1, microseconds));
+  }
+
+  /** What was recorded over a time. */
+  result(what: string, elapsedMs: number): Throughput {
+    const percentile = (percent: number) =>
+      this.times.getValueAtPercentile(percent) / MICROSECONDS_PER_MS;
+    return {
+      what,
+      perSecond: Math.round((this.times.totalCount * MS_PER_SECOND) / elapsedMs),
+      medianMs: percentile(50),
+      p99Ms: percentile(99),
+    };
+  }
+}
--- /dev/null
+++ b/lab/log-trials/src/main.ts
@@ -0,0 +1,48 @@
+#!/usr/bin/env node
+import os from 'node:os';
+import yargs from 'yargs';
+import {measureIdle} from './measure-idle.js';
+import {measureLeaderless} from './measure-leaderless.js';
+import {measureRecovery} from './measure-recovery.js';
+import {measureThroughput} from './measure-throughput.js';
+
+const LENGTHS = [100, 1_000, 10_000];
+
+await yargs(process.argv.slice(2))
+  .scriptName('marigoldspur-log-trials')
+  .command(
+    'throughput',
+    'accepted commands against the floor of one synced write',
+    args => args.option('replicas', {type: 'number', default: 3}),
+    async args => print(await measureThroughput(args.replicas)),
+  )
+  .command(
+    'leaderless',
+    'time without a leader after kill, freeze, cut and drain',
+    args => args.option('repeats', {type: 'number', default: 5}),
+    async args => print(await measureLeaderless(args.repeats)),
+  )
+  .command(
+    'recovery',
+    'time of a replica to be back, over the length of the log',
+    args => args.option('lengths', {type: 'array', default: LENGTHS}),
+    async args => print(await measureRecovery(args.lengths.map(Number))),
+  )
+  .command(
+    'idle',
+    'bytes, messages, processor time and memory of idle replicas',
+    args => args.option('replicas', {type: 'number', default: 3}),
+    async args => print(await measureIdle(args.replicas)),
+  )
+  .demandCommand(1, 'name a measurement')
+  .strict()
+  .parseAsync();
+
+/** Prints results, one a line, with the load of the machine. */
+function print(results: readonly object[]): void {
+  const load = os.loadavg().map(value => value.toFixed(1));
+  process.stdout.write(`load ${load.join(' ')}, ${os.cpus().length} cores\n`);
+  for (const result of results) {
+    process.stdout.write(`${JSON.stringify(result)}\n`);
+  }
+}
--- /dev/null
+++ b/lab/log-trials/src/measure-log.ts
@@ -0,0 +1,110 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import http from 'node:http';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import {EventLog} from '@marigoldspur/event-log';
+import {closeServer, listen} from '@marigoldspur/http-link';
+import {freePorts} from '@marigoldspur/lab';
+import {
+  openReplicatedLog,
+  type ReplicatedLog,
+  type StateMachine,
+} from '@marigoldspur/replicated-log';
+import {LatencyMeter, type Throughput} from './latency-meter.js';
+
+const PROPOSERS = [1, 16, 256, 1_024];
+const MEASURE_MS = 4_000;
+const COMMAND_TEXT = 'x'.repeat(200);
+const BASE_PATH = '/trpc/log/';
+const POLL_MS = 50;
+
+class Counter implements StateMachine<string, number> {
+  private count = 0;
+
+  apply(): number {
+    this.count += 1;
+    return this.count;
+  }
+
+  snapshot(): string {
+    return String(this.count);
+  }
+
+  restore(snapshot: string): void {
+    this.count = Number(snapshot);
+  }
+}
+
+/** Measures the log without its callers' links: replicas of one process, over HTTP. */
+export async function measureLog(replicas: number): Promise<Throughput[]> {
+  const folder = await mkdtemp(path.join(tmpdir(), 'marigoldspur-log-'));
+  const ports = await freePorts(replicas);
+  const peers = ports.map(port => `http://127.0.0.1:${port}`);
+  const opened = await Promise.all(
+    ports.map(port => openReplica(port, peers, folder)),
+  );
+  const leader = await whole(opened.map(({log}) => log), replicas);
+  const results: Throughput[] = [];
+  for (const proposers of PROPOSERS) {
+    results.push(await measureLoad(leader, proposers));
+  }
+  await Promise.all(opened.map(({log}) => log.stop()));
+  await Promise.all(opened.map(({server}) => closeServer(server)));
+  await rm(folder, {recursive: true});
+  return results;
+}
+
+async function openReplica(
+  port: number,
+  peers: readonly string[],
+  folder: string,
+) {
+  const {log, router} = await openReplicatedLog(new Counter(), {
+    folder: path.join(folder, String(port)),
+    url: `http://127.0.0.1:${port}`,
+    peers,
+    bootstrap: true,
+    events: new EventLog({process: String(port)}),
+    onFatal: fault => {
+      throw fault;
+    },
+  });
+  const server = http.createServer(
+    createHTTPHandler({router, basePath: BASE_PATH}),
+  );
+  await listen(server, {host: '127.0.0.1', port});
+  return {log, server};
+}
+
+type Log = ReplicatedLog<string, number>;
+
+async function whole(logs: readonly Log[], count: number): Promise<Log> {
+  for (;;) {
+    const leader = logs.find(log => log.status().role === 'leader');
+    if (leader !== undefined && leader.status().voters.length === count) {
+      return leader;
+    }
+    await delay(POLL_MS);
+  }
+}
+
+async function measureLoad(
+  leader: Log,
+  proposers: number,
+): Promise<Throughput> {
+  const meter = new LatencyMeter();
+  const endAt = performance.now() + MEASURE_MS;
+  const work = async () => {
+    while (performance.now() < endAt) {
+      const startedAt = performance.now();
+      const answer = await leader.propose(COMMAND_TEXT);
+      if (answer.isOk) {
+        meter.record(performance.now() - startedAt);
+      }
+    }
+  };
+  await Promise.all(Array.from({length: proposers}, work));
+  return meter.result(`log alone, ${proposers} proposers`, MEASURE_MS);
+}
