--- a/machines/process-server/src/process-server.ts
+++ b/machines/process-server/src/process-server.ts
@@ -70,7 +70,13 @@
   });
   const {checkContinue} = options;
   if (checkContinue !== undefined) {
-    server.on('checkContinue', checkContinue);
+    server.on(
+      'checkContinue',
+      (request: http.IncomingMessage, response: http.ServerResponse) =>
+        isProcess(options.security, request)
+          ? checkContinue(request, response)
+          : forbid(response),
+    );
   }
   server.headersTimeout = HEADERS_TIMEOUT_MS;
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
