--- a/control/consensus/src/consensus.ts
+++ b/control/consensus/src/consensus.ts
@@ -70,7 +70,7 @@
 const MAX_APPEND_BYTES = 1_048_576;
 const MAX_APPEND_ENTRIES = 512;
 /** How long a commit waits for an entry to carry it to the others. */
-const COMMIT_ANNOUNCE_MS = 10;
+export const COMMIT_ANNOUNCE_MS = 10;
 const MAX_UNANSWERED_ENTRIES = 4_096;
 /** Entries that are kept at most for replicas that receive a snapshot. */
 const MAX_HELD_ENTRIES = 100_000;
@@ -325,9 +325,14 @@
     return taken;
   }
 
+  /** Whether `takeBatch` has something. */
+  get hasBatch(): boolean {
+    return this.operations.length > 0 || this.heldMessages.length > 0;
+  }
+
   /** What is to be synced next; call `synced` with it before taking another. */
   takeBatch(): Batch | undefined {
-    if (this.operations.length === 0 && this.heldMessages.length === 0) {
+    if (!this.hasBatch) {
       return undefined;
     }
     const batch = {
--- a/control/consensus/src/index.ts
+++ b/control/consensus/src/index.ts
@@ -18,6 +18,7 @@
 export {MESSAGE_SCHEMA, type Message, type MessageOf} from './messages.js';
 export type {ConfirmedRead} from './read-queue.js';
 export {
+  COMMIT_ANNOUNCE_MS,
   Consensus,
   type Applicable,
   type Batch,
--- a/control/replicated-log/src/batch-writer.ts
+++ b/control/replicated-log/src/batch-writer.ts
@@ -37,7 +37,8 @@
 
   /** Starts writing what waits. */
   start(): void {
-    if (!this.running && !this.stopped) {
+    const hasWork = this.waiters.length > 0 || this.options.consensus.hasBatch;
+    if (hasWork && !this.running && !this.stopped) {
       this.running = true;
       this.idle = this.run();
     }
@@ -65,6 +66,7 @@
       this.options.onFatal(thrown);
     } finally {
       this.running = false;
+      this.start();
     }
   }
 
--- a/control/replicated-log/src/log-replica.ts
+++ b/control/replicated-log/src/log-replica.ts
@@ -2,6 +2,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import {
+  COMMIT_ANNOUNCE_MS,
   EMPTY_CONFIGURATION,
   isVoter,
   majority,
@@ -60,7 +61,7 @@
   readonly storage: LogStorage;
 }
 
-const TICK_MS = 25;
+const TICK_MS = 50;
 const REPAIR_MS = 250;
 const READ_RETRY_MS = 250;
 const ANSWER_WAIT_MS = 500;
@@ -89,6 +90,7 @@
   private snapshotRetryAt = 0;
   private seenLeader: string | undefined;
   private wasLeader = false;
+  private announcedCommit = 0;
 
   constructor(
     private readonly parts: ReplicaParts<Command, Answer>,
@@ -245,9 +247,19 @@
     this.applyCommitted();
     this.answerReads();
     this.noteLeader();
+    this.announceCommits();
     this.writer.start();
   }
 
+  /** Comes back once commits are to be told that no entry has carried. */
+  private announceCommits(): void {
+    const {role, commitIndex} = this.consensus;
+    if (role === 'leader' && commitIndex > this.announcedCommit) {
+      this.announcedCommit = commitIndex;
+      setTimeout(() => this.pump(), COMMIT_ANNOUNCE_MS + 1).unref();
+    }
+  }
+
   // Messages.
 
   private take(messages: readonly Message[]): void {
--- a/lab/log-trials/src/latency-meter.ts
+++ b/lab/log-trials/src/latency-meter.ts
@@ -26,7 +26,9 @@
       this.times.getValueAtPercentile(percent) / MICROSECONDS_PER_MS;
     return {
       what,
-      perSecond: Math.round((this.times.totalCount * MS_PER_SECOND) / elapsedMs),
+      perSecond: Math.round(
+        (this.times.totalCount * MS_PER_SECOND) / elapsedMs,
+      ),
       medianMs: percentile(50),
       p99Ms: percentile(99),
     };
--- a/lab/log-trials/src/measure-idle.ts
+++ b/lab/log-trials/src/measure-idle.ts
@@ -48,8 +48,12 @@
     const seconds = (last.at - first.at) / 1_000;
     costs.push({
       role: (await group.status(host))?.role ?? 'unknown',
-      corePercent: round(((last.cpuSeconds - first.cpuSeconds) / seconds) * 100),
-      residentMegabytes: round(await residentBytes(host) / BYTES_PER_MEGABYTE),
+      corePercent: round(
+        ((last.cpuSeconds - first.cpuSeconds) / seconds) * 100,
+      ),
+      residentMegabytes: round(
+        (await residentBytes(host)) / BYTES_PER_MEGABYTE,
+      ),
       bytesPerSecond: Math.round((last.bytes - first.bytes) / seconds),
       messagesPerSecond: round((last.pieces - first.pieces) / seconds),
     });
--- a/lab/log-trials/src/measure-log.ts
+++ b/lab/log-trials/src/measure-log.ts
@@ -45,7 +45,10 @@
   const opened = await Promise.all(
     ports.map(port => openReplica(port, peers, folder)),
   );
-  const leader = await whole(opened.map(({log}) => log), replicas);
+  const leader = await whole(
+    opened.map(({log}) => log),
+    replicas,
+  );
   const results: Throughput[] = [];
   for (const proposers of PROPOSERS) {
     results.push(await measureLoad(leader, proposers));
