--- a/control/consensus/src/consensus.ts
+++ b/control/consensus/src/consensus.ts
@@ -69,6 +69,8 @@
 
 const MAX_APPEND_BYTES = 1_048_576;
 const MAX_APPEND_ENTRIES = 512;
+/** Shortest wait until an election is held again, as a share of the election timeout; the longest is three times that. */
+const RETRY_SHARE = 0.25;
 /** How long a commit waits for an entry to carry it to the others. */
 export const COMMIT_ANNOUNCE_MS = 10;
 const MAX_UNANSWERED_ENTRIES = 4_096;
@@ -494,7 +496,7 @@
     }
     const own = role === 'candidate' ? 'vote-answer' : 'pre-vote-answer';
     this.sendHeld(this.id, {kind: own, granted: true}, term);
-    this.resetElection(now);
+    this.retryElection(now);
   }
 
   private stepPreVote(message: MessageOf<'pre-vote'>, now: number): void {
@@ -605,6 +607,13 @@
     this.electionAt = now + electionTimeoutMs * (1 + random());
   }
 
+  /** An election that nobody wins is held again sooner than the first: the silence is known. */
+  private retryElection(now: number): void {
+    const {electionTimeoutMs, random} = this.options;
+    const share = RETRY_SHARE * (1 + 2 * random());
+    this.electionAt = now + electionTimeoutMs * share;
+  }
+
   // The leader's side of replication.
 
   private tickLeader(now: number): void {
