Check operators' concurrent histories for linearizability under faults

The npm package lists were searched for a linearizability checker; none is kept, so the search of Wing and Gong with Lowe's memo stands in lab/control-history.

Operators race equal numbers, time out after 400 ms and resend, over SIGKILL, SIGSTOP with thaw and silent cuts of replicas. A first form recorded each unanswered resend and the search did not end within 60 s; only the first one of a change can matter.

--- /dev/null
+++ b/lab/control-history/src/control-group.ts
@@ -0,0 +1,72 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {openCutLink, type CutLink} from '@marigoldspur/cut-link';
+import {freePorts, startChild, type Child} from '@marigoldspur/lab';
+
+const CONTROL = '@marigoldspur/control-server';
+const LOOPBACK = 'http://127.0.0.1';
+
+/** Options of a group of control processes. */
+export interface ControlGroupOptions {
+  readonly replicas: number;
+  /** Further flags of each process. */
+  readonly flags?: readonly string[];
+}
+
+/** Control processes that reach each other through links that can be cut. */
+export interface ControlGroup {
+  /** Base URLs past the links, for clients that a cut spares. */
+  readonly directUrls: readonly string[];
+  /** Base URLs through the links. */
+  readonly linkUrls: readonly string[];
+  readonly links: readonly CutLink[];
+  child(index: number): Child;
+  /** Starts a replica again on its own data folder. */
+  restart(index: number): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/** Starts control processes on loopback. */
+export async function startControlGroup(
+  options: ControlGroupOptions,
+): Promise<ControlGroup> {
+  const folder = await mkdtemp(path.join(tmpdir(), 'marigoldspur-history-'));
+  const ports = await freePorts(options.replicas);
+  const links = await Promise.all(ports.map(port => openCutLink(port)));
+  const linkUrls = links.map(link => `${LOOPBACK}:${link.port}`);
+  const start = (index: number) =>
+    startChild(`control-${index}`, CONTROL, [
+      ...['--id', `control-${index}`],
+      ...['--zone', `zone-${index}`],
+      ...['--port', String(ports[index])],
+      ...['--advertised-url', linkUrls[index]],
+      ...['--peers', linkUrls.join(',')],
+      ...['--bootstrap', 'true'],
+      ...['--data-folder', path.join(folder, `control-${index}`)],
+      ...(options.flags ?? []),
+    ]);
+  const children = ports.map((_, index) => start(index));
+  await Promise.all(children.map(started));
+  return {
+    directUrls: ports.map(port => `${LOOPBACK}:${port}`),
+    linkUrls,
+    links,
+    child: index => children[index],
+    restart: async index => {
+      await children[index].ended;
+      children[index] = start(index);
+      await started(children[index]);
+    },
+    stop: async () => {
+      children.forEach(child => child.signal('SIGKILL'));
+      await Promise.all(children.map(child => child.ended));
+      await Promise.all(links.map(link => link.close()));
+      await rm(folder, {recursive: true, force: true});
+    },
+  };
+}
+
+function started(child: Child): Promise<string> {
+  return child.line(line => line.includes('"process-started"'));
+}
--- /dev/null
+++ b/lab/control-history/src/index.ts
@@ -0,0 +1,23 @@
+export {
+  startControlGroup,
+  type ControlGroup,
+  type ControlGroupOptions,
+} from './control-group.js';
+export {
+  checkLinearizable,
+  type Operation,
+  type SequentialModel,
+  type Verdict,
+} from './linearizability.js';
+export {
+  SETTINGS_MODEL,
+  type SettingsAnswer,
+  type SettingsCall,
+  type SettingsHistory,
+} from './settings-model.js';
+export {
+  runHistory,
+  type HistoryFault,
+  type HistoryOptions,
+  type HistoryReport,
+} from './run-history.js';
--- /dev/null
+++ b/lab/control-history/src/run-history.ts
@@ -0,0 +1,145 @@
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {startControlGroup, type ControlGroup} from './control-group.js';
+import {checkLinearizable, type Verdict} from './linearizability.js';
+import {ChangeMarks, Operator, type OperatorHistory} from './operator.js';
+import {
+  SETTINGS_MODEL,
+  type SettingsAnswer,
+  type SettingsCall,
+} from './settings-model.js';
+
+/** What happens to control while operators work. */
+export type HistoryFault = 'none' | 'kill' | 'freeze' | 'cut';
+
+/** Options of a run. */
+export interface HistoryOptions {
+  readonly replicas: number;
+  readonly operators: number;
+  readonly operationsEach: number;
+  readonly fault: HistoryFault;
+  readonly faults: number;
+  readonly seed: number;
+}
+
+/** What a run gave. */
+export interface HistoryReport {
+  readonly operations: number;
+  /** Calls that got no answer. */
+  readonly open: number;
+  readonly accepted: number;
+  readonly conflicts: number;
+  readonly reads: number;
+  readonly faults: number;
+  readonly verdict: Verdict<SettingsCall, SettingsAnswer>;
+}
+
+const MIN_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 900;
+/** Longer than an election, so that another leader stands when the old one thaws. */
+const FREEZE_MS = 4_000;
+const CUT_MS = 6_000;
+
+/** Runs operators against control under faults and checks their history. */
+export async function runHistory(
+  options: HistoryOptions,
+): Promise<HistoryReport> {
+  const group = await startControlGroup({replicas: options.replicas});
+  return runOn(group, options).finally(() => group.stop());
+}
+
+async function runOn(
+  group: ControlGroup,
+  options: HistoryOptions,
+): Promise<HistoryReport> {
+  const history: OperatorHistory = [];
+  const marks = new ChangeMarks();
+  const operators = Array.from({length: options.operators}, (_, index) => {
+    const operator = new Operator(
+      {
+        name: `operator-${index}`,
+        urls: group.linkUrls,
+        operations: options.operationsEach,
+        random: xoroshiro128plus(options.seed * 1_000 + index),
+        history,
+      },
+      marks,
+    );
+    return operator.run();
+  });
+  const injector = new FaultInjector(group, options);
+  const faults = injector.run();
+  await Promise.all(operators);
+  injector.end();
+  const count = await faults;
+  const kinds = history.map(each => each.answer?.kind);
+  return {
+    operations: history.length,
+    open: kinds.filter(kind => kind === undefined).length,
+    accepted: kinds.filter(kind => kind === 'accepted').length,
+    conflicts: kinds.filter(kind => kind === 'conflict').length,
+    reads: kinds.filter(kind => kind === 'read').length,
+    faults: count,
+    verdict: checkLinearizable(SETTINGS_MODEL, history),
+  };
+}
+
+/** Brings the faults of a run, at random points. */
+class FaultInjector {
+  private readonly random: RandomGenerator;
+  private ended = false;
+
+  constructor(
+    private readonly group: ControlGroup,
+    private readonly options: HistoryOptions,
+  ) {
+    this.random = xoroshiro128plus(options.seed);
+  }
+
+  end(): void {
+    this.ended = true;
+  }
+
+  async run(): Promise<number> {
+    const {fault, faults, replicas} = this.options;
+    let count = 0;
+    while (fault !== 'none' && count < faults && !this.ended) {
+      await pause(uniformInt(this.random, MIN_PAUSE_MS, MAX_PAUSE_MS));
+      if (this.ended) {
+        break;
+      }
+      await this.bring(fault, uniformInt(this.random, 0, replicas - 1));
+      count += 1;
+    }
+    return count;
+  }
+
+  private async bring(fault: HistoryFault, index: number): Promise<void> {
+    const child = this.group.child(index);
+    switch (fault) {
+      case 'kill':
+        child.signal('SIGKILL');
+        await this.group.restart(index);
+        return;
+      case 'freeze':
+        child.signal('SIGSTOP');
+        await pause(FREEZE_MS);
+        child.signal('SIGCONT');
+        return;
+      case 'cut': {
+        const [link] = this.group.links.slice(index, index + 1);
+        const forward = uniformInt(this.random, 0, 1) === 1;
+        link.set({forward, backward: false});
+        await pause(CUT_MS);
+        link.set({forward: true, backward: true});
+        return;
+      }
+      case 'none':
+    }
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
