--- a/lab/control-history/src/operator.ts
+++ b/lab/control-history/src/operator.ts
@@ -1,5 +1,6 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import type {SettingsView} from '@marigoldspur/control-api';
 import {ControlClient} from '@marigoldspur/control-client';
 import type {Change, Tree} from '@marigoldspur/settings-schema';
 import type {Operation} from './linearizability.js';
@@ -58,23 +59,32 @@
 
   private async read(): Promise<void> {
     await this.record({kind: 'read'}, async () => {
-      const view = await this.client.call(
-        (replica, signal) =>
-          replica.readSettings.query({fresh: true}, {signal}),
-        performance.now() + CALL_TIMEOUT_MS,
-      );
-      if (view.isErr) {
+      const view = await this.readAnywhere();
+      if (view === undefined) {
         return undefined;
       }
-      this.revision = view.value.revision;
+      this.revision = view.revision;
       return {
         kind: 'read',
-        revision: view.value.revision,
-        head: this.marks.idOf(view.value.tree),
+        revision: view.revision,
+        head: this.marks.idOf(view.tree),
       };
     });
   }
 
+  /** A fresh read from any replica, which need not lead. */
+  private async readAnywhere(): Promise<SettingsView | undefined> {
+    const {urls, random} = this.options;
+    const url = urls[uniformInt(random, 0, urls.length - 1)];
+    const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
+    try {
+      const {readSettings} = this.client.replica(url);
+      return await readSettings.query({fresh: true}, {signal});
+    } catch {
+      return undefined;
+    }
+  }
+
   /** Proposes a change until it is answered, and now and then once more. */
   private async change(): Promise<void> {
     const change = this.marks.next(this.options.name, this.revision + 1);
