--- a/contracts/messages/src/hop.ts
+++ b/contracts/messages/src/hop.ts
@@ -14,6 +14,8 @@
   model: 'x-marigoldspur-model',
   target: 'x-marigoldspur-target',
   revision: 'x-marigoldspur-revision',
+  /** Base URL of the sender, where newer settings can be pulled. */
+  origin: 'x-marigoldspur-origin',
   budget: 'x-marigoldspur-budget-ms',
   priority: 'x-marigoldspur-priority',
   repeatable: 'x-marigoldspur-repeatable',
@@ -40,6 +42,8 @@
   readonly target: string;
   /** Settings revision in force at the sender. */
   readonly revision: number;
+  /** Base URL of the sender, where the receiver can pull newer settings. */
+  readonly origin?: string;
   /** Milliseconds within which the answer has to end, counted from receipt. */
   readonly budgetMs: number;
   /** Priority; 0 is served first. */
@@ -55,6 +59,7 @@
     ...(hop.model && {[HOP_HEADERS.model]: formatModel(hop.model)}),
     [HOP_HEADERS.target]: hop.target,
     [HOP_HEADERS.revision]: String(hop.revision),
+    ...(hop.origin !== undefined && {[HOP_HEADERS.origin]: hop.origin}),
     [HOP_HEADERS.budget]: String(Math.max(0, Math.round(hop.budgetMs))),
     [HOP_HEADERS.priority]: String(hop.priority),
     [HOP_HEADERS.repeatable]: String(hop.repeatable),
@@ -85,6 +90,7 @@
     model: modelHeader(headers, findings),
     target: text(HOP_HEADERS.target),
     revision: integer(HOP_HEADERS.revision),
+    ...originHeader(headers),
     budgetMs: integer(HOP_HEADERS.budget),
     priority: integer(HOP_HEADERS.priority),
     repeatable: text(HOP_HEADERS.repeatable) === 'true',
@@ -107,3 +113,11 @@
   }
   return parsed.value;
 }
+
+/** An origin that is no HTTP URL is left out: nothing is pulled from it. */
+function originHeader(headers: IncomingHttpHeaders): {origin?: string} {
+  const value = headers[HOP_HEADERS.origin];
+  return typeof value === 'string' && /^https?:\/\/[^/?#]+$/.test(value)
+    ? {origin: value}
+    : {};
+}
--- a/zones/control-client/src/index.ts
+++ b/zones/control-client/src/index.ts
@@ -1,5 +1,9 @@
 export {ControlClient, type ControlClientOptions} from './control-client.js';
-export {SettingsFollower, type SettingsInForce} from './settings-follower.js';
+export {
+  SettingsFollower,
+  type SettingsFollowerOptions,
+  type SettingsInForce,
+} from './settings-follower.js';
 export {MemberFollower} from './member-follower.js';
 export {
   startHeartbeat,
--- a/zones/control-client/src/settings-follower.ts
+++ b/zones/control-client/src/settings-follower.ts
@@ -12,6 +12,12 @@
   readonly tree: Tree;
 }
 
+/** Options of a settings follower. */
+export interface SettingsFollowerOptions {
+  /** Position of the replica to follow first, as the nearest; any one without it. */
+  readonly firstReplica?: number;
+}
+
 /** Changes kept to give to processes that are behind. */
 const KEPT_CHANGES = 64;
 /** Edits of the kept changes; past them the whole tree is given. */
@@ -46,10 +52,12 @@
   constructor(
     private readonly client: ControlClient,
     private readonly events: EventLog,
+    options: SettingsFollowerOptions = {},
   ) {
     this.stream = new StreamFollower(
       client,
       {
+        ...options,
         procedure: 'followSettings',
         input: () => ({revision: this.current.revision}),
         onMessage: message => this.takeStreamed(message as SettingsDelta),
--- a/zones/control-client/src/stream-follower.ts
+++ b/zones/control-client/src/stream-follower.ts
@@ -9,6 +9,8 @@
   readonly input: () => unknown;
   /** Takes each message; what it throws ends the stream. */
   readonly onMessage: (message: unknown) => void;
+  /** Position of the replica to follow first; any one without it. */
+  readonly firstReplica?: number;
 }
 
 /** Longest silence of a stream; control sends a message each second. */
@@ -30,7 +32,8 @@
     private readonly stream: FollowedStream,
     private readonly events: EventLog,
   ) {
-    this.index = Math.floor(Math.random() * client.urls.length);
+    this.index =
+      stream.firstReplica ?? Math.floor(Math.random() * client.urls.length);
   }
 
   start(): void {
--- /dev/null
+++ b/zones/control-client/test/settings-follower.test.ts
@@ -0,0 +1,125 @@
+import {expect} from 'chai';
+import {Result} from 'true-myth';
+import type {SettingsDelta} from '@marigoldspur/control-api';
+import {
+  SettingsFollower,
+  type ControlClient,
+} from '@marigoldspur/control-client';
+import {EventLog} from '@marigoldspur/event-log';
+import {Fault} from '@marigoldspur/faults';
+import type {Change, Tree} from '@marigoldspur/settings-schema';
+
+const AHEAD = 'http://127.0.0.1:1';
+
+function change(number: number): Change {
+  return {
+    id: `00000000-0000-4000-8000-${String(number).padStart(12, '0')}`,
+    number,
+    author: 'test',
+    edits: [{edit: 'set', path: '/', setting: 'queueLimit', value: number}],
+  };
+}
+
+function tree(mark: number): Tree {
+  return {settings: {queueLimit: mark}, customers: {}};
+}
+
+/** A client whose control and peers give what the test puts there. */
+class FakeClient {
+  readonly urls = ['http://127.0.0.1:2'];
+  deliver: (message: SettingsDelta) => void = () => {};
+  peer: (revision: number) => SettingsDelta = () => ({
+    revision: 0,
+    changes: [],
+  });
+
+  async call(): Promise<Result<unknown, Fault>> {
+    return Result.ok({revision: 3, tree: tree(3)});
+  }
+
+  subscribe(
+    _url: string,
+    options: {
+      signal: AbortSignal;
+      onMessage: (message: unknown) => void;
+    },
+  ): Promise<Fault> {
+    this.deliver = options.onMessage;
+    return new Promise(resolve =>
+      options.signal.addEventListener('abort', () =>
+        resolve(new Fault('STOPPING', 'closed')),
+      ),
+    );
+  }
+
+  process() {
+    return {
+      settings: {
+        query: async (input: {revision: number}) => this.peer(input.revision),
+      },
+    };
+  }
+}
+
+async function started() {
+  const client = new FakeClient();
+  const events = new EventLog({process: 'test'});
+  const follower = new SettingsFollower(
+    client as unknown as ControlClient,
+    events,
+  );
+  await follower.start(performance.now() + 1_000);
+  return {client, events, follower};
+}
+
+it('follower: it takes the next changes and never goes back', async () => {
+  const {client, follower} = await started();
+  client.deliver({revision: 5, changes: [change(4), change(5)]});
+  expect(follower.settings).to.deep.equal({revision: 5, tree: tree(5)});
+  client.deliver({revision: 4, tree: tree(4), changes: []});
+  client.deliver({revision: 4, changes: [change(4)]});
+  expect(follower.settings).to.deep.equal({revision: 5, tree: tree(5)});
+  await follower.stop();
+});
+
+it('follower: a delta with a gap is not applied', async () => {
+  const {client, follower} = await started();
+  const gap = {revision: 5, changes: [change(5)]};
+  expect(() => client.deliver(gap)).to.throw('does not follow');
+  expect(follower.settings.revision).to.equal(3);
+  await follower.stop();
+});
+
+it('follower: it pulls from a process that is ahead', async () => {
+  const {client, events, follower} = await started();
+  client.peer = revision => ({
+    revision: revision + 1,
+    changes: [change(revision + 1)],
+  });
+  follower.heard(3, AHEAD);
+  follower.heard(4, AHEAD);
+  await new Promise(resolve => setImmediate(resolve));
+  expect(follower.settings).to.deep.equal({revision: 4, tree: tree(4)});
+  const pulled = events.after(0, 100).filter(e => e.name === 'settings-pulled');
+  expect(pulled).to.have.length(1);
+  await follower.stop();
+});
+
+it('follower: it gives others the changes it keeps, or the tree', async () => {
+  const {client, follower} = await started();
+  client.deliver({revision: 4, changes: [change(4)]});
+  expect(follower.deltaAfter(3).changes).to.deep.equal([change(4)]);
+  expect(follower.deltaAfter(1).tree).to.deep.equal(tree(4));
+  expect(follower.deltaAfter(4)).to.deep.equal({revision: 4, changes: []});
+  await follower.stop();
+});
+
+it('follower: only a confirmed delta confirms', async () => {
+  const {client, follower} = await started();
+  const before = follower.lastConfirmed;
+  client.deliver({revision: 3, changes: []});
+  expect(follower.lastConfirmed).to.equal(before);
+  client.deliver({revision: 3, changes: [], confirmed: true});
+  expect(follower.lastConfirmed).to.be.greaterThan(before);
+  await follower.stop();
+});
