--- a/control/control-server/src/index.ts
+++ b/control/control-server/src/index.ts
@@ -3,5 +3,6 @@
   CONTROL_SETTINGS_SCHEMA,
   type ControlSettings,
 } from './control-settings.js';
-export {COMMAND_SCHEMA, type Command} from './command.js';
+export {COMMAND_SCHEMA, type Command, type CommandAnswer} from './command.js';
+export {ControlDesk, type ControlDeskOptions} from './control-desk.js';
 export {ControlMachine} from './control-machine.js';
--- /dev/null
+++ b/control/control-server/test/control-desk.test.ts
@@ -0,0 +1,167 @@
+import {expect} from 'chai';
+import {Result} from 'true-myth';
+import {EventLog} from '@marigoldspur/event-log';
+import {Fault} from '@marigoldspur/faults';
+import {PermitDesk} from '@marigoldspur/load-permits';
+import type {Member} from '@marigoldspur/messages';
+import type {LogStatus, ReplicatedLog} from '@marigoldspur/replicated-log';
+import {
+  ControlDesk,
+  ControlMachine,
+  type Command,
+  type CommandAnswer,
+} from '@marigoldspur/control-server';
+
+const LEASE_MS = 1_000;
+
+/** A log that commits at once, and whose quorum and office the test sets. */
+class FakeLog implements ReplicatedLog<Command, CommandAnswer> {
+  term = 1;
+  hasQuorum = true;
+  readonly machine = new ControlMachine();
+
+  async propose(command: Command): Promise<Result<CommandAnswer, Fault>> {
+    return Result.ok(this.machine.apply(command));
+  }
+
+  readBarrier(): Promise<Result<undefined, Fault>> {
+    return this.hasQuorum
+      ? Promise.resolve(Result.ok(undefined))
+      : new Promise(() => {});
+  }
+
+  isReady(): boolean {
+    return true;
+  }
+
+  status(): LogStatus {
+    return {
+      role: 'leader',
+      term: this.term,
+      commitIndex: 0,
+      lastIndex: 0,
+      voters: [],
+      replica: 'r',
+      group: 'g',
+      appliedIndex: 0,
+      replicas: [],
+      diskFull: false,
+    };
+  }
+
+  async stop(): Promise<void> {}
+}
+
+function deskOn(log: FakeLog): ControlDesk {
+  return new ControlDesk({
+    id: 'control-0',
+    boot: 'boot',
+    leaseMs: LEASE_MS,
+    machine: log.machine,
+    log,
+    permits: new PermitDesk({loadsAtOnce: 1, validMs: LEASE_MS}),
+    events: new EventLog({process: 'control-0'}),
+  });
+}
+
+function entry(boot: string): Member {
+  return {
+    id: 'entry-0',
+    role: 'entry',
+    zone: 'lima-a',
+    boot,
+    url: 'http://127.0.0.1:1',
+    revision: 0,
+    leaving: false,
+  };
+}
+
+function claim(request: string) {
+  return {
+    customer: 'callao',
+    key: 'k',
+    digest: 'd',
+    request,
+    entry: 'entry-0',
+    boot: 'b1',
+    retentionMs: 60_000,
+  };
+}
+
+it('control desk: a replica without a quorum ends its streams', async () => {
+  const log = new FakeLog();
+  const {signal} = new AbortController();
+  const stream = deskOn(log).followSettings(0, signal)[Symbol.asyncIterator]();
+  const first = await stream.next();
+  expect(first.value).to.include({revision: 0, confirmed: true});
+  log.hasQuorum = false;
+  const fault = await (async () => {
+    try {
+      for (;;) {
+        await stream.next();
+      }
+    } catch (thrown) {
+      return thrown;
+    }
+  })();
+  expect(fault).to.include({code: 'NO_QUORUM'});
+});
+
+it('control desk: an entry that stays away loses its claims, one that stays does not', async () => {
+  const log = new FakeLog();
+  const desk = deskOn(log);
+  await desk.takeClaim(claim('r1'));
+  const now = performance.now();
+  await desk.heartbeat(entry('b1'));
+  desk.checkLeases(now + LEASE_MS / 2);
+  desk.checkLeases(now + LEASE_MS);
+  expect((await desk.takeClaim(claim('r2'))).outcome).to.equal('running');
+  await desk.heartbeat(entry('b2'));
+  desk.checkLeases(now + LEASE_MS);
+  desk.checkLeases(now + 2 * LEASE_MS);
+  expect((await desk.takeClaim(claim('r2'))).outcome).to.equal('unknown');
+});
+
+it('control desk: a new term starts an incomplete table and loses entries that never come', async () => {
+  const log = new FakeLog();
+  const desk = deskOn(log);
+  await desk.takeClaim(claim('r1'));
+  await desk.heartbeat(entry('b1'));
+  log.term = 2;
+  const delta = await desk.watchMembers('', 0, 0);
+  expect(delta).to.include({complete: false, whole: true});
+  const now = performance.now();
+  desk.checkLeases(now);
+  desk.checkLeases(now + LEASE_MS);
+  expect((await desk.watchMembers('', 0, 0)).complete).to.equal(true);
+  expect((await desk.takeClaim(claim('r2'))).outcome).to.equal('unknown');
+});
+
+it('control desk: an agent older than the granted number is told FENCED', async () => {
+  const desk = deskOn(new FakeLog());
+  const agent = (id: string, fence: number): Member => ({
+    ...entry('b'),
+    id,
+    role: 'agent',
+    target: {
+      name: 'lm-desk-0',
+      customer: 'callao',
+      service: 'lm-desk',
+      boot: 'engine',
+      healthy: true,
+      slots: 6,
+      resident: [],
+      running: 0,
+      waiting: 0,
+      batchLimit: 16,
+      fence,
+    },
+  });
+  const first = await desk.grantFence('lm-desk-0', 'b1');
+  await desk.heartbeat(agent('a', first));
+  const second = await desk.grantFence('lm-desk-0', 'b2');
+  expect(second).to.be.greaterThan(first);
+  const fault = await desk.heartbeat(agent('a', first)).catch(thrown => thrown);
+  expect(fault).to.include({code: 'FENCED'});
+  await desk.heartbeat(agent('b', second));
+});
--- a/lab/spread-bench/src/index.ts
+++ b/lab/spread-bench/src/index.ts
@@ -1,3 +1,5 @@
+export {measureClaims, type ClaimCost} from './claims-bench.js';
+export {measureFollowers, type FollowerCost} from './follower-bench.js';
 export {
   measureTree,
   sizedTree,
