--- /dev/null
+++ b/lab/fault-runs/test/claims.test.ts
@@ -0,0 +1,154 @@
+import {expect} from 'chai';
+import {deploymentTree, startSystem, type System} from '@marigoldspur/lab';
+
+const DEPLOYMENT = {
+  customer: 'callao',
+  zones: ['lima-a'],
+  targets: [
+    {service: 'lm-desk', kind: 'engine', count: 1},
+    {service: 'chart-api', kind: 'service', count: 2},
+  ],
+  loadsPerSecond: 50,
+} as const;
+const CALL_MS = 2_000;
+
+interface Reply {
+  readonly status: number;
+  readonly headers: Headers;
+  readonly text: string;
+  readonly code: unknown;
+  readonly outcome: unknown;
+}
+
+let system: System;
+
+before(async () => {
+  system = await startSystem({
+    deployments: [DEPLOYMENT],
+    tree: deploymentTree([DEPLOYMENT], 2),
+    controls: 1,
+    entries: 3,
+    serviceCallMs: CALL_MS,
+  });
+  await system.settled();
+});
+
+after(() => system?.stop());
+
+async function send(
+  entry: number,
+  key: string,
+  options: {path?: string; body?: string; signal?: AbortSignal} = {},
+): Promise<Reply> {
+  const {path = '/chart-api/indication', body = key, signal} = options;
+  const answer = await fetch(`${system.entryUrls[entry]}${path}`, {
+    method: 'POST',
+    body,
+    headers: {'idempotency-key': key},
+    signal,
+  });
+  const text = await answer.text();
+  const error = text.startsWith('{"error"') ? JSON.parse(text).error : {};
+  const {code, outcome} = error as {code: unknown; outcome: unknown};
+  return {status: answer.status, headers: answer.headers, text, code, outcome};
+}
+
+/** How often the plain service ran a body. */
+async function runsOf(body: string): Promise<number> {
+  const services = system.targets.filter(pair => pair.name.startsWith('chart'));
+  const records = await Promise.all(
+    services.map(async pair => (await fetch(`${pair.url}/record`)).json()),
+  );
+  return (records.flat() as Array<{input: string}>).filter(
+    run => run.input === body,
+  ).length;
+}
+
+async function untilRunning(body: string): Promise<void> {
+  while ((await runsOf(body)) === 0) {
+    await new Promise(resolve => setTimeout(resolve, 20));
+  }
+}
+
+it('claims: a resend through another entry is refused while the first runs', async () => {
+  const first = send(0, 'running');
+  await untilRunning('running');
+  const resend = await send(1, 'running');
+  expect(resend).to.include({status: 409, code: 'already_running'});
+  expect(Number(resend.headers.get('retry-after'))).to.be.at.least(1);
+  expect((await first).status).to.equal(200);
+  expect(await runsOf('running')).to.equal(1);
+});
+
+it('claims: a resend after the end gets the stored answer', async () => {
+  const first = await send(0, 'ended');
+  const resend = await send(1, 'ended');
+  expect(resend.status).to.equal(200);
+  expect(resend.text).to.equal(first.text);
+  expect(resend.headers.get('idempotent-replayed')).to.equal('true');
+  expect(await runsOf('ended')).to.equal(1);
+});
+
+it('claims: a resend of a streamed answer gets the same stream', async () => {
+  const body = JSON.stringify({
+    model: 'callao-1@v1',
+    prompt: 'streamed',
+    stream: true,
+  });
+  const options = {path: '/v1/completions', body};
+  const first = await send(0, 'streamed', options);
+  const resend = await send(1, 'streamed', options);
+  expect(first.text).to.match(/data: \[DONE\]\s*$/);
+  expect(resend.text).to.equal(first.text);
+  expect(resend.headers.get('content-type')).to.equal('text/event-stream');
+});
+
+it('claims: another body under the same key is not run', async () => {
+  await send(0, 'reused');
+  const other = await send(1, 'reused', {body: 'another body'});
+  expect(other).to.include({status: 422, outcome: 'not-run'});
+  expect(await runsOf('another body')).to.equal(0);
+});
+
+it('claims: a caller that went away finds its answer when it asks again', async () => {
+  const gone = new AbortController();
+  const first = send(0, 'left', {signal: gone.signal}).catch(() => undefined);
+  await untilRunning('left');
+  gone.abort();
+  await first;
+  let resend = await send(1, 'left');
+  while (resend.code === 'already_running') {
+    await new Promise(resolve => setTimeout(resolve, 100));
+    resend = await send(1, 'left');
+  }
+  expect(resend.status).to.equal(200);
+  expect(resend.text).to.contain('"body":"left"');
+  expect(await runsOf('left')).to.equal(1);
+});
+
+it('claims: after a killed entry the outcome is unknown and nothing runs again', async () => {
+  const first = send(2, 'killed').catch(() => undefined);
+  await untilRunning('killed');
+  system.entries[2].signal('SIGKILL');
+  await first;
+  let resend = await send(0, 'killed');
+  while (resend.code === 'already_running') {
+    await new Promise(resolve => setTimeout(resolve, 100));
+    resend = await send(1, 'killed');
+  }
+  expect(resend).to.include({status: 409, code: 'outcome_unknown'});
+  expect(await runsOf('killed')).to.equal(1);
+});
+
+it('claims: without control a request is refused as not run', async () => {
+  const [control] = system.controls;
+  control.signal('SIGSTOP');
+  const refused = await send(0, 'no-control');
+  control.signal('SIGCONT');
+  expect(refused).to.include({
+    status: 503,
+    code: 'claim_unavailable',
+    outcome: 'not-run',
+  });
+  expect(await runsOf('no-control')).to.equal(0);
+});
