--- /dev/null
+++ b/entry/dispatch/test/back-pressure.test.ts
@@ -0,0 +1,89 @@
+import http, {type IncomingMessage} from 'node:http';
+import net from 'node:net';
+import {expect} from 'chai';
+import {relayAnswer, type RelayEnd} from '@marigoldspur/dispatch';
+import {listen} from '@marigoldspur/http-link';
+import {HOP_HEADERS} from '@marigoldspur/messages';
+import {
+  agentAnswer,
+  attemptAt,
+  createClient,
+  startFakeAgent,
+} from './fake-agent.js';
+
+const BODY_BYTES = 64 * 1_048_576;
+const CHUNK = Buffer.alloc(65_536, 'x');
+/** Stream buffers and those of the kernel on three sockets. */
+const HELD_BYTES = 24 * 1_048_576;
+const STALL_MS = 300;
+
+const client = createClient();
+after(() => client.close());
+
+/** Writes a large answer as fast as it is taken; `sent` counts its bytes. */
+class LargeAnswer {
+  sent = 0;
+  lastProgressAt = performance.now();
+
+  write(socket: net.Socket): void {
+    const head = agentAnswer('application/octet-stream', '');
+    socket.write(head.slice(0, head.indexOf('\r\n\r\n') + 4));
+    const size = `${CHUNK.length.toString(16)}\r\n`;
+    const next = () => {
+      while (this.sent < BODY_BYTES) {
+        this.sent += CHUNK.length;
+        this.lastProgressAt = performance.now();
+        socket.write(size);
+        socket.write(CHUNK);
+        if (!socket.write('\r\n')) {
+          socket.once('drain', next);
+          return;
+        }
+      }
+      socket.write(`0\r\n${HOP_HEADERS.end}: ${BODY_BYTES}\r\n\r\n`);
+    };
+    next();
+  }
+
+  /** Resolves once nothing was taken for a while. */
+  async stalled(): Promise<void> {
+    while (performance.now() - this.lastProgressAt < STALL_MS) {
+      await new Promise(resolve => setTimeout(resolve, STALL_MS / 3));
+    }
+  }
+}
+
+it('back-pressure: a slow caller holds the target back, and still gets all', async () => {
+  const large = new LargeAnswer();
+  const agent = await startFakeAgent(socket => large.write(socket));
+  let end: RelayEnd | undefined;
+  const server = http.createServer(async (_, response) => {
+    const sent = await client.send(attemptAt(agent));
+    if (sent.isOk) {
+      const relayed = await relayAnswer(sent.value, response, {
+        headers: {},
+        collectBytes: 1_048_576,
+        endsWithDone: false,
+        keepBytes: 0,
+        outlivesCaller: false,
+        signal: new AbortController().signal,
+      });
+      end = relayed.end;
+    }
+  });
+  const address = await listen(server, {host: '127.0.0.1', port: 0});
+  const answer = await new Promise<IncomingMessage>(resolve =>
+    http.get({port: address.port, host: address.host, agent: false}, resolve),
+  );
+  await large.stalled();
+  expect(large.sent).to.be.below(HELD_BYTES);
+  let received = 0;
+  for await (const chunk of answer) {
+    received += (chunk as Buffer).length;
+  }
+  expect(received).to.equal(BODY_BYTES);
+  expect(end).to.equal('whole');
+  agent.stop();
+  server.close();
+  server.closeAllConnections();
+});
