--- a/agent/agent-server/src/attempt-desk.ts
+++ b/agent/agent-server/src/attempt-desk.ts
@@ -127,11 +127,13 @@
     options: {expects: boolean; deadlineMs: number; signal: AbortSignal},
   ): Promise<Result<void, Refusal>> {
     const {deadlineMs, expects, signal} = options;
-    const refusal = this.preliminary(hop, request);
+    const refusal = this.preliminary(hop, request, expects);
     if (refusal !== undefined) {
       return Result.err(refusal);
     }
-    let body = expects ? undefined : await this.takeBody(hop, request);
+    let body = expects
+      ? undefined
+      : await this.takeBody(hop, request, deadlineMs);
     if (body?.isErr) {
       return Result.err(body.error);
     }
@@ -141,7 +143,7 @@
     }
     if (body === undefined) {
       response.writeContinue();
-      body = await this.takeBody(hop, request);
+      body = await this.takeBody(hop, request, deadlineMs);
     }
     const late = body.isErr
       ? body.error
@@ -150,6 +152,9 @@
       pin.value?.pin.release(performance.now());
       return late === undefined ? Result.ok(undefined) : Result.err(late);
     }
+    const unstated = request.headers['content-length'] === undefined;
+    const bytes = unstated ? body.value.length : 0;
+    this.heldBytes += bytes;
     await this.forwarder.forward({
       hop,
       request,
@@ -160,11 +165,16 @@
       pin: pin.value?.pin,
       boot: pin.value?.boot,
     });
+    this.heldBytes -= bytes;
     return Result.ok(undefined);
   }
 
   /** What speaks against an attempt before its body is read. */
-  private preliminary(hop: Hop, request: IncomingMessage): Refusal | undefined {
+  private preliminary(
+    hop: Hop,
+    request: IncomingMessage,
+    expects: boolean,
+  ): Refusal | undefined {
     const {engine, maxBodyBytes, maxHeldBytes, target} = this.options;
     const bytes = Number(request.headers['content-length'] ?? 0);
     if (hop.target !== target) {
@@ -176,9 +186,8 @@
     if (engine !== undefined && !ENGINE_PATHS.has(request.url ?? '')) {
       return notRun(404, 'unknown_path', 'no such path on an engine');
     }
-    // A body that is awaited comes without its length, so that even an empty one has an end.
-    const awaited = request.headers.expect !== undefined;
-    if (request.headers['transfer-encoding'] !== undefined && !awaited) {
+    // A body that waits to be continued is held only once it is admitted.
+    if (request.headers['transfer-encoding'] !== undefined && !expects) {
       return notRun(411, 'length_required', 'an attempt states its length');
     }
     if (bytes > maxBodyBytes) {
@@ -216,8 +225,12 @@
   private async takeBody(
     hop: Hop,
     request: IncomingMessage,
+    deadlineMs: number,
   ): Promise<Result<Buffer, Refusal>> {
+    const leftMs = Math.max(0, deadlineMs - performance.now());
+    const late = setTimeout(() => request.destroy(), leftMs);
     const body = await readBody(request, this.options.maxBodyBytes);
+    clearTimeout(late);
     if (body.isErr) {
       return Result.err(notRun(400, 'bad_body', body.error.message));
     }
