Carry the settings revision and its origin over the request path

An entry tells agents its revision and where to pull it from, agents answer with theirs, and whoever is behind pulls. Heartbeats name the revision too.

--- a/agent/agent-server/src/attempt-desk.ts
+++ b/agent/agent-server/src/attempt-desk.ts
@@ -6,7 +6,7 @@
 import type {EventLog} from '@marigoldspur/event-log';
 import {formatFindings, Refusal} from '@marigoldspur/faults';
 import {readBody} from '@marigoldspur/http-link';
-import {parseHop, type Hop} from '@marigoldspur/messages';
+import {HOP_HEADERS, parseHop, type Hop} from '@marigoldspur/messages';
 import {formatModel} from '@marigoldspur/settings-schema';
 import type {AdapterHost} from './adapter-host.js';
 import type {AgentMetrics} from './agent-metrics.js';
@@ -34,6 +34,8 @@
   readonly customer: string;
   readonly service: string;
   readonly settings: Pick<SettingsFollower, 'settings'>;
+  /** Is told the settings revision of an entry, and the entry's URL. */
+  readonly heard?: (revision: number, url: string | undefined) => void;
   readonly events: EventLog;
   readonly metrics: AgentMetrics;
   /** Largest body, in bytes. */
@@ -100,7 +102,10 @@
       this.refuse(undefined, response, notRun(400, 'bad_hop', message));
       return;
     }
-    const {request: id, attempt, budgetMs} = hop.value;
+    const {request: id, attempt, budgetMs, revision, origin} = hop.value;
+    this.options.heard?.(revision, origin);
+    const inForce = this.options.settings.settings.revision;
+    response.setHeader(HOP_HEADERS.revision, String(inForce));
     this.options.events.record('attempt-received', {attempt}, id);
     const gone = new AbortController();
     response.on('close', () => gone.abort());
--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -62,6 +62,7 @@
     customer: settings.customer,
     service: settings.service,
     settings: follower,
+    heard: (revision, url) => follower.heard(revision, url),
     events,
     metrics,
     maxBodyBytes: MAX_BODY_BYTES,
@@ -111,6 +112,7 @@
         },
       }),
       events: (after, limit, request) => events.after(after, limit, request),
+      settings: revision => follower.deltaAfter(revision),
       drain,
     },
   });
@@ -124,9 +126,12 @@
     leaving: isLeaving(),
     target: report(),
   });
-  const heartbeat = startHeartbeat(client, member, answer =>
-    engine?.keeper.answered(answer),
-  );
+  const heartbeat = startHeartbeat(client, member, answer => {
+    engine?.keeper.answered(answer);
+    if (answer.result.isOk) {
+      follower.heard(answer.result.value.revision);
+    }
+  });
   engine?.keeper.use(heartbeat);
   announce = () => void heartbeat.beat();
   events.record('process-started', {url: server.url, boot});
--- a/contracts/messages/src/hop.ts
+++ b/contracts/messages/src/hop.ts
@@ -13,7 +13,9 @@
   attempt: 'x-marigoldspur-attempt',
   model: 'x-marigoldspur-model',
   target: 'x-marigoldspur-target',
+  /** On attempts the sender's, on answers the agent's. */
   revision: 'x-marigoldspur-revision',
+  origin: 'x-marigoldspur-origin',
   budget: 'x-marigoldspur-budget-ms',
   priority: 'x-marigoldspur-priority',
   repeatable: 'x-marigoldspur-repeatable',
@@ -40,6 +42,8 @@
   readonly target: string;
   /** Settings revision in force at the sender. */
   readonly revision: number;
+  /** Base URL of the sender, from which newer settings can be pulled. */
+  readonly origin?: string;
   /** Milliseconds within which the answer has to end, counted from receipt. */
   readonly budgetMs: number;
   /** Priority; 0 is served first. */
@@ -55,6 +59,7 @@
     ...(hop.model && {[HOP_HEADERS.model]: formatModel(hop.model)}),
     [HOP_HEADERS.target]: hop.target,
     [HOP_HEADERS.revision]: String(hop.revision),
+    ...(hop.origin !== undefined && {[HOP_HEADERS.origin]: hop.origin}),
     [HOP_HEADERS.budget]: String(Math.max(0, Math.round(hop.budgetMs))),
     [HOP_HEADERS.priority]: String(hop.priority),
     [HOP_HEADERS.repeatable]: String(hop.repeatable),
@@ -85,6 +90,7 @@
     model: modelHeader(headers, findings),
     target: text(HOP_HEADERS.target),
     revision: integer(HOP_HEADERS.revision),
+    ...originHeader(headers, findings),
     budgetMs: integer(HOP_HEADERS.budget),
     priority: integer(HOP_HEADERS.priority),
     repeatable: text(HOP_HEADERS.repeatable) === 'true',
@@ -92,6 +98,21 @@
   return findings.length === 0 ? Result.ok(hop) : Result.err(findings);
 }
 
+function originHeader(
+  headers: IncomingHttpHeaders,
+  findings: Finding[],
+): Pick<Hop, 'origin'> {
+  const value = headers[HOP_HEADERS.origin];
+  if (value === undefined) {
+    return {};
+  }
+  const origin = String(value);
+  if (!URL.canParse(origin)) {
+    findings.push({place: HOP_HEADERS.origin, reason: 'must be a URL'});
+  }
+  return {origin};
+}
+
 function modelHeader(
   headers: IncomingHttpHeaders,
   findings: Finding[],
--- a/contracts/messages/test/hop.test.ts
+++ b/contracts/messages/test/hop.test.ts
@@ -10,16 +10,33 @@
 const SEED = 20_261;
 const NAME = fc.stringMatching(/^[a-z0-9][a-z0-9._-]{0,20}$/);
 const COUNT = fc.integer({min: 0, max: 1_000_000});
-const HOP: fc.Arbitrary<Hop> = fc.record({
-  request: fc.uuid(),
-  attempt: COUNT,
-  model: fc.option(fc.record({adapter: NAME, version: NAME}), {nil: undefined}),
-  target: NAME,
-  revision: COUNT,
-  budgetMs: COUNT,
-  priority: fc.integer({min: 0, max: 9}),
-  repeatable: fc.boolean(),
-});
+const HOP: fc.Arbitrary<Hop> = fc.record(
+  {
+    request: fc.uuid(),
+    attempt: COUNT,
+    model: fc.option(fc.record({adapter: NAME, version: NAME}), {
+      nil: undefined,
+    }),
+    target: NAME,
+    revision: COUNT,
+    budgetMs: COUNT,
+    priority: fc.integer({min: 0, max: 9}),
+    repeatable: fc.boolean(),
+    origin: fc.constant('http://127.0.0.1:8080'),
+  },
+  {
+    requiredKeys: [
+      'request',
+      'attempt',
+      'model',
+      'target',
+      'revision',
+      'budgetMs',
+      'priority',
+      'repeatable',
+    ],
+  },
+);
 const HEADER_VALUE = fc.oneof(
   fc.string(),
   fc.constant(undefined),
--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -11,13 +11,19 @@
 
 const RETRY_SOON_SECONDS = 1;
 
+/** What an attempt client works with. */
+export interface AttemptClientOptions {
+  /** Makes the connections. */
+  readonly agent: http.Agent;
+  /** Is told what attempts see. */
+  readonly health: TargetHealth;
+  /** Is told the settings revision in force at an agent, and the agent's URL. */
+  readonly heard: (revision: number, url: string) => void;
+}
+
 /** Sends attempts to agents. */
 export class AttemptClient {
-  /** `agent` makes the connections; `health` is told what attempts see. */
-  constructor(
-    private readonly agent: http.Agent,
-    private readonly health: TargetHealth,
-  ) {}
+  constructor(private readonly options: AttemptClientOptions) {}
 
   /**
    * Sends an attempt; resolves with the head of the answer or with what is known of
@@ -25,12 +31,12 @@
    * Continue` before its body goes out, so that it provably did not run until then.
    */
   send(attempt: Attempt): Promise<Result<AttemptAnswer, Refusal>> {
-    return new AttemptExchange(attempt, this.agent, this.health).run();
+    return new AttemptExchange(attempt, this.options).run();
   }
 
   /** Closes all connections. */
   close(): void {
-    this.agent.destroy();
+    this.options.agent.destroy();
   }
 }
 
@@ -44,8 +50,7 @@
 
   constructor(
     private readonly attempt: Attempt,
-    private readonly agent: http.Agent,
-    private readonly health: TargetHealth,
+    private readonly options: AttemptClientOptions,
   ) {}
 
   run(): Promise<Result<AttemptAnswer, Refusal>> {
@@ -54,14 +59,14 @@
       url: new URL(attempt.url, attempt.destination.url),
       method: attempt.method,
       headers: attemptHeaders(attempt),
-      agent: this.agent,
+      agent: this.options.agent,
       signal: AbortSignal.any([attempt.signal, late.signal, silent.signal]),
     });
     const timer = setTimeout(
       () => late.abort(),
       Math.min(attempt.firstByteTimeoutMs, attempt.hop.budgetMs),
     );
-    const endWatch = this.health.watch({
+    const endWatch = this.options.health.watch({
       destination: attempt.destination,
       bytesRead: () => this.message?.socket.bytesRead ?? 0,
       onSilent: () => this.giveUp(),
@@ -108,7 +113,11 @@
     call: http.ClientRequest,
     message: IncomingMessage,
   ): Promise<Result<AttemptAnswer, Refusal>> {
-    this.health.succeeded(this.attempt.destination, performance.now());
+    this.options.health.succeeded(this.attempt.destination, performance.now());
+    const revision = Number(message.headers[HOP_HEADERS.revision]);
+    if (Number.isSafeInteger(revision)) {
+      this.options.heard(revision, this.attempt.destination.url);
+    }
     const answer = await readHead(this.attempt, message);
     if (answer.isErr && !this.bodySent) {
       call.destroy();
@@ -130,7 +139,11 @@
     }
     if (!attempt.signal.aborted) {
       const evidence = connected ? 'broken' : 'connect-failed';
-      this.health.failed(attempt.destination, evidence, performance.now());
+      this.options.health.failed(
+        attempt.destination,
+        evidence,
+        performance.now(),
+      );
     }
     return reached
       ? refusal(outcome, 502, 'link_broke_off', error.message)
--- a/entry/dispatch/src/index.ts
+++ b/entry/dispatch/src/index.ts
@@ -1,4 +1,4 @@
-export {AttemptClient} from './attempt-client.js';
+export {AttemptClient, type AttemptClientOptions} from './attempt-client.js';
 export type {Attempt, AttemptAnswer} from './attempt.js';
 export {answerHeaders} from './attempt-headers.js';
 export {
--- a/entry/dispatch/test/attempt-client.test.ts
+++ b/entry/dispatch/test/attempt-client.test.ts
@@ -168,3 +168,19 @@
   expect(head).to.not.contain('smuggled');
   expect(head.split(HOP_HEADERS.target)).to.have.length(2);
 });
+
+it('attempt: the agent’s settings revision is passed on', async () => {
+  const heard: Array<[number, string]> = [];
+  const listening = createClient((...args) => heard.push(args));
+  agent = await startFakeAgent(socket =>
+    socket.write(
+      agentAnswer('text/plain', 'done').replace(
+        'content-type',
+        `${HOP_HEADERS.revision}: 41\r\ncontent-type`,
+      ),
+    ),
+  );
+  await listening.send(attemptAt(agent));
+  listening.close();
+  expect(heard).to.deep.equal([[41, agent.url]]);
+});
--- a/entry/dispatch/test/fake-agent.ts
+++ b/entry/dispatch/test/fake-agent.ts
@@ -7,6 +7,7 @@
   AttemptClient,
   TargetHealth,
   type Attempt,
+  type AttemptClientOptions,
 } from '@marigoldspur/dispatch';
 
 /** A hop of a request that may be repeated. */
@@ -97,8 +98,11 @@
 }
 
 /** A client for attempts. */
-export function createClient(): AttemptClient {
+export function createClient(
+  heard: AttemptClientOptions['heard'] = () => {},
+): AttemptClient {
   const agent = new http.Agent({keepAlive: true});
   const events = new EventLog({process: 'entry-0'});
-  return new AttemptClient(agent, new TargetHealth({agent, events}));
+  const health = new TargetHealth({agent, events});
+  return new AttemptClient({agent, health, heard});
 }
--- a/entry/entry-server/src/attempt-runner.ts
+++ b/entry/entry-server/src/attempt-runner.ts
@@ -28,6 +28,8 @@
   readonly answers: AnswerSender;
   readonly retries: RetryBudget;
   readonly events: EventLog;
+  /** Base URL of the process, from which agents can pull newer settings. */
+  readonly origin: () => string;
   /** Gives numbers from 0 up to, not including, 1. */
   readonly random: () => number;
 }
@@ -137,7 +139,10 @@
     attempt: number,
   ): Promise<Result<AttemptAnswer, Refusal>> {
     const sent = await this.options.attempts.send({
-      hop: hopOf(job, destination.target, attempt),
+      hop: {
+        ...hopOf(job, destination.target, attempt),
+        origin: this.options.origin(),
+      },
       destination,
       method: job.method,
       url: job.request.url,
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -66,7 +66,11 @@
   const callerTls = await openCallerTls(settings, events);
   const linkAgent = security.createAgent();
   const health = new TargetHealth({agent: linkAgent, events});
-  const attempts = new AttemptClient(linkAgent, health);
+  const attempts = new AttemptClient({
+    agent: linkAgent,
+    health,
+    heard: (revision, url) => follower.heard(revision, url),
+  });
   const claims = new ClaimDesk({client, events, entry: settings.id, boot});
   const runner = new AttemptRunner({
     directory: new TargetDirectory(
@@ -78,6 +82,7 @@
     answers: new AnswerSender({events, metrics: entryMetrics}),
     retries: new RetryBudget(),
     events,
+    origin: () => server.url,
     random: Math.random,
   });
   const contact = new ControlContact(follower);
@@ -128,6 +133,7 @@
         facts: {running: desk.running, members: members.members().length},
       }),
       events: (after, limit, request) => events.after(after, limit, request),
+      settings: revision => follower.deltaAfter(revision),
       drain,
     },
   });
@@ -143,6 +149,7 @@
   const heartbeat = startHeartbeat(client, member, ({result, sentAt}) => {
     if (result.isOk) {
       contact.heard(result.value.revision, sentAt);
+      follower.heard(result.value.revision);
     }
   });
   events.record('process-started', {
