--- a/entry/entry-server/src/entry-settings.ts
+++ b/entry/entry-server/src/entry-settings.ts
@@ -48,6 +48,12 @@
     .describe(
       'Largest body that is read before the customer is known, in bytes',
     ),
+  maxHeldBytes: z.coerce
+    .number()
+    .int()
+    .min(1_048_576)
+    .default(268_435_456)
+    .describe('Bytes of all request bodies that are held at once'),
   maxRunning: z.coerce
     .number()
     .int()
--- a/entry/entry-server/src/request-reader.ts
+++ b/entry/entry-server/src/request-reader.ts
@@ -15,12 +15,17 @@
   readonly keys: CallerKeyTable;
   /** Largest body that is read before the service is known, in bytes. */
   readonly maxBodyBytes: number;
+  /** Bytes of all bodies that are held at once. */
+  readonly maxHeldBytes: number;
 }
 
 const MAX_KEY_LENGTH = 255;
+const RETRY_SOON_SECONDS = 1;
 
 /** Reads a caller's request into a job. */
 export class RequestReader {
+  private heldBytes = 0;
+
   constructor(private readonly options: RequestReaderOptions) {}
 
   /** Reads the body and looks up what the request names; what is wrong is refused. */
@@ -37,6 +42,10 @@
       dropRest(request);
       return Result.err(customer.error);
     }
+    if (!this.hold(request, response)) {
+      dropRest(request);
+      return Result.err(entryFull());
+    }
     const body = await readBody(request, this.options.maxBodyBytes);
     if (body.isErr) {
       const {code, message} = body.error;
@@ -81,6 +90,20 @@
         : deadline,
     });
   }
+
+  /** Counts a request's body until its answer has ended; false where it does not fit. */
+  private hold(request: IncomingMessage, response: ServerResponse): boolean {
+    const {maxBodyBytes, maxHeldBytes} = this.options;
+    const chunked = request.headers['transfer-encoding'] !== undefined;
+    const stated = Number(request.headers['content-length'] ?? 0);
+    const bytes = chunked ? maxBodyBytes : Math.min(stated, maxBodyBytes);
+    if (this.heldBytes + bytes > maxHeldBytes) {
+      return false;
+    }
+    this.heldBytes += bytes;
+    response.on('close', () => (this.heldBytes -= bytes));
+    return true;
+  }
 }
 
 /** Reads and drops what is left, so that the caller gets to read its refusal. */
@@ -113,3 +136,13 @@
 function rejected(status: number, reason: string, message: string): Refusal {
   return new Refusal('not-run', status, reason, message);
 }
+
+function entryFull(): Refusal {
+  return new Refusal(
+    'not-run',
+    503,
+    'entry_full',
+    'the entry holds too many bodies',
+    RETRY_SOON_SECONDS,
+  );
+}
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -94,6 +94,7 @@
       settings: follower,
       keys,
       maxBodyBytes: settings.maxBodyBytes,
+      maxHeldBytes: settings.maxHeldBytes,
     }),
     admission: new Admission({
       maxRunning: settings.maxRunning,
--- /dev/null
+++ b/entry/entry-server/test/request-reader.test.ts
@@ -0,0 +1,74 @@
+import http from 'node:http';
+import net from 'node:net';
+import {expect} from 'chai';
+import {Result} from 'true-myth';
+import type {SettingsFollower} from '@marigoldspur/control-client';
+import {listen} from '@marigoldspur/http-link';
+import {TREE_SCHEMA} from '@marigoldspur/settings-schema';
+import {RequestReader} from '../src/request-reader.js';
+
+const TREE = TREE_SCHEMA.parse({
+  customers: {
+    callao: {
+      services: {'chart-api': {kind: 'plain', pathPrefix: 'chart-api'}},
+    },
+  },
+});
+const MAX_HELD_BYTES = 1_000;
+
+let server: http.Server;
+let port: number;
+let reading: () => void = () => {};
+
+before(async () => {
+  const reader = new RequestReader({
+    settings: {settings: {revision: 1, tree: TREE}} as SettingsFollower,
+    keys: {customerOf: () => Result.ok(undefined), stop: () => {}},
+    maxBodyBytes: 1_000_000,
+    maxHeldBytes: MAX_HELD_BYTES,
+  });
+  server = http.createServer(async (request, response) => {
+    reading();
+    const job = await reader.read('request-1', request, response);
+    response.end(job.isOk ? 'read' : job.error.reason);
+  });
+  ({port} = await listen(server, {host: '127.0.0.1', port: 0}));
+});
+
+after(() => {
+  server.close();
+  server.closeAllConnections();
+});
+
+async function post(body: string, headers = {}): Promise<string> {
+  const answer = await fetch(`http://127.0.0.1:${port}/chart-api/x`, {
+    method: 'POST',
+    body,
+    headers,
+  });
+  return answer.text();
+}
+
+it('reader: bodies beyond the bound of all are refused, and read again later', async () => {
+  const begun = new Promise<void>(resolve => {
+    reading = resolve;
+  });
+  const slow = net.connect(port, '127.0.0.1', () =>
+    slow.write(
+      'POST /chart-api/slow HTTP/1.1\r\nhost: a\r\ncontent-length: 800\r\n\r\nx',
+    ),
+  );
+  await begun;
+  expect(await post('x'.repeat(300))).to.equal('entry_full');
+  expect(await post('x'.repeat(100))).to.equal('read');
+  const answered = new Promise(resolve => slow.once('data', resolve));
+  slow.write('x'.repeat(799));
+  await answered;
+  slow.destroy();
+  expect(await post('x'.repeat(300))).to.equal('read');
+});
+
+it('reader: a malformed key is refused', async () => {
+  const key = 'k'.repeat(256);
+  expect(await post('x', {'idempotency-key': key})).to.equal('malformed_key');
+});
