--- a/entry/entry-server/src/request-reader.ts
+++ b/entry/entry-server/src/request-reader.ts
@@ -19,6 +19,12 @@
   readonly maxHeldBytes: number;
 }
 
+/** What a request names, with the settings in force for it. */
+type NamedRequest = Pick<
+  Job,
+  'request' | 'settings' | 'revision' | 'method' | 'key'
+>;
+
 const MAX_KEY_LENGTH = 255;
 const RETRY_SOON_SECONDS = 1;
 
@@ -42,52 +48,68 @@
       dropRest(request);
       return Result.err(customer.error);
     }
-    if (!this.hold(request, response)) {
+    const body = await this.readBody(request, response);
+    if (body.isErr) {
       dropRest(request);
+      return Result.err(body.error);
+    }
+    const named = this.lookUp(request, customer.value, body.value);
+    return named.map(found => ({
+      ...found,
+      id,
+      startedAt,
+      headers: request.headers,
+      body: body.value,
+      callerGone: gone.signal,
+      signal: runSignal(found, gone.signal),
+    }));
+  }
+
+  private async readBody(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<Result<Buffer, Refusal>> {
+    if (!this.hold(request, response)) {
       return Result.err(entryFull());
     }
     const body = await readBody(request, this.options.maxBodyBytes);
-    if (body.isErr) {
-      const {code, message} = body.error;
-      dropRest(request);
-      return Result.err(
-        code === 'TOO_LARGE'
-          ? rejected(413, 'body_too_large', message)
-          : rejected(400, 'body_broke_off', message),
-      );
-    }
-    const key = readKey(request);
+    return body.mapErr(({code, message}) =>
+      code === 'TOO_LARGE'
+        ? rejected(413, 'body_too_large', message)
+        : rejected(400, 'body_broke_off', message),
+    );
+  }
+
+  /** Finds what a request names in the settings tree. */
+  private lookUp(
+    message: IncomingMessage,
+    customer: string | undefined,
+    body: Buffer,
+  ): Result<NamedRequest, Refusal> {
+    const key = readKey(message);
     if (key.isErr) {
       return Result.err(key.error);
     }
     const {revision, tree} = this.options.settings.settings;
-    const method = request.method ?? 'GET';
-    const url = request.url ?? '/';
-    const head = {method, url, customer: customer.value};
-    const read = readCallerRequest(head, body.value, tree);
-    if (read.isErr) {
-      return Result.err(read.error);
+    const method = message.method ?? 'GET';
+    const head = {method, url: message.url ?? '/', customer};
+    const request = readCallerRequest(head, body, tree);
+    if (request.isErr) {
+      return Result.err(request.error);
     }
-    const settings = settingsOf(tree, pathOf(read.value)) ?? DEFAULT_SETTINGS;
-    if (body.value.length > settings.maxBodyBytes) {
-      const message = `the body is over ${settings.maxBodyBytes} bytes`;
-      return Result.err(rejected(413, 'body_too_large', message));
+    const path = pathOf(request.value);
+    const settings = settingsOf(tree, path) ?? DEFAULT_SETTINGS;
+    const {maxBodyBytes} = settings;
+    if (body.length > maxBodyBytes) {
+      const reason = `the body is over ${maxBodyBytes} bytes`;
+      return Result.err(rejected(413, 'body_too_large', reason));
     }
-    const deadline = AbortSignal.timeout(settings.requestTimeoutMs);
     return Result.ok({
-      id,
-      startedAt,
-      request: read.value,
+      request: request.value,
       settings,
       revision,
       method,
-      headers: request.headers,
-      body: body.value,
       key: key.value,
-      callerGone: gone.signal,
-      signal: isRepeatable({key: key.value, settings})
-        ? AbortSignal.any([deadline, gone.signal])
-        : deadline,
     });
   }
 
@@ -112,6 +134,14 @@
   request.resume();
 }
 
+/** Ends a run at its deadline, and where it may be repeated also without its caller. */
+function runSignal(named: NamedRequest, callerGone: AbortSignal): AbortSignal {
+  const deadline = AbortSignal.timeout(named.settings.requestTimeoutMs);
+  return isRepeatable(named)
+    ? AbortSignal.any([deadline, callerGone])
+    : deadline;
+}
+
 function readKey(
   request: IncomingMessage,
 ): Result<string | undefined, Refusal> {
