--- a/lab/fault-runs/test/claims.test.ts
+++ b/lab/fault-runs/test/claims.test.ts
@@ -151,4 +151,11 @@
     outcome: 'not-run',
   });
   expect(await runsOf('no-control')).to.equal(0);
+  let resend = refused;
+  while (resend.status === 503 || resend.code === 'already_running') {
+    await new Promise(resolve => setTimeout(resolve, 100));
+    resend = await send(1, 'no-control');
+  }
+  expect(resend.status).to.equal(200);
+  expect(await runsOf('no-control')).to.equal(1);
 });
