--- a/contracts/messages/src/hop.ts
+++ b/contracts/messages/src/hop.ts
@@ -13,6 +13,7 @@
   attempt: 'x-marigoldspur-attempt',
   model: 'x-marigoldspur-model',
   target: 'x-marigoldspur-target',
+  /** On attempts the sender's, on answers the agent's. */
   revision: 'x-marigoldspur-revision',
   /** Base URL of the sender, where newer settings can be pulled. */
   origin: 'x-marigoldspur-origin',
@@ -43,6 +44,7 @@
   /** Settings revision in force at the sender. */
   readonly revision: number;
   /** Base URL of the sender, where the receiver can pull newer settings. */
+  /** Base URL of the sender, from which newer settings can be pulled. */
   readonly origin?: string;
   /** Milliseconds within which the answer has to end, counted from receipt. */
   readonly budgetMs: number;
@@ -91,6 +93,7 @@
     target: text(HOP_HEADERS.target),
     revision: integer(HOP_HEADERS.revision),
     ...originHeader(headers),
+    ...originHeader(headers, findings),
     budgetMs: integer(HOP_HEADERS.budget),
     priority: integer(HOP_HEADERS.priority),
     repeatable: text(HOP_HEADERS.repeatable) === 'true',
@@ -98,6 +101,21 @@
   return findings.length === 0 ? Result.ok(hop) : Result.err(findings);
 }
 
+function originHeader(
+  headers: IncomingHttpHeaders,
+  findings: Finding[],
+): Pick<Hop, 'origin'> {
+  const value = headers[HOP_HEADERS.origin];
+  if (value === undefined) {
+    return {};
+  }
+  const origin = String(value);
+  if (!URL.canParse(origin)) {
+    findings.push({place: HOP_HEADERS.origin, reason: 'must be a URL'});
+  }
+  return {origin};
+}
+
 function modelHeader(
   headers: IncomingHttpHeaders,
   findings: Finding[],
