Measure policies on generated traces, and place by demand

Cause: placement, eviction and load order could not be compared; the thin versions were unmeasured.

lab/experiment puts a seeded trace straight into the decision code, with one engine fake and one store fake, and runs a bound that knows the future.

--- /dev/null
+++ b/lab/experiment/src/engine-fake.ts
@@ -0,0 +1,351 @@
+import {SlotTable, type Pin} from '@marigoldspur/adapter-slots';
+import type {Eviction} from '@marigoldspur/eviction';
+import {createLoadOrder, type LoadOrder} from '@marigoldspur/load-order';
+import type {WantedLoad} from '@marigoldspur/load-permits';
+import type {Candidate} from '@marigoldspur/placement';
+import type {Job} from './job.js';
+import type {Schedule} from './schedule.js';
+import type {LoadClient, StoreFake} from './store-fake.js';
+import type {Tally} from './tally.js';
+import type {Cluster, Policy} from './workload.js';
+
+/** What an engine works with. */
+export interface EngineFakeOptions {
+  readonly name: string;
+  readonly zone: string;
+  readonly cluster: Cluster;
+  readonly policy: Policy;
+  readonly eviction: Eviction;
+  readonly schedule: Schedule;
+  readonly store: StoreFake;
+  readonly tally: Tally;
+  /** Takes a request that the engine lost or can't load for. */
+  readonly lost: (job: Job) => void;
+  /** Takes a request that was refused. */
+  readonly refused: (job: Job) => void;
+}
+
+interface Load {
+  readonly model: string;
+  readonly askedAt: number;
+  readonly waiters: Set<Job>;
+  state: 'wanted' | 'asked' | 'loading';
+}
+
+interface Run {
+  readonly job: Job;
+  readonly pin: Pin;
+}
+
+const MAX_LOAD_FAILURES = 1;
+
+/** One engine with the agent beside it: slots, loads that wait, and a batch. */
+export class EngineFake implements LoadClient {
+  /** False while the engine can't be reached. */
+  reachable = true;
+  readonly name: string;
+  readonly zone: string;
+  private readonly slots: SlotTable;
+  private readonly order: LoadOrder;
+  private readonly loads = new Map<string, Load>();
+  private readonly pins = new Map<string, number>();
+  private readonly unused = new Set<string>();
+  private readonly queue: Run[] = [];
+  private readonly runs = new Set<Run>();
+  private boot = 0;
+  private changedAt = 0;
+
+  constructor(private readonly options: EngineFakeOptions) {
+    this.name = options.name;
+    this.zone = options.zone;
+    const {cluster, policy} = options;
+    this.slots = new SlotTable(cluster.slots, options.eviction);
+    this.order = createLoadOrder(policy.loadOrder);
+  }
+
+  /** What the engine's agent reports at present. */
+  report(): Candidate {
+    const {cluster} = this.options;
+    const waiting = [...this.loads.values()].reduce(
+      (sum, load) => sum + load.waiters.size,
+      0,
+    );
+    return {
+      name: this.name,
+      zone: this.zone,
+      resident: new Set(this.slots.resident()),
+      loading: new Set(this.loads.keys()),
+      pinned: new Set(this.pins.keys()),
+      slots: cluster.slots,
+      load: this.runs.size + this.queue.length + waiting,
+      batchLimit: cluster.batchLimit,
+    };
+  }
+
+  /** Takes a request. */
+  take(job: Job): void {
+    if (!this.reachable) {
+      this.options.lost(job);
+      return;
+    }
+    const pin = this.pin(job.arrival.model);
+    if (pin === undefined) {
+      this.waitForLoad(job);
+      return;
+    }
+    this.begin({job, pin});
+  }
+
+  /** Loses all slots and requests. */
+  restart(): void {
+    const {schedule, store, cluster} = this.options;
+    const jobs = this.jobs();
+    this.noteBatch();
+    this.boot += 1;
+    this.loads.forEach(load => store.withdraw(this.idOf(load.model)));
+    this.loads.clear();
+    this.pins.clear();
+    this.unused.clear();
+    this.queue.length = 0;
+    this.runs.clear();
+    this.slots.reset(cluster.slots, [], schedule.now);
+    jobs.forEach(job => this.options.lost(job));
+  }
+
+  /** Can't be reached any more; what runs runs on for nobody. */
+  cutOff(): void {
+    this.reachable = false;
+    const jobs = this.jobs();
+    for (const load of this.loads.values()) {
+      this.options.store.withdraw(this.idOf(load.model));
+    }
+    this.loads.clear();
+    this.queue.splice(0).forEach(run => this.unpin(run.pin));
+    jobs.forEach(job => this.options.lost(job));
+  }
+
+  granted(wanted: WantedLoad): boolean {
+    const {schedule, tally} = this.options;
+    const load = this.loads.get(wanted.model);
+    if (load?.state !== 'asked') {
+      return false;
+    }
+    const reservation = this.slots.reserve(wanted.model, schedule.now);
+    if (reservation === undefined) {
+      load.state = 'wanted';
+      return false;
+    }
+    if (
+      reservation.evict !== undefined &&
+      this.unused.delete(reservation.evict)
+    ) {
+      tally.leftUnused(schedule.now);
+    }
+    load.state = 'loading';
+    return true;
+  }
+
+  refused({model}: WantedLoad): void {
+    const load = this.loads.get(model);
+    if (load?.state === 'asked') {
+      this.loads.delete(model);
+      load.waiters.forEach(job => this.options.refused(job));
+    }
+  }
+
+  ended({model}: WantedLoad, loaded: boolean): void {
+    const load = this.loads.get(model);
+    if (load?.state !== 'loading') {
+      return;
+    }
+    this.loads.delete(model);
+    const {schedule} = this.options;
+    if (!loaded) {
+      this.slots.drop(model);
+      load.waiters.forEach(job => this.retry(job));
+      this.askForLoads();
+      return;
+    }
+    this.slots.loaded(model, schedule.now);
+    this.unused.add(model);
+    load.waiters.forEach(job => this.begin({job, pin: this.pin(model)!}));
+    this.askForLoads();
+  }
+
+  idle(): void {}
+
+  private retry(job: Job): void {
+    job.failures += 1;
+    if (job.failures > MAX_LOAD_FAILURES) {
+      this.options.lost(job);
+    } else {
+      this.waitForLoad(job);
+    }
+  }
+
+  private jobs(): Job[] {
+    return [
+      ...[...this.loads.values()].flatMap(load => [...load.waiters]),
+      ...[...this.runs, ...this.queue].map(run => run.job),
+    ];
+  }
+
+  private pin(model: string): Pin | undefined {
+    const pin = this.slots.pin(model, this.options.schedule.now);
+    if (pin !== undefined) {
+      this.unused.delete(model);
+      this.pins.set(model, (this.pins.get(model) ?? 0) + 1);
+    }
+    return pin;
+  }
+
+  private unpin(pin: Pin): void {
+    pin.release(this.options.schedule.now);
+    const pins = this.pins.get(pin.model)! - 1;
+    if (pins === 0) {
+      this.pins.delete(pin.model);
+    } else {
+      this.pins.set(pin.model, pins);
+    }
+  }
+
+  private waitForLoad(job: Job): void {
+    const {schedule} = this.options;
+    const {model} = job.arrival;
+    const load: Load = this.loads.get(model) ?? {
+      model,
+      askedAt: schedule.now,
+      waiters: new Set(),
+      state: 'wanted',
+    };
+    this.loads.set(model, load);
+    load.waiters.add(job);
+    schedule.at(job.deadline, () => this.giveUp(job, load));
+    if (load.state === 'asked') {
+      this.ask(load);
+    }
+    this.askForLoads();
+  }
+
+  private giveUp(job: Job, load: Load): void {
+    if (this.loads.get(load.model) !== load || !load.waiters.has(job)) {
+      return;
+    }
+    load.waiters.delete(job);
+    this.options.refused(job);
+    const {policy, store} = this.options;
+    if (
+      load.waiters.size === 0 &&
+      load.state !== 'loading' &&
+      policy.dropsUnwanted
+    ) {
+      store.withdraw(this.idOf(load.model));
+      this.loads.delete(load.model);
+      this.askForLoads();
+    }
+  }
+
+  /** Asks for as many loads as there are slots for them, the most urgent first. */
+  private askForLoads(): void {
+    const wanted = [...this.loads.values()]
+      .filter(load => load.state === 'wanted')
+      .map(load => this.wantedLoad(load));
+    const room = this.openSlots() - this.loadsIn('asked');
+    if (room <= 0 || wanted.length === 0) {
+      return;
+    }
+    const urgent = this.order.sort(wanted, this.options.schedule.now);
+    for (const {model} of urgent.slice(0, room)) {
+      const load = this.loads.get(model);
+      if (load?.state === 'wanted') {
+        load.state = 'asked';
+        this.ask(load);
+      }
+    }
+  }
+
+  private ask(load: Load): void {
+    this.options.store.ask(this.wantedLoad(load), this);
+  }
+
+  private wantedLoad(load: Load): WantedLoad {
+    const deadlines = [...load.waiters].map(job => job.deadline);
+    return {
+      id: this.idOf(load.model),
+      model: load.model,
+      askedAt: load.askedAt,
+      waiters: load.waiters.size,
+      priority: 5,
+      deadline: Math.max(load.askedAt, ...deadlines),
+    };
+  }
+
+  private idOf(model: string): string {
+    return `${this.name} ${model}`;
+  }
+
+  private loadsIn(state: Load['state']): number {
+    return [...this.loads.values()].filter(load => load.state === state).length;
+  }
+
+  private openSlots(): number {
+    const {cluster} = this.options;
+    return cluster.slots - this.pins.size - this.loadsIn('loading');
+  }
+
+  private begin(run: Run): void {
+    const {schedule, tally, cluster} = this.options;
+    const {job} = run;
+    if (!job.settled) {
+      job.settled = true;
+      tally.served(job.arrival.at, schedule.now - job.takenAt);
+    }
+    if (this.runs.size >= cluster.batchLimit) {
+      this.queue.push(run);
+      return;
+    }
+    this.run(run);
+  }
+
+  private run(run: Run): void {
+    const {schedule, tally, cluster} = this.options;
+    this.noteBatch();
+    this.runs.add(run);
+    const {arrival} = run.job;
+    const tokenMs =
+      cluster.tokenMs + cluster.tokenMsPerRequest * (this.runs.size - 1);
+    const firstTokenMs =
+      cluster.firstTokenMs + cluster.tokenMsPerRequest * (this.runs.size - 1);
+    if (!run.job.started) {
+      run.job.started = true;
+      tally.firstToken(
+        arrival.at,
+        schedule.now - arrival.at + firstTokenMs + cluster.oneWayMs,
+      );
+    }
+    const {boot} = this;
+    schedule.after(firstTokenMs + tokenMs * arrival.tokens, () => {
+      if (this.boot === boot) {
+        this.end(run);
+      }
+    });
+  }
+
+  private end(run: Run): void {
+    this.noteBatch();
+    this.runs.delete(run);
+    this.unpin(run.pin);
+    const next = this.queue.shift();
+    if (next !== undefined) {
+      this.run(next);
+    }
+    this.askForLoads();
+  }
+
+  private noteBatch(): void {
+    const {schedule, tally, cluster} = this.options;
+    const fill = this.runs.size / cluster.batchLimit;
+    tally.ran(fill, this.changedAt, schedule.now);
+    this.changedAt = schedule.now;
+  }
+}
--- /dev/null
+++ b/lab/experiment/src/experiment.ts
@@ -0,0 +1,116 @@
+import {runBound} from './run-bound.js';
+import {runTrace} from './run-trace.js';
+import type {Figures} from './tally.js';
+import {generateTrace} from './trace.js';
+import type {Policy, Scenario, Workload} from './workload.js';
+
+/** Which part of a workload is run; a part that is not given runs whole. */
+export interface ExperimentSelection {
+  readonly scenarios?: readonly string[];
+  readonly policies?: readonly string[];
+  readonly loads?: readonly number[];
+  readonly seeds?: readonly number[];
+}
+
+/** Median and spread of one figure over the seeds. */
+export interface Spread {
+  readonly median: number;
+  readonly lowest: number;
+  readonly highest: number;
+}
+
+/** Name of a figure. */
+export type FigureName = keyof Figures;
+
+/** The figures of one policy in one scenario at one load. */
+export interface ExperimentRow {
+  readonly scenario: string;
+  /** Multiple of the knee rate. */
+  readonly load: number;
+  readonly policy: string;
+  readonly figures: Record<FigureName, Spread>;
+}
+
+/** The outcome of an experiment. */
+export interface ExperimentReport {
+  readonly workload: string;
+  readonly kneeRate: number;
+  readonly seeds: readonly number[];
+  readonly rows: readonly ExperimentRow[];
+}
+
+/** Name under which the bound is reported. */
+export const BOUND = 'bound';
+
+/** Runs each policy on the same traces in each scenario at each load. */
+export function runExperiment(
+  workload: Workload,
+  selection: ExperimentSelection,
+): ExperimentReport {
+  const seeds = selection.seeds ?? workload.seeds;
+  const loads = selection.loads ?? workload.loads;
+  const withBound = selection.policies?.includes(BOUND) ?? true;
+  const policies = chosen(workload.policies, selection.policies);
+  const scenarios = chosen(workload.scenarios, selection.scenarios);
+  const rows = scenarios.flatMap(scenario =>
+    loads.flatMap(load =>
+      runRows(workload, scenario, load, policies, seeds, withBound),
+    ),
+  );
+  return {workload: workload.name, kneeRate: workload.kneeRate, seeds, rows};
+}
+
+function runRows(
+  workload: Workload,
+  scenario: Scenario,
+  load: number,
+  policies: readonly Policy[],
+  seeds: readonly number[],
+  withBound: boolean,
+): ExperimentRow[] {
+  const rate = load * workload.kneeRate;
+  const runs = policies.map((): Figures[] => []);
+  const bounds: Figures[] = [];
+  for (const seed of seeds) {
+    const trace = generateTrace(workload, scenario, rate, seed);
+    policies.forEach((policy, index) =>
+      runs[index].push(runTrace(trace, {workload, scenario, policy, seed})),
+    );
+    if (withBound) {
+      const {disturbances} = scenario;
+      bounds.push(runBound(trace, {workload, disturbances, seed}));
+    }
+  }
+  const row = (policy: string, figures: readonly Figures[]) => ({
+    scenario: scenario.name,
+    load,
+    policy,
+    figures: spreads(figures),
+  });
+  const rows = policies.map(({name}, index) => row(name, runs[index]));
+  return bounds.length === 0 ? rows : [...rows, row(BOUND, bounds)];
+}
+
+function spreads(runs: readonly Figures[]): Record<FigureName, Spread> {
+  const names = Object.keys(runs[0]) as FigureName[];
+  return Object.fromEntries(
+    names.map(name => [name, spread(runs.map(run => run[name]))]),
+  ) as Record<FigureName, Spread>;
+}
+
+function spread(values: readonly number[]): Spread {
+  const sorted = [...values].sort((a, b) => a - b);
+  const middle = (sorted.length - 1) / 2;
+  return {
+    median: (sorted[Math.floor(middle)] + sorted[Math.ceil(middle)]) / 2,
+    lowest: sorted[0],
+    highest: sorted[sorted.length - 1],
+  };
+}
+
+function chosen<Item extends {readonly name: string}>(
+  items: readonly Item[],
+  names: readonly string[] | undefined,
+): Item[] {
+  return items.filter(item => names === undefined || names.includes(item.name));
+}
--- /dev/null
+++ b/policy/demand/src/index.ts
@@ -0,0 +1,1 @@
+export {DemandTable, type DemandTableOptions} from './demand-table.js';
--- a/policy/eviction/src/create-eviction.ts
+++ b/policy/eviction/src/create-eviction.ts
@@ -1,4 +1,7 @@
-import {DecayedFrequencyEviction} from './decayed-frequency-eviction.js';
+import {
+  DecayedFrequencyEviction,
+  type DecayedFrequencyOptions,
+} from './decayed-frequency-eviction.js';
 import type {Eviction} from './eviction.js';
 import {LruEviction} from './lru-eviction.js';
 
@@ -6,11 +9,14 @@
 export type EvictionName = 'lru' | 'decayed-frequency';
 
 /** Creates the eviction policy that the settings name. */
-export function createEviction(name: EvictionName): Eviction {
+export function createEviction(
+  name: EvictionName,
+  options: DecayedFrequencyOptions = {},
+): Eviction {
   switch (name) {
     case 'lru':
       return new LruEviction();
     case 'decayed-frequency':
-      return new DecayedFrequencyEviction();
+      return new DecayedFrequencyEviction(options);
   }
 }
--- a/policy/eviction/src/decayed-frequency-eviction.ts
+++ b/policy/eviction/src/decayed-frequency-eviction.ts
@@ -1,42 +1,37 @@
+import {DemandTable} from '@marigoldspur/demand';
 import type {Eviction, SlotUse} from './eviction.js';
 
-interface Count {
-  value: number;
-  at: number;
+/** Options of the eviction by decayed frequency. */
+export interface DecayedFrequencyOptions {
+  /** After this time a use counts half, in milliseconds. */
+  readonly halfLifeMs?: number;
 }
 
-const HALF_LIFE_MS = 60_000;
-const MAX_COUNTS = 8_192;
+const HALF_LIFE_MS = 600_000;
+const MAX_MODELS = 8_192;
 
 /** Evicts the adapter with the lowest exponentially decayed use count. */
 export class DecayedFrequencyEviction implements Eviction {
-  private readonly counts = new Map<string, Count>();
+  private readonly demand: DemandTable;
+
+  constructor(options: DecayedFrequencyOptions = {}) {
+    this.demand = new DemandTable({
+      halfLifeMs: options.halfLifeMs ?? HALF_LIFE_MS,
+      maxModels: MAX_MODELS,
+    });
+  }
 
   used(model: string, now: number): void {
-    const value = this.valueOf(model, now) + 1;
-    this.counts.delete(model);
-    this.counts.set(model, {value, at: now});
-    this.dropOldest();
+    this.demand.note(model, now);
   }
 
   victim(slots: readonly SlotUse[], now: number): string | undefined {
     return slots
-      .map(slot => ({model: slot.model, value: this.valueOf(slot.model, now)}))
-      .sort((a, b) => a.value - b.value)[0]?.model;
-  }
-
-  private valueOf(model: string, now: number): number {
-    const count = this.counts.get(model);
-    if (count === undefined) {
-      return 0;
-    }
-    return count.value * 2 ** (-(now - count.at) / HALF_LIFE_MS);
-  }
-
-  private dropOldest(): void {
-    if (this.counts.size > MAX_COUNTS) {
-      const [oldest] = this.counts.keys();
-      this.counts.delete(oldest);
-    }
+      .map(({model, lastUsed}) => ({
+        model,
+        lastUsed,
+        count: this.demand.count(model, now),
+      }))
+      .sort((a, b) => a.count - b.count || a.lastUsed - b.lastUsed)[0]?.model;
   }
 }
--- a/policy/eviction/src/index.ts
+++ b/policy/eviction/src/index.ts
@@ -1,4 +1,7 @@
 export type {Eviction, SlotUse} from './eviction.js';
-export {DecayedFrequencyEviction} from './decayed-frequency-eviction.js';
+export {
+  DecayedFrequencyEviction,
+  type DecayedFrequencyOptions,
+} from './decayed-frequency-eviction.js';
 export {LruEviction} from './lru-eviction.js';
 export {createEviction, type EvictionName} from './create-eviction.js';
--- /dev/null
+++ b/policy/load-order/src/create-load-order.ts
@@ -0,0 +1,16 @@
+import {FirstComeOrder} from './first-come-order.js';
+import {LeastHarmOrder} from './least-harm-order.js';
+import type {LoadOrder} from './load-order.js';
+
+/** Name of a load order, as in the settings. */
+export type LoadOrderName = 'first-come' | 'least-harm';
+
+/** Creates the load order that the settings name. */
+export function createLoadOrder(name: LoadOrderName): LoadOrder {
+  switch (name) {
+    case 'first-come':
+      return new FirstComeOrder();
+    case 'least-harm':
+      return new LeastHarmOrder();
+  }
+}
--- a/policy/load-order/src/least-harm-order.ts
+++ b/policy/load-order/src/least-harm-order.ts
@@ -1,17 +1,34 @@
 import type {LoadOrder, PendingLoad} from './load-order.js';
 
-/** Runs the load first whose delay harms most: by priority, then by waiters times age. */
+/** How long a load waits until it outranks one with a waiter more, in milliseconds. */
+const AGING_MS = 2_000;
+const DEFAULT_PRIORITY = 5;
+
+/**
+ * Runs the load first whose delay harms most: each waiter counts, twice for
+ * each level of priority, and age counts too, so that no load waits for ever.
+ * Prefetches come last.
+ */
 export class LeastHarmOrder implements LoadOrder {
   next<Load extends PendingLoad>(
     loads: readonly Load[],
     now: number,
   ): Load | undefined {
-    return [...loads].sort(
-      (a, b) => a.priority - b.priority || harm(b, now) - harm(a, now),
-    )[0];
+    return this.sort(loads, now)[0];
+  }
+
+  sort<Load extends PendingLoad>(loads: readonly Load[], now: number): Load[] {
+    return loads
+      .map(load => ({load, harm: harm(load, now)}))
+      .sort((a, b) => b.harm - a.harm || a.load.askedAt - b.load.askedAt)
+      .map(({load}) => load);
   }
 }
 
 function harm(load: PendingLoad, now: number): number {
-  return load.waiters * (now - load.askedAt);
+  if (load.waiters === 0) {
+    return -1;
+  }
+  const weight = 2 ** (DEFAULT_PRIORITY - load.priority);
+  return load.waiters * weight + (now - load.askedAt) / AGING_MS;
 }
--- a/policy/load-order/src/load-order.ts
+++ b/policy/load-order/src/load-order.ts
@@ -17,4 +17,6 @@
     loads: readonly Load[],
     now: number,
   ): Load | undefined;
+  /** All loads in the order in which they would run, were none to come. */
+  sort<Load extends PendingLoad>(loads: readonly Load[], now: number): Load[];
 }
--- a/policy/placement/src/create-placement.ts
+++ b/policy/placement/src/create-placement.ts
@@ -1,3 +1,7 @@
+import {
+  DemandAwarePlacement,
+  type DemandAwareOptions,
+} from './demand-aware-placement.js';
 import {HashHomePlacement} from './hash-home-placement.js';
 import {LeastLoadedPlacement} from './least-loaded-placement.js';
 import type {Placement} from './placement.js';
@@ -6,12 +10,13 @@
 
 /** Name of a placement policy, as in the settings. */
 export type PlacementName =
-  'random' | 'least-loaded' | 'hash-home' | 'resident-first';
+  'random' | 'least-loaded' | 'hash-home' | 'resident-first' | 'demand-aware';
 
-/** Creates the placement policy that the settings name. */
+/** Creates the placement policy that the settings name. Some keep state: one instance serves all requests of a service. */
 export function createPlacement(
   name: PlacementName,
   random: () => number,
+  options: DemandAwareOptions = {},
 ): Placement {
   switch (name) {
     case 'random':
@@ -22,5 +27,7 @@
       return new HashHomePlacement();
     case 'resident-first':
       return new ResidentFirstPlacement();
+    case 'demand-aware':
+      return new DemandAwarePlacement(options);
   }
 }
--- /dev/null
+++ b/policy/placement/src/demand-aware-placement.ts
@@ -0,0 +1,152 @@
+import {DemandTable} from '@marigoldspur/demand';
+import {LeastLoadedPlacement} from './least-loaded-placement.js';
+import type {Candidate, Placement, PlacementRequest} from './placement.js';
+import {RecentChoices} from './recent-choices.js';
+import {rendezvousOrder} from './rendezvous.js';
+
+/** Options of the demand-aware placement. */
+export interface DemandAwareOptions {
+  /** Weight of load stalls against batch efficiency: 1 is stalls only. */
+  readonly stallWeight?: number;
+  /** Targets, first in rendezvous order, among which a home is chosen. */
+  readonly homes?: number;
+  /** After this time a use counts half, in milliseconds. */
+  readonly halfLifeMs?: number;
+  /** How long a choice stands in for the target's report, in milliseconds. */
+  readonly recentMs?: number;
+  /** Share of its batch limit at which a target that holds the adapter counts as full. */
+  readonly fullAt?: number;
+}
+
+const DEFAULT_STALL_WEIGHT = 0.5;
+const DEFAULT_HOMES = 12;
+const DEFAULT_HALF_LIFE_MS = 600_000;
+const DEFAULT_RECENT_MS = 2_000;
+const DEFAULT_FULL_AT = 1;
+/** Above each cost of a target with a slot for the adapter. */
+const NO_SLOT_COST = 2;
+const MAX_MODELS = 65_536;
+
+/**
+ * Sends a request where its adapter is held or being loaded, unless the batch
+ * there is full. Other adapters go to the home, among the first in rendezvous
+ * order, whose least wanted adapter is the smallest loss.
+ */
+export class DemandAwarePlacement implements Placement {
+  private readonly leastLoaded = new LeastLoadedPlacement();
+  private readonly demand: DemandTable;
+  private readonly recent: RecentChoices;
+  private readonly stallWeight: number;
+  private readonly homes: number;
+  private readonly fullAt: number;
+
+  constructor(options: DemandAwareOptions = {}) {
+    this.demand = new DemandTable({
+      halfLifeMs: options.halfLifeMs ?? DEFAULT_HALF_LIFE_MS,
+      maxModels: MAX_MODELS,
+    });
+    this.recent = new RecentChoices(options.recentMs ?? DEFAULT_RECENT_MS);
+    this.stallWeight = options.stallWeight ?? DEFAULT_STALL_WEIGHT;
+    this.homes = options.homes ?? DEFAULT_HOMES;
+    this.fullAt = options.fullAt ?? DEFAULT_FULL_AT;
+  }
+
+  choose(
+    request: PlacementRequest,
+    candidates: readonly Candidate[],
+    now: number,
+  ): Candidate | undefined {
+    const {model} = request;
+    if (model === undefined) {
+      return this.leastLoaded.choose(request, candidates);
+    }
+    this.demand.note(model, now);
+    const chosen =
+      this.holder(model, candidates, now) ??
+      this.home(model, candidates, now) ??
+      this.leastLoaded.choose(request, candidates);
+    if (chosen !== undefined) {
+      this.recent.note(model, chosen.name, now);
+    }
+    return chosen;
+  }
+
+  /** The holder with room that suits the weight best; undefined where each is full. */
+  private holder(model: string, candidates: readonly Candidate[], now: number) {
+    const holders = candidates.filter(
+      candidate =>
+        !this.isFull(candidate) &&
+        (candidate.resident.has(model) ||
+          candidate.loading?.has(model) === true ||
+          this.recent.has(model, candidate.name, now)),
+    );
+    return lowest(holders, candidate => this.loadCost(candidate));
+  }
+
+  /** The home whose next adapter to leave is the smallest loss; undefined where each is full. */
+  private home(model: string, candidates: readonly Candidate[], now: number) {
+    const open = candidates.filter(candidate => !this.isFull(candidate));
+    const homes = rendezvousOrder(model, open).slice(0, this.homes);
+    return lowest(homes, candidate => this.homeCost(model, candidate, now));
+  }
+
+  private homeCost(model: string, candidate: Candidate, now: number): number {
+    const own = this.demand.count(model, now);
+    const loss = this.evictionLoss(candidate, now);
+    if (loss === Infinity) {
+      return NO_SLOT_COST;
+    }
+    const lossShare = loss / (loss + own);
+    return (
+      this.stallWeight * lossShare - (1 - this.stallWeight) * fill(candidate)
+    );
+  }
+
+  /**
+   * Use count of the adapter that the next load evicts: 0 where a slot is
+   * free, infinite where each adapter is in use.
+   */
+  private evictionLoss(candidate: Candidate, now: number): number {
+    const {resident, pinned, loading} = candidate;
+    const coming = this.recent.coming(candidate, now);
+    const taken = (loading?.size ?? 0) + coming;
+    const free = candidate.slots - resident.size - taken;
+    if (free > 0) {
+      return 0;
+    }
+    const counts = [...resident]
+      .filter(model => pinned?.has(model) !== true)
+      .map(model => this.demand.count(model, now))
+      .sort((a, b) => a - b);
+    return counts[-free] ?? Infinity;
+  }
+
+  private loadCost(candidate: Candidate): number {
+    return (2 * this.stallWeight - 1) * fill(candidate);
+  }
+
+  private isFull(candidate: Candidate): boolean {
+    return candidate.load >= this.fullAt * candidate.batchLimit;
+  }
+}
+
+function fill(candidate: Candidate): number {
+  return candidate.load / candidate.batchLimit;
+}
+
+/** The first item of the lowest cost. */
+function lowest<Item>(
+  items: readonly Item[],
+  cost: (item: Item) => number,
+): Item | undefined {
+  let best: Item | undefined;
+  let bestCost = Infinity;
+  for (const item of items) {
+    const itemCost = cost(item);
+    if (itemCost < bestCost) {
+      best = item;
+      bestCost = itemCost;
+    }
+  }
+  return best;
+}
--- a/policy/placement/src/placement.ts
+++ b/policy/placement/src/placement.ts
@@ -4,6 +4,10 @@
   readonly zone: string;
   /** Adapters that the target holds, as `adapter@version`. */
   readonly resident: ReadonlySet<string>;
+  /** Adapters that the target is loading, as `adapter@version`. */
+  readonly loading?: ReadonlySet<string>;
+  /** Adapters that requests use at present, as `adapter@version`. */
+  readonly pinned?: ReadonlySet<string>;
   /** Adapter slots of the target; 0 for a plain service. */
   readonly slots: number;
   /** Requests that run or wait there, with those sent since its last report. */
