--- /dev/null
+++ b/agent/agent-server/src/adapter-host.js
@@ -0,0 +1,168 @@
+import PQueue from 'p-queue';
+import { Result } from 'true-myth';
+import { ChangeSignal } from '@marigoldspur/change-signal';
+import { Fault, Refusal, toFault } from '@marigoldspur/faults';
+import { LoadBackoff, LoadForecast } from '@marigoldspur/load-queue';
+import { PendingLoad } from './pending-load.js';
+/** Loads that ask for a permit at once; more wait by priority. */
+const LOADS_ASKING = 32;
+const SLOT_WAIT_MS = 250;
+const MAX_PRIORITY = 9;
+const SECOND_MS = 1_000;
+const LONGEST_RETRY_SECONDS = 60;
+/** Brings adapters into the slots of one engine and pins them for requests. */
+export class AdapterHost {
+    options;
+    loads = new Map();
+    queue = new PQueue({ concurrency: LOADS_ASKING });
+    released = new ChangeSignal();
+    forecast = new LoadForecast();
+    backoff;
+    lastEndedAt = 0;
+    /** Loads that wait for a permit, each of which will take a slot. */
+    asking = 0;
+    constructor(options) {
+        this.options = options;
+        this.backoff = options.backoff ?? new LoadBackoff();
+    }
+    /** Requests that wait for a load. */
+    get waiting() {
+        return [...this.loads.values()].reduce((sum, load) => sum + load.waiters, 0);
+    }
+    /** Pins an adapter, after a load shared with others who need it. */
+    async acquire(need) {
+        const startedAt = performance.now();
+        while (!need.signal.aborted && performance.now() < need.deadlineMs) {
+            const pin = this.options.slots.pin(need.model, performance.now());
+            if (pin !== undefined) {
+                const stallMs = performance.now() - startedAt;
+                this.options.metrics.loadStall.observe(stallMs / SECOND_MS);
+                return Result.ok(this.announceRelease(pin));
+            }
+            const hopeless = this.hopeless(need, performance.now());
+            if (hopeless !== undefined) {
+                return Result.err(hopeless);
+            }
+            await this.shareLoad(need);
+        }
+        return Result.err(notLoaded('load_too_late', 'the adapter was not loaded in time', 1_000));
+    }
+    /** Takes note that the engine does not serve an adapter that it lists. */
+    distrust(model) {
+        this.options.slots.distrust(model);
+        this.options.events.record('adapter-distrusted', { model });
+        this.backoff.failed(model, performance.now());
+    }
+    /** Why a load can't serve a need; undefined when it may. */
+    hopeless(need, now) {
+        const pauseMs = this.backoff.pauseLeft(need.model, now);
+        if (pauseMs > 0 && !this.loads.has(need.model)) {
+            const message = 'the load failed and is tried again later';
+            return notLoaded('load_failed', message, pauseMs);
+        }
+        if (this.loads.has(need.model)) {
+            return undefined;
+        }
+        const waitMs = this.forecast.waitMs(this.loads.size);
+        return now + waitMs > need.deadlineMs
+            ? notLoaded('load_too_late', 'the load would end too late', waitMs)
+            : undefined;
+    }
+    announceRelease(pin) {
+        return {
+            model: pin.model,
+            release: now => {
+                pin.release(now);
+                this.released.notify();
+            },
+        };
+    }
+    async shareLoad(need) {
+        const load = this.loads.get(need.model) ?? this.startLoad(need);
+        await load.wait(need);
+    }
+    startLoad(need) {
+        const load = new PendingLoad(need, performance.now());
+        this.loads.set(need.model, load);
+        const run = async () => {
+            const result = await this.run(load);
+            this.loads.delete(need.model);
+            this.takeResult(load, result);
+            load.settle();
+        };
+        void this.queue.add(run, { priority: MAX_PRIORITY - need.priority });
+        return load;
+    }
+    takeResult(load, result) {
+        const { events, metrics } = this.options;
+        const { model } = load;
+        const now = performance.now();
+        if (result.isOk) {
+            this.forecast.ended(now - Math.max(load.askedAt, this.lastEndedAt));
+            this.lastEndedAt = now;
+            this.backoff.succeeded(model);
+            metrics.loads.inc({ outcome: 'loaded' });
+        }
+        else if (result.error.code === 'TIMEOUT') {
+            events.record('load-dropped', { model });
+            metrics.loads.inc({ outcome: 'dropped' });
+        }
+        else {
+            const pauseMs = Math.round(this.backoff.failed(model, now));
+            events.record('load-backed-off', { model, pauseMs });
+            metrics.loads.inc({ outcome: 'failed' });
+        }
+        this.released.notify();
+    }
+    async run(load) {
+        while (!load.signal.aborted) {
+            if (!this.hasRoom()) {
+                await this.released.wait(SLOT_WAIT_MS);
+                continue;
+            }
+            const result = await this.tryOnce(load);
+            if (result.isOk || result.error.code !== 'CONFLICT') {
+                return result;
+            }
+            await this.released.wait(SLOT_WAIT_MS);
+        }
+        return Result.err(new Fault('TIMEOUT', 'nobody waits any more'));
+    }
+    /** Whether a slot is left for one more load that asks for a permit. */
+    hasRoom() {
+        const { keeper, slots } = this.options;
+        const mayOrder = keeper.mayOrder(performance.now());
+        return mayOrder && slots.available > this.asking;
+    }
+    /** Asks for a permit, and only with it takes a slot. */
+    async tryOnce(load) {
+        const { agent, gate, orders, slots } = this.options;
+        this.asking += 1;
+        const ticket = await gate.enter(() => load.ask(agent), load.signal);
+        this.asking -= 1;
+        if (ticket.isErr) {
+            return ticket;
+        }
+        const reservation = load.signal.aborted
+            ? undefined
+            : slots.reserve(load.model, performance.now());
+        if (reservation === undefined) {
+            ticket.value.release(false);
+            return Result.err(new Fault('CONFLICT', 'no slot is free'));
+        }
+        try {
+            const result = await orders.carryOut(reservation, load.digest);
+            ticket.value.release(result.isOk);
+            return result;
+        }
+        catch (thrown) {
+            slots.cancel(reservation, false);
+            ticket.value.release(false);
+            return Result.err(toFault(thrown));
+        }
+    }
+}
+function notLoaded(reason, message, retryMs) {
+    const seconds = Math.max(1, Math.ceil(retryMs / SECOND_MS));
+    return new Refusal('not-run', 503, reason, message, Math.min(LONGEST_RETRY_SECONDS, seconds));
+}
--- a/agent/agent-server/src/agent-settings.ts
+++ b/agent/agent-server/src/agent-settings.ts
@@ -4,13 +4,14 @@
   LIST_SCHEMA,
   PORT_SCHEMA,
 } from '@marigoldspur/process-settings';
+import {LINK_SETTINGS} from '@marigoldspur/link-security';
 import {NAME_SCHEMA} from '@marigoldspur/settings-schema';
 
 /** Settings of an agent process. */
 export const AGENT_SETTINGS_SCHEMA = z.object({
   id: NAME_SCHEMA.describe('Name of the process, stable over restarts'),
   zone: NAME_SCHEMA.describe('Availability zone'),
-  host: z.string().default('127.0.0.1').describe('Address to listen on'),
+  ...LINK_SETTINGS,
   port: PORT_SCHEMA.describe('Port for entries and operators'),
   control: LIST_SCHEMA.describe('Base URLs of the replicas of control'),
   target: NAME_SCHEMA.describe('Name of the target beside the agent'),
@@ -32,6 +33,19 @@
   loadTimeoutMs: DURATION_MS_SCHEMA.default(20_000).describe(
     'Longest time of one load, in milliseconds',
   ),
+  fenceChecked: z
+    .stringbool()
+    .default(false)
+    .describe('Whether the engine refuses orders with an old fencing number'),
+  orderLeaseMs: DURATION_MS_SCHEMA.default(5_000).describe(
+    'How long orders may be given without confirmation by control, in milliseconds; equal in all agents',
+  ),
+  isolatedLoadsPerSecond: z.coerce
+    .number()
+    .positive()
+    .max(1_000)
+    .default(0.3)
+    .describe('Loads a second of this agent while control is away'),
   drainMs: DURATION_MS_SCHEMA.default(60_000).describe(
     'Longest time that running requests get at a shutdown, in milliseconds',
   ),
--- /dev/null
+++ b/agent/agent-server/src/index.js
@@ -0,0 +1,2 @@
+export { AGENT_SETTINGS_SCHEMA } from './agent-settings.js';
+export { startAgent } from './start-agent.js';
--- /dev/null
+++ b/agent/agent-server/src/slot-orders.js
@@ -0,0 +1,145 @@
+import { Result } from 'true-myth';
+import { Fault } from '@marigoldspur/faults';
+const SETTLE_POLL_MS = 50;
+/** Orders an engine to evict and load, and finds out what really came of it. */
+export class SlotOrders {
+    options;
+    constructor(options) {
+        this.options = options;
+    }
+    /**
+     * Carries a reservation out. `CONFLICT` means that the adapter that was to leave is
+     * in use or orders are held, so that the load may be tried again; the reservation
+     * is settled either way.
+     */
+    async carryOut(reservation, digest) {
+        const { slots } = this.options;
+        const { boot } = this.options.watch.state;
+        const { evict } = reservation;
+        if (evict !== undefined) {
+            const evicted = await this.evict(evict, boot);
+            if (evicted.isErr) {
+                slots.cancel(reservation, true);
+                return evicted;
+            }
+        }
+        const loaded = await this.load(reservation.model, digest, boot);
+        if (loaded.isErr) {
+            slots.cancel(reservation, false);
+            return this.afterFailure(loaded.error, evict);
+        }
+        return slots.loaded(reservation, performance.now())
+            ? Result.ok(undefined)
+            : Result.err(new Fault('CONFLICT', 'the target restarted meanwhile'));
+    }
+    async evict(model, boot) {
+        const { engine, events, keeper, watch } = this.options;
+        const running = await engine.running();
+        if (running.isErr) {
+            return Result.err(new Fault('CONFLICT', running.error.message));
+        }
+        const users = running.value.items.filter(run => run.model === model);
+        if (users.length > 0) {
+            watch.adopt(users);
+            return Result.err(new Fault('CONFLICT', `${model} is in use`));
+        }
+        if (!keeper.mayOrder(performance.now())) {
+            return heldOrders();
+        }
+        const ordered = await engine.unload(model);
+        if (ordered.isErr) {
+            const settled = await this.settle(ordered.error, boot, listed => listed.includes(model) ? 'not-done' : 'done');
+            if (settled !== 'done') {
+                return Result.err(new Fault('CONFLICT', ordered.error.message));
+            }
+        }
+        events.record('adapter-evicted', { model });
+        return Result.ok(undefined);
+    }
+    async load(model, digest, boot) {
+        const { engine, events, keeper } = this.options;
+        if (!keeper.mayOrder(performance.now())) {
+            return heldOrders();
+        }
+        const startedAt = performance.now();
+        events.record('load-ordered', { model });
+        const ordered = await engine.load(model, digest);
+        const held = (listed) => listed.includes(model) ? 'done' : 'not-done';
+        const settled = ordered.isOk
+            ? await this.confirmHeld(held, boot)
+            : await this.settle(ordered.error, boot, held);
+        if (settled === 'done') {
+            const tookMs = Math.round(performance.now() - startedAt);
+            events.record('load-finished', { model, tookMs });
+            return Result.ok(undefined);
+        }
+        const reason = ordered.isErr
+            ? ordered.error.message
+            : 'not held after load';
+        events.record('load-failed', { model, reason });
+        if (settled === 'restarted') {
+            return Result.err(new Fault('CONFLICT', 'the target restarted'));
+        }
+        return ordered.isErr
+            ? ordered
+            : Result.err(new Fault('LOAD_FAILED', reason));
+    }
+    /** Checks a confirmed load against what the engine lists. */
+    async confirmHeld(judge, boot) {
+        const listing = await this.options.engine.resident();
+        if (listing.isErr) {
+            return this.settle(listing.error, boot, judge);
+        }
+        if ((listing.value.boot ?? boot) !== boot) {
+            await this.options.watch.check();
+            return 'restarted';
+        }
+        return judge(listing.value.items);
+    }
+    /** Finds out what came of an order; an unclear one is asked about until it is clear. */
+    async settle(fault, boot, judge) {
+        if (fault.code === 'FENCED') {
+            this.options.keeper.lease.revoke();
+        }
+        if (fault.code !== 'UNAVAILABLE' && fault.code !== 'TORN_ANSWER') {
+            return 'not-done';
+        }
+        const { engine, events, settleMs, watch } = this.options;
+        events.record('order-unclear', { reason: fault.message });
+        const deadline = performance.now() + settleMs;
+        let settled = 'not-done';
+        while (performance.now() < deadline) {
+            const health = await engine.health();
+            const listing = await engine.resident();
+            if (health.isOk && health.value.boot !== boot) {
+                await watch.check();
+                return 'restarted';
+            }
+            if (health.isOk && listing.isOk) {
+                settled = judge(listing.value.items);
+                if (settled === 'done' || health.value.loading === 0) {
+                    return settled;
+                }
+            }
+            await pause(SETTLE_POLL_MS);
+        }
+        return settled;
+    }
+    /** A refusal for want of room shows that the engine has fewer slots than it says. */
+    async afterFailure(fault, evicted) {
+        const { events, slots, watch } = this.options;
+        await watch.reconcile();
+        if (fault.code !== 'REFUSED' || evicted !== undefined || slots.free === 0) {
+            return Result.err(fault);
+        }
+        slots.shrink();
+        events.record('slots-differ', { slots: slots.size });
+        return Result.err(new Fault('CONFLICT', fault.message));
+    }
+}
+function heldOrders() {
+    return Result.err(new Fault('CONFLICT', 'no orders may be given now'));
+}
+function pause(ms) {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/agent/agent-server/src/target-watch.js
@@ -0,0 +1,147 @@
+import { RunWatch } from './run-watch.js';
+const UNKNOWN = {
+    healthy: false,
+    boot: '',
+    batchLimit: 1,
+    running: 0,
+    waiting: 0,
+    leaving: false,
+};
+const RECONCILE_EVERY_CHECKS = 8;
+/** Checks an engine's health at a steady pace, and takes note of its restarts and of what runs there. */
+export class TargetWatch {
+    options;
+    current = UNKNOWN;
+    timer;
+    checking;
+    checks = 0;
+    stopped = false;
+    runs;
+    constructor(options) {
+        this.options = options;
+        this.runs = new RunWatch(options.engine);
+    }
+    get state() {
+        return this.current;
+    }
+    start(intervalMs) {
+        const check = async () => {
+            await this.check();
+            if (!this.stopped) {
+                this.timer = setTimeout(() => void check(), intervalMs);
+            }
+        };
+        void check();
+    }
+    stop() {
+        this.stopped = true;
+        this.runs.stop();
+        clearTimeout(this.timer);
+    }
+    /** Reads the engine's health once; joins a check that runs. */
+    check() {
+        this.checking ??= this.readState().finally(() => {
+            this.checking = undefined;
+        });
+        return this.checking;
+    }
+    /** Brings the slots in line with what the engine lists now. */
+    async reconcile() {
+        const { engine, slots } = this.options;
+        const { version } = slots;
+        const listing = await engine.resident();
+        const fits = listing.isOk &&
+            slots.version === version &&
+            (listing.value.boot ?? this.current.boot) === this.current.boot;
+        if (fits) {
+            slots.reconcile(listing.value.items, performance.now());
+        }
+    }
+    /** Has the engine stop a request, and releases its pin once it has stopped. */
+    releaseWhenStopped(id, pin) {
+        void this.options.engine.abort(id);
+        this.runs.hold(id, this.current.boot, pin);
+    }
+    /** Pins what runs in the engine without this agent having sent it. */
+    adopt(running) {
+        for (const { id, model } of running) {
+            const pin = this.options.slots.pinRunning(model, performance.now());
+            this.runs.hold(id, this.current.boot, pin);
+        }
+    }
+    async readState() {
+        const before = this.current;
+        const health = await this.options.engine.health();
+        if (health.isErr) {
+            this.current = { ...before, healthy: false };
+        }
+        else if (health.value.boot !== before.boot) {
+            await this.takeOver(health.value.boot);
+        }
+        else {
+            this.current = stateOf(health.value);
+            await this.sample();
+        }
+        const { healthy, leaving, boot } = this.current;
+        if (healthy !== before.healthy ||
+            leaving !== before.leaving ||
+            boot !== before.boot) {
+            this.options.changed();
+        }
+    }
+    async sample() {
+        const { running, batchLimit } = this.current;
+        if (running > 0) {
+            this.options.metrics.batchFill.observe(running / batchLimit);
+        }
+        this.checks += 1;
+        if (this.checks % RECONCILE_EVERY_CHECKS === 0) {
+            await this.reconcile();
+        }
+    }
+    /** Takes over what an engine holds and runs, as after a restart of either side. */
+    async takeOver(boot) {
+        const { engine, events, keeper, slots } = this.options;
+        this.current = { ...this.current, healthy: false };
+        await this.showFence();
+        const health = await engine.health();
+        const loading = health.isOk ? health.value.loading : undefined;
+        if (!keeper.lease.mayTakeOver(performance.now(), loading)) {
+            return;
+        }
+        const running = await engine.running();
+        const resident = await engine.resident();
+        if (health.isErr || running.isErr || resident.isErr) {
+            return;
+        }
+        const boots = [health.value, running.value, resident.value];
+        if (boots.some(answer => (answer.boot ?? boot) !== boot)) {
+            return;
+        }
+        if (this.current.boot !== '') {
+            events.record('target-restarted', { boot });
+        }
+        slots.reset(health.value.slots, resident.value.items, performance.now());
+        this.current = stateOf(health.value);
+        this.adopt(running.value.items);
+        events.record('orders-taken-over', { boot });
+    }
+    /** Shows the engine the fencing number, so that it refuses the orders of the agent before. */
+    async showFence() {
+        const { engine, keeper } = this.options;
+        keeper.lease.fenceForgotten();
+        if (!keeper.lease.isConfirmed(performance.now())) {
+            return;
+        }
+        const shown = await engine.showFence();
+        if (shown.isOk) {
+            keeper.lease.fenceShown();
+        }
+        else if (shown.error.code === 'FENCED') {
+            keeper.lease.revoke();
+        }
+    }
+}
+function stateOf(health) {
+    return { healthy: true, ...health };
+}
--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -36,6 +36,17 @@
     level: 'warn',
     meaning: 'No keys are set, so the process binds to loopback only.',
   },
+  'keys-reloaded': {
+    number: 105,
+    level: 'info',
+    meaning: 'A key file changed and its new content is used.',
+  },
+  'keys-rejected': {
+    number: 106,
+    level: 'warn',
+    meaning:
+      'A key file changed and is malformed; the last good content stays.',
+  },
   'change-accepted': {
     number: 200,
     level: 'info',
@@ -66,6 +77,97 @@
     level: 'info',
     meaning: 'A permit to load from the weight store was granted.',
   },
+  'log-opened': {
+    number: 230,
+    level: 'info',
+    meaning: 'The replicated log was opened.',
+  },
+  'log-tail-cut': {
+    number: 231,
+    level: 'warn',
+    meaning: 'A write that power loss tore was cut off the end of the log.',
+  },
+  'log-corrupt': {
+    number: 232,
+    level: 'error',
+    meaning: 'The files of the log are damaged, so the process does not start.',
+  },
+  'log-write-failed': {
+    number: 233,
+    level: 'error',
+    meaning: 'A synced write failed, so the process ends.',
+  },
+  'disk-full': {
+    number: 234,
+    level: 'warn',
+    meaning: 'The disk is full: changes are refused until there is room.',
+  },
+  'disk-has-room': {
+    number: 235,
+    level: 'info',
+    meaning: 'The disk has room again.',
+  },
+  'leadership-won': {
+    number: 236,
+    level: 'info',
+    meaning: 'This replica leads its group.',
+  },
+  'leadership-lost': {
+    number: 237,
+    level: 'warn',
+    meaning: 'This replica leads its group no more.',
+  },
+  'leader-followed': {
+    number: 238,
+    level: 'info',
+    meaning: 'This replica follows a leader.',
+  },
+  'group-formed': {
+    number: 239,
+    level: 'info',
+    meaning: 'A new group of replicas was formed.',
+  },
+  'group-awaited': {
+    number: 240,
+    level: 'warn',
+    meaning: 'The replica belongs to no group yet and waits to be added.',
+  },
+  'learner-added': {
+    number: 241,
+    level: 'info',
+    meaning: 'A replica receives the log and does not count yet.',
+  },
+  'voter-removed': {
+    number: 242,
+    level: 'warn',
+    meaning: 'A replica counts in majorities no more.',
+  },
+  'voter-added': {
+    number: 243,
+    level: 'info',
+    meaning: 'A replica counts in majorities.',
+  },
+  'replica-repaired': {
+    number: 244,
+    level: 'info',
+    meaning:
+      'A new voter holds all that is committed, synced: the repair is done.',
+  },
+  'snapshot-saved': {
+    number: 245,
+    level: 'info',
+    meaning: 'A snapshot was saved and the log before it dropped.',
+  },
+  'snapshot-installed': {
+    number: 246,
+    level: 'info',
+    meaning: 'A snapshot from the leader was taken over.',
+  },
+  'leadership-handed-over': {
+    number: 247,
+    level: 'info',
+    meaning: 'The leader drains and asked another voter to lead.',
+  },
   'member-joined': {
     number: 300,
     level: 'info',
@@ -111,6 +213,46 @@
     level: 'info',
     meaning: 'The caller went away before the answer was whole.',
   },
+  'attempt-retried': {
+    number: 406,
+    level: 'info',
+    meaning: 'A request is tried again at another target.',
+  },
+  'answer-replayed': {
+    number: 407,
+    level: 'info',
+    meaning: 'A resend got the answer that was kept from the first run.',
+  },
+  'completion-lost': {
+    number: 408,
+    level: 'warn',
+    meaning: 'Control did not take the end of a claimed request.',
+  },
+  'answer-crossed': {
+    number: 409,
+    level: 'warn',
+    meaning: 'An answer to another request was dropped.',
+  },
+  'request-error': {
+    number: 410,
+    level: 'error',
+    meaning: 'Serving a request failed inside the entry.',
+  },
+  'shutdown-bound-reached': {
+    number: 411,
+    level: 'warn',
+    meaning: 'Requests still ran when the time for a shutdown was over.',
+  },
+  'target-suspected': {
+    number: 412,
+    level: 'warn',
+    meaning: 'A target gets no work from this entry until it answers again.',
+  },
+  'target-trusted': {
+    number: 413,
+    level: 'info',
+    meaning: 'A suspected target answered and gets work again.',
+  },
   'attempt-received': {
     number: 500,
     level: 'debug',
@@ -136,6 +278,31 @@
     level: 'warn',
     meaning: 'An attempt broke off after it was forwarded.',
   },
+  'attempt-repeated': {
+    number: 505,
+    level: 'warn',
+    meaning: 'An attempt came twice; its second copy was not run.',
+  },
+  'attempt-cancelled': {
+    number: 506,
+    level: 'info',
+    meaning: 'The entry went away, so the target was told to stop.',
+  },
+  'target-answer-crossed': {
+    number: 507,
+    level: 'warn',
+    meaning: 'An answer of another request, adapter or boot was dropped.',
+  },
+  'target-answer-torn': {
+    number: 508,
+    level: 'warn',
+    meaning: 'An answer lacked its end and was not ended cleanly.',
+  },
+  'attempt-stopped': {
+    number: 509,
+    level: 'debug',
+    meaning: 'The target confirmed that a broken-off attempt has stopped.',
+  },
   'load-ordered': {
     number: 600,
     level: 'info',
@@ -161,6 +328,46 @@
     level: 'warn',
     meaning: 'The target returned with another boot identity and empty slots.',
   },
+  'load-backed-off': {
+    number: 605,
+    level: 'info',
+    meaning: 'A load is not tried again until its pause is over.',
+  },
+  'load-dropped': {
+    number: 606,
+    level: 'info',
+    meaning: 'A load that nobody waits for was dropped before it began.',
+  },
+  'order-unclear': {
+    number: 607,
+    level: 'warn',
+    meaning: 'The answer to an order was lost, so the target is asked.',
+  },
+  'orders-held': {
+    number: 608,
+    level: 'warn',
+    meaning: 'No orders are given while the lease is not confirmed.',
+  },
+  'orders-taken-over': {
+    number: 609,
+    level: 'info',
+    meaning: 'The agent may order evictions: none before it can any more.',
+  },
+  'loads-isolated': {
+    number: 610,
+    level: 'warn',
+    meaning: 'Control is away, so loads go at the share of this agent.',
+  },
+  'adapter-distrusted': {
+    number: 611,
+    level: 'warn',
+    meaning: 'The target lists an adapter that it does not serve.',
+  },
+  'slots-differ': {
+    number: 612,
+    level: 'warn',
+    meaning: 'The target has fewer adapter slots than it says.',
+  },
   'link-lost': {
     number: 700,
     level: 'warn',
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -3,15 +3,17 @@
 import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
 import {PermitDesk} from '@marigoldspur/load-permits';
 import {MemberTable} from '@marigoldspur/membership';
+import {openLinkSecurity} from '@marigoldspur/link-security';
 import {processMetrics} from '@marigoldspur/metrics';
 import {bootIdentity, type Task} from '@marigoldspur/process-life';
 import {startProcessServer} from '@marigoldspur/process-server';
-import {openSingleReplica} from '@marigoldspur/replicated-log';
+import {openReplicatedLog} from '@marigoldspur/replicated-log';
 import {ControlDesk} from './control-desk.js';
 import {ControlMachine} from './control-machine.js';
 import type {ControlSettings} from './control-settings.js';
 
 const LEASE_CHECK_MS = 200;
+const EXIT_DISK_FAILED = 3;
 const VERSION = '0.1.0';
 
 /** Starts a replica of control. */
@@ -25,10 +27,20 @@
     process: settings.id,
     sinks: [jsonLineSink(settings.logLevel)],
   });
+  const security = await openLinkSecurity(settings, events);
   const machine = new ControlMachine();
-  const log = await openSingleReplica(machine, {
+  const {log, router} = await openReplicatedLog(machine, {
     folder: path.join(settings.dataFolder, 'log'),
-    id: settings.id,
+    url: settings.advertisedUrl ?? ownUrl(settings, security.scheme),
+    peers: settings.peers,
+    bootstrap: settings.bootstrap,
+    electionTimeoutMs: settings.electionTimeoutMs,
+    heartbeatMs: settings.heartbeatMs,
+    proposeTimeoutMs: settings.proposeTimeoutMs,
+    snapshotEntries: settings.snapshotEntries,
+    events,
+    agent: security.createAgent(),
+    onFatal: () => process.exit(EXIT_DISK_FAILED),
   });
   const members = new MemberTable({table: boot, leaseMs: settings.leaseMs});
   const permits = new PermitDesk({
@@ -47,13 +59,14 @@
   let draining = false;
   const server = await startProcessServer({
     address: {host: settings.host, port: settings.port},
+    security,
     metrics: processMetrics({
       process: settings.id,
       role: 'control',
       zone: settings.zone,
     }),
-    ready: () => !draining,
-    routers: {control: controlRouter(desk)},
+    ready: () => !draining && log.isReady(),
+    routers: {control: controlRouter(desk), log: router},
     service: {
       status: () => ({
         id: settings.id,
@@ -62,7 +75,7 @@
         boot,
         version: VERSION,
         revision: machine.settings.revision,
-        ready: !draining,
+        ready: !draining && log.isReady(),
         draining,
         uptimeMs: performance.now() - startedAt,
         facts: {
@@ -88,7 +101,12 @@
       events.record('process-draining');
       clearInterval(leaseCheck);
       await log.stop();
+      security.stop();
       events.record('process-stopped');
     },
   };
 }
+
+function ownUrl(settings: ControlSettings, scheme: string): string {
+  return `${scheme}://${settings.host}:${settings.port}`;
+}
--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -1,76 +1,31 @@
-import http, {type IncomingMessage} from 'node:http';
+import type http from 'node:http';
+import type {IncomingMessage} from 'node:http';
 import {Result} from 'true-myth';
 import {Refusal, type RefusalOutcome} from '@marigoldspur/faults';
-import {openRequest, readBody} from '@marigoldspur/http-link';
-import {formatHop, HOP_HEADERS, type Hop} from '@marigoldspur/messages';
-import type {Destination} from './target-directory.js';
+import {openRequest} from '@marigoldspur/http-link';
+import {HOP_HEADERS} from '@marigoldspur/messages';
+import {readAgentRefusal} from './agent-refusal.js';
+import {attemptHeaders} from './attempt-headers.js';
+import type {Attempt, AttemptAnswer} from './attempt.js';
+import type {TargetHealth} from './target-health.js';
 
-/** One try of a request at one target. */
-export interface Attempt {
-  readonly hop: Hop;
-  readonly destination: Destination;
-  readonly method: string;
-  /** Path on the target. */
-  readonly url: string;
-  readonly headers: http.IncomingHttpHeaders;
-  readonly body: Buffer;
-  readonly signal: AbortSignal;
-  /** Longest time to the first byte of the answer, in milliseconds. */
-  readonly firstByteTimeoutMs: number;
-}
-
-/** The beginning of a target's answer; its body is still to be read. */
-export interface AttemptAnswer {
-  readonly hop: Hop;
-  readonly message: IncomingMessage;
-}
-
-const MAX_REFUSAL_BYTES = 65_536;
 const RETRY_SOON_SECONDS = 1;
-const DROPPED_HEADERS = new Set([
-  'authorization',
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-const OWN_HEADER_PREFIX = 'x-marigoldspur-';
 
 /** Sends attempts to agents. */
 export class AttemptClient {
-  private readonly agent = new http.Agent({keepAlive: true});
+  /** `agent` makes the connections; `health` is told what attempts see. */
+  constructor(
+    private readonly agent: http.Agent,
+    private readonly health: TargetHealth,
+  ) {}
 
-  /** Sends an attempt; resolves with the head of the answer or with what is known of the failure. */
+  /**
+   * Sends an attempt; resolves with the head of the answer or with what is known of
+   * the failure. A request that may not be repeated waits for the agent's `100
+   * Continue` before its body goes out, so that it provably did not run until then.
+   */
   send(attempt: Attempt): Promise<Result<AttemptAnswer, Refusal>> {
-    return new Promise(resolve => {
-      const late = new AbortController();
-      const timer = setTimeout(
-        () => late.abort(),
-        Math.min(attempt.firstByteTimeoutMs, attempt.hop.budgetMs),
-      );
-      const call = openRequest({
-        url: new URL(attempt.url, attempt.destination.url),
-        method: attempt.method,
-        headers: attemptHeaders(attempt),
-        agent: this.agent,
-        signal: AbortSignal.any([attempt.signal, late.signal]),
-      });
-      call.on('error', error => {
-        clearTimeout(timer);
-        const connected = call.socket !== null && !call.socket.connecting;
-        resolve(Result.err(brokenLink(connected, late.signal.aborted, error)));
-      });
-      call.on('response', message => {
-        clearTimeout(timer);
-        void readHead(attempt.hop, message).then(resolve);
-      });
-      call.end(attempt.body);
-    });
+    return new AttemptExchange(attempt, this.agent, this.health).run();
   }
 
   /** Closes all connections. */
@@ -79,85 +34,135 @@
   }
 }
 
-function attemptHeaders(attempt: Attempt): http.OutgoingHttpHeaders {
-  const kept = Object.entries(attempt.headers).filter(
-    ([name]) =>
-      !DROPPED_HEADERS.has(name) && !name.startsWith(OWN_HEADER_PREFIX),
-  );
-  return {
-    ...Object.fromEntries(kept),
-    ...formatHop(attempt.hop),
-    'content-length': attempt.body.length,
-  };
+/** One attempt on its way. */
+class AttemptExchange {
+  private readonly late = new AbortController();
+  private readonly silent = new AbortController();
+  private connected = false;
+  private bodySent = false;
+  private message: IncomingMessage | undefined;
+
+  constructor(
+    private readonly attempt: Attempt,
+    private readonly agent: http.Agent,
+    private readonly health: TargetHealth,
+  ) {}
+
+  run(): Promise<Result<AttemptAnswer, Refusal>> {
+    const {attempt, late, silent} = this;
+    const call = openRequest({
+      url: new URL(attempt.url, attempt.destination.url),
+      method: attempt.method,
+      headers: attemptHeaders(attempt),
+      agent: this.agent,
+      signal: AbortSignal.any([attempt.signal, late.signal, silent.signal]),
+    });
+    const timer = setTimeout(
+      () => late.abort(),
+      Math.min(attempt.firstByteTimeoutMs, attempt.hop.budgetMs),
+    );
+    const endWatch = this.health.watch({
+      destination: attempt.destination,
+      bytesRead: () => this.message?.socket.bytesRead ?? 0,
+      onSilent: () => this.giveUp(),
+    });
+    call.on('close', endWatch);
+    call.on('socket', socket => {
+      this.connected = !socket.connecting;
+      socket.once('connect', () => (this.connected = true));
+    });
+    const answered = new Promise<Result<AttemptAnswer, Refusal>>(resolve => {
+      call.on('error', error => resolve(Result.err(this.failure(error))));
+      call.on('response', message => {
+        this.message = message;
+        resolve(this.readAnswer(call, message));
+      });
+    });
+    this.sendBody(call);
+    return answered.finally(() => clearTimeout(timer));
+  }
+
+  private sendBody(call: http.ClientRequest): void {
+    const send = () => {
+      if (!call.destroyed) {
+        this.bodySent = true;
+        call.end(this.attempt.body);
+      }
+    };
+    if (this.attempt.hop.repeatable) {
+      send();
+      return;
+    }
+    call.on('continue', send);
+    call.flushHeaders();
+  }
+
+  /** Leaves a silent agent, but not one that may be running what may not be repeated. */
+  private giveUp(): void {
+    if (this.attempt.hop.repeatable || !this.bodySent) {
+      this.silent.abort();
+    }
+  }
+
+  private async readAnswer(
+    call: http.ClientRequest,
+    message: IncomingMessage,
+  ): Promise<Result<AttemptAnswer, Refusal>> {
+    this.health.succeeded(this.attempt.destination, performance.now());
+    const answer = await readHead(this.attempt, message);
+    if (answer.isErr && !this.bodySent) {
+      call.destroy();
+    }
+    return answer;
+  }
+
+  private failure(error: Error): Refusal {
+    const {attempt, connected, late, silent} = this;
+    const reached = this.bodySent && connected;
+    const outcome = reached ? 'unknown' : 'not-run';
+    if (late.signal.aborted) {
+      const message = 'the target did not answer in time';
+      return refusal(outcome, 504, 'no_answer_in_time', message);
+    }
+    if (silent.signal.aborted) {
+      const message = 'the agent does not answer';
+      return refusal(outcome, reached ? 502 : 503, 'agent_silent', message);
+    }
+    if (!attempt.signal.aborted) {
+      const evidence = connected ? 'broken' : 'connect-failed';
+      this.health.failed(attempt.destination, evidence, performance.now());
+    }
+    return reached
+      ? refusal(outcome, 502, 'link_broke_off', error.message)
+      : refusal(outcome, 503, 'agent_unreachable', error.message);
+  }
+}
+
+function refusal(
+  outcome: RefusalOutcome,
+  status: number,
+  reason: string,
+  message: string,
+): Refusal {
+  return new Refusal(outcome, status, reason, message, RETRY_SOON_SECONDS);
 }
 
 async function readHead(
-  hop: Hop,
+  attempt: Attempt,
   message: IncomingMessage,
 ): Promise<Result<AttemptAnswer, Refusal>> {
-  const outcome = message.headers[HOP_HEADERS.outcome];
-  if (outcome !== undefined) {
-    return Result.err(await readRefusal(message, String(outcome)));
+  const {hop, method} = attempt;
+  const refused = await readAgentRefusal(message);
+  if (refused !== undefined) {
+    return Result.err(refused);
   }
   const crossed =
     message.headers[HOP_HEADERS.request] !== hop.request ||
     message.headers[HOP_HEADERS.attempt] !== String(hop.attempt);
   if (crossed) {
     message.destroy();
-    return Result.err(
-      new Refusal(
-        'unknown',
-        502,
-        'crossed_answer',
-        'the answer belongs to another request',
-      ),
-    );
-  }
-  return Result.ok({hop, message});
-}
-
-async function readRefusal(
-  message: IncomingMessage,
-  outcome: string,
-): Promise<Refusal> {
-  const body = await readBody(message, MAX_REFUSAL_BYTES);
-  const text = body.isOk ? body.value.toString('utf8') : '';
-  return new Refusal(
-    refusalOutcome(outcome),
-    message.statusCode ?? 502,
-    String(message.headers[HOP_HEADERS.reason] ?? 'refused'),
-    refusalMessage(text),
-    Number(message.headers['retry-after']) || undefined,
-  );
-}
-
-function refusalOutcome(text: string): RefusalOutcome {
-  return text === 'not-run' || text === 'failed' ? text : 'unknown';
-}
-
-function refusalMessage(text: string): string {
-  try {
-    return String((JSON.parse(text) as {message: unknown}).message);
-  } catch {
-    return 'the agent refused the request';
-  }
-}
-
-function brokenLink(connected: boolean, late: boolean, error: Error): Refusal {
-  if (!connected) {
-    return new Refusal(
-      'not-run',
-      503,
-      'agent_unreachable',
-      error.message,
-      RETRY_SOON_SECONDS,
-    );
+    const text = 'the answer belongs to another request';
+    return Result.err(refusal('unknown', 502, 'crossed_answer', text));
   }
-  return new Refusal(
-    'unknown',
-    late ? 504 : 502,
-    late ? 'no_answer_in_time' : 'link_broke_off',
-    late ? 'the target did not answer in time' : error.message,
-    RETRY_SOON_SECONDS,
-  );
+  return Result.ok({hop, method, message});
 }
--- a/lab/experiment/src/engine-fake.ts
+++ b/lab/experiment/src/engine-fake.ts
@@ -1,4 +1,8 @@
-import {SlotTable, type Pin} from '@marigoldspur/adapter-slots';
+import {
+  SlotTable,
+  type Pin,
+  type SlotReservation,
+} from '@marigoldspur/adapter-slots';
 import type {Eviction} from '@marigoldspur/eviction';
 import {createLoadOrder, type LoadOrder} from '@marigoldspur/load-order';
 import type {WantedLoad} from '@marigoldspur/load-permits';
@@ -30,6 +34,7 @@
   readonly askedAt: number;
   readonly waiters: Set<Job>;
   state: 'wanted' | 'asked' | 'loading';
+  reservation?: SlotReservation;
 }
 
 interface Run {
@@ -142,6 +147,7 @@
       tally.leftUnused(schedule.now);
     }
     load.state = 'loading';
+    load.reservation = reservation;
     return true;
   }
 
@@ -155,18 +161,19 @@
 
   ended({model}: WantedLoad, loaded: boolean): void {
     const load = this.loads.get(model);
-    if (load?.state !== 'loading') {
+    const reservation = load?.reservation;
+    if (load === undefined || reservation === undefined) {
       return;
     }
     this.loads.delete(model);
     const {schedule} = this.options;
     if (!loaded) {
-      this.slots.drop(model);
+      this.slots.cancel(reservation, false);
       load.waiters.forEach(job => this.retry(job));
       this.askForLoads();
       return;
     }
-    this.slots.loaded(model, schedule.now);
+    this.slots.loaded(reservation, schedule.now);
     this.unused.add(model);
     load.waiters.forEach(job => this.begin({job, pin: this.pin(model)!}));
     this.askForLoads();
--- a/lab/experiment/src/find-knee.ts
+++ b/lab/experiment/src/find-knee.ts
@@ -14,13 +14,13 @@
 
 const NO_DEADLINE_MS = 100_000_000;
 const PART_SECONDS = 900;
-/** Loads by which a queue that is stable differs at most between two parts. */
-const STABLE_GROWTH = 2;
+/** By which the mean stall of a queue that is stable differs at most between two parts, in milliseconds. */
+const STABLE_GROWTH_MS = 1_000;
 
 /**
  * The highest rate, in requests a second, at which the load queue of a policy
  * does not grow from one part of a calm run to the next, without deadlines:
- * the median growth over the seeds decides.
+ * the median growth of the mean stall over the seeds decides.
  */
 export function findKnee(
   workload: Workload,
@@ -30,7 +30,7 @@
   let {lowest, highest} = options;
   while (highest - lowest > options.precision) {
     const rate = (lowest + highest) / 2;
-    if (growth(workload, policy, rate, options.seeds) > STABLE_GROWTH) {
+    if (growth(workload, policy, rate, options.seeds) > STABLE_GROWTH_MS) {
       highest = rate;
     } else {
       lowest = rate;
@@ -47,15 +47,15 @@
 ): number {
   const growths = seeds
     .map(seed => {
-      const first = meanQueue(workload, policy, rate, seed, PART_SECONDS);
-      const second = meanQueue(workload, policy, rate, seed, 2 * PART_SECONDS);
+      const first = meanStallMs(workload, policy, rate, seed, PART_SECONDS);
+      const second = meanStallMs(workload, policy, rate, seed, 2 * PART_SECONDS);
       return second - first;
     })
     .sort((a, b) => a - b);
   return growths[Math.floor(growths.length / 2)];
 }
 
-function meanQueue(
+function meanStallMs(
   workload: Workload,
   policy: Policy,
   rate: number,
@@ -70,5 +70,6 @@
     measuredSeconds: PART_SECONDS,
   };
   const trace = generateTrace(endless, scenario, rate, seed);
-  return runTrace(trace, {workload: endless, scenario, policy, seed}).meanQueue;
+  const figures = runTrace(trace, {workload: endless, scenario, policy, seed});
+  return figures.meanStallMs;
 }
