Order load permits by harm and refuse what is too late

Cause: control's permit desk ranked by its own urgency function and never refused, so agents held requests until their deadline.

PermitDesk now runs the pure PermitQueue that the experiment measures, with the load order of the service's settings. A permit is idempotent for an agent that lost the answer; a permit that began no load counts as no failure. The agent refuses the requests of a refused load at once. Agents report which adapters are in use and loading; an entry keeps one placement per service, since placement by demand has state.

Knee: the first criterion, growth of the queue between two parts of a run, never fired: waiting requests share loads, so the queue levels off with the store always busy. Replaced by the rate at which the store is busy 98% of the time.

--- a/agent/adapter-slots/src/slot-table.ts
+++ b/agent/adapter-slots/src/slot-table.ts
@@ -66,6 +66,13 @@
       .map(slot => slot.model);
   }
 
+  /** Adapters that requests use. */
+  pinned(): string[] {
+    return [...this.slots.values()]
+      .filter(slot => slot.pins > 0)
+      .map(slot => slot.model);
+  }
+
   /** Adapters whose order is not settled. */
   unsettled(): string[] {
     return [...this.reserved.values()].flatMap(({slot, leaving}) =>
--- a/agent/agent-server/src/adapter-host.ts
+++ b/agent/agent-server/src/adapter-host.ts
@@ -7,7 +7,7 @@
 import {LoadBackoff, LoadForecast} from '@marigoldspur/load-queue';
 import type {AgentMetrics} from './agent-metrics.js';
 import type {LeaseKeeper} from './lease-keeper.js';
-import type {LoadGate} from './load-gate.js';
+import {LoadRefused, type LoadGate} from './load-gate.js';
 import {PendingLoad, type AdapterNeed} from './pending-load.js';
 import type {SlotOrders} from './slot-orders.js';
 
@@ -53,6 +53,11 @@
     );
   }
 
+  /** Adapters that requests wait for or that are being loaded. */
+  get loading(): string[] {
+    return [...this.loads.keys()];
+  }
+
   /** Pins an adapter, after a load shared with others who need it. */
   async acquire(need: AdapterNeed): Promise<Result<Pin, Refusal>> {
     const startedAt = performance.now();
@@ -67,7 +72,11 @@
       if (hopeless !== undefined) {
         return Result.err(hopeless);
       }
-      await this.shareLoad(need);
+      const {retryAfterMs} = await this.shareLoad(need);
+      if (retryAfterMs !== undefined) {
+        const message = 'the load would end too late';
+        return Result.err(notLoaded('load_too_late', message, retryAfterMs));
+      }
     }
     return Result.err(
       notLoaded('load_too_late', 'the adapter was not loaded in time', 1_000),
@@ -107,9 +116,10 @@
     };
   }
 
-  private async shareLoad(need: AdapterNeed): Promise<void> {
+  private async shareLoad(need: AdapterNeed): Promise<PendingLoad> {
     const load = this.loads.get(need.model) ?? this.startLoad(need);
     await load.wait(need);
+    return load;
   }
 
   private startLoad(need: AdapterNeed): PendingLoad {
@@ -134,6 +144,10 @@
       this.lastEndedAt = now;
       this.backoff.succeeded(model);
       metrics.loads.inc({outcome: 'loaded'});
+    } else if (result.error instanceof LoadRefused) {
+      load.refuse(result.error.retryAfterMs);
+      events.record('load-refused', {model});
+      metrics.loads.inc({outcome: 'refused'});
     } else if (result.error.code === 'TIMEOUT') {
       events.record('load-dropped', {model});
       metrics.loads.inc({outcome: 'dropped'});
@@ -180,7 +194,7 @@
       ? undefined
       : slots.reserve(load.model, performance.now());
     if (reservation === undefined) {
-      ticket.value.release(false);
+      ticket.value.release(false, false);
       return Result.err(new Fault('CONFLICT', 'no slot is free'));
     }
     try {
--- a/agent/agent-server/src/load-gate.ts
+++ b/agent/agent-server/src/load-gate.ts
@@ -6,13 +6,24 @@
 
 /** The right to load from the weight store once. */
 export interface LoadTicket {
-  /** Gives the right back. */
-  release(loaded: boolean): void;
+  /** Gives the right back; `used` is false where no load was begun. */
+  release(loaded: boolean, used?: boolean): void;
 }
 
 /** What an agent asks a load for, as it stands now. */
 export type LoadAsk = Omit<PermitRequest, 'waitMs'>;
 
+/** Says that a load can't be in time, so that its requests are refused at once. */
+export class LoadRefused extends Fault {
+  constructor(
+    /** When it makes sense to ask again, in milliseconds. */
+    readonly retryAfterMs: number,
+  ) {
+    super('REFUSED', 'the load would end too late');
+    this.name = 'LoadRefused';
+  }
+}
+
 /** Hands out the right to load from a weight store. */
 export interface LoadGate {
   /** Waits for a ticket until `signal` is aborted; `ask` tells who waits for the load now. */
@@ -56,7 +67,9 @@
       const asked = this.askOnce(ask());
       const answer = await Promise.race([asked, aborted(signal)]);
       if (answer === undefined) {
-        void asked.then(late => late.map(ticket => ticket?.release(false)));
+        void asked.then(late =>
+          late.map(ticket => ticket?.release(false, false)),
+        );
       } else if (answer.isErr) {
         return Result.err(answer.error);
       } else if (answer.value !== undefined) {
@@ -78,17 +91,23 @@
         ),
       performance.now() + PERMIT_WAIT_MS + CALL_SLACK_MS,
     );
+    if (answer.isOk && answer.value.refusal !== undefined) {
+      return Result.err(new LoadRefused(answer.value.refusal.retryAfterMs));
+    }
     return answer.map(({permit}) =>
       permit === undefined
         ? undefined
-        : {release: loaded => this.release(permit, loaded)},
+        : {
+            release: (loaded, used = true) =>
+              this.release(permit, loaded, used),
+          },
     );
   }
 
-  private release(permit: string, loaded: boolean): void {
+  private release(permit: string, loaded: boolean, used: boolean): void {
     void this.client.call(
       (replica, signal) =>
-        replica.releasePermit.mutate({permit, loaded}, {signal}),
+        replica.releasePermit.mutate({permit, loaded, used}, {signal}),
       performance.now() + RELEASE_WAIT_MS,
     );
   }
@@ -147,7 +166,7 @@
         AbortSignal.any([signal, lost.signal]),
       );
       clearInterval(poll);
-      if (ticket.isOk) {
+      if (ticket.isOk || ticket.error instanceof LoadRefused) {
         return ticket;
       }
       if (!lost.signal.aborted) {
--- a/agent/agent-server/src/pending-load.ts
+++ b/agent/agent-server/src/pending-load.ts
@@ -20,6 +20,7 @@
   private readonly unwanted = new AbortController();
   private readonly done: Promise<void>;
   private finish: () => void = () => {};
+  private refusedForMs: number | undefined;
 
   constructor(
     private readonly first: AdapterNeed,
@@ -59,11 +60,26 @@
     }
   }
 
+  /** Takes note that the load is refused; its requests may come back after `retryAfterMs`. */
+  refuse(retryAfterMs: number): void {
+    this.refusedForMs = retryAfterMs;
+  }
+
+  /** When the refused requests may come back, in milliseconds; undefined where the load is not refused. */
+  get retryAfterMs(): number | undefined {
+    return this.refusedForMs;
+  }
+
   /** Wakes everyone who waits. */
   settle(): void {
     this.finish();
   }
 
+  /** How long the load is of use to each who waits, in milliseconds. */
+  private leftMs(): number[] {
+    return [...this.needs].map(need => need.deadlineMs - performance.now());
+  }
+
   /** The request for a permit, as it stands now. */
   ask(agent: string): LoadAsk {
     const priorities = [...this.needs].map(need => need.priority);
@@ -74,6 +90,7 @@
       waiters: this.needs.size,
       priority: Math.min(this.first.priority, ...priorities),
       oldestWaitMs: performance.now() - this.askedAt,
+      usefulMs: Math.max(0, ...this.leftMs()),
     };
   }
 }
--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -79,6 +79,8 @@
     healthy: engine?.watch.state.healthy ?? service.healthy,
     slots: engine?.slots.size ?? 0,
     resident: engine?.slots.resident() ?? [],
+    pinned: engine?.slots.pinned(),
+    loading: engine?.host.loading,
     running: desk.load,
     waiting: engine?.host.waiting ?? 0,
     batchLimit: engine?.watch.state.batchLimit ?? settings.batchLimit,
--- a/contracts/control-api/src/router.ts
+++ b/contracts/control-api/src/router.ts
@@ -95,9 +95,18 @@
       .input(PERMIT_REQUEST_SCHEMA)
       .mutation(({input}) => answer(() => service.acquirePermit(input))),
     releasePermit: peer
-      .input(z.object({permit: z.string(), loaded: z.boolean()}))
+      .input(
+        z.object({
+          permit: z.string(),
+          loaded: z.boolean(),
+          /** False where no load was begun under the permit. */
+          used: z.boolean().default(true),
+        }),
+      )
       .mutation(({input}) =>
-        answer(() => service.releasePermit(input.permit, input.loaded)),
+        answer(() =>
+          service.releasePermit(input.permit, input.loaded, input.used),
+        ),
       ),
     status: viewer.query(() => service.status()),
   });
--- a/contracts/control-api/src/service.ts
+++ b/contracts/control-api/src/service.ts
@@ -63,6 +63,6 @@
     waitMs: number,
   ): Promise<MembersDelta>;
   acquirePermit(request: PermitRequest): Promise<Permit>;
-  releasePermit(permit: string, loaded: boolean): Promise<void>;
+  releasePermit(permit: string, loaded: boolean, used: boolean): Promise<void>;
   status(): ControlStatus;
 }
--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -77,6 +77,17 @@
     level: 'info',
     meaning: 'A permit to load from the weight store was granted.',
   },
+  'permit-refused': {
+    number: 650,
+    level: 'info',
+    meaning: 'A permit to load was refused since the load would end too late.',
+  },
+  'load-refused': {
+    number: 651,
+    level: 'info',
+    meaning:
+      'The requests that waited for a load that is too late were refused.',
+  },
   'log-opened': {
     number: 230,
     level: 'info',
--- a/contracts/messages/src/member.ts
+++ b/contracts/messages/src/member.ts
@@ -20,6 +20,10 @@
   slots: z.int().min(0),
   /** Adapters that the target holds, as `adapter@version`. */
   resident: z.array(z.string()),
+  /** Adapters among them that requests use at present. */
+  pinned: z.array(z.string()).optional(),
+  /** Adapters that requests wait for or that are being loaded. */
+  loading: z.array(z.string()).optional(),
   /** Requests that run on the target. */
   running: z.int().min(0),
   /** Requests that wait in the agent or the target. */
--- a/contracts/messages/src/permit.ts
+++ b/contracts/messages/src/permit.ts
@@ -12,6 +12,8 @@
   priority: z.int().min(0).max(9),
   /** Milliseconds that the oldest waiter has waited. */
   oldestWaitMs: z.number().min(0),
+  /** How long from now on the load is of use to the most patient waiter, in milliseconds. */
+  usefulMs: z.number().min(0).optional(),
   /** How long the caller waits for an answer to this call, in milliseconds. */
   waitMs: z.int().min(0).max(60_000),
 });
@@ -25,6 +27,16 @@
   permit: z.string().optional(),
   /** After this time, in milliseconds, the permit is free again by itself. */
   validMs: z.int(),
+  /** Present where the load can't be in time: the requests that wait for it are to be refused at once. */
+  refusal: z
+    .object({
+      reason: z.literal('too-late'),
+      /** When it makes sense to ask again, in milliseconds. */
+      retryAfterMs: z.number().min(0),
+    })
+    .optional(),
+  /** How long a load that is asked for now would wait, in milliseconds. */
+  predictedWaitMs: z.number().min(0).optional(),
 });
 
 /** Answer to a permit request. */
--- a/contracts/settings-schema/src/settings.ts
+++ b/contracts/settings-schema/src/settings.ts
@@ -26,7 +26,13 @@
   stallWeight: z.number().min(0).max(1).default(0.5),
   /** Policy that chooses the target of a request. */
   placement: z
-    .enum(['random', 'least-loaded', 'hash-home', 'resident-first'])
+    .enum([
+      'random',
+      'least-loaded',
+      'hash-home',
+      'resident-first',
+      'demand-aware',
+    ])
     .default('hash-home'),
   /** Policy that chooses the adapter that leaves a slot. */
   eviction: z.enum(['lru', 'decayed-frequency']).default('lru'),
--- a/control/control-server/src/control-desk.ts
+++ b/control/control-server/src/control-desk.ts
@@ -152,11 +152,24 @@
         model: request.model,
       });
     }
+    if (permit.refusal !== undefined) {
+      this.options.events.record('permit-refused', {
+        store: request.store,
+        agent: request.agent,
+        model: request.model,
+        ...permit.refusal,
+      });
+    }
     return permit;
   }
 
-  async releasePermit(permit: string): Promise<void> {
-    this.options.permits.release(permit);
+  async releasePermit(
+    permit: string,
+    loaded: boolean,
+    used: boolean,
+  ): Promise<void> {
+    const failed = used ? 'failed' : 'unused';
+    this.options.permits.release(permit, loaded ? 'loaded' : failed);
   }
 
   status(): ControlStatus {
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -11,6 +11,7 @@
 import {ControlDesk} from './control-desk.js';
 import {ControlMachine} from './control-machine.js';
 import type {ControlSettings} from './control-settings.js';
+import {loadOrderOf} from './load-order-of.js';
 
 const LEASE_CHECK_MS = 200;
 const EXIT_DISK_FAILED = 3;
@@ -46,6 +47,7 @@
   const permits = new PermitDesk({
     loadsAtOnce: settings.loadsAtOnce,
     validMs: settings.permitValidMs,
+    loadOrderOf: store => loadOrderOf(machine.settings.tree, store),
   });
   const desk = new ControlDesk({
     id: settings.id,
--- a/control/load-permits/src/permit-desk.ts
+++ b/control/load-permits/src/permit-desk.ts
@@ -1,6 +1,7 @@
-import {randomUUID} from 'node:crypto';
-import PQueue from 'p-queue';
+import {createLoadOrder, type LoadOrderName} from '@marigoldspur/load-order';
 import type {Permit, PermitRequest} from '@marigoldspur/messages';
+import type {PermitUse} from './permit-queue.js';
+import {StorePermits} from './store-permits.js';
 
 /** Options of a permit desk. */
 export interface PermitDeskOptions {
@@ -8,70 +9,57 @@
   readonly loadsAtOnce: number;
   /** A permit that is not returned is free again after this, in milliseconds. */
   readonly validMs: number;
+  /** Names the load order in force for a store; by default first come, first served. */
+  readonly loadOrderOf?: (store: string) => LoadOrderName;
 }
 
-interface HeldPermit {
-  release(): void;
-}
+const QUEUE_LIMIT = 4_096;
+const PATIENCE = 1;
+const OVERLOAD_PATIENCE = 0.2;
+const OVERLOAD_AFTER_MS = 10_000;
+const RESERVE = 0.5;
 
-/** Grants permits to load from each weight store, most urgent first. */
+/** Grants permits to load from each weight store, in the load order of the settings. */
 export class PermitDesk {
-  private readonly queues = new Map<string, PQueue>();
-  private readonly held = new Map<string, HeldPermit>();
+  private readonly stores = new Map<string, StorePermits>();
 
   constructor(private readonly options: PermitDeskOptions) {}
 
-  /** Waits up to the request's `waitMs` for a permit. */
+  /** Waits up to the request's `waitMs` for a permit or a refusal. */
   acquire(request: PermitRequest): Promise<Permit> {
-    const {validMs} = this.options;
-    return new Promise(resolve => {
-      const patience = new AbortController();
-      const timer = setTimeout(() => {
-        patience.abort();
-        resolve({validMs});
-      }, request.waitMs);
-      const grant = () => {
-        clearTimeout(timer);
-        return this.hold(permit => resolve({permit, validMs}));
-      };
-      this.queueOf(request.store)
-        .add(grant, {signal: patience.signal, priority: urgency(request)})
-        .catch(() => {});
-    });
+    return this.storeOf(request.store).acquire(request);
   }
 
   /** Returns a permit. */
-  release(permit: string): void {
-    this.held.get(permit)?.release();
-  }
-
-  /** Resolves when the permit is returned or its time is over. */
-  private hold(granted: (permit: string) => void): Promise<void> {
-    const permit = randomUUID();
-    return new Promise(resolve => {
-      const release = () => {
-        clearTimeout(timer);
-        this.held.delete(permit);
-        resolve();
-      };
-      const timer = setTimeout(release, this.options.validMs);
-      this.held.set(permit, {release});
-      granted(permit);
-    });
+  release(permit: string, use: PermitUse): void {
+    for (const store of this.stores.values()) {
+      if (store.release(permit, use)) {
+        return;
+      }
+    }
   }
 
-  private queueOf(store: string): PQueue {
-    let queue = this.queues.get(store);
-    if (queue === undefined) {
-      queue = new PQueue({concurrency: this.options.loadsAtOnce});
-      this.queues.set(store, queue);
+  private storeOf(name: string): StorePermits {
+    let store = this.stores.get(name);
+    if (store === undefined) {
+      store = this.openStore(name);
+      this.stores.set(name, store);
     }
-    return queue;
+    return store;
   }
-}
 
-/** Larger is more urgent: by priority first, then prefetches last. */
-function urgency(request: PermitRequest): number {
-  const demand = request.waiters === 0 ? 0 : 10;
-  return demand + (9 - request.priority);
+  private openStore(name: string): StorePermits {
+    const {loadsAtOnce, validMs, loadOrderOf} = this.options;
+    const orderName = () => loadOrderOf?.(name) ?? 'first-come';
+    return new StorePermits({
+      loadsAtOnce,
+      validMs,
+      queueLimit: QUEUE_LIMIT,
+      order: () => createLoadOrder(orderName()),
+      patience: () => (orderName() === 'first-come' ? 0 : PATIENCE),
+      overloadPatience: OVERLOAD_PATIENCE,
+      overloadAfterMs: OVERLOAD_AFTER_MS,
+      reserve: RESERVE,
+    });
+  }
 }
--- a/control/load-permits/src/permit-queue.ts
+++ b/control/load-permits/src/permit-queue.ts
@@ -14,7 +14,8 @@
 
 /** Options of a permit queue. */
 export interface PermitQueueOptions {
-  readonly order: LoadOrder;
+  /** The load order in force. */
+  readonly order: () => LoadOrder;
   /** Loads that may run at once. */
   readonly loadsAtOnce: number;
   /** A permit that is not returned is free again after this, in milliseconds. */
@@ -22,7 +23,7 @@
   /** Loads that may wait. */
   readonly queueLimit: number;
   /** Share of its time that a load may wait; 0 never refuses early. */
-  readonly patience: number;
+  readonly patience: () => number;
   /** The same while the store is overloaded. */
   readonly overloadPatience: number;
   /** How long the queue has to be too long until the store counts as overloaded, in milliseconds. */
@@ -82,7 +83,7 @@
 
   /** Removes and returns the loads that can't be in time, or have no room in the queue. */
   dropLate(now: number): WantedLoad[] {
-    const ordered = this.options.order.sort([...this.waiting.values()], now);
+    const ordered = this.options.order().sort([...this.waiting.values()], now);
     const surplus = ordered.slice(this.options.queueLimit);
     const demanded = ordered
       .slice(0, this.options.queueLimit)
@@ -107,7 +108,7 @@
     if (this.held.size >= this.options.loadsAtOnce) {
       return undefined;
     }
-    const load = this.options.order.next(this.eligible(now), now);
+    const load = this.options.order().next(this.eligible(now), now);
     if (load === undefined) {
       return undefined;
     }
@@ -119,6 +120,11 @@
     return load;
   }
 
+  /** Whether a permit is held for a load. */
+  isHeld(id: string): boolean {
+    return this.held.has(id);
+  }
+
   /** Returns the permit of a load. */
   release(id: string, use: PermitUse, now: number): void {
     const held = this.held.get(id);
@@ -135,15 +141,21 @@
     this.loadMs += LOAD_TIME_WEIGHT * (now - held.grantedAt - this.loadMs);
   }
 
-  /** When a waiting load may run again after failures, or a prefetch on the reserve; undefined where nothing is held back. */
+  /** When a load that is held back may run, or a permit expires; undefined where nothing is due. */
   nextAt(now: number): number | undefined {
+    if (this.waiting.size === 0) {
+      return undefined;
+    }
+    const expiries = [...this.held.values()].map(
+      held => held.grantedAt + this.options.validMs,
+    );
     const times = [...this.waiting.values()].map(load =>
       Math.max(
         this.failures.get(load.model)?.retryAt ?? now,
         load.waiters === 0 ? this.prefetchFrom : now,
       ),
     );
-    const later = times.filter(time => time > now);
+    const later = [...times, ...expiries].filter(time => time > now);
     return later.length === 0 ? undefined : Math.min(...later);
   }
 
@@ -162,7 +174,7 @@
     const {overloadPatience} = this.options;
     const patience = this.overload.isOverloaded
       ? overloadPatience
-      : this.options.patience;
+      : this.options.patience();
     return patience === 0
       ? demanded.filter(load => load.deadline <= now)
       : findLate(demanded, {
--- a/entry/dispatch/src/target-directory.ts
+++ b/entry/dispatch/src/target-directory.ts
@@ -62,6 +62,8 @@
       name: target.name,
       zone: agent.zone,
       resident: new Set(target.resident),
+      pinned: target.pinned && new Set(target.pinned),
+      loading: target.loading && new Set(target.loading),
       slots: target.slots,
       load: Math.max(reported, this.sent.get(target.name) ?? 0),
       batchLimit: target.batchLimit,
--- a/entry/entry-server/src/attempt-runner.ts
+++ b/entry/entry-server/src/attempt-runner.ts
@@ -10,7 +10,7 @@
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
 import type {Hop, StoredAnswer} from '@marigoldspur/messages';
-import {createPlacement} from '@marigoldspur/placement';
+import {PlacementSet} from '@marigoldspur/placement';
 import {
   afterAttempts,
   mayRetry,
@@ -39,7 +39,11 @@
 
 /** Runs jobs at one target after another until one answers. */
 export class AttemptRunner {
-  constructor(private readonly options: AttemptRunnerOptions) {}
+  private readonly placements: PlacementSet;
+
+  constructor(private readonly options: AttemptRunnerOptions) {
+    this.placements = new PlacementSet(options.random);
+  }
 
   /** Runs a job and answers its caller; a refusal is left to be sent. */
   async run(job: Job, response: ServerResponse): Promise<RunEnd> {
@@ -101,12 +105,12 @@
     tried: ReadonlySet<string>,
   ): Destination | undefined {
     const {request, settings} = job;
-    const {directory, random} = this.options;
+    const {directory} = this.options;
     const model =
       request.kind === 'model' ? formatModel(request.model) : undefined;
     return directory.choose(
       {customer: request.customer, service: request.service, model, tried},
-      createPlacement(settings.placement, random),
+      this.placements.of(`${request.customer}/${request.service}`, settings),
       performance.now(),
     );
   }
--- a/lab/experiment/src/find-knee.ts
+++ b/lab/experiment/src/find-knee.ts
@@ -13,14 +13,12 @@
 }
 
 const NO_DEADLINE_MS = 100_000_000;
-const PART_SECONDS = 900;
-/** By which the mean stall of a queue that is stable differs at most between two parts, in milliseconds. */
-const STABLE_GROWTH_MS = 1_000;
+/** Share of its time that a store is busy once its queue grows. */
+const SATURATED = 0.98;
 
 /**
- * The highest rate, in requests a second, at which the load queue of a policy
- * does not grow from one part of a calm run to the next, without deadlines:
- * the median growth of the mean stall over the seeds decides.
+ * The highest rate, in requests a second, at which a policy leaves the store
+ * some time in a calm run without deadlines: the median over the seeds decides.
  */
 export function findKnee(
   workload: Workload,
@@ -30,7 +28,10 @@
   let {lowest, highest} = options;
   while (highest - lowest > options.precision) {
     const rate = (lowest + highest) / 2;
-    if (growth(workload, policy, rate, options.seeds) > STABLE_GROWTH_MS) {
+    const busy = options.seeds
+      .map(seed => storeBusy(workload, policy, rate, seed))
+      .sort((a, b) => a - b);
+    if (busy[Math.floor(busy.length / 2)] >= SATURATED) {
       highest = rate;
     } else {
       lowest = rate;
@@ -39,37 +40,17 @@
   return lowest;
 }
 
-function growth(
-  workload: Workload,
-  policy: Policy,
-  rate: number,
-  seeds: readonly number[],
-): number {
-  const growths = seeds
-    .map(seed => {
-      const first = meanStallMs(workload, policy, rate, seed, PART_SECONDS);
-      const second = meanStallMs(workload, policy, rate, seed, 2 * PART_SECONDS);
-      return second - first;
-    })
-    .sort((a, b) => a - b);
-  return growths[Math.floor(growths.length / 2)];
-}
-
-function meanStallMs(
+/** Share of its time that the store is busy. */
+function storeBusy(
   workload: Workload,
   policy: Policy,
   rate: number,
   seed: number,
-  warmUpSeconds: number,
 ): number {
   const scenario = {name: 'calm', disturbances: []};
-  const endless = {
-    ...workload,
-    deadlineMs: NO_DEADLINE_MS,
-    warmUpSeconds,
-    measuredSeconds: PART_SECONDS,
-  };
-  const trace = generateTrace(endless, scenario, rate, seed);
-  const figures = runTrace(trace, {workload: endless, scenario, policy, seed});
-  return figures.meanStallMs;
+  const patient = {...workload, deadlineMs: NO_DEADLINE_MS};
+  const trace = generateTrace(patient, scenario, rate, seed);
+  const {loads} = runTrace(trace, {workload: patient, scenario, policy, seed});
+  const possible = workload.measuredSeconds * workload.cluster.loadsPerSecond;
+  return loads / possible;
 }
--- a/lab/experiment/src/store-fake.ts
+++ b/lab/experiment/src/store-fake.ts
@@ -40,12 +40,13 @@
 
   constructor(private readonly options: StoreFakeOptions) {
     const {policy} = options;
+    const order = createLoadOrder(policy.loadOrder);
     this.queue = new PermitQueue({
-      order: createLoadOrder(policy.loadOrder),
+      order: () => order,
       loadsAtOnce: 1,
       validMs: PERMIT_VALID_MS,
       queueLimit: QUEUE_LIMIT,
-      patience: policy.patience,
+      patience: () => policy.patience,
       overloadPatience: policy.overloadPatience ?? policy.patience,
       overloadAfterMs: policy.overloadAfterMs,
       reserve: policy.reserve,
--- a/policy/placement/src/index.ts
+++ b/policy/placement/src/index.ts
@@ -9,3 +9,4 @@
 export {rendezvousOrder} from './rendezvous.js';
 export {ResidentFirstPlacement} from './resident-first-placement.js';
 export {createPlacement, type PlacementName} from './create-placement.js';
+export {PlacementSet, type PlacementSettings} from './placement-set.js';
