Make the measured policies the default, with tests, report page and command

Tests shown failing with the mechanism off: the flood of one-off adapters against LRU, late loads against a queue without patience (both in the tests).

--- a/contracts/settings-schema/src/settings.ts
+++ b/contracts/settings-schema/src/settings.ts
@@ -33,11 +33,11 @@
       'resident-first',
       'demand-aware',
     ])
-    .default('hash-home'),
+    .default('demand-aware'),
   /** Policy that chooses the adapter that leaves a slot. */
-  eviction: z.enum(['lru', 'decayed-frequency']).default('lru'),
+  eviction: z.enum(['lru', 'decayed-frequency']).default('decayed-frequency'),
   /** Policy that orders the loads that wait. */
-  loadOrder: z.enum(['first-come', 'least-harm']).default('first-come'),
+  loadOrder: z.enum(['first-come', 'least-harm']).default('least-harm'),
   /** How long a result of a claimed request is kept, in milliseconds. */
   claimRetentionMs: z.int().min(1_000).max(604_800_000).default(86_400_000),
   /** What to do with repeatable requests while control is out of reach. */
--- a/control/load-permits/src/permit-desk.ts
+++ b/control/load-permits/src/permit-desk.ts
@@ -15,7 +15,7 @@
 
 const QUEUE_LIMIT = 4_096;
 const PATIENCE = 1;
-const OVERLOAD_PATIENCE = 0.2;
+const OVERLOAD_PATIENCE = 0.3;
 const OVERLOAD_AFTER_MS = 10_000;
 const RESERVE = 0.5;
 
--- /dev/null
+++ b/control/load-permits/test/permit-desk.test.ts
@@ -0,0 +1,58 @@
+import {expect} from 'chai';
+import {PermitDesk} from '@marigoldspur/load-permits';
+
+const request = {
+  store: 'store',
+  agent: 'agent',
+  model: 'a@v1',
+  waiters: 1,
+  priority: 5,
+  oldestWaitMs: 0,
+  waitMs: 60_000,
+  usefulMs: 60_000,
+};
+
+function desk(loadOrder: 'first-come' | 'least-harm' = 'least-harm') {
+  return new PermitDesk({
+    loadsAtOnce: 1,
+    validMs: 60_000,
+    loadOrderOf: () => loadOrder,
+  });
+}
+
+it('permit desk: the next load starts when a permit returns', async () => {
+  const permits = desk();
+  const first = await permits.acquire(request);
+  const second = permits.acquire({...request, model: 'b@v1'});
+  permits.release(first.permit!, 'loaded');
+  expect((await second).permit).to.be.a('string');
+});
+
+it('permit desk: an agent that lost the answer gets its permit again', async () => {
+  const permits = desk();
+  const first = await permits.acquire(request);
+  expect((await permits.acquire(request)).permit).to.equal(first.permit);
+});
+
+it('permit desk: stores do not wait for each other', async () => {
+  const permits = desk();
+  await permits.acquire(request);
+  const other = await permits.acquire({...request, store: 'other'});
+  expect(other.permit).to.be.a('string');
+});
+
+it('permit desk: a load that is too late is refused at once', async () => {
+  const permits = desk();
+  await permits.acquire(request);
+  const late = await permits.acquire({...request, model: 'b@v1', usefulMs: 1});
+  expect(late.refusal?.reason).to.equal('too-late');
+  expect(late.refusal?.retryAfterMs).to.be.greaterThan(0);
+});
+
+it('permit desk: the answer tells the wait where no permit came free', async () => {
+  const permits = desk('first-come');
+  await permits.acquire(request);
+  const none = await permits.acquire({...request, model: 'b@v1', waitMs: 0});
+  expect(none.permit).to.equal(undefined);
+  expect(none.predictedWaitMs).to.be.a('number');
+});
--- /dev/null
+++ b/control/load-permits/test/permit-queue.test.ts
@@ -0,0 +1,184 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {createLoadOrder} from '@marigoldspur/load-order';
+import {
+  PermitQueue,
+  type PermitQueueOptions,
+  type WantedLoad,
+} from '@marigoldspur/load-permits';
+
+const VALID_MS = 5_000;
+const SEED = 20_260;
+
+function queue(part: Partial<PermitQueueOptions> = {}): PermitQueue {
+  return new PermitQueue({
+    order: () => createLoadOrder('least-harm'),
+    loadsAtOnce: 1,
+    validMs: VALID_MS,
+    queueLimit: 100,
+    patience: () => 1,
+    overloadPatience: 0.3,
+    overloadAfterMs: 10_000,
+    reserve: 0.5,
+    ...part,
+  });
+}
+
+function load(id: string, part: Partial<WantedLoad> = {}): WantedLoad {
+  return {
+    id,
+    model: id,
+    askedAt: 0,
+    waiters: 1,
+    priority: 5,
+    deadline: 10_000,
+    ...part,
+  };
+}
+
+it('permits: one load runs at a time', () => {
+  const permits = queue();
+  permits.ask(load('a'));
+  permits.ask(load('b'));
+  expect(permits.grant(0)?.id).to.equal('a');
+  expect(permits.grant(0)).to.equal(undefined);
+  permits.release('a', 'loaded', 250);
+  expect(permits.grant(250)?.id).to.equal('b');
+});
+
+it('permits: a permit that is not returned ends by itself', () => {
+  const permits = queue();
+  permits.ask(load('a'));
+  permits.ask(load('b'));
+  permits.grant(0);
+  expect(permits.nextAt(1)).to.equal(VALID_MS);
+  expect(permits.grant(VALID_MS - 1)).to.equal(undefined);
+  expect(permits.grant(VALID_MS)?.id).to.equal('b');
+});
+
+it('permits: a load that fails backs off, others go on', () => {
+  const permits = queue();
+  permits.ask(load('bad'));
+  permits.grant(0);
+  permits.release('bad', 'failed', 100);
+  permits.ask(load('bad'));
+  expect(permits.grant(100)).to.equal(undefined);
+  permits.ask(load('good'));
+  expect(permits.grant(100)?.id).to.equal('good');
+  permits.release('good', 'loaded', 200);
+  expect(permits.grant(permits.nextAt(200)!)?.id).to.equal('bad');
+});
+
+it('permits: a permit that began no load is no failure', () => {
+  const permits = queue();
+  permits.ask(load('a'));
+  permits.grant(0);
+  permits.release('a', 'unused', 1);
+  permits.ask(load('a'));
+  expect(permits.grant(1)?.id).to.equal('a');
+});
+
+it('permits: a load that nobody waits for any more is dropped', () => {
+  const permits = queue();
+  permits.ask(load('a'));
+  permits.withdraw('a');
+  expect(permits.grant(0)).to.equal(undefined);
+});
+
+it('permits: loads that cannot be in time are refused at once', () => {
+  const permits = queue();
+  permits.ask(load('running'));
+  permits.grant(0);
+  permits.ask(load('in-time', {deadline: 700, waiters: 2}));
+  permits.ask(load('late', {deadline: 700}));
+  expect(permits.dropLate(0).map(({id}) => id)).to.deep.equal(['late']);
+  expect(permits.size).to.equal(1);
+});
+
+it('permits: the same queue without patience refuses nothing early', () => {
+  const permits = queue({patience: () => 0});
+  permits.ask(load('in-time', {deadline: 700, waiters: 2}));
+  permits.ask(load('late', {deadline: 700}));
+  permits.ask(load('later', {deadline: 700}));
+  expect(permits.dropLate(0)).to.deep.equal([]);
+  expect(permits.dropLate(700)).to.have.length(3);
+});
+
+it('permits: a full queue refuses what harms least', () => {
+  const permits = queue({queueLimit: 1});
+  permits.ask(load('one'));
+  permits.ask(load('two', {waiters: 2}));
+  expect(permits.dropLate(0).map(({id}) => id)).to.deep.equal(['one']);
+});
+
+it('permits: prefetches run only while nothing waits, and on a reserve', () => {
+  const permits = queue();
+  permits.ask(load('ahead', {waiters: 0}));
+  permits.ask(load('ahead-too', {waiters: 0}));
+  permits.ask(load('wanted'));
+  expect(permits.grant(0)?.id).to.equal('wanted');
+  permits.release('wanted', 'loaded', 300);
+  expect(permits.grant(300)?.id).to.equal('ahead');
+  permits.release('ahead', 'loaded', 600);
+  expect(permits.grant(600)).to.equal(undefined);
+  expect(permits.grant(permits.nextAt(600)!)?.id).to.equal('ahead-too');
+});
+
+it('permits: never more loads than allowed, and each question ends', () => {
+  const questions = fc.array(
+    fc.record({
+      model: fc.nat(8),
+      gapMs: fc.nat(400),
+      loadMs: fc.integer({min: 1, max: 900}),
+      fails: fc.boolean(),
+    }),
+    {minLength: 1, maxLength: 40},
+  );
+  fc.assert(
+    fc.property(questions, fc.integer({min: 1, max: 3}), (steps, atOnce) => {
+      const permits = queue({loadsAtOnce: atOnce});
+      const asked = new Set<string>();
+      const ended = new Set<string>();
+      const running = new Map<string, {endsAt: number; fails: boolean}>();
+      const settle = (now: number, plan: {loadMs: number; fails: boolean}) => {
+        for (const [id, {endsAt, fails}] of running) {
+          if (endsAt <= now) {
+            running.delete(id);
+            permits.release(id, fails ? 'failed' : 'loaded', now);
+          }
+        }
+        permits.dropLate(now).forEach(({id}) => ended.add(id));
+        let granted = permits.grant(now);
+        while (granted !== undefined) {
+          ended.add(granted.id);
+          running.set(granted.id, {
+            endsAt: now + plan.loadMs,
+            fails: plan.fails,
+          });
+          granted = permits.grant(now);
+        }
+        expect(running.size).to.be.at.most(atOnce);
+      };
+      let now = 0;
+      steps.forEach((step, index) => {
+        now += step.gapMs;
+        const id = `q${index}`;
+        asked.add(id);
+        permits.ask(
+          load(id, {
+            model: `m${step.model}`,
+            askedAt: now,
+            deadline: now + 5_000,
+          }),
+        );
+        settle(now, step);
+      });
+      for (let extra = 0; extra < 200; extra += 1) {
+        now += 500;
+        settle(now, {loadMs: 100, fails: false});
+      }
+      expect(ended).to.deep.equal(asked);
+    }),
+    {seed: SEED, numRuns: 200},
+  );
+});
--- a/lab/experiment/src/belady-eviction.ts
+++ b/lab/experiment/src/belady-eviction.ts
@@ -16,9 +16,16 @@
   used(): void {}
 
   victim(slots: readonly SlotUse[], now: number): string | undefined {
-    return slots
-      .map(({model}) => ({model, next: this.nextUse(model, now)}))
-      .sort((a, b) => b.next - a.next)[0]?.model;
+    let victim: string | undefined;
+    let furthest = -Infinity;
+    for (const {model} of slots) {
+      const next = this.nextUse(model, now);
+      if (next > furthest) {
+        victim = model;
+        furthest = next;
+      }
+    }
+    return victim;
   }
 
   /** When the adapter is used next after `now`, in milliseconds. */
--- /dev/null
+++ b/lab/experiment/src/compare-reports.ts
@@ -0,0 +1,51 @@
+import type {
+  ExperimentReport,
+  ExperimentRow,
+  FigureName,
+} from './experiment.js';
+
+/** A figure whose spread in one run lies wholly apart from that in another. */
+export interface Difference {
+  readonly scenario: string;
+  readonly load: number;
+  readonly policy: string;
+  readonly figure: FigureName;
+  readonly before: number;
+  readonly after: number;
+}
+
+/** The figures of rows in both reports whose ranges over the seeds do not meet. */
+export function compareReports(
+  before: ExperimentReport,
+  after: ExperimentReport,
+): Difference[] {
+  return after.rows.flatMap(row => {
+    const earlier = before.rows.find(each => isSameRow(each, row));
+    return earlier === undefined ? [] : differences(earlier, row);
+  });
+}
+
+function isSameRow(a: ExperimentRow, b: ExperimentRow): boolean {
+  return (
+    a.scenario === b.scenario && a.load === b.load && a.policy === b.policy
+  );
+}
+
+function differences(before: ExperimentRow, after: ExperimentRow) {
+  const {scenario, load, policy} = after;
+  const figures = Object.keys(after.figures) as FigureName[];
+  return figures
+    .filter(figure => {
+      const a = before.figures[figure];
+      const b = after.figures[figure];
+      return a.highest < b.lowest || b.highest < a.lowest;
+    })
+    .map(figure => ({
+      scenario,
+      load,
+      policy,
+      figure,
+      before: before.figures[figure].median,
+      after: after.figures[figure].median,
+    }));
+}
--- /dev/null
+++ b/lab/experiment/src/experiment-command.ts
@@ -0,0 +1,66 @@
+import {mkdir, readFile, writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import {compareReports, type Difference} from './compare-reports.js';
+import {
+  runExperiment,
+  type ExperimentReport,
+  type ExperimentSelection,
+} from './experiment.js';
+import {findKnee} from './find-knee.js';
+import {reportPage} from './report-page.js';
+import {formatReport} from './report-table.js';
+import {readWorkload} from './workload.js';
+
+/** What the experiment command is asked for. */
+export interface ExperimentCommandOptions extends ExperimentSelection {
+  /** The workload file. */
+  readonly file: string;
+  /** Folder for `report.json` and `report.html`. */
+  readonly out?: string;
+  /** An earlier `report.json` to compare with. */
+  readonly compare?: string;
+  /** Finds the knee rate of the named policies instead. */
+  readonly knee?: boolean;
+}
+
+const KNEE_RANGE = {lowest: 0.5, highest: 10, precision: 0.1};
+
+/** Runs the experiment of a workload file and writes its report. */
+export async function runExperimentCommand(
+  options: ExperimentCommandOptions,
+  write: (text: string) => void,
+): Promise<void> {
+  const read = await readWorkload(options.file);
+  if (read.isErr) {
+    throw read.error;
+  }
+  const workload = read.value;
+  if (options.knee === true) {
+    const seeds = options.seeds ?? workload.seeds;
+    for (const policy of workload.policies) {
+      if (options.policies?.includes(policy.name) ?? true) {
+        const knee = findKnee(workload, policy, {...KNEE_RANGE, seeds});
+        write(`${policy.name}: knee at ${knee.toFixed(1)} requests/s\n`);
+      }
+    }
+    return;
+  }
+  const report = runExperiment(workload, options);
+  write(formatReport(report));
+  if (options.out !== undefined) {
+    await mkdir(options.out, {recursive: true});
+    const file = (name: string) => path.join(options.out!, name);
+    await writeFile(file('report.json'), JSON.stringify(report, null, 2));
+    await writeFile(file('report.html'), await reportPage(report));
+  }
+  if (options.compare !== undefined) {
+    const text = await readFile(options.compare, 'utf8');
+    const before = JSON.parse(text) as ExperimentReport;
+    compareReports(before, report).forEach(each => write(line(each)));
+  }
+}
+
+function line(difference: Difference): string {
+  const {scenario, load, policy, figure, before, after} = difference;
+  return `${scenario} ${load} ${policy} ${figure}: ${before.toPrecision(4)} -> ${after.toPrecision(4)}\n`;
+}
--- a/lab/experiment/src/index.ts
+++ b/lab/experiment/src/index.ts
@@ -16,3 +16,11 @@
   type ExperimentSelection,
 } from './experiment.js';
 export {formatReport} from './report-table.js';
+export {
+  runExperimentCommand,
+  type ExperimentCommandOptions,
+} from './experiment-command.js';
+export {compareReports, type Difference} from './compare-reports.js';
+export {reportPage} from './report-page.js';
+export {RandomSource} from './random-source.js';
+export {runBound} from './run-bound.js';
--- a/lab/lab/src/lab-command.ts
+++ b/lab/lab/src/lab-command.ts
@@ -1,4 +1,5 @@
 import yargs from 'yargs';
+import {runExperimentCommand} from '@marigoldspur/experiment';
 import {
   startBalancer,
   startEngine,
@@ -73,6 +74,34 @@
         process.exitCode = good ? 0 : 1;
       },
     )
+    .command(
+      'experiment <file>',
+      'Measure the policies of a workload file on generated traces',
+      options =>
+        options
+          .positional('file', {type: 'string', demandOption: true})
+          .option('scenarios', {type: 'string', array: true})
+          .option('policies', {type: 'string', array: true})
+          .option('loads', {
+            type: 'number',
+            array: true,
+            describe: 'Multiples of the knee rate',
+          })
+          .option('seeds', {type: 'number', array: true})
+          .option('out', {
+            type: 'string',
+            describe: 'Folder for report.json and report.html',
+          })
+          .option('compare', {
+            type: 'string',
+            describe: 'An earlier report.json',
+          })
+          .option('knee', {
+            type: 'boolean',
+            describe: 'Find the knee rates instead',
+          }),
+      flags => runExperimentCommand(flags, text => process.stdout.write(text)),
+    )
     .demandCommand(1, 'name a command')
     .strict()
     .parseAsync();
--- a/policy/eviction/src/decayed-frequency-eviction.ts
+++ b/policy/eviction/src/decayed-frequency-eviction.ts
@@ -7,7 +7,7 @@
   readonly halfLifeMs?: number;
 }
 
-const HALF_LIFE_MS = 600_000;
+const HALF_LIFE_MS = 120_000;
 const MAX_MODELS = 8_192;
 
 /** Evicts the adapter with the lowest exponentially decayed use count. */
--- /dev/null
+++ b/policy/eviction/test/eviction.test.ts
@@ -0,0 +1,45 @@
+import {expect} from 'chai';
+import {createEviction, type EvictionName} from '@marigoldspur/eviction';
+
+const HOT = ['hot-0', 'hot-1', 'hot-2', 'hot-3'];
+const SLOTS = 5;
+const ONE_OFFS = 50;
+
+/** Adapters in the slots after a flood of adapters that are used once each. */
+function afterFlood(name: EvictionName): string[] {
+  const eviction = createEviction(name);
+  const lastUsed = new Map<string, number>();
+  let now = 0;
+  const use = (model: string) => {
+    now += 100;
+    if (!lastUsed.has(model) && lastUsed.size === SLOTS) {
+      const slots = [...lastUsed].map(([held, at]) => ({
+        model: held,
+        lastUsed: at,
+      }));
+      lastUsed.delete(eviction.victim(slots, now)!);
+    }
+    lastUsed.set(model, now);
+    eviction.used(model, now);
+  };
+  for (let round = 0; round < 5; round += 1) {
+    HOT.forEach(use);
+  }
+  for (let index = 0; index < ONE_OFFS; index += 1) {
+    use(`one-off-${index}`);
+  }
+  return [...lastUsed.keys()];
+}
+
+it('eviction: a flood of one-off adapters leaves the hot set', () => {
+  expect(afterFlood('decayed-frequency')).to.include.members(HOT);
+});
+
+it('eviction: the same flood empties LRU', () => {
+  expect(afterFlood('lru')).to.not.include.any.members(HOT);
+});
+
+it('eviction: no slots give no victim', () => {
+  expect(createEviction('decayed-frequency').victim([], 0)).to.equal(undefined);
+  expect(createEviction('lru').victim([], 0)).to.equal(undefined);
+});
--- /dev/null
+++ b/policy/load-order/test/load-order.test.ts
@@ -0,0 +1,38 @@
+import {expect} from 'chai';
+import {createLoadOrder, type PendingLoad} from '@marigoldspur/load-order';
+
+function load(model: string, part: Partial<PendingLoad> = {}): PendingLoad {
+  return {model, askedAt: 0, waiters: 1, priority: 5, ...part};
+}
+
+function order(loads: readonly PendingLoad[], now: number): string[] {
+  return createLoadOrder('least-harm')
+    .sort(loads, now)
+    .map(({model}) => model);
+}
+
+it('load order: more waiters go first', () => {
+  const loads = [load('one'), load('three', {waiters: 3})];
+  expect(order(loads, 0)).to.deep.equal(['three', 'one']);
+});
+
+it('load order: a higher priority goes first', () => {
+  const loads = [load('usual'), load('urgent', {priority: 2})];
+  expect(order(loads, 0)).to.deep.equal(['urgent', 'usual']);
+});
+
+it('load order: prefetches go last', () => {
+  const loads = [load('prefetch', {waiters: 0, askedAt: -1e6}), load('wanted')];
+  expect(order(loads, 0)).to.deep.equal(['wanted', 'prefetch']);
+  expect(createLoadOrder('first-come').next(loads, 0)?.model).to.equal(
+    'wanted',
+  );
+});
+
+it('load order: no load starves behind ever new crowds', () => {
+  const old = load('old');
+  const crowd = (now: number) => load('crowd', {waiters: 10, askedAt: now});
+  expect(order([old, crowd(0)], 0)[0]).to.equal('crowd');
+  const later = 30_000;
+  expect(order([old, crowd(later)], later)[0]).to.equal('old');
+});
--- a/policy/placement/src/demand-aware-placement.ts
+++ b/policy/placement/src/demand-aware-placement.ts
@@ -20,7 +20,7 @@
 
 const DEFAULT_STALL_WEIGHT = 0.5;
 const DEFAULT_HOMES = 12;
-const DEFAULT_HALF_LIFE_MS = 600_000;
+const DEFAULT_HALF_LIFE_MS = 120_000;
 const DEFAULT_RECENT_MS = 2_000;
 const DEFAULT_FULL_AT = 1;
 /** Above each cost of a target with a slot for the adapter. */
--- /dev/null
+++ b/policy/placement/test/demand-aware.test.ts
@@ -0,0 +1,119 @@
+import {expect} from 'chai';
+import {
+  DemandAwarePlacement,
+  PlacementSet,
+  rendezvousOrder,
+  type Candidate,
+} from '@marigoldspur/placement';
+
+function target(name: string, part: Partial<Candidate> = {}): Candidate {
+  return {
+    name,
+    zone: 'lima-a',
+    resident: new Set(),
+    slots: 2,
+    load: 0,
+    batchLimit: 16,
+    ...part,
+  };
+}
+
+const wanted = {model: 'wanted@v1', zone: 'lima-a'};
+
+function use(placement: DemandAwarePlacement, model: string, times: number) {
+  for (let count = 0; count < times; count += 1) {
+    placement.choose({model, zone: 'lima-a'}, [target('elsewhere')], 0);
+  }
+}
+
+it('placement: the holder is chosen before an emptier target', () => {
+  const holder = target('holder', {resident: new Set(['wanted@v1']), load: 9});
+  const placement = new DemandAwarePlacement();
+  const chosen = placement.choose(wanted, [target('empty'), holder], 0);
+  expect(chosen?.name).to.equal('holder');
+});
+
+it('placement: a target that loads the adapter shares its load', () => {
+  const loading = target('loading', {loading: new Set(['wanted@v1']), load: 9});
+  const placement = new DemandAwarePlacement();
+  const chosen = placement.choose(wanted, [target('empty'), loading], 0);
+  expect(chosen?.name).to.equal('loading');
+});
+
+it('placement: a second request follows the first before any report', () => {
+  const placement = new DemandAwarePlacement();
+  const first = placement.choose(wanted, [target('a'), target('b')], 0)!;
+  const reports = [target('a'), target('b')].map(report =>
+    report.name === first.name ? {...report, load: 9} : report,
+  );
+  expect(placement.choose(wanted, reports, 100)?.name).to.equal(first.name);
+});
+
+it('placement: a full holder spills to another target', () => {
+  const full = target('full', {resident: new Set(['wanted@v1']), load: 16});
+  const placement = new DemandAwarePlacement();
+  const chosen = placement.choose(wanted, [full, target('empty')], 0);
+  expect(chosen?.name).to.equal('empty');
+});
+
+it('placement: a cold adapter goes where the least wanted one leaves', () => {
+  const placement = new DemandAwarePlacement({stallWeight: 1});
+  use(placement, 'hot@v1', 9);
+  use(placement, 'warm@v1', 3);
+  const candidates = [
+    target('hot', {resident: new Set(['hot@v1']), slots: 1}),
+    target('warm', {resident: new Set(['warm@v1']), slots: 1}),
+  ];
+  expect(placement.choose(wanted, candidates, 0)?.name).to.equal('warm');
+});
+
+it('placement: an adapter in use does not count as one that may leave', () => {
+  const placement = new DemandAwarePlacement({stallWeight: 1});
+  use(placement, 'hot@v1', 9);
+  use(placement, 'warm@v1', 3);
+  const candidates = [
+    target('in-use', {
+      resident: new Set(['hot@v1', 'idle@v1']),
+      pinned: new Set(['idle@v1']),
+    }),
+    target('warm', {resident: new Set(['warm@v1', 'hot@v1'])}),
+  ];
+  expect(placement.choose(wanted, candidates, 0)?.name).to.equal('warm');
+});
+
+it('placement: the weight decides between a cold slot and a full batch', () => {
+  const candidates = [
+    target('fuller', {resident: new Set(['warm@v1']), slots: 1, load: 8}),
+    target('free'),
+  ];
+  const chosen = (stallWeight: number) => {
+    const placement = new DemandAwarePlacement({stallWeight});
+    use(placement, 'warm@v1', 3);
+    return placement.choose(wanted, candidates, 0)?.name;
+  };
+  expect(chosen(1)).to.equal('free');
+  expect(chosen(0)).to.equal('fuller');
+});
+
+it('placement: settings that change bring a new policy', () => {
+  const set = new PlacementSet(() => 0);
+  const settings = {placement: 'demand-aware', stallWeight: 0.5} as const;
+  const first = set.of('desk', settings);
+  expect(set.of('desk', {...settings})).to.equal(first);
+  expect(set.of('desk', {...settings, stallWeight: 1})).to.not.equal(first);
+});
+
+it('rendezvous: a target that leaves moves only its own adapters', () => {
+  const all = ['a', 'b', 'c', 'd'].map(name => ({name}));
+  const left = all.slice(0, 3);
+  const models = Array.from({length: 200}, (_, index) => `model-${index}`);
+  const moved = models.filter(model => {
+    const home = rendezvousOrder(model, all)[0].name;
+    return home !== 'd' && rendezvousOrder(model, left)[0].name !== home;
+  });
+  expect(moved).to.deep.equal([]);
+  const homes = new Set(
+    models.map(model => rendezvousOrder(model, all)[0].name),
+  );
+  expect(homes.size).to.equal(4);
+});
