--- /dev/null
+++ b/agent/agent-server/test/agent-fixture.ts
@@ -0,0 +1,268 @@
+import http from 'node:http';
+import {startAgent} from '@marigoldspur/agent-server';
+import {formatHop, type Hop} from '@marigoldspur/messages';
+import type {Task} from '@marigoldspur/process-life';
+import {parseModel, type Tree} from '@marigoldspur/settings-schema';
+import {
+  startEngine,
+  startWeightStore,
+  type EngineFaults,
+  type OrderRecord,
+  type RunRecord,
+  type StandIn,
+} from '@marigoldspur/stand-ins';
+import {FakeControl} from './fake-control.js';
+
+/** Options of an agent beside an engine stand-in. */
+export interface FixtureOptions {
+  readonly slots?: number;
+  readonly tokenMs?: number;
+  readonly fenceChecked?: boolean;
+  readonly healthIntervalMs?: number;
+  readonly orderLeaseMs?: number;
+  readonly loadTimeoutMs?: number;
+}
+
+/** A started agent. */
+export interface StartedAgent {
+  readonly task: Task;
+  readonly url: string;
+}
+
+/** An answer as an entry sees it. */
+export interface Answer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly text: string;
+  /** Whether it ended cleanly and with the trailer that gives its length. */
+  readonly whole: boolean;
+}
+
+/** An attempt to send. */
+export interface Sending {
+  readonly model: string;
+  readonly request?: string;
+  readonly attempt?: number;
+  readonly tokens?: number;
+  readonly stream?: boolean;
+  readonly budgetMs?: number;
+  readonly revision?: number;
+  readonly repeatable?: boolean;
+  readonly path?: string;
+  /** In place of the body that fits. */
+  readonly body?: string;
+  readonly signal?: AbortSignal;
+  /** Called with each piece of the answer. */
+  readonly onData?: () => void;
+}
+
+const POLL_MS = 10;
+const WAIT_MS = 30_000;
+let requests = 0;
+
+/** The tree of the fixture: adapters `a` to `d` with versions `v1` and `v2`. */
+export function fixtureTree(retired = false): Tree {
+  const versions = {
+    v1: {digest: 'd1', retired},
+    v2: {digest: 'd2', retired: false},
+  };
+  const adapters = Object.fromEntries(
+    ['a', 'b', 'c', 'd'].map(name => [name, {settings: {}, versions}]),
+  );
+  const desk = {
+    kind: 'model' as const,
+    baseModel: 'base',
+    store: 'store',
+    settings: {},
+    adapters,
+  };
+  const callao = {settings: {}, services: {desk}};
+  return {settings: {}, customers: {callao}};
+}
+
+/** An engine stand-in with a store and a control; agents are started beside it. */
+export class Fixture {
+  readonly control = new FakeControl();
+  readonly tasks: Task[] = [];
+  engine!: StandIn;
+  private store!: StandIn;
+  private readonly agent = new http.Agent({keepAlive: true});
+
+  constructor(private readonly options: FixtureOptions = {}) {}
+
+  /** Starts all with one agent. */
+  static async start(options: FixtureOptions = {}) {
+    const fixture = new Fixture(options);
+    await fixture.startTarget();
+    const agent = await fixture.startAgent();
+    await fixture.serving(agent);
+    return {fixture, agent};
+  }
+
+  async startTarget(): Promise<void> {
+    const {fenceChecked = true, slots = 2, tokenMs = 0} = this.options;
+    await this.control.start(fixtureTree());
+    this.store = await startWeightStore({port: 0, loadsPerSecond: 200});
+    this.engine = await startEngine({
+      port: 0,
+      slots,
+      batchLimit: 8,
+      storeUrl: this.store.url,
+      firstTokenMs: 0,
+      tokenMs,
+      checksFence: fenceChecked,
+    });
+  }
+
+  /** Starts one more agent beside the engine. */
+  async startAgent(): Promise<StartedAgent> {
+    const known = new Set(this.control.members.keys());
+    const task = await startAgent(
+      {
+        id: 'agent',
+        zone: 'lima-a',
+        host: '127.0.0.1',
+        port: 0,
+        control: [this.control.url],
+        target: 'engine',
+        targetUrl: this.engine.url,
+        targetKind: 'engine',
+        customer: 'callao',
+        service: 'desk',
+        batchLimit: 8,
+        healthIntervalMs: this.options.healthIntervalMs ?? 50,
+        loadTimeoutMs: this.options.loadTimeoutMs ?? 5_000,
+        fenceChecked: this.options.fenceChecked ?? true,
+        orderLeaseMs: this.options.orderLeaseMs ?? 2_000,
+        isolatedLoadsPerSecond: 20,
+        drainMs: 20_000,
+        settleMs: 100,
+        logLevel: 'silent',
+      },
+      () => {},
+    );
+    this.tasks.push(task);
+    const member = await eventually(() =>
+      [...this.control.members].find(([key]) => !known.has(key)),
+    );
+    return {task, url: member[1].url};
+  }
+
+  /** Waits until an agent takes attempts. */
+  async serving(agent: StartedAgent): Promise<void> {
+    await eventually(async () => {
+      const probe = await this.send(agent, {model: 'none@v1'});
+      return probe.headers['x-marigoldspur-reason'] === 'unknown_adapter';
+    });
+  }
+
+  /** Sends an attempt as an entry does. */
+  send(agent: StartedAgent, sending: Sending): Promise<Answer> {
+    const body = sending.body ?? bodyOf(sending);
+    return new Promise((resolve, reject) => {
+      const call = http.request(
+        new URL(sending.path ?? '/v1/completions', agent.url),
+        {
+          method: 'POST',
+          agent: this.agent,
+          signal: sending.signal,
+          headers: {
+            ...formatHop(hopOf(sending)),
+            'content-type': 'application/json',
+            'content-length': Buffer.byteLength(body),
+          },
+        },
+      );
+      call.on('error', reject);
+      call.on('response', response => {
+        void readAnswer(response, sending.onData).then(resolve);
+      });
+      call.end(body);
+    });
+  }
+
+  async faults(faults: Partial<EngineFaults>): Promise<void> {
+    await fetch(`${this.engine.url}/faults`, {
+      method: 'POST',
+      body: JSON.stringify(faults),
+    });
+  }
+
+  async record(): Promise<RunRecord[]> {
+    return (await fetch(`${this.engine.url}/record`)).json() as Promise<
+      RunRecord[]
+    >;
+  }
+
+  /** Orders that changed something: all but those that only show a fencing number. */
+  async orders(): Promise<OrderRecord[]> {
+    const all = (await (
+      await fetch(`${this.engine.url}/orders`)
+    ).json()) as OrderRecord[];
+    return all.filter(order => order.model !== '@');
+  }
+}
+
+/** The headers of an attempt. */
+export function hopOf(sending: Sending): Hop {
+  requests += 1;
+  const model = parseModel(sending.model);
+  return {
+    request: sending.request ?? `request-${requests}`,
+    attempt: sending.attempt ?? 1,
+    model: model.isOk ? model.value : undefined,
+    target: 'engine',
+    revision: sending.revision ?? 1,
+    budgetMs: sending.budgetMs ?? 20_000,
+    priority: 5,
+    repeatable: sending.repeatable ?? true,
+  };
+}
+
+/** Waits until `check` gives a value that is neither undefined nor false. */
+export async function eventually<T>(
+  check: () => T | Promise<T>,
+): Promise<Exclude<T, undefined | false>> {
+  const deadline = performance.now() + WAIT_MS;
+  while (performance.now() < deadline) {
+    const value = await check();
+    if (value !== undefined && value !== false) {
+      return value as Exclude<T, undefined | false>;
+    }
+    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+  }
+  throw new Error(`did not happen: ${check.toString()}`);
+}
+
+function bodyOf(sending: Sending): string {
+  return JSON.stringify({
+    model: sending.model,
+    prompt: 'p',
+    max_tokens: sending.tokens ?? 2,
+    stream: sending.stream ?? false,
+  });
+}
+
+function readAnswer(
+  response: http.IncomingMessage,
+  onData: () => void = () => {},
+): Promise<Answer> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    response.on('data', (chunk: Buffer) => {
+      chunks.push(chunk);
+      onData();
+    });
+    response.on('error', () => {});
+    response.on('close', () => {
+      const bytes = Buffer.concat(chunks);
+      const end = response.trailers['x-marigoldspur-end'];
+      resolve({
+        status: response.statusCode ?? 0,
+        headers: response.headers,
+        text: bytes.toString('utf8'),
+        whole: response.complete && end === String(bytes.length),
+      });
+    });
+  });
+}
--- a/policy/placement/test/demand-aware.test.ts
+++ b/policy/placement/test/demand-aware.test.ts
@@ -41,10 +41,14 @@
 });
 
 it('placement: a second request follows the first before any report', () => {
-  const placement = new DemandAwarePlacement();
+  const placement = new DemandAwarePlacement({stallWeight: 1});
+  use(placement, 'hot@v1', 9);
   const first = placement.choose(wanted, [target('a'), target('b')], 0)!;
-  const reports = [target('a'), target('b')].map(report =>
-    report.name === first.name ? {...report, load: 9} : report,
+  const reports = [target('a', {slots: 1}), target('b', {slots: 1})].map(
+    report =>
+      report.name === first.name
+        ? {...report, resident: new Set(['hot@v1'])}
+        : report,
   );
   expect(placement.choose(wanted, reports, 100)?.name).to.equal(first.name);
 });
