--- a/contracts/settings-schema/src/settings.ts
+++ b/contracts/settings-schema/src/settings.ts
@@ -69,7 +69,6 @@
       'Weight of load stalls against batch efficiency: 1 is stalls only',
     ),
   placement: z
-<<<<<<< HEAD
     .enum([
       'random',
       'least-loaded',
@@ -77,28 +76,15 @@
       'resident-first',
       'demand-aware',
     ])
-    .default('demand-aware'),
-  /** Policy that chooses the adapter that leaves a slot. */
-  eviction: z.enum(['lru', 'decayed-frequency']).default('decayed-frequency'),
-  /** Policy that orders the loads that wait. */
-  loadOrder: z.enum(['first-come', 'least-harm']).default('least-harm'),
-  /** How long a result of a claimed request is kept, in milliseconds. */
-  claimRetentionMs: z.int().min(1_000).max(604_800_000).default(86_400_000),
-  /** What to do with repeatable requests while control is out of reach. */
-  whileIsolated: z.enum(['serve', 'refuse']).default('serve'),
-  /** How long settings may be unconfirmed before the process counts as isolated, in milliseconds. */
-  isolationBoundMs: z.int().min(500).max(3_600_000).default(10_000),
-=======
-    .enum(['random', 'least-loaded', 'hash-home', 'resident-first'])
-    .default('hash-home')
+    .default('demand-aware')
     .describe('Policy that chooses the target of a request'),
   eviction: z
     .enum(['lru', 'decayed-frequency'])
-    .default('lru')
+    .default('decayed-frequency')
     .describe('Policy that chooses the adapter that leaves a slot'),
   loadOrder: z
     .enum(['first-come', 'least-harm'])
-    .default('first-come')
+    .default('least-harm')
     .describe('Policy that orders the loads that wait'),
   claimRetentionMs: z
     .int()
@@ -122,7 +108,6 @@
     .describe(
       'How long settings may be unconfirmed before the process counts as isolated, in milliseconds',
     ),
->>>>>>> main
 });
 
 /** The settings in force at one level of the tree. */
