Count the first request that waits for a load

Cause: an agent's first question for a permit was put before the request was counted among those that wait, so control took each demanded load for a prefetch (0 waiters) until the next question, five seconds later. Found by the new test of refused loads, which saw 0 ms of use; with the fix it passes. The queue itself was ruled out by its own tests.

--- a/agent/agent-server/src/pending-load.ts
+++ b/agent/agent-server/src/pending-load.ts
@@ -27,6 +27,7 @@
     /** When it was asked for, a `performance.now()` time. */
     readonly askedAt: number,
   ) {
+    this.needs.add(first);
     this.done = new Promise(resolve => {
       this.finish = resolve;
     });
--- a/agent/agent-server/test/fake-control.ts
+++ b/agent/agent-server/test/fake-control.ts
@@ -33,6 +33,8 @@
   readonly permitRequests: PermitRequest[] = [];
   /** Whether permits are granted. */
   grants = true;
+  /** Whether loads are refused as too late. */
+  refuses = false;
   /** Whether calls get no answer. */
   away = false;
   url = '';
@@ -115,6 +117,12 @@
 
   async acquirePermit(request: PermitRequest): Promise<Permit> {
     this.permitRequests.push(request);
+    if (this.refuses) {
+      return {
+        validMs: 30_000,
+        refusal: {reason: 'too-late', retryAfterMs: 7_000},
+      };
+    }
     const end = performance.now() + request.waitMs;
     while (!this.grants && performance.now() < end) {
       await new Promise(resolve => setTimeout(resolve, 10));
--- /dev/null
+++ b/agent/agent-server/test/refused-loads.test.ts
@@ -0,0 +1,41 @@
+import {expect} from 'chai';
+import {eventually, Fixture} from './agent-fixture.js';
+
+it('refused loads: each request is refused at once and told when to come back', async () => {
+  const {fixture, agent} = await Fixture.start();
+  fixture.control.refuses = true;
+  const answers = await Promise.all(
+    [1, 2].map(() => fixture.send(agent, {model: 'a@v1', budgetMs: 600_000})),
+  );
+  for (const answer of answers) {
+    expect(answer.headers).to.include({
+      'x-marigoldspur-outcome': 'not-run',
+      'x-marigoldspur-reason': 'load_too_late',
+      'retry-after': '7',
+    });
+  }
+  expect(fixture.control.permitRequests[0].usefulMs).to.be.greaterThan(500_000);
+});
+
+it('refused loads: the adapter is asked for again by the next request', async () => {
+  const {fixture, agent} = await Fixture.start();
+  fixture.control.refuses = true;
+  await fixture.send(agent, {model: 'a@v1'});
+  fixture.control.refuses = false;
+  const answer = await fixture.send(agent, {model: 'a@v1'});
+  expect(answer.whole).to.equal(true);
+});
+
+it('refused loads: the report tells what is in use', async () => {
+  const {fixture, agent} = await Fixture.start();
+  await fixture.send(agent, {model: 'a@v1'});
+  const reports = () =>
+    [...fixture.control.members.values()].map(member => member.target);
+  await eventually(() =>
+    reports().some(report => report?.resident.includes('a@v1')),
+  );
+  const idle = await eventually(() =>
+    reports().some(report => report?.pinned?.length === 0),
+  );
+  expect(idle).to.equal(true);
+});
