--- a/contracts/messages/src/hop.ts
+++ b/contracts/messages/src/hop.ts
@@ -43,7 +43,6 @@
   readonly target: string;
   /** Settings revision in force at the sender. */
   readonly revision: number;
-  /** Base URL of the sender, where the receiver can pull newer settings. */
   /** Base URL of the sender, from which newer settings can be pulled. */
   readonly origin?: string;
   /** Milliseconds within which the answer has to end, counted from receipt. */
@@ -92,7 +91,6 @@
     model: modelHeader(headers, findings),
     target: text(HOP_HEADERS.target),
     revision: integer(HOP_HEADERS.revision),
-    ...originHeader(headers),
     ...originHeader(headers, findings),
     budgetMs: integer(HOP_HEADERS.budget),
     priority: integer(HOP_HEADERS.priority),
@@ -101,6 +99,8 @@
   return findings.length === 0 ? Result.ok(hop) : Result.err(findings);
 }
 
+const ORIGIN_PATTERN = /^https?:\/\/[^/?#\s]+$/;
+
 function originHeader(
   headers: IncomingHttpHeaders,
   findings: Finding[],
@@ -110,8 +110,11 @@
     return {};
   }
   const origin = String(value);
-  if (!URL.canParse(origin)) {
-    findings.push({place: HOP_HEADERS.origin, reason: 'must be a URL'});
+  if (!ORIGIN_PATTERN.test(origin)) {
+    findings.push({
+      place: HOP_HEADERS.origin,
+      reason: 'must be an HTTP origin',
+    });
   }
   return {origin};
 }
@@ -131,11 +134,3 @@
   }
   return parsed.value;
 }
-
-/** An origin that is no HTTP URL is left out: nothing is pulled from it. */
-function originHeader(headers: IncomingHttpHeaders): {origin?: string} {
-  const value = headers[HOP_HEADERS.origin];
-  return typeof value === 'string' && /^https?:\/\/[^/?#]+$/.test(value)
-    ? {origin: value}
-    : {};
-}
