--- a/lab/lab/src/demo.ts
+++ b/lab/lab/src/demo.ts
@@ -8,7 +8,7 @@
 
 const ADAPTERS_EACH = 100;
 const REQUESTS_EACH = 4;
-const CONTROLS = 1;
+const CONTROLS = 3;
 const ENTRIES = 2;
 
 interface DemoRow {
