--- a/lab/lab/src/system.ts
+++ b/lab/lab/src/system.ts
@@ -24,6 +24,8 @@
   /** Time of one call of a plain service, in milliseconds. */
   readonly serviceCallMs?: number;
   readonly logLevel?: string;
+  /** Requests in one batch of an engine. */
+  readonly batchLimit?: number;
 }
 
 /** A target with its agent. */
@@ -225,7 +227,7 @@
     'engine',
     ...['--port', String(port)],
     ...['--slots', String(ENGINE_SLOTS)],
-    ...['--batch-limit', String(BATCH_LIMIT)],
+    ...['--batch-limit', String(options.batchLimit ?? BATCH_LIMIT)],
     ...['--store-url', `${LOOPBACK}:${storePort}`],
     ...['--first-token-ms', String(options.firstTokenMs ?? 20)],
     ...['--token-ms', String(options.tokenMs ?? 5)],
--- /dev/null
+++ b/lab/path-bench/src/call-round.ts
@@ -0,0 +1,75 @@
+import http from 'node:http';
+import {build} from 'hdr-histogram-js';
+
+/** Options of one round of calls. */
+export interface RoundOptions {
+  /** Base URL of the server that is called. */
+  readonly url: string;
+  /** Calls that run at once. */
+  readonly callers: number;
+  /** Calls in all. */
+  readonly calls: number;
+  /** Adapter and version, `adapter@version`. */
+  readonly model: string;
+}
+
+/** What one round of calls took. */
+export interface Round {
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  readonly perSecond: number;
+}
+
+const MICROS_PER_MS = 1_000;
+const HIGHEST_MICROS = 60_000_000;
+
+/** Sends completions of one token, each caller one after another. */
+export async function callRound(options: RoundOptions): Promise<Round> {
+  const agent = new http.Agent({keepAlive: true});
+  const body = JSON.stringify({
+    model: options.model,
+    max_tokens: 1,
+    messages: [{role: 'user', content: 'Draft the recap.'}],
+  });
+  const histogram = build({highestTrackableValue: HIGHEST_MICROS});
+  const startedAt = performance.now();
+  let left = options.calls;
+  const caller = async () => {
+    while (left > 0) {
+      left -= 1;
+      const sentAt = performance.now();
+      await complete(options.url, body, agent);
+      const tookMs = performance.now() - sentAt;
+      histogram.recordValue(Math.round(tookMs * MICROS_PER_MS));
+    }
+  };
+  await Promise.all(Array.from({length: options.callers}, caller));
+  const tookSeconds = (performance.now() - startedAt) / 1_000;
+  agent.destroy();
+  return {
+    p50Ms: histogram.getValueAtPercentile(50) / MICROS_PER_MS,
+    p99Ms: histogram.getValueAtPercentile(99) / MICROS_PER_MS,
+    perSecond: options.calls / tookSeconds,
+  };
+}
+
+function complete(url: string, body: string, agent: http.Agent): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const headers = {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+    };
+    const target = new URL('/v1/chat/completions', url);
+    const call = http.request(target, {method: 'POST', headers, agent});
+    call.on('error', reject);
+    call.on('response', answer => {
+      answer.resume();
+      answer.on('end', () =>
+        answer.statusCode === 200
+          ? resolve()
+          : reject(new Error(`answered with ${answer.statusCode}`)),
+      );
+    });
+    call.end(body);
+  });
+}
