--- a/lab/lab/src/child.ts
+++ b/lab/lab/src/child.ts
@@ -24,7 +24,7 @@
 ): Child {
   const index = fileURLToPath(import.meta.resolve(packageName));
   const main = index.replace(/index\.js$/, 'main.js');
-  const child = spawn(process.execPath, [main, ...args], {
+  const child = spawn(process.execPath, [...nodeOptions(), main, ...args], {
     stdio: ['ignore', 'ignore', 'pipe'],
     env: {...process.env, ...variables},
   });
@@ -63,3 +63,9 @@
       }),
   };
 }
+
+/** Options of Node.js for each child, as `--cpu-prof`, separated by spaces. */
+function nodeOptions(): string[] {
+  const text = process.env.MARIGOLDSPUR_LAB_NODE_OPTIONS ?? '';
+  return text.split(' ').filter(option => option !== '');
+}
