--- /dev/null
+++ b/machines/bounded-signal/src/index.ts
@@ -0,0 +1,1 @@
+export {BoundedSignal, type BoundedSignalOptions} from './bounded-signal.js';
--- /dev/null
+++ b/machines/bounded-signal/test/bounded-signal.test.ts
@@ -0,0 +1,34 @@
+import {once} from 'node:events';
+import {expect} from 'chai';
+import {BoundedSignal} from '@marigoldspur/bounded-signal';
+
+it('signal: follows the abort of another', () => {
+  const first = new AbortController();
+  const second = new AbortController();
+  const bounded = new BoundedSignal({follows: [first.signal, second.signal]});
+  expect(bounded.signal.aborted).to.equal(false);
+  second.abort();
+  expect(bounded.signal.aborted).to.equal(true);
+  expect(bounded.isExpired).to.equal(false);
+});
+
+it('signal: is aborted from the start where one it follows is', () => {
+  const bounded = new BoundedSignal({follows: [AbortSignal.abort()]});
+  expect(bounded.signal.aborted).to.equal(true);
+});
+
+it('signal: aborts when its time is over', async () => {
+  const bounded = new BoundedSignal({timeoutMs: 1});
+  await once(bounded.signal, 'abort');
+  expect(bounded.isExpired).to.equal(true);
+});
+
+it('signal: aborts no more once it is released', async () => {
+  const first = new AbortController();
+  const bounded = new BoundedSignal({timeoutMs: 1, follows: [first.signal]});
+  bounded.release();
+  first.abort();
+  const later = new BoundedSignal({timeoutMs: 5});
+  await once(later.signal, 'abort');
+  expect(bounded.signal.aborted).to.equal(false);
+});
