Pull newer settings that a heartbeat tells of, and give settings to others

The entry and the agent hand the revision in each heartbeat's answer to their follower and offer their settings to processes that are behind (additive lines in start-entry and start-agent). A bench measures the cost of heartbeats.

--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -111,6 +111,7 @@
         },
       }),
       events: (after, limit, request) => events.after(after, limit, request),
+      settings: revision => follower.deltaAfter(revision),
       drain,
     },
   });
@@ -124,9 +125,12 @@
     leaving: isLeaving(),
     target: report(),
   });
-  const heartbeat = startHeartbeat(client, member, answer =>
-    engine?.keeper.answered(answer),
-  );
+  const heartbeat = startHeartbeat(client, member, answer => {
+    engine?.keeper.answered(answer);
+    if (answer.result.isOk) {
+      follower.heard(answer.result.value.revision);
+    }
+  });
   engine?.keeper.use(heartbeat);
   announce = () => void heartbeat.beat();
   events.record('process-started', {url: server.url, boot});
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -128,6 +128,7 @@
         facts: {running: desk.running, members: members.members().length},
       }),
       events: (after, limit, request) => events.after(after, limit, request),
+      settings: revision => follower.deltaAfter(revision),
       drain,
     },
   });
@@ -143,6 +144,7 @@
   const heartbeat = startHeartbeat(client, member, ({result, sentAt}) => {
     if (result.isOk) {
       contact.heard(result.value.revision, sentAt);
+      follower.heard(result.value.revision);
     }
   });
   events.record('process-started', {
--- a/lab/spread-bench/src/follower-bench.ts
+++ b/lab/spread-bench/src/follower-bench.ts
@@ -1,5 +1,4 @@
 import {randomUUID} from 'node:crypto';
-import {readFileSync} from 'node:fs';
 import {ControlClient, SettingsFollower} from '@marigoldspur/control-client';
 import {
   startControlGroup,
@@ -7,6 +6,7 @@
 } from '@marigoldspur/control-history';
 import {openCutLink} from '@marigoldspur/cut-link';
 import {EventLog} from '@marigoldspur/event-log';
+import {cpuMsOf} from './cpu-time.js';
 
 /** What following costs at a number of followers. */
 export interface FollowerCost {
@@ -39,8 +39,6 @@
 const START_MS = 30_000;
 const REPLICAS = 3;
 const MS_PER_SECOND = 1_000;
-/** Clock ticks of `/proc` are hundredths of a second on Linux. */
-const MS_PER_TICK = 10;
 
 interface Usage {
   readonly at: number;
@@ -145,13 +143,6 @@
   };
 }
 
-/** Processor time of a process, user and system (proc(5), fields 14 and 15). */
-function cpuMsOf(pid: number): number {
-  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
-  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
-  return (Number(fields[11]) + Number(fields[12])) * MS_PER_TICK;
-}
-
 async function change(client: ControlClient, number: number): Promise<void> {
   const made = {
     id: randomUUID(),
--- a/lab/spread-bench/src/index.ts
+++ b/lab/spread-bench/src/index.ts
@@ -1,3 +1,4 @@
+export {measureHeartbeats, type HeartbeatCost} from './heartbeat-bench.js';
 export {measureClaims, type ClaimCost} from './claims-bench.js';
 export {measureFollowers, type FollowerCost} from './follower-bench.js';
 export {
--- a/lab/spread-bench/src/main.ts
+++ b/lab/spread-bench/src/main.ts
@@ -3,6 +3,7 @@
 import {hideBin} from 'yargs/helpers';
 import {measureClaims} from './claims-bench.js';
 import {measureFollowers} from './follower-bench.js';
+import {measureHeartbeats} from './heartbeat-bench.js';
 import {measureTree} from './tree-bench.js';
 
 const CLAIMS = 100_000;
@@ -28,6 +29,16 @@
     options => options,
     () => print(measureClaims(CLAIMS)),
   )
+  .command(
+    'heartbeats',
+    'Cost of heartbeats',
+    options => options.option('count', {type: 'array', default: [4, 32, 128]}),
+    async ({count}) => {
+      for (const each of count) {
+        print(await measureHeartbeats(Number(each)));
+      }
+    },
+  )
   .command(
     'followers',
     'Messages, bytes and processor time of settings streams',
