--- a/contracts/control-api/src/service.ts
+++ b/contracts/control-api/src/service.ts
@@ -93,6 +93,6 @@
     signal: AbortSignal,
   ): AsyncIterable<MembersDelta>;
   acquirePermit(request: PermitRequest): Promise<Permit>;
-  releasePermit(permit: string, loaded: boolean): Promise<void>;
+  releasePermit(permit: string, loaded: boolean, used: boolean): Promise<void>;
   status(): ControlStatus;
 }
--- a/contracts/messages/src/hop.ts
+++ b/contracts/messages/src/hop.ts
@@ -13,6 +13,7 @@
   attempt: 'x-marigoldspur-attempt',
   model: 'x-marigoldspur-model',
   target: 'x-marigoldspur-target',
+  /** On attempts the sender's, on answers the agent's. */
   revision: 'x-marigoldspur-revision',
   /** Base URL of the sender, where newer settings can be pulled. */
   origin: 'x-marigoldspur-origin',
@@ -42,7 +43,7 @@
   readonly target: string;
   /** Settings revision in force at the sender. */
   readonly revision: number;
-  /** Base URL of the sender, where the receiver can pull newer settings. */
+  /** Base URL of the sender, from which newer settings can be pulled. */
   readonly origin?: string;
   /** Milliseconds within which the answer has to end, counted from receipt. */
   readonly budgetMs: number;
@@ -90,7 +91,7 @@
     model: modelHeader(headers, findings),
     target: text(HOP_HEADERS.target),
     revision: integer(HOP_HEADERS.revision),
-    ...originHeader(headers),
+    ...originHeader(headers, findings),
     budgetMs: integer(HOP_HEADERS.budget),
     priority: integer(HOP_HEADERS.priority),
     repeatable: text(HOP_HEADERS.repeatable) === 'true',
@@ -98,6 +99,26 @@
   return findings.length === 0 ? Result.ok(hop) : Result.err(findings);
 }
 
+const ORIGIN_PATTERN = /^https?:\/\/[^/?#\s]+$/;
+
+function originHeader(
+  headers: IncomingHttpHeaders,
+  findings: Finding[],
+): Pick<Hop, 'origin'> {
+  const value = headers[HOP_HEADERS.origin];
+  if (value === undefined) {
+    return {};
+  }
+  const origin = String(value);
+  if (!ORIGIN_PATTERN.test(origin)) {
+    findings.push({
+      place: HOP_HEADERS.origin,
+      reason: 'must be an HTTP origin',
+    });
+  }
+  return {origin};
+}
+
 function modelHeader(
   headers: IncomingHttpHeaders,
   findings: Finding[],
@@ -113,11 +134,3 @@
   }
   return parsed.value;
 }
-
-/** An origin that is no HTTP URL is left out: nothing is pulled from it. */
-function originHeader(headers: IncomingHttpHeaders): {origin?: string} {
-  const value = headers[HOP_HEADERS.origin];
-  return typeof value === 'string' && /^https?:\/\/[^/?#]+$/.test(value)
-    ? {origin: value}
-    : {};
-}
--- a/contracts/settings-schema/src/settings.ts
+++ b/contracts/settings-schema/src/settings.ts
@@ -69,16 +69,22 @@
       'Weight of load stalls against batch efficiency: 1 is stalls only',
     ),
   placement: z
-    .enum(['random', 'least-loaded', 'hash-home', 'resident-first'])
-    .default('hash-home')
+    .enum([
+      'random',
+      'least-loaded',
+      'hash-home',
+      'resident-first',
+      'demand-aware',
+    ])
+    .default('demand-aware')
     .describe('Policy that chooses the target of a request'),
   eviction: z
     .enum(['lru', 'decayed-frequency'])
-    .default('lru')
+    .default('decayed-frequency')
     .describe('Policy that chooses the adapter that leaves a slot'),
   loadOrder: z
     .enum(['first-come', 'least-harm'])
-    .default('first-come')
+    .default('least-harm')
     .describe('Policy that orders the loads that wait'),
   claimRetentionMs: z
     .int()
