Send no stack traces in answers of the process and control routers

Cause: tRPC adds the stack to each error unless it is told that it does not run in development. Seen in the answer of a replica without a quorum; gone after.

--- a/contracts/control-api/src/router.ts
+++ b/contracts/control-api/src/router.ts
@@ -21,6 +21,7 @@
 const waitSchema = z.int().min(0).max(MAX_WAIT_MS);
 
 const trpc = initTRPC.context<CallContext>().create({
+  isDev: false,
   errorFormatter: ({shape, error}) => ({
     ...shape,
     data: {
--- a/contracts/process-api/src/router.ts
+++ b/contracts/process-api/src/router.ts
@@ -18,7 +18,7 @@
   settings?(revision: number): SettingsDelta;
 }
 
-const trpc = initTRPC.context<CallContext>().create();
+const trpc = initTRPC.context<CallContext>().create({isDev: false});
 
 function procedureFor(access: Access) {
   return trpc.procedure.use(({ctx, next}) => {
