--- a/lab/fault-runs/src/fault-injector.ts
+++ b/lab/fault-runs/src/fault-injector.ts
@@ -6,7 +6,7 @@
   isEngine,
   type RecordedTarget,
 } from './collect-record.js';
-import type {PlannedFault} from './fault-plan.js';
+import type {FaultKind, PlannedFault} from './fault-plan.js';
 
 const PACKAGES = {
   control: '@marigoldspur/control-server',
@@ -28,8 +28,12 @@
   faulted: boolean;
 }
 
-const CUT_TOKENS = 2;
-const CUT_ANSWERS = 3;
+/** Faults that an engine stand-in makes itself. */
+const ENGINE_FAULTS: Partial<Record<FaultKind, object>> = {
+  'restart-engine': {restart: true},
+  'cut-answers': {cutAfterTokens: 2, cutAnswers: 3},
+  'leave-engine': {leaving: true},
+};
 
 /** Injects faults into a system and undoes them; knows every life of each process. */
 export class FaultInjector {
@@ -56,8 +60,9 @@
   async inject(fault: PlannedFault): Promise<void> {
     await pause(fault.atMs);
     const [verb, noun] = fault.kind.split('-');
-    if (fault.kind === 'restart-engine' || fault.kind === 'cut-answers') {
-      await this.faultEngine(fault);
+    const engineFaults = ENGINE_FAULTS[fault.kind];
+    if (engineFaults !== undefined) {
+      await this.faultEngine(fault, engineFaults);
       return;
     }
     if (fault.kind === 'freeze-zone') {
@@ -142,17 +147,19 @@
     this.record({line: 'record-lost', target, from, to: Date.now()});
   }
 
-  private async faultEngine(fault: PlannedFault): Promise<void> {
+  private async faultEngine(
+    fault: PlannedFault,
+    engineFaults: object,
+  ): Promise<void> {
     const engines = this.system.targets.filter(isEngine);
-    const engine = engines[fault.victim % engines.length];
-    const faults =
-      fault.kind === 'restart-engine'
-        ? {restart: true}
-        : {cutAfterTokens: CUT_TOKENS, cutAnswers: CUT_ANSWERS};
-    await fetch(`${engine.url}/faults`, {
+    const {name, url} = engines[fault.victim % engines.length];
+    await fetch(`${url}/faults`, {
       method: 'POST',
-      body: JSON.stringify(faults),
+      body: JSON.stringify(engineFaults),
     });
+    if (fault.kind === 'leave-engine') {
+      this.record({line: 'leaving', target: name, at: Date.now()});
+    }
   }
 
   /** Records the state of a process that keeps settings in force. */
--- a/lab/fault-runs/src/fault-plan.ts
+++ b/lab/fault-runs/src/fault-plan.ts
@@ -12,6 +12,7 @@
   'cut-answers',
   'kill-control',
   'freeze-zone',
+  'leave-engine',
 ] as const;
 
 /** What goes wrong. */
--- a/lab/fault-runs/test/fault-runs.test.ts
+++ b/lab/fault-runs/test/fault-runs.test.ts
@@ -7,6 +7,7 @@
   {seed: 11, kinds: ['kill-entry', 'freeze-agent']},
   {seed: 12, kinds: ['kill-target', 'kill-agent']},
   {seed: 13, kinds: ['cut-answers', 'restart-engine']},
+  {seed: 15, kinds: ['leave-engine', 'kill-entry']},
   {seed: 14, kinds: ['freeze-target', 'kill-control']},
 ];
 
@@ -16,7 +17,7 @@
       seed,
       kinds,
       requestsPerSecond: 25,
-      seconds: 5,
+      seconds: 6,
     });
     expect(violations).to.deep.equal([]);
     expect(summary.answered).to.be.above(summary.calls / 2);
