--- a/contracts/control-api/src/service.ts
+++ b/contracts/control-api/src/service.ts
@@ -38,6 +38,7 @@
   readonly revision: number;
   /** Identities of the voters. */
   readonly voters: readonly string[];
+  readonly appliedIndex?: number;
   /** Identity of the replica, kept in its data folder. */
   readonly replica?: string;
   /** All replicas of the group; how far each is, the leader alone knows. */
@@ -92,6 +93,6 @@
     signal: AbortSignal,
   ): AsyncIterable<MembersDelta>;
   acquirePermit(request: PermitRequest): Promise<Permit>;
-  releasePermit(permit: string, loaded: boolean): Promise<void>;
+  releasePermit(permit: string, loaded: boolean, used: boolean): Promise<void>;
   status(): ControlStatus;
 }
--- a/contracts/messages/src/hop.ts
+++ b/contracts/messages/src/hop.ts
@@ -15,6 +15,7 @@
   target: 'x-marigoldspur-target',
   /** On attempts the sender's, on answers the agent's. */
   revision: 'x-marigoldspur-revision',
+  /** Base URL of the sender, where newer settings can be pulled. */
   origin: 'x-marigoldspur-origin',
   budget: 'x-marigoldspur-budget-ms',
   priority: 'x-marigoldspur-priority',
@@ -98,6 +99,8 @@
   return findings.length === 0 ? Result.ok(hop) : Result.err(findings);
 }
 
+const ORIGIN_PATTERN = /^https?:\/\/[^/?#\s]+$/;
+
 function originHeader(
   headers: IncomingHttpHeaders,
   findings: Finding[],
@@ -107,8 +110,11 @@
     return {};
   }
   const origin = String(value);
-  if (!URL.canParse(origin)) {
-    findings.push({place: HOP_HEADERS.origin, reason: 'must be a URL'});
+  if (!ORIGIN_PATTERN.test(origin)) {
+    findings.push({
+      place: HOP_HEADERS.origin,
+      reason: 'must be an HTTP origin',
+    });
   }
   return {origin};
 }
