--- a/lab/fault-runs/src/command.ts
+++ b/lab/fault-runs/src/command.ts
@@ -7,6 +7,12 @@
 import {Random} from './random.js';
 import {runFaults, type FaultRunOptions} from './run-faults.js';
 
+interface LoadFlags {
+  readonly rate: number;
+  readonly seconds: number;
+  readonly concurrency?: number;
+}
+
 const MAX_SEED = 1_000_000;
 const MEASURED: ReadonlyArray<readonly FaultKind[]> = [
   [],
@@ -25,6 +31,10 @@
   const load = {
     rate: {type: 'number', default: 30, describe: 'Requests a second'},
     seconds: {type: 'number', default: 8, describe: 'Time of the load'},
+    concurrency: {
+      type: 'number',
+      describe: 'Requests that run at once at one entry',
+    },
   } as const;
   await yargs([...args])
     .scriptName('marigoldspur-fault-runs')
@@ -70,15 +80,13 @@
 function runOptions(
   seed: number,
   kinds: readonly FaultKind[],
-  load: {readonly rate: number; readonly seconds: number},
+  load: LoadFlags,
 ): FaultRunOptions {
-  return {seed, kinds, requestsPerSecond: load.rate, seconds: load.seconds};
+  const {rate, seconds, concurrency} = load;
+  return {seed, kinds, requestsPerSecond: rate, seconds, concurrency};
 }
 
-function freeRuns(
-  count: number,
-  load: {readonly rate: number; readonly seconds: number},
-): FaultRunOptions[] {
+function freeRuns(count: number, load: LoadFlags): FaultRunOptions[] {
   return Array.from({length: count}, () => {
     const seed = Math.floor(Math.random() * MAX_SEED);
     return runOptions(seed, pickKinds(new Random(seed)), load);
--- a/lab/fault-runs/src/run-faults.ts
+++ b/lab/fault-runs/src/run-faults.ts
@@ -12,6 +12,7 @@
   type System,
 } from '@marigoldspur/lab';
 import {submitChange} from '@marigoldspur/operator-commands';
+import type {Tree} from '@marigoldspur/settings-schema';
 import {Caller} from './caller.js';
 import {collectRecord, runningAt} from './collect-record.js';
 import {inForceLines, retryLines} from './event-lines.js';
@@ -27,6 +28,8 @@
   readonly kinds: readonly FaultKind[];
   readonly requestsPerSecond: number;
   readonly seconds: number;
+  /** Requests of the customer that run at once at one entry; the default of the tree where it is not given. */
+  readonly concurrency?: number;
 }
 
 /** What a run under faults showed. */
@@ -66,7 +69,7 @@
   const record = (line: HistoryLine) => void lines.push(line);
   const system = await startSystem({
     deployments: [DEPLOYMENT],
-    tree: deploymentTree([DEPLOYMENT], ADAPTERS),
+    tree: treeFor(options),
     controls: CONTROLS,
     entries: ENTRIES,
     firstTokenMs: FIRST_TOKEN_MS,
@@ -91,6 +94,11 @@
   return {history, violations, summary: summarise(history)};
 }
 
+function treeFor({concurrency}: FaultRunOptions): Tree {
+  const tree = deploymentTree([DEPLOYMENT], ADAPTERS);
+  return concurrency === undefined ? tree : {...tree, settings: {concurrency}};
+}
+
 async function loadUnderFaults(
   system: System,
   injector: FaultInjector,
