--- a/lab/experiment/src/index.ts
+++ b/lab/experiment/src/index.ts
@@ -24,3 +24,9 @@
 export {reportPage} from './report-page.js';
 export {RandomSource} from './random-source.js';
 export {runBound} from './run-bound.js';
+export {
+  measureDecisions,
+  measureTables,
+  type DecisionCost,
+  type TableCost,
+} from './measure-costs.js';
--- a/lab/lab/src/lab-command.ts
+++ b/lab/lab/src/lab-command.ts
@@ -1,5 +1,9 @@
 import yargs from 'yargs';
-import {runExperimentCommand} from '@marigoldspur/experiment';
+import {
+  measureDecisions,
+  measureTables,
+  runExperimentCommand,
+} from '@marigoldspur/experiment';
 import {
   startBalancer,
   startEngine,
@@ -8,6 +12,7 @@
   type StandIn,
 } from '@marigoldspur/stand-ins';
 import {runDemo} from './demo.js';
+import {replayTrace} from './replay-trace.js';
 
 const port = {
   type: 'number',
@@ -102,6 +107,31 @@
           }),
       flags => runExperimentCommand(flags, text => process.stdout.write(text)),
     )
+    .command(
+      'policy-costs',
+      'Measure the CPU time and memory of policy decisions',
+      options => options,
+      () => {
+        const costs = {decisions: measureDecisions(), tables: measureTables()};
+        process.stdout.write(`${JSON.stringify(costs, null, 2)}\n`);
+      },
+    )
+    .command(
+      'replay <file>',
+      'Send the calm trace of a workload file to real processes',
+      options =>
+        options
+          .positional('file', {type: 'string', demandOption: true})
+          .option('policy', {type: 'string', demandOption: true})
+          .option('load', {type: 'number', default: 1})
+          .option('seed', {type: 'number', default: 101})
+          .option('warm-up-seconds', {type: 'number', default: 30})
+          .option('measured-seconds', {type: 'number', default: 30}),
+      async flags => {
+        const figures = await replayTrace(flags);
+        process.stdout.write(`${JSON.stringify(figures)}\n`);
+      },
+    )
     .demandCommand(1, 'name a command')
     .strict()
     .parseAsync();
