--- a/lab/experiment/src/measure-costs.ts
+++ b/lab/experiment/src/measure-costs.ts
@@ -27,6 +27,10 @@
 const ADAPTERS = [3_000, 36_000];
 const SLOTS = 6;
 const PLACEMENTS: readonly PlacementName[] = ['hash-home', 'demand-aware'];
+/** Adapters for each slot. */
+const ADAPTERS_PER_SLOT = 5;
+/** Between two requests at one entry, in milliseconds. */
+const REQUEST_GAP_MS = 125;
 const PLACED = 2_000;
 const GRANTED = 200;
 const SEED = 1;
@@ -59,8 +63,9 @@
   const placement = createPlacement(name, random.uniform);
   const candidates = candidatesOf(size);
   const cpuMicroseconds = cpuOf(PLACED, index => {
-    const model = `adapter-${random.below(ADAPTERS[0])}@v1`;
-    placement.choose({model, zone: 'zone-0'}, candidates, index);
+    const model = `adapter-${random.below(size * SLOTS * ADAPTERS_PER_SLOT)}@v1`;
+    const now = index * REQUEST_GAP_MS;
+    placement.choose({model, zone: 'zone-0'}, candidates, now);
   });
   return {decision: name, size, cpuMicroseconds};
 }
