--- a/agent/agent-server/src/target-forwarder.ts
+++ b/agent/agent-server/src/target-forwarder.ts
@@ -59,6 +59,9 @@
   'failed',
 ]);
 
+const OVER_BUDGET = new Error('the time for the attempt is over');
+const ENTRY_GONE = new Error('the entry went away');
+
 /** Forwards checked attempts to the target and relays the answers. */
 export class TargetForwarder {
   private readonly keptAlive = new http.Agent({keepAlive: true});
@@ -92,9 +95,7 @@
   }
 
   private send(attempt: CheckedAttempt): Promise<AttemptEnd> {
-    const {body, deadlineMs, hop, request, response, signal} = attempt;
-    const budgetMs = Math.max(1, Math.ceil(deadlineMs - performance.now()));
-    const late = AbortSignal.timeout(budgetMs);
+    const {body, hop, request, response, signal} = attempt;
     return new Promise(resolve => {
       let reached = false;
       const call = openRequest({
@@ -102,22 +103,29 @@
         method: request.method ?? 'POST',
         headers: targetHeaders(request, body, hop),
         agent: hop.repeatable ? this.keptAlive : this.fresh,
-        signal: AbortSignal.any([signal, late]),
       });
+      const limit = limitCall(call, attempt);
       call.on('socket', socket => {
         reached = !socket.connecting;
-        socket.once('connect', () => {
-          reached = true;
-        });
+        if (!reached) {
+          socket.once('connect', () => {
+            reached = true;
+          });
+        }
       });
       call.on('error', error => {
-        const refusal = brokenTarget(reached, late.aborted, error.message);
-        refuseAttempt(hop, response, refusal);
+        const late = error === OVER_BUDGET;
+        refuseAttempt(
+          hop,
+          response,
+          brokenTarget(reached, late, error.message),
+        );
         resolve(brokenEnd(reached, signal.aborted));
       });
       call.on('response', answer => {
         void this.receive(attempt, answer).then(resolve);
       });
+      call.on('close', limit.lift);
       call.end(body);
     });
   }
@@ -195,6 +203,28 @@
   }
 }
 
+/**
+ * Breaks a call off once its time is over or its entry is gone. Plain timers in place
+ * of `AbortSignal.timeout`, which would live on for the whole budget of each request.
+ */
+function limitCall(
+  call: http.ClientRequest,
+  {deadlineMs, signal}: CheckedAttempt,
+): {lift: () => void} {
+  const leave = () => call.destroy(ENTRY_GONE);
+  const timer = setTimeout(
+    () => call.destroy(OVER_BUDGET),
+    Math.max(1, Math.ceil(deadlineMs - performance.now())),
+  );
+  signal.addEventListener('abort', leave, {once: true});
+  return {
+    lift: () => {
+      clearTimeout(timer);
+      signal.removeEventListener('abort', leave);
+    },
+  };
+}
+
 function isOfBoot(attempt: CheckedAttempt, answer: IncomingMessage): boolean {
   const boot = answer.headers[BOOT_HEADER];
   return boot === undefined || boot === attempt.boot;
--- a/agent/agent-server/test/agent-fixture.ts
+++ b/agent/agent-server/test/agent-fixture.ts
@@ -181,6 +181,16 @@
     });
   }
 
+  /** Names of the events that an agent recorded. */
+  async events(agent: StartedAgent): Promise<string[]> {
+    const input = encodeURIComponent(JSON.stringify({after: 0, limit: 10_000}));
+    const url = `${agent.url}/trpc/process/events?input=${input}`;
+    const answer = (await (await fetch(url)).json()) as {
+      result: {data: Array<{name: string}>};
+    };
+    return answer.result.data.map(event => event.name);
+  }
+
   async faults(faults: Partial<EngineFaults>): Promise<void> {
     await fetch(`${this.engine.url}/faults`, {
       method: 'POST',
--- a/agent/agent-server/test/attempts.test.ts
+++ b/agent/agent-server/test/attempts.test.ts
@@ -113,6 +113,9 @@
   );
   gone.abort();
   expect(await sent).to.equal('gone');
+  await eventually(async () =>
+    (await fixture.events(agent)).includes('load-dropped'),
+  );
   fixture.control.grants = true;
   const after = await fixture.send(agent, {model: 'd@v1'});
   expect(after.whole).to.equal(true);
--- a/machines/event-log/src/json-lines.ts
+++ b/machines/event-log/src/json-lines.ts
@@ -18,7 +18,15 @@
   return {
     write(event) {
       const kind = CATALOGUE[event.name as EventName];
-      logger[kind.level](JSON.stringify({level: kind.level, ...event}));
+      if (loglevel.levels[levelName(kind.level)] >= logger.getLevel()) {
+        logger[kind.level](JSON.stringify({level: kind.level, ...event}));
+      }
     },
   };
 }
+
+function levelName(
+  level: 'debug' | 'info' | 'warn' | 'error',
+): keyof typeof loglevel.levels {
+  return level.toUpperCase() as keyof typeof loglevel.levels;
+}
