--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -62,6 +62,7 @@
     customer: settings.customer,
     service: settings.service,
     settings: follower,
+    heard: (revision, url) => follower.heard(revision, url),
     events,
     metrics,
     maxBodyBytes: MAX_BODY_BYTES,
@@ -79,6 +80,8 @@
     healthy: engine?.watch.state.healthy ?? service.healthy,
     slots: engine?.slots.size ?? 0,
     resident: engine?.slots.resident() ?? [],
+    pinned: engine?.slots.pinned(),
+    loading: engine?.host.loading,
     running: desk.load,
     waiting: engine?.host.waiting ?? 0,
     batchLimit: engine?.watch.state.batchLimit ?? settings.batchLimit,
@@ -111,6 +114,7 @@
         },
       }),
       events: (after, limit, request) => events.after(after, limit, request),
+      settings: revision => follower.deltaAfter(revision),
       drain,
     },
   });
@@ -124,9 +128,12 @@
     leaving: isLeaving(),
     target: report(),
   });
-  const heartbeat = startHeartbeat(client, member, answer =>
-    engine?.keeper.answered(answer),
-  );
+  const heartbeat = startHeartbeat(client, member, answer => {
+    engine?.keeper.answered(answer);
+    if (answer.result.isOk) {
+      follower.heard(answer.result.value.revision);
+    }
+  });
   engine?.keeper.use(heartbeat);
   announce = () => void heartbeat.beat();
   events.record('process-started', {url: server.url, boot});
--- a/agent/agent-server/test/fake-control.ts
+++ b/agent/agent-server/test/fake-control.ts
@@ -24,6 +24,8 @@
   type Tree,
 } from '@marigoldspur/settings-schema';
 
+const FOLLOW_MS = 500;
+
 /** A control of one process in memory, whose answers a test decides. */
 export class FakeControl implements ControlService {
   /** Members by identity and boot, as last announced. */
@@ -31,6 +33,8 @@
   readonly permitRequests: PermitRequest[] = [];
   /** Whether permits are granted. */
   grants = true;
+  /** Whether loads are refused as too late. */
+  refuses = false;
   /** Whether calls get no answer. */
   away = false;
   url = '';
@@ -83,6 +87,18 @@
     return {...this.view, changes: []};
   }
 
+  async *followSettings(
+    revision: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<SettingsDelta> {
+    let known = revision;
+    while (!signal.aborted) {
+      const delta = await this.watchSettings(known, FOLLOW_MS);
+      known = delta.revision;
+      yield delta;
+    }
+  }
+
   async heartbeat(member: Member) {
     await this.reachable();
     const target = member.target?.name ?? '';
@@ -101,6 +117,12 @@
 
   async acquirePermit(request: PermitRequest): Promise<Permit> {
     this.permitRequests.push(request);
+    if (this.refuses) {
+      return {
+        validMs: 30_000,
+        refusal: {reason: 'too-late', retryAfterMs: 7_000},
+      };
+    }
     const end = performance.now() + request.waitMs;
     while (!this.grants && performance.now() < end) {
       await new Promise(resolve => setTimeout(resolve, 10));
@@ -131,6 +153,10 @@
     throw new Fault('NOT_FOUND', 'not part of this control');
   }
 
+  followMembers(): AsyncIterable<MembersDelta> {
+    throw new Fault('NOT_FOUND', 'not part of this control');
+  }
+
   status(): ControlStatus {
     throw new Fault('NOT_FOUND', 'not part of this control');
   }
--- a/contracts/messages/src/member.ts
+++ b/contracts/messages/src/member.ts
@@ -20,6 +20,10 @@
   slots: z.int().min(0),
   /** Adapters that the target holds, as `adapter@version`. */
   resident: z.array(z.string()),
+  /** Adapters among them that requests use at present. */
+  pinned: z.array(z.string()).optional(),
+  /** Adapters that requests wait for or that are being loaded. */
+  loading: z.array(z.string()).optional(),
   /** Requests that run on the target. */
   running: z.int().min(0),
   /** Requests that wait in the agent or the target. */
@@ -65,6 +69,8 @@
   changed: z.array(MEMBER_SCHEMA),
   /** Identities of the members that are gone. */
   removed: z.array(z.string()),
+  /** False while members may not have announced themselves yet, as after a change of leader. */
+  complete: z.boolean().default(true),
 });
 
 /** What changed in the member table. */
--- a/control/consensus/src/consensus.ts
+++ b/control/consensus/src/consensus.ts
@@ -69,6 +69,10 @@
 
 const MAX_APPEND_BYTES = 1_048_576;
 const MAX_APPEND_ENTRIES = 512;
+/** Shortest wait until an election is held again, as a share of the election timeout; the longest is three times that. */
+const RETRY_SHARE = 0.25;
+/** How long a commit waits for an entry to carry it to the others. */
+export const COMMIT_ANNOUNCE_MS = 10;
 const MAX_UNANSWERED_ENTRIES = 4_096;
 /** Entries that are kept at most for replicas that receive a snapshot. */
 const MAX_HELD_ENTRIES = 100_000;
@@ -105,6 +109,8 @@
   private handOverUntil = 0;
   private handOverSent = false;
   private replicationDue = false;
+  /** When a commit is told that no entry has carried by then. */
+  private announceAt = Infinity;
   private messages: Message[] = [];
   private operations: LogOperation[] = [];
   private heldMessages: Message[] = [];
@@ -321,9 +327,14 @@
     return taken;
   }
 
+  /** Whether `takeBatch` has something. */
+  get hasBatch(): boolean {
+    return this.operations.length > 0 || this.heldMessages.length > 0;
+  }
+
   /** What is to be synced next; call `synced` with it before taking another. */
   takeBatch(): Batch | undefined {
-    if (this.operations.length === 0 && this.heldMessages.length === 0) {
+    if (!this.hasBatch) {
       return undefined;
     }
     const batch = {
@@ -485,7 +496,7 @@
     }
     const own = role === 'candidate' ? 'vote-answer' : 'pre-vote-answer';
     this.sendHeld(this.id, {kind: own, granted: true}, term);
-    this.resetElection(now);
+    this.retryElection(now);
   }
 
   private stepPreVote(message: MessageOf<'pre-vote'>, now: number): void {
@@ -596,6 +607,13 @@
     this.electionAt = now + electionTimeoutMs * (1 + random());
   }
 
+  /** An election that nobody wins is held again sooner than the first: the silence is known. */
+  private retryElection(now: number): void {
+    const {electionTimeoutMs, random} = this.options;
+    const share = RETRY_SHARE * (1 + 2 * random());
+    this.electionAt = now + electionTimeoutMs * share;
+  }
+
   // The leader's side of replication.
 
   private tickLeader(now: number): void {
@@ -625,6 +643,8 @@
   private broadcast(now: number): void {
     this.round += 1;
     this.heartbeatAt = now + this.options.heartbeatMs;
+    this.replicationDue = false;
+    this.announceAt = Infinity;
     for (const [id, progress] of this.progress) {
       if (id !== this.id) {
         this.sendAppend(id, progress, now, true);
@@ -665,13 +685,14 @@
   private sendDue(now: number): void {
     if (this.reads.needsRound(this.round)) {
       this.broadcast(now);
-    } else if (this.replicationDue) {
+    } else if (this.replicationDue || now >= this.announceAt) {
       this.sendNew(now);
     }
-    this.replicationDue = false;
   }
 
   private sendNew(now: number): void {
+    this.replicationDue = false;
+    this.announceAt = Infinity;
     for (const [id, progress] of this.progress) {
       const unanswered = progress.next - 1 - progress.match;
       if (id !== this.id && unanswered < MAX_UNANSWERED_ENTRIES) {
@@ -783,7 +804,7 @@
       this.becomeFollower(this.term, undefined, now);
       return;
     }
-    this.replicationDue = true;
+    this.announceAt = Math.min(this.announceAt, now + COMMIT_ANNOUNCE_MS);
   }
 
   private heard(
--- /dev/null
+++ b/lab/spread-bench/src/index.ts
@@ -0,0 +1,8 @@
+export {measureClaims, type ClaimCost} from './claims-bench.js';
+export {measureFollowers, type FollowerCost} from './follower-bench.js';
+export {
+  measureTree,
+  sizedTree,
+  type TreeCost,
+  type TreeShape,
+} from './tree-bench.js';
