--- a/agent/agent-server/src/run-watch.ts
+++ b/agent/agent-server/src/run-watch.ts
@@ -1,4 +1,5 @@
 import type {Pin} from '@marigoldspur/adapter-slots';
+import type {EventLog} from '@marigoldspur/event-log';
 import type {EngineClient} from '@marigoldspur/target-client';
 
 interface HeldRun {
@@ -15,7 +16,10 @@
   private polling = false;
   private stopped = false;
 
-  constructor(private readonly engine: EngineClient) {}
+  constructor(
+    private readonly engine: EngineClient,
+    private readonly events: EventLog,
+  ) {}
 
   /** Releases `pin` once the engine no longer runs the request, or has another boot. */
   hold(id: string, boot: string, pin: Pin): void {
@@ -46,6 +50,7 @@
           if (!ids.has(id) || (boot ?? run.boot) !== run.boot) {
             this.held.delete(id);
             run.pin.release(performance.now());
+            this.events.record('attempt-stopped', {id});
             waitMs = FIRST_POLL_MS;
           }
         }
--- a/agent/agent-server/src/target-watch.ts
+++ b/agent/agent-server/src/target-watch.ts
@@ -50,7 +50,7 @@
   private readonly runs: RunWatch;
 
   constructor(private readonly options: TargetWatchOptions) {
-    this.runs = new RunWatch(options.engine);
+    this.runs = new RunWatch(options.engine, options.events);
   }
 
   get state(): TargetState {
