--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -330,6 +330,11 @@
     level: 'warn',
     meaning: 'An answer lacked its end and was not ended cleanly.',
   },
+  'attempt-stopped': {
+    number: 509,
+    level: 'debug',
+    meaning: 'The target confirmed that a broken-off attempt has stopped.',
+  },
   'load-ordered': {
     number: 600,
     level: 'info',
