Signals of a request end with it, and headers are filtered in one place

Cause, found in a CPU profile at 16 callers: AbortSignal.any and AbortSignal.timeout were made for each request and lived on for its whole budget of two minutes; each answer's end aborted with a new DOMException, and each body read whole made a fault that was thrown away. Ruled out: JSON lines below the log level (written by no sink now) and placement (no share in the profile). Entry and agent each had a filter of hop-by-hop headers; it is one function of http-link now.

--- a/agent/agent-server/src/attempt-answer.ts
+++ b/agent/agent-server/src/attempt-answer.ts
@@ -2,7 +2,7 @@
 import {Refusal} from '@marigoldspur/faults';
 import {HOP_HEADERS, type Hop} from '@marigoldspur/messages';
 import type {AnswerCheck, AnswerFault, CheckedBytes} from './answer-check.js';
-import {endToEndHeaders} from './attempt-headers.js';
+import {passedHeaders} from './attempt-headers.js';
 
 /** How a relay ended. `cancelled`: the entry went away. */
 export type RelayEnd = 'whole' | 'cancelled' | AnswerFault;
@@ -166,7 +166,7 @@
       return;
     }
     this.response.writeHead(this.answer.statusCode ?? 502, {
-      ...endToEndHeaders(this.answer),
+      ...passedHeaders(this.answer),
       ...(this.isBodiless
         ? {[HOP_HEADERS.end]: '0'}
         : {trailer: HOP_HEADERS.end}),
--- a/agent/agent-server/src/attempt-headers.ts
+++ b/agent/agent-server/src/attempt-headers.ts
@@ -1,33 +1,17 @@
 import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
+import {endToEndHeaders} from '@marigoldspur/http-link';
 import {HOP_HEADERS, type Hop} from '@marigoldspur/messages';
 import {REQUEST_ID_HEADER} from '@marigoldspur/target-client';
 
-/** Headers that belong to one connection only (RFC 9110, 7.6.1). */
-const CONNECTION_HEADERS = [
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-];
-const OWN_PREFIX = 'x-marigoldspur-';
+/** Headers that end at the agent. */
+const AGENT_HEADERS: ReadonlySet<string> = new Set(['expect', 'host']);
 
 /** Headers of a message that may go on, repeated ones included. */
-export function endToEndHeaders(message: IncomingMessage): OutgoingHttpHeaders {
-  const named = (message.headers.connection ?? '').toLowerCase().split(',');
-  const dropped = new Set([
-    ...CONNECTION_HEADERS,
-    ...named.map(name => name.trim()),
-  ]);
-  const kept = Object.entries(message.headersDistinct).filter(
-    ([name]) => !dropped.has(name) && !name.startsWith(OWN_PREFIX),
-  );
-  return Object.fromEntries(kept);
+export function passedHeaders(message: IncomingMessage): OutgoingHttpHeaders {
+  return endToEndHeaders(message.headersDistinct, {
+    connection: message.headers.connection,
+    dropped: AGENT_HEADERS,
+  });
 }
 
 /** Identity of an attempt at its target. */
@@ -42,7 +26,7 @@
   hop: Hop,
 ): OutgoingHttpHeaders {
   return {
-    ...endToEndHeaders(request),
+    ...passedHeaders(request),
     ...(hop.model !== undefined && {[REQUEST_ID_HEADER]: attemptId(hop)}),
     'content-length': body.length,
     [HOP_HEADERS.request]: hop.request,
--- a/agent/agent-server/test/parsers.test.ts
+++ b/agent/agent-server/test/parsers.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {engineAnswerCheck} from '../src/answer-check.js';
-import {endToEndHeaders} from '../src/attempt-headers.js';
+import {passedHeaders} from '../src/attempt-headers.js';
 import {readBodyModel} from '../src/body-model.js';
 
 const SEED = Number(process.env['FAST_CHECK_SEED'] ?? 3);
@@ -103,7 +103,7 @@
       'set-cookie': ['a=1', 'b=2'],
     },
   } as unknown as IncomingMessage;
-  expect(endToEndHeaders(message)).to.deep.equal({
+  expect(passedHeaders(message)).to.deep.equal({
     'x-twice': ['1', '2'],
     'set-cookie': ['a=1', 'b=2'],
   });
--- a/entry/admission/src/admission.ts
+++ b/entry/admission/src/admission.ts
@@ -1,5 +1,6 @@
 import PQueue from 'p-queue';
 import {Result} from 'true-myth';
+import {BoundedSignal} from '@marigoldspur/bounded-signal';
 import {Refusal} from '@marigoldspur/faults';
 import type {Settings} from '@marigoldspur/settings-schema';
 import {FairQueue, type FairOptions, type Run} from './fair-queue.js';
@@ -72,13 +73,21 @@
     if (waitMs > settings.queueDeadlineMs) {
       return Result.err(this.tooBusy('the wait would be too long', waitMs));
     }
-    const patience = AbortSignal.any([
-      signal,
-      AbortSignal.timeout(settings.queueDeadlineMs),
-    ]);
+    const patience = this.startsAtOnce(turns)
+      ? undefined
+      : new BoundedSignal({
+          timeoutMs: settings.queueDeadlineMs,
+          follows: [signal],
+        });
     const priority = LOWEST_PRIORITY - settings.priority;
     estimate.wait(settings.priority);
-    const end = await this.takeTurns(turns, customer, priority, patience);
+    const end = await this.takeTurns(
+      turns,
+      customer,
+      priority,
+      patience?.signal,
+    );
+    patience?.release();
     estimate.stopWaiting(settings.priority);
     if (end === undefined) {
       return Result.err(this.tooBusy('the wait was too long', waitMs));
@@ -92,12 +101,19 @@
     });
   }
 
+  /** Whether a request that comes now waits for nobody. */
+  private startsAtOnce(turns: PQueue): boolean {
+    return [turns, this.shared].every(
+      queue => queue.size === 0 && queue.pending < queue.concurrency,
+    );
+  }
+
   /** Takes a turn of the customer, then one of the entry; undefined when `signal` ends the wait. */
   private async takeTurns(
     turns: PQueue,
     customer: string,
     priority: number,
-    signal: AbortSignal,
+    signal: AbortSignal | undefined,
   ): Promise<EndTurn | undefined> {
     const own = await takeTurn(
       (run, patience) => turns.add(run, {priority, signal: patience}),
@@ -140,21 +156,16 @@
 
 /** Waits for a turn in a queue; one that has begun lasts until it is ended. */
 function takeTurn(
-  add: (run: Run, patience: AbortSignal) => Promise<unknown>,
-  signal: AbortSignal,
+  add: (run: Run, patience: AbortSignal | undefined) => Promise<unknown>,
+  signal: AbortSignal | undefined,
 ): Promise<EndTurn | undefined> {
   return new Promise(resolve => {
-    const patience = new AbortController();
-    const giveUp = () => patience.abort();
-    signal.addEventListener('abort', giveUp, {once: true});
-    if (signal.aborted) {
-      giveUp();
-    }
+    const patience = signal && new BoundedSignal({follows: [signal]});
     const run = () =>
       new Promise<void>(endTurn => {
-        signal.removeEventListener('abort', giveUp);
+        patience?.release();
         resolve(endTurn);
       });
-    add(run, patience.signal).catch(() => resolve(undefined));
+    add(run, patience?.signal).catch(() => resolve(undefined));
   });
 }
--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -1,6 +1,7 @@
 import type http from 'node:http';
 import type {IncomingMessage} from 'node:http';
 import {Result} from 'true-myth';
+import {BoundedSignal} from '@marigoldspur/bounded-signal';
 import {Refusal, type RefusalOutcome} from '@marigoldspur/faults';
 import {openRequest} from '@marigoldspur/http-link';
 import {HOP_HEADERS} from '@marigoldspur/messages';
@@ -42,8 +43,8 @@
 
 /** One attempt on its way. */
 class AttemptExchange {
-  private readonly late = new AbortController();
-  private readonly silent = new AbortController();
+  private readonly bounded: BoundedSignal;
+  private silent = false;
   private connected = false;
   private bodySent = false;
   private message: IncomingMessage | undefined;
@@ -51,27 +52,32 @@
   constructor(
     private readonly attempt: Attempt,
     private readonly options: AttemptClientOptions,
-  ) {}
+  ) {
+    const {firstByteTimeoutMs, hop, signal} = attempt;
+    this.bounded = new BoundedSignal({
+      timeoutMs: Math.min(firstByteTimeoutMs, hop.budgetMs),
+      follows: [signal],
+    });
+  }
 
   run(): Promise<Result<AttemptAnswer, Refusal>> {
-    const {attempt, late, silent} = this;
+    const {attempt, bounded} = this;
     const call = openRequest({
       url: new URL(attempt.url, attempt.destination.url),
       method: attempt.method,
       headers: attemptHeaders(attempt),
       agent: this.options.agent,
-      signal: AbortSignal.any([attempt.signal, late.signal, silent.signal]),
+      signal: bounded.signal,
     });
-    const timer = setTimeout(
-      () => late.abort(),
-      Math.min(attempt.firstByteTimeoutMs, attempt.hop.budgetMs),
-    );
     const endWatch = this.options.health.watch({
       destination: attempt.destination,
       bytesRead: () => this.message?.socket.bytesRead ?? 0,
       onSilent: () => this.giveUp(),
     });
-    call.on('close', endWatch);
+    call.on('close', () => {
+      endWatch();
+      bounded.release();
+    });
     call.on('socket', socket => {
       this.connected = !socket.connecting;
       socket.once('connect', () => (this.connected = true));
@@ -84,7 +90,7 @@
       });
     });
     this.sendBody(call);
-    return answered.finally(() => clearTimeout(timer));
+    return answered.finally(() => bounded.liftTimeout());
   }
 
   private sendBody(call: http.ClientRequest): void {
@@ -105,7 +111,8 @@
   /** Leaves a silent agent, but not one that may be running what may not be repeated. */
   private giveUp(): void {
     if (this.attempt.hop.repeatable || !this.bodySent) {
-      this.silent.abort();
+      this.silent = true;
+      this.bounded.abort();
     }
   }
 
@@ -126,14 +133,14 @@
   }
 
   private failure(error: Error): Refusal {
-    const {attempt, connected, late, silent} = this;
+    const {attempt, bounded, connected, silent} = this;
     const reached = this.bodySent && connected;
     const outcome = reached ? 'unknown' : 'not-run';
-    if (late.signal.aborted) {
+    if (bounded.isExpired) {
       const message = 'the target did not answer in time';
       return refusal(outcome, 504, 'no_answer_in_time', message);
     }
-    if (silent.signal.aborted) {
+    if (silent) {
       const message = 'the agent does not answer';
       return refusal(outcome, reached ? 502 : 503, 'agent_silent', message);
     }
--- a/entry/dispatch/src/attempt-headers.ts
+++ b/entry/dispatch/src/attempt-headers.ts
@@ -1,37 +1,24 @@
-import type {
-  IncomingHttpHeaders,
-  IncomingMessage,
-  OutgoingHttpHeaders,
-} from 'node:http';
+import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
+import {endToEndHeaders} from '@marigoldspur/http-link';
 import {formatHop} from '@marigoldspur/messages';
 import type {Attempt} from './attempt.js';
 
-/** Headers that belong to one connection only (RFC 9110, 7.6.1). */
-const CONNECTION_HEADERS = new Set([
-  'connection',
-  'content-length',
-  'keep-alive',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
 /** Headers that end at the entry. */
-const ENTRY_HEADERS = new Set([
+const ENTRY_HEADERS: ReadonlySet<string> = new Set([
   'authorization',
   'expect',
   'host',
   'proxy-authorization',
 ]);
-const OWN_HEADER_PREFIX = 'x-marigoldspur-';
 
 /** The headers of an attempt: the caller's, without those that must not pass, and the hop's. */
 export function attemptHeaders(attempt: Attempt): OutgoingHttpHeaders {
-  const kept = passedHeaders(attempt.headers);
-  ENTRY_HEADERS.forEach(name => delete kept[name]);
+  const {headers} = attempt;
   return {
-    ...kept,
+    ...endToEndHeaders(headers, {
+      connection: headers.connection,
+      dropped: ENTRY_HEADERS,
+    }),
     ...formatHop(attempt.hop),
     'content-length': attempt.body.length,
     ...(waitsForContinue(attempt) && {expect: '100-continue'}),
@@ -48,17 +35,6 @@
 
 /** The headers of a target's answer that the caller gets. */
 export function answerHeaders(message: IncomingMessage): OutgoingHttpHeaders {
-  return passedHeaders(message.headers);
-}
-
-function passedHeaders(headers: IncomingHttpHeaders): OutgoingHttpHeaders {
-  const named = String(headers.connection ?? '').toLowerCase();
-  const ofConnection = new Set(named.split(',').map(name => name.trim()));
-  const kept = Object.entries(headers).filter(
-    ([name]) =>
-      !CONNECTION_HEADERS.has(name) &&
-      !ofConnection.has(name) &&
-      !name.startsWith(OWN_HEADER_PREFIX),
-  );
-  return Object.fromEntries(kept);
+  const {headers} = message;
+  return endToEndHeaders(headers, {connection: headers.connection});
 }
--- a/entry/entry-server/src/job.ts
+++ b/entry/entry-server/src/job.ts
@@ -21,6 +21,8 @@
   readonly callerGone: AbortSignal;
   /** Aborts when the run has to end: at the deadline, or without a caller where that is allowed. */
   readonly signal: AbortSignal;
+  /** Frees what the job's signal holds; to be called once the job has ended. */
+  readonly end: () => void;
 }
 
 /** Whether a job may run twice. */
--- a/entry/entry-server/src/request-desk.ts
+++ b/entry/entry-server/src/request-desk.ts
@@ -69,7 +69,9 @@
     }
     const {customer, service} = job.value.request;
     this.options.events.record('request-received', {customer, service}, id);
-    const refusal = await this.admitAndRun(job.value, response);
+    const refusal = await this.admitAndRun(job.value, response).finally(
+      job.value.end,
+    );
     if (refusal !== undefined) {
       this.refuse(response, id, refusal, service);
     }
--- a/entry/entry-server/src/request-reader.ts
+++ b/entry/entry-server/src/request-reader.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Result} from 'true-myth';
+import {BoundedSignal} from '@marigoldspur/bounded-signal';
 import {readCallerRequest, type CallerRequest} from '@marigoldspur/caller-api';
 import type {CallerKeyTable} from '@marigoldspur/caller-keys';
 import type {SettingsFollower} from '@marigoldspur/control-client';
@@ -41,8 +42,12 @@
     response: ServerResponse,
   ): Promise<Result<Job, Refusal>> {
     const startedAt = performance.now();
-    const gone = new AbortController();
-    response.on('close', () => gone.abort());
+    const gone = new BoundedSignal({});
+    response.on('close', () => {
+      if (!response.writableFinished) {
+        gone.abort();
+      }
+    });
     const customer = this.options.keys.customerOf(request.headers);
     if (customer.isErr) {
       dropRest(request);
@@ -54,15 +59,19 @@
       return Result.err(body.error);
     }
     const named = this.lookUp(request, customer.value, body.value);
-    return named.map(found => ({
-      ...found,
-      id,
-      startedAt,
-      headers: request.headers,
-      body: body.value,
-      callerGone: gone.signal,
-      signal: runSignal(found, gone.signal),
-    }));
+    return named.map(found => {
+      const run = runSignal(found, gone.signal);
+      return {
+        ...found,
+        id,
+        startedAt,
+        headers: request.headers,
+        body: body.value,
+        callerGone: gone.signal,
+        signal: run.signal,
+        end: () => run.release(),
+      };
+    });
   }
 
   private async readBody(
@@ -135,11 +144,14 @@
 }
 
 /** Ends a run at its deadline, and where it may be repeated also without its caller. */
-function runSignal(named: NamedRequest, callerGone: AbortSignal): AbortSignal {
-  const deadline = AbortSignal.timeout(named.settings.requestTimeoutMs);
-  return isRepeatable(named)
-    ? AbortSignal.any([deadline, callerGone])
-    : deadline;
+function runSignal(
+  named: NamedRequest,
+  callerGone: AbortSignal,
+): BoundedSignal {
+  return new BoundedSignal({
+    timeoutMs: named.settings.requestTimeoutMs,
+    follows: isRepeatable(named) ? [callerGone] : [],
+  });
 }
 
 function readKey(
--- a/machines/bounded-signal/src/bounded-signal.ts
+++ b/machines/bounded-signal/src/bounded-signal.ts
@@ -42,9 +42,14 @@
     this.controller.abort(REASON);
   };
 
+  /** Lifts the bound in time; the signals that it follows still abort it. */
+  liftTimeout(): void {
+    clearTimeout(this.timer);
+  }
+
   /** Frees what it holds; it aborts no more by itself. */
   release(): void {
-    clearTimeout(this.timer);
+    this.liftTimeout();
     this.options.follows?.forEach(signal =>
       signal.removeEventListener('abort', this.abort),
     );
--- a/machines/http-link/src/index.ts
+++ b/machines/http-link/src/index.ts
@@ -2,3 +2,4 @@
 export {linkFetch} from './link-fetch.js';
 export {closeServer, listen, type Address} from './listen.js';
 export {openRequest, type OutgoingCall} from './open-request.js';
+export {endToEndHeaders, type EndToEndOptions} from './end-to-end-headers.js';
--- a/machines/http-link/src/read-body.ts
+++ b/machines/http-link/src/read-body.ts
@@ -10,8 +10,12 @@
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     let size = 0;
-    const torn = () =>
-      resolve(Result.err(new Fault('TORN_ANSWER', 'the body broke off')));
+    let whole = false;
+    const torn = () => {
+      if (!whole) {
+        resolve(Result.err(new Fault('TORN_ANSWER', 'the body broke off')));
+      }
+    };
     stream.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (size <= limitBytes) {
@@ -26,11 +30,14 @@
         ),
       );
     });
-    stream.on('end', () =>
-      stream.complete === false
-        ? torn()
-        : resolve(Result.ok(Buffer.concat(chunks))),
-    );
+    stream.on('end', () => {
+      if (stream.complete === false) {
+        torn();
+        return;
+      }
+      whole = true;
+      resolve(Result.ok(Buffer.concat(chunks)));
+    });
     stream.on('error', torn);
     stream.on('close', torn);
   });
