--- a/agent/agent-server/src/main.ts
+++ b/agent/agent-server/src/main.ts
@@ -1,11 +1,12 @@
 #!/usr/bin/env node
 import {runProcess} from '@marigoldspur/process-life';
+import {VERSION} from '@marigoldspur/process-settings';
 import {AGENT_SETTINGS_SCHEMA} from './agent-settings.js';
 import {startAgent} from './start-agent.js';
 
 await runProcess({
   name: 'marigoldspur-agent',
-  version: '0.1.0',
+  version: VERSION,
   about: 'gives the orders to the target beside it and forwards requests to it',
   schema: AGENT_SETTINGS_SCHEMA,
   start: startAgent,
--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -4,18 +4,14 @@
   SettingsFollower,
   startHeartbeat,
 } from '@marigoldspur/control-client';
-import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
-import {openLinkSecurity} from '@marigoldspur/link-security';
-import {processMetrics} from '@marigoldspur/metrics';
-import {bootIdentity, type Task} from '@marigoldspur/process-life';
-import {startProcessServer} from '@marigoldspur/process-server';
+import type {Task} from '@marigoldspur/process-life';
+import {ProcessShell} from '@marigoldspur/process-shell';
 import {agentMetrics} from './agent-metrics.js';
 import type {AgentSettings} from './agent-settings.js';
 import {AttemptDesk} from './attempt-desk.js';
 import {prepareEngine} from './prepare-engine.js';
 import {ServiceWatch} from './service-watch.js';
 
-const VERSION = '0.1.0';
 const START_TIMEOUT_MS = 60_000;
 const MAX_BODY_BYTES = 67_108_864;
 const MAX_HELD_BYTES = 67_108_864;
@@ -26,25 +22,15 @@
   settings: AgentSettings,
   drain: () => void,
 ): Promise<Task> {
-  const boot = bootIdentity();
-  const startedAt = performance.now();
-  const events = new EventLog({
-    process: settings.id,
-    sinks: [jsonLineSink(settings.logLevel)],
-  });
-  const security = await openLinkSecurity(settings, events);
+  const shell = await ProcessShell.open('agent', settings);
+  const {boot, events, security} = shell;
   const client = new ControlClient({
     urls: settings.control,
     agent: security.createAgent(),
   });
   const follower = new SettingsFollower(client, events);
   await follower.start(performance.now() + START_TIMEOUT_MS);
-  const processRegistry = processMetrics({
-    process: settings.id,
-    role: 'agent',
-    zone: settings.zone,
-  });
-  const metrics = agentMetrics(processRegistry.registry);
+  const metrics = agentMetrics(shell.metrics.registry);
   let announce = () => {};
   const changed = () => announce();
   const parts = {client, follower, events, metrics, boot, changed};
@@ -70,8 +56,8 @@
     engine,
     serviceHealthy: () => service.healthy,
   });
-  let draining = false;
-  const isLeaving = () => draining || engine?.watch.state.leaving === true;
+  const isLeaving = () =>
+    shell.isDraining || engine?.watch.state.leaving === true;
   const report = (): TargetReport => ({
     name: settings.target,
     customer: settings.customer,
@@ -87,43 +73,29 @@
     batchLimit: engine?.watch.state.batchLimit ?? settings.batchLimit,
     fence: engine?.fence,
   });
-  const server = await startProcessServer({
-    address: {host: settings.host, port: settings.port},
-    security,
-    metrics: processRegistry,
-    ready: () => !draining,
+  const url = await shell.serve({
     fallback: (request, response) => void desk.handle(request, response),
     checkContinue: (request, response) =>
       void desk.handle(request, response, true),
-    service: {
-      status: () => ({
-        id: settings.id,
-        role: 'agent',
-        zone: settings.zone,
-        boot,
-        version: VERSION,
-        revision: follower.settings.revision,
-        ready: !draining,
-        draining,
-        uptimeMs: performance.now() - startedAt,
-        facts: {
-          target: settings.target,
-          running: desk.load,
-          healthy: report().healthy,
-          resident: report().resident.join(' '),
-        },
-      }),
-      events: (after, limit, request) => events.after(after, limit, request),
-      settings: revision => follower.deltaAfter(revision),
-      drain,
+    revision: () => follower.settings.revision,
+    settings: revision => follower.deltaAfter(revision),
+    facts: () => {
+      const {healthy, resident} = report();
+      return {
+        target: settings.target,
+        running: desk.load,
+        healthy,
+        resident: resident.join(' '),
+      };
     },
+    drain,
   });
   const member = (): Member => ({
     id: settings.id,
     role: 'agent',
     zone: settings.zone,
     boot,
-    url: server.url,
+    url,
     revision: follower.settings.revision,
     leaving: isLeaving(),
     target: report(),
@@ -136,11 +108,10 @@
   });
   engine?.keeper.use(heartbeat);
   announce = () => void heartbeat.beat();
-  events.record('process-started', {url: server.url, boot});
+  events.record('process-started', {url, boot});
   return {
     async stop() {
-      draining = true;
-      events.record('process-draining');
+      shell.beginDrain();
       // A heartbeat that is on its way may not say yet that the process leaves.
       await heartbeat.beat();
       await heartbeat.beat();
@@ -155,8 +126,7 @@
       service.stop();
       await follower.stop();
       client.close();
-      security.stop();
-      events.record('process-stopped');
+      shell.end();
     },
   };
 }
--- a/cli/marigoldspur/src/run-command-line.ts
+++ b/cli/marigoldspur/src/run-command-line.ts
@@ -1,5 +1,6 @@
 import yargs, {type Argv} from 'yargs';
 import {InvalidInput, toFault, type Fault} from '@marigoldspur/faults';
+import {VERSION} from '@marigoldspur/process-settings';
 import {EXIT, openContext, type Console, type Handle} from './command.js';
 import {keyCommands} from './commands/key-commands.js';
 import {settingsCommands} from './commands/settings-commands.js';
@@ -54,7 +55,7 @@
 function commonFlags(parser: Argv, variables: NodeJS.ProcessEnv): Argv {
   return parser
     .usage('marigoldspur: operates the system by changing its settings tree')
-    .version('0.1.0')
+    .version(VERSION)
     .option('control', {
       type: 'string',
       describe:
--- a/contracts/access/src/index.ts
+++ b/contracts/access/src/index.ts
@@ -6,3 +6,4 @@
   type CallerKeys,
   type OperatorTokens,
 } from './key-schemas.js';
+export {requireAccess} from './require-access.js';
--- a/contracts/control-api/src/router.ts
+++ b/contracts/control-api/src/router.ts
@@ -1,7 +1,7 @@
 import {initTRPC, TRPCError} from '@trpc/server';
 import {z} from 'zod';
 import {
-  allows,
+  requireAccess,
   type Access,
   type CallContext,
   type Caller,
@@ -33,12 +33,7 @@
 
 function procedureFor(access: Access) {
   return trpc.procedure.use(({ctx, next}) => {
-    if (!allows(ctx.caller, access)) {
-      throw new TRPCError({
-        code: 'FORBIDDEN',
-        message: `needs ${access} rights`,
-      });
-    }
+    requireAccess(ctx.caller, access);
     return next();
   });
 }
--- a/contracts/process-api/src/router.ts
+++ b/contracts/process-api/src/router.ts
@@ -1,6 +1,10 @@
-import {initTRPC, TRPCError} from '@trpc/server';
+import {initTRPC} from '@trpc/server';
 import {z} from 'zod';
-import {allows, type Access, type CallContext} from '@marigoldspur/access';
+import {
+  requireAccess,
+  type Access,
+  type CallContext,
+} from '@marigoldspur/access';
 import type {Event} from '@marigoldspur/event-catalogue';
 import type {SettingsDelta} from '@marigoldspur/control-api';
 import type {ProcessStatus} from '@marigoldspur/messages';
@@ -22,12 +26,7 @@
 
 function procedureFor(access: Access) {
   return trpc.procedure.use(({ctx, next}) => {
-    if (!allows(ctx.caller, access)) {
-      throw new TRPCError({
-        code: 'FORBIDDEN',
-        message: `needs ${access} rights`,
-      });
-    }
+    requireAccess(ctx.caller, access);
     return next();
   });
 }
--- a/control/control-server/src/main.ts
+++ b/control/control-server/src/main.ts
@@ -1,11 +1,12 @@
 #!/usr/bin/env node
 import {runProcess} from '@marigoldspur/process-life';
+import {VERSION} from '@marigoldspur/process-settings';
 import {CONTROL_SETTINGS_SCHEMA} from './control-settings.js';
 import {startControl} from './start-control.js';
 
 await runProcess({
   name: 'marigoldspur-control',
-  version: '0.1.0',
+  version: VERSION,
   about: 'keeps settings, claims, members and load permits',
   schema: CONTROL_SETTINGS_SCHEMA,
   start: startControl,
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -1,11 +1,8 @@
 import path from 'node:path';
 import {controlRouter} from '@marigoldspur/control-api';
-import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
 import {PermitDesk} from '@marigoldspur/load-permits';
-import {openLinkSecurity} from '@marigoldspur/link-security';
-import {processMetrics} from '@marigoldspur/metrics';
-import {bootIdentity, type Task} from '@marigoldspur/process-life';
-import {startProcessServer} from '@marigoldspur/process-server';
+import type {Task} from '@marigoldspur/process-life';
+import {ProcessShell} from '@marigoldspur/process-shell';
 import {openReplicatedLog} from '@marigoldspur/replicated-log';
 import {ControlDesk} from './control-desk.js';
 import {ControlMachine} from './control-machine.js';
@@ -14,20 +11,14 @@
 
 const LEASE_CHECK_MS = 200;
 const EXIT_DISK_FAILED = 3;
-const VERSION = '0.1.0';
 
 /** Starts a replica of control. */
 export async function startControl(
   settings: ControlSettings,
   drain: () => void,
 ): Promise<Task> {
-  const boot = bootIdentity();
-  const startedAt = performance.now();
-  const events = new EventLog({
-    process: settings.id,
-    sinks: [jsonLineSink(settings.logLevel)],
-  });
-  const security = await openLinkSecurity(settings, events);
+  const shell = await ProcessShell.open('control', settings);
+  const {boot, events, security} = shell;
   const machine = new ControlMachine();
   const {log, router} = await openReplicatedLog(machine, {
     folder: path.join(settings.dataFolder, 'log'),
@@ -56,53 +47,28 @@
     permits,
     events,
   });
-  let draining = false;
-  const server = await startProcessServer({
-    address: {host: settings.host, port: settings.port},
-    security,
-    metrics: processMetrics({
-      process: settings.id,
-      role: 'control',
-      zone: settings.zone,
-    }),
-    ready: () => !draining && log.isReady(),
+  const url = await shell.serve({
     routers: {control: controlRouter(desk), log: router},
-    service: {
-      status: () => ({
-        id: settings.id,
-        role: 'control',
-        zone: settings.zone,
-        boot,
-        version: VERSION,
-        revision: machine.settings.revision,
-        ready: !draining && log.isReady(),
-        draining,
-        uptimeMs: performance.now() - startedAt,
-        facts: {
-          log: desk.status().role,
-          term: desk.status().term,
-          commitIndex: desk.status().commitIndex,
-          claims: machine.claims.size,
-          members: desk.memberCount,
-        },
-      }),
-      events: (after, limit, request) => events.after(after, limit, request),
-      drain,
+    revision: () => machine.settings.revision,
+    isReady: () => log.isReady(),
+    facts: () => {
+      const {role, term, commitIndex} = desk.status();
+      const claims = machine.claims.size;
+      return {log: role, term, commitIndex, claims, members: desk.memberCount};
     },
+    drain,
   });
   const leaseCheck = setInterval(
     () => desk.checkLeases(performance.now()),
     LEASE_CHECK_MS,
   );
-  events.record('process-started', {url: server.url, boot});
+  events.record('process-started', {url, boot});
   return {
     async stop() {
-      draining = true;
-      events.record('process-draining');
+      shell.beginDrain();
       clearInterval(leaseCheck);
       await log.stop();
-      security.stop();
-      events.record('process-stopped');
+      shell.end();
     },
   };
 }
--- a/entry/caller-keys/src/caller-key-table.ts
+++ b/entry/caller-keys/src/caller-key-table.ts
@@ -6,8 +6,9 @@
   type CallerKeys,
 } from '@marigoldspur/access';
 import type {EventLog} from '@marigoldspur/event-log';
-import {Refusal} from '@marigoldspur/faults';
+import {InvalidInput, Refusal} from '@marigoldspur/faults';
 import {KeyFile, parseWith} from '@marigoldspur/key-files';
+import {isLoopback} from '@marigoldspur/link-security';
 
 const STATUS_UNAUTHORIZED = 401;
 const BEARER = 'Bearer ';
@@ -19,12 +20,24 @@
   stop(): void;
 }
 
-/** Opens the table of callers' keys; without a file every caller is let in. */
-export async function openCallerKeys(options: {
+/** Options of a table of callers' keys. */
+export interface CallerKeyOptions {
+  /** Key file; without one every caller is let in, on loopback only. */
   readonly file: string | undefined;
+  /** Address that callers reach. */
+  readonly host: string;
   readonly events: EventLog;
-}): Promise<CallerKeyTable> {
-  const {file, events} = options;
+}
+
+/** Opens the table of callers' keys; throws `InvalidInput`. */
+export async function openCallerKeys(
+  options: CallerKeyOptions,
+): Promise<CallerKeyTable> {
+  const {file, host, events} = options;
+  if (file === undefined && !isLoopback(host)) {
+    const reason = `is needed where callers reach ${host}, which is no loopback address`;
+    throw new InvalidInput([{place: '--caller-keys', reason}]);
+  }
   if (file === undefined) {
     return {customerOf: () => Result.ok(undefined), stop: () => {}};
   }
--- a/entry/entry-server/src/main.ts
+++ b/entry/entry-server/src/main.ts
@@ -1,11 +1,12 @@
 #!/usr/bin/env node
 import {runProcess} from '@marigoldspur/process-life';
+import {VERSION} from '@marigoldspur/process-settings';
 import {ENTRY_SETTINGS_SCHEMA} from './entry-settings.js';
 import {startEntry} from './start-entry.js';
 
 await runProcess({
   name: 'marigoldspur-entry',
-  version: '0.1.0',
+  version: VERSION,
   about: 'takes callers’ requests and routes them to targets',
   schema: ENTRY_SETTINGS_SCHEMA,
   start: startEntry,
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -11,13 +11,10 @@
   TargetDirectory,
   TargetHealth,
 } from '@marigoldspur/dispatch';
-import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
 import {listen} from '@marigoldspur/http-link';
-import {openLinkSecurity} from '@marigoldspur/link-security';
-import {processMetrics} from '@marigoldspur/metrics';
 import type {Member} from '@marigoldspur/messages';
-import {bootIdentity, type Task} from '@marigoldspur/process-life';
-import {startProcessServer} from '@marigoldspur/process-server';
+import type {Task} from '@marigoldspur/process-life';
+import {ProcessShell} from '@marigoldspur/process-shell';
 import {ClaimDesk} from './claim-desk.js';
 import {EntryMetrics} from './entry-metrics.js';
 import type {EntrySettings} from './entry-settings.js';
@@ -31,7 +28,6 @@
 import {RequestReader} from './request-reader.js';
 import {RetryBudget} from '@marigoldspur/retries';
 
-const VERSION = '0.1.0';
 const START_TIMEOUT_MS = 60_000;
 /** Time that the ends of claimed requests get to reach control at a shutdown. */
 const COMPLETIONS_MS = 10_000;
@@ -41,13 +37,8 @@
   settings: EntrySettings,
   drain: () => void,
 ): Promise<Task> {
-  const boot = bootIdentity();
-  const startedAt = performance.now();
-  const events = new EventLog({
-    process: settings.id,
-    sinks: [jsonLineSink(settings.logLevel)],
-  });
-  const security = await openLinkSecurity(settings, events);
+  const shell = await ProcessShell.open('entry', settings);
+  const {boot, events, security} = shell;
   const client = new ControlClient({
     urls: settings.control,
     agent: security.createAgent(),
@@ -56,13 +47,12 @@
   await follower.start(performance.now() + START_TIMEOUT_MS);
   const members = new MemberFollower(client);
   members.start();
-  const metrics = processMetrics({
-    process: settings.id,
-    role: 'entry',
-    zone: settings.zone,
+  const entryMetrics = new EntryMetrics(shell.metrics.registry);
+  const keys = await openCallerKeys({
+    file: settings.callerKeys,
+    host: settings.host,
+    events,
   });
-  const entryMetrics = new EntryMetrics(metrics.registry);
-  const keys = await openCallerKeys({file: settings.callerKeys, events});
   const callerTls = await openCallerTls(settings, events);
   const linkAgent = security.createAgent();
   const health = new TargetHealth({agent: linkAgent, events});
@@ -82,7 +72,7 @@
     answers: new AnswerSender({events, metrics: entryMetrics}),
     retries: new RetryBudget(),
     events,
-    origin: () => server.url,
+    origin: () => url,
     random: Math.random,
   });
   const contact = new ControlContact(follower);
@@ -105,47 +95,29 @@
     events,
     metrics: entryMetrics,
   });
-  let draining = false;
   const callers = new CallerServer({
     handle: (request, response) => desk.handle(request, response),
-    draining: () => draining,
+    draining: () => shell.isDraining,
     tls: callerTls,
   });
   const callerAddress = await listen(callers.server, {
     host: settings.host,
     port: settings.callerPort,
   });
-  const server = await startProcessServer({
-    address: {host: settings.host, port: settings.port},
-    security,
-    metrics,
-    ready: () => !draining,
-    service: {
-      status: () => ({
-        id: settings.id,
-        role: 'entry',
-        zone: settings.zone,
-        boot,
-        version: VERSION,
-        revision: follower.settings.revision,
-        ready: !draining,
-        draining,
-        uptimeMs: performance.now() - startedAt,
-        facts: {running: desk.running, members: members.members().length},
-      }),
-      events: (after, limit, request) => events.after(after, limit, request),
-      settings: revision => follower.deltaAfter(revision),
-      drain,
-    },
+  const url = await shell.serve({
+    revision: () => follower.settings.revision,
+    settings: revision => follower.deltaAfter(revision),
+    facts: () => ({running: desk.running, members: members.members().length}),
+    drain,
   });
   const member = (): Member => ({
     id: settings.id,
     role: 'entry',
     zone: settings.zone,
     boot,
-    url: server.url,
+    url,
     revision: follower.settings.revision,
-    leaving: draining,
+    leaving: shell.isDraining,
   });
   const heartbeat = startHeartbeat(client, member, ({result, sentAt}) => {
     if (result.isOk) {
@@ -154,14 +126,13 @@
     }
   });
   events.record('process-started', {
-    url: server.url,
+    url,
     callers: `http://${callerAddress.host}:${callerAddress.port}`,
     boot,
   });
   return {
     async stop() {
-      draining = true;
-      events.record('process-draining');
+      shell.beginDrain();
       await pause(settings.settleMs);
       await Promise.race([callers.close(), pause(settings.drainMs)]);
       if (desk.running > 0) {
@@ -175,8 +146,7 @@
       client.close();
       keys.stop();
       callerTls.stop();
-      security.stop();
-      events.record('process-stopped');
+      shell.end();
     },
   };
 }
--- a/lab/lab/src/lab-command.ts
+++ b/lab/lab/src/lab-command.ts
@@ -1,4 +1,5 @@
 import yargs from 'yargs';
+import {VERSION} from '@marigoldspur/process-settings';
 import {
   measureDecisions,
   measureTables,
@@ -24,7 +25,7 @@
 export async function runLab(args: readonly string[]): Promise<void> {
   await yargs([...args])
     .scriptName('marigoldspur-lab')
-    .version('0.1.0')
+    .version(VERSION)
     .command(
       'engine',
       'Stand-in for a model engine',
--- a/machines/link-security/src/index.ts
+++ b/machines/link-security/src/index.ts
@@ -8,3 +8,4 @@
 export {MutualTlsSecurity} from './mutual-tls-security.js';
 export {openLinkSecurity} from './open-link-security.js';
 export {OperatorTokenTable} from './operator-token-table.js';
+export {isLoopback} from './is-loopback.js';
--- a/machines/link-security/src/open-link-security.ts
+++ b/machines/link-security/src/open-link-security.ts
@@ -1,4 +1,3 @@
-import {isIP} from 'node:net';
 import {
   OPERATOR_TOKENS_SCHEMA,
   type OperatorTokens,
@@ -8,6 +7,7 @@
 import {KeyFile, parseWith} from '@marigoldspur/key-files';
 import type {LinkSecurity} from './link-security.js';
 import type {LinkSettings} from './link-settings.js';
+import {isLoopback} from './is-loopback.js';
 import {LoopbackSecurity} from './loopback-security.js';
 import {MutualTlsSecurity} from './mutual-tls-security.js';
 import {OperatorTokenTable} from './operator-token-table.js';
@@ -79,10 +79,6 @@
   return findings;
 }
 
-function isLoopback(host: string): boolean {
-  return (isIP(host) === 4 && host.startsWith('127.')) || host === '::1';
-}
-
 function pem(text: string): string {
   if (!text.includes('-----BEGIN ')) {
     throw new InvalidInput([{place: '.', reason: 'is no PEM file'}]);
--- a/machines/process-settings/src/index.ts
+++ b/machines/process-settings/src/index.ts
@@ -11,3 +11,4 @@
   LIST_SCHEMA,
   PORT_SCHEMA,
 } from './value-schemas.js';
+export {VERSION} from './version.js';
--- /dev/null
+++ b/machines/process-shell/src/index.ts
@@ -0,0 +1,5 @@
+export {
+  ProcessShell,
+  type ShellOffer,
+  type ShellSettings,
+} from './process-shell.js';
