--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -80,7 +80,10 @@
     });
     call.on('socket', socket => {
       this.connected = !socket.connecting;
-      socket.once('connect', () => (this.connected = true));
+      // A kept-alive socket never connects again, and would hold the attempt for good.
+      if (socket.connecting) {
+        socket.once('connect', () => (this.connected = true));
+      }
     });
     const answered = new Promise<Result<AttemptAnswer, Refusal>>(resolve => {
       call.on('error', error => resolve(Result.err(this.failure(error))));
--- a/entry/dispatch/test/fake-agent.ts
+++ b/entry/dispatch/test/fake-agent.ts
@@ -100,8 +100,8 @@
 /** A client for attempts. */
 export function createClient(
   heard: AttemptClientOptions['heard'] = () => {},
+  agent = new http.Agent({keepAlive: true}),
 ): AttemptClient {
-  const agent = new http.Agent({keepAlive: true});
   const events = new EventLog({process: 'entry-0'});
   const health = new TargetHealth({agent, events});
   return new AttemptClient({agent, health, heard});
