Prove the whole path over mutual TLS, and the drain command

A system of three replicas of control, an entry, agents and stand-ins with keys made by the test: callers by key, operators by token and role, processes by certificate.

--- a/cli/marigoldspur/test/run-command-line.test.ts
+++ b/cli/marigoldspur/test/run-command-line.test.ts
@@ -156,3 +156,11 @@
   );
   expect(exit).to.equal(EXIT.unavailable);
 });
+
+it('cli: drain ends a process gracefully', async () => {
+  expect((await run('targets')).output).to.equal('(none)\n');
+  expect((await run('drain', 'nobody')).exit).to.equal(EXIT.failed);
+  const drained = await run('drain', 'control-0');
+  expect(drained.output).to.match(/^control-0 at .* drains$/m);
+  expect(await control.ended).to.equal(0);
+});
--- a/lab/lab/src/index.ts
+++ b/lab/lab/src/index.ts
@@ -4,6 +4,11 @@
   type Deployment,
   type TargetGroup,
 } from './deployments.js';
-export {startSystem, type System, type SystemOptions} from './system.js';
+export {
+  startSystem,
+  type System,
+  type SystemKeys,
+  type SystemOptions,
+} from './system.js';
 export {startChild, type Child} from './child.js';
 export {freePorts} from './ports.js';
--- a/lab/lab/src/system.ts
+++ b/lab/lab/src/system.ts
@@ -11,6 +11,18 @@
 import type {Deployment} from './deployments.js';
 import {freePorts} from './ports.js';
 
+/** Keys of a system, made by whoever starts it. */
+export interface SystemKeys {
+  /** Flags of control, entries and agents that name their certificate and key files. */
+  readonly processFlags: readonly string[];
+  /** Flags of entries that name the keys of callers. */
+  readonly entryFlags: readonly string[];
+  /** Certificate authority of the system, in PEM. */
+  readonly ca: string;
+  /** Token of an operator who may change settings. */
+  readonly token: string;
+}
+
 /** Options of a system of processes on this machine. */
 export interface SystemOptions {
   readonly deployments: readonly Deployment[];
@@ -24,6 +36,8 @@
   /** Time of one call of a plain service, in milliseconds. */
   readonly serviceCallMs?: number;
   readonly logLevel?: string;
+  /** Without keys the processes trust loopback. */
+  readonly keys?: SystemKeys;
   /** Requests in one batch of an engine. */
   readonly batchLimit?: number;
 }
@@ -63,10 +77,17 @@
 /** Starts control, entries, a balancer, and targets with their agents as separate processes. */
 export async function startSystem(options: SystemOptions): Promise<System> {
   const folder = await mkdtemp(path.join(tmpdir(), 'marigoldspur-'));
-  const level = ['--log-level', options.logLevel ?? 'info'];
-  const controls = await startControls(options, folder, level);
+  const flags = [
+    ...['--log-level', options.logLevel ?? 'info'],
+    ...(options.keys?.processFlags ?? []),
+  ];
+  const controls = await startControls(options, folder, flags);
   const control = controls.urls.join(',');
-  const session = openSession(controls.urls, {timeoutMs: SESSION_TIMEOUT_MS});
+  const session = openSession(controls.urls, {
+    timeoutMs: SESSION_TIMEOUT_MS,
+    ca: options.keys?.ca,
+    token: options.keys?.token,
+  });
   const applied = await submitChange(
     session,
     [{edit: 'replace', value: options.tree}],
@@ -77,11 +98,11 @@
       `the settings were not accepted: ${JSON.stringify(applied)}`,
     );
   }
-  const entries = await startEntries(options, control, level);
+  const entries = await startEntries(options, control, flags);
   const targets: TargetPair[] = [];
   const stores: Child[] = [];
   for (const deployment of options.deployments) {
-    const started = await startTargets(deployment, options, control, level);
+    const started = await startTargets(deployment, options, control, flags);
     targets.push(...started.targets);
     stores.push(started.store);
   }
@@ -121,10 +142,11 @@
 async function startControls(
   options: SystemOptions,
   folder: string,
-  level: readonly string[],
+  flags: readonly string[],
 ) {
   const ports = await freePorts(options.controls);
-  const urls = ports.map(port => `${LOOPBACK}:${port}`);
+  const scheme = options.keys === undefined ? 'http' : 'https';
+  const urls = ports.map(port => `${scheme}://127.0.0.1:${port}`);
   const children = ports.map((port, index) =>
     startChild(`control-${index}`, CONTROL, [
       ...['--id', `control-${index}`],
@@ -133,7 +155,7 @@
       ...['--peers', urls.join(',')],
       ...['--bootstrap', 'true'],
       ...['--data-folder', path.join(folder, `control-${index}`)],
-      ...level,
+      ...flags,
     ]),
   );
   await Promise.all(children.map(child => child.line(isStarted)));
@@ -143,7 +165,7 @@
 async function startEntries(
   options: SystemOptions,
   control: string,
-  level: readonly string[],
+  flags: readonly string[],
 ) {
   const ports = await freePorts(options.entries * 2);
   const callerPorts = ports.slice(0, options.entries);
@@ -154,7 +176,8 @@
       ...['--caller-port', String(port)],
       ...['--port', String(ports[options.entries + index])],
       ...['--control', control],
-      ...level,
+      ...flags,
+      ...(options.keys?.entryFlags ?? []),
     ]),
   );
   await Promise.all(children.map(child => child.line(isStarted)));
@@ -165,7 +188,7 @@
   deployment: Deployment,
   options: SystemOptions,
   control: string,
-  level: readonly string[],
+  flags: readonly string[],
 ) {
   const count = deployment.targets.reduce((sum, group) => sum + group.count, 0);
   const [storePort, ...ports] = await freePorts(1 + count * 2);
@@ -199,7 +222,7 @@
         ...['--fence-checked', 'true'],
         ...['--customer', deployment.customer],
         ...['--service', group.service],
-        ...level,
+        ...flags,
       ]);
       const url = `${LOOPBACK}:${targetPort}`;
       targets.push({name, url, target, agent});
--- /dev/null
+++ b/lab/lab/test/secured-path.test.ts
@@ -0,0 +1,141 @@
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {expect} from 'chai';
+import {secretDigest} from '@marigoldspur/access';
+import {
+  deploymentTree,
+  startSystem,
+  type System,
+  type SystemKeys,
+} from '@marigoldspur/lab';
+import {openSession, submitChange} from '@marigoldspur/operator-commands';
+import {createAuthority} from '@marigoldspur/test-keys';
+
+const DEPLOYMENT = {
+  customer: 'callao',
+  zones: ['lima-a'],
+  targets: [
+    {service: 'lm-desk', kind: 'engine', count: 1},
+    {service: 'chart-api', kind: 'service', count: 1},
+  ],
+  loadsPerSecond: 50,
+} as const;
+const TIMEOUT_MS = 20_000;
+
+let folder: string;
+let keys: SystemKeys;
+let system: System;
+
+before(async () => {
+  folder = await mkdtemp(path.join(tmpdir(), 'marigoldspur-secured-'));
+  keys = await makeKeys();
+  system = await startSystem({
+    deployments: [DEPLOYMENT],
+    tree: deploymentTree([DEPLOYMENT], 3),
+    controls: 3,
+    entries: 1,
+    keys,
+  });
+  await system.settled();
+});
+
+after(async () => {
+  await system?.stop();
+  await rm(folder, {recursive: true});
+});
+
+async function keyFile(name: string, text: string): Promise<string> {
+  const file = path.join(folder, name);
+  await writeFile(file, text);
+  return file;
+}
+
+async function makeKeys(): Promise<SystemKeys> {
+  const authority = createAuthority();
+  const pair = authority.issue('process');
+  const tokens = [
+    {name: 'ana', role: 'operator', sha256: secretDigest('change')},
+    {name: 'bo', role: 'viewer', sha256: secretDigest('view')},
+  ];
+  const callers = [{customer: 'callao', sha256: secretDigest('caller')}];
+  return {
+    processFlags: [
+      ...['--tls-ca', await keyFile('ca.crt', authority.ca)],
+      ...['--tls-cert', await keyFile('process.crt', pair.cert)],
+      ...['--tls-key', await keyFile('process.key', pair.key)],
+      ...[
+        '--operator-tokens',
+        await keyFile('tokens', JSON.stringify({tokens})),
+      ],
+    ],
+    entryFlags: [
+      ...[
+        '--caller-keys',
+        await keyFile('keys', JSON.stringify({keys: callers})),
+      ],
+    ],
+    ca: authority.ca,
+    token: 'change',
+  };
+}
+
+function complete(authorization: string): Promise<Response> {
+  return fetch(`${system.balancerUrl}/v1/completions`, {
+    method: 'POST',
+    headers: {authorization},
+    body: JSON.stringify({model: 'callao-0@v1', prompt: 'recap'}),
+  });
+}
+
+it('secured path: a caller with a key is served over mutual TLS', async () => {
+  const answer = await complete('Bearer caller');
+  expect(answer.status).to.equal(200);
+  expect(await answer.json()).to.include({model: 'callao-0@v1'});
+});
+
+it('secured path: what may not be repeated is served over mutual TLS', async () => {
+  const answer = await fetch(`${system.balancerUrl}/chart-api/indication`, {
+    method: 'POST',
+    headers: {authorization: 'Bearer caller', 'idempotency-key': 'key-1'},
+    body: 'tonnes=50000',
+  });
+  expect(answer.status).to.equal(200);
+});
+
+it('secured path: a caller without a known key is refused', async () => {
+  expect((await complete('Bearer wrong')).status).to.equal(401);
+});
+
+it('secured path: a viewer sees settings and may not change them', async () => {
+  const session = openSession(system.controlUrls, {
+    timeoutMs: TIMEOUT_MS,
+    ca: keys.ca,
+    token: 'view',
+  });
+  const changed = await submitChange(
+    session,
+    [{edit: 'set', path: '/', setting: 'priority', value: 3}],
+    {author: 'bo'},
+  );
+  expect(changed.isErr && changed.error.code).to.equal('FORBIDDEN');
+  expect((await session.members()).isOk).to.equal(true);
+  session.close();
+});
+
+it('secured path: an operator’s change carries the name of its token', async () => {
+  const {session} = system;
+  const edit = {
+    edit: 'set',
+    path: '/',
+    setting: 'priority',
+    value: 3,
+  } as const;
+  const changed = await submitChange(session, [edit], {author: 'somebody'});
+  expect(changed.isOk && changed.value.outcome).to.equal('accepted');
+  const history = await session.control.call(
+    replica => replica.settingsHistory.query({limit: 1}),
+    session.deadline(),
+  );
+  expect(history.isOk && history.value[0].author).to.equal('ana');
+});
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -73,7 +73,10 @@
   mocha.addFile(file);
   await mocha.loadFilesAsync();
   await new Promise(resolve => {
-    const runner = mocha.run(resolve);
+    const runner = mocha.run(() => {
+      runner.dispose();
+      resolve();
+    });
     runner.on('pass', () => {
       passed += 1;
     });
