--- a/lab/lab/src/child.ts
+++ b/lab/lab/src/child.ts
@@ -6,6 +6,8 @@
 export interface Child {
   readonly name: string;
   readonly process: ChildProcess;
+  /** When it was started, in milliseconds since the epoch. */
+  readonly spawnedAt: number;
   /** Lines of the process's standard error. */
   readonly lines: readonly string[];
   /** Resolves with the first line, past or to come, that `matches`; rejects when the process ends first. */
@@ -24,6 +26,7 @@
 ): Child {
   const index = fileURLToPath(import.meta.resolve(packageName));
   const main = index.replace(/index\.js$/, 'main.js');
+  const spawnedAt = Date.now();
   const child = spawn(process.execPath, [...nodeOptions(), main, ...args], {
     stdio: ['ignore', 'ignore', 'pipe'],
     env: {...process.env, ...variables},
@@ -40,6 +43,7 @@
   return {
     name,
     process: child,
+    spawnedAt,
     lines,
     ended,
     signal: signal => void child.kill(signal),
--- a/lab/path-bench/src/main.ts
+++ b/lab/path-bench/src/main.ts
@@ -39,6 +39,7 @@
   const [entryUrl] = running.entryUrls;
   const [{url: engineUrl}] = running.targets;
   print(`load average ${loadavg()[0].toFixed(1)}`);
+  await printStarts(running);
   await printMemory('idle', urls);
   await warmUp(entryUrl);
   await warmUp(engineUrl);
@@ -58,6 +59,18 @@
   print(`load average ${loadavg()[0].toFixed(1)}`);
 }
 
+/** Prints the time from the start of each program until it serves. */
+async function printStarts(running: System): Promise<void> {
+  const [control] = running.controls;
+  const [entry] = running.entries;
+  const [{agent}] = running.targets;
+  for (const child of [control, entry, agent]) {
+    const line = await child.line(text => text.includes('"process-started"'));
+    const {time} = JSON.parse(line) as {time: number};
+    print(`${child.name} served ${time - child.spawnedAt} ms after its start`);
+  }
+}
+
 function warmUp(url: string): Promise<Round> {
   return callRound({
     url,
