One pause and one signal of a gone peer in place of copies

Found in a read of the whole change: nine private copies of a pause that node:timers/promises has, and the same signal of a lost connection in entry and agent. Behaviour is the same.

Left for next time, seen in the same read: the target report written out in three test files, and limitCall in the agent's forwarder beside BoundedSignal.

--- a/agent/agent-server/src/attempt-desk.ts
+++ b/agent/agent-server/src/attempt-desk.ts
@@ -3,7 +3,7 @@
 import {Result} from 'true-myth';
 import type {Pin} from '@marigoldspur/adapter-slots';
 import type {SettingsFollower} from '@marigoldspur/control-client';
-import {BoundedSignal} from '@marigoldspur/bounded-signal';
+import {peerGone} from '@marigoldspur/bounded-signal';
 import type {EventLog} from '@marigoldspur/event-log';
 import {formatFindings, Refusal} from '@marigoldspur/faults';
 import {readBody} from '@marigoldspur/http-link';
@@ -108,19 +108,14 @@
     const inForce = this.options.settings.settings.revision;
     response.setHeader(HOP_HEADERS.revision, String(inForce));
     this.options.events.record('attempt-received', {attempt}, id);
-    const gone = new BoundedSignal({});
-    response.on('close', () => {
-      if (!response.writableFinished) {
-        gone.abort();
-      }
-    });
+    const gone = peerGone(response);
     const bytes = Number(request.headers['content-length'] ?? 0);
     this.heldBytes += bytes;
     try {
       const done = await this.run(hop.value, request, response, {
         expects,
         deadlineMs: startedAt + budgetMs,
-        signal: gone.signal,
+        signal: gone,
       });
       if (done.isErr) {
         this.refuse(hop.value, response, done.error);
--- a/agent/agent-server/src/lease-keeper.ts
+++ b/agent/agent-server/src/lease-keeper.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import type {Heartbeat, HeartbeatAnswer} from '@marigoldspur/control-client';
 import type {EventLog} from '@marigoldspur/event-log';
 import type {OrderLease} from '@marigoldspur/order-lease';
@@ -75,7 +76,3 @@
     return this.lease.isRevoked || unaskedMs < FRESH_MS;
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/agent/agent-server/src/run-watch.ts
+++ b/agent/agent-server/src/run-watch.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import type {Pin} from '@marigoldspur/adapter-slots';
 import type {EventLog} from '@marigoldspur/event-log';
 import type {EngineClient} from '@marigoldspur/target-client';
@@ -61,7 +62,3 @@
     this.polling = false;
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/agent/agent-server/src/slot-orders.ts
+++ b/agent/agent-server/src/slot-orders.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import type {SlotReservation, SlotTable} from '@marigoldspur/adapter-slots';
 import type {EventLog} from '@marigoldspur/event-log';
@@ -188,7 +189,3 @@
 function heldOrders(): Result<unknown, Fault> {
   return Result.err(new Fault('CONFLICT', 'no orders may be given now'));
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import type {Member, TargetReport} from '@marigoldspur/messages';
 import {
   ControlClient,
@@ -130,7 +131,3 @@
     },
   };
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/control/control-server/src/control-desk.ts
+++ b/control/control-server/src/control-desk.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import type {
   ControlService,
   ControlStatus,
@@ -348,7 +349,3 @@
     }
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/entry/entry-server/src/request-reader.ts
+++ b/entry/entry-server/src/request-reader.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Result} from 'true-myth';
-import {BoundedSignal} from '@marigoldspur/bounded-signal';
+import {BoundedSignal, peerGone} from '@marigoldspur/bounded-signal';
 import {readCallerRequest, type CallerRequest} from '@marigoldspur/caller-api';
 import type {CallerKeyTable} from '@marigoldspur/caller-keys';
 import type {SettingsFollower} from '@marigoldspur/control-client';
@@ -42,12 +42,7 @@
     response: ServerResponse,
   ): Promise<Result<Job, Refusal>> {
     const startedAt = performance.now();
-    const gone = new BoundedSignal({});
-    response.on('close', () => {
-      if (!response.writableFinished) {
-        gone.abort();
-      }
-    });
+    const gone = peerGone(response);
     const customer = this.options.keys.customerOf(request.headers);
     if (customer.isErr) {
       dropRest(request);
@@ -60,14 +55,14 @@
     }
     const named = this.lookUp(request, customer.value, body.value);
     return named.map(found => {
-      const run = runSignal(found, gone.signal);
+      const run = runSignal(found, gone);
       return {
         ...found,
         id,
         startedAt,
         headers: request.headers,
         body: body.value,
-        callerGone: gone.signal,
+        callerGone: gone,
         signal: run.signal,
         end: () => run.release(),
       };
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {Admission} from '@marigoldspur/admission';
 import {openCallerKeys} from '@marigoldspur/caller-keys';
 import {
@@ -150,7 +151,3 @@
     },
   };
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/lab/control-history/src/run-history.ts
+++ b/lab/control-history/src/run-history.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
@@ -139,7 +140,3 @@
     }
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/lab/spread-bench/src/follower-bench.ts
+++ b/lab/spread-bench/src/follower-bench.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {randomUUID} from 'node:crypto';
 import {ControlClient, SettingsFollower} from '@marigoldspur/control-client';
 import {
@@ -165,7 +166,3 @@
     throw new Error(`a change was not accepted: ${JSON.stringify(outcome)}`);
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/lab/spread-bench/src/heartbeat-bench.ts
+++ b/lab/spread-bench/src/heartbeat-bench.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {ControlClient, startHeartbeat} from '@marigoldspur/control-client';
 import {startControlGroup} from '@marigoldspur/control-history';
 import {openCutLink} from '@marigoldspur/cut-link';
@@ -78,7 +79,3 @@
     leaving: false,
   };
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/machines/bounded-signal/src/index.ts
+++ b/machines/bounded-signal/src/index.ts
@@ -1,1 +1,2 @@
 export {BoundedSignal, type BoundedSignalOptions} from './bounded-signal.js';
+export {peerGone} from './peer-gone.js';
