Take the lab's ports from below the range of outgoing connections

The test of a cancelled run only looked for the model's name, which a refusal holds too, and then waited for a cancellation that a refused request never has; it now wants the 200 and the token, and shows what came instead.

--- a/lab/fault-runs/test/bad-input.test.ts
+++ b/lab/fault-runs/test/bad-input.test.ts
@@ -186,8 +186,9 @@
     stream: true,
     max_tokens: 2_000,
   });
-  const text = await exchange(completion(body), seen => seen.includes('w3'));
-  expect(text).to.contain('callao-1@v1');
+  const text = await exchange(completion(body), seen => seen.includes(' w3'));
+  expect(text).to.match(/^HTTP\/1.1 200/);
+  expect(text).to.contain(' w3');
   const engine = system.targets.find(pair => pair.name === 'lm-desk-0');
   let record = '';
   while (!record.includes('"cancelled"')) {
--- /dev/null
+++ b/lab/lab/test/ports.test.ts
@@ -0,0 +1,27 @@
+import net from 'node:net';
+import {expect} from 'chai';
+import {freePorts} from '@marigoldspur/lab';
+
+/** First port that systems give to outgoing connections by default. */
+const FIRST_EPHEMERAL_PORT = 32_768;
+
+it('ports: none is given out twice', async () => {
+  const ports = [...(await freePorts(40)), ...(await freePorts(40))];
+  expect(new Set(ports).size).to.equal(80);
+});
+
+it('ports: one that is listened on is passed over', async () => {
+  const [first] = await freePorts(1);
+  const server = net.createServer();
+  await new Promise<void>(resolve =>
+    server.listen(first + 1, '127.0.0.1', resolve),
+  );
+  const ports = await freePorts(3);
+  await new Promise(resolve => server.close(resolve));
+  expect(ports).not.to.include(first + 1);
+});
+
+it('ports: no outgoing connection may take one before its server listens', async () => {
+  const ports = await freePorts(100);
+  expect(Math.max(...ports)).to.be.below(FIRST_EPHEMERAL_PORT);
+});
