Tell a cancelled run from a failed or torn one, whichever event comes first

Trace of such a run: the agent ordered the abort of the run, and the stand-in engine noted it as "failed" where the abort came before its own notice of the closed connection. Under less load the connection came first. The same trace showed event 404 request-torn at the entry: the request's signal tells of the gone caller before the response's own event, so that each cancelled stream was counted as torn, and event 403 never came. Ruled out: a refusal (the trace has the 200 and four tokens), a lost cancellation (the agent logs 506).

An abort is a cancellation in the stand-in's record, and the relay asks whether the caller's connection is gone before it calls an answer torn. The new test of the relay fails with that question left out.

--- a/entry/dispatch/src/relay-answer.ts
+++ b/entry/dispatch/src/relay-answer.ts
@@ -78,12 +78,12 @@
     message.on('close', () => this.breakOff());
     response.on('drain', () => message.resume());
     response.on('close', () => this.loseCaller());
-    options.signal.addEventListener('abort', this.abandon, {once: true});
+    options.signal.addEventListener('abort', this.stop, {once: true});
     if (response.destroyed) {
       this.loseCaller();
     }
     if (options.signal.aborted) {
-      this.abandon();
+      this.stop();
     }
   }
 
@@ -167,7 +167,16 @@
     }
   }
 
-  private readonly abandon = () => {
+  /** The signal may tell of a caller that went away before the response's own event does. */
+  private readonly stop = () => {
+    if (this.response.destroyed && !this.options.outlivesCaller) {
+      this.loseCaller();
+      return;
+    }
+    this.abandon();
+  };
+
+  private abandon(): void {
     if (this.settled) {
       return;
     }
@@ -176,7 +185,7 @@
       this.response.destroy();
     }
     this.answer.message.destroy();
-  };
+  }
 
   private loseCaller(): void {
     if (this.response.writableFinished) {
@@ -198,7 +207,7 @@
       return;
     }
     this.settled = true;
-    this.options.signal.removeEventListener('abort', this.abandon);
+    this.options.signal.removeEventListener('abort', this.stop);
     const body =
       end === 'whole' && this.kept !== undefined
         ? Buffer.concat(this.kept)
--- a/entry/dispatch/test/relay-answer.test.ts
+++ b/entry/dispatch/test/relay-answer.test.ts
@@ -6,6 +6,7 @@
   type RelayOptions,
 } from '@marigoldspur/dispatch';
 import {listen} from '@marigoldspur/http-link';
+import {peerGone} from '@marigoldspur/bounded-signal';
 import {
   agentAnswer,
   attemptAt,
@@ -151,3 +152,30 @@
   const {answer} = await relay(head, {...STREAM_OPTIONS, signal}, false);
   expect(answer).to.equal(undefined);
 });
+
+it('relay: a caller that went away has cancelled, whichever event comes first', async () => {
+  const agent = await startFakeAgent(socket =>
+    socket.write(agentAnswer('text/event-stream', STREAM_BODY).slice(0, -20)),
+  );
+  let ended: Promise<Relayed> | undefined;
+  const server = http.createServer(async (_, response) => {
+    const gone = peerGone(response);
+    const sent = await client.send(attemptAt(agent));
+    if (sent.isOk) {
+      const options = {...STREAM_OPTIONS, signal: gone};
+      ended = relayAnswer(sent.value, response, options);
+    }
+  });
+  const address = await listen(server, {host: '127.0.0.1', port: 0});
+  const leaving = new AbortController();
+  const {signal} = leaving;
+  const url = `http://127.0.0.1:${address.port}`;
+  const answer = await fetch(url, {signal});
+  leaving.abort();
+  const relayed = await ended;
+  agent.stop();
+  server.close();
+  server.closeAllConnections();
+  expect(answer.status).to.equal(200);
+  expect(relayed?.end).to.equal('cancelled');
+});
--- a/lab/stand-ins/src/engine-run.ts
+++ b/lab/stand-ins/src/engine-run.ts
@@ -63,8 +63,17 @@
 
   /** Breaks the run off, as a restart of the engine does. */
   cut(): void {
+    this.breakOff('failed');
+  }
+
+  /** Ends the run on the order of whoever asked for it. */
+  cancel(): void {
+    this.breakOff('cancelled');
+  }
+
+  private breakOff(end: 'failed' | 'cancelled'): void {
     this.cutNow = true;
-    this.options.record.end = 'failed';
+    this.options.record.end = end;
     this.options.response.destroy();
   }
 
--- a/lab/stand-ins/src/engine.ts
+++ b/lab/stand-ins/src/engine.ts
@@ -254,7 +254,7 @@
     const {request_ids: ids} = ABORT_SCHEMA.parse(JSON.parse(text));
     for (const run of this.runs) {
       if (ids.includes(run.id) && this.faults.lateCancelMs === 0) {
-        run.cut();
+        run.cancel();
       }
     }
     sendJson(response, 200, {aborted: ids});
