Check the flags of the lab and of the operators' client like those of the processes

A file of a workload that is missing is one line in place of a stack trace.

A child's end is now taken from "close", after its output, so that a test that reads the last lines does not race with the pipe.

--- a/cli/marigoldspur/src/command.ts
+++ b/cli/marigoldspur/src/command.ts
@@ -1,11 +1,11 @@
 import {readFile} from 'node:fs/promises';
 import type {Result} from 'true-myth';
-import {z} from 'zod';
-import {InvalidInput, schemaFindings, type Fault} from '@marigoldspur/faults';
+import {InvalidInput, type Fault} from '@marigoldspur/faults';
 import {
   openSession,
   type OperatorSession,
 } from '@marigoldspur/operator-commands';
+import type {CommonFlags} from './common-flags.js';
 
 /** Where a command writes to. */
 export interface Console {
@@ -29,24 +29,6 @@
   forbidden: 5,
 } as const;
 
-/** Flags that each command takes. */
-export const COMMON_FLAGS_SCHEMA = z.object({
-  control: z
-    .string()
-    .transform(text => text.split(',').map(url => url.trim()))
-    .pipe(z.array(z.url({protocol: /^https?$/})).min(1)),
-  timeoutMs: z.coerce.number().int().min(1),
-  author: z.string().min(1).max(128),
-  token: z.string().min(1).optional(),
-  ca: z.string().min(1).optional(),
-  json: z.boolean(),
-  wait: z.boolean().default(false),
-  number: z.coerce.number().int().min(1).optional(),
-});
-
-/** Flags that each command takes. */
-export type CommonFlags = z.infer<typeof COMMON_FLAGS_SCHEMA>;
-
 /** What a command works with. */
 export interface CommandContext extends Console {
   readonly session: OperatorSession;
@@ -59,21 +41,20 @@
   args: Arguments,
 ) => Promise<number>;
 
+/** Checks a command's own arguments without a connection; throws `InvalidInput`. */
+export type Check<Arguments> = (args: Arguments) => unknown;
+
 /** Turns a command into a handler for the argument parser. */
 export type Handle = <Arguments>(
   command: Command<Arguments>,
+  check?: Check<Arguments>,
 ) => (args: Arguments) => Promise<void>;
 
 /** Opens the session that the flags ask for; throws `InvalidInput`. */
 export async function openContext(
-  args: unknown,
+  flags: CommonFlags,
   console: Console,
 ): Promise<CommandContext> {
-  const parsed = COMMON_FLAGS_SCHEMA.safeParse(args);
-  if (!parsed.success) {
-    throw new InvalidInput(schemaFindings(parsed.error));
-  }
-  const flags = parsed.data;
   const ca = flags.ca === undefined ? undefined : await readPem(flags.ca);
   const {timeoutMs, token} = flags;
   const session = openSession(flags.control, {timeoutMs, ca, token});
@@ -93,7 +74,8 @@
   return `${JSON.stringify(value, null, 2)}\n`;
 }
 
-async function readPem(file: string): Promise<string> {
+/** Reads a PEM file of the command line; throws `InvalidInput`. */
+export async function readPem(file: string): Promise<string> {
   try {
     return await readFile(file, 'utf8');
   } catch (thrown) {
--- a/cli/marigoldspur/src/commands/settings-commands.ts
+++ b/cli/marigoldspur/src/commands/settings-commands.ts
@@ -16,7 +16,7 @@
   type CommandContext,
   type Handle,
 } from '../command.js';
-import {submit} from '../submit.js';
+import {editHandler, submit} from '../submit.js';
 
 const DEFAULT_HISTORY = 20;
 
@@ -42,11 +42,12 @@
           .positional('path', {type: 'string', demandOption: true})
           .positional('setting', {type: 'string', demandOption: true})
           .positional('value', {type: 'string', demandOption: true}),
-      handle((context, {path, setting, value}) =>
-        submit(context, [
-          {edit: 'set', path, setting, value: parseValue(value)},
-        ]),
-      ),
+      editHandler(handle, ({path, setting, value}) => ({
+        edit: 'set',
+        path,
+        setting,
+        value: parseValue(value),
+      })),
     )
     .command(
       'unset <path> <setting>',
@@ -55,15 +56,17 @@
         args
           .positional('path', {type: 'string', demandOption: true})
           .positional('setting', {type: 'string', demandOption: true}),
-      handle((context, {path, setting}) =>
-        submit(context, [{edit: 'unset', path, setting}]),
-      ),
+      editHandler(handle, ({path, setting}) => ({
+        edit: 'unset',
+        path,
+        setting,
+      })),
     )
     .command(
       'diff <file>',
       'Show how the tree in a JSON or YAML file differs from the one in force',
       args => args.positional('file', {type: 'string', demandOption: true}),
-      handle(diffSettings),
+      handle(diffSettings, ({file}) => readTree(file)),
     )
     .command(
       'apply <file>',
@@ -76,7 +79,7 @@
             default: false,
             describe: 'Only show what would change',
           }),
-      handle(applySettings),
+      handle(applySettings, ({file}) => readTree(file)),
     )
     .command(
       'history',
--- a/cli/marigoldspur/src/commands/tree-commands.ts
+++ b/cli/marigoldspur/src/commands/tree-commands.ts
@@ -1,8 +1,6 @@
 import type {Argv} from 'yargs';
-import {InvalidInput, schemaFindings} from '@marigoldspur/faults';
-import {EDIT_SCHEMA} from '@marigoldspur/settings-schema';
-import type {CommandContext, Handle} from '../command.js';
-import {submit} from '../submit.js';
+import type {Handle} from '../command.js';
+import {editHandler} from '../submit.js';
 
 /** Adds the commands that create and retire what the tree holds. */
 export function treeCommands(parser: Argv, handle: Handle): Argv {
@@ -27,9 +25,10 @@
       'create <name>',
       'Create a customer',
       args => args.positional('name', {type: 'string', demandOption: true}),
-      handle((context, {name}) =>
-        edit(context, {edit: 'create-customer', customer: name}),
-      ),
+      editHandler(handle, ({name}) => ({
+        edit: 'create-customer',
+        customer: name,
+      })),
     )
     .demandCommand(1, 'name a customer command');
 }
@@ -55,16 +54,14 @@
             describe: 'Path of a plain service',
           })
           .conflicts('path-prefix', ['base-model', 'store']),
-      handle((context, {path, baseModel, store, pathPrefix}) =>
-        edit(context, {
-          edit: 'create-service',
-          path,
-          value:
-            pathPrefix === undefined
-              ? {kind: 'model', baseModel, store}
-              : {kind: 'plain', pathPrefix},
-        }),
-      ),
+      editHandler(handle, ({path, baseModel, store, pathPrefix}) => ({
+        edit: 'create-service',
+        path,
+        value:
+          pathPrefix === undefined
+            ? {kind: 'model', baseModel, store}
+            : {kind: 'plain', pathPrefix},
+      })),
     )
     .demandCommand(1, 'name a service command');
 }
@@ -75,9 +72,7 @@
       'create <path>',
       'Create an adapter, /customer/service/adapter',
       args => args.positional('path', {type: 'string', demandOption: true}),
-      handle((context, {path}) =>
-        edit(context, {edit: 'create-adapter', path}),
-      ),
+      editHandler(handle, ({path}) => ({edit: 'create-adapter', path})),
     )
     .demandCommand(1, 'name an adapter command');
 }
@@ -96,14 +91,12 @@
             demandOption: true,
             describe: 'Digest of the weights',
           }),
-      handle((context, {path, name, digest}) =>
-        edit(context, {
-          edit: 'add-version',
-          path,
-          version: name,
-          value: {digest},
-        }),
-      ),
+      editHandler(handle, ({path, name, digest}) => ({
+        edit: 'add-version',
+        path,
+        version: name,
+        value: {digest},
+      })),
     )
     .command(
       'retire <path> <name>',
@@ -112,9 +105,11 @@
         args
           .positional('path', {type: 'string', demandOption: true})
           .positional('name', {type: 'string', demandOption: true}),
-      handle((context, {path, name}) =>
-        edit(context, {edit: 'retire-version', path, version: name}),
-      ),
+      editHandler(handle, ({path, name}) => ({
+        edit: 'retire-version',
+        path,
+        version: name,
+      })),
     )
     .demandCommand(1, 'name a version command');
 }
@@ -124,15 +119,6 @@
     'remove <path>',
     'Remove a level with all below it',
     args => args.positional('path', {type: 'string', demandOption: true}),
-    handle((context, {path}) => edit(context, {edit: 'remove', path})),
+    editHandler(handle, ({path}) => ({edit: 'remove', path})),
   );
 }
-
-/** Checks an edit here, so that findings name the arguments, and submits it. */
-function edit(context: CommandContext, value: object): Promise<number> {
-  const parsed = EDIT_SCHEMA.safeParse(value);
-  if (!parsed.success) {
-    throw new InvalidInput(schemaFindings(parsed.error));
-  }
-  return submit(context, [parsed.data]);
-}
--- a/cli/marigoldspur/src/submit.ts
+++ b/cli/marigoldspur/src/submit.ts
@@ -1,7 +1,21 @@
-import {formatFindings} from '@marigoldspur/faults';
+import {
+  formatFindings,
+  InvalidInput,
+  schemaFindings,
+} from '@marigoldspur/faults';
 import {submitChange, waitInForce} from '@marigoldspur/operator-commands';
-import type {ChangeOutcome, Edit} from '@marigoldspur/settings-schema';
-import {EXIT, toJson, valueOf, type CommandContext} from './command.js';
+import {
+  EDIT_SCHEMA,
+  type ChangeOutcome,
+  type Edit,
+} from '@marigoldspur/settings-schema';
+import {
+  EXIT,
+  toJson,
+  valueOf,
+  type CommandContext,
+  type Handle,
+} from './command.js';
 
 /** Submits edits as one change, says what became of it and, where asked, waits until it is in force. */
 export async function submit(
@@ -22,6 +36,27 @@
   }
 }
 
+/** A handler that submits the one edit which its arguments describe. */
+export function editHandler<Arguments>(
+  handle: Handle,
+  describeEdit: (args: Arguments) => object,
+): (args: Arguments) => Promise<void> {
+  const editOf = (args: Arguments) => checkedEdit(describeEdit(args));
+  return handle<Arguments>(
+    (context, args) => submit(context, [editOf(args)]),
+    editOf,
+  );
+}
+
+/** Checks an edit here, so that findings name the arguments. */
+function checkedEdit(value: object): Edit {
+  const parsed = EDIT_SCHEMA.safeParse(value);
+  if (!parsed.success) {
+    throw new InvalidInput(schemaFindings(parsed.error));
+  }
+  return parsed.data;
+}
+
 async function waitFor(
   context: CommandContext,
   revision: number,
--- a/cli/marigoldspur/test/run-command-line.test.ts
+++ b/cli/marigoldspur/test/run-command-line.test.ts
@@ -148,6 +148,29 @@
   );
 });
 
+it('cli: findings of flags come together, each with flag and variable', async () => {
+  const {exit, errors} = await run(
+    ...['status', '--control', 'nowhere', '--timeout-ms', 'soon'],
+  );
+  expect(exit).to.equal(EXIT.badInput);
+  expect(errors).to.contain('--control (MARIGOLDSPUR_CONTROL)');
+  expect(errors).to.contain('--timeout-ms (MARIGOLDSPUR_TIMEOUT_MS)');
+});
+
+it('cli: --check changes nothing and reaches nobody', async () => {
+  const away = ['--control', 'http://127.0.0.1:1', '--check'];
+  const good = await run('customer', 'create', 'checked', ...away);
+  expect(good).to.include({exit: EXIT.done, output: 'the input is valid\n'});
+  const bad = await run('customer', 'create', 'Bad Name', ...away);
+  expect(bad.exit).to.equal(EXIT.badInput);
+  const noFile = await run('settings', 'apply', 'no-such-file', ...away);
+  expect(noFile.exit).to.equal(EXIT.badInput);
+  const noCa = await run('status', '--ca', 'no-such-file', ...away);
+  expect(noCa.exit).to.equal(EXIT.badInput);
+  const {output} = await run('settings', 'get', '--tree');
+  expect(output).not.to.contain('checked');
+});
+
 it('cli: control out of reach has its own exit code', async () => {
   const [port] = await freePorts(1);
   const {exit} = await run(
--- a/lab/lab/src/child.ts
+++ b/lab/lab/src/child.ts
@@ -38,7 +38,7 @@
     listeners.forEach(listener => listener(line));
   });
   const ended = new Promise<number | string>(resolve => {
-    child.on('exit', (code, signal) => resolve(code ?? signal ?? 'unknown'));
+    child.on('close', (code, signal) => resolve(code ?? signal ?? 'unknown'));
   });
   return {
     name,
--- a/lab/lab/src/lab-command.ts
+++ b/lab/lab/src/lab-command.ts
@@ -1,146 +1,46 @@
 import yargs from 'yargs';
 import {VERSION} from '@marigoldspur/process-settings';
-import {
-  measureDecisions,
-  measureTables,
-  runExperimentCommand,
-} from '@marigoldspur/experiment';
-import {
-  startBalancer,
-  startEngine,
-  startPlainService,
-  startWeightStore,
-  type StandIn,
-} from '@marigoldspur/stand-ins';
-import {runDemo} from './demo.js';
-import {replayTrace} from './replay-trace.js';
+import {JOB_COMMANDS} from './commands/job-commands.js';
+import {STAND_IN_COMMANDS} from './commands/stand-in-commands.js';
 
-const port = {
-  type: 'number',
-  default: 0,
-  describe: 'Port on loopback',
-} as const;
+const EXIT_BAD_COMMAND = 2;
+
+/** A command of the lab. */
+export interface LabCommand {
+  readonly name: string;
+  /** One sentence for `--help`. */
+  readonly about: string;
+  /** Runs it with what follows its name on the command line. */
+  run(args: readonly string[]): Promise<void>;
+}
 
 /** Runs one command of the lab. */
 export async function runLab(args: readonly string[]): Promise<void> {
-  await yargs([...args])
+  const commands = [...STAND_IN_COMMANDS, ...JOB_COMMANDS];
+  const [name, ...rest] = args;
+  const command = commands.find(each => each.name === name);
+  if (command !== undefined) {
+    await command.run(rest);
+    return;
+  }
+  await explain(commands, args);
+}
+
+/** Answers `--help` and `--version`; anything else is an unknown command. */
+async function explain(
+  commands: readonly LabCommand[],
+  args: readonly string[],
+): Promise<void> {
+  const parser = yargs([...args])
     .scriptName('marigoldspur-lab')
+    .usage('marigoldspur-lab: stand-ins, demonstration, load and experiments')
     .version(VERSION)
-    .command(
-      'engine',
-      'Stand-in for a model engine',
-      options =>
-        options
-          .option('port', port)
-          .option('slots', {type: 'number', default: 6})
-          .option('batch-limit', {type: 'number', default: 16})
-          .option('store-url', {type: 'string', demandOption: true})
-          .option('first-token-ms', {type: 'number', default: 20})
-          .option('token-ms', {type: 'number', default: 5})
-          .option('checks-fence', {type: 'boolean', default: true}),
-      async flags => announce(await startEngine(flags)),
-    )
-    .command(
-      'service',
-      'Stand-in for a plain service',
-      options =>
-        options
-          .option('port', port)
-          .option('call-ms', {type: 'number', default: 5}),
-      async flags => announce(await startPlainService(flags)),
-    )
-    .command(
-      'store',
-      'Stand-in for the weight store',
-      options =>
-        options
-          .option('port', port)
-          .option('loads-per-second', {type: 'number', default: 4}),
-      async flags => announce(await startWeightStore(flags)),
-    )
-    .command(
-      'balancer',
-      'Stand-in for the platform’s balancer',
-      options =>
-        options
-          .option('port', port)
-          .option('entries', {type: 'string', demandOption: true})
-          .option('check-ms', {type: 'number', default: 200}),
-      async flags =>
-        announce(
-          await startBalancer({...flags, entries: flags.entries.split(',')}),
-        ),
-    )
-    .command(
-      'demo',
-      'Start both deployments, send requests and print what ran where',
-      options => options,
-      async () => {
-        const good = await runDemo(text => process.stdout.write(text));
-        process.exitCode = good ? 0 : 1;
-      },
-    )
-    .command(
-      'experiment <file>',
-      'Measure the policies of a workload file on generated traces',
-      options =>
-        options
-          .positional('file', {type: 'string', demandOption: true})
-          .option('scenarios', {type: 'string', array: true})
-          .option('policies', {type: 'string', array: true})
-          .option('loads', {
-            type: 'number',
-            array: true,
-            describe: 'Multiples of the knee rate',
-          })
-          .option('seeds', {type: 'number', array: true})
-          .option('out', {
-            type: 'string',
-            describe: 'Folder for report.json and report.html',
-          })
-          .option('compare', {
-            type: 'string',
-            describe: 'An earlier report.json',
-          })
-          .option('knee', {
-            type: 'boolean',
-            describe: 'Find the knee rates instead',
-          }),
-      flags => runExperimentCommand(flags, text => process.stdout.write(text)),
-    )
-    .command(
-      'policy-costs',
-      'Measure the CPU time and memory of policy decisions',
-      options => options,
-      () => {
-        const costs = {decisions: measureDecisions(), tables: measureTables()};
-        process.stdout.write(`${JSON.stringify(costs, null, 2)}\n`);
-      },
-    )
-    .command(
-      'replay <file>',
-      'Send the calm trace of a workload file to real processes',
-      options =>
-        options
-          .positional('file', {type: 'string', demandOption: true})
-          .option('policy', {type: 'string', demandOption: true})
-          .option('load', {type: 'number', default: 1})
-          .option('seed', {type: 'number', default: 101})
-          .option('warm-up-seconds', {type: 'number', default: 30})
-          .option('measured-seconds', {type: 'number', default: 30}),
-      async flags => {
-        const figures = await replayTrace(flags);
-        process.stdout.write(`${JSON.stringify(figures)}\n`);
-      },
-    )
     .demandCommand(1, 'name a command')
     .strict()
-    .parseAsync();
-}
-
-function announce(standIn: StandIn): void {
-  process.stderr.write(`ready ${standIn.url}\n`);
-  const stop = () => void standIn.stop().then(() => process.exit(0));
-  process.on('SIGTERM', stop);
-  process.on('SIGINT', stop);
+    .fail(message => {
+      process.stderr.write(`command line: ${message}\n`);
+      process.exitCode = EXIT_BAD_COMMAND;
+    });
+  commands.forEach(({name, about}) => parser.command(name, about));
+  await parser.parseAsync();
 }
--- a/machines/process-life/src/index.ts
+++ b/machines/process-life/src/index.ts
@@ -1,2 +1,8 @@
-export {runProcess, type ProcessDefinition, type Task} from './run-process.js';
+export {
+  runJob,
+  runProcess,
+  type JobDefinition,
+  type ProcessDefinition,
+  type Task,
+} from './run-process.js';
 export {bootIdentity} from './boot-identity.js';
--- a/machines/process-life/src/run-process.ts
+++ b/machines/process-life/src/run-process.ts
@@ -19,28 +19,29 @@
   start(settings: z.infer<Schema>, drain: () => void): Promise<Task>;
 }
 
+/** A program that ends by itself: its settings and its work. */
+export interface JobDefinition<
+  Schema extends z.ZodObject,
+> extends ProcessCommand<Schema> {
+  /** Does the work; resolves to the exit code. */
+  work(settings: z.infer<Schema>): Promise<number>;
+}
+
 const EXIT_FAILED = 1;
 const EXIT_BAD_SETTINGS = 2;
 
 /** Runs a program until SIGTERM or SIGINT; a second signal ends it at once. */
 export async function runProcess<Schema extends z.ZodObject>(
   definition: ProcessDefinition<Schema>,
+  args: readonly string[] = process.argv.slice(2),
 ): Promise<void> {
-  const read = await readProcessSettings(definition, {
-    args: process.argv.slice(2),
-    variables: process.env,
-  });
-  if (read.isErr) {
-    process.stderr.write(`${formatFindings(read.error)}\n`);
-    process.exit(EXIT_BAD_SETTINGS);
-  }
-  if (read.value.checkOnly) {
-    process.stdout.write('settings are valid\n');
+  const settings = await settingsOf(definition, args);
+  if (settings === undefined) {
     return;
   }
   try {
     const {signalled, signal} = stopSignal();
-    const task = await definition.start(read.value.settings, signal);
+    const task = await definition.start(settings, signal);
     await signalled;
     await task.stop();
     process.exit(0);
@@ -50,6 +51,42 @@
   }
 }
 
+/** Runs a program that ends by itself. */
+export async function runJob<Schema extends z.ZodObject>(
+  definition: JobDefinition<Schema>,
+  args: readonly string[] = process.argv.slice(2),
+): Promise<void> {
+  const settings = await settingsOf(definition, args);
+  if (settings === undefined) {
+    return;
+  }
+  try {
+    process.exitCode = await definition.work(settings);
+  } catch (thrown) {
+    process.stderr.write(`${definition.name}: ${toFault(thrown).message}\n`);
+    process.exitCode = EXIT_FAILED;
+  }
+}
+
+/** Reads settings; undefined where nothing is to run. */
+async function settingsOf<Schema extends z.ZodObject>(
+  command: ProcessCommand<Schema>,
+  args: readonly string[],
+): Promise<z.infer<Schema> | undefined> {
+  const source = {args, variables: process.env};
+  const read = await readProcessSettings(command, source);
+  if (read.isErr) {
+    process.stderr.write(`${formatFindings(read.error)}\n`);
+    process.exitCode = EXIT_BAD_SETTINGS;
+    return undefined;
+  }
+  if (read.value.checkOnly) {
+    process.stdout.write('settings are valid\n');
+    return undefined;
+  }
+  return read.value.settings;
+}
+
 function stopSignal(): {signalled: Promise<void>; signal: () => void} {
   let signal: () => void = () => {};
   const signalled = new Promise<void>(resolve => {
--- a/machines/process-settings/src/read-process-settings.ts
+++ b/machines/process-settings/src/read-process-settings.ts
@@ -14,6 +14,8 @@
   readonly about: string;
   /** Settings; each field's description is its help text. */
   readonly schema: Schema;
+  /** Settings that may also be given by their place on the command line, in order. */
+  readonly operands?: ReadonlyArray<string & keyof Schema['shape']>;
 }
 
 /** Where settings are read from. Flags go before variables. */
@@ -98,5 +100,10 @@
       describe: `${field.description ?? ''} [${variableName(name)}]`,
     });
   }
+  const {operands = []} = command;
+  if (operands.length > 0) {
+    const places = operands.map(name => `[${flagName(name)}]`).join(' ');
+    parser.command(`$0 ${places}`, command.about);
+  }
   return (await parser.parseAsync()) as Record<string, unknown>;
 }
