Take a reloaded certificate only with its key, and keep the bound on TLS versions

Certificate, key and authority were reloaded one by one: between the changes of certificate and key the pair did not fit, the server refused the new context and the process's own copy was already replaced, so that new links got a pair that can't work. A reload also made a context without the lowest TLS version, so that TLS 1.2 was let in from then on.

Wrong key files at the start exit with 2 as wrong flags do.

--- a/entry/entry-server/src/caller-tls.ts
+++ b/entry/entry-server/src/caller-tls.ts
@@ -2,7 +2,7 @@
 import https from 'node:https';
 import type {EventLog} from '@marigoldspur/event-log';
 import {InvalidInput} from '@marigoldspur/faults';
-import {KeyFile} from '@marigoldspur/key-files';
+import {PemFiles} from '@marigoldspur/key-files';
 import type {EntrySettings} from './entry-settings.js';
 
 /** Creates servers for callers. */
@@ -28,19 +28,19 @@
     return {createServer: http.createServer, stop: () => {}};
   }
   const servers = new Set<https.Server>();
-  const parse = (text: string) => text;
-  const keys = () => ({cert: cert.current, key: key.current});
-  const onReload = () =>
-    servers.forEach(server => server.setSecureContext(keys()));
-  const open = (file: string) => KeyFile.open({file, parse, events, onReload});
-  const cert = await open(callerTlsCert);
-  const key = await open(callerTlsKey);
+  const files = {cert: callerTlsCert, key: callerTlsKey};
+  const pem = await PemFiles.open({
+    files,
+    events,
+    onReload: texts =>
+      servers.forEach(server => server.setSecureContext(texts)),
+  });
   return {
     createServer: (options, handler) => {
-      const server = https.createServer({...options, ...keys()}, handler);
+      const server = https.createServer({...options, ...pem.current}, handler);
       servers.add(server);
       return server;
     },
-    stop: () => [cert, key].forEach(file => file.stop()),
+    stop: () => pem.stop(),
   };
 }
--- a/lab/lab/src/system.ts
+++ b/lab/lab/src/system.ts
@@ -15,12 +15,12 @@
 export interface SystemKeys {
   /** Flags of control, entries and agents that name their certificate and key files. */
   readonly processFlags: readonly string[];
-  /** Flags of entries that name the keys of callers. */
+  /** Flags of entries that name the keys of callers and the certificate that these see. */
   readonly entryFlags: readonly string[];
-  /** Certificate authority of the system, in PEM. */
-  readonly ca: string;
+  /** Certificate authority of the system, in PEM; without it processes speak HTTP. */
+  readonly ca?: string;
   /** Token of an operator who may change settings. */
-  readonly token: string;
+  readonly token?: string;
 }
 
 /** Options of a system of processes on this machine. */
@@ -145,7 +145,7 @@
   flags: readonly string[],
 ) {
   const ports = await freePorts(options.controls);
-  const scheme = options.keys === undefined ? 'http' : 'https';
+  const scheme = options.keys?.ca === undefined ? 'http' : 'https';
   const urls = ports.map(port => `${scheme}://127.0.0.1:${port}`);
   const children = ports.map((port, index) =>
     startChild(`control-${index}`, CONTROL, [
--- a/machines/key-files/src/key-file.ts
+++ b/machines/key-files/src/key-file.ts
@@ -9,7 +9,7 @@
   /** Reads the file's text; throws a `Fault` when it is malformed. */
   readonly parse: (text: string) => Value;
   readonly events: EventLog;
-  /** Called with each value after the first. */
+  /** Called with each value after the first; throws a `Fault` when it can't be used. */
   readonly onReload?: (value: Value) => void;
   /** Time between looks at the file, in milliseconds. */
   readonly pollMs?: number;
@@ -47,8 +47,8 @@
     const {file, events, parse} = this.options;
     try {
       this.value = parse(await readFile(file, 'utf8'));
-      events.record('keys-reloaded', {file});
       this.options.onReload?.(this.value);
+      events.record('keys-reloaded', {file});
     } catch (thrown) {
       events.record('keys-rejected', {file, reason: toFault(thrown).message});
     }
--- a/machines/link-security/src/mutual-tls-security.ts
+++ b/machines/link-security/src/mutual-tls-security.ts
@@ -2,15 +2,11 @@
 import https from 'node:https';
 import type {TLSSocket} from 'node:tls';
 import type {Caller} from '@marigoldspur/access';
+import type {PemTexts} from '@marigoldspur/key-files';
 import type {LinkSecurity} from './link-security.js';
 import type {OperatorTokenTable} from './operator-token-table.js';
 
-/** The keys of a process, in PEM. */
-export interface TlsKeys {
-  readonly cert: string;
-  readonly key: string;
-  readonly ca: string;
-}
+const MIN_VERSION = 'TLSv1.3';
 
 /** Mutual TLS: a certificate of the system's own authority makes a caller a process, a token makes it an operator. */
 export class MutualTlsSecurity implements LinkSecurity {
@@ -19,7 +15,7 @@
   private readonly agents = new Set<https.Agent>();
 
   constructor(
-    private keys: TlsKeys,
+    private keys: PemTexts,
     private readonly operators: OperatorTokenTable,
     private readonly onStop: () => void,
   ) {}
@@ -35,7 +31,7 @@
         ...this.keys,
         requestCert: true,
         rejectUnauthorized: false,
-        minVersion: 'TLSv1.3',
+        minVersion: MIN_VERSION,
       },
       handler,
     );
@@ -56,9 +52,11 @@
   }
 
   /** Uses other keys for the connections made from now on. */
-  replaceKeys(keys: TlsKeys): void {
+  replaceKeys(keys: PemTexts): void {
     this.keys = keys;
-    this.servers.forEach(server => server.setSecureContext(keys));
+    // A new context has the defaults of Node.js in all that is not named again.
+    const context = {...keys, minVersion: MIN_VERSION} as const;
+    this.servers.forEach(server => server.setSecureContext(context));
     this.agents.forEach(agent => Object.assign(agent.options, keys));
   }
 
--- a/machines/link-security/src/open-link-security.ts
+++ b/machines/link-security/src/open-link-security.ts
@@ -4,7 +4,7 @@
 } from '@marigoldspur/access';
 import type {EventLog} from '@marigoldspur/event-log';
 import {type Finding, InvalidInput} from '@marigoldspur/faults';
-import {KeyFile, parseWith} from '@marigoldspur/key-files';
+import {KeyFile, parseWith, PemFiles} from '@marigoldspur/key-files';
 import type {LinkSecurity} from './link-security.js';
 import type {LinkSettings} from './link-settings.js';
 import {isLoopback} from './is-loopback.js';
@@ -26,24 +26,14 @@
     events.record('insecure-loopback', {host: settings.host});
     return new LoopbackSecurity();
   }
-  const files: Array<KeyFile<unknown>> = [];
-  const text = async (file: string) => {
-    const opened = await KeyFile.open({file, parse: pem, events, onReload});
-    files.push(opened);
-    return opened;
-  };
-  const onReload = () => security.replaceKeys(keys());
-  const [cert, key, ca] = [
-    await text(tlsCert),
-    await text(tlsKey),
-    await text(tlsCa),
-  ];
-  const keys = () => ({cert: cert.current, key: key.current, ca: ca.current});
+  const files = {cert: tlsCert, key: tlsKey, ca: tlsCa};
+  const onReload = () => security.replaceKeys(pem.current);
+  const pem = await PemFiles.open({files, events, onReload});
   const tokens = await openTokens(settings.operatorTokens, events);
   const security = new MutualTlsSecurity(
-    keys(),
+    pem.current,
     new OperatorTokenTable(() => tokens?.current ?? {tokens: []}),
-    () => [...files, ...(tokens ? [tokens] : [])].forEach(file => file.stop()),
+    () => [pem, tokens].forEach(each => each?.stop()),
   );
   return security;
 }
@@ -79,13 +69,6 @@
   return findings;
 }
 
-function pem(text: string): string {
-  if (!text.includes('-----BEGIN ')) {
-    throw new InvalidInput([{place: '.', reason: 'is no PEM file'}]);
-  }
-  return text;
-}
-
 function openTokens(
   file: string | undefined,
   events: EventLog,
--- a/machines/link-security/test/link-security.test.ts
+++ b/machines/link-security/test/link-security.test.ts
@@ -4,6 +4,7 @@
 import type {AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import tls from 'node:tls';
 import {expect} from 'chai';
 import {secretDigest} from '@marigoldspur/access';
 import {EventLog} from '@marigoldspur/event-log';
@@ -155,6 +156,58 @@
   });
 });
 
+/** The certificate that a server shows, or why it shows none. */
+function shownBy(url: string, options: tls.ConnectionOptions = {}) {
+  return new Promise<string>(resolve => {
+    const port = Number(new URL(url).port);
+    const socket = tls.connect(
+      {...options, port, host: '127.0.0.1', ca: authority.ca},
+      () => {
+        resolve(String(socket.getPeerCertificate().subject.CN));
+        socket.destroy();
+      },
+    );
+    socket.on('error', error => resolve(toFault(error).message));
+  });
+}
+
+async function recorded(name: string, count: number): Promise<void> {
+  const seen = () =>
+    events.after(0, 100).filter(event => event.name === name).length;
+  while (seen() < count) {
+    await new Promise(resolve => setTimeout(resolve, 20));
+  }
+}
+
+it('links: a certificate is taken once its key has come too', async () => {
+  const url = await serve(await secured('first'));
+  const {cert, key} = authority.issue('second');
+  await writeFile(file('first.crt'), cert);
+  await recorded('keys-rejected', 1);
+  expect(await shownBy(url)).to.equal('first');
+  await writeFile(file('first.key'), key);
+  let shown = 'first';
+  while (shown === 'first') {
+    shown = await shownBy(url);
+  }
+  expect(shown).to.equal('second');
+});
+
+it('links: TLS 1.2 is refused, after a reload too', async () => {
+  const url = await serve(await secured('modern'));
+  const old = {maxVersion: 'TLSv1.2'} as const;
+  expect(await shownBy(url, old)).to.match(/protocol version/);
+  const {cert, key} = authority.issue('renewed');
+  await writeFile(file('modern.crt'), cert);
+  await writeFile(file('modern.key'), key);
+  let shown = 'modern';
+  while (shown === 'modern') {
+    shown = await shownBy(url);
+  }
+  expect(shown).to.equal('renewed');
+  expect(await shownBy(url, old)).to.match(/protocol version/);
+});
+
 it('links: without keys only loopback is allowed, and it is said', async () => {
   const security = await openLinkSecurity(
     LINK_SETTINGS_SCHEMA.parse({}),
--- a/machines/process-life/src/run-process.ts
+++ b/machines/process-life/src/run-process.ts
@@ -46,8 +46,7 @@
     await task.stop();
     process.exit(0);
   } catch (thrown) {
-    process.stderr.write(`${definition.name}: ${toFault(thrown).message}\n`);
-    process.exit(EXIT_FAILED);
+    process.exit(report(definition.name, thrown));
   }
 }
 
@@ -63,11 +62,17 @@
   try {
     process.exitCode = await definition.work(settings);
   } catch (thrown) {
-    process.stderr.write(`${definition.name}: ${toFault(thrown).message}\n`);
-    process.exitCode = EXIT_FAILED;
+    process.exitCode = report(definition.name, thrown);
   }
 }
 
+/** Says why a program failed; returns its exit code. */
+function report(program: string, thrown: unknown): number {
+  const fault = toFault(thrown);
+  process.stderr.write(`${program}: ${fault.message}\n`);
+  return fault.code === 'INVALID_INPUT' ? EXIT_BAD_SETTINGS : EXIT_FAILED;
+}
+
 /** Reads settings; undefined where nothing is to run. */
 async function settingsOf<Schema extends z.ZodObject>(
   command: ProcessCommand<Schema>,
