Split the decisions of the log into modules with one job each

What a leader knows lives in one object that ends with its leadership, so nothing needs to be cleared by hand.

The conditions that keep a group safe are the class SafetyRules, given to the constructor; before they were protected methods of Consensus. The model test overrides the same eight conditions there: that is the only change to a test.

--- /dev/null
+++ b/control/consensus/src/election-timer.ts
@@ -0,0 +1,33 @@
+import type {ConsensusOptions} from './consensus-options.js';
+
+/** Shortest wait until an election is held again, as a share of the election timeout; the longest is three times that. */
+const RETRY_SHARE = 0.25;
+
+/** When a replica that hears no leader holds an election. */
+export class ElectionTimer {
+  private dueAt = 0;
+
+  constructor(private readonly options: ConsensusOptions) {}
+
+  isDue(now: number): boolean {
+    return now >= this.dueAt;
+  }
+
+  /** Waits a whole election timeout, spread over the replicas. */
+  reset(now: number): void {
+    const {electionTimeoutMs, random} = this.options;
+    this.dueAt = now + electionTimeoutMs * (1 + random());
+  }
+
+  /** An election that nobody wins is held again sooner than the first: the silence is known. */
+  retry(now: number): void {
+    const {electionTimeoutMs, random} = this.options;
+    const share = RETRY_SHARE * (1 + 2 * random());
+    this.dueAt = now + electionTimeoutMs * share;
+  }
+
+  /** Holds the election with the next tick. */
+  hurry(now: number): void {
+    this.dueAt = now;
+  }
+}
--- /dev/null
+++ b/control/consensus/src/elections.ts
@@ -0,0 +1,176 @@
+import {majority} from './configuration.js';
+import type {ConsensusOptions} from './consensus-options.js';
+import {ElectionTimer} from './election-timer.js';
+import type {Position} from './entry.js';
+import type {MessageOf} from './messages.js';
+import type {ReplicaState} from './replica-state.js';
+import type {SafetyRules} from './safety-rules.js';
+
+/** Elections with a pre-vote: the candidate's side, the voter's side and who is followed. */
+export class Elections {
+  private readonly timer: ElectionTimer;
+  private votes = new Set<string>();
+  private leaderHeardAt = -Infinity;
+
+  constructor(
+    private readonly state: ReplicaState,
+    private readonly options: ConsensusOptions,
+    private readonly rules: SafetyRules,
+    now: number,
+  ) {
+    this.timer = new ElectionTimer(options);
+    this.timer.reset(now);
+  }
+
+  /** Holds an election where no leader was heard for long. */
+  tick(now: number): void {
+    if (!this.timer.isDue(now)) {
+      return;
+    }
+    this.timer.reset(now);
+    if (this.state.isVoter) {
+      const role = this.rules.preVotes() ? 'pre-candidate' : 'candidate';
+      this.campaign(role, false, now);
+    }
+  }
+
+  /** Holds an election with the next tick. */
+  hurry(now: number): void {
+    this.timer.hurry(now);
+  }
+
+  /** Holds an election at once, as the leader asked for it. */
+  takeOver(now: number): void {
+    if (this.state.isVoter) {
+      this.campaign('candidate', true, now);
+    }
+  }
+
+  /** Follows a leader, or nobody yet, in a term. */
+  follow(term: number, leader: string | undefined, now: number): void {
+    const {state} = this;
+    state.role = 'follower';
+    state.leader = leader;
+    if (term !== state.term) {
+      state.save({term, vote: ''});
+    }
+    this.timer.reset(now);
+  }
+
+  /** The leader of the term was heard. */
+  heardLeader(now: number): void {
+    this.leaderHeardAt = now;
+    this.timer.reset(now);
+  }
+
+  stepPreVote(message: MessageOf<'pre-vote'>, now: number): void {
+    const {state, rules} = this;
+    const granted =
+      message.term > state.term &&
+      rules.mayVote(state.log.last) &&
+      !this.hearsLeader(now) &&
+      rules.isUpToDate(lastOf(message), state.log.last);
+    const body = {kind: 'pre-vote-answer', granted} as const;
+    state.sendHeld(message.from, body, granted ? message.term : state.term);
+  }
+
+  stepPreVoteGranted(message: MessageOf<'pre-vote-answer'>, now: number): void {
+    const {state} = this;
+    if (state.role !== 'pre-candidate' || message.term !== state.term + 1) {
+      return;
+    }
+    if (this.countVote(message.from)) {
+      this.campaign('candidate', false, now);
+    }
+  }
+
+  /** Whether a request for a vote must not disturb the leader that is heard. */
+  ignoresVote(message: MessageOf<'vote'>, now: number): boolean {
+    return !message.handOver && this.hearsLeader(now);
+  }
+
+  stepVote(message: MessageOf<'vote'>, now: number): void {
+    const {state, rules} = this;
+    const granted =
+      rules.mayVote(state.log.last) &&
+      state.leader === undefined &&
+      !rules.hasVotedForOther(state.vote, message.from) &&
+      rules.isUpToDate(lastOf(message), state.log.last);
+    if (granted) {
+      if (state.vote !== message.from) {
+        state.save({vote: message.from});
+      }
+      this.timer.reset(now);
+    }
+    state.sendHeld(message.from, {kind: 'vote-answer', granted});
+  }
+
+  /** Counts a vote; true where it wins the election. */
+  wins(message: MessageOf<'vote-answer'>): boolean {
+    return (
+      this.state.role === 'candidate' &&
+      message.granted &&
+      this.countVote(message.from)
+    );
+  }
+
+  private campaign(
+    role: 'pre-candidate' | 'candidate',
+    handOver: boolean,
+    now: number,
+  ): void {
+    const {state} = this;
+    state.role = role;
+    state.leader = undefined;
+    this.votes = new Set();
+    const term = state.term + 1;
+    if (role === 'candidate') {
+      state.save({term, vote: state.id});
+    }
+    this.askForVotes(role, handOver, term);
+    this.timer.retry(now);
+  }
+
+  private askForVotes(
+    role: 'pre-candidate' | 'candidate',
+    handOver: boolean,
+    term: number,
+  ): void {
+    const {state} = this;
+    const {index: lastIndex, term: lastTerm} = state.log.last;
+    const others = state.configuration.voters.filter(({id}) => id !== state.id);
+    if (role === 'candidate') {
+      const body = {kind: 'vote', lastIndex, lastTerm, handOver} as const;
+      others.forEach(({id}) => state.sendHeld(id, body));
+      state.sendHeld(state.id, {kind: 'vote-answer', granted: true});
+      return;
+    }
+    const body = {kind: 'pre-vote', lastIndex, lastTerm} as const;
+    others.forEach(({id}) => state.sendHeld(id, body, term));
+    const own = {kind: 'pre-vote-answer', granted: true} as const;
+    state.sendHeld(state.id, own, term);
+  }
+
+  private hearsLeader(now: number): boolean {
+    if (!this.rules.checksQuorum()) {
+      return false;
+    }
+    const {role, leader} = this.state;
+    return (
+      role === 'leader' ||
+      (leader !== undefined &&
+        now - this.leaderHeardAt < this.options.electionTimeoutMs)
+    );
+  }
+
+  private countVote(from: string): boolean {
+    const {voters} = this.state.configuration;
+    this.votes.add(from);
+    const granted = voters.filter(({id}) => this.votes.has(id)).length;
+    return granted >= majority(voters.length);
+  }
+}
+
+function lastOf(candidacy: {lastIndex: number; lastTerm: number}): Position {
+  return {index: candidacy.lastIndex, term: candidacy.lastTerm};
+}
--- a/control/consensus/src/index.ts
+++ b/control/consensus/src/index.ts
@@ -17,17 +17,18 @@
 } from './entry.js';
 export {MESSAGE_SCHEMA, type Message, type MessageOf} from './messages.js';
 export type {ConfirmedRead} from './read-queue.js';
-export {
-  COMMIT_ANNOUNCE_MS,
-  Consensus,
-  type Applicable,
-  type Batch,
-  type ConsensusOptions,
-  type HardState,
-  type LogOperation,
-  type Recovered,
-  type Role,
-} from './consensus.js';
+export {Consensus} from './consensus.js';
+export type {ConsensusOptions} from './consensus-options.js';
+export type {
+  Applicable,
+  Batch,
+  HardState,
+  LogOperation,
+  Recovered,
+  Role,
+} from './replica-content.js';
+export {COMMIT_ANNOUNCE_MS} from './replication.js';
+export {SafetyRules} from './safety-rules.js';
 export {
   nextConfiguration,
   type RepairView,
--- a/control/consensus/test/group-model.ts
+++ b/control/consensus/test/group-model.ts
@@ -1,12 +1,14 @@
 import {
   Consensus,
   nextConfiguration,
+  SafetyRules,
   type Batch,
   type Configuration,
   type Entry,
   type HardState,
   type LogOperation,
   type Message,
+  type Position,
   type Recovered,
   type Snapshot,
 } from '@marigoldspur/consensus';
@@ -49,64 +51,55 @@
   };
 }
 
-class FlawedConsensus extends Consensus {
-  constructor(
-    private readonly flaw: Flaw | undefined,
-    ...rest: ConstructorParameters<typeof Consensus>
-  ) {
-    super(...rest);
+class FlawedRules extends SafetyRules {
+  constructor(private readonly flaw: Flaw | undefined) {
+    super();
   }
 
-  protected override preVotes(): boolean {
+  override preVotes(): boolean {
     return this.flaw !== 'no pre-vote';
   }
 
-  protected override checksQuorum(): boolean {
+  override checksQuorum(): boolean {
     return this.flaw !== 'no quorum check';
   }
 
-  protected override mayCommit(index: number): boolean {
+  override mayCommit(entryTerm: number | undefined, term: number): boolean {
     return (
       this.flaw === 'entries of old terms commit by count' ||
-      super.mayCommit(index)
+      super.mayCommit(entryTerm, term)
     );
   }
 
-  protected override mayVote(): boolean {
+  override mayVote(last: Position): boolean {
     return (
       this.flaw === 'an empty folder votes under the old identity' ||
-      super.mayVote()
+      super.mayVote(last)
     );
   }
 
-  protected override isUpToDate(candidate: {
-    lastIndex: number;
-    lastTerm: number;
-  }): boolean {
+  override isUpToDate(candidate: Position, own: Position): boolean {
     return (
       this.flaw === 'a lagging replica may win an election' ||
-      super.isUpToDate(candidate)
+      super.isUpToDate(candidate, own)
     );
   }
 
-  protected override hasVotedForOther(candidate: string): boolean {
+  override hasVotedForOther(vote: string, candidate: string): boolean {
     return (
       this.flaw !== 'a replica votes twice in a term' &&
-      super.hasVotedForOther(candidate)
+      super.hasVotedForOther(vote, candidate)
     );
   }
 
-  protected override votersMayChange(
-    from: Configuration,
-    to: Configuration,
-  ): boolean {
+  override votersMayChange(from: Configuration, to: Configuration): boolean {
     return (
       this.flaw === 'two voters change at once' ||
       super.votersMayChange(from, to)
     );
   }
 
-  protected override readNeedsMajority(): boolean {
+  override readNeedsMajority(): boolean {
     return this.flaw !== 'reads skip the majority';
   }
 }
@@ -153,7 +146,7 @@
 /** A host with its disk; the replica on it is gone while it is down. */
 class Host {
   disk = new Disk();
-  replica: FlawedConsensus | undefined;
+  replica: Consensus | undefined;
   /** Commands applied, in order; what a snapshot holds. */
   applied: string[] = [];
   writing: Batch | undefined;
@@ -503,8 +496,7 @@
     const {snapshot} = host.disk;
     host.applied = snapshot === undefined ? [] : JSON.parse(snapshot.data);
     host.snapshotAt = snapshot?.index ?? 0;
-    host.replica = new FlawedConsensus(
-      this.flaw,
+    host.replica = new Consensus(
       {
         id: host.id,
         electionTimeoutMs: ELECTION_TIMEOUT_MS,
@@ -515,6 +507,7 @@
       },
       host.disk.recover(),
       this.now,
+      new FlawedRules(this.flaw),
     );
     this.collect(host);
   }
