--- a/control/replicated-log/src/log-replica.ts
+++ b/control/replicated-log/src/log-replica.ts
@@ -3,36 +3,30 @@
 import {Result} from 'true-myth';
 import {
   COMMIT_ANNOUNCE_MS,
-  EMPTY_CONFIGURATION,
-  isVoter,
   majority,
-  replicasOf,
   type Batch,
-  type Configuration,
   type Consensus,
-  type Entry,
   type Message,
 } from '@marigoldspur/consensus';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Fault, toFault} from '@marigoldspur/faults';
-import {
-  ReplicaLink,
-  type Delivery,
-  type DeliveryAnswer,
-  type ReplicaIdentity,
-  type ReplicaService,
+import type {
+  Delivery,
+  DeliveryAnswer,
+  ReplicaIdentity,
+  ReplicaService,
 } from '@marigoldspur/log-links';
 import type {LogStorage} from '@marigoldspur/log-storage';
 import {BatchWriter} from './batch-writer.js';
+import {LeaderWatch} from './leader-watch.js';
+import {LinkTable} from './link-table.js';
+import {logStatus} from './log-status.js';
+import {MachineDriver} from './machine-driver.js';
 import {PendingProposals} from './pending-proposals.js';
 import {PendingReads} from './pending-reads.js';
 import {RepairDesk} from './repair-desk.js';
-import type {
-  LogStatus,
-  ReplicatedLog,
-  ReplicaStatus,
-  StateMachine,
-} from './replicated-log.js';
+import type {LogStatus, ReplicatedLog, StateMachine} from './replicated-log.js';
+import {SnapshotKeeper} from './snapshot-keeper.js';
 
 /** Settings of a replica, all filled in. */
 export interface ReplicaSettings {
@@ -65,7 +59,6 @@
 const REPAIR_MS = 250;
 const READ_RETRY_MS = 250;
 const ANSWER_WAIT_MS = 500;
-const SNAPSHOT_RETRY_MS = 5_000;
 const MAX_COMMAND_BYTES = 16_777_216;
 
 /** Runs one replica: its clock, disk and links around its decisions. */
@@ -77,19 +70,14 @@
   private readonly reads: PendingReads;
   private readonly writer: BatchWriter;
   private readonly repairs: RepairDesk;
-  private readonly links = new Map<string, ReplicaLink>();
-  /** URLs of replicas by identity, as their deliveries state them. */
-  private readonly senders = new Map<string, string>();
+  private readonly links: LinkTable;
+  private readonly snapshots: SnapshotKeeper;
+  private readonly leaderWatch: LeaderWatch;
+  private readonly driver: MachineDriver<Command, Answer>;
   private readonly timers: NodeJS.Timeout[];
-  private configuration: Configuration = EMPTY_CONFIGURATION;
   private pumping = false;
   private stopping = false;
   private ready = false;
-  private savingSnapshot = false;
-  private snapshotIndex: number;
-  private snapshotRetryAt = 0;
-  private seenLeader: string | undefined;
-  private wasLeader = false;
   private announcedCommit = 0;
 
   constructor(
@@ -98,8 +86,6 @@
   ) {
     const {consensus, storage} = parts;
     this.consensus = consensus;
-    this.snapshotIndex = consensus.compactedTo.index;
-    this.configuration = consensus.compactedTo.configuration;
     this.proposals = new PendingProposals(settings.proposeTimeoutMs);
     this.reads = new PendingReads({
       timeoutMs: settings.proposeTimeoutMs,
@@ -112,6 +98,27 @@
       onDiskFull: full => this.noteDisk(full),
       onFatal: thrown => this.fail(thrown),
     });
+    this.links = new LinkTable({
+      consensus,
+      url: settings.url,
+      agent: settings.agent,
+      timeoutMs: settings.electionTimeoutMs,
+      onAnswer: (url, answer) => this.takeAnswer(url, answer),
+    });
+    this.snapshots = new SnapshotKeeper({
+      consensus,
+      storage,
+      content: () => parts.machine.snapshot(),
+      snapshotEntries: settings.snapshotEntries,
+      keptEntries: settings.keptEntries,
+      events: settings.events,
+      onFatal: thrown => this.fail(thrown),
+    });
+    this.leaderWatch = new LeaderWatch({
+      consensus,
+      leaderUrl: () => this.leaderUrl(),
+      events: settings.events,
+    });
     this.repairs = new RepairDesk({
       consensus,
       url: settings.url,
@@ -119,7 +126,15 @@
       bootstrap: settings.bootstrap,
       silenceMs: settings.electionTimeoutMs,
       events: settings.events,
-      identify: url => this.linkTo(url).identity(),
+      identify: url => this.links.to(url).identity(),
+    });
+    this.driver = new MachineDriver({
+      machine: parts.machine,
+      consensus,
+      onAnswer: (position, answer) => this.proposals.applied(position, answer),
+      onConfiguration: (before, after, index) =>
+        this.repairs.committed(before, after, index),
+      onInstalled: index => this.snapshots.installed(index),
     });
     this.timers = [
       setInterval(() => this.tick(), TICK_MS),
@@ -160,20 +175,10 @@
   }
 
   status(): LogStatus {
-    const {consensus} = this;
-    return {
-      role: this.role(),
-      term: consensus.term,
+    return logStatus(this.consensus, {
       leaderUrl: this.leaderUrl(),
-      commitIndex: consensus.commitIndex,
-      lastIndex: consensus.lastIndex,
-      voters: consensus.configuration.voters.map(voter => voter.id),
-      replica: consensus.id,
-      group: consensus.group,
-      appliedIndex: consensus.appliedIndex,
-      replicas: this.replicas(),
       diskFull: this.writer.diskFull,
-    };
+    });
   }
 
   identity(): ReplicaIdentity {
@@ -185,8 +190,8 @@
     if (!this.settings.peers.includes(from.url)) {
       return {...this.identity(), messages: []};
     }
-    this.senders.set(from.id, from.url);
-    const messages = await this.linkTo(from.url).answer(async () => {
+    this.links.noteSender(from);
+    const messages = await this.links.to(from.url).answer(async () => {
       this.take(delivery.messages);
       await Promise.race([this.writer.flushed(), delay(ANSWER_WAIT_MS)]);
     });
@@ -200,8 +205,7 @@
     await this.writer.stop();
     this.proposals.failOthers(undefined);
     this.reads.fail(new Fault('STOPPING', 'the replica is stopping'));
-    this.links.forEach(link => link.close());
-    this.settings.agent.destroy();
+    this.links.close();
     await this.parts.storage.close();
   }
 
@@ -219,7 +223,7 @@
     if (!this.stopping) {
       this.repairs.tick(now);
     }
-    this.saveSnapshotWhenDue(now);
+    this.snapshots.saveWhenDue(now);
     if (!this.ready && this.consensus.leaderId !== undefined) {
       void this.readBarrier().then(barrier => {
         this.ready ||= barrier.isOk;
@@ -242,9 +246,11 @@
   /** Sends, applies and syncs what the decisions so far ask for. */
   private pump(): void {
     const now = performance.now();
-    this.offerSnapshot(now);
-    this.consensus.takeMessages(now).forEach(message => this.send(message));
-    this.applyCommitted();
+    this.snapshots.offer(now);
+    this.consensus
+      .takeMessages(now)
+      .forEach(message => this.links.send(message));
+    this.driver.apply();
     this.answerReads();
     this.noteLeader();
     this.announceCommits();
@@ -271,135 +277,29 @@
     this.pump();
   }
 
-  private send(message: Message): void {
-    const url = this.urlOf(message.to);
-    if (url !== undefined && url !== this.settings.url) {
-      this.linkTo(url).push(message);
-    }
-  }
-
   private synced(batch: Batch): void {
     const now = performance.now();
     for (const message of batch.messages) {
       if (message.to === this.consensus.id) {
         this.consensus.step(message, now);
       } else {
-        this.send(message);
+        this.links.send(message);
       }
     }
     this.pump();
   }
 
-  private linkTo(url: string): ReplicaLink {
-    const known = this.links.get(url);
-    if (known !== undefined) {
-      return known;
-    }
-    const link = new ReplicaLink({
-      from: {id: this.consensus.id, url: this.settings.url},
-      url,
-      agent: this.settings.agent,
-      timeoutMs: this.settings.electionTimeoutMs,
-      onAnswer: answer => this.takeAnswer(url, answer),
-    });
-    this.links.set(url, link);
-    return link;
-  }
-
   private takeAnswer(url: string, answer: DeliveryAnswer): void {
     this.repairs.sighted(url, answer, performance.now());
     this.take(answer.messages);
   }
 
-  private urlOf(id: string): string | undefined {
-    const replicas = replicasOf(this.consensus.configuration);
-    const known = replicas.find(replica => replica.id === id);
-    return known?.url ?? this.senders.get(id);
-  }
-
-  // The state machine.
-
-  private applyCommitted(): void {
-    const {snapshot, entries} = this.consensus.takeApplicable();
-    if (snapshot !== undefined) {
-      this.parts.machine.restore(snapshot.data);
-      this.snapshotIndex = snapshot.index;
-      this.configuration = snapshot.configuration;
-      const {index} = snapshot;
-      this.settings.events.record('snapshot-installed', {index});
-    }
-    entries.forEach(entry => this.apply(entry));
-    this.reads.applied(this.consensus.appliedIndex);
-  }
-
-  private apply(entry: Entry): void {
-    switch (entry.content.kind) {
-      case 'command': {
-        const command = entry.content.command as Command;
-        this.proposals.applied(entry, this.parts.machine.apply(command));
-        return;
-      }
-      case 'configuration': {
-        const {configuration} = entry.content;
-        this.repairs.committed(this.configuration, configuration, entry.index);
-        this.configuration = configuration;
-        return;
-      }
-      case 'no-op':
-    }
-  }
-
   private answerReads(): void {
     const {confirmed} = this.consensus.takeReads();
     confirmed.forEach(({key, index}) => this.reads.confirmed(key, index));
     this.reads.applied(this.consensus.appliedIndex);
   }
 
-  private offerSnapshot(now: number): void {
-    if (this.consensus.wantsSnapshot) {
-      const place = this.consensus.appliedPlace();
-      const data = this.parts.machine.snapshot();
-      this.consensus.offerSnapshot({...place, data}, now);
-    }
-  }
-
-  private saveSnapshotWhenDue(now: number): void {
-    const fresh = this.consensus.appliedIndex - this.snapshotIndex;
-    if (
-      fresh >= this.settings.snapshotEntries &&
-      !this.savingSnapshot &&
-      now >= this.snapshotRetryAt
-    ) {
-      this.savingSnapshot = true;
-      void this.saveSnapshot(now).finally(() => {
-        this.savingSnapshot = false;
-      });
-    }
-  }
-
-  private async saveSnapshot(now: number): Promise<void> {
-    const place = this.consensus.appliedPlace();
-    const data = this.parts.machine.snapshot();
-    try {
-      await this.parts.storage.saveSnapshot({...place, data});
-    } catch (thrown) {
-      if (!(thrown instanceof Fault) || thrown.code !== 'DISK_FULL') {
-        this.fail(thrown);
-        return;
-      }
-      this.snapshotRetryAt = now + SNAPSHOT_RETRY_MS;
-      return;
-    }
-    this.snapshotIndex = Math.max(this.snapshotIndex, place.index);
-    this.consensus.compact(
-      place.index - this.settings.keptEntries,
-      performance.now(),
-    );
-    const {index} = place;
-    const {length} = data;
-    this.settings.events.record('snapshot-saved', {index, length});
-  }
-
   // Leadership.
 
   private refusal(): Fault | undefined {
@@ -426,24 +326,13 @@
 
   private leaderUrl(): string | undefined {
     const {leaderId} = this.consensus;
-    return leaderId === undefined ? undefined : this.urlOf(leaderId);
+    return leaderId === undefined ? undefined : this.links.urlOf(leaderId);
   }
 
   private noteLeader(): void {
-    const {consensus} = this;
-    const isLeader = consensus.role === 'leader';
-    this.proposals.failOthers(isLeader ? consensus.term : undefined);
-    const {leaderId, term} = consensus;
-    if (this.wasLeader && !isLeader) {
-      this.settings.events.record('leadership-lost', {term});
-    }
-    if (leaderId !== undefined && `${leaderId} ${term}` !== this.seenLeader) {
-      this.seenLeader = `${leaderId} ${term}`;
-      const name = isLeader ? 'leadership-won' : 'leader-followed';
-      const leader = this.leaderUrl() ?? '';
-      this.settings.events.record(name, {leader, term});
-    }
-    this.wasLeader = isLeader;
+    const {role, term} = this.consensus;
+    this.proposals.failOthers(role === 'leader' ? term : undefined);
+    this.leaderWatch.look();
   }
 
   /** Hands leadership over, and gives it time to arrive. */
@@ -456,31 +345,11 @@
     });
     const deadline = performance.now() + this.settings.electionTimeoutMs;
     this.pump();
-    while (this.wasLeader && performance.now() < deadline) {
+    while (this.leaderWatch.isLeader && performance.now() < deadline) {
       await delay(TICK_MS);
     }
   }
 
-  private role(): LogStatus['role'] {
-    const {consensus} = this;
-    if (consensus.role === 'leader' || consensus.role === 'candidate') {
-      return consensus.role;
-    }
-    return isVoter(consensus.configuration, consensus.id)
-      ? 'follower'
-      : 'learner';
-  }
-
-  private replicas(): ReplicaStatus[] {
-    const {configuration, lastIndex, id: own} = this.consensus;
-    return replicasOf(configuration).map(({id, url}) => ({
-      id,
-      url,
-      role: isVoter(configuration, id) ? 'voter' : 'learner',
-      matchIndex: id === own ? lastIndex : this.consensus.progressOf(id)?.match,
-    }));
-  }
-
   // The disk.
 
   private noteDisk(full: boolean): void {
--- /dev/null
+++ b/control/replicated-log/src/log-status.ts
@@ -0,0 +1,40 @@
+import {isVoter, replicasOf, type Consensus} from '@marigoldspur/consensus';
+import type {LogStatus, ReplicaStatus} from './replicated-log.js';
+
+/** The state of a replica, for those who ask. */
+export function logStatus(
+  consensus: Consensus,
+  more: Pick<LogStatus, 'leaderUrl' | 'diskFull'>,
+): LogStatus {
+  return {
+    role: roleOf(consensus),
+    term: consensus.term,
+    leaderUrl: more.leaderUrl,
+    commitIndex: consensus.commitIndex,
+    lastIndex: consensus.lastIndex,
+    voters: consensus.configuration.voters.map(voter => voter.id),
+    replica: consensus.id,
+    group: consensus.group,
+    appliedIndex: consensus.appliedIndex,
+    replicas: replicaStatuses(consensus),
+    diskFull: more.diskFull,
+  };
+}
+
+function roleOf(consensus: Consensus): LogStatus['role'] {
+  const {role, configuration, id} = consensus;
+  if (role === 'leader' || role === 'candidate') {
+    return role;
+  }
+  return isVoter(configuration, id) ? 'follower' : 'learner';
+}
+
+function replicaStatuses(consensus: Consensus): ReplicaStatus[] {
+  const {configuration, lastIndex, id: own} = consensus;
+  return replicasOf(configuration).map(({id, url}) => ({
+    id,
+    url,
+    role: isVoter(configuration, id) ? 'voter' : 'learner',
+    matchIndex: id === own ? lastIndex : consensus.progressOf(id)?.match,
+  }));
+}
--- /dev/null
+++ b/control/replicated-log/src/machine-driver.ts
@@ -0,0 +1,63 @@
+import type {
+  Configuration,
+  Consensus,
+  Entry,
+  Position,
+} from '@marigoldspur/consensus';
+import type {StateMachine} from './replicated-log.js';
+
+/** Options of a machine driver. */
+export interface MachineDriverOptions<Command, Answer> {
+  readonly machine: StateMachine<Command, Answer>;
+  readonly consensus: Consensus;
+  /** A command was applied. */
+  readonly onAnswer: (position: Position, answer: Answer) => void;
+  /** A change of the replicas was committed. */
+  readonly onConfiguration: (
+    before: Configuration,
+    after: Configuration,
+    index: number,
+  ) => void;
+  /** A snapshot of the leader was taken over. */
+  readonly onInstalled: (index: number) => void;
+}
+
+/** Brings what is committed to the state machine, in order. */
+export class MachineDriver<Command, Answer> {
+  /** The configuration at the last applied index. */
+  private configuration: Configuration;
+
+  constructor(private readonly options: MachineDriverOptions<Command, Answer>) {
+    this.configuration = options.consensus.compactedTo.configuration;
+  }
+
+  /** Applies what is committed and synced. */
+  apply(): void {
+    const {snapshot, entries} = this.options.consensus.takeApplicable();
+    if (snapshot !== undefined) {
+      this.options.machine.restore(snapshot.data);
+      this.configuration = snapshot.configuration;
+      this.options.onInstalled(snapshot.index);
+    }
+    entries.forEach(entry => this.applyEntry(entry));
+  }
+
+  private applyEntry(entry: Entry): void {
+    const {content, index} = entry;
+    switch (content.kind) {
+      case 'command': {
+        const command = content.command as Command;
+        const answer = this.options.machine.apply(command);
+        this.options.onAnswer(entry, answer);
+        return;
+      }
+      case 'configuration': {
+        const before = this.configuration;
+        this.configuration = content.configuration;
+        this.options.onConfiguration(before, content.configuration, index);
+        return;
+      }
+      case 'no-op':
+    }
+  }
+}
