Spread retries over their share of each second

At 40 calls a second a frozen zone made 1.47 times the steady load in one second: the retry budget saved up ten tokens for each entry, and a silent zone ends all attempts that wait there at the same moment, so that both entries spent all of theirs at once. The thaw was not the cause.

The budget now saves up the retries of one second at most (a share of the requests of the last five seconds, one a second at least) and gives each retry a turn; a retry whose turn is more than 3 s away is refused at once. The wait ends with its caller or its deadline. The circuit was half-open by probes already and stays as it was.

--- a/entry/entry-server/src/attempt-runner.ts
+++ b/entry/entry-server/src/attempt-runner.ts
@@ -49,7 +49,7 @@
 
   /** Runs a job and answers its caller; a refusal is left to be sent. */
   async run(job: Job, response: ServerResponse): Promise<RunEnd> {
-    this.options.retries.earn(job.settings.retryBudgetRatio);
+    this.options.retries.earn(job.settings.retryBudgetRatio, performance.now());
     const tried = new Set<string>();
     const refusals: Refusal[] = [];
     for (let attempt = 1; ; attempt += 1) {
@@ -67,39 +67,45 @@
       }
       const refusal = afterAttempts(refusals, ended.error);
       refusals.push(refusal);
-      if (!this.triesAgain(job, refusal, attempt, response)) {
+      const waitMs = this.retryWaitMs(job, refusal, attempt, response);
+      if (waitMs === undefined) {
         return Result.err(refusal);
       }
-      await this.pauseBeforeRetry(job, attempt + 1, refusal);
+      await this.pauseBeforeRetry(job, attempt + 1, refusal, waitMs);
     }
   }
 
-  private triesAgain(
+  /** Time until a refused job may be tried again; undefined where it may not. */
+  private retryWaitMs(
     job: Job,
     refusal: Refusal,
     attempt: number,
     response: ServerResponse,
-  ): boolean {
-    if (attempt >= job.settings.maxAttempts || job.signal.aborted) {
-      return false;
+  ): number | undefined {
+    const {maxAttempts, retryBudgetRatio} = job.settings;
+    const isLast = attempt >= maxAttempts || retryBudgetRatio === 0;
+    if (isLast || job.signal.aborted) {
+      return undefined;
     }
     const allowed = mayRetry({
       refusal,
       repeatable: isRepeatable(job),
       answerBegun: response.headersSent,
     });
-    return allowed && this.options.retries.spend();
+    return allowed ? this.options.retries.spend(performance.now()) : undefined;
   }
 
   private async pauseBeforeRetry(
     job: Job,
     attempt: number,
     refusal: Refusal,
+    waitMs: number,
   ): Promise<void> {
     const {events, random} = this.options;
     const {reason, outcome} = refusal;
     events.record('attempt-retried', {attempt, reason, outcome}, job.id);
-    await pause(retryPauseMs(attempt, random()));
+    const pauseMs = waitMs + retryPauseMs(attempt, random());
+    await pause(pauseMs, undefined, {signal: job.signal}).catch(() => {});
   }
 
   private chooseDestination(
--- a/entry/retries/src/retry-budget.ts
+++ b/entry/retries/src/retry-budget.ts
@@ -1,20 +1,53 @@
-const BURST_TOKENS = 10;
+const SECOND_MS = 1_000;
+/** Time over which the rate of requests is taken. */
+const WINDOW_MS = 5_000;
+/** Retries a second that are allowed however few requests come. */
+const MIN_RETRIES_PER_SECOND = 1;
+/** Longest time that a retry waits for its turn. */
+const MAX_WAIT_MS = 3_000;
 
-/** Keeps retries below a share of requests: each request earns it, each retry costs one token. */
+/**
+ * Keeps retries to a share of the requests of each second. What fails at the same
+ * moment is retried one by one, so that retries never come as a wave.
+ */
 export class RetryBudget {
-  private tokens = BURST_TOKENS;
+  private tokens = 1;
+  /** Retries a second that requests have earned lately. */
+  private earnedPerSecond = 0;
+  private advancedAt = 0;
 
-  /** Counts a request; `ratio` is the share of requests that may be retries. */
-  earn(ratio: number): void {
-    this.tokens = Math.min(BURST_TOKENS, this.tokens + ratio);
+  /** Counts a request at time `now`; `ratio` is the share of requests that may be retries. */
+  earn(ratio: number, now: number): void {
+    this.advance(now, ratio);
+    this.earnedPerSecond += (ratio * SECOND_MS) / WINDOW_MS;
   }
 
-  /** Takes a token for one retry; false when none is left. */
-  spend(): boolean {
-    if (this.tokens < 1) {
-      return false;
+  /**
+   * Takes a turn for one retry at time `now`; gives the time until the turn, in
+   * milliseconds, or undefined where it is too far away.
+   */
+  spend(now: number): number | undefined {
+    this.advance(now, 0);
+    const missing = Math.max(0, 1 - this.tokens);
+    const waitMs = (missing / this.retriesPerSecond) * SECOND_MS;
+    if (waitMs > MAX_WAIT_MS) {
+      return undefined;
     }
     this.tokens -= 1;
-    return true;
+    return waitMs;
+  }
+
+  private get retriesPerSecond(): number {
+    return Math.max(MIN_RETRIES_PER_SECOND, this.earnedPerSecond);
+  }
+
+  /** Adds what was earned, or the least of the time that has passed; saves up one second's retries. */
+  private advance(now: number, earned: number): void {
+    const elapsedMs = Math.max(0, now - this.advancedAt);
+    this.advancedAt = Math.max(now, this.advancedAt);
+    this.earnedPerSecond *= Math.exp(-elapsedMs / WINDOW_MS);
+    const least = (MIN_RETRIES_PER_SECOND * elapsedMs) / SECOND_MS;
+    const tokens = this.tokens + Math.max(earned, least);
+    this.tokens = Math.min(this.retriesPerSecond, tokens);
   }
 }
--- a/entry/retries/test/retry-rules.test.ts
+++ b/entry/retries/test/retry-rules.test.ts
@@ -42,13 +42,42 @@
 it('retries: the budget holds retries below its share', () => {
   const budget = new RetryBudget();
   let spent = 0;
-  for (let request = 0; request < 1_000; request += 1) {
-    budget.earn(0.1);
-    spent += budget.spend() ? 1 : 0;
+  for (let request = 0; request < 2_000; request += 1) {
+    const now = request * 10;
+    budget.earn(0.1, now);
+    const turn = now + (budget.spend(now) ?? Infinity);
+    spent += turn >= 10_000 && turn < 20_000 ? 1 : 0;
   }
   expect(spent).to.be.within(100, 110);
 });
 
+it('retries: what fails at one moment is retried at its share of each second', () => {
+  const budget = new RetryBudget();
+  const [ratio, perSecond, failed] = [0.1, 100, 50];
+  for (let now = 0; now < 30_000; now += 1_000 / perSecond) {
+    budget.earn(ratio, now);
+  }
+  const waits = Array.from({length: failed}, () => budget.spend(30_000));
+  const turns = waits.filter(wait => wait !== undefined);
+  const share = ratio * perSecond;
+  for (const second of [0, 1, 2]) {
+    const inSecond = turns.filter(wait => Math.floor(wait / 1_000) === second);
+    const savedUp = second === 0 ? share : 0;
+    expect(inSecond.length).to.be.within(share / 2, share + savedUp);
+  }
+  expect(turns.length).to.be.below(failed);
+  expect(waits.slice(turns.length)).to.deep.equal(
+    Array(failed - turns.length).fill(undefined),
+  );
+});
+
+it('retries: an entry with few requests may still retry', () => {
+  const budget = new RetryBudget();
+  budget.earn(0.1, 60_000);
+  expect(budget.spend(60_000)).to.equal(0);
+  expect(budget.spend(60_000)).to.equal(1_000);
+});
+
 it('retries: pauses grow, have jitter and a bound', () => {
   expect(retryPauseMs(2, 0.5)).to.equal(20);
   expect(retryPauseMs(3, 0.5)).to.equal(40);
