--- a/agent/agent-server/src/load-gate.ts
+++ b/agent/agent-server/src/load-gate.ts
@@ -141,7 +141,10 @@
   }
 }
 
-/** Asks control, or keeps to the agent's share while control is away. */
+/**
+ * Asks control, or keeps to the agent's share while control is away; a load that waits
+ * turns from one to the other with control.
+ */
 export class FallbackLoadGate implements LoadGate {
   constructor(private readonly options: FallbackLoadGateOptions) {}
 
@@ -151,25 +154,24 @@
   ): Promise<Result<LoadTicket, Fault>> {
     const {control, isAway, share, turned} = this.options;
     while (!signal.aborted) {
-      if (isAway()) {
-        turned();
-        return share.enter(ask, signal);
-      }
-      const lost = new AbortController();
+      const away = isAway();
+      const changed = new AbortController();
       const poll = setInterval(() => {
-        if (isAway()) {
-          lost.abort();
+        if (isAway() !== away) {
+          changed.abort();
         }
       }, AWAY_POLL_MS);
-      const ticket = await control.enter(
-        ask,
-        AbortSignal.any([signal, lost.signal]),
-      );
+      const until = AbortSignal.any([signal, changed.signal]);
+      if (away) {
+        turned();
+      }
+      const gate = away ? share : control;
+      const ticket = await gate.enter(ask, until);
       clearInterval(poll);
       if (ticket.isOk || ticket.error instanceof LoadRefused) {
         return ticket;
       }
-      if (!lost.signal.aborted) {
+      if (!changed.signal.aborted) {
         await aborted(
           AbortSignal.any([signal, AbortSignal.timeout(AWAY_POLL_MS)]),
         );
