Cut zones and the leader off by their links, and draw any two faults

A zone was "cut off" by freezing its processes. Every connection between control, entries and agents of a fault run can now go through a link of its own, which is cut silently inward, outward or both ways and mended: cut-zone, cut-zone-inward, cut-zone-outward and cut-leader. The balancer still reaches the entry of a cut zone, which is the harder case. kill-leader, freeze-leader and cut-leader ask control who leads, where kill-control took any replica. The processes of a zone now share it: replicas and entries had zones of their own.

Histories hold when faults begin and end and each attempt, so that a summary gives the busiest second after the return against steady load, by attempts and by what targets ran. A process that is cut off is not counted as late with settings, and one that is stopped for two reasons counts as running only once both are over.

A lab that fails while it starts a system no longer leaves processes behind.

--- a/lab/fault-runs/src/command.ts
+++ b/lab/fault-runs/src/command.ts
@@ -11,6 +11,7 @@
   readonly rate: number;
   readonly seconds: number;
   readonly concurrency?: number;
+  readonly cutSeconds?: number;
 }
 
 const MAX_SEED = 1_000_000;
@@ -23,7 +24,11 @@
   ['freeze-target'],
   ['restart-engine'],
   ['kill-control'],
+  ['kill-leader'],
+  ['freeze-leader'],
+  ['cut-leader'],
   ['freeze-zone'],
+  ['cut-zone'],
 ];
 
 /** Runs one command of the fault runs. */
@@ -35,6 +40,7 @@
       type: 'number',
       describe: 'Requests that run at once at one entry',
     },
+    'cut-seconds': {type: 'number', describe: 'How long links stay cut'},
   } as const;
   await yargs([...args])
     .scriptName('marigoldspur-fault-runs')
@@ -61,8 +67,15 @@
       'free-seeds',
       'Runs with faults and seeds that differ each time',
       options =>
-        options.option('runs', {type: 'number', default: 5}).options(load),
-      async flags => report(freeRuns(flags.runs, flags)),
+        options
+          .option('runs', {type: 'number', default: 5})
+          .option('pairs', {
+            type: 'boolean',
+            default: false,
+            describe: 'Always two faults, any two of all kinds',
+          })
+          .options(load),
+      async flags => report(freeRuns(flags.runs, flags.pairs, flags)),
     )
     .command(
       'measure',
@@ -82,14 +95,25 @@
   kinds: readonly FaultKind[],
   load: LoadFlags,
 ): FaultRunOptions {
-  const {rate, seconds, concurrency} = load;
-  return {seed, kinds, requestsPerSecond: rate, seconds, concurrency};
+  const {rate, seconds, concurrency, cutSeconds} = load;
+  return {
+    seed,
+    kinds,
+    requestsPerSecond: rate,
+    seconds,
+    settings: concurrency === undefined ? {} : {concurrency},
+    ...(cutSeconds !== undefined && {cutMs: cutSeconds * 1_000}),
+  };
 }
 
-function freeRuns(count: number, load: LoadFlags): FaultRunOptions[] {
+function freeRuns(
+  count: number,
+  pairs: boolean,
+  load: LoadFlags,
+): FaultRunOptions[] {
   return Array.from({length: count}, () => {
     const seed = Math.floor(Math.random() * MAX_SEED);
-    return runOptions(seed, pickKinds(new Random(seed)), load);
+    return runOptions(seed, pickKinds(new Random(seed), pairs), load);
   });
 }
 
--- a/lab/fault-runs/src/event-lines.ts
+++ b/lab/fault-runs/src/event-lines.ts
@@ -43,3 +43,16 @@
       at: event.time,
     }));
 }
+
+/** When an entry sent attempts to targets. */
+export function attemptLines(child: Child): HistoryLine[] {
+  return loggedEvents(child)
+    .filter(event => event.name === 'request-dispatched')
+    .map(event => ({
+      line: 'attempt',
+      request: event.request ?? '',
+      attempt: Number(event.details?.attempt),
+      target: String(event.details?.target),
+      at: event.time,
+    }));
+}
--- a/lab/fault-runs/src/fault-injector.ts
+++ b/lab/fault-runs/src/fault-injector.ts
@@ -1,12 +1,14 @@
 import {setTimeout as pause} from 'node:timers/promises';
-import type {HistoryLine} from '@marigoldspur/history';
+import type {HistoryLine, LinesOf} from '@marigoldspur/history';
 import {startChild, type Child, type System} from '@marigoldspur/lab';
 import {
   collectRecord,
   isEngine,
   type RecordedTarget,
 } from './collect-record.js';
-import type {FaultKind, PlannedFault} from './fault-plan.js';
+import type {CutNetwork} from './cut-network.js';
+import {isCut, type FaultKind, type PlannedFault} from './fault-plan.js';
+import {leaderOf} from './leader-of.js';
 
 const PACKAGES = {
   control: '@marigoldspur/control-server',
@@ -35,14 +37,25 @@
   'leave-engine': {leaving: true},
 };
 
+/** What a fault injector works with. */
+export interface FaultInjectorOptions {
+  readonly system: System;
+  readonly record: (line: HistoryLine) => void;
+  /** Present where links can be cut. */
+  readonly network?: CutNetwork;
+}
+
 /** Injects faults into a system and undoes them; knows every life of each process. */
 export class FaultInjector {
   private readonly places: Place[];
+  private readonly system: System;
+  private readonly record: (line: HistoryLine) => void;
+  private readonly network: CutNetwork | undefined;
 
-  constructor(
-    private readonly system: System,
-    private readonly record: (line: HistoryLine) => void,
-  ) {
+  constructor({system, record, network}: FaultInjectorOptions) {
+    this.system = system;
+    this.record = record;
+    this.network = network;
     this.places = [
       ...system.controls.map(child => place('control', child)),
       ...system.entries.map(child => place('entry', child)),
@@ -59,27 +72,69 @@
   /** Injects a fault and resolves once it is undone. */
   async inject(fault: PlannedFault): Promise<void> {
     await pause(fault.atMs);
-    const [verb, noun] = fault.kind.split('-');
+    const {kind} = fault;
+    this.record({line: 'fault', kind, state: 'begun', at: Date.now()});
+    await this.befall(fault);
+    this.record({line: 'fault', kind, state: 'undone', at: Date.now()});
+  }
+
+  private async befall(fault: PlannedFault): Promise<void> {
     const engineFaults = ENGINE_FAULTS[fault.kind];
     if (engineFaults !== undefined) {
       await this.faultEngine(fault, engineFaults);
       return;
     }
-    if (fault.kind === 'freeze-zone') {
-      await this.freezeZone(fault);
-      return;
-    }
-    const victim = this.chooseVictim(noun as ChildRole, fault.victim);
-    if (victim === undefined) {
+    if (isCut(fault.kind)) {
+      await this.cut(fault);
       return;
     }
-    victim.faulted = true;
-    if (verb === 'kill') {
-      await this.kill(victim, fault.lastsMs);
-    } else {
-      await this.freeze(victim, fault.lastsMs);
+    const victims = await this.chooseVictims(fault);
+    victims.forEach(victim => (victim.faulted = true));
+    await Promise.all(
+      victims.map(victim =>
+        fault.kind.startsWith('kill')
+          ? this.kill(victim, fault.lastsMs)
+          : this.freeze(victim, fault.lastsMs),
+      ),
+    );
+    victims.forEach(victim => (victim.faulted = false));
+  }
+
+  /** The processes that a fault stops; none where another fault has them already. */
+  private async chooseVictims(fault: PlannedFault): Promise<Place[]> {
+    const noun = fault.kind.split('-')[1];
+    if (noun === 'zone') {
+      return this.placesInZone(fault.victim).filter(({faulted}) => !faulted);
     }
-    victim.faulted = false;
+    const victim =
+      noun === 'leader'
+        ? await this.leader()
+        : this.chooseVictim(noun as ChildRole, fault.victim);
+    return victim === undefined || victim.faulted ? [] : [victim];
+  }
+
+  /** The replica that leads control now. */
+  private async leader(): Promise<Place> {
+    const index = await leaderOf(this.system.controlUrls);
+    return this.placesOf('control')[index];
+  }
+
+  /** Cuts the links of a zone, or of the leader alone. */
+  private async cut({kind, victim, lastsMs}: PlannedFault): Promise<void> {
+    const inside =
+      kind === 'cut-leader'
+        ? new Set([(await this.leader()).lives[0].name])
+        : this.namesInZone(victim);
+    const places = this.places.filter(each => inside.has(each.lives[0].name));
+    const mend = this.network!.cut({
+      inside,
+      inward: kind !== 'cut-zone-outward',
+      outward: kind !== 'cut-zone-inward',
+    });
+    places.forEach(each => this.note(each, 'cut'));
+    await pause(lastsMs);
+    mend();
+    places.forEach(each => this.note(each, 'mended'));
   }
 
   /** The process at a position, or the next one that no fault has. */
@@ -110,7 +165,12 @@
     this.note(victim, 'stopped');
     await pause(lastsMs);
     const args = child.process.spawnargs.slice(2);
-    const next = startChild(child.name, PACKAGES[victim.role], args);
+    const next = startChild(
+      child.name,
+      PACKAGES[victim.role],
+      args,
+      this.network?.variables(child.name),
+    );
     victim.lives.push(next);
     await next.line(
       line => line.includes('"process-started"') || line.startsWith('ready '),
@@ -127,15 +187,22 @@
     this.note(victim, 'thawed');
   }
 
-  /** Freezes the agents and targets of one zone at once. */
-  private async freezeZone(fault: PlannedFault): Promise<void> {
+  /** The agents and targets of one zone. */
+  private placesInZone(position: number): Place[] {
     const agents = this.placesOf('agent');
-    const zones = [...new Set(agents.map(zoneOf))];
-    const zone = zones[fault.victim % zones.length];
-    const places = agents.flatMap((agent, index) =>
+    const zone = this.zoneAt(position);
+    return agents.flatMap((agent, index) =>
       zoneOf(agent) === zone ? [agent, this.placesOf('target')[index]] : [],
     );
-    await Promise.all(places.map(each => this.freeze(each, fault.lastsMs)));
+  }
+
+  private namesInZone(position: number): Set<string> {
+    return this.network!.namesIn(this.zoneAt(position));
+  }
+
+  private zoneAt(position: number): string {
+    const zones = [...new Set(this.placesOf('agent').map(zoneOf))];
+    return zones[position % zones.length];
   }
 
   /** A killed target loses its record, so it is read just before. */
@@ -163,10 +230,7 @@
   }
 
   /** Records the state of a process that keeps settings in force. */
-  private note(
-    {role, lives}: Place,
-    state: 'started' | 'stopped' | 'frozen' | 'thawed',
-  ): void {
+  private note({role, lives}: Place, state: LinesOf<'process'>['state']): void {
     if (role !== 'entry' && role !== 'agent') {
       return;
     }
--- a/lab/fault-runs/src/run-faults.ts
+++ b/lab/fault-runs/src/run-faults.ts
@@ -15,9 +15,10 @@
 import type {Tree} from '@marigoldspur/settings-schema';
 import {Caller} from './caller.js';
 import {collectRecord, runningAt} from './collect-record.js';
-import {inForceLines, retryLines} from './event-lines.js';
+import {attemptLines, inForceLines, retryLines} from './event-lines.js';
+import {CutNetwork} from './cut-network.js';
 import {FaultInjector} from './fault-injector.js';
-import {planFaults, type FaultKind} from './fault-plan.js';
+import {isCut, planFaults, type FaultKind} from './fault-plan.js';
 import {planLoad} from './load-plan.js';
 import {Random} from './random.js';
 import {summarise, type Summary} from './summary.js';
@@ -28,8 +29,10 @@
   readonly kinds: readonly FaultKind[];
   readonly requestsPerSecond: number;
   readonly seconds: number;
-  /** Requests of the customer that run at once at one entry; the default of the tree where it is not given. */
-  readonly concurrency?: number;
+  /** Settings at the top of the tree; defaults where they are not given. */
+  readonly settings?: Tree['settings'];
+  /** How long links stay cut, in milliseconds; drawn like other faults where it is not given. */
+  readonly cutMs?: number;
 }
 
 /** What a run under faults showed. */
@@ -67,16 +70,21 @@
 export async function runFaults(options: FaultRunOptions): Promise<FaultRun> {
   const lines: HistoryLine[] = [];
   const record = (line: HistoryLine) => void lines.push(line);
+  const network = options.kinds.some(isCut) ? new CutNetwork() : undefined;
   const system = await startSystem({
     deployments: [DEPLOYMENT],
     tree: treeFor(options),
     controls: CONTROLS,
     entries: ENTRIES,
+    zones: DEPLOYMENT.zones,
+    network,
+    // Attempts are logged for debugging only.
+    logLevel: 'debug',
     firstTokenMs: FIRST_TOKEN_MS,
     tokenMs: TOKEN_MS,
     serviceCallMs: SERVICE_CALL_MS,
   });
-  const injector = new FaultInjector(system, record);
+  const injector = new FaultInjector({system, record, network});
   try {
     await system.settled();
     noteProcesses(system, record);
@@ -88,15 +96,15 @@
   } finally {
     await injector.stop();
     await system.stop();
+    await network?.close();
   }
   const history = new History(lines);
   const violations = checkHistory(history);
   return {history, violations, summary: summarise(history)};
 }
 
-function treeFor({concurrency}: FaultRunOptions): Tree {
-  const tree = deploymentTree([DEPLOYMENT], ADAPTERS);
-  return concurrency === undefined ? tree : {...tree, settings: {concurrency}};
+function treeFor({settings = {}}: FaultRunOptions): Tree {
+  return {...deploymentTree([DEPLOYMENT], ADAPTERS), settings};
 }
 
 async function loadUnderFaults(
@@ -111,7 +119,7 @@
     (_, index) => `${CUSTOMER}-${index}@v1`,
   );
   const load = planLoad({...options, models}, random);
-  const faults = planFaults(options.kinds, random);
+  const faults = planFaults(options.kinds, random, options.cutMs);
   const caller = new Caller({
     url: system.balancerUrl,
     service: SERVICE,
@@ -186,6 +194,8 @@
   const inForce = (['entry', 'agent'] as const).flatMap(role =>
     injector.livesOf(role).flatMap((child, life) => inForceLines(child, life)),
   );
-  const retries = injector.livesOf('entry').flatMap(retryLines);
-  return [...records.flat(), ...inForce, ...retries];
+  const entries = injector.livesOf('entry');
+  const attempts = entries.flatMap(attemptLines);
+  const retries = entries.flatMap(retryLines);
+  return [...records.flat(), ...inForce, ...attempts, ...retries];
 }
--- a/lab/fault-runs/src/summary.ts
+++ b/lab/fault-runs/src/summary.ts
@@ -19,6 +19,10 @@
   readonly attemptsPerCall: number;
   /** The most attempts in one second as a multiple of the mean calls in one. */
   readonly peak: number;
+  /** The most attempts at targets in one second after the first fault was undone, to steady load. */
+  readonly returnPeak: number;
+  /** The same for what targets began to run, by their own records. */
+  readonly returnRunPeak: number;
 }
 
 /** Sums up a history. */
@@ -39,19 +43,35 @@
     answerP99Ms: p99(answered),
     attemptsPerCall: round((calls.length + retries) / calls.length),
     peak: peak(history),
+    returnPeak: returnPeak(history, history.of('attempt')),
+    returnRunPeak: returnPeak(history, history.of('run')),
   };
 }
 
+/** The most of `what` in one second after a fault was undone, as a multiple of the calls in one. */
+function returnPeak(history: History, what: ReadonlyArray<{at: number}>) {
+  const undone = history.of('fault').find(({state}) => state === 'undone');
+  const perSecond = new Map<number, number>();
+  for (const {at} of what.filter(each => each.at >= (undone?.at ?? Infinity))) {
+    const second = Math.floor((at - undone!.at) / 1_000);
+    perSecond.set(second, (perSecond.get(second) ?? 0) + 1);
+  }
+  return round(Math.max(0, ...perSecond.values()) / callsPerSecond(history));
+}
+
+function callsPerSecond(history: History): number {
+  const calls = history.of('call').map(call => call.at);
+  return calls.length / ((calls.at(-1)! - calls[0]) / 1_000);
+}
+
 function peak(history: History): number {
   const attempts = [...history.of('call'), ...history.of('retry')];
-  const calls = history.of('call').map(call => call.at);
   const perSecond = new Map<number, number>();
   for (const {at} of attempts) {
     const second = Math.floor(at / 1_000);
     perSecond.set(second, (perSecond.get(second) ?? 0) + 1);
   }
-  const seconds = (calls.at(-1)! - calls[0]) / 1_000;
-  return round(Math.max(...perSecond.values()) / (calls.length / seconds));
+  return round(Math.max(...perSecond.values()) / callsPerSecond(history));
 }
 
 function round(value: number): number {
--- a/lab/history/src/history-line.ts
+++ b/lab/history/src/history-line.ts
@@ -87,11 +87,28 @@
   at: z.number(),
 });
 
-/** A process began or ended: `started`, `stopped`, `frozen` or `thawed`. */
+/** A process began or ended, or could not run or be reached for a time. */
 export const PROCESS_SCHEMA = z.object({
   line: z.literal('process'),
   process: z.string(),
-  state: z.enum(['started', 'stopped', 'frozen', 'thawed']),
+  state: z.enum(['started', 'stopped', 'frozen', 'thawed', 'cut', 'mended']),
+  at: z.number(),
+});
+
+/** A fault began or was undone. */
+export const FAULT_SCHEMA = z.object({
+  line: z.literal('fault'),
+  kind: z.string(),
+  state: z.enum(['begun', 'undone']),
+  at: z.number(),
+});
+
+/** An entry sent an attempt of a request to a target. */
+export const ATTEMPT_SCHEMA = z.object({
+  line: z.literal('attempt'),
+  request: z.string(),
+  attempt: z.int(),
+  target: z.string(),
   at: z.number(),
 });
 
@@ -123,6 +140,8 @@
   ACCEPTED_SCHEMA,
   IN_FORCE_SCHEMA,
   PROCESS_SCHEMA,
+  FAULT_SCHEMA,
+  ATTEMPT_SCHEMA,
   RETRY_SCHEMA,
   RECORD_LOST_SCHEMA,
   END_SCHEMA,
--- a/lab/history/src/index.ts
+++ b/lab/history/src/index.ts
@@ -4,6 +4,7 @@
   History,
   parseHistory,
   type AnsweredCall,
+  type LinesOf,
 } from './history.js';
 export {
   HISTORY_LINE_SCHEMA,
--- a/lab/history/src/settings-rules.ts
+++ b/lab/history/src/settings-rules.ts
@@ -61,19 +61,36 @@
     }));
 }
 
-/** Processes that ran all the time from `from` to `to`. */
+type ProcessState = LinesOf<'process'>['state'];
+
+/** The states that each state ends. */
+const ENDED_BY: Readonly<Partial<Record<ProcessState, ProcessState[]>>> = {
+  started: ['stopped', 'frozen'],
+  thawed: ['frozen'],
+  mended: ['cut'],
+};
+
+/** Processes that ran and could be reached all the time from `from` to `to`. */
 function runningBetween(
   history: History,
   from: number,
   to: number,
 ): Set<string> {
   const running = new Set<string>();
-  for (const {process, state, at} of history.of('process')) {
-    const up = state === 'started' || state === 'thawed';
-    if (up && at <= from) {
-      running.add(process);
-    } else if (!up && at <= to) {
+  const troubles = new Map<string, Set<ProcessState>>();
+  const lines = history.of('process').filter(({at}) => at <= to);
+  for (const {process, state, at} of lines) {
+    const trouble = troubles.get(process) ?? new Set();
+    troubles.set(process, trouble);
+    const ended = ENDED_BY[state];
+    ended?.forEach(each => trouble.delete(each));
+    if (ended === undefined) {
+      trouble.add(state);
+    }
+    if (trouble.size > 0) {
       running.delete(process);
+    } else if (at <= from) {
+      running.add(process);
     }
   }
   return running;
--- a/lab/history/test/check-history.test.ts
+++ b/lab/history/test/check-history.test.ts
@@ -197,3 +197,18 @@
     'in-force-everywhere',
   ]);
 });
+
+it('history: a process that is cut off is not late until it is mended', () => {
+  const late = GOOD.filter(
+    line => line.line !== 'in-force' || line.revision !== 2,
+  );
+  const cut = {...PROCESS, state: 'cut', at: 2_000} as const;
+  const thawed = {...PROCESS, state: 'thawed', at: 2_001} as const;
+  const early = {...PROCESS, state: 'cut', at: 500} as const;
+  const mended = {...PROCESS, state: 'mended', at: 600} as const;
+  expect(rulesBroken([...late, cut])).to.deep.equal([]);
+  expect(rulesBroken([...late, cut, thawed])).to.deep.equal([]);
+  expect(rulesBroken([...late, early, mended])).to.deep.equal([
+    'in-force-everywhere',
+  ]);
+});
--- a/lab/lab/src/child.ts
+++ b/lab/lab/src/child.ts
@@ -17,6 +17,11 @@
   signal(signal: NodeJS.Signals): void;
 }
 
+const running = new Set<ChildProcess>();
+
+/** A lab that fails while it starts a system leaves no process behind. */
+process.on('exit', () => running.forEach(child => child.kill('SIGKILL')));
+
 /** Starts a program of the workspace by its package, as a child of the lab. */
 export function startChild(
   name: string,
@@ -31,6 +36,8 @@
     stdio: ['ignore', 'ignore', 'pipe'],
     env: {...process.env, ...variables},
   });
+  running.add(child);
+  child.on('exit', () => running.delete(child));
   const lines: string[] = [];
   const listeners = new Set<(line: string) => void>();
   createInterface({input: child.stderr!}).on('line', line => {
--- a/lab/lab/src/index.ts
+++ b/lab/lab/src/index.ts
@@ -6,6 +6,8 @@
 } from './deployments.js';
 export {
   startSystem,
+  type Listener,
+  type Network,
   type System,
   type SystemKeys,
   type SystemOptions,
--- a/lab/lab/src/system.ts
+++ b/lab/lab/src/system.ts
@@ -8,7 +8,7 @@
 } from '@marigoldspur/operator-commands';
 import type {Tree} from '@marigoldspur/settings-schema';
 import {startChild, type Child} from './child.js';
-import type {Deployment} from './deployments.js';
+import type {Deployment, TargetGroup} from './deployments.js';
 import {freePorts} from './ports.js';
 
 /** Keys of a system, made by whoever starts it. */
@@ -23,6 +23,21 @@
   readonly token: string;
 }
 
+/** A process of the system that listens for the others. */
+export interface Listener {
+  readonly name: string;
+  readonly zone: string;
+  readonly port: number;
+}
+
+/** What lies between the processes of a system. */
+export interface Network {
+  /** Takes every process that listens, before any of them starts. */
+  open(listeners: readonly Listener[]): Promise<void>;
+  /** Environment of a process, which sends its connections through the network. */
+  variables(name: string): NodeJS.ProcessEnv;
+}
+
 /** Options of a system of processes on this machine. */
 export interface SystemOptions {
   readonly deployments: readonly Deployment[];
@@ -40,6 +55,10 @@
   readonly keys?: SystemKeys;
   /** Requests in one batch of an engine. */
   readonly batchLimit?: number;
+  /** Zones of the replicas of control and of the entries, in turn; each has its own by default. */
+  readonly zones?: readonly string[];
+  /** What lies between control, entries and agents; loopback alone by default. */
+  readonly network?: Network;
 }
 
 /** A target with its agent. */
@@ -81,7 +100,9 @@
     ...['--log-level', options.logLevel ?? 'info'],
     ...(options.keys?.processFlags ?? []),
   ];
-  const controls = await startControls(options, folder, flags);
+  const ports = systemPorts(options, await freePorts(portCount(options)));
+  await options.network?.open(listenersOf(options, ports));
+  const controls = await startControls(options, ports, folder, flags);
   const control = controls.urls.join(',');
   const session = openSession(controls.urls, {
     timeoutMs: SESSION_TIMEOUT_MS,
@@ -98,15 +119,15 @@
       `the settings were not accepted: ${JSON.stringify(applied)}`,
     );
   }
-  const entries = await startEntries(options, control, flags);
+  const entries = await startEntries(options, ports, control, flags);
   const targets: TargetPair[] = [];
   const stores: Child[] = [];
-  for (const deployment of options.deployments) {
+  for (const deployment of ports.deployments) {
     const started = await startTargets(deployment, options, control, flags);
     targets.push(...started.targets);
     stores.push(started.store);
   }
-  const [balancerPort] = await freePorts(1);
+  const balancerPort = ports.balancer;
   const balancer = startChild('balancer', LAB, [
     'balancer',
     ...['--port', String(balancerPort)],
@@ -139,95 +160,198 @@
   };
 }
 
+/** Ports and zone of one target and its agent. */
+interface TargetPorts {
+  readonly name: string;
+  readonly group: TargetGroup;
+  readonly zone: string;
+  readonly target: number;
+  readonly agent: number;
+}
+
+interface DeploymentPorts {
+  readonly deployment: Deployment;
+  readonly store: number;
+  readonly targets: readonly TargetPorts[];
+}
+
+interface SystemPorts {
+  readonly controls: readonly number[];
+  readonly entries: readonly number[];
+  readonly callers: readonly number[];
+  readonly balancer: number;
+  readonly deployments: readonly DeploymentPorts[];
+}
+
+/** Ports of all processes; chosen at once, so that they are known before anything starts. */
+function portCount({controls, entries, deployments}: SystemOptions): number {
+  const groups = deployments.flatMap(({targets}) => targets);
+  const targets = groups.reduce((sum, group) => sum + group.count, 0);
+  const balancers = 1;
+  return controls + balancers + deployments.length + (entries + targets) * 2;
+}
+
+/** Takes the ports of a system from the front of `ports`. */
+function systemPorts(options: SystemOptions, ports: number[]): SystemPorts {
+  const {controls, entries, deployments} = options;
+  return {
+    controls: ports.splice(0, controls),
+    entries: ports.splice(0, entries),
+    callers: ports.splice(0, entries),
+    balancer: ports.shift()!,
+    deployments: deployments.map(deployment => ({
+      deployment,
+      store: ports.shift()!,
+      targets: targetPortsOf(deployment, ports),
+    })),
+  };
+}
+
+/** Takes the ports of a deployment's targets from the front of `ports`. */
+function targetPortsOf(
+  {targets, zones}: Deployment,
+  ports: number[],
+): TargetPorts[] {
+  return targets.flatMap(group =>
+    Array.from({length: group.count}, (_, index) => ({
+      name: `${group.service}-${index}`,
+      group,
+      zone: zones[index % zones.length],
+      target: ports.shift()!,
+      agent: ports.shift()!,
+    })),
+  );
+}
+
+/** The processes that others of the system connect to. */
+function listenersOf(options: SystemOptions, ports: SystemPorts): Listener[] {
+  const {controls, entries, deployments} = ports;
+  return [
+    ...controls.map((port, index) => ({
+      name: `control-${index}`,
+      zone: zoneAt(options, index),
+      port,
+    })),
+    ...entries.map((port, index) => ({
+      name: `entry-${index}`,
+      zone: zoneAt(options, index),
+      port,
+    })),
+    ...deployments
+      .flatMap(({targets}) => targets)
+      .map(({name, zone, agent}) => ({
+        name: `${name}-agent`,
+        zone,
+        port: agent,
+      })),
+  ];
+}
+
+/** Zone of the replica of control or the entry at a position. */
+function zoneAt({zones}: SystemOptions, index: number): string {
+  return zones?.[index % zones.length] ?? `zone-${index}`;
+}
+
 async function startControls(
   options: SystemOptions,
+  {controls: ports}: SystemPorts,
   folder: string,
   flags: readonly string[],
 ) {
-  const ports = await freePorts(options.controls);
   const scheme = options.keys === undefined ? 'http' : 'https';
   const urls = ports.map(port => `${scheme}://127.0.0.1:${port}`);
-  const children = ports.map((port, index) =>
-    startChild(`control-${index}`, CONTROL, [
-      ...['--id', `control-${index}`],
-      ...['--zone', `zone-${index}`],
-      ...['--port', String(port)],
-      ...['--peers', urls.join(',')],
-      ...['--bootstrap', 'true'],
-      ...['--data-folder', path.join(folder, `control-${index}`)],
-      ...flags,
-    ]),
-  );
+  const children = ports.map((port, index) => {
+    const name = `control-${index}`;
+    return startChild(
+      name,
+      CONTROL,
+      [
+        ...['--id', name],
+        ...['--zone', zoneAt(options, index)],
+        ...['--port', String(port)],
+        ...['--peers', urls.join(',')],
+        ...['--bootstrap', 'true'],
+        ...['--data-folder', path.join(folder, name)],
+        ...flags,
+      ],
+      options.network?.variables(name),
+    );
+  });
   await Promise.all(children.map(child => child.line(isStarted)));
   return {urls, children};
 }
 
 async function startEntries(
   options: SystemOptions,
+  ports: SystemPorts,
   control: string,
   flags: readonly string[],
 ) {
-  const ports = await freePorts(options.entries * 2);
-  const callerPorts = ports.slice(0, options.entries);
-  const children = callerPorts.map((port, index) =>
-    startChild(`entry-${index}`, ENTRY, [
-      ...['--id', `entry-${index}`],
-      ...['--zone', `zone-${index}`],
-      ...['--caller-port', String(port)],
-      ...['--port', String(ports[options.entries + index])],
-      ...['--control', control],
-      ...flags,
-      ...(options.keys?.entryFlags ?? []),
-    ]),
-  );
+  const children = ports.callers.map((port, index) => {
+    const name = `entry-${index}`;
+    return startChild(
+      name,
+      ENTRY,
+      [
+        ...['--id', name],
+        ...['--zone', zoneAt(options, index)],
+        ...['--caller-port', String(port)],
+        ...['--port', String(ports.entries[index])],
+        ...['--control', control],
+        ...flags,
+        ...(options.keys?.entryFlags ?? []),
+      ],
+      options.network?.variables(name),
+    );
+  });
   await Promise.all(children.map(child => child.line(isStarted)));
-  return {callerUrls: callerPorts.map(port => `${LOOPBACK}:${port}`), children};
+  const callerUrls = ports.callers.map(port => `${LOOPBACK}:${port}`);
+  return {callerUrls, children};
 }
 
 async function startTargets(
-  deployment: Deployment,
+  ports: DeploymentPorts,
   options: SystemOptions,
   control: string,
   flags: readonly string[],
 ) {
-  const count = deployment.targets.reduce((sum, group) => sum + group.count, 0);
-  const [storePort, ...ports] = await freePorts(1 + count * 2);
+  const {deployment} = ports;
   const store = startChild(`${deployment.customer}-store`, LAB, [
     'store',
-    ...['--port', String(storePort)],
+    ...['--port', String(ports.store)],
     ...['--loads-per-second', String(deployment.loadsPerSecond)],
   ]);
   await store.line(isReady);
-  const targets: TargetPair[] = [];
-  for (const group of deployment.targets) {
-    for (let index = 0; index < group.count; index += 1) {
-      const name = `${group.service}-${index}`;
-      const zone = deployment.zones[index % deployment.zones.length];
-      const [targetPort, agentPort] = ports.splice(0, 2);
-      const target = startTarget(
-        name,
-        group.kind,
-        targetPort,
-        storePort,
-        options,
-      );
-      const agent = startChild(`${name}-agent`, AGENT, [
+  const targets = ports.targets.map(each => {
+    const {name, group} = each;
+    const url = `${LOOPBACK}:${each.target}`;
+    const target = startTarget(
+      name,
+      group.kind,
+      each.target,
+      ports.store,
+      options,
+    );
+    const agent = startChild(
+      `${name}-agent`,
+      AGENT,
+      [
         ...['--id', `${name}-agent`],
-        ...['--zone', zone],
-        ...['--port', String(agentPort)],
+        ...['--zone', each.zone],
+        ...['--port', String(each.agent)],
         ...['--control', control],
         ...['--target', name],
-        ...['--target-url', `${LOOPBACK}:${targetPort}`],
+        ...['--target-url', url],
         ...['--target-kind', group.kind],
         ...['--fence-checked', 'true'],
         ...['--customer', deployment.customer],
         ...['--service', group.service],
         ...flags,
-      ]);
-      const url = `${LOOPBACK}:${targetPort}`;
-      targets.push({name, url, target, agent});
-    }
-  }
+      ],
+      options.network?.variables(`${name}-agent`),
+    );
+    return {name, url, target, agent};
+  });
   await Promise.all(targets.map(pair => pair.agent.line(isStarted)));
   return {store, targets};
 }
