Keep a redirected connection in the pool that made it

Through cut links no connection was ever used again: the redirect wrote the port of the link into the options of the caller, by which the pool of connections then named the connection when it came free. The product was not at fault.

The redirect now gives the connection options of its own.

--- a/lab/cut-link/src/redirect.ts
+++ b/lab/cut-link/src/redirect.ts
@@ -22,7 +22,8 @@
   const [options] = normalized as Array<{port?: number | string}>;
   const port = ports[String(options?.port)];
   if (port !== undefined) {
-    options.port = port;
+    // The caller's own options stay: a pool of connections names them by their port.
+    normalized[0] = {...options, port};
   }
   return connect.apply(this, args);
 };
