--- a/lab/lab/src/lab-command.ts
+++ b/lab/lab/src/lab-command.ts
@@ -37,7 +37,8 @@
           .option('store-url', {type: 'string', demandOption: true})
           .option('first-token-ms', {type: 'number', default: 20})
           .option('token-ms', {type: 'number', default: 5})
-          .option('checks-fence', {type: 'boolean', default: true}),
+          .option('checks-fence', {type: 'boolean', default: true})
+          .option('resume-ms', {type: 'number', default: 0}),
       async flags => announce(await startEngine(flags)),
     )
     .command(
--- a/lab/stand-ins/src/engine-faults.ts
+++ b/lab/stand-ins/src/engine-faults.ts
@@ -44,9 +44,20 @@
   doubleAnswers: COUNT,
   /** Time by which each answer begins later, in milliseconds. */
   lateAnswerMs: COUNT,
+  /**
+   * What is wrong with a resumed stream: `off` there is none; `crossed` it carries
+   * another request's identity; `version` its events name another version; `doubled`
+   * it begins anew; `skipped` it lacks an event.
+   */
+  resumeFault: z
+    .enum(['none', 'off', 'crossed', 'version', 'doubled', 'skipped'])
+    .default('none'),
   /** Time for which a cancelled request still runs, in milliseconds. */
   lateCancelMs: COUNT,
 });
 
+/** What is wrong with a resumed stream. */
+export type ResumeFault = EngineFaults['resumeFault'];
+
 /** Faults that a test switches on in an engine stand-in. */
 export type EngineFaults = z.infer<typeof ENGINE_FAULTS_SCHEMA>;
