Agent: a broken stream is kept for a resume, and goes on after its last event

Cause: whatever broke a link on the way cost the answer, since the agent had the engine stop a run as soon as its entry was gone. Where the engine says that it can resume a stream (`x-engine-resume-ms`), the agent now keeps run and pin for that time (30 s at most, and never past the attempt's deadline) and tells the entry so. A request with `x-marigoldspur-resume-after` opens the stream again after that event, under the same request, attempt and exact version; nothing is run anew, and what the engine no longer has is refused as `resume_gone`. A later reader takes the place of the one before. A closed link alone no longer says that the caller went away, so the entry tells a cancellation (`x-marigoldspur-cancel`), which stops run and pin at once.

A resume needs no lease and no takeover: it gives no order, and the engine has the run whoever reads it. So an agent that was just restarted serves it at once, also beside an engine that ignores fencing numbers.

The agent fixture of the tests got options; no existing test changed.

--- a/agent/adapter-slots/src/slot-table.ts
+++ b/agent/adapter-slots/src/slot-table.ts
@@ -100,6 +100,14 @@
     return this.hold(slot, now);
   }
 
+  /** Pins an adapter for a request that already uses it; undefined where it has no slot. */
+  pinHeld(model: string, now: number): Pin | undefined {
+    const slot = this.slots.get(model);
+    return slot === undefined || slot.state === 'loading'
+      ? undefined
+      : this.hold(slot, now);
+  }
+
   /**
    * Keeps a slot for a load; undefined while each slot is pinned or loading, or
    * while the adapter has a slot or is leaving one.
--- a/agent/agent-server/src/adapter-host.ts
+++ b/agent/agent-server/src/adapter-host.ts
@@ -83,6 +83,12 @@
     );
   }
 
+  /** Pins an adapter for a stream that goes on; undefined where it has no slot. */
+  pinHeld(model: string): Pin | undefined {
+    const pin = this.options.slots.pinHeld(model, performance.now());
+    return pin && this.announceRelease(pin);
+  }
+
   /** Takes note that the engine does not serve an adapter that it lists. */
   distrust(model: string): void {
     this.options.slots.distrust(model);
--- a/agent/agent-server/src/attempt-desk.ts
+++ b/agent/agent-server/src/attempt-desk.ts
@@ -4,64 +4,50 @@
 import type {Pin} from '@marigoldspur/adapter-slots';
 import type {SettingsFollower} from '@marigoldspur/control-client';
 import {peerGone} from '@marigoldspur/bounded-signal';
-import type {EventLog} from '@marigoldspur/event-log';
-import {formatFindings, Refusal} from '@marigoldspur/faults';
-import {readBody} from '@marigoldspur/http-link';
+import {formatFindings, type Refusal} from '@marigoldspur/faults';
 import {HOP_HEADERS, parseHop, type Hop} from '@marigoldspur/messages';
 import {formatModel} from '@marigoldspur/settings-schema';
-import type {AdapterHost} from './adapter-host.js';
 import type {AgentMetrics} from './agent-metrics.js';
 import {findAdapter} from './find-adapter.js';
 import {refuseAttempt} from './attempt-answer.js';
-import {attemptId} from './attempt-headers.js';
-import {readBodyModel} from './body-model.js';
+import {AttemptChecks, type AttemptChecksOptions} from './attempt-checks.js';
+import {unknownOutcome} from './attempt-end.js';
 import {notRun} from './not-run.js';
-import type {LeaseKeeper} from './lease-keeper.js';
-import {SeenAttempts} from './seen-attempts.js';
+import {ResumeDesk} from './resume-desk.js';
+import {StreamTable} from './stream-table.js';
 import {TargetForwarder} from './target-forwarder.js';
-import type {TargetWatch} from './target-watch.js';
-
-/** The parts of an agent that only an engine's has. */
-export interface EngineParts {
-  readonly host: AdapterHost;
-  readonly watch: TargetWatch;
-  readonly keeper: LeaseKeeper;
-}
 
 /** What an attempt desk works with. */
-export interface AttemptDeskOptions {
-  readonly target: string;
+export interface AttemptDeskOptions extends AttemptChecksOptions {
   readonly targetUrl: string;
   readonly customer: string;
   readonly service: string;
   readonly settings: Pick<SettingsFollower, 'settings'>;
   /** Is told the settings revision of an entry, and the entry's URL. */
   readonly heard?: (revision: number, url: string | undefined) => void;
-  readonly events: EventLog;
   readonly metrics: AgentMetrics;
-  /** Largest body, in bytes. */
-  readonly maxBodyBytes: number;
-  /** Bytes of all bodies held at once. */
-  readonly maxHeldBytes: number;
-  /** Absent for a plain service. */
-  readonly engine?: EngineParts;
-  /** Whether a plain service answers its health check. */
-  readonly serviceHealthy?: () => boolean;
 }
 
-const ENGINE_PATHS = new Set(['/v1/chat/completions', '/v1/completions']);
-const STATUS_TOO_LARGE = 413;
+const RESUME_AFTER = /^(-1|\d{1,9})$/;
 
 /** Takes attempts from entries, checks them and forwards them to the target. */
 export class AttemptDesk {
-  private readonly seen = new SeenAttempts();
+  private readonly checks: AttemptChecks;
   private readonly forwarder: TargetForwarder;
+  private readonly resumes: ResumeDesk;
   private running = 0;
   private heldBytes = 0;
   private closed = false;
 
   constructor(private readonly options: AttemptDeskOptions) {
-    this.forwarder = new TargetForwarder(options);
+    const {engine, events} = options;
+    const streams = new StreamTable({
+      events,
+      stop: (id, pin) => engine?.watch.releaseWhenStopped(id, pin),
+    });
+    this.checks = new AttemptChecks(options);
+    this.forwarder = new TargetForwarder({...options, streams});
+    this.resumes = new ResumeDesk({...options, streams});
   }
 
   /** Attempts that run or wait here. */
@@ -109,12 +95,22 @@
     response.setHeader(HOP_HEADERS.revision, String(inForce));
     this.options.events.record('attempt-received', {attempt}, id);
     const gone = peerGone(response);
+    const deadlineMs = startedAt + budgetMs;
+    if (request.headers[HOP_HEADERS.cancel] === 'true') {
+      this.resumes.cancel(hop.value, response);
+      return;
+    }
+    const after = request.headers[HOP_HEADERS.resumeAfter];
+    if (after !== undefined) {
+      await this.resume(hop.value, String(after), response, deadlineMs, gone);
+      return;
+    }
     const bytes = Number(request.headers['content-length'] ?? 0);
     this.heldBytes += bytes;
     try {
       const done = await this.run(hop.value, request, response, {
         expects,
-        deadlineMs: startedAt + budgetMs,
+        deadlineMs,
         signal: gone,
       });
       if (done.isErr) {
@@ -125,6 +121,25 @@
     }
   }
 
+  private async resume(
+    hop: Hop,
+    after: string,
+    response: ServerResponse,
+    deadlineMs: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const resume = {hop, after: Number(after), response, deadlineMs, signal};
+    const refusal = RESUME_AFTER.test(after)
+      ? await this.resumes.resume(resume)
+      : unknownOutcome(400, 'bad_hop', 'a resume names a whole number');
+    if (refusal !== undefined) {
+      const {attempt, request} = hop;
+      const {reason} = refusal;
+      this.options.events.record('resume-refused', {attempt, reason}, request);
+      refuseAttempt(hop, response, refusal);
+    }
+  }
+
   private async run(
     hop: Hop,
     request: IncomingMessage,
@@ -132,13 +147,15 @@
     options: {expects: boolean; deadlineMs: number; signal: AbortSignal},
   ): Promise<Result<void, Refusal>> {
     const {deadlineMs, expects, signal} = options;
-    const refusal = this.preliminary(hop, request, expects);
+    const {closed, heldBytes} = this;
+    const load = {closed, heldBytes};
+    const refusal = this.checks.preliminary(hop, request, expects, load);
     if (refusal !== undefined) {
       return Result.err(refusal);
     }
     let body = expects
       ? undefined
-      : await this.takeBody(hop, request, deadlineMs);
+      : await this.checks.takeBody(hop, request, deadlineMs);
     if (body?.isErr) {
       return Result.err(body.error);
     }
@@ -148,7 +165,7 @@
     }
     if (body === undefined) {
       response.writeContinue();
-      body = await this.takeBody(hop, request, deadlineMs);
+      body = await this.checks.takeBody(hop, request, deadlineMs);
     }
     const late = body.isErr
       ? body.error
@@ -174,83 +191,6 @@
     return Result.ok(undefined);
   }
 
-  /** What speaks against an attempt before its body is read. */
-  private preliminary(
-    hop: Hop,
-    request: IncomingMessage,
-    expects: boolean,
-  ): Refusal | undefined {
-    const {engine, maxBodyBytes, maxHeldBytes, target} = this.options;
-    const bytes = Number(request.headers['content-length'] ?? 0);
-    if (hop.target !== target) {
-      return notRun(421, 'wrong_target', `this is target ${target}`);
-    }
-    if ((engine === undefined) !== (hop.model === undefined)) {
-      return notRun(400, 'wrong_kind', 'the target is of another kind');
-    }
-    if (engine !== undefined && !ENGINE_PATHS.has(request.url ?? '')) {
-      return notRun(404, 'unknown_path', 'no such path on an engine');
-    }
-    // A body that waits to be continued is held only once it is admitted.
-    if (request.headers['transfer-encoding'] !== undefined && !expects) {
-      return notRun(411, 'length_required', 'an attempt states its length');
-    }
-    if (bytes > maxBodyBytes) {
-      return notRun(STATUS_TOO_LARGE, 'too_large', 'the body is too large');
-    }
-    if (this.closed || engine?.watch.state.leaving === true) {
-      return notRun(503, 'target_leaving', 'the target is leaving');
-    }
-    if (!this.isHealthy()) {
-      return notRun(503, 'target_down', 'the target does not answer');
-    }
-    if (this.heldBytes > maxHeldBytes) {
-      return notRun(503, 'agent_full', 'the agent holds too many bodies');
-    }
-    return this.repeated(hop);
-  }
-
-  private isHealthy(): boolean {
-    const {engine, serviceHealthy} = this.options;
-    return engine?.watch.state.healthy ?? serviceHealthy?.() ?? true;
-  }
-
-  /** A repeated attempt may have run, so it is not called `not-run`. */
-  private repeated(hop: Hop): Refusal | undefined {
-    if (this.seen.add(attemptId(hop), performance.now())) {
-      return undefined;
-    }
-    const {attempt, request} = hop;
-    this.options.events.record('attempt-repeated', {attempt}, request);
-    const message = 'the attempt came before and is not run again';
-    return new Refusal('unknown', 409, 'repeated_attempt', message);
-  }
-
-  /** Reads a body and checks that it names the adapter of the hop. */
-  private async takeBody(
-    hop: Hop,
-    request: IncomingMessage,
-    deadlineMs: number,
-  ): Promise<Result<Buffer, Refusal>> {
-    const leftMs = Math.max(0, deadlineMs - performance.now());
-    const late = setTimeout(() => request.destroy(), leftMs);
-    const body = await readBody(request, this.options.maxBodyBytes);
-    clearTimeout(late);
-    if (body.isErr) {
-      return Result.err(notRun(400, 'bad_body', body.error.message));
-    }
-    if (hop.model === undefined) {
-      return Result.ok(body.value);
-    }
-    const model = readBodyModel(body.value);
-    if (model.isErr) {
-      return Result.err(notRun(400, 'bad_body', model.error));
-    }
-    return model.value === formatModel(hop.model)
-      ? Result.ok(body.value)
-      : Result.err(notRun(400, 'model_mismatch', 'body and header differ'));
-  }
-
   /** Pins the attempt's adapter, with the boot that holds it; undefined for a plain service. */
   private async pin(
     hop: Hop,
--- /dev/null
+++ b/agent/agent-server/src/engine-parts.ts
@@ -0,0 +1,10 @@
+import type {AdapterHost} from './adapter-host.js';
+import type {LeaseKeeper} from './lease-keeper.js';
+import type {TargetWatch} from './target-watch.js';
+
+/** The parts of an agent that only an engine's has. */
+export interface EngineParts {
+  readonly host: AdapterHost;
+  readonly watch: TargetWatch;
+  readonly keeper: LeaseKeeper;
+}
--- a/agent/agent-server/src/prepare-engine.ts
+++ b/agent/agent-server/src/prepare-engine.ts
@@ -11,7 +11,7 @@
 import {AdapterHost} from './adapter-host.js';
 import type {AgentMetrics} from './agent-metrics.js';
 import type {AgentSettings} from './agent-settings.js';
-import type {EngineParts} from './attempt-desk.js';
+import type {EngineParts} from './engine-parts.js';
 import {LeaseKeeper} from './lease-keeper.js';
 import {ControlLoadGate, FallbackLoadGate, ShareLoadGate} from './load-gate.js';
 import {SettingsEviction} from './settings-eviction.js';
--- a/agent/agent-server/src/target-forwarder.ts
+++ b/agent/agent-server/src/target-forwarder.ts
@@ -1,292 +1,150 @@
-import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import type {Pin} from '@marigoldspur/adapter-slots';
+import http, {type ClientRequest, type IncomingMessage} from 'node:http';
+import {BoundedSignal} from '@marigoldspur/bounded-signal';
 import type {EventLog} from '@marigoldspur/event-log';
-import {Refusal} from '@marigoldspur/faults';
-import {openRequest, readBody} from '@marigoldspur/http-link';
-import type {Hop} from '@marigoldspur/messages';
-import {formatModel} from '@marigoldspur/settings-schema';
-import {BOOT_HEADER, REQUEST_ID_HEADER} from '@marigoldspur/target-client';
+import {openRequest} from '@marigoldspur/http-link';
 import type {AgentMetrics} from './agent-metrics.js';
-import {engineAnswerCheck, PassCheck} from './answer-check.js';
+import {refuseAttempt} from './attempt-answer.js';
+import type {EngineParts} from './engine-parts.js';
 import {
-  refuseAttempt,
-  relayAnswer,
-  sendAnswer,
-  type RelayEnd,
-} from './attempt-answer.js';
-import type {EngineParts} from './attempt-desk.js';
+  brokenEnd,
+  brokenTarget,
+  eventOf,
+  isSettled,
+  type AttemptEnd,
+} from './attempt-end.js';
 import {attemptId, targetHeaders} from './attempt-headers.js';
-import {notRun} from './not-run.js';
+import type {CheckedAttempt} from './checked-attempt.js';
+import type {StreamReader, StreamTable} from './stream-table.js';
+import {isCrossed, resumableFor, TargetAnswers} from './target-answer.js';
 
 /** What a forwarder works with. */
 export interface TargetForwarderOptions {
   readonly targetUrl: string;
   readonly events: EventLog;
   readonly metrics: AgentMetrics;
+  readonly streams: StreamTable;
   /** Absent for a plain service. */
   readonly engine?: EngineParts;
 }
 
-/** A checked attempt. */
-export interface CheckedAttempt {
-  readonly hop: Hop;
-  readonly request: IncomingMessage;
-  readonly body: Buffer;
-  readonly response: ServerResponse;
-  /** Latest end, a `performance.now()` time. */
-  readonly deadlineMs: number;
-  /** Aborted once the entry is gone. */
-  readonly signal: AbortSignal;
-  /** Absent for a plain service. */
-  readonly pin?: Pin;
-  /** Boot of the engine that holds the adapter. */
-  readonly boot?: string;
-}
-
-/** How an attempt ended at the target. `unreached`: nothing was sent. */
-type AttemptEnd = RelayEnd | 'unreached' | 'not-held' | 'failed' | 'unknown';
-
-const MAX_ERROR_BYTES = 1_048_576;
-const RETRY_SOON_SECONDS = 1;
-const STATUS_OK = 200;
-const STATUS_NOT_FOUND = 404;
-const STATUS_SERVER_ERROR = 500;
-/** Ends after which the target certainly runs nothing of the attempt. */
-const SETTLED_ENDS = new Set<AttemptEnd>([
-  'whole',
-  'unreached',
-  'not-held',
-  'failed',
-]);
-
-const OVER_BUDGET = new Error('the time for the attempt is over');
-const ENTRY_GONE = new Error('the entry went away');
-
 /** Forwards checked attempts to the target and relays the answers. */
 export class TargetForwarder {
   private readonly keptAlive = new http.Agent({keepAlive: true});
   /** A kept connection may be closing, which leaves open whether a request ran. */
   private readonly fresh = new http.Agent({keepAlive: false});
+  private readonly answers: TargetAnswers;
 
-  constructor(private readonly options: TargetForwarderOptions) {}
+  constructor(private readonly options: TargetForwarderOptions) {
+    this.answers = new TargetAnswers(options.engine);
+  }
 
   /** Forwards an attempt; its pin is released once the target has stopped it. */
   async forward(attempt: CheckedAttempt): Promise<void> {
     const {events, metrics} = this.options;
     const {hop} = attempt;
     events.record('attempt-forwarded', {attempt: hop.attempt}, hop.request);
-    const end = await this.send(attempt);
+    const exchange = new TargetExchange(attempt, this.options, this.answers);
+    const agent = hop.repeatable ? this.keptAlive : this.fresh;
+    const end = await exchange.run(agent);
     metrics.attempts.inc({end});
     events.record(eventOf(end), {attempt: hop.attempt, end}, hop.request);
-    this.release(attempt, end);
+    this.release(attempt, exchange, end);
   }
 
-  private release(attempt: CheckedAttempt, end: AttemptEnd): void {
-    const {pin} = attempt;
-    if (pin === undefined) {
-      return;
-    }
-    if (SETTLED_ENDS.has(end)) {
+  private release(
+    attempt: CheckedAttempt,
+    {reader, resumableMs}: TargetExchange,
+    end: AttemptEnd,
+  ): void {
+    const {engine, streams} = this.options;
+    const {deadlineMs, hop, pin} = attempt;
+    if (reader !== undefined && end !== 'whole') {
+      const leftMs = deadlineMs - performance.now();
+      streams.broke(reader, Math.min(leftMs, resumableMs));
+    } else if (reader !== undefined) {
+      streams.ended(reader);
+    } else if (pin !== undefined && isSettled(end)) {
       pin.release(performance.now());
-      return;
+    } else if (pin !== undefined) {
+      engine?.watch.releaseWhenStopped(attemptId(hop), pin);
     }
-    const id = attemptId(attempt.hop);
-    this.options.engine?.watch.releaseWhenStopped(id, pin);
+  }
+}
+
+/** One attempt on its way to the target. */
+class TargetExchange {
+  /** Reader of the answer, where it can be resumed. */
+  reader: StreamReader | undefined;
+  resumableMs = 0;
+  private reached = false;
+  private readonly bounded: BoundedSignal;
+
+  constructor(
+    private readonly attempt: CheckedAttempt,
+    private readonly options: TargetForwarderOptions,
+    private readonly answers: TargetAnswers,
+  ) {
+    const {deadlineMs, signal} = attempt;
+    this.bounded = new BoundedSignal({
+      timeoutMs: Math.max(1, Math.ceil(deadlineMs - performance.now())),
+      follows: [signal],
+    });
   }
 
-  private send(attempt: CheckedAttempt): Promise<AttemptEnd> {
+  /** Resolves with how the attempt ended. */
+  run(agent: http.Agent): Promise<AttemptEnd> {
+    const {bounded, attempt} = this;
     const {body, hop, request, response, signal} = attempt;
     return new Promise(resolve => {
-      let reached = false;
       const call = openRequest({
         url: new URL(request.url ?? '/', this.options.targetUrl),
         method: request.method ?? 'POST',
         headers: targetHeaders(request, body, hop),
-        agent: hop.repeatable ? this.keptAlive : this.fresh,
-      });
-      const limit = limitCall(call, attempt);
-      call.on('socket', socket => {
-        reached = !socket.connecting;
-        if (!reached) {
-          socket.once('connect', () => {
-            reached = true;
-          });
-        }
+        agent,
+        signal: bounded.signal,
       });
+      this.noteConnection(call);
       call.on('error', error => {
-        const late = error === OVER_BUDGET;
+        const {reached} = this;
         refuseAttempt(
           hop,
           response,
-          brokenTarget(reached, late, error.message),
+          brokenTarget(reached, bounded.isExpired, error.message),
         );
         resolve(brokenEnd(reached, signal.aborted));
       });
       call.on('response', answer => {
-        void this.receive(attempt, answer).then(resolve);
+        this.openReader(answer);
+        void this.answers.receive(attempt, answer).then(resolve);
       });
-      call.on('close', limit.lift);
+      call.on('close', () => bounded.release());
       call.end(body);
     });
   }
 
-  private receive(
-    attempt: CheckedAttempt,
-    answer: IncomingMessage,
-  ): Promise<AttemptEnd> {
-    const {hop, response} = attempt;
-    if (hop.model === undefined) {
-      return relayAnswer(hop, answer, response, new PassCheck());
-    }
-    if (answer.statusCode !== STATUS_OK) {
-      return this.receiveError(attempt, formatModel(hop.model), answer);
-    }
-    if (isCrossed(attempt, answer)) {
-      answer.destroy();
-      const message = 'the answer is of another request or boot';
-      const refusal = unknown(502, 'crossed_answer', message);
-      refuseAttempt(hop, response, refusal);
-      return Promise.resolve('crossed');
-    }
-    const check = engineAnswerCheck(answer, formatModel(hop.model));
-    return relayAnswer(hop, answer, response, check);
-  }
-
-  /** Takes an engine's error: not held, a failure of the engine, or the caller's mistake. */
-  private async receiveError(
-    attempt: CheckedAttempt,
-    model: string,
-    answer: IncomingMessage,
-  ): Promise<AttemptEnd> {
-    const {hop, response} = attempt;
-    const body = await readBody(answer, MAX_ERROR_BYTES);
-    if (body.isErr) {
-      answer.destroy();
-      refuseAttempt(hop, response, unknown(502, 'torn_answer', 'torn answer'));
-      return 'torn';
-    }
-    const status = answer.statusCode ?? STATUS_SERVER_ERROR;
-    if (status === STATUS_NOT_FOUND && isNotHeld(body.value)) {
-      this.takeNotHeld(attempt, model, answer);
-      return 'not-held';
-    }
-    if (status >= STATUS_SERVER_ERROR) {
-      const message = `the engine answered with status ${status}`;
-      const reason = 'target_failed';
-      refuseAttempt(
-        hop,
-        response,
-        new Refusal('failed', 502, reason, message, RETRY_SOON_SECONDS),
-      );
-      return 'failed';
-    }
-    sendAnswer(hop, answer, body.value, response);
-    return 'whole';
+  private noteConnection(call: ClientRequest): void {
+    call.on('socket', socket => {
+      this.reached = !socket.connecting;
+      if (!this.reached) {
+        socket.once('connect', () => {
+          this.reached = true;
+        });
+      }
+    });
   }
 
-  private takeNotHeld(
-    attempt: CheckedAttempt,
-    model: string,
-    answer: IncomingMessage,
-  ): void {
-    const {engine} = this.options;
-    if (isOfBoot(attempt, answer)) {
-      engine?.host.distrust(model);
-    } else {
-      void engine?.watch.check();
+  private openReader(answer: IncomingMessage): void {
+    const {attempt} = this;
+    const resumableMs = resumableFor(answer);
+    const fits = answer.statusCode === 200 && !isCrossed(attempt, answer);
+    if (attempt.hop.model === undefined || resumableMs === 0 || !fits) {
+      return;
     }
-    refuseAttempt(
-      attempt.hop,
-      attempt.response,
-      notRun(503, 'adapter_not_held', 'the engine does not hold the adapter'),
-    );
-  }
-}
-
-/**
- * Breaks a call off once its time is over or its entry is gone. Plain timers in place
- * of `AbortSignal.timeout`, which would live on for the whole budget of each request.
- */
-function limitCall(
-  call: http.ClientRequest,
-  {deadlineMs, signal}: CheckedAttempt,
-): {lift: () => void} {
-  const leave = () => call.destroy(ENTRY_GONE);
-  const timer = setTimeout(
-    () => call.destroy(OVER_BUDGET),
-    Math.max(1, Math.ceil(deadlineMs - performance.now())),
-  );
-  signal.addEventListener('abort', leave, {once: true});
-  return {
-    lift: () => {
-      clearTimeout(timer);
-      signal.removeEventListener('abort', leave);
-    },
-  };
-}
-
-function isOfBoot(attempt: CheckedAttempt, answer: IncomingMessage): boolean {
-  const boot = answer.headers[BOOT_HEADER];
-  return boot === undefined || boot === attempt.boot;
-}
-
-function isCrossed(attempt: CheckedAttempt, answer: IncomingMessage): boolean {
-  const id = answer.headers[REQUEST_ID_HEADER];
-  const otherId = id !== undefined && id !== attemptId(attempt.hop);
-  return otherId || !isOfBoot(attempt, answer);
-}
-
-/** Whether an engine's error says that it does not hold the model. */
-function isNotHeld(body: Buffer): boolean {
-  try {
-    const {error} = JSON.parse(body.toString('utf8')) as {
-      error?: {code?: unknown};
-    };
-    return error?.code === 'model_not_found';
-  } catch {
-    return false;
-  }
-}
-
-function brokenEnd(reached: boolean, cancelled: boolean): AttemptEnd {
-  if (!reached) {
-    return 'unreached';
-  }
-  return cancelled ? 'cancelled' : 'unknown';
-}
-
-function eventOf(end: AttemptEnd) {
-  switch (end) {
-    case 'whole':
-      return 'attempt-ended';
-    case 'cancelled':
-      return 'attempt-cancelled';
-    case 'crossed':
-      return 'target-answer-crossed';
-    case 'torn':
-      return 'target-answer-torn';
-    case 'unreached':
-    case 'not-held':
-      return 'attempt-refused';
-    case 'failed':
-    case 'unknown':
-      return 'attempt-failed';
-  }
-}
-
-function unknown(status: number, reason: string, message: string): Refusal {
-  return new Refusal('unknown', status, reason, message, RETRY_SOON_SECONDS);
-}
-
-function brokenTarget(
-  reached: boolean,
-  late: boolean,
-  message: string,
-): Refusal {
-  if (!reached) {
-    return notRun(503, 'target_unreachable', message);
+    this.resumableMs = resumableMs;
+    this.reader = this.options.streams.open({
+      id: attemptId(attempt.hop),
+      pin: attempt.pin,
+      leave: () => answer.destroy(),
+    });
   }
-  return late
-    ? unknown(504, 'no_answer_in_time', 'the target did not answer in time')
-    : unknown(502, 'target_broke_off', message);
 }
--- a/agent/agent-server/src/target-watch.ts
+++ b/agent/agent-server/src/target-watch.ts
@@ -96,9 +96,11 @@
   }
 
   /** Has the engine stop a request, and releases its pin once it has stopped. */
-  releaseWhenStopped(id: string, pin: Pin): void {
+  releaseWhenStopped(id: string, pin: Pin | undefined): void {
     void this.options.engine.abort(id);
-    this.runs.hold(id, this.current.boot, pin);
+    if (pin !== undefined) {
+      this.runs.hold(id, this.current.boot, pin);
+    }
   }
 
   /** Pins what runs in the engine without this agent having sent it. */
--- a/agent/agent-server/test/agent-fixture.ts
+++ b/agent/agent-server/test/agent-fixture.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
 import {startAgent} from '@marigoldspur/agent-server';
-import {formatHop, type Hop} from '@marigoldspur/messages';
+import {formatHop, HOP_HEADERS, type Hop} from '@marigoldspur/messages';
 import type {Task} from '@marigoldspur/process-life';
 import {parseModel, type Tree} from '@marigoldspur/settings-schema';
 import {
@@ -21,6 +21,8 @@
   readonly healthIntervalMs?: number;
   readonly orderLeaseMs?: number;
   readonly loadTimeoutMs?: number;
+  /** How long the engine keeps a broken stream; 0 for not at all. */
+  readonly resumeMs?: number;
 }
 
 /** A started agent. */
@@ -49,11 +51,15 @@
   readonly revision?: number;
   readonly repeatable?: boolean;
   readonly path?: string;
+  /** Number of the last event that came, to go on with a stream. */
+  readonly resumeAfter?: number;
+  /** Tells that the attempt is cancelled. */
+  readonly cancel?: boolean;
   /** In place of the body that fits. */
   readonly body?: string;
   readonly signal?: AbortSignal;
   /** Called with each piece of the answer. */
-  readonly onData?: () => void;
+  readonly onData?: (text: string) => void;
 }
 
 const POLL_MS = 10;
@@ -100,7 +106,12 @@
   }
 
   async startTarget(): Promise<void> {
-    const {fenceChecked = true, slots = 2, tokenMs = 0} = this.options;
+    const {
+      fenceChecked = true,
+      slots = 2,
+      tokenMs = 0,
+      resumeMs,
+    } = this.options;
     await this.control.start(fixtureTree());
     this.store = await startWeightStore({port: 0, loadsPerSecond: 200});
     this.engine = await startEngine({
@@ -111,6 +122,7 @@
       firstTokenMs: 0,
       tokenMs,
       checksFence: fenceChecked,
+      resumeMs,
     });
   }
 
@@ -168,6 +180,10 @@
           signal: sending.signal,
           headers: {
             ...formatHop(hopOf(sending)),
+            ...(sending.resumeAfter !== undefined && {
+              [HOP_HEADERS.resumeAfter]: String(sending.resumeAfter),
+            }),
+            ...(sending.cancel && {[HOP_HEADERS.cancel]: 'true'}),
             'content-type': 'application/json',
             'content-length': Buffer.byteLength(body),
           },
@@ -255,13 +271,13 @@
 
 function readAnswer(
   response: http.IncomingMessage,
-  onData: () => void = () => {},
+  onData: (text: string) => void = () => {},
 ): Promise<Answer> {
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     response.on('data', (chunk: Buffer) => {
       chunks.push(chunk);
-      onData();
+      onData(Buffer.concat(chunks).toString('utf8'));
     });
     response.on('error', () => {});
     response.on('close', () => {
--- /dev/null
+++ b/agent/agent-server/test/resumes.test.ts
@@ -0,0 +1,234 @@
+import {expect} from 'chai';
+import type {EngineFaults} from '@marigoldspur/stand-ins';
+import {
+  eventually,
+  Fixture,
+  type Answer,
+  type StartedAgent,
+} from './agent-fixture.js';
+
+const RESUME_MS = 20_000;
+const FIRST = 'id: 0\n';
+
+let requests = 0;
+
+interface Broken {
+  readonly request: string;
+  /** What had come when the link broke. */
+  readonly text: string;
+  /** Number of the last whole event that had come. */
+  readonly last: number;
+}
+
+/** Starts a stream on `a@v1` and lets its link to the agent break after an event. */
+async function breakStream(
+  fixture: Fixture,
+  agent: StartedAgent,
+  tokens: number,
+): Promise<Broken> {
+  const entry = new AbortController();
+  requests += 1;
+  const request = `broken-${requests}`;
+  let text = '';
+  const answer = fixture
+    .send(agent, {
+      ...{model: 'a@v1', request, stream: true, tokens},
+      signal: entry.signal,
+      onData: seen => {
+        text = seen;
+      },
+    })
+    .catch(() => undefined);
+  await eventually(() => text.includes('\n\n'));
+  entry.abort();
+  await answer;
+  const whole = text.slice(0, text.lastIndexOf('\n\n') + 2);
+  const last = whole.split('\n\n').length - 2;
+  return {request, text: whole, last};
+}
+
+/** Starts a stream on `a@v1` whose engine breaks its link to the agent off. */
+async function cutStream(
+  fixture: Fixture,
+  agent: StartedAgent,
+  tokens: number,
+): Promise<Broken> {
+  await fixture.faults({cutAfterTokens: 2, cutAnswers: 1});
+  requests += 1;
+  const request = `cut-${requests}`;
+  const sending = {model: 'a@v1', request, stream: true, tokens};
+  const cut = await fixture.send(agent, sending).catch(() => undefined);
+  expect(cut?.whole ?? false).to.equal(false);
+  await fixture.faults({});
+  return {request, text: '', last: -1};
+}
+
+function resume(
+  fixture: Fixture,
+  agent: StartedAgent,
+  {request, last}: Pick<Broken, 'request' | 'last'>,
+  model = 'a@v1',
+): Promise<Answer | undefined> {
+  const sending = {model, request, resumeAfter: last};
+  return fixture.send(agent, sending).catch(() => undefined);
+}
+
+async function runsOf(fixture: Fixture, request: string) {
+  const runs = await fixture.record();
+  return runs.filter(run => run.request === request);
+}
+
+it('resumes: a stream whose entry came back goes on after its last event', async () => {
+  const {fixture, agent} = await Fixture.start({
+    ...{tokenMs: 5, resumeMs: RESUME_MS},
+  });
+  const broken = await breakStream(fixture, agent, 60);
+  const rest = await resume(fixture, agent, broken);
+  expect(rest).to.include({status: 200, whole: true});
+  const text = broken.text + rest?.text;
+  expect(text.startsWith(FIRST)).to.equal(true);
+  const numbers = text.match(/^id: \d+$/gm);
+  expect(numbers).to.deep.equal(Array.from({length: 61}, (_, n) => `id: ${n}`));
+  const runs = await runsOf(fixture, broken.request);
+  expect(runs.map(run => run.end)).to.deep.equal(['whole']);
+});
+
+it('resumes: an adapter is not evicted while its stream may go on', async () => {
+  const {fixture, agent} = await Fixture.start({
+    ...{slots: 1, tokenMs: 5, resumeMs: RESUME_MS},
+  });
+  const broken = await cutStream(fixture, agent, 5);
+  await eventually(async () =>
+    (await runsOf(fixture, broken.request)).every(run => run.end === 'whole'),
+  );
+  const other = await fixture.send(agent, {model: 'b@v1', budgetMs: 500});
+  expect(other.headers['x-marigoldspur-outcome']).to.equal('not-run');
+  expect(await fixture.orders()).to.have.length(1);
+  const rest = await resume(fixture, agent, broken);
+  expect(rest?.whole).to.equal(true);
+  const after = await fixture.send(agent, {model: 'b@v1'});
+  expect(after.whole).to.equal(true);
+});
+
+it('resumes: a stream that nobody resumes is stopped and unpinned in time', async () => {
+  const {fixture, agent} = await Fixture.start({
+    ...{slots: 1, tokenMs: 5, resumeMs: 300},
+  });
+  const broken = await breakStream(fixture, agent, 10_000);
+  const other = await fixture.send(agent, {model: 'b@v1'});
+  expect(other.whole).to.equal(true);
+  const [run] = await runsOf(fixture, broken.request);
+  expect(run.end).to.not.equal('running');
+  const orders = await fixture.orders();
+  expect(orders.filter(order => order.evictedInUse)).to.deep.equal([]);
+});
+
+it('resumes: a cancelled stream is stopped and unpinned at once', async () => {
+  const {fixture, agent} = await Fixture.start({
+    ...{slots: 1, tokenMs: 5, resumeMs: RESUME_MS},
+  });
+  for (const first of ['break', 'cancel']) {
+    const {request} = await breakOrCancel(fixture, agent, first === 'break');
+    const other = await fixture.send(agent, {model: 'b@v1', budgetMs: 5_000});
+    expect(other.whole, first).to.equal(true);
+    const [run] = await runsOf(fixture, request);
+    expect(run.end, first).to.not.be.oneOf(['running', 'whole']);
+  }
+});
+
+/** Cancels a stream, after its link broke or while it is read. */
+async function breakOrCancel(
+  fixture: Fixture,
+  agent: StartedAgent,
+  breaks: boolean,
+): Promise<{request: string}> {
+  const cancel = {model: 'a@v1', cancel: true};
+  if (breaks) {
+    const broken = await breakStream(fixture, agent, 10_000);
+    await fixture.send(agent, {...cancel, request: broken.request});
+    return broken;
+  }
+  const request = 'cancelled';
+  const sending = {model: 'a@v1', request, stream: true, tokens: 10_000};
+  let begun = false;
+  const onData = () => {
+    begun = true;
+  };
+  const answer = fixture.send(agent, {...sending, onData}).catch(() => {});
+  await eventually(() => begun);
+  await fixture.send(agent, {...cancel, request});
+  await answer;
+  return {request};
+}
+
+it('resumes: a later reader takes the place of one before', async () => {
+  const {fixture, agent} = await Fixture.start({
+    ...{tokenMs: 5, resumeMs: RESUME_MS},
+  });
+  const request = 'displaced';
+  let begun = false;
+  const first = fixture
+    .send(agent, {
+      ...{model: 'a@v1', request, stream: true, tokens: 100},
+      onData: () => {
+        begun = true;
+      },
+    })
+    .catch(() => undefined);
+  await eventually(() => begun);
+  const second = await resume(fixture, agent, {request, last: -1});
+  expect((await first)?.whole ?? false).to.equal(false);
+  expect(second).to.include({status: 200, whole: true});
+  expect(await runsOf(fixture, request)).to.have.length(1);
+});
+
+it('resumes: nothing is run anew where the engine restarted or has no such stream', async () => {
+  const {fixture, agent} = await Fixture.start({
+    ...{tokenMs: 5, resumeMs: RESUME_MS},
+  });
+  const broken = await breakStream(fixture, agent, 1_000);
+  for (const faults of [{resumeFault: 'off'}, {restart: true}] as const) {
+    await fixture.faults(faults);
+    const refused = await resume(fixture, agent, broken);
+    expect(refused?.headers).to.include({
+      'x-marigoldspur-outcome': 'unknown',
+      'x-marigoldspur-reason': 'resume_gone',
+    });
+  }
+  expect(await runsOf(fixture, broken.request)).to.have.length(1);
+});
+
+it('resumes: what is of another request or version is refused', async () => {
+  const {fixture, agent} = await Fixture.start({
+    ...{tokenMs: 5, resumeMs: RESUME_MS},
+  });
+  const broken = await cutStream(fixture, agent, 30);
+  const faults: Array<Partial<EngineFaults>> = [
+    {resumeFault: 'crossed'},
+    {resumeFault: 'version'},
+  ];
+  for (const fault of faults) {
+    await fixture.faults(fault);
+    const crossed = await resume(fixture, agent, broken);
+    expect(crossed?.headers).to.include({
+      'x-marigoldspur-outcome': 'unknown',
+      'x-marigoldspur-reason': 'crossed_answer',
+    });
+  }
+  await fixture.faults({});
+  const other = await resume(fixture, agent, broken, 'a@v2');
+  expect(other?.headers['x-marigoldspur-reason']).to.equal('crossed_answer');
+  const rest = await resume(fixture, agent, broken);
+  expect(rest?.whole).to.equal(true);
+});
+
+it('resumes: another agent beside the same engine goes on with the stream', async () => {
+  const {fixture, agent} = await Fixture.start({
+    ...{tokenMs: 5, resumeMs: RESUME_MS, slots: 1},
+  });
+  const broken = await breakStream(fixture, agent, 200);
+  const second = await fixture.startAgent();
+  const rest = await resume(fixture, second, broken);
+  expect(rest).to.include({status: 200, whole: true});
+  expect(await runsOf(fixture, broken.request)).to.have.length(1);
+});
--- a/agent/target-client/src/engine-messages.ts
+++ b/agent/target-client/src/engine-messages.ts
@@ -39,3 +39,14 @@
 
 /** Header of a request and of its answer: the identity of the request at the engine. */
 export const REQUEST_ID_HEADER = 'x-request-id';
+
+/** Header of a streamed answer: how long it can be resumed once broken, in milliseconds. */
+export const RESUME_HEADER = 'x-engine-resume-ms';
+
+/** Header of a resume: number of the last event that came. */
+export const LAST_EVENT_HEADER = 'last-event-id';
+
+/** Path under which an engine goes on with the stream of a request. */
+export function resumePath(id: string): string {
+  return `/v1/requests/${encodeURIComponent(id)}/stream`;
+}
--- a/agent/target-client/src/index.ts
+++ b/agent/target-client/src/index.ts
@@ -6,7 +6,10 @@
 export {
   BOOT_HEADER,
   ENGINE_HEALTH_SCHEMA,
+  LAST_EVENT_HEADER,
   REQUEST_ID_HEADER,
+  RESUME_HEADER,
+  resumePath,
   type EngineHealth,
   type EngineRequest,
 } from './engine-messages.js';
--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -285,6 +285,21 @@
     level: 'info',
     meaning: 'A suspected target answered and gets work again.',
   },
+  'stream-broken': {
+    number: 430,
+    level: 'warn',
+    meaning: 'A stream broke off and is opened again where it stood.',
+  },
+  'stream-resumed': {
+    number: 431,
+    level: 'info',
+    meaning: 'A broken stream goes on at the event after the last one.',
+  },
+  'stream-torn': {
+    number: 432,
+    level: 'warn',
+    meaning: 'A broken stream could not be resumed in time.',
+  },
   'attempt-received': {
     number: 500,
     level: 'debug',
@@ -335,6 +350,26 @@
     level: 'debug',
     meaning: 'The target confirmed that a broken-off attempt has stopped.',
   },
+  'stream-held': {
+    number: 510,
+    level: 'info',
+    meaning: 'A stream broke off; its run and its pin stay for a resume.',
+  },
+  'stream-reopened': {
+    number: 511,
+    level: 'info',
+    meaning: 'A stream is read again after the last event of its entry.',
+  },
+  'resume-refused': {
+    number: 512,
+    level: 'warn',
+    meaning: 'A stream can’t be resumed here.',
+  },
+  'stream-released': {
+    number: 513,
+    level: 'info',
+    meaning: 'A held stream was cancelled or not resumed in time.',
+  },
   'load-ordered': {
     number: 600,
     level: 'info',
--- a/contracts/messages/src/hop.ts
+++ b/contracts/messages/src/hop.ts
@@ -27,6 +27,12 @@
   reason: 'x-marigoldspur-reason',
   /** Trailer of answers: number of body bytes; an answer without it is torn. */
   end: 'x-marigoldspur-end',
+  /** On answers: how long a broken stream can be resumed at its target, in milliseconds. */
+  resumable: 'x-marigoldspur-resumable-ms',
+  /** On an attempt that resumes a stream, and on its answer: number of the last event that came, -1 for none. */
+  resumeAfter: 'x-marigoldspur-resume-after',
+  /** On what is no attempt but tells that the one it names is cancelled: `true`. */
+  cancel: 'x-marigoldspur-cancel',
 } as const;
 
 /** The adapter and version of a request, or undefined for plain services. */
--- a/lab/stand-ins/src/stream-events.ts
+++ b/lab/stand-ins/src/stream-events.ts
@@ -48,7 +48,6 @@
     const {id} = this.identity;
     const named = fault === 'crossed' ? `other-${id}` : id;
     response.setHeader('x-request-id', named);
-    response.setHeader('x-resumed-after', String(after));
     this.open(response);
     response.flushHeaders();
     const first = firstEvent(after, fault);
