Entry: a stream that broke off goes on at its target after the last event given

Cause: a stream that broke after its first byte was torn, whatever broke it. The entry now lets only whole events through to the caller and counts them by their numbers; a part of an event, and the end marker until the answer is known to be whole, stay back. When the link breaks, it opens the rest at the same target, at whichever agent is beside it now, for as long as the target said that it keeps the stream. The rest has to carry the same request, attempt and starting event, and its first event has to be the next one; anything else is dropped like a broken link, and after five links without a further event the answer is torn as before. A caller that goes away is told to the agent. Streams that can't be resumed take the path of before.

Ruled out: an offset in bytes (the rest would begin inside an event, so that neither agent nor entry could see whose it is); a hash over what was given (work on each token, and the engine would have to keep it too).

The fake agent of the tests takes headers.

--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -4,13 +4,19 @@
 import {BoundedSignal} from '@marigoldspur/bounded-signal';
 import {Refusal, type RefusalOutcome} from '@marigoldspur/faults';
 import {openRequest} from '@marigoldspur/http-link';
-import {HOP_HEADERS} from '@marigoldspur/messages';
+import {HOP_HEADERS, type Hop} from '@marigoldspur/messages';
 import {readAgentRefusal} from './agent-refusal.js';
-import {attemptHeaders, waitsForContinue} from './attempt-headers.js';
+import {
+  attemptHeaders,
+  cancelHeaders,
+  waitsForContinue,
+} from './attempt-headers.js';
 import type {Attempt, AttemptAnswer} from './attempt.js';
+import type {Destination} from './target-directory.js';
 import type {TargetHealth} from './target-health.js';
 
 const RETRY_SOON_SECONDS = 1;
+const CANCEL_TIMEOUT_MS = 1_000;
 
 /** What an attempt client works with. */
 export interface AttemptClientOptions {
@@ -35,6 +41,26 @@
     return new AttemptExchange(attempt, this.options).run();
   }
 
+  /**
+   * Tells an agent that the caller of an attempt went away. A link that ends does not
+   * say so, since its stream may be resumed; an agent that can't be told stops the
+   * attempt once the time for a resume is over.
+   */
+  cancel(hop: Hop, destination: Destination): void {
+    const bounded = new BoundedSignal({timeoutMs: CANCEL_TIMEOUT_MS});
+    const call = openRequest({
+      url: new URL('/', destination.url),
+      method: 'POST',
+      headers: cancelHeaders(hop),
+      agent: this.options.agent,
+      signal: bounded.signal,
+    });
+    call.on('response', answer => answer.resume());
+    call.on('error', () => {});
+    call.on('close', () => bounded.release());
+    call.end();
+  }
+
   /** Closes all connections. */
   close(): void {
     this.options.agent.destroy();
@@ -174,14 +200,16 @@
   attempt: Attempt,
   message: IncomingMessage,
 ): Promise<Result<AttemptAnswer, Refusal>> {
-  const {hop, method} = attempt;
+  const {hop, method, resumeAfter} = attempt;
   const refused = await readAgentRefusal(message);
   if (refused !== undefined) {
     return Result.err(refused);
   }
+  const resumed = message.headers[HOP_HEADERS.resumeAfter];
   const crossed =
     message.headers[HOP_HEADERS.request] !== hop.request ||
-    message.headers[HOP_HEADERS.attempt] !== String(hop.attempt);
+    message.headers[HOP_HEADERS.attempt] !== String(hop.attempt) ||
+    resumed !== resumeAfter?.toString();
   if (crossed) {
     message.destroy();
     const text = 'the answer belongs to another request';
--- a/entry/dispatch/src/attempt-headers.ts
+++ b/entry/dispatch/src/attempt-headers.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
 import {endToEndHeaders} from '@marigoldspur/http-link';
-import {formatHop} from '@marigoldspur/messages';
+import {formatHop, HOP_HEADERS, type Hop} from '@marigoldspur/messages';
 import type {Attempt} from './attempt.js';
 
 /** Headers that end at the entry. */
@@ -20,6 +20,9 @@
       dropped: ENTRY_HEADERS,
     }),
     ...formatHop(attempt.hop),
+    ...(attempt.resumeAfter !== undefined && {
+      [HOP_HEADERS.resumeAfter]: String(attempt.resumeAfter),
+    }),
     'content-length': attempt.body.length,
     ...(waitsForContinue(attempt) && {expect: '100-continue'}),
   };
@@ -33,6 +36,21 @@
   return !attempt.hop.repeatable && attempt.body.length > 0;
 }
 
+/** The headers that tell an agent that an attempt is cancelled. */
+export function cancelHeaders(hop: Hop): OutgoingHttpHeaders {
+  return {
+    ...formatHop(hop),
+    [HOP_HEADERS.cancel]: 'true',
+    'content-length': 0,
+  };
+}
+
+/** How long a broken answer can be resumed at its target, in milliseconds; 0 for not at all. */
+export function resumableFor(message: IncomingMessage): number {
+  const text = String(message.headers[HOP_HEADERS.resumable] ?? '');
+  return /^\d{1,9}$/.test(text) ? Number(text) : 0;
+}
+
 /** The headers of a target's answer that the caller gets. */
 export function answerHeaders(message: IncomingMessage): OutgoingHttpHeaders {
   const {headers} = message;
--- a/entry/dispatch/src/attempt.ts
+++ b/entry/dispatch/src/attempt.ts
@@ -15,6 +15,8 @@
   readonly signal: AbortSignal;
   /** Longest time to the first byte of the answer, in milliseconds. */
   readonly firstByteTimeoutMs: number;
+  /** Number of the last event that came, where the attempt's stream is to go on. */
+  readonly resumeAfter?: number;
 }
 
 /** The beginning of a target's answer; its body is still to be read. */
--- a/entry/dispatch/src/index.ts
+++ b/entry/dispatch/src/index.ts
@@ -1,11 +1,13 @@
 export {AttemptClient, type AttemptClientOptions} from './attempt-client.js';
 export type {Attempt, AttemptAnswer} from './attempt.js';
-export {answerHeaders} from './attempt-headers.js';
+export {answerHeaders, resumableFor} from './attempt-headers.js';
 export {
   relayAnswer,
   type Relayed,
   type RelayEnd,
+  type AnswerLink,
   type RelayOptions,
 } from './relay-answer.js';
 export {TargetDirectory, type Destination} from './target-directory.js';
+export {WholeEvents} from './whole-events.js';
 export {TargetHealth, type TargetHealthOptions} from './target-health.js';
--- a/entry/dispatch/src/relay-answer.ts
+++ b/entry/dispatch/src/relay-answer.ts
@@ -1,7 +1,12 @@
-import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
+import type {
+  IncomingMessage,
+  OutgoingHttpHeaders,
+  ServerResponse,
+} from 'node:http';
 import {AnswerEnd} from './answer-end.js';
 import {answerHeaders} from './attempt-headers.js';
 import type {AttemptAnswer} from './attempt.js';
+import {WholeEvents} from './whole-events.js';
 
 /**
  * How the relay of an answer ended: `whole`; `torn` after its first byte went to the
@@ -9,6 +14,14 @@
  */
 export type RelayEnd = 'whole' | 'torn' | 'lost' | 'cancelled';
 
+/** The link to the target of a stream that can be resumed. */
+export interface AnswerLink {
+  /** Opens the rest of the stream after event `after`; undefined where there is none. */
+  reopen(after: number): Promise<AttemptAnswer | undefined>;
+  /** Tells the target that the rest is not wanted. */
+  cancel(): void;
+}
+
 /** How an answer is relayed. */
 export interface RelayOptions {
   /** Headers that go to the caller beside the target's. */
@@ -23,6 +36,8 @@
   readonly outlivesCaller: boolean;
   /** Ends the relay, as at the request's deadline. */
   readonly signal: AbortSignal;
+  /** Given where a broken answer can be resumed. */
+  readonly link?: AnswerLink;
 }
 
 /** What became of an answer. */
@@ -48,8 +63,11 @@
 }
 
 class AnswerRelay {
-  private readonly end: AnswerEnd;
   private readonly status: number;
+  private readonly events: WholeEvents | undefined;
+  private end: AnswerEnd;
+  /** What is read now; undefined while the answer is being resumed. */
+  private message: IncomingMessage | undefined;
   private pending: Buffer[] = [];
   private pendingBytes = 0;
   private kept: Buffer[] | undefined = [];
@@ -66,17 +84,14 @@
     private readonly resolve: (relayed: Relayed) => void,
   ) {
     this.end = new AnswerEnd(answer, options.endsWithDone);
+    this.events = options.link && new WholeEvents();
     this.status = answer.message.statusCode ?? 502;
   }
 
   start(): void {
     const {answer, response, options} = this;
-    const {message} = answer;
-    message.on('data', (chunk: Buffer) => this.take(chunk));
-    message.on('end', () => this.finish());
-    message.on('error', () => this.breakOff());
-    message.on('close', () => this.breakOff());
-    response.on('drain', () => message.resume());
+    this.read(answer.message);
+    response.on('drain', () => this.message?.resume());
     response.on('close', () => this.loseCaller());
     options.signal.addEventListener('abort', this.abandon, {once: true});
     if (response.destroyed) {
@@ -87,18 +102,58 @@
     }
   }
 
+  private read(message: IncomingMessage): void {
+    this.message = message;
+    const ifCurrent = (act: () => void) => () => {
+      if (this.message === message) {
+        act();
+      }
+    };
+    message.on('data', (chunk: Buffer) => {
+      if (this.message === message) {
+        this.take(chunk);
+      }
+    });
+    message.on(
+      'end',
+      ifCurrent(() => this.finish()),
+    );
+    message.on(
+      'error',
+      ifCurrent(() => this.breakOff()),
+    );
+    message.on(
+      'close',
+      ifCurrent(() => this.breakOff()),
+    );
+    if (this.response.writableNeedDrain && !this.callerGone) {
+      message.pause();
+    }
+  }
+
   private take(chunk: Buffer): void {
+    const {events} = this;
     this.end.add(chunk);
-    this.keep(chunk);
+    this.pass(events === undefined ? chunk : events.add(chunk));
+    if (events?.isWrong === true) {
+      this.breakOff();
+    }
+  }
+
+  private pass(bytes: Buffer): void {
+    if (bytes.length === 0) {
+      return;
+    }
+    this.keep(bytes);
     if (this.callerGone) {
       return;
     }
     if (this.begun) {
-      this.write(chunk);
+      this.write(bytes);
       return;
     }
-    this.pending.push(chunk);
-    this.pendingBytes += chunk.length;
+    this.pending.push(bytes);
+    this.pendingBytes += bytes.length;
     if (this.pendingBytes > this.options.collectBytes) {
       this.begin({});
       this.flush();
@@ -129,7 +184,7 @@
 
   private write(chunk: Buffer): void {
     if (!this.response.write(chunk)) {
-      this.answer.message.pause();
+      this.message?.pause();
     }
   }
 
@@ -139,6 +194,7 @@
       return;
     }
     this.complete = true;
+    this.pass(this.events?.end() ?? Buffer.alloc(0));
     if (this.callerGone) {
       this.settle('whole');
       return;
@@ -162,9 +218,33 @@
   }
 
   private breakOff(): void {
-    if (!this.complete) {
+    if (this.complete || this.settled) {
+      return;
+    }
+    const {link} = this.options;
+    if (link === undefined || this.events?.isNumbered !== true) {
+      this.abandon();
+      return;
+    }
+    void this.resume(link, this.events);
+  }
+
+  private async resume(link: AnswerLink, events: WholeEvents): Promise<void> {
+    const broken = this.message;
+    this.message = undefined;
+    broken?.destroy();
+    events.restart();
+    const rest = await link.reopen(events.last);
+    if (this.settled) {
+      rest?.message.destroy();
+      return;
+    }
+    if (rest === undefined) {
       this.abandon();
+      return;
     }
+    this.end = new AnswerEnd(rest, this.options.endsWithDone);
+    this.read(rest.message);
   }
 
   private readonly abandon = () => {
@@ -175,7 +255,7 @@
     if (this.begun) {
       this.response.destroy();
     }
-    this.answer.message.destroy();
+    this.message?.destroy();
   };
 
   private loseCaller(): void {
@@ -186,11 +266,11 @@
     this.callerGone = true;
     this.pending = [];
     if (this.options.outlivesCaller && !this.complete) {
-      this.answer.message.resume();
+      this.message?.resume();
       return;
     }
     this.settle(this.options.outlivesCaller ? 'whole' : 'cancelled');
-    this.answer.message.destroy();
+    this.message?.destroy();
   }
 
   private settle(end: RelayEnd): void {
@@ -199,6 +279,9 @@
     }
     this.settled = true;
     this.options.signal.removeEventListener('abort', this.abandon);
+    if (end !== 'whole') {
+      this.options.link?.cancel();
+    }
     const body =
       end === 'whole' && this.kept !== undefined
         ? Buffer.concat(this.kept)
--- a/entry/dispatch/src/target-directory.ts
+++ b/entry/dispatch/src/target-directory.ts
@@ -49,6 +49,13 @@
     return agent && destinationOf(agent);
   }
 
+  /** Where a target can be reached now: it may have more than one agent for a while. */
+  reaching(target: string): Destination[] {
+    return this.members()
+      .filter(member => member.target?.name === target)
+      .map(destinationOf);
+  }
+
   /** Counts an attempt as sent until the returned function is called. */
   begin(target: string): () => void {
     this.sent.set(target, (this.sent.get(target) ?? 0) + 1);
--- a/entry/dispatch/test/fake-agent.ts
+++ b/entry/dispatch/test/fake-agent.ts
@@ -76,6 +76,7 @@
   contentType: string,
   body: string,
   hop: Hop = HOP,
+  headers: readonly string[] = [],
 ): string {
   const half = Math.ceil(body.length / 2);
   const chunks = [body.slice(0, half), body.slice(half)].filter(Boolean);
@@ -88,6 +89,7 @@
     `trailer: ${HOP_HEADERS.end}`,
     `${HOP_HEADERS.request}: ${hop.request}`,
     `${HOP_HEADERS.attempt}: ${hop.attempt}`,
+    ...headers,
     '',
     ...chunks.flatMap(chunk => [chunk.length.toString(16), chunk]),
     '0',
--- /dev/null
+++ b/entry/dispatch/test/resume.test.ts
@@ -0,0 +1,202 @@
+import http from 'node:http';
+import {expect} from 'chai';
+import {
+  relayAnswer,
+  WholeEvents,
+  type AnswerLink,
+  type Relayed,
+} from '@marigoldspur/dispatch';
+import {listen} from '@marigoldspur/http-link';
+import {HOP_HEADERS} from '@marigoldspur/messages';
+import {
+  agentAnswer,
+  attemptAt,
+  createClient,
+  HOP,
+  startFakeAgent,
+} from './fake-agent.js';
+
+const EVENTS = [
+  'id: 0\ndata: {"text":"a"}\n\n',
+  'id: 1\r\ndata: {"text":"b"}\r\n\r\n',
+  'id: 2\ndata: [DONE]\n\n',
+];
+const BODY = EVENTS.join('');
+const RESUMABLE = `${HOP_HEADERS.resumable}: 20000`;
+
+interface Story {
+  /** Bytes that the agent sends first, before it breaks off. */
+  readonly first: string;
+  /** Bytes for each resume after an event. */
+  readonly rest: (after: number) => string;
+}
+
+interface Seen {
+  /** What the caller got; undefined where it broke off. */
+  readonly body: string | undefined;
+  readonly relayed: Relayed | undefined;
+  /** Events after which the answer was resumed. */
+  readonly resumes: number[];
+  readonly cancels: number;
+}
+
+const client = createClient();
+after(() => client.close());
+
+function answerOf(body: string, ...headers: string[]): string {
+  const all = [RESUMABLE, ...headers];
+  return agentAnswer('text/event-stream', body, HOP, all);
+}
+
+function restAfter(after: number, from = after + 1): string {
+  const header = `${HOP_HEADERS.resumeAfter}: ${after}`;
+  return answerOf(EVENTS.slice(from).join(''), header);
+}
+
+/** Lets a caller ask an entry whose agent breaks off and resumes. */
+async function tell(story: Story): Promise<Seen> {
+  const resumes: number[] = [];
+  let cancels = 0;
+  const agent = await startFakeAgent((socket, received) => {
+    if (!received.includes('\r\n\r\n')) {
+      return;
+    }
+    const after = /resume-after: (-?\d+)/.exec(received)?.[1];
+    const bytes = after === undefined ? story.first : story.rest(Number(after));
+    socket.end(bytes, 'latin1');
+  });
+  const link: AnswerLink = {
+    reopen: async after => {
+      resumes.push(after);
+      const sent = await client.send(
+        attemptAt(agent, {resumeAfter: after, body: Buffer.alloc(0)}),
+      );
+      return sent.unwrapOr(undefined as never);
+    },
+    cancel: () => (cancels += 1),
+  };
+  let relayed: Relayed | undefined;
+  const server = http.createServer(async (_, response) => {
+    const sent = await client.send(attemptAt(agent));
+    if (sent.isErr) {
+      response.writeHead(502).end();
+      return;
+    }
+    relayed = await relayAnswer(sent.value, response, {
+      headers: {},
+      collectBytes: 0,
+      endsWithDone: true,
+      keepBytes: 1_000,
+      outlivesCaller: false,
+      signal: new AbortController().signal,
+      link,
+    });
+  });
+  const address = await listen(server, {host: '127.0.0.1', port: 0});
+  try {
+    const answer = await fetch(`http://127.0.0.1:${address.port}`);
+    const text = await answer.text().catch(() => undefined);
+    const body = answer.status === 200 ? text : undefined;
+    return {body, relayed, resumes, cancels};
+  } catch {
+    return {body: undefined, relayed, resumes, cancels};
+  } finally {
+    agent.stop();
+    server.close();
+    server.closeAllConnections();
+  }
+}
+
+it('resume: a stream cut at any byte of it goes on byte for byte', async () => {
+  const whole = answerOf(BODY);
+  const head = whole.indexOf('\r\n\r\n') + 4;
+  for (let cut = head; cut < whole.length; cut += 1) {
+    const seen = await tell({first: whole.slice(0, cut), rest: restAfter});
+    expect(seen.body, `cut at ${cut}`).to.equal(BODY);
+    expect(seen.relayed?.end, `cut at ${cut}`).to.equal('whole');
+    expect(seen.relayed?.body?.toString()).to.equal(BODY);
+    expect(seen.resumes, `cut at ${cut}`).to.have.length(1);
+  }
+});
+
+it('resume: a rest that is itself cut at any byte goes on byte for byte', async () => {
+  const first = answerOf(BODY);
+  const cutFirst = first.slice(0, first.indexOf('id: 1'));
+  const whole = restAfter(0);
+  for (let cut = 0; cut < whole.length; cut += 1) {
+    let tries = 0;
+    const rest = (after: number) => {
+      tries += 1;
+      return tries === 1 ? whole.slice(0, cut) : restAfter(after);
+    };
+    const seen = await tell({first: cutFirst, rest});
+    const headCame = cut >= whole.indexOf('\r\n\r\n') + 4;
+    expect(seen.body, `cut at ${cut}`).to.equal(headCame ? BODY : undefined);
+  }
+});
+
+it('resume: a rest that is doubled, gapped, crossed or of another attempt is refused', async () => {
+  const first = answerOf(BODY);
+  const cut = first.slice(0, first.indexOf('id: 2'));
+  const wrong: Array<(after: number) => string> = [
+    after => restAfter(after, 0),
+    after => restAfter(after, after),
+    () => restAfter(0),
+    () => answerOf(EVENTS[2]),
+    after => restAfter(after).replace(HOP.request, 'request-2'),
+    after => restAfter(after).replace('attempt: 1', 'attempt: 2'),
+    after => restAfter(after).replace('id: 2', 'id: 3'),
+  ];
+  for (const [index, rest] of wrong.entries()) {
+    let tries = 0;
+    const once = (after: number) => {
+      tries += 1;
+      return tries > 3 ? 'HTTP/1.1 500 no\r\n\r\n' : rest(after);
+    };
+    const seen = await tell({first: cut, rest: once});
+    expect(seen.body, `case ${index}`).to.equal(undefined);
+    expect(seen.relayed?.end, `case ${index}`).to.equal('torn');
+    expect(seen.cancels, `case ${index}`).to.equal(1);
+  }
+});
+
+it('resume: an answer that can’t go on is torn', async () => {
+  const first = answerOf(BODY);
+  const refusal = [
+    'HTTP/1.1 410 Gone',
+    `${HOP_HEADERS.outcome}: unknown`,
+    `${HOP_HEADERS.reason}: resume_gone`,
+    'content-length: 0',
+    '\r\n',
+  ].join('\r\n');
+  const cut = first.slice(0, first.indexOf('id: 1'));
+  const seen = await tell({first: cut, rest: () => refusal});
+  expect(seen.body).to.equal(undefined);
+  expect(seen.relayed?.end).to.equal('torn');
+});
+
+it('resume: a stream without numbers goes through as it comes', async () => {
+  const plain = 'data: {"text":"a"}\n\ndata: [DONE]\n\n';
+  const whole = await tell({first: answerOf(plain), rest: restAfter});
+  expect(whole.body).to.equal(plain);
+  const bytes = answerOf(plain);
+  const cut = bytes.slice(0, bytes.indexOf('[DONE]'));
+  const seen = await tell({first: cut, rest: restAfter});
+  expect(seen.body).to.equal(undefined);
+  expect(seen.resumes).to.deep.equal([]);
+});
+
+it('resume: events pass alike in whatever pieces they come', () => {
+  const bytes = Buffer.from(BODY);
+  for (let size = 1; size <= bytes.length; size += 1) {
+    const events = new WholeEvents();
+    const passed: Buffer[] = [];
+    for (let at = 0; at < bytes.length; at += size) {
+      passed.push(events.add(bytes.subarray(at, at + size)));
+    }
+    const before = Buffer.concat(passed).toString();
+    expect(before, `pieces of ${size}`).to.equal(EVENTS[0] + EVENTS[1]);
+    expect(events.last).to.equal(1);
+    expect(events.end().toString()).to.equal(EVENTS[2]);
+  }
+});
--- a/entry/entry-server/src/answer-sender.ts
+++ b/entry/entry-server/src/answer-sender.ts
@@ -3,6 +3,8 @@
 import {
   answerHeaders,
   relayAnswer,
+  resumableFor,
+  type AnswerLink,
   type AttemptAnswer,
   type Relayed,
 } from '@marigoldspur/dispatch';
@@ -39,22 +41,25 @@
     job: Job,
     answer: AttemptAnswer,
     response: ServerResponse,
+    link?: AnswerLink,
   ): Promise<Result<StoredAnswer | undefined, Refusal>> {
     const {metrics} = this.options;
     const contentType = answer.message.headers['content-type'] ?? '';
     const streamed = contentType.startsWith('text/event-stream');
     const waited = performance.now() - job.startedAt;
     metrics.answered(job.request.service, waited / 1_000);
+    const endsWithDone =
+      streamed &&
+      job.request.kind === 'model' &&
+      answer.message.statusCode === 200;
     const relayed = await relayAnswer(answer, response, {
       headers: {'x-request-id': job.id},
       collectBytes: streamed ? 0 : MAX_COLLECTED_BYTES,
-      endsWithDone:
-        streamed &&
-        job.request.kind === 'model' &&
-        answer.message.statusCode === 200,
+      endsWithDone,
       keepBytes: job.key === undefined ? 0 : MAX_STORED_ANSWER_BYTES,
       outlivesCaller: !isRepeatable(job),
       signal: job.signal,
+      link: endsWithDone && resumableFor(answer.message) > 0 ? link : undefined,
     });
     return this.conclude(job, answer, relayed);
   }
--- a/entry/entry-server/src/attempt-runner.ts
+++ b/entry/entry-server/src/attempt-runner.ts
@@ -20,6 +20,7 @@
 import {formatModel} from '@marigoldspur/settings-schema';
 import type {AnswerSender} from './answer-sender.js';
 import {budgetMs, isRepeatable, type Job} from './job.js';
+import {StreamLink} from './stream-link.js';
 
 /** What an attempt runner works with. */
 export interface AttemptRunnerOptions {
@@ -123,20 +124,36 @@
     attempt: number,
     response: ServerResponse,
   ): Promise<RunEnd> {
-    const {directory, events} = this.options;
+    const {answers, directory, events} = this.options;
     const {target} = destination;
     const end = directory.begin(target);
     events.record('request-dispatched', {attempt, target}, job.id);
     try {
       const sent = await this.send(job, destination, attempt);
-      return sent.isErr
-        ? Result.err(sent.error)
-        : await this.options.answers.send(job, sent.value, response);
+      if (sent.isErr) {
+        this.cancelIfGone(job, destination, attempt);
+        return Result.err(sent.error);
+      }
+      const answer = sent.value;
+      const link = new StreamLink({...this.options, job, destination, answer});
+      return await answers.send(job, answer, response, link);
     } finally {
       end();
     }
   }
 
+  /** A stream whose head was on its way would else be kept for a resume. */
+  private cancelIfGone(
+    job: Job,
+    destination: Destination,
+    attempt: number,
+  ): void {
+    if (job.signal.aborted && job.request.kind === 'model') {
+      const hop = hopOf(job, destination.target, attempt);
+      this.options.attempts.cancel(hop, destination);
+    }
+  }
+
   private async send(
     job: Job,
     destination: Destination,
--- /dev/null
+++ b/entry/entry-server/src/stream-link.ts
@@ -0,0 +1,112 @@
+import {setTimeout as pause} from 'node:timers/promises';
+import {
+  resumableFor,
+  type AnswerLink,
+  type AttemptAnswer,
+  type AttemptClient,
+  type Destination,
+  type TargetDirectory,
+} from '@marigoldspur/dispatch';
+import type {EventLog} from '@marigoldspur/event-log';
+import {retryPauseMs} from '@marigoldspur/retries';
+import {budgetMs, type Job} from './job.js';
+
+/** What a stream link works with. */
+export interface StreamLinkOptions {
+  readonly job: Job;
+  /** Where the stream began. */
+  readonly destination: Destination;
+  /** The beginning of the stream. */
+  readonly answer: AttemptAnswer;
+  readonly directory: Pick<TargetDirectory, 'reaching'>;
+  readonly attempts: Pick<AttemptClient, 'send' | 'cancel'>;
+  readonly events: EventLog;
+  /** Gives numbers from 0 up to, not including, 1. */
+  readonly random: () => number;
+}
+
+/** Links that may break one after another without a further event. */
+const MAX_EMPTY_LINKS = 5;
+/** The engine no longer has the stream, so that asking again is of no use. */
+const GONE = 'resume_gone';
+
+/** The link to the target of a stream, which can be opened again where it stood. */
+export class StreamLink implements AnswerLink {
+  private destination: Destination;
+  private lastAfter = -2;
+  private emptyLinks = 0;
+
+  constructor(private readonly options: StreamLinkOptions) {
+    this.destination = options.destination;
+  }
+
+  /**
+   * Opens the rest of the stream at its target, whichever agent is beside it now, for as
+   * long as the target said that it keeps the stream.
+   */
+  async reopen(after: number): Promise<AttemptAnswer | undefined> {
+    const {answer, events, job, random} = this.options;
+    const {attempt} = answer.hop;
+    events.record('stream-broken', {attempt, after}, job.id);
+    this.emptyLinks = after === this.lastAfter ? this.emptyLinks + 1 : 0;
+    this.lastAfter = after;
+    const deadline = performance.now() + resumableFor(answer.message);
+    let tries = 0;
+    while (this.mayTry(deadline)) {
+      const rest = await this.open(after, tries, deadline);
+      if (rest === 'gone') {
+        break;
+      }
+      if (rest !== undefined) {
+        events.record('stream-resumed', {attempt, after}, job.id);
+        return rest;
+      }
+      tries += 1;
+      await pause(retryPauseMs(tries + 1, random()));
+    }
+    events.record('stream-torn', {attempt, after}, job.id);
+    return undefined;
+  }
+
+  /** Tells the target that the rest is not wanted. */
+  cancel(): void {
+    const {answer, attempts} = this.options;
+    attempts.cancel(answer.hop, this.destination);
+  }
+
+  private mayTry(deadline: number): boolean {
+    return (
+      !this.options.job.signal.aborted &&
+      this.emptyLinks < MAX_EMPTY_LINKS &&
+      performance.now() < deadline
+    );
+  }
+
+  private async open(
+    after: number,
+    tries: number,
+    deadline: number,
+  ): Promise<AttemptAnswer | 'gone' | undefined> {
+    const {answer, attempts, directory, job} = this.options;
+    const {target} = this.options.destination;
+    const reaching = [this.destination, ...directory.reaching(target)];
+    const destination = reaching[tries % reaching.length];
+    const now = performance.now();
+    const sent = await attempts.send({
+      hop: {...answer.hop, budgetMs: budgetMs(job, now)},
+      destination,
+      method: 'GET',
+      url: job.request.url,
+      headers: {},
+      body: Buffer.alloc(0),
+      signal: job.signal,
+      firstByteTimeoutMs: deadline - now,
+      resumeAfter: after,
+    });
+    if (sent.isErr) {
+      return sent.error.reason === GONE ? 'gone' : undefined;
+    }
+    this.destination = destination;
+    return sent.value;
+  }
+}
