--- a/lab/lab/src/system.ts
+++ b/lab/lab/src/system.ts
@@ -40,6 +40,8 @@
   readonly keys?: SystemKeys;
   /** Requests in one batch of an engine. */
   readonly batchLimit?: number;
+  /** How long an engine keeps a broken stream, in milliseconds; 0 for not at all. */
+  readonly resumeMs?: number;
 }
 
 /** A target with its agent. */
@@ -254,6 +256,7 @@
     ...['--store-url', `${LOOPBACK}:${storePort}`],
     ...['--first-token-ms', String(options.firstTokenMs ?? 20)],
     ...['--token-ms', String(options.tokenMs ?? 5)],
+    ...['--resume-ms', String(options.resumeMs ?? 0)],
   ]);
 }
 
