--- a/lab/lab/src/commands/stand-in-commands.ts
+++ b/lab/lab/src/commands/stand-in-commands.ts
@@ -33,6 +33,9 @@
   checksFence: BOOLEAN_SCHEMA.default(true).describe(
     'Whether orders with an old fencing number are refused',
   ),
+  resumeMs: DURATION_MS_SCHEMA.default(0).describe(
+    'How long a broken stream is kept, in milliseconds; 0 for not at all',
+  ),
 });
 
 const SERVICE_SCHEMA = z.object({
--- a/lab/lab/src/system.ts
+++ b/lab/lab/src/system.ts
@@ -59,6 +59,8 @@
   readonly zones?: readonly string[];
   /** What lies between control, entries and agents; loopback alone by default. */
   readonly network?: Network;
+  /** How long an engine keeps a broken stream, in milliseconds; 0 for not at all. */
+  readonly resumeMs?: number;
 }
 
 /** A target with its agent. */
@@ -378,6 +380,7 @@
     ...['--store-url', `${LOOPBACK}:${storePort}`],
     ...['--first-token-ms', String(options.firstTokenMs ?? 20)],
     ...['--token-ms', String(options.tokenMs ?? 5)],
+    ...['--resume-ms', String(options.resumeMs ?? 0)],
   ]);
 }
 
