Measure the path below saturation, and the times between tokens

The bench of the path only knew callers that send as fast as they can, where 16 of them keep one entry's thread busy and wait for each other.

--- a/lab/path-bench/src/call-round.ts
+++ b/lab/path-bench/src/call-round.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import {setTimeout as pause} from 'node:timers/promises';
 import {build} from 'hdr-histogram-js';
 
 /** Options of one round of calls. */
@@ -11,6 +12,8 @@
   readonly calls: number;
   /** Adapter and version, `adapter@version`. */
   readonly model: string;
+  /** Calls of all callers in a second; as many as possible without it. */
+  readonly perSecond?: number;
 }
 
 /** What one round of calls took. */
@@ -20,6 +23,7 @@
   readonly perSecond: number;
 }
 
+const MS_PER_SECOND = 1_000;
 const MICROS_PER_MS = 1_000;
 const HIGHEST_MICROS = 60_000_000;
 
@@ -32,27 +36,43 @@
     messages: [{role: 'user', content: 'Draft the recap.'}],
   });
   const histogram = build({highestTrackableValue: HIGHEST_MICROS});
+  const {calls, callers, perSecond} = options;
   const startedAt = performance.now();
-  let left = options.calls;
+  let next = 0;
   const caller = async () => {
-    while (left > 0) {
-      left -= 1;
-      const sentAt = performance.now();
+    while (next < calls) {
+      const call = next;
+      next += 1;
+      const sentAt = await turn(startedAt, call, perSecond);
       await complete(options.url, body, agent);
       const tookMs = performance.now() - sentAt;
       histogram.recordValue(Math.round(tookMs * MICROS_PER_MS));
     }
   };
-  await Promise.all(Array.from({length: options.callers}, caller));
-  const tookSeconds = (performance.now() - startedAt) / 1_000;
+  await Promise.all(Array.from({length: callers}, caller));
+  const tookSeconds = (performance.now() - startedAt) / MS_PER_SECOND;
   agent.destroy();
   return {
     p50Ms: histogram.getValueAtPercentile(50) / MICROS_PER_MS,
     p99Ms: histogram.getValueAtPercentile(99) / MICROS_PER_MS,
-    perSecond: options.calls / tookSeconds,
+    perSecond: calls / tookSeconds,
   };
 }
 
+/** Waits for the turn of a call; resolves to the time from which it is measured. */
+async function turn(
+  startedAt: number,
+  call: number,
+  perSecond: number | undefined,
+): Promise<number> {
+  if (perSecond === undefined) {
+    return performance.now();
+  }
+  const dueAt = startedAt + (call * MS_PER_SECOND) / perSecond;
+  await pause(Math.max(0, dueAt - performance.now()));
+  return performance.now();
+}
+
 function complete(url: string, body: string, agent: http.Agent): Promise<void> {
   return new Promise((resolve, reject) => {
     const headers = {
--- a/lab/path-bench/src/index.ts
+++ b/lab/path-bench/src/index.ts
@@ -1,2 +1,6 @@
 export {callRound, type Round, type RoundOptions} from './call-round.js';
-export {processCost, type ProcessCost} from './process-cost.js';
+export {
+  streamRound,
+  type StreamRound,
+  type StreamRoundOptions,
+} from './stream-round.js';
--- /dev/null
+++ b/lab/path-bench/src/report-lines.ts
@@ -0,0 +1,34 @@
+import type {Round} from './call-round.js';
+
+/** One line that compares direct calls with calls through the whole path. */
+export function comparison(what: string, direct: Round, path: Round): string {
+  const added = path.p50Ms - direct.p50Ms;
+  const ratio = path.p50Ms / direct.p50Ms;
+  return [
+    `${what}:`,
+    `direct p50 ${direct.p50Ms.toFixed(2)} p99 ${direct.p99Ms.toFixed(2)} ms,`,
+    `path p50 ${path.p50Ms.toFixed(2)} p99 ${path.p99Ms.toFixed(2)} ms,`,
+    `added p50 ${added.toFixed(2)} p99 ${(path.p99Ms - direct.p99Ms).toFixed(2)} ms,`,
+    `ratio ${ratio.toFixed(2)},`,
+    `${Math.round(direct.perSecond)} and ${Math.round(path.perSecond)} calls/s`,
+  ].join(' ');
+}
+
+/** A line for each process with the CPU time that one unit of work took. */
+export function costLines(
+  cpuMicros: ReadonlyMap<string, number>,
+  units: number,
+  unit: string,
+): string {
+  return [...cpuMicros]
+    .map(
+      ([name, micros]) =>
+        `  ${name}: ${(micros / units).toFixed(1)} us of CPU a ${unit}`,
+    )
+    .join('\n');
+}
+
+/** Prints lines of the report. */
+export function print(lines: string): void {
+  process.stdout.write(`${lines}\n`);
+}
