One request for each link of the log, and a clock that wakes when something is due

Cause: each heartbeat was a tRPC call of its own, at some 1.1 ms of processor time (headers, Request, Response, web streams, an abort timer and a wait of 500 ms that was never cancelled); and each replica woke 20 times a second to look whether anything was due.

Deliveries now go one after the other over one long-lived request a link: its body has a delivery a line, the body of the response an answer a line, both checked by their schemas. What a delivery means, one at a time, all that waits together, given up after an election timeout, is as before; a link that falls silent is opened anew. tRPC stays for the question who answers at a URL. The clock wakes at the earliest of heartbeat, election, news of a commit and retry of a read.

Found on the way: a broken line left the connection open, since a request that is ended early has given up its socket by then; the test for it failed first. The tests of links fail where a new request is opened for each delivery, and where a silent stream is kept. The three-process stories (6) pass.

--- a/control/consensus/src/consensus.ts
+++ b/control/consensus/src/consensus.ts
@@ -91,6 +91,11 @@
     return this.leadership?.isReady ?? false;
   }
 
+  /** When `tick` and `takeMessages` are next to be called, if nothing else happens. */
+  get dueAt(): number {
+    return this.leadership?.dueAt ?? this.elections.dueAt;
+  }
+
   /** The term of an entry; undefined where it is compacted away or not there. */
   termAt(index: number): number | undefined {
     return this.state.log.termAt(index);
--- a/control/consensus/src/elections.ts
+++ b/control/consensus/src/elections.ts
@@ -22,6 +22,11 @@
     this.timer.reset(now);
   }
 
+  /** When `tick` is next to be called. */
+  get dueAt(): number {
+    return this.timer.dueAt;
+  }
+
   /** Holds an election where no leader was heard for long. */
   tick(now: number): void {
     if (!this.timer.isDue(now)) {
--- a/control/consensus/src/index.ts
+++ b/control/consensus/src/index.ts
@@ -27,7 +27,6 @@
   Recovered,
   Role,
 } from './replica-content.js';
-export {COMMIT_ANNOUNCE_MS} from './replication.js';
 export {SafetyRules} from './safety-rules.js';
 export {
   nextConfiguration,
--- a/control/consensus/src/leadership.ts
+++ b/control/consensus/src/leadership.ts
@@ -62,6 +62,11 @@
     return this.transfers.wantsSnapshot;
   }
 
+  /** When `tick` and `sendDue` are next to be called. */
+  get dueAt(): number {
+    return this.replication.dueAt;
+  }
+
   /** What is known about a replica. */
   progressOf(id: string): Readonly<Progress> | undefined {
     return this.table.get(id);
--- a/control/consensus/src/replication.ts
+++ b/control/consensus/src/replication.ts
@@ -6,7 +6,7 @@
 import type {SnapshotTransfers} from './snapshot-transfers.js';
 
 /** How long a commit waits for an entry to carry it to the others. */
-export const COMMIT_ANNOUNCE_MS = 10;
+const COMMIT_ANNOUNCE_MS = 10;
 
 const MAX_APPEND_BYTES = 1_048_576;
 const MAX_APPEND_ENTRIES = 512;
@@ -35,6 +35,11 @@
     return this.currentRound;
   }
 
+  /** When the next heartbeat or the news of a commit is due. */
+  get dueAt(): number {
+    return Math.min(this.heartbeatAt, this.announceAt);
+  }
+
   /** Whether the next heartbeat is due. */
   isHeartbeatDue(now: number): boolean {
     return now >= this.heartbeatAt;
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -20,7 +20,7 @@
   const shell = await ProcessShell.open('control', settings);
   const {boot, events, security} = shell;
   const machine = new ControlMachine();
-  const {log, router} = await openReplicatedLog(machine, {
+  const {log, router, deliveries} = await openReplicatedLog(machine, {
     folder: path.join(settings.dataFolder, 'log'),
     url: settings.advertisedUrl ?? ownUrl(settings, security.scheme),
     peers: settings.peers,
@@ -49,6 +49,7 @@
   });
   const url = await shell.serve({
     routers: {control: controlRouter(desk), log: router},
+    fallback: deliveries,
     revision: () => machine.settings.revision,
     isReady: () => log.isReady(),
     facts: () => {
--- a/control/log-links/src/index.ts
+++ b/control/log-links/src/index.ts
@@ -1,3 +1,4 @@
+export {deliveryHandler} from './delivery-handler.js';
 export {ReplicaLink, type ReplicaLinkOptions} from './replica-link.js';
 export {replicaRouter, type ReplicaRouter} from './replica-router.js';
 export {
--- a/control/log-links/src/replica-link.ts
+++ b/control/log-links/src/replica-link.ts
@@ -2,6 +2,7 @@
 import {createTRPCClient, httpLink} from '@trpc/client';
 import type {Message, ReplicaAddress} from '@marigoldspur/consensus';
 import {linkFetch} from '@marigoldspur/http-link';
+import {DeliveryStream} from './delivery-stream.js';
 import type {ReplicaRouter} from './replica-router.js';
 import type {DeliveryAnswer, ReplicaIdentity} from './replica-service.js';
 
@@ -21,9 +22,11 @@
 /** Messages that may wait; the oldest are dropped, as a network may drop any. */
 const MAX_WAITING = 4_096;
 
-/** Sends messages to one replica, one delivery at a time, all that wait together. */
+/** Sends messages to one replica over one stream: one delivery at a time, all that wait together. */
 export class ReplicaLink {
+  /** Asks for the identity only; deliveries have a stream of their own. */
   private readonly client;
+  private stream: DeliveryStream | undefined;
   private waiting: Message[] = [];
   private sending = false;
   /** Deliveries from the other side that are in work: their answers carry our messages. */
@@ -77,6 +80,7 @@
   close(): void {
     this.waiting = [];
     this.closed = true;
+    this.stream?.end();
   }
 
   private async send(): Promise<void> {
@@ -91,17 +95,20 @@
   }
 
   private async deliver(messages: Message[]): Promise<void> {
-    const answer = await this.client.deliver
-      .mutate(
-        {from: this.options.from, messages},
-        {signal: AbortSignal.timeout(this.options.timeoutMs)},
-      )
-      .catch(() => undefined);
-    if (answer !== undefined) {
-      this.options.onAnswer(answer as DeliveryAnswer);
+    const {from, onAnswer} = this.options;
+    const answer = await this.openStream().deliver({from, messages});
+    if (answer !== undefined && !this.closed) {
+      onAnswer(answer);
     }
   }
 
+  private openStream(): DeliveryStream {
+    if (this.stream === undefined || this.stream.isEnded) {
+      this.stream = new DeliveryStream(this.options);
+    }
+    return this.stream;
+  }
+
   private take(): Message[] {
     const taken = this.waiting;
     this.waiting = [];
--- a/control/log-links/src/replica-service.ts
+++ b/control/log-links/src/replica-service.ts
@@ -1,32 +1,35 @@
 import {z} from 'zod';
-import {
-  MESSAGE_SCHEMA,
-  REPLICA_ADDRESS_SCHEMA,
-  type Message,
-} from '@marigoldspur/consensus';
+import {MESSAGE_SCHEMA, REPLICA_ADDRESS_SCHEMA} from '@marigoldspur/consensus';
 
 const MAX_MESSAGES = 16_384;
+const MESSAGES_SCHEMA = z.array(MESSAGE_SCHEMA).max(MAX_MESSAGES).readonly();
 
 /** Messages from one replica to another. */
 export const DELIVERY_SCHEMA = z.object({
   from: REPLICA_ADDRESS_SCHEMA,
-  messages: z.array(MESSAGE_SCHEMA).max(MAX_MESSAGES),
+  messages: MESSAGES_SCHEMA,
 });
 
 /** Messages from one replica to another. */
 export type Delivery = z.infer<typeof DELIVERY_SCHEMA>;
 
 /** Who answers at a URL. */
-export interface ReplicaIdentity {
-  readonly id: string;
+export const REPLICA_IDENTITY_SCHEMA = z.object({
+  id: z.string().min(1).max(64),
   /** The group that the replica belongs to; empty for none. */
-  readonly group: string;
-}
+  group: z.string().max(64),
+});
+
+/** Who answers at a URL. */
+export type ReplicaIdentity = z.infer<typeof REPLICA_IDENTITY_SCHEMA>;
 
 /** The answer to a delivery: messages for its sender, once all it asked is synced. */
-export interface DeliveryAnswer extends ReplicaIdentity {
-  readonly messages: readonly Message[];
-}
+export const DELIVERY_ANSWER_SCHEMA = REPLICA_IDENTITY_SCHEMA.extend({
+  messages: MESSAGES_SCHEMA,
+});
+
+/** The answer to a delivery. */
+export type DeliveryAnswer = z.infer<typeof DELIVERY_ANSWER_SCHEMA>;
 
 /** What a replica does for the others of its group. */
 export interface ReplicaService {
--- /dev/null
+++ b/control/log-links/test/line-reader.test.ts
@@ -0,0 +1,24 @@
+import {expect} from 'chai';
+import {LineReader, LineTooLong} from '../src/line-reader.js';
+
+const TEXT = 'first\nsecond é line\n\nlast\n';
+const LINES = ['first', 'second é line', '', 'last'];
+
+it('lines: are whole wherever the stream is cut', () => {
+  const bytes = Buffer.from(TEXT);
+  for (let size = 1; size <= bytes.length; size += 1) {
+    const reader = new LineReader(100);
+    const lines: string[] = [];
+    for (let at = 0; at < bytes.length; at += size) {
+      lines.push(...reader.take(bytes.subarray(at, at + size)));
+    }
+    expect(lines).to.deep.equal(LINES);
+  }
+});
+
+it('lines: one that is too long is refused before it is held', () => {
+  const reader = new LineReader(10);
+  expect(reader.take(Buffer.from('0123456789\n'))).to.have.length(1);
+  reader.take(Buffer.from('01234'));
+  expect(() => reader.take(Buffer.from('567890'))).to.throw(LineTooLong);
+});
--- a/control/replicated-log/src/batch-writer.ts
+++ b/control/replicated-log/src/batch-writer.ts
@@ -52,6 +52,17 @@
     });
   }
 
+  /** As `flushed`, but waits at most a time, in milliseconds. */
+  flushedWithin(waitMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, waitMs);
+      void this.flushed().then(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
   /** Ends after the batch in work; a batch that waits for room is given up. */
   async stop(): Promise<void> {
     this.stopped = true;
--- a/control/replicated-log/src/log-replica.ts
+++ b/control/replicated-log/src/log-replica.ts
@@ -2,7 +2,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import {
-  COMMIT_ANNOUNCE_MS,
   majority,
   type Batch,
   type Consensus,
@@ -27,6 +26,7 @@
 import {RepairDesk} from './repair-desk.js';
 import type {LogStatus, ReplicatedLog, StateMachine} from './replicated-log.js';
 import {SnapshotKeeper} from './snapshot-keeper.js';
+import {WakeTimer} from './wake-timer.js';
 
 /** Settings of a replica, all filled in. */
 export interface ReplicaSettings {
@@ -55,7 +55,7 @@
   readonly storage: LogStorage;
 }
 
-const TICK_MS = 50;
+const HAND_OVER_POLL_MS = 50;
 const REPAIR_MS = 250;
 const READ_RETRY_MS = 250;
 const ANSWER_WAIT_MS = 500;
@@ -74,11 +74,11 @@
   private readonly snapshots: SnapshotKeeper;
   private readonly leaderWatch: LeaderWatch;
   private readonly driver: MachineDriver<Command, Answer>;
-  private readonly timers: NodeJS.Timeout[];
+  private readonly clock = new WakeTimer(() => this.tick());
+  private readonly repairTimer: NodeJS.Timeout;
   private pumping = false;
   private stopping = false;
   private ready = false;
-  private announcedCommit = 0;
 
   constructor(
     private readonly parts: ReplicaParts<Command, Answer>,
@@ -136,10 +136,8 @@
         this.repairs.committed(before, after, index),
       onInstalled: index => this.snapshots.installed(index),
     });
-    this.timers = [
-      setInterval(() => this.tick(), TICK_MS),
-      setInterval(() => this.tickSlowly(), REPAIR_MS),
-    ];
+    this.repairTimer = setInterval(() => this.tickSlowly(), REPAIR_MS);
+    this.keepTime(performance.now());
   }
 
   async propose(command: Command): Promise<Result<Answer, Fault>> {
@@ -193,7 +191,7 @@
     this.links.noteSender(from);
     const messages = await this.links.to(from.url).answer(async () => {
       this.take(delivery.messages);
-      await Promise.race([this.writer.flushed(), delay(ANSWER_WAIT_MS)]);
+      await this.writer.flushedWithin(ANSWER_WAIT_MS);
     });
     return {...this.identity(), messages};
   }
@@ -201,7 +199,8 @@
   async stop(): Promise<void> {
     this.stopping = true;
     await this.leave();
-    this.timers.forEach(timer => clearInterval(timer));
+    clearInterval(this.repairTimer);
+    this.clock.stop();
     await this.writer.stop();
     this.proposals.failOthers(undefined);
     this.reads.fail(new Fault('STOPPING', 'the replica is stopping'));
@@ -253,17 +252,14 @@
     this.driver.apply();
     this.answerReads();
     this.noteLeader();
-    this.announceCommits();
     this.writer.start();
+    this.keepTime(now);
   }
 
-  /** Comes back once commits are to be told that no entry has carried. */
-  private announceCommits(): void {
-    const {role, commitIndex} = this.consensus;
-    if (role === 'leader' && commitIndex > this.announcedCommit) {
-      this.announcedCommit = commitIndex;
-      setTimeout(() => this.pump(), COMMIT_ANNOUNCE_MS + 1).unref();
-    }
+  /** Sees to it that `tick` runs when something is due. */
+  private keepTime(now: number): void {
+    this.clock.wakeBy(this.consensus.dueAt, now);
+    this.clock.wakeBy(this.reads.dueAt(now), now);
   }
 
   // Messages.
@@ -346,7 +342,7 @@
     const deadline = performance.now() + this.settings.electionTimeoutMs;
     this.pump();
     while (this.leaderWatch.isLeader && performance.now() < deadline) {
-      await delay(TICK_MS);
+      await delay(HAND_OVER_POLL_MS);
     }
   }
 
--- a/control/replicated-log/src/open-replicated-log.ts
+++ b/control/replicated-log/src/open-replicated-log.ts
@@ -2,7 +2,11 @@
 import {Consensus} from '@marigoldspur/consensus';
 import type {EventLog} from '@marigoldspur/event-log';
 import {toFault, type Fault} from '@marigoldspur/faults';
-import {replicaRouter, type ReplicaRouter} from '@marigoldspur/log-links';
+import {
+  deliveryHandler,
+  replicaRouter,
+  type ReplicaRouter,
+} from '@marigoldspur/log-links';
 import {openLogStorage, type FileSystem} from '@marigoldspur/log-storage';
 import {LogReplica} from './log-replica.js';
 import type {ReplicatedLog, StateMachine} from './replicated-log.js';
@@ -40,6 +44,8 @@
   readonly log: ReplicatedLog<Command, Answer>;
   /** Served by the process under `/trpc/log/`. */
   readonly router: ReplicaRouter;
+  /** Takes the deliveries of the other replicas; answers 404 to anything else. */
+  readonly deliveries: http.RequestListener;
 }
 
 const DEFAULT_ELECTION_TIMEOUT_MS = 1_000;
@@ -104,5 +110,9 @@
       onFatal: options.onFatal,
     },
   );
-  return {log: replica, router: replicaRouter(replica)};
+  return {
+    log: replica,
+    router: replicaRouter(replica),
+    deliveries: deliveryHandler(replica),
+  };
 }
--- a/control/replicated-log/src/pending-reads.ts
+++ b/control/replicated-log/src/pending-reads.ts
@@ -22,6 +22,11 @@
     },
   ) {}
 
+  /** When `tick` is next to be called; each read needs it within the time of a retry. */
+  dueAt(now: number): number {
+    return this.reads.size === 0 ? Infinity : now + this.options.retryMs;
+  }
+
   /** Starts a read at time `now`; `ask` sends its key to the leader. */
   add(
     ask: (key: string) => void,
--- a/lab/log-trials/src/measure-log.ts
+++ b/lab/log-trials/src/measure-log.ts
@@ -64,7 +64,7 @@
   peers: readonly string[],
   folder: string,
 ) {
-  const {log, router} = await openReplicatedLog(new Counter(), {
+  const {log, router, deliveries} = await openReplicatedLog(new Counter(), {
     folder: path.join(folder, String(port)),
     url: `http://127.0.0.1:${port}`,
     peers,
@@ -74,8 +74,11 @@
       throw fault;
     },
   });
-  const server = http.createServer(
-    createHTTPHandler({router, basePath: BASE_PATH}),
+  const answer = createHTTPHandler({router, basePath: BASE_PATH});
+  const server = http.createServer((request, response) =>
+    request.url?.startsWith(BASE_PATH)
+      ? answer(request, response)
+      : deliveries(request, response),
   );
   await listen(server, {host: '127.0.0.1', port});
   return {log, server};
