Make the report of a repair a step of the log

Event 244 came from a list in the memory of each replica, which the leader of the moment worked off: it came twice when the leader changed in between, and not at all when both had restarted. A configuration now names the voters whose repair is not confirmed; once such a voter holds, synced, all that is committed, the entry that made it a voter included, the leader commits a configuration without it there, and each replica records the event as it applies that entry, as it does with 241 to 243. Entries of before lack the list and read as having none.

Tests: in the model a replacement counts and is called repaired only with all that is committed on its disk (fails with "a replacement counts before it is caught up" in the random runs, and with "a repair is done before its replacement is caught up" in a story), and after healing each replacement that counts was reported (fails in the 14th run with the confirmation left out).

--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -157,7 +157,7 @@
     number: 244,
     level: 'info',
     meaning:
-      'A new voter holds all that is committed, synced: the repair is done.',
+      'A new voter holds, synced, all that is committed: the repair is done. Each replica records it as it applies that entry of the log, again after a restart; `index` names the repair.',
   },
   'snapshot-saved': {
     number: 245,
--- a/control/consensus/src/configuration.ts
+++ b/control/consensus/src/configuration.ts
@@ -15,6 +15,8 @@
 export const CONFIGURATION_SCHEMA = z.object({
   voters: z.array(REPLICA_ADDRESS_SCHEMA),
   learners: z.array(REPLICA_ADDRESS_SCHEMA),
+  /** Voters whose repair is not known to be done; none in entries of earlier versions. */
+  unconfirmed: z.array(REPLICA_ADDRESS_SCHEMA).optional(),
 });
 
 /** The replicas of a group. */
--- a/control/consensus/src/index.ts
+++ b/control/consensus/src/index.ts
@@ -30,6 +30,7 @@
 export {SafetyRules} from './safety-rules.js';
 export {
   nextConfiguration,
+  repairedBetween,
   type RepairView,
   type Sighting,
 } from './repair-plan.js';
--- a/control/consensus/src/repair-plan.ts
+++ b/control/consensus/src/repair-plan.ts
@@ -1,4 +1,5 @@
 import {
+  isVoter,
   replicasOf,
   type Configuration,
   type ReplicaAddress,
@@ -21,34 +22,58 @@
 }
 
 /**
- * The next step towards a voter at each configured URL; undefined when there is
- * none to take. A replica that answers with an unknown identity becomes a
+ * The next step towards a caught-up voter at each configured URL; undefined when
+ * there is none to take. A replica that answers with an unknown identity becomes a
  * learner; once it is caught up, the voter that it replaces leaves first, so that
- * a copy that is gone never counts in a majority beside its replacement.
+ * a copy that is gone never counts in a majority beside its replacement. The last
+ * step confirms that it holds the entry too by which it became a voter.
  */
 export function nextConfiguration(view: RepairView): Configuration | undefined {
-  return promotion(view) ?? admission(view);
+  return confirmation(view) ?? promotion(view) ?? admission(view);
+}
+
+/** The replicas whose repair a change of the configuration declares done. */
+export function repairedBetween(
+  before: Configuration,
+  after: Configuration,
+): ReplicaAddress[] {
+  return (before.unconfirmed ?? []).filter(
+    ({id}) =>
+      isVoter(after, id) &&
+      !(after.unconfirmed ?? []).some(other => other.id === id),
+  );
+}
+
+function confirmation(view: RepairView): Configuration | undefined {
+  const {configuration} = view;
+  const {unconfirmed = []} = configuration;
+  const waiting = unconfirmed.filter(({id}) => !view.isCaughtUp(id));
+  return waiting.length < unconfirmed.length
+    ? {...configuration, unconfirmed: waiting}
+    : undefined;
 }
 
 function promotion(view: RepairView): Configuration | undefined {
-  const {voters, learners} = view.configuration;
+  const {voters, learners, unconfirmed = []} = view.configuration;
   const learner = learners.find(({id}) => view.isCaughtUp(id));
   if (learner === undefined) {
     return undefined;
   }
   const remaining = voters.filter(voter => voter.url !== learner.url);
+  const replaced = unconfirmed.filter(({url}) => url !== learner.url);
   if (remaining.length < voters.length) {
-    return {voters: remaining, learners};
+    return {voters: remaining, learners, unconfirmed: replaced};
   }
   return {
     voters: [...voters, learner],
     learners: learners.filter(({id}) => id !== learner.id),
+    unconfirmed: [...replaced, learner],
   };
 }
 
 function admission(view: RepairView): Configuration | undefined {
-  const {voters, learners} = view.configuration;
-  const known = replicasOf(view.configuration);
+  const {configuration} = view;
+  const known = replicasOf(configuration);
   const stranger = view.sightings.find(
     sighting =>
       !known.some(({id}) => id === sighting.id) &&
@@ -57,7 +82,7 @@
   if (stranger === undefined) {
     return undefined;
   }
-  const others = learners.filter(({url}) => url !== stranger.url);
   const {id, url} = stranger;
-  return {voters, learners: [...others, {id, url}]};
+  const others = configuration.learners.filter(other => other.url !== url);
+  return {...configuration, learners: [...others, {id, url}]};
 }
--- a/control/consensus/test/group-faults.test.ts
+++ b/control/consensus/test/group-faults.test.ts
@@ -103,6 +103,31 @@
   });
 });
 
+it('repair: is done only once the replacement holds its own entry', () => {
+  expectCaught('a repair is done before its replacement is caught up', flaw => {
+    const model = groupOf(3, flaw);
+    const [a, b, c] = model.hosts;
+    model.elect(a, [b, c]);
+    model.run(model.hosts, 10);
+    model.replaceDisk(c);
+    for (let step = 0; step < 2; step += 1) {
+      model.repair();
+      model.run(model.hosts, 10);
+    }
+    expect(model.configuration?.voters).to.have.length(2);
+    model.cut(a, c, true);
+    model.repair();
+    model.run([a, b], 3);
+    model.repair();
+    expect(model.configuration?.unconfirmed).to.have.length(1);
+    model.cut(a, c, false);
+    model.run(model.hosts, 10);
+    model.repair();
+    expect(model.configuration?.unconfirmed).to.have.length(0);
+    return model;
+  });
+});
+
 it('fresh read: a frozen leader that thaws answers none', () => {
   expectCaught('reads skip the majority', flaw => {
     const model = groupOf(3, flaw);
--- a/control/consensus/test/group-model.ts
+++ b/control/consensus/test/group-model.ts
@@ -1,6 +1,8 @@
 import {
   Consensus,
+  EMPTY_CONFIGURATION,
   nextConfiguration,
+  repairedBetween,
   SafetyRules,
   type Batch,
   type Configuration,
@@ -24,7 +26,9 @@
   | 'no quorum check'
   | 'two voters change at once'
   | 'a replica votes twice in a term'
-  | 'reads skip the majority';
+  | 'reads skip the majority'
+  | 'a replacement counts before it is caught up'
+  | 'a repair is done before its replacement is caught up';
 
 const GROUP = 'group';
 const ELECTION_TIMEOUT_MS = 100;
@@ -129,6 +133,14 @@
     }
   }
 
+  /** Whether it holds an entry, alone or in a snapshot. */
+  holds(index: number, term: number | undefined): boolean {
+    return (
+      (this.snapshot?.index ?? 0) >= index ||
+      this.entries.some(entry => entry.index === index && entry.term === term)
+    );
+  }
+
   save(snapshot: Snapshot): void {
     this.snapshot = snapshot;
     this.entries = this.entries.filter(entry => entry.index > snapshot.index);
@@ -150,6 +162,8 @@
   /** Commands applied, in order; what a snapshot holds. */
   applied: string[] = [];
   writing: Batch | undefined;
+  /** The configuration at the last applied index. */
+  configuration = EMPTY_CONFIGURATION;
   reads = new Map<string, number>();
   snapshotAt = 0;
   /** A frozen process does nothing until it thaws, and does not notice. */
@@ -180,10 +194,13 @@
   private readonly leaders = new Map<number, string>();
   /** Everything that was ever applied, by index. */
   private readonly committed = new Map<number, string>();
+  private readonly firstVoters: ReadonlySet<string>;
   private identities: number;
   private commands = 0;
   private readCount = 0;
   private highestCommit = 0;
+  /** Identities that were called repaired. */
+  private readonly repaired = new Set<string>();
 
   constructor(
     size: number,
@@ -200,6 +217,7 @@
     const voters = this.hosts
       .slice(0, voterCount)
       .map(({id, url}) => ({id, url}));
+    this.firstVoters = new Set(voters.map(({id}) => id));
     const entry: Entry = {
       index: 1,
       term: 1,
@@ -231,6 +249,14 @@
     return this.leader()?.replica?.configuration;
   }
 
+  /** Replacements that count and were never called repaired. */
+  get unreported(): string[] {
+    const voters = this.configuration?.voters ?? [];
+    return voters
+      .map(({id}) => id)
+      .filter(id => !this.firstVoters.has(id) && !this.repaired.has(id));
+  }
+
   leader(): Host | undefined {
     return this.hosts
       .filter(host => host.replica?.role === 'leader')
@@ -441,18 +467,41 @@
         .map(({id, url, disk}) => ({id, url, group: disk.state.group})),
       isCaughtUp: id => this.isCaughtUp(replica, id),
     });
-    if (next !== undefined) {
-      replica.changeConfiguration(this.withFlaw(replica, next), this.now);
+    const before = replica.configuration;
+    if (
+      next !== undefined &&
+      replica.changeConfiguration(this.withFlaw(replica, next), this.now)
+    ) {
+      this.checkRepair(replica, before);
       this.collect(host);
     }
   }
 
+  /** A replacement counts, and is called repaired, only with all that is committed on its disk. */
+  private checkRepair(replica: Consensus, before: Configuration): void {
+    const after = replica.configuration;
+    const added = after.voters.filter(
+      ({id}) => !before.voters.some(voter => voter.id === id),
+    );
+    const {commitIndex} = replica;
+    const term = replica.termAt(commitIndex);
+    for (const {id} of [...added, ...repairedBetween(before, after)]) {
+      const disk = this.hosts.find(host => host.id === id)?.disk;
+      if (disk !== undefined && !disk.holds(commitIndex, term)) {
+        throw new Violation(
+          `${id} counts as repaired without the committed entry ${commitIndex}`,
+        );
+      }
+    }
+  }
+
   /** Whether every host's current identity is a voter that holds all that is committed. */
   get isWhole(): boolean {
     const replica = this.leader()?.replica;
     return (
       replica !== undefined &&
       replica.configurationCommitted &&
+      (replica.configuration.unconfirmed ?? []).length === 0 &&
       this.hosts.every(
         host =>
           replica.configuration.voters.some(({id}) => id === host.id) &&
@@ -478,6 +527,17 @@
   }
 
   private isCaughtUp(replica: Consensus, id: string): boolean {
+    const {learners, unconfirmed = []} = replica.configuration;
+    const isIn = (replicas: ReadonlyArray<{id: string}>) =>
+      replicas.some(other => other.id === id);
+    if (
+      (this.flaw === 'a replacement counts before it is caught up' &&
+        isIn(learners)) ||
+      (this.flaw === 'a repair is done before its replacement is caught up' &&
+        isIn(unconfirmed))
+    ) {
+      return true;
+    }
     const progress = replica.progressOf(id);
     return progress !== undefined && progress.match >= replica.commitIndex;
   }
@@ -496,6 +556,7 @@
     const {snapshot} = host.disk;
     host.applied = snapshot === undefined ? [] : JSON.parse(snapshot.data);
     host.snapshotAt = snapshot?.index ?? 0;
+    host.configuration = snapshot?.configuration ?? EMPTY_CONFIGURATION;
     host.replica = new Consensus(
       {
         id: host.id,
@@ -582,9 +643,13 @@
     if (snapshot !== undefined) {
       host.applied = JSON.parse(snapshot.data);
       host.snapshotAt = snapshot.index;
+      host.configuration = snapshot.configuration;
     }
     for (const entry of entries) {
       const {content} = entry;
+      if (content.kind === 'configuration') {
+        this.noteRepairs(host, content.configuration);
+      }
       const text =
         content.kind === 'command' ? String(content.command) : content.kind;
       const first = this.committed.get(entry.index);
@@ -602,6 +667,13 @@
     );
   }
 
+  private noteRepairs(host: Host, next: Configuration): void {
+    for (const {id} of repairedBetween(host.configuration, next)) {
+      this.repaired.add(id);
+    }
+    host.configuration = next;
+  }
+
   private checkReads(host: Host): void {
     const {confirmed, failed} = host.replica!.takeReads();
     for (const {key, index} of confirmed) {
--- a/control/consensus/test/group.test.ts
+++ b/control/consensus/test/group.test.ts
@@ -164,6 +164,7 @@
     fc.property(run, faults => {
       const model = play(faults);
       expect(heal(model), 'heals once the faults are over').to.equal(true);
+      expect(model.unreported, 'repairs not reported').to.deep.equal([]);
       commands += model.committedCommands;
     }),
     {seed: SEED, numRuns: RUNS, endOnFailure: true},
@@ -176,6 +177,7 @@
   'acknowledgements are sent before the entries are synced',
   'a lagging replica may win an election',
   'a replica votes twice in a term',
+  'a replacement counts before it is caught up',
 ];
 
 for (const flaw of FLAWS) {
--- a/control/consensus/test/repair-plan.test.ts
+++ b/control/consensus/test/repair-plan.test.ts
@@ -1,5 +1,9 @@
 import {expect} from 'chai';
-import {nextConfiguration, type RepairView} from '@marigoldspur/consensus';
+import {
+  nextConfiguration,
+  repairedBetween,
+  type RepairView,
+} from '@marigoldspur/consensus';
 
 const a = {id: 'a', url: 'url-a'};
 const b = {id: 'b', url: 'url-b'};
@@ -41,9 +45,17 @@
       isCaughtUp,
     }),
   );
-  expect(first).to.deep.equal({voters: [a, b], learners: [replacement]});
+  expect(first).to.deep.equal({
+    voters: [a, b],
+    learners: [replacement],
+    unconfirmed: [],
+  });
   const second = nextConfiguration(view({configuration: first, isCaughtUp}));
-  expect(second).to.deep.equal({voters: [a, b, replacement], learners: []});
+  expect(second).to.deep.equal({
+    voters: [a, b, replacement],
+    learners: [],
+    unconfirmed: [replacement],
+  });
 });
 
 it('repair: a learner whose disk is lost again is replaced', () => {
@@ -55,3 +67,31 @@
   );
   expect(next?.learners).to.deep.equal([{id: 'e', url: 'url-c'}]);
 });
+
+it('repair: is done once the replacement holds the entry that made it a voter', () => {
+  const configuration = {
+    voters: [a, b, replacement],
+    learners: [],
+    unconfirmed: [replacement],
+  };
+  expect(nextConfiguration(view({configuration}))).to.equal(undefined);
+  const isCaughtUp = (id: string) => id === replacement.id;
+  const next = nextConfiguration(view({configuration, isCaughtUp}))!;
+  expect(next).to.deep.equal({...configuration, unconfirmed: []});
+  expect(repairedBetween(configuration, next)).to.deep.equal([replacement]);
+  expect(repairedBetween(next, next)).to.deep.equal([]);
+});
+
+it('repair: of a replacement that is lost too is never called done', () => {
+  const again = {id: 'e', url: 'url-c'};
+  const configuration = {
+    voters: [a, b, replacement],
+    learners: [again],
+    unconfirmed: [replacement],
+  };
+  const isCaughtUp = (id: string) => id !== replacement.id;
+  const next = nextConfiguration(view({configuration, isCaughtUp}))!;
+  expect(next.voters).to.deep.equal([a, b]);
+  expect(next.unconfirmed).to.deep.equal([]);
+  expect(repairedBetween(configuration, next)).to.deep.equal([]);
+});
--- a/control/replicated-log/src/repair-desk.ts
+++ b/control/replicated-log/src/repair-desk.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {
   nextConfiguration,
+  repairedBetween,
   replicasOf,
   type Configuration,
   type Consensus,
@@ -32,17 +33,9 @@
   readonly at: number;
 }
 
-interface Promotion {
-  readonly id: string;
-  readonly url: string;
-  /** Index of the entry that made it a voter. */
-  readonly index: number;
-}
-
 /** Forms the group, and keeps a caught-up voter at each configured URL. */
 export class RepairDesk {
   private readonly sightings = new Map<string, TimedSighting>();
-  private promotions: Promotion[] = [];
   private probing = false;
   private waitAnnounced = false;
 
@@ -64,11 +57,10 @@
     } else if (consensus.leaderReady) {
       void this.probe(now);
       this.repair(now);
-      this.reportRepaired();
     }
   }
 
-  /** A change of the replicas was committed. */
+  /** A change of the replicas was committed; each replica records it as it applies it. */
   committed(before: Configuration, after: Configuration, index: number): void {
     const {events} = this.options;
     const was = new Set(before.voters.map(voter => voter.id));
@@ -84,7 +76,9 @@
     }
     for (const {id, url} of after.voters.filter(voter => !was.has(voter.id))) {
       events.record('voter-added', {replica: id, url});
-      this.promotions.push({id, url, index});
+    }
+    for (const {id, url} of repairedBetween(before, after)) {
+      events.record('replica-repaired', {replica: id, url, index});
     }
   }
 
@@ -110,22 +104,10 @@
     return (
       progress !== undefined &&
       progress.match >= consensus.commitIndex &&
-      now - progress.heardAt < silenceMs
+      (id === consensus.id || now - progress.heardAt < silenceMs)
     );
   }
 
-  private reportRepaired(): void {
-    const {consensus, events} = this.options;
-    this.promotions = this.promotions.filter(({id, url, index}) => {
-      const match = consensus.progressOf(id)?.match ?? 0;
-      if (match >= index && id !== consensus.id) {
-        events.record('replica-repaired', {replica: id, url, index});
-        return false;
-      }
-      return true;
-    });
-  }
-
   /** Asks at the URLs where no replica of the group is known. */
   private async probe(now: number): Promise<void> {
     const {consensus, peers, url: own} = this.options;
