--- a/control/consensus/src/index.ts
+++ b/control/consensus/src/index.ts
@@ -27,10 +27,10 @@
   Recovered,
   Role,
 } from './replica-content.js';
-export {COMMIT_ANNOUNCE_MS} from './replication.js';
 export {SafetyRules} from './safety-rules.js';
 export {
   nextConfiguration,
+  repairedBetween,
   type RepairView,
   type Sighting,
 } from './repair-plan.js';
