Gather heartbeats per zone, and send them rarely and short

Cause: a heartbeat cost the leader 1.9 to 5.4 ms, so 13 members fit into 5% of a core. A CPU profile under 256 heartbeats a second showed tRPC's server (a Request, abort signals and web streams per call) and code not yet compiled (2.5 ms in the first 4 s, 0.9 ms after 12 s); schema and member table were about 1% and are ruled out. No call per member fits at 1,530 members, whatever it costs.

Now an entry of each zone gathers its members' heartbeats and sends one batch each 500 ms (50 ms after news). Members beat each second, or at once on a change, and send their state only then. Leases count from a stamp of the leader and the time after it at which the longest silent member was heard, so a relay that was frozen or speaks of a dead member prolongs none. A heartbeat is answered only after the leader took it, so FENCED and the confirmation of an order lease mean what they did. Members leave a relay that fails within 1.8 s of their last heartbeat. Heartbeats go over plain HTTP; the tRPC procedure is gone.

Members now return to their relays as soon as control fails.

The test of the bench's own member role changed: its members were entries, which now would be taken for relays.

--- a/agent/agent-server/test/fake-control.ts
+++ b/agent/agent-server/test/fake-control.ts
@@ -1,5 +1,6 @@
 import {
   controlRouter,
+  heartbeatHandler,
   type ControlService,
   type ControlStatus,
   type SettingsDelta,
@@ -10,6 +11,7 @@
 import {Fault} from '@marigoldspur/faults';
 import {openLinkSecurity} from '@marigoldspur/link-security';
 import type {
+  BatchAnswer,
   ClaimOutcome,
   Member,
   MembersDelta,
@@ -56,6 +58,7 @@
       metrics: processMetrics(labels),
       ready: () => true,
       routers: {control: controlRouter(this)},
+      fallback: heartbeatHandler(this),
       service: {
         status: () => {
           throw new Fault('NOT_FOUND', 'no status');
@@ -109,6 +112,10 @@
     return {leaseMs: 3_000, revision: this.view.revision};
   }
 
+  async heartbeats(): Promise<BatchAnswer> {
+    throw new Fault('NOT_FOUND', 'not part of this control');
+  }
+
   async grantFence(target: string, boot: string): Promise<number> {
     this.fences.set(target, boot);
     this.fence += 1;
--- /dev/null
+++ b/contracts/control-api/src/heartbeat-handler.ts
@@ -0,0 +1,64 @@
+import type http from 'node:http';
+import {Fault} from '@marigoldspur/faults';
+import {jsonHandler} from '@marigoldspur/http-link';
+import {
+  BATCH_PATH,
+  HEARTBEAT_BATCH_SCHEMA,
+  HEARTBEAT_PATH,
+  MEMBER_SCHEMA,
+} from '@marigoldspur/messages';
+import type {z} from 'zod';
+import type {ControlService} from './service.js';
+
+const MAX_BATCH_BYTES = 8_388_608;
+const HTTP_NOT_FOUND = 404;
+
+type Handler = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+) => void;
+
+/**
+ * Serves heartbeats, single ones and those that relays gathered, as JSON over plain
+ * HTTP: they are what control is called for most, and a call of tRPC costs its server
+ * some four times as much.
+ */
+export function heartbeatHandler(
+  service: Pick<ControlService, 'heartbeat' | 'heartbeats'>,
+): Handler {
+  const handlers = new Map([
+    [
+      HEARTBEAT_PATH,
+      handlerOf(MEMBER_SCHEMA, member => service.heartbeat(member)),
+    ],
+    [
+      BATCH_PATH,
+      handlerOf(HEARTBEAT_BATCH_SCHEMA, batch => service.heartbeats(batch)),
+    ],
+  ]);
+  return (request, response) => {
+    const handle = handlers.get(request.url ?? '');
+    if (handle !== undefined && request.method === 'POST') {
+      void handle(request, response);
+      return;
+    }
+    response.statusCode = HTTP_NOT_FOUND;
+    response.end('not found\n');
+  };
+}
+
+function handlerOf<T>(
+  schema: z.ZodType<T>,
+  answer: (message: T) => Promise<unknown>,
+) {
+  return jsonHandler({
+    maxBodyBytes: MAX_BATCH_BYTES,
+    answer: async message => {
+      const parsed = schema.safeParse(message);
+      if (!parsed.success) {
+        throw new Fault('INVALID_INPUT', parsed.error.message);
+      }
+      return answer(parsed.data);
+    },
+  });
+}
--- a/contracts/control-api/src/index.ts
+++ b/contracts/control-api/src/index.ts
@@ -1,3 +1,4 @@
+export {heartbeatHandler} from './heartbeat-handler.js';
 export {controlRouter} from './router.js';
 export type {ControlRouter} from './router.js';
 export type {
--- a/contracts/control-api/src/router.ts
+++ b/contracts/control-api/src/router.ts
@@ -10,7 +10,6 @@
 import {
   CLAIM_SCHEMA,
   COMPLETION_SCHEMA,
-  MEMBER_SCHEMA,
   PERMIT_REQUEST_SCHEMA,
 } from '@marigoldspur/messages';
 import {CHANGE_SCHEMA, type Change} from '@marigoldspur/settings-schema';
@@ -71,9 +70,6 @@
     completeClaim: peer
       .input(COMPLETION_SCHEMA)
       .mutation(({input}) => answer(() => service.completeClaim(input))),
-    heartbeat: peer
-      .input(MEMBER_SCHEMA)
-      .mutation(({input}) => answer(() => service.heartbeat(input))),
     grantFence: peer
       .input(z.object({target: z.string(), boot: z.string()}))
       .mutation(({input}) =>
--- a/contracts/control-api/src/service.ts
+++ b/contracts/control-api/src/service.ts
@@ -1,7 +1,10 @@
 import type {
+  BatchAnswer,
   Claim,
   ClaimOutcome,
   Completion,
+  HeartbeatBatch,
+  HeartbeatReceipt,
   Member,
   MembersDelta,
   Permit,
@@ -77,7 +80,9 @@
   takeClaim(claim: Claim): Promise<ClaimOutcome>;
   completeClaim(completion: Completion): Promise<void>;
   /** Announces a process; the answer states its lease. */
-  heartbeat(member: Member): Promise<{leaseMs: number; revision: number}>;
+  heartbeat(member: Member): Promise<HeartbeatReceipt>;
+  /** Takes the heartbeats that a relay gathered. */
+  heartbeats(batch: HeartbeatBatch): Promise<BatchAnswer>;
   /** Grants a fencing number, larger than any before for the target. */
   grantFence(target: string, boot: string): Promise<number>;
   /** Waits up to `waitMs` for a version of the member table after `version`. */
--- a/contracts/messages/src/index.ts
+++ b/contracts/messages/src/index.ts
@@ -7,6 +7,22 @@
   type ProcessRole,
   type TargetReport,
 } from './member.js';
+export {
+  BATCH_ANSWER_SCHEMA,
+  BATCH_PATH,
+  HEARTBEAT_BATCH_SCHEMA,
+  HEARTBEAT_PATH,
+  HEARTBEAT_RECEIPT_SCHEMA,
+  RELAY_PATH,
+  RELAYED_ANSWER_SCHEMA,
+  RELAYED_HEARTBEAT_SCHEMA,
+  type BatchAnswer,
+  type HeartbeatBatch,
+  type HeartbeatReceipt,
+  type RelayedAnswer,
+  type RelayedHeartbeat,
+  type RelayStamp,
+} from './heartbeat.js';
 export {
   formatHop,
   HOP_HEADERS,
--- a/contracts/messages/src/member.ts
+++ b/contracts/messages/src/member.ts
@@ -51,6 +51,8 @@
   revision: z.int().min(0),
   /** True once the process takes no new work. */
   leaving: z.boolean(),
+  /** Count of the announcements of this boot, so that a late one is told from a newer. */
+  mark: z.int().min(0).optional(),
   /** Present in agents. */
   target: TARGET_REPORT_SCHEMA.optional(),
 });
--- a/control/control-server/src/control-desk.ts
+++ b/control/control-server/src/control-desk.ts
@@ -8,11 +8,18 @@
 import type {EventLog} from '@marigoldspur/event-log';
 import {Fault} from '@marigoldspur/faults';
 import type {PermitDesk} from '@marigoldspur/load-permits';
-import {MemberTable, type MemberChange} from '@marigoldspur/membership';
+import {
+  MemberTable,
+  RelaySessions,
+  type MemberChange,
+} from '@marigoldspur/membership';
 import type {
+  BatchAnswer,
   Claim,
   ClaimOutcome,
   Completion,
+  HeartbeatBatch,
+  HeartbeatReceipt,
   Member,
   MembersDelta,
   Permit,
@@ -29,6 +36,8 @@
 const STREAM_IDLE_MS = 1_000;
 /** Time in which changes of members are gathered into one delta, in milliseconds. */
 const MEMBERS_BATCH_MS = 100;
+/** Entries of a zone that gather its heartbeats: one, and one that stands by. */
+const RELAYS_PER_ZONE = 2;
 
 /** What a control desk works with. */
 export interface ControlDeskOptions {
@@ -50,6 +59,7 @@
   private readonly contact: QuorumContact;
   private term = -1;
   private table: MemberTable;
+  private relays: RelaySessions;
   /** Since when each holder of running claims has not been a member. */
   private readonly absentSince = new Map<string, number>();
 
@@ -58,6 +68,7 @@
       table: options.boot,
       leaseMs: options.leaseMs,
     });
+    this.relays = this.openRelays();
     this.contact = new QuorumContact(options.log);
     options.machine.onSettings(() => this.settingsSignal.notify());
   }
@@ -162,9 +173,7 @@
     await this.propose({command: 'complete-claim', completion, at});
   }
 
-  async heartbeat(
-    member: Member,
-  ): Promise<{leaseMs: number; revision: number}> {
+  async heartbeat(member: Member): Promise<HeartbeatReceipt> {
     const now = performance.now();
     const members = this.requireOffice(now);
     const granted =
@@ -177,10 +186,16 @@
         `another agent holds ${member.target?.name} under a newer number`,
       );
     }
-    return {
-      leaseMs: this.options.leaseMs,
-      revision: this.options.machine.settings.revision,
-    };
+    return this.receiptFor(member.zone);
+  }
+
+  /** Takes the heartbeats that a relay gathered; throws where this replica doesn't lead. */
+  async heartbeats(batch: HeartbeatBatch): Promise<BatchAnswer> {
+    const now = performance.now();
+    this.requireOffice(now);
+    const {answer, changes} = this.relays.take(batch, now);
+    this.recordMembers(changes);
+    return {...answer, receipt: this.receiptFor(batch.zone)};
   }
 
   async grantFence(target: string, boot: string): Promise<number> {
@@ -333,10 +348,30 @@
         leaseMs: this.options.leaseMs,
         completeAt: now + this.options.leaseMs,
       });
+      this.relays = this.openRelays();
     }
     return this.table;
   }
 
+  private openRelays(): RelaySessions {
+    return new RelaySessions({
+      table: this.table,
+      leaseMs: this.options.leaseMs,
+      granted: target => this.options.machine.fenceOf(target),
+    });
+  }
+
+  private receiptFor(zone: string): HeartbeatReceipt {
+    const receipt = {
+      leaseMs: this.options.leaseMs,
+      revision: this.options.machine.settings.revision,
+    };
+    const relays = this.table.relays(zone, RELAYS_PER_ZONE);
+    return this.table.complete || relays.length > 0
+      ? {...receipt, relays: relays.map(relay => relay.url)}
+      : receipt;
+  }
+
   private recordMembers(changes: readonly MemberChange[]): void {
     if (changes.length > 0) {
       this.membersSignal.notify();
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -1,5 +1,5 @@
 import path from 'node:path';
-import {controlRouter} from '@marigoldspur/control-api';
+import {controlRouter, heartbeatHandler} from '@marigoldspur/control-api';
 import {PermitDesk} from '@marigoldspur/load-permits';
 import type {Task} from '@marigoldspur/process-life';
 import {ProcessShell} from '@marigoldspur/process-shell';
@@ -49,6 +49,7 @@
   });
   const url = await shell.serve({
     routers: {control: controlRouter(desk), log: router},
+    fallback: heartbeatHandler(desk),
     revision: () => machine.settings.revision,
     isReady: () => log.isReady(),
     facts: () => {
--- a/control/control-server/test/control-desk.test.ts
+++ b/control/control-server/test/control-desk.test.ts
@@ -137,6 +137,30 @@
   expect((await desk.takeClaim(claim('r2'))).outcome).to.equal('unknown');
 });
 
+it('control desk: a relay starts anew with each term, and learns who gathers in its zone', async () => {
+  const log = new FakeLog();
+  const desk = deskOn(log);
+  await desk.heartbeat(entry('b1'));
+  const batch = {
+    relay: 'entry-0',
+    boot: 'b1',
+    zone: 'lima-a',
+    heardMs: 0,
+    announced: [entry('b1')],
+    silent: [],
+  };
+  const {stamp} = await desk.heartbeats(batch);
+  const taken = await desk.heartbeats({...batch, stamp});
+  expect(taken.taken).to.equal(true);
+  expect(taken.receipt.relays).to.deep.equal([entry('b1').url]);
+  log.term = 2;
+  const anew = await desk.heartbeats({...batch, stamp: taken.stamp});
+  expect(anew.taken).to.equal(false);
+  expect(anew.receipt.relays).to.equal(undefined);
+  await desk.heartbeats({...batch, stamp: anew.stamp});
+  expect((await desk.watchMembers('', 0, 0)).changed).to.have.length(1);
+});
+
 it('control desk: an agent older than the granted number is told FENCED', async () => {
   const desk = deskOn(new FakeLog());
   const agent = (id: string, fence: number): Member => ({
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -1,8 +1,10 @@
+import type http from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import {Admission} from '@marigoldspur/admission';
 import {openCallerKeys} from '@marigoldspur/caller-keys';
 import {
   ControlClient,
+  HeartbeatRelay,
   MemberFollower,
   SettingsFollower,
   startHeartbeat,
@@ -13,7 +15,7 @@
   TargetHealth,
 } from '@marigoldspur/dispatch';
 import {listen} from '@marigoldspur/http-link';
-import type {Member} from '@marigoldspur/messages';
+import {RELAY_PATH, type Member} from '@marigoldspur/messages';
 import type {Task} from '@marigoldspur/process-life';
 import {ProcessShell} from '@marigoldspur/process-shell';
 import {ClaimDesk} from './claim-desk.js';
@@ -29,6 +31,7 @@
 import {RequestReader} from './request-reader.js';
 import {RetryBudget} from '@marigoldspur/retries';
 
+const HTTP_NOT_FOUND = 404;
 const START_TIMEOUT_MS = 60_000;
 /** Time that the ends of claimed requests get to reach control at a shutdown. */
 const COMPLETIONS_MS = 10_000;
@@ -105,7 +108,13 @@
     host: settings.host,
     port: settings.callerPort,
   });
+  const relay = new HeartbeatRelay(client, {
+    id: settings.id,
+    boot,
+    zone: settings.zone,
+  });
   const url = await shell.serve({
+    fallback: relayOnly(relay),
     revision: () => follower.settings.revision,
     settings: revision => follower.deltaAfter(revision),
     facts: () => ({running: desk.running, members: members.members().length}),
@@ -141,6 +150,7 @@
       }
       await claims.settled(COMPLETIONS_MS);
       heartbeat.stop();
+      relay.stop();
       await Promise.all([members.stop(), follower.stop()]);
       health.stop();
       attempts.close();
@@ -151,3 +161,15 @@
     },
   };
 }
+
+/** Serves the relay's path alone. */
+function relayOnly(relay: HeartbeatRelay) {
+  return (request: http.IncomingMessage, response: http.ServerResponse) => {
+    if (request.method === 'POST' && request.url === RELAY_PATH) {
+      void relay.handle(request, response);
+      return;
+    }
+    response.statusCode = HTTP_NOT_FOUND;
+    response.end('not found\n');
+  };
+}
--- a/lab/spread-bench/src/heartbeat-bench.ts
+++ b/lab/spread-bench/src/heartbeat-bench.ts
@@ -17,11 +17,11 @@
   readonly memberMsPerHeartbeat: number;
 }
 
-const WARM_UP_MS = 2_000;
+const WARM_UP_MS = 15_000;
 const MEASURE_MS = 6_000;
 const MS_PER_SECOND = 1_000;
 
-/** Measures the heartbeats of members in this process at one replica of control. */
+/** Measures heartbeats straight to control, of members in this process, at one replica. */
 export async function measureHeartbeats(count: number): Promise<HeartbeatCost> {
   const group = await startControlGroup({replicas: 1});
   const link = await openCutLink(Number(new URL(group.directUrls[0]).port));
@@ -70,8 +70,8 @@
 
 function memberOf(index: number): Member {
   return {
-    id: `entry-${index}`,
-    role: 'entry',
+    id: `agent-${index}`,
+    role: 'agent',
     zone: 'lima-a',
     boot: 'boot',
     url: 'http://127.0.0.1:1',
--- a/lab/spread-bench/src/main.ts
+++ b/lab/spread-bench/src/main.ts
@@ -4,6 +4,7 @@
 import {measureClaims} from './claims-bench.js';
 import {measureFollowers} from './follower-bench.js';
 import {measureHeartbeats} from './heartbeat-bench.js';
+import {measureRelayed, runZone} from './relay-bench.js';
 import {measureTree} from './tree-bench.js';
 
 const CLAIMS = 100_000;
@@ -39,6 +40,37 @@
       }
     },
   )
+  .command(
+    'relayed-heartbeats',
+    'Cost of heartbeats that relays gather, to the leader',
+    options =>
+      options
+        .option('zones', {type: 'array', default: [1, 6, 18]})
+        .option('members', {type: 'number', default: 85})
+        .option('busy', {type: 'number', default: 0}),
+    async ({zones, members, busy}) => {
+      for (const each of zones) {
+        const size = {zones: Number(each), membersPerZone: members, busy};
+        print(await measureRelayed(size));
+      }
+    },
+  )
+  .command(
+    'zone',
+    false,
+    options =>
+      options
+        .option('part', {
+          choices: ['relay', 'members'] as const,
+          demandOption: true,
+        })
+        .option('zone', {type: 'number', demandOption: true})
+        .option('url', {type: 'string', demandOption: true})
+        .option('members', {type: 'number', demandOption: true})
+        .option('busy', {type: 'number', demandOption: true}),
+    ({part, zone, url, members, busy}) =>
+      runZone(part, zone, url, {zones: 1, membersPerZone: members, busy}),
+  )
   .command(
     'followers',
     'Messages, bytes and processor time of settings streams',
--- a/machines/http-link/src/index.ts
+++ b/machines/http-link/src/index.ts
@@ -1,4 +1,10 @@
 export {readBody} from './read-body.js';
+export {
+  exchangeJson,
+  jsonHandler,
+  type JsonCall,
+  type JsonHandlerOptions,
+} from './json-exchange.js';
 export {linkFetch} from './link-fetch.js';
 export {closeServer, listen, type Address} from './listen.js';
 export {openRequest, type OutgoingCall} from './open-request.js';
--- a/zones/control-client/src/control-client.ts
+++ b/zones/control-client/src/control-client.ts
@@ -1,9 +1,10 @@
 import http from 'node:http';
 import {createTRPCClient, httpLink, TRPCClientError} from '@trpc/client';
 import {Result} from 'true-myth';
+import type {z} from 'zod';
 import type {ControlRouter} from '@marigoldspur/control-api';
 import {Fault, type FaultCode} from '@marigoldspur/faults';
-import {linkFetch} from '@marigoldspur/http-link';
+import {exchangeJson, linkFetch} from '@marigoldspur/http-link';
 import type {ProcessRouter} from '@marigoldspur/process-api';
 import {runSubscription, type Subscription} from './event-stream.js';
 
@@ -26,6 +27,7 @@
 }
 
 const MAX_PROCESS_CLIENTS = 64;
+const MAX_ANSWER_BYTES = 8_388_608;
 const DEFAULT_TIMEOUT_MS = 2_000;
 const RETRY_PAUSE_MS = 50;
 
@@ -46,9 +48,58 @@
    * time). Only calls that may be repeated belong here: each command of control is
    * idempotent by its identity.
    */
-  async call<T>(
+  call<T>(
     call: (replica: ReplicaClient, signal: AbortSignal) => Promise<T>,
     deadlineMs: number,
+  ): Promise<Result<T, Fault>> {
+    return this.reach(
+      (url, signal) => call(this.replica(url), signal),
+      deadlineMs,
+    );
+  }
+
+  /**
+   * Sends the leader a JSON message over plain HTTP, as `call` does. It is for what is
+   * sent often: a call of tRPC costs its server some four times as much.
+   */
+  exchange<T>(
+    message: {readonly path: string; readonly body: unknown},
+    schema: z.ZodType<T>,
+    deadlineMs: number,
+  ): Promise<Result<T, Fault>> {
+    return this.reach(
+      (url, signal) =>
+        this.exchangeWith(new URL(message.path, url), message.body, {
+          schema,
+          signal,
+        }),
+      deadlineMs,
+    );
+  }
+
+  /** Sends one process a JSON message; throws a `Fault`. */
+  async exchangeWith<T>(
+    url: URL,
+    body: unknown,
+    options: {readonly schema: z.ZodType<T>; readonly signal: AbortSignal},
+  ): Promise<T> {
+    const answer = await exchangeJson({
+      url,
+      body,
+      agent: this.agent,
+      signal: options.signal,
+      maxAnswerBytes: MAX_ANSWER_BYTES,
+    });
+    const parsed = options.schema.safeParse(answer);
+    if (!parsed.success) {
+      throw new Fault('CORRUPT_DATA', parsed.error.message);
+    }
+    return parsed.data;
+  }
+
+  private async reach<T>(
+    send: (url: string, signal: AbortSignal) => Promise<T>,
+    deadlineMs: number,
   ): Promise<Result<T, Fault>> {
     let fault = new Fault('UNAVAILABLE', 'control is out of reach');
     let attempt = 0;
@@ -60,7 +111,7 @@
       );
       try {
         const signal = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)));
-        return Result.ok(await call(this.replica(url), signal));
+        return Result.ok(await send(url, signal));
       } catch (thrown) {
         fault = faultOf(thrown);
         if (!isWorthRetry(fault)) {
@@ -168,6 +219,9 @@
 }
 
 function faultOf(thrown: unknown): Fault {
+  if (thrown instanceof Fault) {
+    return thrown;
+  }
   if (thrown instanceof TRPCClientError) {
     const data = thrown.data as
       {fault?: FaultCode; code?: string} | null | undefined;
--- a/zones/control-client/src/index.ts
+++ b/zones/control-client/src/index.ts
@@ -10,3 +10,4 @@
   type Heartbeat,
   type HeartbeatAnswer,
 } from './heartbeat.js';
+export {HeartbeatRelay} from './heartbeat-relay.js';
--- /dev/null
+++ b/zones/membership/src/heartbeat-gathering.ts
@@ -0,0 +1,170 @@
+import type {
+  BatchAnswer,
+  HeartbeatBatch,
+  Member,
+  RelayedAnswer,
+  RelayedHeartbeat,
+  RelayStamp,
+} from '@marigoldspur/messages';
+
+/** Who gathers heartbeats. */
+export interface Relay {
+  readonly id: string;
+  readonly boot: string;
+  readonly zone: string;
+}
+
+interface Row {
+  readonly boot: string;
+  readonly mark: number;
+  readonly member: Member;
+  heardAt: number;
+  /** Whether the leader has this announcement. */
+  told: boolean;
+  waiting: Array<(answer: RelayedAnswer) => void>;
+}
+
+/** A member that was not heard for this long is no longer spoken for, in milliseconds. */
+const SILENT_AFTER_MS = 1_500;
+
+/**
+ * The heartbeats that a relay gathers for the leader of control.
+ *
+ * A heartbeat is answered once a batch that holds it was taken by the leader, so
+ * that its answer says what a heartbeat straight to the leader would.
+ */
+export class HeartbeatGathering {
+  private readonly rows = new Map<string, Row>();
+  private silent: string[] = [];
+  private stamp?: RelayStamp;
+  private stampedAt = 0;
+
+  constructor(private readonly relay: Relay) {}
+
+  /** Members that the relay speaks for. */
+  get size(): number {
+    return this.rows.size;
+  }
+
+  /** Whether there is something that the leader should know at once. */
+  get isUrgent(): boolean {
+    return [...this.rows.values()].some(row => !row.told);
+  }
+
+  /** Takes a heartbeat at time `now`, in milliseconds, and answers once control took it. */
+  hear(heartbeat: RelayedHeartbeat, now: number): Promise<RelayedAnswer> {
+    const row = this.rowOf(heartbeat);
+    if (row === undefined) {
+      return Promise.resolve({outcome: 'unknown'});
+    }
+    row.heardAt = now;
+    return new Promise(resolve => row.waiting.push(resolve));
+  }
+
+  /** What to tell the leader at time `now`. */
+  batch(now: number): HeartbeatBatch {
+    this.dropSilent(now);
+    const rows = [...this.rows.values()];
+    const heardAt = Math.min(now, ...rows.map(row => row.heardAt));
+    const announced = rows.filter(row => !row.told);
+    return {
+      relay: this.relay.id,
+      boot: this.relay.boot,
+      zone: this.relay.zone,
+      stamp: this.stamp,
+      heardMs: this.stamp === undefined ? 0 : heardAt - this.stampedAt,
+      announced: announced.map(row => row.member),
+      silent: this.silent,
+    };
+  }
+
+  /** Takes the answer to a batch made at `sentAt`, received at `now`; both in milliseconds. */
+  answered(
+    batch: HeartbeatBatch,
+    answer: BatchAnswer,
+    sentAt: number,
+    now: number,
+  ): void {
+    this.stamp = answer.stamp;
+    this.stampedAt = now;
+    if (!answer.taken) {
+      this.tellAll();
+      return;
+    }
+    this.silent = this.silent.slice(batch.silent.length);
+    batch.announced.forEach(member => this.told(member));
+    answer.missing.forEach(id => this.tellAgain(id));
+    answer.fenced.forEach(id => this.fence(id));
+    for (const row of this.rows.values()) {
+      if (row.told && row.heardAt <= sentAt) {
+        settle(row, {outcome: 'taken', receipt: answer.receipt});
+      }
+    }
+  }
+
+  /** Takes note that a batch was not taken; its outcome is open, so that all is told again. */
+  failed(outcome: 'no-leader' | 'cut-off'): void {
+    this.stamp = undefined;
+    this.tellAll();
+    this.rows.forEach(row => settle(row, {outcome}));
+  }
+
+  private rowOf(heartbeat: RelayedHeartbeat): Row | undefined {
+    const {id, boot, mark, member} = heartbeat;
+    const known = this.rows.get(id);
+    if (member === undefined) {
+      return known?.boot === boot && known.mark === mark ? known : undefined;
+    }
+    if (known?.boot === boot && mark < known.mark) {
+      return undefined;
+    }
+    const waiting = known?.boot === boot ? known.waiting : [];
+    const row = {boot, mark, member, heardAt: 0, told: false, waiting};
+    this.rows.set(id, row);
+    return row;
+  }
+
+  private dropSilent(now: number): void {
+    for (const [id, row] of this.rows) {
+      if (now - row.heardAt > SILENT_AFTER_MS) {
+        this.rows.delete(id);
+        this.silent.push(id);
+      }
+    }
+  }
+
+  private told(member: Member): void {
+    const row = this.rows.get(member.id);
+    if (row?.member === member) {
+      row.told = true;
+    }
+  }
+
+  private tellAgain(id: string): void {
+    const row = this.rows.get(id);
+    if (row !== undefined) {
+      row.told = false;
+    }
+  }
+
+  private tellAll(): void {
+    this.silent = [];
+    this.rows.forEach(row => {
+      row.told = false;
+    });
+  }
+
+  private fence(id: string): void {
+    const row = this.rows.get(id);
+    if (row !== undefined) {
+      this.rows.delete(id);
+      settle(row, {outcome: 'fenced'});
+    }
+  }
+}
+
+function settle(row: Row, answer: RelayedAnswer): void {
+  const {waiting} = row;
+  row.waiting = [];
+  waiting.forEach(resolve => resolve(answer));
+}
--- a/zones/membership/src/index.ts
+++ b/zones/membership/src/index.ts
@@ -3,4 +3,11 @@
   type Announcement,
   type MemberChange,
   type MemberTableOptions,
+  type RelayedLease,
 } from './member-table.js';
+export {
+  RelaySessions,
+  type BatchOutcome,
+  type RelaySessionsOptions,
+} from './relay-sessions.js';
+export {HeartbeatGathering, type Relay} from './heartbeat-gathering.js';
--- a/zones/membership/src/member-table.ts
+++ b/zones/membership/src/member-table.ts
@@ -16,6 +16,17 @@
   readonly member: Member;
 }
 
+/** A lease that a relay asks for. */
+export interface RelayedLease {
+  /** Name of the relay. */
+  readonly relay: string;
+  /** When the lease ends, in milliseconds. */
+  readonly end: number;
+}
+
+/** What became of a renewal by a relay. */
+export type Renewal = 'renewed' | 'fenced' | 'missing' | 'elsewhere';
+
 /** What became of a heartbeat. */
 export interface Announcement {
   /** True where another agent holds the target under a newer fencing number. */
@@ -28,6 +39,8 @@
   text: string;
   version: number;
   leaseEnd: number;
+  /** The relay that the last announcement came by, where one did. */
+  relay?: string;
 }
 
 const MAX_KEPT_REMOVALS = 4_096;
@@ -69,22 +82,61 @@
 
   /**
    * Takes a heartbeat at time `now`, in milliseconds. `granted` is the newest
-   * fencing number that was granted for the member's target, where one was.
+   * fencing number that was granted for the member's target, where one was. A late
+   * announcement, older than the one known of the same boot, changes nothing.
    */
-  announce(member: Member, now: number, granted?: number): Announcement {
+  announce(
+    member: Member,
+    now: number,
+    granted?: number,
+    relayed?: RelayedLease,
+  ): Announcement {
+    if (this.isLate(member)) {
+      return {fenced: false, changes: []};
+    }
     const fence = member.target?.fence;
     if (fence !== undefined && fence < this.newestFence(member, granted)) {
       const changes = this.remove(member.id, 'fenced');
       return {fenced: true, changes};
     }
     const changes = this.takeTarget(member);
-    const change = this.put(member, now + this.options.leaseMs);
+    const change = this.put(member, now + this.options.leaseMs, relayed);
     return {
       fenced: false,
       changes: change === undefined ? changes : [...changes, change],
     };
   }
 
+  /** Renews the lease of a member that a relay hears; only the relay that announced it last may. */
+  renew(
+    id: string,
+    lease: RelayedLease,
+    granted: number | undefined,
+  ): {readonly renewal: Renewal; readonly changes: readonly MemberChange[]} {
+    const row = this.rows.get(id);
+    if (row === undefined) {
+      return {renewal: 'missing', changes: []};
+    }
+    if (row.relay !== lease.relay) {
+      return {renewal: 'elsewhere', changes: []};
+    }
+    const fence = row.member.target?.fence;
+    if (fence !== undefined && fence < (granted ?? 0)) {
+      return {renewal: 'fenced', changes: this.remove(id, 'fenced')};
+    }
+    row.leaseEnd = Math.max(row.leaseEnd, lease.end);
+    return {renewal: 'renewed', changes: []};
+  }
+
+  /** The first entries of a zone that stay, by name: they gather its heartbeats. */
+  relays(zone: string, count: number): Member[] {
+    return this.members()
+      .filter(each => each.role === 'entry' && each.zone === zone)
+      .filter(each => !each.leaving)
+      .sort((a, b) => (a.id < b.id ? -1 : 1))
+      .slice(0, count);
+  }
+
   /**
    * Removes the members whose leases ended before `now`, and settles the table.
    * Both raise the version.
@@ -149,17 +201,31 @@
       : this.remove(holder, 'fenced');
   }
 
-  private put(member: Member, leaseEnd: number): MemberChange | undefined {
+  private isLate(member: Member): boolean {
+    const known = this.rows.get(member.id)?.member;
+    return (
+      known?.boot === member.boot && (member.mark ?? 0) < (known.mark ?? 0)
+    );
+  }
+
+  private put(
+    member: Member,
+    ownLeaseEnd: number,
+    relayed: RelayedLease | undefined,
+  ): MemberChange | undefined {
     const text = JSON.stringify(member);
     const row = this.rows.get(member.id);
+    const leaseEnd = Math.max(row?.leaseEnd ?? 0, relayed?.end ?? ownLeaseEnd);
+    const relay = relayed?.relay;
     if (row !== undefined && row.text === text) {
       row.leaseEnd = leaseEnd;
+      row.relay = relay;
       return undefined;
     }
     this.currentVersion += 1;
     this.removals.delete(member.id);
     const version = this.currentVersion;
-    this.rows.set(member.id, {member, text, version, leaseEnd});
+    this.rows.set(member.id, {member, text, version, leaseEnd, relay});
     return {kind: kindOf(row?.member, member), member};
   }
 
--- /dev/null
+++ b/zones/membership/test/heartbeat-gathering.test.ts
@@ -0,0 +1,221 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import type {
+  BatchAnswer,
+  HeartbeatBatch,
+  Member,
+  RelayedAnswer,
+} from '@marigoldspur/messages';
+import {
+  HeartbeatGathering,
+  MemberTable,
+  RelaySessions,
+} from '@marigoldspur/membership';
+
+const RUNS = {seed: 11, numRuns: 500};
+const LEASE_MS = 3_000;
+const RECEIPT = {leaseMs: LEASE_MS, revision: 1};
+const RELAY = {id: 'entry-0', boot: 'boot', zone: 'lima-a'};
+
+function member(id: string): Member {
+  return {
+    id,
+    role: 'agent',
+    zone: 'lima-a',
+    boot: 'boot',
+    url: 'http://127.0.0.1:1',
+    revision: 0,
+    leaving: false,
+  };
+}
+
+function whole(id: string, mark = 1) {
+  return {id, boot: 'boot', mark, member: {...member(id), mark}};
+}
+
+function short(id: string, mark = 1) {
+  return {id, boot: 'boot', mark};
+}
+
+function answer(change: Partial<BatchAnswer> = {}): BatchAnswer {
+  return {
+    taken: true,
+    stamp: {table: 't', at: 0},
+    receipt: RECEIPT,
+    fenced: [],
+    missing: [],
+    ...change,
+  };
+}
+
+/** Gathers, and keeps the answers in the order in which they come. */
+function gathering() {
+  const gathered = new HeartbeatGathering(RELAY);
+  const answers: RelayedAnswer[] = [];
+  const hear = (heartbeat: ReturnType<typeof whole>, now: number) =>
+    gathered.hear(heartbeat, now).then(each => answers.push(each));
+  const exchange = async (now: number, change?: Partial<BatchAnswer>) => {
+    const batch = gathered.batch(now);
+    gathered.answered(batch, answer(change), now, now);
+    await Promise.resolve();
+    return batch;
+  };
+  return {gathered, answers, hear, exchange};
+}
+
+it('gathering: a heartbeat is answered once the leader took it', async () => {
+  const {answers, hear, exchange} = gathering();
+  void hear(whole('a'), 0);
+  await exchange(1, {taken: false});
+  expect(answers).to.deep.equal([]);
+  const batch = await exchange(2);
+  expect(batch.announced.map(each => each.id)).to.deep.equal(['a']);
+  expect(answers).to.deep.equal([{outcome: 'taken', receipt: RECEIPT}]);
+});
+
+it('gathering: what did not change is renewed without being told again', async () => {
+  const {gathered, answers, hear, exchange} = gathering();
+  void hear(whole('a'), 0);
+  await exchange(1);
+  void gathered.hear(short('a'), 1_000).then(each => answers.push(each));
+  const batch = await exchange(1_100);
+  expect(batch).to.deep.include({announced: [], silent: [], heardMs: 999});
+  expect(answers).to.have.length(2);
+});
+
+it('gathering: an announcement that is not known has to be sent whole', async () => {
+  const {gathered, hear, exchange} = gathering();
+  void hear(whole('a'), 0);
+  await exchange(1);
+  const unknown = {outcome: 'unknown'};
+  expect(await gathered.hear(short('b'), 2)).to.deep.equal(unknown);
+  expect(await gathered.hear(short('a', 2), 2)).to.deep.equal(unknown);
+  const other = {...short('a'), boot: 'second'};
+  expect(await gathered.hear(other, 2)).to.deep.equal(unknown);
+});
+
+it('gathering: one that falls silent is named once and no longer spoken for', async () => {
+  const {gathered, hear, exchange} = gathering();
+  void hear(whole('a'), 0);
+  void hear(whole('b'), 0);
+  await exchange(1);
+  void gathered.hear(short('b'), 1_400);
+  expect((await exchange(1_600)).silent).to.deep.equal(['a']);
+  expect((await exchange(1_700)).silent).to.deep.equal([]);
+  expect(gathered.size).to.equal(1);
+});
+
+it('gathering: fenced and missing ones are told so, or told again', async () => {
+  const {answers, hear, exchange} = gathering();
+  void hear(whole('a'), 0);
+  void hear(whole('b'), 0);
+  await exchange(1, {fenced: ['a'], missing: ['b']});
+  expect(answers).to.deep.equal([{outcome: 'fenced'}]);
+  const batch = await exchange(2);
+  expect(batch.announced.map(each => each.id)).to.deep.equal(['b']);
+  expect(answers[1]).to.deep.equal({outcome: 'taken', receipt: RECEIPT});
+});
+
+it('gathering: after a lost batch everything is told again', async () => {
+  const {gathered, answers, hear, exchange} = gathering();
+  void hear(whole('a'), 0);
+  await exchange(1);
+  void gathered.hear(short('a'), 2).then(each => answers.push(each));
+  gathered.failed('no-leader');
+  await Promise.resolve();
+  expect(answers[1]).to.deep.equal({outcome: 'no-leader'});
+  const batch = await exchange(3, {taken: false});
+  expect(batch.stamp).to.equal(undefined);
+  expect((await exchange(4)).announced).to.have.length(1);
+});
+
+const STEP = fc.record({
+  kind: fc.constantFrom('beat', 'beat', 'send', 'deliver', 'answer', 'lose'),
+  id: fc.constantFrom('a', 'b', 'c'),
+  pauseMs: fc.oneof(
+    fc.integer({min: 0, max: 400}),
+    fc.integer({min: 0, max: 6_000}),
+  ),
+});
+
+it('gathering model: no lease goes past the last heartbeat and a lease', () => {
+  fc.assert(
+    fc.property(fc.array(STEP, {maxLength: 120}), steps => {
+      const run = new RelayRun();
+      for (const step of steps) {
+        run.now += step.pauseMs;
+        run.step(step.kind, step.id);
+        run.check();
+      }
+    }),
+    RUNS,
+  );
+});
+
+/** One relay and one leader, whose messages take any time. */
+class RelayRun {
+  now = 0;
+  private readonly heardAt = new Map<string, number>();
+  private readonly gathered = new HeartbeatGathering(RELAY);
+  private readonly table = new MemberTable({table: 't', leaseMs: LEASE_MS});
+  private readonly sessions = new RelaySessions({
+    table: this.table,
+    leaseMs: LEASE_MS,
+    granted: () => undefined,
+  });
+  private readonly lost: HeartbeatBatch[] = [];
+  private sent?: {readonly batch: HeartbeatBatch; readonly at: number};
+  private answered?: BatchAnswer;
+
+  step(kind: string, id: string): void {
+    switch (kind) {
+      case 'beat':
+        this.heardAt.set(id, this.now);
+        void this.gathered.hear(whole(id), this.relayNow);
+        return;
+      case 'send':
+        this.sent ??= {
+          batch: this.gathered.batch(this.relayNow),
+          at: this.relayNow,
+        };
+        return;
+      case 'deliver':
+        if (this.sent !== undefined) {
+          this.answered ??= this.deliver(this.sent.batch);
+        }
+        // A batch that the relay gave up on comes late.
+        this.lost.splice(0).forEach(batch => this.deliver(batch));
+        return;
+      case 'answer':
+        if (this.sent !== undefined && this.answered !== undefined) {
+          const {batch, at} = this.sent;
+          this.gathered.answered(batch, this.answered, at, this.relayNow);
+          this.sent = this.answered = undefined;
+        }
+        return;
+      default:
+        if (this.sent !== undefined) {
+          this.lost.push(this.sent.batch);
+          this.sent = this.answered = undefined;
+          this.gathered.failed('cut-off');
+        }
+    }
+  }
+
+  check(): void {
+    this.table.expire(this.now);
+    for (const {id} of this.table.members()) {
+      expect(this.heardAt.get(id)! + LEASE_MS).to.be.at.least(this.now);
+    }
+  }
+
+  /** The relay's clock shows another time than the leader's. */
+  private get relayNow(): number {
+    return this.now + 12_345;
+  }
+
+  private deliver(batch: HeartbeatBatch): BatchAnswer {
+    const {answer: taken} = this.sessions.take(batch, this.now);
+    return {...taken, receipt: RECEIPT};
+  }
+}
--- /dev/null
+++ b/zones/membership/test/relay-sessions.test.ts
@@ -0,0 +1,154 @@
+import {expect} from 'chai';
+import type {HeartbeatBatch, Member, RelayStamp} from '@marigoldspur/messages';
+import {MemberTable, RelaySessions} from '@marigoldspur/membership';
+
+const LEASE_MS = 1_000;
+
+function agent(id: string, fence = 1): Member {
+  return {
+    id,
+    role: 'agent',
+    zone: 'lima-a',
+    boot: 'boot',
+    url: 'http://127.0.0.1:1',
+    revision: 0,
+    leaving: false,
+    target: {
+      name: id,
+      customer: 'callao',
+      service: 'lm-desk',
+      boot: 'engine',
+      healthy: true,
+      slots: 6,
+      resident: [],
+      running: 0,
+      waiting: 0,
+      batchLimit: 16,
+      fence,
+    },
+  };
+}
+
+function leader() {
+  const table = new MemberTable({table: 't', leaseMs: LEASE_MS});
+  const fences = new Map<string, number>();
+  const sessions = new RelaySessions({
+    table,
+    leaseMs: LEASE_MS,
+    granted: target => fences.get(target),
+  });
+  const take = (change: Partial<HeartbeatBatch>, now: number) =>
+    sessions.take({...EMPTY, ...change}, now).answer;
+  return {table, fences, take};
+}
+
+const EMPTY: HeartbeatBatch = {
+  relay: 'entry-0',
+  boot: 'boot',
+  zone: 'lima-a',
+  heardMs: 0,
+  announced: [],
+  silent: [],
+};
+
+/** A leader whose relay speaks for some agents, from time 0 on. */
+function speaking(...ids: string[]) {
+  const parts = leader();
+  const {stamp: first} = parts.take({}, 0);
+  const announced = ids.map(id => agent(id));
+  const {stamp} = parts.take({stamp: first, announced}, 0);
+  return {...parts, stamp};
+}
+
+function ids(table: MemberTable): string[] {
+  return table.members().map(member => member.id);
+}
+
+it('relays: a batch renews the members of the batches before it', () => {
+  const {table, take, stamp} = speaking('a', 'b');
+  expect(take({stamp, heardMs: 500}, 600).taken).to.equal(true);
+  table.expire(LEASE_MS + 500);
+  expect(ids(table)).to.deep.equal(['a', 'b']);
+});
+
+it('relays: a lease counts from when the member was heard, not from when the batch came', () => {
+  const {table, take, stamp} = speaking('a');
+  take({stamp, heardMs: 100}, 900);
+  table.expire(LEASE_MS + 101);
+  expect(ids(table)).to.deep.equal([]);
+});
+
+it('relays: a batch that was longer on its way than a lease says nothing of who lives', () => {
+  const {table, take, stamp} = speaking('a');
+  const answer = take({stamp, heardMs: 100, announced: [agent('b')]}, 5_000);
+  expect(answer).to.deep.include({taken: true, missing: ['a', 'b']});
+  table.expire(5_000);
+  expect(ids(table)).to.deep.equal([]);
+});
+
+it('relays: a member that its relay no longer hears is not renewed', () => {
+  const {table, take, stamp} = speaking('a', 'b');
+  take({stamp, heardMs: 500, silent: ['a']}, 600);
+  table.expire(LEASE_MS + 1);
+  expect(ids(table)).to.deep.equal(['b']);
+});
+
+it('relays: only the latest stamp, of this table and to this boot, is taken', () => {
+  const {take, stamp} = speaking('a');
+  const bad: Array<{stamp?: RelayStamp; boot?: string}> = [
+    {stamp: undefined},
+    {stamp: {...stamp, at: stamp.at - 1}},
+    {stamp: {...stamp, table: 'other'}},
+    {stamp, boot: 'second'},
+  ];
+  for (const change of bad) {
+    const parts = speaking('a');
+    expect(parts.take(change, 10).taken).to.equal(false);
+    const expired = parts.table.expire(LEASE_MS + 1);
+    expect(expired).to.have.length(1);
+  }
+  expect(take({stamp}, 10).taken).to.equal(true);
+  expect(take({stamp}, 20).taken).to.equal(false);
+});
+
+it('relays: an agent is fenced by the first batch after a newer number was granted', () => {
+  const {table, fences, take, stamp} = speaking('a', 'b');
+  fences.set('a', 2);
+  expect(take({stamp}, 100).fenced).to.deep.equal(['a']);
+  expect(ids(table)).to.deep.equal(['b']);
+});
+
+it('relays: a member that goes another way is not renewed by its earlier relay', () => {
+  const {table, take, stamp} = speaking('a');
+  table.announce(agent('a'), 10);
+  take({stamp, heardMs: 900}, 950);
+  table.expire(LEASE_MS + 11);
+  expect(ids(table)).to.deep.equal([]);
+});
+
+it('relays: a late announcement changes nothing', () => {
+  const {table} = leader();
+  table.announce({...agent('a'), mark: 2, leaving: true}, 0);
+  const late = table.announce({...agent('a'), mark: 1}, 500);
+  expect(late).to.deep.equal({fenced: false, changes: []});
+  expect(table.member('a')?.leaving).to.equal(true);
+  expect(table.expire(LEASE_MS + 1)).to.have.length(1);
+});
+
+it('relays: the first entries of a zone gather its heartbeats, but for leaving ones', () => {
+  const {table} = leader();
+  const entry = (id: string, change: Partial<Member> = {}): Member => ({
+    ...agent(id),
+    role: 'entry',
+    target: undefined,
+    ...change,
+  });
+  table.announce(entry('e3'), 0);
+  table.announce(entry('e1', {leaving: true}), 0);
+  table.announce(entry('e2'), 0);
+  table.announce(entry('e0', {zone: 'lima-b'}), 0);
+  table.announce(entry('e4'), 0);
+  table.announce(agent('a'), 0);
+  const relays = table.relays('lima-a', 2).map(member => member.id);
+  expect(relays).to.deep.equal(['e2', 'e3']);
+});
