--- a/control/replicated-log/src/open-replicated-log.ts
+++ b/control/replicated-log/src/open-replicated-log.ts
@@ -3,6 +3,8 @@
 import type {EventLog} from '@marigoldspur/event-log';
 import {toFault, type Fault} from '@marigoldspur/faults';
 import {
+  DELIVERY_PATH,
+  DELIVERY_PATH,
   deliveryHandler,
   replicaRouter,
   type ReplicaRouter,
@@ -44,8 +46,8 @@
   readonly log: ReplicatedLog<Command, Answer>;
   /** Served by the process under `/trpc/log/`. */
   readonly router: ReplicaRouter;
-  /** Takes the deliveries of the other replicas; answers 404 to anything else. */
-  readonly deliveries: http.RequestListener;
+  /** Handlers of the paths that the other replicas call besides the router. */
+  readonly paths: ReadonlyMap<string, http.RequestListener>;
 }
 
 const DEFAULT_ELECTION_TIMEOUT_MS = 1_000;
@@ -113,6 +115,6 @@
   return {
     log: replica,
     router: replicaRouter(replica),
-    deliveries: deliveryHandler(replica),
+    paths: new Map([[DELIVERY_PATH, deliveryHandler(replica)]]),
   };
 }
--- a/lab/log-trials/src/measure-log.ts
+++ b/lab/log-trials/src/measure-log.ts
@@ -64,7 +64,7 @@
   peers: readonly string[],
   folder: string,
 ) {
-  const {log, router, deliveries} = await openReplicatedLog(new Counter(), {
+  const {log, router, paths} = await openReplicatedLog(new Counter(), {
     folder: path.join(folder, String(port)),
     url: `http://127.0.0.1:${port}`,
     peers,
--- a/machines/process-server/src/process-server.ts
+++ b/machines/process-server/src/process-server.ts
@@ -26,6 +26,9 @@
    * `control` check each call; all others serve only processes of the system.
    */
   readonly routers?: Readonly<Record<string, AnyRouter>>;
+  /** Handlers of single paths, for processes of the system only. */
+  readonly paths?: ReadonlyMap<string, Handler>;
+  /** Takes every other request, from processes of the system only. */
   readonly fallback?: Handler;
   /**
    * Takes requests with `Expect: 100-continue` in place of `fallback`, before their
@@ -127,25 +130,27 @@
       response.end(await options.metrics.registry.metrics());
       return;
     default:
-      answerOther(options, request, response);
+      answerOther(path, options, request, response);
   }
 }
 
 function answerOther(
+  path: string,
   options: ProcessServerOptions,
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
-  if (options.fallback !== undefined) {
-    if (isProcess(options.security, request)) {
-      options.fallback(request, response);
-    } else {
-      forbid(response);
-    }
+  const handler = options.paths?.get(path) ?? options.fallback;
+  if (handler === undefined) {
+    response.statusCode = 404;
+    response.end('not found\n');
+    return;
+  }
+  if (!isProcess(options.security, request)) {
+    forbid(response);
     return;
   }
-  response.statusCode = 404;
-  response.end('not found\n');
+  handler(request, response);
 }
 
 function isProcess(
