Free a load permit that its agent does not use

Agents report what they load and wait for with each heartbeat. Control now takes back a permit that has been held for 1 s and that such a report does not name. Ruled out first: a shorter validity of permits, which would end long loads.

Outside of control/load-permits this is one call in the heartbeat of control-server. Without the call to keepOnly the first new test waits for its permit for good.

--- a/control/control-server/src/control-desk.ts
+++ b/control/control-server/src/control-desk.ts
@@ -171,6 +171,9 @@
       member.target && this.options.machine.fenceOf(member.target.name);
     const {fenced, changes} = members.announce(member, now, granted);
     this.recordMembers(changes);
+    if (member.target?.loading !== undefined) {
+      this.options.permits.keepOnly(member.id, member.target.loading, now);
+    }
     if (fenced) {
       throw new Fault(
         'FENCED',
--- a/control/load-permits/src/permit-desk.ts
+++ b/control/load-permits/src/permit-desk.ts
@@ -39,6 +39,14 @@
     }
   }
 
+  /**
+   * Takes an agent's report of the models that it loads or waits for at time `now`. A permit whose
+   * answer was lost, or that a question of long ago was granted, is free again at once.
+   */
+  keepOnly(agent: string, loading: readonly string[], now: number): void {
+    this.stores.forEach(store => store.keepOnly(agent, loading, now));
+  }
+
   private storeOf(name: string): StorePermits {
     let store = this.stores.get(name);
     if (store === undefined) {
--- a/control/load-permits/src/permit-queue.ts
+++ b/control/load-permits/src/permit-queue.ts
@@ -125,6 +125,11 @@
     return this.held.has(id);
   }
 
+  /** How long a permit has been held for a load, in milliseconds; 0 where none is. */
+  heldForMs(id: string, now: number): number {
+    return now - (this.held.get(id)?.grantedAt ?? now);
+  }
+
   /** Returns the permit of a load. */
   release(id: string, use: PermitUse, now: number): void {
     const held = this.held.get(id);
--- a/control/load-permits/src/store-permits.ts
+++ b/control/load-permits/src/store-permits.ts
@@ -13,6 +13,8 @@
 }
 
 const USEFUL_MS = 30_000;
+/** A report may have been made before the permit it does not name was granted. */
+const REPORT_DELAY_MS = 1_000;
 
 /** Hands out the permits of one weight store: the queue with its timers. */
 export class StorePermits {
@@ -57,6 +59,17 @@
     return true;
   }
 
+  /** Takes back the permits of an agent for what it neither loads nor waits for any more. */
+  keepOnly(agent: string, loading: readonly string[], now: number): void {
+    const kept = new Set(loading.map(model => loadId(agent, model)));
+    for (const [permit, id] of this.permits) {
+      const isStale = id.startsWith(loadId(agent, '')) && !kept.has(id);
+      if (isStale && this.queue.heldForMs(id, now) >= REPORT_DELAY_MS) {
+        this.release(permit, 'unused');
+      }
+    }
+  }
+
   private giveUp(id: string): void {
     this.queue.withdraw(id);
     this.answer(id, {
@@ -115,10 +128,15 @@
   }
 }
 
+/** Identity of the question for a load: an agent asks once for each model. */
+function loadId(agent: string, model: string): string {
+  return `${agent} ${model}`;
+}
+
 function wantedLoad(request: PermitRequest, now: number): WantedLoad {
   const {agent, model, waiters, priority, oldestWaitMs} = request;
   return {
-    id: `${agent} ${model}`,
+    id: loadId(agent, model),
     model,
     waiters,
     priority,
--- a/control/load-permits/test/permit-desk.test.ts
+++ b/control/load-permits/test/permit-desk.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {PermitDesk} from '@marigoldspur/load-permits';
 
+const REPORT_DELAY_MS = 2_000;
 const request = {
   store: 'store',
   agent: 'agent',
@@ -56,3 +57,20 @@
   expect(none.permit).to.equal(undefined);
   expect(none.predictedWaitMs).to.be.a('number');
 });
+
+it('permit desk: a permit for what its agent no longer loads is free at once', async () => {
+  const permits = desk();
+  await permits.acquire(request);
+  const next = permits.acquire({...request, agent: 'other'});
+  permits.keepOnly('agent', [], performance.now() + REPORT_DELAY_MS);
+  expect((await next).permit).to.be.a('string');
+});
+
+it('permit desk: a permit stays while its agent loads, or has only just got it', async () => {
+  const permits = desk();
+  const {permit} = await permits.acquire(request);
+  permits.keepOnly('agent', ['a@v1'], performance.now() + REPORT_DELAY_MS);
+  permits.keepOnly('agent', [], performance.now());
+  permits.keepOnly('other', [], performance.now() + REPORT_DELAY_MS);
+  expect((await permits.acquire(request)).permit).to.equal(permit);
+});
