Refuse claims at once while control gives no answer

An entry in a cut zone sent each claim into the cut, refused it 1.5 s later and then asked every few hundred milliseconds to give it back: 1,500 ms for nearly all refusals of a cut, and after a minute some 700 such loops that all reach control with the mend.

After a claim without an answer one claim at a time asks control, and all others are refused at once, with when to come back; the first answer lets all claims through again. The new test hangs without this. Only entry/entry-server/claim-desk changes.

--- a/entry/entry-server/src/claim-desk.ts
+++ b/entry/entry-server/src/claim-desk.ts
@@ -3,7 +3,7 @@
 import {Result} from 'true-myth';
 import type {ControlClient} from '@marigoldspur/control-client';
 import type {EventLog} from '@marigoldspur/event-log';
-import {Refusal} from '@marigoldspur/faults';
+import {Refusal, type Fault} from '@marigoldspur/faults';
 import type {
   Claim,
   ClaimOutcome,
@@ -46,6 +46,9 @@
 /** Claims requests that may not be repeated, before they are dispatched. */
 export class ClaimDesk {
   private readonly pending = new Set<Promise<void>>();
+  /** Whether the last claim had no answer. */
+  private away = false;
+  private asking = 0;
 
   constructor(private readonly options: ClaimDeskOptions) {}
 
@@ -54,13 +57,16 @@
     return this.pending.size;
   }
 
-  /** Takes a claim; a refusal says what is known of the first run. */
+  /**
+   * Takes a claim; a refusal says what is known of the first run. While control gives
+   * no answer, one claim at a time asks for it and all others are refused at once.
+   */
   async take(need: ClaimNeed): Promise<Result<ClaimResult, Refusal>> {
-    const claim = claimOf(need, this.options);
-    const taken = await this.options.client.call(
-      (replica, signal) => replica.takeClaim.mutate(claim, {signal}),
-      performance.now() + CLAIM_TIMEOUT_MS,
-    );
+    if (this.away && this.asking > 0) {
+      return Result.err(claimUnavailable());
+    }
+    const taken = await this.ask(claimOf(need, this.options));
+    this.away = taken.isErr;
     if (taken.isErr) {
       // The claim may have been taken though its answer was lost: give it back.
       const {customer, key, request, retentionMs} = need;
@@ -71,6 +77,18 @@
     return resultOf(taken.value);
   }
 
+  private async ask(claim: Claim): Promise<Result<ClaimOutcome, Fault>> {
+    this.asking += 1;
+    try {
+      return await this.options.client.call(
+        (replica, signal) => replica.takeClaim.mutate(claim, {signal}),
+        performance.now() + CLAIM_TIMEOUT_MS,
+      );
+    } finally {
+      this.asking -= 1;
+    }
+  }
+
   /** Ends a claim: control is asked until it answers or `retentionMs` is over. */
   complete(completion: Completion, retentionMs: number): void {
     const told = this.tell(completion, performance.now() + retentionMs);
--- a/entry/entry-server/test/claim-desk.test.ts
+++ b/entry/entry-server/test/claim-desk.test.ts
@@ -155,3 +155,36 @@
   const resend = {...NEED, request: 'request-2'};
   expect(await reasonOf(desk, resend)).to.equal('outcome_unknown');
 });
+
+it('claims: while control gives no answer, one claim asks and the others are refused', async () => {
+  const control = new FakeControl();
+  let asked = 0;
+  let answer = () => {};
+  const call: ControlClient['call'] = async (send, deadlineMs) => {
+    asked += 1;
+    await new Promise<void>(resolve => (answer = resolve));
+    return control.client.call(send, deadlineMs);
+  };
+  const desk = new ClaimDesk({
+    client: {call},
+    events: new EventLog({process: 'entry-0'}),
+    entry: 'entry-0',
+    boot: 'entry-0-boot',
+  });
+  control.lostCalls = 1;
+  const lost = desk.take(NEED);
+  answer();
+  expect((await lost).isErr).to.equal(true);
+  answer();
+  const trial = desk.take({...NEED, key: 'indication-2'});
+  const askedBefore = asked;
+  expect(await reasonOf(desk, {...NEED, key: 'indication-3'})).to.equal(
+    'claim_unavailable',
+  );
+  expect(asked).to.equal(askedBefore);
+  answer();
+  expect((await trial).isOk).to.equal(true);
+  const next = desk.take({...NEED, key: 'indication-3'});
+  answer();
+  expect((await next).isOk).to.equal(true);
+});
