--- a/entry/entry-server/src/caller-server.ts
+++ b/entry/entry-server/src/caller-server.ts
@@ -27,8 +27,8 @@
 /** The server of callers' connections. */
 export class CallerServer {
   readonly server: http.Server;
-  /** Connections with a request that is being answered. */
-  private readonly answering = new WeakMap<Socket, number>();
+  /** Answers that are due on each connection. */
+  private readonly answering = new WeakMap<Socket, Set<http.ServerResponse>>();
 
   constructor(private readonly options: CallerServerOptions) {
     this.server = options.tls.createServer(
@@ -72,19 +72,27 @@
       return;
     }
     const {socket} = request;
-    this.answering.set(socket, (this.answering.get(socket) ?? 0) + 1);
-    response.on('close', () =>
-      this.answering.set(socket, (this.answering.get(socket) ?? 1) - 1),
-    );
+    const due = this.answering.get(socket) ?? new Set();
+    this.answering.set(socket, due.add(response));
+    response.on('close', () => due.delete(response));
     void this.options.handle(request, response);
   }
 
-  /** Answers what is not HTTP, where no other answer is on its way on the connection. */
+  /**
+   * Answers what is not HTTP and what does not arrive in time, where no other answer is
+   * on its way on the connection.
+   */
   private refuseConnection(error: NodeJS.ErrnoException, socket: Socket): void {
-    const busy = (this.answering.get(socket) ?? 0) > 0;
-    if (!busy && socket.writable) {
+    const due = [...(this.answering.get(socket) ?? [])];
+    const isFree = due.length === 0 || (due.length === 1 && isArriving(due[0]));
+    if (isFree && socket.writable) {
       socket.end(clientErrorAnswer(error.code ?? ''));
     }
     socket.destroySoon();
   }
 }
+
+/** Whether the request of an answer is still on its way, so that it did not run. */
+function isArriving({req, headersSent}: http.ServerResponse): boolean {
+  return !req.complete && !headersSent;
+}
--- a/lab/fault-runs/test/claims.test.ts
+++ b/lab/fault-runs/test/claims.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {deploymentTree, startSystem, type System} from '@marigoldspur/lab';
+import type {Tree} from '@marigoldspur/settings-schema';
 
 const DEPLOYMENT = {
   customer: 'callao',
@@ -7,10 +8,12 @@
   targets: [
     {service: 'lm-desk', kind: 'engine', count: 1},
     {service: 'chart-api', kind: 'service', count: 2},
+    {service: 'chart-brief', kind: 'service', count: 1},
   ],
   loadsPerSecond: 50,
 } as const;
 const CALL_MS = 2_000;
+const RETENTION_MS = 6_000;
 
 interface Reply {
   readonly status: number;
@@ -25,7 +28,7 @@
 before(async () => {
   system = await startSystem({
     deployments: [DEPLOYMENT],
-    tree: deploymentTree([DEPLOYMENT], 2),
+    tree: briefRetention(deploymentTree([DEPLOYMENT], 2)),
     controls: 1,
     entries: 3,
     serviceCallMs: CALL_MS,
@@ -35,6 +38,13 @@
 
 after(() => system?.stop());
 
+/** Keeps results of one service for a short time. */
+function briefRetention(tree: Tree): Tree {
+  const {services} = tree.customers[DEPLOYMENT.customer];
+  services['chart-brief'].settings.claimRetentionMs = RETENTION_MS;
+  return tree;
+}
+
 async function send(
   entry: number,
   key: string,
@@ -110,6 +120,21 @@
   expect(await runsOf('another body')).to.equal(0);
 });
 
+it('claims: a key runs anew, once, when its retention is over', async () => {
+  const options = {path: '/chart-brief/indication'};
+  await send(0, 'expiring', options);
+  let resend = await send(1, 'expiring', options);
+  expect(resend.headers.get('idempotent-replayed')).to.equal('true');
+  while (resend.headers.get('idempotent-replayed') !== null) {
+    await new Promise(resolve => setTimeout(resolve, 200));
+    resend = await send(2, 'expiring', options);
+  }
+  expect(resend.status).to.equal(200);
+  const last = await send(1, 'expiring', options);
+  expect(last.headers.get('idempotent-replayed')).to.equal('true');
+  expect(await runsOf('expiring')).to.equal(2);
+});
+
 it('claims: a caller that went away finds its answer when it asks again', async () => {
   const gone = new AbortController();
   const first = send(0, 'left', {signal: gone.signal}).catch(() => undefined);
