--- a/control/replicated-log/src/open-replicated-log.ts
+++ b/control/replicated-log/src/open-replicated-log.ts
@@ -3,7 +3,6 @@
 import type {EventLog} from '@marigoldspur/event-log';
 import {toFault, type Fault} from '@marigoldspur/faults';
 import {
-  DELIVERY_PATH,
   DELIVERY_PATH,
   deliveryHandler,
   replicaRouter,
