Agent: weights with another digest than their version names are never used

Cause: a load counted as done once the engine listed the adapter's name, whatever weights it held. Where the engine's list names a digest, a pin is now refused on another digest than the settings name (wrong_digest, not run, event 514); the adapter takes no request and is unloaded and loaded anew after its pause. This also covers weights that an agent finds at its start. The stand-in reports the digest it was ordered with, and other ones under the fault `wrongLoads`.

Both new tests fail with the comparison off.

--- a/agent/agent-server/src/adapter-host.ts
+++ b/agent/agent-server/src/adapter-host.ts
@@ -9,12 +9,14 @@
 import type {LeaseKeeper} from './lease-keeper.js';
 import {LoadRefused, type LoadGate} from './load-gate.js';
 import {PendingLoad, type AdapterNeed} from './pending-load.js';
+import type {ResidentAdapters} from './resident-adapters.js';
 import type {SlotOrders} from './slot-orders.js';
 
 /** What an adapter host works with. */
 export interface AdapterHostOptions {
   readonly agent: string;
   readonly slots: SlotTable;
+  readonly resident: ResidentAdapters;
   readonly orders: SlotOrders;
   readonly keeper: LeaseKeeper;
   readonly gate: LoadGate;
@@ -63,6 +65,10 @@
     const startedAt = performance.now();
     while (!need.signal.aborted && performance.now() < need.deadlineMs) {
       const pin = this.options.slots.pin(need.model, performance.now());
+      if (pin !== undefined && this.hasOtherWeights(need)) {
+        pin.release(performance.now());
+        return Result.err(this.refuseWeights(need));
+      }
       if (pin !== undefined) {
         const stallMs = performance.now() - startedAt;
         this.options.metrics.loadStall.observe(stallMs / SECOND_MS);
@@ -96,6 +102,19 @@
     this.backoff.failed(model, performance.now());
   }
 
+  private hasOtherWeights({model, digest}: AdapterNeed): boolean {
+    return this.options.resident.differs(model, digest);
+  }
+
+  /** The adapter takes no request any more, and is loaded anew for a later one. */
+  private refuseWeights({model, digest}: AdapterNeed): Refusal {
+    this.options.events.record('digest-differs', {model, digest});
+    this.distrust(model);
+    const pauseMs = this.backoff.pauseLeft(model, performance.now());
+    const message = 'the engine holds other weights than the version names';
+    return notLoaded('wrong_digest', message, pauseMs);
+  }
+
   /** Why a load can't serve a need; undefined when it may. */
   private hopeless(need: AdapterNeed, now: number): Refusal | undefined {
     const pauseMs = this.backoff.pauseLeft(need.model, now);
--- a/agent/agent-server/src/prepare-engine.ts
+++ b/agent/agent-server/src/prepare-engine.ts
@@ -14,6 +14,7 @@
 import type {EngineParts} from './engine-parts.js';
 import {LeaseKeeper} from './lease-keeper.js';
 import {ControlLoadGate, FallbackLoadGate, ShareLoadGate} from './load-gate.js';
+import {ResidentAdapters} from './resident-adapters.js';
 import {SettingsEviction} from './settings-eviction.js';
 import {SlotOrders} from './slot-orders.js';
 import {TargetWatch} from './target-watch.js';
@@ -55,6 +56,7 @@
     () => fence,
     settings.loadTimeoutMs,
   );
+  const resident = new ResidentAdapters(engine);
   const lease = new OrderLease(
     {
       leaseMs: settings.orderLeaseMs,
@@ -67,6 +69,7 @@
   const keeper = new LeaseKeeper(lease, events);
   const watch = new TargetWatch({
     engine,
+    resident,
     slots,
     events,
     metrics,
@@ -86,6 +89,7 @@
   const orders = new SlotOrders({
     slots,
     engine,
+    resident,
     watch,
     keeper,
     events,
@@ -95,6 +99,7 @@
   const host = new AdapterHost({
     agent,
     slots,
+    resident,
     orders,
     keeper,
     gate,
--- a/agent/agent-server/src/slot-orders.ts
+++ b/agent/agent-server/src/slot-orders.ts
@@ -5,12 +5,14 @@
 import {Fault} from '@marigoldspur/faults';
 import type {EngineClient} from '@marigoldspur/target-client';
 import type {LeaseKeeper} from './lease-keeper.js';
+import type {ResidentAdapters} from './resident-adapters.js';
 import type {TargetWatch} from './target-watch.js';
 
 /** What slot orders work with. */
 export interface SlotOrdersOptions {
   readonly slots: SlotTable;
   readonly engine: EngineClient;
+  readonly resident: ResidentAdapters;
   readonly watch: TargetWatch;
   readonly keeper: LeaseKeeper;
   readonly events: EventLog;
@@ -125,7 +127,7 @@
     judge: (listed: readonly string[]) => Settled,
     boot: string,
   ): Promise<Settled> {
-    const listing = await this.options.engine.resident();
+    const listing = await this.options.resident.read();
     if (listing.isErr) {
       return this.settle(listing.error, boot, judge);
     }
@@ -148,13 +150,13 @@
     if (fault.code !== 'UNAVAILABLE' && fault.code !== 'TORN_ANSWER') {
       return 'not-done';
     }
-    const {engine, events, settleMs, watch} = this.options;
+    const {engine, events, resident, settleMs, watch} = this.options;
     events.record('order-unclear', {reason: fault.message});
     const deadline = performance.now() + settleMs;
     let settled: Settled = 'not-done';
     while (performance.now() < deadline) {
       const health = await engine.health();
-      const listing = await engine.resident();
+      const listing = await resident.read();
       if (health.isOk && health.value.boot !== boot) {
         await watch.check();
         return 'restarted';
--- a/agent/agent-server/src/target-watch.ts
+++ b/agent/agent-server/src/target-watch.ts
@@ -7,6 +7,7 @@
 } from '@marigoldspur/target-client';
 import type {AgentMetrics} from './agent-metrics.js';
 import type {LeaseKeeper} from './lease-keeper.js';
+import type {ResidentAdapters} from './resident-adapters.js';
 import {RunWatch} from './run-watch.js';
 
 /** What is known of a target. */
@@ -22,6 +23,7 @@
 /** What a target watch works with. */
 export interface TargetWatchOptions {
   readonly engine: EngineClient;
+  readonly resident: ResidentAdapters;
   readonly slots: SlotTable;
   readonly events: EventLog;
   readonly metrics: AgentMetrics;
@@ -83,9 +85,9 @@
 
   /** Brings the slots in line with what the engine lists now. */
   async reconcile(): Promise<void> {
-    const {engine, slots} = this.options;
+    const {resident, slots} = this.options;
     const {version} = slots;
-    const listing = await engine.resident();
+    const listing = await resident.read();
     const fits =
       listing.isOk &&
       slots.version === version &&
@@ -154,18 +156,18 @@
       return;
     }
     const running = await engine.running();
-    const resident = await engine.resident();
-    if (health.isErr || running.isErr || resident.isErr) {
+    const listing = await this.options.resident.read();
+    if (health.isErr || running.isErr || listing.isErr) {
       return;
     }
-    const boots = [health.value, running.value, resident.value];
+    const boots = [health.value, running.value, listing.value];
     if (boots.some(answer => (answer.boot ?? boot) !== boot)) {
       return;
     }
     if (this.current.boot !== '') {
       events.record('target-restarted', {boot});
     }
-    slots.reset(health.value.slots, resident.value.items, performance.now());
+    slots.reset(health.value.slots, listing.value.items, performance.now());
     this.current = stateOf(health.value);
     this.adopt(running.value.items);
     events.record('orders-taken-over', {boot});
--- a/agent/agent-server/test/loads.test.ts
+++ b/agent/agent-server/test/loads.test.ts
@@ -61,6 +61,39 @@
   expect(orders).to.deep.equal(['load', 'unload', 'load']);
 });
 
+it('loads: an adapter with other weights than its version names is never used', async () => {
+  const {fixture, agent} = await Fixture.start();
+  await fixture.faults({wrongLoads: 2});
+  const refused = await fixture.send(agent, {model: 'a@v1'});
+  expect(refused.headers).to.include({
+    'x-marigoldspur-outcome': 'not-run',
+    'x-marigoldspur-reason': 'wrong_digest',
+    'retry-after': '1',
+  });
+  await eventually(async () => {
+    const answer = await fixture.send(agent, {model: 'a@v1'});
+    return answer.whole && answer.status === 200;
+  });
+  const orders = (await fixture.orders()).map(order => order.order);
+  expect(orders).to.deep.equal(['load', 'unload', 'load', 'unload', 'load']);
+  expect(await fixture.record()).to.have.length(1);
+  expect(await fixture.events(agent)).to.include('digest-differs');
+});
+
+it('loads: weights that an agent finds at its start are checked as well', async () => {
+  const fixture = new Fixture();
+  await fixture.startTarget();
+  await fetch(`${fixture.engine.url}/v1/load_lora_adapter`, {
+    method: 'POST',
+    body: JSON.stringify({lora_name: 'a@v1', lora_path: 'd2'}),
+  });
+  const agent = await fixture.startAgent();
+  await fixture.serving(agent);
+  const refused = await fixture.send(agent, {model: 'a@v1'});
+  expect(refused.headers['x-marigoldspur-reason']).to.equal('wrong_digest');
+  expect(await fixture.record()).to.deep.equal([]);
+});
+
 it('loads: a lost answer is settled by asking the engine', async () => {
   const {fixture, agent} = await Fixture.start({slots: 1});
   await fixture.faults({loseLoadAnswers: 1, loseUnloadAnswers: 1});
--- a/agent/target-client/src/engine-client.ts
+++ b/agent/target-client/src/engine-client.ts
@@ -10,6 +10,7 @@
   ENGINE_REQUESTS_SCHEMA,
   type EngineHealth,
   type EngineRequest,
+  type ResidentAdapter,
 } from './engine-messages.js';
 
 /** What an engine lists, and the boot that listed it. */
@@ -54,13 +55,13 @@
     return reply.andThen(({text}) => parse(text, ENGINE_HEALTH_SCHEMA));
   }
 
-  /** The adapters that the engine says it holds, as `adapter@version`. */
-  async resident(): Promise<Result<Listing<string>, Fault>> {
+  /** The adapters that the engine says it holds, each as `adapter@version`. */
+  async resident(): Promise<Result<Listing<ResidentAdapter>, Fault>> {
     const reply = await this.read('/v1/models');
     return reply.andThen(({text, boot}) =>
       parse(text, ENGINE_MODELS_SCHEMA).map(list => ({
         boot,
-        items: list.data.map(model => model.id),
+        items: list.data,
       })),
     );
   }
--- a/agent/target-client/src/engine-messages.ts
+++ b/agent/target-client/src/engine-messages.ts
@@ -21,9 +21,20 @@
 
 /** Answer of `GET /v1/models` of an engine. */
 export const ENGINE_MODELS_SCHEMA = z.object({
-  data: z.array(z.object({id: z.string()})),
+  data: z.array(
+    z.object({
+      id: z.string(),
+      /** Digest of the weights that the engine holds; absent where it does not tell. */
+      digest: z.string().optional(),
+    }),
+  ),
 });
 
+/** An adapter that an engine says it holds. */
+export type ResidentAdapter = z.infer<
+  typeof ENGINE_MODELS_SCHEMA
+>['data'][number];
+
 /** Answer of `GET /v1/requests` of an engine: what runs or waits there. */
 export const ENGINE_REQUESTS_SCHEMA = z.object({
   data: z.array(z.object({id: z.string(), model: z.string()})),
--- a/agent/target-client/src/index.ts
+++ b/agent/target-client/src/index.ts
@@ -12,4 +12,5 @@
   resumePath,
   type EngineHealth,
   type EngineRequest,
+  type ResidentAdapter,
 } from './engine-messages.js';
--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -370,6 +370,12 @@
     level: 'info',
     meaning: 'A held stream was cancelled or not resumed in time.',
   },
+  'digest-differs': {
+    number: 514,
+    level: 'warn',
+    meaning:
+      'The target holds other weights than the version names; they are loaded anew.',
+  },
   'load-ordered': {
     number: 600,
     level: 'info',
--- a/lab/stand-ins/src/adapter-shelf.ts
+++ b/lab/stand-ins/src/adapter-shelf.ts
@@ -1,12 +1,17 @@
 /** The adapters that an engine stand-in holds, loads or half holds. */
 export class AdapterShelf {
-  private readonly held = new Set<string>();
+  private readonly held = new Map<string, string | undefined>();
   private readonly half = new Set<string>();
   private readonly loading = new Set<string>();
 
   /** Adapters that the engine lists. */
   listed(): string[] {
-    return [...this.held, ...this.half];
+    return [...this.held.keys(), ...this.half];
+  }
+
+  /** Digest of the weights that an adapter was loaded with; undefined where it is not known. */
+  digestOf(model: string): string | undefined {
+    return this.held.get(model);
   }
 
   /** Whether requests for the adapter can run. */
@@ -29,12 +34,16 @@
     return true;
   }
 
-  /** Ends a load. */
-  finish(model: string, result: 'held' | 'half' | 'nothing'): void {
+  /** Ends a load of weights with a digest. */
+  finish(
+    model: string,
+    result: 'held' | 'half' | 'nothing',
+    digest: string | undefined,
+  ): void {
     this.loading.delete(model);
     if (result === 'held') {
       this.half.delete(model);
-      this.held.add(model);
+      this.held.set(model, digest);
     }
     if (result === 'half') {
       this.half.add(model);
--- a/lab/stand-ins/src/engine-faults.ts
+++ b/lab/stand-ins/src/engine-faults.ts
@@ -10,6 +10,8 @@
   lieLoads: COUNT,
   /** Loads after which the adapter is listed, but requests for it are answered 404. */
   halfLoads: COUNT,
+  /** Loads after which the adapter has other weights than those that were named. */
+  wrongLoads: COUNT,
   /** Loads that are done though the connection breaks before the answer. */
   loseLoadAnswers: COUNT,
   /** Unloads that are done though the connection breaks before the answer. */
--- a/lab/stand-ins/src/engine-orders.ts
+++ b/lab/stand-ins/src/engine-orders.ts
@@ -48,7 +48,9 @@
     response: ServerResponse,
   ): Promise<void> {
     const {shelf, state} = this.options;
-    const model = ORDER_SCHEMA.parse(JSON.parse(text)).lora_name;
+    const {lora_name: model, lora_path: path} = ORDER_SCHEMA.parse(
+      JSON.parse(text),
+    );
     const order = this.takeOrder('load', model, request, response);
     if (order === undefined) {
       return;
@@ -66,7 +68,8 @@
     const cut = boot !== state.boot;
     const good = fetched && !cut && !state.take('failLoads');
     if (!cut) {
-      shelf.finish(model, good ? this.loadResult() : 'nothing');
+      const digest = good && state.take('wrongLoads') ? 'other-weights' : path;
+      shelf.finish(model, good ? this.loadResult() : 'nothing', digest);
     }
     order.outcome = good ? 'done' : 'failed';
     await pause(state.faults.lateConfirmMs);
--- a/lab/stand-ins/src/engine.ts
+++ b/lab/stand-ins/src/engine.ts
@@ -75,7 +75,10 @@
         return sendJson(response, 200, this.health());
       case 'GET /v1/models':
         return sendJson(response, 200, {
-          data: shelf.listed().map(id => ({id, object: 'model'})),
+          data: shelf.listed().map(id => {
+            const digest = shelf.digestOf(id);
+            return {id, object: 'model', digest};
+          }),
         });
       case 'GET /v1/requests':
         return sendJson(response, 200, {data: runs.listed});
