Entry: a request without a body is held back as well until the agent has pinned

Cause: what may not be repeated waited with its body for 100 Continue, but an empty body left nothing to wait with, so the request was sent at once and a frozen agent left its outcome unknown. It now goes in chunks, whose end is sent after 100 Continue; until then the request is not complete, and the agent forwards nothing.

The test that asserted `unknown` for a frozen agent and an empty body is replaced by one that asserts `not-run` and that the end of the body was not sent, and one that follows 100 Continue.

--- a/entry/dispatch/src/attempt-headers.ts
+++ b/entry/dispatch/src/attempt-headers.ts
@@ -23,17 +23,27 @@
     ...(attempt.resumeAfter !== undefined && {
       [HOP_HEADERS.resumeAfter]: String(attempt.resumeAfter),
     }),
-    'content-length': attempt.body.length,
-    ...(waitsForContinue(attempt) && {expect: '100-continue'}),
+    ...bodyHeaders(attempt),
   };
 }
 
+/** An empty body is held back too: in chunks, what ends it can come later. */
+function bodyHeaders(attempt: Attempt): OutgoingHttpHeaders {
+  const {length} = attempt.body;
+  if (!waitsForContinue(attempt)) {
+    return {'content-length': length};
+  }
+  return length > 0
+    ? {'content-length': length, expect: '100-continue'}
+    : {'transfer-encoding': 'chunked', expect: '100-continue'};
+}
+
 /**
- * Whether the body waits for the agent's `100 Continue`: where the request may not be
- * repeated, unless it has no body to hold back.
+ * Whether the body, or the end of an empty one, waits for the agent's `100 Continue`:
+ * where the request may not be repeated, unless nothing is run, as on a resume.
  */
 export function waitsForContinue(attempt: Attempt): boolean {
-  return !attempt.hop.repeatable && attempt.body.length > 0;
+  return !attempt.hop.repeatable && attempt.resumeAfter === undefined;
 }
 
 /** The headers that tell an agent that an attempt is cancelled. */
--- a/entry/dispatch/test/attempt-client.test.ts
+++ b/entry/dispatch/test/attempt-client.test.ts
@@ -62,13 +62,32 @@
   expect(refusalOf(sent)).to.include({outcome: 'unknown', status: 504});
 });
 
-it('attempt: without a body to hold back, a frozen agent may have run it', async () => {
-  const sent = await send(() => {}, {
+it('attempt: a frozen agent never saw the end of an empty body', async () => {
+  const received: string[] = [];
+  const sent = await send((_, bytes) => received.push(bytes), {
     hop: ONCE,
     body: Buffer.alloc(0),
     firstByteTimeoutMs: 50,
   });
-  expect(refusalOf(sent).outcome).to.equal('unknown');
+  expect(refusalOf(sent).outcome).to.equal('not-run');
+  expect(received.at(-1)).to.match(/expect: 100-continue/i);
+  expect(received.at(-1)).to.match(/\r\n\r\n$/);
+});
+
+it('attempt: an empty body ends after the agent’s 100 Continue', async () => {
+  let continued = false;
+  const sent = await send(
+    (socket, bytes) => {
+      if (!continued) {
+        continued = true;
+        socket.write('HTTP/1.1 100 Continue\r\n\r\n');
+      } else if (bytes.endsWith('\r\n\r\n0\r\n\r\n')) {
+        socket.write(agentAnswer('text/plain', 'done', ONCE));
+      }
+    },
+    {hop: ONCE, method: 'DELETE', body: Buffer.alloc(0)},
+  );
+  expect(sent.isOk).to.equal(true);
 });
 
 it('attempt: the body follows the agent’s 100 Continue', async () => {
