Bodies held at once: a bound that fits a node of 128 MB

Cause: the entry held up to 256 MiB and the agent up to 64 MiB of bodies, on nodes with 128 MB that idle at some 90 MB. Both now hold 16 MiB by default (16 bodies of the largest default size, or some thousand prompts); the agent's bound became a setting. Beyond it a request is refused at once as not run, 503 with Retry-After. A body alone always fits at the agent, or it could never be sent. At the entry a body of unstated length took the largest size from the bound until its answer had ended, so that two chunked uploads would have filled the new one; it now counts as it comes.

That memory stays under 128 MB at this bound was not measured.

--- a/agent/agent-server/src/agent-settings.ts
+++ b/agent/agent-server/src/agent-settings.ts
@@ -46,6 +46,12 @@
     .max(1_000)
     .default(0.3)
     .describe('Loads a second of this agent while control is away'),
+  maxHeldBytes: z.coerce
+    .number()
+    .int()
+    .min(1_048_576)
+    .default(16_777_216)
+    .describe('Bytes of all request bodies that are held at once'),
   drainMs: DURATION_MS_SCHEMA.default(60_000).describe(
     'Longest time that running requests get at a shutdown, in milliseconds',
   ),
--- a/agent/agent-server/src/attempt-checks.ts
+++ b/agent/agent-server/src/attempt-checks.ts
@@ -71,7 +71,8 @@
     if (!this.isHealthy()) {
       return notRun(503, 'target_down', 'the target does not answer');
     }
-    if (load.heldBytes > maxHeldBytes) {
+    // One body alone always fits, or it could never be sent.
+    if (load.heldBytes > maxHeldBytes && load.heldBytes > bytes) {
       return notRun(503, 'agent_full', 'the agent holds too many bodies');
     }
     return this.repeated(hop);
--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -15,7 +15,6 @@
 
 const START_TIMEOUT_MS = 60_000;
 const MAX_BODY_BYTES = 67_108_864;
-const MAX_HELD_BYTES = 67_108_864;
 const DRAIN_POLL_MS = 20;
 
 /** Starts the agent beside a target. */
@@ -53,7 +52,7 @@
     events,
     metrics,
     maxBodyBytes: MAX_BODY_BYTES,
-    maxHeldBytes: MAX_HELD_BYTES,
+    maxHeldBytes: settings.maxHeldBytes,
     engine,
     serviceHealthy: () => service.healthy,
   });
--- a/agent/agent-server/test/agent-fixture.ts
+++ b/agent/agent-server/test/agent-fixture.ts
@@ -21,6 +21,7 @@
   readonly healthIntervalMs?: number;
   readonly orderLeaseMs?: number;
   readonly loadTimeoutMs?: number;
+  readonly maxHeldBytes?: number;
   /** How long the engine keeps a broken stream; 0 for not at all. */
   readonly resumeMs?: number;
 }
@@ -147,6 +148,7 @@
         fenceChecked: this.options.fenceChecked ?? true,
         orderLeaseMs: this.options.orderLeaseMs ?? 2_000,
         isolatedLoadsPerSecond: 20,
+        maxHeldBytes: this.options.maxHeldBytes ?? 1_048_576,
         drainMs: 20_000,
         settleMs: 100,
         logLevel: 'silent',
--- a/agent/agent-server/test/attempts.test.ts
+++ b/agent/agent-server/test/attempts.test.ts
@@ -151,6 +151,30 @@
   expect((await sent).status).to.equal(200);
 });
 
+it('attempts: bodies beyond the bound of all are not run, and told when to come back', async () => {
+  const {fixture: other, agent: small} = await Fixture.start({
+    ...{tokenMs: 5, maxHeldBytes: 300},
+  });
+  let begun = false;
+  const prompt = 'x'.repeat(400);
+  const body = JSON.stringify({
+    ...{model: 'a@v1', prompt, max_tokens: 100, stream: true},
+  });
+  const onData = () => {
+    begun = true;
+  };
+  const running = other.send(small, {model: 'a@v1', body, onData});
+  await eventually(() => begun);
+  const refused = await other.send(small, {model: 'a@v1'});
+  expect(refused.headers).to.include({
+    'x-marigoldspur-outcome': 'not-run',
+    'x-marigoldspur-reason': 'agent_full',
+    'retry-after': '1',
+  });
+  expect((await running).whole).to.equal(true);
+  expect((await other.send(small, {model: 'a@v1'})).whole).to.equal(true);
+});
+
 it('attempts: a retired version ends what runs and takes nothing new', async () => {
   let begun = false;
   const running = fixture.send(agent, {
--- a/entry/entry-server/src/entry-settings.ts
+++ b/entry/entry-server/src/entry-settings.ts
@@ -52,7 +52,7 @@
     .number()
     .int()
     .min(1_048_576)
-    .default(268_435_456)
+    .default(16_777_216)
     .describe('Bytes of all request bodies that are held at once'),
   maxRunning: z.coerce
     .number()
--- a/entry/entry-server/src/request-reader.ts
+++ b/entry/entry-server/src/request-reader.ts
@@ -28,6 +28,7 @@
 
 const MAX_KEY_LENGTH = 255;
 const RETRY_SOON_SECONDS = 1;
+const FULL = 'full';
 
 /** Reads a caller's request into a job. */
 export class RequestReader {
@@ -73,10 +74,14 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<Result<Buffer, Refusal>> {
-    if (!this.hold(request, response)) {
+    const full = this.hold(request, response);
+    const body = await Promise.race([
+      full,
+      readBody(request, this.options.maxBodyBytes),
+    ]);
+    if (body === FULL) {
       return Result.err(entryFull());
     }
-    const body = await readBody(request, this.options.maxBodyBytes);
     return body.mapErr(({code, message}) =>
       code === 'TOO_LARGE'
         ? rejected(413, 'body_too_large', message)
@@ -117,18 +122,33 @@
     });
   }
 
-  /** Counts a request's body until its answer has ended; false where it does not fit. */
-  private hold(request: IncomingMessage, response: ServerResponse): boolean {
+  /**
+   * Counts a request's body until its answer has ended: all of it where its length is
+   * stated, else what has come. Resolves once it does not fit.
+   */
+  private hold(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<typeof FULL> {
     const {maxBodyBytes, maxHeldBytes} = this.options;
-    const chunked = request.headers['transfer-encoding'] !== undefined;
-    const stated = Number(request.headers['content-length'] ?? 0);
-    const bytes = chunked ? maxBodyBytes : Math.min(stated, maxBodyBytes);
-    if (this.heldBytes + bytes > maxHeldBytes) {
-      return false;
-    }
-    this.heldBytes += bytes;
-    response.on('close', () => (this.heldBytes -= bytes));
-    return true;
+    let held = 0;
+    response.on('close', () => (this.heldBytes -= held));
+    return new Promise(resolve => {
+      const count = (bytes: number) => {
+        if (this.heldBytes + bytes > maxHeldBytes) {
+          resolve(FULL);
+          return;
+        }
+        held += bytes;
+        this.heldBytes += bytes;
+      };
+      if (request.headers['transfer-encoding'] === undefined) {
+        const stated = Number(request.headers['content-length'] ?? 0);
+        count(Math.min(stated, maxBodyBytes));
+      } else {
+        request.on('data', (chunk: Buffer) => count(chunk.length));
+      }
+    });
   }
 }
 
--- a/entry/entry-server/test/request-reader.test.ts
+++ b/entry/entry-server/test/request-reader.test.ts
@@ -68,6 +68,25 @@
   expect(await post('x'.repeat(300))).to.equal('read');
 });
 
+it('reader: a body of unstated length counts as it comes', async () => {
+  const begun = new Promise<void>(resolve => {
+    reading = resolve;
+  });
+  const slow = net.connect(port, '127.0.0.1', () =>
+    slow.write(
+      'POST /chart-api/slow HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n',
+    ),
+  );
+  await begun;
+  expect(await post('x'.repeat(800))).to.equal('read');
+  const answered = new Promise<Buffer>(resolve => slow.once('data', resolve));
+  slow.write(`${MAX_HELD_BYTES.toString(16)}\r\n${'x'.repeat(MAX_HELD_BYTES)}`);
+  slow.write('\r\n1\r\nx\r\n');
+  expect((await answered).toString()).to.include('entry_full');
+  slow.destroy();
+  expect(await post('x'.repeat(800))).to.equal('read');
+});
+
 it('reader: a malformed key is refused', async () => {
   const key = 'k'.repeat(256);
   expect(await post('x', {'idempotency-key': key})).to.equal('malformed_key');
