--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -6,6 +6,7 @@
   startHeartbeat,
 } from '@marigoldspur/control-client';
 import type {Task} from '@marigoldspur/process-life';
+import {serviceOf} from '@marigoldspur/settings-tree';
 import {ProcessShell} from '@marigoldspur/process-shell';
 import {agentMetrics} from './agent-metrics.js';
 import type {AgentSettings} from './agent-settings.js';
@@ -38,7 +39,15 @@
     settings.targetKind === 'engine'
       ? await prepareEngine(settings, parts)
       : undefined;
-  const service = new ServiceWatch(settings.targetUrl, changed);
+  const service = new ServiceWatch({
+    url: settings.targetUrl,
+    healthPath: () => {
+      const {tree} = follower.settings;
+      const found = serviceOf(tree, settings.customer, settings.service);
+      return found?.kind === 'plain' ? found.healthPath : undefined;
+    },
+    changed,
+  });
   if (engine === undefined) {
     service.start(settings.healthIntervalMs);
   }
--- a/cli/marigoldspur/src/commands/tree-commands.ts
+++ b/cli/marigoldspur/src/commands/tree-commands.ts
@@ -54,15 +54,21 @@
             type: 'string',
             describe: 'Path of a plain service',
           })
+          .option('health-path', {
+            type: 'string',
+            implies: 'path-prefix',
+            describe:
+              'Path on the targets of a plain service that answers 2xx while they serve',
+          })
           .conflicts('path-prefix', ['base-model', 'store']),
-      handle((context, {path, baseModel, store, pathPrefix}) =>
+      handle((context, {path, baseModel, store, pathPrefix, healthPath}) =>
         edit(context, {
           edit: 'create-service',
           path,
           value:
             pathPrefix === undefined
               ? {kind: 'model', baseModel, store}
-              : {kind: 'plain', pathPrefix},
+              : {kind: 'plain', pathPrefix, healthPath},
         }),
       ),
     )
--- a/cli/operator-commands/src/tree-leaves.ts
+++ b/cli/operator-commands/src/tree-leaves.ts
@@ -29,6 +29,9 @@
     leaves.push(leaf(servicePath, 'kind', service.kind));
     if (service.kind === 'plain') {
       leaves.push(leaf(servicePath, 'pathPrefix', service.pathPrefix));
+      if (service.healthPath !== undefined) {
+        leaves.push(leaf(servicePath, 'healthPath', service.healthPath));
+      }
     } else {
       leaves.push(leaf(servicePath, 'baseModel', service.baseModel));
       leaves.push(leaf(servicePath, 'store', service.store));
--- a/contracts/settings-schema/src/tree.ts
+++ b/contracts/settings-schema/src/tree.ts
@@ -31,6 +31,12 @@
     kind: z.literal('plain'),
     /** First segment of the paths that are routed to the service. */
     pathPrefix: NAME_SCHEMA,
+    /** Path on its targets that answers 2xx while they serve; without it a connection is enough. */
+    healthPath: z
+      .string()
+      .max(256)
+      .regex(/^\/[^\s#]*$/, 'must be a path')
+      .optional(),
     settings: OVERRIDES_SCHEMA.default({}),
   }),
 ]);
--- a/lab/reference-docs/src/settings-page.ts
+++ b/lab/reference-docs/src/settings-page.ts
@@ -43,6 +43,7 @@
       chart-api:
         kind: plain
         pathPrefix: chart-api
+        healthPath: /health
         settings: {repeatable: false}
 \`\`\`
 `;
