--- a/lab/log-trials/src/measure-log.ts
+++ b/lab/log-trials/src/measure-log.ts
@@ -78,7 +78,7 @@
   const server = http.createServer((request, response) =>
     request.url?.startsWith(BASE_PATH)
       ? answer(request, response)
-      : deliveries(request, response),
+      : paths.get(request.url ?? '')?.(request, response),
   );
   await listen(server, {host: '127.0.0.1', port});
   return {log, server};
