Let the replay start: its log level hid the line it waits for

The cause is another: it started the processes with the log level `warn`, and the start of each process is known by its `process-started` event, which is an info line. A control process started by hand prints the line at `info` (1) and not at `warn` (0), so the replay waited for ever. It now runs at the default level, as the other lab programs do.

--- a/lab/lab/src/replay-trace.ts
+++ b/lab/lab/src/replay-trace.ts
@@ -59,7 +59,6 @@
     entries: workload.cluster.entries,
     firstTokenMs: workload.cluster.firstTokenMs,
     tokenMs: ENGINE_TOKEN_MS,
-    logLevel: 'warn',
   });
   try {
     await system.settled();
