Order loads first come by default, with priorities and early refusal

So `first-come` is the default; `least-harm` can still be set.

Early refusal belongs to the queue and not to the order: a service set to first come was never refused early before the store's overload, now it is.

The new tests of the priority and of the refusal were seen failing with the rank cut to the time of asking and with the patience at 0.

--- a/contracts/settings-schema/src/settings.ts
+++ b/contracts/settings-schema/src/settings.ts
@@ -84,7 +84,7 @@
     .describe('Policy that chooses the adapter that leaves a slot'),
   loadOrder: z
     .enum(['first-come', 'least-harm'])
-    .default('least-harm')
+    .default('first-come')
     .describe('Policy that orders the loads that wait'),
   claimRetentionMs: z
     .int()
--- a/control/load-permits/src/permit-desk.ts
+++ b/control/load-permits/src/permit-desk.ts
@@ -50,13 +50,12 @@
 
   private openStore(name: string): StorePermits {
     const {loadsAtOnce, validMs, loadOrderOf} = this.options;
-    const orderName = () => loadOrderOf?.(name) ?? 'first-come';
     return new StorePermits({
       loadsAtOnce,
       validMs,
       queueLimit: QUEUE_LIMIT,
-      order: () => createLoadOrder(orderName()),
-      patience: () => (orderName() === 'first-come' ? 0 : PATIENCE),
+      order: () => createLoadOrder(loadOrderOf?.(name) ?? 'first-come'),
+      patience: () => PATIENCE,
       overloadPatience: OVERLOAD_PATIENCE,
       overloadAfterMs: OVERLOAD_AFTER_MS,
       reserve: RESERVE,
--- a/control/load-permits/test/permit-desk.test.ts
+++ b/control/load-permits/test/permit-desk.test.ts
@@ -49,6 +49,13 @@
   expect(late.refusal?.retryAfterMs).to.be.greaterThan(0);
 });
 
+it('permit desk: first come refuses what is too late as well', async () => {
+  const permits = desk('first-come');
+  await permits.acquire(request);
+  const late = await permits.acquire({...request, model: 'b@v1', usefulMs: 1});
+  expect(late.refusal?.reason).to.equal('too-late');
+});
+
 it('permit desk: the answer tells the wait where no permit came free', async () => {
   const permits = desk('first-come');
   await permits.acquire(request);
--- a/policy/load-order/src/first-come-order.ts
+++ b/policy/load-order/src/first-come-order.ts
@@ -1,6 +1,12 @@
 import type {LoadOrder, PendingLoad} from './load-order.js';
 
-/** Runs loads in the order in which they were asked for, prefetches last. */
+/** Time of waiting that a level of priority is worth, in milliseconds. */
+const PRIORITY_LEVEL_MS = 2_000;
+
+/**
+ * Runs loads in the order in which they were asked for; a more urgent one goes
+ * ahead of those that have waited little longer. Prefetches come last.
+ */
 export class FirstComeOrder implements LoadOrder {
   next<Load extends PendingLoad>(loads: readonly Load[]): Load | undefined {
     return this.sort(loads)[0];
@@ -9,8 +15,11 @@
   sort<Load extends PendingLoad>(loads: readonly Load[]): Load[] {
     return [...loads].sort(
       (a, b) =>
-        Number(a.waiters === 0) - Number(b.waiters === 0) ||
-        a.askedAt - b.askedAt,
+        Number(a.waiters === 0) - Number(b.waiters === 0) || rank(a) - rank(b),
     );
   }
 }
+
+function rank({askedAt, priority}: PendingLoad): number {
+  return askedAt + priority * PRIORITY_LEVEL_MS;
+}
--- a/policy/load-order/test/load-order.test.ts
+++ b/policy/load-order/test/load-order.test.ts
@@ -36,3 +36,20 @@
   const later = 30_000;
   expect(order([old, crowd(later)], later)[0]).to.equal('old');
 });
+
+it('load order: first come lets an urgent load ahead of ones that waited little longer', () => {
+  const order = createLoadOrder('first-come');
+  const urgent = load('urgent', {priority: 3, askedAt: 3_000});
+  const names = (askedAt: number) =>
+    order
+      .sort([load('usual', {askedAt}), urgent], 10_000)
+      .map(({model}) => model);
+  expect(names(1_000)).to.deep.equal(['urgent', 'usual']);
+  expect(names(-2_000)).to.deep.equal(['usual', 'urgent']);
+});
+
+it('load order: first come does not count waiters', () => {
+  const loads = [load('crowd', {waiters: 9, askedAt: 1}), load('one')];
+  const first = createLoadOrder('first-come').next(loads, 10);
+  expect(first?.model).to.equal('one');
+});
