Estimate the rate of adapters, and let entries agree on homes

- The eviction `expected-rate`, now the default, and the placement estimate uses over the time since the first one, with a prior, and take an adapter that is silent for longer than its rate explains for ended.
- The loss of an eviction counts squared: small losses cost little.

Loads that nobody waits for were dropped by a switch of the experiment; there it never fires before the late load is refused, so the switch is gone. Agents withdraw such loads as before, since callers hang up.

The new tests were seen failing with the odds of an end at 0 and with the cost of a place at 0.

--- a/contracts/settings-schema/src/settings.ts
+++ b/contracts/settings-schema/src/settings.ts
@@ -79,8 +79,8 @@
     .default('demand-aware')
     .describe('Policy that chooses the target of a request'),
   eviction: z
-    .enum(['lru', 'decayed-frequency'])
-    .default('decayed-frequency')
+    .enum(['lru', 'decayed-frequency', 'expected-rate'])
+    .default('expected-rate')
     .describe('Policy that chooses the adapter that leaves a slot'),
   loadOrder: z
     .enum(['first-come', 'least-harm'])
--- a/lab/experiment/src/engine-fake.ts
+++ b/lab/experiment/src/engine-fake.ts
@@ -238,13 +238,8 @@
     }
     load.waiters.delete(job);
     this.options.refused(job);
-    const {policy, store} = this.options;
-    if (
-      load.waiters.size === 0 &&
-      load.state !== 'loading' &&
-      policy.dropsUnwanted
-    ) {
-      store.withdraw(this.idOf(load.model));
+    if (load.waiters.size === 0 && load.state !== 'loading') {
+      this.options.store.withdraw(this.idOf(load.model));
       this.loads.delete(load.model);
       this.askForLoads();
     }
--- a/lab/experiment/src/run-bound.ts
+++ b/lab/experiment/src/run-bound.ts
@@ -62,6 +62,5 @@
     patience,
     overloadAfterMs: 0,
     stallWeight: 1,
-    dropsUnwanted: true,
   }));
 }
--- a/lab/experiment/src/workload.ts
+++ b/lab/experiment/src/workload.ts
@@ -79,7 +79,7 @@
     'resident-first',
     'demand-aware',
   ]),
-  eviction: z.enum(['lru', 'decayed-frequency']),
+  eviction: z.enum(['lru', 'decayed-frequency', 'expected-rate']),
   loadOrder: z.enum(['first-come', 'least-harm']),
   /** Share of its time that a load may wait; 0 never refuses early. */
   patience: z.number().min(0).max(1).default(0),
@@ -93,8 +93,8 @@
   evictionHalfLifeMs: z.number().optional(),
   recentMs: z.number().optional(),
   fullAt: z.number().optional(),
-  /** Whether loads that nobody waits for any more are dropped. */
-  dropsUnwanted: z.boolean().default(true),
+  rankCost: z.number().optional(),
+  lossPower: z.number().optional(),
 });
 
 /** One policy under test. */
--- /dev/null
+++ b/policy/demand/test/rate-table.test.ts
@@ -0,0 +1,63 @@
+import {expect} from 'chai';
+import {RateTable} from '@marigoldspur/demand';
+
+const SECOND_MS = 1_000;
+const MINUTE_MS = 60 * SECOND_MS;
+
+function table(maxModels = 10): RateTable {
+  return new RateTable({halfLifeMs: 5 * MINUTE_MS, maxModels});
+}
+
+/** Uses an adapter as often, that far apart, the last time at `end`. */
+function use(
+  rates: RateTable,
+  model: string,
+  {times, everyMs, end}: {times: number; everyMs: number; end: number},
+): void {
+  for (let left = times - 1; left >= 0; left -= 1) {
+    rates.note(model, end - left * everyMs);
+  }
+}
+
+it('rate: an adapter that was never used has none', () => {
+  expect(table().rate('a@v1', 0)).to.equal(0);
+});
+
+it('rate: a new adapter outranks an old one with more uses that come slower', () => {
+  const rates = table();
+  const end = 20 * MINUTE_MS;
+  use(rates, 'old@v1', {times: 20, everyMs: MINUTE_MS, end});
+  use(rates, 'new@v1', {times: 6, everyMs: 5 * SECOND_MS, end});
+  expect(rates.rate('new@v1', end)).to.be.greaterThan(
+    rates.rate('old@v1', end),
+  );
+});
+
+it('rate: a hot adapter that falls silent drops below a slow one', () => {
+  const rates = table();
+  const end = 20 * MINUTE_MS;
+  use(rates, 'hot@v1', {times: 600, everyMs: 2 * SECOND_MS, end});
+  use(rates, 'slow@v1', {times: 20, everyMs: MINUTE_MS, end});
+  expect(rates.rate('hot@v1', end)).to.be.greaterThan(
+    rates.rate('slow@v1', end),
+  );
+  const later = end + MINUTE_MS;
+  expect(rates.rate('hot@v1', later)).to.be.lessThan(
+    rates.rate('slow@v1', later),
+  );
+});
+
+it('rate: a silence of days gives a finite rate', () => {
+  const rates = table();
+  use(rates, 'hot@v1', {times: 600, everyMs: SECOND_MS, end: 0});
+  expect(rates.rate('hot@v1', 7 * 24 * 60 * MINUTE_MS)).to.be.within(0, 1e-6);
+});
+
+it('rate: the adapter unused for longest is forgotten', () => {
+  const rates = table(2);
+  ['a@v1', 'b@v1', 'a@v1', 'c@v1'].forEach((model, at) =>
+    rates.note(model, at),
+  );
+  expect(rates.size).to.equal(2);
+  expect(rates.rate('b@v1', 4)).to.equal(0);
+});
--- a/policy/eviction/src/index.ts
+++ b/policy/eviction/src/index.ts
@@ -5,3 +5,7 @@
 } from './decayed-frequency-eviction.js';
 export {LruEviction} from './lru-eviction.js';
 export {createEviction, type EvictionName} from './create-eviction.js';
+export {
+  ExpectedRateEviction,
+  type ExpectedRateOptions,
+} from './expected-rate-eviction.js';
--- a/policy/eviction/test/eviction.test.ts
+++ b/policy/eviction/test/eviction.test.ts
@@ -32,7 +32,9 @@
 }
 
 it('eviction: a flood of one-off adapters leaves the hot set', () => {
-  expect(afterFlood('decayed-frequency')).to.include.members(HOT);
+  for (const name of ['decayed-frequency', 'expected-rate'] as const) {
+    expect(afterFlood(name), name).to.include.members(HOT);
+  }
 });
 
 it('eviction: the same flood empties LRU', () => {
@@ -41,5 +43,45 @@
 
 it('eviction: no slots give no victim', () => {
   expect(createEviction('decayed-frequency').victim([], 0)).to.equal(undefined);
+  expect(createEviction('expected-rate').victim([], 0)).to.equal(undefined);
   expect(createEviction('lru').victim([], 0)).to.equal(undefined);
 });
+
+/** Seconds after which a hot adapter that nobody uses any more is the victim. */
+function secondsToForget(name: EvictionName): number {
+  const eviction = createEviction(name);
+  const usedAt = {hot: 0, usual: 0};
+  const use = (model: 'hot' | 'usual', now: number) => {
+    eviction.used(model, now);
+    usedAt[model] = now;
+  };
+  const victim = (now: number) =>
+    eviction.victim(
+      [
+        {model: 'hot', lastUsed: usedAt.hot},
+        {model: 'usual', lastUsed: usedAt.usual},
+      ],
+      now,
+    );
+  for (let second = 0; second < SHIFT_SECOND; second += 1) {
+    use('hot', second * 1_000);
+    if (second % 20 === 0) {
+      use('usual', second * 1_000);
+    }
+  }
+  let second = SHIFT_SECOND;
+  while (victim(second * 1_000) === 'usual') {
+    if (second % 20 === 0) {
+      use('usual', second * 1_000);
+    }
+    second += 1;
+  }
+  return second - SHIFT_SECOND;
+}
+
+const SHIFT_SECOND = 600;
+
+it('eviction: expected rate forgets a hot adapter sooner after a shift', () => {
+  const frequency = secondsToForget('decayed-frequency');
+  expect(secondsToForget('expected-rate')).to.be.lessThan(frequency / 2);
+});
--- a/policy/placement/src/demand-aware-placement.ts
+++ b/policy/placement/src/demand-aware-placement.ts
@@ -1,4 +1,4 @@
-import {DemandTable} from '@marigoldspur/demand';
+import {RateTable} from '@marigoldspur/demand';
 import {LeastLoadedPlacement} from './least-loaded-placement.js';
 import type {Candidate, Placement, PlacementRequest} from './placement.js';
 import {RecentChoices} from './recent-choices.js';
@@ -16,13 +16,19 @@
   readonly recentMs?: number;
   /** Share of its batch limit at which a target that holds the adapter counts as full. */
   readonly fullAt?: number;
+  /** What each place further down the rendezvous order costs a home. */
+  readonly rankCost?: number;
+  /** Power of the share of demand that an eviction loses: above 1, small losses cost little. */
+  readonly lossPower?: number;
 }
 
 const DEFAULT_STALL_WEIGHT = 0.5;
 const DEFAULT_HOMES = 12;
-const DEFAULT_HALF_LIFE_MS = 120_000;
+const DEFAULT_HALF_LIFE_MS = 300_000;
 const DEFAULT_RECENT_MS = 2_000;
 const DEFAULT_FULL_AT = 1;
+const DEFAULT_RANK_COST = 0.005;
+const DEFAULT_LOSS_POWER = 2;
 /** Above each cost of a target with a slot for the adapter. */
 const NO_SLOT_COST = 2;
 const MAX_MODELS = 65_536;
@@ -30,18 +36,21 @@
 /**
  * Sends a request where its adapter is held or being loaded, unless the batch
  * there is full. Other adapters go to the home, among the first in rendezvous
- * order, whose least wanted adapter is the smallest loss.
+ * order, whose least wanted adapter is the smallest loss; of near-equal homes
+ * to the first in that order, so that entries agree without talking.
  */
 export class DemandAwarePlacement implements Placement {
   private readonly leastLoaded = new LeastLoadedPlacement();
-  private readonly demand: DemandTable;
+  private readonly rates: RateTable;
   private readonly recent: RecentChoices;
   private readonly stallWeight: number;
   private readonly homes: number;
   private readonly fullAt: number;
+  private readonly rankCost: number;
+  private readonly lossPower: number;
 
   constructor(options: DemandAwareOptions = {}) {
-    this.demand = new DemandTable({
+    this.rates = new RateTable({
       halfLifeMs: options.halfLifeMs ?? DEFAULT_HALF_LIFE_MS,
       maxModels: MAX_MODELS,
     });
@@ -49,6 +58,8 @@
     this.stallWeight = options.stallWeight ?? DEFAULT_STALL_WEIGHT;
     this.homes = options.homes ?? DEFAULT_HOMES;
     this.fullAt = options.fullAt ?? DEFAULT_FULL_AT;
+    this.rankCost = options.rankCost ?? DEFAULT_RANK_COST;
+    this.lossPower = options.lossPower ?? DEFAULT_LOSS_POWER;
   }
 
   choose(
@@ -60,7 +71,7 @@
     if (model === undefined) {
       return this.leastLoaded.choose(request, candidates);
     }
-    this.demand.note(model, now);
+    this.rates.note(model, now);
     const chosen =
       this.holder(model, candidates, now) ??
       this.home(model, candidates, now) ??
@@ -87,24 +98,28 @@
   private home(model: string, candidates: readonly Candidate[], now: number) {
     const open = candidates.filter(candidate => !this.isFull(candidate));
     const homes = rendezvousOrder(model, open).slice(0, this.homes);
-    return lowest(homes, candidate => this.homeCost(model, candidate, now));
+    return lowest(
+      homes,
+      (candidate, rank) =>
+        this.homeCost(model, candidate, now) + this.rankCost * rank,
+    );
   }
 
   private homeCost(model: string, candidate: Candidate, now: number): number {
-    const own = this.demand.count(model, now);
+    const own = this.rates.rate(model, now);
     const loss = this.evictionLoss(candidate, now);
     if (loss === Infinity) {
       return NO_SLOT_COST;
     }
-    const lossShare = loss / (loss + own);
+    const lossCost = (loss / (loss + own)) ** this.lossPower;
     return (
-      this.stallWeight * lossShare - (1 - this.stallWeight) * fill(candidate)
+      this.stallWeight * lossCost - (1 - this.stallWeight) * fill(candidate)
     );
   }
 
   /**
-   * Use count of the adapter that the next load evicts: 0 where a slot is
-   * free, infinite where each adapter is in use.
+   * Rate of the adapter that the next load evicts: 0 where a slot is free,
+   * infinite where each adapter is in use.
    */
   private evictionLoss(candidate: Candidate, now: number): number {
     const {resident, pinned, loading} = candidate;
@@ -114,11 +129,11 @@
     if (free > 0) {
       return 0;
     }
-    const counts = [...resident]
+    const rates = [...resident]
       .filter(model => pinned?.has(model) !== true)
-      .map(model => this.demand.count(model, now))
+      .map(model => this.rates.rate(model, now))
       .sort((a, b) => a - b);
-    return counts[-free] ?? Infinity;
+    return rates[-free] ?? Infinity;
   }
 
   private loadCost(candidate: Candidate): number {
@@ -137,12 +152,12 @@
 /** The first item of the lowest cost. */
 function lowest<Item>(
   items: readonly Item[],
-  cost: (item: Item) => number,
+  cost: (item: Item, index: number) => number,
 ): Item | undefined {
   let best: Item | undefined;
   let bestCost = Infinity;
-  for (const item of items) {
-    const itemCost = cost(item);
+  for (const [index, item] of items.entries()) {
+    const itemCost = cost(item, index);
     if (itemCost < bestCost) {
       best = item;
       bestCost = itemCost;
--- a/policy/placement/test/demand-aware.test.ts
+++ b/policy/placement/test/demand-aware.test.ts
@@ -121,3 +121,21 @@
   );
   expect(homes.size).to.equal(4);
 });
+
+it('placement: entries that saw slightly different uses choose the same home', () => {
+  const names = ['a', 'b', 'c', 'd', 'e', 'f'];
+  const targets = names.map(name =>
+    target(name, {slots: 1, resident: new Set([`held-${name}@v1`])}),
+  );
+  const homes = names.map(earlier => {
+    const entry = new DemandAwarePlacement({stallWeight: 1});
+    for (const name of names) {
+      const usedAt = name === earlier ? 0 : 1_000;
+      const request = {model: `held-${name}@v1`, zone: 'lima-a'};
+      entry.choose(request, [target('elsewhere')], usedAt);
+    }
+    return entry.choose(wanted, targets, 1_000)?.name;
+  });
+  const [first] = rendezvousOrder(wanted.model, targets);
+  expect(new Set(homes)).to.deep.equal(new Set([first.name]));
+});
