--- a/cli/marigoldspur/src/commands/tree-commands.ts
+++ b/cli/marigoldspur/src/commands/tree-commands.ts
@@ -60,14 +60,17 @@
               'Path on the targets of a plain service that answers 2xx while they serve',
           })
           .conflicts('path-prefix', ['base-model', 'store']),
-      editHandler(handle, ({path, baseModel, store, pathPrefix, healthPath}) => ({
-        edit: 'create-service',
-        path,
-        value:
-          pathPrefix === undefined
-            ? {kind: 'model', baseModel, store}
-            : {kind: 'plain', pathPrefix, healthPath},
-      })),
+      editHandler(
+        handle,
+        ({path, baseModel, store, pathPrefix, healthPath}) => ({
+          edit: 'create-service',
+          path,
+          value:
+            pathPrefix === undefined
+              ? {kind: 'model', baseModel, store}
+              : {kind: 'plain', pathPrefix, healthPath},
+        }),
+      ),
     )
     .demandCommand(1, 'name a service command');
 }
