--- a/lab/fault-runs/test/shutdown.test.ts
+++ b/lab/fault-runs/test/shutdown.test.ts
@@ -81,7 +81,7 @@
       }
     });
   });
-  await running;
+  await Promise.race([running, Promise.all(long)]);
   const [entry] = system.entries;
   entry.signal('SIGTERM');
   const short: Array<Promise<Ended>> = [];
