--- a/control/settings-tree/src/apply-edits.ts
+++ b/control/settings-tree/src/apply-edits.ts
@@ -11,6 +11,8 @@
 } from '@marigoldspur/settings-schema';
 import {handIndexOn} from './adapter-index.js';
 import {adapterOf} from './resolve.js';
+import {segments, TreeDraft} from './tree-draft.js';
+import {doubledNames, holderOf, namesOf} from './unique-names.js';
 
 /** Most findings that one change reports. */
 export const MAX_FINDINGS = 100;
@@ -34,9 +36,10 @@
       });
     }
   });
+  const application = new EditApplication(draft);
   edits.forEach((edit, index) => {
     place = `edits.${index}`;
-    draft.apply(edit);
+    application.apply(edit);
   });
   if (findings.length > 0) {
     return Result.err(findings);
@@ -45,24 +48,9 @@
   return Result.ok(draft.tree);
 }
 
-type Report = (finding: Finding) => void;
-type ModelService = Extract<Service, {kind: 'model'}>;
-
-/** A tree under change: levels are copied when they are first written. */
-class TreeDraft {
-  private current: Tree;
-  private readonly owned = new WeakSet<object>();
-
-  constructor(
-    tree: Tree,
-    private readonly report: Report,
-  ) {
-    this.current = tree;
-  }
-
-  get tree(): Tree {
-    return this.current;
-  }
+/** Applies edits to a draft; what can't be applied is reported. */
+class EditApplication {
+  constructor(private readonly draft: TreeDraft) {}
 
   apply(edit: Edit): void {
     switch (edit.edit) {
@@ -101,70 +89,72 @@
     value: string | number | boolean | undefined,
   ): void {
     if (!Object.hasOwn(OVERRIDES_SCHEMA.shape, setting)) {
-      this.reject(setting, 'there is no such setting');
+      this.draft.reject(setting, 'there is no such setting');
       return;
     }
     const known = OVERRIDES_SCHEMA.safeParse({[setting]: value});
     if (!known.success) {
-      schemaFindings(known.error).forEach(this.report);
+      schemaFindings(known.error).forEach(({place, reason}) =>
+        this.draft.reject(place, reason),
+      );
       return;
     }
-    const level = this.level(path);
+    const level = this.draft.level(path);
     if (level !== undefined) {
       level.settings = withoutUndefined({...level.settings, ...known.data});
     }
   }
 
   private createCustomer(name: string, value: Customer): void {
-    if (Object.hasOwn(this.current.customers, name)) {
-      this.reject('customer', `customer ${name} exists already`);
+    if (Object.hasOwn(this.draft.tree.customers, name)) {
+      this.draft.reject('customer', `customer ${name} exists already`);
       return;
     }
     this.checkCustomer(name, value);
-    this.customers()[name] = value;
+    this.draft.customers()[name] = value;
   }
 
   private createService(path: string, value: Service): void {
     const [customerName, name, ...rest] = segments(path);
     if (name === undefined || rest.length > 0) {
-      this.reject('path', 'must name a customer and a service');
+      this.draft.reject('path', 'must name a customer and a service');
       return;
     }
-    const customer = this.customer(customerName);
+    const customer = this.draft.customer(customerName);
     if (customer === undefined) {
       return;
     }
     if (Object.hasOwn(customer.services, name)) {
-      this.reject('path', `service ${path} exists already`);
+      this.draft.reject('path', `service ${path} exists already`);
       return;
     }
     for (const taken of namesOf(value)) {
       const holder = holderOf(customer, taken);
       if (holder !== undefined) {
-        this.reject('value', `${taken} exists already in ${holder}`);
+        this.draft.reject('value', `${taken} exists already in ${holder}`);
       }
     }
-    this.services(customer)[name] = value;
+    this.draft.services(customer)[name] = value;
   }
 
   private createAdapter(path: string, value: Adapter): void {
     const [customer, , name] = segments(path);
-    const service = this.modelService(path);
+    const service = this.draft.modelService(path);
     if (service === undefined) {
       return;
     }
-    const taken = adapterOf(this.current, customer, {
+    const taken = adapterOf(this.draft.tree, customer, {
       adapter: name,
       version: '',
     });
     if (taken !== undefined) {
-      this.reject(
+      this.draft.reject(
         'path',
         `adapter ${name} exists already in /${customer}/${taken.service}`,
       );
       return;
     }
-    this.adapters(service)[name] = value;
+    this.draft.adapters(service)[name] = value;
   }
 
   private addVersion(
@@ -172,7 +162,7 @@
     version: string,
     value: Adapter['versions'][string],
   ): void {
-    const adapter = this.adapter(path);
+    const adapter = this.draft.adapter(path);
     if (adapter === undefined) {
       return;
     }
@@ -180,23 +170,29 @@
       ? adapter.versions[version]
       : undefined;
     if (existing !== undefined && existing.digest !== value.digest) {
-      this.reject('version', `version ${version} exists with another digest`);
+      this.draft.reject(
+        'version',
+        `version ${version} exists with another digest`,
+      );
       return;
     }
     if (existing?.retired && !value.retired) {
-      this.reject('version', `version ${version} is retired and stays so`);
+      this.draft.reject(
+        'version',
+        `version ${version} is retired and stays so`,
+      );
       return;
     }
     adapter.versions = {...adapter.versions, [version]: value};
   }
 
   private retireVersion(path: string, version: string): void {
-    const adapter = this.adapter(path);
+    const adapter = this.draft.adapter(path);
     if (adapter === undefined) {
       return;
     }
     if (!Object.hasOwn(adapter.versions, version)) {
-      this.reject('version', `no version ${version}`);
+      this.draft.reject('version', `no version ${version}`);
       return;
     }
     const retired = {...adapter.versions[version], retired: true};
@@ -206,28 +202,28 @@
   private remove(path: string): void {
     const [customerName, serviceName, adapterName] = segments(path);
     if (customerName === undefined) {
-      this.reject('path', 'the root cannot be removed');
+      this.draft.reject('path', 'the root cannot be removed');
       return;
     }
     if (serviceName === undefined) {
-      this.removeFrom(this.customers(), customerName);
+      this.removeFrom(this.draft.customers(), customerName);
       return;
     }
     if (adapterName === undefined) {
-      const customer = this.customer(customerName);
+      const customer = this.draft.customer(customerName);
       if (customer !== undefined) {
-        this.removeFrom(this.services(customer), serviceName);
+        this.removeFrom(this.draft.services(customer), serviceName);
       }
       return;
     }
-    const service = this.modelService(path);
+    const service = this.draft.modelService(path);
     if (service !== undefined) {
-      this.removeFrom(this.adapters(service), adapterName);
+      this.removeFrom(this.draft.adapters(service), adapterName);
     }
   }
 
   private replace(value: Tree): void {
-    this.current = value;
+    this.draft.replace(value);
     for (const [name, customer] of Object.entries(value.customers)) {
       this.checkCustomer(name, customer);
     }
@@ -235,145 +231,21 @@
 
   /** Reports adapter names and path prefixes that stand twice in a customer. */
   private checkCustomer(customer: string, value: Customer): void {
-    const seen = new Set<string>();
-    for (const [service, level] of Object.entries(value.services)) {
-      for (const name of namesOf(level)) {
-        if (seen.has(name)) {
-          this.reject(
-            `value.customers.${customer}.services.${service}`,
-            `${name} stands twice in customer ${customer}`,
-          );
-        }
-        seen.add(name);
-      }
-    }
-  }
-
-  /** The level at a path, free to write; undefined and reported where there is none. */
-  private level(path: string): {settings: Overrides} | undefined {
-    const [customerName, serviceName, adapterName] = segments(path);
-    if (customerName === undefined) {
-      return this.root();
-    }
-    if (serviceName === undefined) {
-      return this.customer(customerName);
-    }
-    return adapterName === undefined
-      ? this.service(customerName, serviceName)
-      : this.adapter(path);
-  }
-
-  private root(): Tree {
-    this.current = this.own(this.current);
-    return this.current;
-  }
-
-  private customers(): Tree['customers'] {
-    const root = this.root();
-    root.customers = this.own(root.customers);
-    return root.customers;
-  }
-
-  private customer(name: string): Customer | undefined {
-    return this.entry(this.current.customers, name, () => this.customers());
-  }
-
-  private services(customer: Customer): Customer['services'] {
-    customer.services = this.own(customer.services);
-    return customer.services;
-  }
-
-  private service(customerName: string, name: string): Service | undefined {
-    const customer = this.customer(customerName);
-    return customer === undefined
-      ? undefined
-      : this.entry(customer.services, name, () => this.services(customer));
-  }
-
-  /** The model service above the path of an adapter. */
-  private modelService(path: string): ModelService | undefined {
-    const [customerName, serviceName, adapterName] = segments(path);
-    if (adapterName === undefined) {
-      this.reject('path', 'must name a customer, a service and an adapter');
-      return undefined;
-    }
-    const service = this.service(customerName, serviceName);
-    if (service !== undefined && service.kind !== 'model') {
-      this.reject('path', `${serviceName} is a plain service`);
-      return undefined;
-    }
-    return service;
-  }
-
-  private adapters(service: ModelService): Record<string, Adapter> {
-    service.adapters = this.own(service.adapters);
-    return service.adapters;
-  }
-
-  private adapter(path: string): Adapter | undefined {
-    const name = segments(path)[2];
-    const service = this.modelService(path);
-    return service === undefined
-      ? undefined
-      : this.entry(service.adapters, name, () => this.adapters(service));
-  }
-
-  /** An entry of a record, free to write; `writable` copies the record first. */
-  private entry<T extends object>(
-    record: Record<string, T>,
-    name: string,
-    writable: () => Record<string, T>,
-  ): T | undefined {
-    if (!Object.hasOwn(record, name)) {
-      this.reject('path', `${name} does not exist`);
-      return undefined;
-    }
-    const copy = writable();
-    copy[name] = this.own(copy[name]);
-    return copy[name];
-  }
-
-  private own<T extends object>(level: T): T {
-    if (this.owned.has(level)) {
-      return level;
+    for (const {service, name} of doubledNames(value)) {
+      this.draft.reject(
+        `value.customers.${customer}.services.${service}`,
+        `${name} stands twice in customer ${customer}`,
+      );
     }
-    const copy = {...level};
-    this.owned.add(copy);
-    return copy;
   }
 
   private removeFrom<T>(record: Record<string, T>, name: string): void {
     if (!Object.hasOwn(record, name)) {
-      this.reject('path', `${name} does not exist`);
+      this.draft.reject('path', `${name} does not exist`);
       return;
     }
     delete record[name];
   }
-
-  private reject(place: string, reason: string): void {
-    this.report({place, reason});
-  }
-}
-
-function segments(path: string): string[] {
-  return path.split('/').filter(segment => segment !== '');
-}
-
-/** What has to be unique in a customer: names of adapters and path prefixes. */
-function namesOf(service: Service): string[] {
-  return service.kind === 'model'
-    ? Object.keys(service.adapters)
-    : [`path ${service.pathPrefix}`];
-}
-
-/** The service of a customer that holds a unique name. */
-function holderOf(customer: Customer, name: string): string | undefined {
-  const holder = Object.entries(customer.services).find(([, service]) =>
-    service.kind === 'model'
-      ? Object.hasOwn(service.adapters, name)
-      : `path ${service.pathPrefix}` === name,
-  );
-  return holder?.[0];
 }
 
 function withoutUndefined(settings: Overrides): Overrides {
