Five replicas as processes under two faults at once, and failing disks

Never run so far: five processes (only the model had five), and a failed sync and a full disk in a real process (only files in memory).

The disk fails by a module of the trials that Node loads into the process and that lets writes or syncs of file handles fail while a file says so; the product has no switch for it.

--- a/lab/log-trials/src/control-group.ts
+++ b/lab/log-trials/src/control-group.ts
@@ -10,6 +10,12 @@
   type CutLink,
 } from '@marigoldspur/cut-link';
 import {freePorts, startChild, type Child} from '@marigoldspur/lab';
+import {
+  DISK_FAULT_VARIABLE,
+  diskFaultImport,
+  setDiskFault,
+  type DiskFault,
+} from './disk-fault-file.js';
 
 /** Options of a group of control processes. */
 export interface ControlGroupOptions {
@@ -18,6 +24,8 @@
   readonly flags?: readonly string[];
   /** Folder for the data folders; by default one in the system's folder for temporary files. */
   readonly folder?: string;
+  /** Whether the disks of the processes can be made to fail. */
+  readonly diskFaults?: boolean;
 }
 
 const CONTROL = '@marigoldspur/control-server';
@@ -40,6 +48,11 @@
   get url(): string {
     return `http://127.0.0.1:${this.port}`;
   }
+
+  /** File that holds the present fault of the disk. */
+  get faultFile(): string {
+    return `${this.folder}.fault`;
+  }
 }
 
 /** A group of control processes on this machine, and the faults that befall it. */
@@ -94,10 +107,18 @@
         ...['--data-folder', host.folder],
         ...(this.options.flags ?? []),
       ],
-      redirectVariables(ports),
+      this.environment(host, redirectVariables(ports)),
     );
   }
 
+  /** Lets the writes or syncs of a process fail, or mends its disk. */
+  async failDisk(
+    host: ControlHost,
+    fault: DiskFault | undefined,
+  ): Promise<void> {
+    await setDiskFault(host.faultFile, fault);
+  }
+
   /** Ends a process at once and waits until it is gone. */
   async kill(host: ControlHost): Promise<void> {
     host.child?.signal('SIGKILL');
@@ -217,6 +238,19 @@
     await rm(this.folder, {recursive: true, force: true});
   }
 
+  private environment(
+    host: ControlHost,
+    variables: NodeJS.ProcessEnv,
+  ): NodeJS.ProcessEnv {
+    return this.options.diskFaults
+      ? {
+          ...variables,
+          NODE_OPTIONS: `${variables.NODE_OPTIONS} ${diskFaultImport()}`,
+          [DISK_FAULT_VARIABLE]: host.faultFile,
+        }
+      : variables;
+  }
+
   private async wait<T>(
     what: string,
     poll: () => Promise<T | undefined>,
--- /dev/null
+++ b/lab/log-trials/src/disk-fault.ts
@@ -0,0 +1,43 @@
+/*
+ * Loaded into a process of a trial with `node --import`, this module lets the
+ * writes or syncs of its files fail while a file of the trial names a fault.
+ */
+import {readFileSync} from 'node:fs';
+import {open, type FileHandle} from 'node:fs/promises';
+import {fileURLToPath} from 'node:url';
+import {DISK_FAULT_VARIABLE, type DiskFault} from './disk-fault-file.js';
+
+type Method = 'write' | 'datasync' | 'sync';
+
+const ERRORS: Readonly<
+  Record<DiskFault, {readonly code: string; readonly methods: Method[]}>
+> = {
+  'no room': {code: 'ENOSPC', methods: ['write']},
+  'failed sync': {code: 'EIO', methods: ['datasync', 'sync']},
+};
+
+function presentFault(): DiskFault | undefined {
+  try {
+    const text = readFileSync(process.env[DISK_FAULT_VARIABLE] ?? '', 'utf8');
+    return text as DiskFault;
+  } catch {
+    return undefined;
+  }
+}
+
+const handle = await open(fileURLToPath(import.meta.url));
+const prototype = Object.getPrototypeOf(handle) as FileHandle;
+await handle.close();
+
+for (const method of ['write', 'datasync', 'sync'] as const) {
+  const original = prototype[method] as (...args: unknown[]) => unknown;
+  const failing = async function (this: FileHandle, ...args: unknown[]) {
+    const fault = presentFault();
+    if (fault !== undefined && ERRORS[fault].methods.includes(method)) {
+      const {code} = ERRORS[fault];
+      throw Object.assign(new Error(`${code}: ${fault}`), {code});
+    }
+    return original.apply(this, args);
+  };
+  Object.assign(prototype, {[method]: failing});
+}
--- a/lab/log-trials/src/main.ts
+++ b/lab/log-trials/src/main.ts
@@ -19,8 +19,11 @@
   .command(
     'leaderless',
     'time without a leader after kill, freeze, cut and drain',
-    args => args.option('repeats', {type: 'number', default: 5}),
-    async args => print(await measureLeaderless(args.repeats)),
+    args =>
+      args
+        .option('replicas', {type: 'number', default: 3})
+        .option('repeats', {type: 'number', default: 5}),
+    async args => print(await measureLeaderless(args.replicas, args.repeats)),
   )
   .command(
     'recovery',
--- a/lab/log-trials/src/measure-leaderless.ts
+++ b/lab/log-trials/src/measure-leaderless.ts
@@ -18,10 +18,11 @@
 
 /** Measures how long no command is accepted after the loss of a leader. */
 export async function measureLeaderless(
+  replicas: number,
   repeats: number,
 ): Promise<LeaderlessTimes[]> {
   const group = await ControlGroup.start({
-    count: 3,
+    count: replicas,
     flags: ['--log-level', 'warn'],
   });
   const results: LeaderlessTimes[] = [];
