A replacement that cannot sync the log does not count, in real processes

The story of a lost disk passed also where a learner counted before it was caught up: on loopback the log arrives before anybody can look. Now a replacement is cut off until its disk has no room, so that it can never sync the log: the lost voter stays a voter, the replacement counts only with room, and only then is the repair reported. Seen failing with "caught up" always true (two voters left, not three).

--- a/lab/log-trials/test/control-group-disks.test.ts
+++ b/lab/log-trials/test/control-group-disks.test.ts
@@ -78,3 +78,30 @@
   await expectAccepts('after');
   await expectNothingLost();
 }).timeout(TIMEOUT_MS);
+
+it('disks: a replacement that cannot sync the log does not count', async () => {
+  const leader = await group.leader();
+  const lost = group.hosts.find(host => host !== leader)!;
+  await group.loseDisk(lost);
+  group.isolate(lost, true);
+  group.run(lost);
+  await lost.child!.line(line => line.includes('"log-opened"'));
+  await group.failDisk(lost, 'no room');
+  group.isolate(lost, false);
+  await lost.child!.line(line => line.includes('"disk-full"'));
+  const {replica} = (await group.status(lost))!;
+  for (let claims = 0; claims < CLAIMS; claims += 1) {
+    await expectAccepts(`during-${claims}`);
+  }
+  const status = (await group.status(leader))!;
+  expect(status.replicas?.map(({id}) => id)).to.include(replica);
+  expect(status.voters).to.have.length(3).and.to.not.include(replica);
+  await group.failDisk(lost, undefined);
+  const repaired = await group.event(
+    'replica-repaired',
+    details => details.replica === replica,
+  );
+  expect(repaired.url).to.equal(lost.url);
+  await group.whole();
+  await expectNothingLost();
+}).timeout(TIMEOUT_MS);
