--- a/control/consensus/test/group-faults.test.ts
+++ b/control/consensus/test/group-faults.test.ts
@@ -194,6 +194,34 @@
   expect(model.now).to.equal(startedAt);
 });
 
+it('hand-over: goes on to another voter where the first is gone', () => {
+  const model = groupOf(5);
+  const [a, b, ...others] = model.hosts;
+  model.elect(a, [b, ...others]);
+  model.run(model.hosts, 10);
+  const {term} = a.replica!;
+  model.crash(b);
+  model.handOver(a);
+  model.run(model.hosts, 8);
+  expect(model.leader()).to.be.oneOf(others);
+  expect(model.leader()?.replica?.term).to.equal(term + 1);
+});
+
+it('hand-over: prefers the voter that was heard last', () => {
+  const model = groupOf(5);
+  const [a, b, ...others] = model.hosts;
+  model.elect(a, [b, ...others]);
+  model.run(model.hosts, 10);
+  const startedAt = model.now;
+  model.crash(b);
+  model.run(model.hosts, 4);
+  model.handOver(a);
+  const askedAt = model.now;
+  model.exchange(model.hosts, 6);
+  expect(model.leader()).to.be.oneOf(others);
+  expect(model.now).to.equal(askedAt).and.to.be.greaterThan(startedAt);
+});
+
 it('snapshot: a replica behind the log receives it in parts, over cuts', () => {
   const model = groupOf(3);
   const [a, b, c] = model.hosts;
