--- a/lab/control-history/src/index.ts
+++ b/lab/control-history/src/index.ts
@@ -15,6 +15,12 @@
   type SettingsCall,
   type SettingsHistory,
 } from './settings-model.js';
+export {
+  runSpread,
+  type SpreadFault,
+  type SpreadOptions,
+  type SpreadReport,
+} from './spread-run.js';
 export {
   runHistory,
   type HistoryFault,
--- a/lab/control-history/src/main.ts
+++ b/lab/control-history/src/main.ts
@@ -2,26 +2,61 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {runHistory, type HistoryFault} from './run-history.js';
+import {runSpread, type SpreadFault} from './spread-run.js';
 
-const flags = await yargs(hideBin(process.argv))
+const {argv} = process;
+await yargs(hideBin(argv))
   .scriptName('marigoldspur-control-history')
-  .option('replicas', {type: 'number', default: 3})
-  .option('operators', {type: 'number', default: 4})
-  .option('operations', {type: 'number', default: 40})
-  .option('fault', {
-    choices: ['none', 'kill', 'freeze', 'cut'] as const,
-    default: 'kill' as HistoryFault,
-  })
-  .option('faults', {type: 'number', default: 6})
-  .option('seed', {type: 'number', default: 1})
+  .command(
+    '$0',
+    'Checks that concurrent operators see one history',
+    options =>
+      options
+        .option('replicas', {type: 'number', default: 3})
+        .option('operators', {type: 'number', default: 4})
+        .option('operations', {type: 'number', default: 40})
+        .option('fault', {
+          choices: ['none', 'kill', 'freeze', 'cut'] as const,
+          default: 'kill' as HistoryFault,
+        })
+        .option('faults', {type: 'number', default: 6})
+        .option('seed', {type: 'number', default: 1}),
+    async flags => {
+      const {verdict, ...counts} = await runHistory({
+        ...flags,
+        operationsEach: flags.operations,
+      });
+      const {linearizable, exhausted, visited} = verdict;
+      finish({...counts, linearizable, exhausted, visited}, linearizable);
+    },
+  )
+  .command(
+    'spread',
+    'Times accepted changes until they are in force everywhere',
+    options =>
+      options
+        .option('fault', {
+          choices: ['none', 'kill', 'freeze', 'cut'] as const,
+          default: 'cut' as SpreadFault,
+        })
+        .option('role', {
+          choices: ['leader', 'follower'] as const,
+          default: 'leader' as const,
+        })
+        .option('moment', {
+          choices: ['before', 'after'] as const,
+          default: 'before' as const,
+        })
+        .option('changes', {type: 'number', default: 5}),
+    async ({fault, role, moment, changes}) => {
+      const report = await runSpread({fault, role, moment, changes});
+      finish({fault, role, moment, ...report}, report.violations.length === 0);
+    },
+  )
   .strict()
   .parseAsync();
-const {verdict, ...counts} = await runHistory({
-  ...flags,
-  operationsEach: flags.operations,
-});
-const {linearizable, exhausted, visited} = verdict;
-process.stdout.write(
-  `${JSON.stringify({...counts, linearizable, exhausted, visited})}\n`,
-);
-process.exit(linearizable ? 0 : 1);
+
+function finish(report: unknown, isGood: boolean): void {
+  process.stdout.write(`${JSON.stringify(report)}\n`);
+  process.exit(isGood ? 0 : 1);
+}
