A claim that was given back is not taken again by a late call

A call that reached control after its entry gave the claim back took the key until its retention was over.

A scan of all claims on each claim was not found: due claims stand in buckets of a minute, and the time per claim is flat.

--- a/contracts/messages/src/claim.ts
+++ b/contracts/messages/src/claim.ts
@@ -51,6 +51,8 @@
   z.object({outcome: z.literal('unknown'), request: z.string()}),
   /** The key was used with another body. */
   z.object({outcome: z.literal('mismatch'), request: z.string()}),
+  /** The same request gave its claim back before this call came. */
+  z.object({outcome: z.literal('not-run'), request: z.string()}),
   /** No more keys can be kept; nothing was claimed. */
   z.object({outcome: z.literal('full'), retryAfterMs: z.int()}),
 ]);
--- a/control/request-claims/src/claim-state.ts
+++ b/control/request-claims/src/claim-state.ts
@@ -1,3 +1,4 @@
+import {GivenBack, type GivenBackRow} from './given-back.js';
 import type {
   Claim,
   ClaimOutcome,
@@ -39,6 +40,8 @@
 export interface ClaimsSnapshot {
   readonly clock: number;
   readonly rows: ReadonlyArray<readonly [string, ClaimRow]>;
+  /** Claims given back of late. */
+  readonly givenBack?: readonly GivenBackRow[];
 }
 
 const DEFAULTS: Required<ClaimStateOptions> = {
@@ -58,6 +61,9 @@
  * end it is kept for its retention, so a key may be used again only when a run under
  * it ended at least that long ago. An unknown outcome stays unknown.
  *
+ * A claim that its request gave back is remembered for some minutes: a call for it
+ * that comes later, as one that was sent twice, takes nothing.
+ *
  * The state's clock is the highest time that any command gave, so it never runs
  * backwards when leaders' clocks differ.
  */
@@ -70,6 +76,7 @@
   private readonly running = new Map<string, Set<string>>();
   private readonly buckets = new Map<number, string[]>();
   private sweptBucket = -Infinity;
+  private readonly givenBack = new GivenBack();
   private readonly options: Required<ClaimStateOptions>;
 
   constructor(options: ClaimStateOptions = {}) {
@@ -102,6 +109,9 @@
     if (row !== undefined) {
       return outcomeOf(row, claim);
     }
+    if (this.givenBack.has(id, claim.request, this.clock)) {
+      return {outcome: 'not-run', request: claim.request};
+    }
     if (this.rows.size >= this.options.maxClaims) {
       return {outcome: 'full', retryAfterMs: MAX_RETRY_AFTER_MS};
     }
@@ -122,7 +132,12 @@
     this.advance(at);
     const id = rowId(completion.customer, completion.key);
     const row = this.live(id);
-    if (row?.state !== 'running' || row.request !== completion.request) {
+    const isHeld =
+      row?.state === 'running' && row.request === completion.request;
+    if (completion.result === 'not-run') {
+      this.givenBack.add(id, completion.request, this.clock);
+    }
+    if (!isHeld) {
       return;
     }
     if (completion.result === 'not-run') {
@@ -146,7 +161,11 @@
 
   /** Everything the state holds. */
   snapshot(): ClaimsSnapshot {
-    return {clock: this.clock, rows: [...this.rows]};
+    return {
+      clock: this.clock,
+      rows: [...this.rows],
+      givenBack: this.givenBack.snapshot(),
+    };
   }
 
   /** Takes over a snapshot. */
@@ -158,6 +177,7 @@
     this.answerBytes = 0;
     this.sweptBucket = -Infinity;
     this.clock = snapshot.clock;
+    this.givenBack.restore(snapshot.givenBack ?? []);
     for (const [id, row] of snapshot.rows) {
       const {answer, ...rest} = row;
       const copy: ClaimRow = {...rest};
@@ -260,6 +280,7 @@
       return;
     }
     this.sweptBucket = current;
+    this.givenBack.expire(this.clock);
     const due = [...this.buckets.keys()].filter(bucket => bucket < current);
     for (const bucket of due.sort((a, b) => a - b)) {
       const ids = this.buckets.get(bucket)!;
--- a/control/request-claims/test/claim-state.test.ts
+++ b/control/request-claims/test/claim-state.test.ts
@@ -54,6 +54,31 @@
   });
 });
 
+it('claims: a call that comes after its claim was given back takes nothing', () => {
+  const claims = new ClaimState();
+  claims.complete(completion('r1', 'not-run'), 0);
+  const late = {outcome: 'not-run', request: 'r1'};
+  expect(claims.take(claim('r1'), 1)).to.deep.equal(late);
+  const restored = new ClaimState();
+  restored.restore(JSON.parse(JSON.stringify(claims.snapshot())));
+  expect(restored.take(claim('r1'), 2)).to.deep.equal(late);
+  expect(restored.holders()).to.deep.equal([]);
+  expect(restored.take(claim('r2'), 3).outcome).to.equal('granted');
+  restored.complete(completion('r2', 'not-run'), 4);
+  expect(restored.take(claim('r2'), 5).outcome).to.equal('not-run');
+});
+
+it('claims: what was given back is forgotten in time, and kept to a number', () => {
+  const claims = new ClaimState();
+  for (let index = 0; index < 10_001; index += 1) {
+    claims.complete(completion(`r${index}`, 'not-run'), 0);
+  }
+  expect(claims.snapshot().givenBack).to.have.length(10_000);
+  expect(claims.take(claim('r1'), 1).outcome).to.equal('not-run');
+  claims.take(claim('other'), 660_000);
+  expect(claims.snapshot().givenBack).to.have.length(0);
+});
+
 it('claims: a lost entry makes its running claims unknown for good', () => {
   const claims = new ClaimState();
   claims.take(claim('r1'), 0);
--- a/entry/entry-server/src/claim-desk.ts
+++ b/entry/entry-server/src/claim-desk.ts
@@ -155,6 +155,8 @@
           'the key was used with another request',
         ),
       );
+    case 'not-run':
+      return Result.err(claimUnavailable());
     case 'full':
       return Result.err(
         new Refusal(
