Check the messages of streams by their schemas

Deltas of settings and members, settings views and pulled deltas were taken as they came. Each is checked now; one that is not valid is `CORRUPT_DATA` with every finding, puts nothing in force, and the stream is opened anew, with a pause once all replicas failed: a bad message no longer counts as one heard. Seen failing with the check off, and with the fault not ending the stream (1 test each).

--- a/contracts/control-api/src/index.ts
+++ b/contracts/control-api/src/index.ts
@@ -1,9 +1,11 @@
 export {heartbeatHandler} from './heartbeat-handler.js';
 export {controlRouter} from './router.js';
 export type {ControlRouter} from './router.js';
-export type {
-  ControlService,
-  ControlStatus,
-  SettingsDelta,
-  SettingsView,
+export {
+  SETTINGS_DELTA_SCHEMA,
+  SETTINGS_VIEW_SCHEMA,
+  type ControlService,
+  type ControlStatus,
+  type SettingsDelta,
+  type SettingsView,
 } from './service.js';
--- a/contracts/control-api/src/service.ts
+++ b/contracts/control-api/src/service.ts
@@ -10,24 +10,36 @@
   Permit,
   PermitRequest,
 } from '@marigoldspur/messages';
-import type {Change, ChangeOutcome, Tree} from '@marigoldspur/settings-schema';
+import {
+  CHANGE_SCHEMA,
+  TREE_SCHEMA,
+  type Change,
+  type ChangeOutcome,
+} from '@marigoldspur/settings-schema';
+import {z} from 'zod';
 
 /** The settings tree at one revision. */
-export interface SettingsView {
-  readonly revision: number;
-  readonly tree: Tree;
-}
+export const SETTINGS_VIEW_SCHEMA = z.object({
+  revision: z.int().min(0),
+  tree: TREE_SCHEMA,
+});
+
+/** The settings tree at one revision. */
+export type SettingsView = Readonly<z.infer<typeof SETTINGS_VIEW_SCHEMA>>;
 
 /** What a follower needs to reach a later revision. */
-export interface SettingsDelta {
-  readonly revision: number;
+export const SETTINGS_DELTA_SCHEMA = z.object({
+  revision: z.int().min(0),
   /** The whole tree, where the changes are no longer kept. */
-  readonly tree?: Tree;
+  tree: TREE_SCHEMA.optional(),
   /** Else the changes after the follower's revision, in order. */
-  readonly changes: readonly Change[];
+  changes: z.array(CHANGE_SCHEMA).readonly(),
   /** True where a quorum confirmed within about a second that nothing newer is committed. */
-  readonly confirmed?: boolean;
-}
+  confirmed: z.boolean().optional(),
+});
+
+/** What a follower needs to reach a later revision. */
+export type SettingsDelta = Readonly<z.infer<typeof SETTINGS_DELTA_SCHEMA>>;
 
 /** The state of one replica of control. */
 export interface ControlStatus {
--- a/zones/control-client/src/control-client.ts
+++ b/zones/control-client/src/control-client.ts
@@ -6,6 +6,7 @@
 import {Fault, type FaultCode} from '@marigoldspur/faults';
 import {exchangeJson, linkFetch} from '@marigoldspur/http-link';
 import type {ProcessRouter} from '@marigoldspur/process-api';
+import {checkMessage} from './check-message.js';
 import {runSubscription, type Subscription} from './event-stream.js';
 
 /** A tRPC client of one replica of control. */
@@ -90,11 +91,7 @@
       signal: options.signal,
       maxAnswerBytes: MAX_ANSWER_BYTES,
     });
-    const parsed = options.schema.safeParse(answer);
-    if (!parsed.success) {
-      throw new Fault('CORRUPT_DATA', parsed.error.message);
-    }
-    return parsed.data;
+    return checkMessage(options.schema, answer);
   }
 
   private async reach<T>(
--- a/zones/control-client/src/event-stream.ts
+++ b/zones/control-client/src/event-stream.ts
@@ -65,7 +65,11 @@
       try {
         subscription.onMessage(JSON.parse(data));
       } catch (thrown) {
-        end(new Fault('CORRUPT_DATA', String(thrown), {cause: thrown}));
+        end(
+          thrown instanceof Fault
+            ? thrown
+            : new Fault('CORRUPT_DATA', String(thrown), {cause: thrown}),
+        );
       }
     };
     if (subscription.signal.aborted) {
--- a/zones/control-client/src/member-follower.ts
+++ b/zones/control-client/src/member-follower.ts
@@ -1,5 +1,9 @@
 import {EventLog} from '@marigoldspur/event-log';
-import type {Member, MembersDelta} from '@marigoldspur/messages';
+import {
+  MEMBERS_DELTA_SCHEMA,
+  type Member,
+  type MembersDelta,
+} from '@marigoldspur/messages';
 import type {ControlClient} from './control-client.js';
 import {StreamFollower} from './stream-follower.js';
 
@@ -15,7 +19,7 @@
   private readonly heldOver = new Set<string>();
   private table = '';
   private version = 0;
-  private readonly stream: StreamFollower;
+  private readonly stream: StreamFollower<MembersDelta>;
 
   constructor(
     client: ControlClient,
@@ -26,7 +30,8 @@
       {
         procedure: 'followMembers',
         input: () => ({table: this.table, version: this.version}),
-        onMessage: message => this.take(message as MembersDelta),
+        schema: MEMBERS_DELTA_SCHEMA,
+        onMessage: message => this.take(message),
       },
       events,
     );
--- a/zones/control-client/src/settings-follower.ts
+++ b/zones/control-client/src/settings-follower.ts
@@ -1,8 +1,13 @@
-import type {SettingsDelta} from '@marigoldspur/control-api';
+import {
+  SETTINGS_DELTA_SCHEMA,
+  SETTINGS_VIEW_SCHEMA,
+  type SettingsDelta,
+} from '@marigoldspur/control-api';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Fault} from '@marigoldspur/faults';
 import {emptyTree, type Change, type Tree} from '@marigoldspur/settings-schema';
 import {applyEdits} from '@marigoldspur/settings-tree';
+import {checkMessage} from './check-message.js';
 import type {ControlClient} from './control-client.js';
 import {StreamFollower} from './stream-follower.js';
 
@@ -47,7 +52,7 @@
   private recent: Change[] = [];
   private pulling = false;
   private nextPullAt = -Infinity;
-  private readonly stream: StreamFollower;
+  private readonly stream: StreamFollower<SettingsDelta>;
 
   constructor(
     private readonly client: ControlClient,
@@ -60,7 +65,8 @@
         ...options,
         procedure: 'followSettings',
         input: () => ({revision: this.current.revision}),
-        onMessage: message => this.takeStreamed(message as SettingsDelta),
+        schema: SETTINGS_DELTA_SCHEMA,
+        onMessage: message => this.takeStreamed(message),
       },
       events,
     );
@@ -86,7 +92,7 @@
     if (fresh.isErr) {
       throw fresh.error;
     }
-    this.enforce(fresh.value);
+    this.enforce(checkMessage(SETTINGS_VIEW_SCHEMA, fresh.value));
     this.confirmedAt = sentAt;
     this.stream.start();
   }
@@ -136,7 +142,10 @@
         url === undefined
           ? await this.pullFromControl(revision)
           : await this.client.process(url).settings.query({revision}, {signal});
-      if (delta !== undefined && this.take(delta)) {
+      if (
+        delta !== undefined &&
+        this.take(checkMessage(SETTINGS_DELTA_SCHEMA, delta))
+      ) {
         this.events.record('settings-pulled', {
           revision: this.current.revision,
           ...(url !== undefined && {url}),
--- a/zones/control-client/src/stream-follower.ts
+++ b/zones/control-client/src/stream-follower.ts
@@ -1,14 +1,18 @@
 import type {EventLog} from '@marigoldspur/event-log';
+import type {z} from 'zod';
+import {checkMessage} from './check-message.js';
 import type {ControlClient} from './control-client.js';
 
 /** What a stream follower follows. */
-export interface FollowedStream {
+export interface FollowedStream<T> {
   /** Name of the subscription. */
   readonly procedure: string;
   /** Where the stream goes on from. */
   readonly input: () => unknown;
+  /** What each message has to be; one that is not ends the stream. */
+  readonly schema: z.ZodType<T>;
   /** Takes each message; what it throws ends the stream. */
-  readonly onMessage: (message: unknown) => void;
+  readonly onMessage: (message: T) => void;
   /** Position of the replica to follow first; any one without it. */
   readonly firstReplica?: number;
 }
@@ -21,7 +25,7 @@
  * Keeps one subscription to control open. A replica that falls silent, can't confirm
  * its state, or doesn't lead is left for the next one.
  */
-export class StreamFollower {
+export class StreamFollower<T> {
   private readonly stopping = new AbortController();
   private turning = new AbortController();
   private loop: Promise<void> = Promise.resolve();
@@ -29,7 +33,7 @@
 
   constructor(
     private readonly client: ControlClient,
-    private readonly stream: FollowedStream,
+    private readonly stream: FollowedStream<T>,
     private readonly events: EventLog,
   ) {
     this.index =
@@ -62,8 +66,8 @@
         stallMs: STALL_MS,
         signal: AbortSignal.any([this.stopping.signal, this.turning.signal]),
         onMessage: message => {
+          this.stream.onMessage(checkMessage(this.stream.schema, message));
           heard = true;
-          this.stream.onMessage(message);
         },
       });
       if (this.stopping.signal.aborted) {
@@ -71,6 +75,8 @@
       }
       if (heard) {
         failures = 0;
+      }
+      if (heard || fault.code === 'CORRUPT_DATA') {
         this.events.record('stream-lost', {
           stream: this.stream.procedure,
           replica: url,
--- a/zones/control-client/test/settings-follower.test.ts
+++ b/zones/control-client/test/settings-follower.test.ts
@@ -1,12 +1,11 @@
+import http from 'node:http';
 import {expect} from 'chai';
 import {Result} from 'true-myth';
 import type {SettingsDelta} from '@marigoldspur/control-api';
-import {
-  SettingsFollower,
-  type ControlClient,
-} from '@marigoldspur/control-client';
+import {ControlClient, SettingsFollower} from '@marigoldspur/control-client';
 import {EventLog} from '@marigoldspur/event-log';
 import {Fault} from '@marigoldspur/faults';
+import {closeServer, listen} from '@marigoldspur/http-link';
 import type {Change, Tree} from '@marigoldspur/settings-schema';
 
 const AHEAD = 'http://127.0.0.1:1';
@@ -114,6 +113,54 @@
   await follower.stop();
 });
 
+it('follower: a message that is not valid is a typed fault and puts nothing in force', async () => {
+  const {client, follower} = await started();
+  const [tree4, change4] = [tree(4), change(4)];
+  const bad: unknown[] = [
+    {revision: 4},
+    {revision: '4', tree: tree4, changes: []},
+    {revision: 4, tree: {settings: {queueLimit: -1}}, changes: []},
+    {revision: 4, changes: [{...change4, edits: [{edit: 'odd'}]}]},
+    'text',
+  ];
+  for (const message of bad) {
+    const deliver = () => client.deliver(message as SettingsDelta);
+    expect(deliver).to.throw('not valid').with.property('code', 'CORRUPT_DATA');
+  }
+  client.peer = () => ({revision: 4, tree: 'odd', changes: []}) as never;
+  follower.heard(4, AHEAD);
+  await new Promise(resolve => setImmediate(resolve));
+  expect(follower.settings).to.deep.equal({revision: 3, tree: tree(3)});
+  await follower.stop();
+});
+
+it('follower: after a message that is not valid the stream is opened anew', async () => {
+  const leader = http.createServer((_, response) => {
+    response.writeHead(200, {'content-type': 'text/event-stream'});
+    const message =
+      streams === 0 ? {revision: 4} : {revision: 4, changes: [change(4)]};
+    streams += 1;
+    response.write(`data: ${JSON.stringify(message)}\n\n`);
+  });
+  let streams = 0;
+  const {port} = await listen(leader, {host: '127.0.0.1', port: 0});
+  const own = new ControlClient({urls: [`http://127.0.0.1:${port}`]});
+  const events = new EventLog({process: 'test'});
+  const follower = new SettingsFollower(own, events);
+  own.call = async () => Result.ok({revision: 3, tree: tree(3)}) as never;
+  await follower.start(performance.now() + 1_000);
+  while (follower.settings.revision < 4) {
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
+  const lost = events.after(0, 100).filter(e => e.name === 'stream-lost');
+  expect(lost.map(e => e.details?.fault)).to.deep.equal(['CORRUPT_DATA']);
+  expect(streams).to.equal(2);
+  await follower.stop();
+  own.close();
+  leader.closeAllConnections();
+  await closeServer(leader);
+});
+
 it('follower: only a confirmed delta confirms', async () => {
   const {client, follower} = await started();
   const before = follower.lastConfirmed;
