Of two agents of a target the newer is used, also beside a plain service

Agents of plain services had no fencing number, so two of them stood side by side. They take one now; the older is told FENCED by a heartbeat and refuses attempts from then on. Boots in order of time (clocks differ) and the later announcement (the older one announces again) were ruled out.

A fault found on the way: an older agent of the same name, when fenced, removed the newer one's row, and through a relay could have had the newer told that it is fenced. Rows and answers are told apart by boot now.

A run of processes: an engine and a plain service that return elsewhere under their names are used there alone, and the older agent refuses.

The desk's tests take whole milliseconds: the difference of two fractions came out below the lease once and a test failed by it; the bounds are the same.

--- a/agent/agent-server/src/attempt-desk.ts
+++ b/agent/agent-server/src/attempt-desk.ts
@@ -47,6 +47,8 @@
   readonly engine?: EngineParts;
   /** Whether a plain service answers its health check. */
   readonly serviceHealthy?: () => boolean;
+  /** Whether control said that a newer agent serves the target. */
+  readonly superseded?: () => boolean;
 }
 
 const ENGINE_PATHS = new Set(['/v1/chat/completions', '/v1/completions']);
@@ -283,7 +285,9 @@
     signal: AbortSignal,
   ): Promise<Refusal | undefined> {
     const {engine, events} = this.options;
-    const mayForward = await (engine?.keeper.mayForward() ?? true);
+    const mayForward =
+      (await (engine?.keeper.mayForward() ?? true)) &&
+      this.options.superseded?.() !== true;
     // After a pause of the process the end of the link is read in the next turn.
     await nextTurn();
     if (signal.aborted) {
--- /dev/null
+++ b/agent/agent-server/src/grant-fence.ts
@@ -0,0 +1,20 @@
+import type {ControlClient} from '@marigoldspur/control-client';
+import type {AgentSettings} from './agent-settings.js';
+
+const GRANT_TIMEOUT_MS = 60_000;
+
+/** Asks control for a fencing number of the target, newer than that of any agent before. */
+export async function grantFence(
+  settings: Pick<AgentSettings, 'target'>,
+  {client, boot}: {readonly client: ControlClient; readonly boot: string},
+): Promise<number> {
+  const granted = await client.call(
+    (replica, signal) =>
+      replica.grantFence.mutate({target: settings.target, boot}, {signal}),
+    performance.now() + GRANT_TIMEOUT_MS,
+  );
+  if (granted.isErr) {
+    throw granted.error;
+  }
+  return granted.value;
+}
--- a/agent/agent-server/src/prepare-engine.ts
+++ b/agent/agent-server/src/prepare-engine.ts
@@ -12,6 +12,7 @@
 import type {AgentMetrics} from './agent-metrics.js';
 import type {AgentSettings} from './agent-settings.js';
 import type {EngineParts} from './attempt-desk.js';
+import {grantFence} from './grant-fence.js';
 import {LeaseKeeper} from './lease-keeper.js';
 import {ControlLoadGate, FallbackLoadGate, ShareLoadGate} from './load-gate.js';
 import {SettingsEviction} from './settings-eviction.js';
@@ -36,8 +37,6 @@
   readonly fence: number;
 }
 
-const GRANT_TIMEOUT_MS = 60_000;
-
 /** Prepares the orders to an engine under a new fencing number. */
 export async function prepareEngine(
   settings: AgentSettings,
@@ -103,18 +102,3 @@
   });
   return {slots, watch, host, keeper, fence};
 }
-
-async function grantFence(
-  settings: AgentSettings,
-  {boot, client}: PrepareEngineOptions,
-): Promise<number> {
-  const granted = await client.call(
-    (replica, signal) =>
-      replica.grantFence.mutate({target: settings.target, boot}, {signal}),
-    performance.now() + GRANT_TIMEOUT_MS,
-  );
-  if (granted.isErr) {
-    throw granted.error;
-  }
-  return granted.value;
-}
--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -10,6 +10,7 @@
 import {agentMetrics} from './agent-metrics.js';
 import type {AgentSettings} from './agent-settings.js';
 import {AttemptDesk} from './attempt-desk.js';
+import {grantFence} from './grant-fence.js';
 import {prepareEngine} from './prepare-engine.js';
 import {ServiceWatch} from './service-watch.js';
 
@@ -39,6 +40,8 @@
     settings.targetKind === 'engine'
       ? await prepareEngine(settings, parts)
       : undefined;
+  const fence = engine?.fence ?? (await grantFence(settings, parts));
+  let superseded = false;
   const service = new ServiceWatch(settings.targetUrl, changed);
   if (engine === undefined) {
     service.start(settings.healthIntervalMs);
@@ -56,6 +59,7 @@
     maxHeldBytes: MAX_HELD_BYTES,
     engine,
     serviceHealthy: () => service.healthy,
+    superseded: () => superseded,
   });
   const isLeaving = () =>
     shell.isDraining || engine?.watch.state.leaving === true;
@@ -72,7 +76,7 @@
     running: desk.load,
     waiting: engine?.host.waiting ?? 0,
     batchLimit: engine?.watch.state.batchLimit ?? settings.batchLimit,
-    fence: engine?.fence,
+    fence,
   });
   const url = await shell.serve({
     fallback: (request, response) => void desk.handle(request, response),
@@ -105,6 +109,9 @@
     engine?.keeper.answered(answer);
     if (answer.result.isOk) {
       follower.heard(answer.result.value.revision);
+    } else if (answer.result.error.code === 'FENCED' && !superseded) {
+      superseded = true;
+      events.record('orders-held', {revoked: true});
     }
   });
   engine?.keeper.use(heartbeat);
--- a/contracts/messages/src/heartbeat.ts
+++ b/contracts/messages/src/heartbeat.ts
@@ -86,8 +86,8 @@
   taken: z.boolean(),
   stamp: RELAY_STAMP_SCHEMA,
   receipt: HEARTBEAT_RECEIPT_SCHEMA,
-  /** Members whose target another agent holds under a newer number. */
-  fenced: z.array(z.string()),
+  /** Members, with their boots, whose target another agent holds under a newer number. */
+  fenced: z.array(z.object({id: z.string(), boot: z.string()})),
   /** Members that are no longer in the table and have to be announced. */
   missing: z.array(z.string()),
 });
--- a/contracts/messages/src/member.ts
+++ b/contracts/messages/src/member.ts
@@ -30,7 +30,7 @@
   waiting: z.int().min(0),
   /** Requests that the target runs in one batch at most. */
   batchLimit: z.int().min(1),
-  /** Fencing number of the agent's orders; absent for a plain service. */
+  /** Fencing number of the agent: of two agents of a target the newer one serves it. */
   fence: z.int().min(0).optional(),
 });
 
--- a/control/control-server/test/control-desk.test.ts
+++ b/control/control-server/test/control-desk.test.ts
@@ -111,7 +111,7 @@
   const log = new FakeLog();
   const desk = deskOn(log);
   await desk.takeClaim(claim('r1'));
-  const now = performance.now();
+  const now = Math.ceil(performance.now());
   await desk.heartbeat(entry('b1'));
   desk.checkLeases(now + LEASE_MS / 2);
   desk.checkLeases(now + LEASE_MS);
@@ -130,7 +130,7 @@
   log.term = 2;
   const delta = await desk.watchMembers('', 0, 0);
   expect(delta).to.include({complete: false, whole: true});
-  const now = performance.now();
+  const now = Math.ceil(performance.now());
   desk.checkLeases(now);
   desk.checkLeases(now + LEASE_MS);
   expect((await desk.watchMembers('', 0, 0)).complete).to.equal(true);
--- /dev/null
+++ b/lab/control-history/test/members.test.ts
@@ -0,0 +1,148 @@
+import {randomUUID} from 'node:crypto';
+import {expect} from 'chai';
+import {
+  deploymentTree,
+  startChild,
+  startSystem,
+  type Child,
+  type System,
+} from '@marigoldspur/lab';
+import {formatHop} from '@marigoldspur/messages';
+
+const LAB = '@marigoldspur/lab';
+const AGENT = '@marigoldspur/agent-server';
+const POLL_MS = 20;
+const REQUESTS = 10;
+const DEPLOYMENT = {
+  customer: 'callao',
+  zones: ['zone-0'],
+  targets: [
+    {service: 'lm-desk', kind: 'engine', count: 1},
+    {service: 'chart-api', kind: 'service', count: 1},
+  ],
+  loadsPerSecond: 50,
+} as const;
+
+/** What tells the two kinds of target apart here. */
+const KINDS = [
+  {
+    kind: 'engine',
+    service: 'lm-desk',
+    path: '/v1/completions',
+    body: JSON.stringify({model: 'callao-0@v1', prompt: 'p', max_tokens: 1}),
+    model: {adapter: 'callao-0', version: 'v1'},
+  },
+  {
+    kind: 'service',
+    service: 'chart-api',
+    path: '/chart-api/indication',
+    body: 'indication',
+    model: undefined,
+  },
+] as const;
+
+let system: System;
+const children: Child[] = [];
+
+before(async () => {
+  system = await startSystem({
+    deployments: [DEPLOYMENT],
+    tree: deploymentTree([DEPLOYMENT], 1),
+    controls: 1,
+    entries: 1,
+  });
+  await system.settled();
+});
+
+after(async () => {
+  children.forEach(child => child.signal('SIGKILL'));
+  await Promise.all(children.map(child => child.ended));
+  await system?.stop();
+});
+
+function start(name: string, program: string, args: string[]): Child {
+  const child = startChild(name, program, args);
+  children.push(child);
+  return child;
+}
+
+async function readyUrl(child: Child): Promise<string> {
+  const line = await child.line(each => each.startsWith('ready '));
+  return line.slice('ready '.length);
+}
+
+async function startTarget(kind: 'engine' | 'service'): Promise<string> {
+  if (kind === 'service') {
+    return readyUrl(start('twin', LAB, ['service', '--port', '0']));
+  }
+  const store = start('store', LAB, ['store', '--loads-per-second', '50']);
+  const storeUrl = await readyUrl(store);
+  return readyUrl(
+    start('twin', LAB, ['engine', '--port', '0', '--store-url', storeUrl]),
+  );
+}
+
+async function runsAt(url: string): Promise<number> {
+  const record = (await (await fetch(`${url}/record`)).json()) as unknown[];
+  return record.length;
+}
+
+for (const {kind, service, path, body, model} of KINDS) {
+  const target = `${service}-0`;
+
+  function send(): Promise<Response> {
+    return fetch(`${system.entryUrls[0]}${path}`, {method: 'POST', body});
+  }
+
+  it(`members: a target that returns elsewhere under its name is used there alone, ${kind}`, async () => {
+    const first = system.targets.find(pair => pair.name === target)!;
+    expect((await send()).status).to.equal(200);
+    const url = await startTarget(kind);
+    const agent = start('twin-agent', AGENT, [
+      ...['--id', `${target}-agent`, '--zone', 'zone-0', '--port', '0'],
+      ...['--control', system.controlUrls.join(',')],
+      ...['--target', target, '--target-url', url, '--target-kind', kind],
+      ...['--fence-checked', 'true'],
+      ...['--customer', 'callao', '--service', service],
+    ]);
+    while ((await runsAt(url)) === 0) {
+      await (await send()).text();
+      await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+    while ((await attemptAt(first.agent)).status === 200) {
+      await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+    const before = await runsAt(first.url);
+    const taken = await runsAt(url);
+    for (let count = 0; count < REQUESTS; count += 1) {
+      expect((await send()).status).to.equal(200);
+    }
+    expect(await runsAt(url)).to.equal(taken + REQUESTS);
+    const refused = await attemptAt(first.agent);
+    expect(refused.status).to.equal(503);
+    expect(refused.headers.get('x-marigoldspur-reason')).to.equal('no_lease');
+    expect(await runsAt(first.url)).to.equal(before);
+    expect(agent.process.exitCode).to.equal(null);
+  });
+
+  /** Sends an attempt to an agent as an entry that still knows it would. */
+  async function attemptAt(agent: Child): Promise<Response> {
+    const line = await agent.line(each => each.includes('"process-started"'));
+    const {url} = (JSON.parse(line) as {details: {url: string}}).details;
+    const hop = formatHop({
+      request: randomUUID(),
+      attempt: 1,
+      model,
+      target,
+      revision: 1,
+      budgetMs: 5_000,
+      priority: 5,
+      repeatable: true,
+    });
+    return fetch(`${url}${path}`, {
+      method: 'POST',
+      body,
+      headers: hop as Record<string, string>,
+    });
+  }
+}
--- a/zones/membership/src/heartbeat-gathering.ts
+++ b/zones/membership/src/heartbeat-gathering.ts
@@ -53,6 +53,9 @@
 
   /** Takes a heartbeat at time `now`, in milliseconds, and answers once control took it. */
   hear(heartbeat: RelayedHeartbeat, now: number): Promise<RelayedAnswer> {
+    if (this.isOlderAgent(heartbeat)) {
+      return Promise.resolve({outcome: 'fenced'});
+    }
     const row = this.rowOf(heartbeat);
     if (row === undefined) {
       return Promise.resolve({outcome: 'unknown'});
@@ -94,7 +97,7 @@
     this.silent = this.silent.slice(batch.silent.length);
     batch.announced.forEach(member => this.told(member));
     answer.missing.forEach(id => this.tellAgain(id));
-    answer.fenced.forEach(id => this.fence(id));
+    answer.fenced.forEach(({id, boot}) => this.fence(id, boot));
     for (const row of this.rows.values()) {
       if (row.told && row.heardAt <= sentAt) {
         settle(row, {outcome: 'taken', receipt: answer.receipt});
@@ -109,6 +112,16 @@
     this.rows.forEach(row => settle(row, {outcome}));
   }
 
+  /** Whether a newer agent of the same name and target is known. */
+  private isOlderAgent({id, boot, member}: RelayedHeartbeat): boolean {
+    const known = this.rows.get(id);
+    if (known === undefined || known.boot === boot) {
+      return false;
+    }
+    const [held, told] = [known.member.target, member?.target];
+    return held?.name === told?.name && (told?.fence ?? 0) < (held?.fence ?? 0);
+  }
+
   private rowOf(heartbeat: RelayedHeartbeat): Row | undefined {
     const {id, boot, mark, member} = heartbeat;
     const known = this.rows.get(id);
@@ -119,6 +132,9 @@
       return undefined;
     }
     const waiting = known?.boot === boot ? known.waiting : [];
+    if (known !== undefined && known.boot !== boot) {
+      settle(known, {outcome: 'unknown'});
+    }
     const row = {boot, mark, member, heardAt: 0, told: false, waiting};
     this.rows.set(id, row);
     return row;
@@ -154,9 +170,9 @@
     });
   }
 
-  private fence(id: string): void {
+  private fence(id: string, boot: string): void {
     const row = this.rows.get(id);
-    if (row !== undefined) {
+    if (row?.boot === boot) {
       this.rows.delete(id);
       settle(row, {outcome: 'fenced'});
     }
--- a/zones/membership/src/member-table.ts
+++ b/zones/membership/src/member-table.ts
@@ -96,7 +96,9 @@
     }
     const fence = member.target?.fence;
     if (fence !== undefined && fence < this.newestFence(member, granted)) {
-      const changes = this.remove(member.id, 'fenced');
+      // The newer agent may bear the same name, as one that was started anew.
+      const isOwn = this.rows.get(member.id)?.member.boot === member.boot;
+      const changes = isOwn ? this.remove(member.id, 'fenced') : [];
       return {fenced: true, changes};
     }
     const changes = this.takeTarget(member);
--- a/zones/membership/src/relay-sessions.ts
+++ b/zones/membership/src/relay-sessions.ts
@@ -80,7 +80,7 @@
   ) {
     const {table} = this.options;
     const lease = {relay: batch.relay, end: time.end};
-    const fenced: string[] = [];
+    const fenced: Array<{id: string; boot: string}> = [];
     const missing: string[] = [];
     const changes: MemberChange[] = [];
     batch.silent.forEach(id => session.members.delete(id));
@@ -89,13 +89,14 @@
       return {fenced, missing: this.forget(session, batch), changes};
     }
     for (const id of session.members) {
-      const renewed = table.renew(id, lease, this.grantedFor(table.member(id)));
+      const member = table.member(id);
+      const renewed = table.renew(id, lease, this.grantedFor(member));
       changes.push(...renewed.changes);
       if (renewed.renewal !== 'renewed') {
         session.members.delete(id);
       }
       if (renewed.renewal === 'fenced') {
-        fenced.push(id);
+        fenced.push({id, boot: member!.boot});
       }
       if (renewed.renewal === 'missing') {
         missing.push(id);
@@ -107,7 +108,7 @@
       changes.push(...announced.changes);
       if (announced.fenced) {
         session.members.delete(member.id);
-        fenced.push(member.id);
+        fenced.push({id: member.id, boot: member.boot});
       } else {
         session.members.add(member.id);
       }
--- a/zones/membership/test/heartbeat-gathering.test.ts
+++ b/zones/membership/test/heartbeat-gathering.test.ts
@@ -17,6 +17,19 @@
 const RECEIPT = {leaseMs: LEASE_MS, revision: 1};
 const RELAY = {id: 'entry-0', boot: 'boot', zone: 'lima-a'};
 
+const TARGET = {
+  name: 'lm-desk-0',
+  customer: 'callao',
+  service: 'lm-desk',
+  boot: 'engine',
+  healthy: true,
+  slots: 6,
+  resident: [],
+  running: 0,
+  waiting: 0,
+  batchLimit: 16,
+};
+
 function member(id: string): Member {
   return {
     id,
@@ -109,13 +122,40 @@
   const {answers, hear, exchange} = gathering();
   void hear(whole('a'), 0);
   void hear(whole('b'), 0);
-  await exchange(1, {fenced: ['a'], missing: ['b']});
+  const fenced = [{id: 'a', boot: 'boot'}];
+  await exchange(1, {fenced, missing: ['b']});
   expect(answers).to.deep.equal([{outcome: 'fenced'}]);
   const batch = await exchange(2);
   expect(batch.announced.map(each => each.id)).to.deep.equal(['b']);
   expect(answers[1]).to.deep.equal({outcome: 'taken', receipt: RECEIPT});
 });
 
+it('gathering: an older agent of the same name is fenced and the newer stays', async () => {
+  const {gathered, exchange} = gathering();
+  const agent = (boot: string, fence: number) => {
+    const target = {...TARGET, fence};
+    return {...whole('a'), boot, member: {...member('a'), boot, target}};
+  };
+  void gathered.hear(agent('second', 2), 0);
+  const older = await gathered.hear(agent('first', 1), 1);
+  expect(older).to.deep.equal({outcome: 'fenced'});
+  const {announced} = await exchange(2);
+  expect(announced.map(each => each.boot)).to.deep.equal(['second']);
+});
+
+it('gathering: an agent started anew under the same name is not fenced with the older', async () => {
+  const {gathered, answers, hear, exchange} = gathering();
+  void hear(whole('a'), 0);
+  const batch = gathered.batch(1);
+  const anew = {...whole('a'), boot: 'second'};
+  void hear({...anew, member: {...anew.member, boot: 'second'}}, 2);
+  const fenced = [{id: 'a', boot: 'boot'}];
+  gathered.answered(batch, answer({fenced}), 1, 3);
+  await exchange(4);
+  const outcomes = answers.map(each => each.outcome);
+  expect(outcomes).to.deep.equal(['unknown', 'taken']);
+});
+
 it('gathering: after a lost batch everything is told again', async () => {
   const {gathered, answers, hear, exchange} = gathering();
   void hear(whole('a'), 0);
--- a/zones/membership/test/member-table.test.ts
+++ b/zones/membership/test/member-table.test.ts
@@ -96,6 +96,14 @@
   expect(members.announce(agent('b', 2), 0, 2).fenced).to.equal(false);
 });
 
+it('members: an older agent of the same name is fenced and the newer stays', () => {
+  const members = table();
+  members.announce({...agent('a', 2), boot: 'second'}, 0);
+  const late = members.announce(agent('a', 1), 10);
+  expect(late).to.deep.equal({fenced: true, changes: []});
+  expect(members.member('a')?.boot).to.equal('second');
+});
+
 it('members: one that returns with another boot joins again', () => {
   const members = table();
   members.announce(member('a'), 0);
--- a/zones/membership/test/relay-sessions.test.ts
+++ b/zones/membership/test/relay-sessions.test.ts
@@ -114,7 +114,8 @@
 it('relays: an agent is fenced by the first batch after a newer number was granted', () => {
   const {table, fences, take, stamp} = speaking('a', 'b');
   fences.set('a', 2);
-  expect(take({stamp}, 100).fenced).to.deep.equal(['a']);
+  const fenced = [{id: 'a', boot: 'boot'}];
+  expect(take({stamp}, 100).fenced).to.deep.equal(fenced);
   expect(ids(table)).to.deep.equal(['b']);
 });
 
