--- a/agent/agent-server/src/attempt-desk.ts
+++ b/agent/agent-server/src/attempt-desk.ts
@@ -26,6 +26,8 @@
   /** Is told the settings revision of an entry, and the entry's URL. */
   readonly heard?: (revision: number, url: string | undefined) => void;
   readonly metrics: AgentMetrics;
+  /** Whether control said that a newer agent serves the target. */
+  readonly superseded?: () => boolean;
 }
 
 const RESUME_AFTER = /^(-1|\d{1,9})$/;
@@ -223,7 +225,9 @@
     signal: AbortSignal,
   ): Promise<Refusal | undefined> {
     const {engine, events} = this.options;
-    const mayForward = await (engine?.keeper.mayForward() ?? true);
+    const mayForward =
+      (await (engine?.keeper.mayForward() ?? true)) &&
+      this.options.superseded?.() !== true;
     // After a pause of the process the end of the link is read in the next turn.
     await nextTurn();
     if (signal.aborted) {
--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -11,6 +11,7 @@
 import {agentMetrics} from './agent-metrics.js';
 import type {AgentSettings} from './agent-settings.js';
 import {AttemptDesk} from './attempt-desk.js';
+import {grantFence} from './grant-fence.js';
 import {prepareEngine} from './prepare-engine.js';
 import {ServiceWatch} from './service-watch.js';
 
@@ -39,6 +40,8 @@
     settings.targetKind === 'engine'
       ? await prepareEngine(settings, parts)
       : undefined;
+  const fence = engine?.fence ?? (await grantFence(settings, parts));
+  let superseded = false;
   const service = new ServiceWatch({
     url: settings.targetUrl,
     healthPath: () => {
@@ -64,6 +67,7 @@
     maxHeldBytes: settings.maxHeldBytes,
     engine,
     serviceHealthy: () => service.healthy,
+    superseded: () => superseded,
   });
   const isLeaving = () =>
     shell.isDraining || engine?.watch.state.leaving === true;
@@ -80,7 +84,7 @@
     running: desk.load,
     waiting: engine?.host.waiting ?? 0,
     batchLimit: engine?.watch.state.batchLimit ?? settings.batchLimit,
-    fence: engine?.fence,
+    fence,
   });
   const url = await shell.serve({
     fallback: (request, response) => void desk.handle(request, response),
@@ -113,6 +117,9 @@
     engine?.keeper.answered(answer);
     if (answer.result.isOk) {
       follower.heard(answer.result.value.revision);
+    } else if (answer.result.error.code === 'FENCED' && !superseded) {
+      superseded = true;
+      events.record('orders-held', {revoked: true});
     }
   });
   engine?.keeper.use(heartbeat);
