--- a/lab/fault-runs/src/cut-network.ts
+++ b/lab/fault-runs/src/cut-network.ts
@@ -5,10 +5,12 @@
 } from '@marigoldspur/cut-link';
 import type {Listener, Network} from '@marigoldspur/lab';
 
-/** Processes that are cut off from all others; what they say among each other passes. */
+/** Processes that are cut off from others; what they say among each other passes. */
 export interface Cut {
   /** Names of the processes that are cut off. */
   readonly inside: ReadonlySet<string>;
+  /** Names of the processes that they are cut off from; all others where it is not given. */
+  readonly outside?: ReadonlySet<string>;
   /** Whether nothing reaches them. */
   readonly inward: boolean;
   /** Whether nothing that they send leaves. */
@@ -85,12 +87,13 @@
   }
 }
 
-function stops(
-  {inside, inward, outward}: Cut,
-  sender: string,
-  receiver: string,
-): boolean {
-  const leaves = inside.has(sender) && !inside.has(receiver);
-  const enters = !inside.has(sender) && inside.has(receiver);
+function stops(cut: Cut, sender: string, receiver: string): boolean {
+  const {inside, inward, outward} = cut;
+  const leaves = inside.has(sender) && isOutside(cut, receiver);
+  const enters = isOutside(cut, sender) && inside.has(receiver);
   return (leaves && outward) || (enters && inward);
 }
+
+function isOutside({inside, outside}: Cut, name: string): boolean {
+  return outside?.has(name) ?? !inside.has(name);
+}
