Let the model tests take as many steps as they name

The order lease's model passed with "holds" always true and, for a target that ignores fencing numbers, with a take-over at once. Cause: an array of up to 80 steps has ten at most at the default size of the generator, so that hardly any run had two agents that both serve.

--- a/agent/adapter-slots/test/slot-model.test.ts
+++ b/agent/adapter-slots/test/slot-model.test.ts
@@ -154,7 +154,7 @@
 
 it('slots model: what runs stays held, and residents are the engine’s', () => {
   fc.assert(
-    fc.property(fc.array(step, {maxLength: 60}), steps => {
+    fc.property(fc.array(step, {maxLength: 60, size: 'max'}), steps => {
       const world = new World();
       for (const each of steps) {
         world.take(each);
--- a/agent/order-lease/test/order-lease.test.ts
+++ b/agent/order-lease/test/order-lease.test.ts
@@ -125,7 +125,7 @@
   const name = fenceChecked ? 'checks' : 'ignores';
   it(`order lease: one agent orders, target ${name} numbers, clocks freeze`, () => {
     fc.assert(
-      fc.property(fc.array(step, {maxLength: 80}), steps => {
+      fc.property(fc.array(step, {maxLength: 80, size: 'max'}), steps => {
         const world = new World(fenceChecked);
         steps.forEach(each =>
           each === 'grant' ? world.grant() : world.take(each),
--- a/control/load-permits/test/permit-queue.test.ts
+++ b/control/load-permits/test/permit-queue.test.ts
@@ -132,7 +132,7 @@
       loadMs: fc.integer({min: 1, max: 900}),
       fails: fc.boolean(),
     }),
-    {minLength: 1, maxLength: 40},
+    {minLength: 1, maxLength: 40, size: 'max'},
   );
   fc.assert(
     fc.property(questions, fc.integer({min: 1, max: 3}), (steps, atOnce) => {
--- a/control/request-claims/test/claim-model.test.ts
+++ b/control/request-claims/test/claim-model.test.ts
@@ -24,7 +24,7 @@
 
 it('claims model: no key is granted twice unless the first provably did not run or is long over', () => {
   fc.assert(
-    fc.property(fc.array(STEP, {maxLength: 80}), steps => {
+    fc.property(fc.array(STEP, {maxLength: 80, size: 'max'}), steps => {
       let claims = new ClaimState();
       const grants = new Map<string, Grant>();
       let at = 0;
--- a/control/settings-tree/test/settings-model.test.ts
+++ b/control/settings-tree/test/settings-model.test.ts
@@ -55,7 +55,7 @@
 
 it('settings model: any history of changes, resends and restarts agrees', () => {
   fc.assert(
-    fc.property(fc.array(STEP, {maxLength: 60}), steps => {
+    fc.property(fc.array(STEP, {maxLength: 60, size: 'max'}), steps => {
       const model = new Model();
       const sent: Change[] = [];
       let state = new SettingsState();
--- a/zones/membership/test/member-model.test.ts
+++ b/zones/membership/test/member-model.test.ts
@@ -17,7 +17,7 @@
 
 it('members model: a follower of deltas holds what the table holds, one agent per target', () => {
   fc.assert(
-    fc.property(fc.array(STEP, {maxLength: 80}), steps => {
+    fc.property(fc.array(STEP, {maxLength: 80, size: 'max'}), steps => {
       const table = new MemberTable({table: 't', leaseMs: LEASE_MS});
       const copy = new Map<string, Member>();
       let version = 0;
--- a/zones/suspicion/test/suspicion-table.test.ts
+++ b/zones/suspicion/test/suspicion-table.test.ts
@@ -103,7 +103,7 @@
 
 it('suspicion: over any history some target stays usable and a quiet time clears all', () => {
   fc.assert(
-    fc.property(fc.array(STEP, {maxLength: 60}), steps => {
+    fc.property(fc.array(STEP, {maxLength: 60, size: 'max'}), steps => {
       const suspicion = table();
       let now = 0;
       for (const step of steps) {
