--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -6,6 +6,7 @@
   startHeartbeat,
 } from '@marigoldspur/control-client';
 import type {Task} from '@marigoldspur/process-life';
+import {serviceOf} from '@marigoldspur/settings-tree';
 import {ProcessShell} from '@marigoldspur/process-shell';
 import {agentMetrics} from './agent-metrics.js';
 import type {AgentSettings} from './agent-settings.js';
@@ -15,7 +16,6 @@
 
 const START_TIMEOUT_MS = 60_000;
 const MAX_BODY_BYTES = 67_108_864;
-const MAX_HELD_BYTES = 67_108_864;
 const DRAIN_POLL_MS = 20;
 
 /** Starts the agent beside a target. */
@@ -39,7 +39,15 @@
     settings.targetKind === 'engine'
       ? await prepareEngine(settings, parts)
       : undefined;
-  const service = new ServiceWatch(settings.targetUrl, changed);
+  const service = new ServiceWatch({
+    url: settings.targetUrl,
+    healthPath: () => {
+      const {tree} = follower.settings;
+      const found = serviceOf(tree, settings.customer, settings.service);
+      return found?.kind === 'plain' ? found.healthPath : undefined;
+    },
+    changed,
+  });
   if (engine === undefined) {
     service.start(settings.healthIntervalMs);
   }
@@ -53,7 +61,7 @@
     events,
     metrics,
     maxBodyBytes: MAX_BODY_BYTES,
-    maxHeldBytes: MAX_HELD_BYTES,
+    maxHeldBytes: settings.maxHeldBytes,
     engine,
     serviceHealthy: () => service.healthy,
   });
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -1,9 +1,10 @@
 import path from 'node:path';
-import {controlRouter} from '@marigoldspur/control-api';
+import {controlRouter, heartbeatHandler} from '@marigoldspur/control-api';
 import {PermitDesk} from '@marigoldspur/load-permits';
 import type {Task} from '@marigoldspur/process-life';
 import {ProcessShell} from '@marigoldspur/process-shell';
 import {openReplicatedLog} from '@marigoldspur/replicated-log';
+import {BATCH_PATH, HEARTBEAT_PATH} from '@marigoldspur/messages';
 import {ControlDesk} from './control-desk.js';
 import {ControlMachine} from './control-machine.js';
 import type {ControlSettings} from './control-settings.js';
@@ -20,7 +21,7 @@
   const shell = await ProcessShell.open('control', settings);
   const {boot, events, security} = shell;
   const machine = new ControlMachine();
-  const {log, router} = await openReplicatedLog(machine, {
+  const {log, router, paths} = await openReplicatedLog(machine, {
     folder: path.join(settings.dataFolder, 'log'),
     url: settings.advertisedUrl ?? ownUrl(settings, security.scheme),
     peers: settings.peers,
@@ -47,8 +48,14 @@
     permits,
     events,
   });
+  const heartbeats = heartbeatHandler(desk);
   const url = await shell.serve({
     routers: {control: controlRouter(desk), log: router},
+    paths: new Map([
+      ...paths,
+      [HEARTBEAT_PATH, heartbeats],
+      [BATCH_PATH, heartbeats],
+    ]),
     revision: () => machine.settings.revision,
     isReady: () => log.isReady(),
     facts: () => {
--- a/control/control-server/test/control-desk.test.ts
+++ b/control/control-server/test/control-desk.test.ts
@@ -111,7 +111,8 @@
   const log = new FakeLog();
   const desk = deskOn(log);
   await desk.takeClaim(claim('r1'));
-  const now = performance.now();
+  // A whole number of milliseconds, so that differences of times are exact.
+  const now = Math.ceil(performance.now());
   await desk.heartbeat(entry('b1'));
   desk.checkLeases(now + LEASE_MS / 2);
   desk.checkLeases(now + LEASE_MS);
@@ -130,13 +131,37 @@
   log.term = 2;
   const delta = await desk.watchMembers('', 0, 0);
   expect(delta).to.include({complete: false, whole: true});
-  const now = performance.now();
+  const now = Math.ceil(performance.now());
   desk.checkLeases(now);
   desk.checkLeases(now + LEASE_MS);
   expect((await desk.watchMembers('', 0, 0)).complete).to.equal(true);
   expect((await desk.takeClaim(claim('r2'))).outcome).to.equal('unknown');
 });
 
+it('control desk: a relay starts anew with each term, and learns who gathers in its zone', async () => {
+  const log = new FakeLog();
+  const desk = deskOn(log);
+  await desk.heartbeat(entry('b1'));
+  const batch = {
+    relay: 'entry-0',
+    boot: 'b1',
+    zone: 'lima-a',
+    heardMs: 0,
+    announced: [entry('b1')],
+    silent: [],
+  };
+  const {stamp} = await desk.heartbeats(batch);
+  const taken = await desk.heartbeats({...batch, stamp});
+  expect(taken.taken).to.equal(true);
+  expect(taken.receipt.relays).to.deep.equal([entry('b1').url]);
+  log.term = 2;
+  const anew = await desk.heartbeats({...batch, stamp: taken.stamp});
+  expect(anew.taken).to.equal(false);
+  expect(anew.receipt.relays).to.equal(undefined);
+  await desk.heartbeats({...batch, stamp: anew.stamp});
+  expect((await desk.watchMembers('', 0, 0)).changed).to.have.length(1);
+});
+
 it('control desk: an agent older than the granted number is told FENCED', async () => {
   const desk = deskOn(new FakeLog());
   const agent = (id: string, fence: number): Member => ({
--- a/control/replicated-log/src/open-replicated-log.ts
+++ b/control/replicated-log/src/open-replicated-log.ts
@@ -2,7 +2,12 @@
 import {Consensus} from '@marigoldspur/consensus';
 import type {EventLog} from '@marigoldspur/event-log';
 import {toFault, type Fault} from '@marigoldspur/faults';
-import {replicaRouter, type ReplicaRouter} from '@marigoldspur/log-links';
+import {
+  DELIVERY_PATH,
+  deliveryHandler,
+  replicaRouter,
+  type ReplicaRouter,
+} from '@marigoldspur/log-links';
 import {openLogStorage, type FileSystem} from '@marigoldspur/log-storage';
 import {LogReplica} from './log-replica.js';
 import type {ReplicatedLog, StateMachine} from './replicated-log.js';
@@ -40,6 +45,8 @@
   readonly log: ReplicatedLog<Command, Answer>;
   /** Served by the process under `/trpc/log/`. */
   readonly router: ReplicaRouter;
+  /** Handlers of the paths that the other replicas call besides the router. */
+  readonly paths: ReadonlyMap<string, http.RequestListener>;
 }
 
 const DEFAULT_ELECTION_TIMEOUT_MS = 1_000;
@@ -104,5 +111,9 @@
       onFatal: options.onFatal,
     },
   );
-  return {log: replica, router: replicaRouter(replica)};
+  return {
+    log: replica,
+    router: replicaRouter(replica),
+    paths: new Map([[DELIVERY_PATH, deliveryHandler(replica)]]),
+  };
 }
--- a/entry/dispatch/src/attempt-headers.ts
+++ b/entry/dispatch/src/attempt-headers.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
 import {endToEndHeaders} from '@marigoldspur/http-link';
-import {formatHop} from '@marigoldspur/messages';
+import {formatHop, HOP_HEADERS, type Hop} from '@marigoldspur/messages';
 import type {Attempt} from './attempt.js';
 
 /** Headers that end at the entry. */
@@ -20,17 +20,45 @@
       dropped: ENTRY_HEADERS,
     }),
     ...formatHop(attempt.hop),
-    'content-length': attempt.body.length,
-    ...(waitsForContinue(attempt) && {expect: '100-continue'}),
+    ...(attempt.resumeAfter !== undefined && {
+      [HOP_HEADERS.resumeAfter]: String(attempt.resumeAfter),
+    }),
+    ...bodyHeaders(attempt),
   };
 }
 
+/** An empty body is held back too: in chunks, what ends it can come later. */
+function bodyHeaders(attempt: Attempt): OutgoingHttpHeaders {
+  const {length} = attempt.body;
+  if (!waitsForContinue(attempt)) {
+    return {'content-length': length};
+  }
+  return length > 0
+    ? {'content-length': length, expect: '100-continue'}
+    : {'transfer-encoding': 'chunked', expect: '100-continue'};
+}
+
 /**
- * Whether the body waits for the agent's `100 Continue`: where the request may not be
- * repeated, unless it has no body to hold back.
+ * Whether the body, or the end of an empty one, waits for the agent's `100 Continue`:
+ * where the request may not be repeated, unless nothing is run, as on a resume.
  */
 export function waitsForContinue(attempt: Attempt): boolean {
-  return !attempt.hop.repeatable && attempt.body.length > 0;
+  return !attempt.hop.repeatable && attempt.resumeAfter === undefined;
+}
+
+/** The headers that tell an agent that an attempt is cancelled. */
+export function cancelHeaders(hop: Hop): OutgoingHttpHeaders {
+  return {
+    ...formatHop(hop),
+    [HOP_HEADERS.cancel]: 'true',
+    'content-length': 0,
+  };
+}
+
+/** How long a broken answer can be resumed at its target, in milliseconds; 0 for not at all. */
+export function resumableFor(message: IncomingMessage): number {
+  const text = String(message.headers[HOP_HEADERS.resumable] ?? '');
+  return /^\d{1,9}$/.test(text) ? Number(text) : 0;
 }
 
 /** The headers of a target's answer that the caller gets. */
--- a/lab/lab/src/system.ts
+++ b/lab/lab/src/system.ts
@@ -15,12 +15,12 @@
 export interface SystemKeys {
   /** Flags of control, entries and agents that name their certificate and key files. */
   readonly processFlags: readonly string[];
-  /** Flags of entries that name the keys of callers. */
+  /** Flags of entries that name the keys of callers and the certificate that these see. */
   readonly entryFlags: readonly string[];
-  /** Certificate authority of the system, in PEM. */
-  readonly ca: string;
+  /** Certificate authority of the system, in PEM; without it processes speak HTTP. */
+  readonly ca?: string;
   /** Token of an operator who may change settings. */
-  readonly token: string;
+  readonly token?: string;
 }
 
 /** A process of the system that listens for the others. */
@@ -59,6 +59,8 @@
   readonly zones?: readonly string[];
   /** What lies between control, entries and agents; loopback alone by default. */
   readonly network?: Network;
+  /** How long an engine keeps a broken stream, in milliseconds; 0 for not at all. */
+  readonly resumeMs?: number;
 }
 
 /** A target with its agent. */
@@ -258,7 +260,7 @@
   folder: string,
   flags: readonly string[],
 ) {
-  const scheme = options.keys === undefined ? 'http' : 'https';
+  const scheme = options.keys?.ca === undefined ? 'http' : 'https';
   const urls = ports.map(port => `${scheme}://127.0.0.1:${port}`);
   const children = ports.map((port, index) => {
     const name = `control-${index}`;
@@ -378,6 +380,7 @@
     ...['--store-url', `${LOOPBACK}:${storePort}`],
     ...['--first-token-ms', String(options.firstTokenMs ?? 20)],
     ...['--token-ms', String(options.tokenMs ?? 5)],
+    ...['--resume-ms', String(options.resumeMs ?? 0)],
   ]);
 }
 
--- a/lab/stand-ins/src/engine-faults.ts
+++ b/lab/stand-ins/src/engine-faults.ts
@@ -10,6 +10,8 @@
   lieLoads: COUNT,
   /** Loads after which the adapter is listed, but requests for it are answered 404. */
   halfLoads: COUNT,
+  /** Loads after which the adapter has other weights than those that were named. */
+  wrongLoads: COUNT,
   /** Loads that are done though the connection breaks before the answer. */
   loseLoadAnswers: COUNT,
   /** Unloads that are done though the connection breaks before the answer. */
@@ -44,9 +46,20 @@
   doubleAnswers: COUNT,
   /** Time by which each answer begins later, in milliseconds. */
   lateAnswerMs: COUNT,
+  /**
+   * What is wrong with a resumed stream: `off` there is none; `crossed` it carries
+   * another request's identity; `version` its events name another version; `doubled`
+   * it begins anew; `skipped` it lacks an event.
+   */
+  resumeFault: z
+    .enum(['none', 'off', 'crossed', 'version', 'doubled', 'skipped'])
+    .default('none'),
   /** Time for which a cancelled request still runs, in milliseconds. */
   lateCancelMs: COUNT,
 });
 
+/** What is wrong with a resumed stream. */
+export type ResumeFault = EngineFaults['resumeFault'];
+
 /** Faults that a test switches on in an engine stand-in. */
 export type EngineFaults = z.infer<typeof ENGINE_FAULTS_SCHEMA>;
--- a/machines/process-shell/src/process-shell.ts
+++ b/machines/process-shell/src/process-shell.ts
@@ -26,7 +26,7 @@
 /** What a process offers besides what every process does. */
 export interface ShellOffer extends Pick<
   ProcessServerOptions,
-  'routers' | 'fallback' | 'checkContinue'
+  'routers' | 'paths' | 'fallback' | 'checkContinue'
 > {
   /** Settings revision in force. */
   readonly revision: () => number;
@@ -83,6 +83,7 @@
       metrics: this.metrics,
       ready: () => this.isReady(offer),
       routers: offer.routers,
+      paths: offer.paths,
       fallback: offer.fallback,
       checkContinue: offer.checkContinue,
       service: {
