Count what still runs in the predicted wait for admission

The prediction now takes the mean time or the mean age of the running requests, whichever is longer; a request's own time no longer holds its wait.

--- a/entry/admission/src/admission.ts
+++ b/entry/admission/src/admission.ts
@@ -66,7 +66,11 @@
   ): Promise<Result<Admitted, Refusal>> {
     const {turns, estimate} = this.queueOf(customer);
     turns.concurrency = settings.concurrency;
-    const waitMs = estimate.waitMs(settings.concurrency, settings.priority);
+    const waitMs = estimate.waitMs(
+      settings.concurrency,
+      settings.priority,
+      now,
+    );
     if (estimate.waiting >= settings.queueLimit && waitMs > 0) {
       return Result.err(this.tooBusy('the queue is full', waitMs));
     }
@@ -81,6 +85,7 @@
         });
     const priority = LOWEST_PRIORITY - settings.priority;
     estimate.wait(settings.priority);
+    const waitsFrom = performance.now();
     const end = await this.takeTurns(
       turns,
       customer,
@@ -92,10 +97,11 @@
     if (end === undefined) {
       return Result.err(this.tooBusy('the wait was too long', waitMs));
     }
-    estimate.begin();
+    const began = now + performance.now() - waitsFrom;
+    estimate.begin(began);
     return Result.ok({
       release: at => {
-        estimate.end(at - now);
+        estimate.end(began, at);
         end();
       },
     });
