--- a/entry/dispatch/src/answer-end.ts
+++ b/entry/dispatch/src/answer-end.ts
@@ -21,7 +21,9 @@
   add(chunk: Buffer): void {
     this.bytes += chunk.length;
     if (this.endsWithDone) {
-      this.tail = Buffer.concat([this.tail, chunk]).subarray(-TAIL_BYTES);
+      const last =
+        chunk.length >= TAIL_BYTES ? chunk : Buffer.concat([this.tail, chunk]);
+      this.tail = last.subarray(-TAIL_BYTES);
     }
   }
 
--- a/entry/dispatch/src/whole-events.ts
+++ b/entry/dispatch/src/whole-events.ts
@@ -1,5 +1,9 @@
-const LINE_FEED = 10;
-const END_DATA = 'data: [DONE]';
+const BLANK_LINE = Buffer.from('\n\n');
+const BLANK_LINE_CRLF = Buffer.from('\n\r\n');
+const END_DATA = Buffer.from('data: [DONE]');
+const NUMBER_FIELD = Buffer.from('id: ');
+const ZERO = 48;
+const NINE = 57;
 const EVENT_NUMBER = /^id: ?(\d{1,9})\r?$/m;
 const NOTHING = Buffer.alloc(0);
 
@@ -37,21 +41,26 @@
     }
     const bytes =
       this.held.length === 0 ? chunk : Buffer.concat([this.held, chunk]);
-    let end = lastEventEnd(bytes);
+    let end = eventEndBefore(bytes, bytes.length + 1);
     if (this.begins && end > 0) {
-      this.checkFirst(bytes);
+      this.checkFirst(bytes, end);
     }
     if (this.wrong || !this.numbered) {
       this.held = NOTHING;
       return this.wrong ? NOTHING : bytes;
     }
-    const lastBegin = lastEventEnd(bytes.subarray(0, Math.max(0, end - 1)));
-    if (bytes.subarray(lastBegin, end).includes(END_DATA)) {
-      end = lastBegin;
+    let begin = eventEndBefore(bytes, end);
+    const marker = bytes.indexOf(END_DATA, begin);
+    if (marker >= 0 && marker < end) {
+      end = begin;
+      begin = eventEndBefore(bytes, end);
     }
-    this.held = bytes.subarray(end);
-    this.count(bytes.subarray(0, end));
-    return bytes.subarray(0, end);
+    this.held = end === bytes.length ? NOTHING : bytes.subarray(end);
+    if (end > 0) {
+      const number = numberAt(bytes, begin, end);
+      this.lastNumber = number ?? this.lastNumber;
+    }
+    return end === bytes.length ? bytes : bytes.subarray(0, end);
   }
 
   /** The end marker, once the stream is known to be whole. */
@@ -68,38 +77,43 @@
     this.wrong = false;
   }
 
-  private checkFirst(bytes: Buffer): void {
+  private checkFirst(bytes: Buffer, end: number): void {
     this.begins = false;
-    const number = numberOf(bytes);
+    const number = numberAt(bytes, 0, end);
     if (this.lastNumber >= 0) {
       this.wrong = number !== this.lastNumber + 1;
     } else {
       this.numbered = number !== undefined;
     }
   }
-
-  private count(passed: Buffer): void {
-    if (passed.length > 0) {
-      const begin = lastEventEnd(passed.subarray(0, passed.length - 1));
-      this.lastNumber = numberOf(passed.subarray(begin)) ?? this.lastNumber;
-    }
-  }
 }
 
-/** Where the last whole event ends; 0 where there is none. */
-function lastEventEnd(bytes: Buffer): number {
-  let at = bytes.lastIndexOf(LINE_FEED);
-  while (at > 0) {
-    const before = bytes[at - 1] === 13 ? at - 2 : at - 1;
-    if (bytes[before] === LINE_FEED) {
-      return at + 1;
-    }
-    at = bytes.lastIndexOf(LINE_FEED, at - 1);
-  }
-  return 0;
+/** Where the last event ends that ends before `end`; 0 where there is none. */
+function eventEndBefore(bytes: Buffer, end: number): number {
+  const last = (line: Buffer) => {
+    const from = end - 1 - line.length;
+    const at = from < 0 ? -1 : bytes.lastIndexOf(line, from);
+    return at < 0 ? 0 : at + line.length;
+  };
+  return Math.max(last(BLANK_LINE), last(BLANK_LINE_CRLF));
 }
 
-function numberOf(event: Buffer): number | undefined {
-  const match = EVENT_NUMBER.exec(event.toString('latin1'));
-  return match === null ? undefined : Number(match[1]);
+/** The number of the event that begins at `begin`; undefined where it has none. */
+function numberAt(
+  bytes: Buffer,
+  begin: number,
+  end: number,
+): number | undefined {
+  if (!NUMBER_FIELD.every((byte, index) => bytes[begin + index] === byte)) {
+    const match = EVENT_NUMBER.exec(bytes.toString('latin1', begin, end));
+    return match === null ? undefined : Number(match[1]);
+  }
+  const first = begin + NUMBER_FIELD.length;
+  let number = 0;
+  let at = first;
+  while (bytes[at] >= ZERO && bytes[at] <= NINE) {
+    number = number * 10 + bytes[at] - ZERO;
+    at += 1;
+  }
+  return at === first ? undefined : number;
 }
