--- a/agent/agent-server/test/resumes.test.ts
+++ b/agent/agent-server/test/resumes.test.ts
@@ -232,3 +232,19 @@
   expect(rest).to.include({status: 200, whole: true});
   expect(await runsOf(fixture, broken.request)).to.have.length(1);
 });
+
+it('resumes: an agent that may not take over yet goes on with a stream', async () => {
+  const {fixture, agent} = await Fixture.start({
+    ...{tokenMs: 5, resumeMs: RESUME_MS},
+    ...{fenceChecked: false, orderLeaseMs: 8_000},
+  });
+  const broken = await cutStream(fixture, agent, 20);
+  const second = await fixture.startAgent();
+  const rest = await resume(fixture, second, broken);
+  expect(rest).to.include({status: 200, whole: true});
+  const refused = await fixture.send(second, {model: 'a@v1'});
+  expect(refused.headers).to.include({
+    'x-marigoldspur-outcome': 'not-run',
+    'x-marigoldspur-reason': 'target_down',
+  });
+});
