--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -333,7 +333,8 @@
   'attempt-cancelled': {
     number: 506,
     level: 'info',
-    meaning: 'The entry went away, so the target was told to stop.',
+    meaning:
+      'The entry went away or cancelled; unless the stream is held (510), the target was told to stop.',
   },
   'target-answer-crossed': {
     number: 507,
