--- a/lab/experiment/src/measure-costs.ts
+++ b/lab/experiment/src/measure-costs.ts
@@ -1,4 +1,4 @@
-import {DemandTable} from '@marigoldspur/demand';
+import {RateTable} from '@marigoldspur/demand';
 import {createLoadOrder} from '@marigoldspur/load-order';
 import {PermitQueue} from '@marigoldspur/load-permits';
 import {
@@ -16,7 +16,7 @@
   readonly cpuMicroseconds: number;
 }
 
-/** Memory of one demand table. */
+/** Memory of one rate table. */
 export interface TableCost {
   readonly adapters: number;
   readonly bytesPerAdapter: number;
@@ -43,14 +43,16 @@
   return [...placements, ...QUEUE_LENGTHS.map(permitCost)];
 }
 
-/** Memory of demand tables; true only where Node runs with `--expose-gc`. */
+/** Memory of rate tables; true only where Node runs with `--expose-gc`. */
 export function measureTables(): TableCost[] {
   return ADAPTERS.map(adapters => {
     globalThis.gc?.();
     const before = process.memoryUsage().heapUsed;
-    const table = new DemandTable({halfLifeMs: 1_000, maxModels: adapters});
+    const table = new RateTable({halfLifeMs: 1_000, maxModels: adapters});
     for (let index = 0; index < adapters; index += 1) {
-      table.note(`adapter-${index}@v1`, index + 0.5);
+      const model = `adapter-${index}@v1`;
+      table.note(model, index + 0.5);
+      table.note(model, index + 0.75);
     }
     globalThis.gc?.();
     const grown = process.memoryUsage().heapUsed - before;
@@ -89,7 +91,7 @@
 
 /** A question, the refusals and the grant that follow it, and the return of the permit. */
 function permitCost(size: number): DecisionCost {
-  const order = createLoadOrder('least-harm');
+  const order = createLoadOrder('first-come');
   const queue = new PermitQueue({
     order: () => order,
     loadsAtOnce: 1,
