--- a/lab/lab/src/system.ts
+++ b/lab/lab/src/system.ts
@@ -35,7 +35,8 @@
   readonly tokenMs?: number;
   /** Time of one call of a plain service, in milliseconds. */
   readonly serviceCallMs?: number;
-  readonly logLevel?: string;
+  /** The start of a process is known by an event of level `info`, so no higher one. */
+  readonly logLevel?: 'debug' | 'info';
   /** Without keys the processes trust loopback. */
   readonly keys?: SystemKeys;
   /** Requests in one batch of an engine. */
