--- a/entry/entry-server/src/claim-desk.ts
+++ b/entry/entry-server/src/claim-desk.ts
@@ -77,7 +77,9 @@
       this.complete(completion, retentionMs);
       return Result.err(this.unavailable());
     }
-    return resultOf(taken.value);
+    return taken.value.outcome === 'not-run'
+      ? Result.err(this.unavailable())
+      : resultOf(taken.value);
   }
 
   /** Callers who are refused at one moment come back at several. */
@@ -151,7 +153,9 @@
   return {customer, key, digest, request, entry, boot, retentionMs};
 }
 
-function resultOf(outcome: ClaimOutcome): Result<ClaimResult, Refusal> {
+function resultOf(
+  outcome: Exclude<ClaimOutcome, {outcome: 'not-run'}>,
+): Result<ClaimResult, Refusal> {
   switch (outcome.outcome) {
     case 'granted':
       return Result.ok({result: 'granted'});
@@ -188,8 +192,6 @@
           'the key was used with another request',
         ),
       );
-    case 'not-run':
-      return Result.err(claimUnavailable());
     case 'full':
       return Result.err(
         new Refusal(
