--- a/entry/admission/src/admission.ts
+++ b/entry/admission/src/admission.ts
@@ -66,11 +66,7 @@
   ): Promise<Result<Admitted, Refusal>> {
     const {turns, estimate} = this.queueOf(customer);
     turns.concurrency = settings.concurrency;
-    const waitMs = estimate.waitMs(
-      settings.concurrency,
-      settings.priority,
-      now,
-    );
+    const waitMs = estimate.waitMs(settings.concurrency, settings.priority);
     if (estimate.waiting >= settings.queueLimit && waitMs > 0) {
       return Result.err(this.tooBusy('the queue is full', waitMs));
     }
@@ -85,7 +81,6 @@
         });
     const priority = LOWEST_PRIORITY - settings.priority;
     estimate.wait(settings.priority);
-    const waitsFrom = performance.now();
     const end = await this.takeTurns(
       turns,
       customer,
@@ -97,11 +92,10 @@
     if (end === undefined) {
       return Result.err(this.tooBusy('the wait was too long', waitMs));
     }
-    const began = now + performance.now() - waitsFrom;
-    estimate.begin(began);
+    estimate.begin();
     return Result.ok({
       release: at => {
-        estimate.end(began, at);
+        estimate.end(at - now);
         end();
       },
     });
--- a/entry/admission/src/wait-estimate.ts
+++ b/entry/admission/src/wait-estimate.ts
@@ -5,8 +5,6 @@
 export class WaitEstimate {
   private meanMs = 0;
   private running = 0;
-  /** Sum of the times at which the running requests began, in milliseconds. */
-  private beganSum = 0;
   private readonly waitingByPriority = new Map<number, number>();
 
   /** Requests that wait. */
@@ -16,15 +14,11 @@
     return sum;
   }
 
-  /**
-   * The expected wait of a request that comes at time `now` with `priority`, in
-   * milliseconds; 0 where a place is free.
-   */
-  waitMs(concurrency: number, priority: number, now: number): number {
+  /** The expected wait of a request with `priority`, in milliseconds; 0 where a place is free. */
+  waitMs(concurrency: number, priority: number): number {
     const ahead = this.waitingAhead(priority);
     const turns = this.running + ahead - concurrency + 1;
-    const takesMs = Math.max(this.meanMs, this.meanAgeMs(now));
-    return turns <= 0 ? 0 : Math.max(1, (turns * takesMs) / concurrency);
+    return turns <= 0 ? 0 : Math.max(1, (turns * this.meanMs) / concurrency);
   }
 
   /** Counts a request that waits. */
@@ -37,28 +31,20 @@
     this.countWaiting(priority, -1);
   }
 
-  /** Counts a request that runs from time `now` on. */
-  begin(now: number): void {
+  /** Counts a request that runs. */
+  begin(): void {
     this.running += 1;
-    this.beganSum += now;
   }
 
-  /** Counts the end at time `now` of a request that began at `began`. */
-  end(began: number, now: number): void {
+  /** Counts the end of a request that took `tookMs`. */
+  end(tookMs: number): void {
     this.running -= 1;
-    this.beganSum -= began;
-    const tookMs = now - began;
     this.meanMs =
       this.meanMs === 0
         ? tookMs
         : this.meanMs + MEAN_WEIGHT * (tookMs - this.meanMs);
   }
 
-  /** How long the running requests have run: when targets slow down, those that ended say too little. */
-  private meanAgeMs(now: number): number {
-    return this.running === 0 ? 0 : now - this.beganSum / this.running;
-  }
-
   private waitingAhead(priority: number): number {
     let ahead = 0;
     for (const [other, count] of this.waitingByPriority) {
