Tell the agent when the entry gives up on the first byte

The hop now says within what time the answer has to begin, and the wait for an adapter ends there, so that what would come too late is refused at once.

--- a/agent/agent-server/src/attempt-desk.ts
+++ b/agent/agent-server/src/attempt-desk.ts
@@ -30,6 +30,17 @@
   readonly superseded?: () => boolean;
 }
 
+/** How an attempt is run; times are `performance.now()` times. */
+interface RunOptions {
+  /** Whether the body waits to be continued. */
+  readonly expects: boolean;
+  readonly deadlineMs: number;
+  /** Time at which the entry gives up on an answer that has not begun. */
+  readonly firstByteBy: number;
+  /** Aborted once the entry is gone. */
+  readonly signal: AbortSignal;
+}
+
 const RESUME_AFTER = /^(-1|\d{1,9})$/;
 
 /** Takes attempts from entries, checks them and forwards them to the target. */
@@ -98,6 +109,7 @@
     this.options.events.record('attempt-received', {attempt}, id);
     const gone = peerGone(response);
     const deadlineMs = startedAt + budgetMs;
+    const firstByteMs = Math.min(budgetMs, hop.value.firstByteMs ?? budgetMs);
     if (request.headers[HOP_HEADERS.cancel] === 'true') {
       this.resumes.cancel(hop.value, response);
       return;
@@ -113,6 +125,7 @@
       const done = await this.run(hop.value, request, response, {
         expects,
         deadlineMs,
+        firstByteBy: startedAt + firstByteMs,
         signal: gone,
       });
       if (done.isErr) {
@@ -146,9 +159,9 @@
     hop: Hop,
     request: IncomingMessage,
     response: ServerResponse,
-    options: {expects: boolean; deadlineMs: number; signal: AbortSignal},
+    options: RunOptions,
   ): Promise<Result<void, Refusal>> {
-    const {deadlineMs, expects, signal} = options;
+    const {deadlineMs, expects, firstByteBy, signal} = options;
     const {closed, heldBytes} = this;
     const load = {closed, heldBytes};
     const refusal = this.checks.preliminary(hop, request, expects, load);
@@ -161,7 +174,7 @@
     if (body?.isErr) {
       return Result.err(body.error);
     }
-    const pin = await this.pin(hop, deadlineMs, signal);
+    const pin = await this.pin(hop, firstByteBy, signal);
     if (pin.isErr) {
       return Result.err(pin.error);
     }
--- a/agent/agent-server/test/agent-fixture.ts
+++ b/agent/agent-server/test/agent-fixture.ts
@@ -49,6 +49,7 @@
   readonly tokens?: number;
   readonly stream?: boolean;
   readonly budgetMs?: number;
+  readonly firstByteMs?: number;
   readonly revision?: number;
   readonly repeatable?: boolean;
   readonly path?: string;
@@ -242,6 +243,7 @@
     target: 'engine',
     revision: sending.revision ?? 1,
     budgetMs: sending.budgetMs ?? 20_000,
+    firstByteMs: sending.firstByteMs,
     priority: 5,
     repeatable: sending.repeatable ?? true,
   };
--- a/agent/agent-server/test/refused-loads.test.ts
+++ b/agent/agent-server/test/refused-loads.test.ts
@@ -17,6 +17,17 @@
   expect(fixture.control.permitRequests[0].usefulMs).to.be.greaterThan(500_000);
 });
 
+it('refused loads: a load is useful until the entry gives up on the first byte', async () => {
+  const {fixture, agent} = await Fixture.start();
+  fixture.control.refuses = true;
+  await fixture.send(agent, {
+    model: 'a@v1',
+    budgetMs: 600_000,
+    firstByteMs: 30_000,
+  });
+  expect(fixture.control.permitRequests[0].usefulMs).to.be.at.most(30_000);
+});
+
 it('refused loads: the adapter is asked for again by the next request', async () => {
   const {fixture, agent} = await Fixture.start();
   fixture.control.refuses = true;
--- a/contracts/messages/src/hop.ts
+++ b/contracts/messages/src/hop.ts
@@ -18,6 +18,7 @@
   /** Base URL of the sender, where newer settings can be pulled. */
   origin: 'x-marigoldspur-origin',
   budget: 'x-marigoldspur-budget-ms',
+  firstByte: 'x-marigoldspur-first-byte-ms',
   priority: 'x-marigoldspur-priority',
   repeatable: 'x-marigoldspur-repeatable',
   time: 'x-marigoldspur-time',
@@ -53,6 +54,8 @@
   readonly origin?: string;
   /** Milliseconds within which the answer has to end, counted from receipt. */
   readonly budgetMs: number;
+  /** Milliseconds within which the answer has to begin; the whole budget without it. */
+  readonly firstByteMs?: number;
   /** Priority; 0 is served first. */
   readonly priority: number;
   readonly repeatable: boolean;
@@ -67,7 +70,10 @@
     [HOP_HEADERS.target]: hop.target,
     [HOP_HEADERS.revision]: String(hop.revision),
     ...(hop.origin !== undefined && {[HOP_HEADERS.origin]: hop.origin}),
-    [HOP_HEADERS.budget]: String(Math.max(0, Math.round(hop.budgetMs))),
+    [HOP_HEADERS.budget]: milliseconds(hop.budgetMs),
+    ...(hop.firstByteMs !== undefined && {
+      [HOP_HEADERS.firstByte]: milliseconds(hop.firstByteMs),
+    }),
     [HOP_HEADERS.priority]: String(hop.priority),
     [HOP_HEADERS.repeatable]: String(hop.repeatable),
   };
@@ -99,12 +105,19 @@
     revision: integer(HOP_HEADERS.revision),
     ...originHeader(headers, findings),
     budgetMs: integer(HOP_HEADERS.budget),
+    ...(headers[HOP_HEADERS.firstByte] !== undefined && {
+      firstByteMs: integer(HOP_HEADERS.firstByte),
+    }),
     priority: integer(HOP_HEADERS.priority),
     repeatable: text(HOP_HEADERS.repeatable) === 'true',
   };
   return findings.length === 0 ? Result.ok(hop) : Result.err(findings);
 }
 
+function milliseconds(duration: number): string {
+  return String(Math.max(0, Math.round(duration)));
+}
+
 const ORIGIN_PATTERN = /^https?:\/\/[^/?#\s]+$/;
 
 function originHeader(
--- a/contracts/messages/test/hop.test.ts
+++ b/contracts/messages/test/hop.test.ts
@@ -20,6 +20,7 @@
     target: NAME,
     revision: COUNT,
     budgetMs: COUNT,
+    firstByteMs: COUNT,
     priority: fc.integer({min: 0, max: 9}),
     repeatable: fc.boolean(),
     origin: fc.constant('http://127.0.0.1:8080'),
--- a/entry/entry-server/src/attempt-runner.ts
+++ b/entry/entry-server/src/attempt-runner.ts
@@ -194,6 +194,7 @@
     target,
     revision: job.revision,
     budgetMs: budgetMs(job, performance.now()),
+    firstByteMs: settings.firstByteTimeoutMs,
     priority: settings.priority,
     repeatable: isRepeatable(job),
   };
