--- a/lab/lab/src/replay-trace.ts
+++ b/lab/lab/src/replay-trace.ts
@@ -80,7 +80,7 @@
     eviction,
     loadOrder,
     stallWeight,
-    requestTimeoutMs: workload.deadlineMs,
+    firstByteTimeoutMs: workload.deadlineMs,
     maxAttempts: 1,
     concurrency: 10_000,
   };
