--- a/contracts/settings-schema/src/settings.ts
+++ b/contracts/settings-schema/src/settings.ts
@@ -58,7 +58,7 @@
     .number()
     .min(0)
     .max(1)
-    .default(0.1)
+    .default(0.2)
     .describe('Retries as a share of requests'),
   stallWeight: z
     .number()
