Lint over one TypeScript program, and write the target report of tests once

The linter made a program for each of the 60 packages, each with all that it imports: 4 GB of heap were not enough for five packages, and the scripts gave it 8 GB.

Seven files spelled out the report of an idle engine; lab/test-members has it.

--- a/control/control-server/test/control-desk.test.ts
+++ b/control/control-server/test/control-desk.test.ts
@@ -11,6 +11,7 @@
   type Command,
   type CommandAnswer,
 } from '@marigoldspur/control-server';
+import {targetReport} from '@marigoldspur/test-members';
 
 const LEASE_MS = 1_000;
 
@@ -168,19 +169,7 @@
     ...entry('b'),
     id,
     role: 'agent',
-    target: {
-      name: 'lm-desk-0',
-      customer: 'callao',
-      service: 'lm-desk',
-      boot: 'engine',
-      healthy: true,
-      slots: 6,
-      resident: [],
-      running: 0,
-      waiting: 0,
-      batchLimit: 16,
-      fence,
-    },
+    target: targetReport({fence}),
   });
   const first = await desk.grantFence('lm-desk-0', 'b1');
   await desk.heartbeat(agent('a', first));
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,7 +7,7 @@
     files: ['**/*.ts'],
     languageOptions: {
       parserOptions: {
-        project: './*/*/tsconfig.json',
+        project: './tsconfig.lint.json',
         tsconfigRootDir: import.meta.dirname,
       },
     },
--- a/lab/spread-bench/src/relay-bench.ts
+++ b/lab/spread-bench/src/relay-bench.ts
@@ -13,6 +13,7 @@
 import {listen} from '@marigoldspur/http-link';
 import type {Member} from '@marigoldspur/messages';
 import {cpuMsOf} from './cpu-time.js';
+import {targetReport} from '@marigoldspur/test-members';
 
 /** What is measured. */
 export interface RelayBenchOptions {
@@ -204,19 +205,13 @@
     running += isBusy ? 1 : 0;
     return {
       ...plainMember(id, zone),
-      target: {
+      target: targetReport({
         name: id,
-        customer: 'callao',
-        service: 'lm-desk',
-        boot: 'engine',
-        healthy: true,
         slots: RESIDENT.length,
         resident: RESIDENT,
         running,
-        waiting: 0,
-        batchLimit: 16,
         fence: 1,
-      },
+      }),
     };
   };
 }
--- /dev/null
+++ b/lab/test-members/src/index.ts
@@ -0,0 +1,1 @@
+export {targetReport} from './target-report.js';
--- /dev/null
+++ b/lab/test-members/src/target-report.ts
@@ -0,0 +1,18 @@
+import type {TargetReport} from '@marigoldspur/messages';
+
+/** The report of a healthy, idle engine, but for what is named. */
+export function targetReport(change: Partial<TargetReport> = {}): TargetReport {
+  return {
+    name: 'lm-desk-0',
+    customer: 'callao',
+    service: 'lm-desk',
+    boot: 'engine',
+    healthy: true,
+    slots: 6,
+    resident: [],
+    running: 0,
+    waiting: 0,
+    batchLimit: 16,
+    ...change,
+  };
+}
--- a/zones/control-client/test/heartbeat.test.ts
+++ b/zones/control-client/test/heartbeat.test.ts
@@ -17,6 +17,7 @@
   RelayedAnswer,
   RelayedHeartbeat,
 } from '@marigoldspur/messages';
+import {targetReport} from '@marigoldspur/test-members';
 
 const LEASE_MS = 3_000;
 const LOOPBACK = '127.0.0.1';
@@ -106,19 +107,7 @@
     url: 'http://127.0.0.1:1',
     revision: 0,
     leaving: false,
-    target: {
-      name: 'lm-desk-0',
-      customer: 'callao',
-      service: 'lm-desk',
-      boot: 'engine',
-      healthy: true,
-      slots: 6,
-      resident: [],
-      running: 0,
-      waiting: 0,
-      batchLimit: 16,
-      fence: 1,
-    },
+    target: targetReport({fence: 1}),
   };
 }
 
--- a/zones/membership/test/heartbeat-gathering.test.ts
+++ b/zones/membership/test/heartbeat-gathering.test.ts
@@ -11,24 +11,14 @@
   MemberTable,
   RelaySessions,
 } from '@marigoldspur/membership';
+import {targetReport} from '@marigoldspur/test-members';
 
 const RUNS = {seed: 11, numRuns: 500};
 const LEASE_MS = 3_000;
 const RECEIPT = {leaseMs: LEASE_MS, revision: 1};
 const RELAY = {id: 'entry-0', boot: 'boot', zone: 'lima-a'};
 
-const TARGET = {
-  name: 'lm-desk-0',
-  customer: 'callao',
-  service: 'lm-desk',
-  boot: 'engine',
-  healthy: true,
-  slots: 6,
-  resident: [],
-  running: 0,
-  waiting: 0,
-  batchLimit: 16,
-};
+const TARGET = targetReport();
 
 function member(id: string): Member {
   return {
--- a/zones/membership/test/member-model.test.ts
+++ b/zones/membership/test/member-model.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import type {Member} from '@marigoldspur/messages';
 import {MemberTable} from '@marigoldspur/membership';
+import {targetReport} from '@marigoldspur/test-members';
 
 const RUNS = {seed: 4, numRuns: 300};
 const LEASE_MS = 1_000;
@@ -75,18 +76,6 @@
     url: 'http://127.0.0.1:1',
     revision: 0,
     leaving: step.leaving,
-    target: {
-      name: step.target,
-      customer: 'callao',
-      service: 'lm-desk',
-      boot: 'engine',
-      healthy: true,
-      slots: 6,
-      resident: [],
-      running: 0,
-      waiting: 0,
-      batchLimit: 16,
-      fence: step.fence,
-    },
+    target: targetReport({name: step.target, fence: step.fence}),
   };
 }
--- a/zones/membership/test/member-table.test.ts
+++ b/zones/membership/test/member-table.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import type {Member} from '@marigoldspur/messages';
 import {MemberTable} from '@marigoldspur/membership';
+import {targetReport} from '@marigoldspur/test-members';
 
 const LEASE_MS = 1_000;
 
@@ -61,19 +62,7 @@
   return {
     ...member(id),
     leaving,
-    target: {
-      name: 'lm-desk-0',
-      customer: 'callao',
-      service: 'lm-desk',
-      boot: 'engine',
-      healthy: true,
-      slots: 6,
-      resident: [],
-      running: 0,
-      waiting: 0,
-      batchLimit: 16,
-      fence,
-    },
+    target: targetReport({fence}),
   };
 }
 
--- a/zones/membership/test/relay-sessions.test.ts
+++ b/zones/membership/test/relay-sessions.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import type {HeartbeatBatch, Member, RelayStamp} from '@marigoldspur/messages';
 import {MemberTable, RelaySessions} from '@marigoldspur/membership';
+import {targetReport} from '@marigoldspur/test-members';
 
 const LEASE_MS = 1_000;
 
@@ -13,19 +14,7 @@
     url: 'http://127.0.0.1:1',
     revision: 0,
     leaving: false,
-    target: {
-      name: id,
-      customer: 'callao',
-      service: 'lm-desk',
-      boot: 'engine',
-      healthy: true,
-      slots: 6,
-      resident: [],
-      running: 0,
-      waiting: 0,
-      batchLimit: 16,
-      fence,
-    },
+    target: targetReport({name: id, fence}),
   };
 }
 
