--- a/lab/path-bench/src/bench-system.ts
+++ b/lab/path-bench/src/bench-system.ts
@@ -8,6 +8,8 @@
   readonly entries: number;
   /** Time between an engine's tokens, in milliseconds. */
   readonly tokenMs: number;
+  /** How long the engine keeps a broken stream, in milliseconds; 0 for not at all. */
+  readonly resumeMs: number;
 }
 
 const ADAPTERS = 3_000;
@@ -21,7 +23,7 @@
 
 /** Runs a measurement against one engine stand-in behind real processes. */
 export async function withBenchSystem(
-  {entries, tokenMs}: BenchSystemOptions,
+  {entries, tokenMs, resumeMs}: BenchSystemOptions,
   measure: (system: System) => Promise<void>,
 ): Promise<void> {
   const system = await startSystem({
@@ -31,6 +33,7 @@
     entries,
     firstTokenMs: 0,
     tokenMs,
+    resumeMs,
     batchLimit: BATCH_LIMIT,
     logLevel: 'info',
   });
--- a/lab/path-bench/src/call-round.ts
+++ b/lab/path-bench/src/call-round.ts
@@ -1,6 +1,8 @@
+import {once} from 'node:events';
 import http from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import {build} from 'hdr-histogram-js';
+import {openCompletion} from './open-completion.js';
 
 /** Options of one round of calls. */
 export interface RoundOptions {
@@ -10,8 +12,6 @@
   readonly callers: number;
   /** Calls in all. */
   readonly calls: number;
-  /** Adapter and version, `adapter@version`. */
-  readonly model: string;
   /** Calls of all callers in a second; as many as possible without it. */
   readonly perSecond?: number;
 }
@@ -30,11 +30,6 @@
 /** Sends completions of one token, each caller one after another. */
 export async function callRound(options: RoundOptions): Promise<Round> {
   const agent = new http.Agent({keepAlive: true});
-  const body = JSON.stringify({
-    model: options.model,
-    max_tokens: 1,
-    messages: [{role: 'user', content: 'Draft the recap.'}],
-  });
   const histogram = build({highestTrackableValue: HIGHEST_MICROS});
   const {calls, callers, perSecond} = options;
   const startedAt = performance.now();
@@ -44,7 +39,7 @@
       const call = next;
       next += 1;
       const sentAt = await turn(startedAt, call, perSecond);
-      await complete(options.url, body, agent);
+      await complete(options.url, agent);
       const tookMs = performance.now() - sentAt;
       histogram.recordValue(Math.round(tookMs * MICROS_PER_MS));
     }
@@ -73,23 +68,8 @@
   return performance.now();
 }
 
-function complete(url: string, body: string, agent: http.Agent): Promise<void> {
-  return new Promise((resolve, reject) => {
-    const headers = {
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(body),
-    };
-    const target = new URL('/v1/chat/completions', url);
-    const call = http.request(target, {method: 'POST', headers, agent});
-    call.on('error', reject);
-    call.on('response', answer => {
-      answer.resume();
-      answer.on('end', () =>
-        answer.statusCode === 200
-          ? resolve()
-          : reject(new Error(`answered with ${answer.statusCode}`)),
-      );
-    });
-    call.end(body);
-  });
+async function complete(url: string, agent: http.Agent): Promise<void> {
+  const answer = await openCompletion({url, tokens: 1, stream: false}, agent);
+  answer.resume();
+  await once(answer, 'end');
 }
--- a/lab/path-bench/src/main.ts
+++ b/lab/path-bench/src/main.ts
@@ -1,7 +1,11 @@
 import {loadavg} from 'node:os';
 import {z} from 'zod';
 import {runJob} from '@marigoldspur/process-life';
-import {LIST_SCHEMA, VERSION} from '@marigoldspur/process-settings';
+import {
+  DURATION_MS_SCHEMA,
+  LIST_SCHEMA,
+  VERSION,
+} from '@marigoldspur/process-settings';
 import {withBenchSystem} from './bench-system.js';
 import {measurePaced} from './paced.js';
 import {print} from './report-lines.js';
@@ -23,13 +27,16 @@
     measures: LIST_SCHEMA.pipe(z.array(z.enum(NAMES)))
       .default([...NAMES])
       .describe(`Some of ${NAMES.join(', ')}; all by default`),
+    resumeMs: DURATION_MS_SCHEMA.default(0).describe(
+      'How long the engine keeps a broken stream, in milliseconds',
+    ),
     entries: z.coerce.number().int().min(1).default(1).describe('Entries'),
   }),
-  work: async ({measures, entries}) => {
+  work: async ({measures, entries, resumeMs}) => {
     for (const name of measures) {
       const {tokenMs, measure} = MEASURES[name];
       print(`${name}, load average ${loadavg()[0].toFixed(1)}`);
-      await withBenchSystem({entries, tokenMs}, measure);
+      await withBenchSystem({entries, tokenMs, resumeMs}, measure);
     }
     return 0;
   },
--- a/lab/path-bench/src/paced.ts
+++ b/lab/path-bench/src/paced.ts
@@ -1,5 +1,4 @@
 import type {System} from '@marigoldspur/lab';
-import {MODEL} from './bench-system.js';
 import {callRound, type Round} from './call-round.js';
 import {cpuMicrosDuring, processUrls} from './process-cost.js';
 import {comparison, costLines, print} from './report-lines.js';
@@ -20,7 +19,7 @@
   for (const perSecond of RATES) {
     const calls = perSecond * ROUND_SECONDS;
     const round = (url: string) =>
-      callRound({url, callers: CALLERS, calls, model: MODEL, perSecond});
+      callRound({url, callers: CALLERS, calls, perSecond});
     const direct = await round(engineUrl);
     let path: Round | undefined;
     const cpu = await cpuMicrosDuring(urls, async () => {
--- a/lab/path-bench/src/saturated.ts
+++ b/lab/path-bench/src/saturated.ts
@@ -1,5 +1,4 @@
 import type {System} from '@marigoldspur/lab';
-import {MODEL} from './bench-system.js';
 import {callRound, type Round} from './call-round.js';
 import {
   cpuMicrosDuring,
@@ -25,8 +24,7 @@
   await warmUp(engineUrl);
   for (const callers of CALLERS) {
     const calls = CALLS[callers];
-    const round = (url: string) =>
-      callRound({url, callers, calls, model: MODEL});
+    const round = (url: string) => callRound({url, callers, calls});
     const direct = await round(engineUrl);
     let path: Round | undefined;
     const cpu = await cpuMicrosDuring(urls, async () => {
@@ -44,7 +42,6 @@
     url,
     callers: WARM_UP_CALLERS,
     calls: WARM_UP_CALLS,
-    model: MODEL,
   });
 }
 
--- a/lab/path-bench/src/stream-round.ts
+++ b/lab/path-bench/src/stream-round.ts
@@ -1,6 +1,6 @@
-import http, {type IncomingMessage} from 'node:http';
+import http from 'node:http';
 import {build, type Histogram} from 'hdr-histogram-js';
-import {MODEL} from './bench-system.js';
+import {openCompletion} from './open-completion.js';
 
 /** Options of one round of streams. */
 export interface StreamRoundOptions {
@@ -52,7 +52,7 @@
   agent: http.Agent,
   histogram: Histogram,
 ): Promise<void> {
-  const answer = await openStream(url, tokens, agent);
+  const answer = await openCompletion({url, tokens, stream: true}, agent);
   let seen = 0;
   let lastAt = 0;
   for await (const chunk of answer) {
@@ -69,27 +69,3 @@
     throw new Error(`${seen} of ${tokens} tokens came`);
   }
 }
-
-function openStream(
-  url: string,
-  tokens: number,
-  agent: http.Agent,
-): Promise<IncomingMessage> {
-  const body = JSON.stringify({
-    model: MODEL,
-    max_tokens: tokens,
-    stream: true,
-    messages: [{role: 'user', content: 'Draft the recap.'}],
-  });
-  return new Promise((resolve, reject) => {
-    const headers = {
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(body),
-    };
-    const target = new URL('/v1/chat/completions', url);
-    const call = http.request(target, {method: 'POST', headers, agent});
-    call.on('error', reject);
-    call.on('response', resolve);
-    call.end(body);
-  });
-}
