--- a/lab/lab/src/index.ts
+++ b/lab/lab/src/index.ts
@@ -4,13 +4,12 @@
   type Deployment,
   type TargetGroup,
 } from './deployments.js';
-export {
-  startSystem,
-  type Listener,
-  type Network,
-  type System,
-  type SystemKeys,
-  type SystemOptions,
-} from './system.js';
+export {startSystem, type System} from './system.js';
+export type {
+  Listener,
+  Network,
+  SystemKeys,
+  SystemOptions,
+} from './system-options.js';
 export {startChild, type Child} from './child.js';
 export {freePorts} from './ports.js';
--- /dev/null
+++ b/lab/lab/src/start-processes.ts
@@ -0,0 +1,160 @@
+import path from 'node:path';
+import {startChild, type Child} from './child.js';
+import {LAB, startStandIn} from './start-stand-in.js';
+import type {SystemOptions} from './system-options.js';
+import {
+  zoneAt,
+  type DeploymentPorts,
+  type SystemPorts,
+} from './system-ports.js';
+
+/** A target with its agent. */
+export interface TargetPair {
+  readonly name: string;
+  readonly url: string;
+  readonly target: Child;
+  readonly agent: Child;
+}
+
+const CONTROL = '@marigoldspur/control-server';
+const ENTRY = '@marigoldspur/entry-server';
+const AGENT = '@marigoldspur/agent-server';
+const LOOPBACK = 'http://127.0.0.1';
+const ENGINE_SLOTS = 6;
+const BATCH_LIMIT = 16;
+
+/** Starts the replicas of control. */
+export async function startControls(
+  options: SystemOptions,
+  {controls: ports}: SystemPorts,
+  folder: string,
+  flags: readonly string[],
+) {
+  const scheme = options.keys?.ca === undefined ? 'http' : 'https';
+  const urls = ports.map(port => `${scheme}://127.0.0.1:${port}`);
+  const children = ports.map((port, index) => {
+    const name = `control-${index}`;
+    return startChild(
+      name,
+      CONTROL,
+      [
+        ...['--id', name],
+        ...['--zone', zoneAt(options, index)],
+        ...['--port', String(port)],
+        ...['--peers', urls.join(',')],
+        ...['--bootstrap', 'true'],
+        ...['--data-folder', path.join(folder, name)],
+        ...flags,
+      ],
+      options.network?.variables(name),
+    );
+  });
+  await Promise.all(children.map(child => child.line(isStarted)));
+  return {urls, children};
+}
+
+/** Starts the entries. */
+export async function startEntries(
+  options: SystemOptions,
+  ports: SystemPorts,
+  control: string,
+  flags: readonly string[],
+) {
+  const children = ports.callers.map((port, index) => {
+    const name = `entry-${index}`;
+    return startChild(
+      name,
+      ENTRY,
+      [
+        ...['--id', name],
+        ...['--zone', zoneAt(options, index)],
+        ...['--caller-port', String(port)],
+        ...['--port', String(ports.entries[index])],
+        ...['--control', control],
+        ...flags,
+        ...(options.keys?.entryFlags ?? []),
+      ],
+      options.network?.variables(name),
+    );
+  });
+  await Promise.all(children.map(child => child.line(isStarted)));
+  const callerUrls = ports.callers.map(port => `${LOOPBACK}:${port}`);
+  return {callerUrls, children};
+}
+
+/** Starts the store of a deployment, and its targets with their agents. */
+export async function startTargets(
+  ports: DeploymentPorts,
+  options: SystemOptions,
+  control: string,
+  flags: readonly string[],
+) {
+  const {deployment} = ports;
+  const store = await startStandIn(`${deployment.customer}-store`, [
+    'store',
+    ...['--port', String(ports.store)],
+    ...['--loads-per-second', String(deployment.loadsPerSecond)],
+  ]);
+  const targets = ports.targets.map(each => {
+    const {name, group} = each;
+    const url = `${LOOPBACK}:${each.target}`;
+    const target = startTarget(
+      name,
+      group.kind,
+      each.target,
+      ports.store,
+      options,
+    );
+    const agent = startChild(
+      `${name}-agent`,
+      AGENT,
+      [
+        ...['--id', `${name}-agent`],
+        ...['--zone', each.zone],
+        ...['--port', String(each.agent)],
+        ...['--control', control],
+        ...['--target', name],
+        ...['--target-url', url],
+        ...['--target-kind', group.kind],
+        ...['--fence-checked', 'true'],
+        ...['--customer', deployment.customer],
+        ...['--service', group.service],
+        ...flags,
+      ],
+      options.network?.variables(`${name}-agent`),
+    );
+    return {name, url, target, agent};
+  });
+  await Promise.all(targets.map(pair => pair.agent.line(isStarted)));
+  return {store, targets};
+}
+
+function startTarget(
+  name: string,
+  kind: 'engine' | 'service',
+  port: number,
+  storePort: number,
+  options: SystemOptions,
+): Child {
+  if (kind === 'service') {
+    return startChild(name, LAB, [
+      'service',
+      ...['--port', String(port)],
+      ...['--call-ms', String(options.serviceCallMs ?? 5)],
+    ]);
+  }
+  return startChild(name, LAB, [
+    'engine',
+    ...['--port', String(port)],
+    ...['--slots', String(ENGINE_SLOTS)],
+    ...['--batch-limit', String(options.batchLimit ?? BATCH_LIMIT)],
+    ...['--store-url', `${LOOPBACK}:${storePort}`],
+    ...['--first-token-ms', String(options.firstTokenMs ?? 20)],
+    ...['--token-ms', String(options.tokenMs ?? 5)],
+    ...['--resume-ms', String(options.resumeMs ?? 0)],
+  ]);
+}
+
+function isStarted(line: string): boolean {
+  return line.includes('"process-started"');
+}
