--- a/control/control-server/src/control-desk.ts
+++ b/control/control-server/src/control-desk.ts
@@ -28,6 +28,8 @@
 import type {ReplicatedLog} from '@marigoldspur/replicated-log';
 import type {Change, ChangeOutcome} from '@marigoldspur/settings-schema';
 import {ChangeSignal} from '@marigoldspur/change-signal';
+import type {ClaimHolder} from '@marigoldspur/request-claims';
+import {AbsentHolders} from './absent-holders.js';
 import type {Command, CommandAnswer} from './command.js';
 import type {ControlMachine} from './control-machine.js';
 import {QuorumContact} from './quorum-contact.js';
@@ -60,8 +62,7 @@
   private term = -1;
   private table: MemberTable;
   private relays: RelaySessions;
-  /** Since when each holder of running claims has not been a member. */
-  private readonly absentSince = new Map<string, number>();
+  private readonly absent: AbsentHolders;
 
   constructor(private readonly options: ControlDeskOptions) {
     this.table = new MemberTable({
@@ -69,6 +70,7 @@
       leaseMs: options.leaseMs,
     });
     this.relays = this.openRelays();
+    this.absent = new AbsentHolders(options.leaseMs);
     this.contact = new QuorumContact(options.log);
     options.machine.onSettings(() => this.settingsSignal.notify());
   }
@@ -284,30 +286,13 @@
     this.loseAbsentHolders(members, now);
   }
 
-  /** Ends the claims of entries that were no members for a whole lease, or that returned with another boot. */
   private loseAbsentHolders(members: MemberTable, now: number): void {
     const holders = this.options.machine.claims.holders();
-    const known = new Set<string>();
-    for (const {entry, boot} of holders) {
-      const key = `${entry}/${boot}`;
-      known.add(key);
-      const member = members.member(entry);
-      if (member?.boot === boot) {
-        this.absentSince.delete(key);
-        continue;
-      }
-      const since = this.absentSince.get(key) ?? now;
-      this.absentSince.set(key, since);
-      if (now - since >= this.options.leaseMs) {
-        this.absentSince.delete(key);
-        this.loseEntry(entry, boot);
-      }
-    }
-    for (const key of this.absentSince.keys()) {
-      if (!known.has(key)) {
-        this.absentSince.delete(key);
-      }
-    }
+    const isMember = ({entry, boot}: ClaimHolder) =>
+      members.member(entry)?.boot === boot;
+    this.absent
+      .lost(holders, isMember, now)
+      .forEach(({entry, boot}) => this.loseEntry(entry, boot));
   }
 
   private loseEntry(entry: string, boot: string): void {
@@ -345,7 +330,7 @@
     }
     if (term !== this.term) {
       this.term = term;
-      this.absentSince.clear();
+      this.absent.clear();
       this.table = new MemberTable({
         table: `${this.options.boot}/${term}`,
         leaseMs: this.options.leaseMs,
--- a/lab/control-history/src/spread-run.ts
+++ b/lab/control-history/src/spread-run.ts
@@ -1,5 +1,6 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {ControlClient} from '@marigoldspur/control-client';
+import {toFault} from '@marigoldspur/faults';
 import {inForceLines} from '@marigoldspur/fault-runs';
 import {
   checkHistory,
@@ -45,6 +46,8 @@
 const ACCEPT_TIMEOUT_MS = 30_000;
 const CALL_TIMEOUT_MS = 500;
 const CHANGE_PAUSE_MS = 700;
+const STATUS_MS = 1_000;
+const STATUS_PAUSE_MS = 100;
 /** The bound of the brief and a margin, so that what is late is seen as late. */
 const FOLLOW_MS = 5_000;
 
@@ -64,7 +67,11 @@
     await accept(client);
     children = startFollowers(group);
     await Promise.all(children.map(started));
+    await whole(group);
     return await spreadOn(group, client, children, options);
+  } catch (thrown) {
+    const states = JSON.stringify(await statesOf(group));
+    throw new Error(`${toFault(thrown).message}; control: ${states}`);
   } finally {
     children.forEach(child => child.signal('SIGKILL'));
     await Promise.all(children.map(child => child.ended));
@@ -144,16 +151,38 @@
   return Math.max(0, Math.max(...times) - accepted.at);
 }
 
+/** Waits until every replica has a vote: before that, the loss of one may end the majority. */
+async function whole(group: ControlGroup): Promise<void> {
+  for (;;) {
+    const states = await statesOf(group);
+    if (states.every(state => state?.voters.length === REPLICAS)) {
+      return;
+    }
+    await pause(STATUS_PAUSE_MS);
+  }
+}
+
 async function replicaIn(
   group: ControlGroup,
   role: 'leader' | 'follower',
 ): Promise<number> {
+  const states = await statesOf(group);
+  return states.findIndex(state => state?.role === role);
+}
+
+/** What each replica says of itself; undefined where it does not answer. */
+async function statesOf(group: ControlGroup) {
   const client = new ControlClient({urls: group.directUrls});
   const states = await Promise.all(
-    group.directUrls.map(url => client.replica(url).status.query()),
+    group.directUrls.map(url =>
+      client
+        .replica(url)
+        .status.query(undefined, {signal: AbortSignal.timeout(STATUS_MS)})
+        .catch(() => undefined),
+    ),
   );
   client.close();
-  return states.findIndex(state => state.role === role);
+  return states;
 }
 
 /** Submits the next change until it is accepted. */
