Bound the event that an entry holds until it is whole

An entry gives numbered events to the caller only once they are whole; an engine that never ends an event made it hold the stream without a bound. Over 1 MiB the stream now goes through as it comes and can't be resumed. Found by reading; the new test fails without the bound (the bytes stay held).

--- a/entry/dispatch/src/whole-events.ts
+++ b/entry/dispatch/src/whole-events.ts
@@ -6,6 +6,8 @@
 const NINE = 57;
 const EVENT_NUMBER = /^id: ?(\d{1,9})\r?$/m;
 const NOTHING = Buffer.alloc(0);
+/** Longest event that is held until it is whole. */
+const MAX_EVENT_BYTES = 1_048_576;
 
 /**
  * Lets whole events of a numbered stream through, and nothing of one that has not come
@@ -55,6 +57,12 @@
       end = begin;
       begin = eventEndBefore(bytes, end);
     }
+    if (bytes.length - end > MAX_EVENT_BYTES) {
+      // What is held has a bound; the stream goes through and can't go on any more.
+      this.numbered = false;
+      this.held = NOTHING;
+      return bytes;
+    }
     this.held = end === bytes.length ? NOTHING : bytes.subarray(end);
     if (end > 0) {
       const number = numberAt(bytes, begin, end);
--- a/entry/dispatch/test/resume.test.ts
+++ b/entry/dispatch/test/resume.test.ts
@@ -200,3 +200,13 @@
     expect(events.end().toString()).to.equal(EVENTS[2]);
   }
 });
+
+it('whole events: an event without an end is held within a bound', () => {
+  const events = new WholeEvents();
+  const part = Buffer.alloc(600_000, 'x');
+  expect(events.add(Buffer.from('id: 0\ndata: a\n\n')).length).to.equal(15);
+  expect(events.add(part).length).to.equal(0);
+  expect(events.add(part).length).to.equal(1_200_000);
+  expect(events.isNumbered).to.equal(false);
+  expect(events.add(part).length).to.equal(600_000);
+});
