--- a/lab/fault-runs/src/command.ts
+++ b/lab/fault-runs/src/command.ts
@@ -12,6 +12,7 @@
   readonly seconds: number;
   readonly concurrency?: number;
   readonly cutSeconds?: number;
+  readonly resumeMs?: number;
 }
 
 const MAX_SEED = 1_000_000;
@@ -41,6 +42,10 @@
       describe: 'Requests that run at once at one entry',
     },
     'cut-seconds': {type: 'number', describe: 'How long links stay cut'},
+    'resume-ms': {
+      type: 'number',
+      describe: 'How long engines keep a broken stream',
+    },
   } as const;
   await yargs([...args])
     .scriptName('marigoldspur-fault-runs')
@@ -95,7 +100,7 @@
   kinds: readonly FaultKind[],
   load: LoadFlags,
 ): FaultRunOptions {
-  const {rate, seconds, concurrency, cutSeconds} = load;
+  const {rate, seconds, concurrency, cutSeconds, resumeMs} = load;
   return {
     seed,
     kinds,
@@ -103,6 +108,7 @@
     seconds,
     settings: concurrency === undefined ? {} : {concurrency},
     ...(cutSeconds !== undefined && {cutMs: cutSeconds * 1_000}),
+    resumeMs,
   };
 }
 
--- a/lab/fault-runs/src/run-faults.ts
+++ b/lab/fault-runs/src/run-faults.ts
@@ -33,6 +33,8 @@
   readonly settings?: Tree['settings'];
   /** How long links stay cut, in milliseconds; drawn like other faults where it is not given. */
   readonly cutMs?: number;
+  /** How long engines keep a broken stream, in milliseconds; 0 for not at all. */
+  readonly resumeMs?: number;
 }
 
 /** What a run under faults showed. */
@@ -83,6 +85,7 @@
     firstTokenMs: FIRST_TOKEN_MS,
     tokenMs: TOKEN_MS,
     serviceCallMs: SERVICE_CALL_MS,
+    resumeMs: options.resumeMs,
   });
   const injector = new FaultInjector({system, record, network});
   try {
