--- a/entry/dispatch/test/attempt-client.test.ts
+++ b/entry/dispatch/test/attempt-client.test.ts
@@ -1,3 +1,4 @@
+import type {Socket} from 'node:net';
 import {expect} from 'chai';
 import {Result} from 'true-myth';
 import {type Attempt, type AttemptAnswer} from '@marigoldspur/dispatch';
@@ -74,49 +75,45 @@
   expect(received.at(-1)).to.match(/\r\n\r\n$/);
 });
 
-it('attempt: an empty body ends after the agent’s 100 Continue', async () => {
+/** An agent that continues the attempt, and goes on once what came then ends so. */
+function continuing(
+  end: string,
+  goOn: (socket: Socket) => void,
+): (socket: Socket, bytes: string) => void {
   let continued = false;
+  return (socket, bytes) => {
+    if (!continued) {
+      continued = true;
+      socket.write('HTTP/1.1 100 Continue\r\n\r\n');
+    } else if (bytes.endsWith(end)) {
+      goOn(socket);
+    }
+  };
+}
+
+it('attempt: an empty body ends after the agent’s 100 Continue', async () => {
   const sent = await send(
-    (socket, bytes) => {
-      if (!continued) {
-        continued = true;
-        socket.write('HTTP/1.1 100 Continue\r\n\r\n');
-      } else if (bytes.endsWith('\r\n\r\n0\r\n\r\n')) {
-        socket.write(agentAnswer('text/plain', 'done', ONCE));
-      }
-    },
+    continuing('\r\n\r\n0\r\n\r\n', socket =>
+      socket.write(agentAnswer('text/plain', 'done', ONCE)),
+    ),
     {hop: ONCE, method: 'DELETE', body: Buffer.alloc(0)},
   );
   expect(sent.isOk).to.equal(true);
 });
 
 it('attempt: the body follows the agent’s 100 Continue', async () => {
-  let continued = false;
   const sent = await send(
-    (socket, bytes) => {
-      if (!continued) {
-        continued = true;
-        socket.write('HTTP/1.1 100 Continue\r\n\r\n');
-      } else if (bytes.endsWith('recap@v1"}')) {
-        socket.write(agentAnswer('text/plain', 'done', ONCE));
-      }
-    },
+    continuing('recap@v1"}', socket =>
+      socket.write(agentAnswer('text/plain', 'done', ONCE)),
+    ),
     {hop: ONCE},
   );
   expect(sent.isOk).to.equal(true);
 });
 
 it('attempt: an agent lost after 100 Continue leaves the outcome unknown', async () => {
-  let continued = false;
   const sent = await send(
-    (socket, bytes) => {
-      if (!continued) {
-        continued = true;
-        socket.write('HTTP/1.1 100 Continue\r\n\r\n');
-      } else if (bytes.endsWith('recap@v1"}')) {
-        socket.destroy();
-      }
-    },
+    continuing('recap@v1"}', socket => socket.destroy()),
     {hop: ONCE},
   );
   expect(refusalOf(sent)).to.include({outcome: 'unknown', status: 502});
--- a/lab/log-trials/test/control-group-of-five.test.ts
+++ b/lab/log-trials/test/control-group-of-five.test.ts
@@ -2,9 +2,9 @@
 import {
   ClaimLoad,
   ControlGroup,
-  lostClaims,
   type ControlHost,
 } from '@marigoldspur/log-trials';
+import {expectNothingLost} from './expect-nothing-lost.js';
 
 const TIMEOUT_MS = 180_000;
 const CLAIMS_BETWEEN = 40;
@@ -24,12 +24,6 @@
   await group?.stop();
 });
 
-async function expectNothingLost(): Promise<void> {
-  const record = await load.stop();
-  expect(record.granted.length).to.be.greaterThan(CLAIMS_BETWEEN);
-  expect(await lostClaims(group.client, record.granted)).to.deep.equal([]);
-}
-
 /** The leader and a follower. */
 async function twoHosts(): Promise<[ControlHost, ControlHost]> {
   const leader = await group.leader();
@@ -44,7 +38,7 @@
   follower.child?.signal('SIGCONT');
   group.run(leader);
   await group.whole();
-  await expectNothingLost();
+  await expectNothingLost(group, load, CLAIMS_BETWEEN);
 }).timeout(TIMEOUT_MS);
 
 it('five replicas: a leader and a follower cut off together, and mended', async () => {
@@ -66,7 +60,7 @@
     group.isolate(near, false);
   }
   await group.whole();
-  await expectNothingLost();
+  await expectNothingLost(group, load, CLAIMS_BETWEEN);
 }).timeout(TIMEOUT_MS);
 
 it('five replicas: a lost disk, and a second and third host after its repair', async () => {
@@ -84,5 +78,5 @@
   group.run(second);
   group.run(third);
   await group.whole();
-  await expectNothingLost();
+  await expectNothingLost(group, load, CLAIMS_BETWEEN);
 }).timeout(TIMEOUT_MS);
--- a/lab/log-trials/test/control-group.test.ts
+++ b/lab/log-trials/test/control-group.test.ts
@@ -1,11 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {expect} from 'chai';
-import {
-  ClaimLoad,
-  ControlGroup,
-  lostClaims,
-  takeClaim,
-} from '@marigoldspur/log-trials';
+import {ClaimLoad, ControlGroup, takeClaim} from '@marigoldspur/log-trials';
+import {expectNothingLost} from './expect-nothing-lost.js';
 
 const TIMEOUT_MS = 180_000;
 const PROPOSERS = 4;
@@ -28,12 +24,6 @@
   await group?.stop();
 });
 
-async function expectNothingLost(): Promise<void> {
-  const record = await load.stop();
-  expect(record.granted.length).to.be.greaterThan(CLAIMS_BETWEEN);
-  expect(await lostClaims(group.client, record.granted)).to.deep.equal([]);
-}
-
 it('control group: the leader is killed and nothing accepted is lost', async () => {
   for (let kills = 0; kills < 2; kills += 1) {
     const leader = await group.leader();
@@ -42,7 +32,7 @@
     group.run(leader);
     await group.whole();
   }
-  await expectNothingLost();
+  await expectNothingLost(group, load, CLAIMS_BETWEEN);
 }).timeout(TIMEOUT_MS);
 
 it('control group: the leader freezes, thaws and answers nothing as fresh', async () => {
@@ -66,7 +56,7 @@
   expect((await read)?.revision ?? 1).to.equal(1);
   expect((await group.status(next))?.role).to.equal('leader');
   await group.whole();
-  await expectNothingLost();
+  await expectNothingLost(group, load, CLAIMS_BETWEEN);
 }).timeout(TIMEOUT_MS);
 
 it('control group: a leader cut off silently accepts and confirms nothing', async () => {
@@ -90,7 +80,7 @@
   expect((await group.status(cutOff))?.term).to.equal(term);
   group.isolate(cutOff, false);
   await group.whole();
-  await expectNothingLost();
+  await expectNothingLost(group, load, CLAIMS_BETWEEN);
 }).timeout(TIMEOUT_MS);
 
 it('control group: a leader that hears nobody steps down, its sending still heard', async () => {
@@ -103,7 +93,7 @@
   expect((await group.status(deaf))?.role).to.not.equal('leader');
   group.isolate(deaf, false);
   await group.whole();
-  await expectNothingLost();
+  await expectNothingLost(group, load, CLAIMS_BETWEEN);
 }).timeout(TIMEOUT_MS);
 
 it('control group: a disk is lost, and a second host right after the repair', async () => {
@@ -122,7 +112,7 @@
   await load.furtherGranted(CLAIMS_BETWEEN);
   group.run(second);
   await group.whole();
-  await expectNothingLost();
+  await expectNothingLost(group, load, CLAIMS_BETWEEN);
 }).timeout(TIMEOUT_MS);
 
 it('control group: a drained leader hands over and exits cleanly', async () => {
@@ -132,5 +122,5 @@
   const next = await group.leader();
   expect((await group.status(next))?.term).to.equal(term + 1);
   await load.furtherGranted(CLAIMS_BETWEEN);
-  await expectNothingLost();
+  await expectNothingLost(group, load, CLAIMS_BETWEEN);
 }).timeout(TIMEOUT_MS);
