Wait until entries know the targets before a test sends

Cause: `settled` of the lab's system waited until control knew every target as healthy. An entry learns it a moment later by its stream of members; a call in between meets no target and is refused.

--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -123,7 +123,11 @@
     fallback: relayOnly(relay),
     revision: () => follower.settings.revision,
     settings: revision => follower.deltaAfter(revision),
-    facts: () => ({running: desk.running, members: members.members().length}),
+    facts: () => ({
+      running: desk.running,
+      members: members.members().length,
+      targets: members.members().filter(isHealthyTarget).length,
+    }),
     drain,
   });
   const member = (): Member => ({
@@ -168,6 +172,10 @@
   };
 }
 
+function isHealthyTarget(member: Member): boolean {
+  return member.target?.healthy === true;
+}
+
 /** Serves the relay's path alone. */
 function relayOnly(relay: HeartbeatRelay) {
   return (request: http.IncomingMessage, response: http.ServerResponse) => {
--- a/lab/lab/src/system.ts
+++ b/lab/lab/src/system.ts
@@ -6,6 +6,7 @@
   submitChange,
   type OperatorSession,
 } from '@marigoldspur/operator-commands';
+import {awaitSettled} from './await-settled.js';
 import type {Child} from './child.js';
 import {
   startControls,
@@ -26,14 +27,13 @@
   readonly entries: readonly Child[];
   readonly targets: readonly TargetPair[];
   readonly session: OperatorSession;
-  /** Resolves once every target is known to control as healthy. */
+  /** Resolves once control and each entry know every target as healthy. */
   settled(): Promise<void>;
   stop(): Promise<void>;
 }
 
 const LOOPBACK = 'http://127.0.0.1';
 const SESSION_TIMEOUT_MS = 30_000;
-const SETTLE_POLL_MS = 100;
 
 /** Starts control, entries, a balancer, and targets with their agents as separate processes. */
 export async function startSystem(options: SystemOptions): Promise<System> {
@@ -91,7 +91,11 @@
     entries: entries.children,
     targets,
     session,
-    settled: () => settled(session, targets.length),
+    settled: () =>
+      awaitSettled(session, {
+        entries: entries.children.length,
+        targets: targets.length,
+      }),
     stop: async () => {
       session.close();
       children.forEach(child => child.signal('SIGKILL'));
@@ -100,18 +104,3 @@
     },
   };
 }
-
-async function settled(session: OperatorSession, count: number): Promise<void> {
-  const deadline = session.deadline();
-  while (performance.now() < deadline) {
-    const members = await session.members();
-    const healthy = members.isOk
-      ? members.value.filter(member => member.target?.healthy === true)
-      : [];
-    if (healthy.length >= count) {
-      return;
-    }
-    await new Promise(resolve => setTimeout(resolve, SETTLE_POLL_MS));
-  }
-  throw new Error('the targets did not all announce themselves in time');
-}
