--- a/lab/experiment/src/engine-fake.ts
+++ b/lab/experiment/src/engine-fake.ts
@@ -7,6 +7,7 @@
 import {createLoadOrder, type LoadOrder} from '@marigoldspur/load-order';
 import type {WantedLoad} from '@marigoldspur/load-permits';
 import type {Candidate} from '@marigoldspur/placement';
+import {BatchFake, type Run} from './batch-fake.js';
 import type {Job} from './job.js';
 import type {Schedule} from './schedule.js';
 import type {LoadClient, StoreFake} from './store-fake.js';
@@ -37,11 +38,6 @@
   reservation?: SlotReservation;
 }
 
-interface Run {
-  readonly job: Job;
-  readonly pin: Pin;
-}
-
 const MAX_LOAD_FAILURES = 1;
 
 /** One engine with the agent beside it: slots, loads that wait, and a batch. */
@@ -55,10 +51,7 @@
   private readonly loads = new Map<string, Load>();
   private readonly pins = new Map<string, number>();
   private readonly unused = new Set<string>();
-  private readonly queue: Run[] = [];
-  private readonly runs = new Set<Run>();
-  private boot = 0;
-  private changedAt = 0;
+  private readonly batch: BatchFake;
 
   constructor(private readonly options: EngineFakeOptions) {
     this.name = options.name;
@@ -66,6 +59,7 @@
     const {cluster, policy} = options;
     this.slots = new SlotTable(cluster.slots, options.eviction);
     this.order = createLoadOrder(policy.loadOrder);
+    this.batch = new BatchFake({...options, ended: run => this.end(run)});
   }
 
   /** What the engine's agent reports at present. */
@@ -82,7 +76,7 @@
       loading: new Set(this.loads.keys()),
       pinned: new Set(this.pins.keys()),
       slots: cluster.slots,
-      load: this.runs.size + this.queue.length + waiting,
+      load: this.batch.load + waiting,
       batchLimit: cluster.batchLimit,
     };
   }
@@ -105,14 +99,11 @@
   restart(): void {
     const {schedule, store, cluster} = this.options;
     const jobs = this.jobs();
-    this.noteBatch();
-    this.boot += 1;
     this.loads.forEach(load => store.withdraw(this.idOf(load.model)));
     this.loads.clear();
     this.pins.clear();
     this.unused.clear();
-    this.queue.length = 0;
-    this.runs.clear();
+    this.batch.restart();
     this.slots.reset(cluster.slots, [], schedule.now);
     jobs.forEach(job => this.options.lost(job));
   }
@@ -125,7 +116,7 @@
       this.options.store.withdraw(this.idOf(load.model));
     }
     this.loads.clear();
-    this.queue.splice(0).forEach(run => this.unpin(run.pin));
+    this.batch.takeQueue().forEach(run => this.unpin(run.pin));
     jobs.forEach(job => this.options.lost(job));
   }
 
@@ -191,7 +182,7 @@
   private jobs(): Job[] {
     return [
       ...[...this.loads.values()].flatMap(load => [...load.waiters]),
-      ...[...this.runs, ...this.queue].map(run => run.job),
+      ...this.batch.jobs(),
     ];
   }
 
@@ -294,58 +285,17 @@
   }
 
   private begin(run: Run): void {
-    const {schedule, tally, cluster} = this.options;
+    const {schedule, tally} = this.options;
     const {job} = run;
     if (!job.settled) {
       job.settled = true;
       tally.served(job.arrival.at, schedule.now - job.takenAt);
     }
-    if (this.runs.size >= cluster.batchLimit) {
-      this.queue.push(run);
-      return;
-    }
-    this.run(run);
-  }
-
-  private run(run: Run): void {
-    const {schedule, tally, cluster} = this.options;
-    this.noteBatch();
-    this.runs.add(run);
-    const {arrival} = run.job;
-    const tokenMs =
-      cluster.tokenMs + cluster.tokenMsPerRequest * (this.runs.size - 1);
-    const firstTokenMs =
-      cluster.firstTokenMs + cluster.tokenMsPerRequest * (this.runs.size - 1);
-    if (!run.job.started) {
-      run.job.started = true;
-      tally.firstToken(
-        arrival.at,
-        schedule.now - arrival.at + firstTokenMs + cluster.oneWayMs,
-      );
-    }
-    const {boot} = this;
-    schedule.after(firstTokenMs + tokenMs * arrival.tokens, () => {
-      if (this.boot === boot) {
-        this.end(run);
-      }
-    });
+    this.batch.begin(run);
   }
 
   private end(run: Run): void {
-    this.noteBatch();
-    this.runs.delete(run);
     this.unpin(run.pin);
-    const next = this.queue.shift();
-    if (next !== undefined) {
-      this.run(next);
-    }
     this.askForLoads();
   }
-
-  private noteBatch(): void {
-    const {schedule, tally, cluster} = this.options;
-    const fill = this.runs.size / cluster.batchLimit;
-    tally.ran(fill, this.changedAt, schedule.now);
-    this.changedAt = schedule.now;
-  }
 }
