Split the control desk: settings and members have desks of their own

Reads and streams of the settings tree are now in settings-desk.ts, the member table of a term with its relays in member-desk.ts; the desk itself answers calls by them.

--- a/control/control-server/src/control-desk.ts
+++ b/control/control-server/src/control-desk.ts
@@ -1,4 +1,3 @@
-import {setTimeout as pause} from 'node:timers/promises';
 import type {
   ControlService,
   ControlStatus,
@@ -8,11 +7,7 @@
 import type {EventLog} from '@marigoldspur/event-log';
 import {Fault} from '@marigoldspur/faults';
 import type {PermitDesk} from '@marigoldspur/load-permits';
-import {
-  MemberTable,
-  RelaySessions,
-  type MemberChange,
-} from '@marigoldspur/membership';
+import type {MemberTable} from '@marigoldspur/membership';
 import type {
   BatchAnswer,
   Claim,
@@ -27,19 +22,12 @@
 } from '@marigoldspur/messages';
 import type {ReplicatedLog} from '@marigoldspur/replicated-log';
 import type {Change, ChangeOutcome} from '@marigoldspur/settings-schema';
-import {ChangeSignal} from '@marigoldspur/change-signal';
 import type {ClaimHolder} from '@marigoldspur/request-claims';
 import {AbsentHolders} from './absent-holders.js';
 import type {Command, CommandAnswer} from './command.js';
 import type {ControlMachine} from './control-machine.js';
-import {QuorumContact} from './quorum-contact.js';
-
-/** Longest time between two messages of a stream, in milliseconds. */
-const STREAM_IDLE_MS = 1_000;
-/** Time in which changes of members are gathered into one delta, in milliseconds. */
-const MEMBERS_BATCH_MS = 100;
-/** Entries of a zone that gather its heartbeats: one, and one that stands by. */
-const RELAYS_PER_ZONE = 2;
+import {MemberDesk} from './member-desk.js';
+import {SettingsDesk} from './settings-desk.js';
 
 /** What a control desk works with. */
 export interface ControlDeskOptions {
@@ -55,86 +43,42 @@
 
 /** Answers the calls to one replica of control. */
 export class ControlDesk implements ControlService {
-  private readonly settingsSignal = new ChangeSignal();
-  private readonly membersSignal = new ChangeSignal();
-
-  private readonly contact: QuorumContact;
-  private term = -1;
-  private table: MemberTable;
-  private relays: RelaySessions;
+  private readonly settings: SettingsDesk;
+  private readonly members: MemberDesk;
   private readonly absent: AbsentHolders;
+  /** Term in which absent holders are counted. */
+  private term = -1;
 
   constructor(private readonly options: ControlDeskOptions) {
-    this.table = new MemberTable({
-      table: options.boot,
-      leaseMs: options.leaseMs,
-    });
-    this.relays = this.openRelays();
+    this.settings = new SettingsDesk(options.machine, options.log);
+    this.members = new MemberDesk(options);
     this.absent = new AbsentHolders(options.leaseMs);
-    this.contact = new QuorumContact(options.log);
-    options.machine.onSettings(() => this.settingsSignal.notify());
   }
 
   async readSettings(fresh: boolean): Promise<SettingsView> {
-    if (fresh) {
-      const barrier = await this.options.log.readBarrier();
-      if (barrier.isErr) {
-        throw barrier.error;
-      }
-    }
-    const {settings} = this.options.machine;
-    return {revision: settings.revision, tree: settings.tree};
+    return this.settings.read(fresh);
   }
 
   async watchSettings(
     revision: number,
     waitMs: number,
   ): Promise<SettingsDelta> {
-    const {settings} = this.options.machine;
-    if (settings.revision <= revision) {
-      await this.settingsSignal.wait(waitMs);
-    }
-    return this.deltaAfter(revision);
+    return this.settings.watch(revision, waitMs);
   }
 
-  async *followSettings(
+  followSettings(
     revision: number,
     signal: AbortSignal,
   ): AsyncGenerator<SettingsDelta> {
-    const {settings} = this.options.machine;
-    let known = revision;
-    while (!signal.aborted) {
-      await this.contact.confirm(performance.now());
-      const confirmed = this.deltaAfter(known);
-      yield {...confirmed, confirmed: true};
-      known = Math.max(known, confirmed.revision);
-      if (settings.revision <= known) {
-        await this.settingsSignal.wait(STREAM_IDLE_MS);
-      }
-      while (settings.revision > known && !signal.aborted) {
-        const delta = this.deltaAfter(known);
-        yield delta;
-        known = delta.revision;
-      }
-    }
+    return this.settings.follow(revision, signal);
   }
 
-  async *followMembers(
+  followMembers(
     table: string,
     version: number,
     signal: AbortSignal,
   ): AsyncGenerator<MembersDelta> {
-    let known = {table, version};
-    while (!signal.aborted) {
-      const members = this.requireOffice(performance.now());
-      const delta = members.delta(known.table, known.version);
-      yield delta;
-      known = delta;
-      if (members.version === known.version) {
-        await this.membersSignal.wait(STREAM_IDLE_MS);
-      }
-      await pause(MEMBERS_BATCH_MS);
-    }
+    return this.members.follow(table, version, signal);
   }
 
   async changeSettings(change: Change): Promise<ChangeOutcome> {
@@ -177,30 +121,16 @@
 
   async heartbeat(member: Member): Promise<HeartbeatReceipt> {
     const now = performance.now();
-    const members = this.requireOffice(now);
-    const granted =
-      member.target && this.options.machine.fenceOf(member.target.name);
-    const {fenced, changes} = members.announce(member, now, granted);
-    this.recordMembers(changes);
+    this.members.requireOffice(now);
     if (member.target?.loading !== undefined) {
       this.options.permits.keepOnly(member.id, member.target.loading, now);
     }
-    if (fenced) {
-      throw new Fault(
-        'FENCED',
-        `another agent holds ${member.target?.name} under a newer number`,
-      );
-    }
-    return this.receiptFor(member.zone);
+    return this.members.heartbeat(member, now);
   }
 
   /** Takes the heartbeats that a relay gathered; throws where this replica doesn't lead. */
   async heartbeats(batch: HeartbeatBatch): Promise<BatchAnswer> {
-    const now = performance.now();
-    this.requireOffice(now);
-    const {answer, changes} = this.relays.take(batch, now);
-    this.recordMembers(changes);
-    return {...answer, receipt: this.receiptFor(batch.zone)};
+    return this.members.heartbeats(batch, performance.now());
   }
 
   async grantFence(target: string, boot: string): Promise<number> {
@@ -216,16 +146,11 @@
     version: number,
     waitMs: number,
   ): Promise<MembersDelta> {
-    const members = this.requireOffice(performance.now());
-    const known = members.delta(table, version);
-    if (!known.whole && known.version === version) {
-      await this.membersSignal.wait(waitMs);
-    }
-    return this.requireOffice(performance.now()).delta(table, version);
+    return this.members.watch(table, version, waitMs);
   }
 
   async acquirePermit(request: PermitRequest): Promise<Permit> {
-    this.requireOffice(performance.now());
+    this.members.requireOffice(performance.now());
     const permit = await this.options.permits.acquire(request);
     if (permit.permit !== undefined) {
       this.options.events.record('permit-granted', {
@@ -264,26 +189,20 @@
 
   /** Members that this replica knows as leader. */
   get memberCount(): number {
-    return this.table.members().length;
+    return this.members.members().length;
   }
 
   /** Ends the leases that ran out before `now`, a `performance.now()` time, and the claims of lost entries. */
   checkLeases(now: number): void {
-    if (this.options.log.status().role !== 'leader') {
+    const {role, term} = this.options.log.status();
+    if (role !== 'leader') {
       return;
     }
-    const members = this.requireOffice(now);
-    const {complete, version} = members;
-    const expired = members.expire(now);
-    if (members.version !== version) {
-      this.membersSignal.notify();
-    }
-    if (members.complete && !complete) {
-      const count = members.members().length;
-      this.options.events.record('members-settled', {members: count});
+    if (term !== this.term) {
+      this.term = term;
+      this.absent.clear();
     }
-    this.recordMembers(expired);
-    this.loseAbsentHolders(members, now);
+    this.loseAbsentHolders(this.members.expire(now), now);
   }
 
   private loseAbsentHolders(members: MemberTable, now: number): void {
@@ -303,17 +222,6 @@
     });
   }
 
-  private deltaAfter(revision: number): SettingsDelta {
-    const {settings} = this.options.machine;
-    const changes = settings.changesAfter(revision);
-    if (changes !== undefined) {
-      return {revision: settings.revision, changes};
-    }
-    return settings.revision < revision
-      ? {revision: settings.revision, changes: []}
-      : {revision: settings.revision, tree: settings.tree, changes: []};
-  }
-
   private async propose(command: Command): Promise<CommandAnswer> {
     const proposed = await this.options.log.propose(command);
     if (proposed.isErr) {
@@ -321,54 +229,4 @@
     }
     return proposed.value;
   }
-
-  /** The member table of this term's office; throws where this replica doesn't lead. */
-  private requireOffice(now: number): MemberTable {
-    const {role, leaderUrl, term} = this.options.log.status();
-    if (role !== 'leader') {
-      throw new Fault('NOT_LEADER', leaderUrl ?? '');
-    }
-    if (term !== this.term) {
-      this.term = term;
-      this.absent.clear();
-      this.table = new MemberTable({
-        table: `${this.options.boot}/${term}`,
-        leaseMs: this.options.leaseMs,
-        completeAt: now + this.options.leaseMs,
-      });
-      this.relays = this.openRelays();
-    }
-    return this.table;
-  }
-
-  private openRelays(): RelaySessions {
-    return new RelaySessions({
-      table: this.table,
-      leaseMs: this.options.leaseMs,
-      granted: target => this.options.machine.fenceOf(target),
-    });
-  }
-
-  private receiptFor(zone: string): HeartbeatReceipt {
-    const receipt = {
-      leaseMs: this.options.leaseMs,
-      revision: this.options.machine.settings.revision,
-    };
-    const relays = this.table.relays(zone, RELAYS_PER_ZONE);
-    return this.table.complete || relays.length > 0
-      ? {...receipt, relays: relays.map(relay => relay.url)}
-      : receipt;
-  }
-
-  private recordMembers(changes: readonly MemberChange[]): void {
-    if (changes.length > 0) {
-      this.membersSignal.notify();
-    }
-    for (const {kind, member} of changes) {
-      if (kind !== 'changed') {
-        const {id, role, zone} = member;
-        this.options.events.record(`member-${kind}`, {member: id, role, zone});
-      }
-    }
-  }
 }
--- /dev/null
+++ b/control/control-server/src/member-desk.ts
@@ -0,0 +1,185 @@
+import {setTimeout as pause} from 'node:timers/promises';
+import {ChangeSignal} from '@marigoldspur/change-signal';
+import type {EventLog} from '@marigoldspur/event-log';
+import {Fault} from '@marigoldspur/faults';
+import {
+  MemberTable,
+  RelaySessions,
+  type MemberChange,
+} from '@marigoldspur/membership';
+import type {
+  BatchAnswer,
+  HeartbeatBatch,
+  HeartbeatReceipt,
+  Member,
+  MembersDelta,
+} from '@marigoldspur/messages';
+import type {ReplicatedLog} from '@marigoldspur/replicated-log';
+import type {Command, CommandAnswer} from './command.js';
+import type {ControlMachine} from './control-machine.js';
+
+/** Longest time between two messages of a stream, in milliseconds. */
+const STREAM_IDLE_MS = 1_000;
+/** Time in which changes of members are gathered into one delta, in milliseconds. */
+const MEMBERS_BATCH_MS = 100;
+/** Entries of a zone that gather its heartbeats: one, and one that stands by. */
+const RELAYS_PER_ZONE = 2;
+
+/** What a member desk works with. */
+export interface MemberDeskOptions {
+  /** Boot identity of the process. */
+  readonly boot: string;
+  readonly leaseMs: number;
+  readonly machine: ControlMachine;
+  readonly log: ReplicatedLog<Command, CommandAnswer>;
+  readonly events: EventLog;
+}
+
+/**
+ * Keeps the member table while this replica leads. Each term begins a new table;
+ * every call but `members` throws `NOT_LEADER` on any other replica.
+ */
+export class MemberDesk {
+  private readonly changed = new ChangeSignal();
+  private term = -1;
+  private table: MemberTable;
+  private relays: RelaySessions;
+
+  constructor(private readonly options: MemberDeskOptions) {
+    const {boot, leaseMs} = options;
+    this.table = new MemberTable({table: boot, leaseMs});
+    this.relays = this.openRelays();
+  }
+
+  /** Members that this replica knows as leader. */
+  members(): readonly Member[] {
+    return this.table.members();
+  }
+
+  /** The member table of the present term. */
+  requireOffice(now: number): MemberTable {
+    const {role, leaderUrl, term} = this.options.log.status();
+    if (role !== 'leader') {
+      throw new Fault('NOT_LEADER', leaderUrl ?? '');
+    }
+    if (term !== this.term) {
+      this.begin(term, now);
+    }
+    return this.table;
+  }
+
+  /** Takes a member's own heartbeat; throws `FENCED` where a later agent has its target. */
+  heartbeat(member: Member, now: number): HeartbeatReceipt {
+    const members = this.requireOffice(now);
+    const granted =
+      member.target && this.options.machine.fenceOf(member.target.name);
+    const {fenced, changes} = members.announce(member, now, granted);
+    this.record(changes);
+    if (fenced) {
+      throw new Fault(
+        'FENCED',
+        `another agent holds ${member.target?.name} under a newer number`,
+      );
+    }
+    return this.receiptFor(member.zone);
+  }
+
+  /** Takes the heartbeats that a relay gathered. */
+  heartbeats(batch: HeartbeatBatch, now: number): BatchAnswer {
+    this.requireOffice(now);
+    const {answer, changes} = this.relays.take(batch, now);
+    this.record(changes);
+    return {...answer, receipt: this.receiptFor(batch.zone)};
+  }
+
+  /** Waits up to `waitMs` for a newer version of the table. */
+  async watch(
+    table: string,
+    version: number,
+    waitMs: number,
+  ): Promise<MembersDelta> {
+    const members = this.requireOffice(performance.now());
+    const known = members.delta(table, version);
+    if (!known.whole && known.version === version) {
+      await this.changed.wait(waitMs);
+    }
+    return this.requireOffice(performance.now()).delta(table, version);
+  }
+
+  /** The changes after a version of the table as they come. */
+  async *follow(
+    table: string,
+    version: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<MembersDelta> {
+    let known = {table, version};
+    while (!signal.aborted) {
+      const members = this.requireOffice(performance.now());
+      const delta = members.delta(known.table, known.version);
+      yield delta;
+      known = delta;
+      if (members.version === known.version) {
+        await this.changed.wait(STREAM_IDLE_MS);
+      }
+      await pause(MEMBERS_BATCH_MS);
+    }
+  }
+
+  /** Ends the leases that ran out before `now`, a `performance.now()` time. */
+  expire(now: number): MemberTable {
+    const members = this.requireOffice(now);
+    const {complete, version} = members;
+    const expired = members.expire(now);
+    if (members.version !== version) {
+      this.changed.notify();
+    }
+    if (members.complete && !complete) {
+      const count = members.members().length;
+      this.options.events.record('members-settled', {members: count});
+    }
+    this.record(expired);
+    return members;
+  }
+
+  private begin(term: number, now: number): void {
+    const {boot, leaseMs} = this.options;
+    this.term = term;
+    this.table = new MemberTable({
+      table: `${boot}/${term}`,
+      leaseMs,
+      completeAt: now + leaseMs,
+    });
+    this.relays = this.openRelays();
+  }
+
+  private openRelays(): RelaySessions {
+    return new RelaySessions({
+      table: this.table,
+      leaseMs: this.options.leaseMs,
+      granted: target => this.options.machine.fenceOf(target),
+    });
+  }
+
+  private receiptFor(zone: string): HeartbeatReceipt {
+    const receipt = {
+      leaseMs: this.options.leaseMs,
+      revision: this.options.machine.settings.revision,
+    };
+    const relays = this.table.relays(zone, RELAYS_PER_ZONE);
+    return this.table.complete || relays.length > 0
+      ? {...receipt, relays: relays.map(relay => relay.url)}
+      : receipt;
+  }
+
+  private record(changes: readonly MemberChange[]): void {
+    if (changes.length > 0) {
+      this.changed.notify();
+    }
+    for (const {kind, member} of changes) {
+      if (kind !== 'changed') {
+        const {id, role, zone} = member;
+        this.options.events.record(`member-${kind}`, {member: id, role, zone});
+      }
+    }
+  }
+}
