--- a/control/log-storage/src/index.ts
+++ b/control/log-storage/src/index.ts
@@ -1,8 +1,4 @@
 export type {AppendFile, FileSystem} from './file-system.js';
-export {
-  LogStorage,
-  openLogStorage,
-  type LogStorageOptions,
-  type OpenedStorage,
-} from './log-storage.js';
+export {LogStorage, type LogStorageOptions} from './log-storage.js';
 export {NodeFileSystem} from './node-file-system.js';
+export {openLogStorage, type OpenedStorage} from './open-log-storage.js';
--- /dev/null
+++ b/control/log-storage/src/open-log-storage.ts
@@ -0,0 +1,130 @@
+import {randomUUID} from 'node:crypto';
+import path from 'node:path';
+import type {HardState, Recovered} from '@marigoldspur/consensus';
+import {corrupt, isTemporary, readWhole, writeWhole} from './durable-file.js';
+import type {FileSystem} from './file-system.js';
+import {readFrames} from './frame.js';
+import {LogStorage, type LogStorageOptions} from './log-storage.js';
+import {NodeFileSystem} from './node-file-system.js';
+import {beginSegment, reopenSegment} from './open-segment.js';
+import {IDENTITY_SCHEMA} from './records.js';
+import {readSnapshot, replaySegments, segmentFile} from './recover.js';
+
+/** A storage that was opened, with what it held. */
+export interface OpenedStorage {
+  readonly storage: LogStorage;
+  /** Identity of the replica, made when its folder was empty. */
+  readonly id: string;
+  /** Whether the folder was empty. */
+  readonly isNew: boolean;
+  readonly recovered: Recovered;
+  /** The state machine's content at the recovered snapshot. */
+  readonly data?: string;
+  /** Bytes of a torn write that were cut off. */
+  readonly tornBytes: number;
+}
+
+const IDENTITY_FILE = 'identity';
+const EMPTY_STATE: HardState = {group: '', term: 0, vote: ''};
+
+/**
+ * Opens the files of a replica. Throws `CORRUPT_DATA` where something that was
+ * synced is damaged or missing.
+ */
+export async function openLogStorage(
+  options: LogStorageOptions,
+): Promise<OpenedStorage> {
+  const files = options.files ?? new NodeFileSystem();
+  const {folder} = options;
+  await files.makeFolder(folder);
+  await files.syncFolder(path.dirname(folder));
+  const names = await files.list(folder);
+  for (const name of names.filter(isTemporary)) {
+    await files.remove(path.join(folder, name));
+  }
+  return names.includes(IDENTITY_FILE)
+    ? openExisting(options, files, names)
+    : openNew(options, files, names);
+}
+
+async function openNew(
+  options: LogStorageOptions,
+  files: FileSystem,
+  names: readonly string[],
+): Promise<OpenedStorage> {
+  const {folder} = options;
+  const kept = names.filter(name => !isTemporary(name));
+  const firstSegment = segmentFile(folder, 1);
+  const isUnused = await holdsOnlyHeader(files, firstSegment, kept);
+  if (!isUnused) {
+    throw corrupt(folder, 'holds a log without an identity');
+  }
+  const id = randomUUID();
+  const segment = await beginSegment(files, {
+    folder,
+    sequence: 1,
+    state: EMPTY_STATE,
+    lastIndex: 0,
+  });
+  const identity = Buffer.from(JSON.stringify({id}));
+  await writeWhole(files, path.join(folder, IDENTITY_FILE), [identity]);
+  const storage = new LogStorage(options, files, EMPTY_STATE, 0, [], segment);
+  const recovered = {state: EMPTY_STATE, entries: []};
+  return {storage, id, isNew: true, recovered, tornBytes: 0};
+}
+
+/** Whether a folder holds at most what an opening that was cut short leaves. */
+async function holdsOnlyHeader(
+  files: FileSystem,
+  firstSegment: string,
+  names: readonly string[],
+): Promise<boolean> {
+  if (names.length === 0) {
+    return true;
+  }
+  if (names.length > 1 || names[0] !== path.basename(firstSegment)) {
+    return false;
+  }
+  const {payloads} = readFrames(await files.read(firstSegment));
+  return payloads.length <= 1;
+}
+
+async function openExisting(
+  options: LogStorageOptions,
+  files: FileSystem,
+  names: readonly string[],
+): Promise<OpenedStorage> {
+  const {folder} = options;
+  const identityFile = path.join(folder, IDENTITY_FILE);
+  const [identity] = await readWhole(files, identityFile, 1);
+  const text = Buffer.from(identity).toString('utf8');
+  const {id} = IDENTITY_SCHEMA.parse(JSON.parse(text));
+  const snapshot = await readSnapshot(files, folder, names);
+  const log = await replaySegments(files, folder, names, snapshot);
+  const last = log.segments.pop();
+  if (last === undefined) {
+    throw corrupt(folder, 'has lost its log');
+  }
+  const segment = await reopenSegment(files, folder, last, log);
+  const storage = new LogStorage(
+    options,
+    files,
+    log.state,
+    log.lastIndex,
+    log.segments,
+    segment,
+  );
+  if (log.isOverruled && snapshot !== undefined) {
+    await storage.reset(snapshot);
+  }
+  const recovered = {state: log.state, snapshot, entries: log.entries};
+  const {tornBytes} = log;
+  return {
+    storage,
+    id,
+    isNew: false,
+    recovered,
+    data: snapshot?.data,
+    tornBytes,
+  };
+}
