Weigh new versions: estimates pass on to them, and spare permits load them ahead

A new version of a wanted adapter began without a history, so that it left its slot before colder adapters, and its first request waited for the store like that of any cold one.

A load ahead takes no room from one that someone waits for, runs at the store only while nobody waits, and leaves it half of its time. It is not begun where the predecessor itself would have to leave. The test of the experiment fails without it by construction (it compares both).

--- a/agent/adapter-slots/src/slot-table.ts
+++ b/agent/adapter-slots/src/slot-table.ts
@@ -54,6 +54,23 @@
     return this.free + this.unpinned().length;
   }
 
+  /**
+   * Whether a new version may be loaded ahead of its first request: its predecessor is
+   * held, and it is not the one that would have to leave. The eviction then expects as
+   * many uses of it as of its predecessor.
+   */
+  expectSuccessor(model: string, predecessor: string, now: number): boolean {
+    const held = this.slots.get(predecessor)?.state === 'ready';
+    if (!held || this.slots.has(model)) {
+      return false;
+    }
+    if (this.free === 0 && this.leaver(now)?.model === predecessor) {
+      return false;
+    }
+    this.eviction.succeeded(model, predecessor, now);
+    return true;
+  }
+
   /** Rises with each change of what is held or loading. */
   get version(): number {
     return this.changes;
--- a/agent/adapter-slots/test/slot-table.test.ts
+++ b/agent/adapter-slots/test/slot-table.test.ts
@@ -97,3 +97,21 @@
   pin.release(2);
   expect(slots.reserve('b@1', 3)?.evict).to.equal('a@1');
 });
+
+it('slots: a successor is expected where its predecessor is held and stays', () => {
+  const slots = table(2);
+  load(slots, 'a@1', 0);
+  load(slots, 'b@1', 1);
+  expect(slots.expectSuccessor('b@2', 'b@1', 2)).to.equal(true);
+  expect(slots.expectSuccessor('c@2', 'c@1', 2)).to.equal(false);
+  expect(slots.reserve('b@2', 3)).to.deep.equal({model: 'b@2', evict: 'a@1'});
+  expect(slots.expectSuccessor('b@2', 'b@1', 4)).to.equal(false);
+});
+
+it('slots: no successor is expected of the adapter that leaves next', () => {
+  const slots = table(2);
+  load(slots, 'a@1', 0);
+  expect(slots.expectSuccessor('a@2', 'a@1', 1)).to.equal(true);
+  load(slots, 'b@1', 1);
+  expect(slots.expectSuccessor('a@2', 'a@1', 2)).to.equal(false);
+});
--- a/agent/agent-server/src/settings-eviction.ts
+++ b/agent/agent-server/src/settings-eviction.ts
@@ -19,6 +19,10 @@
     this.current().used(model, now);
   }
 
+  succeeded(model: string, predecessor: string, now: number): void {
+    this.current().succeeded(model, predecessor, now);
+  }
+
   victim(slots: readonly SlotUse[], now: number): string | undefined {
     return this.current().victim(slots, now);
   }
--- a/lab/experiment/src/belady-eviction.ts
+++ b/lab/experiment/src/belady-eviction.ts
@@ -15,6 +15,8 @@
 
   used(): void {}
 
+  succeeded(): void {}
+
   victim(slots: readonly SlotUse[], now: number): string | undefined {
     let victim: string | undefined;
     let furthest = -Infinity;
--- a/lab/experiment/src/engine-fake.ts
+++ b/lab/experiment/src/engine-fake.ts
@@ -32,7 +32,8 @@
 
 interface Load {
   readonly model: string;
-  readonly askedAt: number;
+  /** When its first waiter came, in milliseconds. */
+  askedAt: number;
   readonly waiters: Set<Job>;
   state: 'wanted' | 'asked' | 'loading';
   reservation?: SlotReservation;
@@ -95,6 +96,24 @@
     this.begin({job, pin});
   }
 
+  /** Loads a new version ahead of its first request where its predecessor is wanted here. */
+  prefetch(model: string, predecessor: string): void {
+    const {now} = this.options.schedule;
+    if (
+      this.reachable &&
+      this.slots.expectSuccessor(model, predecessor, now) &&
+      !this.loads.has(model)
+    ) {
+      this.loads.set(model, {
+        model,
+        askedAt: now,
+        waiters: new Set(),
+        state: 'wanted',
+      });
+      this.askForLoads();
+    }
+  }
+
   /** Loses all slots and requests. */
   restart(): void {
     const {schedule, store, cluster} = this.options;
@@ -215,6 +234,9 @@
       state: 'wanted',
     };
     this.loads.set(model, load);
+    if (load.waiters.size === 0) {
+      load.askedAt = schedule.now;
+    }
     load.waiters.add(job);
     schedule.at(job.deadline, () => this.giveUp(job, load));
     if (load.state === 'asked') {
@@ -241,11 +263,14 @@
     const wanted = [...this.loads.values()]
       .filter(load => load.state === 'wanted')
       .map(load => this.wantedLoad(load));
-    const room = this.openSlots() - this.loadsIn('asked');
+    const room = this.openSlots() - this.demandedLoadsAsked();
     if (room <= 0 || wanted.length === 0) {
       return;
     }
-    const urgent = this.order.sort(wanted, this.options.schedule.now);
+    const {now} = this.options.schedule;
+    const demanded = wanted.filter(load => load.waiters > 0);
+    const ahead = wanted.filter(load => load.waiters === 0);
+    const urgent = [...this.order.sort(demanded, now), ...ahead];
     for (const {model} of urgent.slice(0, room)) {
       const load = this.loads.get(model);
       if (load?.state === 'wanted') {
@@ -279,6 +304,13 @@
     return [...this.loads.values()].filter(load => load.state === state).length;
   }
 
+  /** Loads that someone waits for; a prefetch takes no room from them. */
+  private demandedLoadsAsked(): number {
+    return [...this.loads.values()].filter(
+      load => load.state === 'asked' && load.waiters.size > 0,
+    ).length;
+  }
+
   private openSlots(): number {
     const {cluster} = this.options;
     return cluster.slots - this.pins.size - this.loadsIn('loading');
--- a/lab/experiment/src/run-bound.ts
+++ b/lab/experiment/src/run-bound.ts
@@ -62,5 +62,6 @@
     patience,
     overloadAfterMs: 0,
     stallWeight: 1,
+    prefetch: false,
   }));
 }
--- a/lab/experiment/src/run-trace.ts
+++ b/lab/experiment/src/run-trace.ts
@@ -11,6 +11,7 @@
 import {StoreFake} from './store-fake.js';
 import {Tally, type Figures} from './tally.js';
 import type {Arrival} from './trace.js';
+import {planVersions} from './version-plan.js';
 import type {Disturbance, Policy, Scenario, Workload} from './workload.js';
 
 /** Options of one run. */
@@ -77,6 +78,7 @@
     for (const disturbance of scenario.disturbances) {
       this.scheduleDisturbance(disturbance);
     }
+    this.schedulePrefetches();
     this.scheduleArrival(0);
     const {warmUpSeconds, measuredSeconds} = workload;
     this.schedule.runUntil((warmUpSeconds + measuredSeconds) * SECOND_MS);
@@ -104,6 +106,19 @@
     });
   }
 
+  private schedulePrefetches(): void {
+    const {workload, scenario, policy} = this.options;
+    if (!policy.prefetch) {
+      return;
+    }
+    for (const version of planVersions(workload, scenario).values()) {
+      const {model, predecessor, announcedAt} = version;
+      this.schedule.at(announcedAt, () =>
+        this.engines.forEach(engine => engine.prefetch(model, predecessor)),
+      );
+    }
+  }
+
   private scheduleArrival(index: number): void {
     if (index === this.arrivals.length) {
       return;
--- a/lab/experiment/src/store-fake.ts
+++ b/lab/experiment/src/store-fake.ts
@@ -25,6 +25,8 @@
 const SECOND_MS = 1_000;
 const PERMIT_VALID_MS = 60_000;
 const QUEUE_LIMIT = 2_000;
+/** Share of the store's time that prefetches leave free. */
+const PREFETCH_RESERVE = 0.5;
 
 /** The weight store with the permit queue before it. */
 export class StoreFake {
@@ -47,7 +49,7 @@
       patience: () => policy.patience,
       overloadPatience: policy.overloadPatience ?? policy.patience,
       overloadAfterMs: policy.overloadAfterMs,
-      reserve: 0,
+      reserve: PREFETCH_RESERVE,
     });
   }
 
--- a/lab/experiment/src/trace.ts
+++ b/lab/experiment/src/trace.ts
@@ -1,4 +1,5 @@
 import {RandomSource} from './random-source.js';
+import {formatModel, planVersions, type NewVersion} from './version-plan.js';
 import type {Disturbance, Scenario, Workload} from './workload.js';
 
 /** A request as the trace gives it. */
@@ -25,11 +26,13 @@
 ): Arrival[] {
   const random = new RandomSource(seed);
   const popularity = new Popularity(workload, scenario, random);
+  const versions = planVersions(workload, scenario);
   const endMs = (workload.warmUpSeconds + workload.measuredSeconds) * SECOND_MS;
   const arrivals: Arrival[] = [];
   let at = random.exponential(SECOND_MS / rate);
   while (at < endMs) {
-    arrivals.push(arrival(workload, at, popularity.draw(at), random));
+    const model = modelAt(popularity.draw(at), at, versions);
+    arrivals.push(arrival(workload, at, model, random));
     at += random.exponential(SECOND_MS / rate);
   }
   const extra = scenario.disturbances.flatMap(each =>
@@ -38,16 +41,28 @@
   return [...arrivals, ...extra].sort((a, b) => a.at - b.at);
 }
 
+/** What callers name an adapter at a time. */
+function modelAt(
+  adapter: number,
+  at: number,
+  versions: ReadonlyMap<number, NewVersion>,
+): string {
+  const next = versions.get(adapter);
+  return next !== undefined && at >= next.usedFrom
+    ? next.model
+    : formatModel(adapter, 1);
+}
+
 function arrival(
   workload: Workload,
   at: number,
-  adapter: number,
+  model: string,
   random: RandomSource,
 ): Arrival {
   const {median, sigma, max} = workload.tokens;
   return {
     at,
-    model: `adapter-${adapter}@v1`,
+    model,
     tokens: Math.max(
       1,
       Math.min(max, Math.round(random.logNormal(median, sigma))),
@@ -75,7 +90,7 @@
       disturbance.kind === 'scan'
         ? adapters - 1 - (index % adapters)
         : adapters - 1;
-    return arrival(workload, at, adapter, random);
+    return arrival(workload, at, formatModel(adapter, 1), random);
   });
 }
 
--- a/lab/experiment/src/workload.ts
+++ b/lab/experiment/src/workload.ts
@@ -30,6 +30,17 @@
   }),
   /** A share of the adapters changes places with idle ones, spread over the hour. */
   z.strictObject({kind: z.literal('wake-up'), sharePerHour: z.number()}),
+  /**
+   * The most wanted adapters get a new version each, one after another within some
+   * seconds; callers name it after a while.
+   */
+  z.strictObject({
+    kind: z.literal('new-versions'),
+    at: SECONDS,
+    adapters: z.int().min(1),
+    seconds: SECONDS,
+    switchAfterSeconds: SECONDS,
+  }),
   /** Engines restart with empty slots, one after another. */
   z.strictObject({
     kind: z.literal('restart'),
@@ -95,6 +106,8 @@
   fullAt: z.number().optional(),
   rankCost: z.number().optional(),
   lossPower: z.number().optional(),
+  /** Whether new versions of wanted adapters are loaded ahead of their first request. */
+  prefetch: z.boolean().default(false),
 });
 
 /** One policy under test. */
--- a/lab/experiment/test/experiment.test.ts
+++ b/lab/experiment/test/experiment.test.ts
@@ -94,3 +94,17 @@
   expect(compareReports(report, relabelled)).to.not.have.length(0);
   expect(await reportPage(report)).to.include('<svg');
 });
+
+it('experiment: new versions loaded ahead stall fewer requests', async () => {
+  const workload = {...(await smallWorkload()), measuredSeconds: 240};
+  const scenario = workload.scenarios.find(
+    ({name}) => name === 'new-versions',
+  )!;
+  const trace = generateTrace(workload, scenario, workload.kneeRate / 2, SEED);
+  const stalled = (prefetch: boolean) => {
+    const policy = {...policyOf(workload, 'demand-aware'), prefetch};
+    const options = {workload, scenario, policy, seed: SEED};
+    return runTrace(trace, options).stalledShare;
+  };
+  expect(stalled(true)).to.be.lessThan(stalled(false));
+});
--- a/policy/demand/src/demand-table.ts
+++ b/policy/demand/src/demand-table.ts
@@ -24,12 +24,14 @@
 
   /** Counts a use of an adapter at time `now`, in milliseconds. */
   note(model: string, now: number): void {
-    const use = {count: this.count(model, now) + 1, at: now};
-    this.uses.delete(model);
-    this.uses.set(model, use);
-    if (this.uses.size > this.options.maxModels) {
-      const [oldest] = this.uses.keys();
-      this.uses.delete(oldest);
+    this.keep(model, {count: this.count(model, now) + 1, at: now});
+  }
+
+  /** Counts for an adapter without uses those of another one. */
+  inherit(model: string, from: string): void {
+    const use = this.uses.get(from);
+    if (use !== undefined && !this.uses.has(model)) {
+      this.keep(model, use);
     }
   }
 
@@ -50,4 +52,13 @@
       .slice(0, limit)
       .map(({model}) => model);
   }
+
+  private keep(model: string, use: Use): void {
+    this.uses.delete(model);
+    this.uses.set(model, use);
+    if (this.uses.size > this.options.maxModels) {
+      const [oldest] = this.uses.keys();
+      this.uses.delete(oldest);
+    }
+  }
 }
--- a/policy/demand/src/rate-table.ts
+++ b/policy/demand/src/rate-table.ts
@@ -25,10 +25,13 @@
 /**
  * Estimates how often each adapter is used: uses over the time since the
  * first, which decay alike, with a prior. An adapter that is silent for longer
- * than its rate explains counts as ended with growing odds.
+ * than its rate explains counts as ended with growing odds. A new version is
+ * expected to be used as the adapter's last one was.
  */
 export class RateTable {
   private readonly histories = new Map<string, History>();
+  /** The version of each adapter that was used last, as `adapter@version`. */
+  private readonly lastVersions = new Map<string, string>();
 
   constructor(private readonly options: RateTableOptions) {}
 
@@ -39,12 +42,16 @@
 
   /** Counts a use of an adapter at time `now`, in milliseconds. */
   note(model: string, now: number): void {
-    const known = this.histories.get(model);
-    this.histories.delete(model);
-    this.histories.set(model, this.used(known, now));
-    if (this.histories.size > this.options.maxModels) {
-      const [oldest] = this.histories.keys();
-      this.histories.delete(oldest);
+    this.inheritFromVersion(model, now);
+    this.keep(model, this.used(this.histories.get(model), now));
+    this.lastVersions.set(adapterOf(model), model);
+  }
+
+  /** Expects of an adapter without a history what is known of another one. */
+  inherit(model: string, from: string, now: number): void {
+    const known = this.histories.get(from);
+    if (known !== undefined && !this.histories.has(model)) {
+      this.keep(model, {...known, lastUsed: now});
     }
   }
 
@@ -62,6 +69,31 @@
     return posterior(before * kept, this.seen(history, now)) / (1 + endedOdds);
   }
 
+  /** Of a version without a history, expects what is known of the adapter's last one. */
+  private inheritFromVersion(model: string, now: number): void {
+    const last = this.lastVersions.get(adapterOf(model));
+    if (last !== undefined && last !== model) {
+      this.inherit(model, last, now);
+    }
+  }
+
+  private keep(model: string, history: History): void {
+    this.histories.delete(model);
+    this.histories.set(model, history);
+    if (this.histories.size > this.options.maxModels) {
+      const [oldest] = this.histories.keys();
+      this.forget(oldest);
+    }
+  }
+
+  private forget(model: string): void {
+    this.histories.delete(model);
+    const adapter = adapterOf(model);
+    if (this.lastVersions.get(adapter) === model) {
+      this.lastVersions.delete(adapter);
+    }
+  }
+
   private used(known: History | undefined, now: number): History {
     if (known === undefined) {
       return {before: 0, seenMs: 0, lastUsed: now};
@@ -87,3 +119,8 @@
 function posterior(uses: number, seenMs: number): number {
   return (uses + PRIOR_USES) / (seenMs + PRIOR_MS);
 }
+
+/** The adapter of `adapter@version`. */
+function adapterOf(model: string): string {
+  return model.split('@', 1)[0];
+}
--- a/policy/demand/test/rate-table.test.ts
+++ b/policy/demand/test/rate-table.test.ts
@@ -61,3 +61,34 @@
   expect(rates.size).to.equal(2);
   expect(rates.rate('b@v1', 4)).to.equal(0);
 });
+
+it('rate: a new version is expected to be used as the last one was', () => {
+  const rates = table();
+  const end = 20 * MINUTE_MS;
+  use(rates, 'a@v1', {times: 100, everyMs: 10 * SECOND_MS, end});
+  use(rates, 'b@v1', {times: 20, everyMs: MINUTE_MS, end});
+  rates.note('a@v2', end);
+  expect(rates.rate('a@v2', end)).to.be.greaterThan(rates.rate('b@v1', end));
+});
+
+it('rate: a version that returns keeps its own history', () => {
+  const rates = table();
+  const end = 20 * MINUTE_MS;
+  use(rates, 'a@v1', {times: 100, everyMs: 10 * SECOND_MS, end});
+  use(rates, 'a@v2', {times: 1, everyMs: SECOND_MS, end});
+  const before = rates.rate('a@v1', end);
+  rates.inherit('a@v1', 'a@v2', end);
+  expect(rates.rate('a@v1', end)).to.equal(before);
+});
+
+it('rate: what is known of forgotten versions is not inherited', () => {
+  const rates = table(1);
+  use(rates, 'a@v1', {times: 100, everyMs: SECOND_MS, end: MINUTE_MS});
+  rates.note('b@v1', MINUTE_MS);
+  rates.note('a@v2', MINUTE_MS);
+  rates.note('c@v1', MINUTE_MS);
+  rates.note('a@v3', MINUTE_MS);
+  const alone = table();
+  alone.note('a@v3', MINUTE_MS);
+  expect(rates.rate('a@v3', MINUTE_MS)).to.equal(alone.rate('a@v3', MINUTE_MS));
+});
--- a/policy/eviction/src/decayed-frequency-eviction.ts
+++ b/policy/eviction/src/decayed-frequency-eviction.ts
@@ -25,6 +25,10 @@
     this.demand.note(model, now);
   }
 
+  succeeded(model: string, predecessor: string): void {
+    this.demand.inherit(model, predecessor);
+  }
+
   victim(slots: readonly SlotUse[], now: number): string | undefined {
     return slots
       .map(({model, lastUsed}) => ({
--- a/policy/eviction/src/eviction.ts
+++ b/policy/eviction/src/eviction.ts
@@ -10,6 +10,8 @@
 export interface Eviction {
   /** Takes note of a use at time `now`, in milliseconds. */
   used(model: string, now: number): void;
+  /** Expects as many uses of a new version as of its predecessor. */
+  succeeded(model: string, predecessor: string, now: number): void;
   /** The adapter to evict among unpinned ones; undefined without any. */
   victim(slots: readonly SlotUse[], now: number): string | undefined;
 }
--- a/policy/eviction/src/expected-rate-eviction.ts
+++ b/policy/eviction/src/expected-rate-eviction.ts
@@ -25,6 +25,10 @@
     this.rates.note(model, now);
   }
 
+  succeeded(model: string, predecessor: string, now: number): void {
+    this.rates.inherit(model, predecessor, now);
+  }
+
   victim(slots: readonly SlotUse[], now: number): string | undefined {
     return slots
       .map(({model, lastUsed}) => ({
--- a/policy/eviction/src/lru-eviction.ts
+++ b/policy/eviction/src/lru-eviction.ts
@@ -4,6 +4,8 @@
 export class LruEviction implements Eviction {
   used(): void {}
 
+  succeeded(): void {}
+
   victim(slots: readonly SlotUse[]): string | undefined {
     return slots.reduce<SlotUse | undefined>(
       (oldest, slot) =>
