Load new versions ahead in the agent, and evict retired ones first

A request takes a waiting prefetch over and asks with its own priority; one that the engine works on is waited for. Without control there is no prefetch. Retired versions leave their slots before all others.

Not there: prefetch on wake-up, since nothing announces one but its first request.

--- a/agent/agent-server/src/adapter-host.ts
+++ b/agent/agent-server/src/adapter-host.ts
@@ -8,7 +8,8 @@
 import type {AgentMetrics} from './agent-metrics.js';
 import type {LeaseKeeper} from './lease-keeper.js';
 import {LoadRefused, type LoadGate} from './load-gate.js';
-import {PendingLoad, type AdapterNeed} from './pending-load.js';
+import {givenUp, PendingLoad, type AdapterNeed} from './pending-load.js';
+import type {PrefetchDesk, SlotDemand} from './prefetch-desk.js';
 import type {ResidentAdapters} from './resident-adapters.js';
 import type {SlotOrders} from './slot-orders.js';
 
@@ -20,6 +21,7 @@
   readonly orders: SlotOrders;
   readonly keeper: LeaseKeeper;
   readonly gate: LoadGate;
+  readonly prefetches: PrefetchDesk;
   readonly events: EventLog;
   readonly metrics: AgentMetrics;
   readonly backoff?: LoadBackoff;
@@ -57,7 +59,12 @@
 
   /** Adapters that requests wait for or that are being loaded. */
   get loading(): string[] {
-    return [...this.loads.keys()];
+    return [...this.loads.keys(), ...this.options.prefetches.models];
+  }
+
+  /** What requests ask of the slots at present. */
+  get demand(): SlotDemand {
+    return {asking: this.asking, models: [...this.loads.keys()]};
   }
 
   /** Pins an adapter, after a load shared with others who need it. */
@@ -74,6 +81,11 @@
         this.options.metrics.loadStall.observe(stallMs / SECOND_MS);
         return Result.ok(this.announceRelease(pin));
       }
+      const ahead = this.options.prefetches.takeOver(need.model);
+      if (ahead !== undefined) {
+        await givenUp(need, ahead);
+        continue;
+      }
       const hopeless = this.hopeless(need, performance.now());
       if (hopeless !== undefined) {
         return Result.err(hopeless);
--- a/agent/agent-server/src/pending-load.ts
+++ b/agent/agent-server/src/pending-load.ts
@@ -97,7 +97,7 @@
 }
 
 /** Resolves when a need is given up or its deadline passes, or with `done`. */
-function givenUp(need: AdapterNeed, done: Promise<void>): Promise<void> {
+export function givenUp(need: AdapterNeed, done: Promise<void>): Promise<void> {
   return new Promise(resolve => {
     const end = () => {
       clearTimeout(timer);
--- a/agent/agent-server/src/prepare-engine.ts
+++ b/agent/agent-server/src/prepare-engine.ts
@@ -3,6 +3,7 @@
   ControlClient,
   SettingsFollower,
 } from '@marigoldspur/control-client';
+import {RetiredFirstEviction} from '@marigoldspur/eviction';
 import type {EventLog} from '@marigoldspur/event-log';
 import {OrderLease} from '@marigoldspur/order-lease';
 import {DEFAULT_SETTINGS} from '@marigoldspur/settings-schema';
@@ -16,6 +17,8 @@
 import {LeaseKeeper} from './lease-keeper.js';
 import {ControlLoadGate, FallbackLoadGate, ShareLoadGate} from './load-gate.js';
 import {ResidentAdapters} from './resident-adapters.js';
+import {isRetired, newVersions} from './new-versions.js';
+import {PrefetchDesk} from './prefetch-desk.js';
 import {SettingsEviction} from './settings-eviction.js';
 import {SlotOrders} from './slot-orders.js';
 import {TargetWatch} from './target-watch.js';
@@ -47,9 +50,13 @@
   const askedAt = performance.now();
   const fence = await grantFence(settings, options);
   const path = `/${settings.customer}/${settings.service}`;
-  const policy = () =>
-    (settingsOf(follower.settings.tree, path) ?? DEFAULT_SETTINGS).eviction;
-  const slots = new SlotTable(0, new SettingsEviction(policy));
+  const service = () =>
+    settingsOf(follower.settings.tree, path) ?? DEFAULT_SETTINGS;
+  const eviction = new RetiredFirstEviction(
+    new SettingsEviction(() => service().eviction),
+    model => isRetired(follower.settings.tree, settings.customer, model),
+  );
+  const slots = new SlotTable(0, eviction);
   const engine = new EngineClient(
     settings.targetUrl,
     () => fence,
@@ -76,8 +83,9 @@
     changed: options.changed,
   });
   watch.start(settings.healthIntervalMs);
+  const controlGate = new ControlLoadGate(client);
   const gate = new FallbackLoadGate({
-    control: new ControlLoadGate(client),
+    control: controlGate,
     share: new ShareLoadGate({
       loadsPerSecond: settings.isolatedLoadsPerSecond,
     }),
@@ -95,15 +103,34 @@
     settleMs,
   });
   const agent = settings.id;
-  const host = new AdapterHost({
+  const prefetches = new PrefetchDesk({
+    agent,
+    slots,
+    orders,
+    keeper,
+    gate: controlGate,
+    events,
+    metrics,
+    demand: () => host.demand,
+  });
+  const host: AdapterHost = new AdapterHost({
     agent,
     slots,
     resident,
     orders,
     keeper,
     gate,
+    prefetches,
     events,
     metrics,
   });
+  follower.onChange((before, after) => {
+    if (service().prefetch) {
+      const held = {...settings, resident: slots.resident()};
+      newVersions(before, after, held).forEach(successor =>
+        prefetches.begin(successor, performance.now()),
+      );
+    }
+  });
   return {slots, watch, host, keeper, fence};
 }
--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -392,6 +392,12 @@
     level: 'warn',
     meaning: 'A load failed.',
   },
+  'prefetch-begun': {
+    number: 515,
+    level: 'info',
+    meaning:
+      'A new version of an adapter that the engine holds is loaded ahead of its first request.',
+  },
   'adapter-evicted': {
     number: 603,
     level: 'info',
--- a/contracts/settings-schema/src/settings.ts
+++ b/contracts/settings-schema/src/settings.ts
@@ -86,6 +86,12 @@
     .enum(['first-come', 'least-harm'])
     .default('first-come')
     .describe('Policy that orders the loads that wait'),
+  prefetch: z
+    .boolean()
+    .default(true)
+    .describe(
+      'Whether new versions of wanted adapters are loaded ahead of their first request, while the store is idle',
+    ),
   claimRetentionMs: z
     .int()
     .min(1_000)
--- a/policy/eviction/src/index.ts
+++ b/policy/eviction/src/index.ts
@@ -9,3 +9,4 @@
   ExpectedRateEviction,
   type ExpectedRateOptions,
 } from './expected-rate-eviction.js';
+export {RetiredFirstEviction} from './retired-first-eviction.js';
--- a/policy/eviction/test/eviction.test.ts
+++ b/policy/eviction/test/eviction.test.ts
@@ -1,5 +1,9 @@
 import {expect} from 'chai';
-import {createEviction, type EvictionName} from '@marigoldspur/eviction';
+import {
+  createEviction,
+  RetiredFirstEviction,
+  type EvictionName,
+} from '@marigoldspur/eviction';
 
 const HOT = ['hot-0', 'hot-1', 'hot-2', 'hot-3'];
 const SLOTS = 5;
@@ -85,3 +89,14 @@
   const frequency = secondsToForget('decayed-frequency');
   expect(secondsToForget('expected-rate')).to.be.lessThan(frequency / 2);
 });
+
+it('eviction: a retired adapter leaves before a colder one', () => {
+  const eviction = new RetiredFirstEviction(
+    createEviction('lru'),
+    model => model === 'retired',
+  );
+  const cold = {model: 'cold', lastUsed: 1};
+  const retired = {model: 'retired', lastUsed: 2};
+  expect(eviction.victim([cold, retired], 3)).to.equal('retired');
+  expect(eviction.victim([cold], 3)).to.equal('cold');
+});
--- a/zones/control-client/src/settings-follower.ts
+++ b/zones/control-client/src/settings-follower.ts
@@ -17,6 +17,9 @@
   readonly tree: Tree;
 }
 
+/** Called after settings came into force in place of others. */
+export type SettingsListener = (before: Tree, after: Tree) => void;
+
 /** Options of a settings follower. */
 export interface SettingsFollowerOptions {
   /** Position of the replica to follow first, as the nearest; any one without it. */
@@ -53,6 +56,7 @@
   private pulling = false;
   private nextPullAt = -Infinity;
   private readonly stream: StreamFollower<SettingsDelta>;
+  private readonly listeners: SettingsListener[] = [];
 
   constructor(
     private readonly client: ControlClient,
@@ -82,6 +86,11 @@
     return this.confirmedAt;
   }
 
+  /** Calls a listener at each change of the settings in force. */
+  onChange(listener: SettingsListener): void {
+    this.listeners.push(listener);
+  }
+
   /** Reads the tree confirmed by a quorum, then follows it. */
   async start(deadlineMs: number): Promise<void> {
     const sentAt = performance.now();
@@ -216,9 +225,11 @@
   }
 
   private enforce(settings: SettingsInForce): void {
-    if (settings.revision > this.current.revision) {
+    const {revision, tree} = this.current;
+    if (settings.revision > revision) {
       this.current = settings;
       this.events.record('settings-in-force', {revision: settings.revision});
+      this.listeners.forEach(listener => listener(tree, settings.tree));
     }
   }
 }
