Show on the whole path that a new version is loaded before its first call

A version is added by an operator's change over control, two entries and two engines with their agents; the engine that holds the earlier version loads it, once, before anyone calls it, and the call runs on it.

--- a/lab/lab/test/whole-path.test.ts
+++ b/lab/lab/test/whole-path.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import OpenAI from 'openai';
+import {submitChange} from '@marigoldspur/operator-commands';
 import {deploymentTree, startSystem, type System} from '@marigoldspur/lab';
 
 const DEPLOYMENT = {
@@ -12,6 +13,8 @@
   loadsPerSecond: 50,
 } as const;
 
+const POLL_MS = 20;
+
 let system: System;
 let client: OpenAI;
 
@@ -100,3 +103,38 @@
   }>;
   expect(record.filter(run => run.model === '/indication')).to.have.length(1);
 });
+
+it('whole path: a new version is loaded before it is called', async () => {
+  const call = (model: string) =>
+    client.completions.create({model, prompt: 'p', max_tokens: 1});
+  await call('callao-5@v1');
+  const changed = await submitChange(
+    system.session,
+    [
+      {
+        edit: 'add-version',
+        path: '/callao/lm-desk/callao-5',
+        version: 'v2',
+        value: {digest: 'digest-2', retired: false},
+      },
+    ],
+    {author: 'test'},
+  );
+  expect(changed.unwrapOr(undefined)).to.include({outcome: 'accepted'});
+  while ((await loadsOf('callao-5@v2')).length === 0) {
+    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+  }
+  const answer = await call('callao-5@v2');
+  expect(answer.model).to.equal('callao-5@v2');
+  expect(await loadsOf('callao-5@v2')).to.have.length(1);
+});
+
+/** Load orders that engines got for an adapter, as `adapter@version`. */
+async function loadsOf(model: string): Promise<unknown[]> {
+  const engines = system.targets.filter(({name}) => name.startsWith('lm-desk'));
+  const orders = await Promise.all(
+    engines.map(async ({url}) => (await fetch(`${url}/orders`)).json()),
+  );
+  const all = orders.flat() as Array<{order: string; model: string}>;
+  return all.filter(each => each.order === 'load' && each.model === model);
+}
