Let elections wait longer the more of them nobody wins

Cause: a replica held its next election 0.25 to 0.75 of the election timeout after one that nobody won, whatever the votes took. Pre-vote, term and vote pass two synced writes one after the other; where these take longer than that wait, each election was given up before its votes could arrive, and none ever ended.

--- a/control/consensus/src/elections.ts
+++ b/control/consensus/src/elections.ts
@@ -65,6 +65,7 @@
   /** The leader of the term was heard. */
   heardLeader(now: number): void {
     this.leaderHeardAt = now;
+    this.timer.settle();
     this.timer.reset(now);
   }
 
@@ -112,11 +113,14 @@
 
   /** Counts a vote; true where it wins the election. */
   wins(message: MessageOf<'vote-answer'>): boolean {
-    return (
+    const won =
       this.state.role === 'candidate' &&
       message.granted &&
-      this.countVote(message.from)
-    );
+      this.countVote(message.from);
+    if (won) {
+      this.timer.settle();
+    }
+    return won;
   }
 
   private campaign(
