Follow changes into force while two of five replicas fail

A run now takes a second fault after the next acceptance, of another replica than the first, and the number of replicas.

--- a/lab/control-history/src/index.ts
+++ b/lab/control-history/src/index.ts
@@ -18,6 +18,7 @@
 export {
   runSpread,
   type SpreadFault,
+  type ReplicaFault,
   type SpreadOptions,
   type SpreadReport,
 } from './spread-run.js';
--- a/lab/control-history/src/main.ts
+++ b/lab/control-history/src/main.ts
@@ -47,10 +47,27 @@
           choices: ['before', 'after'] as const,
           default: 'before' as const,
         })
+        .option('second-fault', {
+          choices: ['none', 'kill', 'freeze', 'cut'] as const,
+          default: 'none' as SpreadFault,
+          describe: 'A fault after the next change, of another replica',
+        })
+        .option('second-role', {
+          choices: ['leader', 'follower'] as const,
+          default: 'leader' as const,
+        })
+        .option('replicas', {type: 'number', default: 3})
         .option('changes', {type: 'number', default: 5}),
-    async ({fault, role, moment, changes}) => {
-      const report = await runSpread({fault, role, moment, changes});
-      finish({fault, role, moment, ...report}, report.violations.length === 0);
+    async flags => {
+      const {fault, role, moment, replicas, changes} = flags;
+      const {secondFault, secondRole} = flags;
+      const second =
+        secondFault === 'none'
+          ? undefined
+          : {fault: secondFault, role: secondRole};
+      const options = {fault, role, moment, second, replicas, changes};
+      const report = await runSpread(options);
+      finish({...options, ...report}, report.violations.length === 0);
     },
   )
   .strict()
--- a/lab/control-history/src/spread-run.ts
+++ b/lab/control-history/src/spread-run.ts
@@ -15,14 +15,21 @@
 /** What happens to a replica of control while changes are accepted. */
 export type SpreadFault = 'none' | 'cut' | 'freeze' | 'kill';
 
-/** Options of a run. */
-export interface SpreadOptions {
+/** A fault with the replica that it happens to. */
+export interface ReplicaFault {
   readonly fault: SpreadFault;
-  /** Which replica it happens to. */
   readonly role: 'leader' | 'follower';
+}
+
+/** Options of a run. */
+export interface SpreadOptions extends ReplicaFault {
   /** Whether it happens before the first change is submitted, or at once after it was accepted. */
   readonly moment: 'before' | 'after';
+  /** A second fault, of another replica, at once after the next change was accepted. */
+  readonly second?: ReplicaFault;
   readonly changes: number;
+  /** Replicas of control; three by default. */
+  readonly replicas?: number;
 }
 
 /** What a run showed. */
@@ -40,7 +47,7 @@
   readonly at: number;
 }
 
-const REPLICAS = 3;
+const DEFAULT_REPLICAS = 3;
 const ENTRIES = 3;
 const AGENTS = 3;
 const ACCEPT_TIMEOUT_MS = 30_000;
@@ -57,7 +64,8 @@
  * learn of a change from control alone, since no requests pass.
  */
 export async function runSpread(options: SpreadOptions): Promise<SpreadReport> {
-  const group = await startControlGroup({replicas: REPLICAS, ownLinks: true});
+  const {replicas = DEFAULT_REPLICAS} = options;
+  const group = await startControlGroup({replicas, ownLinks: true});
   const client = new ControlClient({
     urls: group.linkUrls,
     timeoutMs: CALL_TIMEOUT_MS,
@@ -92,13 +100,17 @@
     state: 'started',
     at: Date.now(),
   }));
-  const index = await replicaIn(group, options.role);
   const accepted: Acceptance[] = [];
+  const failed: number[] = [];
   if (options.moment === 'after') {
     accepted.push(await accept(client));
   }
   const faultAt = Date.now();
-  bring(group, index, options.fault);
+  await bring(group, options, failed);
+  if (options.second !== undefined) {
+    accepted.push(await accept(client));
+    await bring(group, options.second, failed);
+  }
   while (accepted.length < options.changes) {
     accepted.push(await accept(client));
     await pause(CHANGE_PAUSE_MS);
@@ -120,7 +132,14 @@
   };
 }
 
-function bring(group: ControlGroup, index: number, fault: SpreadFault): void {
+/** Brings a fault to a replica that has not failed yet. */
+async function bring(
+  group: ControlGroup,
+  {fault, role}: ReplicaFault,
+  failed: number[],
+): Promise<void> {
+  const index = await replicaIn(group, role, failed);
+  failed.push(index);
   switch (fault) {
     case 'cut':
       group.isolate(index, true);
@@ -155,7 +174,9 @@
 async function whole(group: ControlGroup): Promise<void> {
   for (;;) {
     const states = await statesOf(group);
-    if (states.every(state => state?.voters.length === REPLICAS)) {
+    if (
+      states.every(state => state?.voters.length === group.directUrls.length)
+    ) {
       return;
     }
     await pause(STATUS_PAUSE_MS);
@@ -165,9 +186,12 @@
 async function replicaIn(
   group: ControlGroup,
   role: 'leader' | 'follower',
+  failed: readonly number[],
 ): Promise<number> {
   const states = await statesOf(group);
-  return states.findIndex(state => state?.role === role);
+  return states.findIndex(
+    (state, index) => state?.role === role && !failed.includes(index),
+  );
 }
 
 /** What each replica says of itself; undefined where it does not answer. */
