Give up a call at a lost agent after a lease's silence

Cause: an attempt that may be running and may not be repeated was exempt from being left at a silent agent, so it waited for firstByteTimeoutMs (30 s), and a stream at such an agent for its whole budget.

Now six health checks in a row without an answer (about a member's lease) end it as unknown with Retry-After. Ruled out: TCP keep-alive (a frozen process keeps it), the lease alone (an agent cut off from control alone still answers the entry), two checks as for repeatable attempts (an agent that freezes for two seconds would cost its answers).

Seen failing: without onLost two health tests fail; with every probe taken as failed the slow-target and the paused-stream test fail; with two checks in place of six the short-silence test fails.

--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -98,7 +98,8 @@
     const endWatch = this.options.health.watch({
       destination: attempt.destination,
       bytesRead: () => this.message?.socket.bytesRead ?? 0,
-      onSilent: () => this.giveUp(),
+      onSilent: () => this.leaveSilent(),
+      onLost: () => this.giveUp(),
     });
     call.on('close', () => {
       endWatch();
@@ -133,18 +134,26 @@
       send();
       return;
     }
-    call.on('continue', send);
+    call.on('continue', () => {
+      const {attempt, options} = this;
+      options.health.succeeded(attempt.destination, performance.now());
+      send();
+    });
     call.flushHeaders();
   }
 
-  /** Leaves a silent agent, but not one that may be running what may not be repeated. */
-  private giveUp(): void {
+  /** Leaves a silent agent, but not yet one that may be running what may not be repeated. */
+  private leaveSilent(): void {
     if (this.attempt.hop.repeatable || !this.bodySent) {
-      this.silent = true;
-      this.bounded.abort();
+      this.giveUp();
     }
   }
 
+  private giveUp(): void {
+    this.silent = true;
+    this.bounded.abort();
+  }
+
   private async readAnswer(
     call: http.ClientRequest,
     message: IncomingMessage,
--- a/entry/dispatch/src/target-health.ts
+++ b/entry/dispatch/src/target-health.ts
@@ -18,6 +18,14 @@
   readonly bytesRead: () => number;
   /** Called once the agent is silent to its attempts and to probes. */
   readonly onSilent: () => void;
+  /** Called once the agent has answered no probe for as long as a member's lease. */
+  readonly onLost: () => void;
+}
+
+/** Probes of one agent that failed one after another. */
+interface FailedProbes {
+  count: number;
+  lastEndedAt: number;
 }
 
 interface Watch extends WatchedAttempt {
@@ -30,12 +38,17 @@
 /** Time without a byte after which an agent is probed, and again for each further one. */
 const SILENCE_MS = 500;
 const PROBE_TIMEOUT_MS = 500;
+/** Failed probes in a row after which an agent is lost: some 3 s, as long as a member's lease. */
+const LOST_AFTER_PROBES = 6;
+/** Time after which a failed probe no longer counts, longer than the pause between two. */
+const MAX_PROBE_GAP_MS = 10_000;
 
 /** Judges targets by what attempts at them saw, and probes those that are silent. */
 export class TargetHealth {
   private readonly table = new SuspicionTable();
   private readonly destinations = new Map<string, Destination>();
   private readonly watches = new Set<Watch>();
+  private readonly failedProbes = new Map<string, FailedProbes>();
   private readonly timer: NodeJS.Timeout;
 
   constructor(private readonly options: TargetHealthOptions) {
@@ -71,6 +84,7 @@
     }
     this.table.succeeded(key);
     this.destinations.delete(key);
+    this.failedProbes.delete(key);
   }
 
   /** Watches an attempt until the returned function is called. */
@@ -112,6 +126,7 @@
   }
 
   private async probe(destination: Destination): Promise<void> {
+    const sentAt = performance.now();
     const alive = await this.answersProbe(destination);
     const now = performance.now();
     if (alive) {
@@ -120,12 +135,41 @@
     }
     this.failed(destination, 'timeout', now);
     const key = keyOf(destination);
+    const failures = this.countFailure(key, sentAt, now);
     if (!this.table.suspects(key, now)) {
       return;
     }
     for (const watch of [...this.watches]) {
       if (keyOf(watch.destination) === key && this.isWaiting(watch, now)) {
         watch.onSilent();
+        if (failures >= LOST_AFTER_PROBES) {
+          watch.onLost();
+        }
+      }
+    }
+  }
+
+  /**
+   * Counts a failed probe, and gives how many failed one after another. Probes that
+   * overlap count once, so that a pause of this process is no more than one failure.
+   */
+  private countFailure(key: string, sentAt: number, now: number): number {
+    this.forgetFailures(now);
+    const before = this.failedProbes.get(key) ?? {
+      count: 0,
+      lastEndedAt: -Infinity,
+    };
+    if (sentAt >= before.lastEndedAt) {
+      this.failedProbes.set(key, {count: before.count + 1, lastEndedAt: now});
+    }
+    return this.failedProbes.get(key)!.count;
+  }
+
+  /** Failures go on in a row only where probes do. */
+  private forgetFailures(now: number): void {
+    for (const [key, {lastEndedAt}] of this.failedProbes) {
+      if (now - lastEndedAt > MAX_PROBE_GAP_MS) {
+        this.failedProbes.delete(key);
       }
     }
   }
