Give back the bytes of an unstated body when its forward throws

Cause: the bytes of a body without a stated length were added outside of a try/finally, so a forward that threw left them counted for good, and at the bound every later body was refused as agent_full. The new test fails with the bytes not given back (second attempt agent_full) and passes with it.

--- a/agent/agent-server/src/attempt-desk.ts
+++ b/agent/agent-server/src/attempt-desk.ts
@@ -192,17 +192,20 @@
     const unstated = request.headers['content-length'] === undefined;
     const bytes = unstated ? body.value.length : 0;
     this.heldBytes += bytes;
-    await this.forwarder.forward({
-      hop,
-      request,
-      body: body.value,
-      response,
-      deadlineMs,
-      signal,
-      pin: pin.value?.pin,
-      boot: pin.value?.boot,
-    });
-    this.heldBytes -= bytes;
+    try {
+      await this.forwarder.forward({
+        hop,
+        request,
+        body: body.value,
+        response,
+        deadlineMs,
+        signal,
+        pin: pin.value?.pin,
+        boot: pin.value?.boot,
+      });
+    } finally {
+      this.heldBytes -= bytes;
+    }
     return Result.ok(undefined);
   }
 
--- /dev/null
+++ b/agent/agent-server/test/held-bodies.test.ts
@@ -0,0 +1,79 @@
+import http from 'node:http';
+import {expect} from 'chai';
+import {EventLog} from '@marigoldspur/event-log';
+import {closeServer, listen} from '@marigoldspur/http-link';
+import {formatHop} from '@marigoldspur/messages';
+import {processMetrics} from '@marigoldspur/metrics';
+import {emptyTree} from '@marigoldspur/settings-schema';
+import {agentMetrics} from '../src/agent-metrics.js';
+import {AttemptDesk} from '../src/attempt-desk.js';
+
+const BODY = 'x'.repeat(400);
+
+/** A desk whose forwards throw, since no client speaks the protocol of its target. */
+function brokenDesk(): AttemptDesk {
+  const labels = {process: 'agent-0', role: 'agent', zone: 'lima-a'};
+  return new AttemptDesk({
+    target: 'chart-api-0',
+    targetUrl: 'ftp://127.0.0.1',
+    customer: 'callao',
+    service: 'chart-api',
+    settings: {settings: {revision: 1, tree: emptyTree()}},
+    events: new EventLog({process: 'agent-0'}),
+    metrics: agentMetrics(processMetrics(labels).registry),
+    maxBodyBytes: 1_000,
+    maxHeldBytes: 300,
+  });
+}
+
+it('held bodies: a forward that throws gives back the bytes of a body without a length', async () => {
+  const desk = brokenDesk();
+  const thrown: string[] = [];
+  const server = http.createServer();
+  server.on('checkContinue', (request, response) => {
+    desk.handle(request, response, true).catch(error => {
+      thrown.push(String(error));
+      response.destroy();
+    });
+  });
+  const {port} = await listen(server, {host: '127.0.0.1', port: 0});
+  const first = await send(port, 'request-1');
+  const second = await send(port, 'request-2');
+  await closeServer(server);
+  expect(thrown.join()).to.contain('ftp:');
+  expect([first, second]).to.deep.equal(['broken', 'broken']);
+  expect(thrown).to.have.length(2);
+});
+
+/** Sends a body in chunks once it is told to continue; gives the reason of a refusal. */
+function send(port: number, request: string): Promise<string> {
+  return new Promise(resolve => {
+    const call = http.request({
+      port,
+      method: 'POST',
+      path: '/indication',
+      agent: false,
+      headers: {
+        ...formatHop({
+          request,
+          attempt: 1,
+          model: undefined,
+          target: 'chart-api-0',
+          revision: 1,
+          budgetMs: 20_000,
+          priority: 5,
+          repeatable: false,
+        }),
+        'transfer-encoding': 'chunked',
+        expect: '100-continue',
+      },
+    });
+    call.on('continue', () => call.end(BODY));
+    call.on('error', () => resolve('broken'));
+    call.on('response', answer => {
+      answer.resume();
+      resolve(String(answer.headers['x-marigoldspur-reason']));
+    });
+    call.flushHeaders();
+  });
+}
