Keep a caller's path at the host that it is meant for

Cause: paths were resolved as relative references, so /SERVICE//HOST/x made the entry open a connection to HOST and send it the attempt with the caller's headers; a path of two slashes alone threw. The agent resolved paths in the same way.

Found while looking for a way to make a forward throw. The new bad-input test failed before (503 after the connection to the other host) and passes now.

--- a/agent/agent-server/src/target-forwarder.ts
+++ b/agent/agent-server/src/target-forwarder.ts
@@ -1,7 +1,7 @@
 import http, {type ClientRequest, type IncomingMessage} from 'node:http';
 import {BoundedSignal} from '@marigoldspur/bounded-signal';
 import type {EventLog} from '@marigoldspur/event-log';
-import {openRequest} from '@marigoldspur/http-link';
+import {openRequest, urlAt} from '@marigoldspur/http-link';
 import type {AgentMetrics} from './agent-metrics.js';
 import {refuseAttempt} from './attempt-answer.js';
 import type {EngineParts} from './engine-parts.js';
@@ -97,7 +97,7 @@
     const {body, hop, request, response, signal} = attempt;
     return new Promise(resolve => {
       const call = openRequest({
-        url: new URL(request.url ?? '/', this.options.targetUrl),
+        url: urlAt(this.options.targetUrl, request.url ?? '/'),
         method: request.method ?? 'POST',
         headers: targetHeaders(request, body, hop),
         agent,
--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -3,7 +3,7 @@
 import {Result} from 'true-myth';
 import {BoundedSignal} from '@marigoldspur/bounded-signal';
 import {Refusal, type RefusalOutcome} from '@marigoldspur/faults';
-import {openRequest} from '@marigoldspur/http-link';
+import {openRequest, urlAt} from '@marigoldspur/http-link';
 import {HOP_HEADERS, type Hop} from '@marigoldspur/messages';
 import {readAgentRefusal} from './agent-refusal.js';
 import {
@@ -89,7 +89,7 @@
   run(): Promise<Result<AttemptAnswer, Refusal>> {
     const {attempt, bounded} = this;
     const call = openRequest({
-      url: new URL(attempt.url, attempt.destination.url),
+      url: urlAt(attempt.destination.url, attempt.url),
       method: attempt.method,
       headers: attemptHeaders(attempt),
       agent: this.options.agent,
--- a/lab/fault-runs/test/bad-input.test.ts
+++ b/lab/fault-runs/test/bad-input.test.ts
@@ -196,3 +196,22 @@
   }
   expect(record).to.contain('"cancelled"');
 });
+
+it('bad input: a path that begins like another host goes to its service and nowhere else', async () => {
+  let reached = 0;
+  const other = net.createServer(socket => {
+    reached += 1;
+    socket.destroy();
+  });
+  await new Promise<void>(resolve => other.listen(0, '127.0.0.1', resolve));
+  const {port: otherPort} = other.address() as net.AddressInfo;
+  const host = `127.0.0.1:${otherPort}`;
+  for (const path of [`//${host}/x`, '//', '/\\', `/\\${host}/x`]) {
+    const headers = ['content-length: 0', 'connection: close'];
+    const text = await exchange(post(`/chart-api${path}`, headers, ''));
+    expect(text, path).to.match(/^HTTP\/1.1 200/);
+  }
+  other.close();
+  expect(reached).to.equal(0);
+  await expectOthersServed();
+});
--- a/machines/http-link/src/index.ts
+++ b/machines/http-link/src/index.ts
@@ -9,3 +9,4 @@
 export {closeServer, listen, type Address} from './listen.js';
 export {openRequest, type OutgoingCall} from './open-request.js';
 export {endToEndHeaders, type EndToEndOptions} from './end-to-end-headers.js';
+export {urlAt} from './url-at.js';
