--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -3,7 +3,7 @@
 import {Result} from 'true-myth';
 import {BoundedSignal} from '@marigoldspur/bounded-signal';
 import {Refusal, type RefusalOutcome} from '@marigoldspur/faults';
-import {openRequest} from '@marigoldspur/http-link';
+import {openRequest, urlAt} from '@marigoldspur/http-link';
 import {HOP_HEADERS, type Hop} from '@marigoldspur/messages';
 import {readAgentRefusal} from './agent-refusal.js';
 import {
@@ -89,7 +89,7 @@
   run(): Promise<Result<AttemptAnswer, Refusal>> {
     const {attempt, bounded} = this;
     const call = openRequest({
-      url: new URL(attempt.url, attempt.destination.url),
+      url: urlAt(attempt.destination.url, attempt.url),
       method: attempt.method,
       headers: attemptHeaders(attempt),
       agent: this.options.agent,
@@ -98,7 +98,8 @@
     const endWatch = this.options.health.watch({
       destination: attempt.destination,
       bytesRead: () => this.message?.socket.bytesRead ?? 0,
-      onSilent: () => this.giveUp(),
+      onSilent: () => this.leaveSilent(),
+      onLost: () => this.giveUp(),
     });
     call.on('close', () => {
       endWatch();
@@ -133,18 +134,26 @@
       send();
       return;
     }
-    call.on('continue', send);
+    call.on('continue', () => {
+      const {attempt, options} = this;
+      options.health.succeeded(attempt.destination, performance.now());
+      send();
+    });
     call.flushHeaders();
   }
 
-  /** Leaves a silent agent, but not one that may be running what may not be repeated. */
-  private giveUp(): void {
+  /** Leaves a silent agent, but not yet one that may be running what may not be repeated. */
+  private leaveSilent(): void {
     if (this.attempt.hop.repeatable || !this.bodySent) {
-      this.silent = true;
-      this.bounded.abort();
+      this.giveUp();
     }
   }
 
+  private giveUp(): void {
+    this.silent = true;
+    this.bounded.abort();
+  }
+
   private async readAnswer(
     call: http.ClientRequest,
     message: IncomingMessage,
