Take proposals at a desk of their own in the replicated log

Those reasons and the proposal are now proposal-desk.ts. No behaviour changes: 15 tests of the log and of a group's disks pass.

--- a/control/replicated-log/src/log-replica.ts
+++ b/control/replicated-log/src/log-replica.ts
@@ -1,12 +1,7 @@
 import type http from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import {Result} from 'true-myth';
-import {
-  majority,
-  type Batch,
-  type Consensus,
-  type Message,
-} from '@marigoldspur/consensus';
+import type {Result} from 'true-myth';
+import type {Batch, Consensus, Message} from '@marigoldspur/consensus';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Fault, toFault} from '@marigoldspur/faults';
 import type {
@@ -23,6 +18,7 @@
 import {MachineDriver} from './machine-driver.js';
 import {PendingProposals} from './pending-proposals.js';
 import {PendingReads} from './pending-reads.js';
+import {ProposalDesk} from './proposal-desk.js';
 import {RepairDesk} from './repair-desk.js';
 import type {LogStatus, ReplicatedLog, StateMachine} from './replicated-log.js';
 import {SnapshotKeeper} from './snapshot-keeper.js';
@@ -59,7 +55,6 @@
 const REPAIR_MS = 250;
 const READ_RETRY_MS = 250;
 const ANSWER_WAIT_MS = 500;
-const MAX_COMMAND_BYTES = 16_777_216;
 
 /** Runs one replica: its clock, disk and links around its decisions. */
 export class LogReplica<Command, Answer>
@@ -67,6 +62,7 @@
 {
   private readonly consensus: Consensus;
   private readonly proposals: PendingProposals<Answer>;
+  private readonly desk: ProposalDesk<Command, Answer>;
   private readonly reads: PendingReads;
   private readonly writer: BatchWriter;
   private readonly repairs: RepairDesk;
@@ -87,6 +83,15 @@
     const {consensus, storage} = parts;
     this.consensus = consensus;
     this.proposals = new PendingProposals(settings.proposeTimeoutMs);
+    this.desk = new ProposalDesk({
+      consensus,
+      proposals: this.proposals,
+      url: settings.url,
+      peers: settings.peers,
+      leaderUrl: () => this.leaderUrl(),
+      isDiskFull: () => this.writer.diskFull,
+      isStopping: () => this.stopping,
+    });
     this.reads = new PendingReads({
       timeoutMs: settings.proposeTimeoutMs,
       retryMs: READ_RETRY_MS,
@@ -140,21 +145,8 @@
     this.keepTime(performance.now());
   }
 
-  async propose(command: Command): Promise<Result<Answer, Fault>> {
-    const refusal = this.refusal();
-    if (refusal !== undefined) {
-      return Result.err(refusal);
-    }
-    const bytes = Buffer.byteLength(JSON.stringify(command));
-    if (bytes > MAX_COMMAND_BYTES) {
-      const reason = `a command is over ${MAX_COMMAND_BYTES} bytes`;
-      return Result.err(new Fault('TOO_LARGE', reason));
-    }
-    const position = this.consensus.propose(command, bytes, performance.now());
-    if (position === undefined) {
-      return Result.err(this.notLeader());
-    }
-    const answer = this.proposals.add(position);
+  propose(command: Command): Promise<Result<Answer, Fault>> {
+    const answer = this.desk.propose(command, performance.now());
     this.schedule();
     return answer;
   }
@@ -298,28 +290,6 @@
 
   // Leadership.
 
-  private refusal(): Fault | undefined {
-    if (this.consensus.role !== 'leader' || this.stopping) {
-      return this.notLeader();
-    }
-    if (this.writer.diskFull) {
-      return new Fault('DISK_FULL', 'the disk of the leader is full');
-    }
-    const copies = this.consensus.configuration.voters.length;
-    if (copies < majority(this.settings.peers.length)) {
-      return new Fault('NO_QUORUM', `only ${copies} replicas count as voters`);
-    }
-    return undefined;
-  }
-
-  private notLeader(): Fault {
-    const url = this.leaderUrl();
-    return new Fault(
-      'NOT_LEADER',
-      url === this.settings.url ? '' : (url ?? ''),
-    );
-  }
-
   private leaderUrl(): string | undefined {
     const {leaderId} = this.consensus;
     return leaderId === undefined ? undefined : this.links.urlOf(leaderId);
