Split the claim state: rows, kept answers and ends have modules of their own

What a row answers is in claim-row.ts, the bounds of kept answers in kept-answers.ts, the minutes in which claims end in end-buckets.ts.

--- a/control/request-claims/src/claim-state.ts
+++ b/control/request-claims/src/claim-state.ts
@@ -1,10 +1,8 @@
+import type {Claim, ClaimOutcome, Completion} from '@marigoldspur/messages';
+import {outcomeOf, type ClaimRow} from './claim-row.js';
+import {EndBuckets} from './end-buckets.js';
 import {GivenBack, type GivenBackRow} from './given-back.js';
-import type {
-  Claim,
-  ClaimOutcome,
-  Completion,
-  StoredAnswer,
-} from '@marigoldspur/messages';
+import {KeptAnswers} from './kept-answers.js';
 
 /** Bounds of what a claim state keeps. */
 export interface ClaimStateOptions {
@@ -24,18 +22,6 @@
   readonly boot: string;
 }
 
-interface ClaimRow {
-  readonly digest: string;
-  readonly request: string;
-  readonly entry: string;
-  readonly boot: string;
-  readonly retentionMs: number;
-  /** When a running claim counts as unknown, or an ended one is dropped. */
-  endsAt: number;
-  state: 'running' | 'completed' | 'unknown';
-  answer?: StoredAnswer;
-}
-
 /** Everything a claim state holds, for snapshots: its clock, and rows by customer and key. */
 export interface ClaimsSnapshot {
   readonly clock: number;
@@ -50,7 +36,6 @@
   maxAnswerSize: 16_384,
   runningLimitMs: 7_200_000,
 };
-const BUCKET_MS = 60_000;
 const MAX_RETRY_AFTER_MS = 60_000;
 
 /**
@@ -70,17 +55,15 @@
 export class ClaimState {
   private rows = new Map<string, ClaimRow>();
   private clock = 0;
-  private answerBytes = 0;
-  /** Rows with an answer, in the order of their ends. */
-  private readonly answered = new Set<string>();
   private readonly running = new Map<string, Set<string>>();
-  private readonly buckets = new Map<number, string[]>();
-  private sweptBucket = -Infinity;
+  private readonly ends = new EndBuckets();
+  private readonly answers: KeptAnswers;
   private readonly givenBack = new GivenBack();
   private readonly options: Required<ClaimStateOptions>;
 
   constructor(options: ClaimStateOptions = {}) {
     this.options = {...DEFAULTS, ...options};
+    this.answers = new KeptAnswers(this.options);
   }
 
   /** Claims kept now. */
@@ -90,7 +73,7 @@
 
   /** Bytes of the answers kept now. */
   get keptAnswerBytes(): number {
-    return this.answerBytes;
+    return this.answers.bytes;
   }
 
   /** The entries that hold running claims. */
@@ -145,7 +128,7 @@
       return;
     }
     this.end(id, row, completion.result);
-    this.keepAnswer(id, row, completion.answer);
+    this.answers.keep(row, completion.answer);
   }
 
   /** Marks the running claims of an entry that is lost as unknown, for good. */
@@ -171,18 +154,16 @@
   /** Takes over a snapshot. */
   restore(snapshot: ClaimsSnapshot): void {
     this.rows = new Map();
-    this.answered.clear();
+    this.answers.clear();
     this.running.clear();
-    this.buckets.clear();
-    this.answerBytes = 0;
-    this.sweptBucket = -Infinity;
+    this.ends.clear();
     this.clock = snapshot.clock;
     this.givenBack.restore(snapshot.givenBack ?? []);
     for (const [id, row] of snapshot.rows) {
       const {answer, ...rest} = row;
       const copy: ClaimRow = {...rest};
       this.insert(id, copy);
-      this.keepAnswer(id, copy, answer);
+      this.answers.keep(copy, answer);
     }
   }
 
@@ -202,7 +183,7 @@
 
   private insert(id: string, row: ClaimRow): void {
     this.rows.set(id, row);
-    this.schedule(id, row.endsAt);
+    this.ends.add(id, row.endsAt);
     if (row.state === 'running') {
       const key = holderKey(row.entry, row.boot);
       const held = this.running.get(key) ?? new Set();
@@ -217,12 +198,12 @@
     // The order of rows is the order of their ends, which a snapshot keeps.
     this.rows.delete(id);
     this.rows.set(id, row);
-    this.schedule(id, row.endsAt);
+    this.ends.add(id, row.endsAt);
   }
 
   private drop(id: string, row: ClaimRow): void {
     this.release(id, row);
-    this.dropAnswer(id, row);
+    this.answers.drop(row);
     this.rows.delete(id);
   }
 
@@ -235,58 +216,11 @@
     }
   }
 
-  private keepAnswer(
-    id: string,
-    row: ClaimRow,
-    answer: StoredAnswer | undefined,
-  ): void {
-    if (answer === undefined || sizeOf(answer) > this.options.maxAnswerSize) {
-      return;
-    }
-    row.answer = answer;
-    this.answerBytes += sizeOf(answer);
-    this.answered.add(id);
-    for (const oldest of this.answered) {
-      if (this.answerBytes <= this.options.maxAnswerBytes) {
-        return;
-      }
-      this.dropAnswer(oldest, this.rows.get(oldest)!);
-    }
-  }
-
-  private dropAnswer(id: string, row: ClaimRow): void {
-    if (row.answer !== undefined) {
-      this.answerBytes -= sizeOf(row.answer);
-      row.answer = undefined;
-      this.answered.delete(id);
-    }
-  }
-
-  private schedule(id: string, endsAt: number): void {
-    const bucket = Math.floor(endsAt / BUCKET_MS);
-    const ids = this.buckets.get(bucket);
-    if (ids === undefined) {
-      this.buckets.set(bucket, [id]);
-    } else {
-      ids.push(id);
-    }
-  }
-
   /** Moves the clock on and settles the rows whose time is over, by whole minutes. */
   private advance(at: number): void {
     this.clock = Math.max(this.clock, at);
-    const current = Math.floor(this.clock / BUCKET_MS);
-    if (current <= this.sweptBucket) {
-      return;
-    }
-    this.sweptBucket = current;
     this.givenBack.expire(this.clock);
-    const due = [...this.buckets.keys()].filter(bucket => bucket < current);
-    for (const bucket of due.sort((a, b) => a - b)) {
-      const ids = this.buckets.get(bucket)!;
-      this.buckets.delete(bucket);
-      ids.forEach(id => this.live(id));
-    }
+    this.ends.takeDue(this.clock).forEach(id => this.live(id));
   }
 }
 
@@ -297,23 +231,3 @@
 function holderKey(entry: string, boot: string): string {
   return JSON.stringify([entry, boot]);
 }
-
-function sizeOf(answer: StoredAnswer): number {
-  return answer.body.length + answer.contentType.length;
-}
-
-function outcomeOf(row: ClaimRow, claim: Claim): ClaimOutcome {
-  if (row.digest !== claim.digest) {
-    return {outcome: 'mismatch', request: row.request};
-  }
-  if (row.state === 'completed') {
-    return {outcome: 'completed', request: row.request, answer: row.answer};
-  }
-  const isResend =
-    row.request === claim.request &&
-    row.entry === claim.entry &&
-    row.boot === claim.boot;
-  return row.state === 'running' && isResend
-    ? {outcome: 'granted'}
-    : {outcome: row.state, request: row.request};
-}
