Tell operators what each replica says when control has no majority

With two of three replicas killed, `status` ended after 10 s with "connect ECONNREFUSED" of one replica and `settings get` with "The operation was aborted": nothing of the replica that was left, nor why it does not answer.

Exit code 4 as before.

The three stories kill two of three voters; each of them checks what failed in the trial above.

--- a/cli/marigoldspur/src/commands/settings-commands.ts
+++ b/cli/marigoldspur/src/commands/settings-commands.ts
@@ -5,6 +5,7 @@
   formatTable,
   overriddenSettings,
   readSettings,
+  readStaleSettings,
   readTreeFile,
 } from '@marigoldspur/operator-commands';
 import type {Tree} from '@marigoldspur/settings-schema';
@@ -27,11 +28,19 @@
       'get [path]',
       'Show the settings in force at a path, each with its level',
       args =>
-        args.positional('path', {type: 'string', default: '/'}).option('tree', {
-          type: 'boolean',
-          default: false,
-          describe: 'Print the whole tree as JSON',
-        }),
+        args
+          .positional('path', {type: 'string', default: '/'})
+          .option('tree', {
+            type: 'boolean',
+            default: false,
+            describe: 'Print the whole tree as JSON',
+          })
+          .option('stale', {
+            type: 'boolean',
+            default: false,
+            describe:
+              'Ask any one replica of control, which may be behind; works without a majority',
+          }),
       handle(getSettings),
     )
     .command(
@@ -92,9 +101,14 @@
 
 async function getSettings(
   context: CommandContext,
-  args: {readonly path: string; readonly tree: boolean},
+  args: {
+    readonly path: string;
+    readonly tree: boolean;
+    readonly stale: boolean;
+  },
 ): Promise<number> {
-  const {revision, tree} = valueOf(await readSettings(context.session));
+  const read = args.stale ? readStaleSettings : readSettings;
+  const {revision, tree} = valueOf(await read(context.session));
   if (args.tree) {
     context.write(toJson(tree));
     return EXIT.done;
--- a/cli/marigoldspur/src/commands/system-commands.ts
+++ b/cli/marigoldspur/src/commands/system-commands.ts
@@ -27,8 +27,12 @@
       'Show every process and the settings revision it has in force',
       args => args,
       handle(async context => {
-        const rows = valueOf(await systemStatus(context.session));
+        const {rows, fault} = await systemStatus(context.session);
         context.write(context.flags.json ? toJson(rows) : formatTable(rows));
+        if (fault !== undefined) {
+          context.writeError(`members are not known: ${fault.message}\n`);
+          return EXIT.unavailable;
+        }
         return EXIT.done;
       }),
     )
--- /dev/null
+++ b/cli/marigoldspur/test/lost-majority.test.ts
@@ -0,0 +1,100 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {setTimeout as pause} from 'node:timers/promises';
+import {expect} from 'chai';
+import {freePorts, startChild, type Child} from '@marigoldspur/lab';
+import {openSession} from '@marigoldspur/operator-commands';
+import {EXIT, runCommandLine} from 'marigoldspur';
+
+const REPLICAS = 3;
+const POLL_MS = 50;
+
+let folder: string;
+let urls: string[];
+let replicas: Child[];
+
+async function run(...args: string[]) {
+  let output = '';
+  let errors = '';
+  const exit = await runCommandLine(args, {
+    variables: {MARIGOLDSPUR_CONTROL: urls.join(',')},
+    write: text => (output += text),
+    writeError: text => (errors += text),
+  });
+  return {exit, output, errors};
+}
+
+before(async () => {
+  folder = await mkdtemp(path.join(tmpdir(), 'marigoldspur-cli-'));
+  const ports = await freePorts(REPLICAS);
+  urls = ports.map(port => `http://127.0.0.1:${port}`);
+  replicas = ports.map((port, index) =>
+    startChild(`control-${index}`, '@marigoldspur/control-server', [
+      ...['--id', `control-${index}`, '--zone', `zone-${index}`],
+      ...['--port', String(port), '--peers', urls.join(',')],
+      ...['--data-folder', path.join(folder, `control-${index}`)],
+      ...['--bootstrap', 'true'],
+    ]),
+  );
+  await Promise.all(
+    replicas.map(each => each.line(line => line.includes('process-started'))),
+  );
+  const created = await run('customer', 'create', 'callao', '--wait');
+  expect(created.exit).to.equal(EXIT.done);
+  await allVote();
+  replicas.slice(1).forEach(each => each.signal('SIGKILL'));
+  await Promise.all(replicas.slice(1).map(each => each.ended));
+  while ((await run('status')).exit === EXIT.done) {
+    await pause(POLL_MS);
+  }
+});
+
+/** Waits until each replica counts as a voter: before that, one alone may be the majority. */
+async function allVote(): Promise<void> {
+  const session = openSession(urls, {timeoutMs: 1_000});
+  const {control} = session;
+  const voters = async () =>
+    (await control.replica(urls[0]).status.query()).voters.length;
+  while ((await voters()) < REPLICAS) {
+    await pause(POLL_MS);
+  }
+  session.close();
+}
+
+after(async () => {
+  replicas.forEach(each => each.signal('SIGKILL'));
+  await Promise.all(replicas.map(each => each.ended));
+  await rm(folder, {recursive: true});
+});
+
+it('lost majority: status shows the replicas of control and says why no more', async () => {
+  const {exit, output, errors} = await run('status');
+  expect(exit).to.equal(EXIT.unavailable);
+  expect(output).to.match(/^control-0 +control +zone-0/m);
+  expect(output.match(/unreachable/g)).to.have.length(REPLICAS - 1);
+  expect(errors).to.contain('no replica of control answered as leader');
+  urls.slice(1).forEach(url => expect(errors).to.contain(`${url} connect`));
+});
+
+it('lost majority: settings can be read from the replica that is left, if asked so', async () => {
+  const fresh = await run('settings', 'get', '--timeout-ms', '500');
+  expect(fresh.exit).to.equal(EXIT.unavailable);
+  const stale = await run('settings', 'get', '--tree', '--stale');
+  expect(stale.exit).to.equal(EXIT.done);
+  expect(JSON.parse(stale.output).customers).to.have.property('callao');
+});
+
+it('lost majority: a change is refused with the reason, and changes nothing', async () => {
+  const change = await run(
+    'customer',
+    'create',
+    'fretwell',
+    '--timeout-ms',
+    '500',
+  );
+  expect(change.exit).to.equal(EXIT.unavailable);
+  expect(change.errors).to.contain('no replica of control answered as leader');
+  const {output} = await run('settings', 'get', '--tree', '--stale');
+  expect(output).not.to.contain('fretwell');
+});
--- a/cli/operator-commands/src/index.ts
+++ b/cli/operator-commands/src/index.ts
@@ -5,9 +5,13 @@
 } from './operator-session.js';
 export {formatEvent, mergedTimeline, TimelineReader} from './timeline.js';
 export {readTreeFile} from './read-tree-file.js';
-export {readSettings} from './read-settings.js';
+export {readSettings, readStaleSettings} from './read-settings.js';
 export {submitChange, type SubmitOptions} from './submit-change.js';
-export {systemStatus, type ProcessRow} from './system-status.js';
+export {
+  systemStatus,
+  type ProcessRow,
+  type SystemStatus,
+} from './system-status.js';
 export {targetRows, type TargetRow} from './target-rows.js';
 export {formatTable, type TableRow} from './format-table.js';
 export {diffTrees, type TreeDifference} from './diff-trees.js';
--- a/cli/operator-commands/src/operator-session.ts
+++ b/cli/operator-commands/src/operator-session.ts
@@ -26,8 +26,8 @@
   readonly control: ControlClient;
   /** Base URLs of the replicas of control. */
   readonly controlUrls: readonly string[];
-  /** The processes that control knows. */
-  members(): Promise<Result<readonly Member[], Fault>>;
+  /** The processes that control knows, asked until `deadlineMs`, a `performance.now()` time. */
+  members(deadlineMs?: number): Promise<Result<readonly Member[], Fault>>;
   /** The client of a process. */
   process(url: string): ProcessClient;
   /** A time limit for one call, as a `performance.now()` time. */
@@ -52,14 +52,14 @@
     controlUrls: urls,
     deadline,
     process: url => processClient(url, agent, token),
-    members: async () => {
+    members: async (deadlineMs = deadline()) => {
       const delta = await control.call(
         (replica, signal) =>
           replica.watchMembers.query(
             {table: '', version: 0, waitMs: 0},
             {signal},
           ),
-        deadline(),
+        deadlineMs,
       );
       return delta.map(value => value.changed);
     },
--- a/cli/operator-commands/src/read-settings.ts
+++ b/cli/operator-commands/src/read-settings.ts
@@ -3,6 +3,19 @@
 import type {Fault} from '@marigoldspur/faults';
 import type {OperatorSession} from './operator-session.js';
 
+/**
+ * Reads the settings tree of any one replica of control that answers, which may be
+ * behind: for times at which control has no majority.
+ */
+export function readStaleSettings(
+  session: OperatorSession,
+): Promise<Result<SettingsView, Fault>> {
+  return session.control.call(
+    (replica, signal) => replica.readSettings.query({fresh: false}, {signal}),
+    session.deadline(),
+  );
+}
+
 /** Reads the settings tree, confirmed by a quorum of control. */
 export function readSettings(
   session: OperatorSession,
--- a/cli/operator-commands/src/system-status.ts
+++ b/cli/operator-commands/src/system-status.ts
@@ -1,4 +1,3 @@
-import {Result} from 'true-myth';
 import type {Fault} from '@marigoldspur/faults';
 import type {OperatorSession} from './operator-session.js';
 import {processUrls} from './process-urls.js';
@@ -16,23 +15,34 @@
   readonly facts: string;
 }
 
-/** Asks every known process for its status. */
+/** The status of the processes that are known. */
+export interface SystemStatus {
+  readonly rows: readonly ProcessRow[];
+  /** Why only the replicas of control are known: none of them leads. */
+  readonly fault?: Fault;
+}
+
+/** Longest time in which control is asked for its members, in milliseconds; over an election. */
+const MEMBERS_WAIT_MS = 4_000;
+
+/** Asks every known process for its status; without a leader the replicas of control alone. */
 export async function systemStatus(
   session: OperatorSession,
-): Promise<Result<ProcessRow[], Fault>> {
-  const members = await session.members();
-  if (members.isErr) {
-    return Result.err(members.error);
-  }
-  const urls = processUrls(session, members.value);
+): Promise<SystemStatus> {
+  const waitUntil = performance.now() + MEMBERS_WAIT_MS;
+  const members = await session.members(
+    Math.min(session.deadline(), waitUntil),
+  );
+  const urls = processUrls(session, members.unwrapOr([]));
   const rows = await Promise.all(urls.map(url => processRow(session, url)));
   const newest = Math.max(...rows.map(row => row.revision));
-  return Result.ok(
-    rows.map(row => ({
-      ...row,
-      behind: row.state === 'unreachable' ? 0 : newest - row.revision,
-    })),
-  );
+  const compared = rows.map(row => ({
+    ...row,
+    behind: row.state === 'unreachable' ? 0 : newest - row.revision,
+  }));
+  return members.isErr
+    ? {rows: compared, fault: members.error}
+    : {rows: compared};
 }
 
 async function processRow(
--- a/cli/operator-commands/src/wait-in-force.ts
+++ b/cli/operator-commands/src/wait-in-force.ts
@@ -25,15 +25,15 @@
   const deadline = session.deadline();
   let last = '';
   for (;;) {
-    const rows = await systemStatus(session);
-    if (rows.isErr) {
-      return Result.err(rows.error);
+    const {rows, fault} = await systemStatus(session);
+    if (fault !== undefined) {
+      return Result.err(fault);
     }
-    const reached = rows.value.filter(row => row.state !== 'unreachable');
+    const reached = rows.filter(row => row.state !== 'unreachable');
     const progress = {
       inForce: reached.filter(row => row.revision >= revision).length,
       reached: reached.length,
-      unreachable: rows.value.length - reached.length,
+      unreachable: rows.length - reached.length,
     };
     if (JSON.stringify(progress) !== last) {
       last = JSON.stringify(progress);
--- a/zones/control-client/src/control-client.ts
+++ b/zones/control-client/src/control-client.ts
@@ -7,6 +7,7 @@
 import {exchangeJson, linkFetch} from '@marigoldspur/http-link';
 import type {ProcessRouter} from '@marigoldspur/process-api';
 import {checkMessage} from './check-message.js';
+import {ReplicaFaults} from './replica-faults.js';
 import {runSubscription, type Subscription} from './event-stream.js';
 
 /** A tRPC client of one replica of control. */
@@ -98,7 +99,7 @@
     send: (url: string, signal: AbortSignal) => Promise<T>,
     deadlineMs: number,
   ): Promise<Result<T, Fault>> {
-    let fault = new Fault('UNAVAILABLE', 'control is out of reach');
+    const faults = new ReplicaFaults();
     let attempt = 0;
     while (performance.now() < deadlineMs) {
       const url = this.preferred;
@@ -110,7 +111,8 @@
         const signal = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)));
         return Result.ok(await send(url, signal));
       } catch (thrown) {
-        fault = faultOf(thrown);
+        const fault = faultOf(thrown);
+        faults.note(url, fault);
         if (!isWorthRetry(fault)) {
           return Result.err(fault);
         }
@@ -121,7 +123,7 @@
         await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
       }
     }
-    return Result.err(fault);
+    return Result.err(faults.summary());
   }
 
   /**
