Weigh batch fill by the slots in use, and call a store overloaded later

Cause: a fixed weight bought batch fill with stalls also while engines stood idle, and the overload watch refused after 10 s of a queue that the store was about to work off.

Fill now counts in proportion to the share of slots in use. The watch takes 30 s to begin and allows 40% of the deadline; it still ends after 10 s.

The one on the weight gives its targets a slot in use, since fill counts nothing without. The new one on fill fails with the weight fixed.

--- a/control/load-permits/src/permit-desk.ts
+++ b/control/load-permits/src/permit-desk.ts
@@ -15,8 +15,9 @@
 
 const QUEUE_LIMIT = 4_096;
 const PATIENCE = 1;
-const OVERLOAD_PATIENCE = 0.3;
-const OVERLOAD_AFTER_MS = 10_000;
+const OVERLOAD_PATIENCE = 0.4;
+const OVERLOAD_AFTER_MS = 30_000;
+const OVERLOAD_ENDS_AFTER_MS = 10_000;
 const RESERVE = 0.5;
 
 /** Grants permits to load from each weight store, in the load order of the settings. */
@@ -66,6 +67,7 @@
       patience: () => PATIENCE,
       overloadPatience: OVERLOAD_PATIENCE,
       overloadAfterMs: OVERLOAD_AFTER_MS,
+      overloadEndsAfterMs: OVERLOAD_ENDS_AFTER_MS,
       reserve: RESERVE,
     });
   }
--- a/control/load-permits/src/permit-queue.ts
+++ b/control/load-permits/src/permit-queue.ts
@@ -28,6 +28,8 @@
   readonly overloadPatience: number;
   /** How long the queue has to be too long until the store counts as overloaded, in milliseconds. */
   readonly overloadAfterMs: number;
+  /** How long it has to be short until it no longer does, in milliseconds. */
+  readonly overloadEndsAfterMs: number;
   /** Share of the store's time that prefetches leave free, from 0 up to, not including, 1. */
   readonly reserve: number;
 }
@@ -58,7 +60,10 @@
   private prefetchFrom = -Infinity;
 
   constructor(private readonly options: PermitQueueOptions) {
-    this.overload = new OverloadWatch(options.overloadAfterMs);
+    this.overload = new OverloadWatch({
+      beginAfterMs: options.overloadAfterMs,
+      endAfterMs: options.overloadEndsAfterMs,
+    });
   }
 
   /** Loads that wait. */
--- a/control/load-permits/test/permit-queue.test.ts
+++ b/control/load-permits/test/permit-queue.test.ts
@@ -19,6 +19,7 @@
     patience: () => 1,
     overloadPatience: 0.3,
     overloadAfterMs: 10_000,
+    overloadEndsAfterMs: 10_000,
     reserve: 0.5,
     ...part,
   });
--- a/lab/experiment/src/run-bound.ts
+++ b/lab/experiment/src/run-bound.ts
@@ -61,6 +61,7 @@
     loadOrder: 'least-harm',
     patience,
     overloadAfterMs: 0,
+    overloadEndsAfterMs: 0,
     stallWeight: 1,
     prefetch: false,
   }));
--- a/lab/experiment/src/store-fake.ts
+++ b/lab/experiment/src/store-fake.ts
@@ -49,6 +49,7 @@
       patience: () => policy.patience,
       overloadPatience: policy.overloadPatience ?? policy.patience,
       overloadAfterMs: policy.overloadAfterMs,
+      overloadEndsAfterMs: policy.overloadEndsAfterMs,
       reserve: PREFETCH_RESERVE,
     });
   }
--- a/policy/lateness/src/index.ts
+++ b/policy/lateness/src/index.ts
@@ -1,2 +1,2 @@
 export {findLate, type LatenessOptions, type TimedLoad} from './find-late.js';
-export {OverloadWatch} from './overload-watch.js';
+export {OverloadWatch, type OverloadWatchOptions} from './overload-watch.js';
--- a/policy/lateness/src/overload-watch.ts
+++ b/policy/lateness/src/overload-watch.ts
@@ -1,10 +1,17 @@
+/** Options of an overload watch. */
+export interface OverloadWatchOptions {
+  /** How long the queue has to be too long until overload begins, in milliseconds. */
+  readonly beginAfterMs: number;
+  /** How long it has to be short until overload ends, in milliseconds. */
+  readonly endAfterMs: number;
+}
+
 /** Tells a lasting overload from a short burst. */
 export class OverloadWatch {
   private overloaded = false;
   private agreedAt: number | undefined;
 
-  /** `afterMs` is how long the queue has to be too long, or not, until the state changes, in milliseconds. */
-  constructor(private readonly afterMs: number) {}
+  constructor(private readonly options: OverloadWatchOptions) {}
 
   /** Whether the queue has been too long for a while. */
   get isOverloaded(): boolean {
@@ -16,9 +23,14 @@
     this.agreedAt ??= now;
     if (tooLong === this.overloaded) {
       this.agreedAt = now;
-    } else if (now - this.agreedAt >= this.afterMs) {
+    } else if (now - this.agreedAt >= this.changeAfterMs) {
       this.overloaded = tooLong;
       this.agreedAt = now;
     }
   }
+
+  private get changeAfterMs(): number {
+    const {beginAfterMs, endAfterMs} = this.options;
+    return this.overloaded ? endAfterMs : beginAfterMs;
+  }
 }
--- a/policy/placement/src/demand-aware-placement.ts
+++ b/policy/placement/src/demand-aware-placement.ts
@@ -20,6 +20,11 @@
   readonly rankCost?: number;
   /** Power of the share of demand that an eviction loses: above 1, small losses cost little. */
   readonly lossPower?: number;
+  /**
+   * Share of the slots in use at which batch fill counts with its whole weight, with
+   * less below and more above; 0 for the same weight always.
+   */
+  readonly busyAt?: number;
 }
 
 const DEFAULT_STALL_WEIGHT = 0.5;
@@ -29,6 +34,7 @@
 const DEFAULT_FULL_AT = 1;
 const DEFAULT_RANK_COST = 0.005;
 const DEFAULT_LOSS_POWER = 2;
+const DEFAULT_BUSY_AT = 0.25;
 /** Above each cost of a target with a slot for the adapter. */
 const NO_SLOT_COST = 2;
 const MAX_MODELS = 65_536;
@@ -48,6 +54,7 @@
   private readonly fullAt: number;
   private readonly rankCost: number;
   private readonly lossPower: number;
+  private readonly busyAt: number;
 
   constructor(options: DemandAwareOptions = {}) {
     this.rates = new RateTable({
@@ -60,6 +67,7 @@
     this.fullAt = options.fullAt ?? DEFAULT_FULL_AT;
     this.rankCost = options.rankCost ?? DEFAULT_RANK_COST;
     this.lossPower = options.lossPower ?? DEFAULT_LOSS_POWER;
+    this.busyAt = options.busyAt ?? DEFAULT_BUSY_AT;
   }
 
   choose(
@@ -98,23 +106,35 @@
   private home(model: string, candidates: readonly Candidate[], now: number) {
     const open = candidates.filter(candidate => !this.isFull(candidate));
     const homes = rendezvousOrder(model, open).slice(0, this.homes);
+    const fillWeight = this.fillWeight(candidates);
     return lowest(
       homes,
       (candidate, rank) =>
-        this.homeCost(model, candidate, now) + this.rankCost * rank,
+        this.homeCost(model, candidate, fillWeight, now) + this.rankCost * rank,
     );
   }
 
-  private homeCost(model: string, candidate: Candidate, now: number): number {
+  private homeCost(
+    model: string,
+    candidate: Candidate,
+    fillWeight: number,
+    now: number,
+  ): number {
     const own = this.rates.rate(model, now);
     const loss = this.evictionLoss(candidate, now);
     if (loss === Infinity) {
       return NO_SLOT_COST;
     }
     const lossCost = (loss / (loss + own)) ** this.lossPower;
-    return (
-      this.stallWeight * lossCost - (1 - this.stallWeight) * fill(candidate)
-    );
+    return this.stallWeight * lossCost - fillWeight * fill(candidate);
+  }
+
+  /** Weight of batch fill in the choice of a home; it rises with the use of the slots. */
+  private fillWeight(candidates: readonly Candidate[]): number {
+    const weight = 1 - this.stallWeight;
+    return this.busyAt === 0
+      ? weight
+      : (weight * usedShare(candidates)) / this.busyAt;
   }
 
   /**
@@ -149,6 +169,17 @@
   return candidate.load / candidate.batchLimit;
 }
 
+/** Share of all slots whose adapters requests use at present. */
+function usedShare(candidates: readonly Candidate[]): number {
+  let used = 0;
+  let slots = 0;
+  for (const candidate of candidates) {
+    used += candidate.pinned?.size ?? 0;
+    slots += candidate.slots;
+  }
+  return slots === 0 ? 0 : used / slots;
+}
+
 /** The first item of the lowest cost. */
 function lowest<Item>(
   items: readonly Item[],
--- a/policy/placement/test/demand-aware.test.ts
+++ b/policy/placement/test/demand-aware.test.ts
@@ -87,7 +87,11 @@
 
 it('placement: the weight decides between a cold slot and a full batch', () => {
   const candidates = [
-    target('fuller', {resident: new Set(['warm@v1']), slots: 1, load: 8}),
+    target('fuller', {
+      resident: new Set(['warm@v1', 'in-use@v1']),
+      pinned: new Set(['in-use@v1']),
+      load: 8,
+    }),
     target('free'),
   ];
   const chosen = (stallWeight: number) => {
@@ -99,6 +103,23 @@
   expect(chosen(0)).to.equal('fuller');
 });
 
+it('placement: batch fill counts more the more slots are in use', () => {
+  const chosen = (inUse: number) => {
+    const used = Array.from({length: inUse}, (_, index) => `used-${index}@v1`);
+    const pinned = new Set(used);
+    const candidates = [
+      target('fuller', {resident: new Set(['warm@v1']), slots: 1, load: 8}),
+      target('free'),
+      target('other', {slots: 10, resident: pinned, pinned, load: 16}),
+    ];
+    const placement = new DemandAwarePlacement();
+    use(placement, 'warm@v1', 3);
+    return placement.choose(wanted, candidates, 0)?.name;
+  };
+  expect(chosen(1)).to.equal('free');
+  expect(chosen(9)).to.equal('fuller');
+});
+
 it('placement: settings that change bring a new policy', () => {
   const set = new PlacementSet(() => 0);
   const settings = {placement: 'demand-aware', stallWeight: 0.5} as const;
