Give the engine stand-in a prefix cache that publishes its events late and with gaps

Blocks depend on the adapter and on all text before them; the last blocks of a prompt leave first. An event names its boot, its number, the request whose prompt was stored and opaque block names. Events can be lagged, dropped by a fixed seed, silenced or made wrong.

--- a/lab/lab/src/commands/stand-in-commands.ts
+++ b/lab/lab/src/commands/stand-in-commands.ts
@@ -18,6 +18,7 @@
 
 const port = PORT_SCHEMA.default(0).describe('Port on loopback; 0 takes any');
 const count = z.coerce.number().int().min(1);
+const whole = z.coerce.number().int().min(0);
 
 const ENGINE_SCHEMA = z.object({
   port,
@@ -36,6 +37,27 @@
   resumeMs: DURATION_MS_SCHEMA.default(0).describe(
     'How long a broken stream is kept, in milliseconds; 0 for not at all',
   ),
+  cacheBlocks: whole
+    .default(0)
+    .describe('Prompt blocks in the prefix cache; 0 for no cache'),
+  blockCharacters: count
+    .default(64)
+    .describe('Characters of a prompt in one block of the prefix cache'),
+  prefillMs: DURATION_MS_SCHEMA.default(0).describe(
+    'Time to prefill a block that is not cached, in milliseconds',
+  ),
+  cacheLagMs: DURATION_MS_SCHEMA.default(0).describe(
+    'Time by which events of the prefix cache come late, in milliseconds',
+  ),
+  cacheDropShare: z.coerce
+    .number()
+    .min(0)
+    .max(1)
+    .default(0)
+    .describe('Share of the events of the prefix cache that are never sent'),
+  cacheDropSeed: whole
+    .default(1)
+    .describe('Seed that chooses the events that are never sent'),
 });
 
 const SERVICE_SCHEMA = z.object({
--- a/lab/lab/src/start-processes.ts
+++ b/lab/lab/src/start-processes.ts
@@ -152,6 +152,7 @@
     ...['--first-token-ms', String(options.firstTokenMs ?? 20)],
     ...['--token-ms', String(options.tokenMs ?? 5)],
     ...['--resume-ms', String(options.resumeMs ?? 0)],
+    ...(options.engineFlags ?? []),
   ]);
 }
 
--- a/lab/lab/src/system-options.ts
+++ b/lab/lab/src/system-options.ts
@@ -52,4 +52,6 @@
   readonly network?: Network;
   /** How long an engine keeps a broken stream, in milliseconds; 0 for not at all. */
   readonly resumeMs?: number;
+  /** Further flags of each engine, as for its prefix cache. */
+  readonly engineFlags?: readonly string[];
 }
--- a/lab/stand-ins/src/engine-faults.ts
+++ b/lab/stand-ins/src/engine-faults.ts
@@ -54,6 +54,10 @@
   resumeFault: z
     .enum(['none', 'off', 'crossed', 'version', 'doubled', 'skipped'])
     .default('none'),
+  /** Empties the prefix cache at once. */
+  clearCache: z.boolean().default(false),
+  /** What is wrong with the events of the prefix cache: `none` are sent, or all are `wrong`. */
+  cacheEvents: z.enum(['right', 'none', 'wrong']).default('right'),
   /** Time for which a cancelled request still runs, in milliseconds. */
   lateCancelMs: COUNT,
 });
--- a/lab/stand-ins/src/engine-run.ts
+++ b/lab/stand-ins/src/engine-run.ts
@@ -32,7 +32,10 @@
   readonly chat: boolean;
   readonly stream: boolean;
   readonly tokens?: number;
-  readonly firstTokenMs: number;
+  /** Begins the prefill; gives the time to the first token, in milliseconds. */
+  readonly prefill: () => number;
+  /** Called when the prompt is in the prefix cache. */
+  readonly prefilled: () => void;
   readonly tokenMs: number;
   /** How long a stream without a reader can be resumed, in milliseconds; 0 for not at all. */
   readonly resumeMs: number;
@@ -169,11 +172,14 @@
   }
 
   private async tokenTime(token: number): Promise<void> {
-    const {firstTokenMs, tokenMs, thawed} = this.options;
-    const ms = token === 0 ? firstTokenMs : tokenMs;
+    const {prefill, prefilled, tokenMs, thawed} = this.options;
+    const ms = token === 0 ? prefill() : tokenMs;
     if (ms > 0) {
       await pause(ms);
     }
+    if (token === 0) {
+      prefilled();
+    }
     await thawed();
   }
 
--- a/lab/stand-ins/src/engine-runs.ts
+++ b/lab/stand-ins/src/engine-runs.ts
@@ -2,8 +2,11 @@
 import {z} from 'zod';
 import {HOP_HEADERS} from '@marigoldspur/messages';
 import type {AdapterShelf} from './adapter-shelf.js';
+import type {CacheEvents} from './cache-events.js';
 import {EngineRun, type RunFaults} from './engine-run.js';
 import type {EngineState} from './engine-state.js';
+import type {PrefixCache} from './prefix-cache.js';
+import {promptText} from './prompt-text.js';
 import type {RunRecord} from './run-record.js';
 import {sendJson} from './stand-in.js';
 
@@ -11,6 +14,10 @@
 export interface EngineRunsOptions {
   readonly state: EngineState;
   readonly shelf: AdapterShelf;
+  readonly cache: PrefixCache;
+  readonly cacheEvents: CacheEvents;
+  /** Time to prefill a block of a prompt that is not cached, in milliseconds. */
+  readonly prefillMs: number;
   /** Requests in one batch at most. */
   readonly batchLimit: number;
   /** Time to the first token, in milliseconds. */
@@ -25,7 +32,9 @@
   model: z.string(),
   stream: z.boolean().optional(),
   max_tokens: z.int().min(1).optional(),
-  messages: z.array(z.looseObject({content: z.unknown()})).optional(),
+  messages: z
+    .array(z.looseObject({role: z.unknown().optional(), content: z.unknown()}))
+    .optional(),
   prompt: z.unknown().optional(),
 });
 
@@ -116,14 +125,17 @@
       boot: state.boot,
       tokens: [],
     };
+    const id = String(request.headers['x-request-id'] ?? record.request);
+    const blocks = this.options.cache.blocksOf(call.model, promptText(call));
     const run = new EngineRun({
-      id: String(request.headers['x-request-id'] ?? record.request),
+      id,
       record,
       response,
       chat: request.url === '/v1/chat/completions',
       stream: call.stream === true,
       tokens: call.max_tokens,
-      firstTokenMs: this.options.firstTokenMs,
+      prefill: () => this.prefill(record, blocks),
+      prefilled: () => this.prefilled(id, blocks),
       tokenMs: this.options.tokenMs,
       resumeMs: this.options.resumeMs,
       batch: () => this.batch,
@@ -147,6 +159,26 @@
     }
   }
 
+  /** Time to the first token, which is shorter for cached blocks. */
+  private prefill(record: RunRecord, blocks: readonly string[]): number {
+    const {cache, firstTokenMs, prefillMs} = this.options;
+    const cached = cache.heldOf(blocks);
+    record.promptBlocks = blocks.length;
+    record.cachedBlocks = cached;
+    return firstTokenMs + prefillMs * (blocks.length - cached);
+  }
+
+  private prefilled(request: string, blocks: readonly string[]): void {
+    const {cache, cacheEvents} = this.options;
+    const {removed, stored} = cache.store(blocks);
+    if (stored.length > 0) {
+      cacheEvents.publish({kind: 'stored', request, blocks});
+    }
+    if (removed.length > 0) {
+      cacheEvents.publish({kind: 'removed', blocks: removed});
+    }
+  }
+
   private keep(run: EngineRun): void {
     if (run.isResumable) {
       this.kept.set(run.id, run);
--- a/lab/stand-ins/src/engine.ts
+++ b/lab/stand-ins/src/engine.ts
@@ -1,10 +1,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {readBody} from '@marigoldspur/http-link';
 import {AdapterShelf} from './adapter-shelf.js';
+import {CacheEvents} from './cache-events.js';
 import {ENGINE_FAULTS_SCHEMA} from './engine-faults.js';
 import {EngineOrders} from './engine-orders.js';
 import {EngineRuns} from './engine-runs.js';
 import {EngineState} from './engine-state.js';
+import {PrefixCache} from './prefix-cache.js';
 import {sendJson, serveStandIn, type StandIn} from './stand-in.js';
 
 /** Options of an engine stand-in. */
@@ -24,8 +26,21 @@
   readonly checksFence: boolean;
   /** How long a stream without a reader can be resumed, in milliseconds; 0 for not at all. */
   readonly resumeMs?: number;
+  /** Prompt blocks that the prefix cache holds; 0 for no cache. */
+  readonly cacheBlocks?: number;
+  /** Characters of a prompt in one block of the prefix cache. */
+  readonly blockCharacters?: number;
+  /** Time to prefill a block that is not cached, in milliseconds. */
+  readonly prefillMs?: number;
+  /** Time by which events of the prefix cache come late, in milliseconds. */
+  readonly cacheLagMs?: number;
+  /** Share of the events of the prefix cache that are never sent, and the seed that chooses them. */
+  readonly cacheDropShare?: number;
+  readonly cacheDropSeed?: number;
 }
 
+const DEFAULT_BLOCK_CHARACTERS = 64;
+
 const MAX_BODY_BYTES = 67_108_864;
 
 /** Starts a stand-in for a model engine: an OpenAI-compatible API with loads of adapters. */
@@ -41,11 +56,28 @@
   private readonly shelf = new AdapterShelf();
   private readonly runs: EngineRuns;
   private readonly orders: EngineOrders;
+  private readonly cache: PrefixCache;
+  private readonly cacheEvents: CacheEvents;
 
   constructor(private readonly options: EngineOptions) {
     const {shelf, state} = this;
-    const {resumeMs = 0} = options;
-    const runs = new EngineRuns({...options, resumeMs, shelf, state});
+    const {prefillMs = 0, resumeMs = 0} = options;
+    const cache = new PrefixCache({
+      maxBlocks: options.cacheBlocks ?? 0,
+      blockCharacters: options.blockCharacters ?? DEFAULT_BLOCK_CHARACTERS,
+    });
+    const events = {
+      lagMs: options.cacheLagMs ?? 0,
+      dropShare: options.cacheDropShare ?? 0,
+      seed: options.cacheDropSeed ?? 1,
+    };
+    const cacheEvents = new CacheEvents(events, state);
+    this.cache = cache;
+    this.cacheEvents = cacheEvents;
+    const runs = new EngineRuns({
+      ...options,
+      ...{cache, cacheEvents, prefillMs, resumeMs, shelf, state},
+    });
     const inUse = () => runs.listed.map(run => run.model);
     this.runs = runs;
     this.orders = new EngineOrders({...options, shelf, state, inUse});
@@ -82,6 +114,8 @@
         });
       case 'GET /v1/requests':
         return sendJson(response, 200, {data: runs.listed});
+      case 'GET /v1/cache/events':
+        return this.cacheEvents.open(response);
       case 'POST /v1/abort_requests':
         return runs.abort(text, response);
       case 'POST /v1/load_lora_adapter':
@@ -105,6 +139,12 @@
       this.shelf.clear();
       this.orders.restart();
       this.runs.restart();
+      this.cache.clear();
+      this.cacheEvents.restart();
+    }
+    if (state.faults.clearCache) {
+      this.cache.clear();
+      this.cacheEvents.publish({kind: 'cleared'});
     }
     sendJson(response, 200, {...state.faults, boot: state.boot});
   }
--- a/lab/stand-ins/src/run-record.ts
+++ b/lab/stand-ins/src/run-record.ts
@@ -13,6 +13,9 @@
   end: 'running' | 'whole' | 'cancelled' | 'failed';
   /** Boot identity of the engine that ran it. */
   readonly boot?: string;
+  /** Whole blocks of its prompt, and how many of them were cached when it began. */
+  promptBlocks?: number;
+  cachedBlocks?: number;
   /** For each token, when it was made, in milliseconds since the epoch, and how many requests the batch held. */
   readonly tokens?: TokenTime[];
 }
