Prefer the holder of an adapter that is said to hold the prompt's prefix

Cause: engines cache prompt prefixes and publish cache events late and with gaps; a conversation's next turn went to any holder of its adapter.

Entries name the prefixes of a prompt by hashes, one for each message, and remember where they sent them. The agent follows its engine's cache events and tells the latest 16 changes on the answers to attempts that carry a prefix key, so other entries learn too; heartbeats carry nothing of it. A hint counts for one boot of the target and for 10 minutes. It moves a choice only between targets that hold the adapter, to one with room, and only as far as prefixAffinity allows its batch to be fuller. The setting is 0, off, by default: then no key is made, no header sent and no event followed.

--- a/agent/agent-server/src/agent-metrics.ts
+++ b/agent/agent-server/src/agent-metrics.ts
@@ -1,4 +1,4 @@
-import {Counter, Histogram, type Registry} from 'prom-client';
+import {Counter, Gauge, Histogram, type Registry} from 'prom-client';
 
 const STALL_BUCKETS_SECONDS = [
   0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 20, 40,
@@ -15,6 +15,10 @@
   readonly batchFill: Histogram;
   /** Attempts by how they ended. */
   readonly attempts: Counter<'end'>;
+  /** Events of the target's prefix cache by kind; `missed` ones never came. */
+  readonly cacheEvents: Counter<'kind'>;
+  /** Prompts that the target's prefix cache is said to hold. */
+  readonly cachedPrefixes: Gauge;
 }
 
 /** Creates an agent's metrics in the registry of the process. */
@@ -45,5 +49,16 @@
       labelNames: ['end'],
       registers,
     }),
+    cacheEvents: new Counter({
+      name: 'marigoldspur_cache_events_total',
+      help: 'Events of the prefix cache by kind; missed ones never came',
+      labelNames: ['kind'],
+      registers,
+    }),
+    cachedPrefixes: new Gauge({
+      name: 'marigoldspur_cached_prefixes',
+      help: 'Prompts that the prefix cache is said to hold',
+      registers,
+    }),
   };
 }
--- a/agent/agent-server/src/attempt-desk.ts
+++ b/agent/agent-server/src/attempt-desk.ts
@@ -5,9 +5,15 @@
 import type {SettingsFollower} from '@marigoldspur/control-client';
 import {peerGone} from '@marigoldspur/bounded-signal';
 import {formatFindings, type Refusal} from '@marigoldspur/faults';
-import {HOP_HEADERS, parseHop, type Hop} from '@marigoldspur/messages';
+import {
+  formatPrefixChanges,
+  HOP_HEADERS,
+  parseHop,
+  type Hop,
+} from '@marigoldspur/messages';
 import {formatModel} from '@marigoldspur/settings-schema';
 import type {AgentMetrics} from './agent-metrics.js';
+import {attemptId} from './attempt-headers.js';
 import {findAdapter} from './find-adapter.js';
 import {refuseAttempt} from './attempt-answer.js';
 import {AttemptChecks, type AttemptChecksOptions} from './attempt-checks.js';
@@ -119,6 +125,7 @@
       await this.resume(hop.value, String(after), response, deadlineMs, gone);
       return;
     }
+    this.exchangePrefixes(hop.value, response);
     const bytes = Number(request.headers['content-length'] ?? 0);
     this.heldBytes += bytes;
     try {
@@ -136,6 +143,20 @@
     }
   }
 
+  /** Takes note of an attempt's prompt, and tells how the prefix cache changed. */
+  private exchangePrefixes(hop: Hop, response: ServerResponse): void {
+    const prefixes = this.options.engine?.prefixes;
+    if (prefixes === undefined || hop.prefix === undefined) {
+      return;
+    }
+    prefixes.sent(attemptId(hop), hop.prefix);
+    const changes = prefixes.changes();
+    if (changes !== undefined) {
+      const text = formatPrefixChanges(changes);
+      response.setHeader(HOP_HEADERS.prefixChanges, text);
+    }
+  }
+
   private async resume(
     hop: Hop,
     after: string,
--- a/agent/agent-server/src/engine-parts.ts
+++ b/agent/agent-server/src/engine-parts.ts
@@ -1,4 +1,5 @@
 import type {AdapterHost} from './adapter-host.js';
+import type {CachedPrefixes} from './cached-prefixes.js';
 import type {LeaseKeeper} from './lease-keeper.js';
 import type {TargetWatch} from './target-watch.js';
 
@@ -7,4 +8,6 @@
   readonly host: AdapterHost;
   readonly watch: TargetWatch;
   readonly keeper: LeaseKeeper;
+  /** What the engine's prefix cache is said to hold. */
+  readonly prefixes: CachedPrefixes;
 }
--- a/agent/agent-server/src/prepare-engine.ts
+++ b/agent/agent-server/src/prepare-engine.ts
@@ -11,6 +11,8 @@
 import {AdapterHost} from './adapter-host.js';
 import type {AgentMetrics} from './agent-metrics.js';
 import type {AgentSettings} from './agent-settings.js';
+import {CacheFollower} from './cache-follower.js';
+import {CachedPrefixes} from './cached-prefixes.js';
 import type {EngineParts} from './engine-parts.js';
 import {grantFence} from './grant-fence.js';
 import {LeaseKeeper} from './lease-keeper.js';
@@ -34,6 +36,7 @@
 /** The parts of an agent that only an engine's has. */
 export interface PreparedEngine extends EngineParts {
   readonly slots: SlotTable;
+  readonly cacheFollower: CacheFollower;
   /** Fencing number of the orders. */
   readonly fence: number;
 }
@@ -47,8 +50,9 @@
   const askedAt = performance.now();
   const fence = await grantFence(settings, options);
   const path = `/${settings.customer}/${settings.service}`;
-  const policy = () =>
-    (settingsOf(follower.settings.tree, path) ?? DEFAULT_SETTINGS).eviction;
+  const inForce = () =>
+    settingsOf(follower.settings.tree, path) ?? DEFAULT_SETTINGS;
+  const policy = () => inForce().eviction;
   const slots = new SlotTable(0, new SettingsEviction(policy));
   const engine = new EngineClient(
     settings.targetUrl,
@@ -105,5 +109,14 @@
     events,
     metrics,
   });
-  return {slots, watch, host, keeper, fence};
+  const prefixes = new CachedPrefixes();
+  const cacheFollower = new CacheFollower({
+    engine,
+    prefixes,
+    wanted: () => inForce().prefixAffinity > 0,
+    events,
+    metrics,
+  });
+  cacheFollower.start();
+  return {slots, watch, host, keeper, fence, prefixes, cacheFollower};
 }
--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -139,6 +139,7 @@
       }
       heartbeat.stop();
       engine?.watch.stop();
+      engine?.cacheFollower.stop();
       service.stop();
       await follower.stop();
       client.close();
--- a/agent/target-client/src/engine-client.ts
+++ b/agent/target-client/src/engine-client.ts
@@ -3,6 +3,7 @@
 import type {z} from 'zod';
 import {Fault, type FaultCode} from '@marigoldspur/faults';
 import {openRequest, readBody} from '@marigoldspur/http-link';
+import {followCacheEvents, type CacheFollowing} from './cache-events.js';
 import {
   BOOT_HEADER,
   ENGINE_HEALTH_SCHEMA,
@@ -104,6 +105,11 @@
     return this.unload(NO_ADAPTER);
   }
 
+  /** Follows the events of the engine's prefix cache; resolves with the fault that ended them. */
+  followCache(following: CacheFollowing): Promise<Fault> {
+    return followCacheEvents(this.baseUrl, this.agent, following);
+  }
+
   /** Closes all connections. */
   close(): void {
     this.agent.destroy();
--- a/agent/target-client/src/index.ts
+++ b/agent/target-client/src/index.ts
@@ -1,3 +1,8 @@
+export {
+  CACHE_EVENT_SCHEMA,
+  type CacheEvent,
+  type CacheFollowing,
+} from './cache-events.js';
 export {
   EngineClient,
   type Confirmation,
--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -442,6 +442,16 @@
     level: 'warn',
     meaning: 'The target has fewer adapter slots than it says.',
   },
+  'cache-events-missed': {
+    number: 670,
+    level: 'debug',
+    meaning: 'Events of the target’s prefix cache never came.',
+  },
+  'cached-prefixes-forgotten': {
+    number: 671,
+    level: 'debug',
+    meaning: 'The target restarted or cleared its prefix cache.',
+  },
 } as const satisfies Record<string, EventKind>;
 
 /** Name of a kind of event. */
--- a/contracts/messages/src/hop.ts
+++ b/contracts/messages/src/hop.ts
@@ -6,6 +6,7 @@
   parseModel,
   type AdapterVersion,
 } from '@marigoldspur/settings-schema';
+import {PREFIX_KEY_PATTERN} from './prefix-changes.js';
 
 /** Names of the headers that go with a request between entry and agent. */
 export const HOP_HEADERS = {
@@ -34,6 +35,10 @@
   resumeAfter: 'x-marigoldspur-resume-after',
   /** On what is no attempt but tells that the one it names is cancelled: `true`. */
   cancel: 'x-marigoldspur-cancel',
+  /** On attempts: key of the whole prompt, where the entry uses hints of cached prefixes. */
+  prefix: 'x-marigoldspur-prefix',
+  /** On answers to these: the latest changes of the target's prefix cache. */
+  prefixChanges: 'x-marigoldspur-prefix-changes',
 } as const;
 
 /** The adapter and version of a request, or undefined for plain services. */
@@ -59,6 +64,8 @@
   /** Priority; 0 is served first. */
   readonly priority: number;
   readonly repeatable: boolean;
+  /** Key of the whole prompt, where the sender uses hints of cached prefixes. */
+  readonly prefix?: string;
 }
 
 /** Writes a hop as headers. */
@@ -76,6 +83,7 @@
     }),
     [HOP_HEADERS.priority]: String(hop.priority),
     [HOP_HEADERS.repeatable]: String(hop.repeatable),
+    ...(hop.prefix !== undefined && {[HOP_HEADERS.prefix]: hop.prefix}),
   };
 }
 
@@ -110,6 +118,7 @@
     }),
     priority: integer(HOP_HEADERS.priority),
     repeatable: text(HOP_HEADERS.repeatable) === 'true',
+    ...prefixHeader(headers, findings),
   };
   return findings.length === 0 ? Result.ok(hop) : Result.err(findings);
 }
@@ -138,6 +147,21 @@
   return {origin};
 }
 
+function prefixHeader(
+  headers: IncomingHttpHeaders,
+  findings: Finding[],
+): Pick<Hop, 'prefix'> {
+  const value = headers[HOP_HEADERS.prefix];
+  if (value === undefined) {
+    return {};
+  }
+  const prefix = String(value);
+  if (!PREFIX_KEY_PATTERN.test(prefix)) {
+    findings.push({place: HOP_HEADERS.prefix, reason: 'must be a prefix key'});
+  }
+  return {prefix};
+}
+
 function modelHeader(
   headers: IncomingHttpHeaders,
   findings: Finding[],
--- a/contracts/messages/src/index.ts
+++ b/contracts/messages/src/index.ts
@@ -46,4 +46,12 @@
   type Permit,
   type PermitRequest,
 } from './permit.js';
+export {
+  formatPrefixChanges,
+  MAX_PREFIX_CHANGES,
+  parsePrefixChanges,
+  PREFIX_KEY_PATTERN,
+  type PrefixChange,
+  type PrefixChanges,
+} from './prefix-changes.js';
 export {PROCESS_STATUS_SCHEMA, type ProcessStatus} from './process-status.js';
--- a/contracts/settings-schema/src/settings.ts
+++ b/contracts/settings-schema/src/settings.ts
@@ -68,6 +68,14 @@
     .describe(
       'Weight of load stalls against batch efficiency: 1 is stalls only',
     ),
+  prefixAffinity: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0)
+    .describe(
+      'Weight of cached prompt prefixes among targets that hold the adapter: how much fuller a batch may be for a whole cached prompt, as a share of its limit; 0 is off',
+    ),
   placement: z
     .enum([
       'random',
--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -4,7 +4,12 @@
 import {BoundedSignal} from '@marigoldspur/bounded-signal';
 import {Refusal, type RefusalOutcome} from '@marigoldspur/faults';
 import {openRequest} from '@marigoldspur/http-link';
-import {HOP_HEADERS, type Hop} from '@marigoldspur/messages';
+import {
+  HOP_HEADERS,
+  parsePrefixChanges,
+  type Hop,
+  type PrefixChanges,
+} from '@marigoldspur/messages';
 import {readAgentRefusal} from './agent-refusal.js';
 import {
   attemptHeaders,
@@ -26,6 +31,8 @@
   readonly health: TargetHealth;
   /** Is told the settings revision in force at an agent, and the agent's URL. */
   readonly heard: (revision: number, url: string) => void;
+  /** Is told the latest changes of a target's prefix cache. */
+  readonly prefixesChanged?: (target: string, changes: PrefixChanges) => void;
 }
 
 /** Sends attempts to agents. */
@@ -154,6 +161,7 @@
     if (Number.isSafeInteger(revision)) {
       this.options.heard(revision, this.attempt.destination.url);
     }
+    this.readPrefixChanges(message);
     const answer = await readHead(this.attempt, message);
     if (answer.isErr && !this.bodySent) {
       call.destroy();
@@ -161,6 +169,15 @@
     return answer;
   }
 
+  private readPrefixChanges(message: IncomingMessage): void {
+    const text = message.headers[HOP_HEADERS.prefixChanges];
+    const changes = parsePrefixChanges(text);
+    if (changes !== undefined) {
+      const {target} = this.attempt.destination;
+      this.options.prefixesChanged?.(target, changes);
+    }
+  }
+
   private failure(error: Error): Refusal {
     const {attempt, bounded, connected, silent} = this;
     const reached = this.bodySent && connected;
--- a/entry/dispatch/src/index.ts
+++ b/entry/dispatch/src/index.ts
@@ -8,6 +8,13 @@
   type AnswerLink,
   type RelayOptions,
 } from './relay-answer.js';
-export {TargetDirectory, type Destination} from './target-directory.js';
+export {PrefixHints, type PrefixHintsOptions} from './prefix-hints.js';
+export {promptPrefixes, type PromptPrefix} from './prompt-prefixes.js';
+export {
+  TargetDirectory,
+  type ChosenDestination,
+  type Destination,
+  type PrefixHint,
+} from './target-directory.js';
 export {WholeEvents} from './whole-events.js';
 export {TargetHealth, type TargetHealthOptions} from './target-health.js';
--- a/entry/dispatch/src/target-directory.ts
+++ b/entry/dispatch/src/target-directory.ts
@@ -1,4 +1,6 @@
 import type {Member} from '@marigoldspur/messages';
+import type {HintedTarget, PrefixHints} from './prefix-hints.js';
+import type {PromptPrefix} from './prompt-prefixes.js';
 import type {TargetHealth} from './target-health.js';
 import type {Candidate, Placement} from '@marigoldspur/placement';
 
@@ -11,6 +13,18 @@
   readonly boot: string;
 }
 
+/**
+ * Where a prompt's prefix is said to be cached: at the chosen target, only at others,
+ * or nowhere.
+ */
+export type PrefixHint = 'chosen' | 'elsewhere' | 'nowhere';
+
+/** The destination of a request. */
+export interface ChosenDestination extends Destination {
+  /** Absent where no hints are used. */
+  readonly hint?: PrefixHint;
+}
+
 /** What a request needs of a target. */
 export interface DestinationNeed {
   readonly customer: string;
@@ -19,17 +33,20 @@
   readonly model: string | undefined;
   /** Targets that were tried already. */
   readonly tried: ReadonlySet<string>;
+  /** Prefixes of the prompt, shortest first; none where no hints are used. */
+  readonly prefixes?: readonly PromptPrefix[];
 }
 
 /** Chooses among the targets that are known to serve. */
 export class TargetDirectory {
   private readonly sent = new Map<string, number>();
 
-  /** `members` gives the members known now; `zone` is the entry's. */
+  /** `members` gives the members known now; `zone` is the entry's; `hints` tell of cached prefixes. */
   constructor(
     private readonly members: () => readonly Member[],
     private readonly zone: string,
     private readonly health: Pick<TargetHealth, 'usable'>,
+    private readonly hints?: PrefixHints,
   ) {}
 
   /** The destination of a request at time `now`; undefined where no target serves it. */
@@ -37,16 +54,21 @@
     need: DestinationNeed,
     placement: Placement,
     now: number,
-  ): Destination | undefined {
+  ): ChosenDestination | undefined {
     const serving = this.members().filter(member => serves(member, need));
     const usable = this.health.usable(serving.map(destinationOf), now);
     const names = new Set(usable.map(destination => destination.target));
     const agents = serving.filter(agent => names.has(agent.target!.name));
     const candidates = agents.map(agent => this.candidate(agent));
-    const request = {model: need.model, zone: this.zone};
+    const prefixes = this.shares(need, agents, now);
+    const request = {model: need.model, zone: this.zone, prefixes};
     const chosen = placement.choose(request, candidates, now);
     const agent = agents.find(member => member.target?.name === chosen?.name);
-    return agent && destinationOf(agent);
+    if (agent === undefined) {
+      return undefined;
+    }
+    this.hints?.sent(need.prefixes ?? [], hintedTarget(agent), now);
+    return {...destinationOf(agent), hint: prefixes && hintOf(agent, prefixes)};
   }
 
   /** Where a target can be reached now: it may have more than one agent for a while. */
@@ -62,6 +84,16 @@
     return () => this.sent.set(target, (this.sent.get(target) ?? 1) - 1);
   }
 
+  private shares(
+    {prefixes = []}: DestinationNeed,
+    agents: readonly Member[],
+    now: number,
+  ): Map<string, number> | undefined {
+    return prefixes.length === 0
+      ? undefined
+      : this.hints?.shares(prefixes, agents.map(hintedTarget), now);
+  }
+
   private candidate(agent: Member): Candidate {
     const target = agent.target!;
     const reported = target.running + target.waiting;
@@ -82,6 +114,20 @@
   return {target: agent.target!.name, url: agent.url, boot: agent.boot};
 }
 
+function hintOf(
+  {target}: Member,
+  prefixes: ReadonlyMap<string, number>,
+): PrefixHint {
+  if (prefixes.has(target!.name)) {
+    return 'chosen';
+  }
+  return prefixes.size > 0 ? 'elsewhere' : 'nowhere';
+}
+
+function hintedTarget({target}: Member): HintedTarget {
+  return {name: target!.name, boot: target!.boot};
+}
+
 function serves(member: Member, need: DestinationNeed): boolean {
   const {target} = member;
   return (
--- /dev/null
+++ b/entry/dispatch/test/prefix-hints.test.ts
@@ -0,0 +1,118 @@
+import {expect} from 'chai';
+import {PrefixHints, promptPrefixes} from '@marigoldspur/dispatch';
+
+const KEEP_MS = 1_000;
+const A = {name: 'a', boot: 'a1'};
+const B = {name: 'b', boot: 'b1'};
+const TURN = [
+  {role: 'system', content: 'You draft recaps.'},
+  {role: 'user', content: 'Draft one.'},
+];
+const NEXT_TURN = [
+  ...TURN,
+  {role: 'assistant', content: 'Done.'},
+  {role: 'user', content: 'Shorter.'},
+];
+
+function chat(messages: unknown, model = 'recap@v1') {
+  return promptPrefixes(model, Buffer.from(JSON.stringify({messages})));
+}
+
+function plain(prompt: string) {
+  return promptPrefixes('recap@v1', Buffer.from(JSON.stringify({prompt})));
+}
+
+function keys(prefixes: ReadonlyArray<{key: string}>) {
+  return prefixes.map(({key}) => key);
+}
+
+it('prompt prefixes: a next turn begins with the whole turn before', () => {
+  const [before, after] = [chat(TURN), chat(NEXT_TURN)];
+  expect(keys(after).slice(0, 2)).to.deep.equal(keys(before));
+  expect(before[1].share).to.equal(1);
+  expect(after[1].share).to.be.within(0.01, 0.99);
+});
+
+it('prompt prefixes: another adapter, text or cut between messages has other keys', () => {
+  const known = keys(chat(TURN));
+  const cut = [{role: 'system', content: 'You draft recaps.\nuser'}];
+  const others = [
+    chat(TURN, 'recap@v2'),
+    chat([{...TURN[0], content: 'You draft clauses.'}, TURN[1]]),
+    chat(cut),
+  ];
+  for (const other of others) {
+    expect(keys(other)).to.not.include.members([known[0]]);
+    expect(keys(other)).to.not.include.members([known[1]]);
+  }
+});
+
+it('prompt prefixes: a longer plain prompt begins with the blocks of a shorter one', () => {
+  const text = 'laytime '.repeat(200);
+  const [short, long] = [plain(text.slice(0, 1_100)), plain(text)];
+  expect(short).to.have.lengthOf(2);
+  expect(keys(long).slice(0, 2)).to.deep.equal(keys(short));
+});
+
+it('prompt prefixes: a long conversation keeps its first and its last ones', () => {
+  const messages = Array.from({length: 40}, (_, index) => ({
+    role: 'user',
+    content: `turn ${index}`,
+  }));
+  const prefixes = keys(chat(messages));
+  expect(prefixes).to.have.lengthOf(16);
+  expect(prefixes[0]).to.equal(keys(chat(messages.slice(0, 1)))[0]);
+  expect(prefixes[14]).to.equal(keys(chat(messages.slice(0, 39))).at(-1));
+});
+
+it('prompt prefixes: a body that can’t be read has none', () => {
+  const texts = ['', '{', '[]', '{"messages":7}', '{"messages":[3]}', '{}'];
+  for (const text of texts) {
+    expect(promptPrefixes('recap@v1', Buffer.from(text)), text).to.be.empty;
+  }
+});
+
+it('prefix hints: the longest prefix sent to a target counts until it expires', () => {
+  const hints = new PrefixHints({keepMs: KEEP_MS});
+  hints.sent(chat(TURN), A, 0);
+  hints.sent(chat(TURN).slice(0, 1), B, 0);
+  const shares = (now: number) => hints.shares(chat(NEXT_TURN), [A, B], now);
+  expect(shares(KEEP_MS - 1).get('a')).to.equal(chat(NEXT_TURN)[1].share);
+  expect(shares(KEEP_MS - 1).get('b')).to.equal(chat(NEXT_TURN)[0].share);
+  expect(shares(KEEP_MS)).to.be.empty;
+});
+
+it('prefix hints: a target that restarted holds nothing', () => {
+  const hints = new PrefixHints();
+  hints.sent(chat(TURN), A, 0);
+  const restarted = {...A, boot: 'a2'};
+  expect(hints.shares(chat(TURN), [restarted], 0)).to.be.empty;
+  expect(hints.shares(chat(TURN), [A], 0)).to.have.keys('a');
+});
+
+it('prefix hints: an agent tells what others sent and what the target dropped', () => {
+  const hints = new PrefixHints();
+  const [first, whole] = chat(TURN);
+  const tell = (key: string, held: boolean, boot = 'a1') =>
+    hints.told('a', {boot, changes: [{key, held}]}, 0);
+  tell(whole.key, true);
+  expect(hints.shares(chat(TURN), [A, B], 0).get('a')).to.equal(1);
+  tell(whole.key, false);
+  expect(hints.shares(chat(TURN), [A, B], 0)).to.be.empty;
+  tell(first.key, true, 'a0');
+  expect(hints.shares(chat(TURN), [A, B], 0)).to.be.empty;
+});
+
+it('prefix hints: memory is bounded, and what was unused for longest goes', () => {
+  const hints = new PrefixHints({maxPrefixes: 2});
+  const prompts = ['one', 'two', 'three'].map(content =>
+    chat([{role: 'user', content}]),
+  );
+  hints.sent(prompts[0], A, 0);
+  hints.sent(prompts[1], A, 0);
+  hints.sent(prompts[0], A, 0);
+  hints.sent(prompts[2], A, 0);
+  expect(hints.size).to.equal(2);
+  const held = prompts.map(each => hints.shares(each, [A], 0).has('a'));
+  expect(held).to.deep.equal([true, false, true]);
+});
--- a/entry/entry-server/src/attempt-runner.ts
+++ b/entry/entry-server/src/attempt-runner.ts
@@ -2,9 +2,12 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import {
+  promptPrefixes,
   type AttemptAnswer,
   type AttemptClient,
+  type ChosenDestination,
   type Destination,
+  type PromptPrefix,
   type TargetDirectory,
 } from '@marigoldspur/dispatch';
 import type {EventLog} from '@marigoldspur/event-log';
@@ -19,6 +22,7 @@
 } from '@marigoldspur/retries';
 import {formatModel} from '@marigoldspur/settings-schema';
 import type {AnswerSender} from './answer-sender.js';
+import type {EntryMetrics} from './entry-metrics.js';
 import {budgetMs, isRepeatable, type Job} from './job.js';
 import {StreamLink} from './stream-link.js';
 
@@ -29,6 +33,7 @@
   readonly answers: AnswerSender;
   readonly retries: RetryBudget;
   readonly events: EventLog;
+  readonly metrics: EntryMetrics;
   /** Base URL of the process, from which agents can pull newer settings. */
   readonly origin: () => string;
   /** Gives numbers from 0 up to, not including, 1. */
@@ -38,6 +43,15 @@
 /** How a run ended: the answer that is kept for a resend, where there is one. */
 export type RunEnd = Result<StoredAnswer | undefined, Refusal>;
 
+/** One try of a job at one target. */
+interface Sending {
+  readonly job: Job;
+  readonly destination: Destination;
+  readonly attempt: number;
+  /** Key of the whole prompt, where hints of cached prefixes are used. */
+  readonly prefix: string | undefined;
+}
+
 const RETRY_SOON_SECONDS = 1;
 
 /** Runs jobs at one target after another until one answers. */
@@ -53,8 +67,9 @@
     this.options.retries.earn(job.settings.retryBudgetRatio, performance.now());
     const tried = new Set<string>();
     const refusals: Refusal[] = [];
+    const prefixes = prefixesOf(job);
     for (let attempt = 1; ; attempt += 1) {
-      const destination = this.chooseDestination(job, tried);
+      const destination = this.chooseDestination(job, tried, prefixes);
       if (destination === undefined) {
         return Result.err(refusals.at(-1) ?? noTarget());
       }
@@ -62,7 +77,13 @@
         return Result.err(afterAttempts(refusals, callerGone()));
       }
       tried.add(destination.target);
-      const ended = await this.attempt(job, destination, attempt, response);
+      if (destination.hint !== undefined) {
+        const {service} = job.request;
+        this.options.metrics.hinted(service, destination.hint);
+      }
+      const prefix = prefixes.at(-1)?.key;
+      const sending = {job, destination, attempt, prefix};
+      const ended = await this.attempt(sending, response);
       if (ended.isOk) {
         return ended;
       }
@@ -112,30 +133,36 @@
   private chooseDestination(
     job: Job,
     tried: ReadonlySet<string>,
-  ): Destination | undefined {
+    prefixes: readonly PromptPrefix[],
+  ): ChosenDestination | undefined {
     const {request, settings} = job;
     const {directory} = this.options;
     const model =
       request.kind === 'model' ? formatModel(request.model) : undefined;
     return directory.choose(
-      {customer: request.customer, service: request.service, model, tried},
+      {
+        customer: request.customer,
+        service: request.service,
+        model,
+        tried,
+        prefixes,
+      },
       this.placements.of(`${request.customer}/${request.service}`, settings),
       performance.now(),
     );
   }
 
   private async attempt(
-    job: Job,
-    destination: Destination,
-    attempt: number,
+    sending: Sending,
     response: ServerResponse,
   ): Promise<RunEnd> {
+    const {attempt, destination, job} = sending;
     const {answers, directory, events} = this.options;
     const {target} = destination;
     const end = directory.begin(target);
     events.record('request-dispatched', {attempt, target}, job.id);
     try {
-      const sent = await this.send(job, destination, attempt);
+      const sent = await this.send(sending);
       if (sent.isErr) {
         this.cancelIfGone(job, destination, attempt);
         return Result.err(sent.error);
@@ -160,15 +187,17 @@
     }
   }
 
-  private async send(
-    job: Job,
-    destination: Destination,
-    attempt: number,
-  ): Promise<Result<AttemptAnswer, Refusal>> {
+  private async send({
+    attempt,
+    destination,
+    job,
+    prefix,
+  }: Sending): Promise<Result<AttemptAnswer, Refusal>> {
     const sent = await this.options.attempts.send({
       hop: {
         ...hopOf(job, destination.target, attempt),
         origin: this.options.origin(),
+        prefix,
       },
       destination,
       method: job.method,
@@ -200,6 +229,13 @@
   };
 }
 
+/** The prefixes of a job's prompt, where its service uses hints of cached ones. */
+function prefixesOf({body, request, settings}: Job): PromptPrefix[] {
+  return request.kind === 'model' && settings.prefixAffinity > 0
+    ? promptPrefixes(formatModel(request.model), body)
+    : [];
+}
+
 function noTarget(): Refusal {
   return new Refusal(
     'not-run',
--- a/entry/entry-server/src/entry-metrics.ts
+++ b/entry/entry-server/src/entry-metrics.ts
@@ -1,3 +1,4 @@
+import type {PrefixHint} from '@marigoldspur/dispatch';
 import {Counter, Gauge, Histogram, type Registry} from 'prom-client';
 
 const LATENCY_BUCKETS_SECONDS = [
@@ -9,6 +10,7 @@
   private readonly requests: Counter<'service' | 'outcome'>;
   private readonly firstByte: Histogram<'service'>;
   private readonly running: Gauge;
+  private readonly hints: Counter<'service' | 'hint'>;
 
   constructor(registry: Registry) {
     this.requests = new Counter({
@@ -29,6 +31,12 @@
       help: 'Requests that run or wait now',
       registers: [registry],
     });
+    this.hints = new Counter({
+      name: 'marigoldspur_prefix_hints_total',
+      help: 'Attempts by where their prompt’s prefix is said to be cached',
+      labelNames: ['service', 'hint'],
+      registers: [registry],
+    });
   }
 
   ended(service: string, outcome: string): void {
@@ -39,6 +47,10 @@
     this.firstByte.observe({service}, seconds);
   }
 
+  hinted(service: string, hint: PrefixHint): void {
+    this.hints.inc({service, hint});
+  }
+
   setRunning(count: number): void {
     this.running.set(count);
   }
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -11,6 +11,7 @@
 } from '@marigoldspur/control-client';
 import {
   AttemptClient,
+  PrefixHints,
   TargetDirectory,
   TargetHealth,
 } from '@marigoldspur/dispatch';
@@ -60,9 +61,12 @@
   const callerTls = await openCallerTls(settings, events);
   const linkAgent = security.createAgent();
   const health = new TargetHealth({agent: linkAgent, events});
+  const hints = new PrefixHints();
   const attempts = new AttemptClient({
     agent: linkAgent,
     health,
+    prefixesChanged: (target, changes) =>
+      hints.told(target, changes, performance.now()),
     heard: (revision, url) => follower.heard(revision, url),
   });
   const claims = new ClaimDesk({
@@ -77,11 +81,13 @@
       () => members.members(),
       settings.zone,
       health,
+      hints,
     ),
     attempts,
     answers: new AnswerSender({events, metrics: entryMetrics}),
     retries: new RetryBudget(),
     events,
+    metrics: entryMetrics,
     origin: () => url,
     random: Math.random,
   });
--- a/policy/placement/src/index.ts
+++ b/policy/placement/src/index.ts
@@ -5,6 +5,7 @@
 } from './demand-aware-placement.js';
 export {HashHomePlacement} from './hash-home-placement.js';
 export {LeastLoadedPlacement} from './least-loaded-placement.js';
+export {PrefixAffinityPlacement} from './prefix-affinity-placement.js';
 export {RandomPlacement} from './random-placement.js';
 export {rendezvousOrder} from './rendezvous.js';
 export {ResidentFirstPlacement} from './resident-first-placement.js';
--- a/policy/placement/src/placement-set.ts
+++ b/policy/placement/src/placement-set.ts
@@ -1,11 +1,14 @@
 import {createPlacement, type PlacementName} from './create-placement.js';
 import type {Placement} from './placement.js';
+import {PrefixAffinityPlacement} from './prefix-affinity-placement.js';
 
 /** What the settings of a service say about placement. */
 export interface PlacementSettings {
   readonly placement: PlacementName;
   /** Weight of load stalls against batch efficiency: 1 is stalls only. */
   readonly stallWeight: number;
+  /** Weight of cached prompt prefixes; 0 for not at all. */
+  readonly prefixAffinity: number;
 }
 
 interface NamedPlacement {
@@ -25,14 +28,19 @@
     const known = this.placements.get(service);
     if (
       known?.settings.placement === settings.placement &&
-      known.settings.stallWeight === settings.stallWeight
+      known.settings.stallWeight === settings.stallWeight &&
+      known.settings.prefixAffinity === settings.prefixAffinity
     ) {
       return known.placement;
     }
-    const {placement: name, stallWeight} = settings;
-    const placement = createPlacement(name, this.random, {stallWeight});
+    const {placement: name, prefixAffinity, stallWeight} = settings;
+    const inner = createPlacement(name, this.random, {stallWeight});
+    const placement =
+      prefixAffinity > 0
+        ? new PrefixAffinityPlacement(inner, prefixAffinity)
+        : inner;
     this.placements.set(service, {
-      settings: {placement: name, stallWeight},
+      settings: {placement: name, prefixAffinity, stallWeight},
       placement,
     });
     return placement;
--- a/policy/placement/src/placement.ts
+++ b/policy/placement/src/placement.ts
@@ -22,6 +22,8 @@
   readonly model: string | undefined;
   /** Zone of the entry. */
   readonly zone: string;
+  /** Share of the prompt that targets are said to hold in their prefix cache, by their names. */
+  readonly prefixes?: ReadonlyMap<string, number>;
 }
 
 /** Chooses the target of a request. */
--- a/policy/placement/test/demand-aware.test.ts
+++ b/policy/placement/test/demand-aware.test.ts
@@ -101,10 +101,21 @@
 
 it('placement: settings that change bring a new policy', () => {
   const set = new PlacementSet(() => 0);
-  const settings = {placement: 'demand-aware', stallWeight: 0.5} as const;
+  const settings = {
+    placement: 'demand-aware',
+    prefixAffinity: 0,
+    stallWeight: 0.5,
+  } as const;
   const first = set.of('desk', settings);
   expect(set.of('desk', {...settings})).to.equal(first);
-  expect(set.of('desk', {...settings, stallWeight: 1})).to.not.equal(first);
+  const weighed = set.of('desk', {...settings, stallWeight: 1});
+  expect(weighed).to.not.equal(first);
+  const hinted = set.of('desk', {
+    ...settings,
+    stallWeight: 1,
+    prefixAffinity: 1,
+  });
+  expect(hinted).to.not.equal(weighed);
 });
 
 it('rendezvous: a target that leaves moves only its own adapters', () => {
