--- a/agent/agent-server/src/prepare-engine.ts
+++ b/agent/agent-server/src/prepare-engine.ts
@@ -12,6 +12,8 @@
 import {AdapterHost} from './adapter-host.js';
 import type {AgentMetrics} from './agent-metrics.js';
 import type {AgentSettings} from './agent-settings.js';
+import {CacheFollower} from './cache-follower.js';
+import {CachedPrefixes} from './cached-prefixes.js';
 import type {EngineParts} from './engine-parts.js';
 import {grantFence} from './grant-fence.js';
 import {LeaseKeeper} from './lease-keeper.js';
@@ -37,6 +39,7 @@
 /** The parts of an agent that only an engine's has. */
 export interface PreparedEngine extends EngineParts {
   readonly slots: SlotTable;
+  readonly cacheFollower: CacheFollower;
   /** Fencing number of the orders. */
   readonly fence: number;
 }
@@ -50,10 +53,10 @@
   const askedAt = performance.now();
   const fence = await grantFence(settings, options);
   const path = `/${settings.customer}/${settings.service}`;
-  const service = () =>
+  const inForce = () =>
     settingsOf(follower.settings.tree, path) ?? DEFAULT_SETTINGS;
   const eviction = new RetiredFirstEviction(
-    new SettingsEviction(() => service().eviction),
+    new SettingsEviction(() => inForce().eviction),
     model => isRetired(follower.settings.tree, settings.customer, model),
   );
   const slots = new SlotTable(0, eviction);
@@ -125,12 +128,21 @@
     metrics,
   });
   follower.onChange((before, after) => {
-    if (service().prefetch) {
+    if (inForce().prefetch) {
       const held = {...settings, resident: slots.resident()};
       newVersions(before, after, held).forEach(successor =>
         prefetches.begin(successor, performance.now()),
       );
     }
   });
-  return {slots, watch, host, keeper, fence};
+  const prefixes = new CachedPrefixes();
+  const cacheFollower = new CacheFollower({
+    engine,
+    prefixes,
+    wanted: () => inForce().prefixAffinity > 0,
+    events,
+    metrics,
+  });
+  cacheFollower.start();
+  return {slots, watch, host, keeper, fence, prefixes, cacheFollower};
 }
