Test and measure prefix affinity with real processes

Cause: that a hint reaches the next turn, through the entry's own memory and through an agent's answer to another entry, shows only over processes.

Two engines hold one adapter. A first turn is sent while the entry's usual engine is full, so it runs on the other; the next turn goes there too, from the same entry and from one that learned of it by an answer. Wrong and unreadable events and restarts make no answer wrong.

Seen failing: without the hint in placement the first two tests; without the changes on answers, and without following events, the second; with a reader that throws at an unreadable event, the third (the agent ends). 3 of 3 pass with all on.

--- a/lab/agent-lab/src/index.ts
+++ b/lab/agent-lab/src/index.ts
@@ -8,3 +8,13 @@
   type AttemptAnswer,
   type AttemptToSend,
 } from './send-attempt.js';
+export {
+  runsOf,
+  sendChat,
+  setFaults,
+  startConversationSystem,
+  type Chat,
+  type ChatAnswer,
+  type ConversationSystemOptions,
+  type Message,
+} from './conversation-system.js';
