Measure what prefix hints cost an entry

The engine flags of the other measure named the time to the first token twice, which the stand-in refuses: they leave it at its default of 20 ms now.

--- a/lab/agent-lab/src/measure-prefixes.ts
+++ b/lab/agent-lab/src/measure-prefixes.ts
@@ -27,11 +27,7 @@
   content: 'You draft fixture recaps for a chartering desk. '.repeat(20),
 };
 const QUESTION = 'Add the clause on demurrage and despatch. '.repeat(12);
-const CACHE = [
-  ...['--cache-blocks', '1500'],
-  ...['--prefill-ms', '2'],
-  ...['--first-token-ms', '20'],
-];
+const CACHE = ['--cache-blocks', '1500', '--prefill-ms', '2'];
 const LATE = ['--cache-lag-ms', '500', '--cache-drop-share', '0.2'];
 const VARIANTS: readonly Variant[] = [
   {name: 'off', prefixAffinity: 0, engineFlags: CACHE},
