Keep load reports in their region

Cause: each agent's load report went in its heartbeat through the relay of its zone to the leader of control and from there to every entry.

Now a heartbeat to a relay carries the member and its load report apart, each only where it changed. From zones without an entry the report goes through control as before. The region is a setting of entries; all are in one by default. An entry takes targets of other regions only where none of its own can serve, since they would pass for idle. `targets` asks the agents for their load.

Changed tests: "a relay of the zone gets it, whole only where it changed" changed the load, which no longer makes the heartbeat whole; it changes the health instead, and a new test holds the load to its own rule. "the first entries of a zone" and "the report tells what is in use" only follow the new places of the same values.

--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -1,5 +1,5 @@
 import {setTimeout as pause} from 'node:timers/promises';
-import type {Member, TargetReport} from '@marigoldspur/messages';
+import type {LoadReport, Member, TargetReport} from '@marigoldspur/messages';
 import {
   ControlClient,
   SettingsFollower,
@@ -71,6 +71,13 @@
   });
   const isLeaving = () =>
     shell.isDraining || engine?.watch.state.leaving === true;
+  const loadReport = (): LoadReport => ({
+    resident: engine?.slots.resident() ?? [],
+    pinned: engine?.slots.pinned(),
+    loading: engine?.host.loading,
+    running: desk.load,
+    waiting: engine?.host.waiting ?? 0,
+  });
   const report = (): TargetReport => ({
     name: settings.target,
     customer: settings.customer,
@@ -78,13 +85,9 @@
     boot: engine?.watch.state.boot ?? boot,
     healthy: engine?.watch.state.healthy ?? service.healthy,
     slots: engine?.slots.size ?? 0,
-    resident: engine?.slots.resident() ?? [],
-    pinned: engine?.slots.pinned(),
-    loading: engine?.host.loading,
-    running: desk.load,
-    waiting: engine?.host.waiting ?? 0,
     batchLimit: engine?.watch.state.batchLimit ?? settings.batchLimit,
     fence,
+    load: loadReport(),
   });
   const url = await shell.serve({
     fallback: (request, response) => void desk.handle(request, response),
@@ -93,11 +96,12 @@
     revision: () => follower.settings.revision,
     settings: revision => follower.deltaAfter(revision),
     facts: () => {
-      const {healthy, resident} = report();
+      const {running, waiting, resident} = loadReport();
       return {
         target: settings.target,
-        running: desk.load,
-        healthy,
+        running,
+        waiting,
+        healthy: report().healthy,
         resident: resident.join(' '),
       };
     },
--- a/agent/agent-server/test/refused-loads.test.ts
+++ b/agent/agent-server/test/refused-loads.test.ts
@@ -41,7 +41,7 @@
   const {fixture, agent} = await Fixture.start();
   await fixture.send(agent, {model: 'a@v1'});
   const reports = () =>
-    [...fixture.control.members.values()].map(member => member.target);
+    [...fixture.control.members.values()].map(member => member.target?.load);
   await eventually(() =>
     reports().some(report => report?.resident.includes('a@v1')),
   );
--- a/cli/marigoldspur/src/commands/system-commands.ts
+++ b/cli/marigoldspur/src/commands/system-commands.ts
@@ -37,8 +37,7 @@
       'Show every target with its load',
       args => args,
       handle(async context => {
-        const members = valueOf(await context.session.members());
-        const rows = targetRows(members);
+        const rows = valueOf(await targetRows(context.session));
         context.write(context.flags.json ? toJson(rows) : formatTable(rows));
         return EXIT.done;
       }),
--- a/contracts/messages/src/heartbeat.ts
+++ b/contracts/messages/src/heartbeat.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {NAME_SCHEMA} from '@marigoldspur/settings-schema';
+import {LOAD_REPORT_SCHEMA} from './load-report.js';
 import {MEMBER_SCHEMA} from './member.js';
 
 /** Path at an entry that takes heartbeats of its zone, as JSON over plain HTTP. */
@@ -22,13 +23,15 @@
 /** How control or a relay took a heartbeat. */
 export type HeartbeatReceipt = z.infer<typeof HEARTBEAT_RECEIPT_SCHEMA>;
 
-/** A heartbeat to a relay: the whole member where it changed, else its name alone. */
+/** A heartbeat to a relay: the member and its load report, each only where it changed. */
 export const RELAYED_HEARTBEAT_SCHEMA = z.object({
   id: NAME_SCHEMA,
   boot: z.string(),
   /** Which announcement of the member is the latest. */
   mark: z.int().min(0),
+  /** Without a load report. */
   member: MEMBER_SCHEMA.optional(),
+  load: LOAD_REPORT_SCHEMA.optional(),
 });
 
 /** A heartbeat to a relay. */
--- a/contracts/messages/src/index.ts
+++ b/contracts/messages/src/index.ts
@@ -7,6 +7,16 @@
   type ProcessRole,
   type TargetReport,
 } from './member.js';
+export {
+  LOAD_CHANGES_SCHEMA,
+  LOAD_REPORT_SCHEMA,
+  LOAD_REPORTS_PATH,
+  splitMember,
+  type AgentLoad,
+  type LoadChanges,
+  type LoadReport,
+  type SplitMember,
+} from './load-report.js';
 export {
   BATCH_ANSWER_SCHEMA,
   BATCH_PATH,
--- a/contracts/messages/src/member.ts
+++ b/contracts/messages/src/member.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {NAME_SCHEMA} from '@marigoldspur/settings-schema';
+import {LOAD_REPORT_SCHEMA} from './load-report.js';
 
 const ROLE_SCHEMA = z.enum(['control', 'entry', 'agent']);
 
@@ -18,20 +19,12 @@
   healthy: z.boolean(),
   /** Adapter slots of the target; 0 for a plain service. */
   slots: z.int().min(0),
-  /** Adapters that the target holds, as `adapter@version`. */
-  resident: z.array(z.string()),
-  /** Adapters among them that requests use at present. */
-  pinned: z.array(z.string()).optional(),
-  /** Adapters that requests wait for or that are being loaded. */
-  loading: z.array(z.string()).optional(),
-  /** Requests that run on the target. */
-  running: z.int().min(0),
-  /** Requests that wait in the agent or the target. */
-  waiting: z.int().min(0),
   /** Requests that the target runs in one batch at most. */
   batchLimit: z.int().min(1),
   /** Fencing number of the agent: of two agents of a target the newer one serves it. */
   fence: z.int().min(0).optional(),
+  /** Absent where a relay passes it on to the entries of its region. */
+  load: LOAD_REPORT_SCHEMA.optional(),
 });
 
 /** What an agent reports of the target beside it. */
@@ -43,6 +36,8 @@
   id: NAME_SCHEMA,
   role: ROLE_SCHEMA,
   zone: NAME_SCHEMA,
+  /** Region of the zone; present in entries. */
+  region: NAME_SCHEMA.optional(),
   /** Boot identity of the process. */
   boot: z.string(),
   /** Base URL of the process's server. */
--- a/control/control-server/src/control-desk.ts
+++ b/control/control-server/src/control-desk.ts
@@ -122,8 +122,9 @@
   async heartbeat(member: Member): Promise<HeartbeatReceipt> {
     const now = performance.now();
     this.members.requireOffice(now);
-    if (member.target?.loading !== undefined) {
-      this.options.permits.keepOnly(member.id, member.target.loading, now);
+    const loading = member.target?.load?.loading;
+    if (loading !== undefined) {
+      this.options.permits.keepOnly(member.id, loading, now);
     }
     return this.members.heartbeat(member, now);
   }
--- a/control/control-server/src/member-desk.ts
+++ b/control/control-server/src/member-desk.ts
@@ -5,6 +5,7 @@
 import {
   MemberTable,
   RelaySessions,
+  relaysOf,
   type MemberChange,
 } from '@marigoldspur/membership';
 import type {
@@ -22,8 +23,6 @@
 const STREAM_IDLE_MS = 1_000;
 /** Time in which changes of members are gathered into one delta, in milliseconds. */
 const MEMBERS_BATCH_MS = 100;
-/** Entries of a zone that gather its heartbeats: one, and one that stands by. */
-const RELAYS_PER_ZONE = 2;
 
 /** What a member desk works with. */
 export interface MemberDeskOptions {
@@ -165,7 +164,7 @@
       leaseMs: this.options.leaseMs,
       revision: this.options.machine.settings.revision,
     };
-    const relays = this.table.relays(zone, RELAYS_PER_ZONE);
+    const relays = relaysOf(this.table.members(), zone);
     return this.table.complete || relays.length > 0
       ? {...receipt, relays: relays.map(relay => relay.url)}
       : receipt;
--- a/entry/dispatch/src/target-directory.ts
+++ b/entry/dispatch/src/target-directory.ts
@@ -1,4 +1,4 @@
-import type {Member} from '@marigoldspur/messages';
+import type {LoadReport, Member} from '@marigoldspur/messages';
 import type {TargetHealth} from './target-health.js';
 import type {Candidate, Placement} from '@marigoldspur/placement';
 
@@ -21,6 +21,16 @@
   readonly tried: ReadonlySet<string>;
 }
 
+/** What is known of how busy the targets are. */
+export interface TargetLoads {
+  /** The load report of a member, where one is known. */
+  loadOf(member: Member): LoadReport | undefined;
+  /** Whether load reports of a member can be known here. */
+  isInRegion(member: Member): boolean;
+}
+
+const NO_LOAD: LoadReport = {resident: [], running: 0, waiting: 0};
+
 /** Chooses among the targets that are known to serve. */
 export class TargetDirectory {
   private readonly sent = new Map<string, number>();
@@ -30,6 +40,7 @@
     private readonly members: () => readonly Member[],
     private readonly zone: string,
     private readonly health: Pick<TargetHealth, 'usable'>,
+    private readonly loads: TargetLoads,
   ) {}
 
   /** The destination of a request at time `now`; undefined where no target serves it. */
@@ -41,7 +52,10 @@
     const serving = this.members().filter(member => serves(member, need));
     const usable = this.health.usable(serving.map(destinationOf), now);
     const names = new Set(usable.map(destination => destination.target));
-    const agents = serving.filter(agent => names.has(agent.target!.name));
+    const reached = serving.filter(agent => names.has(agent.target!.name));
+    const near = reached.filter(agent => this.loads.isInRegion(agent));
+    // Those of other regions would pass for idle.
+    const agents = near.length > 0 ? near : reached;
     const candidates = agents.map(agent => this.candidate(agent));
     const request = {model: need.model, zone: this.zone};
     const chosen = placement.choose(request, candidates, now);
@@ -64,13 +78,14 @@
 
   private candidate(agent: Member): Candidate {
     const target = agent.target!;
-    const reported = target.running + target.waiting;
+    const report = this.loads.loadOf(agent) ?? NO_LOAD;
+    const reported = report.running + report.waiting;
     return {
       name: target.name,
       zone: agent.zone,
-      resident: new Set(target.resident),
-      pinned: target.pinned && new Set(target.pinned),
-      loading: target.loading && new Set(target.loading),
+      resident: new Set(report.resident),
+      pinned: report.pinned && new Set(report.pinned),
+      loading: report.loading && new Set(report.loading),
       slots: target.slots,
       load: Math.max(reported, this.sent.get(target.name) ?? 0),
       batchLimit: target.batchLimit,
--- a/entry/entry-server/src/entry-settings.ts
+++ b/entry/entry-server/src/entry-settings.ts
@@ -11,6 +11,9 @@
 export const ENTRY_SETTINGS_SCHEMA = z.object({
   id: NAME_SCHEMA.describe('Name of the process, stable over restarts'),
   zone: NAME_SCHEMA.describe('Availability zone'),
+  region: NAME_SCHEMA.default('default').describe(
+    'Region of the availability zone, the same at each entry of the zone; requests leave it only where no target in it serves them',
+  ),
   ...LINK_SETTINGS,
   callerPort: PORT_SCHEMA.describe('Port for callers, behind the balancer'),
   callerKeys: z
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -5,7 +5,9 @@
 import {
   ControlClient,
   HeartbeatRelay,
+  LoadReportServer,
   MemberFollower,
+  RegionLoads,
   SettingsFollower,
   startHeartbeat,
 } from '@marigoldspur/control-client';
@@ -15,7 +17,12 @@
   TargetHealth,
 } from '@marigoldspur/dispatch';
 import {listen} from '@marigoldspur/http-link';
-import {RELAY_PATH, type Member} from '@marigoldspur/messages';
+import {LoadBoard} from '@marigoldspur/membership';
+import {
+  LOAD_REPORTS_PATH,
+  RELAY_PATH,
+  type Member,
+} from '@marigoldspur/messages';
 import type {Task} from '@marigoldspur/process-life';
 import {ProcessShell} from '@marigoldspur/process-shell';
 import {ClaimDesk} from './claim-desk.js';
@@ -51,6 +58,12 @@
   await follower.start(performance.now() + START_TIMEOUT_MS);
   const members = new MemberFollower(client);
   members.start();
+  const loads = new RegionLoads({
+    members: () => members.members(),
+    region: settings.region,
+    agent: security.createAgent(),
+  });
+  loads.start();
   const entryMetrics = new EntryMetrics(shell.metrics.registry);
   const keys = await openCallerKeys({
     file: settings.callerKeys,
@@ -77,6 +90,7 @@
       () => members.members(),
       settings.zone,
       health,
+      loads,
     ),
     attempts,
     answers: new AnswerSender({events, metrics: entryMetrics}),
@@ -114,19 +128,22 @@
     host: settings.host,
     port: settings.callerPort,
   });
-  const relay = new HeartbeatRelay(client, {
-    id: settings.id,
-    boot,
-    zone: settings.zone,
-  });
+  const board = new LoadBoard();
+  const reports = new LoadReportServer(board);
+  const relay = new HeartbeatRelay(
+    client,
+    {id: settings.id, boot, zone: settings.zone},
+    board,
+  );
   const url = await shell.serve({
-    fallback: relayOnly(relay),
+    fallback: relayOnly(relay, reports),
     revision: () => follower.settings.revision,
     settings: revision => follower.deltaAfter(revision),
     facts: () => ({
       running: desk.running,
       members: members.members().length,
       targets: members.members().filter(isHealthyTarget).length,
+      reported: members.members().filter(each => loads.loadOf(each)).length,
     }),
     drain,
   });
@@ -134,6 +151,7 @@
     id: settings.id,
     role: 'entry',
     zone: settings.zone,
+    region: settings.region,
     boot,
     url,
     revision: follower.settings.revision,
@@ -161,6 +179,8 @@
       await claims.settled(COMPLETIONS_MS);
       heartbeat.stop();
       relay.stop();
+      reports.stop();
+      loads.stop();
       await Promise.all([members.stop(), follower.stop()]);
       health.stop();
       attempts.close();
@@ -176,14 +196,17 @@
   return member.target?.healthy === true;
 }
 
-/** Serves the relay's path alone. */
-function relayOnly(relay: HeartbeatRelay) {
+/** Serves the paths of a relay alone. */
+function relayOnly(relay: HeartbeatRelay, reports: LoadReportServer) {
   return (request: http.IncomingMessage, response: http.ServerResponse) => {
-    if (request.method === 'POST' && request.url === RELAY_PATH) {
+    const {method, url} = request;
+    if (method === 'POST' && url === RELAY_PATH) {
       void relay.handle(request, response);
-      return;
+    } else if (method === 'GET' && url === LOAD_REPORTS_PATH) {
+      reports.handle(request, response);
+    } else {
+      response.statusCode = HTTP_NOT_FOUND;
+      response.end('not found\n');
     }
-    response.statusCode = HTTP_NOT_FOUND;
-    response.end('not found\n');
   };
 }
--- a/lab/lab/test/whole-path.test.ts
+++ b/lab/lab/test/whole-path.test.ts
@@ -12,6 +12,9 @@
   loadsPerSecond: 50,
 } as const;
 
+/** The second engine is in another zone, which has no entry. */
+const RELAYED_ZONES = ['lima-a', 'lima-c'];
+
 let system: System;
 let client: OpenAI;
 
@@ -21,6 +24,7 @@
     tree: deploymentTree([DEPLOYMENT], 10),
     controls: 1,
     entries: 2,
+    zones: RELAYED_ZONES,
   });
   await system.settled();
   client = new OpenAI({
@@ -32,6 +36,13 @@
 
 after(() => system?.stop());
 
+/** Waits until a condition holds; the test's own time limit ends it. */
+async function until(condition: () => Promise<boolean>): Promise<void> {
+  while (!(await condition())) {
+    await new Promise(resolve => setTimeout(resolve, 50));
+  }
+}
+
 it('whole path: a chat completion runs on the version it names', async () => {
   const answer = await client.chat.completions.create({
     model: 'callao-3@v1',
@@ -41,6 +52,23 @@
   expect(answer.choices[0].message.content).to.match(/^callao-3@v1/);
 });
 
+it('whole path: load reports reach the entries, and control only where no relay serves', async () => {
+  const {session} = system;
+  const members = async () => (await session.members()).unwrapOr([]);
+  const zonesInControl = async () =>
+    (await members())
+      .filter(member => member.target?.load !== undefined)
+      .map(member => member.zone);
+  const reportedTo = async (url: string) =>
+    (await session.process(url).status.query()).facts.reported;
+  await until(async () => (await zonesInControl()).join() === 'lima-b');
+  const entries = (await members()).filter(each => each.role === 'entry');
+  expect(entries).to.have.length(2);
+  for (const {url} of entries) {
+    await until(async () => (await reportedTo(url)) === 3);
+  }
+});
+
 it('whole path: a streamed completion arrives whole', async () => {
   const stream = await client.completions.create({
     model: 'callao-4@v1',
--- a/lab/spread-bench/src/relay-bench.ts
+++ b/lab/spread-bench/src/relay-bench.ts
@@ -6,14 +6,16 @@
 import {
   ControlClient,
   HeartbeatRelay,
+  LoadReportServer,
   startHeartbeat,
 } from '@marigoldspur/control-client';
 import {startControlGroup} from '@marigoldspur/control-history';
 import {openCutLink} from '@marigoldspur/cut-link';
 import {listen} from '@marigoldspur/http-link';
-import type {Member} from '@marigoldspur/messages';
+import {LoadBoard} from '@marigoldspur/membership';
+import {LOAD_REPORTS_PATH, type Member} from '@marigoldspur/messages';
 import {cpuMsOf} from './cpu-time.js';
-import {targetReport} from '@marigoldspur/test-members';
+import {loadReport, targetReport} from '@marigoldspur/test-members';
 
 /** What is measured. */
 export interface RelayBenchOptions {
@@ -165,9 +167,19 @@
 ): Promise<void> {
   const name = `zone-${zone}`;
   const id = `entry-${zone}`;
-  const relay = new HeartbeatRelay(client, {id, boot: 'boot', zone: name});
+  const board = new LoadBoard();
+  const relay = new HeartbeatRelay(
+    client,
+    {id, boot: 'boot', zone: name},
+    board,
+  );
+  const reports = new LoadReportServer(board);
   const server = http.createServer((request, response) => {
-    void relay.handle(request, response);
+    if (request.url === LOAD_REPORTS_PATH) {
+      reports.handle(request, response);
+    } else {
+      void relay.handle(request, response);
+    }
   });
   const address = await listen(server, {host: LOOPBACK, port: 0});
   const url = `http://${LOOPBACK}:${address.port}`;
@@ -208,9 +220,8 @@
       target: targetReport({
         name: id,
         slots: RESIDENT.length,
-        resident: RESIDENT,
-        running,
         fence: 1,
+        load: loadReport({resident: RESIDENT, running}),
       }),
     };
   };
--- a/lab/test-members/src/index.ts
+++ b/lab/test-members/src/index.ts
@@ -1,1 +1,1 @@
-export {targetReport} from './target-report.js';
+export {loadReport, targetReport} from './target-report.js';
--- a/lab/test-members/src/target-report.ts
+++ b/lab/test-members/src/target-report.ts
@@ -1,4 +1,4 @@
-import type {TargetReport} from '@marigoldspur/messages';
+import type {LoadReport, TargetReport} from '@marigoldspur/messages';
 
 /** The report of a healthy, idle engine, but for what is named. */
 export function targetReport(change: Partial<TargetReport> = {}): TargetReport {
@@ -9,10 +9,13 @@
     boot: 'engine',
     healthy: true,
     slots: 6,
-    resident: [],
-    running: 0,
-    waiting: 0,
     batchLimit: 16,
+    load: loadReport(),
     ...change,
   };
 }
+
+/** The load report of an idle target that holds nothing, but for what is named. */
+export function loadReport(change: Partial<LoadReport> = {}): LoadReport {
+  return {resident: [], running: 0, waiting: 0, ...change};
+}
--- a/zones/control-client/src/heartbeat-relay.ts
+++ b/zones/control-client/src/heartbeat-relay.ts
@@ -1,6 +1,10 @@
 import {Fault} from '@marigoldspur/faults';
 import {jsonHandler} from '@marigoldspur/http-link';
-import {HeartbeatGathering, type Relay} from '@marigoldspur/membership';
+import {
+  HeartbeatGathering,
+  type LoadBoard,
+  type Relay,
+} from '@marigoldspur/membership';
 import {
   BATCH_ANSWER_SCHEMA,
   BATCH_PATH,
@@ -17,7 +21,10 @@
 const BATCH_TIMEOUT_MS = 700;
 const MAX_HEARTBEAT_BYTES = 1_048_576;
 
-/** Gathers the heartbeats of a zone at an entry and passes them on to the leader of control. */
+/**
+ * Gathers the heartbeats of a zone at an entry and passes them on to the leader of
+ * control, but for the load reports, which stay on a board here.
+ */
 export class HeartbeatRelay {
   private readonly gathering: HeartbeatGathering;
   private timer?: NodeJS.Timeout;
@@ -34,8 +41,9 @@
   constructor(
     private readonly client: ControlClient,
     relay: Relay,
+    loads: LoadBoard,
   ) {
-    this.gathering = new HeartbeatGathering(relay);
+    this.gathering = new HeartbeatGathering(relay, loads);
   }
 
   /** Members that the relay speaks for. */
--- a/zones/control-client/src/heartbeat.ts
+++ b/zones/control-client/src/heartbeat.ts
@@ -5,9 +5,11 @@
   HEARTBEAT_RECEIPT_SCHEMA,
   RELAY_PATH,
   RELAYED_ANSWER_SCHEMA,
+  splitMember,
   type HeartbeatReceipt,
   type Member,
   type RelayedAnswer,
+  type RelayedHeartbeat,
 } from '@marigoldspur/messages';
 import type {ControlClient} from './control-client.js';
 
@@ -66,15 +68,25 @@
   };
 }
 
+/** What a relay knows of this process. */
+interface KnownAtRelay {
+  readonly relay: string;
+  readonly mark: number;
+  /** The load report as JSON, where there is one. */
+  readonly load: string | undefined;
+}
+
 /** Sends the heartbeats of one process: by a relay of its zone, or straight to control. */
 class Announcer {
+  /** The state that was sent last, as JSON. */
   private text = '';
-  private mark = 0;
   private sentAt = -Infinity;
+  /** What was last announced to control, as JSON, and the count of its changes. */
+  private announced = '';
+  private mark = 0;
   private relays: readonly string[] = [];
   private readonly leftAt = new Map<string, number>();
-  /** What the relay in use knows of this process. */
-  private known?: {readonly relay: string; readonly mark: number};
+  private known?: KnownAtRelay;
 
   constructor(
     private readonly client: ControlClient,
@@ -92,7 +104,9 @@
 
   /** Sends a heartbeat at time `now`, a `performance.now()` time. */
   async announce(now: number): Promise<Result<HeartbeatReceipt, Fault>> {
-    const member = this.marked(now);
+    const member = this.member();
+    this.text = JSON.stringify(member);
+    this.sentAt = now;
     const relay = this.relays.find(
       url => now - (this.leftAt.get(url) ?? -Infinity) > RELAY_PAUSE_MS,
     );
@@ -105,7 +119,7 @@
     }
     this.known = undefined;
     const result = await this.client.exchange(
-      {path: HEARTBEAT_PATH, body: member},
+      {path: HEARTBEAT_PATH, body: this.marked(member)},
       HEARTBEAT_RECEIPT_SCHEMA,
       performance.now() + DIRECT_TIMEOUT_MS,
     );
@@ -118,31 +132,38 @@
     return result;
   }
 
-  private marked(now: number): Member {
-    const member = this.member();
-    const text = JSON.stringify(member);
-    if (text !== this.text) {
+  /** What control is told, with its mark: by another way it counts as another state. */
+  private marked(announcement: Member): Member {
+    const text = JSON.stringify(announcement);
+    if (text !== this.announced) {
       this.mark += 1;
-      this.text = text;
+      this.announced = text;
     }
-    this.sentAt = now;
-    return {...member, mark: this.mark};
+    return {...announcement, mark: this.mark};
   }
 
   /** Undefined where the relay can't pass the heartbeat on, so that another way is to be taken. */
   private async byRelay(
     relay: string,
-    member: Member,
+    whole: Member,
   ): Promise<Result<HeartbeatReceipt, Fault> | undefined> {
-    const isKnown =
-      this.known?.relay === relay && this.known.mark === this.mark;
-    let answer = await this.send(relay, member, !isKnown);
+    const {calm, load} = splitMember(whole);
+    const member = this.marked(calm);
+    const {id, boot, mark = 0} = member;
+    const loadText = load && JSON.stringify(load);
+    const known = this.known?.relay === relay ? this.known : undefined;
+    const heartbeat = {id, boot, mark};
+    let answer = await this.send(relay, {
+      ...heartbeat,
+      ...(known?.mark !== mark && {member}),
+      ...((known?.mark !== mark || known.load !== loadText) && {load}),
+    });
     if (answer?.outcome === 'unknown') {
-      answer = await this.send(relay, member, true);
+      answer = await this.send(relay, {...heartbeat, member, load});
     }
     switch (answer?.outcome) {
       case 'taken':
-        this.known = {relay, mark: member.mark ?? 0};
+        this.known = {relay, mark, load: loadText};
         this.takeRelays(answer.receipt);
         return Result.ok(answer.receipt);
       case 'fenced':
@@ -158,14 +179,12 @@
 
   private async send(
     relay: string,
-    member: Member,
-    whole: boolean,
+    heartbeat: RelayedHeartbeat,
   ): Promise<RelayedAnswer | undefined> {
-    const {id, boot, mark} = member;
     try {
       return await this.client.exchangeWith(
         new URL(RELAY_PATH, relay),
-        {id, boot, mark, ...(whole && {member})},
+        heartbeat,
         {
           schema: RELAYED_ANSWER_SCHEMA,
           signal: AbortSignal.timeout(RELAY_TIMEOUT_MS),
--- a/zones/control-client/src/index.ts
+++ b/zones/control-client/src/index.ts
@@ -11,3 +11,8 @@
   type HeartbeatAnswer,
 } from './heartbeat.js';
 export {HeartbeatRelay} from './heartbeat-relay.js';
+export {
+  LoadReportServer,
+  type LoadReportServerOptions,
+} from './load-report-server.js';
+export {RegionLoads, type RegionLoadsOptions} from './region-loads.js';
--- a/zones/control-client/test/heartbeat.test.ts
+++ b/zones/control-client/test/heartbeat.test.ts
@@ -10,17 +10,18 @@
 } from '@marigoldspur/control-client';
 import {Fault} from '@marigoldspur/faults';
 import {closeServer, jsonHandler, listen} from '@marigoldspur/http-link';
-import {MemberTable, RelaySessions} from '@marigoldspur/membership';
+import {LoadBoard, MemberTable, RelaySessions} from '@marigoldspur/membership';
 import type {
   HeartbeatBatch,
   Member,
   RelayedAnswer,
   RelayedHeartbeat,
 } from '@marigoldspur/messages';
-import {targetReport} from '@marigoldspur/test-members';
+import {loadReport, targetReport} from '@marigoldspur/test-members';
 
 const LEASE_MS = 3_000;
 const LOOPBACK = '127.0.0.1';
+const RELAY = {id: 'entry-0', boot: 'boot', zone: 'lima-a'};
 const RECEIPT = {leaseMs: LEASE_MS, revision: 0};
 
 const ends: Array<() => unknown> = [];
@@ -133,13 +134,13 @@
   const leader = await new Leader().start();
   const relay = await fakeRelay(() => ({outcome: 'taken', receipt: RECEIPT}));
   leader.relays = [relay.url];
-  let running = 0;
+  let healthy = true;
   const {until} = start(clientOf(leader), () => {
     const member = agent();
-    return {...member, target: {...member.target!, running}};
+    return {...member, target: {...member.target!, healthy}};
   });
   await until(3);
-  running = 1;
+  healthy = false;
   await until(4);
   expect(leader.direct).to.have.length(1);
   expect(relay.heard.map(each => each.member !== undefined)).to.deep.equal([
@@ -149,6 +150,38 @@
   ]);
 });
 
+it('heartbeat: a relay gets the load report by itself, only where it changed', async () => {
+  const leader = await new Leader().start();
+  const relay = await fakeRelay(() => ({outcome: 'taken', receipt: RECEIPT}));
+  leader.relays = [relay.url];
+  let running = 0;
+  const {until} = start(clientOf(leader), () => {
+    const load = loadReport({running});
+    return {...agent(), target: targetReport({fence: 1, load})};
+  });
+  await until(3);
+  running = 1;
+  await until(4);
+  expect(leader.direct[0].target?.load?.running).to.equal(0);
+  expect(relay.heard.map(each => each.load?.running)).to.deep.equal([
+    0,
+    undefined,
+    1,
+  ]);
+  const [whole, ...others] = relay.heard.map(each => each.member);
+  expect(whole?.target).to.not.have.property('load');
+  expect(others).to.deep.equal([undefined, undefined]);
+});
+
+it('heartbeat: a late one of an earlier way is older than the next', async () => {
+  const leader = await new Leader().start();
+  const relay = await fakeRelay(() => ({outcome: 'taken', receipt: RECEIPT}));
+  leader.relays = [relay.url];
+  const {until} = start(clientOf(leader), agent);
+  await until(2);
+  expect(relay.heard[0].mark).to.be.above(leader.direct[0].mark!);
+});
+
 it('heartbeat: a relay that falls silent is left, and control told at once', async () => {
   const leader = await new Leader().start();
   const relay = await fakeRelay(() => undefined);
@@ -210,11 +243,7 @@
 it('heartbeat relay: control’s word reaches the member, also that it is fenced', async () => {
   const leader = await new Leader().start();
   const client = clientOf(leader);
-  const relay = new HeartbeatRelay(client, {
-    id: 'entry-0',
-    boot: 'boot',
-    zone: 'lima-a',
-  });
+  const relay = new HeartbeatRelay(client, RELAY, new LoadBoard());
   ends.push(() => relay.stop());
   leader.relays = [
     await serve((request, response) => {
--- a/zones/membership/src/heartbeat-gathering.ts
+++ b/zones/membership/src/heartbeat-gathering.ts
@@ -6,6 +6,7 @@
   RelayedHeartbeat,
   RelayStamp,
 } from '@marigoldspur/messages';
+import type {LoadBoard} from './load-board.js';
 
 /** Who gathers heartbeats. */
 export interface Relay {
@@ -39,7 +40,11 @@
   private stamp?: RelayStamp;
   private stampedAt = 0;
 
-  constructor(private readonly relay: Relay) {}
+  /** Load reports go to `loads` alone: the leader is not told of them. */
+  constructor(
+    private readonly relay: Relay,
+    private readonly loads: LoadBoard,
+  ) {}
 
   /** Members that the relay speaks for. */
   get size(): number {
@@ -61,6 +66,10 @@
       return Promise.resolve({outcome: 'unknown'});
     }
     row.heardAt = now;
+    if (heartbeat.load !== undefined) {
+      const {id, boot, load} = heartbeat;
+      this.loads.put({id, boot, load});
+    }
     return new Promise(resolve => row.waiting.push(resolve));
   }
 
@@ -134,6 +143,7 @@
     const waiting = known?.boot === boot ? known.waiting : [];
     if (known !== undefined && known.boot !== boot) {
       settle(known, {outcome: 'unknown'});
+      this.loads.remove(id);
     }
     const row = {boot, mark, member, heardAt: 0, told: false, waiting};
     this.rows.set(id, row);
@@ -143,7 +153,7 @@
   private dropSilent(now: number): void {
     for (const [id, row] of this.rows) {
       if (now - row.heardAt > SILENT_AFTER_MS) {
-        this.rows.delete(id);
+        this.drop(id);
         this.silent.push(id);
       }
     }
@@ -173,10 +183,15 @@
   private fence(id: string, boot: string): void {
     const row = this.rows.get(id);
     if (row?.boot === boot) {
-      this.rows.delete(id);
+      this.drop(id);
       settle(row, {outcome: 'fenced'});
     }
   }
+
+  private drop(id: string): void {
+    this.rows.delete(id);
+    this.loads.remove(id);
+  }
 }
 
 function settle(row: Row, answer: RelayedAnswer): void {
--- a/zones/membership/src/index.ts
+++ b/zones/membership/src/index.ts
@@ -11,3 +11,6 @@
   type RelaySessionsOptions,
 } from './relay-sessions.js';
 export {HeartbeatGathering, type Relay} from './heartbeat-gathering.js';
+export {LoadBoard} from './load-board.js';
+export {LoadView} from './load-view.js';
+export {regionOf, relaysOf, type Region} from './region.js';
--- a/zones/membership/src/member-table.ts
+++ b/zones/membership/src/member-table.ts
@@ -130,15 +130,6 @@
     return {renewal: 'renewed', changes: []};
   }
 
-  /** The first entries of a zone that stay, by name: they gather its heartbeats. */
-  relays(zone: string, count: number): Member[] {
-    return this.members()
-      .filter(each => each.role === 'entry' && each.zone === zone)
-      .filter(each => !each.leaving)
-      .sort((a, b) => (a.id < b.id ? -1 : 1))
-      .slice(0, count);
-  }
-
   /**
    * Removes the members whose leases ended before `now`, and settles the table.
    * Both raise the version.
--- a/zones/membership/test/heartbeat-gathering.test.ts
+++ b/zones/membership/test/heartbeat-gathering.test.ts
@@ -5,13 +5,15 @@
   HeartbeatBatch,
   Member,
   RelayedAnswer,
+  RelayedHeartbeat,
 } from '@marigoldspur/messages';
 import {
   HeartbeatGathering,
+  LoadBoard,
   MemberTable,
   RelaySessions,
 } from '@marigoldspur/membership';
-import {targetReport} from '@marigoldspur/test-members';
+import {loadReport, targetReport} from '@marigoldspur/test-members';
 
 const RUNS = {seed: 11, numRuns: 500};
 const LEASE_MS = 3_000;
@@ -53,9 +55,10 @@
 
 /** Gathers, and keeps the answers in the order in which they come. */
 function gathering() {
-  const gathered = new HeartbeatGathering(RELAY);
+  const board = new LoadBoard();
+  const gathered = new HeartbeatGathering(RELAY, board);
   const answers: RelayedAnswer[] = [];
-  const hear = (heartbeat: ReturnType<typeof whole>, now: number) =>
+  const hear = (heartbeat: RelayedHeartbeat, now: number) =>
     gathered.hear(heartbeat, now).then(each => answers.push(each));
   const exchange = async (now: number, change?: Partial<BatchAnswer>) => {
     const batch = gathered.batch(now);
@@ -63,7 +66,7 @@
     await Promise.resolve();
     return batch;
   };
-  return {gathered, answers, hear, exchange};
+  return {board, gathered, answers, hear, exchange};
 }
 
 it('gathering: a heartbeat is answered once the leader took it', async () => {
@@ -146,6 +149,44 @@
   expect(outcomes).to.deep.equal(['unknown', 'taken']);
 });
 
+it('gathering: load reports go to the board and not to the leader', async () => {
+  const {board, gathered, hear, exchange} = gathering();
+  const load = loadReport({running: 1});
+  void hear({...whole('a'), load}, 0);
+  const {announced} = await exchange(1);
+  expect(announced).to.deep.equal([whole('a').member]);
+  const next = loadReport({running: 2});
+  void gathered.hear({...short('a'), load: next}, 2);
+  expect(gathered.isUrgent).to.equal(false);
+  expect((await exchange(3)).announced).to.deep.equal([]);
+  expect(board.changesAfter(-1).changed).to.deep.equal([
+    {id: 'a', boot: 'boot', load: next},
+  ]);
+});
+
+it('gathering: the load report of an announcement that is not known is not taken', async () => {
+  const {board, gathered} = gathering();
+  await gathered.hear({...short('a'), load: loadReport()}, 0);
+  expect(board.changesAfter(-1).changed).to.deep.equal([]);
+});
+
+it('gathering: load reports leave with who falls silent, is fenced or starts anew', async () => {
+  const {board, gathered, hear, exchange} = gathering();
+  const load = loadReport();
+  ['silent', 'fenced', 'anew', 'stays'].forEach(id => {
+    void hear({...whole(id), load}, 0);
+  });
+  await exchange(1);
+  void gathered.hear(short('fenced'), 1_400);
+  void gathered.hear(short('stays'), 1_400);
+  const anew = {...whole('anew'), boot: 'second'};
+  void hear(anew, 1_400);
+  await exchange(1_600, {fenced: [{id: 'fenced', boot: 'boot'}]});
+  const {changed, removed} = board.changesAfter(-1);
+  expect(changed.map(each => each.id)).to.deep.equal(['stays']);
+  expect(removed).to.have.members(['silent', 'fenced', 'anew']);
+});
+
 it('gathering: after a lost batch everything is told again', async () => {
   const {gathered, answers, hear, exchange} = gathering();
   void hear(whole('a'), 0);
@@ -186,7 +227,7 @@
 class RelayRun {
   now = 0;
   private readonly heardAt = new Map<string, number>();
-  private readonly gathered = new HeartbeatGathering(RELAY);
+  private readonly gathered = new HeartbeatGathering(RELAY, new LoadBoard());
   private readonly table = new MemberTable({table: 't', leaseMs: LEASE_MS});
   private readonly sessions = new RelaySessions({
     table: this.table,
--- a/zones/membership/test/relay-sessions.test.ts
+++ b/zones/membership/test/relay-sessions.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import type {HeartbeatBatch, Member, RelayStamp} from '@marigoldspur/messages';
-import {MemberTable, RelaySessions} from '@marigoldspur/membership';
+import {MemberTable, RelaySessions, relaysOf} from '@marigoldspur/membership';
 import {targetReport} from '@marigoldspur/test-members';
 
 const LEASE_MS = 1_000;
@@ -139,6 +139,6 @@
   table.announce(entry('e0', {zone: 'lima-b'}), 0);
   table.announce(entry('e4'), 0);
   table.announce(agent('a'), 0);
-  const relays = table.relays('lima-a', 2).map(member => member.id);
+  const relays = relaysOf(table.members(), 'lima-a').map(member => member.id);
   expect(relays).to.deep.equal(['e2', 'e3']);
 });
