Send heartbeats and batches over one long-lived request each

Cause: heartbeat batches of 18 relays (22.5 KB/s) and the log's traffic (13.2 KB/s) are 36 KB/s at the leader of control, over its 23; and a relay of 85 members took 4.7 to 5.6% of a core. Each heartbeat and each batch was an HTTP request with headers of its own.

Now both go as lines of JSON over one long-lived request, as the log's deliveries do; the reader of lines moved from log-links to http-link for it.

Seen on the way: a profile of the relay at 85 heartbeats a second shows cold code; 340 members in one zone took 5.2% of a core where 85 took 4.9%, both after 15 s. So the bench warms up for 40 s now (`--warm-up`).

--- a/contracts/control-api/src/heartbeat-handler.ts
+++ b/contracts/control-api/src/heartbeat-handler.ts
@@ -1,6 +1,10 @@
 import type http from 'node:http';
 import {Fault} from '@marigoldspur/faults';
-import {jsonHandler} from '@marigoldspur/http-link';
+import {
+  jsonHandler,
+  jsonStreamHandler,
+  type JsonHandlerOptions,
+} from '@marigoldspur/http-link';
 import {
   BATCH_PATH,
   HEARTBEAT_BATCH_SCHEMA,
@@ -16,30 +20,34 @@
 type Handler = (
   request: http.IncomingMessage,
   response: http.ServerResponse,
-) => void;
+) => unknown;
 
 /**
- * Serves heartbeats, single ones and those that relays gathered, as JSON over plain
- * HTTP: they are what control is called for most, and a call of tRPC costs its server
+ * Serves heartbeats, single ones and streams of those that relays gathered, as JSON over
+ * plain HTTP: they are what control is called for most, and a call of tRPC costs its server
  * some four times as much.
  */
 export function heartbeatHandler(
   service: Pick<ControlService, 'heartbeat' | 'heartbeats'>,
 ): Handler {
-  const handlers = new Map([
+  const handlers = new Map<string, Handler>([
     [
       HEARTBEAT_PATH,
-      handlerOf(MEMBER_SCHEMA, member => service.heartbeat(member)),
+      jsonHandler(
+        optionsOf(MEMBER_SCHEMA, member => service.heartbeat(member)),
+      ),
     ],
     [
       BATCH_PATH,
-      handlerOf(HEARTBEAT_BATCH_SCHEMA, batch => service.heartbeats(batch)),
+      jsonStreamHandler(
+        optionsOf(HEARTBEAT_BATCH_SCHEMA, batch => service.heartbeats(batch)),
+      ),
     ],
   ]);
   return (request, response) => {
     const handle = handlers.get(request.url ?? '');
     if (handle !== undefined && request.method === 'POST') {
-      void handle(request, response);
+      handle(request, response);
       return;
     }
     response.statusCode = HTTP_NOT_FOUND;
@@ -47,11 +55,11 @@
   };
 }
 
-function handlerOf<T>(
+function optionsOf<T>(
   schema: z.ZodType<T>,
   answer: (message: T) => Promise<unknown>,
-) {
-  return jsonHandler({
+): JsonHandlerOptions {
+  return {
     maxBodyBytes: MAX_BATCH_BYTES,
     answer: async message => {
       const parsed = schema.safeParse(message);
@@ -60,5 +68,5 @@
       }
       return answer(parsed.data);
     },
-  });
+  };
 }
--- a/contracts/messages/src/heartbeat.ts
+++ b/contracts/messages/src/heartbeat.ts
@@ -3,11 +3,11 @@
 import {LOAD_REPORT_SCHEMA} from './load-report.js';
 import {MEMBER_SCHEMA} from './member.js';
 
-/** Path at an entry that takes heartbeats of its zone, as JSON over plain HTTP. */
+/** Path at an entry that takes heartbeats of its zone, as lines of JSON over plain HTTP. */
 export const RELAY_PATH = '/relayed-heartbeat';
 /** Path at control that takes single heartbeats, as JSON over plain HTTP. */
 export const HEARTBEAT_PATH = '/heartbeat';
-/** Path at control that takes batches of heartbeats, as JSON over plain HTTP. */
+/** Path at control that takes batches of heartbeats, as lines of JSON over plain HTTP. */
 export const BATCH_PATH = '/heartbeats';
 
 /** How control or a relay took a heartbeat. */
--- a/control/log-links/src/delivery-handler.ts
+++ b/control/log-links/src/delivery-handler.ts
@@ -1,5 +1,5 @@
 import type http from 'node:http';
-import {LineReader} from './line-reader.js';
+import {LineReader} from '@marigoldspur/http-link';
 import {DELIVERY_SCHEMA, type ReplicaService} from './replica-service.js';
 
 /** Path at which a replica takes streams of deliveries. */
--- a/control/log-links/src/delivery-stream.ts
+++ b/control/log-links/src/delivery-stream.ts
@@ -1,7 +1,6 @@
 import type http from 'node:http';
-import {openRequest} from '@marigoldspur/http-link';
+import {LineReader, openRequest} from '@marigoldspur/http-link';
 import {DELIVERY_PATH, MAX_LINE_BYTES} from './delivery-handler.js';
-import {LineReader} from './line-reader.js';
 import {
   DELIVERY_ANSWER_SCHEMA,
   type Delivery,
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -201,7 +201,7 @@
   return (request: http.IncomingMessage, response: http.ServerResponse) => {
     const {method, url} = request;
     if (method === 'POST' && url === RELAY_PATH) {
-      void relay.handle(request, response);
+      relay.handle(request, response);
     } else if (method === 'GET' && url === LOAD_REPORTS_PATH) {
       reports.handle(request, response);
     } else {
--- a/lab/spread-bench/src/main.ts
+++ b/lab/spread-bench/src/main.ts
@@ -7,6 +7,8 @@
 import {measureRelayed, runZone} from './relay-bench.js';
 import {measureTree} from './tree-bench.js';
 
+const MS_PER_SECOND = 1_000;
+
 await yargs(hideBin(process.argv))
   .scriptName('marigoldspur-spread-bench')
   .command(
@@ -49,11 +51,13 @@
       options
         .option('zones', {type: 'array', default: [1, 6, 18]})
         .option('members', {type: 'number', default: 85})
-        .option('busy', {type: 'number', default: 0}),
-    async ({zones, members, busy}) => {
+        .option('busy', {type: 'number', default: 0})
+        .option('warm-up', {type: 'number', default: 40}),
+    async ({zones, members, busy, warmUp}) => {
       for (const each of zones) {
         const size = {zones: Number(each), membersPerZone: members, busy};
-        print(await measureRelayed(size));
+        const warmUpMs = warmUp * MS_PER_SECOND;
+        print(await measureRelayed({...size, warmUpMs}));
       }
     },
   )
@@ -71,7 +75,7 @@
         .option('members', {type: 'number', demandOption: true})
         .option('busy', {type: 'number', demandOption: true}),
     ({part, zone, url, members, busy}) =>
-      runZone(part, zone, url, {zones: 1, membersPerZone: members, busy}),
+      runZone(part, zone, url, {membersPerZone: members, busy}),
   )
   .command(
     'followers',
--- a/lab/spread-bench/src/relay-bench.ts
+++ b/lab/spread-bench/src/relay-bench.ts
@@ -24,6 +24,8 @@
   readonly membersPerZone: number;
   /** Share of the members whose report changes before each heartbeat, from 0 to 1. */
   readonly busy: number;
+  /** Time before it is measured, in milliseconds: code that is not compiled yet costs several times as much. */
+  readonly warmUpMs: number;
 }
 
 /** What heartbeats by relays cost the leader. */
@@ -45,13 +47,16 @@
   readonly zoneMembersPercent: number;
 }
 
-const WARM_UP_MS = 15_000;
+const SETTLE_MS = 5_000;
 const MEASURE_MS = 10_000;
 const MS_PER_SECOND = 1_000;
 const PERCENT = 100;
 const LOOPBACK = '127.0.0.1';
 const RESIDENT = ['a', 'b', 'c', 'd', 'e', 'f'].map(each => `recap-${each}@1`);
 
+/** What the processes of a zone need to know. */
+export type ZoneOptions = Pick<RelayBenchOptions, 'membersPerZone' | 'busy'>;
+
 /** What a process of a zone runs. */
 export type ZonePart = 'relay' | 'members';
 
@@ -69,13 +74,13 @@
   const group = await startControlGroup({replicas: 1});
   const link = await openCutLink(Number(new URL(group.directUrls[0]).port));
   const pid = group.child(0).process.pid!;
-  await pause(WARM_UP_MS / 3);
+  await pause(SETTLE_MS);
   const idle = await percentOf(() => cpuMsOf(pid), MEASURE_MS / 2);
   const url = `http://${LOOPBACK}:${link.port}`;
   const zones = Array.from({length: options.zones}, (_, zone) => zone);
   const relays = zones.map(zone => forkZone('relay', zone, url, options));
   const members = zones.map(zone => forkZone('members', zone, url, options));
-  await pause(WARM_UP_MS);
+  await pause(options.warmUpMs);
   const before = {relays: await sumOf(relays), members: await sumOf(members)};
   const start = {bytes: link.bytes(), at: performance.now()};
   const leader = await percentOf(() => cpuMsOf(pid), MEASURE_MS);
@@ -109,7 +114,7 @@
   part: ZonePart,
   zone: number,
   url: string,
-  options: RelayBenchOptions,
+  options: ZoneOptions,
 ): Promise<void> {
   const counts = {taken: 0, failed: 0};
   process.on('message', () =>
@@ -178,7 +183,7 @@
     if (request.url === LOAD_REPORTS_PATH) {
       reports.handle(request, response);
     } else {
-      void relay.handle(request, response);
+      relay.handle(request, response);
     }
   });
   const address = await listen(server, {host: LOOPBACK, port: 0});
@@ -188,7 +193,7 @@
 
 async function startMembers(
   zone: number,
-  options: RelayBenchOptions,
+  options: ZoneOptions,
   start: (member: () => Member) => void,
 ): Promise<void> {
   for (let index = 1; index < options.membersPerZone; index += 1) {
--- a/machines/http-link/src/index.ts
+++ b/machines/http-link/src/index.ts
@@ -9,3 +9,10 @@
 export {closeServer, listen, type Address} from './listen.js';
 export {openRequest, type OutgoingCall} from './open-request.js';
 export {endToEndHeaders, type EndToEndOptions} from './end-to-end-headers.js';
+export {
+  JsonStream,
+  type JsonStreamAnswer,
+  type JsonStreamOptions,
+} from './json-stream.js';
+export {jsonStreamHandler} from './json-stream-handler.js';
+export {LineReader, LineTooLong} from './line-reader.js';
--- a/zones/control-client/src/control-client.ts
+++ b/zones/control-client/src/control-client.ts
@@ -4,7 +4,7 @@
 import type {z} from 'zod';
 import type {ControlRouter} from '@marigoldspur/control-api';
 import {Fault, type FaultCode} from '@marigoldspur/faults';
-import {exchangeJson, linkFetch} from '@marigoldspur/http-link';
+import {exchangeJson, JsonStream, linkFetch} from '@marigoldspur/http-link';
 import type {ProcessRouter} from '@marigoldspur/process-api';
 import {checkMessage} from './check-message.js';
 import {runSubscription, type Subscription} from './event-stream.js';
@@ -54,7 +54,8 @@
     deadlineMs: number,
   ): Promise<Result<T, Fault>> {
     return this.reach(
-      (url, signal) => call(this.replica(url), signal),
+      (url, timeoutMs) =>
+        call(this.replica(url), AbortSignal.timeout(timeoutMs)),
       deadlineMs,
     );
   }
@@ -68,34 +69,30 @@
     schema: z.ZodType<T>,
     deadlineMs: number,
   ): Promise<Result<T, Fault>> {
-    return this.reach(
-      (url, signal) =>
-        this.exchangeWith(new URL(message.path, url), message.body, {
-          schema,
-          signal,
-        }),
-      deadlineMs,
-    );
+    return this.reach(async (url, timeoutMs) => {
+      const answer = await exchangeJson({
+        url: new URL(message.path, url),
+        body: message.body,
+        agent: this.agent,
+        signal: AbortSignal.timeout(timeoutMs),
+        maxAnswerBytes: MAX_ANSWER_BYTES,
+      });
+      return checkMessage(schema, answer);
+    }, deadlineMs);
   }
 
-  /** Sends one process a JSON message; throws a `Fault`. */
-  async exchangeWith<T>(
-    url: URL,
-    body: unknown,
-    options: {readonly schema: z.ZodType<T>; readonly signal: AbortSignal},
-  ): Promise<T> {
-    const answer = await exchangeJson({
-      url,
-      body,
-      agent: this.agent,
-      signal: options.signal,
-      maxAnswerBytes: MAX_ANSWER_BYTES,
-    });
-    return checkMessage(options.schema, answer);
+  /** Opens a stream of JSON messages to one process. */
+  openStream(url: URL): JsonStream {
+    const maxAnswerBytes = MAX_ANSWER_BYTES;
+    return new JsonStream({url, agent: this.agent, maxAnswerBytes});
   }
 
-  private async reach<T>(
-    send: (url: string, signal: AbortSignal) => Promise<T>,
+  /**
+   * Tries each replica, the leader first, until `send` gets an answer or `deadlineMs`
+   * (a `performance.now()` time). `send` is to give up after the time it is told.
+   */
+  async reach<T>(
+    send: (url: string, timeoutMs: number) => Promise<T>,
     deadlineMs: number,
   ): Promise<Result<T, Fault>> {
     let fault = new Fault('UNAVAILABLE', 'control is out of reach');
@@ -107,8 +104,7 @@
         deadlineMs - performance.now(),
       );
       try {
-        const signal = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)));
-        return Result.ok(await send(url, signal));
+        return Result.ok(await send(url, Math.max(1, Math.ceil(timeoutMs))));
       } catch (thrown) {
         fault = faultOf(thrown);
         if (!isWorthRetry(fault)) {
--- a/zones/control-client/src/heartbeat-relay.ts
+++ b/zones/control-client/src/heartbeat-relay.ts
@@ -1,5 +1,5 @@
 import {Fault} from '@marigoldspur/faults';
-import {jsonHandler} from '@marigoldspur/http-link';
+import {jsonStreamHandler} from '@marigoldspur/http-link';
 import {
   HeartbeatGathering,
   type LoadBoard,
@@ -12,6 +12,7 @@
   type RelayedAnswer,
 } from '@marigoldspur/messages';
 import type {ControlClient} from './control-client.js';
+import {MessageStream} from './message-stream.js';
 
 /** Time between two batches, in milliseconds. */
 const BATCH_MS = 500;
@@ -27,13 +28,14 @@
  */
 export class HeartbeatRelay {
   private readonly gathering: HeartbeatGathering;
+  private readonly batches: MessageStream;
   private timer?: NodeJS.Timeout;
   private nextAt = Infinity;
   private sending = false;
   private stopped = false;
 
-  /** Answers a request to `RELAY_PATH`. */
-  readonly handle = jsonHandler({
+  /** Answers a request to `RELAY_PATH`, with a heartbeat a line. */
+  readonly handle = jsonStreamHandler({
     maxBodyBytes: MAX_HEARTBEAT_BYTES,
     answer: message => this.hear(message),
   });
@@ -44,6 +46,7 @@
     loads: LoadBoard,
   ) {
     this.gathering = new HeartbeatGathering(relay, loads);
+    this.batches = new MessageStream(client, BATCH_PATH);
   }
 
   /** Members that the relay speaks for. */
@@ -55,6 +58,7 @@
     this.stopped = true;
     clearTimeout(this.timer);
     this.gathering.failed('cut-off');
+    this.batches.end();
   }
 
   private hear(message: unknown): Promise<RelayedAnswer> {
@@ -85,9 +89,12 @@
     this.sending = true;
     const sentAt = performance.now();
     const batch = this.gathering.batch(sentAt);
-    const result = await this.client.exchange(
-      {path: BATCH_PATH, body: batch},
-      BATCH_ANSWER_SCHEMA,
+    const result = await this.client.reach(
+      (url, timeoutMs) =>
+        this.batches.exchange(url, batch, {
+          schema: BATCH_ANSWER_SCHEMA,
+          timeoutMs,
+        }),
       sentAt + BATCH_TIMEOUT_MS,
     );
     const now = performance.now();
--- a/zones/control-client/src/heartbeat.ts
+++ b/zones/control-client/src/heartbeat.ts
@@ -12,6 +12,7 @@
   type RelayedHeartbeat,
 } from '@marigoldspur/messages';
 import type {ControlClient} from './control-client.js';
+import {MessageStream} from './message-stream.js';
 
 /** Pace at which the process looks for a change of its state, in milliseconds. */
 const LOOK_MS = 500;
@@ -64,7 +65,10 @@
   void beat();
   return {
     beat,
-    stop: () => clearInterval(timer),
+    stop: () => {
+      clearInterval(timer);
+      announcer.stop();
+    },
   };
 }
 
@@ -87,11 +91,18 @@
   private relays: readonly string[] = [];
   private readonly leftAt = new Map<string, number>();
   private known?: KnownAtRelay;
+  private readonly stream: MessageStream;
 
   constructor(
     private readonly client: ControlClient,
     private readonly member: () => Member,
-  ) {}
+  ) {
+    this.stream = new MessageStream(client, RELAY_PATH);
+  }
+
+  stop(): void {
+    this.stream.end();
+  }
 
   /** Whether the state changed, or the time for a heartbeat has come. */
   isDue(now: number): boolean {
@@ -116,6 +127,7 @@
         return result;
       }
       this.leftAt.set(relay, performance.now());
+      this.stream.end();
     }
     this.known = undefined;
     const result = await this.client.exchange(
@@ -182,14 +194,10 @@
     heartbeat: RelayedHeartbeat,
   ): Promise<RelayedAnswer | undefined> {
     try {
-      return await this.client.exchangeWith(
-        new URL(RELAY_PATH, relay),
-        heartbeat,
-        {
-          schema: RELAYED_ANSWER_SCHEMA,
-          signal: AbortSignal.timeout(RELAY_TIMEOUT_MS),
-        },
-      );
+      return await this.stream.exchange(relay, heartbeat, {
+        schema: RELAYED_ANSWER_SCHEMA,
+        timeoutMs: RELAY_TIMEOUT_MS,
+      });
     } catch {
       // Whatever went wrong there, control is asked itself.
       return undefined;
--- a/zones/control-client/test/heartbeat.test.ts
+++ b/zones/control-client/test/heartbeat.test.ts
@@ -9,7 +9,7 @@
   type HeartbeatAnswer,
 } from '@marigoldspur/control-client';
 import {Fault} from '@marigoldspur/faults';
-import {closeServer, jsonHandler, listen} from '@marigoldspur/http-link';
+import {closeServer, jsonStreamHandler, listen} from '@marigoldspur/http-link';
 import {LoadBoard, MemberTable, RelaySessions} from '@marigoldspur/membership';
 import type {
   HeartbeatBatch,
@@ -79,7 +79,7 @@
   answer: (heartbeat: RelayedHeartbeat) => RelayedAnswer | undefined,
 ) {
   const heard: RelayedHeartbeat[] = [];
-  const handle = jsonHandler({
+  const handle = jsonStreamHandler({
     maxBodyBytes: 100_000,
     answer: async message => {
       const heartbeat = message as RelayedHeartbeat;
@@ -88,7 +88,7 @@
     },
   });
   const url = await serve((request, response) => {
-    void handle(request, response);
+    handle(request, response);
   });
   return {heard, url};
 }
@@ -247,7 +247,7 @@
   ends.push(() => relay.stop());
   leader.relays = [
     await serve((request, response) => {
-      void relay.handle(request, response);
+      relay.handle(request, response);
     }),
   ];
   const {until} = start(client, agent);
