--- a/zones/control-client/src/heartbeat-relay.ts
+++ b/zones/control-client/src/heartbeat-relay.ts
@@ -1,6 +1,10 @@
 import {Fault} from '@marigoldspur/faults';
-import {jsonHandler} from '@marigoldspur/http-link';
-import {HeartbeatGathering, type Relay} from '@marigoldspur/membership';
+import {jsonStreamHandler} from '@marigoldspur/http-link';
+import {
+  HeartbeatGathering,
+  type LoadBoard,
+  type Relay,
+} from '@marigoldspur/membership';
 import {
   BATCH_ANSWER_SCHEMA,
   BATCH_PATH,
@@ -8,6 +12,7 @@
   type RelayedAnswer,
 } from '@marigoldspur/messages';
 import type {ControlClient} from './control-client.js';
+import {MessageStream} from './message-stream.js';
 
 /** Time between two batches, in milliseconds. */
 const BATCH_MS = 500;
@@ -17,16 +22,20 @@
 const BATCH_TIMEOUT_MS = 700;
 const MAX_HEARTBEAT_BYTES = 1_048_576;
 
-/** Gathers the heartbeats of a zone at an entry and passes them on to the leader of control. */
+/**
+ * Gathers the heartbeats of a zone at an entry and passes them on to the leader of
+ * control, but for the load reports, which stay on a board here.
+ */
 export class HeartbeatRelay {
   private readonly gathering: HeartbeatGathering;
+  private readonly batches: MessageStream;
   private timer?: NodeJS.Timeout;
   private nextAt = Infinity;
   private sending = false;
   private stopped = false;
 
-  /** Answers a request to `RELAY_PATH`. */
-  readonly handle = jsonHandler({
+  /** Answers a request to `RELAY_PATH`, with a heartbeat a line. */
+  readonly handle = jsonStreamHandler({
     maxBodyBytes: MAX_HEARTBEAT_BYTES,
     answer: message => this.hear(message),
   });
@@ -34,8 +43,10 @@
   constructor(
     private readonly client: ControlClient,
     relay: Relay,
+    loads: LoadBoard,
   ) {
-    this.gathering = new HeartbeatGathering(relay);
+    this.gathering = new HeartbeatGathering(relay, loads);
+    this.batches = new MessageStream(client, BATCH_PATH);
   }
 
   /** Members that the relay speaks for. */
@@ -47,6 +58,7 @@
     this.stopped = true;
     clearTimeout(this.timer);
     this.gathering.failed('cut-off');
+    this.batches.end();
   }
 
   private hear(message: unknown): Promise<RelayedAnswer> {
@@ -77,9 +89,12 @@
     this.sending = true;
     const sentAt = performance.now();
     const batch = this.gathering.batch(sentAt);
-    const result = await this.client.exchange(
-      {path: BATCH_PATH, body: batch},
-      BATCH_ANSWER_SCHEMA,
+    const result = await this.client.reach(
+      (url, timeoutMs) =>
+        this.batches.exchange(url, batch, {
+          schema: BATCH_ANSWER_SCHEMA,
+          timeoutMs,
+        }),
       sentAt + BATCH_TIMEOUT_MS,
     );
     const now = performance.now();
--- a/zones/control-client/src/heartbeat.ts
+++ b/zones/control-client/src/heartbeat.ts
@@ -5,11 +5,14 @@
   HEARTBEAT_RECEIPT_SCHEMA,
   RELAY_PATH,
   RELAYED_ANSWER_SCHEMA,
+  splitMember,
   type HeartbeatReceipt,
   type Member,
   type RelayedAnswer,
+  type RelayedHeartbeat,
 } from '@marigoldspur/messages';
 import type {ControlClient} from './control-client.js';
+import {MessageStream} from './message-stream.js';
 
 /** Pace at which the process looks for a change of its state, in milliseconds. */
 const LOOK_MS = 500;
@@ -62,24 +65,44 @@
   void beat();
   return {
     beat,
-    stop: () => clearInterval(timer),
+    stop: () => {
+      clearInterval(timer);
+      announcer.stop();
+    },
   };
 }
 
+/** What a relay knows of this process. */
+interface KnownAtRelay {
+  readonly relay: string;
+  readonly mark: number;
+  /** The load report as JSON, where there is one. */
+  readonly load: string | undefined;
+}
+
 /** Sends the heartbeats of one process: by a relay of its zone, or straight to control. */
 class Announcer {
+  /** The state that was sent last, as JSON. */
   private text = '';
-  private mark = 0;
   private sentAt = -Infinity;
+  /** What was last announced to control, as JSON, and the count of its changes. */
+  private announced = '';
+  private mark = 0;
   private relays: readonly string[] = [];
   private readonly leftAt = new Map<string, number>();
-  /** What the relay in use knows of this process. */
-  private known?: {readonly relay: string; readonly mark: number};
+  private known?: KnownAtRelay;
+  private readonly stream: MessageStream;
 
   constructor(
     private readonly client: ControlClient,
     private readonly member: () => Member,
-  ) {}
+  ) {
+    this.stream = new MessageStream(client, RELAY_PATH);
+  }
+
+  stop(): void {
+    this.stream.end();
+  }
 
   /** Whether the state changed, or the time for a heartbeat has come. */
   isDue(now: number): boolean {
@@ -92,7 +115,9 @@
 
   /** Sends a heartbeat at time `now`, a `performance.now()` time. */
   async announce(now: number): Promise<Result<HeartbeatReceipt, Fault>> {
-    const member = this.marked(now);
+    const member = this.member();
+    this.text = JSON.stringify(member);
+    this.sentAt = now;
     const relay = this.relays.find(
       url => now - (this.leftAt.get(url) ?? -Infinity) > RELAY_PAUSE_MS,
     );
@@ -102,10 +127,11 @@
         return result;
       }
       this.leftAt.set(relay, performance.now());
+      this.stream.end();
     }
     this.known = undefined;
     const result = await this.client.exchange(
-      {path: HEARTBEAT_PATH, body: member},
+      {path: HEARTBEAT_PATH, body: this.marked(member)},
       HEARTBEAT_RECEIPT_SCHEMA,
       performance.now() + DIRECT_TIMEOUT_MS,
     );
@@ -118,31 +144,38 @@
     return result;
   }
 
-  private marked(now: number): Member {
-    const member = this.member();
-    const text = JSON.stringify(member);
-    if (text !== this.text) {
+  /** What control is told, with its mark: by another way it counts as another state. */
+  private marked(announcement: Member): Member {
+    const text = JSON.stringify(announcement);
+    if (text !== this.announced) {
       this.mark += 1;
-      this.text = text;
+      this.announced = text;
     }
-    this.sentAt = now;
-    return {...member, mark: this.mark};
+    return {...announcement, mark: this.mark};
   }
 
   /** Undefined where the relay can't pass the heartbeat on, so that another way is to be taken. */
   private async byRelay(
     relay: string,
-    member: Member,
+    whole: Member,
   ): Promise<Result<HeartbeatReceipt, Fault> | undefined> {
-    const isKnown =
-      this.known?.relay === relay && this.known.mark === this.mark;
-    let answer = await this.send(relay, member, !isKnown);
+    const {calm, load} = splitMember(whole);
+    const member = this.marked(calm);
+    const {id, boot, mark = 0} = member;
+    const loadText = load && JSON.stringify(load);
+    const known = this.known?.relay === relay ? this.known : undefined;
+    const heartbeat = {id, boot, mark};
+    let answer = await this.send(relay, {
+      ...heartbeat,
+      ...(known?.mark !== mark && {member}),
+      ...((known?.mark !== mark || known.load !== loadText) && {load}),
+    });
     if (answer?.outcome === 'unknown') {
-      answer = await this.send(relay, member, true);
+      answer = await this.send(relay, {...heartbeat, member, load});
     }
     switch (answer?.outcome) {
       case 'taken':
-        this.known = {relay, mark: member.mark ?? 0};
+        this.known = {relay, mark, load: loadText};
         this.takeRelays(answer.receipt);
         return Result.ok(answer.receipt);
       case 'fenced':
@@ -158,19 +191,13 @@
 
   private async send(
     relay: string,
-    member: Member,
-    whole: boolean,
+    heartbeat: RelayedHeartbeat,
   ): Promise<RelayedAnswer | undefined> {
-    const {id, boot, mark} = member;
     try {
-      return await this.client.exchangeWith(
-        new URL(RELAY_PATH, relay),
-        {id, boot, mark, ...(whole && {member})},
-        {
-          schema: RELAYED_ANSWER_SCHEMA,
-          signal: AbortSignal.timeout(RELAY_TIMEOUT_MS),
-        },
-      );
+      return await this.stream.exchange(relay, heartbeat, {
+        schema: RELAYED_ANSWER_SCHEMA,
+        timeoutMs: RELAY_TIMEOUT_MS,
+      });
     } catch {
       // Whatever went wrong there, control is asked itself.
       return undefined;
