Let settings say when a store counts as overloaded, and what may wait then

The later watch (30 s, 40% of the deadline) refuses less after a shift, at the price of longer stalls: by the users' own count, in which a refusal is a stall to the deadline, Callao's mean and p99 got worse. One pair of constants does not suit both, so `overloadAfterMs` and `overloadPatience` are settings of a service, taken for its store as the load order is.

The new test fails with the policy of the first store for all. 35 tests of permits, control server, lateness, settings and reference pages pass.

--- a/contracts/settings-schema/src/settings.ts
+++ b/contracts/settings-schema/src/settings.ts
@@ -94,6 +94,22 @@
     .enum(['first-come', 'least-harm'])
     .default('first-come')
     .describe('Policy that orders the loads that wait'),
+  overloadAfterMs: z
+    .int()
+    .min(0)
+    .max(3_600_000)
+    .default(30_000)
+    .describe(
+      'How long too many loads have to wait until the weight store counts as overloaded, in milliseconds',
+    ),
+  overloadPatience: z
+    .number()
+    .min(0.05)
+    .max(1)
+    .default(0.4)
+    .describe(
+      'Share of its time to the first byte that a request may wait for its load while the weight store is overloaded',
+    ),
   prefetch: z
     .boolean()
     .default(true)
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -8,7 +8,7 @@
 import {ControlDesk} from './control-desk.js';
 import {ControlMachine} from './control-machine.js';
 import type {ControlSettings} from './control-settings.js';
-import {loadOrderOf} from './load-order-of.js';
+import {storePolicyOf} from './store-policy-of.js';
 
 const LEASE_CHECK_MS = 200;
 const EXIT_DISK_FAILED = 3;
@@ -37,7 +37,7 @@
   const permits = new PermitDesk({
     loadsAtOnce: settings.loadsAtOnce,
     validMs: settings.permitValidMs,
-    loadOrderOf: store => loadOrderOf(machine.settings.tree, store),
+    policyOf: store => storePolicyOf(machine.settings.tree, store),
   });
   const desk = new ControlDesk({
     id: settings.id,
--- a/control/control-server/test/control-desk.test.ts
+++ b/control/control-server/test/control-desk.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {DEFAULT_SETTINGS} from '@marigoldspur/settings-schema';
 import {Result} from 'true-myth';
 import {EventLog} from '@marigoldspur/event-log';
 import {Fault} from '@marigoldspur/faults';
@@ -60,7 +61,11 @@
     leaseMs: LEASE_MS,
     machine: log.machine,
     log,
-    permits: new PermitDesk({loadsAtOnce: 1, validMs: LEASE_MS}),
+    permits: new PermitDesk({
+      loadsAtOnce: 1,
+      validMs: LEASE_MS,
+      policyOf: () => DEFAULT_SETTINGS,
+    }),
     events: new EventLog({process: 'control-0'}),
   });
 }
--- a/control/load-permits/src/index.ts
+++ b/control/load-permits/src/index.ts
@@ -1,4 +1,8 @@
-export {PermitDesk, type PermitDeskOptions} from './permit-desk.js';
+export {
+  PermitDesk,
+  type PermitDeskOptions,
+  type StorePolicy,
+} from './permit-desk.js';
 export {
   PermitQueue,
   type PermitQueueOptions,
--- a/control/load-permits/src/permit-desk.ts
+++ b/control/load-permits/src/permit-desk.ts
@@ -3,20 +3,27 @@
 import type {PermitUse} from './permit-queue.js';
 import {StorePermits} from './store-permits.js';
 
+/** How the loads of a weight store are ordered and refused. */
+export interface StorePolicy {
+  readonly loadOrder: LoadOrderName;
+  /** How long the queue has to be too long until the store counts as overloaded, in milliseconds. */
+  readonly overloadAfterMs: number;
+  /** Share of its time that a load may wait while the store is overloaded. */
+  readonly overloadPatience: number;
+}
+
 /** Options of a permit desk. */
 export interface PermitDeskOptions {
   /** Loads that may run at once per store. */
   readonly loadsAtOnce: number;
   /** A permit that is not returned is free again after this, in milliseconds. */
   readonly validMs: number;
-  /** Names the load order in force for a store; by default first come, first served. */
-  readonly loadOrderOf?: (store: string) => LoadOrderName;
+  /** The policy in force for a store. */
+  readonly policyOf: (store: string) => StorePolicy;
 }
 
 const QUEUE_LIMIT = 4_096;
 const PATIENCE = 1;
-const OVERLOAD_PATIENCE = 0.4;
-const OVERLOAD_AFTER_MS = 30_000;
 const OVERLOAD_ENDS_AFTER_MS = 10_000;
 const RESERVE = 0.5;
 
@@ -58,15 +65,15 @@
   }
 
   private openStore(name: string): StorePermits {
-    const {loadsAtOnce, validMs, loadOrderOf} = this.options;
+    const {loadsAtOnce, validMs, policyOf} = this.options;
     return new StorePermits({
       loadsAtOnce,
       validMs,
       queueLimit: QUEUE_LIMIT,
-      order: () => createLoadOrder(loadOrderOf?.(name) ?? 'first-come'),
+      order: () => createLoadOrder(policyOf(name).loadOrder),
       patience: () => PATIENCE,
-      overloadPatience: OVERLOAD_PATIENCE,
-      overloadAfterMs: OVERLOAD_AFTER_MS,
+      overloadPatience: () => policyOf(name).overloadPatience,
+      overloadAfterMs: () => policyOf(name).overloadAfterMs,
       overloadEndsAfterMs: OVERLOAD_ENDS_AFTER_MS,
       reserve: RESERVE,
     });
--- a/control/load-permits/src/permit-queue.ts
+++ b/control/load-permits/src/permit-queue.ts
@@ -25,9 +25,9 @@
   /** Share of its time that a load may wait; 0 never refuses early. */
   readonly patience: () => number;
   /** The same while the store is overloaded. */
-  readonly overloadPatience: number;
+  readonly overloadPatience: () => number;
   /** How long the queue has to be too long until the store counts as overloaded, in milliseconds. */
-  readonly overloadAfterMs: number;
+  readonly overloadAfterMs: () => number;
   /** How long it has to be short until it no longer does, in milliseconds. */
   readonly overloadEndsAfterMs: number;
   /** Share of the store's time that prefetches leave free, from 0 up to, not including, 1. */
@@ -183,7 +183,7 @@
   private lateAmong(demanded: readonly WantedLoad[], now: number) {
     const {overloadPatience} = this.options;
     const patience = this.overload.isOverloaded
-      ? overloadPatience
+      ? overloadPatience()
       : this.options.patience();
     return patience === 0
       ? demanded.filter(load => load.deadline <= now)
@@ -200,7 +200,7 @@
     const late = findLate(demanded, {
       freeAt: this.freeAt(now),
       loadMs: this.loadMs / loadsAtOnce,
-      patience: overloadPatience,
+      patience: overloadPatience(),
     });
     this.overload.note(late.length > 0, now);
   }
--- a/control/load-permits/test/permit-desk.test.ts
+++ b/control/load-permits/test/permit-desk.test.ts
@@ -17,7 +17,11 @@
   return new PermitDesk({
     loadsAtOnce: 1,
     validMs: 60_000,
-    loadOrderOf: () => loadOrder,
+    policyOf: () => ({
+      loadOrder,
+      overloadAfterMs: 30_000,
+      overloadPatience: 0.4,
+    }),
   });
 }
 
@@ -81,3 +85,23 @@
   permits.keepOnly('other', [], performance.now() + REPORT_DELAY_MS);
   expect((await permits.acquire(request)).permit).to.equal(permit);
 });
+
+it('permit desk: each store counts as overloaded by its own policy', async () => {
+  const permits = new PermitDesk({
+    loadsAtOnce: 1,
+    validMs: 60_000,
+    policyOf: store => ({
+      loadOrder: 'first-come',
+      overloadAfterMs: store === 'hasty' ? 0 : 60_000,
+      overloadPatience: 0.05,
+    }),
+  });
+  const load = {...request, usefulMs: 2_000};
+  await permits.acquire({...load, store: 'hasty'});
+  const hasty = await permits.acquire({...load, store: 'hasty', model: 'b@v1'});
+  expect(hasty.refusal?.reason).to.equal('too-late');
+  const first = await permits.acquire(load);
+  const second = permits.acquire({...load, model: 'b@v1'});
+  permits.release(first.permit!, 'loaded');
+  expect((await second).permit).to.be.a('string');
+});
--- a/lab/experiment/src/measure-costs.ts
+++ b/lab/experiment/src/measure-costs.ts
@@ -98,8 +98,8 @@
     validMs: 60_000,
     queueLimit: size,
     patience: () => 1,
-    overloadPatience: 1,
-    overloadAfterMs: 30_000,
+    overloadPatience: () => 1,
+    overloadAfterMs: () => 30_000,
     overloadEndsAfterMs: 10_000,
     reserve: 0,
   });
--- a/lab/experiment/src/store-fake.ts
+++ b/lab/experiment/src/store-fake.ts
@@ -47,8 +47,8 @@
       validMs: PERMIT_VALID_MS,
       queueLimit: QUEUE_LIMIT,
       patience: () => policy.patience,
-      overloadPatience: policy.overloadPatience ?? policy.patience,
-      overloadAfterMs: policy.overloadAfterMs,
+      overloadPatience: () => policy.overloadPatience ?? policy.patience,
+      overloadAfterMs: () => policy.overloadAfterMs,
       overloadEndsAfterMs: policy.overloadEndsAfterMs,
       reserve: PREFETCH_RESERVE,
     });
--- a/policy/lateness/src/overload-watch.ts
+++ b/policy/lateness/src/overload-watch.ts
@@ -1,7 +1,7 @@
 /** Options of an overload watch. */
 export interface OverloadWatchOptions {
   /** How long the queue has to be too long until overload begins, in milliseconds. */
-  readonly beginAfterMs: number;
+  readonly beginAfterMs: () => number;
   /** How long it has to be short until overload ends, in milliseconds. */
   readonly endAfterMs: number;
 }
@@ -31,6 +31,6 @@
 
   private get changeAfterMs(): number {
     const {beginAfterMs, endAfterMs} = this.options;
-    return this.overloaded ? endAfterMs : beginAfterMs;
+    return this.overloaded ? endAfterMs : beginAfterMs();
   }
 }
--- a/policy/lateness/test/lateness.test.ts
+++ b/policy/lateness/test/lateness.test.ts
@@ -23,7 +23,7 @@
 });
 
 it('overload: a burst is none, a lasting queue is one', () => {
-  const watch = new OverloadWatch({beginAfterMs: 1_000, endAfterMs: 200});
+  const watch = new OverloadWatch({beginAfterMs: () => 1_000, endAfterMs: 200});
   watch.note(true, 0);
   watch.note(false, 500);
   watch.note(true, 1_400);
@@ -33,7 +33,7 @@
 });
 
 it('overload: it ends once the queue was short for a time of its own', () => {
-  const watch = new OverloadWatch({beginAfterMs: 1_000, endAfterMs: 200});
+  const watch = new OverloadWatch({beginAfterMs: () => 1_000, endAfterMs: 200});
   watch.note(true, 0);
   watch.note(true, 1_000);
   watch.note(false, 1_199);
