Refuse attempts that arrive after their entry gave them up

Cause: what an entry wrote into a cut (or to a frozen agent) arrives with the mend, and the agent began to run it before the end of the link was read; its budget counted from receipt.

Attempts now say when they were written, by a clock of their entry. The agent takes the fastest message of each clock as not delayed (0.02% drift allowed) and counts budget and first byte from the writing. An attempt delayed by 500 ms or more, the silence after which an entry may give up, waits up to 250 ms for the end of its link. Ruled out: to refuse all that is delayed (an agent or entry that was merely paused would refuse calls whose callers still wait, under overload above all), and a confirmation asked of the entry (a request whose body is out has no way to answer on its connection).

Seen failing: without the wait the given-up attempt runs; with the budget from receipt the third test is answered.

--- a/agent/agent-server/src/attempt-desk.ts
+++ b/agent/agent-server/src/attempt-desk.ts
@@ -1,5 +1,8 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {setImmediate as nextTurn} from 'node:timers/promises';
+import {
+  setImmediate as nextTurn,
+  setTimeout as pause,
+} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import type {Pin} from '@marigoldspur/adapter-slots';
 import type {SettingsFollower} from '@marigoldspur/control-client';
@@ -12,10 +15,12 @@
 import {refuseAttempt} from './attempt-answer.js';
 import {AttemptChecks, type AttemptChecksOptions} from './attempt-checks.js';
 import {unknownOutcome} from './attempt-end.js';
+import {attemptTimes} from './attempt-times.js';
 import {notRun} from './not-run.js';
 import {ResumeDesk} from './resume-desk.js';
 import {StreamTable} from './stream-table.js';
 import {TargetForwarder} from './target-forwarder.js';
+import {TransitTimes} from './transit-times.js';
 
 /** What an attempt desk works with. */
 export interface AttemptDeskOptions extends AttemptChecksOptions {
@@ -41,6 +46,10 @@
   readonly signal: AbortSignal;
 }
 
+/** Delay on the way after which an entry may have given an attempt up, in milliseconds. */
+const STALE_AFTER_MS = 500;
+/** Time for the end of the link to follow a delayed attempt, in milliseconds. */
+const CONFIRM_MS = 250;
 const RESUME_AFTER = /^(-1|\d{1,9})$/;
 
 /** Takes attempts from entries, checks them and forwards them to the target. */
@@ -48,6 +57,7 @@
   private readonly checks: AttemptChecks;
   private readonly forwarder: TargetForwarder;
   private readonly resumes: ResumeDesk;
+  private readonly transit = new TransitTimes();
   private running = 0;
   private heldBytes = 0;
   private closed = false;
@@ -95,21 +105,21 @@
     response: ServerResponse,
     expects: boolean,
   ): Promise<void> {
-    const startedAt = performance.now();
     const hop = parseHop(request.headers);
     if (hop.isErr) {
       const message = formatFindings(hop.error);
       this.refuse(undefined, response, notRun(400, 'bad_hop', message));
       return;
     }
-    const {request: id, attempt, budgetMs, revision, origin} = hop.value;
+    const {events} = this.options;
+    const {request: id, attempt, revision, origin} = hop.value;
     this.options.heard?.(revision, origin);
     const inForce = this.options.settings.settings.revision;
     response.setHeader(HOP_HEADERS.revision, String(inForce));
-    this.options.events.record('attempt-received', {attempt}, id);
+    events.record('attempt-received', {attempt}, id);
     const gone = peerGone(response);
-    const deadlineMs = startedAt + budgetMs;
-    const firstByteMs = Math.min(budgetMs, hop.value.firstByteMs ?? budgetMs);
+    const times = attemptTimes(hop.value, this.transit, performance.now());
+    const {deadlineMs, delayMs, firstByteBy} = times;
     if (request.headers[HOP_HEADERS.cancel] === 'true') {
       this.resumes.cancel(hop.value, response);
       return;
@@ -119,13 +129,17 @@
       await this.resume(hop.value, String(after), response, deadlineMs, gone);
       return;
     }
+    if (delayMs >= STALE_AFTER_MS) {
+      events.record('attempt-delayed', {attempt, delayMs}, id);
+      await pause(CONFIRM_MS, undefined, {signal: gone}).catch(() => {});
+    }
     const bytes = Number(request.headers['content-length'] ?? 0);
     this.heldBytes += bytes;
     try {
       const done = await this.run(hop.value, request, response, {
         expects,
         deadlineMs,
-        firstByteBy: startedAt + firstByteMs,
+        firstByteBy,
         signal: gone,
       });
       if (done.isErr) {
@@ -164,6 +178,10 @@
     const {deadlineMs, expects, firstByteBy, signal} = options;
     const {closed, heldBytes} = this;
     const load = {closed, heldBytes};
+    const overdue = this.overdue(hop, deadlineMs, signal);
+    if (overdue !== undefined) {
+      return Result.err(overdue);
+    }
     const refusal = this.checks.preliminary(hop, request, expects, load);
     if (refusal !== undefined) {
       return Result.err(refusal);
@@ -240,27 +258,40 @@
     deadlineMs: number,
     signal: AbortSignal,
   ): Promise<Refusal | undefined> {
-    const {engine, events} = this.options;
+    const {engine} = this.options;
     const mayForward =
       (await (engine?.keeper.mayForward() ?? true)) &&
       this.options.superseded?.() !== true;
     // After a pause of the process the end of the link is read in the next turn.
     await nextTurn();
-    if (signal.aborted) {
-      events.record('attempt-cancelled', {attempt: hop.attempt}, hop.request);
-      return notRun(499, 'entry_gone', 'the entry went away');
+    const overdue = this.overdue(hop, deadlineMs, signal);
+    if (overdue !== undefined) {
+      return overdue;
     }
     if (!mayForward) {
       return notRun(503, 'no_lease', 'another agent may serve the target');
     }
-    if (performance.now() >= deadlineMs) {
-      return notRun(503, 'too_late', 'the time for the attempt is over');
-    }
     return engine !== undefined && engine.watch.state.boot !== boot
       ? notRun(503, 'target_restarted', 'the engine restarted')
       : undefined;
   }
 
+  /** What speaks against an attempt that its entry gave up, or may have. */
+  private overdue(
+    hop: Hop,
+    deadlineMs: number,
+    signal: AbortSignal,
+  ): Refusal | undefined {
+    if (signal.aborted) {
+      const {attempt, request} = hop;
+      this.options.events.record('attempt-cancelled', {attempt}, request);
+      return notRun(499, 'entry_gone', 'the entry went away');
+    }
+    return performance.now() >= deadlineMs
+      ? notRun(503, 'too_late', 'the time for the attempt is over')
+      : undefined;
+  }
+
   private refuse(
     hop: Hop | undefined,
     response: ServerResponse,
--- a/agent/agent-server/test/agent-fixture.ts
+++ b/agent/agent-server/test/agent-fixture.ts
@@ -1,6 +1,11 @@
 import http from 'node:http';
 import {startAgent} from '@marigoldspur/agent-server';
-import {formatHop, HOP_HEADERS, type Hop} from '@marigoldspur/messages';
+import {
+  formatHop,
+  HOP_HEADERS,
+  type ClockTime,
+  type Hop,
+} from '@marigoldspur/messages';
 import type {Task} from '@marigoldspur/process-life';
 import {parseModel, type Tree} from '@marigoldspur/settings-schema';
 import {
@@ -52,6 +57,8 @@
   readonly firstByteMs?: number;
   readonly revision?: number;
   readonly repeatable?: boolean;
+  /** When it was written, by a clock of the entry. */
+  readonly written?: ClockTime;
   readonly path?: string;
   /** Number of the last event that came, to go on with a stream. */
   readonly resumeAfter?: number;
@@ -246,6 +253,7 @@
     firstByteMs: sending.firstByteMs,
     priority: 5,
     repeatable: sending.repeatable ?? true,
+    written: sending.written,
   };
 }
 
--- /dev/null
+++ b/agent/agent-server/test/delayed-attempts.test.ts
@@ -0,0 +1,64 @@
+import {setTimeout as pause} from 'node:timers/promises';
+import {expect} from 'chai';
+import {
+  eventually,
+  Fixture,
+  type Answer,
+  type Sending,
+  type StartedAgent,
+} from './agent-fixture.js';
+
+const DELAY_MS = 2_000;
+/** The end of a link follows what was sent into a cut by about a round trip. */
+const END_AFTER_MS = 30;
+
+let fixture: Fixture;
+let agent: StartedAgent;
+
+before(async () => {
+  ({fixture, agent} = await Fixture.start());
+  await fixture.send(agent, {model: 'a@v1', written: writtenAgo(0)});
+});
+
+function writtenAgo(ms: number) {
+  return {clock: 'entry-0', atMs: performance.now() + 60_000 - ms};
+}
+
+/** Sends an attempt that was long on its way. */
+function sendDelayed(sending: Partial<Sending>): Promise<Answer> {
+  return fixture.send(agent, {
+    model: 'a@v1',
+    written: writtenAgo(DELAY_MS),
+    ...sending,
+  });
+}
+
+it('delayed attempts: one that its entry gave up does not begin to run', async () => {
+  const entry = new AbortController();
+  const request = 'given-up';
+  const sent = sendDelayed({request, signal: entry.signal}).catch(() => {});
+  await pause(END_AFTER_MS);
+  entry.abort();
+  await sent;
+  const hasRun = async () =>
+    (await fixture.record()).some(run => run.request.startsWith(request));
+  await eventually(
+    async () =>
+      (await fixture.events(agent)).includes('attempt-cancelled') ||
+      (await hasRun()),
+  );
+  expect(await hasRun()).to.equal(false);
+});
+
+it('delayed attempts: one that its entry still waits for is served', async () => {
+  const answer = await sendDelayed({});
+  expect(answer.whole).to.equal(true);
+});
+
+it('delayed attempts: the budget counts from when it was written', async () => {
+  const answer = await sendDelayed({request: 'over', budgetMs: DELAY_MS / 2});
+  expect(answer.headers).to.include({
+    'x-marigoldspur-outcome': 'not-run',
+    'x-marigoldspur-reason': 'too_late',
+  });
+});
--- a/contracts/event-catalogue/src/catalogue.ts
+++ b/contracts/event-catalogue/src/catalogue.ts
@@ -442,6 +442,12 @@
     level: 'warn',
     meaning: 'The target has fewer adapter slots than it says.',
   },
+  'attempt-delayed': {
+    number: 690,
+    level: 'info',
+    meaning:
+      'An attempt was long on its way, so its entry may have given it up: the end of its link is awaited for a moment.',
+  },
 } as const satisfies Record<string, EventKind>;
 
 /** Name of a kind of event. */
--- a/contracts/messages/src/hop.ts
+++ b/contracts/messages/src/hop.ts
@@ -21,7 +21,8 @@
   firstByte: 'x-marigoldspur-first-byte-ms',
   priority: 'x-marigoldspur-priority',
   repeatable: 'x-marigoldspur-repeatable',
-  time: 'x-marigoldspur-time',
+  /** Which clock of the sender said what time when the attempt was written, in milliseconds. */
+  written: 'x-marigoldspur-written',
   /** On answers: `not-run`, `unknown` or `failed` where the agent refused. */
   outcome: 'x-marigoldspur-outcome',
   /** On answers: machine-readable reason of a refusal. */
@@ -39,6 +40,14 @@
 /** The adapter and version of a request, or undefined for plain services. */
 export type HopModel = AdapterVersion | undefined;
 
+/** A time on a steady clock of one process; times of two clocks can't be compared. */
+export interface ClockTime {
+  /** Identity of the clock. */
+  readonly clock: string;
+  /** Time, in milliseconds. */
+  readonly atMs: number;
+}
+
 /** What the entry tells the agent about an attempt. */
 export interface Hop {
   /** Identity of the request. */
@@ -59,6 +68,8 @@
   /** Priority; 0 is served first. */
   readonly priority: number;
   readonly repeatable: boolean;
+  /** When the attempt was written. */
+  readonly written?: ClockTime;
 }
 
 /** Writes a hop as headers. */
@@ -76,6 +87,9 @@
     }),
     [HOP_HEADERS.priority]: String(hop.priority),
     [HOP_HEADERS.repeatable]: String(hop.repeatable),
+    ...(hop.written && {
+      [HOP_HEADERS.written]: `${hop.written.clock} ${milliseconds(hop.written.atMs)}`,
+    }),
   };
 }
 
@@ -110,6 +124,7 @@
     }),
     priority: integer(HOP_HEADERS.priority),
     repeatable: text(HOP_HEADERS.repeatable) === 'true',
+    ...writtenHeader(headers, findings),
   };
   return findings.length === 0 ? Result.ok(hop) : Result.err(findings);
 }
@@ -138,6 +153,27 @@
   return {origin};
 }
 
+const WRITTEN_PATTERN = /^([\w-]{1,64}) (\d{1,15})$/;
+
+function writtenHeader(
+  headers: IncomingHttpHeaders,
+  findings: Finding[],
+): Pick<Hop, 'written'> {
+  const value = headers[HOP_HEADERS.written];
+  if (value === undefined) {
+    return {};
+  }
+  const [, clock, time] = WRITTEN_PATTERN.exec(String(value)) ?? [];
+  if (clock === undefined) {
+    findings.push({
+      place: HOP_HEADERS.written,
+      reason: 'must be a clock and a time',
+    });
+    return {};
+  }
+  return {written: {clock, atMs: Number(time)}};
+}
+
 function modelHeader(
   headers: IncomingHttpHeaders,
   findings: Finding[],
--- a/contracts/messages/src/index.ts
+++ b/contracts/messages/src/index.ts
@@ -27,6 +27,7 @@
   formatHop,
   HOP_HEADERS,
   parseHop,
+  type ClockTime,
   type Hop,
   type HopModel,
 } from './hop.js';
--- a/contracts/messages/test/hop.test.ts
+++ b/contracts/messages/test/hop.test.ts
@@ -24,6 +24,7 @@
     priority: fc.integer({min: 0, max: 9}),
     repeatable: fc.boolean(),
     origin: fc.constant('http://127.0.0.1:8080'),
+    written: fc.record({clock: fc.uuid(), atMs: COUNT}),
   },
   {
     requiredKeys: [
--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -1,3 +1,4 @@
+import {randomUUID} from 'node:crypto';
 import type http from 'node:http';
 import type {IncomingMessage} from 'node:http';
 import {Result} from 'true-myth';
@@ -30,6 +31,8 @@
 
 /** Sends attempts to agents. */
 export class AttemptClient {
+  private readonly clock = randomUUID();
+
   constructor(private readonly options: AttemptClientOptions) {}
 
   /**
@@ -38,7 +41,7 @@
    * Continue` before its body goes out, so that it provably did not run until then.
    */
   send(attempt: Attempt): Promise<Result<AttemptAnswer, Refusal>> {
-    return new AttemptExchange(attempt, this.options).run();
+    return new AttemptExchange(attempt, this.options, this.clock).run();
   }
 
   /**
@@ -78,6 +81,8 @@
   constructor(
     private readonly attempt: Attempt,
     private readonly options: AttemptClientOptions,
+    /** Identity of this process's `performance.now()`. */
+    private readonly clock: string,
   ) {
     const {firstByteTimeoutMs, hop, signal} = attempt;
     this.bounded = new BoundedSignal({
@@ -91,7 +96,10 @@
     const call = openRequest({
       url: urlAt(attempt.destination.url, attempt.url),
       method: attempt.method,
-      headers: attemptHeaders(attempt),
+      headers: attemptHeaders(attempt, {
+        clock: this.clock,
+        atMs: performance.now(),
+      }),
       agent: this.options.agent,
       signal: bounded.signal,
     });
--- a/entry/dispatch/src/attempt-headers.ts
+++ b/entry/dispatch/src/attempt-headers.ts
@@ -1,6 +1,11 @@
 import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
 import {endToEndHeaders} from '@marigoldspur/http-link';
-import {formatHop, HOP_HEADERS, type Hop} from '@marigoldspur/messages';
+import {
+  formatHop,
+  HOP_HEADERS,
+  type ClockTime,
+  type Hop,
+} from '@marigoldspur/messages';
 import type {Attempt} from './attempt.js';
 
 /** Headers that end at the entry. */
@@ -11,15 +16,18 @@
   'proxy-authorization',
 ]);
 
-/** The headers of an attempt: the caller's, without those that must not pass, and the hop's. */
-export function attemptHeaders(attempt: Attempt): OutgoingHttpHeaders {
+/** The headers of an attempt, written now: the caller's, without those that must not pass, and the hop's. */
+export function attemptHeaders(
+  attempt: Attempt,
+  written: ClockTime,
+): OutgoingHttpHeaders {
   const {headers} = attempt;
   return {
     ...endToEndHeaders(headers, {
       connection: headers.connection,
       dropped: ENTRY_HEADERS,
     }),
-    ...formatHop(attempt.hop),
+    ...formatHop({...attempt.hop, written}),
     ...(attempt.resumeAfter !== undefined && {
       [HOP_HEADERS.resumeAfter]: String(attempt.resumeAfter),
     }),
