Wait at a takeover only for what is left of an earlier agent's lease

Cause: the answer to grantFence did not say whether the target had an agent before, so beside an engine that ignores numbers each start waited a whole lease and half a second.

It now says whether a number was granted before, and for how long control has confirmed no agent of the target; the leader notes each confirmed heartbeat, direct or relayed, and each grant. Ruled out: to take the expiry of the member as the time of the last confirmation, which gives three seconds away; to count from the row alone, which is gone once it expired.

Changed in existing tests: the lease model's control tells how long it was silent; the fake control and the desk test read the new answer; nothing is asserted less.

--- a/agent/agent-server/src/grant-fence.ts
+++ b/agent/agent-server/src/grant-fence.ts
@@ -1,4 +1,5 @@
 import type {ControlClient} from '@marigoldspur/control-client';
+import type {FenceGrant} from '@marigoldspur/messages';
 import type {AgentSettings} from './agent-settings.js';
 
 const GRANT_TIMEOUT_MS = 60_000;
@@ -7,7 +8,7 @@
 export async function grantFence(
   settings: Pick<AgentSettings, 'target'>,
   {client, boot}: {readonly client: ControlClient; readonly boot: string},
-): Promise<number> {
+): Promise<FenceGrant> {
   const granted = await client.call(
     (replica, signal) =>
       replica.grantFence.mutate({target: settings.target, boot}, {signal}),
--- a/agent/agent-server/src/prepare-engine.ts
+++ b/agent/agent-server/src/prepare-engine.ts
@@ -45,7 +45,7 @@
 ): Promise<PreparedEngine> {
   const {client, events, follower, metrics} = options;
   const askedAt = performance.now();
-  const fence = await grantFence(settings, options);
+  const {fence, first, silentMs} = await grantFence(settings, options);
   const path = `/${settings.customer}/${settings.service}`;
   const policy = () =>
     (settingsOf(follower.settings.tree, path) ?? DEFAULT_SETTINGS).eviction;
@@ -62,7 +62,7 @@
       orderMs: settings.loadTimeoutMs,
       fenceChecked: settings.fenceChecked,
     },
-    performance.now(),
+    {at: performance.now(), silentMs: first ? Infinity : silentMs},
   );
   lease.confirmed(askedAt);
   const keeper = new LeaseKeeper(lease, events);
--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -40,7 +40,7 @@
     settings.targetKind === 'engine'
       ? await prepareEngine(settings, parts)
       : undefined;
-  const fence = engine?.fence ?? (await grantFence(settings, parts));
+  const fence = engine?.fence ?? (await grantFence(settings, parts)).fence;
   let superseded = false;
   const service = new ServiceWatch({
     url: settings.targetUrl,
--- a/agent/agent-server/test/fake-control.ts
+++ b/agent/agent-server/test/fake-control.ts
@@ -13,6 +13,7 @@
 import type {
   BatchAnswer,
   ClaimOutcome,
+  FenceGrant,
   Member,
   MembersDelta,
   Permit,
@@ -116,10 +117,11 @@
     throw new Fault('NOT_FOUND', 'not part of this control');
   }
 
-  async grantFence(target: string, boot: string): Promise<number> {
+  async grantFence(target: string, boot: string): Promise<FenceGrant> {
+    const first = !this.fences.has(target);
     this.fences.set(target, boot);
     this.fence += 1;
-    return this.fence;
+    return {fence: this.fence, first, silentMs: 0};
   }
 
   async acquirePermit(request: PermitRequest): Promise<Permit> {
--- a/agent/order-lease/src/index.ts
+++ b/agent/order-lease/src/index.ts
@@ -1,1 +1,5 @@
-export {OrderLease, type OrderLeaseOptions} from './order-lease.js';
+export {
+  OrderLease,
+  type FenceGranted,
+  type OrderLeaseOptions,
+} from './order-lease.js';
--- a/agent/order-lease/src/order-lease.ts
+++ b/agent/order-lease/src/order-lease.ts
@@ -8,6 +8,14 @@
   readonly fenceChecked: boolean;
 }
 
+/** The grant of a fencing number. */
+export interface FenceGranted {
+  /** When it was known, in milliseconds. */
+  readonly at: number;
+  /** For how long before no earlier agent was confirmed, in milliseconds; infinite where there was none. */
+  readonly silentMs: number;
+}
+
 /** Time for what the agent before sent at the end of its lease to arrive, in milliseconds. */
 const ARRIVAL_MARGIN_MS = 500;
 
@@ -15,17 +23,17 @@
  * Decides when an agent may give orders to its target and forward requests to it.
  * Where the target knows the fencing number, the number decides; else the agent needs
  * a lease confirmed by control, and waits until the lease of any agent before it is
- * over. Times are of a monotonic clock, which goes on while the process is frozen.
+ * over. A target that checks numbers is taken over only once it was shown this one: the
+ * agent before may go on by its number though its lease is over. Times are of a monotonic clock, which goes on while the process is frozen.
  */
 export class OrderLease {
   private confirmedAt = -Infinity;
   private revoked = false;
   private fenceKnown = false;
 
-  /** `grantedAt` is the time at which the grant of the fencing number was known. */
   constructor(
     private readonly options: OrderLeaseOptions,
-    private readonly grantedAt: number,
+    private readonly granted: FenceGranted,
   ) {}
 
   /** Takes note that control confirmed the fencing number in answer to a call sent at `sentAt`. */
@@ -64,9 +72,13 @@
    * says it runs; undefined where it does not tell.
    */
   mayTakeOver(now: number, loading: number | undefined): boolean {
-    const {leaseMs, orderMs} = this.options;
-    const leaseOver = this.grantedAt + leaseMs + ARRIVAL_MARGIN_MS;
-    const from = this.fenceKnown ? this.grantedAt : leaseOver;
+    const {fenceChecked, leaseMs, orderMs} = this.options;
+    const {at, silentMs} = this.granted;
+    if (fenceChecked && !this.fenceKnown) {
+      return false;
+    }
+    const leaseOver = at - silentMs + leaseMs + ARRIVAL_MARGIN_MS;
+    const from = fenceChecked ? at : leaseOver;
     const ordersOver =
       loading === undefined ? now >= from + orderMs : loading === 0;
     return this.holds(now) && now >= from && ordersOver;
--- a/agent/order-lease/test/order-lease.test.ts
+++ b/agent/order-lease/test/order-lease.test.ts
@@ -8,6 +8,8 @@
 const ORDER_MS = 3_000;
 const ARRIVAL_MS = 500;
 
+const GRANTED = {at: 0, silentMs: 0};
+
 type Action = 'send' | 'handle' | 'answer' | 'order' | 'show' | 'take-over';
 
 interface Step {
@@ -37,6 +39,8 @@
 class World {
   readonly agents: Agent[] = [];
   private now = 0;
+  /** When an agent was last confirmed. */
+  private confirmedAt = -Infinity;
   private highestShown = 0;
 
   constructor(private readonly fenceChecked: boolean) {
@@ -46,8 +50,10 @@
   grant(): void {
     const {fenceChecked, now} = this;
     const options = {leaseMs: LEASE_MS, orderMs: ORDER_MS, fenceChecked};
-    const lease = new OrderLease(options, now);
+    const silentMs = now - this.confirmedAt;
+    const lease = new OrderLease(options, {at: now, silentMs});
     lease.confirmed(now);
+    this.confirmedAt = now;
     this.agents.push(new Agent(this.agents.length + 1, lease));
   }
 
@@ -60,7 +66,7 @@
         return;
       case 'handle':
         if (agent.beat !== undefined) {
-          agent.beat.confirmed ??= agent.number === this.agents.length;
+          agent.beat.confirmed ??= this.confirms(agent);
         }
         return;
       case 'answer':
@@ -75,6 +81,12 @@
     }
   }
 
+  private confirms(agent: Agent): boolean {
+    const isNewest = agent.number === this.agents.length;
+    this.confirmedAt = isNewest ? this.now : this.confirmedAt;
+    return isNewest;
+  }
+
   private answer(agent: Agent): void {
     if (agent.beat?.confirmed === true) {
       agent.lease.confirmed(agent.beat.sentAt);
@@ -138,7 +150,7 @@
 
 it('order lease: ends on its own clock, counted from when the call was sent', () => {
   const options = {leaseMs: LEASE_MS, orderMs: ORDER_MS, fenceChecked: false};
-  const lease = new OrderLease(options, 0);
+  const lease = new OrderLease(options, GRANTED);
   lease.confirmed(100);
   expect(lease.holds(1_099)).to.equal(true);
   expect(lease.holds(1_100)).to.equal(false);
@@ -146,7 +158,7 @@
 
 it('order lease: a target that does not tell its loads is waited for', () => {
   const options = {leaseMs: LEASE_MS, orderMs: ORDER_MS, fenceChecked: false};
-  const lease = new OrderLease(options, 0);
+  const lease = new OrderLease(options, GRANTED);
   const from = LEASE_MS + ARRIVAL_MS;
   lease.confirmed(from + ORDER_MS);
   expect(lease.mayTakeOver(from + ORDER_MS - 1, undefined)).to.equal(false);
@@ -155,9 +167,23 @@
   expect(lease.mayTakeOver(from, 0)).to.equal(true);
 });
 
+it('order lease: a new agent waits only for what is left of the lease of the one before', () => {
+  const options = {leaseMs: LEASE_MS, orderMs: ORDER_MS, fenceChecked: false};
+  const lease = new OrderLease(options, {at: 5_000, silentMs: 400});
+  lease.confirmed(5_000);
+  const from = 5_000 - 400 + LEASE_MS + ARRIVAL_MS;
+  lease.confirmed(from);
+  expect(lease.mayTakeOver(from - 1, 0)).to.equal(false);
+  expect(lease.mayTakeOver(from, 0)).to.equal(true);
+  const first = new OrderLease(options, {at: 5_000, silentMs: Infinity});
+  first.confirmed(5_000);
+  expect(first.mayTakeOver(5_000, 0)).to.equal(true);
+  expect(first.mayTakeOver(5_000, 1)).to.equal(false);
+});
+
 it('order lease: a restarted target knows no number, so the lease decides', () => {
   const options = {leaseMs: LEASE_MS, orderMs: ORDER_MS, fenceChecked: true};
-  const lease = new OrderLease(options, 0);
+  const lease = new OrderLease(options, GRANTED);
   lease.fenceShown();
   expect(lease.holds(10_000)).to.equal(true);
   lease.fenceForgotten();
@@ -166,7 +192,7 @@
 
 it('order lease: once revoked it is never confirmed again', () => {
   const options = {leaseMs: LEASE_MS, orderMs: ORDER_MS, fenceChecked: true};
-  const lease = new OrderLease(options, 0);
+  const lease = new OrderLease(options, GRANTED);
   lease.fenceShown();
   lease.revoke();
   lease.confirmed(10);
--- a/contracts/control-api/src/service.ts
+++ b/contracts/control-api/src/service.ts
@@ -3,6 +3,7 @@
   Claim,
   ClaimOutcome,
   Completion,
+  FenceGrant,
   HeartbeatBatch,
   HeartbeatReceipt,
   Member,
@@ -96,7 +97,7 @@
   /** Takes the heartbeats that a relay gathered. */
   heartbeats(batch: HeartbeatBatch): Promise<BatchAnswer>;
   /** Grants a fencing number, larger than any before for the target. */
-  grantFence(target: string, boot: string): Promise<number>;
+  grantFence(target: string, boot: string): Promise<FenceGrant>;
   /** Waits up to `waitMs` for a version of the member table after `version`. */
   watchMembers(
     table: string,
--- a/contracts/messages/src/index.ts
+++ b/contracts/messages/src/index.ts
@@ -23,6 +23,7 @@
   type RelayedHeartbeat,
   type RelayStamp,
 } from './heartbeat.js';
+export {type FenceGrant} from './fence-grant.js';
 export {
   formatHop,
   HOP_HEADERS,
--- a/control/control-server/src/command.ts
+++ b/control/control-server/src/command.ts
@@ -40,5 +40,10 @@
 export type CommandAnswer =
   | {readonly command: 'change-settings'; readonly outcome: ChangeOutcome}
   | {readonly command: 'take-claim'; readonly outcome: ClaimOutcome}
-  | {readonly command: 'grant-fence'; readonly fence: number}
+  | {
+      readonly command: 'grant-fence';
+      readonly fence: number;
+      /** Whether no number was granted for the target before. */
+      readonly first: boolean;
+    }
   | {readonly command: 'done'};
--- a/control/control-server/src/control-desk.ts
+++ b/control/control-server/src/control-desk.ts
@@ -13,6 +13,7 @@
   Claim,
   ClaimOutcome,
   Completion,
+  FenceGrant,
   HeartbeatBatch,
   HeartbeatReceipt,
   Member,
@@ -133,12 +134,14 @@
     return this.members.heartbeats(batch, performance.now());
   }
 
-  async grantFence(target: string, boot: string): Promise<number> {
+  async grantFence(target: string, boot: string): Promise<FenceGrant> {
+    const grant = this.members.beginGrant(target, performance.now());
     const answer = await this.propose({command: 'grant-fence', target, boot});
     if (answer.command !== 'grant-fence') {
       throw new Fault('INTERNAL', 'unexpected answer to a fence');
     }
-    return answer.fence;
+    const {fence, first} = answer;
+    return {fence, first, silentMs: grant.silentMs(performance.now())};
   }
 
   async watchMembers(
--- a/control/control-server/src/control-machine.ts
+++ b/control/control-server/src/control-machine.ts
@@ -48,8 +48,7 @@
         this.claims.loseEntry(command.entry, command.boot, command.at);
         return {command: 'done'};
       case 'grant-fence':
-        this.grantFence(command.target);
-        return {command: 'grant-fence', fence: this.fence};
+        return this.grantFence(command.target);
     }
   }
 
@@ -77,13 +76,18 @@
     this.announceSettings();
   }
 
-  private grantFence(target: string): void {
+  private grantFence(target: string): CommandAnswer {
+    // A target that was dropped from a full list had a number before.
+    const first =
+      !this.targetFences.has(target) &&
+      this.targetFences.size < MAX_TARGET_FENCES;
     this.fence += 1;
     this.targetFences.delete(target);
     this.targetFences.set(target, this.fence);
     if (this.targetFences.size > MAX_TARGET_FENCES) {
       this.targetFences.delete(this.targetFences.keys().next().value!);
     }
+    return {command: 'grant-fence', fence: this.fence, first};
   }
 
   private announceSettings(): void {
--- a/control/control-server/src/member-desk.ts
+++ b/control/control-server/src/member-desk.ts
@@ -17,6 +17,7 @@
 import type {ReplicatedLog} from '@marigoldspur/replicated-log';
 import type {Command, CommandAnswer} from './command.js';
 import type {ControlMachine} from './control-machine.js';
+import {FenceGranting} from './fence-granting.js';
 
 /** Longest time between two messages of a stream, in milliseconds. */
 const STREAM_IDLE_MS = 1_000;
@@ -84,6 +85,16 @@
     return this.receiptFor(member.zone);
   }
 
+  /**
+   * Takes note that a fencing number is about to be granted, which is a confirmation
+   * itself; the result tells, once it is granted, for how long no agent of the target
+   * was confirmed.
+   */
+  beginGrant(target: string, now: number): FenceGranting {
+    const table = this.requireOffice(now);
+    return new FenceGranting(target, table.confirmations, now);
+  }
+
   /** Takes the heartbeats that a relay gathered. */
   heartbeats(batch: HeartbeatBatch, now: number): BatchAnswer {
     this.requireOffice(now);
--- a/control/control-server/test/control-desk.test.ts
+++ b/control/control-server/test/control-desk.test.ts
@@ -171,11 +171,34 @@
     role: 'agent',
     target: targetReport({fence}),
   });
-  const first = await desk.grantFence('lm-desk-0', 'b1');
+  const {fence: first} = await desk.grantFence('lm-desk-0', 'b1');
   await desk.heartbeat(agent('a', first));
-  const second = await desk.grantFence('lm-desk-0', 'b2');
+  const {fence: second} = await desk.grantFence('lm-desk-0', 'b2');
   expect(second).to.be.greaterThan(first);
   const fault = await desk.heartbeat(agent('a', first)).catch(thrown => thrown);
   expect(fault).to.include({code: 'FENCED'});
   await desk.heartbeat(agent('b', second));
 });
+
+it('control desk: a grant tells whether an earlier agent may still hold its lease', async () => {
+  const log = new FakeLog();
+  const desk = deskOn(log);
+  const first = await desk.grantFence('lm-desk-0', 'b1');
+  expect(first.first).to.equal(true);
+  const agent = {
+    ...entry('b1'),
+    id: 'a',
+    role: 'agent' as const,
+    target: targetReport({fence: first.fence}),
+  };
+  const beatAt = performance.now();
+  await desk.heartbeat(agent);
+  const second = await desk.grantFence('lm-desk-0', 'b2');
+  expect(second.first).to.equal(false);
+  expect(second.silentMs).to.be.at.most(performance.now() - beatAt);
+  const [one, other] = await Promise.all([
+    desk.grantFence('lm-desk-0', 'b3'),
+    desk.grantFence('lm-desk-0', 'b4'),
+  ]);
+  expect([one.silentMs, other.silentMs]).to.include(0);
+});
--- a/lab/agent-lab/src/engine-system.ts
+++ b/lab/agent-lab/src/engine-system.ts
@@ -38,8 +38,10 @@
 /** One engine with a store, a control and agents, as processes. */
 export interface EngineSystem {
   readonly engineUrl: string;
+  readonly controlUrl: string;
   readonly session: OperatorSession;
-  startAgent(): Promise<AgentProcess>;
+  /** Starts an agent that reaches control at `controlUrl`, or at its own address. */
+  startAgent(controlUrl?: string): Promise<AgentProcess>;
   faults(faults: Partial<EngineFaults>): Promise<void>;
   record(): Promise<RunRecord[]>;
   /** Orders but for those that only show a fencing number. */
@@ -101,12 +103,12 @@
     ...['--checks-fence', String(options.fenceChecked)],
   ]);
   const engineUrl = readyUrl(await engine.line(isReady));
-  const startAgent = async () => {
+  const startAgent = async (reachedAt = controlUrl) => {
     const child = start('agent', '@marigoldspur/agent-server', [
       ...['--id', 'agent-0'],
       ...['--zone', 'lima-a'],
       ...['--port', '0'],
-      ...['--control', controlUrl],
+      ...['--control', reachedAt],
       ...['--target', 'lm-desk-0'],
       ...['--target-url', engineUrl],
       ...['--target-kind', 'engine'],
@@ -121,6 +123,7 @@
     (await fetch(`${engineUrl}${page}`)).json();
   return {
     engineUrl,
+    controlUrl,
     session,
     startAgent,
     record: () => read('/record') as Promise<RunRecord[]>,
--- a/lab/agent-lab/test/agent-processes.test.ts
+++ b/lab/agent-lab/test/agent-processes.test.ts
@@ -6,9 +6,11 @@
   type AttemptAnswer,
   type EngineSystem,
 } from '@marigoldspur/agent-lab';
+import {openCutLink} from '@marigoldspur/cut-link';
 
 const POLL_MS = 20;
 const WAIT_MS = 40_000;
+const ORDER_LEASE_MS = 1_500;
 let system: EngineSystem;
 let requests = 0;
 
@@ -143,6 +145,35 @@
   });
 }
 
+it('processes: an agent cut off from control serves no more once the next one does, engine ignores fencing numbers', async () => {
+  system = await start(false);
+  const link = await openCutLink(Number(new URL(system.controlUrl).port));
+  const first = await system.startAgent(`http://127.0.0.1:${link.port}`);
+  await served(first.url, 'callao-0@v1');
+  link.set({forward: false, backward: false});
+  const second = await system.startAgent();
+  let lastOfFirst = 0;
+  let isOver = false;
+  const callsOfFirst = async () => {
+    while (!isOver) {
+      const answer = await send(first.url, 'callao-0@v1');
+      lastOfFirst = answer?.status === 200 ? performance.now() : lastOfFirst;
+    }
+  };
+  const calling = callsOfFirst();
+  await served(second.url, 'callao-0@v1');
+  const servedBySecond = performance.now();
+  // Long enough for the lease of the first to end, had the second not waited for it.
+  await new Promise(resolve => setTimeout(resolve, ORDER_LEASE_MS));
+  isOver = true;
+  await calling;
+  expect(lastOfFirst).to.be.above(0);
+  expect(lastOfFirst).to.be.below(servedBySecond);
+  await served(second.url, 'callao-1@v1');
+  expect(await evictedInUse()).to.deep.equal([]);
+  await link.close();
+});
+
 it('processes: SIGTERM under a stream ends it whole and exits with 0', async () => {
   system = await start(true);
   const agent = await system.startAgent();
--- a/zones/membership/src/index.ts
+++ b/zones/membership/src/index.ts
@@ -1,3 +1,4 @@
+export {ConfirmationTimes} from './confirmation-times.js';
 export {
   MemberTable,
   type Announcement,
--- a/zones/membership/src/member-table.ts
+++ b/zones/membership/src/member-table.ts
@@ -1,4 +1,5 @@
 import type {Member, MembersDelta} from '@marigoldspur/messages';
+import {ConfirmationTimes} from './confirmation-times.js';
 
 /** Options of a member table. */
 export interface MemberTableOptions {
@@ -20,6 +21,8 @@
 export interface RelayedLease {
   /** Name of the relay. */
   readonly relay: string;
+  /** When it was asked for, in milliseconds. */
+  readonly at: number;
   /** When the lease ends, in milliseconds. */
   readonly end: number;
 }
@@ -57,12 +60,15 @@
   private readonly removals = new Map<string, number>();
   /** The agent that holds each target under a fencing number. */
   private readonly holders = new Map<string, string>();
+  /** When an agent of each target was last confirmed; an earlier table may have until this one is complete. */
+  readonly confirmations: ConfirmationTimes;
   private currentVersion = 0;
   private oldestDelta = 0;
   private isComplete: boolean;
 
   constructor(private readonly options: MemberTableOptions) {
     this.isComplete = options.completeAt === undefined;
+    this.confirmations = new ConfirmationTimes(options.completeAt ?? -Infinity);
   }
 
   /** Identity of the table. */
@@ -101,6 +107,7 @@
       const changes = isOwn ? this.remove(member.id, 'fenced') : [];
       return {fenced: true, changes};
     }
+    this.confirm(member, now);
     const changes = this.takeTarget(member);
     const change = this.put(member, now + this.options.leaseMs, relayed);
     return {
@@ -126,6 +133,7 @@
     if (fence !== undefined && fence < (granted ?? 0)) {
       return {renewal: 'fenced', changes: this.remove(id, 'fenced')};
     }
+    this.confirm(row.member, lease.at);
     row.leaseEnd = Math.max(row.leaseEnd, lease.end);
     return {renewal: 'renewed', changes: []};
   }
@@ -184,6 +192,12 @@
     };
   }
 
+  private confirm({target}: Member, now: number): void {
+    if (target !== undefined) {
+      this.confirmations.note(target.name, now);
+    }
+  }
+
   private newestFence(member: Member, granted = 0): number {
     const holder = this.holders.get(member.target!.name);
     const held = holder === undefined ? undefined : this.member(holder);
--- a/zones/membership/src/relay-sessions.ts
+++ b/zones/membership/src/relay-sessions.ts
@@ -79,7 +79,7 @@
     time: {readonly now: number; readonly end: number},
   ) {
     const {table} = this.options;
-    const lease = {relay: batch.relay, end: time.end};
+    const lease = {relay: batch.relay, at: time.now, end: time.end};
     const fenced: Array<{id: string; boot: string}> = [];
     const missing: string[] = [];
     const changes: MemberChange[] = [];
--- /dev/null
+++ b/zones/membership/test/confirmation-times.test.ts
@@ -0,0 +1,59 @@
+import {expect} from 'chai';
+import {ConfirmationTimes, MemberTable} from '@marigoldspur/membership';
+import type {Member} from '@marigoldspur/messages';
+
+const LEASE_MS = 3_000;
+const MORE_THAN_KEPT = 20_001;
+
+function agent(fence: number): Member {
+  return {
+    id: `agent-${fence}`,
+    role: 'agent',
+    zone: 'lima-a',
+    boot: `boot-${fence}`,
+    url: 'http://127.0.0.1:1',
+    revision: 1,
+    leaving: false,
+    target: {
+      name: 'lm-desk-0',
+      customer: 'callao',
+      service: 'lm-desk',
+      boot: 'engine',
+      healthy: true,
+      slots: 1,
+      resident: [],
+      running: 0,
+      waiting: 0,
+      batchLimit: 8,
+      fence,
+    },
+  };
+}
+
+it('confirmations: the last heartbeat that was taken counts, not one that was fenced', () => {
+  const table = new MemberTable({table: 't', leaseMs: LEASE_MS});
+  table.announce(agent(1), 100);
+  table.renew('agent-1', {relay: 'none', at: 200, end: 3_200}, 1);
+  expect(table.confirmations.last('lm-desk-0')).to.equal(100);
+  table.announce(agent(1), 300, 1, {relay: 'entry', at: 300, end: 3_300});
+  table.renew('agent-1', {relay: 'entry', at: 700, end: 3_700}, 1);
+  expect(table.announce(agent(1), 900, 2).fenced).to.equal(true);
+  table.expire(60_000);
+  expect(table.confirmations.last('lm-desk-0')).to.equal(700);
+});
+
+it('confirmations: a new table does not know what the one before confirmed', () => {
+  const options = {table: 't', leaseMs: LEASE_MS, completeAt: 4_000};
+  const table = new MemberTable(options);
+  expect(table.confirmations.last('lm-desk-0')).to.equal(4_000);
+});
+
+it('confirmations: a target that was forgotten counts as confirmed as late as any forgotten', () => {
+  const times = new ConfirmationTimes(-Infinity);
+  for (let index = 0; index < MORE_THAN_KEPT; index += 1) {
+    times.note(`target-${index}`, index);
+  }
+  expect(times.last('target-0')).to.equal(0);
+  expect(times.last('never seen')).to.equal(0);
+  expect(times.last('target-20000')).to.equal(20_000);
+});
