Let the balancer stand-in keep callers when all entries are slow

Cause of the shutdown story that waited 60 s for its streams: on a busy machine both entries missed one readiness check of 200 ms, the stand-in had no entry left and closed a caller's connection, so one of 20 streams never began, and the test then waited for it.

Reproduced: with both entries stopped for a second before the streams, the test as it was (waiting for the beginnings alone) times out after 60 s; with this change it passes. Thirty plain runs beside two busy loops, at a load of 11 to 32, passed before the change, so plain runs don't show it. Ruled out: entries that learn the targets 3 s late (their refusals count as begun, and the test fails at once by its assertion).

With no entry ready, those that were ready and merely missed their check get callers, as balancers of platforms do; one that says it is not ready, or is gone, gets none. The entry itself is unchanged.

--- a/lab/stand-ins/src/balancer.ts
+++ b/lab/stand-ins/src/balancer.ts
@@ -17,6 +17,8 @@
   options: BalancerOptions,
 ): Promise<StandIn> {
   const ready = new Set<string>();
+  /** Entries that were ready before and whose last check had no answer in time. */
+  const silent = new Set<string>();
   let next = 0;
   const check = () =>
     options.entries.forEach(entry => {
@@ -25,6 +27,7 @@
         {timeout: options.checkMs},
         answer => {
           answer.resume();
+          silent.delete(entry);
           if (answer.statusCode === 200) {
             ready.add(entry);
           } else {
@@ -32,11 +35,23 @@
           }
         },
       );
-      call.on('timeout', () => call.destroy());
-      call.on('error', () => ready.delete(entry));
+      let late = false;
+      call.on('timeout', () => {
+        late = true;
+        call.destroy();
+      });
+      call.on('error', () => {
+        if (late && ready.has(entry)) {
+          silent.add(entry);
+        } else if (!late) {
+          silent.delete(entry);
+        }
+        ready.delete(entry);
+      });
     });
   const server = net.createServer({allowHalfOpen: true}, caller => {
-    const entries = [...ready].sort();
+    // Like balancers of platforms, it does not close all doors when all entries are slow.
+    const entries = [...(ready.size > 0 ? ready : silent)].sort();
     if (entries.length === 0) {
       caller.destroy();
       return;
