--- a/agent/agent-server/src/prepare-engine.ts
+++ b/agent/agent-server/src/prepare-engine.ts
@@ -51,7 +51,7 @@
 ): Promise<PreparedEngine> {
   const {client, events, follower, metrics} = options;
   const askedAt = performance.now();
-  const fence = await grantFence(settings, options);
+  const {fence, first, silentMs} = await grantFence(settings, options);
   const path = `/${settings.customer}/${settings.service}`;
   const inForce = () =>
     settingsOf(follower.settings.tree, path) ?? DEFAULT_SETTINGS;
@@ -72,7 +72,7 @@
       orderMs: settings.loadTimeoutMs,
       fenceChecked: settings.fenceChecked,
     },
-    performance.now(),
+    {at: performance.now(), silentMs: first ? Infinity : silentMs},
   );
   lease.confirmed(askedAt);
   const keeper = new LeaseKeeper(lease, events);
--- a/contracts/messages/src/index.ts
+++ b/contracts/messages/src/index.ts
@@ -33,10 +33,12 @@
   type RelayedHeartbeat,
   type RelayStamp,
 } from './heartbeat.js';
+export {type FenceGrant} from './fence-grant.js';
 export {
   formatHop,
   HOP_HEADERS,
   parseHop,
+  type ClockTime,
   type Hop,
   type HopModel,
 } from './hop.js';
--- a/contracts/messages/test/hop.test.ts
+++ b/contracts/messages/test/hop.test.ts
@@ -25,6 +25,7 @@
     repeatable: fc.boolean(),
     origin: fc.constant('http://127.0.0.1:8080'),
     prefix: fc.stringMatching(/^[\w-]{12}$/),
+    written: fc.record({clock: fc.uuid(), atMs: COUNT}),
   },
   {
     requiredKeys: [
