--- a/lab/spread-bench/src/main.ts
+++ b/lab/spread-bench/src/main.ts
@@ -4,6 +4,7 @@
 import {measureClaims} from './claims-bench.js';
 import {measureFollowers} from './follower-bench.js';
 import {measureHeartbeats} from './heartbeat-bench.js';
+import {measureLoadReports} from './load-report-bench.js';
 import {measureRelayed, runZone} from './relay-bench.js';
 import {measureTree} from './tree-bench.js';
 
@@ -61,6 +62,22 @@
       }
     },
   )
+  .command(
+    'load-reports',
+    'Bytes and age of the load reports that a relay streams',
+    options =>
+      options
+        .option('agents', {type: 'number', default: 67})
+        .option('followers', {type: 'array', default: [3, 18, 55]})
+        .option('bytes-per-second', {type: 'number', default: 17_000}),
+    async ({agents, followers, bytesPerSecond}) => {
+      for (const each of followers) {
+        const size = {agents, followers: Number(each), bytesPerSecond};
+        print(await measureLoadReports(size));
+      }
+      process.exit();
+    },
+  )
   .command(
     'zone',
     false,
--- a/zones/control-client/src/load-report-server.ts
+++ b/zones/control-client/src/load-report-server.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http';
+import type {Socket} from 'node:net';
 import {constants, createGzip, type Gzip} from 'node:zlib';
 import type {LoadBoard} from '@marigoldspur/membership';
 import type {LoadChanges} from '@marigoldspur/messages';
@@ -25,6 +26,9 @@
 interface Follower {
   readonly response: http.ServerResponse;
   readonly gzip: Gzip;
+  readonly socket: Socket;
+  /** Bytes of the socket that the budget has counted. */
+  counted: number;
   version: number;
   sentAt: number;
 }
@@ -54,11 +58,11 @@
       'content-encoding': 'gzip',
     });
     const gzip = createGzip(COMPRESSION);
-    const follower = {response, gzip, version: -1, sentAt: -Infinity};
-    gzip.on('data', (chunk: Buffer) => {
-      this.budget.spend(chunk.length);
-      response.write(chunk);
-    });
+    const {socket} = request;
+    const counted = socket.bytesWritten;
+    const start = {version: -1, sentAt: -Infinity};
+    const follower = {response, gzip, socket, counted, ...start};
+    gzip.on('data', (chunk: Buffer) => response.write(chunk));
     response.on('close', () => this.end(follower));
     this.followers.add(follower);
     this.tell(follower, performance.now());
@@ -74,6 +78,7 @@
   }
 
   private round(now: number): void {
+    this.followers.forEach(follower => this.count(follower));
     const mayTell = this.budget.has(now);
     for (const follower of this.followers) {
       if (mayTell && follower.version !== this.board.version) {
@@ -84,6 +89,12 @@
     }
   }
 
+  private count(follower: Follower): void {
+    const {bytesWritten} = follower.socket;
+    this.budget.spend(bytesWritten - follower.counted);
+    follower.counted = bytesWritten;
+  }
+
   private tell(follower: Follower, now: number): void {
     if (follower.response.writableLength <= MAX_UNREAD_BYTES) {
       this.send(follower, this.board.changesAfter(follower.version), now);
