Bound the heaps of entry and agent in the first line of their programs

Cause: 175 to 190 MB resident under load, against a goal of 128: heap that V8 has not collected, not held state. The bounds stood in the operations page as a variable that each operator had to set. Now they ship with the programs, and the lab reads them from the same line, so that tests and measurements run what ships.

Larger hosts start the programs with bounds of their own (operations page).

Ruled out by trials: a young generation of 2 MB alone (153 MB; 191 with 36,000 adapters), 96 MB of old space (saves no more than 160, and leaves less room). Control stays without a bound: all replicas would meet it at once; with 36,000 adapters its start takes 155 to 171 MB, over the goal, and the page says so.

--- a/lab/lab/src/child.ts
+++ b/lab/lab/src/child.ts
@@ -1,6 +1,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
+import {programOptions} from './program-options.js';
 
 /** A child process with the events that it logged. */
 export interface Child {
@@ -32,7 +33,8 @@
   const index = fileURLToPath(import.meta.resolve(packageName));
   const main = index.replace(/index\.js$/, 'main.js');
   const spawnedAt = Date.now();
-  const child = spawn(process.execPath, [...nodeOptions(), main, ...args], {
+  const options = [...programOptions(main), ...nodeOptions()];
+  const child = spawn(process.execPath, [...options, main, ...args], {
     stdio: ['ignore', 'ignore', 'pipe'],
     env: {...process.env, ...variables},
   });
@@ -75,7 +77,7 @@
   };
 }
 
-/** Options of Node.js for each child, as `--cpu-prof`, separated by spaces. */
+/** Further options of Node.js for each child, as `--cpu-prof`, separated by spaces. */
 function nodeOptions(): string[] {
   const text = process.env.MARIGOLDSPUR_LAB_NODE_OPTIONS ?? '';
   return text.split(' ').filter(option => option !== '');
--- a/lab/lab/src/index.ts
+++ b/lab/lab/src/index.ts
@@ -12,4 +12,5 @@
   SystemOptions,
 } from './system-options.js';
 export {startChild, type Child} from './child.js';
+export {programOptions} from './program-options.js';
 export {freePorts} from './ports.js';
--- a/lab/path-bench/src/bench-system.ts
+++ b/lab/path-bench/src/bench-system.ts
@@ -6,13 +6,14 @@
 /** What runs during a measurement. */
 export interface BenchSystemOptions {
   readonly entries: number;
+  /** Adapters in the settings tree; one of them is called. */
+  readonly adapters: number;
   /** Time between an engine's tokens, in milliseconds. */
   readonly tokenMs: number;
   /** How long the engine keeps a broken stream, in milliseconds; 0 for not at all. */
   readonly resumeMs: number;
 }
 
-const ADAPTERS = 3_000;
 const BATCH_LIMIT = 1_024;
 const DEPLOYMENT = {
   customer: 'callao',
@@ -23,12 +24,12 @@
 
 /** Runs a measurement against one engine stand-in behind real processes. */
 export async function withBenchSystem(
-  {entries, tokenMs, resumeMs}: BenchSystemOptions,
+  {entries, adapters, tokenMs, resumeMs}: BenchSystemOptions,
   measure: (system: System) => Promise<void>,
 ): Promise<void> {
   const system = await startSystem({
     deployments: [DEPLOYMENT],
-    tree: deploymentTree([DEPLOYMENT], ADAPTERS),
+    tree: deploymentTree([DEPLOYMENT], adapters),
     controls: 1,
     entries,
     firstTokenMs: 0,
--- a/lab/path-bench/src/main.ts
+++ b/lab/path-bench/src/main.ts
@@ -31,12 +31,19 @@
       'How long the engine keeps a broken stream, in milliseconds',
     ),
     entries: z.coerce.number().int().min(1).default(1).describe('Entries'),
+    adapters: z.coerce
+      .number()
+      .int()
+      .min(1)
+      .default(3_000)
+      .describe('Adapters in the settings tree'),
   }),
-  work: async ({measures, entries, resumeMs}) => {
+  work: async ({measures, entries, adapters, resumeMs}) => {
     for (const name of measures) {
       const {tokenMs, measure} = MEASURES[name];
       print(`${name}, load average ${loadavg()[0].toFixed(1)}`);
-      await withBenchSystem({entries, tokenMs, resumeMs}, measure);
+      const options = {entries, adapters, tokenMs, resumeMs};
+      await withBenchSystem(options, measure);
     }
     return 0;
   },
