Free the load permit of an agent that has ended

Cause: a permit is taken back where its agent's heartbeat no longer names the load. Since heartbeats go through relays no load report reaches control, and an agent that ends never sends one; so an agent killed during a load held up its whole store, which runs one load at a time, until `permitValidMs` (30 s) was over.

Now the member table says of a change whether the process known under an identity has ended (lease over, fenced, begun anew under another boot), and control frees its permits.

Ruled out: the load report through relays again (its bytes); a shorter validity (a slow load would lose its permit while it runs).

Not mended: a permit whose answer is lost to an agent that lives on and no longer wants the load waits for its validity.

--- a/control/control-server/src/control-desk.ts
+++ b/control/control-server/src/control-desk.ts
@@ -52,7 +52,11 @@
 
   constructor(private readonly options: ControlDeskOptions) {
     this.settings = new SettingsDesk(options.machine, options.log);
-    this.members = new MemberDesk(options);
+    this.members = new MemberDesk({
+      ...options,
+      // What an agent that ended was loading would hold up its store.
+      ended: (id, now) => options.permits.keepOnly(id, [], now),
+    });
     this.absent = new AbsentHolders(options.leaseMs);
   }
 
--- a/control/control-server/src/member-desk.ts
+++ b/control/control-server/src/member-desk.ts
@@ -37,6 +37,8 @@
   readonly machine: ControlMachine;
   readonly log: ReplicatedLog<Command, CommandAnswer>;
   readonly events: EventLog;
+  /** Called where a process has ended whose identity was a member's. */
+  readonly ended: (id: string, now: number) => void;
 }
 
 /**
@@ -80,7 +82,7 @@
     const granted =
       member.target && this.options.machine.fenceOf(member.target.name);
     const {fenced, changes} = members.announce(member, now, granted);
-    this.record(changes);
+    this.take(changes, now);
     if (fenced) {
       throw new Fault(
         'FENCED',
@@ -104,7 +106,7 @@
   heartbeats(batch: HeartbeatBatch, now: number): BatchAnswer {
     this.requireOffice(now);
     const {answer, changes} = this.relays.take(batch, now);
-    this.record(changes);
+    this.take(changes, now);
     const receipt = this.receiptFor(batch.zone);
     const relays = receipt.relays?.join();
     if (answer.taken && this.relaysTold.get(batch.relay) === relays) {
@@ -159,7 +161,7 @@
       const count = members.members().length;
       this.options.events.record('members-settled', {members: count});
     }
-    this.record(expired);
+    this.take(expired, now);
     return members;
   }
 
@@ -201,10 +203,19 @@
       : receipt;
   }
 
-  private record(changes: readonly MemberChange[]): void {
+  private take(changes: readonly MemberChange[], now: number): void {
     if (changes.length > 0) {
       this.changed.notify();
     }
+    for (const {hasEnded, member} of changes) {
+      if (hasEnded) {
+        this.options.ended(member.id, now);
+      }
+    }
+    this.record(changes);
+  }
+
+  private record(changes: readonly MemberChange[]): void {
     for (const {kind, member} of changes) {
       if (kind !== 'changed') {
         const {id, role, zone} = member;
--- a/control/control-server/test/control-desk.test.ts
+++ b/control/control-server/test/control-desk.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'chai';
 import {DEFAULT_SETTINGS} from '@marigoldspur/settings-schema';
 import {Result} from 'true-myth';
@@ -15,6 +16,26 @@
 import {targetReport} from '@marigoldspur/test-members';
 
 const LEASE_MS = 1_000;
+/** A report may be older than a permit that it does not name, by a second at most. */
+const LONGER_THAN_REPORT_MS = 1_100;
+
+function agent(boot: string): Member {
+  return {...entry(boot), id: 'agent', role: 'agent', target: targetReport()};
+}
+
+/** Asks for a permit of the store, without waiting long for it. */
+function askPermit(desk: ControlDesk, holder: string) {
+  return desk.acquirePermit({
+    store: 'store',
+    agent: holder,
+    model: 'a@v1',
+    waiters: 1,
+    priority: 5,
+    oldestWaitMs: 0,
+    usefulMs: 60_000,
+    waitMs: 10_000,
+  });
+}
 
 /** A log that commits at once, and whose quorum and office the test sets. */
 class FakeLog implements ReplicatedLog<Command, CommandAnswer> {
@@ -54,7 +75,7 @@
   async stop(): Promise<void> {}
 }
 
-function deskOn(log: FakeLog): ControlDesk {
+function deskOn(log: FakeLog, validMs = LEASE_MS): ControlDesk {
   return new ControlDesk({
     id: 'control-0',
     boot: 'boot',
@@ -63,7 +84,7 @@
     log,
     permits: new PermitDesk({
       loadsAtOnce: 1,
-      validMs: LEASE_MS,
+      validMs,
       policyOf: () => DEFAULT_SETTINGS,
     }),
     events: new EventLog({process: 'control-0'}),
@@ -234,3 +255,23 @@
   ]);
   expect([one.silentMs, other.silentMs]).to.include(0);
 });
+
+it('control desk: the permit of an agent whose lease ends is free at once', async () => {
+  const desk = deskOn(new FakeLog(), 60_000);
+  await desk.heartbeat(agent('b1'));
+  expect((await askPermit(desk, 'agent')).permit).to.be.a('string');
+  const next = askPermit(desk, 'other');
+  desk.checkLeases(performance.now() + 2 * LEASE_MS);
+  expect((await next).permit).to.be.a('string');
+});
+
+it('control desk: the permit of an agent that began anew is free at once', async () => {
+  const desk = deskOn(new FakeLog(), 60_000);
+  await desk.heartbeat(agent('b1'));
+  expect((await askPermit(desk, 'agent')).permit).to.be.a('string');
+  const next = askPermit(desk, 'other');
+  await pause(LONGER_THAN_REPORT_MS);
+  await desk.heartbeat(agent('b1'));
+  await desk.heartbeat(agent('b2'));
+  expect((await next).permit).to.be.a('string');
+});
--- a/zones/membership/src/member-table.ts
+++ b/zones/membership/src/member-table.ts
@@ -15,6 +15,8 @@
 export interface MemberChange {
   readonly kind: 'joined' | 'changed' | 'leaving' | 'expired' | 'fenced';
   readonly member: Member;
+  /** Whether the process that was known under this identity has ended: it began anew, or is gone. */
+  readonly hasEnded?: boolean;
 }
 
 /** A lease that a relay asks for. */
@@ -233,7 +235,9 @@
     this.removals.delete(member.id);
     const version = this.currentVersion;
     this.rows.set(member.id, {member, text, version, leaseEnd, relay});
-    return {kind: kindOf(row?.member, member), member};
+    const kind = kindOf(row?.member, member);
+    const isRestart = row !== undefined && row.member.boot !== member.boot;
+    return isRestart ? {kind, member, hasEnded: true} : {kind, member};
   }
 
   private remove(id: string, kind: 'expired' | 'fenced'): MemberChange[] {
@@ -248,7 +252,7 @@
     if (name !== undefined && this.holders.get(name) === id) {
       this.holders.delete(name);
     }
-    return [{kind, member: row.member}];
+    return [{kind, member: row.member, hasEnded: true}];
   }
 
   private dropOldRemovals(): void {
