Keep the checks at forwarding in a module of their own

Pinning the adapter and the last checks before an attempt goes to the target are now forward-gate.ts.

--- a/agent/agent-server/src/attempt-desk.ts
+++ b/agent/agent-server/src/attempt-desk.ts
@@ -1,11 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {
-  setImmediate as nextTurn,
-  setTimeout as pause,
-} from 'node:timers/promises';
+import {setTimeout as pause} from 'node:timers/promises';
 import {Result} from 'true-myth';
-import type {Pin} from '@marigoldspur/adapter-slots';
-import type {SettingsFollower} from '@marigoldspur/control-client';
 import {peerGone} from '@marigoldspur/bounded-signal';
 import {formatFindings, type Refusal} from '@marigoldspur/faults';
 import {
@@ -14,10 +9,9 @@
   parseHop,
   type Hop,
 } from '@marigoldspur/messages';
-import {formatModel} from '@marigoldspur/settings-schema';
 import type {AgentMetrics} from './agent-metrics.js';
 import {attemptId} from './attempt-headers.js';
-import {findAdapter} from './find-adapter.js';
+import {ForwardGate, type ForwardGateOptions} from './forward-gate.js';
 import {refuseAttempt} from './attempt-answer.js';
 import {AttemptChecks, type AttemptChecksOptions} from './attempt-checks.js';
 import {unknownOutcome} from './attempt-end.js';
@@ -29,16 +23,12 @@
 import {TransitTimes} from './transit-times.js';
 
 /** What an attempt desk works with. */
-export interface AttemptDeskOptions extends AttemptChecksOptions {
+export interface AttemptDeskOptions
+  extends AttemptChecksOptions, ForwardGateOptions {
   readonly targetUrl: string;
-  readonly customer: string;
-  readonly service: string;
-  readonly settings: Pick<SettingsFollower, 'settings'>;
   /** Is told the settings revision of an entry, and the entry's URL. */
   readonly heard?: (revision: number, url: string | undefined) => void;
   readonly metrics: AgentMetrics;
-  /** Whether control said that a newer agent serves the target. */
-  readonly superseded?: () => boolean;
 }
 
 /** How an attempt is run; times are `performance.now()` times. */
@@ -61,6 +51,7 @@
 /** Takes attempts from entries, checks them and forwards them to the target. */
 export class AttemptDesk {
   private readonly checks: AttemptChecks;
+  private readonly gate: ForwardGate;
   private readonly forwarder: TargetForwarder;
   private readonly resumes: ResumeDesk;
   private readonly transit = new TransitTimes();
@@ -75,6 +66,7 @@
       stop: (id, pin) => engine?.watch.releaseWhenStopped(id, pin),
     });
     this.checks = new AttemptChecks(options);
+    this.gate = new ForwardGate(options);
     this.forwarder = new TargetForwarder({...options, streams});
     this.resumes = new ResumeDesk({...options, streams});
   }
@@ -199,7 +191,7 @@
     const {deadlineMs, expects, firstByteBy, signal} = options;
     const {closed, heldBytes} = this;
     const load = {closed, heldBytes};
-    const overdue = this.overdue(hop, deadlineMs, signal);
+    const overdue = this.gate.overdue(hop, deadlineMs, signal);
     if (overdue !== undefined) {
       return Result.err(overdue);
     }
@@ -213,7 +205,7 @@
     if (body?.isErr) {
       return Result.err(body.error);
     }
-    const pin = await this.pin(hop, firstByteBy, signal);
+    const pin = await this.gate.pin(hop, firstByteBy, signal);
     if (pin.isErr) {
       return Result.err(pin.error);
     }
@@ -223,7 +215,7 @@
     }
     const late = body.isErr
       ? body.error
-      : await this.lastCheck(hop, pin.value?.boot, deadlineMs, signal);
+      : await this.gate.lastCheck(hop, pin.value?.boot, deadlineMs, signal);
     if (late !== undefined || body.isErr) {
       pin.value?.pin.release(performance.now());
       return late === undefined ? Result.ok(undefined) : Result.err(late);
@@ -248,71 +240,6 @@
     return Result.ok(undefined);
   }
 
-  /** Pins the attempt's adapter, with the boot that holds it; undefined for a plain service. */
-  private async pin(
-    hop: Hop,
-    deadlineMs: number,
-    signal: AbortSignal,
-  ): Promise<Result<{pin: Pin; boot: string} | undefined, Refusal>> {
-    const {engine} = this.options;
-    if (engine === undefined || hop.model === undefined) {
-      return Result.ok(undefined);
-    }
-    const found = await findAdapter(hop, hop.model, this.options);
-    if (found.isErr) {
-      return Result.err(found.error);
-    }
-    const pin = await engine.host.acquire({
-      ...found.value,
-      model: formatModel(hop.model),
-      priority: hop.priority,
-      deadlineMs,
-      signal,
-    });
-    return pin.map(held => ({pin: held, boot: engine.watch.state.boot}));
-  }
-
-  /** What speaks against forwarding at this moment. */
-  private async lastCheck(
-    hop: Hop,
-    boot: string | undefined,
-    deadlineMs: number,
-    signal: AbortSignal,
-  ): Promise<Refusal | undefined> {
-    const {engine} = this.options;
-    const mayForward =
-      (await (engine?.keeper.mayForward() ?? true)) &&
-      this.options.superseded?.() !== true;
-    // After a pause of the process the end of the link is read in the next turn.
-    await nextTurn();
-    const overdue = this.overdue(hop, deadlineMs, signal);
-    if (overdue !== undefined) {
-      return overdue;
-    }
-    if (!mayForward) {
-      return notRun(503, 'no_lease', 'another agent may serve the target');
-    }
-    return engine !== undefined && engine.watch.state.boot !== boot
-      ? notRun(503, 'target_restarted', 'the engine restarted')
-      : undefined;
-  }
-
-  /** What speaks against an attempt that its entry gave up, or may have. */
-  private overdue(
-    hop: Hop,
-    deadlineMs: number,
-    signal: AbortSignal,
-  ): Refusal | undefined {
-    if (signal.aborted) {
-      const {attempt, request} = hop;
-      this.options.events.record('attempt-cancelled', {attempt}, request);
-      return notRun(499, 'entry_gone', 'the entry went away');
-    }
-    return performance.now() >= deadlineMs
-      ? notRun(503, 'too_late', 'the time for the attempt is over')
-      : undefined;
-  }
-
   private refuse(
     hop: Hop | undefined,
     response: ServerResponse,
