End the lab's processes with a lab that is ended by a signal, and split the catalogue

A replay that was ended by SIGTERM left the processes of its system running: the exit handler that kills them does not run where a signal ends Node.js. A lab that has started a process now ends by itself on SIGTERM and SIGINT.

--- /dev/null
+++ b/contracts/event-catalogue/src/load-events.ts
@@ -0,0 +1,97 @@
+import type {EventKind} from './event-kind.js';
+
+/** Events of adapter loads and of the target behind an agent, 6xx. */
+export const LOAD_EVENTS = {
+  'load-ordered': {
+    number: 600,
+    level: 'info',
+    meaning: 'The target was ordered to load an adapter.',
+  },
+  'load-finished': {
+    number: 601,
+    level: 'info',
+    meaning: 'The target holds the adapter.',
+  },
+  'load-failed': {
+    number: 602,
+    level: 'warn',
+    meaning: 'A load failed.',
+  },
+  'adapter-evicted': {
+    number: 603,
+    level: 'info',
+    meaning: 'An adapter left its slot.',
+  },
+  'target-restarted': {
+    number: 604,
+    level: 'warn',
+    meaning: 'The target returned with another boot identity and empty slots.',
+  },
+  'load-backed-off': {
+    number: 605,
+    level: 'info',
+    meaning: 'A load is not tried again until its pause is over.',
+  },
+  'load-dropped': {
+    number: 606,
+    level: 'info',
+    meaning: 'A load that nobody waits for was dropped before it began.',
+  },
+  'order-unclear': {
+    number: 607,
+    level: 'warn',
+    meaning: 'The answer to an order was lost, so the target is asked.',
+  },
+  'orders-held': {
+    number: 608,
+    level: 'warn',
+    meaning: 'No orders are given while the lease is not confirmed.',
+  },
+  'orders-taken-over': {
+    number: 609,
+    level: 'info',
+    meaning: 'The agent may order evictions: none before it can any more.',
+  },
+  'loads-isolated': {
+    number: 610,
+    level: 'warn',
+    meaning: 'Control is away, so loads go at the share of this agent.',
+  },
+  'adapter-distrusted': {
+    number: 611,
+    level: 'warn',
+    meaning: 'The target lists an adapter that it does not serve.',
+  },
+  'slots-differ': {
+    number: 612,
+    level: 'warn',
+    meaning: 'The target has fewer adapter slots than it says.',
+  },
+  'permit-refused': {
+    number: 650,
+    level: 'info',
+    meaning: 'A permit to load was refused since the load would end too late.',
+  },
+  'load-refused': {
+    number: 651,
+    level: 'info',
+    meaning:
+      'The requests that waited for a load that is too late were refused.',
+  },
+  'cache-events-missed': {
+    number: 670,
+    level: 'debug',
+    meaning: 'Events of the target’s prefix cache never came.',
+  },
+  'cached-prefixes-forgotten': {
+    number: 671,
+    level: 'debug',
+    meaning: 'The target restarted or cleared its prefix cache.',
+  },
+  'attempt-delayed': {
+    number: 690,
+    level: 'info',
+    meaning:
+      'An attempt was long on its way, so its entry may have given it up: the end of its link is awaited for a moment.',
+  },
+} as const satisfies Record<string, EventKind>;
--- /dev/null
+++ b/contracts/event-catalogue/src/process-events.ts
@@ -0,0 +1,36 @@
+import type {EventKind} from './event-kind.js';
+
+/** Events of the life of a process, 1xx. */
+export const PROCESS_EVENTS = {
+  'process-started': {
+    number: 100,
+    level: 'info',
+    meaning: 'The process is ready to serve.',
+  },
+  'process-draining': {
+    number: 101,
+    level: 'info',
+    meaning: 'The process takes no new work and ends what runs.',
+  },
+  'process-stopped': {
+    number: 102,
+    level: 'info',
+    meaning: 'The process ended its work and exits.',
+  },
+  'insecure-loopback': {
+    number: 104,
+    level: 'warn',
+    meaning: 'No keys are set, so the process binds to loopback only.',
+  },
+  'keys-reloaded': {
+    number: 105,
+    level: 'info',
+    meaning: 'A key file changed and its new content is used.',
+  },
+  'keys-rejected': {
+    number: 106,
+    level: 'warn',
+    meaning:
+      'A key file changed and is malformed; the last good content stays.',
+  },
+} as const satisfies Record<string, EventKind>;
--- a/lab/lab/src/child.ts
+++ b/lab/lab/src/child.ts
@@ -1,4 +1,5 @@
 import {spawn, type ChildProcess} from 'node:child_process';
+import {constants} from 'node:os';
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
 import {programOptions} from './program-options.js';
@@ -23,6 +24,22 @@
 /** A lab that fails while it starts a system leaves no process behind. */
 process.on('exit', () => running.forEach(child => child.kill('SIGKILL')));
 
+/** What a shell adds to the number of the signal that ended a process. */
+const SIGNAL_EXIT_CODE = 128;
+let endsOnSignals = false;
+
+/** Without it a signal would end the lab without its exit handlers, and leave its children. */
+function endOnSignals(): void {
+  if (endsOnSignals) {
+    return;
+  }
+  endsOnSignals = true;
+  for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+    const code = SIGNAL_EXIT_CODE + constants.signals[signal];
+    process.once(signal, () => process.exit(code));
+  }
+}
+
 /** Starts a program of the workspace by its package, as a child of the lab. */
 export function startChild(
   name: string,
@@ -30,6 +47,7 @@
   args: readonly string[],
   variables: NodeJS.ProcessEnv = {},
 ): Child {
+  endOnSignals();
   const index = fileURLToPath(import.meta.resolve(packageName));
   const main = index.replace(/index\.js$/, 'main.js');
   const spawnedAt = Date.now();
