Name what an agent loads in each question for a permit

Cause: a permit that its agent does not use was freed after a second by the agent's load report. Reports go through relays, and stay in their region since, so control no longer hears them, and a permit whose answer was lost held up its store for 30 s again.

Now each question for a permit names all that its agent loads or waits for, and control frees the agent's other permits. A lost permit is free with the agent's next question, at the earliest after a second, or with its end.

Ruled out: a call that gives a load back by its name (it could overtake a new question for the same adapter); the load report at control again (its bytes).

--- a/agent/agent-server/src/adapter-host.ts
+++ b/agent/agent-server/src/adapter-host.ts
@@ -222,7 +222,8 @@
   private async tryOnce(load: PendingLoad): Promise<Result<unknown, Fault>> {
     const {agent, gate, orders, slots} = this.options;
     this.asking += 1;
-    const ticket = await gate.enter(() => load.ask(agent), load.signal);
+    const ask = () => ({...load.ask(agent), loading: this.loading});
+    const ticket = await gate.enter(ask, load.signal);
     this.asking -= 1;
     if (ticket.isErr) {
       return ticket;
--- a/agent/agent-server/src/prefetch-desk.ts
+++ b/agent/agent-server/src/prefetch-desk.ts
@@ -149,6 +149,7 @@
       waiters: 0,
       priority: LOWEST_PRIORITY,
       oldestWaitMs: 0,
+      loading: [...this.options.demand().models, ...this.models],
     };
   }
 }
--- a/agent/agent-server/test/loads.test.ts
+++ b/agent/agent-server/test/loads.test.ts
@@ -168,3 +168,18 @@
   expect(answer.whole).to.equal(true);
   fixture.control.away = false;
 });
+
+it('loads: each question for a permit names all that the agent loads or waits for', async () => {
+  const {fixture, agent} = await Fixture.start();
+  fixture.control.grants = false;
+  const answers = ['a@v1', 'b@v1'].map(model => fixture.send(agent, {model}));
+  await eventually(() =>
+    fixture.control.permitRequests.some(
+      ({loading}) => loading?.join() === 'a@v1,b@v1',
+    ),
+  );
+  fixture.control.grants = true;
+  for (const answer of await Promise.all(answers)) {
+    expect(answer.whole).to.equal(true);
+  }
+});
--- a/contracts/messages/src/permit.ts
+++ b/contracts/messages/src/permit.ts
@@ -1,5 +1,7 @@
 import {z} from 'zod';
 
+const MAX_LOADING = 16_384;
+
 /** Asks for a permit to load an adapter from a weight store. */
 export const PERMIT_REQUEST_SCHEMA = z.object({
   store: z.string(),
@@ -14,6 +16,8 @@
   oldestWaitMs: z.number().min(0),
   /** How long from now on the load is of use to the most patient waiter, in milliseconds. */
   usefulMs: z.number().min(0).optional(),
+  /** All that the agent loads or waits for, this load included; permits for anything else are free. */
+  loading: z.array(z.string()).max(MAX_LOADING).optional(),
   /** How long the caller waits for an answer to this call, in milliseconds. */
   waitMs: z.int().min(0).max(60_000),
 });
--- a/control/control-server/src/control-desk.ts
+++ b/control/control-server/src/control-desk.ts
@@ -158,7 +158,11 @@
   }
 
   async acquirePermit(request: PermitRequest): Promise<Permit> {
-    this.members.requireOffice(performance.now());
+    const now = performance.now();
+    this.members.requireOffice(now);
+    if (request.loading !== undefined) {
+      this.options.permits.keepOnly(request.agent, request.loading, now);
+    }
     const permit = await this.options.permits.acquire(request);
     if (permit.permit !== undefined) {
       this.options.events.record('permit-granted', {
--- a/control/control-server/test/control-desk.test.ts
+++ b/control/control-server/test/control-desk.test.ts
@@ -24,16 +24,17 @@
 }
 
 /** Asks for a permit of the store, without waiting long for it. */
-function askPermit(desk: ControlDesk, holder: string) {
+function askPermit(desk: ControlDesk, holder: string, model = 'a@v1') {
   return desk.acquirePermit({
     store: 'store',
     agent: holder,
-    model: 'a@v1',
+    model,
+    loading: [model],
     waiters: 1,
     priority: 5,
     oldestWaitMs: 0,
     usefulMs: 60_000,
-    waitMs: 10_000,
+    waitMs: 5_000,
   });
 }
 
@@ -275,3 +276,11 @@
   await desk.heartbeat(agent('b2'));
   expect((await next).permit).to.be.a('string');
 });
+
+it('control desk: a permit that its agent does not name any more is free', async () => {
+  const desk = deskOn(new FakeLog(), 60_000);
+  expect((await askPermit(desk, 'agent', 'a@v1')).permit).to.be.a('string');
+  await pause(LONGER_THAN_REPORT_MS);
+  const next = await askPermit(desk, 'agent', 'b@v1');
+  expect(next.permit).to.be.a('string');
+});
