--- a/lab/lab/src/child.ts
+++ b/lab/lab/src/child.ts
@@ -1,6 +1,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {constants} from 'node:os';
 import {createInterface} from 'node:readline';
+import {setTimeout as pause} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {programOptions} from './program-options.js';
 
@@ -95,6 +96,24 @@
   };
 }
 
+/** Time between the signal that ends a process gracefully and the one that ends it at once, in milliseconds. */
+const SECOND_SIGNAL_MS = 500;
+
+/**
+ * Ends children at once. Those that were given further options of Node.js end by
+ * themselves, so that they write what these ask for, as a profile.
+ */
+export async function endChildren(children: readonly Child[]): Promise<void> {
+  if (nodeOptions().length > 0) {
+    children.forEach(child => child.signal('SIGTERM'));
+    await pause(SECOND_SIGNAL_MS);
+    children.forEach(child => child.signal('SIGTERM'));
+  } else {
+    children.forEach(child => child.signal('SIGKILL'));
+  }
+  await Promise.all(children.map(child => child.ended));
+}
+
 /** Further options of Node.js for each child, as `--cpu-prof`, separated by spaces. */
 function nodeOptions(): string[] {
   const text = process.env.MARIGOLDSPUR_LAB_NODE_OPTIONS ?? '';
--- a/lab/lab/src/system.ts
+++ b/lab/lab/src/system.ts
@@ -7,7 +7,7 @@
   type OperatorSession,
 } from '@marigoldspur/operator-commands';
 import {awaitSettled} from './await-settled.js';
-import type {Child} from './child.js';
+import {endChildren, type Child} from './child.js';
 import {
   startControls,
   startEntries,
@@ -98,8 +98,7 @@
       }),
     stop: async () => {
       session.close();
-      children.forEach(child => child.signal('SIGKILL'));
-      await Promise.all(children.map(child => child.ended));
+      await endChildren(children);
       await rm(folder, {recursive: true, force: true});
     },
   };
