Start processes again with their own arguments, and cut groups once they are whole

stream-resume: it starts an agent again with what follows the second word of the command line, which is an option of Node.js since agents ship with a bound on their heap. A child now tells the arguments of its program; the fault runs, which start agents anew in the same way, use them too.

follower: with one replica's link cut nothing was accepted for 30 s. Its group was taken as soon as it accepted a change, which two voters of three suffice for; a cut of one of the two ends the majority until the third has a vote. The spread stories waited for three votes already; the wait is now shared (`awaitWholeGroup`). That this is what happened in that run is inferred from its messages (no replica answered as leader), not proved.

--- a/lab/agent-lab/test/stream-resume.test.ts
+++ b/lab/agent-lab/test/stream-resume.test.ts
@@ -100,8 +100,7 @@
   const agent = agents.at(-1)!;
   agent.signal('SIGKILL');
   await agent.ended;
-  const args = agent.process.spawnargs.slice(2);
-  agents.push(startChild(agent.name, AGENT, args));
+  agents.push(startChild(agent.name, AGENT, [...agent.args]));
   expect(withoutRequest(await running.text)).to.equal(withoutRequest(unbroken));
   expect(running.numbers()).to.have.length(TOKENS + 1);
   const ran = await runs('killed');
--- a/lab/control-history/src/index.ts
+++ b/lab/control-history/src/index.ts
@@ -28,3 +28,4 @@
   type HistoryOptions,
   type HistoryReport,
 } from './run-history.js';
+export {awaitWholeGroup} from './group-states.js';
--- a/lab/control-history/src/spread-run.ts
+++ b/lab/control-history/src/spread-run.ts
@@ -11,6 +11,7 @@
 import {startChild, type Child} from '@marigoldspur/lab';
 import type {Change} from '@marigoldspur/settings-schema';
 import {startControlGroup, type ControlGroup} from './control-group.js';
+import {awaitWholeGroup, groupStates} from './group-states.js';
 
 /** What happens to a replica of control while changes are accepted. */
 export type SpreadFault = 'none' | 'cut' | 'freeze' | 'kill';
@@ -53,8 +54,6 @@
 const ACCEPT_TIMEOUT_MS = 30_000;
 const CALL_TIMEOUT_MS = 500;
 const CHANGE_PAUSE_MS = 700;
-const STATUS_MS = 1_000;
-const STATUS_PAUSE_MS = 100;
 /** The bound of the brief and a margin, so that what is late is seen as late. */
 const FOLLOW_MS = 5_000;
 
@@ -75,10 +74,10 @@
     await accept(client);
     children = startFollowers(group);
     await Promise.all(children.map(started));
-    await whole(group);
+    await awaitWholeGroup(group.directUrls);
     return await spreadOn(group, client, children, options);
   } catch (thrown) {
-    const states = JSON.stringify(await statesOf(group));
+    const states = JSON.stringify(await groupStates(group.directUrls));
     throw new Error(`${toFault(thrown).message}; control: ${states}`);
   } finally {
     children.forEach(child => child.signal('SIGKILL'));
@@ -170,45 +169,17 @@
   return Math.max(0, Math.max(...times) - accepted.at);
 }
 
-/** Waits until every replica has a vote: before that, the loss of one may end the majority. */
-async function whole(group: ControlGroup): Promise<void> {
-  for (;;) {
-    const states = await statesOf(group);
-    if (
-      states.every(state => state?.voters.length === group.directUrls.length)
-    ) {
-      return;
-    }
-    await pause(STATUS_PAUSE_MS);
-  }
-}
-
 async function replicaIn(
   group: ControlGroup,
   role: 'leader' | 'follower',
   failed: readonly number[],
 ): Promise<number> {
-  const states = await statesOf(group);
+  const states = await groupStates(group.directUrls);
   return states.findIndex(
     (state, index) => state?.role === role && !failed.includes(index),
   );
 }
 
-/** What each replica says of itself; undefined where it does not answer. */
-async function statesOf(group: ControlGroup) {
-  const client = new ControlClient({urls: group.directUrls});
-  const states = await Promise.all(
-    group.directUrls.map(url =>
-      client
-        .replica(url)
-        .status.query(undefined, {signal: AbortSignal.timeout(STATUS_MS)})
-        .catch(() => undefined),
-    ),
-  );
-  client.close();
-  return states;
-}
-
 /** Submits the next change until it is accepted. */
 async function accept(client: ControlClient): Promise<Acceptance> {
   const deadline = performance.now() + ACCEPT_TIMEOUT_MS;
--- a/lab/control-history/test/follower.test.ts
+++ b/lab/control-history/test/follower.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {ControlClient, SettingsFollower} from '@marigoldspur/control-client';
 import {
+  awaitWholeGroup,
   startControlGroup,
   type ControlGroup,
 } from '@marigoldspur/control-history';
@@ -16,6 +17,7 @@
   group = await startControlGroup({replicas: 3});
   client = new ControlClient({urls: group.directUrls});
   await nextChange();
+  await awaitWholeGroup(group.directUrls);
 });
 
 after(async () => {
--- a/lab/fault-runs/src/fault-injector.ts
+++ b/lab/fault-runs/src/fault-injector.ts
@@ -164,7 +164,7 @@
     await child.ended;
     this.note(victim, 'stopped');
     await pause(lastsMs);
-    const args = child.process.spawnargs.slice(2);
+    const args = [...child.args];
     const next = startChild(
       child.name,
       PACKAGES[victim.role],
@@ -253,6 +253,6 @@
 
 /** The zone that an agent was started with. */
 function zoneOf({lives}: Place): string {
-  const args = lives[0].process.spawnargs;
+  const {args} = lives[0];
   return args[args.indexOf('--zone') + 1];
 }
--- a/lab/lab/src/child.ts
+++ b/lab/lab/src/child.ts
@@ -9,6 +9,8 @@
 export interface Child {
   readonly name: string;
   readonly process: ChildProcess;
+  /** The program's own arguments, without those of Node.js. */
+  readonly args: readonly string[];
   /** When it was started, in milliseconds since the epoch. */
   readonly spawnedAt: number;
   /** Lines of the process's standard error. */
@@ -71,6 +73,7 @@
   return {
     name,
     process: child,
+    args,
     spawnedAt,
     lines,
     ended,
