Look versions up, and wait for a whole group, by one piece of code each

`own` of the settings tree was written again in the agent's new-versions.ts, and the lookup of a version stood in four places besides (agent twice, caller API, edits): `versionOf` serves them all. The test of a lost majority waited for three votes by a loop of its own; it calls `awaitWholeGroup`, which the follower and spread stories use.

--- a/agent/agent-server/src/find-adapter.ts
+++ b/agent/agent-server/src/find-adapter.ts
@@ -3,7 +3,7 @@
 import type {Refusal} from '@marigoldspur/faults';
 import type {Hop} from '@marigoldspur/messages';
 import {formatModel, type AdapterVersion} from '@marigoldspur/settings-schema';
-import {adapterOf, serviceOf} from '@marigoldspur/settings-tree';
+import {adapterOf, serviceOf, versionOf} from '@marigoldspur/settings-tree';
 import {notRun} from './not-run.js';
 
 /** Where adapters are looked up. */
@@ -54,10 +54,7 @@
   const {revision, tree} = settings.settings;
   const place = adapterOf(tree, customer, model);
   const target = serviceOf(tree, customer, service);
-  const versions = place?.adapter.versions ?? {};
-  const version = Object.hasOwn(versions, model.version)
-    ? versions[model.version]
-    : undefined;
+  const version = versionOf(place?.adapter, model.version);
   if (
     version === undefined ||
     place?.service !== service ||
--- a/agent/agent-server/src/new-versions.ts
+++ b/agent/agent-server/src/new-versions.ts
@@ -4,7 +4,12 @@
   type Adapter,
   type Tree,
 } from '@marigoldspur/settings-schema';
-import {adapterOf, serviceOf} from '@marigoldspur/settings-tree';
+import {
+  adapterOf,
+  own,
+  serviceOf,
+  versionOf,
+} from '@marigoldspur/settings-tree';
 
 /** A version that the settings name anew, with the one before it that is held. */
 export interface Successor {
@@ -61,8 +66,8 @@
 ): boolean {
   return parseModel(model)
     .map(name => {
-      const versions = adapterOf(tree, customer, name)?.adapter.versions ?? {};
-      return own(versions, name.version)?.retired ?? true;
+      const place = adapterOf(tree, customer, name);
+      return versionOf(place?.adapter, name.version)?.retired ?? true;
     })
     .unwrapOr(true);
 }
@@ -76,13 +81,6 @@
   }
   return Object.entries(after.versions).filter(
     ([version, {retired}]) =>
-      !retired && !Object.hasOwn(before.versions, version),
+      !retired && versionOf(before, version) === undefined,
   );
 }
-
-function own<Value>(
-  record: Readonly<Record<string, Value>>,
-  name: string,
-): Value | undefined {
-  return Object.hasOwn(record, name) ? record[name] : undefined;
-}
--- a/cli/marigoldspur/test/lost-majority.test.ts
+++ b/cli/marigoldspur/test/lost-majority.test.ts
@@ -3,8 +3,8 @@
 import path from 'node:path';
 import {setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'chai';
+import {awaitWholeGroup} from '@marigoldspur/control-history';
 import {freePorts, startChild, type Child} from '@marigoldspur/lab';
-import {openSession} from '@marigoldspur/operator-commands';
 import {EXIT, runCommandLine} from 'marigoldspur';
 
 const REPLICAS = 3;
@@ -42,7 +42,7 @@
   );
   const created = await run('customer', 'create', 'callao', '--wait');
   expect(created.exit).to.equal(EXIT.done);
-  await allVote();
+  await awaitWholeGroup(urls);
   replicas.slice(1).forEach(each => each.signal('SIGKILL'));
   await Promise.all(replicas.slice(1).map(each => each.ended));
   while ((await run('status')).exit === EXIT.done) {
@@ -50,18 +50,6 @@
   }
 });
 
-/** Waits until each replica counts as a voter: before that, one alone may be the majority. */
-async function allVote(): Promise<void> {
-  const session = openSession(urls, {timeoutMs: 1_000});
-  const {control} = session;
-  const voters = async () =>
-    (await control.replica(urls[0]).status.query()).voters.length;
-  while ((await voters()) < REPLICAS) {
-    await pause(POLL_MS);
-  }
-  session.close();
-}
-
 after(async () => {
   replicas.forEach(each => each.signal('SIGKILL'));
   await Promise.all(replicas.map(each => each.ended));
--- a/control/settings-tree/src/apply-edits.ts
+++ b/control/settings-tree/src/apply-edits.ts
@@ -10,7 +10,7 @@
   type Tree,
 } from '@marigoldspur/settings-schema';
 import {handIndexOn} from './adapter-index.js';
-import {adapterOf} from './resolve.js';
+import {adapterOf, versionOf} from './resolve.js';
 import {segments, TreeDraft} from './tree-draft.js';
 import {doubledNames, holderOf, namesOf} from './unique-names.js';
 
@@ -166,9 +166,7 @@
     if (adapter === undefined) {
       return;
     }
-    const existing = Object.hasOwn(adapter.versions, version)
-      ? adapter.versions[version]
-      : undefined;
+    const existing = versionOf(adapter, version);
     if (existing !== undefined && existing.digest !== value.digest) {
       this.draft.reject(
         'version',
--- a/control/settings-tree/src/index.ts
+++ b/control/settings-tree/src/index.ts
@@ -1,9 +1,11 @@
 export {applyEdits} from './apply-edits.js';
 export {
   adapterOf,
+  own,
   serviceOf,
   settingsAt,
   settingsOf,
+  versionOf,
   type AdapterPlace,
   type EffectiveSetting,
 } from './resolve.js';
--- a/control/settings-tree/src/resolve.ts
+++ b/control/settings-tree/src/resolve.ts
@@ -129,6 +129,14 @@
   return levels;
 }
 
+/** A version of an adapter; undefined where it has no such version. */
+export function versionOf(
+  adapter: Adapter | undefined,
+  version: string,
+): Adapter['versions'][string] | undefined {
+  return own(adapter?.versions, version);
+}
+
 /** Reads a record's own entry, so that names such as `constructor` find nothing. */
 export function own<T>(
   record: Record<string, T> | undefined,
--- a/entry/caller-api/src/read-caller-request.ts
+++ b/entry/caller-api/src/read-caller-request.ts
@@ -6,7 +6,7 @@
   type AdapterVersion,
   type Tree,
 } from '@marigoldspur/settings-schema';
-import {adapterOf} from '@marigoldspur/settings-tree';
+import {adapterOf, versionOf} from '@marigoldspur/settings-tree';
 
 /** First line of a caller's request, and who sent it. */
 export interface RequestHead {
@@ -84,9 +84,7 @@
       rejected(404, 'unknown_adapter', `no adapter ${adapter}`),
     );
   }
-  const known = Object.hasOwn(place.adapter.versions, version)
-    ? place.adapter.versions[version]
-    : undefined;
+  const known = versionOf(place.adapter, version);
   if (known === undefined || known.retired) {
     const state = known === undefined ? 'unknown' : 'retired';
     return Result.err(
