--- /dev/null
+++ b/agent/engine-agent/src/adapter-plan.ts
@@ -0,0 +1,87 @@
+import type {Eviction} from '@marigoldspur/eviction';
+import type {EngineState} from './managed-engine.js';
+
+/** An adapter that calls wait for. */
+export interface WantedAdapter {
+  readonly model: string;
+  readonly adapter: string;
+  /** Name, `model/adapter`. */
+  readonly name: string;
+  /** Oldest version that will do; any without it. */
+  readonly version?: number;
+  /** When it was first asked for, in milliseconds. */
+  readonly since: number;
+}
+
+/** What the next order is decided by. */
+export interface AdapterView {
+  readonly state: EngineState;
+  /** Adapters that the engine has room for. */
+  readonly slots: number;
+  /** Adapters whose load the engine took but does not show yet. */
+  readonly ordered: ReadonlySet<string>;
+  /** Adapters that the engine drops once their runs have ended. */
+  readonly leaving: ReadonlySet<string>;
+  readonly wanted: readonly WantedAdapter[];
+  /** When each adapter was last used, in milliseconds. */
+  readonly lastUsed: ReadonlyMap<string, number>;
+}
+
+/** The next order to give. */
+export type PlannedOrder =
+  | {readonly kind: 'load'; readonly wanted: WantedAdapter}
+  | {readonly kind: 'unload'; readonly name: string};
+
+/** Adapters that may be on their way to one engine at the same time. */
+const MAX_LOADING = 4;
+
+/** Whether the engine holds an adapter in a version that will do. */
+export function isHeld(
+  state: EngineState,
+  {name, version}: Pick<WantedAdapter, 'name' | 'version'>,
+): boolean {
+  const held = state.adapters.get(name);
+  return held !== undefined && held >= (version ?? 0);
+}
+
+/**
+ * The order that brings the adapter that was asked for first closer; undefined while
+ * nothing can be done. Each adapter that is held, on its way, or may be so by an order
+ * whose outcome is open takes a slot.
+ */
+export function planOrder(
+  view: AdapterView,
+  eviction: Eviction,
+  now: number,
+): PlannedOrder | undefined {
+  const {state, slots, ordered, leaving} = view;
+  const underWay = new Set([...state.loading, ...ordered]);
+  if (underWay.size >= MAX_LOADING) {
+    return undefined;
+  }
+  const due = view.wanted
+    .filter(
+      wanted => !isHeld(state, wanted) && !underWay.has(wanted.name),
+    )
+    .sort((a, b) => a.since - b.since)
+    .at(0);
+  if (due === undefined) {
+    return undefined;
+  }
+  const taken = new Set([...state.adapters.keys(), ...underWay]);
+  if (taken.has(due.name) || taken.size < slots) {
+    return leaving.has(due.name) ? undefined : {kind: 'load', wanted: due};
+  }
+  if (leaving.size > 0) {
+    return undefined;
+  }
+  const victim = eviction.victim(evictable(view, underWay), now);
+  return victim === undefined ? undefined : {kind: 'unload', name: victim};
+}
+
+function evictable(view: AdapterView, underWay: ReadonlySet<string>) {
+  const wanted = new Set(view.wanted.map(({name}) => name));
+  return [...view.state.adapters.keys()]
+    .filter(name => !underWay.has(name) && !wanted.has(name))
+    .map(model => ({model, lastUsed: view.lastUsed.get(model) ?? -Infinity}));
+}
--- /dev/null
+++ b/agent/engine-agent/src/prepare-handler.ts
@@ -0,0 +1,68 @@
+import type http from 'node:http';
+import {peerGone} from '@marigoldspur/bounded-signal';
+import {
+  PREPARE_REQUEST_SCHEMA,
+  USES_SCHEMA,
+  type PrepareAnswer,
+} from '@marigoldspur/deployment';
+import {jsonHandler, readBody} from '@marigoldspur/http-link';
+import type {AdapterKeeper} from './adapter-keeper.js';
+
+const MAX_REQUEST_BYTES = 65_536;
+const STATUS_BAD_REQUEST = 400;
+
+/** Takes requests to make an adapter ready; one whose sender goes away is dropped. */
+export function prepareHandler(keeper: AdapterKeeper): http.RequestListener {
+  return (request, response) => {
+    void prepare(keeper, request, response);
+  };
+}
+
+async function prepare(
+  keeper: AdapterKeeper,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Promise<void> {
+  const gone = peerGone(response);
+  const body = await readBody(request, MAX_REQUEST_BYTES);
+  const wanted = body.isOk ? parse(body.value) : undefined;
+  if (wanted === undefined) {
+    response.statusCode = STATUS_BAD_REQUEST;
+    response.end();
+    return;
+  }
+  const answer = await keeper.prepare(wanted, gone, performance.now());
+  reply(response, answer);
+}
+
+function parse(body: Buffer) {
+  try {
+    const read = PREPARE_REQUEST_SCHEMA.safeParse(JSON.parse(String(body)));
+    return read.data;
+  } catch {
+    // What is no JSON is answered as what has another form.
+    return undefined;
+  }
+}
+
+function reply(response: http.ServerResponse, answer: PrepareAnswer): void {
+  const text = JSON.stringify(answer);
+  response.writeHead(200, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+/** Takes what entries tell of the use of adapters. */
+export function usesHandler(keeper: AdapterKeeper) {
+  return jsonHandler({
+    maxBodyBytes: MAX_REQUEST_BYTES,
+    answer: async message => {
+      const {uses} = USES_SCHEMA.parse(message);
+      const now = performance.now();
+      uses.forEach(([name, count]) => keeper.used(name, count, now));
+      return {};
+    },
+  });
+}
--- /dev/null
+++ b/agent/engine-agent/src/start-engine-agent.ts
@@ -0,0 +1,83 @@
+import {
+  ENGINE_VIEW_PATH,
+  PREPARE_PATH,
+  USES_PATH,
+} from '@marigoldspur/deployment';
+import type {EventLog} from '@marigoldspur/event-log';
+import type {LinkSettings} from '@marigoldspur/link-security';
+import type {Task} from '@marigoldspur/process-life';
+import {ProcessShell} from '@marigoldspur/process-shell';
+import {AdapterKeeper} from './adapter-keeper.js';
+import {FenceHolder} from './fence-holder.js';
+import type {ManagedEngine} from './managed-engine.js';
+import {prepareHandler, usesHandler} from './prepare-handler.js';
+import {ViewStreams} from './view-streams.js';
+
+/** Settings of an agent beside an engine that calls reach without it. */
+export interface EngineAgentSettings extends LinkSettings {
+  /** Name of the process, stable over restarts. */
+  readonly id: string;
+  readonly zone: string;
+  /** Port for other processes and operators. */
+  readonly port: number;
+  readonly logLevel: 'debug' | 'info' | 'warn' | 'error' | 'silent';
+  /** Base URLs of replicas of control. */
+  readonly control: readonly string[];
+  /** Name of the engine for its fencing numbers. */
+  readonly target: string;
+}
+
+/** An agent that runs. */
+export interface EngineAgent extends Task {
+  readonly events: EventLog;
+  /** Takes over other base URLs of replicas of control. */
+  useSeeds(urls: readonly string[]): void;
+}
+
+/** Starts the agent beside an engine that calls reach without it. */
+export async function startEngineAgent(
+  settings: EngineAgentSettings,
+  engine: ManagedEngine,
+  drain: () => void,
+): Promise<EngineAgent> {
+  const shell = await ProcessShell.open('agent', settings);
+  const {events, security} = shell;
+  const fences = new FenceHolder({
+    target: settings.target,
+    control: settings.control,
+    agent: security.createAgent(),
+    events,
+  });
+  const streams = new ViewStreams();
+  const keeper = new AdapterKeeper({
+    engine,
+    events,
+    fence: () => fences.fence,
+    renewFence: () => fences.renew(),
+    onView: view => streams.take(view, performance.now()),
+  });
+  fences.renew();
+  keeper.start();
+  const url = await shell.serve({
+    paths: new Map([
+      [ENGINE_VIEW_PATH, (request, response) => streams.handle(request, response)],
+      [PREPARE_PATH, prepareHandler(keeper)],
+      [USES_PATH, usesHandler(keeper)],
+    ]),
+    revision: () => 0,
+    facts: () => ({fence: fences.fence ?? 0}),
+    drain,
+  });
+  events.record('process-started', {url});
+  return {
+    events,
+    useSeeds: urls => fences.useSeeds(urls),
+    async stop() {
+      shell.beginDrain();
+      fences.stop();
+      streams.stop();
+      await keeper.stop();
+      shell.end();
+    },
+  };
+}
--- /dev/null
+++ b/contracts/deployment/src/engine-view.ts
@@ -0,0 +1,62 @@
+import {z} from 'zod';
+
+/** Path at which an agent streams the state of its engine. */
+export const ENGINE_VIEW_PATH = '/engine-view';
+/** Path at which an agent makes an adapter ready. */
+export const PREPARE_PATH = '/prepare';
+/** Path at which an agent is told of the use of adapters. */
+export const USES_PATH = '/uses';
+
+/** Time between two messages of an engine view at most, in milliseconds. */
+export const ENGINE_VIEW_PULSE_MS = 1_000;
+
+/** State of an engine, as its agent reads it. */
+export const ENGINE_VIEW_SCHEMA = z.object({
+  /** When the engine's process started, in milliseconds since the epoch. */
+  bornAt: z.int().min(0),
+  /** Adapters that the engine holds, `model/adapter`, each with its version. */
+  adapters: z.array(z.tuple([z.string(), z.int().min(0)])),
+  /** Adapters that are being loaded. */
+  loading: z.array(z.string()),
+  /** Requests that wait in the engine. */
+  waiting: z.int().min(0),
+  /** Requests in the engine's batch. */
+  running: z.int().min(0),
+  /** Share of the memory for tokens that can't be freed, 0 to 1. */
+  memoryUsed: z.number().min(0),
+});
+
+/** State of an engine, as its agent reads it. */
+export type EngineView = z.infer<typeof ENGINE_VIEW_SCHEMA>;
+
+/** Asks an agent to make an adapter ready. */
+export const PREPARE_REQUEST_SCHEMA = z.object({
+  model: z.string().min(1),
+  adapter: z.string().min(1),
+  /** Oldest version that will do; any without it. */
+  version: z.int().min(0).optional(),
+  /** Adapters that the engine has room for. */
+  slots: z.int().min(0),
+  /** Identity of the engine that is meant. */
+  target: z.string().min(1),
+});
+
+/** Asks an agent to make an adapter ready. */
+export type PrepareRequest = z.infer<typeof PREPARE_REQUEST_SCHEMA>;
+
+/** What came of it. */
+export const PREPARE_ANSWER_SCHEMA = z.object({
+  ready: z.boolean(),
+  reason: z.string().optional(),
+});
+
+/** What came of a request to make an adapter ready. */
+export type PrepareAnswer = z.infer<typeof PREPARE_ANSWER_SCHEMA>;
+
+/** Uses of adapters, `model/adapter`, since the last message. */
+export const USES_SCHEMA = z.object({
+  uses: z.array(z.tuple([z.string(), z.int().min(1)])),
+});
+
+/** Uses of adapters since the last message. */
+export type Uses = z.infer<typeof USES_SCHEMA>;
--- /dev/null
+++ b/contracts/deployment/src/fence.ts
@@ -0,0 +1,16 @@
+import {z} from 'zod';
+
+/** Path at which a replica of control gives fencing numbers. */
+export const FENCES_PATH = '/fences';
+
+/** Asks for a fencing number that is higher than any given for the target before. */
+export const FENCE_REQUEST_SCHEMA = z.object({
+  /** Name of the target. */
+  target: z.string().min(1).max(256),
+});
+
+/** A fencing number. */
+export const FENCE_ANSWER_SCHEMA = z.object({fence: z.int().min(0)});
+
+/** A fencing number. */
+export type FenceAnswer = z.infer<typeof FENCE_ANSWER_SCHEMA>;
--- /dev/null
+++ b/contracts/deployment/src/fleet-messages.ts
@@ -0,0 +1,42 @@
+import {z} from 'zod';
+import {NAMED_VERSION_SCHEMA} from './adapter-versions.js';
+import {
+  TARGET_ANNOUNCEMENT_SCHEMA,
+  TARGET_LIFE_SCHEMA,
+} from './target-announcement.js';
+
+/** Path at which a replica of control streams what it knows of the fleet. */
+export const FLEET_PATH = '/fleet';
+
+/** Time between two messages of a fleet stream at most, in milliseconds. */
+export const FLEET_PULSE_MS = 500;
+
+/** A deployment as its operator sent it. */
+export const DEPLOYMENT_TEXT_SCHEMA = z.object({
+  revision: z.int().min(0),
+  text: z.string(),
+});
+
+/** A deployment as its operator sent it. */
+export type DeploymentText = z.infer<typeof DEPLOYMENT_TEXT_SCHEMA>;
+
+/** One message of a fleet stream; what is absent has not changed. */
+export const FLEET_MESSAGE_SCHEMA = z.object({
+  /** True in the first message, which a quorum has confirmed and which tells everything. */
+  whole: z.boolean().optional(),
+  deployment: DEPLOYMENT_TEXT_SCHEMA.optional(),
+  versions: z.array(NAMED_VERSION_SCHEMA).optional(),
+  /** Base URLs of all replicas of control. */
+  replicas: z.array(z.string()).optional(),
+  /** Entries that follow this replica. */
+  entries: z.int().min(0).optional(),
+  /** Targets that announced themselves anew or otherwise than before. */
+  targets: z.array(TARGET_ANNOUNCEMENT_SCHEMA).optional(),
+  /** Targets that have not announced themselves for a while. */
+  silent: z.array(TARGET_LIFE_SCHEMA).optional(),
+  /** Targets that said that they end. */
+  gone: z.array(TARGET_LIFE_SCHEMA).optional(),
+});
+
+/** One message of a fleet stream. */
+export type FleetMessage = z.infer<typeof FLEET_MESSAGE_SCHEMA>;
--- a/control/consensus/src/repair-plan.ts
+++ b/control/consensus/src/repair-plan.ts
@@ -19,6 +19,13 @@
   readonly sightings: readonly Sighting[];
   /** Whether a replica holds, synced, everything that is committed. */
   readonly isCaughtUp: (id: string) => boolean;
+  /**
+   * Voters that the group is to have, where a replica at any URL may replace one that
+   * is lost; undefined where there is to be one at each configured URL.
+   */
+  readonly desiredVoters?: number;
+  /** Whether a replica has not answered for so long that it may be replaced. */
+  readonly isLost?: (id: string) => boolean;
 }
 
 /**
@@ -29,7 +36,12 @@
  * step confirms that it holds the entry too by which it became a voter.
  */
 export function nextConfiguration(view: RepairView): Configuration | undefined {
-  return confirmation(view) ?? promotion(view) ?? admission(view);
+  return (
+    confirmation(view) ??
+    promotion(view) ??
+    admission(view) ??
+    dismissal(view)
+  );
 }
 
 /** The replicas whose repair a change of the configuration declares done. */
@@ -64,6 +76,9 @@
   if (remaining.length < voters.length) {
     return {voters: remaining, learners, unconfirmed: replaced};
   }
+  if (voters.length >= (view.desiredVoters ?? Infinity)) {
+    return withoutLostVoter(view);
+  }
   return {
     voters: [...voters, learner],
     learners: learners.filter(({id}) => id !== learner.id),
@@ -71,6 +86,35 @@
   };
 }
 
+/** Makes room for a learner; undefined while each voter is needed. */
+function withoutLostVoter(view: RepairView): Configuration | undefined {
+  const {voters, learners, unconfirmed = []} = view.configuration;
+  const lost = voters.find(({id}) => view.isLost?.(id));
+  return lost === undefined
+    ? undefined
+    : {
+        voters: voters.filter(voter => voter !== lost),
+        learners,
+        unconfirmed: unconfirmed.filter(({id}) => id !== lost.id),
+      };
+}
+
+/** Drops a learner that is lost; one that comes back is admitted again. */
+function dismissal(view: RepairView): Configuration | undefined {
+  const {configuration, desiredVoters, isLost} = view;
+  const {learners} = configuration;
+  const lost =
+    desiredVoters === undefined
+      ? undefined
+      : learners.find(({id}) => isLost?.(id));
+  return lost === undefined
+    ? undefined
+    : {
+        ...configuration,
+        learners: learners.filter(learner => learner !== lost),
+      };
+}
+
 function admission(view: RepairView): Configuration | undefined {
   const {configuration} = view;
   const known = replicasOf(configuration);
--- a/control/control-server/src/command.ts
+++ b/control/control-server/src/command.ts
@@ -1,4 +1,9 @@
 import {z} from 'zod';
+import {
+  DEPLOYMENT_TEXT_SCHEMA,
+  NAMED_VERSION_SCHEMA,
+} from '@marigoldspur/deployment';
+import type {ReplaceOutcome} from '@marigoldspur/deployment-state';
 import {
   CLAIM_SCHEMA,
   COMPLETION_SCHEMA,
@@ -26,6 +31,14 @@
     boot: z.string(),
     at: z.number(),
   }),
+  z.object({
+    command: z.literal('replace-deployment'),
+    deployment: DEPLOYMENT_TEXT_SCHEMA,
+  }),
+  z.object({
+    command: z.literal('name-version'),
+    named: NAMED_VERSION_SCHEMA,
+  }),
   z.object({
     command: z.literal('grant-fence'),
     target: z.string(),
@@ -46,4 +59,8 @@
       /** Whether no number was granted for the target before. */
       readonly first: boolean;
     }
+  | {
+      readonly command: 'replace-deployment';
+      readonly outcome: ReplaceOutcome;
+    }
   | {readonly command: 'done'};
--- a/control/control-server/src/control-machine.ts
+++ b/control/control-server/src/control-machine.ts
@@ -1,4 +1,8 @@
 import {ClaimState, type ClaimsSnapshot} from '@marigoldspur/request-claims';
+import {
+  DeploymentState,
+  type DeploymentSnapshot,
+} from '@marigoldspur/deployment-state';
 import {
   SettingsState,
   type SettingsSnapshot,
@@ -9,6 +13,8 @@
 interface Snapshot {
   readonly settings: SettingsSnapshot;
   readonly claims: ClaimsSnapshot;
+  /** Absent in snapshots of earlier versions. */
+  readonly deployments?: DeploymentSnapshot;
   readonly fence: number;
   /** The newest fencing number of each target. */
   readonly targetFences: ReadonlyArray<readonly [string, number]>;
@@ -21,15 +27,22 @@
 export class ControlMachine implements StateMachine<Command, CommandAnswer> {
   readonly settings = new SettingsState();
   readonly claims = new ClaimState();
+  readonly deployments = new DeploymentState();
   private fence = 0;
   private targetFences = new Map<string, number>();
   private readonly listeners = new Set<() => void>();
+  private readonly deploymentListeners = new Set<() => void>();
 
   /** Calls `listener` after each settings change that is applied. */
   onSettings(listener: () => void): void {
     this.listeners.add(listener);
   }
 
+  /** Calls `listener` after each change of the deployment or of a named version. */
+  onDeployment(listener: () => void): void {
+    this.deploymentListeners.add(listener);
+  }
+
   apply(command: Command): CommandAnswer {
     switch (command.command) {
       case 'change-settings': {
@@ -47,6 +60,15 @@
       case 'lose-entry':
         this.claims.loseEntry(command.entry, command.boot, command.at);
         return {command: 'done'};
+      case 'replace-deployment': {
+        const outcome = this.deployments.replace(command.deployment);
+        this.announceDeployment();
+        return {command: 'replace-deployment', outcome};
+      }
+      case 'name-version':
+        this.deployments.nameVersion(command.named);
+        this.announceDeployment();
+        return {command: 'done'};
       case 'grant-fence':
         return this.grantFence(command.target);
     }
@@ -61,6 +83,7 @@
     const snapshot: Snapshot = {
       settings: this.settings.snapshot(),
       claims: this.claims.snapshot(),
+      deployments: this.deployments.snapshot(),
       fence: this.fence,
       targetFences: [...this.targetFences],
     };
@@ -71,9 +94,11 @@
     const snapshot = JSON.parse(text) as Snapshot;
     this.settings.restore(snapshot.settings);
     this.claims.restore(snapshot.claims);
+    this.deployments.restore(snapshot.deployments ?? {versions: []});
     this.fence = snapshot.fence;
     this.targetFences = new Map(snapshot.targetFences);
     this.announceSettings();
+    this.announceDeployment();
   }
 
   private grantFence(target: string): CommandAnswer {
@@ -90,6 +115,12 @@
     return {command: 'grant-fence', fence: this.fence, first};
   }
 
+  private announceDeployment(): void {
+    for (const listener of this.deploymentListeners) {
+      listener();
+    }
+  }
+
   private announceSettings(): void {
     for (const listener of this.listeners) {
       listener();
--- a/control/control-server/src/control-settings.ts
+++ b/control/control-server/src/control-settings.ts
@@ -23,6 +23,14 @@
     .describe(
       'Base URL of this process in `peers`, where it is not host and port',
     ),
+  desiredVoters: z.coerce
+    .number()
+    .int()
+    .min(1)
+    .optional()
+    .describe(
+      'Replicas that are to vote, where some may come from URLs that `peers` does not name; without it `peers` names all',
+    ),
   bootstrap: BOOLEAN_SCHEMA.prefault('false').describe(
     'Whether control may form a new group once all replicas answer with an empty data folder; for the first start only',
   ),
--- /dev/null
+++ b/control/control-server/src/fence-handler.ts
@@ -0,0 +1,20 @@
+import {FENCE_REQUEST_SCHEMA, type FenceAnswer} from '@marigoldspur/deployment';
+import type {FleetCommands} from '@marigoldspur/fleet';
+import {jsonHandler} from '@marigoldspur/http-link';
+
+const MAX_REQUEST_BYTES = 4_096;
+
+/** Gives agents the fencing numbers of their orders. */
+export function fenceHandler(commands: Pick<FleetCommands, 'grantFence'>) {
+  return jsonHandler({
+    maxBodyBytes: MAX_REQUEST_BYTES,
+    answer: async (message): Promise<FenceAnswer> => {
+      const {target} = FENCE_REQUEST_SCHEMA.parse(message);
+      const granted = await commands.grantFence(target);
+      if (granted.isErr) {
+        throw granted.error;
+      }
+      return {fence: granted.value};
+    },
+  });
+}
--- a/control/control-server/src/index.ts
+++ b/control/control-server/src/index.ts
@@ -1,4 +1,8 @@
-export {startControl} from './start-control.js';
+export {
+  startControl,
+  type ControlDoor,
+  type ControlParts,
+} from './start-control.js';
 export {
   CONTROL_SETTINGS_SCHEMA,
   type ControlSettings,
--- a/control/control-server/test/control-desk.test.ts
+++ b/control/control-server/test/control-desk.test.ts
@@ -40,6 +40,8 @@
 
 /** A log that commits at once, and whose quorum and office the test sets. */
 class FakeLog implements ReplicatedLog<Command, CommandAnswer> {
+  useSeeds() {}
+
   term = 1;
   hasQuorum = true;
   readonly machine = new ControlMachine();
--- /dev/null
+++ b/control/deployment-state/src/index.ts
@@ -0,0 +1,5 @@
+export {
+  DeploymentState,
+  type DeploymentSnapshot,
+  type ReplaceOutcome,
+} from './deployment-state.js';
--- /dev/null
+++ b/control/deployment-state/test/deployment-state.test.ts
@@ -0,0 +1,36 @@
+import {expect} from 'chai';
+import {DeploymentState} from '@marigoldspur/deployment-state';
+
+it('deployment state: the highest revision is in force', () => {
+  const state = new DeploymentState();
+  expect(state.replace({revision: 7, text: 'seven'})).to.equal('in-force');
+  expect(state.replace({revision: 5, text: 'five'})).to.equal('overtaken');
+  expect(state.deployment).to.deep.equal({revision: 7, text: 'seven'});
+});
+
+it('deployment state: other content under the revision in force changes nothing', () => {
+  const state = new DeploymentState();
+  state.replace({revision: 7, text: 'first'});
+  expect(state.replace({revision: 7, text: 'second'})).to.equal('overtaken');
+  expect(state.deployment?.text).to.equal('first');
+});
+
+it('deployment state: the newest version of each adapter stays', () => {
+  const state = new DeploymentState();
+  state.nameVersion({model: 'm', adapter: 'a1', version: 3});
+  state.nameVersion({model: 'm', adapter: 'a1', version: 2});
+  state.nameVersion({model: 'm', adapter: 'a2', version: 5});
+  expect(state.namedVersions()).to.deep.equal([
+    {model: 'm', adapter: 'a1', version: 3},
+    {model: 'm', adapter: 'a2', version: 5},
+  ]);
+});
+
+it('deployment state: a snapshot brings everything back', () => {
+  const state = new DeploymentState();
+  state.replace({revision: 7, text: 'seven'});
+  state.nameVersion({model: 'm', version: 2});
+  const other = new DeploymentState();
+  other.restore(JSON.parse(JSON.stringify(state.snapshot())));
+  expect(other.snapshot()).to.deep.equal(state.snapshot());
+});
--- a/control/log-links/src/index.ts
+++ b/control/log-links/src/index.ts
@@ -5,6 +5,7 @@
   DELIVERY_SCHEMA,
   type Delivery,
   type DeliveryAnswer,
+  type Introduction,
   type ReplicaIdentity,
   type ReplicaService,
 } from './replica-service.js';
--- a/control/log-links/src/replica-link.ts
+++ b/control/log-links/src/replica-link.ts
@@ -4,7 +4,11 @@
 import {linkFetch} from '@marigoldspur/http-link';
 import {DeliveryStream} from './delivery-stream.js';
 import type {ReplicaRouter} from './replica-router.js';
-import type {DeliveryAnswer, ReplicaIdentity} from './replica-service.js';
+import type {
+  DeliveryAnswer,
+  Introduction,
+  ReplicaIdentity,
+} from './replica-service.js';
 
 /** Options of a link to another replica. */
 export interface ReplicaLinkOptions {
@@ -69,9 +73,9 @@
     }
   }
 
-  /** Asks who answers at the URL. */
-  identity(): Promise<ReplicaIdentity> {
-    return this.client.identity.query(undefined, {
+  /** Asks who answers at the URL, and says who asks. */
+  identity(from?: Introduction): Promise<ReplicaIdentity> {
+    return this.client.identity.query(from, {
       signal: AbortSignal.timeout(this.options.timeoutMs),
     });
   }
--- a/control/log-links/src/replica-router.ts
+++ b/control/log-links/src/replica-router.ts
@@ -1,12 +1,14 @@
 import {initTRPC} from '@trpc/server';
-import type {ReplicaService} from './replica-service.js';
+import {INTRODUCTION_SCHEMA, type ReplicaService} from './replica-service.js';
 
 const trpc = initTRPC.context<object>().create();
 
 /** Tells other replicas over tRPC who this one is. */
 export function replicaRouter(service: ReplicaService) {
   return trpc.router({
-    identity: trpc.procedure.query(() => service.identity()),
+    identity: trpc.procedure
+      .input(INTRODUCTION_SCHEMA.optional())
+      .query(({input}) => service.identity(input)),
   });
 }
 
--- a/control/log-links/src/replica-service.ts
+++ b/control/log-links/src/replica-service.ts
@@ -18,8 +18,19 @@
   id: z.string().min(1).max(64),
   /** The group that the replica belongs to; empty for none. */
   group: z.string().max(64),
+  /** URLs of the other replicas that it knows; absent where all are configured. */
+  known: z.array(z.string().max(512)).max(256).optional(),
 });
 
+/** Who asks for an identity, and where it is reached. */
+export const INTRODUCTION_SCHEMA = REPLICA_IDENTITY_SCHEMA.pick({
+  id: true,
+  group: true,
+}).extend({url: z.string().min(1).max(512)});
+
+/** Who asks for an identity, and where it is reached. */
+export type Introduction = z.infer<typeof INTRODUCTION_SCHEMA>;
+
 /** Who answers at a URL. */
 export type ReplicaIdentity = z.infer<typeof REPLICA_IDENTITY_SCHEMA>;
 
@@ -33,6 +44,7 @@
 
 /** What a replica does for the others of its group. */
 export interface ReplicaService {
-  identity(): ReplicaIdentity;
+  /** Says who this replica is; `from` is the one that asks, where it says so. */
+  identity(from?: Introduction): ReplicaIdentity;
   deliver(delivery: Delivery): Promise<DeliveryAnswer>;
 }
--- a/control/replicated-log/src/log-replica.ts
+++ b/control/replicated-log/src/log-replica.ts
@@ -1,12 +1,18 @@
 import type http from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Result} from 'true-myth';
-import type {Batch, Consensus, Message} from '@marigoldspur/consensus';
+import {
+  replicasOf,
+  type Batch,
+  type Consensus,
+  type Message,
+} from '@marigoldspur/consensus';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Fault, toFault} from '@marigoldspur/faults';
 import type {
   Delivery,
   DeliveryAnswer,
+  Introduction,
   ReplicaIdentity,
   ReplicaService,
 } from '@marigoldspur/log-links';
@@ -16,6 +22,7 @@
 import {LinkTable} from './link-table.js';
 import {logStatus} from './log-status.js';
 import {MachineDriver} from './machine-driver.js';
+import type {PeerTable} from './peer-table.js';
 import {PendingProposals} from './pending-proposals.js';
 import {PendingReads} from './pending-reads.js';
 import {ProposalDesk} from './proposal-desk.js';
@@ -26,10 +33,7 @@
 
 /** Settings of a replica, all filled in. */
 export interface ReplicaSettings {
-  /** Base URL of this replica. */
-  readonly url: string;
-  /** Base URLs of all replicas. */
-  readonly peers: readonly string[];
+  readonly peers: PeerTable;
   readonly bootstrap: boolean;
   readonly electionTimeoutMs: number;
   readonly proposeTimeoutMs: number;
@@ -86,8 +90,8 @@
     this.desk = new ProposalDesk({
       consensus,
       proposals: this.proposals,
-      url: settings.url,
-      peers: settings.peers,
+      url: settings.peers.own,
+      desiredVoters: () => settings.peers.desiredVoters,
       leaderUrl: () => this.leaderUrl(),
       isDiskFull: () => this.writer.diskFull,
       isStopping: () => this.stopping,
@@ -105,7 +109,7 @@
     });
     this.links = new LinkTable({
       consensus,
-      url: settings.url,
+      url: settings.peers.own,
       agent: settings.agent,
       timeoutMs: settings.electionTimeoutMs,
       onAnswer: (url, answer) => this.takeAnswer(url, answer),
@@ -126,12 +130,11 @@
     });
     this.repairs = new RepairDesk({
       consensus,
-      url: settings.url,
       peers: settings.peers,
       bootstrap: settings.bootstrap,
       silenceMs: settings.electionTimeoutMs,
       events: settings.events,
-      identify: url => this.links.to(url).identity(),
+      identify: (url, from) => this.links.to(url).identity(from),
     });
     this.driver = new MachineDriver({
       machine: parts.machine,
@@ -171,13 +174,24 @@
     });
   }
 
-  identity(): ReplicaIdentity {
-    return {id: this.consensus.id, group: this.consensus.group};
+  identity(from?: Introduction): ReplicaIdentity {
+    const {consensus, settings} = this;
+    if (from !== undefined) {
+      this.repairs.sighted(from.url, from, performance.now());
+    }
+    const known = settings.peers.isOpen
+      ? {known: replicasOf(consensus.configuration).map(({url}) => url)}
+      : {};
+    return {id: consensus.id, group: consensus.group, ...known};
+  }
+
+  useSeeds(urls: readonly string[]): void {
+    this.settings.peers.replaceSeeds(urls);
   }
 
   async deliver(delivery: Delivery): Promise<DeliveryAnswer> {
     const {from} = delivery;
-    if (!this.settings.peers.includes(from.url)) {
+    if (!this.settings.peers.admits(from.url)) {
       return {...this.identity(), messages: []};
     }
     this.links.noteSender(from);
--- a/control/replicated-log/src/open-replicated-log.ts
+++ b/control/replicated-log/src/open-replicated-log.ts
@@ -10,6 +10,7 @@
 } from '@marigoldspur/log-links';
 import {openLogStorage, type FileSystem} from '@marigoldspur/log-storage';
 import {LogReplica} from './log-replica.js';
+import {PeerTable} from './peer-table.js';
 import type {ReplicatedLog, StateMachine} from './replicated-log.js';
 
 /** Options of a replicated log. */
@@ -20,6 +21,11 @@
   readonly url: string;
   /** Base URLs of all replicas; none stands for this one alone. */
   readonly peers: readonly string[];
+  /**
+   * Voters that the group is to have, where replicas may come from other URLs than
+   * those in `peers`; without it `peers` names all replicas.
+   */
+  readonly desiredVoters?: number;
   /** Whether this replica may form a new group, where all replicas are new. */
   readonly bootstrap: boolean;
   readonly events: EventLog;
@@ -99,8 +105,11 @@
   const replica = new LogReplica(
     {machine, consensus, storage},
     {
-      url: options.url,
-      peers: options.peers.length === 0 ? [options.url] : options.peers,
+      peers: new PeerTable({
+        own: options.url,
+        seeds: options.peers,
+        desiredVoters: options.desiredVoters,
+      }),
       bootstrap: options.bootstrap,
       electionTimeoutMs,
       proposeTimeoutMs: options.proposeTimeoutMs ?? DEFAULT_PROPOSE_TIMEOUT_MS,
--- a/control/replicated-log/src/proposal-desk.ts
+++ b/control/replicated-log/src/proposal-desk.ts
@@ -9,8 +9,8 @@
   readonly proposals: PendingProposals<Answer>;
   /** Base URL of this replica. */
   readonly url: string;
-  /** Base URLs of all replicas. */
-  readonly peers: readonly string[];
+  /** Voters that the group is to have. */
+  readonly desiredVoters: () => number;
   /** Base URL of the leader, where known. */
   readonly leaderUrl: () => string | undefined;
   readonly isDiskFull: () => boolean;
@@ -38,7 +38,7 @@
   }
 
   private refusal(bytes: number): Fault | undefined {
-    const {consensus, isDiskFull, isStopping, peers} = this.options;
+    const {consensus, desiredVoters, isDiskFull, isStopping} = this.options;
     if (consensus.role !== 'leader' || isStopping()) {
       return this.notLeader();
     }
@@ -46,7 +46,7 @@
       return new Fault('DISK_FULL', 'the disk of the leader is full');
     }
     const copies = consensus.configuration.voters.length;
-    if (copies < majority(peers.length)) {
+    if (copies < majority(desiredVoters())) {
       return new Fault('NO_QUORUM', `only ${copies} replicas count as voters`);
     }
     return bytes > MAX_COMMAND_BYTES
--- a/control/replicated-log/src/repair-desk.ts
+++ b/control/replicated-log/src/repair-desk.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {
+  isVoter,
   nextConfiguration,
   repairedBetween,
   replicasOf,
@@ -8,26 +9,29 @@
   type Sighting,
 } from '@marigoldspur/consensus';
 import type {EventLog} from '@marigoldspur/event-log';
-import type {ReplicaIdentity} from '@marigoldspur/log-links';
+import type {Introduction, ReplicaIdentity} from '@marigoldspur/log-links';
+import type {PeerTable} from './peer-table.js';
 
 /** Options of a repair desk. */
 export interface RepairDeskOptions {
   readonly consensus: Consensus;
-  /** Base URL of this replica. */
-  readonly url: string;
-  /** Base URLs of all replicas. */
-  readonly peers: readonly string[];
+  readonly peers: PeerTable;
   /** Whether this replica may form the group. */
   readonly bootstrap: boolean;
   /** Age from which an unheard learner is not caught up, in milliseconds. */
   readonly silenceMs: number;
   readonly events: EventLog;
-  /** Asks who answers at a URL. */
-  readonly identify: (url: string) => Promise<ReplicaIdentity>;
+  /** Asks who answers at a URL, and says who asks. */
+  readonly identify: (
+    url: string,
+    from: Introduction,
+  ) => Promise<ReplicaIdentity>;
 }
 
 /** Age from which a sighting is no longer used, in milliseconds. */
 const SIGHTING_VALID_MS = 3_000;
+/** A voter that has not answered for so long is replaced where a learner is caught up. */
+const LOST_AFTER_MS = 1_500;
 
 interface TimedSighting extends Sighting {
   readonly at: number;
@@ -43,8 +47,11 @@
 
   /** A replica answered at a URL. */
   sighted(url: string, identity: ReplicaIdentity, now: number): void {
-    const {id, group} = identity;
-    if (this.options.peers.includes(url) && url !== this.options.url) {
+    const {id, group, known = []} = identity;
+    const {peers} = this.options;
+    known.forEach(other => peers.learn(other));
+    if (peers.admits(url) && url !== peers.own) {
+      peers.learn(url);
       this.sightings.set(url, {url, id, group, at: now});
     }
   }
@@ -57,6 +64,8 @@
     } else if (consensus.leaderReady) {
       void this.probe(now);
       this.repair(now);
+    } else if (!isVoter(consensus.configuration, consensus.id)) {
+      void this.introduce(now);
     }
   }
 
@@ -92,6 +101,10 @@
       configuration: consensus.configuration,
       sightings: fresh,
       isCaughtUp: id => this.isCaughtUp(id, now),
+      ...(this.options.peers.isOpen && {
+        desiredVoters: this.options.peers.desiredVoters,
+        isLost: id => this.isLost(id, now),
+      }),
     });
     if (next !== undefined) {
       consensus.changeConfiguration(next, now);
@@ -108,14 +121,32 @@
     );
   }
 
+  private isLost(id: string, now: number): boolean {
+    const {consensus} = this.options;
+    const progress = consensus.progressOf(id);
+    return (
+      id !== consensus.id &&
+      progress !== undefined &&
+      now - progress.heardAt >= LOST_AFTER_MS
+    );
+  }
+
   /** Asks at the URLs where no replica of the group is known. */
   private async probe(now: number): Promise<void> {
-    const {consensus, peers, url: own} = this.options;
+    const {consensus, peers} = this.options;
     const known = replicasOf(consensus.configuration).map(({url}) => url);
-    const unknown = peers.filter(url => url !== own && !known.includes(url));
+    const unknown = peers.others().filter(url => !known.includes(url));
     await this.identifyAll(unknown, now);
   }
 
+  /** Makes itself known, so that the leader finds a replica at a URL that no seed names. */
+  private async introduce(now: number): Promise<void> {
+    const {peers} = this.options;
+    if (peers.isOpen) {
+      await this.identifyAll(peers.others(), now);
+    }
+  }
+
   private async identifyAll(
     urls: readonly string[],
     now: number,
@@ -124,8 +155,10 @@
       return [];
     }
     this.probing = true;
+    const {consensus, peers} = this.options;
+    const from = {id: consensus.id, group: consensus.group, url: peers.own};
     const answers = await Promise.all(
-      urls.map(url => this.options.identify(url).catch(() => undefined)),
+      urls.map(url => this.options.identify(url, from).catch(() => undefined)),
     );
     this.probing = false;
     answers.forEach((answer, index) => {
@@ -141,16 +174,17 @@
    * so a replica that lost its disk cannot form a second group beside the first.
    */
   private async form(now: number): Promise<void> {
-    const {consensus, url, events} = this.options;
-    const peers = [...this.options.peers].sort();
-    if (!this.options.bootstrap || peers[0] !== url) {
+    const {consensus, peers, events} = this.options;
+    const {own, seedUrls} = peers;
+    if (!this.options.bootstrap || [...seedUrls].sort()[0] !== own) {
       this.announceWait();
+      await this.introduce(now);
       return;
     }
     if (this.probing) {
       return;
     }
-    const others = peers.filter(peer => peer !== url);
+    const others = seedUrls.filter(peer => peer !== own);
     const answers = await this.identifyAll(others, now);
     const allNew = answers.every(answer => answer?.group === '');
     if (consensus.group !== '' || consensus.lastIndex > 0) {
@@ -161,7 +195,7 @@
       return;
     }
     const group = randomUUID();
-    consensus.bootstrap(group, url, now);
+    consensus.bootstrap(group, own, now);
     events.record('group-formed', {group, replica: consensus.id});
   }
 
--- a/control/replicated-log/src/replicated-log.ts
+++ b/control/replicated-log/src/replicated-log.ts
@@ -51,6 +51,8 @@
   propose(command: Command): Promise<Result<Answer, Fault>>;
   /** Resolves once this replica has applied everything committed before the call. */
   readBarrier(): Promise<Result<undefined, Fault>>;
+  /** Takes over other URLs at which replicas may be found first. */
+  useSeeds(urls: readonly string[]): void;
   /** Whether the replica knows a leader and has caught up with it since it started. */
   isReady(): boolean;
   status(): LogStatus;
--- a/entry/entry-server/src/caller-server.ts
+++ b/entry/caller-server/src/caller-server.ts
@@ -3,7 +3,17 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {closeServer} from '@marigoldspur/http-link';
 import {clientErrorAnswer} from '@marigoldspur/caller-api';
-import type {CallerTls} from './caller-tls.js';
+
+/** What callers may send, and how long they may take. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  /** Longest time until the head of a request has come, in milliseconds. */
+  readonly headersTimeoutMs: number;
+  /** Longest time until a whole request has come, in milliseconds. */
+  readonly requestTimeoutMs: number;
+  /** Longest time that a connection stays open unused, in milliseconds. */
+  readonly idleTimeoutMs: number;
+}
 
 /** What a caller server works with. */
 export interface CallerServerOptions {
@@ -14,14 +24,22 @@
   ) => Promise<void>;
   /** Whether the process shuts down. */
   readonly draining: () => boolean;
-  readonly tls: CallerTls;
+  readonly createServer: (
+    options: http.ServerOptions,
+    handler: http.RequestListener,
+  ) => http.Server;
+  /** Path at which the server itself tells whether the process takes calls, if it does. */
+  readonly readyPath?: string;
+  readonly limits?: CallerLimits;
 }
 
-const HEADERS_TIMEOUT_MS = 10_000;
-const REQUEST_TIMEOUT_MS = 30_000;
+const DEFAULT_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  headersTimeoutMs: 10_000,
+  requestTimeoutMs: 30_000,
+  idleTimeoutMs: 65_000,
+};
 const TIMEOUT_CHECK_MS = 1_000;
-const KEEP_ALIVE_TIMEOUT_MS = 65_000;
-const MAX_HEADER_BYTES = 16_384;
 const CLOSE_IDLE_MS = 50;
 
 /** The server of callers' connections. */
@@ -31,13 +49,14 @@
   private readonly answering = new WeakMap<Socket, Set<http.ServerResponse>>();
 
   constructor(private readonly options: CallerServerOptions) {
-    this.server = options.tls.createServer(
+    const limits = options.limits ?? DEFAULT_LIMITS;
+    this.server = options.createServer(
       {
-        maxHeaderSize: MAX_HEADER_BYTES,
-        headersTimeout: HEADERS_TIMEOUT_MS,
-        requestTimeout: REQUEST_TIMEOUT_MS,
+        maxHeaderSize: limits.maxHeaderBytes,
+        headersTimeout: limits.headersTimeoutMs,
+        requestTimeout: limits.requestTimeoutMs,
         connectionsCheckingInterval: TIMEOUT_CHECK_MS,
-        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+        keepAliveTimeout: limits.idleTimeoutMs,
       },
       (request, response) => this.take(request, response),
     );
@@ -46,6 +65,13 @@
     );
   }
 
+  /** Takes over other limits, but for that of the headers' size, which is fixed. */
+  useLimits(limits: Omit<CallerLimits, 'maxHeaderBytes'>): void {
+    this.server.headersTimeout = limits.headersTimeoutMs;
+    this.server.requestTimeout = limits.requestTimeoutMs;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+  }
+
   /** Stops accepting and resolves once every running request has ended. */
   async close(): Promise<void> {
     let closed = false;
@@ -66,7 +92,7 @@
     if (this.options.draining()) {
       response.setHeader('connection', 'close');
     }
-    if (request.url === '/readyz') {
+    if (request.url === this.options.readyPath) {
       response.statusCode = this.options.draining() ? 503 : 200;
       response.end(this.options.draining() ? 'not ready\n' : 'ready\n');
       return;
--- /dev/null
+++ b/entry/caller-server/src/index.ts
@@ -0,0 +1,5 @@
+export {
+  CallerServer,
+  type CallerLimits,
+  type CallerServerOptions,
+} from './caller-server.js';
--- /dev/null
+++ b/entry/direct-entry/src/call.ts
@@ -0,0 +1,28 @@
+import type {IncomingHttpHeaders} from 'node:http';
+import type {Route, Service} from '@marigoldspur/deployment';
+import type {CallHead} from './dialect.js';
+
+/** One call that is being served. */
+export interface Call {
+  readonly head: CallHead;
+  /** When its head was read, as a `performance.now()` time. */
+  readonly startedAt: number;
+  readonly route: Route;
+  readonly service: Service;
+  readonly method: string;
+  /** Path with its query. */
+  readonly path: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+  /** Aborts at the route's timeout and once the caller is gone. */
+  readonly signal: AbortSignal;
+  /** Whether the caller is gone. */
+  readonly callerGone: () => boolean;
+}
+
+/** Time that is left for a call at time `now`, in milliseconds. */
+export function leftMs(call: Call, now: number): number {
+  const {head, route, startedAt} = call;
+  const bound = Math.min(route.timeoutMs, head.deadlineMs ?? Infinity);
+  return bound - (now - startedAt);
+}
--- /dev/null
+++ b/entry/direct-entry/src/engine-views.ts
@@ -0,0 +1,73 @@
+import type http from 'node:http';
+import {
+  ENGINE_VIEW_PATH,
+  ENGINE_VIEW_PULSE_MS,
+  ENGINE_VIEW_SCHEMA,
+  type EngineView,
+} from '@marigoldspur/deployment';
+import {openLineStream} from '@marigoldspur/fleet-client';
+
+/** What engine views work with. */
+export interface EngineViewsOptions {
+  readonly agent: http.Agent;
+  /** Base URL of the agent beside a target. */
+  readonly agentUrl: (address: string) => string;
+}
+
+const SILENCE_MS = 2.5 * ENGINE_VIEW_PULSE_MS;
+const RETRY_MS = 300;
+
+interface Link {
+  close: () => void;
+  view?: EngineView;
+  retry?: NodeJS.Timeout;
+}
+
+/** Follows the state of engines, as the agents beside them stream it. */
+export class EngineViews {
+  private readonly links = new Map<string, Link>();
+
+  constructor(private readonly options: EngineViewsOptions) {}
+
+  /** Follows the engines at these addresses and no others. */
+  follow(addresses: ReadonlySet<string>): void {
+    for (const address of addresses) {
+      if (!this.links.has(address)) {
+        const link: Link = {close: () => {}};
+        this.links.set(address, link);
+        this.open(address, link);
+      }
+    }
+    for (const [address, link] of this.links) {
+      if (!addresses.has(address)) {
+        this.links.delete(address);
+        clearTimeout(link.retry);
+        link.close();
+      }
+    }
+  }
+
+  /** The last known state of the engine at an address. */
+  of(address: string): EngineView | undefined {
+    return this.links.get(address)?.view;
+  }
+
+  stop(): void {
+    this.follow(new Set());
+  }
+
+  private open(address: string, link: Link): void {
+    const {agent, agentUrl} = this.options;
+    link.close = openLineStream({
+      url: new URL(ENGINE_VIEW_PATH, agentUrl(address)),
+      agent,
+      silenceMs: SILENCE_MS,
+      onMessage: message => {
+        link.view = ENGINE_VIEW_SCHEMA.parse(message);
+      },
+      onEnd: () => {
+        link.retry = setTimeout(() => this.open(address, link), RETRY_MS);
+      },
+    });
+  }
+}
--- /dev/null
+++ b/entry/direct-entry/src/index.ts
@@ -0,0 +1,11 @@
+export type {
+  AnswerHead,
+  CallHead,
+  Dialect,
+  ModelWork,
+  Sending,
+} from './dialect.js';
+export type {DirectSettings} from './direct-settings.js';
+export {startDirectEntry, type DirectEntry} from './start-direct-entry.js';
+export {TargetBook, type TargetBookOptions} from './target-book.js';
+export {TargetAgent} from './target-agent.js';
--- /dev/null
+++ b/entry/direct-entry/src/target-book.ts
@@ -0,0 +1,294 @@
+import type {
+  EngineView,
+  Service,
+  TargetAnnouncement,
+} from '@marigoldspur/deployment';
+import {adapterName, isSameStart} from '@marigoldspur/deployment';
+import {
+  PromptMemory,
+  weighEngines,
+  type EngineCandidate,
+} from '@marigoldspur/engine-choice';
+import {SuspicionTable, type Evidence} from '@marigoldspur/suspicion';
+import type {AnswerHead, ModelWork} from './dialect.js';
+
+/** What a target book works with. */
+export interface TargetBookOptions {
+  /** Availability zone of this process. */
+  readonly zone: string;
+  /** The targets that are known. */
+  readonly targets: () => readonly TargetAnnouncement[];
+  /** The last known state of the engine at an address. */
+  readonly engineView: (address: string) => EngineView | undefined;
+  /** Gives numbers from 0 up to, not including, 1. */
+  readonly random: () => number;
+}
+
+/** What a call needs of a target. */
+export interface TargetNeed {
+  readonly service: Service;
+  readonly work?: ModelWork;
+  /** The version of the adapter that has to serve it, where one was named. */
+  readonly version?: number;
+  /** Identities of targets that are not to be used. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** The target of a call. */
+export interface ChosenTarget {
+  readonly target: TargetAnnouncement;
+  /** Whether the engine has to load the adapter first. */
+  readonly needsAdapter: boolean;
+}
+
+/** A call that was sent to a target. */
+export interface TargetRun {
+  /** The head of the answer came. */
+  answered(head: AnswerHead, failed: boolean, now: number): void;
+  /** The first event came, so that the prompt is read. */
+  begun(): void;
+  /** The call has ended. */
+  end(): void;
+}
+
+/** What this process knows of one start of a target from its own calls. */
+class TargetRecord {
+  readonly prompts = new PromptMemory();
+  inFlight = 0;
+  pendingTokens = 0;
+  failureShare = 0;
+  reported = 0;
+  reportedAt = -Infinity;
+  /** Adapters that the engine was found not to hold, with the time of that. */
+  readonly missing = new Map<string, number>();
+}
+
+/** A report of its load that a target gave with an answer is used for so long, in milliseconds. */
+const REPORT_VALID_MS = 500;
+/** Weight of the latest answer in the share of failed ones. */
+const FAILURE_WEIGHT = 0.15;
+/** Time until an engine's view shows that it lacks an adapter, in milliseconds. */
+const MISSING_MS = 400;
+/** Expected share of the stated maximum of output tokens. */
+const OUTPUT_SHARE = 0.5;
+/** A target in another availability zone costs this share of a slot more. */
+const OTHER_ZONE_SHARE = 0.05;
+/** Without probes a suspected target is tried again after twice this time, in milliseconds. */
+const SUSPICION_HALF_LIFE_MS = 1_500;
+
+/** Chooses targets by what they, their agents and this process's own calls tell of them. */
+export class TargetBook {
+  private readonly records = new Map<string, TargetRecord>();
+  private readonly suspicion = new SuspicionTable({
+    halfLifeMs: SUSPICION_HALF_LIFE_MS,
+  });
+
+  constructor(private readonly options: TargetBookOptions) {}
+
+  /** The target of a call at time `now`; undefined where none can serve it. */
+  choose(need: TargetNeed, now: number): ChosenTarget | undefined {
+    const serving = this.options
+      .targets()
+      .filter(target => serves(target, need));
+    const judged = this.suspicion.judge(serving.map(lifeOf), now);
+    const usable = new Set(judged.usable);
+    const targets = serving.filter(target => usable.has(lifeOf(target)));
+    return need.service.engine === undefined || need.work === undefined
+      ? this.chooseLeastLoaded(targets, now)
+      : this.chooseEngine(targets, need, need.work, now);
+  }
+
+  /** Takes note that a call is sent to a target at time `now`. */
+  begin(
+    target: TargetAnnouncement,
+    work: ModelWork | undefined,
+    now: number,
+  ): TargetRun {
+    const record = this.record(target);
+    record.inFlight += 1;
+    let pending = 0;
+    if (work !== undefined) {
+      const adapter = adapterName(work.model, work.adapter);
+      const cached = record.prompts.cachedTokens(adapter, work.parts, now);
+      pending = Math.max(0, work.promptTokens - cached);
+      record.prompts.sent(adapter, work.parts, now);
+    }
+    record.pendingTokens += pending;
+    const begun = () => {
+      record.pendingTokens -= pending;
+      pending = 0;
+    };
+    return {
+      answered: (head, failed, at) =>
+        this.answered(target, head, failed, at),
+      begun,
+      end: () => {
+        begun();
+        record.inFlight -= 1;
+      },
+    };
+  }
+
+  /** A target did not answer, or not as it should. */
+  failed(target: TargetAnnouncement, evidence: Evidence, now: number): boolean {
+    const life = lifeOf(target);
+    const before = this.suspicion.suspects(life, now);
+    this.suspicion.failed(life, evidence, now);
+    return !before && this.suspicion.suspects(life, now);
+  }
+
+  /** An engine said that it does not hold an adapter in the version that was asked for. */
+  lacks(target: TargetAnnouncement, work: ModelWork, now: number): void {
+    const adapter = adapterName(work.model, work.adapter);
+    this.record(target).missing.set(adapter, now);
+  }
+
+  /** Forgets targets that are no longer known. */
+  retain(): void {
+    const known = new Set(this.options.targets().map(lifeOf));
+    this.suspicion.retain(known);
+    for (const life of this.records.keys()) {
+      if (!known.has(life)) {
+        this.records.delete(life);
+      }
+    }
+  }
+
+  private answered(
+    target: TargetAnnouncement,
+    head: AnswerHead,
+    failed: boolean,
+    now: number,
+  ): void {
+    const record = this.record(target);
+    this.suspicion.succeeded(lifeOf(target));
+    record.failureShare +=
+      FAILURE_WEIGHT * ((failed ? 1 : 0) - record.failureShare);
+    if (head.load !== undefined) {
+      record.reported = head.load.running + head.load.waiting;
+      record.reportedAt = now;
+    }
+  }
+
+  private chooseLeastLoaded(
+    targets: readonly TargetAnnouncement[],
+    now: number,
+  ): ChosenTarget | undefined {
+    const weighed = targets.map(target => ({
+      target,
+      cost: this.loadShare(target, now) + this.options.random() / 1_000,
+    }));
+    weighed.sort((a, b) => a.cost - b.cost);
+    const target = weighed.at(0)?.target;
+    return target && {target, needsAdapter: false};
+  }
+
+  private loadShare(target: TargetAnnouncement, now: number): number {
+    const record = this.record(target);
+    const isFresh = now - record.reportedAt < REPORT_VALID_MS;
+    const load = Math.max(record.inFlight, isFresh ? record.reported : 0);
+    const zone = target.zone === this.options.zone ? 0 : OTHER_ZONE_SHARE;
+    return load / target.slots + zone + record.failureShare;
+  }
+
+  private chooseEngine(
+    targets: readonly TargetAnnouncement[],
+    need: TargetNeed,
+    work: ModelWork,
+    now: number,
+  ): ChosenTarget | undefined {
+    const adapter = adapterName(work.model, work.adapter);
+    const beginning = work.parts.at(-2)?.id ?? '';
+    const candidates = targets.map(target =>
+      this.candidate(target, need, work, now),
+    );
+    const best = weighEngines(
+      {
+        affinity: `${adapter}@${need.version ?? ''} ${beginning}`,
+        zone: this.options.zone,
+        promptTokens: work.promptTokens,
+        memoryTokens: work.promptTokens + work.maxOutputTokens * OUTPUT_SHARE,
+      },
+      candidates,
+    ).at(0);
+    const target = targets.find(({id}) => id === best?.name);
+    const chosen = candidates.find(({name}) => name === best?.name);
+    return (
+      target && {
+        target,
+        needsAdapter: chosen !== undefined && chosen.adapter !== 'held',
+      }
+    );
+  }
+
+  private candidate(
+    target: TargetAnnouncement,
+    need: TargetNeed,
+    work: ModelWork,
+    now: number,
+  ): EngineCandidate {
+    const record = this.record(target);
+    const adapter = adapterName(work.model, work.adapter);
+    const known = this.options.engineView(target.address);
+    const view =
+      known !== undefined && isSameStart(known.bornAt, target.bornAt)
+        ? known
+        : undefined;
+    return {
+      name: target.id,
+      zone: target.zone,
+      adapter:
+        work.adapter === undefined
+          ? 'held'
+          : this.adapterState(record, view, adapter, need.version, now),
+      cachedTokens: record.prompts.cachedTokens(adapter, work.parts, now),
+      pendingTokens: record.pendingTokens,
+      running: Math.max(record.inFlight, view?.running ?? 0),
+      waiting: view?.waiting ?? 0,
+      batchLimit: need.service.engine?.batchLimit ?? target.slots,
+      tokenMemory: need.service.engine?.tokenMemory ?? 0,
+      memoryUsed: view?.memoryUsed ?? 0,
+      failureShare: record.failureShare,
+    };
+  }
+
+  private adapterState(
+    record: TargetRecord,
+    view: EngineView | undefined,
+    adapter: string,
+    version: number | undefined,
+    now: number,
+  ): EngineCandidate['adapter'] {
+    const missingAt = record.missing.get(adapter) ?? -Infinity;
+    if (now - missingAt < MISSING_MS) {
+      return 'absent';
+    }
+    const held = view?.adapters.find(([name]) => name === adapter);
+    if (held !== undefined && held[1] >= (version ?? 0)) {
+      return 'held';
+    }
+    return view?.loading.includes(adapter) ? 'loading' : 'absent';
+  }
+
+  private record(target: TargetAnnouncement): TargetRecord {
+    const life = lifeOf(target);
+    const known = this.records.get(life) ?? new TargetRecord();
+    this.records.set(life, known);
+    return known;
+  }
+}
+
+function lifeOf({id, bornAt}: TargetAnnouncement): string {
+  return `${id}/${bornAt}`;
+}
+
+function serves(target: TargetAnnouncement, need: TargetNeed): boolean {
+  return (
+    target.service === need.service.name &&
+    !target.leaving &&
+    !need.excluded.has(target.id) &&
+    (need.work === undefined ||
+      target.models.length === 0 ||
+      target.models.includes(need.work.model))
+  );
+}
--- a/entry/dispatch/src/answer-end.ts
+++ b/entry/dispatch/src/answer-end.ts
@@ -1,19 +1,38 @@
 import {HOP_HEADERS} from '@marigoldspur/messages';
-import type {AttemptAnswer} from './attempt.js';
+import type {RelayedAnswer} from './attempt.js';
 
 const STREAM_END = 'data: [DONE]';
 /** The end marker with the line ends that may follow it. */
 const TAIL_BYTES = STREAM_END.length + 8;
 const BODILESS_STATUSES = new Set([204, 205, 304]);
 
-/** Decides from the bytes of an answer whether all of it came. */
-export class AnswerEnd {
+/** Decides whether all of an answer came. */
+export interface Wholeness {
+  /** Takes the next bytes of the body. */
+  add(chunk: Buffer): void;
+  /** Whether the answer, at its end, is whole. */
+  isWhole(): boolean;
+}
+
+/** An answer is whole once its HTTP framing says so. */
+export class FramedWholeness implements Wholeness {
+  constructor(private readonly answer: RelayedAnswer) {}
+
+  add(): void {}
+
+  isWhole(): boolean {
+    return this.answer.message.complete;
+  }
+}
+
+/** Decides from the bytes that an agent passed on whether all of an answer came. */
+export class AnswerEnd implements Wholeness {
   private bytes = 0;
   private tail: Buffer = Buffer.alloc(0);
 
   /** `endsWithDone` asks for the `data: [DONE]` that ends an engine's stream. */
   constructor(
-    private readonly answer: AttemptAnswer,
+    private readonly answer: RelayedAnswer,
     private readonly endsWithDone: boolean,
   ) {}
 
@@ -46,7 +65,7 @@
 }
 
 /** Whether an answer has no body by its method or status, and so no trailer (RFC 9110, 6.4.1). */
-function hasNoBody(answer: AttemptAnswer): boolean {
+function hasNoBody(answer: RelayedAnswer): boolean {
   return (
     answer.method === 'HEAD' ||
     BODILESS_STATUSES.has(answer.message.statusCode ?? 0)
--- a/entry/dispatch/src/attempt.ts
+++ b/entry/dispatch/src/attempt.ts
@@ -19,9 +19,14 @@
   readonly resumeAfter?: number;
 }
 
-/** The beginning of a target's answer; its body is still to be read. */
-export interface AttemptAnswer {
-  readonly hop: Hop;
+/** The beginning of an answer; its body is still to be read. */
+export interface RelayedAnswer {
+  /** Method of the request that it answers. */
   readonly method: string;
   readonly message: IncomingMessage;
 }
+
+/** The beginning of a target's answer that came by its agent. */
+export interface AttemptAnswer extends RelayedAnswer {
+  readonly hop: Hop;
+}
--- a/entry/dispatch/src/index.ts
+++ b/entry/dispatch/src/index.ts
@@ -1,5 +1,6 @@
 export {AttemptClient, type AttemptClientOptions} from './attempt-client.js';
-export type {Attempt, AttemptAnswer} from './attempt.js';
+export {FramedWholeness, type Wholeness} from './answer-end.js';
+export type {Attempt, AttemptAnswer, RelayedAnswer} from './attempt.js';
 export {answerHeaders, resumableFor} from './attempt-headers.js';
 export {
   relayAnswer,
--- a/entry/dispatch/src/relay-answer.ts
+++ b/entry/dispatch/src/relay-answer.ts
@@ -3,9 +3,9 @@
   OutgoingHttpHeaders,
   ServerResponse,
 } from 'node:http';
-import {AnswerEnd} from './answer-end.js';
+import {AnswerEnd, type Wholeness} from './answer-end.js';
 import {answerHeaders} from './attempt-headers.js';
-import type {AttemptAnswer} from './attempt.js';
+import type {RelayedAnswer} from './attempt.js';
 import {WholeEvents} from './whole-events.js';
 
 /**
@@ -17,7 +17,7 @@
 /** The link to the target of a stream that can be resumed. */
 export interface AnswerLink {
   /** Opens the rest of the stream after event `after`; undefined where there is none. */
-  reopen(after: number): Promise<AttemptAnswer | undefined>;
+  reopen(after: number): Promise<RelayedAnswer | undefined>;
   /** Tells the target that the rest is not wanted. */
   cancel(): void;
 }
@@ -30,6 +30,8 @@
   readonly collectBytes: number;
   /** Whether the answer has to end with an engine's `data: [DONE]`. */
   readonly endsWithDone: boolean;
+  /** Decides whether an answer is whole; by default the count of bytes that its agent adds. */
+  readonly wholenessOf?: (answer: RelayedAnswer) => Wholeness;
   /** Bytes of the body that are kept for a resend. */
   readonly keepBytes: number;
   /** Whether the answer is read to its end though the caller went away. */
@@ -53,7 +55,7 @@
  * `collectBytes` have come or the answer is whole; a torn answer is never ended cleanly.
  */
 export function relayAnswer(
-  answer: AttemptAnswer,
+  answer: RelayedAnswer,
   response: ServerResponse,
   options: RelayOptions,
 ): Promise<Relayed> {
@@ -65,7 +67,7 @@
 class AnswerRelay {
   private readonly status: number;
   private readonly events: WholeEvents | undefined;
-  private end: AnswerEnd;
+  private end: Wholeness;
   /** What is read now; undefined while the answer is being resumed. */
   private message: IncomingMessage | undefined;
   private pending: Buffer[] = [];
@@ -78,12 +80,12 @@
   private settled = false;
 
   constructor(
-    private readonly answer: AttemptAnswer,
+    private readonly answer: RelayedAnswer,
     private readonly response: ServerResponse,
     private readonly options: RelayOptions,
     private readonly resolve: (relayed: Relayed) => void,
   ) {
-    this.end = new AnswerEnd(answer, options.endsWithDone);
+    this.end = this.wholenessOf(answer);
     this.events = options.link && new WholeEvents();
     this.status = answer.message.statusCode ?? 502;
   }
@@ -102,6 +104,11 @@
     }
   }
 
+  private wholenessOf(answer: RelayedAnswer): Wholeness {
+    const {endsWithDone, wholenessOf} = this.options;
+    return wholenessOf?.(answer) ?? new AnswerEnd(answer, endsWithDone);
+  }
+
   private read(message: IncomingMessage): void {
     this.message = message;
     const ifCurrent = (act: () => void) => () => {
@@ -243,7 +250,7 @@
       this.abandon();
       return;
     }
-    this.end = new AnswerEnd(rest, this.options.endsWithDone);
+    this.end = this.wholenessOf(rest);
     this.read(rest.message);
   }
 
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -2,6 +2,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {Admission} from '@marigoldspur/admission';
 import {openCallerKeys} from '@marigoldspur/caller-keys';
+import {CallerServer} from '@marigoldspur/caller-server';
 import {
   ControlClient,
   HeartbeatRelay,
@@ -31,7 +32,6 @@
 import type {EntrySettings} from './entry-settings.js';
 import {AnswerSender} from './answer-sender.js';
 import {AttemptRunner} from './attempt-runner.js';
-import {CallerServer} from './caller-server.js';
 import {openCallerTls} from './caller-tls.js';
 import {ClaimedRunner} from './claimed-runner.js';
 import {ControlContact} from './control-contact.js';
@@ -128,7 +128,9 @@
   const callers = new CallerServer({
     handle: (request, response) => desk.handle(request, response),
     draining: () => shell.isDraining,
-    tls: callerTls,
+    createServer: (options, handler) =>
+      callerTls.createServer(options, handler),
+    readyPath: '/readyz',
   });
   const callerAddress = await listen(callers.server, {
     host: settings.host,
--- /dev/null
+++ b/entry/routes/src/index.ts
@@ -0,0 +1,1 @@
+export {backendOf, RouteTable} from './route-table.js';
--- a/lab/lab/src/child.ts
+++ b/lab/lab/src/child.ts
@@ -56,17 +56,20 @@
   const spawnedAt = Date.now();
   const options = [...programOptions(main), ...nodeOptions()];
   const child = spawn(process.execPath, [...options, main, ...args], {
-    stdio: ['ignore', 'ignore', 'pipe'],
+    stdio: ['ignore', 'pipe', 'pipe'],
     env: {...process.env, ...variables},
   });
   running.add(child);
   child.on('exit', () => running.delete(child));
   const lines: string[] = [];
   const listeners = new Set<(line: string) => void>();
-  createInterface({input: child.stderr!}).on('line', line => {
+  const take = (line: string) => {
     lines.push(line);
     listeners.forEach(listener => listener(line));
-  });
+  };
+  for (const input of [child.stdout!, child.stderr!]) {
+    createInterface({input}).on('line', take);
+  }
   const ended = new Promise<number | string>(resolve => {
     child.on('close', (code, signal) => resolve(code ?? signal ?? 'unknown'));
   });
--- a/lab/reference-docs/src/events-page.ts
+++ b/lab/reference-docs/src/events-page.ts
@@ -4,7 +4,7 @@
 const HEAD = `# Events
 
 Every process records numbered events: it keeps the latest in memory, writes each as a
-JSON line to standard error at its level, and gives them to \`marigoldspur timeline\`.
+JSON line to standard output at its level, and gives them to \`marigoldspur timeline\`.
 Numbers are never reused. Events carry a hybrid logical time (\`time\` in milliseconds
 since the epoch, \`tick\` within one millisecond), so that those of several processes
 can be put in order.
--- a/machines/event-log/src/index.ts
+++ b/machines/event-log/src/index.ts
@@ -10,3 +10,4 @@
   type HybridTime,
 } from './hybrid-clock.js';
 export {jsonLineSink, type EventSink} from './json-lines.js';
+export {LineWriter, type LineWriterOptions} from './line-writer.js';
--- a/machines/event-log/src/json-lines.ts
+++ b/machines/event-log/src/json-lines.ts
@@ -4,6 +4,7 @@
   type Event,
   type EventName,
 } from '@marigoldspur/event-catalogue';
+import type {LineWriter} from './line-writer.js';
 
 /** Takes each recorded event. */
 export interface EventSink {
@@ -11,9 +12,12 @@
 }
 
 /** Writes events as JSON lines through loglevel, at the level the catalogue states. */
-export function jsonLineSink(level: loglevel.LogLevelDesc): EventSink {
+export function jsonLineSink(
+  level: loglevel.LogLevelDesc,
+  writer: Pick<LineWriter, 'write'>,
+): EventSink {
   const logger = loglevel.getLogger('marigoldspur');
-  logger.methodFactory = () => line => process.stderr.write(`${line}\n`);
+  logger.methodFactory = () => line => writer.write(String(line));
   logger.setLevel(level, false);
   return {
     write(event) {
--- a/machines/link-security/src/open-link-security.ts
+++ b/machines/link-security/src/open-link-security.ts
@@ -8,8 +8,8 @@
 import type {LinkSecurity} from './link-security.js';
 import type {LinkSettings} from './link-settings.js';
 import {isLoopback} from './is-loopback.js';
-import {LoopbackSecurity} from './loopback-security.js';
 import {MutualTlsSecurity} from './mutual-tls-security.js';
+import {OpenSecurity} from './open-security.js';
 import {OperatorTokenTable} from './operator-token-table.js';
 
 /** Reads the keys that the settings name; without keys only loopback is allowed. Throws `InvalidInput`. */
@@ -24,7 +24,7 @@
   }
   if (tlsCert === undefined || tlsKey === undefined || tlsCa === undefined) {
     events.record('insecure-loopback', {host: settings.host});
-    return new LoopbackSecurity();
+    return new OpenSecurity();
   }
   const files = {cert: tlsCert, key: tlsKey, ca: tlsCa};
   const onReload = () => security.replaceKeys(pem.current);
@@ -54,10 +54,10 @@
     return [];
   }
   const findings: Finding[] = [];
-  if (!isLoopback(host)) {
+  if (!isLoopback(host) && settings.trustedNetwork !== true) {
     findings.push({
       place: '--host',
-      reason: `${host} is no loopback address, which needs --tls-cert, --tls-key and --tls-ca`,
+      reason: `${host} is no loopback address, which needs --tls-cert, --tls-key and --tls-ca, or --trusted-network`,
     });
   }
   if (operatorTokens !== undefined) {
--- a/machines/link-security/src/loopback-security.ts
+++ b/machines/link-security/src/open-security.ts
@@ -2,8 +2,8 @@
 import type {Caller} from '@marigoldspur/access';
 import type {LinkSecurity} from './link-security.js';
 
-/** No keys: whoever reaches the loopback address is taken for a process of the system. */
-export class LoopbackSecurity implements LinkSecurity {
+/** No keys: whoever reaches the address, on loopback or a trusted network, is taken for a process of the system. */
+export class OpenSecurity implements LinkSecurity {
   readonly scheme = 'http';
 
   createServer(
--- a/machines/process-life/src/index.ts
+++ b/machines/process-life/src/index.ts
@@ -1,6 +1,7 @@
 export {
   runJob,
   runProcess,
+  runTask,
   type JobDefinition,
   type ProcessDefinition,
   type Task,
--- a/machines/process-life/src/run-process.ts
+++ b/machines/process-life/src/run-process.ts
@@ -36,17 +36,24 @@
   args: readonly string[] = process.argv.slice(2),
 ): Promise<void> {
   const settings = await settingsOf(definition, args);
-  if (settings === undefined) {
-    return;
+  if (settings !== undefined) {
+    await runTask(definition.name, drain => definition.start(settings, drain));
   }
+}
+
+/** Runs a task until SIGTERM or SIGINT; a second signal ends it at once. */
+export async function runTask(
+  name: string,
+  start: (drain: () => void) => Promise<Task>,
+): Promise<void> {
   try {
     const {signalled, signal} = stopSignal();
-    const task = await definition.start(settings, signal);
+    const task = await start(signal);
     await signalled;
     await task.stop();
     process.exit(0);
   } catch (thrown) {
-    process.exit(report(definition.name, thrown));
+    process.exit(report(name, thrown));
   }
 }
 
--- a/machines/process-shell/src/process-shell.ts
+++ b/machines/process-shell/src/process-shell.ts
@@ -1,4 +1,4 @@
-import {EventLog, jsonLineSink} from '@marigoldspur/event-log';
+import {EventLog, jsonLineSink, LineWriter} from '@marigoldspur/event-log';
 import {
   openLinkSecurity,
   type LinkSecurity,
@@ -40,6 +40,8 @@
   readonly drain: () => void;
 }
 
+const STANDARD_OUTPUT = 1;
+
 /** The parts that every process of the system is made of. */
 export class ProcessShell {
   readonly boot = bootIdentity();
@@ -62,8 +64,13 @@
     role: ProcessRole,
     settings: ShellSettings,
   ): Promise<ProcessShell> {
-    const sinks = [jsonLineSink(settings.logLevel)];
-    const events = new EventLog({process: settings.id, sinks});
+    const lines = new LineWriter({
+      descriptor: STANDARD_OUTPUT,
+      onDropped: count => events.record('lines-dropped', {count}),
+    });
+    process.on('exit', () => lines.flush());
+    const sinks = [jsonLineSink(settings.logLevel, lines)];
+    const events: EventLog = new EventLog({process: settings.id, sinks});
     const security = await openLinkSecurity(settings, events);
     return new ProcessShell(role, settings, events, security);
   }
--- /dev/null
+++ b/policy/engine-choice/src/engine-choice.ts
@@ -0,0 +1,115 @@
+import {rendezvousOrder} from '@marigoldspur/placement';
+
+/** What a request needs of an engine. */
+export interface EngineNeed {
+  /** What requests share that should meet at the same engines: adapter, version and prompt beginning. */
+  readonly affinity: string;
+  /** Availability zone of the process that chooses. */
+  readonly zone: string;
+  readonly promptTokens: number;
+  /** Tokens of prompt and expected answer. */
+  readonly memoryTokens: number;
+}
+
+/** What is known of an engine that could serve a request. */
+export interface EngineCandidate {
+  readonly name: string;
+  readonly zone: string;
+  /** Whether it holds the adapter in the version that is asked for. */
+  readonly adapter: 'held' | 'loading' | 'absent';
+  /** Prompt tokens that it is thought to have cached already. */
+  readonly cachedTokens: number;
+  /** Prompt tokens of requests that were sent there and have not begun. */
+  readonly pendingTokens: number;
+  readonly running: number;
+  readonly waiting: number;
+  readonly batchLimit: number;
+  /** Tokens that its memory holds, and the share of it that can't be freed. */
+  readonly tokenMemory: number;
+  readonly memoryUsed: number;
+  /** Share of its latest answers that failed, 0 to 1. */
+  readonly failureShare: number;
+}
+
+/** An engine and the time that a request is expected to take there until its first event. */
+export interface WeighedEngine {
+  readonly name: string;
+  readonly costMs: number;
+}
+
+/** Prompt tokens that an engine reads in a millisecond; the order of one accelerator pair with a large model. */
+const PREFILL_TOKENS_PER_MS = 35;
+/** Time in which an adapter is fetched from the store, in milliseconds. */
+const LOAD_MS = 250;
+/** Time until a load that is under way is done, on average. */
+const LOADING_MS = 125;
+/** An adapter that is loaded takes a slot from another one that is wanted too, in milliseconds. */
+const DISPLACEMENT_MS = 60;
+/** What each running request adds to the time of a step and so to the first event, in milliseconds. */
+const RUNNING_MS = 2;
+/** What each waiting request adds, in milliseconds. */
+const WAITING_MS = 60;
+/** Full batch: a slot has to become free first, in milliseconds. */
+const FULL_BATCH_MS = 400;
+/** Full memory: requests wait or preempt others, in milliseconds. */
+const FULL_MEMORY_MS = 1_500;
+/** Share of the memory from which it counts as full. */
+const FULL_MEMORY_SHARE = 0.92;
+/** What another availability zone adds both ways, in milliseconds. */
+const ZONE_MS = 3;
+/** Later places in the common order cost a little, so that processes agree without talking. */
+const RANK_MS = 4;
+/** A failed answer costs the caller about as much as a late one, in milliseconds. */
+const FAILURE_MS = 1_500;
+
+/**
+ * The engines in the order of the time that a request is expected to take there until
+ * its first event. Serves hundreds of requests a second over some dozens of engines.
+ */
+export function weighEngines(
+  need: EngineNeed,
+  candidates: readonly EngineCandidate[],
+): WeighedEngine[] {
+  return rendezvousOrder(need.affinity, candidates)
+    .map((candidate, rank) => ({
+      name: candidate.name,
+      costMs: costMs(need, candidate) + rank * RANK_MS,
+    }))
+    .sort((a, b) => a.costMs - b.costMs);
+}
+
+function costMs(need: EngineNeed, candidate: EngineCandidate): number {
+  const uncached = Math.max(0, need.promptTokens - candidate.cachedTokens);
+  const readMs =
+    (uncached + candidate.pendingTokens) / PREFILL_TOKENS_PER_MS;
+  return (
+    readMs +
+    adapterMs(candidate) +
+    candidate.running * RUNNING_MS +
+    candidate.waiting * WAITING_MS +
+    (candidate.running >= candidate.batchLimit ? FULL_BATCH_MS : 0) +
+    memoryMs(need, candidate) +
+    (candidate.zone === need.zone ? 0 : ZONE_MS) +
+    candidate.failureShare * FAILURE_MS
+  );
+}
+
+function adapterMs({adapter}: EngineCandidate): number {
+  switch (adapter) {
+    case 'held':
+      return 0;
+    case 'loading':
+      return LOADING_MS;
+    case 'absent':
+      return LOAD_MS + DISPLACEMENT_MS;
+  }
+}
+
+function memoryMs(need: EngineNeed, candidate: EngineCandidate): number {
+  const {memoryUsed, tokenMemory} = candidate;
+  const share =
+    tokenMemory === 0 ? 0 : memoryUsed + need.memoryTokens / tokenMemory;
+  return share > FULL_MEMORY_SHARE
+    ? FULL_MEMORY_MS * (1 + share - FULL_MEMORY_SHARE)
+    : 0;
+}
--- /dev/null
+++ b/policy/engine-choice/src/index.ts
@@ -0,0 +1,7 @@
+export {
+  weighEngines,
+  type EngineCandidate,
+  type EngineNeed,
+  type WeighedEngine,
+} from './engine-choice.js';
+export {PromptMemory, type PromptPart} from './prompt-memory.js';
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -1,11 +1,20 @@
-/* Runs every compiled test file, or those whose path holds one of the arguments. */
-import {existsSync, readdirSync, readFileSync} from 'node:fs';
+/*
+ * Runs every compiled test file, or those whose path holds one of the arguments: each
+ * in a process of its own, several side by side, the longest first.
+ */
+import {fork} from 'node:child_process';
+import {existsSync, readdirSync, readFileSync, writeFileSync} from 'node:fs';
+import os from 'node:os';
 import path from 'node:path';
-import Mocha from 'mocha';
 
 const ROOT = path.resolve(import.meta.dirname, '..');
 const KNOWN_RED_FILE = path.join(ROOT, 'KNOWN-RED.txt');
-const DEFAULT_TIMEOUT_MS = 60_000;
+/** Seconds that each file took when last recorded; they only order the files. */
+const DURATIONS_FILE = path.join(ROOT, 'scripts', 'test-durations.json');
+const FILE_RUNNER = path.join(import.meta.dirname, 'run-test-file.mjs');
+/** Most files wait rather than compute, and some start a dozen processes. */
+const CORES_PER_FILE = 2;
+const SECOND_MS = 1_000;
 
 /** A compiled file without its source is left over from another branch. */
 function sourceOf(compiled) {
@@ -47,7 +56,16 @@
   );
 }
 
-const wanted = process.argv.slice(2);
+function recordedDurations() {
+  return existsSync(DURATIONS_FILE)
+    ? JSON.parse(readFileSync(DURATIONS_FILE, 'utf8'))
+    : {};
+}
+
+const record = process.argv.includes('--record');
+const wanted = process.argv.slice(2).filter(word => word !== '--record');
+const durations = recordedDurations();
+const durationOf = file => durations[path.relative(ROOT, file)] ?? 0;
 const files = packageFolders()
   .filter(folder => existsSync(path.join(folder, 'package.json')))
   .map(folder => path.join(folder, 'lib', 'test'))
@@ -55,7 +73,8 @@
   .flatMap(folder => testFiles(folder))
   .filter(
     file => wanted.length === 0 || wanted.some(part => file.includes(part)),
-  );
+  )
+  .sort((a, b) => durationOf(b) - durationOf(a));
 
 const red = knownRed();
 let passed = 0;
@@ -63,37 +82,58 @@
 const seenRed = [];
 const failures = [];
 
-/** Runs one file on its own, so that its hooks bind to it alone. */
-async function runFile(file) {
-  const mocha = new Mocha({
-    timeout: DEFAULT_TIMEOUT_MS,
-    forbidOnly: true,
-    forbidPending: true,
-  });
-  mocha.addFile(file);
-  await mocha.loadFilesAsync();
-  await new Promise(resolve => {
-    const runner = mocha.run(() => {
-      runner.dispose();
-      resolve();
+/** Runs one file in a process of its own; its output is printed as a whole. */
+function runFile(file) {
+  const name = path.relative(ROOT, file);
+  const startedAt = performance.now();
+  return new Promise(resolve => {
+    const child = fork(FILE_RUNNER, [file], {
+      stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
     });
-    runner.on('pass', () => {
-      passed += 1;
+    const output = [];
+    let outcome;
+    child.stdout.on('data', chunk => output.push(chunk));
+    child.stderr.on('data', chunk => output.push(chunk));
+    child.on('message', message => {
+      outcome = message;
     });
-    runner.on('fail', test => {
-      if (red.has(test.fullTitle())) {
-        seenRed.push(test.fullTitle());
-      } else {
-        failed += 1;
-        failures.push(`${path.relative(ROOT, file)}: ${test.fullTitle()}`);
-      }
+    child.on('close', code => {
+      durations[name] = Math.ceil((performance.now() - startedAt) / SECOND_MS);
+      console.log(`${name} (${durations[name]} s)`);
+      process.stdout.write(Buffer.concat(output));
+      note(name, outcome ?? {passed: 0, failed: [`ended with code ${code}`]});
+      resolve();
     });
   });
 }
 
-for (const file of files) {
-  console.log(path.relative(ROOT, file));
-  await runFile(file);
+function note(name, outcome) {
+  passed += outcome.passed;
+  for (const title of outcome.failed) {
+    if (red.has(title)) {
+      seenRed.push(title);
+    } else {
+      failed += 1;
+      failures.push(`${name}: ${title}`);
+    }
+  }
+}
+
+async function runNext(waiting) {
+  for (let file = waiting.shift(); file; file = waiting.shift()) {
+    await runFile(file);
+  }
+}
+
+const waiting = [...files];
+const lanes = Math.max(1, Math.floor(os.availableParallelism() / CORES_PER_FILE));
+await Promise.all(Array.from({length: lanes}, () => runNext(waiting)));
+if (record) {
+  const sorted = Object.entries(durations).sort(([a], [b]) => (a < b ? -1 : 1));
+  writeFileSync(
+    DURATIONS_FILE,
+    `${JSON.stringify(Object.fromEntries(sorted), null, 2)}\n`,
+  );
 }
 seenRed.forEach(title => console.log(`known red, passed over: ${title}`));
 failures.forEach(failure => console.log(`failed: ${failure}`));
--- /dev/null
+++ b/zones/fleet-client/src/index.ts
@@ -0,0 +1,2 @@
+export {FleetFollower, type FleetFollowerOptions} from './fleet-follower.js';
+export {openLineStream, type LineStreamOptions} from './line-stream.js';
--- /dev/null
+++ b/zones/fleet-view/src/index.ts
@@ -0,0 +1,1 @@
+export {FleetView, type FleetChange} from './fleet-view.js';
--- /dev/null
+++ b/zones/target-registry/src/index.ts
@@ -0,0 +1,5 @@
+export {
+  TargetRegistry,
+  type AnnouncementOutcome,
+  type TargetRegistryOptions,
+} from './target-registry.js';
--- /dev/null
+++ b/zones/target-registry/test/target-registry.test.ts
@@ -0,0 +1,71 @@
+import {expect} from 'chai';
+import type {TargetAnnouncement} from '@marigoldspur/deployment';
+import {TargetRegistry} from '@marigoldspur/target-registry';
+
+function announcement(
+  changes: Partial<TargetAnnouncement> = {},
+): TargetAnnouncement {
+  return {
+    id: 't1',
+    bornAt: 1_000,
+    sequence: 1,
+    service: 's',
+    address: '10.0.0.1:80',
+    zone: 'z',
+    slots: 8,
+    leaving: false,
+    models: [],
+    ...changes,
+  };
+}
+
+function registry(): TargetRegistry {
+  return new TargetRegistry({silentAfterMs: 4_000, rememberMs: 60_000});
+}
+
+it('target registry: only a change counts as one', () => {
+  const targets = registry();
+  expect(targets.announce(announcement(), 0)).to.equal('changed');
+  expect(targets.announce(announcement({sequence: 2}), 1)).to.equal(
+    'unchanged',
+  );
+  const leaving = announcement({sequence: 3, leaving: true});
+  expect(targets.announce(leaving, 2)).to.equal('changed');
+});
+
+it('target registry: a late announcement changes nothing', () => {
+  const targets = registry();
+  targets.announce(announcement({sequence: 5, leaving: true}), 0);
+  expect(targets.announce(announcement({sequence: 4}), 1)).to.equal('late');
+  expect(targets.targets()[0].leaving).to.equal(true);
+});
+
+it('target registry: a restart under the same identity counts anew', () => {
+  const targets = registry();
+  targets.announce(announcement({sequence: 50}), 0);
+  const again = announcement({bornAt: 2_000, sequence: 1});
+  expect(targets.announce(again, 1)).to.equal('changed');
+});
+
+it('target registry: one that ended comes back with a later start only', () => {
+  const targets = registry();
+  targets.announce(announcement(), 0);
+  expect(targets.leave('t1', 1)).to.deep.equal({id: 't1', bornAt: 1_000});
+  expect(targets.announce(announcement({sequence: 9}), 2)).to.equal('late');
+  const again = announcement({bornAt: 2_000});
+  expect(targets.announce(again, 3)).to.equal('changed');
+});
+
+it('target registry: an address belongs to whoever started last', () => {
+  const targets = registry();
+  targets.announce(announcement({id: 't2', bornAt: 5_000}), 0);
+  expect(targets.announce(announcement({sequence: 9}), 1)).to.equal('late');
+});
+
+it('target registry: silent targets are taken out once', () => {
+  const targets = registry();
+  targets.announce(announcement(), 0);
+  expect(targets.takeSilent(4_000)).to.deep.equal([]);
+  expect(targets.takeSilent(4_001)).to.deep.equal([{id: 't1', bornAt: 1_000}]);
+  expect(targets.takeSilent(4_002)).to.deep.equal([]);
+});
