--- a/agent/engine-agent/src/adapter-keeper.ts
+++ b/agent/engine-agent/src/adapter-keeper.ts
@@ -125,7 +125,7 @@
 
   /** Reads the engine's state and gives orders while there are any to give. */
   private async look(): Promise<void> {
-    for (let more = true; more && !this.stopped; ) {
+    for (let more = true; more && !this.stopped;) {
       const read = await this.options.engine.read();
       const now = performance.now();
       if (read.isErr) {
--- a/agent/engine-agent/src/adapter-plan.ts
+++ b/agent/engine-agent/src/adapter-plan.ts
@@ -60,9 +60,7 @@
     return undefined;
   }
   const due = view.wanted
-    .filter(
-      wanted => !isHeld(state, wanted) && !underWay.has(wanted.name),
-    )
+    .filter(wanted => !isHeld(state, wanted) && !underWay.has(wanted.name))
     .sort((a, b) => a.since - b.since)
     .at(0);
   if (due === undefined) {
--- a/agent/engine-agent/src/managed-engine.ts
+++ b/agent/engine-agent/src/managed-engine.ts
@@ -37,12 +37,7 @@
  * no such adapter is there, or it does not take the order at all.
  */
 export type OrderOutcome =
-  | 'accepted'
-  | 'holds'
-  | 'conflict'
-  | 'fenced'
-  | 'misdirected'
-  | 'rejected';
+  'accepted' | 'holds' | 'conflict' | 'fenced' | 'misdirected' | 'rejected';
 
 /** An engine that takes orders. */
 export interface ManagedEngine {
--- a/agent/engine-agent/src/start-engine-agent.ts
+++ b/agent/engine-agent/src/start-engine-agent.ts
@@ -60,7 +60,10 @@
   keeper.start();
   const url = await shell.serve({
     paths: new Map([
-      [ENGINE_VIEW_PATH, (request, response) => streams.handle(request, response)],
+      [
+        ENGINE_VIEW_PATH,
+        (request, response) => streams.handle(request, response),
+      ],
       [PREPARE_PATH, prepareHandler(keeper)],
       [USES_PATH, usesHandler(keeper)],
     ]),
--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -5,7 +5,8 @@
   'deployment-answered': {
     number: 700,
     level: 'info',
-    meaning: 'A replica of control answered a deployment that an operator sent.',
+    meaning:
+      'A replica of control answered a deployment that an operator sent.',
   },
   'version-answered': {
     number: 701,
@@ -151,6 +152,7 @@
   'lines-dropped': {
     number: 790,
     level: 'warn',
-    meaning: 'Log lines were dropped since they came faster than they are read.',
+    meaning:
+      'Log lines were dropped since they came faster than they are read.',
   },
 } as const satisfies Record<string, EventKind>;
--- a/control/consensus/src/repair-plan.ts
+++ b/control/consensus/src/repair-plan.ts
@@ -37,10 +37,7 @@
  */
 export function nextConfiguration(view: RepairView): Configuration | undefined {
   return (
-    confirmation(view) ??
-    promotion(view) ??
-    admission(view) ??
-    dismissal(view)
+    confirmation(view) ?? promotion(view) ?? admission(view) ?? dismissal(view)
   );
 }
 
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -85,7 +85,10 @@
       [BATCH_PATH, heartbeats],
       [COMMANDS_PATH, commands.handler()],
       [FENCES_PATH, fenceHandler(commands)],
-      [FLEET_PATH, (request, response) => fleet.streams.handle(request, response)],
+      [
+        FLEET_PATH,
+        (request, response) => fleet.streams.handle(request, response),
+      ],
     ]),
     revision: () => machine.settings.revision,
     isReady: () => log.isReady(),
--- a/control/fleet/src/fleet-desk.ts
+++ b/control/fleet/src/fleet-desk.ts
@@ -28,10 +28,7 @@
 /** What a fleet desk works with. */
 export interface FleetDeskOptions {
   readonly deployments: DeploymentState;
-  readonly log: Pick<
-    ReplicatedLog<unknown, unknown>,
-    'readBarrier' | 'status'
-  >;
+  readonly log: Pick<ReplicatedLog<unknown, unknown>, 'readBarrier' | 'status'>;
   readonly commands: FleetCommands;
   readonly events: EventLog;
 }
--- a/entry/direct-entry/src/call-runner.ts
+++ b/entry/direct-entry/src/call-runner.ts
@@ -17,6 +17,7 @@
 import {leftMs, type Call} from './call.js';
 import type {Dialect, ModelWork} from './dialect.js';
 import type {DirectMetrics} from './direct-metrics.js';
+import type {RetryAllowance} from './direct-settings.js';
 import type {ChosenTarget, TargetBook, TargetRun} from './target-book.js';
 import {
   refusalAfter,
@@ -32,6 +33,7 @@
   readonly client: TargetClient;
   readonly adapters: AdapterRequests;
   readonly dialect: Dialect;
+  readonly retries: RetryAllowance;
   readonly events: EventLog;
   readonly metrics: DirectMetrics;
 }
@@ -46,8 +48,9 @@
 /** What became of one attempt. */
 type AttemptEnd = Result<undefined, Refusal>;
 
-/** Share of requests that may be retries; the platforms' usual budget. */
-const RETRY_RATIO = 0.1;
+/** Part of the common allowance that is used: entries don't count at the same moment. */
+const ALLOWANCE_PART = 0.8;
+const SECOND_MS = 1_000;
 /** Longest wait for a turn of the retry budget, in milliseconds. */
 const MAX_RETRY_WAIT_MS = 200;
 /** What did not run may be offered to this many targets beyond the route's attempts. */
@@ -74,7 +77,8 @@
   /** Serves a call; a refusal is left to be sent. */
   async run(call: Call, response: ServerResponse): Promise<AttemptEnd> {
     const {service} = call;
-    this.budget(service.name).earn(RETRY_RATIO, performance.now());
+    const ratio = this.options.retries.ratio * ALLOWANCE_PART;
+    this.budget(service.name).earn(ratio, performance.now());
     const excluded = new Set<string>();
     let refusal: Refusal | undefined;
     let mayHaveRun = false;
@@ -347,9 +351,7 @@
       outlivesCaller: false,
       signal: call.signal,
       link:
-        isStream && route.idempotent
-          ? this.linkFor(call, attempt)
-          : undefined,
+        isStream && route.idempotent ? this.linkFor(call, attempt) : undefined,
     });
     const name = {
       whole: 'call-answered',
@@ -436,10 +438,19 @@
   }
 
   private budget(service: string): RetryBudget {
-    const known = this.retries.get(service) ?? new RetryBudget();
+    const known =
+      this.retries.get(service) ??
+      new RetryBudget(() => this.leastRetriesPerSecond());
     this.retries.set(service, known);
     return known;
   }
+
+  /** This entry's part of the retries that don't depend on the number of requests. */
+  private leastRetriesPerSecond(): number {
+    const {retries, view} = this.options;
+    const perSecond = (retries.slack * SECOND_MS) / retries.windowMs;
+    return (perSecond * ALLOWANCE_PART) / view.entries;
+  }
 }
 
 function bodyHeaders({body, headers}: Call): Record<string, number> {
@@ -459,7 +470,13 @@
 
 function outOfTime(): Refusal {
   const message = 'no target could be found in time';
-  return new Refusal('not-run', 503, 'out_of_time', message, RETRY_SOON_SECONDS);
+  return new Refusal(
+    'not-run',
+    503,
+    'out_of_time',
+    message,
+    RETRY_SOON_SECONDS,
+  );
 }
 
 function noTarget(): Refusal {
--- a/entry/direct-entry/src/direct-settings.ts
+++ b/entry/direct-entry/src/direct-settings.ts
@@ -1,5 +1,14 @@
 import type {LinkSettings} from '@marigoldspur/link-security';
 
+/** Retries that all entries together may send to one service in a sliding window. */
+export interface RetryAllowance {
+  /** Share of the service's requests that may be retries. */
+  readonly ratio: number;
+  /** Retries that are allowed beyond that share. */
+  readonly slack: number;
+  readonly windowMs: number;
+}
+
 /** Settings of an entry that sends calls straight to targets. */
 export interface DirectSettings extends LinkSettings {
   /** Name of the process, stable over restarts. */
@@ -16,6 +25,8 @@
   readonly readiness: string;
   /** Port of the agents beside targets. */
   readonly agentPort: number;
+  /** Retries that all entries together may send to one service. */
+  readonly retries: RetryAllowance;
   /** Time between a signal to end and its enforcement, in milliseconds. */
   readonly graceMs: number;
 }
--- a/entry/direct-entry/src/engine-views.ts
+++ b/entry/direct-entry/src/engine-views.ts
@@ -12,6 +12,8 @@
   readonly agent: http.Agent;
   /** Base URL of the agent beside a target. */
   readonly agentUrl: (address: string) => string;
+  /** Takes each state that an agent tells. */
+  readonly onView: (address: string, view: EngineView) => void;
 }
 
 const SILENCE_MS = 2.5 * ENGINE_VIEW_PULSE_MS;
@@ -64,6 +66,7 @@
       silenceMs: SILENCE_MS,
       onMessage: message => {
         link.view = ENGINE_VIEW_SCHEMA.parse(message);
+        this.options.onView(address, link.view);
       },
       onEnd: () => {
         link.retry = setTimeout(() => this.open(address, link), RETRY_MS);
--- a/entry/direct-entry/src/index.ts
+++ b/entry/direct-entry/src/index.ts
@@ -5,7 +5,7 @@
   ModelWork,
   Sending,
 } from './dialect.js';
-export type {DirectSettings} from './direct-settings.js';
+export type {DirectSettings, RetryAllowance} from './direct-settings.js';
 export {startDirectEntry, type DirectEntry} from './start-direct-entry.js';
 export {TargetBook, type TargetBookOptions} from './target-book.js';
 export {TargetAgent} from './target-agent.js';
--- a/entry/direct-entry/src/start-direct-entry.ts
+++ b/entry/direct-entry/src/start-direct-entry.ts
@@ -68,7 +68,11 @@
   });
   const agentUrl = (address: string) =>
     `${security.scheme}://${address.split(':')[0]}:${settings.agentPort}`;
-  const views = new EngineViews({agent, agentUrl});
+  const views = new EngineViews({
+    agent,
+    agentUrl,
+    onView: (address, view) => book.saw(address, view),
+  });
   const adapters = new AdapterRequests({agent, agentUrl});
   const client = new TargetClient(dialect);
   const metrics = new DirectMetrics(shell.metrics.registry);
@@ -89,6 +93,7 @@
       client,
       adapters,
       dialect,
+      retries: settings.retries,
       events,
       metrics,
     }),
--- a/entry/direct-entry/src/target-book.ts
+++ b/entry/direct-entry/src/target-book.ts
@@ -6,6 +6,7 @@
 import {adapterName, isSameStart} from '@marigoldspur/deployment';
 import {
   PromptMemory,
+  RecentAdapters,
   weighEngines,
   type EngineCandidate,
 } from '@marigoldspur/engine-choice';
@@ -59,6 +60,7 @@
   failureShare = 0;
   reported = 0;
   reportedAt = -Infinity;
+  readonly recent = new RecentAdapters();
   /** Adapters that the engine was found not to hold, with the time of that. */
   readonly missing = new Map<string, number>();
 }
@@ -119,8 +121,7 @@
       pending = 0;
     };
     return {
-      answered: (head, failed, at) =>
-        this.answered(target, head, failed, at),
+      answered: (head, failed, at) => this.answered(target, head, failed, at),
       begun,
       end: () => {
         begun();
@@ -198,13 +199,12 @@
     now: number,
   ): ChosenTarget | undefined {
     const adapter = adapterName(work.model, work.adapter);
-    const beginning = work.parts.at(-2)?.id ?? '';
     const candidates = targets.map(target =>
       this.candidate(target, need, work, now),
     );
     const best = weighEngines(
       {
-        affinity: `${adapter}@${need.version ?? ''} ${beginning}`,
+        affinity: adapter,
         zone: this.options.zone,
         promptTokens: work.promptTokens,
         memoryTokens: work.promptTokens + work.maxOutputTokens * OUTPUT_SHARE,
@@ -267,7 +267,23 @@
     if (held !== undefined && held[1] >= (version ?? 0)) {
       return 'held';
     }
-    return view?.loading.includes(adapter) ? 'loading' : 'absent';
+    if (view?.loading.includes(adapter)) {
+      return 'loading';
+    }
+    return record.recent.has(adapter, version) ? 'recent' : 'absent';
+  }
+
+  /** Takes note of what the engine at an address holds. */
+  saw(address: string, view: EngineView): void {
+    const target = this.options
+      .targets()
+      .find(
+        each =>
+          each.address === address && isSameStart(each.bornAt, view.bornAt),
+      );
+    if (target !== undefined) {
+      this.record(target).recent.see(view.adapters);
+    }
   }
 
   private record(target: TargetAnnouncement): TargetRecord {
--- a/entry/retries/src/index.ts
+++ b/entry/retries/src/index.ts
@@ -1,4 +1,4 @@
-export {RetryBudget} from './retry-budget.js';
+export {RetryBudget, type RetryBudgetOptions} from './retry-budget.js';
 export {
   afterAttempts,
   mayRetry,
--- a/entry/retries/src/retry-budget.ts
+++ b/entry/retries/src/retry-budget.ts
@@ -1,11 +1,21 @@
 const SECOND_MS = 1_000;
 /** Time over which the rate of requests is taken. */
 const WINDOW_MS = 5_000;
-/** Retries a second that are allowed however few requests come. */
-const MIN_RETRIES_PER_SECOND = 1;
+/** Retries a second that are allowed by default however few requests come. */
+const DEFAULT_LEAST_PER_SECOND = 1;
+/** Time whose retries are saved up by default while none are needed, in seconds. */
+const DEFAULT_SAVED_SECONDS = 1;
 /** Longest time that a retry waits for its turn. */
 const MAX_WAIT_MS = 3_000;
 
+/** Options of a retry budget. */
+export interface RetryBudgetOptions {
+  /** Gives the retries a second that are allowed however few requests come. */
+  readonly leastPerSecond?: () => number;
+  /** Time whose retries are saved up while none are needed, in seconds. */
+  readonly savedSeconds?: number;
+}
+
 /**
  * Keeps retries to a share of the requests of each second. What fails at the same
  * moment is retried one by one, so that retries never come as a wave.
@@ -16,6 +26,8 @@
   private earnedPerSecond = 0;
   private advancedAt = 0;
 
+  constructor(private readonly options: RetryBudgetOptions = {}) {}
+
   /** Counts a request at time `now`; `ratio` is the share of requests that may be retries. */
   earn(ratio: number, now: number): void {
     this.advance(now, ratio);
@@ -37,8 +49,12 @@
     return waitMs;
   }
 
+  private get leastPerSecond(): number {
+    return this.options.leastPerSecond?.() ?? DEFAULT_LEAST_PER_SECOND;
+  }
+
   private get retriesPerSecond(): number {
-    return Math.max(MIN_RETRIES_PER_SECOND, this.earnedPerSecond);
+    return Math.max(this.leastPerSecond, this.earnedPerSecond);
   }
 
   /** Adds what was earned, or the least of the time that has passed; saves up one second's retries. */
@@ -46,8 +62,9 @@
     const elapsedMs = Math.max(0, now - this.advancedAt);
     this.advancedAt = Math.max(now, this.advancedAt);
     this.earnedPerSecond *= Math.exp(-elapsedMs / WINDOW_MS);
-    const least = (MIN_RETRIES_PER_SECOND * elapsedMs) / SECOND_MS;
+    const least = (this.leastPerSecond * elapsedMs) / SECOND_MS;
     const tokens = this.tokens + Math.max(earned, least);
-    this.tokens = Math.min(this.retriesPerSecond, tokens);
+    const {savedSeconds = DEFAULT_SAVED_SECONDS} = this.options;
+    this.tokens = Math.min(this.retriesPerSecond * savedSeconds, tokens);
   }
 }
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import gts from 'gts';
 
 export default [
-  {ignores: ['**/lib/**', '**/node_modules/**']},
+  {ignores: ['**/lib/**', '**/node_modules/**', 'target/**']},
   ...gts,
   {
     files: ['**/*.ts'],
--- a/policy/engine-choice/src/engine-choice.ts
+++ b/policy/engine-choice/src/engine-choice.ts
@@ -15,8 +15,11 @@
 export interface EngineCandidate {
   readonly name: string;
   readonly zone: string;
-  /** Whether it holds the adapter in the version that is asked for. */
-  readonly adapter: 'held' | 'loading' | 'absent';
+  /**
+   * Whether it holds the adapter in the version that is asked for, loads it, held it
+   * lately so that it still has a copy beside the slots, or has nothing of it.
+   */
+  readonly adapter: 'held' | 'loading' | 'recent' | 'absent';
   /** Prompt tokens that it is thought to have cached already. */
   readonly cachedTokens: number;
   /** Prompt tokens of requests that were sent there and have not begun. */
@@ -41,6 +44,10 @@
 const PREFILL_TOKENS_PER_MS = 35;
 /** Time in which an adapter is fetched from the store, in milliseconds. */
 const LOAD_MS = 250;
+/** Time in which an adapter is loaded that the engine held lately, in milliseconds. */
+const RECENT_LOAD_MS = 25;
+/** The store serves all engines together, and other loads wait for this one, in milliseconds. */
+const STORE_MS = 150;
 /** Time until a load that is under way is done, on average. */
 const LOADING_MS = 125;
 /** An adapter that is loaded takes a slot from another one that is wanted too, in milliseconds. */
@@ -80,8 +87,7 @@
 
 function costMs(need: EngineNeed, candidate: EngineCandidate): number {
   const uncached = Math.max(0, need.promptTokens - candidate.cachedTokens);
-  const readMs =
-    (uncached + candidate.pendingTokens) / PREFILL_TOKENS_PER_MS;
+  const readMs = (uncached + candidate.pendingTokens) / PREFILL_TOKENS_PER_MS;
   return (
     readMs +
     adapterMs(candidate) +
@@ -100,8 +106,10 @@
       return 0;
     case 'loading':
       return LOADING_MS;
+    case 'recent':
+      return RECENT_LOAD_MS + DISPLACEMENT_MS;
     case 'absent':
-      return LOAD_MS + DISPLACEMENT_MS;
+      return LOAD_MS + DISPLACEMENT_MS + STORE_MS;
   }
 }
 
--- a/policy/engine-choice/src/index.ts
+++ b/policy/engine-choice/src/index.ts
@@ -4,4 +4,5 @@
   type EngineNeed,
   type WeighedEngine,
 } from './engine-choice.js';
+export {RecentAdapters} from './recent-adapters.js';
 export {PromptMemory, type PromptPart} from './prompt-memory.js';
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -2,10 +2,12 @@
  * Runs every compiled test file, or those whose path holds one of the arguments: each
  * in a process of its own, several side by side, the longest first.
  */
+import {Buffer} from 'node:buffer';
 import {fork} from 'node:child_process';
 import {existsSync, readdirSync, readFileSync, writeFileSync} from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
+import {performance} from 'node:perf_hooks';
 
 const ROOT = path.resolve(import.meta.dirname, '..');
 const KNOWN_RED_FILE = path.join(ROOT, 'KNOWN-RED.txt');
@@ -126,7 +128,10 @@
 }
 
 const waiting = [...files];
-const lanes = Math.max(1, Math.floor(os.availableParallelism() / CORES_PER_FILE));
+const lanes = Math.max(
+  1,
+  Math.floor(os.availableParallelism() / CORES_PER_FILE),
+);
 await Promise.all(Array.from({length: lanes}, () => runNext(waiting)));
 if (record) {
   const sorted = Object.entries(durations).sort(([a], [b]) => (a < b ? -1 : 1));
--- a/zones/fleet-view/test/fleet-view.test.ts
+++ b/zones/fleet-view/test/fleet-view.test.ts
@@ -31,7 +31,10 @@
 
 it('fleet view: the newest announcement of all replicas counts', () => {
   const view = new FleetView();
-  view.take('a', {whole: true, targets: [target({sequence: 5, leaving: true})]});
+  view.take('a', {
+    whole: true,
+    targets: [target({sequence: 5, leaving: true})],
+  });
   view.take('b', {whole: true, targets: [target({sequence: 4})]});
   expect(view.targets()[0].leaving).to.equal(true);
 });
