--- a/agent/engine-agent/src/adapter-keeper.ts
+++ b/agent/engine-agent/src/adapter-keeper.ts
@@ -36,12 +36,21 @@
   readonly waiters: Set<(answer: PrepareAnswer) => void>;
 }
 
+/** A load that the engine took. */
+interface OrderedLoad {
+  readonly at: number;
+  /** Version that the engine held before, if any. */
+  readonly replaced?: number;
+}
+
 /** Time between two looks at an engine that has nothing to do, in milliseconds. */
 const IDLE_POLL_MS = 250;
 /** Time between two looks while adapters are waited for, in milliseconds. */
 const BUSY_POLL_MS = 25;
 /** An accepted load that the engine does not show after this time has failed, in milliseconds. */
 const ORDERED_VALID_MS = 1_000;
+/** A replacement is not shown before the runs on the old version have ended, in milliseconds. */
+const REPLACING_VALID_MS = 10_000;
 /** Uses count half after this time: demand moves to other adapters within seconds, in milliseconds. */
 const USE_HALF_LIFE_MS = 20_000;
 
@@ -49,7 +58,7 @@
 export class AdapterKeeper {
   private readonly wake = new ChangeSignal();
   private readonly wanted = new Map<string, Wanted>();
-  private readonly ordered = new Map<string, number>();
+  private readonly ordered = new Map<string, OrderedLoad>();
   private readonly leaving = new Set<string>();
   private readonly lastUsed = new Map<string, number>();
   private eviction = newEviction();
@@ -150,14 +159,13 @@
     const before = this.state;
     if (before === undefined || hasRestarted(before, state)) {
       const {bornAt, sequence} = state;
-      const held = state.adapters.size;
+      const held = [...state.models, ...state.adapters.keys()].join(' ');
       this.options.events.record('engine-found', {bornAt, sequence, held});
       this.forgetOrders();
     }
     this.state = state;
-    for (const [name, at] of this.ordered) {
-      const isShown = state.loading.has(name) || state.adapters.has(name);
-      if (isShown || now - at > ORDERED_VALID_MS) {
+    for (const [name, load] of this.ordered) {
+      if (isSettled(name, load, state, now)) {
         this.ordered.delete(name);
       }
     }
@@ -193,7 +201,8 @@
     }
     const name = adapterName(order.model, order.adapter);
     const given = await this.options.engine.order(order);
-    const details = {order: order.kind, adapter: name, fence};
+    const {sequence} = order;
+    const details = {order: order.kind, adapter: name, fence, sequence};
     if (given.isErr) {
       this.unclear = order;
       const reason = given.error.message;
@@ -231,18 +240,26 @@
   private taken(
     order: AdapterOrder,
     outcome: OrderOutcome,
-    details: {order: string; adapter: string; fence: number},
+    details: {
+      readonly order: string;
+      readonly adapter: string;
+      readonly fence: number;
+      readonly sequence: number;
+    },
   ): boolean {
     const {events, renewFence} = this.options;
     const name = details.adapter;
     if (outcome === 'accepted' || outcome === 'holds') {
       events.record('order-given', {...details, outcome});
-      if (order.kind === 'load') {
-        this.ordered.set(name, performance.now());
+      if (order.kind === 'load' && order.adapter !== undefined) {
+        this.ordered.set(name, {
+          at: performance.now(),
+          replaced: this.state?.adapters.get(name),
+        });
       } else if (outcome === 'accepted') {
         this.leaving.add(name);
       }
-      return true;
+      return order.adapter !== undefined;
     }
     events.record('order-failed', {...details, reason: outcome});
     if (outcome === 'fenced') {
@@ -272,6 +289,19 @@
   }
 }
 
+/** Whether an engine shows a load that it took, or never will. */
+function isSettled(
+  name: string,
+  {at, replaced}: OrderedLoad,
+  {adapters, loading}: EngineState,
+  now: number,
+): boolean {
+  const validMs =
+    replaced === undefined ? ORDERED_VALID_MS : REPLACING_VALID_MS;
+  const isHeldAnew = adapters.has(name) && adapters.get(name) !== replaced;
+  return loading.has(name) || isHeldAnew || now - at > validMs;
+}
+
 /** Whether an engine began anew between two looks at it. */
 function hasRestarted(before: EngineState, after: EngineState): boolean {
   return after.bornAt !== before.bornAt || after.sequence < before.sequence;
@@ -284,6 +314,9 @@
 function orderedAdapter(
   planned: PlannedOrder,
 ): Pick<AdapterOrder, 'kind' | 'model' | 'adapter' | 'version'> {
+  if (planned.kind === 'load-model') {
+    return {kind: 'load', model: planned.model};
+  }
   if (planned.kind === 'load') {
     const {model, adapter, version} = planned.wanted;
     return {kind: 'load', model, adapter, version: version || undefined};
@@ -294,10 +327,11 @@
 
 function viewOf(
   state: EngineState,
-  ordered: ReadonlyMap<string, number>,
+  ordered: ReadonlyMap<string, unknown>,
 ): EngineView {
   return {
     bornAt: state.bornAt,
+    models: [...state.models],
     adapters: [...state.adapters],
     loading: [...new Set([...state.loading, ...ordered.keys()])],
     waiting: state.waiting,
--- a/agent/engine-agent/src/adapter-plan.ts
+++ b/agent/engine-agent/src/adapter-plan.ts
@@ -1,11 +1,12 @@
 import type {Eviction} from '@marigoldspur/eviction';
 import type {EngineState} from './managed-engine.js';
 
-/** An adapter that calls wait for. */
+/** An adapter, or a model itself, that calls wait for. */
 export interface WantedAdapter {
   readonly model: string;
-  readonly adapter: string;
-  /** Name, `model/adapter`. */
+  /** Absent where the model itself is meant. */
+  readonly adapter?: string;
+  /** Name, `model/adapter` or that of the model. */
   readonly name: string;
   /** Oldest version that will do; any without it. */
   readonly version?: number;
@@ -29,17 +30,23 @@
 
 /** The next order to give. */
 export type PlannedOrder =
+  | {readonly kind: 'load-model'; readonly model: string}
   | {readonly kind: 'load'; readonly wanted: WantedAdapter}
   | {readonly kind: 'unload'; readonly name: string};
 
+/** Most runs have ended so long after the call came, in milliseconds; an adapter with runs leaves only after them. */
+const RUN_MS = 2_500;
 /** Adapters that may be on their way to one engine at the same time. */
 const MAX_LOADING = 4;
 
 /** Whether the engine holds an adapter in a version that will do. */
 export function isHeld(
   state: EngineState,
-  {name, version}: Pick<WantedAdapter, 'name' | 'version'>,
+  {adapter, model, name, version}: WantedAdapter,
 ): boolean {
+  if (adapter === undefined) {
+    return state.models.has(model);
+  }
   const held = state.adapters.get(name);
   return held !== undefined && held >= (version ?? 0);
 }
@@ -55,6 +62,9 @@
   now: number,
 ): PlannedOrder | undefined {
   const {state, slots, ordered, leaving} = view;
+  if (state.busy) {
+    return undefined;
+  }
   const underWay = new Set([...state.loading, ...ordered]);
   if (underWay.size >= MAX_LOADING) {
     return undefined;
@@ -66,6 +76,9 @@
   if (due === undefined) {
     return undefined;
   }
+  if (!state.models.has(due.model)) {
+    return {kind: 'load-model', model: due.model};
+  }
   const taken = new Set([...state.adapters.keys(), ...underWay]);
   if (taken.has(due.name) || taken.size < slots) {
     return leaving.has(due.name) ? undefined : {kind: 'load', wanted: due};
@@ -73,13 +86,24 @@
   if (leaving.size > 0) {
     return undefined;
   }
-  const victim = eviction.victim(evictable(view, underWay), now);
+  const victim = eviction.victim(evictable(view, underWay, now), now);
   return victim === undefined ? undefined : {kind: 'unload', name: victim};
 }
 
-function evictable(view: AdapterView, underWay: ReadonlySet<string>) {
+/** The adapters that may leave: those without runs, as far as is known, where there are any. */
+function evictable(
+  view: AdapterView,
+  underWay: ReadonlySet<string>,
+  now: number,
+) {
   const wanted = new Set(view.wanted.map(({name}) => name));
-  return [...view.state.adapters.keys()]
+  const all = [...view.state.adapters.keys()]
     .filter(name => !underWay.has(name) && !wanted.has(name))
     .map(model => ({model, lastUsed: view.lastUsed.get(model) ?? -Infinity}));
+  const idle = all.filter(({lastUsed}) => now - lastUsed >= RUN_MS);
+  if (idle.length > 0) {
+    return idle;
+  }
+  const oldest = Math.min(...all.map(({lastUsed}) => lastUsed));
+  return all.filter(({lastUsed}) => lastUsed === oldest);
 }
--- a/agent/engine-agent/src/managed-engine.ts
+++ b/agent/engine-agent/src/managed-engine.ts
@@ -7,6 +7,10 @@
   readonly bornAt: number;
   /** Orders that the engine has taken since its start. */
   readonly sequence: number;
+  /** Whether an order to load or drop a model is being carried out; no other one is taken meanwhile. */
+  readonly busy: boolean;
+  /** Models that it holds. */
+  readonly models: ReadonlySet<string>;
   /** Versions of the adapters that it holds, by `model/adapter`. */
   readonly adapters: ReadonlyMap<string, number>;
   /** Adapters that are on their way to it, `model/adapter`. */
@@ -21,7 +25,8 @@
 export interface AdapterOrder {
   readonly kind: 'load' | 'unload';
   readonly model: string;
-  readonly adapter: string;
+  /** Absent where the model itself is meant. */
+  readonly adapter?: string;
   /** Version to load; the newest one without it. */
   readonly version?: number;
   /** Orders that the engine must have taken before, so that a late one changes nothing. */
--- a/contracts/deployment/src/engine-view.ts
+++ b/contracts/deployment/src/engine-view.ts
@@ -14,6 +14,8 @@
 export const ENGINE_VIEW_SCHEMA = z.object({
   /** When the engine's process started, in milliseconds since the epoch. */
   bornAt: z.int().min(0),
+  /** Models that the engine holds. */
+  models: z.array(z.string()),
   /** Adapters that the engine holds, `model/adapter`, each with its version. */
   adapters: z.array(z.tuple([z.string(), z.int().min(0)])),
   /** Adapters that are being loaded. */
@@ -29,10 +31,11 @@
 /** State of an engine, as its agent reads it. */
 export type EngineView = z.infer<typeof ENGINE_VIEW_SCHEMA>;
 
-/** Asks an agent to make an adapter ready. */
+/** Asks an agent to make an adapter, or a model itself, ready. */
 export const PREPARE_REQUEST_SCHEMA = z.object({
   model: z.string().min(1),
-  adapter: z.string().min(1),
+  /** Absent where the model itself is meant. */
+  adapter: z.string().min(1).optional(),
   /** Oldest version that will do; any without it. */
   version: z.int().min(0).optional(),
   /** Adapters that the engine has room for. */
--- a/entry/direct-entry/src/call-runner.ts
+++ b/entry/direct-entry/src/call-runner.ts
@@ -51,8 +51,10 @@
 /** Part of the common allowance that is used: entries don't count at the same moment. */
 const ALLOWANCE_PART = 0.8;
 const SECOND_MS = 1_000;
+/** Retries are needed in bursts, such as those of a target that ends, in seconds. */
+const SAVED_SECONDS = 4;
 /** Longest wait for a turn of the retry budget, in milliseconds. */
-const MAX_RETRY_WAIT_MS = 200;
+const MAX_RETRY_WAIT_MS = 500;
 /** What did not run may be offered to this many targets beyond the route's attempts. */
 const EXTRA_OFFERS = 2;
 /** Below this time a target can't answer any more, in milliseconds. */
@@ -125,7 +127,7 @@
       const version = this.versionFor(work);
       const need = {service, work, version, excluded: unready};
       const chosen = book.choose(need, performance.now());
-      if (chosen === undefined || work?.adapter === undefined) {
+      if (chosen === undefined || work === undefined) {
         return chosen;
       }
       const {address, id} = chosen.target;
@@ -162,7 +164,7 @@
       target.address,
       {
         model: work.model,
-        adapter: work.adapter!,
+        adapter: work.adapter,
         version: this.versionFor(work),
         slots: call.service.engine?.adapterSlots ?? 0,
         target: target.id,
@@ -440,7 +442,10 @@
   private budget(service: string): RetryBudget {
     const known =
       this.retries.get(service) ??
-      new RetryBudget(() => this.leastRetriesPerSecond());
+      new RetryBudget({
+        leastPerSecond: () => this.leastRetriesPerSecond(),
+        savedSeconds: SAVED_SECONDS,
+      });
     this.retries.set(service, known);
     return known;
   }
@@ -448,8 +453,8 @@
   /** This entry's part of the retries that don't depend on the number of requests. */
   private leastRetriesPerSecond(): number {
     const {retries, view} = this.options;
-    const perSecond = (retries.slack * SECOND_MS) / retries.windowMs;
-    return (perSecond * ALLOWANCE_PART) / view.entries;
+    const seconds = retries.windowMs / SECOND_MS + SAVED_SECONDS;
+    return (retries.slack * ALLOWANCE_PART) / seconds / view.entries;
   }
 }
 
--- a/entry/direct-entry/src/target-book.ts
+++ b/entry/direct-entry/src/target-book.ts
@@ -237,10 +237,7 @@
     return {
       name: target.id,
       zone: target.zone,
-      adapter:
-        work.adapter === undefined
-          ? 'held'
-          : this.adapterState(record, view, adapter, need.version, now),
+      adapter: this.adapterState(record, view, work, need.version, now),
       cachedTokens: record.prompts.cachedTokens(adapter, work.parts, now),
       pendingTokens: record.pendingTokens,
       running: Math.max(record.inFlight, view?.running ?? 0),
@@ -255,10 +252,17 @@
   private adapterState(
     record: TargetRecord,
     view: EngineView | undefined,
-    adapter: string,
+    work: ModelWork,
     version: number | undefined,
     now: number,
   ): EngineCandidate['adapter'] {
+    const adapter = adapterName(work.model, work.adapter);
+    if (view?.models.includes(work.model) === false) {
+      return 'no-model';
+    }
+    if (work.adapter === undefined) {
+      return 'held';
+    }
     const missingAt = record.missing.get(adapter) ?? -Infinity;
     if (now - missingAt < MISSING_MS) {
       return 'absent';
@@ -302,9 +306,6 @@
   return (
     target.service === need.service.name &&
     !target.leaving &&
-    !need.excluded.has(target.id) &&
-    (need.work === undefined ||
-      target.models.length === 0 ||
-      target.models.includes(need.work.model))
+    !need.excluded.has(target.id)
   );
 }
--- a/policy/engine-choice/src/engine-choice.ts
+++ b/policy/engine-choice/src/engine-choice.ts
@@ -17,9 +17,10 @@
   readonly zone: string;
   /**
    * Whether it holds the adapter in the version that is asked for, loads it, held it
-   * lately so that it still has a copy beside the slots, or has nothing of it.
+   * lately so that it still has a copy beside the slots, has nothing of it, or does not
+   * even hold its model.
    */
-  readonly adapter: 'held' | 'loading' | 'recent' | 'absent';
+  readonly adapter: 'held' | 'loading' | 'recent' | 'absent' | 'no-model';
   /** Prompt tokens that it is thought to have cached already. */
   readonly cachedTokens: number;
   /** Prompt tokens of requests that were sent there and have not begun. */
@@ -48,6 +49,8 @@
 const RECENT_LOAD_MS = 25;
 /** The store serves all engines together, and other loads wait for this one, in milliseconds. */
 const STORE_MS = 150;
+/** Time in which a model is loaded, in milliseconds. */
+const MODEL_LOAD_MS = 1_000;
 /** Time until a load that is under way is done, on average. */
 const LOADING_MS = 125;
 /** An adapter that is loaded takes a slot from another one that is wanted too, in milliseconds. */
@@ -110,6 +113,8 @@
       return RECENT_LOAD_MS + DISPLACEMENT_MS;
     case 'absent':
       return LOAD_MS + DISPLACEMENT_MS + STORE_MS;
+    case 'no-model':
+      return LOAD_MS + STORE_MS + MODEL_LOAD_MS;
   }
 }
 
