Tell agents which adapters calls use, and place by idle slots

Cause: 166 of 684 adapters that were told to leave were in use, and held up all other loads of their engine until their runs had ended; 989 waits for an adapter were given up.

--- a/agent/engine-agent/src/adapter-keeper.ts
+++ b/agent/engine-agent/src/adapter-keeper.ts
@@ -3,6 +3,7 @@
   EngineView,
   PrepareAnswer,
   PrepareRequest,
+  Uses,
 } from '@marigoldspur/deployment';
 import {adapterName} from '@marigoldspur/deployment';
 import {createEviction} from '@marigoldspur/eviction';
@@ -13,6 +14,7 @@
   type PlannedOrder,
   type WantedAdapter,
 } from './adapter-plan.js';
+import {UseTable} from './use-table.js';
 import type {
   AdapterOrder,
   EngineState,
@@ -60,7 +62,7 @@
   private readonly wanted = new Map<string, Wanted>();
   private readonly ordered = new Map<string, OrderedLoad>();
   private readonly leaving = new Set<string>();
-  private readonly lastUsed = new Map<string, number>();
+  private readonly uses = new UseTable();
   private eviction = newEviction();
   private state: EngineState | undefined;
   private target: string | undefined;
@@ -92,7 +94,7 @@
     const name = adapterName(request.model, request.adapter);
     this.slots = request.slots;
     this.target = request.target;
-    this.used(name, 1, now);
+    this.uses.used(name, now);
     return new Promise(resolve => {
       const known = this.wanted.get(name);
       const wanted: Wanted = {
@@ -116,12 +118,15 @@
     });
   }
 
-  /** Takes note that calls use an adapter. */
-  used(name: string, count: number, now: number): void {
-    for (let use = 0; use < count; use += 1) {
-      this.eviction.used(name, now);
+  /** Takes what an entry tells of the use of adapters. */
+  takeUses(uses: Uses, now: number): void {
+    this.uses.take(uses, now);
+    for (const [name, count] of uses.begun) {
+      for (let use = 0; use < count; use += 1) {
+        this.eviction.used(name, now);
+      }
     }
-    this.lastUsed.set(name, now);
+    this.wake.notify();
   }
 
   private async run(): Promise<void> {
@@ -183,7 +188,8 @@
         this.answer(wanted, {ready: true});
       }
     }
-    this.options.onView(viewOf(state, this.ordered));
+    const idleSlots = this.idleSlots(state, now);
+    this.options.onView(viewOf(state, this.ordered, idleSlots));
   }
 
   /** Gives the next order; false where there is none, or the engine has to be waited for. */
@@ -224,7 +230,7 @@
         ordered: new Set(this.ordered.keys()),
         leaving: this.leaving,
         wanted: [...this.wanted.values()],
-        lastUsed: this.lastUsed,
+        uses: this.uses,
       },
       this.eviction,
       now,
@@ -273,6 +279,18 @@
     return false;
   }
 
+  /** Slots that are empty or whose adapters no call uses or waits for. */
+  private idleSlots(state: EngineState, now: number): number {
+    const taken = new Set([...state.loading, ...this.ordered.keys()]);
+    this.wanted.forEach(({name}) => taken.add(name));
+    for (const name of state.adapters.keys()) {
+      if (this.uses.isUsed(name, now)) {
+        taken.add(name);
+      }
+    }
+    return Math.max(0, this.slots - taken.size);
+  }
+
   private answer(wanted: Wanted, answer: PrepareAnswer): void {
     this.wanted.delete(wanted.name);
     wanted.waiters.forEach(resolve => resolve(answer));
@@ -328,12 +346,14 @@
 function viewOf(
   state: EngineState,
   ordered: ReadonlyMap<string, unknown>,
+  idleSlots: number,
 ): EngineView {
   return {
     bornAt: state.bornAt,
     models: [...state.models],
     adapters: [...state.adapters],
     loading: [...new Set([...state.loading, ...ordered.keys()])],
+    idleSlots,
     waiting: state.waiting,
     running: state.running,
     memoryUsed: state.memoryUsed,
--- a/agent/engine-agent/src/adapter-plan.ts
+++ b/agent/engine-agent/src/adapter-plan.ts
@@ -1,5 +1,6 @@
 import type {Eviction} from '@marigoldspur/eviction';
 import type {EngineState} from './managed-engine.js';
+import type {UseTable} from './use-table.js';
 
 /** An adapter, or a model itself, that calls wait for. */
 export interface WantedAdapter {
@@ -24,8 +25,7 @@
   /** Adapters that the engine drops once their runs have ended. */
   readonly leaving: ReadonlySet<string>;
   readonly wanted: readonly WantedAdapter[];
-  /** When each adapter was last used, in milliseconds. */
-  readonly lastUsed: ReadonlyMap<string, number>;
+  readonly uses: Pick<UseTable, 'isUsed' | 'usedAt'>;
 }
 
 /** The next order to give. */
@@ -34,8 +34,6 @@
   | {readonly kind: 'load'; readonly wanted: WantedAdapter}
   | {readonly kind: 'unload'; readonly name: string};
 
-/** Most runs have ended so long after the call came, in milliseconds; an adapter with runs leaves only after them. */
-const RUN_MS = 2_500;
 /** Adapters that may be on their way to one engine at the same time. */
 const MAX_LOADING = 4;
 
@@ -90,20 +88,15 @@
   return victim === undefined ? undefined : {kind: 'unload', name: victim};
 }
 
-/** The adapters that may leave: those without runs, as far as is known, where there are any. */
+/** The adapters that may leave: an engine drops one with runs only after these, and holds up others meanwhile. */
 function evictable(
   view: AdapterView,
   underWay: ReadonlySet<string>,
   now: number,
 ) {
   const wanted = new Set(view.wanted.map(({name}) => name));
-  const all = [...view.state.adapters.keys()]
+  return [...view.state.adapters.keys()]
     .filter(name => !underWay.has(name) && !wanted.has(name))
-    .map(model => ({model, lastUsed: view.lastUsed.get(model) ?? -Infinity}));
-  const idle = all.filter(({lastUsed}) => now - lastUsed >= RUN_MS);
-  if (idle.length > 0) {
-    return idle;
-  }
-  const oldest = Math.min(...all.map(({lastUsed}) => lastUsed));
-  return all.filter(({lastUsed}) => lastUsed === oldest);
+    .filter(name => !view.uses.isUsed(name, now))
+    .map(model => ({model, lastUsed: view.uses.usedAt(model)}));
 }
--- a/agent/engine-agent/src/prepare-handler.ts
+++ b/agent/engine-agent/src/prepare-handler.ts
@@ -59,9 +59,7 @@
   return jsonHandler({
     maxBodyBytes: MAX_REQUEST_BYTES,
     answer: async message => {
-      const {uses} = USES_SCHEMA.parse(message);
-      const now = performance.now();
-      uses.forEach(([name, count]) => keeper.used(name, count, now));
+      keeper.takeUses(USES_SCHEMA.parse(message), performance.now());
       return {};
     },
   });
--- /dev/null
+++ b/agent/engine-agent/src/use-table.ts
@@ -0,0 +1,44 @@
+import type {Uses} from '@marigoldspur/deployment';
+
+interface EntryUses {
+  readonly running: ReadonlySet<string>;
+  readonly at: number;
+}
+
+/** What an entry told counts for so long unless it is told again, in milliseconds. */
+const VALID_MS = 3_000;
+/** Calls that began are told a moment later; an adapter counts as used so long, in milliseconds. */
+const JUST_USED_MS = 400;
+
+/** Which adapters of an engine calls use, as the entries tell. */
+export class UseTable {
+  private readonly entries = new Map<string, EntryUses>();
+  private readonly lastUsed = new Map<string, number>();
+
+  /** Takes what an entry tells at time `now`, in milliseconds. */
+  take({entry, running}: Uses, now: number): void {
+    const names = running.map(([name]) => name);
+    this.entries.set(entry, {running: new Set(names), at: now});
+    names.forEach(name => this.lastUsed.set(name, now));
+  }
+
+  /** Takes note of a use that no entry has told yet. */
+  used(name: string, now: number): void {
+    this.lastUsed.set(name, now);
+  }
+
+  /** When an adapter was last known to be used. */
+  usedAt(name: string): number {
+    return this.lastUsed.get(name) ?? -Infinity;
+  }
+
+  /** Whether calls use an adapter at time `now`. */
+  isUsed(name: string, now: number): boolean {
+    if (now - this.usedAt(name) < JUST_USED_MS) {
+      return true;
+    }
+    return [...this.entries.values()].some(
+      ({at, running}) => now - at < VALID_MS && running.has(name),
+    );
+  }
+}
--- a/contracts/deployment/src/engine-view.ts
+++ b/contracts/deployment/src/engine-view.ts
@@ -20,6 +20,8 @@
   adapters: z.array(z.tuple([z.string(), z.int().min(0)])),
   /** Adapters that are being loaded. */
   loading: z.array(z.string()),
+  /** Slots that are empty or whose adapters no call uses. */
+  idleSlots: z.int().min(0),
   /** Requests that wait in the engine. */
   waiting: z.int().min(0),
   /** Requests in the engine's batch. */
@@ -56,10 +58,17 @@
 /** What came of a request to make an adapter ready. */
 export type PrepareAnswer = z.infer<typeof PREPARE_ANSWER_SCHEMA>;
 
-/** Uses of adapters, `model/adapter`, since the last message. */
+const ADAPTER_COUNT = z.tuple([z.string(), z.int().min(1)]);
+
+/** Use of an engine's adapters, `model/adapter`, by the calls of one entry. */
 export const USES_SCHEMA = z.object({
-  uses: z.array(z.tuple([z.string(), z.int().min(1)])),
+  /** Name of the entry. */
+  entry: z.string().min(1),
+  /** Calls that began since the last message. */
+  begun: z.array(ADAPTER_COUNT),
+  /** Calls that run now. */
+  running: z.array(ADAPTER_COUNT),
 });
 
-/** Uses of adapters since the last message. */
+/** Use of an engine's adapters by the calls of one entry. */
 export type Uses = z.infer<typeof USES_SCHEMA>;
--- a/entry/direct-entry/src/adapter-requests.ts
+++ b/entry/direct-entry/src/adapter-requests.ts
@@ -8,22 +8,26 @@
 } from '@marigoldspur/deployment';
 import {toFault} from '@marigoldspur/faults';
 import {exchangeJson} from '@marigoldspur/http-link';
+import {AdapterUses} from './adapter-uses.js';
 
 /** What adapter requests work with. */
 export interface AdapterRequestsOptions {
+  /** Name of this entry. */
+  readonly entry: string;
   readonly agent: http.Agent;
   /** Base URL of the agent beside a target. */
   readonly agentUrl: (address: string) => string;
 }
 
 const MAX_ANSWER_BYTES = 4_096;
-const FLUSH_MS = 400;
-const FLUSH_TIMEOUT_MS = 1_000;
+/** An adapter whose last call has ended may leave so much later, in milliseconds. */
+const TELL_MS = 150;
+const TELL_TIMEOUT_MS = 1_000;
 
-/** Asks agents to make adapters ready, and tells them which ones are used. */
+/** Asks agents to make adapters ready, and tells them which ones calls use. */
 export class AdapterRequests {
-  private uses = new Map<string, Map<string, number>>();
-  private readonly timer = setInterval(() => this.flush(), FLUSH_MS);
+  private readonly uses = new AdapterUses();
+  private readonly timer = setInterval(() => this.tell(), TELL_MS);
 
   constructor(private readonly options: AdapterRequestsOptions) {}
 
@@ -47,29 +51,26 @@
     }
   }
 
-  /** Takes note of the use of an adapter that the engine holds already. */
-  used(address: string, adapter: string): void {
-    const uses = this.uses.get(address) ?? new Map<string, number>();
-    uses.set(adapter, (uses.get(adapter) ?? 0) + 1);
-    this.uses.set(address, uses);
+  /** A call uses an adapter of the engine at an address until the returned function is called. */
+  begin(address: string, adapter: string): () => void {
+    return this.uses.begin(address, adapter);
   }
 
   stop(): void {
     clearInterval(this.timer);
   }
 
-  private flush(): void {
-    const {uses} = this;
-    this.uses = new Map();
-    for (const [address, counts] of uses) {
+  private tell(): void {
+    const {agent, agentUrl, entry} = this.options;
+    for (const {address, begun, running} of this.uses.due(performance.now())) {
       exchangeJson({
-        url: new URL(USES_PATH, this.options.agentUrl(address)),
-        body: {uses: [...counts]},
-        agent: this.options.agent,
-        signal: AbortSignal.timeout(FLUSH_TIMEOUT_MS),
+        url: new URL(USES_PATH, agentUrl(address)),
+        body: {entry, begun, running},
+        agent,
+        signal: AbortSignal.timeout(TELL_TIMEOUT_MS),
         maxAnswerBytes: MAX_ANSWER_BYTES,
       }).catch(() => {
-        // Uses only steer which adapter leaves first; the next ones make up for lost ones.
+        // The next message tells everything that runs again.
       });
     }
   }
--- /dev/null
+++ b/entry/direct-entry/src/adapter-uses.ts
@@ -0,0 +1,70 @@
+/** Use of one engine's adapters that its agent is to be told. */
+export interface DueUses {
+  readonly address: string;
+  readonly begun: Array<[string, number]>;
+  readonly running: Array<[string, number]>;
+}
+
+interface EngineUses {
+  readonly begun: Map<string, number>;
+  readonly running: Map<string, number>;
+  changed: boolean;
+  toldAt: number;
+}
+
+/** Agents forget what they were not told again for some seconds, in milliseconds. */
+const REPEAT_MS = 1_000;
+
+/** Counts the calls of this entry by engine and adapter. */
+export class AdapterUses {
+  private readonly engines = new Map<string, EngineUses>();
+
+  /** A call begins; the returned function ends it. */
+  begin(address: string, adapter: string): () => void {
+    const known = this.engines.get(address);
+    const engine = known ?? {
+      begun: new Map<string, number>(),
+      running: new Map<string, number>(),
+      changed: true,
+      toldAt: -Infinity,
+    };
+    this.engines.set(address, engine);
+    add(engine.begun, adapter, 1);
+    add(engine.running, adapter, 1);
+    engine.changed = true;
+    return () => {
+      add(engine.running, adapter, -1);
+      engine.changed = true;
+    };
+  }
+
+  /** What is to be told at time `now`, in milliseconds: changes, and what runs each second. */
+  due(now: number): DueUses[] {
+    const due: DueUses[] = [];
+    for (const [address, engine] of this.engines) {
+      if (engine.changed || now - engine.toldAt >= REPEAT_MS) {
+        due.push({
+          address,
+          begun: [...engine.begun],
+          running: [...engine.running],
+        });
+        engine.begun.clear();
+        engine.changed = false;
+        engine.toldAt = now;
+        if (engine.running.size === 0) {
+          this.engines.delete(address);
+        }
+      }
+    }
+    return due;
+  }
+}
+
+function add(counts: Map<string, number>, key: string, count: number): void {
+  const sum = (counts.get(key) ?? 0) + count;
+  if (sum > 0) {
+    counts.set(key, sum);
+  } else {
+    counts.delete(key);
+  }
+}
--- a/entry/direct-entry/src/call-runner.ts
+++ b/entry/direct-entry/src/call-runner.ts
@@ -119,7 +119,7 @@
     call: Call,
     excluded: ReadonlySet<string>,
   ): Promise<ChosenTarget | undefined> {
-    const {book, adapters} = this.options;
+    const {book} = this.options;
     const {service, head} = call;
     const {work} = head;
     const unready = new Set(excluded);
@@ -130,15 +130,13 @@
       if (chosen === undefined || work === undefined) {
         return chosen;
       }
-      const {address, id} = chosen.target;
       if (!chosen.needsAdapter) {
-        adapters.used(address, adapterName(work.model, work.adapter));
         return chosen;
       }
       if (await this.prepare(call, chosen.target, work)) {
         return chosen;
       }
-      unready.add(id);
+      unready.add(chosen.target.id);
       const left = leftMs(call, performance.now());
       if (call.signal.aborted || left < MIN_LEFT_MS) {
         return undefined;
@@ -190,8 +188,7 @@
     number: number,
     response: ServerResponse,
   ): Promise<AttemptEnd> {
-    const {book} = this.options;
-    const run = book.begin(target, call.head.work, performance.now());
+    const run = this.begin(call, target);
     const attempt = {number, target, run};
     try {
       const sent = await this.send(call, attempt);
@@ -204,6 +201,24 @@
     }
   }
 
+  /** Counts a call at its target, and its use of an adapter there. */
+  private begin({head: {work}}: Call, target: TargetAnnouncement): TargetRun {
+    const {adapters, book} = this.options;
+    const run = book.begin(target, work, performance.now());
+    if (work?.adapter === undefined) {
+      return run;
+    }
+    const adapter = adapterName(work.model, work.adapter);
+    const endUse = adapters.begin(target.address, adapter);
+    return {
+      ...run,
+      end: () => {
+        run.end();
+        endUse();
+      },
+    };
+  }
+
   private async send(
     call: Call,
     {number, target}: Attempt,
@@ -399,14 +414,14 @@
     number: number,
     after: number,
   ): Promise<{answer: RelayedAnswer; run: TargetRun} | undefined> {
-    const {book, events} = this.options;
+    const {events} = this.options;
     const chosen = await this.ready(call, excluded);
     if (chosen === undefined) {
       return undefined;
     }
     const {target} = chosen;
     excluded.add(target.id);
-    const run = book.begin(target, call.head.work, performance.now());
+    const run = this.begin(call, target);
     const attempt = {number, target, run};
     const from = after < 0 ? call.head.resumeAfter : after;
     const sent = await this.send(call, attempt, from);
--- a/entry/direct-entry/src/start-direct-entry.ts
+++ b/entry/direct-entry/src/start-direct-entry.ts
@@ -73,7 +73,11 @@
     agentUrl,
     onView: (address, view) => book.saw(address, view),
   });
-  const adapters = new AdapterRequests({agent, agentUrl});
+  const adapters = new AdapterRequests({
+    entry: settings.id,
+    agent,
+    agentUrl,
+  });
   const client = new TargetClient(dialect);
   const metrics = new DirectMetrics(shell.metrics.registry);
   const book = new TargetBook({
--- a/entry/direct-entry/src/target-book.ts
+++ b/entry/direct-entry/src/target-book.ts
@@ -238,6 +238,7 @@
       name: target.id,
       zone: target.zone,
       adapter: this.adapterState(record, view, work, need.version, now),
+      idleSlots: view?.idleSlots ?? 1,
       cachedTokens: record.prompts.cachedTokens(adapter, work.parts, now),
       pendingTokens: record.pendingTokens,
       running: Math.max(record.inFlight, view?.running ?? 0),
--- a/policy/engine-choice/src/engine-choice.ts
+++ b/policy/engine-choice/src/engine-choice.ts
@@ -21,6 +21,8 @@
    * even hold its model.
    */
   readonly adapter: 'held' | 'loading' | 'recent' | 'absent' | 'no-model';
+  /** Slots that an adapter could be loaded into at once. */
+  readonly idleSlots: number;
   /** Prompt tokens that it is thought to have cached already. */
   readonly cachedTokens: number;
   /** Prompt tokens of requests that were sent there and have not begun. */
@@ -55,6 +57,8 @@
 const LOADING_MS = 125;
 /** An adapter that is loaded takes a slot from another one that is wanted too, in milliseconds. */
 const DISPLACEMENT_MS = 60;
+/** Time until a call ends that uses an adapter, where all slots are in use, in milliseconds. */
+const SLOT_WAIT_MS = 800;
 /** What each running request adds to the time of a step and so to the first event, in milliseconds. */
 const RUNNING_MS = 2;
 /** What each waiting request adds, in milliseconds. */
@@ -103,16 +107,17 @@
   );
 }
 
-function adapterMs({adapter}: EngineCandidate): number {
+function adapterMs({adapter, idleSlots}: EngineCandidate): number {
+  const slotMs = idleSlots > 0 ? 0 : SLOT_WAIT_MS;
   switch (adapter) {
     case 'held':
       return 0;
     case 'loading':
       return LOADING_MS;
     case 'recent':
-      return RECENT_LOAD_MS + DISPLACEMENT_MS;
+      return RECENT_LOAD_MS + DISPLACEMENT_MS + slotMs;
     case 'absent':
-      return LOAD_MS + DISPLACEMENT_MS + STORE_MS;
+      return LOAD_MS + DISPLACEMENT_MS + STORE_MS + slotMs;
     case 'no-model':
       return LOAD_MS + STORE_MS + MODEL_LOAD_MS;
   }
