--- a/agent/engine-agent/src/adapter-keeper.ts
+++ b/agent/engine-agent/src/adapter-keeper.ts
@@ -185,11 +185,12 @@
           adapter: wanted.name,
           waitedMs: Math.round(now - wanted.since),
         });
+        this.uses.used(wanted.name, now);
         this.answer(wanted, {ready: true});
       }
     }
     const idleSlots = this.idleSlots(state, now);
-    this.options.onView(viewOf(state, this.ordered, idleSlots));
+    this.options.onView(this.viewOf(state, idleSlots));
   }
 
   /** Gives the next order; false where there is none, or the engine has to be waited for. */
@@ -279,6 +280,21 @@
     return false;
   }
 
+  /** What entries are told; an adapter that is to leave takes no calls any more. */
+  private viewOf(state: EngineState, idleSlots: number): EngineView {
+    const {bornAt, memoryUsed, models, running, waiting} = state;
+    return {
+      bornAt,
+      models: [...models],
+      adapters: [...state.adapters].filter(([name]) => !this.leaving.has(name)),
+      loading: [...new Set([...state.loading, ...this.ordered.keys()])],
+      idleSlots,
+      waiting,
+      running,
+      memoryUsed,
+    };
+  }
+
   /** Slots that are empty or whose adapters no call uses or waits for. */
   private idleSlots(state: EngineState, now: number): number {
     const taken = new Set([...state.loading, ...this.ordered.keys()]);
@@ -342,20 +358,3 @@
   const [model, adapter] = planned.name.split('/');
   return {kind: 'unload', model, adapter};
 }
-
-function viewOf(
-  state: EngineState,
-  ordered: ReadonlyMap<string, unknown>,
-  idleSlots: number,
-): EngineView {
-  return {
-    bornAt: state.bornAt,
-    models: [...state.models],
-    adapters: [...state.adapters],
-    loading: [...new Set([...state.loading, ...ordered.keys()])],
-    idleSlots,
-    waiting: state.waiting,
-    running: state.running,
-    memoryUsed: state.memoryUsed,
-  };
-}
--- a/agent/engine-agent/src/index.ts
+++ b/agent/engine-agent/src/index.ts
@@ -11,6 +11,7 @@
   type PlannedOrder,
   type WantedAdapter,
 } from './adapter-plan.js';
+export {UseTable} from './use-table.js';
 export {AdapterKeeper, type AdapterKeeperOptions} from './adapter-keeper.js';
 export {
   startEngineAgent,
--- a/control/consensus/test/repair-plan.test.ts
+++ b/control/consensus/test/repair-plan.test.ts
@@ -95,3 +95,38 @@
   expect(next.unconfirmed).to.deep.equal([]);
   expect(repairedBetween(configuration, next)).to.deep.equal([]);
 });
+
+it('repair: a learner at another URL replaces a voter that is lost', () => {
+  const elsewhere = {id: 'd', url: 'url-d'};
+  const configuration = {voters: [a, b, c], learners: [elsewhere]};
+  const isCaughtUp = () => true;
+  const open = {configuration, isCaughtUp, desiredVoters: 3};
+  expect(nextConfiguration(view(open))).to.equal(undefined);
+  const isLost = (id: string) => id === c.id;
+  const first = nextConfiguration(view({...open, isLost}))!;
+  expect(first.voters).to.deep.equal([a, b]);
+  const second = nextConfiguration(
+    view({...open, isLost, configuration: first}),
+  )!;
+  expect(second.voters).to.deep.equal([a, b, elsewhere]);
+});
+
+it('repair: a learner joins while voters are missing', () => {
+  const elsewhere = {id: 'd', url: 'url-d'};
+  const configuration = {voters: [a, b], learners: [elsewhere]};
+  const isCaughtUp = () => true;
+  const next = nextConfiguration(
+    view({configuration, isCaughtUp, desiredVoters: 3}),
+  )!;
+  expect(next.voters).to.deep.equal([a, b, elsewhere]);
+});
+
+it('repair: a learner that is lost is dropped where others may come', () => {
+  const elsewhere = {id: 'd', url: 'url-d'};
+  const configuration = {voters: [a, b, c], learners: [elsewhere]};
+  const isLost = (id: string) => id === elsewhere.id;
+  const next = nextConfiguration(
+    view({configuration, desiredVoters: 3, isLost}),
+  )!;
+  expect(next.learners).to.deep.equal([]);
+});
--- /dev/null
+++ b/policy/engine-choice/test/engine-choice.test.ts
@@ -0,0 +1,112 @@
+import {expect} from 'chai';
+import {
+  PromptMemory,
+  RecentAdapters,
+  weighEngines,
+  type EngineCandidate,
+} from '@marigoldspur/engine-choice';
+
+const NEED = {
+  affinity: 'm/a',
+  zone: 'z1',
+  promptTokens: 9_000,
+  memoryTokens: 9_100,
+};
+
+function engine(
+  name: string,
+  changes: Partial<EngineCandidate> = {},
+): EngineCandidate {
+  return {
+    name,
+    zone: 'z1',
+    adapter: 'absent',
+    idleSlots: 4,
+    cachedTokens: 0,
+    pendingTokens: 0,
+    running: 0,
+    waiting: 0,
+    batchLimit: 64,
+    tokenMemory: 200_000,
+    memoryUsed: 0,
+    failureShare: 0,
+    ...changes,
+  };
+}
+
+function best(candidates: EngineCandidate[]): string {
+  return weighEngines(NEED, candidates)[0].name;
+}
+
+it('engine choice: a holder of the adapter goes first', () => {
+  const names = ['a', 'b', 'c', 'd', 'e'];
+  for (const holder of names) {
+    const engines = names.map(name =>
+      engine(name, {adapter: name === holder ? 'held' : 'absent'}),
+    );
+    expect(best(engines)).to.equal(holder);
+  }
+});
+
+it('engine choice: all processes choose the same home for a cold adapter', () => {
+  const engines = ['a', 'b', 'c', 'd'].map(name => engine(name));
+  expect(best(engines)).to.equal(best([...engines].reverse()));
+});
+
+it('engine choice: a cold adapter goes where a slot is idle', () => {
+  const home = best(['a', 'b', 'c'].map(name => engine(name)));
+  const engines = ['a', 'b', 'c'].map(name =>
+    engine(name, {idleSlots: name === home ? 0 : 2}),
+  );
+  expect(best(engines)).to.not.equal(home);
+});
+
+it('engine choice: a busy holder loses to one that has to load', () => {
+  const held = engine('held', {adapter: 'held', pendingTokens: 60_000});
+  expect(best([held, engine('free')])).to.equal('free');
+});
+
+it('engine choice: a full memory counts as a wait', () => {
+  const full = engine('full', {adapter: 'held', memoryUsed: 0.95});
+  const other = engine('other', {adapter: 'recent'});
+  expect(best([full, other])).to.equal('other');
+});
+
+it('engine choice: an engine that fails often is left', () => {
+  const grey = engine('grey', {adapter: 'held', failureShare: 0.5});
+  expect(best([grey, engine('sound')])).to.equal('sound');
+});
+
+it('engine choice: an engine without the model comes last', () => {
+  const empty = engine('empty', {adapter: 'no-model'});
+  const busy = engine('busy', {running: 40});
+  expect(best([empty, busy])).to.equal('busy');
+});
+
+it('prompt memory: a part counts only behind its predecessors', () => {
+  const memory = new PromptMemory();
+  const parts = [
+    {id: 'p1', tokens: 100},
+    {id: 'p2', tokens: 50},
+    {id: 'own', tokens: 10},
+  ];
+  memory.sent('m/a', parts.slice(0, 2), 0);
+  expect(memory.cachedTokens('m/a', parts, 1)).to.equal(150);
+  expect(memory.cachedTokens('m/a', parts.slice(1), 1)).to.equal(50);
+  const other = [{id: 'x', tokens: 1}, ...parts];
+  expect(memory.cachedTokens('m/a', other, 1)).to.equal(0);
+  expect(memory.cachedTokens('m/b', parts, 1)).to.equal(0);
+  expect(memory.cachedTokens('m/a', parts, 60_000)).to.equal(0);
+});
+
+it('recent adapters: the longest unseen are forgotten', () => {
+  const recent = new RecentAdapters();
+  recent.see([['m/a', 2]]);
+  expect(recent.has('m/a')).to.equal(true);
+  expect(recent.has('m/a', 2)).to.equal(true);
+  expect(recent.has('m/a', 3)).to.equal(false);
+  for (let index = 0; index < 100; index += 1) {
+    recent.see([[`m/b${index}`, 1]]);
+  }
+  expect(recent.has('m/a')).to.equal(false);
+});
