--- a/entry/direct-entry/src/call-desk.ts
+++ b/entry/direct-entry/src/call-desk.ts
@@ -18,6 +18,8 @@
 export interface CallDeskOptions {
   /** The routes in force; undefined before a deployment is known. */
   readonly routes: () => RouteTable | undefined;
+  /** Whether there is time left to serve a call that comes now. */
+  readonly takesCalls: () => boolean;
   readonly dialect: Dialect;
   readonly runner: CallRunner;
   readonly events: EventLog;
@@ -32,6 +34,9 @@
 /** After a start the deployment is known within a second. */
 const NOT_READY_RETRY_SECONDS = 1;
 
+/** Another entry serves the caller at once, in seconds. */
+const ANOTHER_ENTRY_SECONDS = 0.05;
+
 /** Serves callers' calls, from the route to the whole answer or a refusal. */
 export class CallDesk {
   private count = 0;
@@ -117,6 +122,9 @@
     if (routes === undefined) {
       return Result.err(notReady());
     }
+    if (!this.options.takesCalls()) {
+      return Result.err(shuttingDown());
+    }
     const {headers, url = '/'} = request;
     const route = routes.find(headers.host ?? '', url);
     if (route === undefined) {
@@ -172,6 +180,16 @@
   );
 }
 
+function shuttingDown(): Refusal {
+  return new Refusal(
+    'not-run',
+    503,
+    'shutting_down',
+    'the entry ends',
+    ANOTHER_ENTRY_SECONDS,
+  );
+}
+
 function internalError(): Refusal {
   return new Refusal('unknown', 500, 'internal_error', 'the entry failed');
 }
--- a/entry/direct-entry/src/index.ts
+++ b/entry/direct-entry/src/index.ts
@@ -9,3 +9,8 @@
 export {startDirectEntry, type DirectEntry} from './start-direct-entry.js';
 export {TargetBook, type TargetBookOptions} from './target-book.js';
 export {TargetAgent} from './target-agent.js';
+export {
+  TargetClient,
+  type TargetCall,
+  type TargetFailure,
+} from './target-client.js';
--- a/entry/direct-entry/src/start-direct-entry.ts
+++ b/entry/direct-entry/src/start-direct-entry.ts
@@ -86,10 +86,12 @@
     engineView: address => views.of(address),
     random: Math.random,
   });
+  let takesCalls = true;
   const isReady = () =>
     !shell.isDraining && follower.isConfirmed && routes.table !== undefined;
   const desk = new CallDesk({
     routes: () => routes.table,
+    takesCalls: () => takesCalls,
     dialect,
     runner: new CallRunner({
       view: follower.view,
@@ -131,6 +133,7 @@
       const endAt = performance.now() + settings.graceMs - END_MARGIN_MS;
       shell.beginDrain();
       await pause(Math.min(SETTLE_MS, settings.graceMs / 2));
+      takesCalls = false;
       const leftMs = Math.max(0, endAt - performance.now());
       await Promise.race([callers.close(), pause(leftMs)]);
       if (desk.running > 0) {
--- a/entry/direct-entry/src/target-client.ts
+++ b/entry/direct-entry/src/target-client.ts
@@ -58,6 +58,7 @@
   private connected = false;
   private timer: NodeJS.Timeout | undefined;
   private failure: TargetFailure['kind'] | undefined;
+  private broke = false;
 
   constructor(
     private readonly call: TargetCall,
@@ -86,9 +87,10 @@
     request.on('socket', socket => this.watchConnect(request, socket));
     const answered = new Promise<Result<TargetAnswer, TargetFailure>>(
       resolve => {
-        request.on('error', error =>
-          resolve(Result.err(this.failed(error.message))),
-        );
+        request.on('error', error => {
+          this.broke = true;
+          resolve(Result.err(this.failed(error.message)));
+        });
         request.on('response', message => {
           clearTimeout(this.timer);
           resolve(this.readHead(request, message));
@@ -152,7 +154,12 @@
         message: 'the answer belongs to another call',
       });
     }
-    return Result.ok({head, method, message});
+    return Result.ok({
+      head,
+      method,
+      message,
+      connectionBroke: () => this.broke,
+    });
   }
 }
 
--- /dev/null
+++ b/entry/direct-entry/test/target-client.test.ts
@@ -0,0 +1,127 @@
+import net from 'node:net';
+import {setTimeout as pause} from 'node:timers/promises';
+import {expect} from 'chai';
+import {FramedWholeness} from '@marigoldspur/dispatch';
+import {TargetClient, type Dialect} from '@marigoldspur/direct-entry';
+
+const DIALECT = {
+  readAnswer: ({headers}, id) => ({
+    isOwn: headers['call-id'] === id,
+    notRun: false,
+    misdirected: false,
+  }),
+} as Dialect;
+
+/** Answers each request on a connection with the next of these bytes; `RESET` resets it. */
+const RESET = 'reset';
+let server: net.Server;
+let answers: string[][];
+let connections = 0;
+let port = 0;
+
+beforeEach(done => {
+  connections = 0;
+  server = net.createServer(socket => {
+    connections += 1;
+    socket.on('error', () => {});
+    socket.on('data', () => void answer(socket, answers.shift() ?? []));
+  });
+  server.listen(0, '127.0.0.1', () => {
+    ({port} = server.address() as net.AddressInfo);
+    done();
+  });
+});
+
+afterEach(() => {
+  server.close();
+});
+
+async function answer(socket: net.Socket, pieces: string[]): Promise<void> {
+  for (const piece of pieces) {
+    if (piece === RESET) {
+      socket.resetAndDestroy();
+    } else {
+      socket.write(piece);
+    }
+    await pause(20);
+  }
+}
+
+function send(client: TargetClient, id: string) {
+  return client.send({
+    id,
+    address: `127.0.0.1:${port}`,
+    method: 'GET',
+    path: '/',
+    headers: {},
+    body: Buffer.alloc(0),
+    signal: new AbortController().signal,
+    headTimeoutMs: 2_000,
+  });
+}
+
+/** Reads an answer to its end; says whether all of it came. */
+async function readWhole(client: TargetClient, id: string): Promise<boolean> {
+  const sent = await send(client, id);
+  if (sent.isErr) {
+    return false;
+  }
+  const {message} = sent.value;
+  message.on('error', () => {});
+  message.resume();
+  await new Promise(resolve => message.on('close', resolve));
+  return new FramedWholeness(sent.value).isWhole();
+}
+
+function head(id: string, ...more: string[]): string {
+  return ['HTTP/1.1 200 OK', `call-id: ${id}`, ...more, '', ''].join('\r\n');
+}
+
+it('target client: an answer without a length that is reset is not whole', async () => {
+  const client = new TargetClient(DIALECT);
+  answers = [[head('one'), 'half of it', RESET]];
+  expect(await readWhole(client, 'one')).to.equal(false);
+  client.close();
+});
+
+it('target client: an answer with its length is whole', async () => {
+  const client = new TargetClient(DIALECT);
+  answers = [[`${head('one', 'content-length: 4')}body`]];
+  expect(await readWhole(client, 'one')).to.equal(true);
+  client.close();
+});
+
+it('target client: a torn answer is not whole', async () => {
+  const client = new TargetClient(DIALECT);
+  answers = [[`${head('one', 'content-length: 40')}body`, RESET]];
+  expect(await readWhole(client, 'one')).to.equal(false);
+  client.close();
+});
+
+it('target client: an answer to another call is refused, and its outcome open', async () => {
+  const client = new TargetClient(DIALECT);
+  answers = [[`${head('other', 'content-length: 4')}body`]];
+  const sent = await send(client, 'one');
+  expect(sent.isErr && sent.error.kind).to.equal('crossed');
+  expect(sent.isErr && sent.error.outcome).to.equal('unknown');
+  client.close();
+});
+
+it('target client: a connection that carries a stray answer is not used again', async () => {
+  const client = new TargetClient(DIALECT);
+  const whole = (id: string) => `${head(id, 'content-length: 4')}body`;
+  answers = [[whole('one'), whole('stray')], [whole('two')]];
+  expect(await readWhole(client, 'one')).to.equal(true);
+  await pause(60);
+  expect(await readWhole(client, 'two')).to.equal(true);
+  expect(connections).to.equal(2);
+  client.close();
+});
+
+it('target client: a connection that nobody answers proves that nothing ran', async () => {
+  const client = new TargetClient(DIALECT);
+  server.close();
+  const sent = await send(client, 'one');
+  expect(sent.isErr && sent.error.outcome).to.equal('not-run');
+  client.close();
+});
--- a/entry/dispatch/src/answer-end.ts
+++ b/entry/dispatch/src/answer-end.ts
@@ -1,3 +1,4 @@
+import type {IncomingMessage} from 'node:http';
 import {HOP_HEADERS} from '@marigoldspur/messages';
 import type {RelayedAnswer} from './attempt.js';
 
@@ -21,10 +22,22 @@
   add(): void {}
 
   isWhole(): boolean {
-    return this.answer.message.complete;
+    const {connectionBroke, message} = this.answer;
+    return (
+      message.complete &&
+      !(endsWithConnection(message) && connectionBroke?.() === true)
+    );
   }
 }
 
+/** Whether the end of an answer's body is that of its connection (RFC 9112, 6.3). */
+function endsWithConnection({headers}: IncomingMessage): boolean {
+  return (
+    headers['content-length'] === undefined &&
+    headers['transfer-encoding'] === undefined
+  );
+}
+
 /** Decides from the bytes that an agent passed on whether all of an answer came. */
 export class AnswerEnd implements Wholeness {
   private bytes = 0;
--- a/entry/dispatch/src/attempt.ts
+++ b/entry/dispatch/src/attempt.ts
@@ -24,6 +24,8 @@
   /** Method of the request that it answers. */
   readonly method: string;
   readonly message: IncomingMessage;
+  /** Whether its connection broke; Node takes a body without a length for whole then. */
+  readonly connectionBroke?: () => boolean;
 }
 
 /** The beginning of a target's answer that came by its agent. */
