Weigh engines by the prompts that they have not read yet

Ruled out: adapters, which were held. The requests that make events are counted apart from those that wait.

--- a/agent/engine-agent/src/managed-engine.ts
+++ b/agent/engine-agent/src/managed-engine.ts
@@ -15,7 +15,9 @@
   readonly adapters: ReadonlyMap<string, number>;
   /** Adapters that are on their way to it, `model/adapter`. */
   readonly loading: ReadonlySet<string>;
+  /** Requests that make events. */
   readonly running: number;
+  /** Requests whose prompt is not read yet. */
   readonly waiting: number;
   /** Share of the memory for tokens that can't be freed, 0 to 1. */
   readonly memoryUsed: number;
--- a/contracts/deployment/src/engine-view.ts
+++ b/contracts/deployment/src/engine-view.ts
@@ -22,9 +22,9 @@
   loading: z.array(z.string()),
   /** Slots that are empty or whose adapters no call uses. */
   idleSlots: z.int().min(0),
-  /** Requests that wait in the engine. */
+  /** Requests whose prompt is not read yet. */
   waiting: z.int().min(0),
-  /** Requests in the engine's batch. */
+  /** Requests that make events. */
   running: z.int().min(0),
   /** Share of the memory for tokens that can't be freed, 0 to 1. */
   memoryUsed: z.number().min(0),
--- a/policy/engine-choice/src/engine-choice.ts
+++ b/policy/engine-choice/src/engine-choice.ts
@@ -27,7 +27,9 @@
   readonly cachedTokens: number;
   /** Prompt tokens of requests that were sent there and have not begun. */
   readonly pendingTokens: number;
+  /** Requests that make events. */
   readonly running: number;
+  /** Requests whose prompt is not read yet. */
   readonly waiting: number;
   readonly batchLimit: number;
   /** Tokens that its memory holds, and the share of it that can't be freed. */
@@ -61,8 +63,8 @@
 const SLOT_WAIT_MS = 800;
 /** What each running request adds to the time of a step and so to the first event, in milliseconds. */
 const RUNNING_MS = 2;
-/** What each waiting request adds, in milliseconds. */
-const WAITING_MS = 60;
+/** Time in which the prompt of a waiting request is read, in milliseconds. */
+const WAITING_MS = 120;
 /** Full batch: a slot has to become free first, in milliseconds. */
 const FULL_BATCH_MS = 400;
 /** Full memory: requests wait or preempt others, in milliseconds. */
@@ -94,12 +96,11 @@
 
 function costMs(need: EngineNeed, candidate: EngineCandidate): number {
   const uncached = Math.max(0, need.promptTokens - candidate.cachedTokens);
-  const readMs = (uncached + candidate.pendingTokens) / PREFILL_TOKENS_PER_MS;
   return (
-    readMs +
+    uncached / PREFILL_TOKENS_PER_MS +
+    backlogMs(candidate) +
     adapterMs(candidate) +
     candidate.running * RUNNING_MS +
-    candidate.waiting * WAITING_MS +
     (candidate.running >= candidate.batchLimit ? FULL_BATCH_MS : 0) +
     memoryMs(need, candidate) +
     (candidate.zone === need.zone ? 0 : ZONE_MS) +
@@ -107,6 +108,11 @@
   );
 }
 
+/** Time until the prompts before this one are read: this process knows its own at once, those of others later. */
+function backlogMs({pendingTokens, waiting}: EngineCandidate): number {
+  return Math.max(pendingTokens / PREFILL_TOKENS_PER_MS, waiting * WAITING_MS);
+}
+
 function adapterMs({adapter, idleSlots}: EngineCandidate): number {
   const slotMs = idleSlots > 0 ? 0 : SLOT_WAIT_MS;
   switch (adapter) {
--- a/policy/engine-choice/test/engine-choice.test.ts
+++ b/policy/engine-choice/test/engine-choice.test.ts
@@ -110,3 +110,31 @@
   }
   expect(recent.has('m/a')).to.equal(false);
 });
+
+it('engine choice: prompts that wait to be read at a holder cost time', () => {
+  const held = engine('held', {adapter: 'held', waiting: 8});
+  const recent = engine('recent', {adapter: 'recent'});
+  expect(best([held, recent])).to.equal('recent');
+});
+
+it('engine choice: what this process sent is not counted twice', () => {
+  const busy = engine('busy', {pendingTokens: 9_000, waiting: 1});
+  const [{costMs}] = weighEngines(NEED, [busy]);
+  const [{costMs: idleMs}] = weighEngines(NEED, [engine('busy')]);
+  expect(costMs - idleMs).to.be.lessThan(9_000 / 35 + 1);
+});
+
+it('engine choice: calls of processes that know the same do not meet at one engine', () => {
+  const names = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
+  const counts = new Map(names.map(name => [name, 0]));
+  for (let call = 0; call < 400; call += 1) {
+    const engines = names.map(name =>
+      engine(name, {waiting: Math.floor(counts.get(name)! / 4)}),
+    );
+    const need = {...NEED, affinity: `m/a${call % 40}`};
+    const {name} = weighEngines(need, engines)[0];
+    counts.set(name, counts.get(name)! + 1);
+  }
+  const most = Math.max(...counts.values());
+  expect(most).to.be.lessThan(2 * (400 / names.length));
+});
