Pass an answer without a length on without one, and a reset as a reset

A fault file of the disk trials that is being written is no fault: it ended a replica in one test run.

--- a/entry/dispatch/src/answer-end.ts
+++ b/entry/dispatch/src/answer-end.ts
@@ -31,8 +31,12 @@
 }
 
 /** Whether the end of an answer's body is that of its connection (RFC 9112, 6.3). */
-function endsWithConnection({headers}: IncomingMessage): boolean {
+export function endsWithConnection({
+  headers,
+  statusCode = 0,
+}: IncomingMessage): boolean {
   return (
+    !BODILESS_STATUSES.has(statusCode) &&
     headers['content-length'] === undefined &&
     headers['transfer-encoding'] === undefined
   );
--- a/entry/dispatch/src/relay-answer.ts
+++ b/entry/dispatch/src/relay-answer.ts
@@ -3,7 +3,7 @@
   OutgoingHttpHeaders,
   ServerResponse,
 } from 'node:http';
-import {AnswerEnd, type Wholeness} from './answer-end.js';
+import {AnswerEnd, endsWithConnection, type Wholeness} from './answer-end.js';
 import {answerHeaders} from './attempt-headers.js';
 import type {RelayedAnswer} from './attempt.js';
 import {WholeEvents} from './whole-events.js';
@@ -66,6 +66,8 @@
 
 class AnswerRelay {
   private readonly status: number;
+  /** Whether the caller's connection is to end as the target's does, by its end or a reset. */
+  private readonly unframed: boolean;
   private readonly events: WholeEvents | undefined;
   private end: Wholeness;
   /** What is read now; undefined while the answer is being resumed. */
@@ -88,6 +90,10 @@
     this.end = this.wholenessOf(answer);
     this.events = options.link && new WholeEvents();
     this.status = answer.message.statusCode ?? 502;
+    this.unframed =
+      options.wholenessOf !== undefined &&
+      answer.method !== 'HEAD' &&
+      endsWithConnection(answer.message);
   }
 
   start(): void {
@@ -161,7 +167,7 @@
     }
     this.pending.push(bytes);
     this.pendingBytes += bytes.length;
-    if (this.pendingBytes > this.options.collectBytes) {
+    if (this.unframed || this.pendingBytes > this.options.collectBytes) {
       this.begin({});
       this.flush();
     }
@@ -177,6 +183,10 @@
 
   private begin(length: OutgoingHttpHeaders): void {
     this.begun = true;
+    if (this.unframed) {
+      this.response.useChunkedEncodingByDefault = false;
+      this.response.shouldKeepAlive = false;
+    }
     this.response.writeHead(this.status, {
       ...answerHeaders(this.answer.message),
       ...length,
@@ -207,7 +217,7 @@
       return;
     }
     if (!this.begun) {
-      this.begin(this.wholeLength());
+      this.begin(this.unframed ? {} : this.wholeLength());
     }
     this.flush();
     this.response.end(() => this.settle('whole'));
@@ -269,11 +279,19 @@
     }
     this.settle(this.begun ? 'torn' : 'lost');
     if (this.begun) {
-      this.response.destroy();
+      this.breakConnection();
     }
     this.message?.destroy();
   }
 
+  /** Without a length, only a reset shows the caller that an answer is torn. */
+  private breakConnection(): void {
+    if (this.unframed) {
+      this.response.socket?.resetAndDestroy();
+    }
+    this.response.destroy();
+  }
+
   private loseCaller(): void {
     if (this.response.writableFinished) {
       this.settle('whole');
--- a/lab/log-trials/src/disk-fault.ts
+++ b/lab/log-trials/src/disk-fault.ts
@@ -19,7 +19,8 @@
 function presentFault(): DiskFault | undefined {
   try {
     const text = readFileSync(process.env[DISK_FAULT_VARIABLE] ?? '', 'utf8');
-    return text as DiskFault;
+    // A file that is being written may still be empty.
+    return Object.hasOwn(ERRORS, text) ? (text as DiskFault) : undefined;
   } catch {
     return undefined;
   }
