--- a/lab/reference-docs/test/reference-pages.test.ts
+++ b/lab/reference-docs/test/reference-pages.test.ts
@@ -6,14 +6,7 @@
 import {referencePages} from '@marigoldspur/reference-docs';
 
 const ROOT = fileURLToPath(new URL('../../../..', import.meta.url));
-const DOMAINS = [
-  'control',
-  'entry',
-  'agent',
-  'zones',
-  'machines',
-  'platform',
-];
+const DOMAINS = ['control', 'entry', 'agent', 'zones', 'machines', 'platform'];
 
 it('docs: the pages written from the code are up to date', async () => {
   for (const {file, text} of referencePages()) {
