--- a/scripts/bundle-programs.mjs
+++ b/scripts/bundle-programs.mjs
@@ -1,5 +1,5 @@
 /* Bundles each program of the platform, from its sources, into one file below target/. */
-import {readdirSync, readFileSync, rmSync} from 'node:fs';
+import {readdirSync, readFileSync} from 'node:fs';
 import path from 'node:path';
 import {build} from 'esbuild';
 
@@ -38,7 +38,6 @@
   },
 };
 
-rmSync(path.join(ROOT, 'target'), {recursive: true, force: true});
 await build({
   entryPoints: Object.fromEntries(
     NAMES.map(name => [name, path.join(PROGRAMS, `${name}.ts`)]),
