--- a/entry/direct-entry/src/index.ts
+++ b/entry/direct-entry/src/index.ts
@@ -1,3 +1,6 @@
+export {CallDesk, type CallDeskOptions} from './call-desk.js';
+export type {CallRunner} from './call-runner.js';
+export {DirectMetrics} from './direct-metrics.js';
 export type {
   AnswerHead,
   CallHead,
--- /dev/null
+++ b/entry/direct-entry/test/call-desk.test.ts
@@ -0,0 +1,118 @@
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {expect} from 'chai';
+import {Registry} from 'prom-client';
+import type {Deployment} from '@marigoldspur/deployment';
+import {
+  CallDesk,
+  DirectMetrics,
+  type CallDeskOptions,
+  type CallRunner,
+  type Dialect,
+} from '@marigoldspur/direct-entry';
+import {EventLog} from '@marigoldspur/event-log';
+import {RouteTable} from '@marigoldspur/routes';
+
+const DEPLOYMENT: Deployment = {
+  revision: 1,
+  routes: [
+    {
+      name: 'r',
+      host: 'a.example',
+      pathPrefix: '/x/',
+      streaming: false,
+      idempotent: true,
+      timeoutMs: 1_000,
+      aimMs: 100,
+      priority: 1,
+      maxAttempts: 1,
+      backends: [{service: 's', weight: 1}],
+    },
+  ],
+  services: [{name: 's', healthPath: '/', maxConnections: 1}],
+  limits: {
+    maxHeaderBytes: 1_000,
+    maxBodyBytes: 10,
+    headerTimeoutMs: 1_000,
+    idleTimeoutMs: 1_000,
+  },
+};
+const DIALECT = {
+  readCall: () => ({id: 'c1'}),
+  refusalHeaders: (_, {retryAfterSeconds}) => ({
+    ...(retryAfterSeconds !== undefined && {'retry-after': retryAfterSeconds}),
+  }),
+} as Dialect;
+
+let server: http.Server | undefined;
+
+afterEach(() => server?.close());
+
+/** Sends one call to a desk; says how it was answered and whether it was run. */
+async function call(
+  path: string,
+  options: Partial<CallDeskOptions> & {body?: string},
+) {
+  let ran = false;
+  const runner = {
+    run: async (_call: unknown, response: http.ServerResponse) => {
+      ran = true;
+      response.end('answer');
+      return {isErr: false};
+    },
+  } as unknown as CallRunner;
+  const desk = new CallDesk({
+    routes: () => new RouteTable(DEPLOYMENT),
+    takesCalls: () => true,
+    dialect: DIALECT,
+    runner,
+    events: new EventLog({process: 'test'}),
+    metrics: new DirectMetrics(new Registry()),
+    ...options,
+  });
+  server = http.createServer((request, response) => {
+    void desk.handle(request, response);
+  });
+  await new Promise<void>(resolve => server!.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  const reply = await new Promise<http.IncomingMessage>((resolve, reject) => {
+    const request = http.request({
+      port,
+      path,
+      method: 'POST',
+      headers: {host: 'a.example'},
+      agent: false,
+    });
+    request.on('response', resolve);
+    request.on('error', reject);
+    request.end(options.body ?? '');
+  });
+  reply.resume();
+  return {
+    status: reply.statusCode,
+    retryAfter: reply.headers['retry-after'],
+    ran,
+  };
+}
+
+it('call desk: a call on a route is run', async () => {
+  expect(await call('/x/1', {})).to.include({status: 200, ran: true});
+});
+
+it('call desk: a call late in a shutdown is refused as not run', async () => {
+  const late = await call('/x/1', {takesCalls: () => false});
+  expect(late).to.include({status: 503, ran: false});
+  expect(Number(late.retryAfter)).to.be.greaterThan(0);
+});
+
+it('call desk: before a deployment is known nothing is said to be unknown', async () => {
+  const early = await call('/x/1', {routes: () => undefined});
+  expect(early).to.include({status: 503, ran: false});
+  expect(Number(early.retryAfter)).to.be.greaterThan(0);
+});
+
+it('call desk: an unknown route and a body that is too large are refused', async () => {
+  expect(await call('/y/1', {})).to.include({status: 404, ran: false});
+  const large = await call('/x/1', {body: 'more than ten bytes'});
+  expect(large).to.include({status: 413, ran: false});
+});
