--- a/entry/direct-entry/test/call-desk.test.ts
+++ b/entry/direct-entry/test/call-desk.test.ts
@@ -42,7 +42,7 @@
   refusalHeaders: (_, {retryAfterSeconds}) => ({
     ...(retryAfterSeconds !== undefined && {'retry-after': retryAfterSeconds}),
   }),
-} as Dialect;
+} as unknown as Dialect;
 
 let server: http.Server | undefined;
 
