--- a/entry/direct-entry/test/call-desk.test.ts
+++ b/entry/direct-entry/test/call-desk.test.ts
@@ -11,6 +11,7 @@
   type Dialect,
 } from '@marigoldspur/direct-entry';
 import {EventLog} from '@marigoldspur/event-log';
+import type {Refusal} from '@marigoldspur/faults';
 import {RouteTable} from '@marigoldspur/routes';
 
 const DEPLOYMENT: Deployment = {
@@ -39,7 +40,7 @@
 };
 const DIALECT = {
   readCall: () => ({id: 'c1'}),
-  refusalHeaders: (_, {retryAfterSeconds}) => ({
+  refusalHeaders: (_id: string, {retryAfterSeconds}: Refusal) => ({
     ...(retryAfterSeconds !== undefined && {'retry-after': retryAfterSeconds}),
   }),
 } as unknown as Dialect;
