--- a/entry/direct-entry/src/call.ts
+++ b/entry/direct-entry/src/call.ts
@@ -26,3 +26,11 @@
   const bound = Math.min(route.timeoutMs, head.deadlineMs ?? Infinity);
   return bound - (now - startedAt);
 }
+
+/** Below this time a target can't answer any more, in milliseconds. */
+export const MIN_LEFT_MS = 20;
+
+/** Whether a target could still answer a call at time `now`. */
+export function hasTimeLeft(call: Call, now: number): boolean {
+  return !call.signal.aborted && leftMs(call, now) >= MIN_LEFT_MS;
+}
--- a/entry/direct-entry/src/start-direct-entry.ts
+++ b/entry/direct-entry/src/start-direct-entry.ts
@@ -10,6 +10,7 @@
 import {ProcessShell} from '@marigoldspur/process-shell';
 import type {RouteTable} from '@marigoldspur/routes';
 import {AdapterRequests} from './adapter-requests.js';
+import {AttemptSender} from './attempt-sender.js';
 import {CallDesk} from './call-desk.js';
 import {CallRunner} from './call-runner.js';
 import type {Dialect} from './dialect.js';
@@ -17,8 +18,10 @@
 import type {DirectSettings} from './direct-settings.js';
 import {EngineViews} from './engine-views.js';
 import {RoutesInForce} from './routes-in-force.js';
+import {RetryTurns} from './retry-turns.js';
 import {TargetBook} from './target-book.js';
 import {TargetClient} from './target-client.js';
+import {TargetFinder} from './target-finder.js';
 
 /** An entry that runs. */
 export interface DirectEntry extends Task {
@@ -86,6 +89,13 @@
     engineView: address => views.of(address),
     random: Math.random,
   });
+  const finder = new TargetFinder({
+    view: follower.view,
+    book,
+    adapters,
+    events,
+    metrics,
+  });
   let takesCalls = true;
   const isReady = () =>
     !shell.isDraining && follower.isConfirmed && routes.table !== undefined;
@@ -94,12 +104,20 @@
     takesCalls: () => takesCalls,
     dialect,
     runner: new CallRunner({
-      view: follower.view,
-      book,
-      client,
-      adapters,
-      dialect,
-      retries: settings.retries,
+      finder,
+      sender: new AttemptSender({
+        finder,
+        book,
+        client,
+        adapters,
+        dialect,
+        events,
+        metrics,
+      }),
+      turns: new RetryTurns({
+        allowance: settings.retries,
+        entries: () => follower.view.entries,
+      }),
       events,
       metrics,
     }),
