--- a/agent/engine-agent/src/adapter-keeper.ts
+++ b/agent/engine-agent/src/adapter-keeper.ts
@@ -1,11 +1,11 @@
 import {ChangeSignal} from '@marigoldspur/change-signal';
-import type {
-  EngineView,
-  PrepareAnswer,
-  PrepareRequest,
-  Uses,
+import {
+  adapterName,
+  type EngineView,
+  type PrepareAnswer,
+  type PrepareRequest,
+  type Uses,
 } from '@marigoldspur/deployment';
-import {adapterName} from '@marigoldspur/deployment';
 import {createEviction} from '@marigoldspur/eviction';
 import type {EventLog} from '@marigoldspur/event-log';
 import {
@@ -63,7 +63,9 @@
   private readonly ordered = new Map<string, OrderedLoad>();
   private readonly leaving = new Set<string>();
   private readonly uses = new UseTable();
-  private eviction = newEviction();
+  private readonly eviction = createEviction('expected-rate', {
+    halfLifeMs: USE_HALF_LIFE_MS,
+  });
   private state: EngineState | undefined;
   private target: string | undefined;
   private slots = 0;
@@ -341,10 +343,6 @@
   return after.bornAt !== before.bornAt || after.sequence < before.sequence;
 }
 
-function newEviction() {
-  return createEviction('expected-rate', {halfLifeMs: USE_HALF_LIFE_MS});
-}
-
 function orderedAdapter(
   planned: PlannedOrder,
 ): Pick<AdapterOrder, 'kind' | 'model' | 'adapter' | 'version'> {
