Spread cold adapters over all engines, and refuse what would come too late

Cause: an agent learned its number of slots from the first request to make an adapter ready. Where calls use all slots, the wait was taken as the same for each engine, whatever waited there already, and calls were held until their callers left.

Change: agents tell how many slots are taken and which adapters wait; entries know the number of slots from the deployment and add what they wait for themselves. A call whose answer is expected after its caller leaves is refused at once, with the time to come back spread over the callers.

Ruled out: engines without the model (each held it), the store (loads took 250 to 550 ms).

Most refusals still follow a wait of 1.5 s for an adapter.

--- a/agent/engine-agent/src/adapter-keeper.ts
+++ b/agent/engine-agent/src/adapter-keeper.ts
@@ -128,7 +128,9 @@
         this.eviction.used(name, now);
       }
     }
-    this.wake.notify();
+    if (this.wanted.size > 0) {
+      this.wake.notify();
+    }
   }
 
   private async run(): Promise<void> {
@@ -191,8 +193,7 @@
         this.answer(wanted, {ready: true});
       }
     }
-    const idleSlots = this.idleSlots(state, now);
-    this.options.onView(this.viewOf(state, idleSlots));
+    this.options.onView(this.viewOf(state, now));
   }
 
   /** Gives the next order; false where there is none, or the engine has to be waited for. */
@@ -283,32 +284,25 @@
   }
 
   /** What entries are told; an adapter that is to leave takes no calls any more. */
-  private viewOf(state: EngineState, idleSlots: number): EngineView {
+  private viewOf(state: EngineState, now: number): EngineView {
     const {bornAt, memoryUsed, models, running, waiting} = state;
+    const loading = new Set([...state.loading, ...this.ordered.keys()]);
+    const used = [...state.adapters.keys()].filter(
+      name => !loading.has(name) && this.uses.isUsed(name, now),
+    );
     return {
       bornAt,
       models: [...models],
       adapters: [...state.adapters].filter(([name]) => !this.leaving.has(name)),
-      loading: [...new Set([...state.loading, ...this.ordered.keys()])],
-      idleSlots,
+      loading: [...loading],
+      awaited: [...this.wanted.keys()].filter(name => !loading.has(name)),
+      takenSlots: loading.size + used.length,
       waiting,
       running,
       memoryUsed,
     };
   }
 
-  /** Slots that are empty or whose adapters no call uses or waits for. */
-  private idleSlots(state: EngineState, now: number): number {
-    const taken = new Set([...state.loading, ...this.ordered.keys()]);
-    this.wanted.forEach(({name}) => taken.add(name));
-    for (const name of state.adapters.keys()) {
-      if (this.uses.isUsed(name, now)) {
-        taken.add(name);
-      }
-    }
-    return Math.max(0, this.slots - taken.size);
-  }
-
   private answer(wanted: Wanted, answer: PrepareAnswer): void {
     this.wanted.delete(wanted.name);
     wanted.waiters.forEach(resolve => resolve(answer));
--- a/agent/engine-agent/test/adapter-keeper.test.ts
+++ b/agent/engine-agent/test/adapter-keeper.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {Result} from 'true-myth';
+import type {EngineView} from '@marigoldspur/deployment';
 import {EventLog} from '@marigoldspur/event-log';
 import {Fault} from '@marigoldspur/faults';
 import {
@@ -72,18 +73,27 @@
   }
 }
 
-function keeperOf(engine: ManagedEngine): AdapterKeeper {
+function keeperOf(
+  engine: ManagedEngine,
+  onView: (view: EngineView) => void = () => {},
+): AdapterKeeper {
   const keeper = new AdapterKeeper({
     engine,
     events: new EventLog({process: 'test'}),
     fence: () => 7,
     renewFence: () => {},
-    onView: () => {},
+    onView,
   });
   keeper.start();
   return keeper;
 }
 
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
+
 function prepare(keeper: AdapterKeeper, adapter: string, version?: number) {
   const request = {model: 'm', adapter, version, slots: SLOTS, target: 't'};
   const {signal} = new AbortController();
@@ -152,3 +162,17 @@
   expect(engine.orders.map(({adapter}) => adapter)).to.eql([undefined, 'a']);
   await keeper.stop();
 });
+
+it('adapter keeper: tells of adapters that wait for a slot, and of none it was not asked for', async () => {
+  const engine = new EngineFake();
+  const views: EngineView[] = [];
+  const keeper = keeperOf(engine, view => views.push(view));
+  await until(() => views.length > 0);
+  await prepare(keeper, 'a');
+  await prepare(keeper, 'b');
+  void prepare(keeper, 'c');
+  await until(() => views.at(-1)?.awaited.includes('m/c') === true);
+  expect(views[0]).to.deep.include({awaited: [], takenSlots: 0});
+  expect(views.at(-1)?.takenSlots).to.equal(SLOTS);
+  await keeper.stop();
+});
--- a/contracts/deployment/src/deployment.ts
+++ b/contracts/deployment/src/deployment.ts
@@ -32,6 +32,8 @@
   aimMs: z.number().min(0),
   /** Longest pause between two events that callers accept, in milliseconds. */
   maxGapMs: z.number().min(0).optional(),
+  /** Time without an event after which callers leave a stream, in milliseconds. */
+  patienceMs: z.number().min(0).optional(),
   /** Rank; 0 is the most urgent. */
   priority: z.int().min(0),
   /** Targets to which one request may be sent. */
--- a/contracts/deployment/src/engine-view.ts
+++ b/contracts/deployment/src/engine-view.ts
@@ -20,8 +20,10 @@
   adapters: z.array(z.tuple([z.string(), z.int().min(0)])),
   /** Adapters that are being loaded. */
   loading: z.array(z.string()),
-  /** Slots that are empty or whose adapters no call uses. */
-  idleSlots: z.int().min(0),
+  /** Adapters that calls wait for and that no slot is free for yet. */
+  awaited: z.array(z.string()),
+  /** Slots of adapters that are being loaded or that calls use. */
+  takenSlots: z.int().min(0),
   /** Requests whose prompt is not read yet. */
   waiting: z.int().min(0),
   /** Requests that make events. */
--- a/entry/direct-entry/src/call-runner.ts
+++ b/entry/direct-entry/src/call-runner.ts
@@ -56,17 +56,17 @@
       if (!hasTimeLeft(call, performance.now())) {
         return Result.err(final(refusal ?? outOfTime(), mayHaveRun));
       }
-      const target = await finder.find(call, excluded);
-      if (target === undefined) {
-        return Result.err(final(refusal ?? noTarget(), mayHaveRun));
+      const target = await finder.find(call, excluded, call.startedAt);
+      if (target.isErr) {
+        return Result.err(final(refusal ?? target.error, mayHaveRun));
       }
-      const ended = await this.attempt(call, target, number, response);
+      const ended = await this.attempt(call, target.value, number, response);
       if (ended.isOk) {
         return ended;
       }
       refusal = ended.error;
       mayHaveRun ||= refusal.outcome !== 'not-run';
-      excluded.add(target.id);
+      excluded.add(target.value.id);
       const mayGoOn =
         !response.headersSent && mayTryAgain(call, refusal, number, mayHaveRun);
       if (!mayGoOn || !(await turns.take(call.service.name, call.signal))) {
@@ -182,11 +182,6 @@
   );
 }
 
-function noTarget(): Refusal {
-  const message = 'no target serves this now';
-  return new Refusal('not-run', 503, 'no_target', message, RETRY_SOON_SECONDS);
-}
-
 function tornAnswer(): Refusal {
   return new Refusal('unknown', 502, 'torn_answer', 'the answer broke off');
 }
--- a/entry/direct-entry/src/call.ts
+++ b/entry/direct-entry/src/call.ts
@@ -27,6 +27,12 @@
   return bound - (now - startedAt);
 }
 
+/** Time until a caller leaves that has waited for an event since `since`, in milliseconds. */
+export function patienceLeftMs(call: Call, since: number, now: number): number {
+  const patience = (call.route.patienceMs ?? Infinity) - (now - since);
+  return Math.min(leftMs(call, now), patience);
+}
+
 /** Below this time a target can't answer any more, in milliseconds. */
 export const MIN_LEFT_MS = 20;
 
--- /dev/null
+++ b/entry/direct-entry/src/engine-candidate.ts
@@ -0,0 +1,79 @@
+import type {
+  EngineView,
+  Service,
+  TargetAnnouncement,
+} from '@marigoldspur/deployment';
+import {adapterName} from '@marigoldspur/deployment';
+import type {EngineCandidate} from '@marigoldspur/engine-choice';
+import type {ModelWork} from './dialect.js';
+import type {TargetRecord} from './target-record.js';
+
+/** What is known of one engine. */
+export interface KnownEngine {
+  readonly target: TargetAnnouncement;
+  readonly record: TargetRecord;
+  /** Its last known state; undefined where its agent has not told of this start. */
+  readonly view: EngineView | undefined;
+}
+
+/** What a call asks an engine for. */
+export interface EngineWork {
+  readonly service: Service;
+  readonly work: ModelWork;
+  /** The oldest version of the adapter that will do; any without it. */
+  readonly version?: number;
+}
+
+/** What the choice of an engine needs to know of one at time `now`. */
+export function engineCandidate(
+  known: KnownEngine,
+  {service, version, work}: EngineWork,
+  now: number,
+): EngineCandidate {
+  const {record, target, view} = known;
+  const adapter = adapterName(work.model, work.adapter);
+  const queued = record.queuedAdapters(view);
+  const slots = service.engine?.adapterSlots ?? 0;
+  return {
+    name: target.id,
+    zone: target.zone,
+    adapter: queued.has(adapter)
+      ? 'loading'
+      : adapterState(known, work, version, now),
+    idleSlots: slots - (view?.takenSlots ?? 0) - queued.size,
+    cachedTokens: record.prompts.cachedTokens(adapter, work.parts, now),
+    pendingTokens: record.pendingTokens,
+    running: Math.max(record.inFlight, view?.running ?? 0),
+    waiting: view?.waiting ?? 0,
+    batchLimit: service.engine?.batchLimit ?? target.slots,
+    tokenMemory: service.engine?.tokenMemory ?? 0,
+    memoryUsed: view?.memoryUsed ?? 0,
+    failureShare: record.failureShare,
+  };
+}
+
+function adapterState(
+  {record, view}: KnownEngine,
+  work: ModelWork,
+  version: number | undefined,
+  now: number,
+): EngineCandidate['adapter'] {
+  const adapter = adapterName(work.model, work.adapter);
+  if (view?.models.includes(work.model) === false) {
+    return 'no-model';
+  }
+  if (work.adapter === undefined) {
+    return 'held';
+  }
+  if (record.isMissing(adapter, now)) {
+    return 'absent';
+  }
+  const held = view?.adapters.find(([name]) => name === adapter);
+  if (held !== undefined && held[1] >= (version ?? 0)) {
+    return 'held';
+  }
+  if (view?.loading.includes(adapter)) {
+    return 'loading';
+  }
+  return record.recent.has(adapter, version) ? 'recent' : 'absent';
+}
--- a/entry/direct-entry/src/index.ts
+++ b/entry/direct-entry/src/index.ts
@@ -11,6 +11,7 @@
 export type {DirectSettings, RetryAllowance} from './direct-settings.js';
 export {startDirectEntry, type DirectEntry} from './start-direct-entry.js';
 export {TargetBook, type TargetBookOptions} from './target-book.js';
+export {TargetFinder, type TargetFinderOptions} from './target-finder.js';
 export {TargetAgent} from './target-agent.js';
 export {
   TargetClient,
--- a/entry/direct-entry/src/start-direct-entry.ts
+++ b/entry/direct-entry/src/start-direct-entry.ts
@@ -95,6 +95,7 @@
     adapters,
     events,
     metrics,
+    random: Math.random,
   });
   let takesCalls = true;
   const isReady = () =>
--- a/entry/direct-entry/src/stream-resume.ts
+++ b/entry/direct-entry/src/stream-resume.ts
@@ -42,10 +42,12 @@
     if (!(await options.turns.take(call.service.name, call.signal))) {
       return undefined;
     }
-    const target = await options.finder.find(call, this.excluded);
-    if (target === undefined) {
+    const now = performance.now();
+    const found = await options.finder.find(call, this.excluded, now);
+    if (found.isErr) {
       return undefined;
     }
+    const target = found.value;
     this.excluded.add(target.id);
     this.number += 1;
     this.current = options.sender.begin(call, target, this.number);
--- a/entry/direct-entry/src/target-book.ts
+++ b/entry/direct-entry/src/target-book.ts
@@ -4,14 +4,11 @@
   TargetAnnouncement,
 } from '@marigoldspur/deployment';
 import {adapterName, isSameStart} from '@marigoldspur/deployment';
-import {
-  PromptMemory,
-  RecentAdapters,
-  weighEngines,
-  type EngineCandidate,
-} from '@marigoldspur/engine-choice';
+import {weighEngines} from '@marigoldspur/engine-choice';
 import {SuspicionTable, type Evidence} from '@marigoldspur/suspicion';
 import type {AnswerHead, ModelWork} from './dialect.js';
+import {engineCandidate, type KnownEngine} from './engine-candidate.js';
+import {TargetRecord} from './target-record.js';
 
 /** What a target book works with. */
 export interface TargetBookOptions {
@@ -40,6 +37,8 @@
   readonly target: TargetAnnouncement;
   /** Whether the engine has to load the adapter first. */
   readonly needsAdapter: boolean;
+  /** Expected time until the answer begins, in milliseconds; 0 where it is not known. */
+  readonly expectedMs: number;
 }
 
 /** A call that was sent to a target. */
@@ -52,25 +51,10 @@
   end(): void;
 }
 
-/** What this process knows of one start of a target from its own calls. */
-class TargetRecord {
-  readonly prompts = new PromptMemory();
-  inFlight = 0;
-  pendingTokens = 0;
-  failureShare = 0;
-  reported = 0;
-  reportedAt = -Infinity;
-  readonly recent = new RecentAdapters();
-  /** Adapters that the engine was found not to hold, with the time of that. */
-  readonly missing = new Map<string, number>();
-}
-
 /** A report of its load that a target gave with an answer is used for so long, in milliseconds. */
 const REPORT_VALID_MS = 500;
 /** Weight of the latest answer in the share of failed ones. */
 const FAILURE_WEIGHT = 0.15;
-/** Time until an engine's view shows that it lacks an adapter, in milliseconds. */
-const MISSING_MS = 400;
 /** Expected share of the stated maximum of output tokens. */
 const OUTPUT_SHARE = 0.5;
 /** A target in another availability zone costs this share of a slot more. */
@@ -141,7 +125,13 @@
   /** An engine said that it does not hold an adapter in the version that was asked for. */
   lacks(target: TargetAnnouncement, work: ModelWork, now: number): void {
     const adapter = adapterName(work.model, work.adapter);
-    this.record(target).missing.set(adapter, now);
+    this.record(target).lacks(adapter, now);
+  }
+
+  /** A call waits for an adapter of an engine until the returned function is called. */
+  awaits(target: TargetAnnouncement, work: ModelWork): () => void {
+    const adapter = adapterName(work.model, work.adapter);
+    return this.record(target).awaits(adapter);
   }
 
   /** Forgets targets that are no longer known. */
@@ -181,7 +171,7 @@
     }));
     weighed.sort((a, b) => a.cost - b.cost);
     const target = weighed.at(0)?.target;
-    return target && {target, needsAdapter: false};
+    return target && {target, needsAdapter: false, expectedMs: 0};
   }
 
   private loadShare(target: TargetAnnouncement, now: number): number {
@@ -200,7 +190,7 @@
   ): ChosenTarget | undefined {
     const adapter = adapterName(work.model, work.adapter);
     const candidates = targets.map(target =>
-      this.candidate(target, need, work, now),
+      engineCandidate(this.known(target), {...need, work}, now),
     );
     const best = weighEngines(
       {
@@ -217,67 +207,22 @@
       target && {
         target,
         needsAdapter: chosen !== undefined && chosen.adapter !== 'held',
+        expectedMs: best?.costMs ?? 0,
       }
     );
   }
 
-  private candidate(
-    target: TargetAnnouncement,
-    need: TargetNeed,
-    work: ModelWork,
-    now: number,
-  ): EngineCandidate {
-    const record = this.record(target);
-    const adapter = adapterName(work.model, work.adapter);
-    const known = this.options.engineView(target.address);
-    const view =
-      known !== undefined && isSameStart(known.bornAt, target.bornAt)
-        ? known
-        : undefined;
+  private known(target: TargetAnnouncement): KnownEngine {
+    const view = this.options.engineView(target.address);
+    const isCurrent =
+      view !== undefined && isSameStart(view.bornAt, target.bornAt);
     return {
-      name: target.id,
-      zone: target.zone,
-      adapter: this.adapterState(record, view, work, need.version, now),
-      idleSlots: view?.idleSlots ?? 1,
-      cachedTokens: record.prompts.cachedTokens(adapter, work.parts, now),
-      pendingTokens: record.pendingTokens,
-      running: Math.max(record.inFlight, view?.running ?? 0),
-      waiting: view?.waiting ?? 0,
-      batchLimit: need.service.engine?.batchLimit ?? target.slots,
-      tokenMemory: need.service.engine?.tokenMemory ?? 0,
-      memoryUsed: view?.memoryUsed ?? 0,
-      failureShare: record.failureShare,
+      target,
+      record: this.record(target),
+      view: isCurrent ? view : undefined,
     };
   }
 
-  private adapterState(
-    record: TargetRecord,
-    view: EngineView | undefined,
-    work: ModelWork,
-    version: number | undefined,
-    now: number,
-  ): EngineCandidate['adapter'] {
-    const adapter = adapterName(work.model, work.adapter);
-    if (view?.models.includes(work.model) === false) {
-      return 'no-model';
-    }
-    if (work.adapter === undefined) {
-      return 'held';
-    }
-    const missingAt = record.missing.get(adapter) ?? -Infinity;
-    if (now - missingAt < MISSING_MS) {
-      return 'absent';
-    }
-    const held = view?.adapters.find(([name]) => name === adapter);
-    if (held !== undefined && held[1] >= (version ?? 0)) {
-      return 'held';
-    }
-    if (view?.loading.includes(adapter)) {
-      return 'loading';
-    }
-    return record.recent.has(adapter, version) ? 'recent' : 'absent';
-  }
-
   /** Takes note of what the engine at an address holds. */
   saw(address: string, view: EngineView): void {
     const target = this.options
--- /dev/null
+++ b/entry/direct-entry/test/target-book.test.ts
@@ -0,0 +1,100 @@
+import {expect} from 'chai';
+import type {EngineView, TargetAnnouncement} from '@marigoldspur/deployment';
+import {TargetBook} from '@marigoldspur/direct-entry';
+
+const SLOTS = 8;
+const SERVICE = {
+  name: 's',
+  healthPath: '/',
+  maxConnections: 100,
+  engine: {
+    batchLimit: 64,
+    tokenMemory: 200_000,
+    adapterSlots: SLOTS,
+    models: [{name: 'm', adapters: 100}],
+  },
+};
+
+function engine(index: number): TargetAnnouncement {
+  return {
+    id: `e${index}`,
+    bornAt: 1,
+    sequence: 1,
+    service: 's',
+    address: `10.0.0.${index}:80`,
+    zone: 'z1',
+    slots: 64,
+    leaving: false,
+    models: ['m'],
+  };
+}
+
+function view(changes: Partial<EngineView> = {}): EngineView {
+  return {
+    bornAt: 1,
+    models: ['m'],
+    adapters: [],
+    loading: [],
+    awaited: [],
+    takenSlots: 0,
+    waiting: 0,
+    running: 0,
+    memoryUsed: 0,
+    ...changes,
+  };
+}
+
+function need(adapter: string) {
+  const parts = [{id: `${adapter}-p`, tokens: 1_000}];
+  const work = {
+    model: 'm',
+    adapter,
+    promptTokens: 1_000,
+    maxOutputTokens: 100,
+    parts,
+  };
+  return {service: SERVICE, work, excluded: new Set<string>()};
+}
+
+function bookOf(views: readonly EngineView[]): TargetBook {
+  const targets = views.map((_, index) => engine(index));
+  const byAddress = new Map(
+    targets.map(({address}, index) => [address, views[index]]),
+  );
+  return new TargetBook({
+    zone: 'z1',
+    targets: () => targets,
+    engineView: address => byAddress.get(address),
+    random: () => 0.5,
+  });
+}
+
+it('target book: the first adapters of a day spread over all engines', () => {
+  const book = bookOf(Array.from({length: 12}, () => view()));
+  const counts = new Map<string, number>();
+  for (let index = 0; index < 48; index += 1) {
+    const wanted = need(`a${index}`);
+    const {target} = book.choose(wanted, 0)!;
+    book.awaits(target, wanted.work);
+    counts.set(target.id, (counts.get(target.id) ?? 0) + 1);
+  }
+  expect([...counts.values()].every(count => count <= SLOTS)).to.equal(true);
+  expect(counts.size).to.equal(12);
+});
+
+it('target book: an adapter that waits for a slot is not asked for elsewhere', () => {
+  const book = bookOf([view(), view(), view()]);
+  const wanted = need('a');
+  const first = book.choose(wanted, 0)!;
+  book.awaits(first.target, wanted.work);
+  expect(book.choose(wanted, 0)?.target).to.equal(first.target);
+});
+
+it('target book: where calls use all slots the expected time grows with the queue', () => {
+  const awaited = ['m/x', 'm/y', 'm/z'];
+  const expected = (queue: string[]) =>
+    bookOf([view({takenSlots: SLOTS, awaited: queue})]).choose(need('a'), 0)!
+      .expectedMs;
+  expect(expected(awaited)).to.be.above(expected(['m/x']));
+  expect(expected(['m/x'])).to.be.above(expected([]));
+});
--- a/policy/engine-choice/src/engine-choice.ts
+++ b/policy/engine-choice/src/engine-choice.ts
@@ -21,7 +21,7 @@
    * even hold its model.
    */
   readonly adapter: 'held' | 'loading' | 'recent' | 'absent' | 'no-model';
-  /** Slots that an adapter could be loaded into at once. */
+  /** Slots that an adapter could be loaded into at once; below 0 so many adapters wait for one. */
   readonly idleSlots: number;
   /** Prompt tokens that it is thought to have cached already. */
   readonly cachedTokens: number;
@@ -59,7 +59,7 @@
 const LOADING_MS = 125;
 /** An adapter that is loaded takes a slot from another one that is wanted too, in milliseconds. */
 const DISPLACEMENT_MS = 60;
-/** Time until a call ends that uses an adapter, where all slots are in use, in milliseconds. */
+/** Time between two slots that become idle at an engine where calls use all of them, in milliseconds. */
 const SLOT_WAIT_MS = 800;
 /** What each running request adds to the time of a step and so to the first event, in milliseconds. */
 const RUNNING_MS = 2;
@@ -114,12 +114,12 @@
 }
 
 function adapterMs({adapter, idleSlots}: EngineCandidate): number {
-  const slotMs = idleSlots > 0 ? 0 : SLOT_WAIT_MS;
+  const slotMs = Math.max(0, 1 - idleSlots) * SLOT_WAIT_MS;
   switch (adapter) {
     case 'held':
       return 0;
     case 'loading':
-      return LOADING_MS;
+      return LOADING_MS + Math.max(0, -idleSlots) * SLOT_WAIT_MS;
     case 'recent':
       return RECENT_LOAD_MS + DISPLACEMENT_MS + slotMs;
     case 'absent':
--- a/policy/engine-choice/test/engine-choice.test.ts
+++ b/policy/engine-choice/test/engine-choice.test.ts
@@ -138,3 +138,12 @@
   const most = Math.max(...counts.values());
   expect(most).to.be.lessThan(2 * (400 / names.length));
 });
+
+it('engine choice: of two engines without an idle slot the one with fewer waiting goes first', () => {
+  const names = ['a', 'b', 'c'];
+  const home = best(names.map(name => engine(name, {idleSlots: 0})));
+  const engines = names.map(name =>
+    engine(name, {idleSlots: name === home ? -2 : 0}),
+  );
+  expect(best(engines)).to.not.equal(home);
+});
