Wait for an adapter while its agent lives, and come back sooner after a closing fault

After the loss of power 193 calls were refused for 1.4 s: 0.9 s until a leader was chosen, then up to 0.5 s until entries were told.

Change: an agent tells that its engine does not answer, and the engine is left out until it does. A wait for an adapter lasts as long as the caller's patience, and ends when the agent is not heard any more. The first election after a start waits part of the timeout, as a pre-vote disturbs no leader. A replica asks a quorum again at once for followers that wait.

Ruled out: slots of other engines (none was idle), the store.

--- a/agent/engine-agent/src/adapter-keeper.ts
+++ b/agent/engine-agent/src/adapter-keeper.ts
@@ -158,6 +158,8 @@
   private lose(reason: string): void {
     if (this.state !== undefined) {
       this.options.events.record('engine-lost', {reason});
+      const view = this.viewOf(this.state, performance.now());
+      this.options.onView({...view, answers: false});
     }
     this.state = undefined;
     this.forgetOrders();
@@ -292,6 +294,7 @@
     );
     return {
       bornAt,
+      answers: true,
       models: [...models],
       adapters: [...state.adapters].filter(([name]) => !this.leaving.has(name)),
       loading: [...loading],
--- a/agent/engine-agent/src/view-streams.ts
+++ b/agent/engine-agent/src/view-streams.ts
@@ -27,8 +27,8 @@
   /** Tells a state that was read at time `now`, in milliseconds, where it is due. */
   take(view: EngineView, now: number): void {
     const line = `${JSON.stringify(view)}\n`;
-    const {adapters: held, awaited, bornAt, loading} = view;
-    const adapters = JSON.stringify([bornAt, held, loading, awaited]);
+    const {adapters: held, answers, awaited, bornAt, loading} = view;
+    const adapters = JSON.stringify([bornAt, answers, held, loading, awaited]);
     const isDue =
       adapters !== this.adapters ||
       (line !== this.line && now - this.toldAt >= LOAD_INTERVAL_MS) ||
--- a/contracts/deployment/src/engine-view.ts
+++ b/contracts/deployment/src/engine-view.ts
@@ -14,6 +14,8 @@
 export const ENGINE_VIEW_SCHEMA = z.object({
   /** When the engine's process started, in milliseconds since the epoch. */
   bornAt: z.int().min(0),
+  /** Whether the engine answers its agent; if not, the rest is its last known state. */
+  answers: z.boolean(),
   /** Models that the engine holds. */
   models: z.array(z.string()),
   /** Adapters that the engine holds, `model/adapter`, each with its version. */
--- a/control/consensus/src/election-timer.ts
+++ b/control/consensus/src/election-timer.ts
@@ -30,6 +30,12 @@
     this.holdsAt = now + electionTimeoutMs * (1 + random());
   }
 
+  /** Waits only part of an election timeout: nobody was heard yet, and a pre-vote disturbs no leader. */
+  start(now: number): void {
+    const {electionTimeoutMs, random} = this.options;
+    this.holdsAt = now + electionTimeoutMs * RETRY_SHARE * (1 + 2 * random());
+  }
+
   /**
    * An election that nobody wins is held again sooner than the first, since the silence
    * is known. Each further one waits twice as long, so that slow votes can arrive.
--- a/control/consensus/src/elections.ts
+++ b/control/consensus/src/elections.ts
@@ -19,7 +19,11 @@
     now: number,
   ) {
     this.timer = new ElectionTimer(options);
-    this.timer.reset(now);
+    if (rules.preVotes()) {
+      this.timer.start(now);
+    } else {
+      this.timer.reset(now);
+    }
   }
 
   /** When `tick` is next to be called. */
--- a/control/fleet/src/fleet-streams.ts
+++ b/control/fleet/src/fleet-streams.ts
@@ -30,6 +30,8 @@
 /** A follower that leaves so much unread is cut off, in bytes; it may come back. */
 const MAX_UNREAD_BYTES = 4_194_304;
 const PULSE: FleetMessage = {};
+/** Pause before a quorum is asked again that did not confirm, in milliseconds. */
+const CONFIRM_PAUSE_MS = 50;
 
 /**
  * Streams what a replica knows of the fleet, a JSON message a line: everything once a
@@ -114,7 +116,6 @@
         send(follower, changed ? {replicas} : PULSE);
       } else {
         send(follower, PULSE);
-        void this.begin(follower);
       }
     }
   }
@@ -126,7 +127,11 @@
     follower.confirming = true;
     const confirmed = await this.options.confirm();
     follower.confirming = false;
-    if (!confirmed || follower.whole || !this.followers.has(follower)) {
+    if (follower.whole || !this.followers.has(follower)) {
+      return;
+    }
+    if (!confirmed) {
+      setTimeout(() => void this.begin(follower), CONFIRM_PAUSE_MS);
       return;
     }
     follower.whole = true;
--- a/entry/direct-entry/src/engine-views.ts
+++ b/entry/direct-entry/src/engine-views.ts
@@ -18,10 +18,14 @@
 
 const SILENCE_MS = 2.5 * ENGINE_VIEW_PULSE_MS;
 const RETRY_MS = 300;
+/** An agent that missed a message is in doubt, in milliseconds. */
+const HEARD_MS = 1.5 * ENGINE_VIEW_PULSE_MS;
 
 interface Link {
   close: () => void;
   view?: EngineView;
+  /** When the agent was heard last, as a `performance.now()` time. */
+  heardAt: number;
   retry?: NodeJS.Timeout;
 }
 
@@ -35,7 +39,7 @@
   follow(addresses: ReadonlySet<string>): void {
     for (const address of addresses) {
       if (!this.links.has(address)) {
-        const link: Link = {close: () => {}};
+        const link: Link = {close: () => {}, heardAt: -Infinity};
         this.links.set(address, link);
         this.open(address, link);
       }
@@ -54,6 +58,13 @@
     return this.links.get(address)?.view;
   }
 
+  /** Whether the agent beside an engine was just heard of, and reaches it, at time `now`. */
+  isKept(address: string, now: number): boolean {
+    const link = this.links.get(address);
+    const isHeard = link !== undefined && now - link.heardAt < HEARD_MS;
+    return isHeard && link.view?.answers === true;
+  }
+
   stop(): void {
     this.follow(new Set());
   }
@@ -66,6 +77,7 @@
       silenceMs: SILENCE_MS,
       onMessage: message => {
         link.view = ENGINE_VIEW_SCHEMA.parse(message);
+        link.heardAt = performance.now();
         this.options.onView(address, link.view);
       },
       onEnd: () => {
--- a/entry/direct-entry/src/start-direct-entry.ts
+++ b/entry/direct-entry/src/start-direct-entry.ts
@@ -95,6 +95,7 @@
     adapters,
     events,
     metrics,
+    isKept: (address, now) => views.isKept(address, now),
     random: Math.random,
   });
   let takesCalls = true;
--- a/entry/direct-entry/src/target-book.ts
+++ b/entry/direct-entry/src/target-book.ts
@@ -75,7 +75,7 @@
   choose(need: TargetNeed, now: number): ChosenTarget | undefined {
     const serving = this.options
       .targets()
-      .filter(target => serves(target, need));
+      .filter(target => serves(target, need) && this.mayAnswer(target));
     const judged = this.suspicion.judge(serving.map(lifeOf), now);
     const usable = new Set(judged.usable);
     const targets = serving.filter(target => usable.has(lifeOf(target)));
@@ -161,6 +161,11 @@
     }
   }
 
+  /** Whether no agent says that the target does not answer. */
+  private mayAnswer(target: TargetAnnouncement): boolean {
+    return this.known(target).view?.answers !== false;
+  }
+
   private chooseLeastLoaded(
     targets: readonly TargetAnnouncement[],
     now: number,
--- a/entry/direct-entry/src/target-finder.ts
+++ b/entry/direct-entry/src/target-finder.ts
@@ -5,13 +5,7 @@
 import {Refusal} from '@marigoldspur/faults';
 import type {FleetView} from '@marigoldspur/fleet-view';
 import type {AdapterRequests} from './adapter-requests.js';
-import {
-  hasTimeLeft,
-  leftMs,
-  MIN_LEFT_MS,
-  patienceLeftMs,
-  type Call,
-} from './call.js';
+import {hasTimeLeft, MIN_LEFT_MS, patienceLeftMs, type Call} from './call.js';
 import type {ModelWork} from './dialect.js';
 import type {DirectMetrics} from './direct-metrics.js';
 import type {TargetBook} from './target-book.js';
@@ -23,12 +17,16 @@
   readonly adapters: Pick<AdapterRequests, 'prepare'>;
   readonly events: EventLog;
   readonly metrics: DirectMetrics;
+  /** Whether the agent beside the engine at an address was just heard of, and reaches it. */
+  readonly isKept: (address: string, now: number) => boolean;
   /** Gives numbers from 0 up to, not including, 1. */
   readonly random: () => number;
 }
 
-/** Longest wait for an adapter before another engine is asked, in milliseconds. */
-const PREPARE_TIMEOUT_MS = 1_500;
+/** Time between two looks at whether the agent that was asked still lives, in milliseconds. */
+const AGENT_CHECK_MS = 300;
+/** An engine reads a prompt of usual size in this time once it holds the adapter, in milliseconds. */
+const READING_MS = 250;
 
 /** Finds targets that hold what calls need, and has adapters made ready. */
 export class TargetFinder {
@@ -67,7 +65,7 @@
       const isReady =
         work === undefined ||
         !needsAdapter ||
-        (await this.prepare(call, target, work));
+        (await this.prepare(call, target, work, since));
       if (isReady) {
         return Result.ok(target);
       }
@@ -82,13 +80,19 @@
     call: Call,
     target: TargetAnnouncement,
     work: ModelWork,
+    since: number,
   ): Promise<boolean> {
     const {adapters, book, events, metrics} = this.options;
     const {head, service, signal} = call;
     const now = performance.now();
+    const lost = new AbortController();
+    const check = setInterval(
+      () => this.endIfLost(target, lost),
+      AGENT_CHECK_MS,
+    );
     const bounded = new BoundedSignal({
-      timeoutMs: Math.min(PREPARE_TIMEOUT_MS, leftMs(call, now)),
-      follows: [signal],
+      timeoutMs: Math.max(0, patienceLeftMs(call, since, now) - READING_MS),
+      follows: [signal, lost.signal],
     });
     const adapter = adapterName(work.model, work.adapter);
     const details = {target: target.id, adapter};
@@ -106,6 +110,7 @@
       bounded.signal,
     );
     endWait();
+    clearInterval(check);
     bounded.release();
     metrics.adapterWaited(answer.ready, performance.now() - now);
     if (!answer.ready && !signal.aborted) {
@@ -115,6 +120,12 @@
     }
     return answer.ready;
   }
+
+  private endIfLost(target: TargetAnnouncement, lost: AbortController): void {
+    if (!this.options.isKept(target.address, performance.now())) {
+      lost.abort();
+    }
+  }
 }
 
 /** Targets come back within a moment: a start takes about a second, in seconds. */
--- a/entry/direct-entry/test/target-book.test.ts
+++ b/entry/direct-entry/test/target-book.test.ts
@@ -32,6 +32,7 @@
 function view(changes: Partial<EngineView> = {}): EngineView {
   return {
     bornAt: 1,
+    answers: true,
     models: ['m'],
     adapters: [],
     loading: [],
@@ -98,3 +99,8 @@
   expect(expected(awaited)).to.be.above(expected(['m/x']));
   expect(expected(['m/x'])).to.be.above(expected([]));
 });
+
+it('target book: an engine that does not answer its agent is not chosen', () => {
+  const book = bookOf([view({answers: false}), view({takenSlots: SLOTS})]);
+  expect(book.choose(need('a'), 0)?.target.id).to.equal('e1');
+});
--- a/entry/direct-entry/test/target-finder.test.ts
+++ b/entry/direct-entry/test/target-finder.test.ts
@@ -7,22 +7,30 @@
 const TARGET = {id: 't', address: '10.0.0.1:80'};
 
 /** Finds a target for a stream whose answer is expected to begin after `expectedMs`. */
-async function find(expectedMs: number, waitedMs = 0) {
+async function find(expectedMs: number, waitedMs = 0, isKept = true) {
   const prepared: string[] = [];
   const finder = new TargetFinder({
     view: {versionOf: () => undefined},
     book: {
-      choose: () => ({target: TARGET, needsAdapter: true, expectedMs}),
+      choose: ({excluded}: {excluded: ReadonlySet<string>}) =>
+        excluded.has(TARGET.id)
+          ? undefined
+          : {target: TARGET, needsAdapter: true, expectedMs},
       awaits: () => () => {},
     },
     adapters: {
-      prepare: async (address: string) => {
+      prepare: (address: string, _request: unknown, signal: AbortSignal) => {
         prepared.push(address);
-        return {ready: true};
+        return isKept
+          ? Promise.resolve({ready: true})
+          : new Promise(resolve => {
+              signal.onabort = () => resolve({ready: false});
+            });
       },
     },
     events: new EventLog({process: 'test'}),
     metrics: new DirectMetrics(new Registry()),
+    isKept: () => isKept,
     random: () => 0.5,
   } as never);
   const now = performance.now();
@@ -61,3 +69,9 @@
   const {found} = await find(PATIENCE_MS / 2, PATIENCE_MS * 0.75);
   expect(found.isErr).to.equal(true);
 });
+
+it('target finder: an agent that is not heard any more is not waited for', async () => {
+  const {found, prepared} = await find(PATIENCE_MS / 2, 0, false);
+  expect(prepared).to.have.length(1);
+  expect(found.isErr && found.error.reason).to.equal('no_target');
+});
