--- a/control/consensus/src/index.ts
+++ b/control/consensus/src/index.ts
@@ -18,6 +18,7 @@
 export {MESSAGE_SCHEMA, type Message, type MessageOf} from './messages.js';
 export type {ConfirmedRead} from './read-queue.js';
 export {Consensus} from './consensus.js';
+export {ElectionTimer} from './election-timer.js';
 export type {ConsensusOptions} from './consensus-options.js';
 export type {
   Applicable,
