Free a slot as soon as its last call has ended

An adapter counted as used 0.4 s after the last message that had named it, and entries told changes each 150 ms.

Change: an entry tells within 40 ms when the first call for an adapter begins or the last one ends, and nothing in between; only an adapter that was made ready for a call that is not told yet is kept for a moment.

--- a/agent/engine-agent/src/adapter-keeper.ts
+++ b/agent/engine-agent/src/adapter-keeper.ts
@@ -96,7 +96,7 @@
     const name = adapterName(request.model, request.adapter);
     this.slots = request.slots;
     this.target = request.target;
-    this.uses.used(name, now);
+    this.uses.awaited(name, now);
     return new Promise(resolve => {
       const known = this.wanted.get(name);
       const wanted: Wanted = {
@@ -191,7 +191,7 @@
           adapter: wanted.name,
           waitedMs: Math.round(now - wanted.since),
         });
-        this.uses.used(wanted.name, now);
+        this.uses.awaited(wanted.name, now);
         this.answer(wanted, {ready: true});
       }
     }
--- a/agent/engine-agent/src/use-table.ts
+++ b/agent/engine-agent/src/use-table.ts
@@ -7,13 +7,15 @@
 
 /** What an entry told counts for so long unless it is told again, in milliseconds. */
 const VALID_MS = 3_000;
-/** Calls that began are told a moment later; an adapter counts as used so long, in milliseconds. */
-const JUST_USED_MS = 400;
+/** The call that an adapter was made ready for is told a moment later; it counts as used so long, in milliseconds. */
+const AWAITED_MS = 400;
 
 /** Which adapters of an engine calls use, as the entries tell. */
 export class UseTable {
   private readonly entries = new Map<string, EntryUses>();
   private readonly lastUsed = new Map<string, number>();
+  /** When an adapter was asked for, or became ready, for a call that is not told yet. */
+  private readonly awaitedAt = new Map<string, number>();
 
   /** Takes what an entry tells at time `now`, in milliseconds. */
   take({entry, running}: Uses, now: number): void {
@@ -22,9 +24,10 @@
     names.forEach(name => this.lastUsed.set(name, now));
   }
 
-  /** Takes note of a use that no entry has told yet. */
-  used(name: string, now: number): void {
+  /** Takes note that a call is about to use an adapter, which no entry has told yet. */
+  awaited(name: string, now: number): void {
     this.lastUsed.set(name, now);
+    this.awaitedAt.set(name, now);
   }
 
   /** When an adapter was last known to be used. */
@@ -34,7 +37,7 @@
 
   /** Whether calls use an adapter at time `now`. */
   isUsed(name: string, now: number): boolean {
-    if (now - this.usedAt(name) < JUST_USED_MS) {
+    if (now - (this.awaitedAt.get(name) ?? -Infinity) < AWAITED_MS) {
       return true;
     }
     return [...this.entries.values()].some(
--- a/agent/engine-agent/test/adapter-plan.test.ts
+++ b/agent/engine-agent/test/adapter-plan.test.ts
@@ -68,8 +68,8 @@
 
 it('adapter plan: never more adapters are ordered than there are slots', () => {
   const uses = new UseTable();
-  uses.used('m/a', NOW);
-  uses.used('m/b', NOW);
+  uses.awaited('m/a', NOW);
+  uses.awaited('m/b', NOW);
   expect(plan({state: FULL, uses, wanted: [wanted('c')]})).to.equal(undefined);
   const half = state({adapters: new Map([['m/a', 1]])});
   const ordered = new Set(['m/x']);
@@ -90,7 +90,7 @@
 it('adapter plan: what an entry told long ago does not hold an adapter', () => {
   const uses = new UseTable();
   uses.take({entry: 'e', begun: [], running: [['m/a', 1]]}, NOW - 9_000);
-  uses.used('m/b', NOW);
+  uses.awaited('m/b', NOW);
   expect(plan({state: FULL, uses, wanted: [wanted('c')]})).to.deep.equal({
     kind: 'unload',
     name: 'm/a',
@@ -99,7 +99,7 @@
 
 it('adapter plan: a newer version replaces the held one without a free slot', () => {
   const uses = new UseTable();
-  uses.used('m/b', NOW);
+  uses.awaited('m/b', NOW);
   const newer = wanted('a', {version: 2});
   expect(plan({state: FULL, uses, wanted: [newer]})).to.deep.equal({
     kind: 'load',
--- a/entry/direct-entry/src/adapter-requests.ts
+++ b/entry/direct-entry/src/adapter-requests.ts
@@ -20,8 +20,8 @@
 }
 
 const MAX_ANSWER_BYTES = 4_096;
-/** An adapter whose last call has ended may leave so much later, in milliseconds. */
-const TELL_MS = 150;
+/** Other adapters wait for the slot of one whose last call has ended, in milliseconds. */
+const TELL_MS = 40;
 const TELL_TIMEOUT_MS = 1_000;
 
 /** Asks agents to make adapters ready, and tells them which ones calls use. */
--- a/entry/direct-entry/src/adapter-uses.ts
+++ b/entry/direct-entry/src/adapter-uses.ts
@@ -8,6 +8,7 @@
 interface EngineUses {
   readonly begun: Map<string, number>;
   readonly running: Map<string, number>;
+  /** Whether the first call for an adapter began, or the last one ended. */
   changed: boolean;
   toldAt: number;
 }
@@ -30,15 +31,15 @@
     };
     this.engines.set(address, engine);
     add(engine.begun, adapter, 1);
+    engine.changed ||= !engine.running.has(adapter);
     add(engine.running, adapter, 1);
-    engine.changed = true;
     return () => {
       add(engine.running, adapter, -1);
-      engine.changed = true;
+      engine.changed ||= !engine.running.has(adapter);
     };
   }
 
-  /** What is to be told at time `now`, in milliseconds: changes, and what runs each second. */
+  /** What is to be told at time `now`, in milliseconds: which adapters are in use when that changes, and all each second. */
   due(now: number): DueUses[] {
     const due: DueUses[] = [];
     for (const [address, engine] of this.engines) {
--- a/entry/direct-entry/src/index.ts
+++ b/entry/direct-entry/src/index.ts
@@ -1,3 +1,4 @@
+export {AdapterUses} from './adapter-uses.js';
 export {CallDesk, type CallDeskOptions} from './call-desk.js';
 export type {CallRunner} from './call-runner.js';
 export {DirectMetrics} from './direct-metrics.js';
