Let an adapter cost more where few slots are idle

Cause: a copy of an adapter at another engine cost the same whether that engine had eight idle slots or one, though the next adapter waits for the one.

--- a/policy/engine-choice/src/engine-choice.ts
+++ b/policy/engine-choice/src/engine-choice.ts
@@ -57,8 +57,8 @@
 const MODEL_LOAD_MS = 1_000;
 /** Time until a load that is under way is done, on average. */
 const LOADING_MS = 125;
-/** An adapter that is loaded takes a slot from another one that is wanted too, in milliseconds. */
-const DISPLACEMENT_MS = 60;
+/** An adapter takes a slot from another one that is wanted too; the cost where it is the last idle slot, in milliseconds. */
+const DISPLACEMENT_MS = 400;
 /** Time between two slots that become idle at an engine where calls use all of them, in milliseconds. */
 const SLOT_WAIT_MS = 800;
 /** What each running request adds to the time of a step and so to the first event, in milliseconds. */
@@ -114,16 +114,19 @@
 }
 
 function adapterMs({adapter, idleSlots}: EngineCandidate): number {
-  const slotMs = Math.max(0, 1 - idleSlots) * SLOT_WAIT_MS;
+  const slotMs =
+    idleSlots > 0
+      ? DISPLACEMENT_MS / idleSlots
+      : DISPLACEMENT_MS + (1 - idleSlots) * SLOT_WAIT_MS;
   switch (adapter) {
     case 'held':
       return 0;
     case 'loading':
       return LOADING_MS + Math.max(0, -idleSlots) * SLOT_WAIT_MS;
     case 'recent':
-      return RECENT_LOAD_MS + DISPLACEMENT_MS + slotMs;
+      return RECENT_LOAD_MS + slotMs;
     case 'absent':
-      return LOAD_MS + DISPLACEMENT_MS + STORE_MS + slotMs;
+      return LOAD_MS + STORE_MS + slotMs;
     case 'no-model':
       return LOAD_MS + STORE_MS + MODEL_LOAD_MS;
   }
