--- a/agent/engine-agent/src/adapter-keeper.ts
+++ b/agent/engine-agent/src/adapter-keeper.ts
@@ -14,6 +14,7 @@
   type PlannedOrder,
   type WantedAdapter,
 } from './adapter-plan.js';
+import {GivenOrders} from './given-orders.js';
 import {UseTable} from './use-table.js';
 import type {
   AdapterOrder,
@@ -38,21 +39,10 @@
   readonly waiters: Set<(answer: PrepareAnswer) => void>;
 }
 
-/** A load that the engine took. */
-interface OrderedLoad {
-  readonly at: number;
-  /** Version that the engine held before, if any. */
-  readonly replaced?: number;
-}
-
 /** Time between two looks at an engine that has nothing to do, in milliseconds. */
 const IDLE_POLL_MS = 250;
 /** Time between two looks while adapters are waited for, in milliseconds. */
 const BUSY_POLL_MS = 25;
-/** An accepted load that the engine does not show after this time has failed, in milliseconds. */
-const ORDERED_VALID_MS = 1_000;
-/** A replacement is not shown before the runs on the old version have ended, in milliseconds. */
-const REPLACING_VALID_MS = 10_000;
 /** Uses count half after this time: demand moves to other adapters within seconds, in milliseconds. */
 const USE_HALF_LIFE_MS = 20_000;
 
@@ -60,8 +50,7 @@
 export class AdapterKeeper {
   private readonly wake = new ChangeSignal();
   private readonly wanted = new Map<string, Wanted>();
-  private readonly ordered = new Map<string, OrderedLoad>();
-  private readonly leaving = new Set<string>();
+  private readonly given = new GivenOrders();
   private readonly uses = new UseTable();
   private readonly eviction = createEviction('expected-rate', {
     halfLifeMs: USE_HALF_LIFE_MS,
@@ -175,16 +164,7 @@
       this.forgetOrders();
     }
     this.state = state;
-    for (const [name, load] of this.ordered) {
-      if (isSettled(name, load, state, now)) {
-        this.ordered.delete(name);
-      }
-    }
-    this.leaving.forEach(name => {
-      if (!state.adapters.has(name)) {
-        this.leaving.delete(name);
-      }
-    });
+    this.given.settle(state, now);
     for (const wanted of [...this.wanted.values()]) {
       if (isHeld(state, wanted)) {
         this.options.events.record('adapter-ready', {
@@ -233,8 +213,8 @@
       {
         state,
         slots: this.slots,
-        ordered: new Set(this.ordered.keys()),
-        leaving: this.leaving,
+        ordered: this.given.loading,
+        leaving: this.given.leaving,
         wanted: [...this.wanted.values()],
         uses: this.uses,
       },
@@ -263,14 +243,8 @@
     const name = details.adapter;
     if (outcome === 'accepted' || outcome === 'holds') {
       events.record('order-given', {...details, outcome});
-      if (order.kind === 'load' && order.adapter !== undefined) {
-        this.ordered.set(name, {
-          at: performance.now(),
-          replaced: this.state?.adapters.get(name),
-        });
-      } else if (outcome === 'accepted') {
-        this.leaving.add(name);
-      }
+      const accepted = outcome === 'accepted';
+      this.given.taken(order, accepted, this.state, performance.now());
       return order.adapter !== undefined;
     }
     events.record('order-failed', {...details, reason: outcome});
@@ -288,7 +262,7 @@
   /** What entries are told; an adapter that is to leave takes no calls any more. */
   private viewOf(state: EngineState, now: number): EngineView {
     const {bornAt, memoryUsed, models, running, waiting} = state;
-    const loading = new Set([...state.loading, ...this.ordered.keys()]);
+    const loading = new Set([...state.loading, ...this.given.loading]);
     const used = [...state.adapters.keys()].filter(
       name => !loading.has(name) && this.uses.isUsed(name, now),
     );
@@ -296,7 +270,9 @@
       bornAt,
       answers: true,
       models: [...models],
-      adapters: [...state.adapters].filter(([name]) => !this.leaving.has(name)),
+      adapters: [...state.adapters].filter(
+        ([name]) => !this.given.leaving.has(name),
+      ),
       loading: [...loading],
       awaited: [...this.wanted.keys()].filter(name => !loading.has(name)),
       takenSlots: loading.size + used.length,
@@ -316,25 +292,11 @@
   }
 
   private forgetOrders(): void {
-    this.ordered.clear();
-    this.leaving.clear();
+    this.given.clear();
     this.unclear = undefined;
   }
 }
 
-/** Whether an engine shows a load that it took, or never will. */
-function isSettled(
-  name: string,
-  {at, replaced}: OrderedLoad,
-  {adapters, loading}: EngineState,
-  now: number,
-): boolean {
-  const validMs =
-    replaced === undefined ? ORDERED_VALID_MS : REPLACING_VALID_MS;
-  const isHeldAnew = adapters.has(name) && adapters.get(name) !== replaced;
-  return loading.has(name) || isHeldAnew || now - at > validMs;
-}
-
 /** Whether an engine began anew between two looks at it. */
 function hasRestarted(before: EngineState, after: EngineState): boolean {
   return after.bornAt !== before.bornAt || after.sequence < before.sequence;
--- a/control/control-server/src/command-relay.ts
+++ b/control/control-server/src/command-relay.ts
@@ -1,6 +1,7 @@
 import type http from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import {Result} from 'true-myth';
+import {settleWithin} from '@marigoldspur/bounded-signal';
 import type {DeploymentText, NamedVersion} from '@marigoldspur/deployment';
 import type {ReplaceOutcome} from '@marigoldspur/deployment-state';
 import {Fault, toFault} from '@marigoldspur/faults';
@@ -102,7 +103,11 @@
     command: Command,
     leftMs: number,
   ): Promise<Result<CommandAnswer, Fault>> {
-    const proposed = await within(this.options.log.propose(command), leftMs);
+    const proposed = await settleWithin(
+      this.options.log.propose(command),
+      leftMs,
+      notCommittedYet,
+    );
     if (proposed.isOk || proposed.error.code !== 'NOT_LEADER') {
       return proposed;
     }
@@ -134,19 +139,6 @@
   return new Fault('INTERNAL', `unexpected answer "${answer.command}"`);
 }
 
-/** The outcome of a proposal, or `TIMEOUT` once the time is over. */
-async function within(
-  proposed: Promise<Result<CommandAnswer, Fault>>,
-  leftMs: number,
-): Promise<Result<CommandAnswer, Fault>> {
-  let timer: NodeJS.Timeout | undefined;
-  const timeout = new Promise<Result<CommandAnswer, Fault>>(resolve => {
-    timer = setTimeout(() => {
-      const message = 'the command is not committed yet';
-      resolve(Result.err(new Fault('TIMEOUT', message)));
-    }, leftMs);
-  });
-  const outcome = await Promise.race([proposed, timeout]);
-  clearTimeout(timer);
-  return outcome;
+function notCommittedYet(): Result<CommandAnswer, Fault> {
+  return Result.err(new Fault('TIMEOUT', 'the command is not committed yet'));
 }
--- a/control/fleet/src/fleet-desk.ts
+++ b/control/fleet/src/fleet-desk.ts
@@ -1,4 +1,5 @@
 import {Result} from 'true-myth';
+import {settleWithin} from '@marigoldspur/bounded-signal';
 import type {
   DeploymentText,
   NamedVersion,
@@ -134,19 +135,15 @@
     this.streams.targetsSilent(silent);
   }
 
-  private async confirmed(): Promise<Result<undefined, Fault>> {
-    let timer: NodeJS.Timeout | undefined;
-    const timeout = new Promise<Result<undefined, Fault>>(resolve => {
-      timer = setTimeout(() => {
-        const fault = new Fault('NO_QUORUM', 'no quorum answered in time');
-        resolve(Result.err(fault));
-      }, CONFIRM_TIMEOUT_MS);
-    });
-    const barrier = await Promise.race([
+  private confirmed(): Promise<Result<undefined, Fault>> {
+    return settleWithin(
       this.options.log.readBarrier(),
-      timeout,
-    ]);
-    clearTimeout(timer);
-    return barrier;
+      CONFIRM_TIMEOUT_MS,
+      noQuorum,
+    );
   }
 }
+
+function noQuorum(): Result<undefined, Fault> {
+  return Result.err(new Fault('NO_QUORUM', 'no quorum answered in time'));
+}
--- a/entry/direct-entry/src/index.ts
+++ b/entry/direct-entry/src/index.ts
@@ -1,4 +1,5 @@
 export {AdapterUses} from './adapter-uses.js';
+export {AdapterWait, type AdapterWaitOptions} from './adapter-wait.js';
 export {CallDesk, type CallDeskOptions} from './call-desk.js';
 export type {CallRunner} from './call-runner.js';
 export {DirectMetrics} from './direct-metrics.js';
--- a/entry/direct-entry/src/start-direct-entry.ts
+++ b/entry/direct-entry/src/start-direct-entry.ts
@@ -10,6 +10,7 @@
 import {ProcessShell} from '@marigoldspur/process-shell';
 import type {RouteTable} from '@marigoldspur/routes';
 import {AdapterRequests} from './adapter-requests.js';
+import {AdapterWait} from './adapter-wait.js';
 import {AttemptSender} from './attempt-sender.js';
 import {CallDesk} from './call-desk.js';
 import {CallRunner} from './call-runner.js';
@@ -92,10 +93,13 @@
   const finder = new TargetFinder({
     view: follower.view,
     book,
-    adapters,
-    events,
-    metrics,
-    isKept: (address, now) => views.isKept(address, now),
+    wait: new AdapterWait({
+      book,
+      adapters,
+      events,
+      metrics,
+      isKept: (address, now) => views.isKept(address, now),
+    }),
     random: Math.random,
   });
   let takesCalls = true;
--- a/entry/direct-entry/test/target-finder.test.ts
+++ b/entry/direct-entry/test/target-finder.test.ts
@@ -1,6 +1,10 @@
 import {expect} from 'chai';
 import {Registry} from 'prom-client';
-import {DirectMetrics, TargetFinder} from '@marigoldspur/direct-entry';
+import {
+  AdapterWait,
+  DirectMetrics,
+  TargetFinder,
+} from '@marigoldspur/direct-entry';
 import {EventLog} from '@marigoldspur/event-log';
 
 const PATIENCE_MS = 2_000;
@@ -9,28 +13,34 @@
 /** Finds a target for a stream whose answer is expected to begin after `expectedMs`. */
 async function find(expectedMs: number, waitedMs = 0, isKept = true) {
   const prepared: string[] = [];
-  const finder = new TargetFinder({
-    view: {versionOf: () => undefined},
-    book: {
-      choose: ({excluded}: {excluded: ReadonlySet<string>}) =>
-        excluded.has(TARGET.id)
-          ? undefined
-          : {target: TARGET, needsAdapter: true, expectedMs},
-      awaits: () => () => {},
-    },
-    adapters: {
-      prepare: (address: string, _request: unknown, signal: AbortSignal) => {
-        prepared.push(address);
-        return isKept
-          ? Promise.resolve({ready: true})
-          : new Promise(resolve => {
-              signal.onabort = () => resolve({ready: false});
-            });
-      },
+  const book = {
+    choose: ({excluded}: {excluded: ReadonlySet<string>}) =>
+      excluded.has(TARGET.id)
+        ? undefined
+        : {target: TARGET, needsAdapter: true, expectedMs},
+    awaits: () => () => {},
+  };
+  const adapters = {
+    prepare: (address: string, _request: unknown, signal: AbortSignal) => {
+      prepared.push(address);
+      return isKept
+        ? Promise.resolve({ready: true})
+        : new Promise(resolve => {
+            signal.onabort = () => resolve({ready: false});
+          });
     },
+  };
+  const wait = new AdapterWait({
+    book,
+    adapters,
     events: new EventLog({process: 'test'}),
     metrics: new DirectMetrics(new Registry()),
     isKept: () => isKept,
+  } as never);
+  const finder = new TargetFinder({
+    view: {versionOf: () => undefined},
+    book,
+    wait,
     random: () => 0.5,
   } as never);
   const now = performance.now();
