Turn a caller away only for time that it would wait, learned from calls

Cause: the whole-path test refused each call for an adapter on idle engines. What speaks against an engine (full memory, failed answers, its place in the common order) counted as time, so that a call that is large for its engine was refused for good. The time until a slot is idle was a constant that fits calls of some seconds; where calls last 50 ms it refused callers that could be served.

Change: the choice of an engine tells the time until the engine turns to a call, the time that the call takes itself, and the rest apart. The time between two idle slots follows from how long the service's calls last. The log line of a refusal states the times that decided it.

--- a/entry/direct-entry/src/attempt-sender.ts
+++ b/entry/direct-entry/src/attempt-sender.ts
@@ -53,8 +53,8 @@
     }
     const adapter = adapterName(work.model, work.adapter);
     const endUse = adapters.begin(target.address, adapter);
-    const end = () => {
-      run.end();
+    const end = (now: number) => {
+      run.end(now);
       endUse();
     };
     return {number, target, run: {...run, end}};
--- a/entry/direct-entry/src/call-desk.ts
+++ b/entry/direct-entry/src/call-desk.ts
@@ -149,7 +149,7 @@
   ): void {
     const {message, outcome, reason, status} = refusal;
     const isGone = response.destroyed;
-    const details = {reason, outcome, status, callerGone: isGone};
+    const details = {reason, message, outcome, status, callerGone: isGone};
     this.options.events.record('call-refused', details, head.id);
     this.options.metrics.refused(reason);
     if (isGone || response.headersSent) {
--- a/entry/direct-entry/src/call-runner.ts
+++ b/entry/direct-entry/src/call-runner.ts
@@ -89,7 +89,7 @@
         ? Result.err(sender.failed(call, attempt, sent.error))
         : await this.answer(call, attempt, sent.value, response);
     } finally {
-      attempt.run.end();
+      attempt.run.end(performance.now());
     }
   }
 
--- a/entry/direct-entry/src/engine-candidate.ts
+++ b/entry/direct-entry/src/engine-candidate.ts
@@ -22,12 +22,14 @@
   readonly work: ModelWork;
   /** The oldest version of the adapter that will do; any without it. */
   readonly version?: number;
+  /** Time between two slots that become idle where calls use all of them, in milliseconds. */
+  readonly slotTurnMs: number;
 }
 
 /** What the choice of an engine needs to know of one at time `now`. */
 export function engineCandidate(
   known: KnownEngine,
-  {service, version, work}: EngineWork,
+  {service, slotTurnMs, version, work}: EngineWork,
   now: number,
 ): EngineCandidate {
   const {record, target, view} = known;
@@ -41,6 +43,7 @@
       ? 'loading'
       : adapterState(known, work, version, now),
     idleSlots: slots - (view?.takenSlots ?? 0) - queued.size,
+    slotTurnMs,
     cachedTokens: record.prompts.cachedTokens(adapter, work.parts, now),
     pendingTokens: record.pendingTokens,
     running: Math.max(record.inFlight, view?.running ?? 0),
--- a/entry/direct-entry/src/index.ts
+++ b/entry/direct-entry/src/index.ts
@@ -11,6 +11,7 @@
   Sending,
 } from './dialect.js';
 export type {DirectSettings, RetryAllowance} from './direct-settings.js';
+export {SlotTurns} from './slot-turns.js';
 export {startDirectEntry, type DirectEntry} from './start-direct-entry.js';
 export {TargetBook, type TargetBookOptions} from './target-book.js';
 export {TargetFinder, type TargetFinderOptions} from './target-finder.js';
--- a/entry/direct-entry/src/start-direct-entry.ts
+++ b/entry/direct-entry/src/start-direct-entry.ts
@@ -93,7 +93,7 @@
   const finder = new TargetFinder({
     view: follower.view,
     book,
-    wait: new AdapterWait({
+    adapterWait: new AdapterWait({
       book,
       adapters,
       events,
--- a/entry/direct-entry/src/stream-resume.ts
+++ b/entry/direct-entry/src/stream-resume.ts
@@ -60,7 +60,7 @@
 
   /** Counts no call any more at the target whose stream was read last. */
   end(): void {
-    this.current?.run.end();
+    this.current?.run.end(performance.now());
     this.current = undefined;
   }
 
--- a/entry/direct-entry/src/target-book.ts
+++ b/entry/direct-entry/src/target-book.ts
@@ -8,6 +8,7 @@
 import {SuspicionTable, type Evidence} from '@marigoldspur/suspicion';
 import type {AnswerHead, ModelWork} from './dialect.js';
 import {engineCandidate, type KnownEngine} from './engine-candidate.js';
+import {SlotTurns} from './slot-turns.js';
 import {TargetRecord} from './target-record.js';
 
 /** What a target book works with. */
@@ -37,8 +38,10 @@
   readonly target: TargetAnnouncement;
   /** Whether the engine has to load the adapter first. */
   readonly needsAdapter: boolean;
-  /** Expected time until the answer begins, in milliseconds; 0 where it is not known. */
-  readonly expectedMs: number;
+  /** Expected time until the target turns to the call, in milliseconds; 0 where it is not known. */
+  readonly waitMs: number;
+  /** Expected time from then until the answer begins, in milliseconds; 0 where it is not known. */
+  readonly ownMs: number;
 }
 
 /** A call that was sent to a target. */
@@ -47,8 +50,8 @@
   answered(head: AnswerHead, failed: boolean, now: number): void;
   /** The first event came, so that the prompt is read. */
   begun(): void;
-  /** The call has ended. */
-  end(): void;
+  /** The call has ended at time `now`. */
+  end(now: number): void;
 }
 
 /** A report of its load that a target gave with an answer is used for so long, in milliseconds. */
@@ -65,6 +68,7 @@
 /** Chooses targets by what they, their agents and this process's own calls tell of them. */
 export class TargetBook {
   private readonly records = new Map<string, TargetRecord>();
+  private readonly slotTurns = new SlotTurns();
   private readonly suspicion = new SuspicionTable({
     halfLifeMs: SUSPICION_HALF_LIFE_MS,
   });
@@ -93,6 +97,7 @@
     const record = this.record(target);
     record.inFlight += 1;
     let pending = 0;
+    let hasAnswered = false;
     if (work !== undefined) {
       const adapter = adapterName(work.model, work.adapter);
       const cached = record.prompts.cachedTokens(adapter, work.parts, now);
@@ -105,11 +110,17 @@
       pending = 0;
     };
     return {
-      answered: (head, failed, at) => this.answered(target, head, failed, at),
+      answered: (head, failed, at) => {
+        hasAnswered = !failed && !head.notRun;
+        this.answered(target, head, failed, at);
+      },
       begun,
-      end: () => {
+      end: at => {
         begun();
         record.inFlight -= 1;
+        if (hasAnswered) {
+          this.slotTurns.ended(target.service, at - now);
+        }
       },
     };
   }
@@ -176,7 +187,7 @@
     }));
     weighed.sort((a, b) => a.cost - b.cost);
     const target = weighed.at(0)?.target;
-    return target && {target, needsAdapter: false, expectedMs: 0};
+    return target && {target, needsAdapter: false, waitMs: 0, ownMs: 0};
   }
 
   private loadShare(target: TargetAnnouncement, now: number): number {
@@ -194,8 +205,11 @@
     now: number,
   ): ChosenTarget | undefined {
     const adapter = adapterName(work.model, work.adapter);
+    const {name, engine} = need.service;
+    const slotTurnMs = this.slotTurns.turnMs(name, engine?.adapterSlots ?? 0);
+    const wanted = {...need, work, slotTurnMs};
     const candidates = targets.map(target =>
-      engineCandidate(this.known(target), {...need, work}, now),
+      engineCandidate(this.known(target), wanted, now),
     );
     const best = weighEngines(
       {
@@ -212,7 +226,8 @@
       target && {
         target,
         needsAdapter: chosen !== undefined && chosen.adapter !== 'held',
-        expectedMs: best?.costMs ?? 0,
+        waitMs: best?.waitMs ?? 0,
+        ownMs: best?.ownMs ?? 0,
       }
     );
   }
--- a/entry/direct-entry/src/target-finder.ts
+++ b/entry/direct-entry/src/target-finder.ts
@@ -2,7 +2,7 @@
 import type {TargetAnnouncement} from '@marigoldspur/deployment';
 import {Refusal} from '@marigoldspur/faults';
 import type {FleetView} from '@marigoldspur/fleet-view';
-import {turnAway} from '@marigoldspur/lateness';
+import {turnAway, type Wait} from '@marigoldspur/lateness';
 import type {AdapterWait} from './adapter-wait.js';
 import {hasTimeLeft, patienceLeftMs, type Call} from './call.js';
 import type {ModelWork} from './dialect.js';
@@ -12,7 +12,7 @@
 export interface TargetFinderOptions {
   readonly view: Pick<FleetView, 'versionOf'>;
   readonly book: Pick<TargetBook, 'choose'>;
-  readonly wait: Pick<AdapterWait, 'run'>;
+  readonly adapterWait: Pick<AdapterWait, 'run'>;
   /** Gives numbers from 0 up to, not including, 1. */
   readonly random: () => number;
 }
@@ -41,7 +41,7 @@
   ): Promise<Result<TargetAnnouncement, Refusal>> {
     const {head, service} = call;
     const {work} = head;
-    const {book, random, wait} = this.options;
+    const {adapterWait, book, random} = this.options;
     const unready = new Set(excluded);
     for (;;) {
       const version = this.versionFor(work);
@@ -51,16 +51,17 @@
       if (chosen === undefined || !hasTimeLeft(call, now)) {
         return Result.err(noTarget());
       }
-      const {expectedMs, needsAdapter, target} = chosen;
+      const {needsAdapter, ownMs, target, waitMs} = chosen;
       const patienceMs = patienceLeftMs(call, since, now);
-      const pauseMs = turnAway({expectedMs, patienceMs}, random());
+      const wait = {ownMs, patienceMs, waitMs};
+      const pauseMs = turnAway(wait, random());
       if (pauseMs !== undefined) {
-        return Result.err(tooLate(pauseMs));
+        return Result.err(tooLate(wait, pauseMs));
       }
       if (work === undefined || !needsAdapter) {
         return Result.ok(target);
       }
-      if (await wait.run(call, {target, work, version, since})) {
+      if (await adapterWait.run(call, {target, work, version, since})) {
         return Result.ok(target);
       }
       unready.add(target.id);
@@ -79,12 +80,15 @@
   );
 }
 
-function tooLate(pauseMs: number): Refusal {
+function tooLate({ownMs, patienceMs, waitMs}: Wait, pauseMs: number): Refusal {
+  const [wait, own, patience] = [waitMs, ownMs, patienceMs].map(Math.round);
+  const expected = `the best target is free after ${wait} ms and needs ${own} ms`;
+  const leaves = `the caller leaves after ${patience} ms`;
   return new Refusal(
     'not-run',
     503,
     'too_late',
-    'no target could begin an answer before the caller leaves',
+    `${expected}, and ${leaves}`,
     pauseMs / SECOND_MS,
   );
 }
--- a/entry/direct-entry/test/target-book.test.ts
+++ b/entry/direct-entry/test/target-book.test.ts
@@ -95,7 +95,7 @@
   const awaited = ['m/x', 'm/y', 'm/z'];
   const expected = (queue: string[]) =>
     bookOf([view({takenSlots: SLOTS, awaited: queue})]).choose(need('a'), 0)!
-      .expectedMs;
+      .waitMs;
   expect(expected(awaited)).to.be.above(expected(['m/x']));
   expect(expected(['m/x'])).to.be.above(expected([]));
 });
@@ -104,3 +104,10 @@
   const book = bookOf([view({answers: false}), view({takenSlots: SLOTS})]);
   expect(book.choose(need('a'), 0)?.target.id).to.equal('e1');
 });
+
+it('target book: at an idle engine no call waits, however large it is', () => {
+  const book = bookOf([view()]);
+  const large = need('a');
+  const work = {...large.work, promptTokens: 500_000};
+  expect(book.choose({...large, work}, 0)?.waitMs).to.equal(0);
+});
--- a/entry/direct-entry/test/target-finder.test.ts
+++ b/entry/direct-entry/test/target-finder.test.ts
@@ -10,14 +10,14 @@
 const PATIENCE_MS = 2_000;
 const TARGET = {id: 't', address: '10.0.0.1:80'};
 
-/** Finds a target for a stream whose answer is expected to begin after `expectedMs`. */
-async function find(expectedMs: number, waitedMs = 0, isKept = true) {
+/** Finds a target for a stream whose answer is expected to begin after `waitMs`. */
+async function find(waitMs: number, waitedMs = 0, isKept = true) {
   const prepared: string[] = [];
   const book = {
     choose: ({excluded}: {excluded: ReadonlySet<string>}) =>
       excluded.has(TARGET.id)
         ? undefined
-        : {target: TARGET, needsAdapter: true, expectedMs},
+        : {target: TARGET, needsAdapter: true, waitMs, ownMs: 0},
     awaits: () => () => {},
   };
   const adapters = {
@@ -30,7 +30,7 @@
           });
     },
   };
-  const wait = new AdapterWait({
+  const adapterWait = new AdapterWait({
     book,
     adapters,
     events: new EventLog({process: 'test'}),
@@ -40,7 +40,7 @@
   const finder = new TargetFinder({
     view: {versionOf: () => undefined},
     book,
-    wait,
+    adapterWait,
     random: () => 0.5,
   } as never);
   const now = performance.now();
--- a/policy/engine-choice/src/engine-choice.ts
+++ b/policy/engine-choice/src/engine-choice.ts
@@ -23,6 +23,8 @@
   readonly adapter: 'held' | 'loading' | 'recent' | 'absent' | 'no-model';
   /** Slots that an adapter could be loaded into at once; below 0 so many adapters wait for one. */
   readonly idleSlots: number;
+  /** Time between two slots that become idle where calls use all of them, in milliseconds. */
+  readonly slotTurnMs: number;
   /** Prompt tokens that it is thought to have cached already. */
   readonly cachedTokens: number;
   /** Prompt tokens of requests that were sent there and have not begun. */
@@ -39,10 +41,15 @@
   readonly failureShare: number;
 }
 
-/** An engine and the time that a request is expected to take there until its first event. */
+/** An engine, and what a request is expected to meet there. */
 export interface WeighedEngine {
   readonly name: string;
+  /** What decides between engines: both times below, and what speaks against the engine, in milliseconds. */
   readonly costMs: number;
+  /** Time until the engine turns to the request, in milliseconds. */
+  readonly waitMs: number;
+  /** Time that the request itself takes from then until its first event, in milliseconds. */
+  readonly ownMs: number;
 }
 
 /** Prompt tokens that an engine reads in a millisecond; the order of one accelerator pair with a large model. */
@@ -59,8 +66,6 @@
 const LOADING_MS = 125;
 /** An adapter takes a slot from another one that is wanted too; the cost where it is the last idle slot, in milliseconds. */
 const DISPLACEMENT_MS = 400;
-/** Time between two slots that become idle at an engine where calls use all of them, in milliseconds. */
-const SLOT_WAIT_MS = 800;
 /** What each running request adds to the time of a step and so to the first event, in milliseconds. */
 const RUNNING_MS = 2;
 /** Time in which the prompt of a waiting request is read, in milliseconds. */
@@ -79,33 +84,36 @@
 const FAILURE_MS = 1_500;
 
 /**
- * The engines in the order of the time that a request is expected to take there until
- * its first event. Serves hundreds of requests a second over some dozens of engines.
+ * The engines in the order of what a request is expected to meet there until its first
+ * event. Serves hundreds of requests a second over some dozens of engines.
  */
 export function weighEngines(
   need: EngineNeed,
   candidates: readonly EngineCandidate[],
 ): WeighedEngine[] {
   return rendezvousOrder(need.affinity, candidates)
-    .map((candidate, rank) => ({
-      name: candidate.name,
-      costMs: costMs(need, candidate) + rank * RANK_MS,
-    }))
+    .map((candidate, rank) => weigh(need, candidate, rank))
     .sort((a, b) => a.costMs - b.costMs);
 }
 
-function costMs(need: EngineNeed, candidate: EngineCandidate): number {
+function weigh(
+  need: EngineNeed,
+  candidate: EngineCandidate,
+  rank: number,
+): WeighedEngine {
+  const waitMs =
+    backlogMs(candidate) + slotWaitMs(candidate) + batchWaitMs(candidate);
   const uncached = Math.max(0, need.promptTokens - candidate.cachedTokens);
-  return (
-    uncached / PREFILL_TOKENS_PER_MS +
-    backlogMs(candidate) +
-    adapterMs(candidate) +
+  const ownMs = uncached / PREFILL_TOKENS_PER_MS + loadMs(candidate);
+  const againstMs =
+    rank * RANK_MS +
+    displacementMs(candidate) +
     candidate.running * RUNNING_MS +
-    (candidate.running >= candidate.batchLimit ? FULL_BATCH_MS : 0) +
     memoryMs(need, candidate) +
     (candidate.zone === need.zone ? 0 : ZONE_MS) +
-    candidate.failureShare * FAILURE_MS
-  );
+    candidate.failureShare * FAILURE_MS;
+  const costMs = waitMs + ownMs + againstMs;
+  return {name: candidate.name, costMs, waitMs, ownMs};
 }
 
 /** Time until the prompts before this one are read: this process knows its own at once, those of others later. */
@@ -113,25 +121,47 @@
   return Math.max(pendingTokens / PREFILL_TOKENS_PER_MS, waiting * WAITING_MS);
 }
 
-function adapterMs({adapter, idleSlots}: EngineCandidate): number {
-  const slotMs =
-    idleSlots > 0
-      ? DISPLACEMENT_MS / idleSlots
-      : DISPLACEMENT_MS + (1 - idleSlots) * SLOT_WAIT_MS;
+/** Time until a slot is idle for the adapter, where it takes one. */
+function slotWaitMs(candidate: EngineCandidate): number {
+  const {adapter, idleSlots, slotTurnMs} = candidate;
+  switch (adapter) {
+    case 'held':
+    case 'no-model':
+      return 0;
+    case 'loading':
+      return Math.max(0, -idleSlots) * slotTurnMs;
+    case 'recent':
+    case 'absent':
+      return Math.max(0, 1 - idleSlots) * slotTurnMs;
+  }
+}
+
+function batchWaitMs({batchLimit, running}: EngineCandidate): number {
+  return running >= batchLimit ? FULL_BATCH_MS : 0;
+}
+
+function loadMs({adapter}: EngineCandidate): number {
   switch (adapter) {
     case 'held':
       return 0;
     case 'loading':
-      return LOADING_MS + Math.max(0, -idleSlots) * SLOT_WAIT_MS;
+      return LOADING_MS;
     case 'recent':
-      return RECENT_LOAD_MS + slotMs;
+      return RECENT_LOAD_MS;
     case 'absent':
-      return LOAD_MS + STORE_MS + slotMs;
+      return LOAD_MS + STORE_MS;
     case 'no-model':
       return LOAD_MS + STORE_MS + MODEL_LOAD_MS;
   }
 }
 
+/** What it costs other adapters that this one takes a slot. */
+function displacementMs({adapter, idleSlots}: EngineCandidate): number {
+  return adapter === 'recent' || adapter === 'absent'
+    ? DISPLACEMENT_MS / Math.max(1, idleSlots)
+    : 0;
+}
+
 function memoryMs(need: EngineNeed, candidate: EngineCandidate): number {
   const {memoryUsed, tokenMemory} = candidate;
   const share =
--- a/policy/engine-choice/test/engine-choice.test.ts
+++ b/policy/engine-choice/test/engine-choice.test.ts
@@ -22,6 +22,7 @@
     zone: 'z1',
     adapter: 'absent',
     idleSlots: 4,
+    slotTurnMs: 800,
     cachedTokens: 0,
     pendingTokens: 0,
     running: 0,
