--- a/agent/engine-agent/src/given-orders.ts
+++ b/agent/engine-agent/src/given-orders.ts
@@ -35,10 +35,10 @@
     before: EngineState | undefined,
     now: number,
   ): void {
-    const name = adapterName(order.model, order.adapter);
     if (order.adapter === undefined) {
       return;
     }
+    const name = adapterName(order.model, order.adapter);
     if (order.kind === 'load') {
       const replaced = before?.adapters.get(name);
       this.loads.set(name, {at: now, replaced});
--- a/control/fleet/src/fleet-streams.ts
+++ b/control/fleet/src/fleet-streams.ts
@@ -24,7 +24,6 @@
   readonly response: http.ServerResponse;
   /** Whether it got the whole state, and so gets changes. */
   whole: boolean;
-  confirming: boolean;
 }
 
 /** A follower that leaves so much unread is cut off, in bytes; it may come back. */
@@ -53,7 +52,7 @@
   handle(request: http.IncomingMessage, response: http.ServerResponse): void {
     request.resume();
     response.writeHead(200, {'content-type': 'application/x-ndjson'});
-    const follower: Follower = {response, whole: false, confirming: false};
+    const follower: Follower = {response, whole: false};
     this.followers.add(follower);
     const end = () => {
       if (this.followers.delete(follower)) {
@@ -112,22 +111,13 @@
     const changed = text !== this.toldReplicas;
     this.toldReplicas = text;
     for (const follower of this.followers) {
-      if (follower.whole) {
-        send(follower, changed ? {replicas} : PULSE);
-      } else {
-        send(follower, PULSE);
-      }
+      send(follower, follower.whole && changed ? {replicas} : PULSE);
     }
   }
 
   private async begin(follower: Follower): Promise<void> {
-    if (follower.confirming) {
-      return;
-    }
-    follower.confirming = true;
     const confirmed = await this.options.confirm();
-    follower.confirming = false;
-    if (follower.whole || !this.followers.has(follower)) {
+    if (!this.followers.has(follower)) {
       return;
     }
     if (!confirmed) {
--- a/entry/direct-entry/src/adapter-uses.ts
+++ b/entry/direct-entry/src/adapter-uses.ts
@@ -1,3 +1,5 @@
+import {addCount} from './counts.js';
+
 /** Use of one engine's adapters that its agent is to be told. */
 export interface DueUses {
   readonly address: string;
@@ -30,11 +32,11 @@
       toldAt: -Infinity,
     };
     this.engines.set(address, engine);
-    add(engine.begun, adapter, 1);
+    addCount(engine.begun, adapter, 1);
     engine.changed ||= !engine.running.has(adapter);
-    add(engine.running, adapter, 1);
+    addCount(engine.running, adapter, 1);
     return () => {
-      add(engine.running, adapter, -1);
+      addCount(engine.running, adapter, -1);
       engine.changed ||= !engine.running.has(adapter);
     };
   }
@@ -60,12 +62,3 @@
     return due;
   }
 }
-
-function add(counts: Map<string, number>, key: string, count: number): void {
-  const sum = (counts.get(key) ?? 0) + count;
-  if (sum > 0) {
-    counts.set(key, sum);
-  } else {
-    counts.delete(key);
-  }
-}
--- /dev/null
+++ b/entry/direct-entry/src/counts.ts
@@ -0,0 +1,13 @@
+/** Adds to a count; one that falls to 0 is dropped. */
+export function addCount(
+  counts: Map<string, number>,
+  key: string,
+  added: number,
+): void {
+  const sum = (counts.get(key) ?? 0) + added;
+  if (sum > 0) {
+    counts.set(key, sum);
+  } else {
+    counts.delete(key);
+  }
+}
--- a/entry/direct-entry/src/engine-candidate.ts
+++ b/entry/direct-entry/src/engine-candidate.ts
@@ -3,7 +3,6 @@
   Service,
   TargetAnnouncement,
 } from '@marigoldspur/deployment';
-import {adapterName} from '@marigoldspur/deployment';
 import type {EngineCandidate} from '@marigoldspur/engine-choice';
 import type {ModelWork} from './dialect.js';
 import type {TargetRecord} from './target-record.js';
@@ -20,6 +19,8 @@
 export interface EngineWork {
   readonly service: Service;
   readonly work: ModelWork;
+  /** Name of the adapter, `model/adapter`, or of the model itself. */
+  readonly adapter: string;
   /** The oldest version of the adapter that will do; any without it. */
   readonly version?: number;
   /** Time between two slots that become idle where calls use all of them, in milliseconds. */
@@ -29,19 +30,17 @@
 /** What the choice of an engine needs to know of one at time `now`. */
 export function engineCandidate(
   known: KnownEngine,
-  {service, slotTurnMs, version, work}: EngineWork,
+  wanted: EngineWork,
   now: number,
 ): EngineCandidate {
   const {record, target, view} = known;
-  const adapter = adapterName(work.model, work.adapter);
+  const {adapter, service, slotTurnMs, work} = wanted;
   const queued = record.queuedAdapters(view);
   const slots = service.engine?.adapterSlots ?? 0;
   return {
     name: target.id,
     zone: target.zone,
-    adapter: queued.has(adapter)
-      ? 'loading'
-      : adapterState(known, work, version, now),
+    adapter: queued.has(adapter) ? 'loading' : adapterState(known, wanted, now),
     idleSlots: slots - (view?.takenSlots ?? 0) - queued.size,
     slotTurnMs,
     cachedTokens: record.prompts.cachedTokens(adapter, work.parts, now),
@@ -57,11 +56,9 @@
 
 function adapterState(
   {record, view}: KnownEngine,
-  work: ModelWork,
-  version: number | undefined,
+  {adapter, version, work}: EngineWork,
   now: number,
 ): EngineCandidate['adapter'] {
-  const adapter = adapterName(work.model, work.adapter);
   if (view?.models.includes(work.model) === false) {
     return 'no-model';
   }
--- a/entry/direct-entry/src/target-book.ts
+++ b/entry/direct-entry/src/target-book.ts
@@ -207,7 +207,7 @@
     const adapter = adapterName(work.model, work.adapter);
     const {name, engine} = need.service;
     const slotTurnMs = this.slotTurns.turnMs(name, engine?.adapterSlots ?? 0);
-    const wanted = {...need, work, slotTurnMs};
+    const wanted = {...need, work, adapter, slotTurnMs};
     const candidates = targets.map(target =>
       engineCandidate(this.known(target), wanted, now),
     );
@@ -220,14 +220,13 @@
       },
       candidates,
     ).at(0);
-    const target = targets.find(({id}) => id === best?.name);
-    const chosen = candidates.find(({name}) => name === best?.name);
+    const index = candidates.findIndex(({name}) => name === best?.name);
     return (
-      target && {
-        target,
-        needsAdapter: chosen !== undefined && chosen.adapter !== 'held',
-        waitMs: best?.waitMs ?? 0,
-        ownMs: best?.ownMs ?? 0,
+      best && {
+        target: targets[index],
+        needsAdapter: candidates[index].adapter !== 'held',
+        waitMs: best.waitMs,
+        ownMs: best.ownMs,
       }
     );
   }
--- a/entry/direct-entry/src/target-record.ts
+++ b/entry/direct-entry/src/target-record.ts
@@ -1,5 +1,6 @@
 import type {EngineView} from '@marigoldspur/deployment';
 import {PromptMemory, RecentAdapters} from '@marigoldspur/engine-choice';
+import {addCount} from './counts.js';
 
 /** Time until an engine's view shows that it lacks an adapter, in milliseconds. */
 const MISSING_MS = 400;
@@ -34,15 +35,8 @@
 
   /** A call waits for an adapter until the returned function is called. */
   awaits(adapter: string): () => void {
-    this.awaited.set(adapter, (this.awaited.get(adapter) ?? 0) + 1);
-    return () => {
-      const left = (this.awaited.get(adapter) ?? 0) - 1;
-      if (left > 0) {
-        this.awaited.set(adapter, left);
-      } else {
-        this.awaited.delete(adapter);
-      }
-    };
+    addCount(this.awaited, adapter, 1);
+    return () => addCount(this.awaited, adapter, -1);
   }
 
   /** Adapters that calls of this or another process wait for and that no slot is known to be given to. */
