Record at entries when a target is withdrawn and when attempts start

The lines of an entry could not tell a call that was sent to a leaving target because the entry had not heard of the leave from one whose target had been chosen before and was not checked again: neither the time at which the entry learned of the leave nor the start of an attempt was recorded at the default level.

No decision changes. The volume grows by one line for each leave and entry.

--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -122,6 +122,12 @@
     meaning:
       'A target has failed; this entry prefers other targets until it responds again or the suspicion decays.',
   },
+  'target-withdrawn': {
+    number: 729,
+    level: 'info',
+    meaning:
+      'This entry has learned that a target is leaving or is no longer listed (`reason`) and sends it no further calls.',
+  },
   'engine-found': {
     number: 740,
     level: 'info',
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -20,6 +20,8 @@
   readonly number: number;
   readonly target: TargetAnnouncement;
   readonly tracker: TargetCallTracker;
+  /** Time from the start of the call to this attempt, in milliseconds. */
+  readonly sentAfterMs: number;
 }
 
 /** Options of an attempt sender. */
@@ -57,9 +59,11 @@
   ): Attempt {
     const {agentClient, selector} = this.options;
     const {work} = call.metadata;
-    const tracker = selector.startCall(target, work, performance.now());
+    const now = performance.now();
+    const tracker = selector.startCall(target, work, now);
+    const sentAfterMs = Math.round(now - call.startedAt);
     if (work?.adapter === undefined) {
-      return {number, target, tracker};
+      return {number, target, tracker, sentAfterMs};
     }
     const adapter = adapterName(work.model, work.adapter);
     const endUse = agentClient.startUse(target.address, adapter);
@@ -67,7 +71,7 @@
       tracker.end(now);
       endUse();
     };
-    return {number, target, tracker: {...tracker, end}};
+    return {number, target, tracker: {...tracker, end}, sentAfterMs};
   }
 
   /**
@@ -187,11 +191,17 @@
 
   private record(
     call: Call,
-    {number, target}: Attempt,
+    {number, sentAfterMs, target}: Attempt,
     reason: string,
     outcome: string,
   ): void {
-    const details = {attempt: number, target: target.id, reason, outcome};
+    const details = {
+      attempt: number,
+      target: target.id,
+      sentAfterMs,
+      reason,
+      outcome,
+    };
     this.options.events.record(
       'call-attempt-failed',
       details,
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -164,7 +164,8 @@
     });
     resumer?.end();
     const tookMs = Math.round(performance.now() - startedAt);
-    const details = {attempt: attempt.number, target: attempt.target.id};
+    const {number, sentAfterMs, target} = attempt;
+    const details = {attempt: number, target: target.id, sentAfterMs};
     events.record(
       OUTCOME_EVENTS[outcome],
       {...details, status, tookMs},
--- a/entry/direct-routing/src/call-stream-resumer.ts
+++ b/entry/direct-routing/src/call-stream-resumer.ts
@@ -90,8 +90,8 @@
       sender.handleRejection(call, attempt, sent.value);
       return undefined;
     }
-    const {number: attemptNumber, tracker, target} = attempt;
-    const details = {attempt: attemptNumber, target: target.id, after};
+    const {number, sentAfterMs, tracker, target} = attempt;
+    const details = {attempt: number, target: target.id, sentAfterMs, after};
     events.record('call-resumed', details, call.metadata.id);
     tracker.recordResponse(sent.value.metadata, false, performance.now());
     return sent.value;
--- a/entry/direct-routing/src/index.ts
+++ b/entry/direct-routing/src/index.ts
@@ -27,3 +27,4 @@
   type TargetCall,
   type TargetFailure,
 } from './target-client.js';
+export {WithdrawalRecorder} from './withdrawal-recorder.js';
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -23,6 +23,7 @@
 import {TargetSelector} from './target-selector.js';
 import {TargetClient} from './target-client.js';
 import {TargetFinder} from './target-finder.js';
+import {WithdrawalRecorder} from './withdrawal-recorder.js';
 
 /** A running entry that routes calls directly to targets. */
 export interface DirectRouter extends Task {
@@ -65,11 +66,15 @@
   const {events, security} = runtime;
   const activeRoutes = new ActiveRoutes(wireFormat, events);
   const httpAgent = security.createAgent();
+  const withdrawals = new WithdrawalRecorder(events);
   const onChange = (change: FleetChange) => {
     activeRoutes.applyChange(change, fleetFollower.view);
     if (activeRoutes.table !== undefined) {
       callerServer.setLimits(limitsOf(activeRoutes.table.deployment));
     }
+    if (change.hasChangedTargets) {
+      withdrawals.update(fleetFollower.view.targets());
+    }
     if (change.hasChangedTargets || change.hasNewDeployment) {
       engineViews.follow(
         engineAddresses(activeRoutes.table, fleetFollower.view),
--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -8,6 +8,7 @@
 import {FailureDetector, type Evidence} from '@marigoldspur/failure-detector';
 import type {ResponseMetadata, ModelWork} from './wire-format.js';
 import {toEngineCandidate, type EngineSnapshot} from './engine-candidate.js';
+import {incarnationOf} from './incarnation.js';
 import {SlotReleaseEstimator} from './slot-release-estimator.js';
 import {TargetStats} from './target-stats.js';
 
@@ -324,10 +325,6 @@
   }
 }
 
-function incarnationOf({id, bornAt}: TargetAnnouncement): string {
-  return `${id}/${bornAt}`;
-}
-
 function serves(
   target: TargetAnnouncement,
   requirements: TargetRequirements,
