Add failing tests for calls sent to a target that left during their wait

The users saw two resumed streams reach an engine 2361 and 2533 ms after its leave was acknowledged.

--- a/entry/direct-routing/test/target-finder.test.ts
+++ b/entry/direct-routing/test/target-finder.test.ts
@@ -1,9 +1,11 @@
 import {expect} from 'chai';
 import {Registry} from 'prom-client';
+import type {TargetAnnouncement} from '@marigoldspur/deployment';
 import {
   AdapterPreparer,
   DirectRoutingMetrics,
   TargetFinder,
+  TargetSelector,
 } from '@marigoldspur/direct-routing';
 import {EventLog} from '@marigoldspur/event-log';
 
@@ -88,3 +90,106 @@
   expect(prepared).to.have.length(1);
   expect(found.isErr && found.error.reason).to.equal('no_target');
 });
+
+/**
+ * Finds a target for a call whose adapter no engine holds. `duringWait` gets
+ * the known targets and the chosen one while the call waits for the adapter.
+ */
+async function findWhile(
+  duringWait: (
+    targets: TargetAnnouncement[],
+    chosen: TargetAnnouncement,
+  ) => void,
+) {
+  const targets = [1, 2].map(index => ({
+    id: `e${index}`,
+    bornAt: 1,
+    sequence: 1,
+    service: 's',
+    address: `10.0.0.${index}:80`,
+    zone: 'z',
+    slots: 64,
+    leaving: false,
+    models: ['m'],
+  }));
+  const waits: string[] = [];
+  const selector = new TargetSelector({
+    zone: 'z',
+    targets: () => targets,
+    engineView: () => undefined,
+    random: () => 0.5,
+  });
+  const agentClient = {
+    prepare: async (address: string) => {
+      waits.push(address);
+      if (waits.length === 1) {
+        duringWait(
+          targets,
+          targets.find(each => each.address === address)!,
+        );
+      }
+      return {ready: true};
+    },
+  };
+  const finder = new TargetFinder({
+    fleetView: {versionOf: () => undefined},
+    selector,
+    adapterPreparer: new AdapterPreparer({
+      selector,
+      agentClient,
+      events: new EventLog({process: 'test'}),
+      metrics: new DirectRoutingMetrics(new Registry()),
+      isAgentReachable: () => true,
+    } as never),
+    random: () => 0.5,
+  });
+  const call = {
+    metadata: {
+      id: 'c',
+      work: {
+        model: 'm',
+        adapter: 'a',
+        promptTokens: 100,
+        maxOutputTokens: 10,
+        parts: [],
+      },
+    },
+    route: {timeoutMs: 60_000, patienceMs: PATIENCE_MS},
+    service: {
+      name: 's',
+      engine: {
+        batchLimit: 64,
+        tokenMemory: 200_000,
+        adapterSlots: 8,
+        models: [{name: 'm', adapters: 9}],
+      },
+    },
+    startedAt: performance.now(),
+    signal: new AbortController().signal,
+  };
+  const found = await finder.find(call as never, new Set(), call.startedAt);
+  return {address: found.isOk ? found.value.address : undefined, waits};
+}
+
+it('target finder: a call is not sent to a target that started to leave during the wait for its adapter', async () => {
+  const {address, waits} = await findWhile((_, chosen) => {
+    chosen.leaving = true;
+  });
+  expect(waits).to.have.length(2);
+  expect(address).to.equal(waits[1]).and.not.equal(waits[0]);
+});
+
+it('target finder: a call is not sent to a target that ended during the wait for its adapter', async () => {
+  const {address, waits} = await findWhile((targets, chosen) => {
+    targets.splice(targets.indexOf(chosen), 1);
+  });
+  expect(waits).to.have.length(2);
+  expect(address).to.equal(waits[1]).and.not.equal(waits[0]);
+});
+
+it('target finder: a call is not sent to an incarnation that was replaced during the wait for its adapter', async () => {
+  const {waits} = await findWhile((targets, chosen) => {
+    targets.splice(targets.indexOf(chosen), 1, {...chosen, bornAt: 2});
+  });
+  expect(waits).to.have.length(2);
+});
