Check a target again after the wait for its adapter

Cause: TargetFinder chose a target, waited up to the caller's patience for its agent to load the adapter, and returned the target as chosen. The entry had heard of the leave meanwhile; nobody looked. Class: a decision made before a wait is used after it without being checked against what was learned during the wait.

Change: TargetSelector.isAvailable applies the condition of the choice (listed, same incarnation, service, not leaving, not excluded) to a target that was chosen before. The wait checks it every 300 ms and ends early, so that the caller does not wait for a target that it won't get; after the wait the finder checks it before the target is used, and chooses anew otherwise. Suspicion is left out: it only makes an entry prefer other targets.

--- a/entry/direct-routing/src/adapter-preparer.ts
+++ b/entry/direct-routing/src/adapter-preparer.ts
@@ -5,11 +5,11 @@
 import {remainingPatienceMs, type Call} from './call.js';
 import type {ModelWork} from './wire-format.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
-import type {TargetSelector} from './target-selector.js';
+import type {TargetRequirements, TargetSelector} from './target-selector.js';
 
 /** Options of an adapter preparer. */
 export interface AdapterPreparerOptions {
-  readonly selector: Pick<TargetSelector, 'startAdapterWait'>;
+  readonly selector: Pick<TargetSelector, 'isAvailable' | 'startAdapterWait'>;
   readonly agentClient: Pick<AdapterAgentClient, 'prepare'>;
   readonly events: EventLog;
   readonly metrics: DirectRoutingMetrics;
@@ -24,8 +24,8 @@
 export interface AdapterPreparation {
   readonly target: TargetAnnouncement;
   readonly work: ModelWork;
-  /** Oldest acceptable version of the adapter; any version if undefined. */
-  readonly version?: number;
+  /** The requirements for which the engine was chosen. */
+  readonly requirements: TargetRequirements;
   /**
    * Since when the caller has waited for an event, as a `performance.now()`
    * time.
@@ -34,10 +34,10 @@
 }
 
 /**
- * Interval at which the agent's liveness is checked during a wait, in
+ * Interval at which the engine and its agent are checked during a wait, in
  * milliseconds.
  */
-const AGENT_CHECK_MS = 300;
+const CHECK_INTERVAL_MS = 300;
 /**
  * Time in which an engine processes a prompt of usual size once it holds the
  * adapter, in milliseconds.
@@ -46,7 +46,7 @@
 
 /**
  * Waits for adapters to be loaded. A wait ends early when the caller
- * disconnects or the agent is lost.
+ * disconnects, the agent is lost or the engine must not be used any more.
  */
 export class AdapterPreparer {
   constructor(private readonly options: AdapterPreparerOptions) {}
@@ -54,12 +54,12 @@
   /** Resolves to whether the engine holds the adapter. */
   async prepare(call: Call, preparation: AdapterPreparation): Promise<boolean> {
     const {agentClient, selector, metrics} = this.options;
-    const {target, version, work} = preparation;
+    const {requirements, target, work} = preparation;
     const startedAt = performance.now();
-    const agentLost = new AbortController();
-    const livenessTimer = setInterval(
-      () => this.abortIfLost(target, agentLost),
-      AGENT_CHECK_MS,
+    const targetLost = new AbortController();
+    const checkTimer = setInterval(
+      () => this.abortIfLost(preparation, targetLost),
+      CHECK_INTERVAL_MS,
     );
     const patienceMs = remainingPatienceMs(
       call,
@@ -68,7 +68,7 @@
     );
     const waitSignal = new BoundedSignal({
       timeoutMs: Math.max(0, patienceMs - PROMPT_PROCESSING_MS),
-      parentSignals: [call.signal, agentLost.signal],
+      parentSignals: [call.signal, targetLost.signal],
     });
     const endWait = selector.startAdapterWait(target, work);
     this.record('adapter-awaited', call, preparation);
@@ -77,14 +77,14 @@
       {
         model: work.model,
         adapter: work.adapter,
-        version,
+        version: requirements.version,
         slots: call.service.engine?.adapterSlots ?? 0,
         target: target.id,
       },
       waitSignal.signal,
     );
     endWait();
-    clearInterval(livenessTimer);
+    clearInterval(checkTimer);
     waitSignal.dispose();
     metrics.recordAdapterWait(ready, performance.now() - startedAt);
     if (!ready && !call.signal.aborted) {
@@ -95,11 +95,15 @@
   }
 
   private abortIfLost(
-    target: TargetAnnouncement,
-    agentLost: AbortController,
+    {requirements, target}: AdapterPreparation,
+    targetLost: AbortController,
   ): void {
-    if (!this.options.isAgentReachable(target.address, performance.now())) {
-      agentLost.abort();
+    const {isAgentReachable, selector} = this.options;
+    if (
+      !isAgentReachable(target.address, performance.now()) ||
+      !selector.isAvailable(target, requirements)
+    ) {
+      targetLost.abort();
     }
   }
 
--- a/entry/direct-routing/src/target-finder.ts
+++ b/entry/direct-routing/src/target-finder.ts
@@ -14,7 +14,7 @@
 /** Options of a target finder. */
 export interface TargetFinderOptions {
   readonly fleetView: Pick<FleetView, 'versionOf'>;
-  readonly selector: Pick<TargetSelector, 'choose'>;
+  readonly selector: Pick<TargetSelector, 'choose' | 'isAvailable'>;
   readonly adapterPreparer: Pick<AdapterPreparer, 'prepare'>;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
@@ -71,14 +71,16 @@
       if (work === undefined || !needsAdapter) {
         return Result.ok(target);
       }
-      if (
-        await adapterPreparer.prepare(call, {
-          target,
-          work,
-          version,
-          waitingSince,
-        })
-      ) {
+      const isReady = await adapterPreparer.prepare(call, {
+        target,
+        work,
+        requirements,
+        waitingSince,
+      });
+      if (!selector.isAvailable(target, requirements)) {
+        continue;
+      }
+      if (isReady) {
         return Result.ok(target);
       }
       unavailable.add(target.id);
--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -124,6 +124,23 @@
       : this.chooseEngine(targets, requirements, requirements.work, now);
   }
 
+  /**
+   * Whether a target still takes calls with these requirements. A target that
+   * was chosen before a wait is checked with this before it is used.
+   */
+  isAvailable(
+    target: TargetAnnouncement,
+    requirements: TargetRequirements,
+  ): boolean {
+    const incarnation = incarnationOf(target);
+    return this.options
+      .targets()
+      .some(
+        known =>
+          incarnationOf(known) === incarnation && serves(known, requirements),
+      );
+  }
+
   /** Records that a call is sent to a target at time `now`. */
   startCall(
     target: TargetAnnouncement,
--- a/entry/direct-routing/test/target-finder.test.ts
+++ b/entry/direct-routing/test/target-finder.test.ts
@@ -23,6 +23,7 @@
       excluded.has(TARGET.id)
         ? undefined
         : {target: TARGET, needsAdapter: true, waitMs, processingMs: 0},
+    isAvailable: () => true,
     startAdapterWait: () => () => {},
   };
   const agentClient = {
@@ -94,12 +95,14 @@
 /**
  * Finds a target for a call whose adapter no engine holds. `duringWait` gets
  * the known targets and the chosen one while the call waits for the adapter.
+ * Unless `becomesReady`, that first wait ends only when it is aborted.
  */
 async function findWhile(
   duringWait: (
     targets: TargetAnnouncement[],
     chosen: TargetAnnouncement,
   ) => void,
+  becomesReady = true,
 ) {
   const targets = [1, 2].map(index => ({
     id: `e${index}`,
@@ -120,15 +123,19 @@
     random: () => 0.5,
   });
   const agentClient = {
-    prepare: async (address: string) => {
+    prepare: async (address: string, _: unknown, signal: AbortSignal) => {
       waits.push(address);
-      if (waits.length === 1) {
-        duringWait(
-          targets,
-          targets.find(each => each.address === address)!,
-        );
+      if (waits.length > 1) {
+        return {ready: true};
       }
-      return {ready: true};
+      duringWait(
+        targets,
+        targets.find(each => each.address === address)!,
+      );
+      if (!becomesReady) {
+        await new Promise(resolve => (signal.onabort = resolve));
+      }
+      return {ready: becomesReady};
     },
   };
   const finder = new TargetFinder({
@@ -193,3 +200,12 @@
   });
   expect(waits).to.have.length(2);
 });
+
+it('target finder: the wait for an adapter ends when the target starts to leave', async () => {
+  const startedAt = performance.now();
+  const {address, waits} = await findWhile((_, chosen) => {
+    chosen.leaving = true;
+  }, false);
+  expect(performance.now() - startedAt).to.be.below(PATIENCE_MS / 2);
+  expect(address).to.equal(waits[1]).and.not.equal(waits[0]);
+});
