Refuse attempts whose engine started to leave while they waited

What callers saw: found by reading every path that uses a decision after a wait, not by a user.

The condition is checked again right before forwarding, where the other conditions are, and the wait for a slot ends as soon as a health check shows that the engine leaves.

--- a/agent/agent-server/src/attempt-validator.ts
+++ b/agent/agent-server/src/attempt-validator.ts
@@ -8,7 +8,7 @@
 import {attemptId} from './attempt-headers.js';
 import {readBodyModel} from './body-model.js';
 import type {EngineComponents} from './engine-components.js';
-import {notRunRefusal} from './not-run-refusal.js';
+import {notRunRefusal, targetLeavingRefusal} from './not-run-refusal.js';
 import {SeenAttempts} from './seen-attempts.js';
 
 /** Options of an attempt validator. */
@@ -88,11 +88,7 @@
       );
     }
     if (load.isClosed || engine?.monitor.state.leaving === true) {
-      return notRunRefusal(
-        503,
-        'target_leaving',
-        'the target is shutting down',
-      );
+      return targetLeavingRefusal();
     }
     if (!this.isHealthy()) {
       return notRunRefusal(503, 'target_down', 'the target is not healthy');
--- a/agent/agent-server/src/forward-admission.ts
+++ b/agent/agent-server/src/forward-admission.ts
@@ -1,5 +1,6 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {Result} from 'true-myth';
+import {BoundedSignal} from '@marigoldspur/abort-signals';
 import type {Pin} from '@marigoldspur/adapter-slots';
 import type {EventLog} from '@marigoldspur/event-log';
 import type {Refusal} from '@marigoldspur/faults';
@@ -7,7 +8,7 @@
 import {formatModel} from '@marigoldspur/settings-schema';
 import type {EngineComponents} from './engine-components.js';
 import {findAdapter, type AdapterLookup} from './find-adapter.js';
-import {notRunRefusal} from './not-run-refusal.js';
+import {notRunRefusal, targetLeavingRefusal} from './not-run-refusal.js';
 
 /** Options of a forward admission. */
 export interface ForwardAdmissionOptions extends AdapterLookup {
@@ -31,7 +32,7 @@
 
   /**
    * Pins the adapter of an attempt; resolves with undefined for a plain
-   * service.
+   * service. The wait for a load ends when the target starts to leave.
    */
   async pinAdapter(
     hop: Hop,
@@ -46,13 +47,19 @@
     if (found.isErr) {
       return Result.err(found.error);
     }
+    const {leavingSignal} = engine.monitor;
+    const wait = new BoundedSignal({parentSignals: [signal, leavingSignal]});
     const pin = await engine.loader.acquire({
       ...found.value,
       model: formatModel(hop.model),
       priority: hop.priority,
       deadlineMs,
-      signal,
+      signal: wait.signal,
     });
+    wait.dispose();
+    if (pin.isErr && leavingSignal.aborted) {
+      return Result.err(targetLeavingRefusal());
+    }
     return pin.map(held => ({pin: held, boot: engine.monitor.state.boot}));
   }
 
@@ -84,6 +91,9 @@
         'another agent may serve the target',
       );
     }
+    if (engine?.monitor.state.leaving) {
+      return targetLeavingRefusal();
+    }
     return engine !== undefined && engine.monitor.state.boot !== boot
       ? notRunRefusal(503, 'target_restarted', 'the engine restarted')
       : undefined;
--- a/agent/agent-server/src/not-run-refusal.ts
+++ b/agent/agent-server/src/not-run-refusal.ts
@@ -12,3 +12,8 @@
 ): Refusal {
   return new Refusal('not-run', status, reason, message, RETRY_AFTER_SECONDS);
 }
+
+/** Creates the refusal of an attempt whose target is leaving. */
+export function targetLeavingRefusal(): Refusal {
+  return notRunRefusal(503, 'target_leaving', 'the target is shutting down');
+}
--- a/agent/agent-server/src/target-monitor.ts
+++ b/agent/agent-server/src/target-monitor.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import type {Pin, SlotTable} from '@marigoldspur/adapter-slots';
 import type {EventLog} from '@marigoldspur/event-log';
 import type {
@@ -56,6 +57,7 @@
   private pendingCheck?: Promise<void>;
   private checkCount = 0;
   private isStopped = false;
+  private leaving = createSharedController();
   private readonly runTracker: RunTracker;
 
   constructor(private readonly options: TargetMonitorOptions) {
@@ -67,6 +69,11 @@
     return this.current;
   }
 
+  /** Aborts when the target starts to leave; already aborted while it is leaving. */
+  get leavingSignal(): AbortSignal {
+    return this.leaving.signal;
+  }
+
   /** Starts the health checks, with a pause of `intervalMs` after each. */
   start(intervalMs: number): void {
     const check = async () => {
@@ -139,6 +146,11 @@
       await this.recordSample();
     }
     const {healthy, leaving, boot} = this.current;
+    if (leaving) {
+      this.leaving.abort();
+    } else if (previous.leaving) {
+      this.leaving = createSharedController();
+    }
     if (
       healthy !== previous.healthy ||
       leaving !== previous.leaving ||
@@ -212,3 +224,10 @@
 function toTargetState(health: EngineHealth): TargetState {
   return {healthy: true, ...health};
 }
+
+/** Creates a controller whose signal any number of attempts may watch. */
+function createSharedController(): AbortController {
+  const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
+  return controller;
+}
