Wait again for a version that was named during the wait for an adapter

The engine refuses the call as not run, which takes an attempt and a retry of the shared budget, and the caller's wait starts again at a target that was not prepared.

Found by reading; no user reported it. The finder now chooses again if the version changed during the wait.

--- a/entry/direct-routing/src/target-finder.ts
+++ b/entry/direct-routing/src/target-finder.ts
@@ -77,7 +77,10 @@
         requirements,
         waitingSince,
       });
-      if (!selector.isAvailable(target, requirements)) {
+      const isOutdated =
+        !selector.isAvailable(target, requirements) ||
+        this.versionFor(work) !== version;
+      if (isOutdated) {
         continue;
       }
       if (isReady) {
--- a/entry/direct-routing/test/target-finder.test.ts
+++ b/entry/direct-routing/test/target-finder.test.ts
@@ -95,7 +95,8 @@
 /**
  * Finds a target for a call whose adapter no engine holds. `duringWait` gets
  * the known targets and the chosen one while the call waits for the adapter.
- * Unless `becomesReady`, that first wait ends only when it is aborted.
+ * Unless `becomesReady`, that first wait ends only when it is aborted. The
+ * newest version of the adapter is `versionOf()`.
  */
 async function findWhile(
   duringWait: (
@@ -103,6 +104,7 @@
     chosen: TargetAnnouncement,
   ) => void,
   becomesReady = true,
+  versionOf = () => undefined as number | undefined,
 ) {
   const targets = [1, 2].map(index => ({
     id: `e${index}`,
@@ -116,6 +118,7 @@
     models: ['m'],
   }));
   const waits: string[] = [];
+  const versions: Array<number | undefined> = [];
   const selector = new TargetSelector({
     zone: 'z',
     targets: () => targets,
@@ -123,8 +126,13 @@
     random: () => 0.5,
   });
   const agentClient = {
-    prepare: async (address: string, _: unknown, signal: AbortSignal) => {
+    prepare: async (
+      address: string,
+      {version}: {version?: number},
+      signal: AbortSignal,
+    ) => {
       waits.push(address);
+      versions.push(version);
       if (waits.length > 1) {
         return {ready: true};
       }
@@ -139,7 +147,7 @@
     },
   };
   const finder = new TargetFinder({
-    fleetView: {versionOf: () => undefined},
+    fleetView: {versionOf},
     selector,
     adapterPreparer: new AdapterPreparer({
       selector,
@@ -175,7 +183,8 @@
     signal: new AbortController().signal,
   };
   const found = await finder.find(call as never, new Set(), call.startedAt);
-  return {address: found.isOk ? found.value.address : undefined, waits};
+  const address = found.isOk ? found.value.address : undefined;
+  return {address, versions, waits};
 }
 
 it('target finder: a call is not sent to a target that started to leave during the wait for its adapter', async () => {
@@ -209,3 +218,15 @@
   expect(performance.now() - startedAt).to.be.below(PATIENCE_MS / 2);
   expect(address).to.equal(waits[1]).and.not.equal(waits[0]);
 });
+
+it('target finder: a call waits for the version that was named during the wait for its adapter', async () => {
+  let newest = 1;
+  const {versions} = await findWhile(
+    () => {
+      newest = 2;
+    },
+    true,
+    () => newest,
+  );
+  expect(versions).to.deep.equal([1, 2]);
+});
