Resume a stream that sends an event without end

A target that sent bytes of no event in a resumable stream got 1 MiB of them buffered and then passed on to the caller unchanged, without end, until the caller left or the route timed out; the stream was not resumable any more.

An event over 1 MiB now invalidates the stream as an event out of sequence does: the connection is closed and the stream goes on at another target after its last whole event.

--- a/entry/dispatch/src/numbered-event-buffer.ts
+++ b/entry/dispatch/src/numbered-event-buffer.ts
@@ -6,7 +6,7 @@
 const CODE_NINE = 57;
 const EVENT_NUMBER = /^id: ?(\d{1,9})\r?$/m;
 const EMPTY = Buffer.alloc(0);
-/** Maximum size of an incomplete event that is buffered. */
+/** Maximum size of an incomplete event, in bytes. */
 const MAX_EVENT_BYTES = 1_048_576;
 
 /**
@@ -19,7 +19,7 @@
   private lastNumber = -1;
   private isAtStart = true;
   private hasNumbers = true;
-  private outOfSequence = false;
+  private invalid = false;
 
   /** Number of the last event that was forwarded; -1 if none. */
   get lastEventNumber(): number {
@@ -27,10 +27,12 @@
   }
 
   /**
-   * Whether a resumed stream did not start with the event after the last one.
+   * Whether the received bytes cannot be the rest of the stream: a resumed
+   * stream did not start with the event after the last one, or an event exceeds
+   * the maximum size.
    */
-  get isOutOfSequence(): boolean {
-    return this.outOfSequence;
+  get isInvalid(): boolean {
+    return this.invalid;
   }
 
   /**
@@ -54,9 +56,9 @@
     if (this.isAtStart && end > 0) {
       this.checkFirstNumber(bytes, end);
     }
-    if (this.outOfSequence || !this.hasNumbers) {
+    if (this.invalid || !this.hasNumbers) {
       this.buffered = EMPTY;
-      return this.outOfSequence ? EMPTY : bytes;
+      return this.invalid ? EMPTY : bytes;
     }
     let start = findEventEnd(bytes, end);
     const marker = bytes.indexOf(END_MARKER, start);
@@ -65,11 +67,9 @@
       start = findEventEnd(bytes, end);
     }
     if (bytes.length - end > MAX_EVENT_BYTES) {
-      // The size of the buffer is limited, so the rest of the stream is
-      // forwarded unchanged and cannot be resumed.
-      this.hasNumbers = false;
+      this.invalid = true;
       this.buffered = EMPTY;
-      return bytes;
+      return EMPTY;
     }
     this.buffered = end === bytes.length ? EMPTY : bytes.subarray(end);
     if (end > 0) {
@@ -92,14 +92,14 @@
   restart(): void {
     this.buffered = EMPTY;
     this.isAtStart = true;
-    this.outOfSequence = false;
+    this.invalid = false;
   }
 
   private checkFirstNumber(bytes: Buffer, end: number): void {
     this.isAtStart = false;
     const number = parseEventNumber(bytes, 0, end);
     if (this.lastNumber >= 0) {
-      this.outOfSequence = number !== this.lastNumber + 1;
+      this.invalid = number !== this.lastNumber + 1;
     } else {
       this.hasNumbers = number !== undefined;
     }
--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -166,7 +166,7 @@
     const {eventBuffer} = this;
     this.completenessCheck.add(chunk);
     this.forward(eventBuffer === undefined ? chunk : eventBuffer.add(chunk));
-    if (eventBuffer?.isOutOfSequence === true) {
+    if (eventBuffer?.isInvalid === true) {
       this.handleBreak();
     }
   }
