Bound the head of a target's response

A target that sent blank lines or interim responses without end held an attempt until its response timeout: for a call that must not be repeated that is the caller's deadline, and the entry read all bytes meanwhile. Node's parser limits the header to 16 KiB, but neither of these two (measured with a raw server: 20 s until the timeout of the test; endless header lines, one endless line and bytes of another protocol ended at 18 to 22 KB).

More than 64 KiB before the head is complete now break the attempt, with an open outcome, and reset the connection. The HTTP agent for connections to targets moves to http-link, beside the new limit, for agents to use as well.

--- a/entry/direct-routing/src/index.ts
+++ b/entry/direct-routing/src/index.ts
@@ -3,6 +3,7 @@
   AdapterPreparer,
   type AdapterPreparerOptions,
 } from './adapter-preparer.js';
+export {AttemptSender, type AttemptSenderOptions} from './attempt-sender.js';
 export {CallHandler, type CallHandlerOptions} from './call-handler.js';
 export type {CallRunner} from './call-runner.js';
 export {DirectRoutingMetrics} from './direct-routing-metrics.js';
@@ -21,7 +22,6 @@
 export {startDirectRouter, type DirectRouter} from './start-direct-router.js';
 export {TargetSelector, type TargetSelectorOptions} from './target-selector.js';
 export {TargetFinder, type TargetFinderOptions} from './target-finder.js';
-export {TargetHttpAgent} from './target-http-agent.js';
 export {
   TargetClient,
   type TargetCall,
--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -3,8 +3,8 @@
 import {Result} from 'true-myth';
 import {Refusal, type RefusalOutcome} from '@marigoldspur/faults';
 import type {UpstreamResponse} from '@marigoldspur/dispatch';
+import {limitResponseHead, TargetHttpAgent} from '@marigoldspur/http-link';
 import type {ResponseMetadata, WireFormat} from './wire-format.js';
-import {TargetHttpAgent} from './target-http-agent.js';
 
 /** A call to one target. */
 export interface TargetCall {
@@ -92,6 +92,7 @@
       call.signal.removeEventListener('abort', abort);
     });
     request.on('socket', socket => this.watchConnection(request, socket));
+    limitResponseHead(request, () => this.abort(request, 'broken'));
     const response = new Promise<Result<TargetResponse, TargetFailure>>(
       resolve => {
         request.on('error', error => {
--- /dev/null
+++ b/entry/direct-routing/test/endless-responses.test.ts
@@ -0,0 +1,88 @@
+import net from 'node:net';
+import {Readable} from 'node:stream';
+import {expect} from 'chai';
+import {TargetClient, type WireFormat} from '@marigoldspur/direct-routing';
+
+const WIRE_FORMAT = {
+  parseResponseHeaders: () => ({
+    matchesCallId: true,
+    hasNotRun: true,
+    isMisdirected: false,
+  }),
+} as unknown as WireFormat;
+
+/** Response timeout of the calls; the bounds under test take effect earlier. */
+const RESPONSE_HEADER_TIMEOUT_MS = 20_000;
+/** Time within which the entry must close an endless response, in milliseconds. */
+const CLOSE_WITHIN_MS = 5_000;
+
+let server: net.Server;
+let client: TargetClient;
+/** Bytes that start the response to a request. */
+let firstBytes: string;
+/** Bytes that follow again and again until the connection is closed. */
+let repeatedBytes: string;
+let closed: Promise<void>;
+
+beforeEach(done => {
+  client = new TargetClient(WIRE_FORMAT);
+  server = net.createServer(socket => {
+    closed = new Promise(resolve => {
+      socket.on('error', () => resolve());
+      socket.on('close', () => resolve());
+    });
+    socket.once('data', () => {
+      socket.write(firstBytes);
+      const block = repeatedBytes.repeat(
+        Math.ceil(1_024 / repeatedBytes.length),
+      );
+      Readable.from(repeat(block)).pipe(socket);
+    });
+  });
+  server.listen(0, '127.0.0.1', done);
+});
+
+afterEach(() => {
+  client.close();
+  server.close();
+});
+
+function* repeat(block: string): Generator<Buffer> {
+  for (;;) {
+    yield Buffer.from(block);
+  }
+}
+
+function send(signal = new AbortController().signal) {
+  const {port} = server.address() as net.AddressInfo;
+  return client.send({
+    id: 'c',
+    address: `127.0.0.1:${port}`,
+    method: 'GET',
+    path: '/',
+    headers: {},
+    body: Buffer.alloc(0),
+    signal,
+    responseHeaderTimeoutMs: RESPONSE_HEADER_TIMEOUT_MS,
+  });
+}
+
+const ENDLESS_HEADS: ReadonlyArray<readonly [string, string, string]> = [
+  ['blank lines', '\r\n', '\r\n'],
+  ['interim responses', '', 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n'],
+  ['header lines', 'HTTP/1.1 200 OK\r\n', 'x-a: a\r\n'],
+  ['one header line', 'HTTP/1.1 200 OK\r\nx-a: ', 'a'],
+  ['one status line', 'HTTP/1.1 200 ', 'a'],
+  ['bytes of another protocol', '\x16\x03\x01', 'a'],
+];
+for (const [name, first, repeated] of ENDLESS_HEADS) {
+  it(`endless responses: a head of ${name} without end breaks the attempt and its connection`, async () => {
+    [firstBytes, repeatedBytes] = [first, repeated];
+    const startedAt = performance.now();
+    const sent = await send();
+    await closed;
+    expect(performance.now() - startedAt).to.be.below(CLOSE_WITHIN_MS);
+    expect(sent.isErr && sent.error.kind).to.equal('broken');
+    expect(sent.isErr && sent.error.outcome).to.equal('unknown');
+  });
+}
