Close the connection of a rejection whose body has no end

The body of a rejected attempt is read only to reuse its connection. A target that never ended it was read for good, also after the call had been answered by another target: each such rejection cost a connection and the processor time of the entry until the target stopped.

discardBody reads at most 64 KiB and a second.

--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -2,6 +2,7 @@
 import {adapterName, type TargetAnnouncement} from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
+import {discardBody} from '@marigoldspur/http-link';
 import type {AdapterAgentClient} from './adapter-agent-client.js';
 import {remainingMs, MIN_REMAINING_MS, type Call} from './call.js';
 import type {WireFormat} from './wire-format.js';
@@ -148,8 +149,7 @@
     response: TargetResponse,
   ): Refusal {
     const {metadata, message} = response;
-    message.on('error', () => {});
-    message.resume();
+    discardBody(message);
     if (metadata.isMisdirected) {
       this.recordMisdirection(call, attempt.target, metadata.target);
     }
--- a/entry/direct-routing/test/endless-responses.test.ts
+++ b/entry/direct-routing/test/endless-responses.test.ts
@@ -1,7 +1,14 @@
 import net from 'node:net';
 import {Readable} from 'node:stream';
 import {expect} from 'chai';
-import {TargetClient, type WireFormat} from '@marigoldspur/direct-routing';
+import {Registry} from 'prom-client';
+import {
+  AttemptSender,
+  DirectRoutingMetrics,
+  TargetClient,
+  type WireFormat,
+} from '@marigoldspur/direct-routing';
+import {EventLog} from '@marigoldspur/event-log';
 
 const WIRE_FORMAT = {
   parseResponseHeaders: () => ({
@@ -86,3 +93,29 @@
     expect(sent.isErr && sent.error.outcome).to.equal('unknown');
   });
 }
+
+const BODY_HEADS: ReadonlyArray<readonly [string, string, string]> = [
+  ['chunks', 'transfer-encoding: chunked\r\n\r\n', '4\r\nbody\r\n'],
+  ['bytes without a length', '\r\n', 'body'],
+  ['more bytes than its length', 'content-length: 4\r\n\r\n', 'body'],
+];
+for (const [name, framing, repeated] of BODY_HEADS) {
+  it(`endless responses: the connection of a rejection with ${name} without end is closed`, async () => {
+    firstBytes = `HTTP/1.1 503 Service Unavailable\r\n${framing}`;
+    repeatedBytes = repeated;
+    const startedAt = performance.now();
+    const sent = await send();
+    if (sent.isErr) {
+      throw new Error(sent.error.message);
+    }
+    const sender = new AttemptSender({
+      events: new EventLog({process: 'test'}),
+      metrics: new DirectRoutingMetrics(new Registry()),
+    } as never);
+    const call = {metadata: {id: 'c'}, service: {name: 's'}};
+    const attempt = {number: 1, target: {id: 't'}, sentAfterMs: 0};
+    sender.handleRejection(call as never, attempt as never, sent.value);
+    await closed;
+    expect(performance.now() - startedAt).to.be.below(CLOSE_WITHIN_MS);
+  });
+}
--- a/machines/http-link/src/index.ts
+++ b/machines/http-link/src/index.ts
@@ -19,6 +19,6 @@
   type JsonStreamOptions,
 } from './json-stream.js';
 export {createJsonStreamHandler} from './json-stream-handler.js';
-export {limitResponseHead} from './response-limits.js';
+export {discardBody, limitResponseHead} from './response-limits.js';
 export {TargetHttpAgent} from './target-http-agent.js';
 export {LineReader, LineTooLongError} from './line-reader.js';
--- a/machines/http-link/src/response-limits.ts
+++ b/machines/http-link/src/response-limits.ts
@@ -6,6 +6,12 @@
  * blank lines before the status line.
  */
 const MAX_HEAD_BYTES = 65_536;
+/**
+ * Limits on a body that is read only so that its connection can be reused.
+ * Beyond them a new connection costs less.
+ */
+const MAX_DISCARDED_BYTES = 65_536;
+const DISCARD_TIMEOUT_MS = 1_000;
 
 /**
  * Calls `onExceeded` if more than 64 KiB arrive before the head of the response
@@ -34,3 +40,22 @@
     request.once('close', stop);
   });
 }
+
+/**
+ * Reads the rest of a body that nobody needs. Closes the connection if the body
+ * exceeds 64 KiB or takes longer than a second.
+ */
+export function discardBody(message: http.IncomingMessage): void {
+  let receivedBytes = 0;
+  const timer = setTimeout(() => message.destroy(), DISCARD_TIMEOUT_MS);
+  message.on('data', (chunk: Buffer) => {
+    receivedBytes += chunk.length;
+    if (receivedBytes > MAX_DISCARDED_BYTES) {
+      message.destroy();
+    }
+  });
+  message.on('error', () => {
+    // The rest of the body is of no interest.
+  });
+  message.on('close', () => clearTimeout(timer));
+}
