Leave a response that has started to the relay when its connection fails

If a target sent further bytes in the same segment as a whole response, Node's parser reported an error on the request after the response event and before its body was read. The agent took that for a connection that failed before a response: it refused the attempt with 502 although the answer was there, and the relay then wrote to the ended response, which raised an uncaught ERR_STREAM_WRITE_AFTER_END and would have ended the agent.

After the response event the relay alone decides: it ends whole if the framing is complete, and torn when the message closes before that. The resume handler had the same listener. The test failed before with both symptoms.

--- a/agent/agent-server/src/resume-handler.ts
+++ b/agent/agent-server/src/resume-handler.ts
@@ -116,10 +116,15 @@
         pin?.release(performance.now());
         resolve(refusal);
       };
-      targetRequest.on('error', error =>
-        fail(unknownOutcomeRefusal(502, 'target_broke_off', error.message)),
-      );
+      let hasResponse = false;
+      targetRequest.on('error', error => {
+        // The response may be whole although its connection failed.
+        if (!hasResponse) {
+          fail(unknownOutcomeRefusal(502, 'target_broke_off', error.message));
+        }
+      });
       targetRequest.on('response', targetResponse => {
+        hasResponse = true;
         const refusal = this.checkTargetResponse(targetResponse);
         if (refusal !== undefined) {
           targetResponse.destroy();
--- a/agent/agent-server/src/target-forwarder.ts
+++ b/agent/agent-server/src/target-forwarder.ts
@@ -117,7 +117,12 @@
         signal: bounded.signal,
       });
       this.trackConnection(targetRequest);
+      let hasResponse = false;
       targetRequest.on('error', error => {
+        // The response may be whole although its connection failed.
+        if (hasResponse) {
+          return;
+        }
         const {hasConnected} = this;
         refuseAttempt(
           hop,
@@ -131,6 +136,7 @@
         resolve(endAfterConnectionError(hasConnected, signal.aborted));
       });
       targetRequest.on('response', targetResponse => {
+        hasResponse = true;
         this.openReader(targetResponse);
         void this.responseHandler.handle(attempt, targetResponse).then(resolve);
       });
--- /dev/null
+++ b/agent/agent-server/test/endless-responses.test.ts
@@ -0,0 +1,85 @@
+import http from 'node:http';
+import net from 'node:net';
+import {Readable} from 'node:stream';
+import {expect} from 'chai';
+import {Registry} from 'prom-client';
+import {EventLog} from '@marigoldspur/event-log';
+import {listen} from '@marigoldspur/http-link';
+import {createAgentMetrics} from '../src/agent-metrics.js';
+import {StreamRegistry} from '../src/stream-registry.js';
+import {TargetForwarder} from '../src/target-forwarder.js';
+import {createHop} from './agent-fixture.js';
+
+/** Time that an attempt has; the limits under test take effect earlier. */
+const BUDGET_MS = 20_000;
+const WHOLE_RESPONSE = 'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody';
+
+let target: net.Server;
+let agent: http.Server;
+let agentUrl: string;
+/** Bytes that start the response on each connection. */
+let firstBytes: string;
+/** Bytes that follow again and again until the connection is closed. */
+let repeatedBytes: string;
+/** Resolves when these bytes may start to follow. */
+let mayRepeat: Promise<void>;
+let closed: Promise<void>;
+
+function* repeat(block: string): Generator<Buffer> {
+  for (;;) {
+    yield Buffer.from(block);
+  }
+}
+
+beforeEach(async () => {
+  mayRepeat = Promise.resolve();
+  target = net.createServer(socket => {
+    closed = new Promise(resolve => {
+      socket.on('error', () => resolve());
+      socket.on('close', () => resolve());
+    });
+    socket.once('data', () => {
+      socket.write(firstBytes);
+      void mayRepeat.then(() =>
+        Readable.from(repeat(repeatedBytes.repeat(100))).pipe(socket),
+      );
+    });
+  });
+  const {port} = await listen(target as http.Server, {
+    host: '127.0.0.1',
+    port: 0,
+  });
+  const events = new EventLog({process: 'agent'});
+  const forwarder = new TargetForwarder({
+    targetUrl: `http://127.0.0.1:${port}`,
+    events,
+    metrics: createAgentMetrics(new Registry()),
+    streams: new StreamRegistry({events, stop: () => {}}),
+  });
+  agent = http.createServer((request, response) => {
+    void forwarder.forward({
+      hop: {...createHop({model: 'a@v1'}), model: undefined},
+      request,
+      body: Buffer.alloc(0),
+      response,
+      deadlineMs: performance.now() + BUDGET_MS,
+      signal: new AbortController().signal,
+    });
+  });
+  const address = await listen(agent, {host: '127.0.0.1', port: 0});
+  agentUrl = `http://127.0.0.1:${address.port}/`;
+});
+
+afterEach(() => {
+  agent.closeAllConnections();
+  agent.close();
+  target.close();
+});
+
+it('endless responses: a whole response together with further bytes is served', async () => {
+  firstBytes = `${WHOLE_RESPONSE}more`;
+  repeatedBytes = 'more';
+  const served = await fetch(agentUrl);
+  expect(await served.text()).to.equal('body');
+  await closed;
+});
