Bound the head of a target's response at agents, and close idle connections that receive bytes

Interim responses without end held an attempt until its deadline; bytes that a target sent on an idle connection were read for good and could be taken for the response to the next attempt.

--- a/agent/agent-server/src/resume-handler.ts
+++ b/agent/agent-server/src/resume-handler.ts
@@ -3,7 +3,7 @@
 import {BoundedSignal} from '@marigoldspur/abort-signals';
 import type {EventLog} from '@marigoldspur/event-log';
 import type {Refusal} from '@marigoldspur/faults';
-import {openRequest} from '@marigoldspur/http-link';
+import {limitResponseHead, openRequest} from '@marigoldspur/http-link';
 import {HOP_HEADERS, type Hop} from '@marigoldspur/messages';
 import {formatModel} from '@marigoldspur/settings-schema';
 import {
@@ -116,6 +116,11 @@
         pin?.release(performance.now());
         resolve(refusal);
       };
+      limitResponseHead(targetRequest, () =>
+        targetRequest.destroy(
+          new Error('the head of the response is too long'),
+        ),
+      );
       let hasResponse = false;
       targetRequest.on('error', error => {
         // The response may be whole although its connection failed.
--- a/agent/agent-server/src/target-forwarder.ts
+++ b/agent/agent-server/src/target-forwarder.ts
@@ -1,7 +1,12 @@
 import http, {type ClientRequest, type IncomingMessage} from 'node:http';
 import {BoundedSignal} from '@marigoldspur/abort-signals';
 import type {EventLog} from '@marigoldspur/event-log';
-import {openRequest, urlForPath} from '@marigoldspur/http-link';
+import {
+  limitResponseHead,
+  openRequest,
+  TargetHttpAgent,
+  urlForPath,
+} from '@marigoldspur/http-link';
 import type {AgentMetrics} from './agent-metrics.js';
 import {refuseAttempt} from './attempt-response.js';
 import type {EngineComponents} from './engine-components.js';
@@ -33,7 +38,7 @@
 
 /** Forwards validated attempts to the target and relays the responses. */
 export class TargetForwarder {
-  private readonly keepAliveAgent = new http.Agent({keepAlive: true});
+  private readonly keepAliveAgent = new TargetHttpAgent();
   /**
    * Opens a connection per request. A reused connection may be closing, which
    * leaves it unknown whether a request ran.
@@ -117,6 +122,11 @@
         signal: bounded.signal,
       });
       this.trackConnection(targetRequest);
+      limitResponseHead(targetRequest, () =>
+        targetRequest.destroy(
+          new Error('the head of the response is too long'),
+        ),
+      );
       let hasResponse = false;
       targetRequest.on('error', error => {
         // The response may be whole although its connection failed.
--- a/agent/agent-server/test/endless-responses.test.ts
+++ b/agent/agent-server/test/endless-responses.test.ts
@@ -12,6 +12,8 @@
 
 /** Time that an attempt has; the limits under test take effect earlier. */
 const BUDGET_MS = 20_000;
+/** Time within which the agent must close an endless response, in milliseconds. */
+const CLOSE_WITHIN_MS = 5_000;
 const WHOLE_RESPONSE = 'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody';
 
 let target: net.Server;
@@ -83,3 +85,26 @@
   expect(await served.text()).to.equal('body');
   await closed;
 });
+
+it('endless responses: interim responses without end break an attempt and its connection', async () => {
+  firstBytes = '';
+  repeatedBytes = 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n';
+  const startedAt = performance.now();
+  const refused = await fetch(agentUrl);
+  await closed;
+  expect(performance.now() - startedAt).to.be.below(CLOSE_WITHIN_MS);
+  expect(refused.headers.get('x-marigoldspur-outcome')).to.equal('unknown');
+});
+
+it('endless responses: an idle connection on which bytes arrive is closed', async () => {
+  firstBytes = WHOLE_RESPONSE;
+  repeatedBytes = 'more';
+  let goOn = () => {};
+  mayRepeat = new Promise(resolve => (goOn = resolve));
+  const served = await fetch(agentUrl);
+  expect(await served.text()).to.equal('body');
+  const startedAt = performance.now();
+  goOn();
+  await closed;
+  expect(performance.now() - startedAt).to.be.below(CLOSE_WITHIN_MS);
+});
--- a/agent/engine-client/src/engine-client.ts
+++ b/agent/engine-client/src/engine-client.ts
@@ -2,7 +2,7 @@
 import {Result} from 'true-myth';
 import type {z} from 'zod';
 import {Fault, type FaultCode} from '@marigoldspur/faults';
-import {openRequest, readBody} from '@marigoldspur/http-link';
+import {openRequest, readBody, TargetHttpAgent} from '@marigoldspur/http-link';
 import {followCacheEvents, type FollowCacheOptions} from './cache-events.js';
 import {
   BOOT_HEADER,
@@ -44,7 +44,7 @@
 
 /** Sends orders to a model engine and reads its state. */
 export class EngineClient {
-  private readonly agent = new http.Agent({keepAlive: true});
+  private readonly agent = new TargetHttpAgent();
 
   /**
    * Sends requests to the engine at `baseUrl` with the fencing number that
--- a/machines/http-link/src/target-http-agent.ts
+++ b/machines/http-link/src/target-http-agent.ts
@@ -24,8 +24,9 @@
 export class TargetHttpAgent extends http.Agent {
   private readonly idleListeners = new WeakMap<Duplex, () => void>();
 
-  constructor() {
+  constructor(options: Pick<http.AgentOptions, 'maxSockets'> = {}) {
     super({
+      ...options,
       keepAlive: true,
       maxFreeSockets: MAX_FREE_SOCKETS,
       noDelay: true,
