Keep the fault of a replica when a shortened attempt times out

Operators saw "did not answer in time" for a replica that had ended. The attempt that the deadline of the whole call cuts off replaced the earlier fault of that replica.

A timeout of an attempt that had less than its usual time no longer replaces an earlier fault.

--- a/zones/control-client/src/control-client.ts
+++ b/zones/control-client/src/control-client.ts
@@ -100,15 +100,14 @@
     let attempt = 0;
     while (performance.now() < deadlineMs) {
       const url = this.preferred;
-      const timeoutMs = Math.min(
-        this.options.timeoutMs ?? DEFAULT_TIMEOUT_MS,
-        deadlineMs - performance.now(),
-      );
+      const attemptTimeoutMs = this.options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+      const remainingMs = deadlineMs - performance.now();
+      const timeoutMs = Math.min(attemptTimeoutMs, remainingMs);
       try {
         return Result.ok(await send(url, Math.max(1, Math.ceil(timeoutMs))));
       } catch (thrown) {
         const fault = toFault(thrown);
-        faults.record(url, fault);
+        faults.record(url, fault, remainingMs < attemptTimeoutMs);
         if (!isRetryable(fault)) {
           return Result.err(fault);
         }
--- a/zones/control-client/src/replica-faults.ts
+++ b/zones/control-client/src/replica-faults.ts
@@ -4,8 +4,14 @@
 export class ReplicaFaults {
   private readonly faults = new Map<string, Fault>();
 
-  /** Records the latest fault of a replica. */
-  record(url: string, fault: Fault): void {
+  /**
+   * Records the latest fault of a replica. A timeout of an attempt that the deadline of the
+   * call shortened does not replace an earlier fault, because it says less.
+   */
+  record(url: string, fault: Fault, isShortened: boolean): void {
+    if (isShortened && isTimeout(fault.cause) && this.faults.has(url)) {
+      return;
+    }
     this.faults.delete(url);
     this.faults.set(url, fault);
   }
