Send a command that a leader with a full disk refuses to the next leader

A claim got no outcome: if another write found the disk full first, the leader answered DISK_FULL, and the client gave up although the leader was handing over.

The leader refuses with DISK_FULL before it appends the command, so that it has not been proposed; the client now tries the other replicas until its deadline, as after NOT_LEADER. The new test failed before.

--- a/zones/control-client/src/control-client.ts
+++ b/zones/control-client/src/control-client.ts
@@ -206,6 +206,7 @@
   return [
     'NOT_LEADER',
     'NO_QUORUM',
+    'DISK_FULL',
     'UNAVAILABLE',
     'TIMEOUT',
     'STOPPING',
--- a/zones/control-client/test/control-client.test.ts
+++ b/zones/control-client/test/control-client.test.ts
@@ -37,3 +37,15 @@
   const message = result.isErr ? result.error.message : '';
   expect(message).to.contain('did not answer in time');
 });
+
+it('control client: a command that a leader with a full disk refuses is sent to the next leader', async () => {
+  const client = new ControlClient({urls: URLS});
+  const result = await client.tryReplicas(async url => {
+    if (url === URLS[0]) {
+      throw new Fault('DISK_FULL', 'the disk of the leader is full');
+    }
+    return 'done';
+  }, performance.now() + 1_000);
+  client.close();
+  expect(result.isOk && result.value).to.equal('done');
+});
