--- a/agent/agent-server/src/forward-admission.ts
+++ b/agent/agent-server/src/forward-admission.ts
@@ -91,7 +91,7 @@
         'another agent may serve the target',
       );
     }
-    if (engine?.monitor.state.leaving) {
+    if (engine?.monitor.state.leaving === true) {
       return targetLeavingRefusal();
     }
     return engine !== undefined && engine.monitor.state.boot !== boot
--- a/agent/agent-server/src/resume-handler.ts
+++ b/agent/agent-server/src/resume-handler.ts
@@ -116,11 +116,7 @@
         pin?.release(performance.now());
         resolve(refusal);
       };
-      limitResponseHead(targetRequest, () =>
-        targetRequest.destroy(
-          new Error('the head of the response is too long'),
-        ),
-      );
+      limitResponseHead(targetRequest, error => targetRequest.destroy(error));
       let hasResponse = false;
       targetRequest.on('error', error => {
         // The response may be whole although its connection failed.
--- a/agent/agent-server/src/target-forwarder.ts
+++ b/agent/agent-server/src/target-forwarder.ts
@@ -122,11 +122,7 @@
         signal: bounded.signal,
       });
       this.trackConnection(targetRequest);
-      limitResponseHead(targetRequest, () =>
-        targetRequest.destroy(
-          new Error('the head of the response is too long'),
-        ),
-      );
+      limitResponseHead(targetRequest, error => targetRequest.destroy(error));
       let hasResponse = false;
       targetRequest.on('error', error => {
         // The response may be whole although its connection failed.
--- a/machines/http-link/src/response-limits.ts
+++ b/machines/http-link/src/response-limits.ts
@@ -14,12 +14,12 @@
 const DISCARD_TIMEOUT_MS = 1_000;
 
 /**
- * Calls `onExceeded` if more than 64 KiB arrive before the head of the response
- * is complete.
+ * Calls `onExceeded` with an error if more than 64 KiB arrive before the head of
+ * the response is complete.
  */
 export function limitResponseHead(
   request: http.ClientRequest,
-  onExceeded: () => void,
+  onExceeded: (error: Error) => void,
 ): void {
   request.once('socket', socket => {
     let receivedBytes = 0;
@@ -32,7 +32,9 @@
       receivedBytes += chunk.length;
       if (isWatching && receivedBytes > MAX_HEAD_BYTES) {
         stop();
-        onExceeded();
+        onExceeded(
+          new Error(`the head of the response exceeds ${MAX_HEAD_BYTES} bytes`),
+        );
       }
     };
     socket.on('data', count);
