Take no retry from the allowance for a wait that is refused

The retry limiter of the direct route reserved a retry whose wait was up to 3 s and then refused every wait over 0.5 s: refused retries used up the allowance, so that after a burst of failures no call was retried for up to 2.5 s, although retries had been earned. The bound of the wait is an option of the budget now. What is granted still stays within the budget.

--- a/entry/direct-routing/src/retry-limiter.ts
+++ b/entry/direct-routing/src/retry-limiter.ts
@@ -43,7 +43,7 @@
    */
   async acquire(service: string, signal: AbortSignal): Promise<boolean> {
     const waitMs = this.budgetOf(service).reserveRetry(performance.now());
-    if (waitMs === undefined || waitMs > MAX_WAIT_MS) {
+    if (waitMs === undefined) {
       return false;
     }
     await new Promise(resolve => setTimeout(resolve, waitMs));
@@ -56,6 +56,7 @@
       new RetryBudget({
         minPerSecond: () => this.minPerSecond(),
         burstSeconds: BURST_SECONDS,
+        maxWaitMs: MAX_WAIT_MS,
       });
     this.budgets.set(service, budget);
     return budget;
--- a/entry/retries/src/retry-budget.ts
+++ b/entry/retries/src/retry-budget.ts
@@ -8,8 +8,8 @@
 const DEFAULT_MIN_PER_SECOND = 1;
 /** Default burst size, in seconds of allowed retries. */
 const DEFAULT_BURST_SECONDS = 1;
-/** Maximum time that a retry waits, in milliseconds. */
-const MAX_WAIT_MS = 3_000;
+/** Default maximum time that a retry waits, in milliseconds. */
+const DEFAULT_MAX_WAIT_MS = 3_000;
 
 /** Options of a retry budget. */
 export interface RetryBudgetOptions {
@@ -20,6 +20,8 @@
   readonly minPerSecond?: () => number;
   /** Burst size, in seconds of allowed retries. */
   readonly burstSeconds?: number;
+  /** Maximum time that a retry waits, in milliseconds. */
+  readonly maxWaitMs?: number;
 }
 
 /**
@@ -52,7 +54,7 @@
     this.refill(now, 0);
     const missingTokens = Math.max(0, 1 - this.tokens);
     const waitMs = (missingTokens / this.retriesPerSecond) * MS_PER_SECOND;
-    if (waitMs > MAX_WAIT_MS) {
+    if (waitMs > (this.options.maxWaitMs ?? DEFAULT_MAX_WAIT_MS)) {
       return undefined;
     }
     this.tokens -= 1;
