--- a/entry/direct-routing/test/endless-responses.test.ts
+++ b/entry/direct-routing/test/endless-responses.test.ts
@@ -60,7 +60,7 @@
   }
 }
 
-function send(signal = new AbortController().signal) {
+function send() {
   const {port} = server.address() as net.AddressInfo;
   return client.send({
     id: 'c',
@@ -69,7 +69,7 @@
     path: '/',
     headers: {},
     body: Buffer.alloc(0),
-    signal,
+    signal: new AbortController().signal,
     responseHeaderTimeoutMs: RESPONSE_HEADER_TIMEOUT_MS,
   });
 }
--- a/machines/http-link/src/response-limits.ts
+++ b/machines/http-link/src/response-limits.ts
@@ -1,16 +1,17 @@
 import type http from 'node:http';
 
 /**
- * Maximum number of bytes of a response's head, including interim responses, in
- * bytes. The HTTP parser limits the header, but neither interim responses nor
- * blank lines before the status line.
+ * Maximum size of a response's head with the interim responses before it, in
+ * bytes. The HTTP parser limits a header, but neither the number of interim
+ * responses nor blank lines before the status line.
  */
 const MAX_HEAD_BYTES = 65_536;
 /**
- * Limits on a body that is read only so that its connection can be reused.
- * Beyond them a new connection costs less.
+ * Maximum size of a body that is read only so that its connection can be reused,
+ * in bytes. A new connection costs less than reading more.
  */
 const MAX_DISCARDED_BYTES = 65_536;
+/** Maximum time for which such a body is read, in milliseconds. */
 const DISCARD_TIMEOUT_MS = 1_000;
 
 /**
