Wait for the status of a replica in tests instead of reading it once

The reads of a status that is compared now wait until the replica answers; what is compared is the same.

--- a/lab/log-trials/src/control-host-group.ts
+++ b/lab/log-trials/src/control-host-group.ts
@@ -169,6 +169,13 @@
       .catch(() => undefined);
   }
 
+  /** Waits until a process answers with its status, and returns it. */
+  waitForStatus(host: ControlHost): Promise<ControlStatus> {
+    return this.pollUntil(`the status of ${host.url}`, () =>
+      this.fetchStatus(host),
+    );
+  }
+
   /** Creates a client that knows only some hosts. */
   createClient(hosts: readonly ControlHost[]): ControlClient {
     return new ControlClient({urls: hosts.map(host => host.url)});
--- a/lab/log-trials/test/control-group-disks.test.ts
+++ b/lab/log-trials/test/control-group-disks.test.ts
@@ -89,11 +89,11 @@
   await group.applyDiskFault(lost, 'no room');
   group.isolate(lost, false);
   await lost.child!.waitForLine(line => line.includes('"disk-full"'));
-  const {replica} = (await group.fetchStatus(lost))!;
+  const {replica} = await group.waitForStatus(lost);
   for (let claims = 0; claims < CLAIMS; claims += 1) {
     await expectClaimGranted(`during-${claims}`);
   }
-  const status = (await group.fetchStatus(leader))!;
+  const status = await group.waitForStatus(leader);
   expect(status.replicas?.map(({id}) => id)).to.include(replica);
   expect(status.voters).to.have.length(3).and.to.not.include(replica);
   await group.applyDiskFault(lost, undefined);
--- a/lab/log-trials/test/control-group.test.ts
+++ b/lab/log-trials/test/control-group.test.ts
@@ -54,14 +54,14 @@
     .catch(() => undefined);
   frozen.child?.signal('SIGCONT');
   expect((await read)?.revision ?? 1).to.equal(1);
-  expect((await group.fetchStatus(next))?.role).to.equal('leader');
+  expect((await group.waitForStatus(next)).role).to.equal('leader');
   await group.waitUntilCaughtUp();
   await expectNoLostClaims(group, load, CLAIMS_PER_STEP);
 }).timeout(TIMEOUT_MS);
 
 it('control group: a leader that is silently cut off refuses fresh reads, steps down and does not raise its term', async () => {
   const cutOff = await group.waitForLeader();
-  const {term} = (await group.fetchStatus(cutOff))!;
+  const {term} = await group.waitForStatus(cutOff);
   group.isolate(cutOff, true);
   const accepted = await takeClaim(group.client, 'probe', 'probe', {
     timeoutMs: 30_000,
@@ -77,7 +77,7 @@
   expect((await group.fetchStatus(cutOff))?.role).to.not.equal('leader');
   await load.waitForGranted(CLAIMS_OVER_ELECTIONS);
   // Its repeated vote requests do not raise its term, so it does not disrupt the group when it rejoins.
-  expect((await group.fetchStatus(cutOff))?.term).to.equal(term);
+  expect((await group.waitForStatus(cutOff)).term).to.equal(term);
   group.isolate(cutOff, false);
   await group.waitUntilCaughtUp();
   await expectNoLostClaims(group, load, CLAIMS_PER_STEP);
@@ -107,7 +107,7 @@
   );
   const second = await group.waitForLeader();
   await group.loseDisk(second);
-  const identity = (await group.fetchStatus(first))?.replica;
+  const identity = (await group.waitForStatus(first)).replica;
   expect(identity).to.equal(repaired.replica);
   await load.waitForGranted(CLAIMS_PER_STEP);
   group.startProcess(second);
@@ -117,10 +117,10 @@
 
 it('control group: a drained leader hands over leadership and exits with code 0', async () => {
   const drained = await group.waitForLeader();
-  const {term} = (await group.fetchStatus(drained))!;
+  const {term} = await group.waitForStatus(drained);
   expect(await group.drain(drained)).to.equal(0);
   const next = await group.waitForLeader();
-  expect((await group.fetchStatus(next))?.term).to.equal(term + 1);
+  expect((await group.waitForStatus(next)).term).to.equal(term + 1);
   await load.waitForGranted(CLAIMS_PER_STEP);
   await expectNoLostClaims(group, load, CLAIMS_PER_STEP);
 }).timeout(TIMEOUT_MS);
