--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -128,6 +128,12 @@
     meaning:
       'This entry has learned that a target is leaving or is no longer listed (`reason`) and sends it no further calls.',
   },
+  'response-broken': {
+    number: 730,
+    level: 'info',
+    meaning:
+      'A response ended early; `arrived` tells whether an event had arrived or only the head, `parts` names the parts of the prompt in order, and `aborted` whether this entry ended it.',
+  },
   'engine-found': {
     number: 740,
     level: 'info',
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -5,6 +5,7 @@
 import {discardBody} from '@marigoldspur/http-link';
 import type {AdapterAgentClient} from './adapter-agent-client.js';
 import {remainingMs, MIN_REMAINING_MS, type Call} from './call.js';
+import {ResponseProgress} from './response-progress.js';
 import type {WireFormat} from './wire-format.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {TargetSelector, TargetCallTracker} from './target-selector.js';
@@ -44,6 +45,8 @@
 const MIN_SILENCE_MS = 500;
 const RETRY_AFTER_SECONDS = 0.5;
 const LOWEST_PRIORITY = 9;
+const STATUS_OK = 200;
+const STATUS_REDIRECT = 300;
 
 /** Sends calls to targets and records the results. */
 export class AttemptSender {
@@ -79,10 +82,19 @@
    * Sends a call. If `resumeAfter` is given, the stream continues after that
    * event.
    */
-  send(
+  async send(
     call: Call,
-    {number, target}: Attempt,
+    attempt: Attempt,
     resumeAfter = call.metadata.resumeAfter,
+  ): Promise<Result<TargetResponse, TargetFailure>> {
+    const sent = await this.exchange(call, attempt, resumeAfter);
+    return sent.map(response => this.followProgress(call, attempt, response));
+  }
+
+  private exchange(
+    call: Call,
+    {number, target}: Attempt,
+    resumeAfter: number | undefined,
   ): Promise<Result<TargetResponse, TargetFailure>> {
     const {targetClient, wireFormat, events, finder} = this.options;
     const {metadata, route} = call;
@@ -118,6 +130,36 @@
     });
   }
 
+  /** Records how far the response got if it ends early. */
+  private followProgress(
+    call: Call,
+    {number, target}: Attempt,
+    response: TargetResponse,
+  ): TargetResponse {
+    const {events} = this.options;
+    const {metadata, message} = response;
+    if (metadata.hasNotRun || !isSuccess(message.statusCode)) {
+      return response;
+    }
+    const check = new ResponseProgress(
+      response,
+      call.route.streaming,
+      ({hasEvent, isComplete}) => {
+        if (!isComplete) {
+          const details = {
+            attempt: number,
+            target: target.id,
+            arrived: hasEvent ? 'event' : 'head',
+            aborted: call.signal.aborted,
+            ...describePrompt(call),
+          };
+          events.record('response-broken', details, call.metadata.id);
+        }
+      },
+    );
+    return {...response, check};
+  }
+
   /** Records a failure and returns the refusal for the caller. */
   handleFailure(call: Call, attempt: Attempt, failure: TargetFailure): Refusal {
     const {selector, events, metrics} = this.options;
@@ -201,6 +243,7 @@
       sentAfterMs,
       reason,
       outcome,
+      ...describePrompt(call),
     };
     this.options.events.record(
       'call-attempt-failed',
@@ -210,6 +253,17 @@
   }
 }
 
+function isSuccess(status = 0): boolean {
+  return status >= STATUS_OK && status < STATUS_REDIRECT;
+}
+
+/** The model and the parts of the prompt, for the log. */
+function describePrompt({metadata: {work}}: Call): Record<string, string> {
+  return work === undefined
+    ? {}
+    : {model: work.model, parts: work.parts.map(({id}) => id).join(' ')};
+}
+
 function createBodyHeaders({body, headers}: Call): Record<string, number> {
   const hasBodyHeader =
     headers['content-length'] !== undefined ||
--- a/entry/direct-routing/src/index.ts
+++ b/entry/direct-routing/src/index.ts
@@ -18,6 +18,7 @@
   DirectRoutingSettings,
   RetryAllowance,
 } from './direct-routing-settings.js';
+export {ResponseProgress, type ResponseEnd} from './response-progress.js';
 export {RetryLimiter, type RetryLimiterOptions} from './retry-limiter.js';
 export {SlotReleaseEstimator} from './slot-release-estimator.js';
 export {startDirectRouter, type DirectRouter} from './start-direct-router.js';
--- a/entry/dispatch/src/attempt.ts
+++ b/entry/dispatch/src/attempt.ts
@@ -1,5 +1,6 @@
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {Hop} from '@marigoldspur/messages';
+import type {CompletenessCheck} from './completeness-check.js';
 import type {Destination} from './target-directory.js';
 
 /** One attempt to serve a request at one target. */
@@ -32,6 +33,8 @@
    * complete in that case.
    */
   readonly isConnectionBroken?: () => boolean;
+  /** Check of this response, in place of the relay's own. */
+  readonly check?: CompletenessCheck;
 }
 
 /** A target's response that came through its agent. */
--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -130,7 +130,11 @@
 
   private createCheck(upstream: UpstreamResponse): CompletenessCheck {
     const {endsWithDone, createCheck} = this.options;
-    return createCheck?.(upstream) ?? new TrailerCheck(upstream, endsWithDone);
+    return (
+      upstream.check ??
+      createCheck?.(upstream) ??
+      new TrailerCheck(upstream, endsWithDone)
+    );
   }
 
   private readFrom(message: IncomingMessage): void {
