--- a/contracts/deployment/src/fleet-messages.ts
+++ b/contracts/deployment/src/fleet-messages.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {NAMED_VERSION_SCHEMA} from './adapter-versions.js';
+import {CRASH_RECORDS_SCHEMA} from './crash-records.js';
 import {
   TARGET_ANNOUNCEMENT_SCHEMA,
   TARGET_INCARNATION_SCHEMA,
@@ -39,6 +40,8 @@
   silent: z.array(TARGET_INCARNATION_SCHEMA).optional(),
   /** Targets that have deregistered. */
   gone: z.array(TARGET_INCARNATION_SCHEMA).optional(),
+  /** Crash records that are new to this replica, or all that it knows. */
+  crashRecords: CRASH_RECORDS_SCHEMA.optional(),
 });
 
 /** One message of a fleet stream. */
--- a/contracts/deployment/src/index.ts
+++ b/contracts/deployment/src/index.ts
@@ -50,6 +50,16 @@
   type PrepareRequest,
   type AdapterUsage,
 } from './engine-view.js';
+export {
+  CRASH_RECORDS_PATH,
+  CRASH_RECORDS_SCHEMA,
+  MAX_PART_NAME_LENGTH,
+  MAX_RECORDS,
+  MAX_REPORTED_PARTS,
+  type CrashRecords,
+  type CrashReport,
+  type PartSighting,
+} from './crash-records.js';
 export {
   FENCE_ANSWER_SCHEMA,
   FENCE_REQUEST_SCHEMA,
--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -134,6 +134,36 @@
     meaning:
       'A response ended early; `arrived` tells whether an event had arrived or only the head, `parts` names the parts of the prompt in order, and `aborted` whether this entry ended it.',
   },
+  'crash-reported': {
+    number: 731,
+    level: 'info',
+    meaning:
+      'An engine has crashed while this entry waited for its answer to a call, or for the first event of the answer; the entry tells control.',
+  },
+  'prompt-part-blocked': {
+    number: 732,
+    level: 'warn',
+    meaning:
+      'This entry refuses calls with a part of a prompt from now on because engines crash when they begin to answer them; `entries` names those that saw the crashes and `ageMs` is the age of the first one.',
+  },
+  'prompt-part-released': {
+    number: 733,
+    level: 'info',
+    meaning:
+      'This entry no longer refuses calls with a part of a prompt: a call with it was answered completely, or neither a crash nor such a call was seen for a long time.',
+  },
+  'crash-records-added': {
+    number: 734,
+    level: 'info',
+    meaning:
+      'A replica of control has received crash records that it did not know and sends them to all entries.',
+  },
+  'crash-records-unsent': {
+    number: 735,
+    level: 'info',
+    meaning:
+      'A replica of control has not taken crash records; it receives them again when its stream to this entry starts anew.',
+  },
   'engine-found': {
     number: 740,
     level: 'info',
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -7,7 +7,11 @@
 import type {Task} from '@marigoldspur/process-lifecycle';
 import {ProcessRuntime} from '@marigoldspur/process-runtime';
 import {openReplicatedLog} from '@marigoldspur/replicated-log';
-import {FENCES_PATH, FLEET_PATH} from '@marigoldspur/deployment';
+import {
+  CRASH_RECORDS_PATH,
+  FENCES_PATH,
+  FLEET_PATH,
+} from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {FleetManager} from '@marigoldspur/fleet';
 import {HEARTBEAT_BATCH_PATH, HEARTBEAT_PATH} from '@marigoldspur/messages';
@@ -16,6 +20,7 @@
 import {ControlRequestHandler} from './control-request-handler.js';
 import {ControlStateMachine} from './control-state-machine.js';
 import type {ControlSettings} from './control-settings.js';
+import {createCrashRecordHandler} from './crash-record-handler.js';
 import {createFenceHandler} from './fence-handler.js';
 import {findStorePolicy} from './store-policy.js';
 
@@ -90,6 +95,7 @@
       [HEARTBEAT_BATCH_PATH, heartbeats],
       [COMMANDS_PATH, commands.createHandler()],
       [FENCES_PATH, createFenceHandler(commands)],
+      [CRASH_RECORDS_PATH, createCrashRecordHandler(fleet)],
       [
         FLEET_PATH,
         (request, response) => fleet.streamServer.handle(request, response),
--- a/control/fleet/src/fleet-manager.ts
+++ b/control/fleet/src/fleet-manager.ts
@@ -1,6 +1,8 @@
 import {Result} from 'true-myth';
 import {withTimeout} from '@marigoldspur/abort-signals';
+import {CrashLedger} from '@marigoldspur/crash-attribution';
 import type {
+  CrashRecords,
   DeploymentText,
   NamedVersion,
   TargetAnnouncement,
@@ -50,6 +52,7 @@
     silentAfterMs: SILENT_AFTER_MS,
     endRetentionMs: END_RETENTION_MS,
   });
+  private readonly crashLedger = new CrashLedger();
   private readonly silenceTimer: NodeJS.Timeout;
 
   constructor(private readonly options: FleetManagerOptions) {
@@ -57,6 +60,7 @@
     this.streamServer = new FleetStreamServer({
       deployments,
       targets: this.targets,
+      crashRecords: () => this.crashLedger.records(performance.now()),
       confirm: async () => (await this.confirmState()).isOk,
       replicas: () => log.status().replicas.map(({url}) => url),
     });
@@ -123,6 +127,19 @@
     }
   }
 
+  /** Keeps the crash records of an entry and sends the new ones to all followers. */
+  addCrashRecords(records: CrashRecords, now: number): void {
+    const added = this.crashLedger.add(records, now);
+    const {reports, sightings} = added;
+    if (reports.length + sightings.length > 0) {
+      this.options.events.record('crash-records-added', {
+        reports: reports.length,
+        sightings: sightings.length,
+      });
+      this.streamServer.broadcastCrashRecords(added);
+    }
+  }
+
   /** Ends all streams and the checks for silent targets. */
   stop(): void {
     clearInterval(this.silenceTimer);
--- a/control/fleet/src/fleet-stream-server.ts
+++ b/control/fleet/src/fleet-stream-server.ts
@@ -2,6 +2,7 @@
 import {
   adapterName,
   FLEET_MAX_INTERVAL_MS,
+  type CrashRecords,
   type FleetMessage,
   type NamedVersion,
   type TargetAnnouncement,
@@ -14,6 +15,8 @@
 export interface FleetStreamServerOptions {
   readonly deployments: DeploymentState;
   readonly targets: TargetRegistry;
+  /** Returns all crash records of this replica. */
+  readonly crashRecords: () => CrashRecords;
   /** Resolves to whether a quorum confirms this replica's applied state. */
   readonly confirm: () => Promise<boolean>;
   /** Base URLs of all replicas. */
@@ -104,6 +107,11 @@
     }
   }
 
+  /** Broadcasts crash records that are new to this replica. */
+  broadcastCrashRecords(crashRecords: CrashRecords): void {
+    this.broadcast({crashRecords});
+  }
+
   /** Ends all streams. */
   stop(): void {
     clearInterval(this.timer);
@@ -131,7 +139,7 @@
       return;
     }
     follower.isSynced = true;
-    const {deployments, replicas, targets} = this.options;
+    const {crashRecords, deployments, replicas, targets} = this.options;
     send(follower, {
       whole: true,
       deployment: deployments.deployment,
@@ -139,6 +147,7 @@
       replicas: [...replicas()],
       targets: targets.targets(),
       gone: targets.ended(),
+      crashRecords: crashRecords(),
     });
     this.broadcastEntryCount();
   }
--- a/control/fleet/test/fleet-stream-server.test.ts
+++ b/control/fleet/test/fleet-stream-server.test.ts
@@ -11,6 +11,7 @@
   deployments: {deployment: undefined, namedVersions: () => []},
   targets: {targets: () => [], ended: () => []},
   replicas: () => ['http://replica'],
+  crashRecords: () => ({reports: [], sightings: []}),
 } as unknown as Omit<FleetStreamServerOptions, 'confirm'>;
 
 /** A follower's connection that emits each message written to it. */
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -4,8 +4,9 @@
 import {Refusal} from '@marigoldspur/faults';
 import {discardBody} from '@marigoldspur/http-link';
 import type {AdapterAgentClient} from './adapter-agent-client.js';
+import type {CrashMonitor} from './crash-monitor.js';
 import {remainingMs, MIN_REMAINING_MS, type Call} from './call.js';
-import {ResponseProgress} from './response-progress.js';
+import {ResponseProgress, type ResponseEnd} from './response-progress.js';
 import type {WireFormat} from './wire-format.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {TargetSelector, TargetCallTracker} from './target-selector.js';
@@ -32,6 +33,7 @@
   readonly selector: TargetSelector;
   readonly targetClient: TargetClient;
   readonly agentClient: Pick<AdapterAgentClient, 'startUse'>;
+  readonly crashMonitor: Pick<CrashMonitor, 'recordBreak' | 'recordCompletion'>;
   readonly wireFormat: WireFormat;
   readonly events: EventLog;
   readonly metrics: DirectRoutingMetrics;
@@ -130,36 +132,62 @@
     });
   }
 
-  /** Records how far the response got if it ends early. */
+  /** Follows how far a response gets. */
   private followProgress(
     call: Call,
-    {number, target}: Attempt,
+    attempt: Attempt,
     response: TargetResponse,
   ): TargetResponse {
-    const {events} = this.options;
     const {metadata, message} = response;
     if (metadata.hasNotRun || !isSuccess(message.statusCode)) {
       return response;
     }
-    const check = new ResponseProgress(
-      response,
-      call.route.streaming,
-      ({hasEvent, isComplete}) => {
-        if (!isComplete) {
-          const details = {
-            attempt: number,
-            target: target.id,
-            arrived: hasEvent ? 'event' : 'head',
-            aborted: call.signal.aborted,
-            ...describePrompt(call),
-          };
-          events.record('response-broken', details, call.metadata.id);
-        }
-      },
+    const check = new ResponseProgress(response, call.route.streaming, end =>
+      this.recordEnd(call, attempt, end),
     );
     return {...response, check};
   }
 
+  private recordEnd(
+    call: Call,
+    {number, target}: Attempt,
+    {hasEvent, isComplete}: ResponseEnd,
+  ): void {
+    const {crashMonitor, events} = this.options;
+    const {id, work} = call.metadata;
+    if (isComplete) {
+      if (work !== undefined) {
+        crashMonitor.recordCompletion(work, performance.now());
+      }
+      return;
+    }
+    const isAborted = call.signal.aborted;
+    const details = {
+      attempt: number,
+      target: target.id,
+      arrived: hasEvent ? 'event' : 'head',
+      aborted: isAborted,
+      ...describePrompt(call),
+    };
+    events.record('response-broken', details, id);
+    if (!hasEvent) {
+      this.recordBreak(call, target, {hasHead: true, isAborted});
+    }
+  }
+
+  /** Records that no event of a response arrived. */
+  private recordBreak(
+    call: Call,
+    target: TargetAnnouncement,
+    end: {readonly hasHead: boolean; readonly isAborted: boolean},
+  ): void {
+    const {id, work} = call.metadata;
+    if (work !== undefined) {
+      const broken = {...end, id, work, target};
+      this.options.crashMonitor.recordBreak(broken, performance.now());
+    }
+  }
+
   /** Records a failure and returns the refusal for the caller. */
   handleFailure(call: Call, attempt: Attempt, failure: TargetFailure): Refusal {
     const {selector, events, metrics} = this.options;
@@ -176,6 +204,10 @@
         events.record('target-suspected', {target: target.id, reason: kind});
       }
     }
+    if (outcome !== 'not-run' && kind !== 'crossed') {
+      const isAborted = kind !== 'broken';
+      this.recordBreak(call, target, {hasHead: false, isAborted});
+    }
     metrics.recordAttempt(call.service.name, kind);
     this.record(call, attempt, kind, outcome);
     return createRefusalForFailure(failure);
--- a/entry/direct-routing/src/direct-routing-metrics.ts
+++ b/entry/direct-routing/src/direct-routing-metrics.ts
@@ -12,6 +12,8 @@
   private readonly attempts: Counter<'service' | 'outcome'>;
   private readonly firstByte: Histogram<'service'>;
   private readonly adapterWait: Histogram<'ready'>;
+  private readonly crashReports: Counter<'stage'>;
+  private readonly blockedParts: Gauge;
   private readonly running: Gauge;
 
   constructor(registry: Registry) {
@@ -48,6 +50,17 @@
       buckets: LATENCY_BUCKETS_SECONDS,
       registers,
     });
+    this.crashReports = new Counter({
+      name: 'marigoldspur_crash_reports_total',
+      help: 'Calls without an event whose engine crashed, by whether the head of the response had arrived',
+      labelNames: ['stage'],
+      registers,
+    });
+    this.blockedParts = new Gauge({
+      name: 'marigoldspur_blocked_prompt_parts',
+      help: 'Parts of prompts with which calls are refused because they crash engines',
+      registers,
+    });
     this.running = new Gauge({
       name: 'marigoldspur_calls_running',
       help: 'Calls that are running or waiting',
@@ -80,6 +93,14 @@
     this.adapterWait.observe({ready: String(ready)}, ms / MS_PER_SECOND);
   }
 
+  recordCrashReport(hasHead: boolean): void {
+    this.crashReports.inc({stage: hasHead ? 'head' : 'sent'});
+  }
+
+  setBlockedParts(count: number): void {
+    this.blockedParts.set(count);
+  }
+
   setRunning(count: number): void {
     this.running.set(count);
   }
--- a/entry/direct-routing/src/index.ts
+++ b/entry/direct-routing/src/index.ts
@@ -5,6 +5,12 @@
 } from './adapter-preparer.js';
 export {AttemptSender, type AttemptSenderOptions} from './attempt-sender.js';
 export {CallHandler, type CallHandlerOptions} from './call-handler.js';
+export {
+  CrashMonitor,
+  type BrokenCall,
+  type CrashMonitorOptions,
+  type EngineFate,
+} from './crash-monitor.js';
 export type {CallRunner} from './call-runner.js';
 export {DirectRoutingMetrics} from './direct-routing-metrics.js';
 export type {
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import {CallerServer} from '@marigoldspur/caller-server';
-import type {Deployment} from '@marigoldspur/deployment';
+import type {Deployment, TargetAnnouncement} from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {FleetFollower} from '@marigoldspur/fleet-client';
 import type {FleetChange, FleetView} from '@marigoldspur/fleet-view';
@@ -12,12 +12,15 @@
 import {AdapterAgentClient} from './adapter-agent-client.js';
 import {AdapterPreparer} from './adapter-preparer.js';
 import {AttemptSender} from './attempt-sender.js';
+import {CrashMonitor, type EngineFate} from './crash-monitor.js';
+import {CrashRecordClient} from './crash-record-client.js';
 import {CallHandler} from './call-handler.js';
 import {CallRunner} from './call-runner.js';
 import type {WireFormat} from './wire-format.js';
 import {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {DirectRoutingSettings} from './direct-routing-settings.js';
 import {EngineViewClient} from './engine-view-client.js';
+import {incarnationOf} from './incarnation.js';
 import {ActiveRoutes} from './active-routes.js';
 import {RetryLimiter} from './retry-limiter.js';
 import {TargetSelector} from './target-selector.js';
@@ -80,6 +83,7 @@
         engineAddresses(activeRoutes.table, fleetFollower.view),
       );
       selector.removeUnknownTargets();
+      crashMonitor.checkEngines(performance.now());
     }
   };
   const fleetFollower = new FleetFollower({
@@ -87,13 +91,26 @@
     agent: httpAgent,
     events,
     onChange,
+    onCrashRecords: (replica, records, areAll) => {
+      const now = performance.now();
+      crashMonitor.addRecords(records, now);
+      if (areAll) {
+        const missing = crashMonitor.recordsMissingIn(records, now);
+        crashRecordClient.send(replica, missing);
+      }
+    },
   });
   const agentUrl = (address: string) =>
     `${security.scheme}://${address.split(':')[0]}:${settings.agentPort}`;
   const engineViews = new EngineViewClient({
     agent: httpAgent,
     agentUrl,
-    onView: (address, view) => selector.recordEngineView(address, view),
+    onView: (address, view) => {
+      selector.recordEngineView(address, view);
+      if (!view.answers) {
+        crashMonitor.checkEngines(performance.now());
+      }
+    },
   });
   const agentClient = new AdapterAgentClient({
     entry: settings.id,
@@ -102,6 +119,18 @@
   });
   const targetClient = new TargetClient(wireFormat);
   const metrics = new DirectRoutingMetrics(runtime.metrics.registry);
+  const crashRecordClient = new CrashRecordClient({
+    agent: httpAgent,
+    replicas: () => fleetFollower.urls(),
+    events,
+  });
+  const crashMonitor = new CrashMonitor({
+    entry: settings.id,
+    fateOf: target => fateOf(target, fleetFollower.view, engineViews),
+    broadcast: records => crashRecordClient.broadcast(records),
+    events,
+    metrics,
+  });
   const selector = new TargetSelector({
     zone: settings.zone,
     targets: () => fleetFollower.view.targets(),
@@ -119,6 +148,7 @@
       isAgentReachable: (address, now) =>
         engineViews.isAgentReachable(address, now),
     }),
+    crashMonitor,
     random: Math.random,
   });
   let acceptsCalls = true;
@@ -137,6 +167,7 @@
         selector,
         targetClient,
         agentClient,
+        crashMonitor,
         wireFormat,
         events,
         metrics,
@@ -188,6 +219,7 @@
       }
       fleetFollower.stop();
       engineViews.stop();
+      crashMonitor.stop();
       agentClient.stop();
       targetClient.close();
       readiness.close();
@@ -196,6 +228,26 @@
   };
 }
 
+/** What became of an engine, as control and the agent beside it say. */
+function fateOf(
+  target: TargetAnnouncement,
+  view: FleetView,
+  engineViews: EngineViewClient,
+): EngineFate {
+  const targets = view.targets();
+  const incarnation = incarnationOf(target);
+  const known = targets.find(each => incarnationOf(each) === incarnation);
+  if (known?.leaving === true || view.hasEnded(target)) {
+    return 'left';
+  }
+  const isReplaced = targets.some(
+    each =>
+      each.address === target.address && incarnationOf(each) !== incarnation,
+  );
+  const isSilent = engineViews.viewOf(target.address)?.answers === false;
+  return known === undefined || isReplaced || isSilent ? 'crashed' : 'running';
+}
+
 function limitsOf({limits}: Deployment) {
   return {
     headersTimeoutMs: limits.headerTimeoutMs,
--- a/entry/direct-routing/src/target-finder.ts
+++ b/entry/direct-routing/src/target-finder.ts
@@ -1,4 +1,5 @@
 import {Result} from 'true-myth';
+import type {Blame} from '@marigoldspur/crash-attribution';
 import type {TargetAnnouncement} from '@marigoldspur/deployment';
 import {Refusal} from '@marigoldspur/faults';
 import type {FleetView} from '@marigoldspur/fleet-view';
@@ -7,6 +8,7 @@
   type ExpectedWait,
 } from '@marigoldspur/overload-protection';
 import type {AdapterPreparer} from './adapter-preparer.js';
+import type {CrashMonitor} from './crash-monitor.js';
 import {hasTimeLeft, remainingPatienceMs, type Call} from './call.js';
 import type {ModelWork} from './wire-format.js';
 import type {TargetSelector} from './target-selector.js';
@@ -16,6 +18,7 @@
   readonly fleetView: Pick<FleetView, 'versionOf'>;
   readonly selector: Pick<TargetSelector, 'choose' | 'isAvailable'>;
   readonly adapterPreparer: Pick<AdapterPreparer, 'prepare'>;
+  readonly crashMonitor: Pick<CrashMonitor, 'findBlock' | 'recordRefusal'>;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
 }
@@ -25,6 +28,11 @@
  * engine is announced within about a second.
  */
 const NO_TARGET_RETRY_AFTER_SECONDS = 0.5;
+/**
+ * Retry delay for calls with a part that crashes engines, in seconds. The part stays
+ * blocked until no such calls have come for half an hour.
+ */
+const BLOCKED_RETRY_AFTER_SECONDS = 1_800;
 const MS_PER_SECOND = 1_000;
 
 /** Finds targets for calls and has the required adapters loaded. */
@@ -51,9 +59,13 @@
   ): Promise<Result<TargetAnnouncement, Refusal>> {
     const {metadata, service} = call;
     const {work} = metadata;
-    const {adapterPreparer, selector, random} = this.options;
+    const {adapterPreparer, crashMonitor, selector, random} = this.options;
     const unavailable = new Set(excluded);
     for (;;) {
+      const blocked = this.refuseBlocked(work);
+      if (blocked !== undefined) {
+        return Result.err(blocked);
+      }
       const version = this.versionFor(work);
       const now = performance.now();
       const requirements = {service, work, version, excluded: unavailable};
@@ -78,6 +90,7 @@
         waitingSince,
       });
       const isOutdated =
+        crashMonitor.findBlock(work) !== undefined ||
         !selector.isAvailable(target, requirements) ||
         this.versionFor(work) !== version;
       if (isOutdated) {
@@ -89,6 +102,28 @@
       unavailable.add(target.id);
     }
   }
+
+  /** The refusal of a call with a part that crashes engines; undefined for other calls. */
+  private refuseBlocked(work: ModelWork | undefined): Refusal | undefined {
+    const {crashMonitor} = this.options;
+    const blame = crashMonitor.findBlock(work);
+    if (blame === undefined || work === undefined) {
+      return undefined;
+    }
+    crashMonitor.recordRefusal(work, blame, performance.now());
+    return createBlockedRefusal(blame);
+  }
+}
+
+function createBlockedRefusal({engines, part}: Blame): Refusal {
+  const message = `${engines} engines crashed on calls with the prompt part "${part}"`;
+  return new Refusal(
+    'not-run',
+    503,
+    'prompt_part_blocked',
+    message,
+    BLOCKED_RETRY_AFTER_SECONDS,
+  );
 }
 
 function createNoTargetRefusal(): Refusal {
--- a/entry/direct-routing/test/target-finder.test.ts
+++ b/entry/direct-routing/test/target-finder.test.ts
@@ -10,6 +10,10 @@
 import {EventLog} from '@marigoldspur/event-log';
 
 const PATIENCE_MS = 2_000;
+const NO_BLOCKED_PARTS = {
+  findBlock: () => undefined,
+  recordRefusal: () => {},
+};
 const TARGET = {id: 't', address: '10.0.0.1:80'};
 
 /**
@@ -47,6 +51,7 @@
     fleetView: {versionOf: () => undefined},
     selector,
     adapterPreparer,
+    crashMonitor: NO_BLOCKED_PARTS,
     random: () => 0.5,
   } as never);
   const now = performance.now();
@@ -156,6 +161,7 @@
       metrics: new DirectRoutingMetrics(new Registry()),
       isAgentReachable: () => true,
     } as never),
+    crashMonitor: NO_BLOCKED_PARTS,
     random: () => 0.5,
   });
   const call = {
--- a/zones/fleet-client/src/fleet-follower.ts
+++ b/zones/fleet-client/src/fleet-follower.ts
@@ -1,5 +1,6 @@
 import type http from 'node:http';
 import {
+  type CrashRecords,
   FLEET_MESSAGE_SCHEMA,
   FLEET_PATH,
   FLEET_MAX_INTERVAL_MS,
@@ -16,6 +17,15 @@
   readonly events: EventLog;
   /** Called after each message with the parts of the view that it changed. */
   readonly onChange: (change: FleetChange) => void;
+  /**
+   * Called with the crash records of a replica; `areAll` if they are all that it knows,
+   * which it sends when its stream starts.
+   */
+  readonly onCrashRecords: (
+    replica: string,
+    records: CrashRecords,
+    areAll: boolean,
+  ) => void;
 }
 
 /** A stream counts as lost after three missed messages. */
@@ -118,6 +128,10 @@
       this.options.events.record('fleet-followed', {replica: url});
     }
     this.options.onChange(this.view.applyMessage(url, message));
+    if (message.crashRecords !== undefined) {
+      const areAll = message.whole === true;
+      this.options.onCrashRecords(url, message.crashRecords, areAll);
+    }
   }
 
   private handleLoss(url: string, stream: ReplicaStream, reason: string): void {
--- a/zones/fleet-view/src/fleet-view.ts
+++ b/zones/fleet-view/src/fleet-view.ts
@@ -63,6 +63,11 @@
     return this.versions.get(adapterName(model, adapter));
   }
 
+  /** Whether a target announced its end. */
+  hasEnded({id, bornAt}: TargetIncarnation): boolean {
+    return bornAt <= (this.endedIncarnations.get(id) ?? -1);
+  }
+
   /** Applies a message of one replica. */
   applyMessage(source: string, message: FleetMessage): FleetChange {
     if (message.whole) {
@@ -165,7 +170,7 @@
       }
     }
     const running = [...newest.values()].filter(
-      ({id, bornAt}) => bornAt > (this.endedIncarnations.get(id) ?? -1),
+      target => !this.hasEnded(target),
     );
     return running.filter(
       target =>
