--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -1,3 +1,4 @@
+import type {IncomingMessage} from 'node:http';
 import type {Result} from 'true-myth';
 import {adapterName, type TargetAnnouncement} from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
@@ -48,6 +49,7 @@
 const RETRY_AFTER_SECONDS = 0.5;
 const LOWEST_PRIORITY = 9;
 const STATUS_OK = 200;
+const EVENT_STREAM_TYPE = 'text/event-stream';
 const STATUS_REDIRECT = 300;
 
 /** Sends calls to targets and records the results. */
@@ -142,7 +144,7 @@
     if (metadata.hasNotRun || !isSuccess(message.statusCode)) {
       return response;
     }
-    const check = new ResponseProgress(response, call.route.streaming, end =>
+    const check = new ResponseProgress(response, isStream(call, message), end =>
       this.recordEnd(call, attempt, end),
     );
     return {...response, check};
@@ -285,6 +287,18 @@
   }
 }
 
+function isStream(
+  {route}: Call,
+  {headers, statusCode}: IncomingMessage,
+): boolean {
+  const type = headers['content-type'] ?? EVENT_STREAM_TYPE;
+  return (
+    route.streaming &&
+    statusCode === STATUS_OK &&
+    type.startsWith(EVENT_STREAM_TYPE)
+  );
+}
+
 function isSuccess(status = 0): boolean {
   return status >= STATUS_OK && status < STATUS_REDIRECT;
 }
--- a/entry/direct-routing/src/response-progress.ts
+++ b/entry/direct-routing/src/response-progress.ts
@@ -1,5 +1,6 @@
 import {
   FramingCheck,
+  isDelimitedByClose,
   type CompletenessCheck,
   type UpstreamResponse,
 } from '@marigoldspur/dispatch';
@@ -12,18 +13,26 @@
   readonly hasEvent: boolean;
 }
 
+/** The empty line that ends an event, without carriage returns. */
+const EVENT_END = '\n\n';
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
+/** Bytes at the end of a stream that can contain the empty line of the last event. */
+const TAIL_BYTES = 4;
 
-/** Follows how far a response gets; reports its end once. */
+/**
+ * Follows how far a response gets; reports its end once. A stream that ends inside an event
+ * is not complete, and neither is one without an event whose end only its connection marks.
+ */
 export class ResponseProgress implements CompletenessCheck {
   private readonly framing: FramingCheck;
   private hasEvent = false;
   /** Whether the last line that arrived is empty so far. */
   private isLineEmpty = false;
+  private tail = '';
 
   constructor(
-    upstream: UpstreamResponse,
+    private readonly upstream: UpstreamResponse,
     private readonly isStream: boolean,
     onEnd: (end: ResponseEnd) => void,
   ) {
@@ -38,10 +47,25 @@
     if (!this.hasEvent) {
       this.hasEvent = !this.isStream || this.containsEventEnd(chunk);
     }
+    if (this.isStream) {
+      const end = chunk.toString(
+        'latin1',
+        Math.max(0, chunk.length - TAIL_BYTES),
+      );
+      this.tail = (this.tail + end).slice(-TAIL_BYTES);
+    }
   }
 
   isComplete(): boolean {
-    return this.framing.isComplete();
+    return (
+      this.framing.isComplete() && (!this.isStream || this.endsBetweenEvents())
+    );
+  }
+
+  private endsBetweenEvents(): boolean {
+    return this.tail === ''
+      ? !isDelimitedByClose(this.upstream.message)
+      : this.tail.replaceAll('\r', '').endsWith(EVENT_END);
   }
 
   /** Whether the chunk contains the empty line that ends an event. */
--- a/entry/dispatch/src/index.ts
+++ b/entry/dispatch/src/index.ts
@@ -1,5 +1,9 @@
 export {AttemptClient, type AttemptClientOptions} from './attempt-client.js';
-export {FramingCheck, type CompletenessCheck} from './completeness-check.js';
+export {
+  FramingCheck,
+  isDelimitedByClose,
+  type CompletenessCheck,
+} from './completeness-check.js';
 export type {Attempt, AttemptResponse, UpstreamResponse} from './attempt.js';
 export {responseHeaders, resumeWindowMs} from './attempt-headers.js';
 export {
