--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -1,14 +1,15 @@
 import type {IncomingMessage} from 'node:http';
 import type {Result} from 'true-myth';
+import {BoundedSignal} from '@marigoldspur/abort-signals';
 import {adapterName, type TargetAnnouncement} from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
-import {Refusal} from '@marigoldspur/faults';
+import {Refusal, type RefusalOutcome} from '@marigoldspur/faults';
 import {discardBody} from '@marigoldspur/http-link';
 import type {AdapterAgentClient} from './adapter-agent-client.js';
 import type {CrashMonitor} from './crash-monitor.js';
 import {remainingMs, MIN_REMAINING_MS, type Call} from './call.js';
 import {ResponseProgress, type ResponseEnd} from './response-progress.js';
-import type {WireFormat} from './wire-format.js';
+import type {ModelWork, WireFormat} from './wire-format.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {TargetSelector, TargetCallTracker} from './target-selector.js';
 import type {TargetFinder} from './target-finder.js';
@@ -34,12 +35,22 @@
   readonly selector: TargetSelector;
   readonly targetClient: TargetClient;
   readonly agentClient: Pick<AdapterAgentClient, 'startUse'>;
-  readonly crashMonitor: Pick<CrashMonitor, 'recordBreak' | 'recordCompletion'>;
+  readonly crashMonitor: Pick<
+    CrashMonitor,
+    'findBlock' | 'recordBreak' | 'recordCompletion'
+  >;
   readonly wireFormat: WireFormat;
   readonly events: EventLog;
   readonly metrics: DirectRoutingMetrics;
 }
 
+/** An attempt whose response has not ended. */
+interface RunningAttempt {
+  readonly work: ModelWork | undefined;
+  /** Aborts when the call ends, or if a part of its prompt gets blocked. */
+  readonly cancellation: BoundedSignal;
+}
+
 /**
  * Silence after which an idempotent call is sent to another target, as a
  * multiple of the route's latency objective.
@@ -54,6 +65,8 @@
 
 /** Sends calls to targets and records the results. */
 export class AttemptSender {
+  private readonly runningAttempts = new Set<RunningAttempt>();
+
   constructor(private readonly options: AttemptSenderOptions) {}
 
   /**
@@ -91,13 +104,43 @@
     attempt: Attempt,
     resumeAfter = call.metadata.resumeAfter,
   ): Promise<Result<TargetResponse, TargetFailure>> {
-    const sent = await this.exchange(call, attempt, resumeAfter);
-    return sent.map(response => this.followProgress(call, attempt, response));
+    const running = {
+      work: call.metadata.work,
+      cancellation: new BoundedSignal({parentSignals: [call.signal]}),
+    };
+    this.runningAttempts.add(running);
+    const sent = await this.exchange(call, attempt, running, resumeAfter);
+    if (sent.isErr) {
+      this.endAttempt(running);
+      return sent;
+    }
+    sent.value.message.once('close', () => this.endAttempt(running));
+    return sent.map(response =>
+      this.followProgress(call, attempt, running, response),
+    );
+  }
+
+  /**
+   * Cancels the attempts with a part of a prompt that got blocked, so that
+   * engines which have not begun to respond to them drop them.
+   */
+  cancelBlocked(): void {
+    for (const {cancellation, work} of this.runningAttempts) {
+      if (this.options.crashMonitor.findBlock(work) !== undefined) {
+        cancellation.abort();
+      }
+    }
+  }
+
+  private endAttempt(running: RunningAttempt): void {
+    running.cancellation.dispose();
+    this.runningAttempts.delete(running);
   }
 
   private exchange(
     call: Call,
     {number, target}: Attempt,
+    {cancellation}: RunningAttempt,
     resumeAfter: number | undefined,
   ): Promise<Result<TargetResponse, TargetFailure>> {
     const {targetClient, wireFormat, events, finder} = this.options;
@@ -124,7 +167,7 @@
         ...createBodyHeaders(call),
       },
       body: call.body,
-      signal: call.signal,
+      signal: cancellation.signal,
       responseHeaderTimeoutMs: route.idempotent
         ? Math.max(
             MIN_SILENCE_MS,
@@ -138,6 +181,7 @@
   private followProgress(
     call: Call,
     attempt: Attempt,
+    {cancellation}: RunningAttempt,
     response: TargetResponse,
   ): TargetResponse {
     const {metadata, message} = response;
@@ -145,7 +189,10 @@
       return response;
     }
     const check = new ResponseProgress(response, isStream(call, message), end =>
-      this.recordEnd(call, attempt, end),
+      this.recordEnd(call, attempt, {
+        ...end,
+        isAborted: cancellation.signal.aborted,
+      }),
     );
     return {...response, check};
   }
@@ -153,17 +200,17 @@
   private recordEnd(
     call: Call,
     {number, target}: Attempt,
-    {hasEvent, isComplete}: ResponseEnd,
+    end: ResponseEnd & {readonly isAborted: boolean},
   ): void {
     const {crashMonitor, events} = this.options;
     const {id, work} = call.metadata;
+    const {hasEvent, isAborted, isComplete} = end;
     if (isComplete) {
       if (work !== undefined) {
         crashMonitor.recordCompletion(work, performance.now());
       }
       return;
     }
-    const isAborted = call.signal.aborted;
     const details = {
       attempt: number,
       target: target.id,
@@ -212,7 +259,10 @@
     }
     metrics.recordAttempt(call.service.name, kind);
     this.record(call, attempt, kind, outcome);
-    return createRefusalForFailure(failure);
+    const isCancelled = kind === 'ended' && !call.signal.aborted;
+    return isCancelled
+      ? createCancelledRefusal(outcome)
+      : createRefusalForFailure(failure);
   }
 
   /**
@@ -303,6 +353,16 @@
   return status >= STATUS_OK && status < STATUS_REDIRECT;
 }
 
+function createCancelledRefusal(outcome: RefusalOutcome): Refusal {
+  return new Refusal(
+    outcome,
+    outcome === 'not-run' ? 503 : 502,
+    'prompt_part_blocked',
+    'engines crashed on calls with a part of this prompt',
+    outcome === 'not-run' ? RETRY_AFTER_SECONDS : undefined,
+  );
+}
+
 /** The model and the parts of the prompt, for the log. */
 function describePrompt({metadata: {work}}: Call): Record<string, string> {
   return work === undefined
--- a/entry/direct-routing/src/crash-monitor.ts
+++ b/entry/direct-routing/src/crash-monitor.ts
@@ -27,6 +27,8 @@
   readonly fateOf: (target: TargetAnnouncement) => EngineFate;
   /** Sends records to all replicas of control. */
   readonly broadcast: (records: CrashRecords) => void;
+  /** Called after parts were blocked. */
+  readonly onBlocked: () => void;
   readonly events: EventLog;
   readonly metrics: DirectRoutingMetrics;
 }
@@ -266,8 +268,10 @@
   private updateBlames(now: number): void {
     const {events, metrics} = this.options;
     const blames = findBlamedParts(this.ledger);
+    const known = this.blames;
+    this.blames = blames;
     for (const [part, blame] of blames) {
-      if (!this.blames.has(part)) {
+      if (!known.has(part)) {
         events.record('prompt-part-blocked', {
           part,
           models: [...blame.models].join(' '),
@@ -277,13 +281,15 @@
         });
       }
     }
-    for (const part of this.blames.keys()) {
+    for (const part of known.keys()) {
       if (!blames.has(part)) {
         events.record('prompt-part-released', {part});
       }
     }
-    this.blames = blames;
     metrics.setBlockedParts(blames.size);
+    if ([...blames.keys()].some(part => !known.has(part))) {
+      this.options.onBlocked();
+    }
   }
 }
 
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -128,6 +128,7 @@
     entry: settings.id,
     fateOf: target => fateOf(target, fleetFollower.view, engineViews),
     broadcast: records => crashRecordClient.broadcast(records),
+    onBlocked: () => sender.cancelBlocked(),
     events,
     metrics,
   });
@@ -151,6 +152,16 @@
     crashMonitor,
     random: Math.random,
   });
+  const sender = new AttemptSender({
+    finder,
+    selector,
+    targetClient,
+    agentClient,
+    crashMonitor,
+    wireFormat,
+    events,
+    metrics,
+  });
   let acceptsCalls = true;
   const isReady = () =>
     !runtime.isDraining &&
@@ -162,16 +173,7 @@
     wireFormat,
     runner: new CallRunner({
       finder,
-      sender: new AttemptSender({
-        finder,
-        selector,
-        targetClient,
-        agentClient,
-        crashMonitor,
-        wireFormat,
-        events,
-        metrics,
-      }),
+      sender,
       retryLimiter: new RetryLimiter({
         allowance: settings.retries,
         entries: () => fleetFollower.view.entries,
--- a/entry/direct-routing/test/crash-monitor.test.ts
+++ b/entry/direct-routing/test/crash-monitor.test.ts
@@ -17,11 +17,13 @@
 let fates: Map<string, EngineFate>;
 let callCount: number;
 let monitors: CrashMonitor[];
+let blockCount: number;
 
 beforeEach(() => {
   fates = new Map();
   callCount = 0;
   monitors = [];
+  blockCount = 0;
 });
 
 afterEach(() => monitors.forEach(monitor => monitor.stop()));
@@ -37,6 +39,7 @@
         entry: `e${index}`,
         fateOf: ({id}) => fates.get(id) ?? 'running',
         broadcast: records => relay(index, records),
+        onBlocked: () => (blockCount += 1),
         events: new EventLog({process: 'test'}),
         metrics: new DirectRoutingMetrics(new Registry()),
       }),
@@ -102,6 +105,7 @@
   ['i1', 'i2', 'i3'].forEach((engine, index) =>
     crash(monitor, engine, [FIRST, BAD], 100 + index),
   );
+  expect(blockCount).to.equal(1);
   expect(isBlocked(monitor, [FIRST, BAD])).to.equal(true);
   expect(isBlocked(monitor, [FIRST, 'sound'])).to.equal(false);
 });
