--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -164,6 +164,12 @@
     meaning:
       'A replica of control has not taken crash records; it receives them again when its stream to this entry starts anew.',
   },
+  'request-limit-changed': {
+    number: 736,
+    level: 'info',
+    meaning:
+      'A target states another limit of requests per second than before, or none any more; `source` tells whether this entry saw the response or learned it from control, and `ageMs` how long ago the target stated it.',
+  },
   'engine-found': {
     number: 740,
     level: 'info',
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -13,6 +13,7 @@
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {TargetSelector, TargetCallTracker} from './target-selector.js';
 import type {TargetFinder} from './target-finder.js';
+import type {TargetLimits} from './target-limits.js';
 import {
   createRefusalForFailure,
   type TargetResponse,
@@ -39,6 +40,7 @@
     CrashMonitor,
     'findBlock' | 'recordBreak' | 'recordCompletion'
   >;
+  readonly targetLimits: Pick<TargetLimits, 'recordResponse'>;
   readonly wireFormat: WireFormat;
   readonly events: EventLog;
   readonly metrics: DirectRoutingMetrics;
@@ -109,12 +111,14 @@
       cancellation: new BoundedSignal({parentSignals: [call.signal]}),
     };
     this.runningAttempts.add(running);
+    const sentAt = performance.now();
     const sent = await this.exchange(call, attempt, running, resumeAfter);
     if (sent.isErr) {
       this.endAttempt(running);
       return sent;
     }
     sent.value.message.once('close', () => this.endAttempt(running));
+    this.recordLimit(attempt, sent.value, sentAt);
     return sent.map(response =>
       this.followProgress(call, attempt, running, response),
     );
@@ -132,6 +136,23 @@
     }
   }
 
+  /** Records the limit that the target states, unless another target responded. */
+  private recordLimit(
+    {target}: Attempt,
+    {metadata}: TargetResponse,
+    sentAt: number,
+  ): void {
+    const {requestsPerSecond} = metadata;
+    if ((metadata.target ?? target.id) === target.id) {
+      this.options.targetLimits.recordResponse(
+        target,
+        requestsPerSecond,
+        sentAt,
+        performance.now(),
+      );
+    }
+  }
+
   private endAttempt(running: RunningAttempt): void {
     running.cancellation.dispose();
     this.runningAttempts.delete(running);
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -26,6 +26,7 @@
 import {TargetSelector} from './target-selector.js';
 import {TargetClient} from './target-client.js';
 import {TargetFinder} from './target-finder.js';
+import {TargetLimits} from './target-limits.js';
 import {WithdrawalRecorder} from './withdrawal-recorder.js';
 
 /** A running entry that routes calls directly to targets. */
@@ -83,6 +84,7 @@
         engineAddresses(activeRoutes.table, fleetFollower.view),
       );
       selector.removeUnknownTargets();
+      targetLimits.retain(fleetFollower.view.targets());
       crashMonitor.checkEngines(performance.now());
     }
   };
@@ -119,6 +121,7 @@
   });
   const targetClient = new TargetClient(wireFormat);
   const metrics = new DirectRoutingMetrics(runtime.metrics.registry);
+  const targetLimits = new TargetLimits({events});
   const crashRecordClient = new CrashRecordClient({
     agent: httpAgent,
     replicas: () => fleetFollower.urls(),
@@ -158,6 +161,7 @@
     targetClient,
     agentClient,
     crashMonitor,
+    targetLimits,
     wireFormat,
     events,
     metrics,
--- a/entry/direct-routing/src/wire-format.ts
+++ b/entry/direct-routing/src/wire-format.ts
@@ -65,6 +65,11 @@
     readonly waiting: number;
     readonly slots: number;
   };
+  /**
+   * Requests per second that the target takes from all entries together, if it
+   * states a limit.
+   */
+  readonly requestsPerSecond?: number;
 }
 
 /** The wire format between callers, entries and targets of a deployment. */
--- /dev/null
+++ b/policy/request-limits/src/index.ts
@@ -0,0 +1,1 @@
+export {StatedLimits, type StatedLimit} from './stated-limits.js';
