--- a/contracts/deployment/src/fleet-messages.ts
+++ b/contracts/deployment/src/fleet-messages.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 import {NAMED_VERSION_SCHEMA} from './adapter-versions.js';
 import {CRASH_RECORDS_SCHEMA} from './crash-records.js';
+import {STATED_LIMIT_SCHEMA} from './request-limits.js';
 import {
   TARGET_ANNOUNCEMENT_SCHEMA,
   TARGET_INCARNATION_SCHEMA,
@@ -42,6 +43,8 @@
   gone: z.array(TARGET_INCARNATION_SCHEMA).optional(),
   /** Crash records that are new to this replica, or all that it knows. */
   crashRecords: CRASH_RECORDS_SCHEMA.optional(),
+  /** Request limits that are new to this replica, or all that it knows. */
+  limits: z.array(STATED_LIMIT_SCHEMA).optional(),
 });
 
 /** One message of a fleet stream. */
--- a/contracts/deployment/src/index.ts
+++ b/contracts/deployment/src/index.ts
@@ -60,6 +60,18 @@
   type CrashReport,
   type PartSighting,
 } from './crash-records.js';
+export {
+  MAX_STATED_LIMITS,
+  PERMIT_ANSWER_SCHEMA,
+  PERMIT_REQUEST_SCHEMA,
+  REQUEST_LIMITS_PATH,
+  REQUEST_LIMITS_SCHEMA,
+  REQUEST_PERMITS_PATH,
+  STATED_LIMIT_SCHEMA,
+  type PermitAnswer,
+  type PermitRequest,
+  type TargetLimit,
+} from './request-limits.js';
 export {
   FENCE_ANSWER_SCHEMA,
   FENCE_REQUEST_SCHEMA,
--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -168,7 +168,25 @@
     number: 736,
     level: 'info',
     meaning:
-      'A target states another limit of requests per second than before, or none any more; `source` tells whether this entry saw the response or learned it from control, and `ageMs` how long ago the target stated it.',
+      'A target states another limit of requests per second than before, or none any more; `source` tells whether this entry saw the response (`response`), learned it from control, or is a replica that learned it from an entry, and `ageMs` how long ago the target stated it.',
+  },
+  'request-limits-unsent': {
+    number: 737,
+    level: 'info',
+    meaning:
+      'A replica of control has not taken the request limit of a target; it receives it again when its stream to this entry starts anew.',
+  },
+  'request-permit-failed': {
+    number: 738,
+    level: 'warn',
+    meaning:
+      'A replica of control has not answered a request for a permit to send a call to a target with a limit; the entry asks another one.',
+  },
+  'request-permit-denied': {
+    number: 739,
+    level: 'info',
+    meaning:
+      'A call is not sent to a target because of its request limit; `waitMs` is the expected time until the target takes another one.',
   },
   'engine-found': {
     number: 740,
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -11,6 +11,8 @@
   CRASH_RECORDS_PATH,
   FENCES_PATH,
   FLEET_PATH,
+  REQUEST_LIMITS_PATH,
+  REQUEST_PERMITS_PATH,
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {FleetManager} from '@marigoldspur/fleet';
@@ -21,6 +23,10 @@
 import {ControlStateMachine} from './control-state-machine.js';
 import type {ControlSettings} from './control-settings.js';
 import {createCrashRecordHandler} from './crash-record-handler.js';
+import {
+  createLimitHandler,
+  createPermitHandler,
+} from './request-limit-handlers.js';
 import {createFenceHandler} from './fence-handler.js';
 import {findStorePolicy} from './store-policy.js';
 
@@ -96,6 +102,8 @@
       [COMMANDS_PATH, commands.createHandler()],
       [FENCES_PATH, createFenceHandler(commands)],
       [CRASH_RECORDS_PATH, createCrashRecordHandler(fleet)],
+      [REQUEST_LIMITS_PATH, createLimitHandler(fleet)],
+      [REQUEST_PERMITS_PATH, createPermitHandler(fleet)],
       [
         FLEET_PATH,
         (request, response) => fleet.streamServer.handle(request, response),
--- a/control/fleet/src/fleet-manager.ts
+++ b/control/fleet/src/fleet-manager.ts
@@ -16,6 +16,7 @@
 import type {ReplicatedLog} from '@marigoldspur/replicated-log';
 import {TargetRegistry} from '@marigoldspur/target-registry';
 import {FleetStreamServer} from './fleet-stream-server.js';
+import {RequestLimiter} from './request-limiter.js';
 
 /** Commits commands, whichever replica receives them. */
 export interface FleetCommands {
@@ -48,6 +49,8 @@
 /** Handles requests of operators and targets at one replica of control and notifies the entries. */
 export class FleetManager {
   readonly streamServer: FleetStreamServer;
+  /** Grants permits for targets with a request limit. */
+  readonly limiter: RequestLimiter;
   private readonly targets = new TargetRegistry({
     silentAfterMs: SILENT_AFTER_MS,
     endRetentionMs: END_RETENTION_MS,
@@ -57,10 +60,15 @@
 
   constructor(private readonly options: FleetManagerOptions) {
     const {deployments, log} = options;
+    this.limiter = new RequestLimiter({
+      events: options.events,
+      onLimits: limits => this.streamServer.broadcastLimits(limits),
+    });
     this.streamServer = new FleetStreamServer({
       deployments,
       targets: this.targets,
       crashRecords: () => this.crashLedger.records(performance.now()),
+      limits: () => this.limiter.limits(performance.now()),
       confirm: async () => (await this.confirmState()).isOk,
       replicas: () => log.status().replicas.map(({url}) => url),
     });
@@ -143,6 +151,7 @@
   /** Ends all streams and the checks for silent targets. */
   stop(): void {
     clearInterval(this.silenceTimer);
+    this.limiter.stop();
     this.streamServer.stop();
   }
 
--- a/control/fleet/src/fleet-stream-server.ts
+++ b/control/fleet/src/fleet-stream-server.ts
@@ -7,6 +7,7 @@
   type NamedVersion,
   type TargetAnnouncement,
   type TargetIncarnation,
+  type TargetLimit,
 } from '@marigoldspur/deployment';
 import type {DeploymentState} from '@marigoldspur/deployment-state';
 import type {TargetRegistry} from '@marigoldspur/target-registry';
@@ -17,6 +18,8 @@
   readonly targets: TargetRegistry;
   /** Returns all crash records of this replica. */
   readonly crashRecords: () => CrashRecords;
+  /** Returns all request limits that this replica knows. */
+  readonly limits: () => TargetLimit[];
   /** Resolves to whether a quorum confirms this replica's applied state. */
   readonly confirm: () => Promise<boolean>;
   /** Base URLs of all replicas. */
@@ -112,6 +115,11 @@
     this.broadcast({crashRecords});
   }
 
+  /** Broadcasts request limits that are new to this replica. */
+  broadcastLimits(limits: readonly TargetLimit[]): void {
+    this.broadcast({limits: [...limits]});
+  }
+
   /** Ends all streams. */
   stop(): void {
     clearInterval(this.timer);
@@ -139,7 +147,7 @@
       return;
     }
     follower.isSynced = true;
-    const {crashRecords, deployments, replicas, targets} = this.options;
+    const {crashRecords, deployments, limits, replicas, targets} = this.options;
     send(follower, {
       whole: true,
       deployment: deployments.deployment,
@@ -148,6 +156,7 @@
       targets: targets.targets(),
       gone: targets.ended(),
       crashRecords: crashRecords(),
+      limits: limits(),
     });
     this.broadcastEntryCount();
   }
--- a/control/fleet/src/index.ts
+++ b/control/fleet/src/index.ts
@@ -7,3 +7,4 @@
   FleetStreamServer,
   type FleetStreamServerOptions,
 } from './fleet-stream-server.js';
+export {RequestLimiter, type RequestLimiterOptions} from './request-limiter.js';
--- a/control/fleet/test/fleet-stream-server.test.ts
+++ b/control/fleet/test/fleet-stream-server.test.ts
@@ -12,6 +12,7 @@
   targets: {targets: () => [], ended: () => []},
   replicas: () => ['http://replica'],
   crashRecords: () => ({reports: [], sightings: []}),
+  limits: () => [],
 } as unknown as Omit<FleetStreamServerOptions, 'confirm'>;
 
 /** A follower's connection that emits each message written to it. */
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -136,14 +136,18 @@
     }
   }
 
-  /** Records the limit that the target states, unless another target responded. */
+  /**
+   * Records the limit that the target states. That it states none counts only
+   * if it served the call: rejections may come from another process.
+   */
   private recordLimit(
     {target}: Attempt,
-    {metadata}: TargetResponse,
+    {message, metadata}: TargetResponse,
     sentAt: number,
   ): void {
-    const {requestsPerSecond} = metadata;
-    if ((metadata.target ?? target.id) === target.id) {
+    const {isMisdirected, requestsPerSecond} = metadata;
+    const saysLimit = requestsPerSecond !== undefined && !isMisdirected;
+    if (saysLimit || isSuccess(message.statusCode)) {
       this.options.targetLimits.recordResponse(
         target,
         requestsPerSecond,
--- a/entry/direct-routing/src/direct-routing-metrics.ts
+++ b/entry/direct-routing/src/direct-routing-metrics.ts
@@ -14,6 +14,8 @@
   private readonly adapterWait: Histogram<'ready'>;
   private readonly crashReports: Counter<'stage'>;
   private readonly blockedParts: Gauge;
+  private readonly permits: Counter<'granted'>;
+  private readonly limitedTargets: Gauge;
   private readonly running: Gauge;
 
   constructor(registry: Registry) {
@@ -61,6 +63,17 @@
       help: 'Parts of prompts with which calls are refused because they crash engines',
       registers,
     });
+    this.permits = new Counter({
+      name: 'marigoldspur_request_permits_total',
+      help: 'Permits that calls asked for because their target has a request limit, by whether they were granted',
+      labelNames: ['granted'],
+      registers,
+    });
+    this.limitedTargets = new Gauge({
+      name: 'marigoldspur_limited_targets',
+      help: 'Targets that state a request limit',
+      registers,
+    });
     this.running = new Gauge({
       name: 'marigoldspur_calls_running',
       help: 'Calls that are running or waiting',
@@ -101,6 +114,14 @@
     this.blockedParts.set(count);
   }
 
+  recordPermit(isGranted: boolean): void {
+    this.permits.inc({granted: String(isGranted)});
+  }
+
+  setLimitedTargets(count: number): void {
+    this.limitedTargets.set(count);
+  }
+
   setRunning(count: number): void {
     this.running.set(count);
   }
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -22,6 +22,7 @@
 import {EngineViewClient} from './engine-view-client.js';
 import {incarnationOf} from './incarnation.js';
 import {ActiveRoutes} from './active-routes.js';
+import {PermitClient} from './permit-client.js';
 import {RetryLimiter} from './retry-limiter.js';
 import {TargetSelector} from './target-selector.js';
 import {TargetClient} from './target-client.js';
@@ -101,6 +102,14 @@
         crashRecordClient.send(replica, missing);
       }
     },
+    onLimits: (replica, limits, areAll) => {
+      const now = performance.now();
+      targetLimits.addLimits(limits, now);
+      if (areAll) {
+        const targets = fleetFollower.view.targets();
+        permitClient.sendLimits(replica, targetLimits.limits(targets, now));
+      }
+    },
   });
   const agentUrl = (address: string) =>
     `${security.scheme}://${address.split(':')[0]}:${settings.agentPort}`;
@@ -121,7 +130,12 @@
   });
   const targetClient = new TargetClient(wireFormat);
   const metrics = new DirectRoutingMetrics(runtime.metrics.registry);
-  const targetLimits = new TargetLimits({events});
+  const permitClient = new PermitClient({
+    agent: httpAgent,
+    replicas: () => fleetFollower.urls(),
+    events,
+  });
+  const targetLimits = new TargetLimits({permitClient, events, metrics});
   const crashRecordClient = new CrashRecordClient({
     agent: httpAgent,
     replicas: () => fleetFollower.urls(),
@@ -153,6 +167,7 @@
         engineViews.isAgentReachable(address, now),
     }),
     crashMonitor,
+    targetLimits,
     random: Math.random,
   });
   const sender = new AttemptSender({
--- a/entry/direct-routing/src/target-finder.ts
+++ b/entry/direct-routing/src/target-finder.ts
@@ -11,7 +11,12 @@
 import type {CrashMonitor} from './crash-monitor.js';
 import {hasTimeLeft, remainingPatienceMs, type Call} from './call.js';
 import type {ModelWork} from './wire-format.js';
-import type {TargetSelector} from './target-selector.js';
+import type {TargetLimits} from './target-limits.js';
+import type {
+  ChosenTarget,
+  TargetRequirements,
+  TargetSelector,
+} from './target-selector.js';
 
 /** Options of a target finder. */
 export interface TargetFinderOptions {
@@ -19,6 +24,10 @@
   readonly selector: Pick<TargetSelector, 'choose' | 'isAvailable'>;
   readonly adapterPreparer: Pick<AdapterPreparer, 'prepare'>;
   readonly crashMonitor: Pick<CrashMonitor, 'findBlock' | 'recordRefusal'>;
+  readonly targetLimits: Pick<
+    TargetLimits,
+    'acquire' | 'busyTargets' | 'isLimited'
+  >;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
 }
@@ -33,8 +42,40 @@
  * blocked until no such calls have come for half an hour.
  */
 const BLOCKED_RETRY_AFTER_SECONDS = 1_800;
+/**
+ * Maximum time that a call waits for a permit of a target with a request limit, in
+ * milliseconds. A call waits only if no other target is left.
+ */
+const MAX_PERMIT_WAIT_MS = 500;
+/** Minimum retry delay for calls beyond the limits of all targets, in milliseconds. */
+const MIN_LIMITED_DELAY_MS = 200;
+/** Jitter as a share of that delay, which spreads callers that are refused together. */
+const LIMITED_JITTER_SHARE = 0.5;
 const MS_PER_SECOND = 1_000;
 
+/** The state of the search for a target of one call. */
+interface TargetSearch {
+  /** IDs of targets that must not be used. */
+  readonly unavailable: Set<string>;
+  /** IDs of targets with a request limit that are used only if no other one is left. */
+  readonly postponed: Set<string>;
+  /** Since when the caller has waited for an event, as a `performance.now()` time. */
+  readonly waitingSince: number;
+}
+
+/** A target that was chosen for a call. */
+interface TargetChoice extends ChosenTarget {
+  readonly requirements: TargetRequirements;
+  /** Whether only targets with a request limit are left. */
+  readonly isLastResort: boolean;
+  /** Maximum time that the call waits for a permit of the target, in milliseconds. */
+  readonly maxWaitMs: number;
+}
+
+/** Whether a call can be sent to a target; if its limit forbids that, the time until it does not. */
+type Preparation =
+  'ready' | 'outdated' | 'unavailable' | {readonly waitMs: number};
+
 /** Finds targets for calls and has the required adapters loaded. */
 export class TargetFinder {
   constructor(private readonly options: TargetFinderOptions) {}
@@ -57,10 +98,13 @@
     excluded: ReadonlySet<string>,
     waitingSince: number,
   ): Promise<Result<TargetAnnouncement, Refusal>> {
-    const {metadata, service} = call;
-    const {work} = metadata;
-    const {adapterPreparer, crashMonitor, selector, random} = this.options;
-    const unavailable = new Set(excluded);
+    const {work} = call.metadata;
+    const {random} = this.options;
+    const search: TargetSearch = {
+      unavailable: new Set(excluded),
+      postponed: new Set(),
+      waitingSince,
+    };
     for (;;) {
       const blocked = this.refuseBlocked(work);
       if (blocked !== undefined) {
@@ -68,39 +112,116 @@
       }
       const version = this.versionFor(work);
       const now = performance.now();
-      const requirements = {service, work, version, excluded: unavailable};
-      const chosen = selector.choose(requirements, now);
-      if (chosen === undefined || !hasTimeLeft(call, now)) {
-        return Result.err(createNoTargetRefusal());
+      const chosen = this.choose(call, search, version, now);
+      if (chosen.isErr) {
+        return Result.err(chosen.error);
       }
-      const {needsAdapter, processingMs, target, waitMs} = chosen;
-      const patienceMs = remainingPatienceMs(call, waitingSince, now);
-      const expectedWait = {processingMs, patienceMs, waitMs};
-      const retryDelayMs = lateCallRetryDelayMs(expectedWait, random());
-      if (retryDelayMs !== undefined) {
-        return Result.err(createTooLateRefusal(expectedWait, retryDelayMs));
+      const {isLastResort, needsAdapter, target} = chosen.value;
+      const isLimited = this.options.targetLimits.isLimited(target);
+      if (isLimited && needsAdapter && !isLastResort) {
+        search.postponed.add(target.id);
+        continue;
       }
-      if (work === undefined || !needsAdapter) {
+      const prepared = await this.prepare(call, search, chosen.value);
+      if (prepared === 'ready') {
         return Result.ok(target);
       }
-      const isReady = await adapterPreparer.prepare(call, {
-        target,
-        work,
-        requirements,
-        waitingSince,
-      });
-      const isOutdated =
-        crashMonitor.findBlock(work) !== undefined ||
-        !selector.isAvailable(target, requirements) ||
-        this.versionFor(work) !== version;
-      if (isOutdated) {
-        continue;
+      if (prepared === 'unavailable') {
+        search.unavailable.add(target.id);
+      } else if (prepared !== 'outdated') {
+        if (isLastResort) {
+          const {waitMs} = prepared;
+          return Result.err(createLimitedRefusal(waitMs, random()));
+        }
+        search.postponed.add(target.id);
       }
-      if (isReady) {
-        return Result.ok(target);
+    }
+  }
+
+  /** Chooses a target, or returns why none is available in time. */
+  private choose(
+    call: Call,
+    search: TargetSearch,
+    version: number | undefined,
+    now: number,
+  ): Result<TargetChoice, Refusal> {
+    const {selector, random} = this.options;
+    const {metadata, service} = call;
+    const {unavailable, waitingSince} = search;
+    const requirements = {
+      service,
+      work: metadata.work,
+      version,
+      excluded: unavailable,
+    };
+    const passedOver = this.passedOverTargets(search, now);
+    const excluded = new Set([...unavailable, ...passedOver]);
+    const preferred = selector.choose({...requirements, excluded}, now);
+    const isLastResort = preferred === undefined && passedOver.length > 0;
+    const chosen = isLastResort
+      ? selector.choose(requirements, now)
+      : preferred;
+    if (chosen === undefined || !hasTimeLeft(call, now)) {
+      return Result.err(createNoTargetRefusal());
+    }
+    const {processingMs, waitMs} = chosen;
+    const patienceMs = remainingPatienceMs(call, waitingSince, now);
+    const expectedWait = {processingMs, patienceMs, waitMs};
+    const retryDelayMs = lateCallRetryDelayMs(expectedWait, random());
+    if (retryDelayMs !== undefined) {
+      return Result.err(createTooLateRefusal(expectedWait, retryDelayMs));
+    }
+    const maxWaitMs = isLastResort
+      ? Math.max(0, Math.min(MAX_PERMIT_WAIT_MS, patienceMs - processingMs))
+      : 0;
+    return Result.ok({...chosen, requirements, isLastResort, maxWaitMs});
+  }
+
+  /** IDs of the targets that are used only if no other one is left. */
+  private passedOverTargets({postponed}: TargetSearch, now: number): string[] {
+    return [...postponed, ...this.options.targetLimits.busyTargets(now)];
+  }
+
+  /** Has the adapter loaded and gets the permit that a call needs at a target. */
+  private async prepare(
+    call: Call,
+    {waitingSince}: TargetSearch,
+    choice: TargetChoice,
+  ): Promise<Preparation> {
+    const {adapterPreparer, targetLimits} = this.options;
+    const {maxWaitMs, needsAdapter, requirements, target} = choice;
+    const {id, work} = call.metadata;
+    if (work !== undefined && needsAdapter) {
+      const preparation = {target, work, requirements, waitingSince};
+      const isReady = await adapterPreparer.prepare(call, preparation);
+      if (this.isOutdated(choice)) {
+        return 'outdated';
+      }
+      if (!isReady) {
+        return 'unavailable';
       }
-      unavailable.add(target.id);
     }
+    if (!targetLimits.isLimited(target)) {
+      return 'ready';
+    }
+    const {priority} = call.route;
+    const seeker = {id, priority, maxWaitMs, signal: call.signal};
+    const {isGranted, waitMs} = await targetLimits.acquire(target, seeker);
+    if (this.isOutdated(choice)) {
+      return 'outdated';
+    }
+    return isGranted ? 'ready' : {waitMs};
+  }
+
+  /** Whether a choice does not hold any more after a wait. */
+  private isOutdated({requirements, target}: TargetChoice): boolean {
+    const {crashMonitor, selector} = this.options;
+    const {version, work} = requirements;
+    return (
+      crashMonitor.findBlock(work) !== undefined ||
+      !selector.isAvailable(target, requirements) ||
+      this.versionFor(work) !== version
+    );
   }
 
   /** The refusal of a call with a part that crashes engines; undefined for other calls. */
@@ -126,6 +247,19 @@
   );
 }
 
+function createLimitedRefusal(waitMs: number, random: number): Refusal {
+  const delayMs =
+    Math.max(MIN_LIMITED_DELAY_MS, waitMs) *
+    (1 + LIMITED_JITTER_SHARE * random);
+  return new Refusal(
+    'not-run',
+    503,
+    'request_limit',
+    `all targets have request limits; the next request is free in ${Math.round(waitMs)} ms`,
+    delayMs / MS_PER_SECOND,
+  );
+}
+
 function createNoTargetRefusal(): Refusal {
   const message = 'no target currently serves this call';
   return new Refusal(
--- a/entry/direct-routing/test/crash-monitor.test.ts
+++ b/entry/direct-routing/test/crash-monitor.test.ts
@@ -260,6 +260,7 @@
       },
     },
     crashMonitor: monitor,
+    targetLimits: {isLimited: () => false, busyTargets: () => []},
     random: () => 0.5,
   } as never);
   const found = await finder.find(
--- a/entry/direct-routing/test/target-finder.test.ts
+++ b/entry/direct-routing/test/target-finder.test.ts
@@ -14,6 +14,11 @@
   findBlock: () => undefined,
   recordRefusal: () => {},
 };
+const NO_LIMITS = {
+  isLimited: () => false,
+  busyTargets: () => [],
+  acquire: async () => ({isGranted: true, waitMs: 0}),
+};
 const TARGET = {id: 't', address: '10.0.0.1:80'};
 
 /**
@@ -52,6 +57,7 @@
     selector,
     adapterPreparer,
     crashMonitor: NO_BLOCKED_PARTS,
+    targetLimits: NO_LIMITS,
     random: () => 0.5,
   } as never);
   const now = performance.now();
@@ -162,6 +168,7 @@
       isAgentReachable: () => true,
     } as never),
     crashMonitor: NO_BLOCKED_PARTS,
+    targetLimits: NO_LIMITS,
     random: () => 0.5,
   });
   const call = {
--- a/policy/request-limits/src/index.ts
+++ b/policy/request-limits/src/index.ts
@@ -1,1 +1,6 @@
+export {
+  PermitQueue,
+  type PermitDecision,
+  type PermitSeeker,
+} from './permit-queue.js';
 export {StatedLimits, type StatedLimit} from './stated-limits.js';
--- a/policy/request-limits/src/stated-limits.ts
+++ b/policy/request-limits/src/stated-limits.ts
@@ -47,6 +47,15 @@
     return this.limits;
   }
 
+  /** Forgets what targets stated before time `at`, in milliseconds. */
+  dropBefore(at: number): void {
+    for (const [incarnation, stated] of this.limits) {
+      if (stated.at < at) {
+        this.limits.delete(incarnation);
+      }
+    }
+  }
+
   /** Forgets the targets that are not in `known`. */
   retain(known: ReadonlySet<string>): void {
     for (const incarnation of this.limits.keys()) {
--- a/zones/fleet-client/src/fleet-follower.ts
+++ b/zones/fleet-client/src/fleet-follower.ts
@@ -1,6 +1,7 @@
 import type http from 'node:http';
 import {
   type CrashRecords,
+  type TargetLimit,
   FLEET_MESSAGE_SCHEMA,
   FLEET_PATH,
   FLEET_MAX_INTERVAL_MS,
@@ -26,6 +27,12 @@
     records: CrashRecords,
     areAll: boolean,
   ) => void;
+  /** Called with the request limits that a replica knows; `areAll` as for crash records. */
+  readonly onLimits: (
+    replica: string,
+    limits: readonly TargetLimit[],
+    areAll: boolean,
+  ) => void;
 }
 
 /** A stream counts as lost after three missed messages. */
@@ -132,6 +139,10 @@
       const areAll = message.whole === true;
       this.options.onCrashRecords(url, message.crashRecords, areAll);
     }
+    if (message.limits !== undefined) {
+      const areAll = message.whole === true;
+      this.options.onLimits(url, message.limits, areAll);
+    }
   }
 
   private handleLoss(url: string, stream: ReplicaStream, reason: string): void {
