--- a/entry/direct-routing/src/index.ts
+++ b/entry/direct-routing/src/index.ts
@@ -24,6 +24,7 @@
   DirectRoutingSettings,
   RetryAllowance,
 } from './direct-routing-settings.js';
+export {PermitClient, type PermitClientOptions} from './permit-client.js';
 export {TargetLimits, type TargetLimitsOptions} from './target-limits.js';
 export {ResponseProgress, type ResponseEnd} from './response-progress.js';
 export {RetryLimiter, type RetryLimiterOptions} from './retry-limiter.js';
