--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -51,6 +51,8 @@
   readonly work: ModelWork | undefined;
   /** Aborts when the call ends, or if a part of its prompt gets blocked. */
   readonly cancellation: BoundedSignal;
+  /** How far the response got; undefined before its head arrived. */
+  progress?: ResponseProgress;
 }
 
 /**
@@ -106,7 +108,7 @@
     attempt: Attempt,
     resumeAfter = call.metadata.resumeAfter,
   ): Promise<Result<TargetResponse, TargetFailure>> {
-    const running = {
+    const running: RunningAttempt = {
       work: call.metadata.work,
       cancellation: new BoundedSignal({parentSignals: [call.signal]}),
     };
@@ -126,11 +128,14 @@
 
   /**
    * Cancels the attempts with a part of a prompt that got blocked, so that
-   * engines which have not begun to respond to them drop them.
+   * engines which have not begun to respond to them drop them. A response with
+   * an event goes on: its engine did not crash on it, and its end may lift the
+   * block.
    */
   cancelBlocked(): void {
-    for (const {cancellation, work} of this.runningAttempts) {
-      if (this.options.crashMonitor.findBlock(work) !== undefined) {
+    for (const {cancellation, progress, work} of this.runningAttempts) {
+      const hasBegun = progress?.hasEvent === true;
+      if (!hasBegun && this.options.crashMonitor.findBlock(work)) {
         cancellation.abort();
       }
     }
@@ -206,7 +211,7 @@
   private followProgress(
     call: Call,
     attempt: Attempt,
-    {cancellation}: RunningAttempt,
+    running: RunningAttempt,
     response: TargetResponse,
   ): TargetResponse {
     const {metadata, message} = response;
@@ -216,9 +221,10 @@
     const check = new ResponseProgress(response, isStream(call, message), end =>
       this.recordEnd(call, attempt, {
         ...end,
-        isAborted: cancellation.signal.aborted,
+        isAborted: running.cancellation.signal.aborted,
       }),
     );
+    running.progress = check;
     return {...response, check};
   }
 
--- a/entry/direct-routing/src/response-progress.ts
+++ b/entry/direct-routing/src/response-progress.ts
@@ -26,7 +26,7 @@
  */
 export class ResponseProgress implements CompletenessCheck {
   private readonly framing: FramingCheck;
-  private hasEvent = false;
+  private hasArrivedEvent = false;
   /** Whether the last line that arrived is empty so far. */
   private isLineEmpty = false;
   private tail = '';
@@ -38,14 +38,19 @@
   ) {
     this.framing = new FramingCheck(upstream);
     upstream.message.once('close', () =>
-      onEnd({isComplete: this.isComplete(), hasEvent: this.hasEvent}),
+      onEnd({isComplete: this.isComplete(), hasEvent: this.hasArrivedEvent}),
     );
   }
 
+  /** Whether an event, or a byte of a response that is no stream, has arrived. */
+  get hasEvent(): boolean {
+    return this.hasArrivedEvent;
+  }
+
   add(chunk: Buffer): void {
     this.framing.add();
-    if (!this.hasEvent) {
-      this.hasEvent = !this.isStream || this.containsEventEnd(chunk);
+    if (!this.hasArrivedEvent) {
+      this.hasArrivedEvent = !this.isStream || this.containsEventEnd(chunk);
     }
     if (this.isStream) {
       const end = chunk.toString(
