--- a/entry/direct-routing/src/crash-monitor.ts
+++ b/entry/direct-routing/src/crash-monitor.ts
@@ -224,7 +224,9 @@
         ? [{kind: 'completed', model, part, ageMs: now - at}]
         : [];
     });
-    this.publish({reports: [], sightings}, now);
+    if (sightings.length > 0) {
+      this.publish({reports: [], sightings}, now);
+    }
   }
 
   /**
