Keep to a limit that a target stated long ago (LIMIT)

A replica of control dropped a limit older than ten minutes right after an entry had sent it with its request for a permit, and granted the call without one. Found by reading; the new test fails without the change.

--- a/control/fleet/src/request-limiter.ts
+++ b/control/fleet/src/request-limiter.ts
@@ -72,7 +72,7 @@
   ): Promise<PermitAnswer> {
     this.addLimits([limit], now);
     const key = toKey(limit);
-    const perSecond = this.stated.perSecond(key);
+    const {perSecond} = this.stated.entries().get(key) ?? limit;
     if (perSecond === undefined) {
       return {isGranted: true, waitMs: 0};
     }
--- a/control/fleet/test/request-limiter.test.ts
+++ b/control/fleet/test/request-limiter.test.ts
@@ -72,3 +72,10 @@
   expect(await isGranted(limit(1, 2), 1_020)).to.equal(false);
   expect(await isGranted(limit(1, 2), 2_020)).to.equal(true);
 });
+
+it('request limiter: a limit that the target stated long ago still holds', async () => {
+  const old = {...limit(1), ageMs: 3_600_000};
+  expect(await isGranted(old, 0)).to.equal(false);
+  expect(await isGranted(old, 1_000)).to.equal(true);
+  expect(await isGranted(old, 1_010)).to.equal(false);
+});
