--- a/policy/crash-attribution/src/blamed-parts.ts
+++ b/policy/crash-attribution/src/blamed-parts.ts
@@ -23,7 +23,7 @@
 const MIN_BLAMED_BEHIND = 2;
 
 /** The evidence against one part. */
-interface Charge {
+interface PartEvidence {
   readonly part: string;
   /** Greatest number of parts before it in a prompt. */
   readonly depth: number;
@@ -40,16 +40,16 @@
  */
 export function findBlamedParts(ledger: CrashLedger): Map<string, Blame> {
   const reports = selectStrongest(ledger.datedReports());
-  const charges = collectCharges(reports, ledger);
+  const allEvidence = collectEvidence(reports, ledger);
   const blames = new Map<string, Blame>();
   const explained = new Set<DatedReport>();
-  for (const charge of charges) {
-    const unexplained = charge.dated.filter(dated => !explained.has(dated));
+  for (const evidence of allEvidence) {
+    const unexplained = evidence.dated.filter(dated => !explained.has(dated));
     const isBlamed =
-      isEnough(unexplained, charge.needed) || isCommonCause(charge, blames);
+      isEnough(unexplained, evidence.needed) || isCommonCause(evidence, blames);
     if (isBlamed) {
-      charge.dated.forEach(dated => explained.add(dated));
-      blames.set(charge.part, createBlame(charge));
+      evidence.dated.forEach(dated => explained.add(dated));
+      blames.set(evidence.part, createBlame(evidence));
     }
   }
   return blames;
@@ -83,11 +83,11 @@
   );
 }
 
-/** Returns the charges, those against the last parts of prompts first. */
-function collectCharges(
+/** Returns the evidence against each part, the last parts of prompts first. */
+function collectEvidence(
   reports: readonly DatedReport[],
   ledger: CrashLedger,
-): Charge[] {
+): PartEvidence[] {
   const byPart = new Map<string, {depth: number; dated: DatedReport[]}>();
   for (const dated of reports) {
     dated.report.parts.forEach((part, index) => {
@@ -98,16 +98,16 @@
     });
   }
   return [...byPart]
-    .map(([part, {dated, depth}]) => toCharge(part, depth, dated, ledger))
+    .map(([part, {dated, depth}]) => toPartEvidence(part, depth, dated, ledger))
     .sort((a, b) => b.depth - a.depth || b.dated.length - a.dated.length);
 }
 
-function toCharge(
+function toPartEvidence(
   part: string,
   depth: number,
   reports: readonly DatedReport[],
   ledger: CrashLedger,
-): Charge {
+): PartEvidence {
   const completedAt = ({report: {model}}: DatedReport) =>
     ledger.lastSightedAt('completed', model, part);
   const dated = reports.filter(
@@ -125,7 +125,7 @@
 
 /** Whether calls with several blamed parts share this part and none of them was answered. */
 function isCommonCause(
-  {dated, needed}: Charge,
+  {dated, needed}: PartEvidence,
   blames: ReadonlyMap<string, Blame>,
 ): boolean {
   const behind = new Set(
@@ -137,7 +137,7 @@
   );
 }
 
-function createBlame({dated, part}: Charge): Blame {
+function createBlame({dated, part}: PartEvidence): Blame {
   return {
     part,
     models: new Set(dated.map(({report}) => report.model)),
