--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -104,7 +104,7 @@
     number: 725,
     level: 'info',
     meaning:
-      'A target has not served a call: its adapter did not become ready, or the attempt failed.',
+      'A target has not served a call: its adapter did not become ready, or the attempt failed; `fingerprint` is the same each time the request is sent.',
   },
   'call-resumed': {
     number: 726,
@@ -132,7 +132,7 @@
     number: 730,
     level: 'info',
     meaning:
-      'A response ended early; `arrived` tells whether an event had arrived or only the head, `parts` names the parts of the prompt in order, and `aborted` whether this entry ended it.',
+      'A response ended early; `arrived` tells whether an event had arrived or only the head, `fingerprint` is the same each time the request is sent, `parts` names the parts of the prompt in order, and `aborted` tells whether this entry ended it.',
   },
   'crash-reported': {
     number: 731,
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -247,7 +247,7 @@
       target: target.id,
       arrived: hasEvent ? 'event' : 'head',
       aborted: isAborted,
-      ...describePrompt(call),
+      ...describeRequest(call),
     };
     events.record('response-broken', details, id);
     if (!hasEvent) {
@@ -358,7 +358,7 @@
       sentAfterMs,
       reason,
       outcome,
-      ...describePrompt(call),
+      ...describeRequest(call),
     };
     this.options.events.record(
       'call-attempt-failed',
@@ -394,11 +394,17 @@
   );
 }
 
-/** The model and the parts of the prompt, for the log. */
-function describePrompt({metadata: {work}}: Call): Record<string, string> {
+/** What identifies the request when it is sent again, and its prompt, for the log. */
+function describeRequest(call: Call): Record<string, string> {
+  const {work} = call.metadata;
+  const fingerprint = call.fingerprint();
   return work === undefined
-    ? {}
-    : {model: work.model, parts: work.parts.map(({id}) => id).join(' ')};
+    ? {fingerprint}
+    : {
+        fingerprint,
+        model: work.model,
+        parts: work.parts.map(({id}) => id).join(' '),
+      };
 }
 
 function createBodyHeaders({body, headers}: Call): Record<string, number> {
--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -14,6 +14,7 @@
 import {readBody} from '@marigoldspur/http-link';
 import {chooseBackend, type RouteTable} from '@marigoldspur/routes';
 import type {CallRunner} from './call-runner.js';
+import {createLazyFingerprint} from './request-fingerprint.js';
 import type {CallMetadata, WireFormat} from './wire-format.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 
@@ -117,6 +118,13 @@
       path: request.url ?? '/',
       headers: request.headers,
       body: body.value,
+      fingerprint: createLazyFingerprint({
+        method: request.method ?? 'GET',
+        host: request.headers.host ?? '',
+        path: request.url ?? '/',
+        credentials: metadata.credentials,
+        body: body.value,
+      }),
       signal: bounded.signal,
       hasCallerDisconnected: () => disconnectSignal.aborted,
     };
--- a/entry/direct-routing/src/call.ts
+++ b/entry/direct-routing/src/call.ts
@@ -14,6 +14,8 @@
   readonly path: string;
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
+  /** Returns what identifies the request when it is sent again; computed at the first call. */
+  readonly fingerprint: () => string;
   /** Aborts at the route's timeout and when the caller disconnects. */
   readonly signal: AbortSignal;
   /** Whether the caller has disconnected. */
--- a/entry/direct-routing/src/wire-format.ts
+++ b/entry/direct-routing/src/wire-format.ts
@@ -30,6 +30,8 @@
    */
   readonly resumeAfter?: number;
   readonly work?: ModelWork;
+  /** Credentials by which the caller identifies itself; absent if it sent none. */
+  readonly credentials?: string;
 }
 
 /** Values for the headers of a call to one target. */
--- a/entry/direct-routing/test/blocked-attempts.test.ts
+++ b/entry/direct-routing/test/blocked-attempts.test.ts
@@ -81,6 +81,7 @@
     path: '/',
     headers: {},
     body: Buffer.alloc(0),
+    fingerprint: () => 'f',
     startedAt: performance.now(),
     signal: new AbortController().signal,
   } as never;
