--- a/contracts/deployment/src/index.ts
+++ b/contracts/deployment/src/index.ts
@@ -53,12 +53,15 @@
 export {
   CRASH_RECORDS_PATH,
   CRASH_RECORDS_SCHEMA,
+  createCrashRecords,
   MAX_PART_NAME_LENGTH,
   MAX_RECORDS,
   MAX_REPORTED_PARTS,
   type CrashRecords,
   type CrashReport,
   type PartSighting,
+  type RequestCrash,
+  type RequestSighting,
 } from './crash-records.js';
 export {
   MAX_STATED_LIMITS,
--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -138,7 +138,7 @@
     number: 731,
     level: 'info',
     meaning:
-      'An engine has crashed while this entry waited for its answer to a call, or for the first event of the answer; the entry tells control.',
+      'An engine has crashed while this entry waited for its answer to a call, or for the first event of the answer; the entry tells control. `fingerprint` is the same each time the request is sent, `ageMs` the time since the answer broke off.',
   },
   'prompt-part-blocked': {
     number: 732,
@@ -226,6 +226,18 @@
     meaning:
       'Control has granted the agent no fencing number; the agent asks again.',
   },
+  'request-blocked': {
+    number: 750,
+    level: 'warn',
+    meaning:
+      'This entry refuses a request from now on, whoever sends it again, because engines crash when they begin to run it; `entries` names those that saw the crashes and `ageMs` is the age of the first one.',
+  },
+  'request-released': {
+    number: 751,
+    level: 'info',
+    meaning:
+      'This entry no longer refuses a request: it was answered completely, other requests explain the crashes, or it was not seen for a long time.',
+  },
   'lines-dropped': {
     number: 790,
     level: 'warn',
--- a/control/fleet/src/fleet-manager.ts
+++ b/control/fleet/src/fleet-manager.ts
@@ -1,6 +1,6 @@
 import {Result} from 'true-myth';
 import {withTimeout} from '@marigoldspur/abort-signals';
-import {CrashLedger} from '@marigoldspur/crash-attribution';
+import {CrashLedger, RequestCrashLedger} from '@marigoldspur/crash-attribution';
 import type {
   CrashRecords,
   DeploymentText,
@@ -56,6 +56,7 @@
     endRetentionMs: END_RETENTION_MS,
   });
   private readonly crashLedger = new CrashLedger();
+  private readonly requestCrashLedger = new RequestCrashLedger();
   private readonly silenceTimer: NodeJS.Timeout;
 
   constructor(private readonly options: FleetManagerOptions) {
@@ -67,7 +68,7 @@
     this.streamServer = new FleetStreamServer({
       deployments,
       targets: this.targets,
-      crashRecords: () => this.crashLedger.records(performance.now()),
+      crashRecords: () => this.crashRecords(performance.now()),
       limits: () => this.limiter.limits(performance.now()),
       confirm: async () => (await this.confirmState()).isOk,
       replicas: () => log.status().replicas.map(({url}) => url),
@@ -137,17 +138,29 @@
 
   /** Keeps the crash records of an entry and sends the new ones to all followers. */
   addCrashRecords(records: CrashRecords, now: number): void {
-    const added = this.crashLedger.add(records, now);
-    const {reports, sightings} = added;
-    if (reports.length + sightings.length > 0) {
-      this.options.events.record('crash-records-added', {
-        reports: reports.length,
-        sightings: sightings.length,
-      });
+    const added = {
+      ...this.crashLedger.add(records, now),
+      ...this.requestCrashLedger.add(records, now),
+    };
+    const counts = {
+      reports: added.reports.length,
+      sightings: added.sightings.length,
+      requestCrashes: added.requestCrashes.length,
+      requestSightings: added.requestSightings.length,
+    };
+    if (Object.values(counts).some(count => count > 0)) {
+      this.options.events.record('crash-records-added', counts);
       this.streamServer.broadcastCrashRecords(added);
     }
   }
 
+  private crashRecords(now: number): CrashRecords {
+    return {
+      ...this.crashLedger.records(now),
+      ...this.requestCrashLedger.records(now),
+    };
+  }
+
   /** Ends all streams and the checks for silent targets. */
   stop(): void {
     clearInterval(this.silenceTimer);
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -7,9 +7,11 @@
 import {discardBody} from '@marigoldspur/http-link';
 import type {AdapterAgentClient} from './adapter-agent-client.js';
 import type {CrashMonitor} from './crash-monitor.js';
+import type {CrashWitness} from './crash-witness.js';
+import type {RequestCrashMonitor} from './request-crash-monitor.js';
 import {remainingMs, MIN_REMAINING_MS, type Call} from './call.js';
 import {ResponseProgress, type ResponseEnd} from './response-progress.js';
-import type {ModelWork, WireFormat} from './wire-format.js';
+import type {WireFormat} from './wire-format.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {TargetSelector, TargetCallTracker} from './target-selector.js';
 import type {TargetFinder} from './target-finder.js';
@@ -40,6 +42,11 @@
     CrashMonitor,
     'findBlock' | 'recordBreak' | 'recordCompletion'
   >;
+  readonly requestCrashes: Pick<
+    RequestCrashMonitor,
+    'findBlock' | 'recordCompletion'
+  >;
+  readonly crashWitness: Pick<CrashWitness, 'probe' | 'recordSuccessor'>;
   readonly targetLimits: Pick<TargetLimits, 'recordResponse'>;
   readonly wireFormat: WireFormat;
   readonly events: EventLog;
@@ -48,8 +55,8 @@
 
 /** An attempt whose response has not ended. */
 interface RunningAttempt {
-  readonly work: ModelWork | undefined;
-  /** Aborts when the call ends, or if a part of its prompt gets blocked. */
+  readonly call: Call;
+  /** Aborts when the call ends, or if it gets blocked. */
   readonly cancellation: BoundedSignal;
   /** How far the response got; undefined before its head arrived. */
   progress?: ResponseProgress;
@@ -109,7 +116,7 @@
     resumeAfter = call.metadata.resumeAfter,
   ): Promise<Result<TargetResponse, TargetFailure>> {
     const running: RunningAttempt = {
-      work: call.metadata.work,
+      call,
       cancellation: new BoundedSignal({parentSignals: [call.signal]}),
     };
     this.runningAttempts.add(running);
@@ -127,20 +134,27 @@
   }
 
   /**
-   * Cancels the attempts with a part of a prompt that got blocked, so that
-   * engines which have not begun to respond to them drop them. A response with
-   * an event goes on: its engine did not crash on it, and its end may lift the
-   * block.
+   * Cancels the attempts of calls that got blocked, so that engines which have
+   * not begun to respond to them drop them. A response with an event goes on:
+   * its engine did not crash on it, and its end may lift the block.
    */
   cancelBlocked(): void {
-    for (const {cancellation, progress, work} of this.runningAttempts) {
+    for (const {call, cancellation, progress} of this.runningAttempts) {
       const hasBegun = progress?.hasEvent === true;
-      if (!hasBegun && this.options.crashMonitor.findBlock(work)) {
+      if (!hasBegun && this.isBlocked(call)) {
         cancellation.abort();
       }
     }
   }
 
+  private isBlocked(call: Call): boolean {
+    const {crashMonitor, requestCrashes} = this.options;
+    return (
+      requestCrashes.findBlock(call) !== undefined ||
+      crashMonitor.findBlock(call.metadata.work) !== undefined
+    );
+  }
+
   /**
    * Records the limit that the target states. That it states none counts only
    * if it served the call: rejections may come from another process.
@@ -233,13 +247,11 @@
     {number, target}: Attempt,
     end: ResponseEnd & {readonly isAborted: boolean},
   ): void {
-    const {crashMonitor, events} = this.options;
-    const {id, work} = call.metadata;
+    const {events} = this.options;
+    const {id} = call.metadata;
     const {hasEvent, isAborted, isComplete} = end;
     if (isComplete) {
-      if (work !== undefined) {
-        crashMonitor.recordCompletion(work, performance.now());
-      }
+      this.recordCompletion(call);
       return;
     }
     const details = {
@@ -250,21 +262,34 @@
       ...describeRequest(call),
     };
     events.record('response-broken', details, id);
-    if (!hasEvent) {
+    if (!hasEvent || !call.route.streaming) {
       this.recordBreak(call, target, {hasHead: true, isAborted});
     }
   }
 
-  /** Records that no event of a response arrived. */
+  private recordCompletion(call: Call): void {
+    const {crashMonitor, requestCrashes} = this.options;
+    const {work} = call.metadata;
+    const now = performance.now();
+    requestCrashes.recordCompletion(call, now);
+    if (work !== undefined) {
+      crashMonitor.recordCompletion(work, now);
+    }
+  }
+
+  /** Records a response of which no event arrived, or that ended early if it is no stream. */
   private recordBreak(
     call: Call,
     target: TargetAnnouncement,
     end: {readonly hasHead: boolean; readonly isAborted: boolean},
   ): void {
+    const {crashMonitor, crashWitness} = this.options;
     const {id, work} = call.metadata;
-    if (work !== undefined) {
-      const broken = {...end, id, work, target};
-      this.options.crashMonitor.recordBreak(broken, performance.now());
+    const {fingerprint} = call;
+    const broken = {...end, id, work, fingerprint, target};
+    crashMonitor.recordBreak(broken, performance.now());
+    if (!end.isAborted) {
+      crashWitness.probe(target);
     }
   }
 
@@ -292,7 +317,7 @@
     this.record(call, attempt, kind, outcome);
     const isCancelled = kind === 'ended' && !call.signal.aborted;
     return isCancelled
-      ? createCancelledRefusal(outcome)
+      ? this.createCancelledRefusal(call, outcome)
       : createRefusalForFailure(failure);
   }
 
@@ -334,11 +359,14 @@
     target: TargetAnnouncement,
     respondingId: string | undefined,
   ): void {
-    const {selector} = this.options;
+    const {crashWitness, selector} = this.options;
     const {work} = call.metadata;
     const now = performance.now();
     const isOtherTarget =
       respondingId !== undefined && respondingId !== target.id;
+    if (isOtherTarget) {
+      crashWitness.recordSuccessor(target);
+    }
     if (isOtherTarget || work === undefined) {
       selector.recordFailure(target, 'connect-failed', now);
     } else {
@@ -346,6 +374,19 @@
     }
   }
 
+  private createCancelledRefusal(call: Call, outcome: RefusalOutcome): Refusal {
+    const isRequest = this.options.requestCrashes.findBlock(call) !== undefined;
+    return new Refusal(
+      outcome,
+      outcome === 'not-run' ? 503 : 502,
+      isRequest ? 'request_blocked' : 'prompt_part_blocked',
+      isRequest
+        ? 'engines crashed on this request'
+        : 'engines crashed on calls with a part of this prompt',
+      outcome === 'not-run' ? RETRY_AFTER_SECONDS : undefined,
+    );
+  }
+
   private record(
     call: Call,
     {number, sentAfterMs, target}: Attempt,
@@ -384,16 +425,6 @@
   return status >= STATUS_OK && status < STATUS_REDIRECT;
 }
 
-function createCancelledRefusal(outcome: RefusalOutcome): Refusal {
-  return new Refusal(
-    outcome,
-    outcome === 'not-run' ? 503 : 502,
-    'prompt_part_blocked',
-    'engines crashed on calls with a part of this prompt',
-    outcome === 'not-run' ? RETRY_AFTER_SECONDS : undefined,
-  );
-}
-
 /** What identifies the request when it is sent again, and its prompt, for the log. */
 function describeRequest(call: Call): Record<string, string> {
   const {work} = call.metadata;
--- a/entry/direct-routing/src/crash-monitor.ts
+++ b/entry/direct-routing/src/crash-monitor.ts
@@ -4,11 +4,11 @@
   findBlamedParts,
   findBlockedPart,
   type Blame,
+  type PartRecords,
 } from '@marigoldspur/crash-attribution';
 import {
   MAX_PART_NAME_LENGTH,
   MAX_REPORTED_PARTS,
-  type CrashRecords,
   type PartSighting,
   type TargetAnnouncement,
 } from '@marigoldspur/deployment';
@@ -25,18 +25,24 @@
   readonly entry: string;
   /** Returns what became of an engine. */
   readonly fateOf: (target: TargetAnnouncement) => EngineFate;
+  /** Returns the request that crashed each engine, by engine incarnation as ID/START. */
+  readonly causes: () => ReadonlyMap<string, string>;
+  /** Called with the calls that were at engines which crashed. */
+  readonly onCrashes: (calls: readonly CrashedCall[], now: number) => void;
   /** Sends records to all replicas of control. */
-  readonly broadcast: (records: CrashRecords) => void;
+  readonly broadcast: (records: PartRecords) => void;
   /** Called after parts were blocked. */
   readonly onBlocked: () => void;
   readonly events: EventLog;
   readonly metrics: DirectRoutingMetrics;
 }
 
-/** A call whose response broke off before its first event. */
+/** A call whose response broke off before its first event, or before its end if it is no stream. */
 export interface BrokenCall {
   readonly id: string;
-  readonly work: ModelWork;
+  /** Returns what identifies the request when it is sent again. */
+  readonly fingerprint: () => string;
+  readonly work: ModelWork | undefined;
   readonly target: TargetAnnouncement;
   /** Whether the head of the response had arrived. */
   readonly hasHead: boolean;
@@ -44,9 +50,14 @@
   readonly isAborted: boolean;
 }
 
-interface PendingCall {
+/** A call that was at an engine which crashed. */
+export interface CrashedCall {
   readonly call: BrokenCall;
+  /** When its response broke off, in milliseconds. */
   readonly at: number;
+}
+
+interface PendingCall extends CrashedCall {
   /** When the crash of the engine became known, in milliseconds. */
   confirmedAt?: number;
 }
@@ -77,12 +88,12 @@
   constructor(private readonly options: CrashMonitorOptions) {}
 
   /** Returns the records of this entry that others lack. */
-  recordsMissingIn(others: CrashRecords, now: number): CrashRecords {
+  recordsMissingIn(others: PartRecords, now: number): PartRecords {
     return this.ledger.recordsMissingIn(others, now);
   }
 
   /** Adds the records of another process. */
-  addRecords(records: CrashRecords, now: number): void {
+  addRecords(records: PartRecords, now: number): void {
     const added = this.ledger.add(records, now);
     if (added.reports.length > 0) {
       this.publishCompletions(this.partsOf(added), now);
@@ -118,11 +129,12 @@
 
   /** Reports pending calls whose engines are known to have crashed. */
   checkEngines(now: number): void {
+    this.confirmCrashes(now);
     const due: PendingCall[] = [];
     for (const pending of this.pending) {
       if (now - pending.at > CONFIRMATION_TIMEOUT_MS) {
         this.pending.delete(pending);
-      } else if (this.isDue(pending, now)) {
+      } else if (isDue(pending, now)) {
         this.pending.delete(pending);
         due.push(pending);
       }
@@ -166,28 +178,42 @@
     clearTimeout(this.checkTimer);
   }
 
-  /** Whether a pending call is evidence now. */
-  private isDue(pending: PendingCall, now: number): boolean {
-    if (this.options.fateOf(pending.call.target) !== 'crashed') {
-      return false;
-    }
-    pending.confirmedAt ??= now;
-    return (
-      pending.call.hasHead ||
-      now - pending.confirmedAt >= STRONGER_REPORT_WAIT_MS
+  /** Finds the pending calls whose engines have become known to have crashed. */
+  private confirmCrashes(now: number): void {
+    const {events, fateOf, metrics, onCrashes} = this.options;
+    const confirmed = [...this.pending].filter(
+      ({call, confirmedAt}) =>
+        confirmedAt === undefined && fateOf(call.target) === 'crashed',
     );
+    for (const pending of confirmed) {
+      const {fingerprint, hasHead, id, target, work} = pending.call;
+      pending.confirmedAt = now;
+      const details = {
+        target: target.id,
+        hasHead,
+        fingerprint: fingerprint(),
+        ageMs: Math.round(now - pending.at),
+        ...(work && {parts: reportedParts(work).join(' ')}),
+      };
+      events.record('crash-reported', details, id);
+      metrics.recordCrashReport(hasHead);
+    }
+    if (confirmed.length > 0) {
+      onCrashes(confirmed, now);
+    }
   }
 
   private report(calls: readonly PendingCall[], now: number): void {
-    const {entry, events, metrics} = this.options;
+    const {entry} = this.options;
     const reports = calls
       .filter(({call}) => call.hasHead || !this.hasStrongReport(call.target))
-      .map(({at, call: {hasHead, id, target, work}}) => {
+      .flatMap(({at, call}) => {
+        const {hasHead, id, target, work} = call;
+        if (work === undefined) {
+          return [];
+        }
         const parts = reportedParts(work);
         const prompt = work.parts.at(-1)?.id ?? id;
-        const details = {target: target.id, hasHead, parts: parts.join(' ')};
-        events.record('crash-reported', details, id);
-        metrics.recordCrashReport(hasHead);
         return {
           entry,
           target: target.id,
@@ -195,6 +221,7 @@
           model: work.model,
           parts,
           prompt: prompt.slice(0, MAX_PART_NAME_LENGTH),
+          request: call.fingerprint(),
           hasHead,
           ageMs: now - at,
         };
@@ -246,7 +273,7 @@
   }
 
   /** Adds records of this entry, and sends those that are new to all others. */
-  private publish(records: CrashRecords, now: number): void {
+  private publish(records: PartRecords, now: number): void {
     const added = this.ledger.add(records, now);
     if (added.reports.length + added.sightings.length > 0) {
       this.options.broadcast(added);
@@ -258,7 +285,7 @@
   }
 
   /** The parts, with their models, that reports speak against. */
-  private partsOf({reports}: CrashRecords) {
+  private partsOf({reports}: PartRecords) {
     const byKey = new Map(
       reports.flatMap(({model, parts}) =>
         parts.map(part => [`${model} ${part}`, {model, part}] as const),
@@ -267,9 +294,10 @@
     return [...byKey.values()];
   }
 
-  private updateBlames(now: number): void {
-    const {events, metrics} = this.options;
-    const blames = findBlamedParts(this.ledger);
+  /** Decides anew which parts are blocked. */
+  updateBlames(now: number): void {
+    const {causes, events, metrics} = this.options;
+    const blames = findBlamedParts(this.ledger, causes());
     const known = this.blames;
     this.blames = blames;
     for (const [part, blame] of blames) {
@@ -295,6 +323,14 @@
   }
 }
 
+/** Whether a pending call is evidence against the parts of its prompt now. */
+function isDue({call, confirmedAt}: PendingCall, now: number): boolean {
+  return (
+    confirmedAt !== undefined &&
+    (call.hasHead || now - confirmedAt >= STRONGER_REPORT_WAIT_MS)
+  );
+}
+
 /** Parts of a prompt that crashes may be attributed to: all but the last one. */
 function reportedParts({parts}: ModelWork): string[] {
   return parts
--- a/entry/direct-routing/src/crash-record-client.ts
+++ b/entry/direct-routing/src/crash-record-client.ts
@@ -27,7 +27,7 @@
   /** Sends records to one replica. */
   send(replica: string, records: CrashRecords): void {
     const {agent, events} = this.options;
-    if (records.reports.length + records.sightings.length === 0) {
+    if (Object.values(records).every(({length}) => length === 0)) {
       return;
     }
     exchangeJson({
--- a/entry/direct-routing/src/direct-routing-metrics.ts
+++ b/entry/direct-routing/src/direct-routing-metrics.ts
@@ -14,6 +14,7 @@
   private readonly adapterWait: Histogram<'ready'>;
   private readonly crashReports: Counter<'stage'>;
   private readonly blockedParts: Gauge;
+  private readonly blockedRequests: Gauge;
   private readonly permits: Counter<'granted'>;
   private readonly limitedTargets: Gauge;
   private readonly running: Gauge;
@@ -63,6 +64,11 @@
       help: 'Parts of prompts with which calls are refused because they crash engines',
       registers,
     });
+    this.blockedRequests = new Gauge({
+      name: 'marigoldspur_blocked_requests',
+      help: 'Requests that are refused because they crash engines',
+      registers,
+    });
     this.permits = new Counter({
       name: 'marigoldspur_request_permits_total',
       help: 'Permits that calls asked for because their target has a request limit, by whether they were granted',
@@ -114,6 +120,10 @@
     this.blockedParts.set(count);
   }
 
+  setBlockedRequests(count: number): void {
+    this.blockedRequests.set(count);
+  }
+
   recordPermit(isGranted: boolean): void {
     this.permits.inc({granted: String(isGranted)});
   }
--- a/entry/direct-routing/src/index.ts
+++ b/entry/direct-routing/src/index.ts
@@ -5,9 +5,24 @@
 } from './adapter-preparer.js';
 export {AttemptSender, type AttemptSenderOptions} from './attempt-sender.js';
 export {CallHandler, type CallHandlerOptions} from './call-handler.js';
+export {
+  RequestCrashMonitor,
+  type IdentifiedRequest,
+  type RequestCrashMonitorOptions,
+} from './request-crash-monitor.js';
+export {
+  CrashWitness,
+  type ConnectOutcome,
+  type CrashWitnessOptions,
+} from './crash-witness.js';
+export {
+  fingerprintRequest,
+  type RequestIdentity,
+} from './request-fingerprint.js';
 export {
   CrashMonitor,
   type BrokenCall,
+  type CrashedCall,
   type CrashMonitorOptions,
   type EngineFate,
 } from './crash-monitor.js';
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -1,7 +1,11 @@
 import http from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import {CallerServer} from '@marigoldspur/caller-server';
-import type {Deployment, TargetAnnouncement} from '@marigoldspur/deployment';
+import {
+  createCrashRecords,
+  type Deployment,
+  type TargetAnnouncement,
+} from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {FleetFollower} from '@marigoldspur/fleet-client';
 import type {FleetChange, FleetView} from '@marigoldspur/fleet-view';
@@ -14,6 +18,8 @@
 import {AttemptSender} from './attempt-sender.js';
 import {CrashMonitor, type EngineFate} from './crash-monitor.js';
 import {CrashRecordClient} from './crash-record-client.js';
+import {connectTo, CrashWitness} from './crash-witness.js';
+import {RequestCrashMonitor} from './request-crash-monitor.js';
 import {CallHandler} from './call-handler.js';
 import {CallRunner} from './call-runner.js';
 import type {WireFormat} from './wire-format.js';
@@ -96,10 +102,13 @@
     onChange,
     onCrashRecords: (replica, records, areAll) => {
       const now = performance.now();
+      requestCrashes.addRecords(records, now);
       crashMonitor.addRecords(records, now);
       if (areAll) {
-        const missing = crashMonitor.recordsMissingIn(records, now);
-        crashRecordClient.send(replica, missing);
+        crashRecordClient.send(replica, {
+          ...crashMonitor.recordsMissingIn(records, now),
+          ...requestCrashes.recordsMissingIn(records, now),
+        });
       }
     },
     onLimits: (replica, limits, areAll) => {
@@ -141,10 +150,27 @@
     replicas: () => fleetFollower.urls(),
     events,
   });
+  const crashWitness = new CrashWitness({
+    connect: connectTo,
+    onEnded: () => crashMonitor.checkEngines(performance.now()),
+  });
+  const requestCrashes = new RequestCrashMonitor({
+    entry: settings.id,
+    broadcast: records =>
+      crashRecordClient.broadcast({...createCrashRecords(), ...records}),
+    onChanged: () => crashMonitor.updateBlames(performance.now()),
+    onBlocked: () => sender.cancelBlocked(),
+    events,
+    metrics,
+  });
   const crashMonitor = new CrashMonitor({
     entry: settings.id,
-    fateOf: target => fateOf(target, fleetFollower.view, engineViews),
-    broadcast: records => crashRecordClient.broadcast(records),
+    fateOf: target =>
+      fateOf(target, fleetFollower.view, engineViews, crashWitness),
+    causes: () => requestCrashes.causes,
+    onCrashes: (calls, now) => requestCrashes.recordCrashes(calls, now),
+    broadcast: records =>
+      crashRecordClient.broadcast({...createCrashRecords(), ...records}),
     onBlocked: () => sender.cancelBlocked(),
     events,
     metrics,
@@ -167,6 +193,7 @@
         engineViews.isAgentReachable(address, now),
     }),
     crashMonitor,
+    requestCrashes,
     targetLimits,
     random: Math.random,
   });
@@ -176,6 +203,8 @@
     targetClient,
     agentClient,
     crashMonitor,
+    requestCrashes,
+    crashWitness,
     targetLimits,
     wireFormat,
     events,
@@ -241,6 +270,7 @@
       fleetFollower.stop();
       engineViews.stop();
       crashMonitor.stop();
+      crashWitness.stop();
       agentClient.stop();
       targetClient.close();
       readiness.close();
@@ -249,11 +279,12 @@
   };
 }
 
-/** What became of an engine, as control and the agent beside it say. */
+/** What became of an engine, as control, the agent beside it and its address show. */
 function fateOf(
   target: TargetAnnouncement,
   view: FleetView,
   engineViews: EngineViewClient,
+  witness: CrashWitness,
 ): EngineFate {
   const targets = view.targets();
   const incarnation = incarnationOf(target);
@@ -266,7 +297,12 @@
       each.address === target.address && incarnationOf(each) !== incarnation,
   );
   const isSilent = engineViews.viewOf(target.address)?.answers === false;
-  return known === undefined || isReplaced || isSilent ? 'crashed' : 'running';
+  return known === undefined ||
+    isReplaced ||
+    isSilent ||
+    witness.hasEnded(target)
+    ? 'crashed'
+    : 'running';
 }
 
 function limitsOf({limits}: Deployment) {
--- a/entry/direct-routing/src/target-finder.ts
+++ b/entry/direct-routing/src/target-finder.ts
@@ -1,5 +1,5 @@
 import {Result} from 'true-myth';
-import type {Blame} from '@marigoldspur/crash-attribution';
+import type {Blame, RequestBlame} from '@marigoldspur/crash-attribution';
 import type {TargetAnnouncement} from '@marigoldspur/deployment';
 import {Refusal} from '@marigoldspur/faults';
 import type {FleetView} from '@marigoldspur/fleet-view';
@@ -9,6 +9,7 @@
 } from '@marigoldspur/overload-protection';
 import type {AdapterPreparer} from './adapter-preparer.js';
 import type {CrashMonitor} from './crash-monitor.js';
+import type {RequestCrashMonitor} from './request-crash-monitor.js';
 import {hasTimeLeft, remainingPatienceMs, type Call} from './call.js';
 import type {ModelWork} from './wire-format.js';
 import type {TargetLimits} from './target-limits.js';
@@ -24,6 +25,10 @@
   readonly selector: Pick<TargetSelector, 'choose' | 'isAvailable'>;
   readonly adapterPreparer: Pick<AdapterPreparer, 'prepare'>;
   readonly crashMonitor: Pick<CrashMonitor, 'findBlock' | 'recordRefusal'>;
+  readonly requestCrashes: Pick<
+    RequestCrashMonitor,
+    'findBlock' | 'recordRefusal'
+  >;
   readonly targetLimits: Pick<
     TargetLimits,
     'acquire' | 'busyTargets' | 'isLimited'
@@ -38,8 +43,8 @@
  */
 const NO_TARGET_RETRY_AFTER_SECONDS = 0.5;
 /**
- * Retry delay for calls with a part that crashes engines, in seconds. The part stays
- * blocked until no such calls have come for half an hour.
+ * Retry delay for calls that crash engines, in seconds. They stay blocked until none has
+ * come for half an hour.
  */
 const BLOCKED_RETRY_AFTER_SECONDS = 1_800;
 /**
@@ -106,7 +111,7 @@
       waitingSince,
     };
     for (;;) {
-      const blocked = this.refuseBlocked(work);
+      const blocked = this.refuseBlocked(call);
       if (blocked !== undefined) {
         return Result.err(blocked);
       }
@@ -194,7 +199,7 @@
     if (work !== undefined && needsAdapter) {
       const preparation = {target, work, requirements, waitingSince};
       const isReady = await adapterPreparer.prepare(call, preparation);
-      if (this.isOutdated(choice)) {
+      if (this.isOutdated(call, choice)) {
         return 'outdated';
       }
       if (!isReady) {
@@ -207,35 +212,56 @@
     const {priority} = call.route;
     const seeker = {id, priority, maxWaitMs, signal: call.signal};
     const {isGranted, waitMs} = await targetLimits.acquire(target, seeker);
-    if (this.isOutdated(choice)) {
+    if (this.isOutdated(call, choice)) {
       return 'outdated';
     }
     return isGranted ? 'ready' : {waitMs};
   }
 
   /** Whether a choice does not hold any more after a wait. */
-  private isOutdated({requirements, target}: TargetChoice): boolean {
-    const {crashMonitor, selector} = this.options;
+  private isOutdated(
+    call: Call,
+    {requirements, target}: TargetChoice,
+  ): boolean {
+    const {crashMonitor, requestCrashes, selector} = this.options;
     const {version, work} = requirements;
     return (
+      requestCrashes.findBlock(call) !== undefined ||
       crashMonitor.findBlock(work) !== undefined ||
       !selector.isAvailable(target, requirements) ||
       this.versionFor(work) !== version
     );
   }
 
-  /** The refusal of a call with a part that crashes engines; undefined for other calls. */
-  private refuseBlocked(work: ModelWork | undefined): Refusal | undefined {
-    const {crashMonitor} = this.options;
+  /** The refusal of a call that crashes engines; undefined for other calls. */
+  private refuseBlocked(call: Call): Refusal | undefined {
+    const {crashMonitor, requestCrashes} = this.options;
+    const {work} = call.metadata;
+    const now = performance.now();
+    const requestBlame = requestCrashes.findBlock(call);
+    if (requestBlame !== undefined) {
+      requestCrashes.recordRefusal(requestBlame, now);
+      return createBlockedRequestRefusal(requestBlame);
+    }
     const blame = crashMonitor.findBlock(work);
     if (blame === undefined || work === undefined) {
       return undefined;
     }
-    crashMonitor.recordRefusal(work, blame, performance.now());
+    crashMonitor.recordRefusal(work, blame, now);
     return createBlockedRefusal(blame);
   }
 }
 
+function createBlockedRequestRefusal({engines}: RequestBlame): Refusal {
+  return new Refusal(
+    'not-run',
+    503,
+    'request_blocked',
+    `${engines} engines crashed on this request`,
+    BLOCKED_RETRY_AFTER_SECONDS,
+  );
+}
+
 function createBlockedRefusal({engines, part}: Blame): Refusal {
   const message = `${engines} engines crashed on calls with the prompt part "${part}"`;
   return new Refusal(
--- a/entry/direct-routing/test/blocked-attempts.test.ts
+++ b/entry/direct-routing/test/blocked-attempts.test.ts
@@ -58,6 +58,8 @@
       recordBreak: () => {},
       recordCompletion: () => {},
     },
+    requestCrashes: {findBlock: () => undefined, recordCompletion: () => {}},
+    crashWitness: {probe: () => {}},
     targetLimits: {recordResponse: () => {}},
     wireFormat: WIRE_FORMAT,
     events: new EventLog({process: 'test'}),
--- a/entry/direct-routing/test/crash-monitor.test.ts
+++ b/entry/direct-routing/test/crash-monitor.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {Registry} from 'prom-client';
-import type {CrashRecords, TargetAnnouncement} from '@marigoldspur/deployment';
+import type {PartRecords} from '@marigoldspur/crash-attribution';
+import type {TargetAnnouncement} from '@marigoldspur/deployment';
 import {
   CrashMonitor,
   DirectRoutingMetrics,
@@ -31,13 +32,15 @@
 /** Starts entries whose records reach each other through `relay`. */
 function startEntries(
   count: number,
-  relay: (from: number, records: CrashRecords) => void,
+  relay: (from: number, records: PartRecords) => void,
 ): void {
   for (let index = 0; index < count; index += 1) {
     monitors.push(
       new CrashMonitor({
         entry: `e${index}`,
         fateOf: ({id}) => fates.get(id) ?? 'running',
+        causes: () => new Map(),
+        onCrashes: () => {},
         broadcast: records => relay(index, records),
         onBlocked: () => (blockCount += 1),
         events: new EventLog({process: 'test'}),
@@ -70,10 +73,13 @@
   now: number,
   changes: {hasHead?: boolean; isAborted?: boolean} = {},
 ): void {
+  const brokenWork = work(parts);
+  const fingerprint = `r${callCount}`;
   monitor.recordBreak(
     {
       id: `c${callCount}`,
-      work: work(parts),
+      work: brokenWork,
+      fingerprint: () => fingerprint,
       target: {id: engine, bornAt: 0} as TargetAnnouncement,
       hasHead: true,
       isAborted: false,
@@ -260,6 +266,7 @@
       },
     },
     crashMonitor: monitor,
+    requestCrashes: {findBlock: () => undefined},
     targetLimits: {isLimited: () => false, busyTargets: () => []},
     random: () => 0.5,
   } as never);
--- a/entry/direct-routing/test/limited-targets.test.ts
+++ b/entry/direct-routing/test/limited-targets.test.ts
@@ -58,6 +58,8 @@
       prepare: async (_call, {target}) => prepared.push(target.id) > 0,
     },
     crashMonitor: {findBlock: () => undefined, recordRefusal: () => {}},
+
+    requestCrashes: {findBlock: () => undefined, recordRefusal: () => {}},
     targetLimits: {
       isLimited: ({id}) => id.startsWith(LIMITED),
       busyTargets: () => [],
--- a/entry/direct-routing/test/target-finder.test.ts
+++ b/entry/direct-routing/test/target-finder.test.ts
@@ -14,6 +14,7 @@
   findBlock: () => undefined,
   recordRefusal: () => {},
 };
+const NO_BLOCKED_REQUESTS = NO_BLOCKED_PARTS;
 const NO_LIMITS = {
   isLimited: () => false,
   busyTargets: () => [],
@@ -57,6 +58,7 @@
     selector,
     adapterPreparer,
     crashMonitor: NO_BLOCKED_PARTS,
+    requestCrashes: NO_BLOCKED_REQUESTS,
     targetLimits: NO_LIMITS,
     random: () => 0.5,
   } as never);
@@ -168,6 +170,7 @@
       isAgentReachable: () => true,
     } as never),
     crashMonitor: NO_BLOCKED_PARTS,
+    requestCrashes: NO_BLOCKED_REQUESTS,
     targetLimits: NO_LIMITS,
     random: () => 0.5,
   });
--- a/policy/crash-attribution/src/blamed-parts.ts
+++ b/policy/crash-attribution/src/blamed-parts.ts
@@ -17,8 +17,11 @@
 const MIN_CRASHES = 3;
 /** The same for a part that calls were answered with before the crashes. */
 const MIN_CRASHES_ONCE_SOUND = 6;
-/** A single prompt that is sent again and again does not show which of its parts is at fault. */
-const MIN_PROMPTS = 2;
+/**
+ * Prompts, and requests, that have to differ: one or two that are sent again and again may crash
+ * engines by themselves.
+ */
+const MIN_DIFFERENT = 3;
 /** Number of blamed parts behind a part that make it the more likely cause. */
 const MIN_BLAMED_BEHIND = 2;
 
@@ -36,10 +39,19 @@
  * the engine had sent the head of a response to, but no event; where there is no such
  * call, against those of the calls whose head had not arrived. An answer that is complete
  * clears all parts of its prompt of the crashes before it. Of several parts that the same
- * crashes speak against, the last is blamed, because others share the parts before it.
+ * crashes speak against, the last is blamed, because others share the parts before it. A crash
+ * that a blamed request explains (`causes`, by engine as ID/START) speaks against no other call.
  */
-export function findBlamedParts(ledger: CrashLedger): Map<string, Blame> {
-  const reports = selectStrongest(ledger.datedReports());
+export function findBlamedParts(
+  ledger: CrashLedger,
+  causes: ReadonlyMap<string, string> = new Map(),
+): Map<string, Blame> {
+  const reports = selectStrongest(
+    ledger.datedReports().filter(dated => {
+      const cause = causes.get(engineOf(dated));
+      return cause === undefined || cause === dated.report.request;
+    }),
+  );
   const allEvidence = collectEvidence(reports, ledger);
   const blames = new Map<string, Blame>();
   const explained = new Set<DatedReport>();
@@ -120,7 +132,13 @@
 
 function isEnough(dated: readonly DatedReport[], needed: number): boolean {
   const prompts = new Set(dated.map(({report}) => report.prompt));
-  return countEngines(dated) >= needed && prompts.size >= MIN_PROMPTS;
+  const requests = new Set(
+    dated.map(({report}) => report.request ?? report.prompt),
+  );
+  return (
+    countEngines(dated) >= needed &&
+    Math.min(prompts.size, requests.size) >= MIN_DIFFERENT
+  );
 }
 
 /** Whether calls with several blamed parts share this part and none of them was answered. */
--- a/policy/crash-attribution/src/crash-ledger.ts
+++ b/policy/crash-attribution/src/crash-ledger.ts
@@ -1,6 +1,5 @@
 import {
   MAX_RECORDS,
-  type CrashRecords,
   type CrashReport,
   type PartSighting,
 } from '@marigoldspur/deployment';
@@ -12,6 +11,12 @@
   readonly at: number;
 }
 
+/** Records of crashes and of the parts of prompts concerned. */
+export interface PartRecords {
+  readonly reports: CrashReport[];
+  readonly sightings: PartSighting[];
+}
+
 interface DatedSighting {
   readonly sighting: PartSighting;
   readonly at: number;
@@ -34,7 +39,7 @@
   private readonly sightings = new Map<string, DatedSighting>();
 
   /** Adds records at time `now`, in milliseconds; returns those that were not known. */
-  add(records: CrashRecords, now: number): CrashRecords {
+  add(records: PartRecords, now: number): PartRecords {
     this.removeExpired(now);
     const reports = records.reports.filter(report =>
       this.addReport(report, now),
@@ -47,7 +52,7 @@
   }
 
   /** Returns all records with their ages at time `now`. */
-  records(now: number): CrashRecords {
+  records(now: number): PartRecords {
     return {
       reports: [...this.reports.values()].map(({at, report}) => ({
         ...report,
@@ -75,7 +80,7 @@
   }
 
   /** Returns those of the records that others lack. */
-  recordsMissingIn(others: CrashRecords, now: number): CrashRecords {
+  recordsMissingIn(others: PartRecords, now: number): PartRecords {
     const known = new CrashLedger();
     known.add(others, now);
     return known.add(this.records(now), now);
