--- a/entry/direct-routing/test/endless-responses.test.ts
+++ b/entry/direct-routing/test/endless-responses.test.ts
@@ -112,7 +112,11 @@
       events: new EventLog({process: 'test'}),
       metrics: new DirectRoutingMetrics(new Registry()),
     } as never);
-    const call = {metadata: {id: 'c'}, service: {name: 's'}};
+    const call = {
+      metadata: {id: 'c'},
+      service: {name: 's'},
+      fingerprint: () => 'f',
+    };
     const attempt = {number: 1, target: {id: 't'}, sentAfterMs: 0};
     sender.handleRejection(call as never, attempt as never, sent.value);
     await closed;
