--- a/contracts/deployment/src/target-announcement.ts
+++ b/contracts/deployment/src/target-announcement.ts
@@ -21,6 +21,11 @@
   slots: z.int().min(1),
   /** Whether the target is shutting down and takes no new work. */
   leaving: z.boolean(),
+  /**
+   * Version of the target's software; empty if it announces none, absent if it is not known
+   * for certain.
+   */
+  softwareVersion: z.string().max(256).optional(),
   /** Models that the target holds. */
   models: z.array(NAME_SCHEMA),
 });
--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -88,7 +88,7 @@
   'call-answered': {
     number: 722,
     level: 'info',
-    meaning: 'The caller has received the complete response of a target.',
+    meaning: 'The caller has received the complete response of a target; `version` is the version of its software.',
   },
   'call-torn': {
     number: 723,
@@ -109,7 +109,7 @@
   'call-resumed': {
     number: 726,
     level: 'info',
-    meaning: 'An interrupted stream continues at another target.',
+    meaning: 'An interrupted stream continues at another target; `version` is the version of its software.',
   },
   'adapter-awaited': {
     number: 727,
@@ -238,6 +238,12 @@
     meaning:
       'This entry no longer refuses a request: it was answered completely, other requests explain the crashes, or it was not seen for a long time.',
   },
+  'stream-taken-up': {
+    number: 752,
+    level: 'info',
+    meaning:
+      'A caller takes up a stream after event `after`; `resumes` is the ID of the call that brought its first event.',
+  },
   'lines-dropped': {
     number: 790,
     level: 'warn',
--- a/control/fleet/src/fleet-manager.ts
+++ b/control/fleet/src/fleet-manager.ts
@@ -115,12 +115,14 @@
   announce(announcement: TargetAnnouncement, now: number): void {
     const outcome = this.targets.announce(announcement, now);
     if (outcome === 'changed') {
-      const {id, bornAt, service, address, leaving} = announcement;
+      const {address, bornAt, id, leaving, service, softwareVersion} =
+        announcement;
       this.options.events.record('target-announced', {
         target: id,
         bornAt,
         service,
         address,
+        version: softwareVersion ?? 'unknown',
         leaving,
       });
       this.streamServer.broadcastTarget(announcement);
--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -128,6 +128,11 @@
       signal: bounded.signal,
       hasCallerDisconnected: () => disconnectSignal.aborted,
     };
+    const {resumeAfter = 0, resumes} = metadata;
+    if (resumeAfter > 0) {
+      const details = {resumes: resumes ?? '', after: resumeAfter};
+      this.options.events.record('stream-taken-up', details, metadata.id);
+    }
     const result = await this.options.runner
       .run(call, response)
       .finally(() => bounded.dispose());
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -165,7 +165,12 @@
     resumer?.end();
     const tookMs = Math.round(performance.now() - startedAt);
     const {number, sentAfterMs, target} = attempt;
-    const details = {attempt: number, target: target.id, sentAfterMs};
+    const details = {
+      attempt: number,
+      target: target.id,
+      version: target.softwareVersion ?? 'unknown',
+      sentAfterMs,
+    };
     events.record(
       OUTCOME_EVENTS[outcome],
       {...details, status, tookMs},
--- a/entry/direct-routing/src/call-stream-resumer.ts
+++ b/entry/direct-routing/src/call-stream-resumer.ts
@@ -91,7 +91,13 @@
       return undefined;
     }
     const {number, sentAfterMs, tracker, target} = attempt;
-    const details = {attempt: number, target: target.id, sentAfterMs, after};
+    const details = {
+      attempt: number,
+      target: target.id,
+      version: target.softwareVersion ?? 'unknown',
+      sentAfterMs,
+      after,
+    };
     events.record('call-resumed', details, call.metadata.id);
     tracker.recordResponse(sent.value.metadata, false, performance.now());
     return sent.value;
--- a/entry/direct-routing/src/wire-format.ts
+++ b/entry/direct-routing/src/wire-format.ts
@@ -29,6 +29,8 @@
    * Number of the last event that the caller has, if a stream is to be resumed.
    */
   readonly resumeAfter?: number;
+  /** ID of the call that brought the first event of that stream; absent if not stated. */
+  readonly resumes?: string;
   readonly work?: ModelWork;
   /** Credentials by which the caller identifies itself; absent if it sent none. */
   readonly credentials?: string;
