--- a/contracts/deployment/src/fleet-messages.ts
+++ b/contracts/deployment/src/fleet-messages.ts
@@ -2,6 +2,7 @@
 import {NAMED_VERSION_SCHEMA} from './adapter-versions.js';
 import {CRASH_RECORDS_SCHEMA} from './crash-records.js';
 import {STATED_LIMIT_SCHEMA} from './request-limits.js';
+import {SOFTWARE_VERSIONS_SCHEMA} from './stream-origins.js';
 import {
   TARGET_ANNOUNCEMENT_SCHEMA,
   TARGET_INCARNATION_SCHEMA,
@@ -45,6 +46,8 @@
   crashRecords: CRASH_RECORDS_SCHEMA.optional(),
   /** Request limits that are new to this replica, or all that it knows. */
   limits: z.array(STATED_LIMIT_SCHEMA).optional(),
+  /** Software versions that targets had lately; in the first message only. */
+  softwareVersions: SOFTWARE_VERSIONS_SCHEMA.optional(),
 });
 
 /** One message of a fleet stream. */
--- a/contracts/deployment/src/index.ts
+++ b/contracts/deployment/src/index.ts
@@ -75,6 +75,20 @@
   type PermitRequest,
   type TargetLimit,
 } from './request-limits.js';
+export {
+  MAX_STREAM_ORIGINS,
+  SOFTWARE_VERSIONS_SCHEMA,
+  STREAM_ORIGIN_ANSWER_SCHEMA,
+  STREAM_ORIGIN_LOOKUP_PATH,
+  STREAM_ORIGIN_LOOKUP_SCHEMA,
+  STREAM_ORIGIN_SCHEMA,
+  STREAM_ORIGINS_PATH,
+  STREAM_ORIGINS_SCHEMA,
+  type SoftwareVersionRecord,
+  type SoftwareVersions,
+  type StreamOrigin,
+  type StreamOriginAnswer,
+} from './stream-origins.js';
 export {
   FENCE_ANSWER_SCHEMA,
   FENCE_REQUEST_SCHEMA,
--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -88,7 +88,8 @@
   'call-answered': {
     number: 722,
     level: 'info',
-    meaning: 'The caller has received the complete response of a target; `version` is the version of its software.',
+    meaning:
+      'The caller has received the complete response of a target; `version` is the version of its software.',
   },
   'call-torn': {
     number: 723,
@@ -109,7 +110,8 @@
   'call-resumed': {
     number: 726,
     level: 'info',
-    meaning: 'An interrupted stream continues at another target; `version` is the version of its software.',
+    meaning:
+      'An interrupted stream continues at another target; `version` is the version of its software.',
   },
   'adapter-awaited': {
     number: 727,
@@ -244,6 +246,24 @@
     meaning:
       'A caller takes up a stream after event `after`; `resumes` is the ID of the call that brought its first event.',
   },
+  'stream-origin-resolved': {
+    number: 753,
+    level: 'info',
+    meaning:
+      'The entry has looked up which target began the stream that a caller takes up; `source` tells whether the entry knew it, a replica of control did, or nobody (`unknown`), and `ageMs` is the age of its first event.',
+  },
+  'stream-origins-shared': {
+    number: 754,
+    level: 'info',
+    meaning:
+      'The targets of a service have, or may have had lately, several software versions, so that this entry tells control which of them begins each stream; or (`shared` false) they have one.',
+  },
+  'stream-origins-failed': {
+    number: 755,
+    level: 'warn',
+    meaning:
+      'A replica of control has not taken the origins of streams, which it receives again when its stream to this entry starts anew, or has not answered a lookup.',
+  },
   'lines-dropped': {
     number: 790,
     level: 'warn',
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -9,6 +9,8 @@
 import {openReplicatedLog} from '@marigoldspur/replicated-log';
 import {
   CRASH_RECORDS_PATH,
+  STREAM_ORIGIN_LOOKUP_PATH,
+  STREAM_ORIGINS_PATH,
   FENCES_PATH,
   FLEET_PATH,
   REQUEST_LIMITS_PATH,
@@ -23,6 +25,10 @@
 import {ControlStateMachine} from './control-state-machine.js';
 import type {ControlSettings} from './control-settings.js';
 import {createCrashRecordHandler} from './crash-record-handler.js';
+import {
+  createStreamOriginHandler,
+  createStreamOriginLookupHandler,
+} from './stream-origin-handlers.js';
 import {
   createLimitHandler,
   createPermitHandler,
@@ -102,6 +108,8 @@
       [COMMANDS_PATH, commands.createHandler()],
       [FENCES_PATH, createFenceHandler(commands)],
       [CRASH_RECORDS_PATH, createCrashRecordHandler(fleet)],
+      [STREAM_ORIGINS_PATH, createStreamOriginHandler(fleet)],
+      [STREAM_ORIGIN_LOOKUP_PATH, createStreamOriginLookupHandler(fleet)],
       [REQUEST_LIMITS_PATH, createLimitHandler(fleet)],
       [REQUEST_PERMITS_PATH, createPermitHandler(fleet)],
       [
--- a/control/fleet/src/fleet-manager.ts
+++ b/control/fleet/src/fleet-manager.ts
@@ -5,6 +5,7 @@
   CrashRecords,
   DeploymentText,
   NamedVersion,
+  StreamOrigin,
   TargetAnnouncement,
 } from '@marigoldspur/deployment';
 import type {
@@ -14,6 +15,10 @@
 import type {EventLog} from '@marigoldspur/event-log';
 import {Fault} from '@marigoldspur/faults';
 import type {ReplicatedLog} from '@marigoldspur/replicated-log';
+import {
+  SoftwareVersionHistory,
+  StreamOriginLedger,
+} from '@marigoldspur/stream-origins';
 import {TargetRegistry} from '@marigoldspur/target-registry';
 import {FleetStreamServer} from './fleet-stream-server.js';
 import {RequestLimiter} from './request-limiter.js';
@@ -57,6 +62,10 @@
   });
   private readonly crashLedger = new CrashLedger();
   private readonly requestCrashLedger = new RequestCrashLedger();
+  private readonly streamOrigins = new StreamOriginLedger();
+  private readonly softwareVersions = new SoftwareVersionHistory(
+    performance.now(),
+  );
   private readonly silenceTimer: NodeJS.Timeout;
 
   constructor(private readonly options: FleetManagerOptions) {
@@ -70,6 +79,11 @@
       targets: this.targets,
       crashRecords: () => this.crashRecords(performance.now()),
       limits: () => this.limiter.limits(performance.now()),
+      softwareVersions: () => {
+        const now = performance.now();
+        this.softwareVersions.record(this.targets.targets(), now);
+        return this.softwareVersions.snapshot(now);
+      },
       confirm: async () => (await this.confirmState()).isOk,
       replicas: () => log.status().replicas.map(({url}) => url),
     });
@@ -114,9 +128,10 @@
   /** Handles an announcement of a target; sends changes to the followers before it returns. */
   announce(announcement: TargetAnnouncement, now: number): void {
     const outcome = this.targets.announce(announcement, now);
-    if (outcome === 'changed') {
-      const {address, bornAt, id, leaving, service, softwareVersion} =
-        announcement;
+    const known = this.targets.find(announcement.id);
+    if (outcome === 'changed' && known !== undefined) {
+      const {address, bornAt, id, leaving, service, softwareVersion} = known;
+      this.softwareVersions.record([known], now);
       this.options.events.record('target-announced', {
         target: id,
         bornAt,
@@ -125,12 +140,23 @@
         version: softwareVersion ?? 'unknown',
         leaving,
       });
-      this.streamServer.broadcastTarget(announcement);
+      this.streamServer.broadcastTarget(known);
     }
   }
 
+  /** Remembers the origins of streams that an entry relays. */
+  addStreamOrigins(origins: readonly StreamOrigin[], now: number): void {
+    this.streamOrigins.add(origins, now);
+  }
+
+  /** Returns the origin of the stream that a call began; undefined if it is not known. */
+  findStreamOrigin(call: string): StreamOrigin | undefined {
+    return this.streamOrigins.find(call);
+  }
+
   /** Handles a target's notice that it ends. */
   leave(id: string, now: number): void {
+    this.softwareVersions.record(this.targets.targets(), now);
     const incarnation = this.targets.leave(id, now);
     if (incarnation !== undefined) {
       this.options.events.record('target-ended', {target: id});
@@ -171,6 +197,7 @@
   }
 
   private removeSilentTargets(now: number): void {
+    this.softwareVersions.record(this.targets.targets(), now);
     const silent = this.targets.removeSilent(now);
     for (const {id} of silent) {
       this.options.events.record('target-silent', {target: id});
--- a/control/fleet/src/fleet-stream-server.ts
+++ b/control/fleet/src/fleet-stream-server.ts
@@ -5,6 +5,7 @@
   type CrashRecords,
   type FleetMessage,
   type NamedVersion,
+  type SoftwareVersions,
   type TargetAnnouncement,
   type TargetIncarnation,
   type TargetLimit,
@@ -20,6 +21,8 @@
   readonly crashRecords: () => CrashRecords;
   /** Returns all request limits that this replica knows. */
   readonly limits: () => TargetLimit[];
+  /** Returns the software versions that targets had lately. */
+  readonly softwareVersions: () => SoftwareVersions;
   /** Resolves to whether a quorum confirms this replica's applied state. */
   readonly confirm: () => Promise<boolean>;
   /** Base URLs of all replicas. */
@@ -157,6 +160,7 @@
       gone: targets.ended(),
       crashRecords: crashRecords(),
       limits: limits(),
+      softwareVersions: this.options.softwareVersions(),
     });
     this.broadcastEntryCount();
   }
--- a/control/fleet/test/fleet-stream-server.test.ts
+++ b/control/fleet/test/fleet-stream-server.test.ts
@@ -13,6 +13,7 @@
   replicas: () => ['http://replica'],
   crashRecords: () => ({reports: [], sightings: []}),
   limits: () => [],
+  softwareVersions: () => ({observedMs: 0, versions: []}),
 } as unknown as Omit<FleetStreamServerOptions, 'confirm'>;
 
 /** A follower's connection that emits each message written to it. */
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -14,6 +14,7 @@
 import type {WireFormat} from './wire-format.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {TargetSelector, TargetCallTracker} from './target-selector.js';
+import type {StreamOrigins} from './stream-origins.js';
 import type {TargetFinder} from './target-finder.js';
 import type {TargetLimits} from './target-limits.js';
 import {
@@ -47,6 +48,7 @@
     'findBlock' | 'recordCompletion'
   >;
   readonly crashWitness: Pick<CrashWitness, 'probe' | 'recordSuccessor'>;
+  readonly streamOrigins: Pick<StreamOrigins, 'recordFirstEvent'>;
   readonly targetLimits: Pick<TargetLimits, 'recordResponse'>;
   readonly wireFormat: WireFormat;
   readonly events: EventLog;
@@ -232,16 +234,33 @@
     if (metadata.hasNotRun || !isSuccess(message.statusCode)) {
       return response;
     }
-    const check = new ResponseProgress(response, isStream(call, message), end =>
-      this.recordEnd(call, attempt, {
-        ...end,
-        isAborted: running.cancellation.signal.aborted,
-      }),
+    const check = new ResponseProgress(
+      response,
+      isStream(call, message),
+      end =>
+        this.recordEnd(call, attempt, {
+          ...end,
+          isAborted: running.cancellation.signal.aborted,
+        }),
+      () => this.recordFirstEvent(call, attempt, message),
     );
     running.progress = check;
     return {...response, check};
   }
 
+  /** Records the origin of a stream that callers may take up. */
+  private recordFirstEvent(
+    call: Call,
+    {target}: Attempt,
+    message: IncomingMessage,
+  ): void {
+    const isBegun = (call.metadata.resumeAfter ?? 0) === 0;
+    if (isBegun && call.route.idempotent && isStream(call, message)) {
+      const {streamOrigins} = this.options;
+      streamOrigins.recordFirstEvent(call, target, performance.now());
+    }
+  }
+
   private recordEnd(
     call: Call,
     {number, target}: Attempt,
--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -156,7 +156,9 @@
       const message = `no route for host "${headers.host}" and path "${url}"`;
       return Result.err(createNotRunRefusal(404, 'unknown_route', message));
     }
-    const service = routes.findService(chooseBackend(route, metadata.id));
+    const service = routes.findService(
+      chooseBackend(route, metadata.resumes ?? metadata.id),
+    );
     return service === undefined
       ? Result.err(createNotReadyRefusal())
       : Result.ok({route, service});
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -1,6 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import {Result} from 'true-myth';
-import type {TargetAnnouncement} from '@marigoldspur/deployment';
+import type {StreamOrigin, TargetAnnouncement} from '@marigoldspur/deployment';
 import {
   FramingCheck,
   relayResponse,
@@ -13,6 +13,7 @@
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {RetryLimiter} from './retry-limiter.js';
 import {CallStreamResumer} from './call-stream-resumer.js';
+import type {StreamOrigins} from './stream-origins.js';
 import type {TargetFinder} from './target-finder.js';
 import type {TargetResponse} from './target-client.js';
 
@@ -21,6 +22,7 @@
   readonly finder: TargetFinder;
   readonly sender: AttemptSender;
   readonly retryLimiter: RetryLimiter;
+  readonly streamOrigins: Pick<StreamOrigins, 'originAt' | 'resolve'>;
   readonly events: EventLog;
   readonly metrics: DirectRoutingMetrics;
 }
@@ -50,8 +52,13 @@
 
   /** Serves a call. A refusal is returned, not sent. */
   async run(call: Call, response: ServerResponse): Promise<CallResult> {
-    const {finder, retryLimiter} = this.options;
+    const {finder, retryLimiter, streamOrigins} = this.options;
     retryLimiter.recordCall(call.service.name, performance.now());
+    const resolved = await streamOrigins.resolve(call, performance.now());
+    if (resolved.isErr) {
+      return Result.err(resolved.error);
+    }
+    const origin = resolved.value;
     const excluded = new Set<string>();
     let refusal: Refusal | undefined;
     let mayHaveRun = false;
@@ -61,7 +68,7 @@
           toFinalRefusal(refusal ?? createOutOfTimeRefusal(), mayHaveRun),
         );
       }
-      const target = await finder.find(call, excluded, call.startedAt);
+      const target = await finder.find(call, excluded, call.startedAt, origin);
       if (target.isErr) {
         return Result.err(toFinalRefusal(refusal ?? target.error, mayHaveRun));
       }
@@ -70,6 +77,7 @@
         target.value,
         attemptNumber,
         response,
+        origin,
       );
       if (result.isOk) {
         return result;
@@ -94,6 +102,7 @@
     target: TargetAnnouncement,
     attemptNumber: number,
     response: ServerResponse,
+    origin: StreamOrigin | undefined,
   ): Promise<CallResult> {
     const {sender} = this.options;
     const attempt = sender.startAttempt(call, target, attemptNumber);
@@ -101,7 +110,13 @@
       const sent = await sender.send(call, attempt);
       return sent.isErr
         ? Result.err(sender.handleFailure(call, attempt, sent.error))
-        : await this.handleResponse(call, attempt, sent.value, response);
+        : await this.handleResponse(
+            call,
+            attempt,
+            sent.value,
+            response,
+            origin,
+          );
     } finally {
       attempt.tracker.end(performance.now());
     }
@@ -116,6 +131,7 @@
     attempt: Attempt,
     upstream: TargetResponse,
     response: ServerResponse,
+    origin: StreamOrigin | undefined,
   ): Promise<CallResult> {
     const {metrics, sender} = this.options;
     const {metadata, message} = upstream;
@@ -128,7 +144,7 @@
       return Result.err(sender.handleRejection(call, attempt, upstream));
     }
     metrics.recordAttempt(call.service.name, hasFailed ? 'failed' : 'answered');
-    const outcome = await this.relay(call, attempt, upstream, response);
+    const outcome = await this.relay(call, attempt, upstream, response, origin);
     return outcome === 'lost'
       ? Result.err(createTornResponseRefusal())
       : Result.ok(undefined);
@@ -139,6 +155,7 @@
     attempt: Attempt,
     upstream: TargetResponse,
     response: ServerResponse,
+    origin: StreamOrigin | undefined,
   ): Promise<RelayOutcome> {
     const {events, metrics} = this.options;
     const {metadata, route, service, startedAt} = call;
@@ -150,7 +167,7 @@
     });
     const resumer =
       isStream && route.idempotent
-        ? new CallStreamResumer(this.options, call, attempt)
+        ? new CallStreamResumer(this.options, call, attempt, origin)
         : undefined;
     const {outcome, status} = await relayResponse(upstream, response, {
       headers: {},
--- a/entry/direct-routing/src/call-stream-resumer.ts
+++ b/entry/direct-routing/src/call-stream-resumer.ts
@@ -3,6 +3,8 @@
 import type {Attempt, AttemptSender} from './attempt-sender.js';
 import type {Call} from './call.js';
 import type {RetryLimiter} from './retry-limiter.js';
+import type {StreamOrigin} from '@marigoldspur/deployment';
+import type {StreamOrigins} from './stream-origins.js';
 import type {TargetFinder} from './target-finder.js';
 
 /** Options of a call stream resumer. */
@@ -10,6 +12,7 @@
   readonly finder: TargetFinder;
   readonly sender: AttemptSender;
   readonly retryLimiter: RetryLimiter;
+  readonly streamOrigins: Pick<StreamOrigins, 'originAt'>;
   readonly events: EventLog;
 }
 
@@ -17,6 +20,8 @@
 
 /** Resumes the broken stream of one call at another target. */
 export class CallStreamResumer implements StreamResumer {
+  /** Origin of the events that the first attempt brings. */
+  private readonly begunAt: StreamOrigin;
   private readonly triedTargets: Set<string>;
   private attemptNumber: number;
   /**
@@ -29,7 +34,10 @@
     private readonly options: CallStreamResumerOptions,
     private readonly call: Call,
     first: Attempt,
+    /** Origin of the stream that the call takes up; undefined if the call begins it. */
+    private readonly origin: StreamOrigin | undefined,
   ) {
+    this.begunAt = options.streamOrigins.originAt(call, first.target);
     this.triedTargets = new Set([first.target.id]);
     this.attemptNumber = first.number;
   }
@@ -49,7 +57,13 @@
       return undefined;
     }
     const now = performance.now();
-    const found = await options.finder.find(call, this.triedTargets, now);
+    const origin = this.origin ?? (after < 0 ? undefined : this.begunAt);
+    const found = await options.finder.find(
+      call,
+      this.triedTargets,
+      now,
+      origin,
+    );
     if (found.isErr) {
       return undefined;
     }
--- a/entry/direct-routing/src/index.ts
+++ b/entry/direct-routing/src/index.ts
@@ -39,6 +39,12 @@
   DirectRoutingSettings,
   RetryAllowance,
 } from './direct-routing-settings.js';
+export {StreamOrigins, type StreamOriginsOptions} from './stream-origins.js';
+export {
+  StreamOriginClient,
+  type LookupResult,
+  type StreamOriginClientOptions,
+} from './stream-origin-client.js';
 export {PermitClient, type PermitClientOptions} from './permit-client.js';
 export {TargetLimits, type TargetLimitsOptions} from './target-limits.js';
 export {ResponseProgress, type ResponseEnd} from './response-progress.js';
--- a/entry/direct-routing/src/response-progress.ts
+++ b/entry/direct-routing/src/response-progress.ts
@@ -35,6 +35,7 @@
     private readonly upstream: UpstreamResponse,
     private readonly isStream: boolean,
     onEnd: (end: ResponseEnd) => void,
+    private readonly onFirstEvent: () => void = () => {},
   ) {
     this.framing = new FramingCheck(upstream);
     upstream.message.once('close', () =>
@@ -51,6 +52,9 @@
     this.framing.add();
     if (!this.hasArrivedEvent) {
       this.hasArrivedEvent = !this.isStream || this.containsEventEnd(chunk);
+      if (this.hasArrivedEvent) {
+        this.onFirstEvent();
+      }
     }
     if (this.isStream) {
       const end = chunk.toString(
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -33,6 +33,8 @@
 import {TargetSelector} from './target-selector.js';
 import {TargetClient} from './target-client.js';
 import {TargetFinder} from './target-finder.js';
+import {StreamOriginClient} from './stream-origin-client.js';
+import {StreamOrigins} from './stream-origins.js';
 import {TargetLimits} from './target-limits.js';
 import {WithdrawalRecorder} from './withdrawal-recorder.js';
 
@@ -85,6 +87,10 @@
     }
     if (change.hasChangedTargets) {
       withdrawals.update(fleetFollower.view.targets());
+      streamOrigins.recordTargets(
+        fleetFollower.view.targets(),
+        performance.now(),
+      );
     }
     if (change.hasChangedTargets || change.hasNewDeployment) {
       engineViews.follow(
@@ -111,6 +117,13 @@
         });
       }
     },
+    onSoftwareVersions: (replica, versions, isComplete) =>
+      streamOrigins.recordReplica(
+        replica,
+        versions,
+        isComplete,
+        performance.now(),
+      ),
     onLimits: (replica, limits, areAll) => {
       const now = performance.now();
       targetLimits.addLimits(limits, now);
@@ -145,6 +158,19 @@
     events,
   });
   const targetLimits = new TargetLimits({permitClient, events, metrics});
+  const streamOrigins = new StreamOrigins(
+    {
+      client: new StreamOriginClient({
+        agent: httpAgent,
+        replicas: () => fleetFollower.urls(),
+        events,
+      }),
+      versionOf: target => selector.softwareVersionOf(target),
+      unfollowedMs: now => fleetFollower.unfollowedMs(now),
+      events,
+    },
+    performance.now(),
+  );
   const crashRecordClient = new CrashRecordClient({
     agent: httpAgent,
     replicas: () => fleetFollower.urls(),
@@ -205,6 +231,7 @@
     crashMonitor,
     requestCrashes,
     crashWitness,
+    streamOrigins,
     targetLimits,
     wireFormat,
     events,
@@ -226,6 +253,7 @@
         allowance: settings.retries,
         entries: () => fleetFollower.view.entries,
       }),
+      streamOrigins,
       events,
       metrics,
     }),
--- a/entry/direct-routing/src/target-finder.ts
+++ b/entry/direct-routing/src/target-finder.ts
@@ -1,6 +1,6 @@
 import {Result} from 'true-myth';
 import type {Blame, RequestBlame} from '@marigoldspur/crash-attribution';
-import type {TargetAnnouncement} from '@marigoldspur/deployment';
+import type {StreamOrigin, TargetAnnouncement} from '@marigoldspur/deployment';
 import {Refusal} from '@marigoldspur/faults';
 import type {FleetView} from '@marigoldspur/fleet-view';
 import {
@@ -22,7 +22,10 @@
 /** Options of a target finder. */
 export interface TargetFinderOptions {
   readonly fleetView: Pick<FleetView, 'versionOf'>;
-  readonly selector: Pick<TargetSelector, 'choose' | 'isAvailable'>;
+  readonly selector: Pick<
+    TargetSelector,
+    'choose' | 'isAvailable' | 'mayServeLater'
+  >;
   readonly adapterPreparer: Pick<AdapterPreparer, 'prepare'>;
   readonly crashMonitor: Pick<CrashMonitor, 'findBlock' | 'recordRefusal'>;
   readonly requestCrashes: Pick<
@@ -66,6 +69,8 @@
   readonly postponed: Set<string>;
   /** Since when the caller has waited for an event, as a `performance.now()` time. */
   readonly waitingSince: number;
+  /** Origin of the stream that the call continues; undefined if any target may serve it. */
+  readonly origin: StreamOrigin | undefined;
 }
 
 /** A target that was chosen for a call. */
@@ -96,12 +101,13 @@
   /**
    * Returns a target that holds what the call needs and is not excluded, or the
    * reason why none is available in time. The caller has waited for an event
-   * since `waitingSince`.
+   * since `waitingSince`. If `origin` is given, the target continues a stream.
    */
   async find(
     call: Call,
     excluded: ReadonlySet<string>,
     waitingSince: number,
+    origin?: StreamOrigin,
   ): Promise<Result<TargetAnnouncement, Refusal>> {
     const {work} = call.metadata;
     const {random} = this.options;
@@ -109,6 +115,7 @@
       unavailable: new Set(excluded),
       postponed: new Set(),
       waitingSince,
+      origin,
     };
     for (;;) {
       const blocked = this.refuseBlocked(call);
@@ -152,11 +159,12 @@
   ): Result<TargetChoice, Refusal> {
     const {selector, random} = this.options;
     const {metadata, service} = call;
-    const {unavailable, waitingSince} = search;
+    const {origin, unavailable, waitingSince} = search;
     const requirements = {
       service,
       work: metadata.work,
       version,
+      origin,
       excluded: unavailable,
     };
     const passedOver = this.passedOverTargets(search, now);
@@ -167,7 +175,11 @@
       ? selector.choose(requirements, now)
       : preferred;
     if (chosen === undefined || !hasTimeLeft(call, now)) {
-      return Result.err(createNoTargetRefusal());
+      return Result.err(
+        origin === undefined
+          ? createNoTargetRefusal()
+          : createNoContinuationRefusal(selector.mayServeLater(requirements)),
+      );
     }
     const {processingMs, waitMs} = chosen;
     const patienceMs = remainingPatienceMs(call, waitingSince, now);
@@ -297,6 +309,17 @@
   );
 }
 
+/** The refusal of a call that continues a stream while no target of its software version serves it. */
+function createNoContinuationRefusal(mayServeLater: boolean): Refusal {
+  return new Refusal(
+    'not-run',
+    503,
+    'no_target_of_version',
+    'no target with the software version that began the stream serves this call',
+    mayServeLater ? NO_TARGET_RETRY_AFTER_SECONDS : undefined,
+  );
+}
+
 function createTooLateRefusal(
   {processingMs, patienceMs, waitMs}: ExpectedWait,
   retryDelayMs: number,
--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -1,11 +1,13 @@
 import type {
   EngineView,
   Service,
+  StreamOrigin,
   TargetAnnouncement,
 } from '@marigoldspur/deployment';
 import {adapterName, isSameIncarnation} from '@marigoldspur/deployment';
 import {rankEngines} from '@marigoldspur/engine-choice';
 import {FailureDetector, type Evidence} from '@marigoldspur/failure-detector';
+import {mayContinue} from '@marigoldspur/stream-origins';
 import type {ResponseMetadata, ModelWork} from './wire-format.js';
 import {toEngineCandidate, type EngineSnapshot} from './engine-candidate.js';
 import {incarnationOf} from './incarnation.js';
@@ -32,6 +34,8 @@
    * Version of the adapter that must serve the call; any version if undefined.
    */
   readonly version?: number;
+  /** Origin of the stream that the call continues; undefined if any target may serve it. */
+  readonly origin?: StreamOrigin;
   /** IDs of targets that must not be used. */
   readonly excluded: ReadonlySet<string>;
 }
@@ -110,7 +114,7 @@
     const serving = this.options
       .targets()
       .filter(
-        target => serves(target, requirements) && this.mayRespond(target),
+        target => this.serves(target, requirements) && this.mayRespond(target),
       );
     const assessment = this.failureDetector.assess(
       serving.map(incarnationOf),
@@ -137,10 +141,19 @@
       .targets()
       .some(
         known =>
-          incarnationOf(known) === incarnation && serves(known, requirements),
+          incarnationOf(known) === incarnation &&
+          this.serves(known, requirements),
       );
   }
 
+  /** Whether a target is known that may take calls with these requirements once it is free or responds again. */
+  mayServeLater(requirements: TargetRequirements): boolean {
+    const anyTarget = {...requirements, excluded: new Set<string>()};
+    return this.options
+      .targets()
+      .some(target => this.serves(target, anyTarget));
+  }
+
   /** Records that a call is sent to a target at time `now`. */
   startCall(
     target: TargetAnnouncement,
@@ -340,15 +353,28 @@
     this.statsByIncarnation.set(incarnation, stats);
     return stats;
   }
-}
 
-function serves(
-  target: TargetAnnouncement,
-  requirements: TargetRequirements,
-): boolean {
-  return (
-    target.service === requirements.service.name &&
-    !target.leaving &&
-    !requirements.excluded.has(target.id)
-  );
+  private serves(
+    target: TargetAnnouncement,
+    {excluded, origin, service}: TargetRequirements,
+  ): boolean {
+    return (
+      target.service === service.name &&
+      !target.leaving &&
+      !excluded.has(target.id) &&
+      (origin === undefined ||
+        (!this.mayHaveRestarted(target) && mayContinue(target, origin)))
+    );
+  }
+
+  /** Returns the software version of a target; undefined if the target may have started anew. */
+  softwareVersionOf(target: TargetAnnouncement): string | undefined {
+    return this.mayHaveRestarted(target) ? undefined : target.softwareVersion;
+  }
+
+  /** Whether the agent beside a target reports another start of its process than it announced. */
+  private mayHaveRestarted(target: TargetAnnouncement): boolean {
+    const view = this.options.engineView(target.address);
+    return view !== undefined && !isSameIncarnation(view.bornAt, target.bornAt);
+  }
 }
--- a/entry/direct-routing/test/limited-targets.test.ts
+++ b/entry/direct-routing/test/limited-targets.test.ts
@@ -51,6 +51,7 @@
         const chosen = selector.choose(requirements, now);
         return chosen && {...chosen, needsAdapter};
       },
+      mayServeLater: () => true,
       isAvailable: (target, requirements) =>
         selector.isAvailable(target, requirements),
     },
--- /dev/null
+++ b/entry/direct-routing/test/stream-origins.test.ts
@@ -0,0 +1,139 @@
+import {expect} from 'chai';
+import type {StreamOrigin, TargetAnnouncement} from '@marigoldspur/deployment';
+import {
+  StreamOrigins,
+  type LookupResult,
+  type StreamOriginsOptions,
+} from '@marigoldspur/direct-routing';
+import {EventLog} from '@marigoldspur/event-log';
+
+const NOW = 100_000;
+
+let sent: StreamOrigin[];
+let lookups: string[];
+let found: LookupResult;
+let unfollowedMs: number;
+let origins: StreamOrigins;
+
+beforeEach(() => {
+  sent = [];
+  lookups = [];
+  found = {origin: undefined, answers: 3};
+  unfollowedMs = 0;
+  origins = create();
+});
+
+function create(changes: Partial<StreamOriginsOptions> = {}): StreamOrigins {
+  return new StreamOrigins(
+    {
+      client: {
+        broadcast: added => sent.push(...added),
+        send: (_replica, added) => sent.push(...added),
+        lookUp: async call => {
+          lookups.push(call);
+          return found;
+        },
+      },
+      versionOf: ({softwareVersion}) => softwareVersion,
+      unfollowedMs: () => unfollowedMs,
+      events: new EventLog({process: 'test'}),
+      ...changes,
+    },
+    0,
+  );
+}
+
+function target(id: string, softwareVersion: string): TargetAnnouncement {
+  return {id, bornAt: 0, service: 's', softwareVersion} as TargetAnnouncement;
+}
+
+function call(id: string, metadata: object = {}, path = '/x') {
+  return {
+    metadata: {id, ...metadata},
+    route: {streaming: true},
+    service: {name: 's'},
+    method: 'POST',
+    headers: {host: 'a'},
+    path,
+  } as never;
+}
+
+function takeUp(resumes: string | undefined, path = '/x', resumeAfter = 3) {
+  return origins.resolve(call('c9', {resumeAfter, resumes}, path), NOW);
+}
+
+async function refusalOf(resumes: string | undefined, path?: string) {
+  const resolved = await takeUp(resumes, path);
+  return resolved.isErr ? resolved.error : undefined;
+}
+
+it('stream origins: a service with one version shares nothing and looks nothing up', async () => {
+  origins.recordTargets([target('i1', 'v1'), target('i2', 'v1')], NOW);
+  origins.recordFirstEvent(call('c1'), target('i1', 'v1'), NOW);
+  const resolved = await takeUp('c0');
+  expect(resolved.isOk && resolved.value === undefined).to.equal(true);
+  expect(sent).to.have.length(0);
+  expect(lookups).to.have.length(0);
+});
+
+it('stream origins: origins are shared once a second version appears, also those from before', () => {
+  origins.recordTargets([target('i1', 'v1')], NOW);
+  origins.recordFirstEvent(call('c1'), target('i1', 'v1'), NOW);
+  origins.recordTargets([target('i1', 'v1'), target('i2', 'v2')], NOW + 1);
+  origins.recordFirstEvent(call('c2'), target('i2', 'v2'), NOW + 2);
+  const shared = sent.map(origin => [origin.call, origin.softwareVersion]);
+  expect(shared).to.deep.equal([
+    ['c1', 'v1'],
+    ['c2', 'v2'],
+  ]);
+});
+
+it('stream origins: a stream that this entry began is known without a lookup', async () => {
+  origins.recordTargets([target('i1', 'v1'), target('i2', 'v2')], NOW);
+  origins.recordFirstEvent(call('c1'), target('i2', 'v2'), NOW);
+  const resolved = await takeUp('c1');
+  expect(resolved.isOk && resolved.value?.softwareVersion).to.equal('v2');
+  expect(lookups).to.have.length(0);
+});
+
+it('stream origins: a stream that another entry began is looked up', async () => {
+  origins.recordTargets([target('i1', 'v1'), target('i2', 'v2')], NOW);
+  const other = create();
+  const origin = other.originAt(call('c1'), target('i1', 'v1'));
+  found = {origin, answers: 1};
+  const resolved = await takeUp('c1');
+  expect(resolved.isOk && resolved.value?.softwareVersion).to.equal('v1');
+  expect(lookups).to.deep.equal(['c1']);
+  expect((await refusalOf('c1', '/other'))?.reason).to.equal(
+    'stream_origin_unknown',
+  );
+});
+
+it('stream origins: a stream of unknown origin is refused, with a time to come back only if nobody could be asked', async () => {
+  origins.recordTargets([target('i1', 'v1'), target('i2', 'v2')], NOW);
+  const known = await refusalOf('c0');
+  expect(known).to.include({
+    outcome: 'not-run',
+    status: 503,
+    reason: 'stream_origin_unknown',
+    retryAfterSeconds: undefined,
+  });
+  const unnamed = await refusalOf(undefined);
+  expect(unnamed?.retryAfterSeconds).to.equal(undefined);
+  found = {origin: undefined, answers: 0};
+  expect((await refusalOf('c0'))?.retryAfterSeconds).to.be.above(0);
+});
+
+it('stream origins: a call after event 0 begins a stream', async () => {
+  origins.recordTargets([target('i1', 'v1'), target('i2', 'v2')], NOW);
+  expect((await takeUp('c0', '/x', 0)).isOk).to.equal(true);
+  expect(lookups).to.have.length(0);
+});
+
+it('stream origins: an entry that does not follow all replicas does not take one version for certain', async () => {
+  origins.recordTargets([target('i1', 'v1')], NOW);
+  unfollowedMs = 5_000;
+  expect((await refusalOf('c0'))?.reason).to.equal('stream_origin_unknown');
+  origins.recordFirstEvent(call('c1'), target('i1', 'v1'), NOW);
+  expect((await takeUp('c1')).isOk).to.equal(true);
+});
--- a/zones/fleet-client/src/fleet-follower.ts
+++ b/zones/fleet-client/src/fleet-follower.ts
@@ -1,6 +1,7 @@
 import type http from 'node:http';
 import {
   type CrashRecords,
+  type SoftwareVersions,
   type TargetLimit,
   FLEET_MESSAGE_SCHEMA,
   FLEET_PATH,
@@ -27,6 +28,15 @@
     records: CrashRecords,
     areAll: boolean,
   ) => void;
+  /**
+   * Called with the software versions that a replica saw lately when its stream starts;
+   * `isComplete` once all known replicas have sent theirs.
+   */
+  readonly onSoftwareVersions: (
+    replica: string,
+    versions: SoftwareVersions,
+    isComplete: boolean,
+  ) => void;
   /** Called with the request limits that a replica knows; `areAll` as for crash records. */
   readonly onLimits: (
     replica: string,
@@ -49,10 +59,14 @@
 export class FleetFollower {
   readonly view = new FleetView();
   private readonly replicaStreams = new Map<string, ReplicaStream>();
+  /** Replicas whose stream has started at least once. */
+  private readonly followedOnce = new Set<string>();
   private readonly retries = new Set<NodeJS.Timeout>();
   private readonly maintenanceTimer: NodeJS.Timeout;
   private seeds: readonly string[];
   private isStopped = false;
+  /** When all known replicas were last followed, as a `performance.now()` time. */
+  private followedAllAt = -Infinity;
   private confirmed = false;
 
   constructor(private readonly options: FleetFollowerOptions) {
@@ -75,6 +89,18 @@
       .length;
   }
 
+  /** Time at `now` since all known replicas were last followed, in milliseconds. */
+  unfollowedMs(now: number): number {
+    const {replicas} = this.view;
+    const isFollowingAll =
+      replicas.length > 0 &&
+      replicas.every(url => this.replicaStreams.get(url)?.isFollowed === true);
+    if (isFollowingAll) {
+      this.followedAllAt = now;
+    }
+    return now - this.followedAllAt;
+  }
+
   /** Returns the base URLs of known replicas and the seed URLs. */
   urls(): string[] {
     return [...new Set([...this.view.replicas, ...this.seeds])];
@@ -139,6 +165,14 @@
       const areAll = message.whole === true;
       this.options.onCrashRecords(url, message.crashRecords, areAll);
     }
+    if (message.softwareVersions !== undefined) {
+      this.followedOnce.add(url);
+      const isComplete = this.view.replicas.every(replica =>
+        this.followedOnce.has(replica),
+      );
+      const {softwareVersions} = message;
+      this.options.onSoftwareVersions(url, softwareVersions, isComplete);
+    }
     if (message.limits !== undefined) {
       const areAll = message.whole === true;
       this.options.onLimits(url, message.limits, areAll);
@@ -149,6 +183,7 @@
     if (stream.isFollowed) {
       this.options.events.record('fleet-lost', {replica: url, reason});
     }
+    this.unfollowedMs(performance.now());
     stream.isFollowed = false;
     this.view.markSourceLost(url, performance.now());
     const retry = setTimeout(() => {
--- a/zones/fleet-view/src/fleet-view.ts
+++ b/zones/fleet-view/src/fleet-view.ts
@@ -164,9 +164,18 @@
     for (const {targets} of this.sources.values()) {
       for (const target of targets.values()) {
         const known = newest.get(target.id);
-        if (known === undefined || isNewerAnnouncement(target, known)) {
-          newest.set(target.id, target);
-        }
+        const latest =
+          known === undefined || isNewerAnnouncement(target, known)
+            ? target
+            : known;
+        const isContradicted =
+          known !== undefined &&
+          known.bornAt === target.bornAt &&
+          known.softwareVersion !== target.softwareVersion;
+        newest.set(
+          target.id,
+          isContradicted ? {...latest, softwareVersion: undefined} : latest,
+        );
       }
     }
     const running = [...newest.values()].filter(
--- a/zones/fleet-view/test/fleet-view.test.ts
+++ b/zones/fleet-view/test/fleet-view.test.ts
@@ -88,3 +88,13 @@
   view.applyMessage('b', {versions: [{...named, version: 3}]});
   expect(view.versionOf('m', 'a3')).to.equal(4);
 });
+
+it('fleet view: a software version on which replicas do not agree is not certain', () => {
+  const view = new FleetView();
+  const v1 = target({softwareVersion: 'v1'});
+  const v2 = target({sequence: 2, softwareVersion: 'v2'});
+  view.applyMessage('a', {whole: true, targets: [v1]});
+  expect(view.targets()[0].softwareVersion).to.equal('v1');
+  view.applyMessage('b', {whole: true, targets: [v2]});
+  expect(view.targets()[0].softwareVersion).to.equal(undefined);
+});
--- a/zones/target-registry/src/target-registry.ts
+++ b/zones/target-registry/src/target-registry.ts
@@ -57,9 +57,9 @@
       return 'late';
     }
     this.ends.delete(id);
-    this.rows.set(id, {announcement, heardAt: now});
-    return known !== undefined &&
-      hasSameContent(announcement, known.announcement)
+    const agreed = withAgreedVersion(announcement, known?.announcement);
+    this.rows.set(id, {announcement: agreed, heardAt: now});
+    return known !== undefined && hasSameContent(agreed, known.announcement)
       ? 'unchanged'
       : 'changed';
   }
@@ -92,6 +92,11 @@
     });
   }
 
+  /** Returns the newest announcement of a target; undefined if it is not known. */
+  find(id: string): TargetAnnouncement | undefined {
+    return this.rows.get(id)?.announcement;
+  }
+
   /** Returns the newest announcement of each target. */
   targets(): TargetAnnouncement[] {
     return [...this.rows.values()].map(row => row.announcement);
@@ -111,6 +116,20 @@
   }
 }
 
+/** Drops the software version if an earlier announcement of the same process states another one. */
+function withAgreedVersion(
+  announcement: TargetAnnouncement,
+  known: TargetAnnouncement | undefined,
+): TargetAnnouncement {
+  const isContradicted =
+    known !== undefined &&
+    known.bornAt === announcement.bornAt &&
+    known.softwareVersion !== announcement.softwareVersion;
+  return isContradicted
+    ? {...announcement, softwareVersion: undefined}
+    : announcement;
+}
+
 function hasSameContent(one: TargetAnnouncement, other: TargetAnnouncement) {
   return (
     JSON.stringify({...one, sequence: 0}) ===
--- a/zones/target-registry/test/target-registry.test.ts
+++ b/zones/target-registry/test/target-registry.test.ts
@@ -71,3 +71,20 @@
   ]);
   expect(registry.removeSilent(4_002)).to.deep.equal([]);
 });
+
+it('target registry: a software version that announcements of one start contradict is not certain', () => {
+  const registry = createRegistry();
+  const versionAfter = (changes: Partial<TargetAnnouncement>) => {
+    registry.announce(announcement(changes), 0);
+    return registry.find('t1')?.softwareVersion;
+  };
+  expect(versionAfter({softwareVersion: 'v1'})).to.equal('v1');
+  expect(versionAfter({sequence: 2, softwareVersion: 'v2'})).to.equal(
+    undefined,
+  );
+  expect(versionAfter({sequence: 3, softwareVersion: 'v2'})).to.equal(
+    undefined,
+  );
+  const restarted = {bornAt: 2_000, softwareVersion: 'v2'};
+  expect(versionAfter(restarted)).to.equal('v2');
+});
