Withdraw targets that say in an answer that they leave (DRAIN)

What targets saw: one that says so only in its answers went on getting new calls from all entries; nothing read the header.

The entry withdraws that start of the target at once, as it does for one that announces its leave, and tells all replicas of control, which withdraw it for all entries. Later announcements of the same start do not take it back; a new start has not left. An answer that another target gave at the address says nothing of the one that was meant.

--- a/agent/engine-agent/src/adapter-manager.ts
+++ b/agent/engine-agent/src/adapter-manager.ts
@@ -304,7 +304,7 @@
    * unloaded, because they accept no more calls.
    */
   private createView(state: EngineState, now: number): EngineView {
-    const {bornAt, memoryUsed, models, running, waiting} = state;
+    const {bornAt, leaving, memoryUsed, models, running, waiting} = state;
     const loading = new Set([...state.loading, ...this.acceptedOrders.loading]);
     const used = [...state.adapters.keys()].filter(
       name => !loading.has(name) && this.uses.isUsed(name, now),
@@ -312,6 +312,7 @@
     return {
       bornAt,
       answers: true,
+      leaving,
       models: [...models],
       adapters: [...state.adapters].filter(
         ([name]) => !this.acceptedOrders.leaving.has(name),
--- a/agent/engine-agent/src/managed-engine.ts
+++ b/agent/engine-agent/src/managed-engine.ts
@@ -5,6 +5,8 @@
 export interface EngineState {
   /** When the engine's process started, in milliseconds since the epoch. */
   readonly bornAt: number;
+  /** ID of the engine if it says in its answer that it leaves; absent otherwise. */
+  readonly leaving?: string;
   /** Number of orders that the engine has accepted since its start. */
   readonly sequence: number;
   /**
--- a/agent/engine-agent/src/view-streams.ts
+++ b/agent/engine-agent/src/view-streams.ts
@@ -33,8 +33,15 @@
    */
   publish(view: EngineView, now: number): void {
     const line = `${JSON.stringify(view)}\n`;
-    const {adapters: held, answers, awaited, bornAt, loading} = view;
-    const adapters = JSON.stringify([bornAt, answers, held, loading, awaited]);
+    const {adapters: held, answers, awaited, bornAt, leaving, loading} = view;
+    const adapters = JSON.stringify([
+      bornAt,
+      answers,
+      leaving,
+      held,
+      loading,
+      awaited,
+    ]);
     const isDue =
       adapters !== this.latestAdapters ||
       (line !== this.latestLine && now - this.sentAt >= LOAD_INTERVAL_MS) ||
--- a/contracts/deployment/src/engine-view.ts
+++ b/contracts/deployment/src/engine-view.ts
@@ -16,6 +16,8 @@
   bornAt: z.int().min(0),
   /** Whether the engine responds to its agent. If not, the other fields hold its last known state. */
   answers: z.boolean(),
+  /** ID of the engine if it says that it leaves; absent otherwise. */
+  leaving: z.string().min(1).max(256).optional(),
   /** Models that the engine holds. */
   models: z.array(z.string()),
   /** Adapters that the engine holds, `model/adapter`, each with its version. */
--- a/contracts/deployment/src/index.ts
+++ b/contracts/deployment/src/index.ts
@@ -75,6 +75,11 @@
   type PermitRequest,
   type TargetLimit,
 } from './request-limits.js';
+export {
+  MAX_TARGET_LEAVES,
+  TARGET_LEAVES_PATH,
+  TARGET_LEAVES_SCHEMA,
+} from './target-leaves.js';
 export {
   MAX_STREAM_ORIGINS,
   SOFTWARE_VERSIONS_SCHEMA,
--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -264,6 +264,18 @@
     meaning:
       'A replica of control has not taken the origins of streams, which it receives again when its stream to this entry starts anew, or has not answered a lookup.',
   },
+  'target-leave-stated': {
+    number: 756,
+    level: 'info',
+    meaning:
+      'A replica of control has learned from an entry that a target said in an answer that it leaves; it tells all entries.',
+  },
+  'target-leaves-unsent': {
+    number: 757,
+    level: 'info',
+    meaning:
+      'A replica of control has not taken which targets say that they leave; it receives it again when its stream to this entry starts anew.',
+  },
   'lines-dropped': {
     number: 790,
     level: 'warn',
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -10,6 +10,7 @@
 import {
   CRASH_RECORDS_PATH,
   STREAM_ORIGIN_LOOKUP_PATH,
+  TARGET_LEAVES_PATH,
   STREAM_ORIGINS_PATH,
   FENCES_PATH,
   FLEET_PATH,
@@ -25,6 +26,7 @@
 import {ControlStateMachine} from './control-state-machine.js';
 import type {ControlSettings} from './control-settings.js';
 import {createCrashRecordHandler} from './crash-record-handler.js';
+import {createTargetLeaveHandler} from './target-leave-handler.js';
 import {
   createStreamOriginHandler,
   createStreamOriginLookupHandler,
@@ -108,6 +110,7 @@
       [COMMANDS_PATH, commands.createHandler()],
       [FENCES_PATH, createFenceHandler(commands)],
       [CRASH_RECORDS_PATH, createCrashRecordHandler(fleet)],
+      [TARGET_LEAVES_PATH, createTargetLeaveHandler(fleet)],
       [STREAM_ORIGINS_PATH, createStreamOriginHandler(fleet)],
       [STREAM_ORIGIN_LOOKUP_PATH, createStreamOriginLookupHandler(fleet)],
       [REQUEST_LIMITS_PATH, createLimitHandler(fleet)],
--- a/control/fleet/src/fleet-manager.ts
+++ b/control/fleet/src/fleet-manager.ts
@@ -7,6 +7,7 @@
   NamedVersion,
   StreamOrigin,
   TargetAnnouncement,
+  TargetIncarnation,
 } from '@marigoldspur/deployment';
 import type {
   DeploymentState,
@@ -144,6 +145,18 @@
     }
   }
 
+  /** Withdraws targets that said in an answer to an entry that they leave. */
+  recordLeaves(targets: readonly TargetIncarnation[]): void {
+    for (const target of targets) {
+      const changed = this.targets.recordLeave(target);
+      if (changed !== undefined) {
+        const {bornAt, id} = changed;
+        this.options.events.record('target-leave-stated', {target: id, bornAt});
+        this.streamServer.broadcastTarget(changed);
+      }
+    }
+  }
+
   /** Remembers the origins of streams that an entry relays. */
   addStreamOrigins(origins: readonly StreamOrigin[], now: number): void {
     this.streamOrigins.add(origins, now);
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -48,6 +48,8 @@
     'findBlock' | 'recordCompletion'
   >;
   readonly crashWitness: Pick<CrashWitness, 'probe' | 'recordSuccessor'>;
+  /** Called with a target that says in an answer that it leaves. */
+  readonly onLeaving: (target: TargetAnnouncement) => void;
   readonly streamOrigins: Pick<StreamOrigins, 'recordFirstEvent'>;
   readonly targetLimits: Pick<TargetLimits, 'recordResponse'>;
   readonly wireFormat: WireFormat;
@@ -130,6 +132,7 @@
     }
     sent.value.message.once('close', () => this.endAttempt(running));
     this.recordLimit(attempt, sent.value, sentAt);
+    this.recordLeave(attempt, sent.value);
     return sent.map(response =>
       this.followProgress(call, attempt, running, response),
     );
@@ -178,6 +181,15 @@
     }
   }
 
+  /** Withdraws a target that says that it leaves, unless another target responded in its place. */
+  private recordLeave({target}: Attempt, {metadata}: TargetResponse): void {
+    const isOther =
+      metadata.target !== undefined && metadata.target !== target.id;
+    if (metadata.isLeaving && !isOther) {
+      this.options.onLeaving(target);
+    }
+  }
+
   private endAttempt(running: RunningAttempt): void {
     running.cancellation.dispose();
     this.runningAttempts.delete(running);
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -4,6 +4,7 @@
 import {
   createCrashRecords,
   type Deployment,
+  type EngineView,
   type TargetAnnouncement,
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
@@ -35,6 +36,7 @@
 import {TargetFinder} from './target-finder.js';
 import {StreamOriginClient} from './stream-origin-client.js';
 import {StreamOrigins} from './stream-origins.js';
+import {TargetLeaveClient} from './target-leave-client.js';
 import {TargetLimits} from './target-limits.js';
 import {WithdrawalRecorder} from './withdrawal-recorder.js';
 
@@ -117,13 +119,11 @@
         });
       }
     },
-    onSoftwareVersions: (replica, versions, isComplete) =>
-      streamOrigins.recordReplica(
-        replica,
-        versions,
-        isComplete,
-        performance.now(),
-      ),
+    onSoftwareVersions: (replica, versions, isComplete) => {
+      const now = performance.now();
+      streamOrigins.recordReplica(replica, versions, isComplete, now);
+      targetLeaveClient.send(replica, fleetFollower.view.leavingTargets());
+    },
     onLimits: (replica, limits, areAll) => {
       const now = performance.now();
       targetLimits.addLimits(limits, now);
@@ -140,6 +140,7 @@
     agentUrl,
     onView: (address, view) => {
       selector.recordEngineView(address, view);
+      withdrawReported(address, view);
       if (!view.answers) {
         crashMonitor.checkEngines(performance.now());
       }
@@ -158,6 +159,23 @@
     events,
   });
   const targetLimits = new TargetLimits({permitClient, events, metrics});
+  const targetLeaveClient = new TargetLeaveClient({
+    agent: httpAgent,
+    replicas: () => fleetFollower.urls(),
+    events,
+  });
+  const withdrawReported = (address: string, {leaving}: EngineView) => {
+    fleetFollower.view
+      .targets()
+      .filter(target => target.address === address && target.id === leaving)
+      .forEach(target => withdrawLeaving(target));
+  };
+  const withdrawLeaving = ({bornAt, id}: TargetAnnouncement) => {
+    if (fleetFollower.view.recordLeave({bornAt, id})) {
+      withdrawals.update(fleetFollower.view.targets());
+      targetLeaveClient.broadcast([{bornAt, id}]);
+    }
+  };
   const streamOrigins = new StreamOrigins(
     {
       client: new StreamOriginClient({
@@ -231,6 +249,7 @@
     crashMonitor,
     requestCrashes,
     crashWitness,
+    onLeaving: withdrawLeaving,
     streamOrigins,
     targetLimits,
     wireFormat,
--- a/entry/direct-routing/src/wire-format.ts
+++ b/entry/direct-routing/src/wire-format.ts
@@ -63,6 +63,8 @@
   readonly isMisdirected: boolean;
   /** ID of the target that responded, if stated. */
   readonly target?: string;
+  /** Whether the target states that it leaves and takes no new calls. */
+  readonly isLeaving: boolean;
   /** Load of the target, if stated. */
   readonly load?: {
     readonly running: number;
--- a/zones/fleet-view/src/fleet-view.ts
+++ b/zones/fleet-view/src/fleet-view.ts
@@ -37,6 +37,8 @@
 export class FleetView {
   private readonly sources = new Map<string, Source>();
   private readonly endedIncarnations = new Map<string, number>();
+  /** Last start of each target that said to this process that it leaves, by ID. */
+  private readonly leaves = new Map<string, number>();
   private readonly versions = new Map<string, number>();
   private currentDeployment: DeploymentText | undefined;
   private replicaUrls: readonly string[] = [];
@@ -68,6 +70,23 @@
     return bornAt <= (this.endedIncarnations.get(id) ?? -1);
   }
 
+  /** Records that a target said in an answer that it leaves; returns whether that is new. */
+  recordLeave({bornAt, id}: TargetIncarnation): boolean {
+    if (bornAt <= (this.leaves.get(id) ?? -1)) {
+      return false;
+    }
+    this.leaves.delete(id);
+    this.leaves.set(id, bornAt);
+    removeOldest(this.leaves);
+    this.mergedTargets = undefined;
+    return true;
+  }
+
+  /** Returns the targets that said to this process that they leave. */
+  leavingTargets(): TargetIncarnation[] {
+    return [...this.leaves].map(([id, bornAt]) => ({id, bornAt}));
+  }
+
   /** Applies a message of one replica. */
   applyMessage(source: string, message: FleetMessage): FleetChange {
     if (message.whole) {
@@ -145,11 +164,7 @@
       );
       known.targets.delete(id);
     });
-    while (this.endedIncarnations.size > MAX_TRACKED_ENDS) {
-      this.endedIncarnations.delete(
-        this.endedIncarnations.keys().next().value!,
-      );
-    }
+    removeOldest(this.endedIncarnations);
     const isChanged =
       message.whole === true ||
       targets.length + silent.length + gone.length > 0;
@@ -178,9 +193,13 @@
         );
       }
     }
-    const running = [...newest.values()].filter(
-      target => !this.hasEnded(target),
-    );
+    const running = [...newest.values()]
+      .filter(target => !this.hasEnded(target))
+      .map(target =>
+        target.bornAt <= (this.leaves.get(target.id) ?? -1)
+          ? {...target, leaving: true}
+          : target,
+      );
     return running.filter(
       target =>
         !running.some(
@@ -191,6 +210,16 @@
   }
 }
 
+/** Drops the targets that were added first, down to the maximum. */
+function removeOldest(starts: Map<string, number>): void {
+  for (const id of starts.keys()) {
+    if (starts.size <= MAX_TRACKED_ENDS) {
+      return;
+    }
+    starts.delete(id);
+  }
+}
+
 function removeIncarnation(
   source: Source,
   {id, bornAt}: TargetIncarnation,
--- a/zones/fleet-view/test/fleet-view.test.ts
+++ b/zones/fleet-view/test/fleet-view.test.ts
@@ -98,3 +98,14 @@
   view.applyMessage('b', {whole: true, targets: [v2]});
   expect(view.targets()[0].softwareVersion).to.equal(undefined);
 });
+
+it('fleet view: a target that said in an answer that it leaves is leaving whatever replicas list', () => {
+  const view = new FleetView();
+  view.applyMessage('a', {whole: true, targets: [target()]});
+  expect(view.recordLeave({id: 't1', bornAt: 1_000})).to.equal(true);
+  expect(view.recordLeave({id: 't1', bornAt: 1_000})).to.equal(false);
+  view.applyMessage('b', {whole: true, targets: [target({sequence: 2})]});
+  expect(view.targets()[0].leaving).to.equal(true);
+  view.applyMessage('a', {targets: [target({bornAt: 2_000})]});
+  expect(view.targets()[0].leaving).to.equal(false);
+});
--- a/zones/target-registry/src/target-registry.ts
+++ b/zones/target-registry/src/target-registry.ts
@@ -28,6 +28,9 @@
   readonly at: number;
 }
 
+/** Maximum number of targets that are remembered because they said that they leave. */
+const MAX_LEAVES = 4_096;
+
 /**
  * The announced targets. Announcements are ordered by the start time of the target's
  * process and, within one start, by their sequence number, so that a late announcement
@@ -36,6 +39,8 @@
 export class TargetRegistry {
   private readonly rows = new Map<string, Row>();
   private readonly ends = new Map<string, EndedTarget>();
+  /** Last start of each target that said in an answer that it leaves, by ID. */
+  private readonly leaves = new Map<string, number>();
 
   constructor(private readonly options: TargetRegistryOptions) {}
 
@@ -58,12 +63,44 @@
     }
     this.ends.delete(id);
     const agreed = withAgreedVersion(announcement, known?.announcement);
-    this.rows.set(id, {announcement: agreed, heardAt: now});
-    return known !== undefined && hasSameContent(agreed, known.announcement)
+    const leaving = agreed.leaving || this.saysItLeaves(agreed);
+    const current = {...agreed, leaving};
+    this.rows.set(id, {announcement: current, heardAt: now});
+    return known !== undefined && hasSameContent(current, known.announcement)
       ? 'unchanged'
       : 'changed';
   }
 
+  /**
+   * Records that a target said in an answer that it leaves, which its announcements do not take
+   * back. Returns its announcement if that has changed.
+   */
+  recordLeave({bornAt, id}: TargetIncarnation): TargetAnnouncement | undefined {
+    const lastLeft = this.leaves.get(id) ?? -1;
+    this.leaves.delete(id);
+    this.leaves.set(id, Math.max(lastLeft, bornAt));
+    for (const oldest of this.leaves.keys()) {
+      if (this.leaves.size <= MAX_LEAVES) {
+        break;
+      }
+      this.leaves.delete(oldest);
+    }
+    const row = this.rows.get(id);
+    if (
+      row === undefined ||
+      row.announcement.leaving ||
+      !this.saysItLeaves(row.announcement)
+    ) {
+      return undefined;
+    }
+    row.announcement = {...row.announcement, leaving: true};
+    return row.announcement;
+  }
+
+  private saysItLeaves({bornAt, id}: TargetIncarnation): boolean {
+    return bornAt <= (this.leaves.get(id) ?? -1);
+  }
+
   /** Removes a target that ended at time `now`, in milliseconds, and returns it; undefined if it is unknown. */
   leave(id: string, now: number): TargetIncarnation | undefined {
     const known = this.rows.get(id);
--- a/zones/target-registry/test/target-registry.test.ts
+++ b/zones/target-registry/test/target-registry.test.ts
@@ -88,3 +88,22 @@
   const restarted = {bornAt: 2_000, softwareVersion: 'v2'};
   expect(versionAfter(restarted)).to.equal('v2');
 });
+
+it('target registry: a leave that an answer stated is not taken back by announcements, and a new start has not left', () => {
+  const registry = createRegistry();
+  registry.announce(announcement(), 0);
+  const incarnation = {id: 't1', bornAt: 1_000};
+  expect(registry.recordLeave(incarnation)?.leaving).to.equal(true);
+  expect(registry.recordLeave(incarnation)).to.equal(undefined);
+  registry.announce(announcement({sequence: 2}), 1);
+  expect(registry.find('t1')?.leaving).to.equal(true);
+  registry.announce(announcement({bornAt: 2_000}), 2);
+  expect(registry.find('t1')?.leaving).to.equal(false);
+});
+
+it('target registry: a leave counts for a target that is announced here only later', () => {
+  const registry = createRegistry();
+  expect(registry.recordLeave({id: 't1', bornAt: 1_000})).to.equal(undefined);
+  registry.announce(announcement(), 0);
+  expect(registry.find('t1')?.leaving).to.equal(true);
+});
