--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -276,6 +276,18 @@
     meaning:
       'A replica of control has not taken which targets say that they leave; it receives it again when its stream to this entry starts anew.',
   },
+  'target-paused': {
+    number: 758,
+    level: 'info',
+    meaning:
+      'A target has turned a call away and wants nothing from this entry for `pauseMs` milliseconds.',
+  },
+  'target-pause-invalid': {
+    number: 759,
+    level: 'warn',
+    meaning:
+      'A target has turned a call away with a `Retry-After` that is no number of seconds (`value`); no pause is kept.',
+  },
   'lines-dropped': {
     number: 790,
     level: 'warn',
--- a/entry/direct-routing/src/adapter-preparer.ts
+++ b/entry/direct-routing/src/adapter-preparer.ts
@@ -99,9 +99,10 @@
     targetLost: AbortController,
   ): void {
     const {isAgentReachable, selector} = this.options;
+    const now = performance.now();
     if (
-      !isAgentReachable(target.address, performance.now()) ||
-      !selector.isAvailable(target, requirements)
+      !isAgentReachable(target.address, now) ||
+      !selector.isAvailable(target, requirements, now)
     ) {
       targetLost.abort();
     }
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -74,6 +74,8 @@
 const MIN_SILENCE_MS = 500;
 const RETRY_AFTER_SECONDS = 0.5;
 const LOWEST_PRIORITY = 9;
+/** Maximum length of a header's value in a log line, in characters. */
+const MAX_LOGGED_LENGTH = 64;
 const STATUS_OK = 200;
 const EVENT_STREAM_TYPE = 'text/event-stream';
 const STATUS_REDIRECT = 300;
@@ -132,7 +134,9 @@
     }
     sent.value.message.once('close', () => this.endAttempt(running));
     this.recordLimit(attempt, sent.value, sentAt);
-    this.recordLeave(attempt, sent.value);
+    if (!isFromOtherTarget(attempt, sent.value)) {
+      this.recordWishes(call, attempt, sent.value);
+    }
     return sent.map(response =>
       this.followProgress(call, attempt, running, response),
     );
@@ -181,12 +185,26 @@
     }
   }
 
-  /** Withdraws a target that says that it leaves, unless another target responded in its place. */
-  private recordLeave({target}: Attempt, {metadata}: TargetResponse): void {
-    const isOther =
-      metadata.target !== undefined && metadata.target !== target.id;
-    if (metadata.isLeaving && !isOther) {
-      this.options.onLeaving(target);
+  /** Keeps to what a target says of itself: that it leaves, or wants a pause. */
+  private recordWishes(
+    call: Call,
+    {number, target}: Attempt,
+    {metadata: {invalidPause, isLeaving, pauseMs}}: TargetResponse,
+  ): void {
+    const {events, metrics, onLeaving, selector} = this.options;
+    if (isLeaving) {
+      onLeaving(target);
+    }
+    if (pauseMs !== undefined) {
+      const details = {attempt: number, target: target.id, pauseMs};
+      events.record('target-paused', details, call.metadata.id);
+      metrics.recordPause(call.service.name);
+      selector.recordPause(target, performance.now() + pauseMs);
+    }
+    if (invalidPause !== undefined) {
+      const value = invalidPause.slice(0, MAX_LOGGED_LENGTH);
+      const details = {attempt: number, target: target.id, value};
+      events.record('target-pause-invalid', details, call.metadata.id);
     }
   }
 
@@ -440,6 +458,14 @@
   }
 }
 
+/** Whether another target responded at the address of the one that was meant. */
+function isFromOtherTarget(
+  {target}: Attempt,
+  {metadata}: TargetResponse,
+): boolean {
+  return metadata.target !== undefined && metadata.target !== target.id;
+}
+
 function isStream(
   {route}: Call,
   {headers, statusCode}: IncomingMessage,
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -70,7 +70,8 @@
       }
       const target = await finder.find(call, excluded, call.startedAt, origin);
       if (target.isErr) {
-        return Result.err(toFinalRefusal(refusal ?? target.error, mayHaveRun));
+        const latest = laterRefusal(refusal, target.error);
+        return Result.err(toFinalRefusal(latest, mayHaveRun));
       }
       const result = await this.attempt(
         call,
@@ -198,6 +199,14 @@
   }
 }
 
+/** Of the refusal of the last attempt and that of the next one, the one with the later time to come back. */
+function laterRefusal(last: Refusal | undefined, next: Refusal): Refusal {
+  const isLater =
+    last === undefined ||
+    (next.retryAfterSeconds ?? 0) > (last.retryAfterSeconds ?? 0);
+  return isLater ? next : last;
+}
+
 /** Whether a call that a target did not serve may be sent to another one. */
 function canRetry(
   call: Call,
--- a/entry/direct-routing/src/direct-routing-metrics.ts
+++ b/entry/direct-routing/src/direct-routing-metrics.ts
@@ -15,6 +15,7 @@
   private readonly crashReports: Counter<'stage'>;
   private readonly blockedParts: Gauge;
   private readonly blockedRequests: Gauge;
+  private readonly pauses: Counter<'service'>;
   private readonly permits: Counter<'granted'>;
   private readonly limitedTargets: Gauge;
   private readonly running: Gauge;
@@ -69,6 +70,12 @@
       help: 'Requests that are refused because they crash engines',
       registers,
     });
+    this.pauses = new Counter({
+      name: 'marigoldspur_target_pauses_total',
+      help: 'Answers in which targets asked this entry for a pause, by service',
+      labelNames: ['service'],
+      registers,
+    });
     this.permits = new Counter({
       name: 'marigoldspur_request_permits_total',
       help: 'Permits that calls asked for because their target has a request limit, by whether they were granted',
@@ -124,6 +131,10 @@
     this.blockedRequests.set(count);
   }
 
+  recordPause(service: string): void {
+    this.pauses.inc({service});
+  }
+
   recordPermit(isGranted: boolean): void {
     this.permits.inc({granted: String(isGranted)});
   }
--- a/entry/direct-routing/src/target-finder.ts
+++ b/entry/direct-routing/src/target-finder.ts
@@ -24,7 +24,7 @@
   readonly fleetView: Pick<FleetView, 'versionOf'>;
   readonly selector: Pick<
     TargetSelector,
-    'choose' | 'isAvailable' | 'mayServeLater'
+    'choose' | 'isAvailable' | 'mayServeLater' | 'pauseRemainingMs'
   >;
   readonly adapterPreparer: Pick<AdapterPreparer, 'prepare'>;
   readonly crashMonitor: Pick<CrashMonitor, 'findBlock' | 'recordRefusal'>;
@@ -59,6 +59,8 @@
 const MIN_LIMITED_DELAY_MS = 200;
 /** Jitter as a share of that delay, which spreads callers that are refused together. */
 const LIMITED_JITTER_SHARE = 0.5;
+/** Maximum delay beyond a pause, which spreads callers that are refused together, in milliseconds. */
+const PAUSE_JITTER_MS = 300;
 const MS_PER_SECOND = 1_000;
 
 /** The state of the search for a target of one call. */
@@ -175,6 +177,10 @@
       ? selector.choose(requirements, now)
       : preferred;
     if (chosen === undefined || !hasTimeLeft(call, now)) {
+      const pauseMs = selector.pauseRemainingMs(requirements, now);
+      if (pauseMs !== undefined && hasTimeLeft(call, now)) {
+        return Result.err(createPausedRefusal(pauseMs, random()));
+      }
       return Result.err(
         origin === undefined
           ? createNoTargetRefusal()
@@ -240,7 +246,7 @@
     return (
       requestCrashes.findBlock(call) !== undefined ||
       crashMonitor.findBlock(work) !== undefined ||
-      !selector.isAvailable(target, requirements) ||
+      !selector.isAvailable(target, requirements, performance.now()) ||
       this.versionFor(work) !== version
     );
   }
@@ -309,6 +315,18 @@
   );
 }
 
+/** The refusal of a call while all targets that would serve it asked for a pause. */
+function createPausedRefusal(pauseMs: number, random: number): Refusal {
+  const delayMs = pauseMs + random * PAUSE_JITTER_MS;
+  return new Refusal(
+    'not-run',
+    503,
+    'targets_paused',
+    `all targets of this call asked for a pause; the first one ends in ${Math.round(pauseMs)} ms`,
+    Math.ceil(delayMs) / MS_PER_SECOND,
+  );
+}
+
 /** The refusal of a call that continues a stream while no target of its software version serves it. */
 function createNoContinuationRefusal(mayServeLater: boolean): Refusal {
   return new Refusal(
--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -96,6 +96,8 @@
  */
 export class TargetSelector {
   private readonly statsByIncarnation = new Map<string, TargetStats>();
+  /** When the pauses that targets asked for end, by incarnation, in milliseconds. */
+  private readonly pauseEnds = new Map<string, number>();
   private readonly slotReleases = new SlotReleaseEstimator();
   private readonly failureDetector = new FailureDetector({
     halfLifeMs: SUSPICION_HALF_LIFE_MS,
@@ -114,7 +116,10 @@
     const serving = this.options
       .targets()
       .filter(
-        target => this.serves(target, requirements) && this.mayRespond(target),
+        target =>
+          this.serves(target, requirements) &&
+          !this.isPaused(target, now) &&
+          this.mayRespond(target),
       );
     const assessment = this.failureDetector.assess(
       serving.map(incarnationOf),
@@ -129,12 +134,13 @@
   }
 
   /**
-   * Whether a target still takes calls with these requirements. A target that
+   * Whether a target still takes calls with these requirements at time `now`. A target that
    * was chosen before a wait is checked with this before it is used.
    */
   isAvailable(
     target: TargetAnnouncement,
     requirements: TargetRequirements,
+    now: number,
   ): boolean {
     const incarnation = incarnationOf(target);
     return this.options
@@ -142,10 +148,36 @@
       .some(
         known =>
           incarnationOf(known) === incarnation &&
-          this.serves(known, requirements),
+          this.serves(known, requirements) &&
+          !this.isPaused(known, now),
       );
   }
 
+  /** Records that a target wants no calls from this entry until `endsAt`, in milliseconds. */
+  recordPause(target: TargetAnnouncement, endsAt: number): void {
+    const incarnation = incarnationOf(target);
+    const known = this.pauseEnds.get(incarnation) ?? -Infinity;
+    this.pauseEnds.set(incarnation, Math.max(known, endsAt));
+  }
+
+  /**
+   * Time at `now` until the first target that serves these requirements, also of those that must
+   * not be used, ends its pause, in milliseconds; undefined if none of them pauses.
+   */
+  pauseRemainingMs(
+    requirements: TargetRequirements,
+    now: number,
+  ): number | undefined {
+    const anyTarget = {...requirements, excluded: new Set<string>()};
+    const remaining = this.options
+      .targets()
+      .filter(
+        target => this.serves(target, anyTarget) && this.isPaused(target, now),
+      )
+      .map(target => this.pauseEnds.get(incarnationOf(target))! - now);
+    return remaining.length === 0 ? undefined : Math.min(...remaining);
+  }
+
   /** Whether a target is known that may take calls with these requirements once it is free or responds again. */
   mayServeLater(requirements: TargetRequirements): boolean {
     const anyTarget = {...requirements, excluded: new Set<string>()};
@@ -231,6 +263,11 @@
   removeUnknownTargets(): void {
     const known = new Set(this.options.targets().map(incarnationOf));
     this.failureDetector.retainTargets(known);
+    for (const incarnation of this.pauseEnds.keys()) {
+      if (!known.has(incarnation)) {
+        this.pauseEnds.delete(incarnation);
+      }
+    }
     for (const incarnation of this.statsByIncarnation.keys()) {
       if (!known.has(incarnation)) {
         this.statsByIncarnation.delete(incarnation);
@@ -367,6 +404,10 @@
     );
   }
 
+  private isPaused(target: TargetAnnouncement, now: number): boolean {
+    return now < (this.pauseEnds.get(incarnationOf(target)) ?? -Infinity);
+  }
+
   /** Returns the software version of a target; undefined if the target may have started anew. */
   softwareVersionOf(target: TargetAnnouncement): string | undefined {
     return this.mayHaveRestarted(target) ? undefined : target.softwareVersion;
--- a/entry/direct-routing/src/wire-format.ts
+++ b/entry/direct-routing/src/wire-format.ts
@@ -65,6 +65,10 @@
   readonly target?: string;
   /** Whether the target states that it leaves and takes no new calls. */
   readonly isLeaving: boolean;
+  /** Time for which the target wants nothing from this entry, in milliseconds, if stated. */
+  readonly pauseMs?: number;
+  /** What the target states in place of such a time, if that is no number of seconds. */
+  readonly invalidPause?: string;
   /** Load of the target, if stated. */
   readonly load?: {
     readonly running: number;
--- a/entry/direct-routing/test/limited-targets.test.ts
+++ b/entry/direct-routing/test/limited-targets.test.ts
@@ -52,8 +52,9 @@
         return chosen && {...chosen, needsAdapter};
       },
       mayServeLater: () => true,
-      isAvailable: (target, requirements) =>
-        selector.isAvailable(target, requirements),
+      pauseRemainingMs: () => undefined,
+      isAvailable: (target, requirements, now) =>
+        selector.isAvailable(target, requirements, now),
     },
     adapterPreparer: {
       prepare: async (_call, {target}) => prepared.push(target.id) > 0,
--- a/entry/direct-routing/test/target-finder.test.ts
+++ b/entry/direct-routing/test/target-finder.test.ts
@@ -34,6 +34,7 @@
         ? undefined
         : {target: TARGET, needsAdapter: true, waitMs, processingMs: 0},
     isAvailable: () => true,
+    pauseRemainingMs: () => undefined,
     startAdapterWait: () => () => {},
   };
   const agentClient = {
--- a/entry/direct-routing/test/target-selector.test.ts
+++ b/entry/direct-routing/test/target-selector.test.ts
@@ -116,3 +116,69 @@
   const work = {...large.work, promptTokens: 500_000};
   expect(selector.choose({...large, work}, 0)?.waitMs).to.equal(0);
 });
+
+it('target selector: a target that asked for a pause is not used until the pause ends, and a new start of it is', () => {
+  const targets = [engine(0)];
+  const selector = new TargetSelector({
+    zone: 'z1',
+    targets: () => targets,
+    engineView: () => undefined,
+    random: () => 0.5,
+  });
+  const needs = requirements('a');
+  selector.recordPause(targets[0], 3_000);
+  selector.recordPause(targets[0], 1_000);
+  expect(selector.choose(needs, 2_999)).to.equal(undefined);
+  expect(selector.isAvailable(targets[0], needs, 2_999)).to.equal(false);
+  expect(selector.pauseRemainingMs(needs, 2_000)).to.equal(1_000);
+  expect(selector.choose(needs, 3_000)?.target.id).to.equal('e0');
+  expect(selector.pauseRemainingMs(needs, 3_000)).to.equal(undefined);
+  targets[0] = {...engine(0), bornAt: 2};
+  expect(selector.choose(needs, 0)?.target.id).to.equal('e0');
+});
+
+it('target selector: the soonest end of a pause counts, also of a target that was tried', () => {
+  const targets = [engine(0), engine(1)];
+  const selector = new TargetSelector({
+    zone: 'z1',
+    targets: () => targets,
+    engineView: () => undefined,
+    random: () => 0.5,
+  });
+  selector.recordPause(targets[0], 1_000);
+  selector.recordPause(targets[1], 5_000);
+  const needs = {...requirements('a'), excluded: new Set(['e0'])};
+  expect(selector.choose(needs, 0)).to.equal(undefined);
+  expect(selector.pauseRemainingMs(needs, 0)).to.equal(1_000);
+});
+
+it('target selector: a stream goes on only at its software version, and not where the engine may have started anew', () => {
+  const targets = ['v1', 'v2', 'v1'].map((softwareVersion, index) => ({
+    ...engine(index),
+    softwareVersion,
+  }));
+  const views = [view(), view(), view({bornAt: 9})];
+  const selector = new TargetSelector({
+    zone: 'z1',
+    targets: () => targets,
+    engineView: address => views[Number(address.split('.')[3].split(':')[0])],
+    random: () => 0.5,
+  });
+  const origin = {
+    call: 'c',
+    request: 'r',
+    id: 'gone',
+    bornAt: 1,
+    service: 's',
+    softwareVersion: 'v1',
+    ageMs: 0,
+  };
+  const needs = {...requirements('a'), origin};
+  expect(selector.choose(needs, 0)?.target.id).to.equal('e0');
+  expect(selector.isAvailable(targets[1], needs, 0)).to.equal(false);
+  expect(selector.isAvailable(targets[2], needs, 0)).to.equal(false);
+  expect(selector.softwareVersionOf(targets[2])).to.equal(undefined);
+  const other = {...needs, origin: {...origin, softwareVersion: 'v3'}};
+  expect(selector.choose(other, 0)).to.equal(undefined);
+  expect(selector.mayServeLater(other)).to.equal(false);
+});
