Remember software versions of targets that do not change (ORDER)

What callers would have seen: mixed streams again, once the targets of a service with two versions had not changed for a minute. Found by reading.

Cause: a version was seen only when some target changed, and counted for a minute after that. Versions of the targets that are known now count without a limit; the minute begins when the last target of a version is gone. The test fails without the change.

--- a/control/fleet/src/fleet-manager.ts
+++ b/control/fleet/src/fleet-manager.ts
@@ -80,11 +80,7 @@
       targets: this.targets,
       crashRecords: () => this.crashRecords(performance.now()),
       limits: () => this.limiter.limits(performance.now()),
-      softwareVersions: () => {
-        const now = performance.now();
-        this.softwareVersions.record(this.targets.targets(), now);
-        return this.softwareVersions.snapshot(now);
-      },
+      softwareVersions: () => this.softwareVersions.snapshot(performance.now()),
       confirm: async () => (await this.confirmState()).isOk,
       replicas: () => log.status().replicas.map(({url}) => url),
     });
@@ -132,7 +128,7 @@
     const known = this.targets.find(announcement.id);
     if (outcome === 'changed' && known !== undefined) {
       const {address, bornAt, id, leaving, service, softwareVersion} = known;
-      this.softwareVersions.record([known], now);
+      this.softwareVersions.record(this.targets.targets(), now);
       this.options.events.record('target-announced', {
         target: id,
         bornAt,
@@ -169,8 +165,8 @@
 
   /** Handles a target's notice that it ends. */
   leave(id: string, now: number): void {
-    this.softwareVersions.record(this.targets.targets(), now);
     const incarnation = this.targets.leave(id, now);
+    this.softwareVersions.record(this.targets.targets(), now);
     if (incarnation !== undefined) {
       this.options.events.record('target-ended', {target: id});
       this.streamServer.broadcastTargetEnd(incarnation);
@@ -210,8 +206,8 @@
   }
 
   private removeSilentTargets(now: number): void {
-    this.softwareVersions.record(this.targets.targets(), now);
     const silent = this.targets.removeSilent(now);
+    this.softwareVersions.record(this.targets.targets(), now);
     for (const {id} of silent) {
       this.options.events.record('target-silent', {target: id});
     }
--- a/policy/stream-origins/src/software-version-history.ts
+++ b/policy/stream-origins/src/software-version-history.ts
@@ -17,11 +17,17 @@
 /** Maximum number of versions of all services that are remembered. */
 const MAX_VERSIONS = 4_096;
 
-/** Remembers which software versions the targets of each service had lately. */
+/** A software version of a service. */
+type ServiceVersion = Omit<SoftwareVersionRecord, 'ageMs'>;
+
+/** Remembers which software versions the targets of each service have, or had lately. */
 export class SoftwareVersionHistory {
+  /** Versions of the targets that are known now, by key. */
+  private current = new Map<string, ServiceVersion>();
+  /** Versions and when they were last those of a target, by key. */
   private readonly versions = new Map<
     string,
-    Omit<SoftwareVersionRecord, 'ageMs'> & {seenAt: number}
+    ServiceVersion & {seenAt: number}
   >();
   /** Since when all targets have been seen, in milliseconds. */
   private observedSince: number;
@@ -30,11 +36,16 @@
     this.observedSince = now;
   }
 
-  /** Records the versions of the known targets at time `now`, in milliseconds. */
+  /** Records all targets that are known from time `now` on, in milliseconds. */
   record(targets: readonly TargetAnnouncement[], now: number): void {
-    for (const {service, softwareVersion} of targets) {
-      this.see({service, softwareVersion}, now);
-    }
+    this.seeCurrent(now);
+    this.current = new Map(
+      targets.map(({service, softwareVersion}) => {
+        const version = {service, softwareVersion};
+        return [keyOf(version), version] as const;
+      }),
+    );
+    this.seeCurrent(now);
     this.removeExpired(now);
   }
 
@@ -54,6 +65,7 @@
 
   /** Returns what this process saw, at time `now`, in milliseconds. */
   snapshot(now: number): SoftwareVersions {
+    this.seeCurrent(now);
     return {
       observedMs: Math.max(0, now - this.observedSince),
       versions: [...this.versions.values()].map(({seenAt, ...version}) => ({
@@ -65,12 +77,13 @@
 
   /** Whether a service has one version at time `now`, in milliseconds. */
   certaintyOf(service: string, now: number): VersionCertainty {
-    const versions = [...this.versions.values()].filter(
-      version =>
-        version.service === service && now - version.seenAt <= RETENTION_MS,
+    const versions = [...this.versions].filter(
+      ([key, version]) =>
+        version.service === service &&
+        (this.current.has(key) || now - version.seenAt <= RETENTION_MS),
     );
     const isAmbiguous = versions.some(
-      ({softwareVersion}) => softwareVersion === undefined,
+      ([, {softwareVersion}]) => softwareVersion === undefined,
     );
     if (versions.length > 1 || isAmbiguous) {
       return 'several';
@@ -78,14 +91,12 @@
     return now - this.observedSince < SETTLE_MS ? 'unknown' : 'one';
   }
 
-  private see(
-    version: Omit<SoftwareVersionRecord, 'ageMs'>,
-    seenAt: number,
-  ): void {
-    const key = JSON.stringify([
-      version.service,
-      version.softwareVersion ?? null,
-    ]);
+  private seeCurrent(now: number): void {
+    this.current.forEach(version => this.see(version, now));
+  }
+
+  private see(version: ServiceVersion, seenAt: number): void {
+    const key = keyOf(version);
     const known = this.versions.get(key)?.seenAt ?? -Infinity;
     this.versions.delete(key);
     this.versions.set(key, {...version, seenAt: Math.max(known, seenAt)});
@@ -94,9 +105,14 @@
   private removeExpired(now: number): void {
     for (const [key, {seenAt}] of this.versions) {
       const isExpired = now - seenAt > RETENTION_MS;
-      if (isExpired || this.versions.size > MAX_VERSIONS) {
+      const isExcess = this.versions.size > MAX_VERSIONS;
+      if ((isExpired || isExcess) && !this.current.has(key)) {
         this.versions.delete(key);
       }
     }
   }
 }
+
+function keyOf({service, softwareVersion}: ServiceVersion): string {
+  return JSON.stringify([service, softwareVersion ?? null]);
+}
--- a/policy/stream-origins/test/stream-origins.test.ts
+++ b/policy/stream-origins/test/stream-origins.test.ts
@@ -67,16 +67,26 @@
   let now = 20 * SECOND_MS;
   history.record([target(), target({softwareVersion: 'v2'})], now);
   expect(history.certaintyOf('s', now)).to.equal('several');
-  for (let count = 0; count < 59; count += 1) {
+  for (let count = 0; count <= 60; count += 1) {
     now += SECOND_MS;
     history.record([target()], now);
     expect(history.certaintyOf('s', now)).to.equal('several');
   }
-  now += 2 * SECOND_MS;
+  now += SECOND_MS;
   history.record([target()], now);
   expect(history.certaintyOf('s', now)).to.equal('one');
 });
 
+it('software version history: versions whose targets do not change count for as long as they serve', () => {
+  const history = new SoftwareVersionHistory(0);
+  const now = 20 * SECOND_MS;
+  history.record([target(), target({softwareVersion: 'v2'})], now);
+  expect(history.certaintyOf('s', 600 * SECOND_MS)).to.equal('several');
+  history.record([target()], 600 * SECOND_MS);
+  expect(history.certaintyOf('s', 659 * SECOND_MS)).to.equal('several');
+  expect(history.certaintyOf('s', 661 * SECOND_MS)).to.equal('one');
+});
+
 it('software version history: one version is not certain right after the start', () => {
   const history = new SoftwareVersionHistory(0);
   history.record([target()], SECOND_MS);
@@ -86,8 +96,8 @@
 
 it('software version history: a process that starts learns what others saw', () => {
   const known = new SoftwareVersionHistory(0);
-  known.record([target({softwareVersion: 'v0'})], 50 * SECOND_MS);
-  known.record([target()], 80 * SECOND_MS);
+  known.record([target({softwareVersion: 'v0'})], 40 * SECOND_MS);
+  known.record([target()], 50 * SECOND_MS);
   const started = new SoftwareVersionHistory(80 * SECOND_MS);
   const now = 80 * SECOND_MS;
   started.merge(known.snapshot(now), false, now);
