--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -105,7 +105,7 @@
     number: 725,
     level: 'info',
     meaning:
-      'A target has not served a call: its adapter did not become ready, or the attempt failed; `fingerprint` is the same each time the request is sent.',
+      'A target has not served a call: its adapter did not become ready, or the attempt failed; `fingerprint`, stated if it may have run, is the same each time the request is sent.',
   },
   'call-resumed': {
     number: 726,
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -47,7 +47,10 @@
     RequestCrashMonitor,
     'findBlock' | 'recordCompletion'
   >;
-  readonly crashWitness: Pick<CrashWitness, 'probe' | 'recordSuccessor'>;
+  readonly crashWitness: Pick<
+    CrashWitness,
+    'probe' | 'recordResponse' | 'recordSuccessor'
+  >;
   /** Called with a target that says in an answer that it leaves. */
   readonly onLeaving: (target: TargetAnnouncement) => void;
   readonly streamOrigins: Pick<StreamOrigins, 'recordFirstEvent'>;
@@ -135,6 +138,7 @@
     sent.value.message.once('close', () => this.endAttempt(running));
     this.recordLimit(attempt, sent.value, sentAt);
     if (!isFromOtherTarget(attempt, sent.value)) {
+      this.options.crashWitness.recordResponse(attempt.target);
       this.recordWishes(call, attempt, sent.value);
     }
     return sent.map(response =>
@@ -448,7 +452,7 @@
       sentAfterMs,
       reason,
       outcome,
-      ...describeRequest(call),
+      ...(outcome === 'not-run' ? describePrompt(call) : describeRequest(call)),
     };
     this.options.events.record(
       'call-attempt-failed',
@@ -484,15 +488,14 @@
 
 /** What identifies the request when it is sent again, and its prompt, for the log. */
 function describeRequest(call: Call): Record<string, string> {
-  const {work} = call.metadata;
-  const fingerprint = call.fingerprint();
+  return {fingerprint: call.fingerprint(), ...describePrompt(call)};
+}
+
+/** The model and the parts of the prompt, for the log. */
+function describePrompt({metadata: {work}}: Call): Record<string, string> {
   return work === undefined
-    ? {fingerprint}
-    : {
-        fingerprint,
-        model: work.model,
-        parts: work.parts.map(({id}) => id).join(' '),
-      };
+    ? {}
+    : {model: work.model, parts: work.parts.map(({id}) => id).join(' ')};
 }
 
 function createBodyHeaders({body, headers}: Call): Record<string, number> {
--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -129,7 +129,7 @@
       hasCallerDisconnected: () => disconnectSignal.aborted,
     };
     const {resumeAfter = 0, resumes} = metadata;
-    if (resumeAfter > 0) {
+    if (route.streaming && resumeAfter > 0) {
       const details = {resumes: resumes ?? '', after: resumeAfter};
       this.options.events.record('stream-taken-up', details, metadata.id);
     }
--- a/entry/direct-routing/src/crash-witness.ts
+++ b/entry/direct-routing/src/crash-witness.ts
@@ -38,6 +38,11 @@
     return this.ended.has(incarnationOf(target));
   }
 
+  /** Records that a target responded, so that it has not ended. */
+  recordResponse(target: TargetAnnouncement): void {
+    this.ended.delete(incarnationOf(target));
+  }
+
   /** Records that another target responded at the address of a target. */
   recordSuccessor(target: TargetAnnouncement): void {
     this.recordEnd(target);
--- a/entry/direct-routing/test/blocked-attempts.test.ts
+++ b/entry/direct-routing/test/blocked-attempts.test.ts
@@ -59,7 +59,7 @@
       recordCompletion: () => {},
     },
     requestCrashes: {findBlock: () => undefined, recordCompletion: () => {}},
-    crashWitness: {probe: () => {}},
+    crashWitness: {probe: () => {}, recordResponse: () => {}},
     targetLimits: {recordResponse: () => {}},
     wireFormat: WIRE_FORMAT,
     events: new EventLog({process: 'test'}),
--- a/entry/direct-routing/test/crash-witness.test.ts
+++ b/entry/direct-routing/test/crash-witness.test.ts
@@ -45,4 +45,6 @@
   witness.recordSuccessor(TARGET);
   expect(witness.hasEnded(TARGET)).to.equal(true);
   expect(endCount).to.equal(1);
+  witness.recordResponse(TARGET);
+  expect(witness.hasEnded(TARGET)).to.equal(false);
 });
