--- a/entry/direct-routing/src/request-crash-monitor.ts
+++ b/entry/direct-routing/src/request-crash-monitor.ts
@@ -85,8 +85,24 @@
       : byRequest.get(request.fingerprint());
   }
 
-  /** Records that a blocked request was refused, which keeps it blocked. */
-  recordRefusal({request}: RequestBlame, now: number): void {
+  /**
+   * Returns why a request is refused at time `now`; undefined if it is not. A refusal keeps the
+   * request blocked.
+   */
+  refuse(request: IdentifiedRequest, now: number): RequestBlame | undefined {
+    if (this.findBlock(request) === undefined) {
+      return undefined;
+    }
+    this.ledger.removeExpired(now);
+    this.updateBlames(now);
+    const blame = this.findBlock(request);
+    if (blame !== undefined) {
+      this.recordRefusal(blame, now);
+    }
+    return blame;
+  }
+
+  private recordRefusal({request}: RequestBlame, now: number): void {
     const last = this.ledger.lastRefusedAt(request) ?? -Infinity;
     if (now - last >= REFUSAL_REPORT_INTERVAL_MS) {
       this.publishSighting('refused', request, now);
--- a/entry/direct-routing/src/target-finder.ts
+++ b/entry/direct-routing/src/target-finder.ts
@@ -28,10 +28,7 @@
   >;
   readonly adapterPreparer: Pick<AdapterPreparer, 'prepare'>;
   readonly crashMonitor: Pick<CrashMonitor, 'findBlock' | 'recordRefusal'>;
-  readonly requestCrashes: Pick<
-    RequestCrashMonitor,
-    'findBlock' | 'recordRefusal'
-  >;
+  readonly requestCrashes: Pick<RequestCrashMonitor, 'findBlock' | 'refuse'>;
   readonly targetLimits: Pick<
     TargetLimits,
     'acquire' | 'busyTargets' | 'isLimited'
@@ -256,9 +253,8 @@
     const {crashMonitor, requestCrashes} = this.options;
     const {work} = call.metadata;
     const now = performance.now();
-    const requestBlame = requestCrashes.findBlock(call);
+    const requestBlame = requestCrashes.refuse(call, now);
     if (requestBlame !== undefined) {
-      requestCrashes.recordRefusal(requestBlame, now);
       return createBlockedRequestRefusal(requestBlame);
     }
     const blame = crashMonitor.findBlock(work);
@@ -266,7 +262,8 @@
       return undefined;
     }
     crashMonitor.recordRefusal(work, blame, now);
-    return createBlockedRefusal(blame);
+    // The record shows whether the block has expired.
+    return crashMonitor.findBlock(work) && createBlockedRefusal(blame);
   }
 }
 
--- a/entry/direct-routing/test/crash-monitor.test.ts
+++ b/entry/direct-routing/test/crash-monitor.test.ts
@@ -247,6 +247,18 @@
   }
 });
 
+it('crash monitor: a call that comes half an hour after the last refusal lifts the block', () => {
+  const monitor = startEntry();
+  ['i1', 'i2', 'i3'].forEach(engine =>
+    crash(monitor, engine, [FIRST, BAD], 100),
+  );
+  const call = work([FIRST, BAD]);
+  monitor.recordRefusal(call, monitor.findBlock(call)!, 1_000);
+  expect(isBlocked(monitor, [FIRST, BAD])).to.equal(true);
+  monitor.recordRefusal(call, monitor.findBlock(call)!, 1_802_000);
+  expect(isBlocked(monitor, [FIRST, BAD])).to.equal(false);
+});
+
 it('target finder: a call that waited for its adapter is refused if a part of its prompt was blocked meanwhile', async () => {
   const monitor = startEntry();
   const call = work([FIRST, BAD]);
@@ -266,7 +278,7 @@
       },
     },
     crashMonitor: monitor,
-    requestCrashes: {findBlock: () => undefined},
+    requestCrashes: {findBlock: () => undefined, refuse: () => undefined},
     targetLimits: {isLimited: () => false, busyTargets: () => []},
     random: () => 0.5,
   } as never);
--- a/entry/direct-routing/test/limited-targets.test.ts
+++ b/entry/direct-routing/test/limited-targets.test.ts
@@ -61,7 +61,7 @@
     },
     crashMonitor: {findBlock: () => undefined, recordRefusal: () => {}},
 
-    requestCrashes: {findBlock: () => undefined, recordRefusal: () => {}},
+    requestCrashes: {findBlock: () => undefined, refuse: () => undefined},
     targetLimits: {
       isLimited: ({id}) => id.startsWith(LIMITED),
       busyTargets: () => [],
--- a/entry/direct-routing/test/request-crash-monitor.test.ts
+++ b/entry/direct-routing/test/request-crash-monitor.test.ts
@@ -69,6 +69,17 @@
   );
 });
 
+it('request crash monitor: a request that comes half an hour after the last refusal is served', () => {
+  const {crash, monitors, request} = startEntries(1, {hashes: 0});
+  const [monitor] = monitors;
+  ['i1', 'i2', 'i3'].forEach(engine => crash(0, engine, ['bad']));
+  const minute = 60_000;
+  expect(monitor.refuse(request('bad'), 29 * minute)).to.not.equal(undefined);
+  expect(monitor.refuse(request('bad'), 58 * minute)).to.not.equal(undefined);
+  expect(monitor.refuse(request('bad'), 89 * minute)).to.equal(undefined);
+  expect(monitor.findBlock(request('bad'))).to.equal(undefined);
+});
+
 it('request crash monitor: no request is hashed while no engine has crashed', () => {
   const seen = {hashes: 0};
   const {monitors, request} = startEntries(1, seen);
--- a/entry/direct-routing/test/target-finder.test.ts
+++ b/entry/direct-routing/test/target-finder.test.ts
@@ -14,7 +14,10 @@
   findBlock: () => undefined,
   recordRefusal: () => {},
 };
-const NO_BLOCKED_REQUESTS = NO_BLOCKED_PARTS;
+const NO_BLOCKED_REQUESTS = {
+  findBlock: () => undefined,
+  refuse: () => undefined,
+};
 const NO_LIMITS = {
   isLimited: () => false,
   busyTargets: () => [],
--- a/policy/crash-attribution/src/request-crash-ledger.ts
+++ b/policy/crash-attribution/src/request-crash-ledger.ts
@@ -60,6 +60,16 @@
     return {requestCrashes, requestSightings};
   }
 
+  /** Forgets the requests that neither crashed an engine nor came for a long time at time `now`. */
+  removeExpired(now: number): void {
+    for (const [request, {crashes, refusedAt}] of this.histories) {
+      const times = [...crashes.values()].map(({at}) => at);
+      if (now - Math.max(refusedAt, ...times) > RETENTION_MS) {
+        this.remove(request);
+      }
+    }
+  }
+
   /** Returns all records with their ages at time `now`. */
   records(now: number): RequestRecords {
     const requestCrashes: RequestCrash[] = [];
@@ -144,15 +154,6 @@
     return true;
   }
 
-  private removeExpired(now: number): void {
-    for (const [request, {crashes, refusedAt}] of this.histories) {
-      const times = [...crashes.values()].map(({at}) => at);
-      if (now - Math.max(refusedAt, ...times) > RETENTION_MS) {
-        this.remove(request);
-      }
-    }
-  }
-
   /** Drops requests down to the maximum, those with the fewest crashes first. */
   private removeExcess(): void {
     for (let crashes = 1; this.crashCount > MAX_RECORDS; crashes += 1) {
