--- a/contracts/deployment/src/stream-origins.ts
+++ b/contracts/deployment/src/stream-origins.ts
@@ -1,7 +1,7 @@
 import {z} from 'zod';
 import {TARGET_ANNOUNCEMENT_SCHEMA} from './target-announcement.js';
 
-/** Path at which a replica of control accepts the origins of streams from entries. */
+/** Path at which a replica of control accepts the origins of streams from entries, one message a line. */
 export const STREAM_ORIGINS_PATH = '/stream-origins';
 /** Path at which a replica of control looks up the origin of a stream. */
 export const STREAM_ORIGIN_LOOKUP_PATH = '/stream-origin-lookup';
--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -262,7 +262,7 @@
     number: 755,
     level: 'warn',
     meaning:
-      'A replica of control has not taken the origins of streams, which it receives again when its stream to this entry starts anew, or has not answered a lookup.',
+      'The connection over which a replica of control receives the origins of streams was lost, so that it receives the recent ones again, or the replica has not answered a lookup.',
   },
   'target-leave-stated': {
     number: 756,
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -176,13 +176,15 @@
       targetLeaveClient.broadcast([{bornAt, id}]);
     }
   };
+  const streamOriginClient: StreamOriginClient = new StreamOriginClient({
+    agent: httpAgent,
+    replicas: () => fleetFollower.urls(),
+    recent: () => streamOrigins.sharedOrigins(performance.now()),
+    events,
+  });
   const streamOrigins = new StreamOrigins(
     {
-      client: new StreamOriginClient({
-        agent: httpAgent,
-        replicas: () => fleetFollower.urls(),
-        events,
-      }),
+      client: streamOriginClient,
       versionOf: target => selector.softwareVersionOf(target),
       unfollowedMs: now => fleetFollower.unfollowedMs(now),
       events,
@@ -318,6 +320,7 @@
       engineViews.stop();
       crashMonitor.stop();
       crashWitness.stop();
+      streamOriginClient.stop();
       agentClient.stop();
       targetClient.close();
       readiness.close();
--- a/entry/direct-routing/src/stream-origin-client.ts
+++ b/entry/direct-routing/src/stream-origin-client.ts
@@ -1,20 +1,21 @@
 import type http from 'node:http';
 import {
-  MAX_STREAM_ORIGINS,
   STREAM_ORIGIN_ANSWER_SCHEMA,
   STREAM_ORIGIN_LOOKUP_PATH,
-  STREAM_ORIGINS_PATH,
   type StreamOrigin,
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {toFault} from '@marigoldspur/faults';
 import {exchangeJson} from '@marigoldspur/http-link';
+import {StreamOriginUplink} from './stream-origin-uplink.js';
 
 /** Options of a stream origin client. */
 export interface StreamOriginClientOptions {
   readonly agent: http.Agent;
   /** Base URLs of the replicas of control. */
   readonly replicas: () => readonly string[];
+  /** Returns the origins that a replica receives again after its connection was lost. */
+  readonly recent: () => readonly StreamOrigin[];
   readonly events: EventLog;
 }
 
@@ -26,19 +27,13 @@
   readonly answers: number;
 }
 
-interface ReplicaQueue {
-  pending: StreamOrigin[];
-  isSending: boolean;
-}
-
-const SEND_TIMEOUT_MS = 1_000;
 /** Time for the replicas to answer a lookup, in milliseconds. */
 const LOOKUP_TIMEOUT_MS = 500;
 const MAX_RESPONSE_BYTES = 4_096;
 
 /** Sends the origins of streams to all replicas of control, and looks them up there. */
 export class StreamOriginClient {
-  private readonly queues = new Map<string, ReplicaQueue>();
+  private readonly uplinks = new Map<string, StreamOriginUplink>();
 
   constructor(private readonly options: StreamOriginClientOptions) {}
 
@@ -46,24 +41,22 @@
   broadcast(origins: readonly StreamOrigin[]): void {
     const replicas = this.options.replicas();
     replicas.forEach(replica => this.send(replica, origins));
-    for (const replica of this.queues.keys()) {
+    for (const [replica, uplink] of this.uplinks) {
       if (!replicas.includes(replica)) {
-        this.queues.delete(replica);
+        this.uplinks.delete(replica);
+        uplink.close();
       }
     }
   }
 
-  /** Sends origins to one replica, together with those that wait for its last answer. */
-  send(replica: string, origins: readonly StreamOrigin[]): void {
-    if (origins.length === 0) {
-      return;
-    }
-    const queue = this.queues.get(replica) ?? {pending: [], isSending: false};
-    this.queues.set(replica, queue);
-    queue.pending = [...queue.pending, ...origins].slice(-MAX_STREAM_ORIGINS);
-    if (!queue.isSending) {
-      void this.sendPending(replica, queue);
-    }
+  /** Sends origins to a replica over a new connection, as the last one may lead nowhere. */
+  sendAnew(replica: string, origins: readonly StreamOrigin[]): void {
+    this.uplinks.get(replica)?.close();
+    this.send(replica, origins);
+  }
+
+  stop(): void {
+    this.uplinks.forEach(uplink => uplink.close());
   }
 
   /** Looks up the stream that a call began; resolves with the first replica that knows it. */
@@ -84,27 +77,21 @@
     });
   }
 
-  private async sendPending(
-    replica: string,
-    queue: ReplicaQueue,
-  ): Promise<void> {
-    queue.isSending = true;
-    while (queue.pending.length > 0) {
-      const origins = queue.pending;
-      queue.pending = [];
-      try {
-        await exchangeJson({
-          url: new URL(STREAM_ORIGINS_PATH, replica),
-          body: {origins},
-          agent: this.options.agent,
-          signal: AbortSignal.timeout(SEND_TIMEOUT_MS),
-          maxAnswerBytes: MAX_RESPONSE_BYTES,
-        });
-      } catch (thrown) {
-        this.recordFailure(replica, thrown);
-      }
+  private send(replica: string, origins: readonly StreamOrigin[]): void {
+    if (origins.length === 0) {
+      return;
     }
-    queue.isSending = false;
+    const {agent, recent} = this.options;
+    const uplink =
+      this.uplinks.get(replica) ??
+      new StreamOriginUplink({
+        replica,
+        agent,
+        recent,
+        onLost: reason => this.recordFailure(replica, reason),
+      });
+    this.uplinks.set(replica, uplink);
+    uplink.send(origins);
   }
 
   /** Asks one replica; undefined if it does not answer. */
@@ -119,16 +106,12 @@
       });
       return STREAM_ORIGIN_ANSWER_SCHEMA.parse(answer);
     } catch (thrown) {
-      this.recordFailure(replica, thrown);
+      this.recordFailure(replica, toFault(thrown).message);
       return undefined;
     }
   }
 
-  private recordFailure(replica: string, thrown: unknown): void {
-    const {message} = toFault(thrown);
-    this.options.events.record('stream-origins-failed', {
-      replica,
-      reason: message,
-    });
+  private recordFailure(replica: string, reason: string): void {
+    this.options.events.record('stream-origins-failed', {replica, reason});
   }
 }
--- a/entry/direct-routing/src/stream-origins.ts
+++ b/entry/direct-routing/src/stream-origins.ts
@@ -17,7 +17,10 @@
 
 /** Options of stream origins. */
 export interface StreamOriginsOptions {
-  readonly client: Pick<StreamOriginClient, 'broadcast' | 'lookUp' | 'send'>;
+  readonly client: Pick<
+    StreamOriginClient,
+    'broadcast' | 'lookUp' | 'sendAnew'
+  >;
   /** Returns the software version of a target; undefined if it may have started anew. */
   readonly versionOf: (target: TargetAnnouncement) => string | undefined;
   /** Returns the time at `now` since all replicas of control were last followed, in milliseconds. */
@@ -75,10 +78,14 @@
     now: number,
   ): void {
     this.history.merge(versions, isComplete, now);
-    const shared = this.ledger
+    this.options.client.sendAnew(replica, this.sharedOrigins(now));
+  }
+
+  /** The newest origins that other entries are told. */
+  sharedOrigins(now: number): StreamOrigin[] {
+    return this.ledger
       .newest(now)
       .filter(({service}) => this.sharedServices.has(service));
-    this.options.client.send(replica, shared);
   }
 
   /** Records that a target sent the first event of the stream that a call began. */
--- a/entry/direct-routing/test/stream-origins.test.ts
+++ b/entry/direct-routing/test/stream-origins.test.ts
@@ -28,7 +28,7 @@
     {
       client: {
         broadcast: added => sent.push(...added),
-        send: (_replica, added) => sent.push(...added),
+        sendAnew: (_replica, added) => sent.push(...added),
         lookUp: async call => {
           lookups.push(call);
           return found;
