--- a/entry/direct-routing/src/stream-origin-uplink.ts
+++ b/entry/direct-routing/src/stream-origin-uplink.ts
@@ -1,4 +1,4 @@
-import http from 'node:http';
+import type http from 'node:http';
 import {STREAM_ORIGINS_PATH, type StreamOrigin} from '@marigoldspur/deployment';
 import {openRequest} from '@marigoldspur/http-link';
 
