--- a/control/fleet/src/fleet-manager.ts
+++ b/control/fleet/src/fleet-manager.ts
@@ -94,6 +94,7 @@
   async replaceDeployment(
     deployment: DeploymentText,
   ): Promise<Result<ReplaceOutcome, Fault>> {
+    await this.recordBeginning();
     const replaced = await this.options.commands.replaceDeployment(deployment);
     const {revision} = deployment;
     this.options.events.record('deployment-answered', {
@@ -156,6 +157,7 @@
   /** Remembers the origins of streams that an entry relays. */
   addStreamOrigins(origins: readonly StreamOrigin[], now: number): void {
     this.streamOrigins.add(origins, now);
+    this.softwareVersions.recordOrigins(origins, now);
   }
 
   /** Returns the origin of the stream that a call began; undefined if it is not known. */
@@ -191,6 +193,15 @@
     }
   }
 
+  /** Records that no stream has begun yet, if a quorum confirms that there is no deployment. */
+  private async recordBeginning(): Promise<void> {
+    const {deployments} = this.options;
+    const isNew = () => deployments.deployment === undefined;
+    if (isNew() && (await this.confirmState()).isOk && isNew()) {
+      this.softwareVersions.recordBeginning();
+    }
+  }
+
   private crashRecords(now: number): CrashRecords {
     return {
       ...this.crashLedger.records(now),
--- a/policy/stream-origins/src/software-version-history.ts
+++ b/policy/stream-origins/src/software-version-history.ts
@@ -1,6 +1,7 @@
 import type {
   SoftwareVersionRecord,
   SoftwareVersions,
+  StreamOrigin,
   TargetAnnouncement,
 } from '@marigoldspur/deployment';
 
@@ -12,8 +13,8 @@
 
 /** Time for which a version without targets is remembered, in milliseconds. */
 const RETENTION_MS = 60_000;
-/** Time after which all targets have announced themselves, in milliseconds. */
-const SETTLE_MS = 10_000;
+/** Maximum time that a snapshot states as observed, in milliseconds. */
+const MAX_OBSERVED_MS = 86_400_000;
 /** Maximum number of versions of all services that are remembered. */
 const MAX_VERSIONS = 4_096;
 
@@ -29,7 +30,7 @@
     string,
     ServiceVersion & {seenAt: number}
   >();
-  /** Since when all targets have been seen, in milliseconds. */
+  /** Since when all targets have been seen, in milliseconds; `-Infinity` if since the first stream. */
   private observedSince: number;
 
   constructor(now: number) {
@@ -49,6 +50,22 @@
     this.removeExpired(now);
   }
 
+  /**
+   * Records the versions that began streams. Targets announce themselves to one replica of
+   * control each, while origins reach all of them.
+   */
+  recordOrigins(origins: readonly StreamOrigin[], now: number): void {
+    for (const {ageMs, service, softwareVersion} of origins) {
+      this.see({service, softwareVersion}, now - ageMs);
+    }
+    this.removeExpired(now);
+  }
+
+  /** Records that no stream has begun yet. */
+  recordBeginning(): void {
+    this.observedSince = -Infinity;
+  }
+
   /**
    * Merges what another process saw. If `isComplete`, all targets have been announced to the
    * processes whose history was merged.
@@ -67,7 +84,10 @@
   snapshot(now: number): SoftwareVersions {
     this.seeCurrent(now);
     return {
-      observedMs: Math.max(0, now - this.observedSince),
+      observedMs: Math.min(
+        MAX_OBSERVED_MS,
+        Math.max(0, now - this.observedSince),
+      ),
       versions: [...this.versions.values()].map(({seenAt, ...version}) => ({
         ...version,
         ageMs: Math.max(0, now - seenAt),
@@ -88,7 +108,7 @@
     if (versions.length > 1 || isAmbiguous) {
       return 'several';
     }
-    return now - this.observedSince < SETTLE_MS ? 'unknown' : 'one';
+    return now - this.observedSince < RETENTION_MS ? 'unknown' : 'one';
   }
 
   private seeCurrent(now: number): void {
--- a/policy/stream-origins/test/stream-origins.test.ts
+++ b/policy/stream-origins/test/stream-origins.test.ts
@@ -87,11 +87,22 @@
   expect(history.certaintyOf('s', 661 * SECOND_MS)).to.equal('one');
 });
 
-it('software version history: one version is not certain right after the start', () => {
+it('software version history: one version is not certain while streams from before the start may go on', () => {
   const history = new SoftwareVersionHistory(0);
   history.record([target()], SECOND_MS);
   expect(history.certaintyOf('s', SECOND_MS)).to.equal('unknown');
-  expect(history.certaintyOf('s', 11 * SECOND_MS)).to.equal('one');
+  expect(history.certaintyOf('s', 59 * SECOND_MS)).to.equal('unknown');
+  expect(history.certaintyOf('s', 61 * SECOND_MS)).to.equal('one');
+});
+
+it('software version history: one version is certain if no stream began before the start', () => {
+  const history = new SoftwareVersionHistory(0);
+  history.recordBeginning();
+  history.record([target()], SECOND_MS);
+  expect(history.certaintyOf('s', SECOND_MS)).to.equal('one');
+  const started = new SoftwareVersionHistory(2 * SECOND_MS);
+  started.merge(history.snapshot(SECOND_MS), true, 2 * SECOND_MS);
+  expect(started.certaintyOf('s', 2 * SECOND_MS)).to.equal('one');
 });
 
 it('software version history: a process that starts learns what others saw', () => {
@@ -107,6 +118,15 @@
   expect(started.certaintyOf('t', now)).to.equal('one');
 });
 
+it('software version history: origins of streams show versions whose targets announced themselves elsewhere', () => {
+  const history = new SoftwareVersionHistory(0);
+  const now = 80 * SECOND_MS;
+  history.record([target({softwareVersion: 'v2'})], now);
+  history.recordOrigins([origin({ageMs: 30 * SECOND_MS})], now);
+  expect(history.certaintyOf('s', now)).to.equal('several');
+  expect(history.certaintyOf('s', now + 31 * SECOND_MS)).to.equal('one');
+});
+
 it('software version history: contradicting announcements count as several versions', () => {
   const history = new SoftwareVersionHistory(0);
   const now = 20 * SECOND_MS;
