Let streams go on only at the start of a target that was announced (ORDER)

Cause: a target that keeps its ID may start anew with another software version. Until its announcement or its agent tells so, an entry believed the last announcement: Expect-Instance names the target, not its start. A stream that was taken up went on there, at another version, and a stream that began there was recorded under the old one.

Change: while a service has several versions, the entry asks the process at the address for its start once the response headers have arrived, once for each connection. A response from another start is not passed on, and a stream whose start is not confirmed is not taken up elsewhere.

Ruled out: asking before the call is sent. The target may start anew between the answer and the call.

--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -264,6 +264,12 @@
     meaning:
       'The connection over which a replica of control receives the origins of streams was lost, so that it receives the recent ones again, or the replica has not answered a lookup.',
   },
+  'target-start-unconfirmed': {
+    number: 760,
+    level: 'warn',
+    meaning:
+      'While its service has, or may have, several software versions, a target that began a response does not say that it is the start that was announced: the stream does not go on there, and is not taken up elsewhere.',
+  },
   'target-leave-stated': {
     number: 756,
     level: 'info',
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage} from 'node:http';
-import type {Result} from 'true-myth';
+import {Result} from 'true-myth';
 import {BoundedSignal} from '@marigoldspur/abort-signals';
 import {adapterName, type TargetAnnouncement} from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
@@ -53,7 +53,10 @@
   >;
   /** Called with a target that says in an answer that it leaves. */
   readonly onLeaving: (target: TargetAnnouncement) => void;
-  readonly streamOrigins: Pick<StreamOrigins, 'recordFirstEvent'>;
+  readonly streamOrigins: Pick<
+    StreamOrigins,
+    'confirmStart' | 'recordFirstEvent'
+  >;
   readonly targetLimits: Pick<TargetLimits, 'recordResponse'>;
   readonly wireFormat: WireFormat;
   readonly events: EventLog;
@@ -141,9 +144,43 @@
       this.options.crashWitness.recordResponse(attempt.target);
       this.recordWishes(call, attempt, sent.value);
     }
-    return sent.map(response =>
-      this.followProgress(call, attempt, running, response),
+    const response = this.identifyStart(call, attempt, sent.value);
+    const isContinued = (resumeAfter ?? 0) > 0;
+    if (isContinued && (await response.isAnnouncedStart) === false) {
+      discardBody(response.message);
+      this.endAttempt(running);
+      return Result.err({
+        kind: 'replaced',
+        outcome: 'unknown',
+        message: 'the target started anew after its announcement',
+      });
+    }
+    if (response.message.destroyed) {
+      return Result.err({
+        kind: 'broken',
+        outcome: 'unknown',
+        message: 'the connection closed after the response headers',
+      });
+    }
+    return Result.ok(this.followProgress(call, attempt, running, response));
+  }
+
+  /** Has the start of the target confirmed that sends a stream which may continue elsewhere. */
+  private identifyStart(
+    call: Call,
+    {target}: Attempt,
+    response: TargetResponse,
+  ): TargetResponse {
+    const {message} = response;
+    if (!call.route.idempotent || !isStream(call, message)) {
+      return response;
+    }
+    const isAnnouncedStart = this.options.streamOrigins.confirmStart(
+      target,
+      message.socket,
+      performance.now(),
     );
+    return {...response, isAnnouncedStart};
   }
 
   /**
@@ -276,20 +313,20 @@
           ...end,
           isAborted: running.cancellation.signal.aborted,
         }),
-      () => this.recordFirstEvent(call, attempt, message),
+      () => void this.recordFirstEvent(call, attempt, response),
     );
     running.progress = check;
     return {...response, check};
   }
 
   /** Records the origin of a stream that callers may take up. */
-  private recordFirstEvent(
+  private async recordFirstEvent(
     call: Call,
     {target}: Attempt,
-    message: IncomingMessage,
-  ): void {
+    {isAnnouncedStart}: TargetResponse,
+  ): Promise<void> {
     const isBegun = (call.metadata.resumeAfter ?? 0) === 0;
-    if (isBegun && call.route.idempotent && isStream(call, message)) {
+    if (isBegun && (await isAnnouncedStart)) {
       const {streamOrigins} = this.options;
       streamOrigins.recordFirstEvent(call, target, performance.now());
     }
@@ -357,12 +394,13 @@
         silent: 'timeout',
         broken: 'broken',
         crossed: 'broken',
+        replaced: 'connect-failed',
       } as const;
       if (selector.recordFailure(target, evidence[kind], performance.now())) {
         events.record('target-suspected', {target: target.id, reason: kind});
       }
     }
-    if (outcome !== 'not-run' && kind !== 'crossed') {
+    if (outcome !== 'not-run' && kind !== 'crossed' && kind !== 'replaced') {
       const isAborted = kind !== 'broken';
       this.recordBreak(call, target, {hasHead: false, isAborted});
     }
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -168,7 +168,13 @@
     });
     const resumer =
       isStream && route.idempotent
-        ? new CallStreamResumer(this.options, call, attempt, origin)
+        ? new CallStreamResumer(
+            this.options,
+            call,
+            attempt,
+            upstream.isAnnouncedStart,
+            origin,
+          )
         : undefined;
     const {outcome, status} = await relayResponse(upstream, response, {
       headers: {},
--- a/entry/direct-routing/src/call-stream-resumer.ts
+++ b/entry/direct-routing/src/call-stream-resumer.ts
@@ -34,6 +34,8 @@
     private readonly options: CallStreamResumerOptions,
     private readonly call: Call,
     first: Attempt,
+    /** Whether the first attempt's response comes from the announced start of its target. */
+    private readonly isAnnouncedStart: Promise<boolean> | undefined,
     /** Origin of the stream that the call takes up; undefined if the call begins it. */
     private readonly origin: StreamOrigin | undefined,
   ) {
@@ -56,8 +58,12 @@
     if (!(await options.retryLimiter.acquire(call.service.name, call.signal))) {
       return undefined;
     }
+    const hasBegun = after >= 0;
+    if (hasBegun && (await this.isAnnouncedStart) === false) {
+      return undefined;
+    }
     const now = performance.now();
-    const origin = this.origin ?? (after < 0 ? undefined : this.begunAt);
+    const origin = this.origin ?? (hasBegun ? this.begunAt : undefined);
     const found = await options.finder.find(
       call,
       this.triedTargets,
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -14,6 +14,7 @@
 import type {Task} from '@marigoldspur/process-lifecycle';
 import {ProcessRuntime} from '@marigoldspur/process-runtime';
 import type {RouteTable} from '@marigoldspur/routes';
+import {askStart, StartConfirmer} from '@marigoldspur/target-starts';
 import {AdapterAgentClient} from './adapter-agent-client.js';
 import {AdapterPreparer} from './adapter-preparer.js';
 import {AttemptSender} from './attempt-sender.js';
@@ -186,6 +187,9 @@
     {
       client: streamOriginClient,
       versionOf: target => selector.softwareVersionOf(target),
+      startConfirmer: new StartConfirmer({
+        askStart: address => askStart(address, wireFormat.startQuestion),
+      }),
       unfollowedMs: now => fleetFollower.unfollowedMs(now),
       events,
     },
--- a/entry/direct-routing/src/stream-origins.ts
+++ b/entry/direct-routing/src/stream-origins.ts
@@ -11,6 +11,7 @@
   StreamOriginLedger,
   type VersionCertainty,
 } from '@marigoldspur/stream-origins';
+import type {StartConfirmer} from '@marigoldspur/target-starts';
 import type {Call} from './call.js';
 import {fingerprintRequest} from './request-fingerprint.js';
 import type {StreamOriginClient} from './stream-origin-client.js';
@@ -23,6 +24,7 @@
   >;
   /** Returns the software version of a target; undefined if it may have started anew. */
   readonly versionOf: (target: TargetAnnouncement) => string | undefined;
+  readonly startConfirmer: Pick<StartConfirmer, 'confirm'>;
   /** Returns the time at `now` since all replicas of control were last followed, in milliseconds. */
   readonly unfollowedMs: (now: number) => number;
   readonly events: EventLog;
@@ -88,6 +90,27 @@
       .filter(({service}) => this.sharedServices.has(service));
   }
 
+  /**
+   * Resolves to whether a response over a connection comes from the announced start of a target,
+   * and so from its software version; to true while its service has one version.
+   */
+  async confirmStart(
+    target: TargetAnnouncement,
+    connection: object,
+    now: number,
+  ): Promise<boolean> {
+    if (this.certaintyOf(target.service, now) === 'one') {
+      return true;
+    }
+    const {events, startConfirmer} = this.options;
+    const isConfirmed = await startConfirmer.confirm(target, connection);
+    if (!isConfirmed) {
+      const {bornAt, id} = target;
+      events.record('target-start-unconfirmed', {target: id, bornAt});
+    }
+    return isConfirmed;
+  }
+
   /** Records that a target sent the first event of the stream that a call began. */
   recordFirstEvent(call: Call, target: TargetAnnouncement, now: number): void {
     if (call.metadata.id === '') {
--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -25,11 +25,17 @@
 /** A target's response whose body is still to be read. */
 export interface TargetResponse extends UpstreamResponse {
   readonly metadata: ResponseMetadata;
+  /**
+   * Whether the response comes from the announced start of the target; absent if that does not
+   * matter.
+   */
+  readonly isAnnouncedStart?: Promise<boolean>;
 }
 
 /** Why a target gave no usable response. */
 export interface TargetFailure {
-  readonly kind: 'connect' | 'silent' | 'broken' | 'crossed' | 'ended';
+  readonly kind:
+    'connect' | 'silent' | 'broken' | 'crossed' | 'replaced' | 'ended';
   /** Whether the call may have run at the target. */
   readonly outcome: RefusalOutcome;
   readonly message: string;
--- a/entry/direct-routing/src/wire-format.ts
+++ b/entry/direct-routing/src/wire-format.ts
@@ -7,6 +7,7 @@
 import type {Deployment} from '@marigoldspur/deployment';
 import type {PromptPart} from '@marigoldspur/engine-choice';
 import type {Finding, Refusal} from '@marigoldspur/faults';
+import type {StartQuestion} from '@marigoldspur/target-starts';
 
 /** Work that a call requests from a model engine. */
 export interface ModelWork {
@@ -86,6 +87,8 @@
 export interface WireFormat {
   /** Path of the readiness check. */
   readonly readinessPath: string;
+  /** How a target is asked when it started. */
+  readonly startQuestion: StartQuestion;
   /** Parses a deployment as submitted by its operator. */
   parseDeployment(text: string): Result<Deployment, readonly Finding[]>;
   /** Parses the headers of a call. */
--- a/entry/direct-routing/test/stream-origins.test.ts
+++ b/entry/direct-routing/test/stream-origins.test.ts
@@ -13,6 +13,9 @@
 let lookups: string[];
 let found: LookupResult;
 let unfollowedMs: number;
+/** Number of responses whose start was asked for, and whether it is the announced one. */
+let questionCount: number;
+let isAnnouncedStart: boolean;
 let origins: StreamOrigins;
 
 beforeEach(() => {
@@ -20,6 +23,8 @@
   lookups = [];
   found = {origin: undefined, answers: 3};
   unfollowedMs = 0;
+  questionCount = 0;
+  isAnnouncedStart = true;
   origins = create();
 });
 
@@ -35,6 +40,12 @@
         },
       },
       versionOf: ({softwareVersion}) => softwareVersion,
+      startConfirmer: {
+        confirm: async () => {
+          questionCount += 1;
+          return isAnnouncedStart;
+        },
+      },
       unfollowedMs: () => unfollowedMs,
       events: new EventLog({process: 'test'}),
       ...changes,
@@ -88,6 +99,19 @@
   ]);
 });
 
+it('stream origins: the start of a target matters while its service has several versions', async () => {
+  isAnnouncedStart = false;
+  origins.recordTargets([target('i1', 'v1')], NOW);
+  expect(await origins.confirmStart(target('i1', 'v1'), {}, NOW)).to.equal(
+    true,
+  );
+  expect(questionCount).to.equal(0);
+  origins.recordTargets([target('i1', 'v1'), target('i2', 'v2')], NOW);
+  expect(await origins.confirmStart(target('i1', 'v1'), {}, NOW)).to.equal(
+    false,
+  );
+});
+
 it('stream origins: a stream that this entry began is known without a lookup', async () => {
   origins.recordTargets([target('i1', 'v1'), target('i2', 'v2')], NOW);
   origins.recordFirstEvent(call('c1'), target('i2', 'v2'), NOW);
