--- a/entry/caller-server/src/caller-server.ts
+++ b/entry/caller-server/src/caller-server.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
 import {closeServer} from '@marigoldspur/http-link';
+import type {LoopClock} from '@marigoldspur/loop-clock';
 import {formatClientErrorResponse} from '@marigoldspur/caller-api';
 
 /** Limits on callers' connections and requests. */
@@ -18,11 +19,17 @@
 
 /** Options of a caller server. */
 export interface CallerServerOptions {
-  /** Handles one request. */
+  /**
+   * Handles one request, which arrived at `arrivedAt`, in milliseconds, or later if this
+   * process was late.
+   */
   readonly handle: (
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    arrivedAt: number,
   ) => Promise<void>;
+  /** The turns of this process's event loop. */
+  readonly clock: Pick<LoopClock, 'earliestArrival' | 'turns'>;
   /** Whether the process is shutting down. */
   readonly isDraining: () => boolean;
   readonly createServer: (
@@ -52,6 +59,12 @@
     Set<http.ServerResponse>
   >();
 
+  /** Connections that have brought no request yet, and when they arrived. */
+  private readonly newConnections = new WeakMap<
+    Socket,
+    {readonly arrivedAt: number; readonly turn: number}
+  >();
+
   constructor(private readonly options: CallerServerOptions) {
     const limits = options.limits ?? DEFAULT_LIMITS;
     this.server = options.createServer(
@@ -64,6 +77,9 @@
       },
       (request, response) => this.handleRequest(request, response),
     );
+    this.server.on('connection', (socket: Socket) =>
+      this.recordConnection(socket),
+    );
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.refuseConnection(error, socket as Socket),
     );
@@ -96,10 +112,29 @@
     }
   }
 
+  private recordConnection(socket: Socket): void {
+    const {clock} = this.options;
+    const arrivedAt = clock.earliestArrival(performance.now());
+    this.newConnections.set(socket, {arrivedAt, turn: clock.turns});
+  }
+
+  /** Earliest time at which a request that is read now may have arrived, in milliseconds. */
+  private arrivalTime(socket: Socket): number {
+    const {clock} = this.options;
+    const now = performance.now();
+    const connection = this.newConnections.get(socket);
+    this.newConnections.delete(socket);
+    // A request that came with its connection is read a turn after it was accepted.
+    return connection !== undefined && clock.turns - connection.turn <= 1
+      ? Math.min(connection.arrivedAt, clock.earliestArrival(now))
+      : clock.earliestArrival(now);
+  }
+
   private handleRequest(
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): void {
+    const arrivedAt = this.arrivalTime(request.socket);
     if (this.options.isDraining()) {
       response.setHeader('connection', 'close');
     }
@@ -112,7 +147,7 @@
     const pending = this.pendingResponses.get(socket) ?? new Set();
     this.pendingResponses.set(socket, pending.add(response));
     response.on('close', () => pending.delete(response));
-    void this.options.handle(request, response);
+    void this.options.handle(request, response, arrivedAt);
   }
 
   /**
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -9,7 +9,7 @@
 import type {CrashMonitor} from './crash-monitor.js';
 import type {CrashWitness} from './crash-witness.js';
 import type {RequestCrashMonitor} from './request-crash-monitor.js';
-import {remainingMs, MIN_REMAINING_MS, type Call} from './call.js';
+import {hasTimeLeft, remainingMs, MIN_REMAINING_MS, type Call} from './call.js';
 import {ResponseProgress, type ResponseEnd} from './response-progress.js';
 import type {WireFormat} from './wire-format.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
@@ -270,20 +270,21 @@
       address: target.address,
       method: call.method,
       path: call.path,
-      headers: {
+      headers: now => ({
         ...wireFormat.targetHeaders(call.headers, {
           target: target.id,
           deadlineMs:
             metadata.deadlineMs === undefined
               ? undefined
-              : Math.floor(remaining),
+              : Math.floor(remainingMs(call, now)),
           version: finder.versionFor(metadata.work),
           priority: Math.min(LOWEST_PRIORITY, route.priority),
           resumeAfter,
         }),
         ...createBodyHeaders(call),
-      },
+      }),
       body: call.body,
+      isAwaited: now => hasTimeLeft(call, now),
       signal: cancellation.signal,
       responseHeaderTimeoutMs: route.idempotent
         ? Math.max(
--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -61,12 +61,12 @@
     return this.runningCalls;
   }
 
-  /** Handles one call. */
+  /** Handles one call that arrived at `startedAt`, in milliseconds, at the earliest. */
   async handle(
     request: IncomingMessage,
     response: ServerResponse,
+    startedAt: number,
   ): Promise<void> {
-    const startedAt = performance.now();
     const metadata = this.options.wireFormat.parseCallHeaders(request.headers);
     this.options.metrics.setRunning((this.runningCalls += 1));
     response.sendDate = false;
--- a/entry/direct-routing/src/call.ts
+++ b/entry/direct-routing/src/call.ts
@@ -5,7 +5,7 @@
 /** One call that is being served. */
 export interface Call {
   readonly metadata: CallMetadata;
-  /** When its headers were read, as a `performance.now()` time. */
+  /** When it arrived at the earliest, as a `performance.now()` time. */
   readonly startedAt: number;
   readonly route: Route;
   readonly service: Service;
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -11,6 +11,7 @@
 import {FleetFollower} from '@marigoldspur/fleet-client';
 import type {FleetChange, FleetView} from '@marigoldspur/fleet-view';
 import {listen, type Address} from '@marigoldspur/http-link';
+import {startLoopClock} from '@marigoldspur/loop-clock';
 import type {Task} from '@marigoldspur/process-lifecycle';
 import {ProcessRuntime} from '@marigoldspur/process-runtime';
 import type {RouteTable} from '@marigoldspur/routes';
@@ -262,6 +263,7 @@
     events,
     metrics,
   });
+  const loopClock = startLoopClock();
   let acceptsCalls = true;
   const isReady = () =>
     !runtime.isDraining &&
@@ -286,7 +288,9 @@
     metrics,
   });
   const callerServer = new CallerServer({
-    handle: (request, response) => callHandler.handle(request, response),
+    handle: (request, response, arrivedAt) =>
+      callHandler.handle(request, response, arrivedAt),
+    clock: loopClock.clock,
     isDraining: () => runtime.isDraining,
     createServer: http.createServer,
     limits: {...INITIAL_LIMITS, maxHeaderBytes: INITIAL_MAX_HEADER_BYTES},
@@ -328,6 +332,7 @@
       agentClient.stop();
       targetClient.close();
       readiness.close();
+      loopClock.stop();
       runtime.stop();
     },
   };
--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -4,6 +4,7 @@
 import {Refusal, type RefusalOutcome} from '@marigoldspur/faults';
 import type {UpstreamResponse} from '@marigoldspur/dispatch';
 import {limitResponseHead, TargetHttpAgent} from '@marigoldspur/http-link';
+import {afterPoll} from '@marigoldspur/loop-clock';
 import type {ResponseMetadata, WireFormat} from './wire-format.js';
 
 /** A call to one target. */
@@ -14,8 +15,11 @@
   readonly address: string;
   readonly method: string;
   readonly path: string;
-  readonly headers: http.OutgoingHttpHeaders;
+  /** Returns the headers for a call that is sent at time `now`, in milliseconds. */
+  readonly headers: (now: number) => http.OutgoingHttpHeaders;
   readonly body: Buffer;
+  /** Whether the caller still waits for a response at time `now`, in milliseconds. */
+  readonly isAwaited: (now: number) => boolean;
   /** Aborts the call. */
   readonly signal: AbortSignal;
   /** Timeout for the response headers, in milliseconds. */
@@ -68,7 +72,8 @@
 
 /** One call that is sent to a target, and its response. */
 class TargetExchange {
-  private hasConnected = false;
+  /** Whether the call may have reached the target. */
+  private hasSent = false;
   private timer: NodeJS.Timeout | undefined;
   private failure: TargetFailure['kind'] | undefined;
   private isConnectionBroken = false;
@@ -87,7 +92,6 @@
       port,
       method: call.method,
       path: call.path,
-      headers: call.headers,
       agent: this.agent,
       setHost: false,
     });
@@ -113,31 +117,44 @@
     );
     if (call.signal.aborted) {
       abort();
-    } else {
-      request.end(call.body);
     }
     return response;
   }
 
   private watchConnection(request: http.ClientRequest, socket: Socket): void {
-    const {responseHeaderTimeoutMs} = this.call;
-    const awaitHeaders = () => {
-      this.hasConnected = true;
-      clearTimeout(this.timer);
-      this.timer = setTimeout(
-        () => this.abort(request, 'silent'),
-        responseHeaderTimeoutMs,
-      );
-    };
     if (!socket.connecting) {
-      awaitHeaders();
+      void this.sendIfAwaited(request);
       return;
     }
     this.timer = setTimeout(
       () => this.abort(request, 'connect'),
-      Math.min(CONNECT_TIMEOUT_MS, responseHeaderTimeoutMs),
+      Math.min(CONNECT_TIMEOUT_MS, this.call.responseHeaderTimeoutMs),
+    );
+    socket.once('connect', () => void this.sendIfAwaited(request));
+  }
+
+  /** Sends the call over its connection unless the caller has left or waited too long meanwhile. */
+  private async sendIfAwaited(request: http.ClientRequest): Promise<void> {
+    const {body, headers, isAwaited, responseHeaderTimeoutMs} = this.call;
+    await afterPoll();
+    const now = performance.now();
+    if (request.destroyed) {
+      return;
+    }
+    if (!isAwaited(now)) {
+      this.abort(request, 'ended');
+      return;
+    }
+    clearTimeout(this.timer);
+    this.timer = setTimeout(
+      () => this.abort(request, 'silent'),
+      responseHeaderTimeoutMs,
+    );
+    this.hasSent = true;
+    Object.entries(headers(now)).forEach(
+      ([name, value]) => value !== undefined && request.setHeader(name, value),
     );
-    socket.once('connect', awaitHeaders);
+    request.end(body);
   }
 
   /** Resets the connection, so that nothing more of the call is delivered. */
@@ -151,8 +168,8 @@
   }
 
   private createFailure(message: string): TargetFailure {
-    const kind = this.failure ?? (this.hasConnected ? 'broken' : 'connect');
-    return {kind, outcome: this.hasConnected ? 'unknown' : 'not-run', message};
+    const kind = this.failure ?? (this.hasSent ? 'broken' : 'connect');
+    return {kind, outcome: this.hasSent ? 'unknown' : 'not-run', message};
   }
 
   private readResponse(
--- a/entry/direct-routing/test/call-handler.test.ts
+++ b/entry/direct-routing/test/call-handler.test.ts
@@ -75,7 +75,7 @@
     ...options,
   });
   server = http.createServer((request, response) => {
-    void handler.handle(request, response);
+    void handler.handle(request, response, performance.now());
   });
   await new Promise<void>(resolve => server!.listen(0, '127.0.0.1', resolve));
   const {port} = server.address() as AddressInfo;
--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -294,7 +294,9 @@
    * caller before the response emits `close`.
    */
   private readonly handleAbort = () => {
-    if (this.response.destroyed && !this.options.outlivesCaller) {
+    const {destroyed, socket} = this.response;
+    const hasCallerClosed = destroyed || socket?.readableEnded === true;
+    if (hasCallerClosed && !this.options.outlivesCaller) {
       this.handleDisconnect();
       return;
     }
--- a/entry/entry-server/src/job.ts
+++ b/entry/entry-server/src/job.ts
@@ -6,7 +6,7 @@
 export interface Job {
   /** Request ID. */
   readonly id: string;
-  /** When its headers were read, as a `performance.now()` time. */
+  /** When it arrived at the earliest, as a `performance.now()` time. */
   readonly startedAt: number;
   readonly request: CallerRequest;
   /** Effective settings of the requested service or adapter. */
--- a/entry/entry-server/src/request-handler.ts
+++ b/entry/entry-server/src/request-handler.ts
@@ -41,12 +41,16 @@
     return this.runningRequests;
   }
 
-  /** Handles one request. */
-  async handle(request: IncomingMessage, response: ServerResponse) {
+  /** Handles one request that arrived at `arrivedAt`, in milliseconds, at the earliest. */
+  async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrivedAt: number,
+  ) {
     const id = randomUUID();
     this.options.metrics.setRunning((this.runningRequests += 1));
     try {
-      await this.serve(id, request, response);
+      await this.serve(id, request, response, arrivedAt);
     } catch (thrown) {
       const {message} = toFault(thrown);
       this.options.events.record('request-error', {message}, id);
@@ -60,12 +64,18 @@
     id: string,
     request: IncomingMessage,
     response: ServerResponse,
+    arrivedAt: number,
   ): Promise<void> {
     if (request.method === 'GET' && request.url === '/v1/models') {
       this.listModels(id, request, response);
       return;
     }
-    const job = await this.options.reader.read(id, request, response);
+    const job = await this.options.reader.read(
+      id,
+      request,
+      response,
+      arrivedAt,
+    );
     if (job.isErr) {
       this.refuse(response, id, job.error);
       return;
--- a/entry/entry-server/src/request-reader.ts
+++ b/entry/entry-server/src/request-reader.ts
@@ -42,15 +42,15 @@
   constructor(private readonly options: RequestReaderOptions) {}
 
   /**
-   * Reads the body and looks up the requested service or adapter. An invalid
-   * request is refused.
+   * Reads the body of a request that arrived at `startedAt`, in milliseconds, at the earliest,
+   * and looks up the requested service or adapter. An invalid request is refused.
    */
   async read(
     id: string,
     request: IncomingMessage,
     response: ServerResponse,
+    startedAt: number,
   ): Promise<Result<Job, Refusal>> {
-    const startedAt = performance.now();
     const disconnectSignal = createDisconnectSignal(response);
     const customer = this.options.authenticator.authenticate(request.headers);
     if (customer.isErr) {
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -25,6 +25,7 @@
   HEARTBEAT_RELAY_PATH,
   type Member,
 } from '@marigoldspur/messages';
+import {startLoopClock} from '@marigoldspur/loop-clock';
 import type {Task} from '@marigoldspur/process-lifecycle';
 import {ProcessRuntime} from '@marigoldspur/process-runtime';
 import {ClaimClient} from './claim-client.js';
@@ -136,12 +137,15 @@
     events,
     metrics: entryMetrics,
   });
+  const loopClock = startLoopClock();
   const callerServer = new CallerServer({
-    handle: (request, response) => requestHandler.handle(request, response),
+    handle: (request, response, arrivedAt) =>
+      requestHandler.handle(request, response, arrivedAt),
     isDraining: () => runtime.isDraining,
     createServer: (options, handler) =>
       callerTls.createServer(options, handler),
     readinessPath: '/readyz',
+    clock: loopClock.clock,
   });
   const callerAddress = await listen(callerServer.server, {
     host: settings.host,
@@ -214,6 +218,7 @@
       controlClient.close();
       authenticator.stop();
       callerTls.stop();
+      loopClock.stop();
       runtime.stop();
     },
   };
--- a/entry/entry-server/test/request-reader.test.ts
+++ b/entry/entry-server/test/request-reader.test.ts
@@ -29,7 +29,8 @@
   });
   server = http.createServer(async (request, response) => {
     onRequest();
-    const job = await reader.read('request-1', request, response);
+    const now = performance.now();
+    const job = await reader.read('request-1', request, response, now);
     response.end(job.isOk ? 'read' : job.error.reason);
   });
   ({port} = await listen(server, {host: '127.0.0.1', port: 0}));
--- a/machines/abort-signals/src/create-disconnect-signal.ts
+++ b/machines/abort-signals/src/create-disconnect-signal.ts
@@ -1,13 +1,23 @@
 import type {ServerResponse} from 'node:http';
 import {BoundedSignal} from './bounded-signal.js';
 
-/** Returns a signal that aborts when the connection closes before the whole response was sent. */
+/**
+ * Returns a signal that aborts when the connection closes before the whole response was sent, or
+ * when the caller has closed its side, after which nothing can be sent either.
+ */
 export function createDisconnectSignal(response: ServerResponse): AbortSignal {
   const disconnected = new BoundedSignal({});
-  response.on('close', () => {
+  const {socket} = response;
+  const abort = () => {
     if (!response.writableFinished) {
       disconnected.abort();
     }
+  };
+  // The server closes its own side some turns of the event loop later.
+  socket?.once('end', abort);
+  response.on('close', () => {
+    socket?.off('end', abort);
+    abort();
   });
   return disconnected.signal;
 }
--- /dev/null
+++ b/machines/loop-clock/src/index.ts
@@ -0,0 +1,6 @@
+export {afterPoll} from './after-poll.js';
+export {
+  LoopClock,
+  startLoopClock,
+  type RunningLoopClock,
+} from './loop-clock.js';
