--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -268,7 +268,7 @@
     number: 760,
     level: 'warn',
     meaning:
-      'While its service has, or may have, several software versions, a target that began a response does not say that it is the start that was announced: the stream does not go on there, and is not taken up elsewhere.',
+      'A target that began a stream does not say that it is the start that was announced: a stream that another target began does not go on there, and one that it began is not taken up elsewhere while its service has several software versions.',
   },
   'target-leave-stated': {
     number: 756,
--- a/entry/direct-routing/src/stream-origins.ts
+++ b/entry/direct-routing/src/stream-origins.ts
@@ -92,18 +92,19 @@
 
   /**
    * Resolves to whether a response over a connection comes from the announced start of a target,
-   * and so from its software version; to true while its service has one version.
+   * and so from its software version; a target that does not say counts as that start while its
+   * service has one version.
    */
   async confirmStart(
     target: TargetAnnouncement,
     connection: object,
     now: number,
   ): Promise<boolean> {
-    if (this.certaintyOf(target.service, now) === 'one') {
-      return true;
-    }
     const {events, startConfirmer} = this.options;
-    const isConfirmed = await startConfirmer.confirm(target, connection);
+    const start = await startConfirmer.confirm(target, connection);
+    const isConfirmed =
+      start === 'announced' ||
+      (start === 'unknown' && this.certaintyOf(target.service, now) === 'one');
     if (!isConfirmed) {
       const {bornAt, id} = target;
       events.record('target-start-unconfirmed', {target: id, bornAt});
--- a/entry/direct-routing/test/stream-origins.test.ts
+++ b/entry/direct-routing/test/stream-origins.test.ts
@@ -6,6 +6,7 @@
   type StreamOriginsOptions,
 } from '@marigoldspur/direct-routing';
 import {EventLog} from '@marigoldspur/event-log';
+import type {RespondingStart} from '@marigoldspur/target-starts';
 
 const NOW = 100_000;
 
@@ -13,9 +14,8 @@
 let lookups: string[];
 let found: LookupResult;
 let unfollowedMs: number;
-/** Number of responses whose start was asked for, and whether it is the announced one. */
-let questionCount: number;
-let isAnnouncedStart: boolean;
+/** Start that targets state. */
+let start: RespondingStart;
 let origins: StreamOrigins;
 
 beforeEach(() => {
@@ -23,8 +23,7 @@
   lookups = [];
   found = {origin: undefined, answers: 3};
   unfollowedMs = 0;
-  questionCount = 0;
-  isAnnouncedStart = true;
+  start = 'announced';
   origins = create();
 });
 
@@ -41,10 +40,7 @@
       },
       versionOf: ({softwareVersion}) => softwareVersion,
       startConfirmer: {
-        confirm: async () => {
-          questionCount += 1;
-          return isAnnouncedStart;
-        },
+        confirm: async () => start,
       },
       unfollowedMs: () => unfollowedMs,
       events: new EventLog({process: 'test'}),
@@ -99,13 +95,20 @@
   ]);
 });
 
-it('stream origins: the start of a target matters while its service has several versions', async () => {
-  isAnnouncedStart = false;
+it('stream origins: another start than the announced one is never confirmed', async () => {
+  start = 'other';
+  origins.recordTargets([target('i1', 'v1')], NOW);
+  expect(await origins.confirmStart(target('i1', 'v1'), {}, NOW)).to.equal(
+    false,
+  );
+});
+
+it('stream origins: a target that does not say when it started is confirmed while its service has one version', async () => {
+  start = 'unknown';
   origins.recordTargets([target('i1', 'v1')], NOW);
   expect(await origins.confirmStart(target('i1', 'v1'), {}, NOW)).to.equal(
     true,
   );
-  expect(questionCount).to.equal(0);
   origins.recordTargets([target('i1', 'v1'), target('i2', 'v2')], NOW);
   expect(await origins.confirmStart(target('i1', 'v1'), {}, NOW)).to.equal(
     false,
--- a/entry/target-starts/src/index.ts
+++ b/entry/target-starts/src/index.ts
@@ -1,2 +1,6 @@
 export {askStart, type StartQuestion} from './ask-start.js';
-export {StartConfirmer, type StartConfirmerOptions} from './start-confirmer.js';
+export {
+  StartConfirmer,
+  type RespondingStart,
+  type StartConfirmerOptions,
+} from './start-confirmer.js';
--- a/entry/target-starts/src/start-confirmer.ts
+++ b/entry/target-starts/src/start-confirmer.ts
@@ -16,6 +16,12 @@
 /** A start of a target, and its address. */
 type TargetStart = TargetIncarnation & {readonly address: string};
 
+/**
+ * Which start of a target responded: the announced one, or another; `unknown` if the process
+ * does not say.
+ */
+export type RespondingStart = 'announced' | 'other' | 'unknown';
+
 /** Confirms that connections lead to the announced starts of targets. */
 export class StartConfirmer {
   /** Starts that were confirmed, by connection. */
@@ -24,23 +30,29 @@
   constructor(private readonly options: StartConfirmerOptions) {}
 
   /**
-   * Resolves to whether a response came from the announced start of a target. Its head has
+   * Resolves to which start of a target a response came from. Its head has
    * arrived over the connection, and its request was sent after the announcement. IDs of
    * targets that state no start belong to one start.
    */
-  async confirm(target: TargetStart, connection: object): Promise<boolean> {
+  async confirm(
+    target: TargetStart,
+    connection: object,
+  ): Promise<RespondingStart> {
     const {address, bornAt} = target;
     if (bornAt === UNKNOWN_START_TIME) {
-      return true;
+      return 'announced';
     }
     if (this.confirmed.get(connection) === bornAt) {
-      return true;
+      return 'announced';
     }
     const start = await this.options.askStart(address);
-    if (start === undefined || !isSameIncarnation(start, bornAt)) {
-      return false;
+    if (start === undefined) {
+      return 'unknown';
+    }
+    if (!isSameIncarnation(start, bornAt)) {
+      return 'other';
     }
     this.confirmed.set(connection, bornAt);
-    return true;
+    return 'announced';
   }
 }
--- a/entry/target-starts/test/start-confirmer.test.ts
+++ b/entry/target-starts/test/start-confirmer.test.ts
@@ -23,30 +23,30 @@
 
 it('start confirmer: a connection is asked about once', async () => {
   const connection = {};
-  expect(await confirmer.confirm(TARGET, connection)).to.equal(true);
-  expect(await confirmer.confirm(TARGET, connection)).to.equal(true);
-  expect(await confirmer.confirm(TARGET, {})).to.equal(true);
+  expect(await confirmer.confirm(TARGET, connection)).to.equal('announced');
+  expect(await confirmer.confirm(TARGET, connection)).to.equal('announced');
+  expect(await confirmer.confirm(TARGET, {})).to.equal('announced');
   expect(questions).to.have.length(2);
 });
 
 it('start confirmer: another start is not confirmed', async () => {
   const connection = {};
   start = 9;
-  expect(await confirmer.confirm(TARGET, connection)).to.equal(false);
+  expect(await confirmer.confirm(TARGET, connection)).to.equal('other');
   expect(await confirmer.confirm({...TARGET, bornAt: 9}, connection)).to.equal(
-    true,
+    'announced',
   );
-  expect(await confirmer.confirm(TARGET, connection)).to.equal(false);
+  expect(await confirmer.confirm(TARGET, connection)).to.equal('other');
 });
 
 it('start confirmer: a process that does not answer is not confirmed', async () => {
   start = undefined;
-  expect(await confirmer.confirm(TARGET, {})).to.equal(false);
+  expect(await confirmer.confirm(TARGET, {})).to.equal('unknown');
 });
 
 it('start confirmer: a target that states no start is not asked', async () => {
   const target = {...TARGET, bornAt: UNKNOWN_START_TIME};
-  expect(await confirmer.confirm(target, {})).to.equal(true);
+  expect(await confirmer.confirm(target, {})).to.equal('announced');
   expect(questions).to.have.length(0);
 });
 
