Check a connection again only after the wait for its start (ORDER)

A response whose connection closed during the wait would have been relayed without an end; other responses go to the relay at once, as before.

--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -146,21 +146,10 @@
     }
     const response = this.identifyStart(call, attempt, sent.value);
     const isContinued = (resumeAfter ?? 0) > 0;
-    if (isContinued && (await response.isAnnouncedStart) === false) {
-      discardBody(response.message);
+    const failure = isContinued ? await findStartFailure(response) : undefined;
+    if (failure !== undefined) {
       this.endAttempt(running);
-      return Result.err({
-        kind: 'replaced',
-        outcome: 'unknown',
-        message: 'the target started anew after its announcement',
-      });
-    }
-    if (response.message.destroyed) {
-      return Result.err({
-        kind: 'broken',
-        outcome: 'unknown',
-        message: 'the connection closed after the response headers',
-      });
+      return Result.err(failure);
     }
     return Result.ok(this.followProgress(call, attempt, running, response));
   }
@@ -501,6 +490,29 @@
   }
 }
 
+/** Why a response can't continue a stream; undefined if it can. */
+async function findStartFailure({
+  isAnnouncedStart,
+  message,
+}: TargetResponse): Promise<TargetFailure | undefined> {
+  if ((await isAnnouncedStart) === false) {
+    discardBody(message);
+    return {
+      kind: 'replaced',
+      outcome: 'unknown',
+      message: 'the target started anew after its announcement',
+    };
+  }
+  // A relay that starts now would miss that the connection closed meanwhile.
+  return message.destroyed
+    ? {
+        kind: 'broken',
+        outcome: 'unknown',
+        message: 'the connection closed after the response headers',
+      }
+    : undefined;
+}
+
 /** Whether another target responded at the address of the one that was meant. */
 function isFromOtherTarget(
   {target}: Attempt,
