--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -167,7 +167,6 @@
     const isAnnouncedStart = this.options.streamOrigins.confirmStart(
       target,
       message.socket,
-      performance.now(),
     );
     return {...response, isAnnouncedStart};
   }
--- a/entry/direct-routing/src/stream-origins.ts
+++ b/entry/direct-routing/src/stream-origins.ts
@@ -97,24 +97,19 @@
 
   /**
    * Resolves to whether a response over a connection comes from the announced start of a target,
-   * and so from its software version; a target that does not say counts as that start while its
-   * service has one version.
+   * and so from its software version.
    */
   async confirmStart(
     target: TargetAnnouncement,
     connection: object,
-    now: number,
   ): Promise<boolean> {
     const {events, startConfirmer} = this.options;
     const start = await startConfirmer.confirm(target, connection);
-    const isConfirmed =
-      start === 'announced' ||
-      (start === 'unknown' && this.certaintyOf(target.service, now) === 'one');
-    if (!isConfirmed) {
+    if (start !== 'announced') {
       const {bornAt, id} = target;
-      events.record('target-start-unconfirmed', {target: id, bornAt});
+      events.record('target-start-unconfirmed', {target: id, bornAt, start});
     }
-    return isConfirmed;
+    return start === 'announced';
   }
 
   /** Records that a target sent the first event of the stream that a call began. */
--- a/entry/direct-routing/test/stream-origins.test.ts
+++ b/entry/direct-routing/test/stream-origins.test.ts
@@ -115,24 +115,17 @@
   expect((await takeUpNow()).isErr).to.equal(true);
 });
 
-it('stream origins: another start than the announced one is never confirmed', async () => {
-  start = 'other';
+it('stream origins: only the announced start of a target is confirmed, with one version too', async () => {
   origins.recordTargets([target('i1', 'v1')], NOW);
-  expect(await origins.confirmStart(target('i1', 'v1'), {}, NOW)).to.equal(
-    false,
-  );
-});
-
-it('stream origins: a target that does not say when it started is confirmed while its service has one version', async () => {
-  start = 'unknown';
-  origins.recordTargets([target('i1', 'v1')], NOW);
-  expect(await origins.confirmStart(target('i1', 'v1'), {}, NOW)).to.equal(
-    true,
-  );
-  origins.recordTargets([target('i1', 'v1'), target('i2', 'v2')], NOW);
-  expect(await origins.confirmStart(target('i1', 'v1'), {}, NOW)).to.equal(
-    false,
-  );
+  for (const [stated, isConfirmed] of [
+    ['announced', true],
+    ['other', false],
+    ['unknown', false],
+  ] as const) {
+    start = stated;
+    const confirmed = await origins.confirmStart(target('i1', 'v1'), {});
+    expect(confirmed, stated).to.equal(isConfirmed);
+  }
 });
 
 it('stream origins: a stream that this entry began is known without a lookup', async () => {
--- a/entry/target-starts/src/ask-start.ts
+++ b/entry/target-starts/src/ask-start.ts
@@ -9,7 +9,7 @@
   readonly parse: (body: Buffer) => number | undefined;
 }
 
-const TIMEOUT_MS = 500;
+const TIMEOUT_MS = 2_000;
 const MAX_RESPONSE_BYTES = 1_048_576;
 const STATUS_OK = 200;
 /** Opens a new connection each time, since a kept one may lead to an earlier process. */
