--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -13,6 +13,7 @@
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {RetryLimiter} from './retry-limiter.js';
 import {CallStreamResumer} from './call-stream-resumer.js';
+import {mayContinue} from '@marigoldspur/stream-origins';
 import type {StreamOrigins} from './stream-origins.js';
 import type {TargetFinder} from './target-finder.js';
 import type {TargetResponse} from './target-client.js';
@@ -58,7 +59,7 @@
     if (resolved.isErr) {
       return Result.err(resolved.error);
     }
-    const origin = resolved.value;
+    let origin = resolved.value;
     const excluded = new Set<string>();
     let refusal: Refusal | undefined;
     let mayHaveRun = false;
@@ -73,6 +74,18 @@
         const latest = laterRefusal(refusal, target.error);
         return Result.err(toFinalRefusal(latest, mayHaveRun));
       }
+      if (origin === undefined) {
+        // A second version may have become known during the search.
+        const again = await streamOrigins.resolve(call, performance.now());
+        if (again.isErr) {
+          return Result.err(toFinalRefusal(again.error, mayHaveRun));
+        }
+        origin = again.value;
+        if (origin !== undefined && !mayContinue(target.value, origin)) {
+          excluded.add(target.value.id);
+          continue;
+        }
+      }
       const result = await this.attempt(
         call,
         target.value,
@@ -86,11 +99,11 @@
       refusal = result.error;
       mayHaveRun ||= refusal.outcome !== 'not-run';
       excluded.add(target.value.id);
-      const mayContinue =
+      const mayRetry =
         !response.headersSent &&
         canRetry(call, refusal, attemptNumber, mayHaveRun);
       if (
-        !mayContinue ||
+        !mayRetry ||
         !(await retryLimiter.acquire(call.service.name, call.signal))
       ) {
         return Result.err(toFinalRefusal(refusal, mayHaveRun));
