--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -139,6 +139,7 @@
           end({status: response.complete ? response.statusCode : 0}),
         );
       });
+      recorder.add(`caller sends ${id}`);
       request.end('{}');
     });
   // Each caller keeps a connection and sends one request after the other.
@@ -147,6 +148,8 @@
   const calling = ENTRIES.flatMap((ip, entry) =>
     Array.from({length: CALLERS_PER_ENTRY}, async (_, caller) => {
       const agent = new http.Agent({keepAlive: true, maxSockets: 1});
+      // The callers do not send in step.
+      await pause((caller * WORK_MS) / CALLERS_PER_ENTRY);
       for (let number = 0; now() - startedAt < TRAFFIC_MS; number += 1) {
         const result = await call(
           agent,
@@ -154,10 +157,10 @@
           `review-1-${entry}-${caller}-${number}`,
         );
         results.push(result);
+        recorder.add(
+          `caller of ${result.id}: ${result.error ?? `status ${result.status}`}, on a ${result.isKept ? 'kept' : 'new'} connection`,
+        );
         if (result.status !== 200) {
-          recorder.add(
-            `caller of ${result.id}: ${result.error ?? `status ${result.status}`}, on a ${result.isKept ? 'kept' : 'new'} connection`,
-          );
           await pause(500);
         }
       }
