--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -173,6 +173,7 @@
           }),
         );
       });
+      recorder.add(`caller sends ${id}`);
       request.end('{}');
     });
   // Each of these callers keeps a connection and sends one request after the other.
@@ -180,6 +181,8 @@
   const startedAt = now();
   const charging = Array.from({length: CHARGE_CALLERS}, async (_, caller) => {
     const agent = new http.Agent({keepAlive: true, maxSockets: 1});
+    // The callers do not send in step.
+    await pause((caller * CHARGE_WORK_MS) / CHARGE_CALLERS);
     for (
       let number = 0;
       now() - startedAt < LOOKUPS * LOOKUP_GAP_MS + CHARGE_WORK_MS;
@@ -191,10 +194,10 @@
         `review-2-c${caller}-${number}`,
       );
       results.push(result);
+      recorder.add(
+        `caller of ${result.id}: ${result.error ?? `status ${result.status}`}, on a ${result.isKept ? 'kept' : 'new'} connection`,
+      );
       if (result.status !== 200) {
-        recorder.add(
-          `caller of ${result.id}: ${result.error ?? `status ${result.status}`}, on a ${result.isKept ? 'kept' : 'new'} connection`,
-        );
         await pause(500);
       }
     }
