--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -5,13 +5,15 @@
 
 const CONTROL = ['127.4.0.1', '127.4.0.2', '127.4.0.3'];
 const ENTRIES = ['127.4.1.1', '127.4.1.2'];
-const SERVER = '127.4.2.1';
+/** The first of the two servers gives some answers that have neither a length nor chunks. */
+const SERVERS = ['127.4.2.1', '127.4.2.2'];
 const HEARTBEAT_MS = 1_200;
 /** A server writes an answer as it makes it: so many lines, one each interval. */
 const LINES = 40;
 const LINE_INTERVAL_MS = 100;
-const CALLERS = 40;
-/** One answer in 20, which is the largest share on the pages (0.05), has neither a length nor chunks. */
+/** Callers of the first entry, and of the other one. */
+const CALLERS = [80, 20];
+/** One of its answers in 20 is such a one, the largest share on the pages (0.05). */
 const UNFRAMED_EVERY = 20;
 const KILL_AFTER_MS = 2_000;
 const RESTART_MS = 500;
@@ -112,27 +114,34 @@
 }
 
 await runCase(import.meta.dirname, 60_000, async (deployment, recorder) => {
-  const server = new PlainServer({
-    id: 'i-desk',
-    service: 'desk',
-    ip: SERVER,
-    slots: 64,
-    recorder,
-    work: async ({response, id}) => {
-      if (Number(id.split('-').at(-1)) % UNFRAMED_EVERY === 0) {
-        // Neither a length nor chunks: the answer ends with its connection.
-        response.useChunkedEncodingByDefault = false;
-        response.shouldKeepAlive = false;
-      }
-      response.writeHead(200, {'content-type': 'text/plain'});
-      for (let number = 1; number <= LINES; number += 1) {
-        await pause(LINE_INTERVAL_MS);
-        response.write(line(id, number));
-      }
-      response.end();
-    },
+  const servers = SERVERS.map((ip, index) => {
+    let answers = 0;
+    return new PlainServer({
+      id: `i-desk-${index}`,
+      service: 'desk',
+      ip,
+      slots: 64,
+      recorder,
+      work: async ({response, id}) => {
+        const isUnframed = index === 0 && answers % UNFRAMED_EVERY === 0;
+        answers += 1;
+        if (isUnframed) {
+          recorder.add(
+            `i-desk-${index} answers ${id} without a length or chunks`,
+          );
+          response.useChunkedEncodingByDefault = false;
+          response.shouldKeepAlive = false;
+        }
+        response.writeHead(200, {'content-type': 'text/plain'});
+        for (let number = 1; number <= LINES; number += 1) {
+          await pause(LINE_INTERVAL_MS);
+          response.write(line(id, number));
+        }
+        response.end();
+      },
+    });
   });
-  await server.listen();
+  await Promise.all(servers.map(server => server.listen()));
   CONTROL.forEach((ip, index) =>
     deployment.start('control', `core-${index}`, ip, {
       seeds: CONTROL,
@@ -145,21 +154,26 @@
   await deployment.replaceConfiguration(CONTROL, configuration);
   let beats = 0;
   const beat = () =>
-    void deployment.callControl(
-      CONTROL[(beats += 1) % CONTROL.length],
-      'POST',
-      `/marigoldspur/instances/${server.id}/heartbeat`,
-      server.announcement(),
-    );
+    servers.forEach(server => {
+      beats += 1;
+      void deployment.callControl(
+        CONTROL[beats % CONTROL.length],
+        'POST',
+        `/marigoldspur/instances/${server.id}/heartbeat`,
+        server.announcement(),
+      );
+    });
   beat();
   const heartbeats = setInterval(beat, HEARTBEAT_MS);
   await Promise.all(ENTRIES.map(ip => deployment.waitUntilReady(ip)));
   await pause(3_500);
-  const calls = Array.from({length: CALLERS}, (_, index) =>
-    call(
-      deployment.callerAddress(ENTRIES[index % 2]),
-      `review-4-${index}`,
-      recorder,
+  const calls = ENTRIES.flatMap((ip, entry) =>
+    Array.from({length: CALLERS[entry]}, (_, index) =>
+      call(
+        deployment.callerAddress(ip),
+        `review-4-${entry}-${index}`,
+        recorder,
+      ),
     ),
   );
   await pause(KILL_AFTER_MS);
@@ -171,7 +185,7 @@
   }
   const results = await Promise.all(calls);
   clearInterval(heartbeats);
-  server.close();
+  servers.forEach(server => server.close());
   // MIXED: a success whose body is not the server's whole body, and that looks complete.
   const wrong = results.filter(
     ({status, isComplete, isWhole}) => status === 200 && isComplete && !isWhole,
