--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,7 +1,15 @@
 /* global clearInterval, setInterval */
 /* An entry is killed while it passes on answers that have neither a length nor chunks. */
+import path from 'node:path';
+import process from 'node:process';
 import http from 'node:http';
-import {isCalm, pause, PlainServer, runCase} from '../stand-ins/harness.mjs';
+import {pause, PlainServer, runCase} from '../harness.mjs';
+
+const LIMIT_MS = 60_000;
+/** With TROUBLE=0 the disruption is left out. */
+const isCalm = process.env.TROUBLE === '0';
+/** What was sent, answered and run. */
+const record = path.join(import.meta.dirname, 'record.txt');
 
 const CONTROL = ['127.4.0.1', '127.4.0.2', '127.4.0.3'];
 const ENTRIES = ['127.4.1.1', '127.4.1.2'];
@@ -113,88 +121,92 @@
   });
 }
 
-await runCase(import.meta.dirname, 60_000, async (deployment, recorder) => {
-  const servers = SERVERS.map((ip, index) => {
-    let answers = 0;
-    return new PlainServer({
-      id: `i-desk-${index}`,
-      service: 'desk',
-      ip,
-      slots: 64,
-      recorder,
-      work: async ({response, id}) => {
-        const isUnframed = index === 0 && answers % UNFRAMED_EVERY === 0;
-        answers += 1;
-        if (isUnframed) {
-          recorder.add(
-            `i-desk-${index} answers ${id} without a length or chunks`,
-          );
-          response.useChunkedEncodingByDefault = false;
-          response.shouldKeepAlive = false;
-        }
-        response.writeHead(200, {'content-type': 'text/plain'});
-        for (let number = 1; number <= LINES; number += 1) {
-          await pause(LINE_INTERVAL_MS);
-          response.write(line(id, number));
-        }
-        response.end();
-      },
-    });
-  });
-  await Promise.all(servers.map(server => server.listen()));
-  CONTROL.forEach((ip, index) =>
-    deployment.start('control', `core-${index}`, ip, {
-      seeds: CONTROL,
-      bootstrap: true,
-    }),
-  );
-  ENTRIES.forEach((ip, index) =>
-    deployment.start('entry', `edge-${index}`, ip, {seeds: CONTROL}),
-  );
-  await deployment.replaceConfiguration(CONTROL, configuration);
-  let beats = 0;
-  const beat = () =>
-    servers.forEach(server => {
-      beats += 1;
-      void deployment.callControl(
-        CONTROL[beats % CONTROL.length],
-        'POST',
-        `/marigoldspur/instances/${server.id}/heartbeat`,
-        server.announcement(),
-      );
-    });
-  beat();
-  const heartbeats = setInterval(beat, HEARTBEAT_MS);
-  await Promise.all(ENTRIES.map(ip => deployment.waitUntilReady(ip)));
-  await pause(3_500);
-  const calls = ENTRIES.flatMap((ip, entry) =>
-    Array.from({length: CALLERS[entry]}, (_, index) =>
-      call(
-        deployment.callerAddress(ip),
-        `review-4-${entry}-${index}`,
+await runCase(
+  {record, isCalm, limitMs: LIMIT_MS},
+  async (deployment, recorder) => {
+    const servers = SERVERS.map((ip, index) => {
+      let answers = 0;
+      return new PlainServer({
+        id: `i-desk-${index}`,
+        service: 'desk',
+        ip,
+        slots: 64,
         recorder,
+        work: async ({response, id}) => {
+          const isUnframed = index === 0 && answers % UNFRAMED_EVERY === 0;
+          answers += 1;
+          if (isUnframed) {
+            recorder.add(
+              `i-desk-${index} answers ${id} without a length or chunks`,
+            );
+            response.useChunkedEncodingByDefault = false;
+            response.shouldKeepAlive = false;
+          }
+          response.writeHead(200, {'content-type': 'text/plain'});
+          for (let number = 1; number <= LINES; number += 1) {
+            await pause(LINE_INTERVAL_MS);
+            response.write(line(id, number));
+          }
+          response.end();
+        },
+      });
+    });
+    await Promise.all(servers.map(server => server.listen()));
+    CONTROL.forEach((ip, index) =>
+      deployment.start('control', `core-${index}`, ip, {
+        seeds: CONTROL,
+        bootstrap: true,
+      }),
+    );
+    ENTRIES.forEach((ip, index) =>
+      deployment.start('entry', `edge-${index}`, ip, {seeds: CONTROL}),
+    );
+    await deployment.replaceConfiguration(CONTROL, configuration);
+    let beats = 0;
+    const beat = () =>
+      servers.forEach(server => {
+        beats += 1;
+        void deployment.callControl(
+          CONTROL[beats % CONTROL.length],
+          'POST',
+          `/marigoldspur/instances/${server.id}/heartbeat`,
+          server.announcement(),
+        );
+      });
+    beat();
+    const heartbeats = setInterval(beat, HEARTBEAT_MS);
+    await Promise.all(ENTRIES.map(ip => deployment.waitUntilReady(ip)));
+    await pause(3_500);
+    const calls = ENTRIES.flatMap((ip, entry) =>
+      Array.from({length: CALLERS[entry]}, (_, index) =>
+        call(
+          deployment.callerAddress(ip),
+          `review-4-${entry}-${index}`,
+          recorder,
+        ),
       ),
-    ),
-  );
-  await pause(KILL_AFTER_MS);
-  if (!isCalm) {
-    deployment.signal('edge-0', 'SIGKILL');
-    await deployment.machines.get('edge-0').exited;
-    await pause(RESTART_MS);
-    deployment.restart('edge-0');
-  }
-  const results = await Promise.all(calls);
-  clearInterval(heartbeats);
-  servers.forEach(server => server.close());
-  // MIXED: a success whose body is not the server's whole body, and that looks complete.
-  const wrong = results.filter(
-    ({status, isComplete, isWhole}) => status === 200 && isComplete && !isWhole,
-  );
-  recorder.add(
-    `${results.filter(({isWhole}) => isWhole).length} of ${results.length} answers whole; ${wrong.length} look complete and are not`,
-  );
-  if (isCalm && results.some(({isWhole}) => !isWhole)) {
-    throw new Error('the deployment does not serve without the disruption');
-  }
-  return wrong.length > 0;
-});
+    );
+    await pause(KILL_AFTER_MS);
+    if (!isCalm) {
+      deployment.signal('edge-0', 'SIGKILL');
+      await deployment.machines.get('edge-0').exited;
+      await pause(RESTART_MS);
+      deployment.restart('edge-0');
+    }
+    const results = await Promise.all(calls);
+    clearInterval(heartbeats);
+    servers.forEach(server => server.close());
+    // MIXED: a success whose body is not the server's whole body, and that looks complete.
+    const wrong = results.filter(
+      ({status, isComplete, isWhole}) =>
+        status === 200 && isComplete && !isWhole,
+    );
+    recorder.add(
+      `${results.filter(({isWhole}) => isWhole).length} of ${results.length} answers whole; ${wrong.length} look complete and are not`,
+    );
+    if (isCalm && results.some(({isWhole}) => !isWhole)) {
+      throw new Error('the deployment does not serve without the disruption');
+    }
+    return wrong.length > 0;
+  },
+);
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 # so that nothing has to be compiled.
 set -eu
 cd "$(dirname "$0")"
-for file in stand-ins/*.mjs [1-5]/*.mjs; do
+for file in *.mjs [1-5]/*.mjs; do
   node --check "$file"
 done
--- a/review/stand-ins/harness.mjs
+++ b/review/harness.mjs
@@ -14,7 +14,7 @@
 import os from 'node:os';
 import path from 'node:path';
 
-const ROOT = path.resolve(import.meta.dirname, '..', '..');
+const ROOT = path.resolve(import.meta.dirname, '..');
 /** Number of internal ports of each machine; the ports of its listeners follow them. */
 const INTERNAL_PORTS = 16;
 const LISTENER_PORTS = 8;
@@ -22,8 +22,6 @@
 export const EXIT_HELD = 0;
 export const EXIT_BROKEN = 1;
 export const EXIT_UNRUN = 2;
-/** Whether the disruption of a case is left out. */
-export const isCalm = process.env.TROUBLE === '0';
 
 export const pause = ms => new Promise(resolve => setTimeout(resolve, ms));
 export const now = () => performance.now();
@@ -45,10 +43,10 @@
   return commands;
 }
 
-/** Writes what a case sent, got and ran to `record.txt` in its folder. */
+/** Writes what a case sent, got and ran to the file of its record. */
 export class Recorder {
-  constructor(folder) {
-    this.file = path.join(folder, 'record.txt');
+  constructor(file) {
+    this.file = file;
     this.startedAt = now();
     writeFileSync(this.file, '');
   }
@@ -456,8 +454,8 @@
 }
 
 /** Runs a case: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
-export async function runCase(folder, limitMs, run) {
-  const recorder = new Recorder(folder);
+export async function runCase({record, isCalm, limitMs}, run) {
+  const recorder = new Recorder(record);
   const deployment = new Deployment(recorder);
   recorder.add(`disruption: ${isCalm ? 'left out' : 'on'}`);
   let code = EXIT_UNRUN;
