--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -98,10 +98,9 @@
     load: loadReport(),
   });
   const url = await runtime.serve({
-    fallback: (request, response) =>
-      void attemptHandler.handle(request, response),
+    fallback: (request, response) => attemptHandler.handle(request, response),
     checkContinue: (request, response) =>
-      void attemptHandler.handle(request, response, true),
+      attemptHandler.handle(request, response, true),
     revision: () => settingsFollower.settings.revision,
     settings: revision => settingsFollower.deltaAfter(revision),
     facts: () => {
--- a/agent/agent-server/test/fake-control.ts
+++ b/agent/agent-server/test/fake-control.ts
@@ -59,6 +59,7 @@
         new EventLog({process: 'control'}),
       ),
       metrics: createProcessMetrics(labels),
+      onFault: () => {},
       isReady: () => true,
       routers: {control: createControlRouter(this)},
       fallback: createHeartbeatHandler(this),
--- a/agent/engine-agent/src/prepare-handler.ts
+++ b/agent/engine-agent/src/prepare-handler.ts
@@ -15,12 +15,9 @@
  * Creates the HTTP handler for requests to load an adapter. A request is
  * cancelled when its sender disconnects.
  */
-export function createPrepareHandler(
-  manager: AdapterManager,
-): http.RequestListener {
-  return (request, response) => {
-    void prepare(manager, request, response);
-  };
+export function createPrepareHandler(manager: AdapterManager) {
+  return (request: http.IncomingMessage, response: http.ServerResponse) =>
+    prepare(manager, request, response);
 }
 
 async function prepare(
--- a/contracts/deployment/src/fleet-messages.ts
+++ b/contracts/deployment/src/fleet-messages.ts
@@ -36,7 +36,7 @@
   deployment: DEPLOYMENT_TEXT_SCHEMA.optional(),
   versions: z.array(NAMED_VERSION_SCHEMA).optional(),
   /** Base URLs of all replicas of control. */
-  replicas: z.array(z.string()).optional(),
+  replicas: z.array(z.string().refine(isUrl, 'must be a URL')).optional(),
   /** Number of entries that follow this replica. */
   entries: z.int().min(0).optional(),
   /** Targets whose announcement is new or has changed. */
@@ -55,5 +55,9 @@
   recordedVersions: z.array(SERVICE_VERSION_SCHEMA).optional(),
 });
 
+function isUrl(text: string): boolean {
+  return URL.canParse(text);
+}
+
 /** One message of a fleet stream. */
 export type FleetMessage = z.infer<typeof FLEET_MESSAGE_SCHEMA>;
--- a/contracts/deployment/src/index.ts
+++ b/contracts/deployment/src/index.ts
@@ -15,9 +15,11 @@
 } from './deployment.js';
 export {validateDeployment} from './validate-deployment.js';
 export {
+  ADDRESS_SCHEMA,
   isNewerAnnouncement,
   isSameIncarnation,
   TARGET_ANNOUNCEMENT_SCHEMA,
+  TARGET_ID_SCHEMA,
   TARGET_INCARNATION_SCHEMA,
   UNKNOWN_START_TIME,
   type TargetAnnouncement,
@@ -36,6 +38,7 @@
   type DeploymentText,
   type FleetMessage,
 } from './fleet-messages.js';
+export {readFleetMessage, type ReadFleetMessage} from './read-fleet-message.js';
 export {
   ENGINE_VIEW_PATH,
   ENGINE_VIEW_MAX_INTERVAL_MS,
--- a/contracts/deployment/src/target-announcement.ts
+++ b/contracts/deployment/src/target-announcement.ts
@@ -1,11 +1,27 @@
 import {z} from 'zod';
 
 const NAME_SCHEMA = z.string().min(1).max(256);
+const MAX_PORT = 65_535;
+
+/** ID of a target. Calls carry it in a header, so it may hold visible ASCII characters alone. */
+export const TARGET_ID_SCHEMA = z
+  .string()
+  .max(256)
+  .regex(/^[\x21-\x7e]+$/, 'must consist of visible ASCII characters');
+
+/** Address of a process, `host:port`, to which a connection can be opened. */
+export const ADDRESS_SCHEMA = z
+  .string()
+  .regex(/^[A-Za-z0-9._-]+:\d{1,5}$/, {
+    error: 'must be HOST:PORT',
+    abort: true,
+  })
+  .refine(isAddressable, 'must name a host and a port from 1 to 65535');
 
 /** State that a target announces about itself. */
 export const TARGET_ANNOUNCEMENT_SCHEMA = z.object({
   /** ID of the target. */
-  id: NAME_SCHEMA,
+  id: TARGET_ID_SCHEMA,
   /**
    * Start of the target's process, in milliseconds since the epoch, or
    * `UNKNOWN_START_TIME`. A restarted target may keep its ID.
@@ -15,7 +31,7 @@
   sequence: z.int().min(0),
   service: NAME_SCHEMA,
   /** Address of the target, `host:port`. */
-  address: z.string().regex(/^[^\s:]+:\d{1,5}$/),
+  address: ADDRESS_SCHEMA,
   zone: NAME_SCHEMA,
   /** Number of requests that the target runs concurrently. */
   slots: z.int().min(1),
@@ -59,3 +75,9 @@
     ? announcement.sequence > known.sequence
     : announcement.bornAt > known.bornAt;
 }
+
+/** Whether an address can be part of a URL; `999.0.0.1`, for example, names no host. */
+function isAddressable(address: string): boolean {
+  const port = Number(address.slice(address.lastIndexOf(':') + 1));
+  return port >= 1 && port <= MAX_PORT && URL.canParse(`http://${address}`);
+}
--- a/contracts/event-catalogue/src/process-events.ts
+++ b/contracts/event-catalogue/src/process-events.ts
@@ -35,4 +35,10 @@
     meaning:
       'A file of keys, tokens or certificates has changed and its new content is invalid; the last valid content stays in use.',
   },
+  'process-crashed': {
+    number: 107,
+    level: 'error',
+    meaning:
+      'An error that no request, connection or stream confines ends the process; `stack` says where it arose.',
+  },
 } as const satisfies Record<string, EventKind>;
--- a/entry/caller-server/src/caller-server.ts
+++ b/entry/caller-server/src/caller-server.ts
@@ -1,7 +1,9 @@
 import type http from 'node:http';
 import type {Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
+import {guard} from '@marigoldspur/fault-guard';
 import {closeServer} from '@marigoldspur/http-link';
+import type {Fault} from '@marigoldspur/faults';
 import type {LoopClock} from '@marigoldspur/loop-clock';
 import {formatClientErrorResponse} from '@marigoldspur/caller-api';
 
@@ -28,6 +30,8 @@
     response: http.ServerResponse,
     arrivedAt: number,
   ) => Promise<void>;
+  /** Called with an error of `handle`, whose connection was closed. */
+  readonly onFault: (fault: Fault) => void;
   /** The turns of this process's event loop. */
   readonly clock: Pick<LoopClock, 'earliestArrival' | 'turns'>;
   /** Whether the process is shutting down. */
@@ -147,7 +151,14 @@
     const pending = this.pendingResponses.get(socket) ?? new Set();
     this.pendingResponses.set(socket, pending.add(response));
     response.on('close', () => pending.delete(response));
-    void this.options.handle(request, response, arrivedAt);
+    const {handle, onFault} = this.options;
+    const guarded = guard(handle, {
+      onFault: fault => {
+        response.destroy();
+        onFault(fault);
+      },
+    });
+    guarded(request, response, arrivedAt);
   }
 
   /**
--- a/entry/direct-routing/src/adapter-agent-client.ts
+++ b/entry/direct-routing/src/adapter-agent-client.ts
@@ -8,7 +8,10 @@
 } from '@marigoldspur/deployment';
 import {toFault} from '@marigoldspur/faults';
 import {exchangeJson} from '@marigoldspur/http-link';
-import {AdapterUsageTracker} from './adapter-usage-tracker.js';
+import {
+  AdapterUsageTracker,
+  type AdapterUsageReport,
+} from './adapter-usage-tracker.js';
 
 /** Options of an adapter agent client. */
 export interface AdapterAgentClientOptions {
@@ -76,19 +79,25 @@
   }
 
   private sendReports(): void {
-    const {agent, agentUrl, entry} = this.options;
-    for (const {address, begun, running} of this.usage.takeDueReports(
-      performance.now(),
-    )) {
-      exchangeJson({
-        url: new URL(ADAPTER_USAGE_PATH, agentUrl(address)),
-        body: {entry, begun, running},
-        agent,
-        signal: AbortSignal.timeout(REPORT_TIMEOUT_MS),
-        maxAnswerBytes: MAX_RESPONSE_BYTES,
-      }).catch(() => {
+    for (const report of this.usage.takeDueReports(performance.now())) {
+      this.sendReport(report).catch(() => {
         // Later reports contain all running calls again.
       });
     }
   }
+
+  private async sendReport({
+    address,
+    begun,
+    running,
+  }: AdapterUsageReport): Promise<void> {
+    const {agent, agentUrl, entry} = this.options;
+    await exchangeJson({
+      url: new URL(ADAPTER_USAGE_PATH, agentUrl(address)),
+      body: {entry, begun, running},
+      agent,
+      signal: AbortSignal.timeout(REPORT_TIMEOUT_MS),
+      maxAnswerBytes: MAX_RESPONSE_BYTES,
+    });
+  }
 }
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -375,10 +375,11 @@
   /** Records a failure and returns the refusal for the caller. */
   handleFailure(call: Call, attempt: Attempt, failure: TargetFailure): Refusal {
     const {selector, events, metrics} = this.options;
-    const {kind, outcome} = failure;
+    const {kind, message, outcome} = failure;
     const {target} = attempt;
     if (kind !== 'ended') {
       const evidence = {
+        invalid: 'connect-failed',
         connect: 'connect-failed',
         silent: 'timeout',
         broken: 'broken',
@@ -394,7 +395,7 @@
       this.recordBreak(call, target, {hasHead: false, isAborted});
     }
     metrics.recordAttempt(call.service.name, kind);
-    this.record(call, attempt, kind, outcome);
+    this.record(call, attempt, kind, outcome, message);
     const isCancelled = kind === 'ended' && !call.signal.aborted;
     return isCancelled
       ? this.createCancelledRefusal(call, outcome)
@@ -472,6 +473,7 @@
     {number, sentAfterMs, target}: Attempt,
     reason: string,
     outcome: string,
+    message?: string,
   ): void {
     const details = {
       attempt: number,
@@ -479,6 +481,7 @@
       sentAfterMs,
       reason,
       outcome,
+      ...(message !== undefined && message !== reason && {message}),
       ...(outcome === 'not-run' ? describePrompt(call) : describeRequest(call)),
     };
     this.options.events.record(
--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -11,7 +11,7 @@
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal, toFault} from '@marigoldspur/faults';
-import {readBody} from '@marigoldspur/http-link';
+import {findInvalidHeader, readBody} from '@marigoldspur/http-link';
 import {chooseBackend, type RouteTable} from '@marigoldspur/routes';
 import type {CallRunner} from './call-runner.js';
 import {createLazyFingerprint} from './request-fingerprint.js';
@@ -67,7 +67,8 @@
     response: ServerResponse,
     startedAt: number,
   ): Promise<void> {
-    const metadata = this.options.wireFormat.parseCallHeaders(request.headers);
+    const {wireFormat} = this.options;
+    const metadata = wireFormat.parseCallHeaders(request.headers);
     this.options.metrics.setRunning((this.runningCalls += 1));
     response.sendDate = false;
     try {
@@ -92,6 +93,12 @@
     response: ServerResponse,
   ): Promise<Refusal | undefined> {
     const disconnectSignal = createDisconnectSignal(response);
+    const invalid = findInvalidHeader(request.headers);
+    if (invalid !== undefined) {
+      request.resume();
+      response.setHeader('connection', 'close');
+      return createNotRunRefusal(400, 'invalid_header', invalid);
+    }
     const resolved = this.resolveRoute(metadata, request);
     if (resolved.isErr) {
       request.resume();
@@ -190,8 +197,12 @@
       return;
     }
     const body = JSON.stringify({error: {message, reason, outcome}});
+    const {wireFormat} = this.options;
+    const headers = wireFormat.refusalHeaders(metadata.id, refusal);
+    const isValid = findInvalidHeader(headers) === undefined;
     response.writeHead(status, {
-      ...this.options.wireFormat.refusalHeaders(metadata.id, refusal),
+      // An ID that cannot be sent back is left out.
+      ...(isValid ? headers : wireFormat.refusalHeaders('', refusal)),
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
     });
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -294,6 +294,7 @@
   const callerServer = new CallerServer({
     handle: (request, response, arrivedAt) =>
       callHandler.handle(request, response, arrivedAt),
+    onFault: ({message}) => events.record('request-error', {message}),
     clock: loopClock.clock,
     isDraining: () => runtime.isDraining,
     createServer: http.createServer,
--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -1,8 +1,14 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import {Result} from 'true-myth';
-import {Refusal, type RefusalOutcome} from '@marigoldspur/faults';
+import {
+  Refusal,
+  toFault,
+  type Fault,
+  type RefusalOutcome,
+} from '@marigoldspur/faults';
 import type {UpstreamResponse} from '@marigoldspur/dispatch';
+import {guard} from '@marigoldspur/fault-guard';
 import {limitResponseHead, TargetHttpAgent} from '@marigoldspur/http-link';
 import {afterPoll} from '@marigoldspur/loop-clock';
 import type {ResponseMetadata, WireFormat} from './wire-format.js';
@@ -39,7 +45,13 @@
 /** Why a target gave no usable response. */
 export interface TargetFailure {
   readonly kind:
-    'connect' | 'silent' | 'broken' | 'crossed' | 'replaced' | 'ended';
+    | 'invalid'
+    | 'connect'
+    | 'silent'
+    | 'broken'
+    | 'crossed'
+    | 'replaced'
+    | 'ended';
   /** Whether the call may have run at the target. */
   readonly outcome: RefusalOutcome;
   readonly message: string;
@@ -86,22 +98,22 @@
 
   run(): Promise<Result<TargetResponse, TargetFailure>> {
     const {call} = this;
-    const [host, port] = call.address.split(':');
-    const request = http.request({
-      host,
-      port,
-      method: call.method,
-      path: call.path,
-      agent: this.agent,
-      setHost: false,
-    });
+    const opened = this.open();
+    if (opened.isErr) {
+      return Promise.resolve(Result.err(opened.error));
+    }
+    const request = opened.value;
     const abort = () => this.abort(request, 'ended');
     call.signal.addEventListener('abort', abort, {once: true});
     request.on('close', () => {
       clearTimeout(this.timer);
       call.signal.removeEventListener('abort', abort);
     });
-    request.on('socket', socket => this.watchConnection(request, socket));
+    const onFault = ({message}: Fault) => this.fail(request, message);
+    request.on(
+      'socket',
+      guard(socket => this.watchConnection(request, socket), {onFault}),
+    );
     limitResponseHead(request, () => this.abort(request, 'broken'));
     const response = new Promise<Result<TargetResponse, TargetFailure>>(
       resolve => {
@@ -109,10 +121,21 @@
           this.isConnectionBroken = true;
           resolve(Result.err(this.createFailure(error.message)));
         });
-        request.on('response', message => {
-          clearTimeout(this.timer);
-          resolve(this.readResponse(request, message));
-        });
+        request.on(
+          'response',
+          guard(
+            message => {
+              clearTimeout(this.timer);
+              resolve(this.readResponse(request, message));
+            },
+            {
+              onFault: fault => {
+                onFault(fault);
+                resolve(Result.err(this.createFailure(fault.message)));
+              },
+            },
+          ),
+        );
       },
     );
     if (call.signal.aborted) {
@@ -121,16 +144,40 @@
     return response;
   }
 
+  /** Opens the request; fails if the address or the path cannot be used. */
+  private open(): Result<http.ClientRequest, TargetFailure> {
+    const {address, method, path} = this.call;
+    const [host, port] = address.split(':');
+    try {
+      return Result.ok(
+        http.request({
+          host,
+          port,
+          method,
+          path,
+          agent: this.agent,
+          setHost: false,
+        }),
+      );
+    } catch (thrown) {
+      const {message} = toFault(thrown);
+      return Result.err({kind: 'invalid', outcome: 'not-run', message});
+    }
+  }
+
   private watchConnection(request: http.ClientRequest, socket: Socket): void {
+    const send = guard(() => this.sendIfAwaited(request), {
+      onFault: ({message}) => this.fail(request, message),
+    });
     if (!socket.connecting) {
-      void this.sendIfAwaited(request);
+      send();
       return;
     }
     this.timer = setTimeout(
       () => this.abort(request, 'connect'),
       Math.min(CONNECT_TIMEOUT_MS, this.call.responseHeaderTimeoutMs),
     );
-    socket.once('connect', () => void this.sendIfAwaited(request));
+    socket.once('connect', send);
   }
 
   /** Sends the call over its connection unless the caller has left or waited too long meanwhile. */
@@ -150,21 +197,28 @@
       () => this.abort(request, 'silent'),
       responseHeaderTimeoutMs,
     );
-    this.hasSent = true;
     Object.entries(headers(now)).forEach(
       ([name, value]) => value !== undefined && request.setHeader(name, value),
     );
+    this.hasSent = true;
     request.end(body);
   }
 
+  /** Ends the call after an unexpected error; one that was not sent cannot be sent to this target. */
+  private fail(request: http.ClientRequest, message: string): void {
+    this.failure ??= this.hasSent ? 'broken' : 'invalid';
+    this.abort(request, this.failure, message);
+  }
+
   /** Resets the connection, so that nothing more of the call is delivered. */
   private abort(
     request: http.ClientRequest,
     failure: TargetFailure['kind'],
+    message: string = failure,
   ): void {
     this.failure ??= failure;
     request.socket?.resetAndDestroy();
-    request.destroy(new Error(failure));
+    request.destroy(new Error(message));
   }
 
   private createFailure(message: string): TargetFailure {
--- a/entry/direct-routing/test/target-client.test.ts
+++ b/entry/direct-routing/test/target-client.test.ts
@@ -2,7 +2,11 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'chai';
 import {FramingCheck} from '@marigoldspur/dispatch';
-import {TargetClient, type WireFormat} from '@marigoldspur/direct-routing';
+import {
+  TargetClient,
+  type TargetCall,
+  type WireFormat,
+} from '@marigoldspur/direct-routing';
 
 const WIRE_FORMAT = {
   parseResponseHeaders: ({headers}, id) => ({
@@ -54,7 +58,11 @@
   }
 }
 
-function send(client: TargetClient, id: string) {
+function send(
+  client: TargetClient,
+  id: string,
+  changes: Partial<TargetCall> = {},
+) {
   return client.send({
     id,
     address: `127.0.0.1:${port}`,
@@ -65,6 +73,7 @@
     body: Buffer.alloc(0),
     signal: new AbortController().signal,
     responseHeaderTimeoutMs: 2_000,
+    ...changes,
   });
 }
 
@@ -129,6 +138,23 @@
   client.close();
 });
 
+// Guards against a process that ends because a header or an address cannot be sent.
+it('target client: a call that cannot be sent to its target has not run', async () => {
+  const client = new TargetClient(WIRE_FORMAT);
+  const invalid = [
+    {headers: () => ({'target-id': 'i\u0001'})},
+    {headers: () => ({'x y': 'z'})},
+    {path: '/a b'},
+    {address: '127.0.0.1:99999'},
+  ];
+  for (const changes of invalid) {
+    const sent = await send(client, 'one', changes);
+    expect(sent.isErr && sent.error.kind).to.equal('invalid');
+    expect(sent.isErr && sent.error.outcome).to.equal('not-run');
+  }
+  client.close();
+});
+
 it('target client: a refused connection proves that nothing ran', async () => {
   const client = new TargetClient(WIRE_FORMAT);
   server.close();
--- a/entry/entry-server/src/request-reader.ts
+++ b/entry/entry-server/src/request-reader.ts
@@ -8,7 +8,7 @@
 import type {CallerAuthenticator} from '@marigoldspur/caller-authentication';
 import type {SettingsFollower} from '@marigoldspur/control-client';
 import {Refusal} from '@marigoldspur/faults';
-import {readBody} from '@marigoldspur/http-link';
+import {findInvalidHeader, readBody} from '@marigoldspur/http-link';
 import {DEFAULT_SETTINGS} from '@marigoldspur/settings-schema';
 import {resolveSettings} from '@marigoldspur/settings-tree';
 import {isRepeatable, type Job} from './job.js';
@@ -52,6 +52,12 @@
     startedAt: number,
   ): Promise<Result<Job, Refusal>> {
     const disconnectSignal = createDisconnectSignal(response);
+    const invalid = findInvalidHeader(request.headers);
+    if (invalid !== undefined) {
+      discardRest(request);
+      response.setHeader('connection', 'close');
+      return Result.err(new Refusal('not-run', 400, 'invalid_header', invalid));
+    }
     const customer = this.options.authenticator.authenticate(request.headers);
     if (customer.isErr) {
       discardRest(request);
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -141,6 +141,7 @@
   const callerServer = new CallerServer({
     handle: (request, response, arrivedAt) =>
       requestHandler.handle(request, response, arrivedAt),
+    onFault: ({message}) => events.record('request-error', {message}),
     isDraining: () => runtime.isDraining,
     createServer: (options, handler) =>
       callerTls.createServer(options, handler),
--- /dev/null
+++ b/machines/fault-guard/src/index.ts
@@ -0,0 +1,1 @@
+export {guard, type GuardOptions} from './guard.js';
--- a/machines/http-link/src/index.ts
+++ b/machines/http-link/src/index.ts
@@ -12,6 +12,7 @@
   endToEndHeaders,
   type EndToEndHeaderOptions,
 } from './end-to-end-headers.js';
+export {findInvalidHead, findInvalidHeader} from './invalid-head.js';
 export {urlForPath} from './url-for-path.js';
 export {
   JsonStream,
--- a/machines/process-runtime/src/process-runtime.ts
+++ b/machines/process-runtime/src/process-runtime.ts
@@ -76,6 +76,11 @@
     process.on('exit', () => lines.flush());
     const sinks = [createJsonLineSink(settings.logLevel, lines)];
     const events: EventLog = new EventLog({process: settings.id, sinks});
+    // Errors of one request, connection or stream are confined by `guard`. After any other one,
+    // state that requests share may be damaged, so the process ends.
+    process.on('uncaughtExceptionMonitor', ({message, stack = ''}) =>
+      events.record('process-crashed', {message, stack}),
+    );
     const security = await openLinkSecurity(settings, events);
     return new ProcessRuntime(role, settings, events, security);
   }
@@ -93,6 +98,7 @@
       address: {host, port},
       security: this.security,
       metrics: this.metrics,
+      onFault: ({message}) => events.record('request-error', {message}),
       isReady: () => this.isReady(options),
       routers: options.routers,
       paths: options.paths,
--- a/machines/process-server/src/process-server.ts
+++ b/machines/process-server/src/process-server.ts
@@ -2,6 +2,8 @@
 import type {AnyRouter} from '@trpc/server';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import type {CallContext} from '@marigoldspur/access';
+import {guard} from '@marigoldspur/fault-guard';
+import type {Fault} from '@marigoldspur/faults';
 import {closeServer, listen, type Address} from '@marigoldspur/http-link';
 import type {LinkSecurity} from '@marigoldspur/link-security';
 import type {ProcessMetrics} from '@marigoldspur/metrics';
@@ -10,11 +12,11 @@
   type ProcessService,
 } from '@marigoldspur/process-api';
 
-/** Handles requests that the process server does not answer itself. */
+/** Handles requests that the process server does not answer itself; may return a promise. */
 type Handler = (
   request: http.IncomingMessage,
   response: http.ServerResponse,
-) => void;
+) => unknown;
 
 /** Options of a process server. */
 export interface ProcessServerOptions {
@@ -22,6 +24,8 @@
   readonly security: LinkSecurity;
   readonly service: ProcessService;
   readonly metrics: ProcessMetrics;
+  /** Called with an unexpected error of a request, whose connection was closed. */
+  readonly onFault: (fault: Fault) => void;
   /** Whether the process takes new work. */
   readonly isReady: () => boolean;
   /**
@@ -70,24 +74,36 @@
       createTrpcHandler(basePath, router, options.security),
     );
   }
-  const server = options.security.createServer({}, (request, response) => {
-    const path = (request.url ?? '/').split('?', 1)[0];
-    for (const [prefix, handler] of handlers) {
-      if (path.startsWith(prefix)) {
-        handler(request, response);
-        return;
+  const guardRequest =
+    (handler: Handler): Handler =>
+    (request, response) =>
+      guard(handler, {
+        onFault: fault => {
+          response.destroy();
+          options.onFault(fault);
+        },
+      })(request, response);
+  const server = options.security.createServer(
+    {},
+    guardRequest((request, response) => {
+      const path = (request.url ?? '/').split('?', 1)[0];
+      for (const [prefix, handler] of handlers) {
+        if (path.startsWith(prefix)) {
+          return handler(request, response);
+        }
       }
-    }
-    void handleRequest(path, options, request, response);
-  });
+      return handleRequest(path, options, request, response);
+    }),
+  );
   const {checkContinue} = options;
   if (checkContinue !== undefined) {
     server.on(
       'checkContinue',
-      (request: http.IncomingMessage, response: http.ServerResponse) =>
+      guardRequest((request, response) =>
         isProcess(options.security, request)
           ? checkContinue(request, response)
           : sendForbidden(response),
+      ),
     );
   }
   server.headersTimeout = HEADERS_TIMEOUT_MS;
@@ -139,16 +155,16 @@
       response.end(await options.metrics.registry.metrics());
       return;
     default:
-      handleOther(path, options, request, response);
+      await handleOther(path, options, request, response);
   }
 }
 
-function handleOther(
+async function handleOther(
   path: string,
   options: ProcessServerOptions,
   request: http.IncomingMessage,
   response: http.ServerResponse,
-): void {
+): Promise<void> {
   const handler = options.paths?.get(path) ?? options.fallback;
   if (handler === undefined) {
     response.statusCode = 404;
@@ -159,7 +175,7 @@
     sendForbidden(response);
     return;
   }
-  handler(request, response);
+  await handler(request, response);
 }
 
 function isProcess(
--- a/zones/fleet-client/src/fleet-follower.ts
+++ b/zones/fleet-client/src/fleet-follower.ts
@@ -4,11 +4,12 @@
   type ServiceVersion,
   type SoftwareVersions,
   type TargetLimit,
-  FLEET_MESSAGE_SCHEMA,
   FLEET_PATH,
   FLEET_MAX_INTERVAL_MS,
+  readFleetMessage,
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
+import {formatFindings} from '@marigoldspur/faults';
 import {FleetView, type FleetChange} from '@marigoldspur/fleet-view';
 import {openLineStream} from './line-stream.js';
 
@@ -171,11 +172,16 @@
     stream: ReplicaStream,
     raw: unknown,
   ): void {
-    const message = FLEET_MESSAGE_SCHEMA.parse(raw);
+    const {events} = this.options;
+    const {findings, message} = readFleetMessage(raw);
+    if (findings.length > 0) {
+      const reason = formatFindings(findings);
+      events.record('announcement-rejected', {replica: url, reason});
+    }
     if (message.whole) {
       stream.isFollowed = true;
       this.confirmed = true;
-      this.options.events.record('fleet-followed', {replica: url});
+      events.record('fleet-followed', {replica: url});
     }
     const {recordedVersions = []} = message;
     // Versions are only ever added, and replicas apply them one after the other.
