Treat a response whose head cannot be forwarded as broken (LOST)

Cause: Node's parser accepts any status of three digits and header names with a space; response.writeHead throws for both, in a listener where nothing caught it.

Change: the head of each response is checked when it arrives; one that cannot be forwarded is a broken response of its target. The listeners of relayed responses are guarded. The same check stands in the agent, which ended in the same way.

Ruled out: to drop single headers and relay the rest, as such bytes are no response (RFC 9112), and to pass on other statuses as 502 of the target, which it did not give.

--- a/agent/agent-server/src/attempt-response.ts
+++ b/agent/agent-server/src/attempt-response.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {guard} from '@marigoldspur/fault-guard';
 import {Refusal} from '@marigoldspur/faults';
 import {HOP_HEADERS, type Hop} from '@marigoldspur/messages';
 import type {
@@ -67,14 +68,21 @@
       }
       resolve(end);
     };
-    targetResponse.on('data', (chunk: Buffer) => {
-      const checked = check.checkChunk(chunk);
-      if (checked.fault !== undefined) {
-        finish(checked.fault);
-      } else {
-        relay.pass(checked);
-      }
-    });
+    const onFault = () => finish('torn');
+    targetResponse.on(
+      'data',
+      guard(
+        (chunk: Buffer) => {
+          const checked = check.checkChunk(chunk);
+          if (checked.fault !== undefined) {
+            finish(checked.fault);
+          } else {
+            relay.pass(checked);
+          }
+        },
+        {onFault},
+      ),
+    );
     response.on('drain', () => targetResponse.resume());
     targetResponse.on('error', () => {});
     targetResponse.on('close', () => {
@@ -82,7 +90,7 @@
         finish('torn');
       }
     });
-    targetResponse.on('end', () => {
+    const end = () => {
       const checked = check.finish();
       const fault = relay.hasVerifiableEnd ? checked.fault : 'torn';
       if (!targetResponse.complete || fault !== undefined) {
@@ -91,7 +99,8 @@
       }
       relay.pass(checked);
       relay.end(() => finish('whole'));
-    });
+    };
+    targetResponse.on('end', guard(end, {onFault}));
     response.on('close', () => {
       if (!response.writableFinished) {
         finish('cancelled');
--- a/agent/agent-server/src/resume-handler.ts
+++ b/agent/agent-server/src/resume-handler.ts
@@ -3,7 +3,11 @@
 import {BoundedSignal} from '@marigoldspur/abort-signals';
 import type {EventLog} from '@marigoldspur/event-log';
 import type {Refusal} from '@marigoldspur/faults';
-import {limitResponseHead, openRequest} from '@marigoldspur/http-link';
+import {
+  findInvalidHead,
+  limitResponseHead,
+  openRequest,
+} from '@marigoldspur/http-link';
 import {HOP_HEADERS, type Hop} from '@marigoldspur/messages';
 import {formatModel} from '@marigoldspur/settings-schema';
 import {
@@ -101,7 +105,7 @@
       timeoutMs: Math.max(1, Math.ceil(deadlineMs - performance.now())),
       parentSignals: [signal],
     });
-    return new Promise(resolve => {
+    return new Promise((resolve, reject) => {
       const targetRequest = openRequest({
         url: new URL(resumePath(id), this.options.targetUrl),
         method: 'GET',
@@ -134,7 +138,7 @@
         }
         const stopReading = () => targetResponse.destroy();
         const reader = this.options.streams.open({id, pin, stopReading});
-        void this.relay(resume, model, targetResponse, reader).then(resolve);
+        this.relay(resume, model, targetResponse, reader).then(resolve, reject);
       });
       targetRequest.on('close', () => bounded.dispose());
       targetRequest.end();
@@ -146,6 +150,10 @@
     targetResponse: IncomingMessage,
   ): Refusal | undefined {
     const {statusCode} = targetResponse;
+    const invalid = findInvalidHead(targetResponse);
+    if (invalid !== undefined) {
+      return unknownOutcomeRefusal(502, 'resume_failed', invalid);
+    }
     if (statusCode === STATUS_NOT_FOUND) {
       const message = 'the engine no longer has the stream';
       return unknownOutcomeRefusal(410, 'resume_gone', message);
--- a/agent/agent-server/src/target-forwarder.ts
+++ b/agent/agent-server/src/target-forwarder.ts
@@ -113,7 +113,7 @@
   run(agent: http.Agent): Promise<AttemptEnd> {
     const {bounded, attempt} = this;
     const {body, hop, request, response, signal} = attempt;
-    return new Promise(resolve => {
+    return new Promise((resolve, reject) => {
       const targetRequest = openRequest({
         url: urlForPath(this.options.targetUrl, request.url ?? '/'),
         method: request.method ?? 'POST',
@@ -144,7 +144,9 @@
       targetRequest.on('response', targetResponse => {
         hasResponse = true;
         this.openReader(targetResponse);
-        void this.responseHandler.handle(attempt, targetResponse).then(resolve);
+        this.responseHandler
+          .handle(attempt, targetResponse)
+          .then(resolve, reject);
       });
       targetRequest.on('close', () => bounded.dispose());
       targetRequest.end(body);
--- a/agent/agent-server/src/target-response.ts
+++ b/agent/agent-server/src/target-response.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {Refusal} from '@marigoldspur/faults';
-import {readBody} from '@marigoldspur/http-link';
+import {findInvalidHead, readBody} from '@marigoldspur/http-link';
 import {HOP_HEADERS} from '@marigoldspur/messages';
 import {formatModel} from '@marigoldspur/settings-schema';
 import {
@@ -40,6 +40,13 @@
     targetResponse: IncomingMessage,
   ): Promise<AttemptEnd> {
     const {hop, response} = attempt;
+    const invalid = findInvalidHead(targetResponse);
+    if (invalid !== undefined) {
+      targetResponse.destroy();
+      const refusal = unknownOutcomeRefusal(502, 'torn_answer', invalid);
+      refuseAttempt(hop, response, refusal);
+      return Promise.resolve('torn');
+    }
     if (hop.model === undefined) {
       return relayResponse(
         hop,
--- a/agent/agent-server/test/endless-responses.test.ts
+++ b/agent/agent-server/test/endless-responses.test.ts
@@ -108,3 +108,17 @@
   await closed;
   expect(performance.now() - startedAt).to.be.below(CLOSE_WITHIN_MS);
 });
+
+// Guards against an agent that ends because it cannot write the head of one response.
+for (const [name, bytes] of [
+  ['a status of 000', WHOLE_RESPONSE.replace('200', '000')],
+  ['a space in a name', WHOLE_RESPONSE.replace('content', 'x y: z\r\ncontent')],
+]) {
+  it(`target forwarder: a response with ${name} fails its attempt alone`, async () => {
+    firstBytes = bytes;
+    mayRepeat = new Promise(() => {});
+    const response = await fetch(agentUrl, {method: 'POST'});
+    expect(response.status).to.equal(502);
+    expect(await response.text()).to.match(/"message":/);
+  });
+}
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -198,6 +198,8 @@
       outlivesCaller: false,
       signal: call.signal,
       resumer,
+      onFault: ({message}) =>
+        events.record('request-error', {message}, metadata.id),
     });
     resumer?.end();
     const tookMs = Math.round(performance.now() - startedAt);
--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -9,7 +9,11 @@
 } from '@marigoldspur/faults';
 import type {UpstreamResponse} from '@marigoldspur/dispatch';
 import {guard} from '@marigoldspur/fault-guard';
-import {limitResponseHead, TargetHttpAgent} from '@marigoldspur/http-link';
+import {
+  findInvalidHead,
+  limitResponseHead,
+  TargetHttpAgent,
+} from '@marigoldspur/http-link';
 import {afterPoll} from '@marigoldspur/loop-clock';
 import type {ResponseMetadata, WireFormat} from './wire-format.js';
 
@@ -226,21 +230,32 @@
     return {kind, outcome: this.hasSent ? 'unknown' : 'not-run', message};
   }
 
+  /** Closes the connection of a response that must not be used. */
+  private reject(
+    request: http.ClientRequest,
+    message: http.IncomingMessage,
+    kind: TargetFailure['kind'],
+    reason: string,
+  ): Result<TargetResponse, TargetFailure> {
+    request.on('error', () => {});
+    message.on('error', () => {});
+    this.abort(request, kind);
+    return Result.err({kind, outcome: 'unknown', message: reason});
+  }
+
   private readResponse(
     request: http.ClientRequest,
     message: http.IncomingMessage,
   ): Result<TargetResponse, TargetFailure> {
     const {id, method} = this.call;
+    const invalid = findInvalidHead(message);
+    if (invalid !== undefined) {
+      return this.reject(request, message, 'broken', invalid);
+    }
     const metadata = this.wireFormat.parseResponseHeaders(message, id);
     if (!metadata.matchesCallId) {
-      request.on('error', () => {});
-      message.on('error', () => {});
-      this.abort(request, 'crossed');
-      return Result.err({
-        kind: 'crossed',
-        outcome: 'unknown',
-        message: 'the response belongs to another call',
-      });
+      const reason = 'the response belongs to another call';
+      return this.reject(request, message, 'crossed', reason);
     }
     return Result.ok({
       metadata,
--- a/entry/direct-routing/test/target-client.test.ts
+++ b/entry/direct-routing/test/target-client.test.ts
@@ -155,6 +155,27 @@
   client.close();
 });
 
+// Guards against a process that ends when it forwards such a head.
+it('target client: a response whose head cannot be forwarded is broken and may have run', async () => {
+  const client = new TargetClient(WIRE_FORMAT);
+  const heads = [
+    head('one').replace('200', '000'),
+    head('one').replace('200', '099'),
+    head('one').replace('200', '600'),
+    head('one', 'content-length: 4', 'x y: z'),
+    head('one', 'content-length: 4', 'content-length: 5'),
+    head('one', 'content-length: 4', 'transfer-encoding: chunked'),
+    head('one', 'upgrade: h2c').replace('200', '101'),
+  ];
+  for (const text of heads) {
+    scriptedResponses = [[`${text}body`]];
+    const sent = await send(client, 'one');
+    expect(sent.isErr && sent.error.kind, text).to.equal('broken');
+    expect(sent.isErr && sent.error.outcome, text).to.equal('unknown');
+  }
+  client.close();
+});
+
 it('target client: a refused connection proves that nothing ran', async () => {
   const client = new TargetClient(WIRE_FORMAT);
   server.close();
--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -3,6 +3,8 @@
   OutgoingHttpHeaders,
   ServerResponse,
 } from 'node:http';
+import {guard} from '@marigoldspur/fault-guard';
+import type {Fault} from '@marigoldspur/faults';
 import {
   TrailerCheck,
   isDelimitedByClose,
@@ -54,6 +56,8 @@
   readonly signal: AbortSignal;
   /** Set if a broken response can be resumed. */
   readonly resumer?: StreamResumer;
+  /** Called with an unexpected error, which ends the response as broken. */
+  readonly onFault?: (fault: Fault) => void;
 }
 
 /** Result of relaying a response. */
@@ -118,7 +122,10 @@
     const {upstream, response, options} = this;
     this.readFrom(upstream.message);
     response.on('drain', () => this.message?.resume());
-    response.on('close', () => this.handleDisconnect());
+    response.on(
+      'close',
+      this.guarded(() => this.handleDisconnect()),
+    );
     options.signal.addEventListener('abort', this.handleAbort, {once: true});
     if (response.destroyed) {
       this.handleDisconnect();
@@ -139,33 +146,35 @@
 
   private readFrom(message: IncomingMessage): void {
     this.message = message;
-    const ifCurrent = (act: () => void) => () => {
-      if (this.message === message) {
-        act();
-      }
+    const on = (event: string, handle: (chunk: Buffer) => void) => {
+      const guarded = this.guarded(handle);
+      message.on(event, (chunk: Buffer) => {
+        if (this.message === message) {
+          guarded(chunk);
+        }
+      });
     };
-    message.on('data', (chunk: Buffer) => {
-      if (this.message === message) {
-        this.handleChunk(chunk);
-      }
-    });
-    message.on(
-      'end',
-      ifCurrent(() => this.handleEnd()),
-    );
-    message.on(
-      'error',
-      ifCurrent(() => this.handleBreak()),
-    );
-    message.on(
-      'close',
-      ifCurrent(() => this.handleBreak()),
-    );
+    on('data', chunk => this.handleChunk(chunk));
+    on('end', () => this.handleEnd());
+    on('error', () => this.handleBreak());
+    on('close', () => this.handleBreak());
     if (this.response.writableNeedDrain && !this.hasCallerDisconnected) {
       message.pause();
     }
   }
 
+  /** Wraps a handler so that an unexpected error ends this response alone. */
+  private guarded<Args extends readonly unknown[]>(
+    handle: (...args: Args) => unknown,
+  ): (...args: Args) => void {
+    return guard(handle, {
+      onFault: fault => {
+        this.options.onFault?.(fault);
+        this.fail();
+      },
+    });
+  }
+
   private handleChunk(chunk: Buffer): void {
     const {eventBuffer} = this;
     this.completenessCheck.add(chunk);
@@ -204,7 +213,6 @@
   }
 
   private startResponse(length: OutgoingHttpHeaders): void {
-    this.hasStarted = true;
     if (this.isUnframed) {
       this.response.useChunkedEncodingByDefault = false;
       this.response.shouldKeepAlive = false;
@@ -214,6 +222,7 @@
       ...length,
       ...this.options.headers,
     });
+    this.hasStarted = true;
   }
 
   private flush(): void {
@@ -260,12 +269,13 @@
     if (this.isComplete || this.isSettled) {
       return;
     }
+    const {eventBuffer} = this;
     const {resumer} = this.options;
-    if (resumer === undefined || this.eventBuffer?.isNumbered !== true) {
+    if (resumer === undefined || eventBuffer?.isNumbered !== true) {
       this.fail();
       return;
     }
-    void this.resume(resumer, this.eventBuffer);
+    this.guarded(() => this.resume(resumer, eventBuffer))();
   }
 
   private async resume(
--- a/entry/dispatch/test/relay-response.test.ts
+++ b/entry/dispatch/test/relay-response.test.ts
@@ -55,7 +55,7 @@
       relayed = await relayResponse(sent.value, response, options);
     }
     if (!response.headersSent) {
-      response.writeHead(502).end();
+      response.writeHead(502, {'content-length': 0}).end();
     }
   });
   const address = await listen(server, {host: '127.0.0.1', port: 0});
@@ -195,3 +195,17 @@
   expect(callerResponse.status).to.equal(200);
   expect(relayed?.outcome).to.equal('cancelled');
 });
+
+// Guards against a process that ends because the head of one response cannot be written.
+it('relay: an unexpected error ends its own response alone', async () => {
+  const bytes = agentResponse('application/json', '{"answer":"whole"}');
+  const faults: string[] = [];
+  const {callerResponse, relayed} = await relay(bytes, {
+    ...OPTIONS,
+    headers: {'x y': 'z'},
+    onFault: ({message}) => faults.push(message),
+  });
+  expect(relayed?.outcome).to.equal('lost');
+  expect(callerResponse?.status).to.equal(502);
+  expect(faults).to.have.length(1);
+});
--- a/entry/entry-server/src/response-sender.ts
+++ b/entry/entry-server/src/response-sender.ts
@@ -45,7 +45,7 @@
     response: ServerResponse,
     resumer?: StreamResumer,
   ): Promise<Result<StoredAnswer | undefined, Refusal>> {
-    const {metrics} = this.options;
+    const {events, metrics} = this.options;
     const contentType = upstream.message.headers['content-type'] ?? '';
     const isStream = contentType.startsWith('text/event-stream');
     const elapsedMs = performance.now() - job.startedAt;
@@ -61,6 +61,7 @@
       maxStoredBytes: job.key === undefined ? 0 : MAX_STORED_ANSWER_BYTES,
       outlivesCaller: !isRepeatable(job),
       signal: job.signal,
+      onFault: ({message}) => events.record('request-error', {message}, job.id),
       resumer:
         endsWithDone && resumeWindowMs(upstream.message) > 0
           ? resumer
