Take only events that follow for the rest of a stream (ORDER, MIXED)

Clients that take up a stream themselves got JSON, events from the beginning, without numbers, twice or with a gap, with status 200.

Cause: only the status told whether a response is the rest of a stream; bytes held back at its end went out unchecked; the number that must follow was not known for streams that clients take up; any bytes up to an empty line were an event.

Change: type, signature, encoding, lines and numbers of the rest are checked. The entry goes on trying while attempts are left, and passes over targets that had failed the call before.

Ruled out: answers of status 4xx and 5xx were dropped before already.

--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -264,6 +264,12 @@
     meaning:
       'The connection over which a replica of control receives the origins of streams was lost, so that it receives the recent ones again, or the replica has not answered a lookup.',
   },
+  'stream-invalid': {
+    number: 762,
+    level: 'warn',
+    meaning:
+      'The bytes of a target cannot be the rest of a stream after event `after`; they are dropped, and the stream is resumed at another target or breaks off.',
+  },
   'target-start-unconfirmed': {
     number: 760,
     level: 'warn',
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -19,6 +19,7 @@
 import type {TargetLimits} from './target-limits.js';
 import {
   createRefusalForFailure,
+  isSuccess,
   type TargetResponse,
   type TargetClient,
   type TargetFailure,
@@ -84,7 +85,6 @@
 const MAX_LOGGED_LENGTH = 64;
 const STATUS_OK = 200;
 const EVENT_STREAM_TYPE = 'text/event-stream';
-const STATUS_REDIRECT = 300;
 
 /** Sends calls to targets and records the results. */
 export class AttemptSender {
@@ -146,7 +146,9 @@
     }
     const response = this.identifyStart(call, attempt, sent.value);
     const isContinued = (resumeAfter ?? 0) > 0;
-    const failure = isContinued ? await findStartFailure(response) : undefined;
+    const failure = isContinued
+      ? (findTypeFailure(call, response) ?? (await findStartFailure(response)))
+      : undefined;
     if (failure !== undefined) {
       this.endAttempt(running);
       return Result.err(failure);
@@ -492,7 +494,28 @@
   }
 }
 
-/** Why a response can't continue a stream; undefined if it can. */
+/** Why a successful response is not the rest of a stream; undefined if it may be. */
+function findTypeFailure(
+  call: Call,
+  {message}: TargetResponse,
+): TargetFailure | undefined {
+  const isForeign =
+    call.route.streaming &&
+    isSuccess(message.statusCode) &&
+    !isStream(call, message);
+  if (!isForeign) {
+    return undefined;
+  }
+  discardBody(message);
+  const type = message.headers['content-type'];
+  return {
+    kind: 'broken',
+    outcome: 'unknown',
+    message: `status ${message.statusCode} with type "${type}" is not the rest of a stream`,
+  };
+}
+
+/** Why the start of a target can't continue a stream; undefined if it can. */
 async function findStartFailure({
   isAnnouncedStart,
   message,
@@ -535,10 +558,6 @@
   );
 }
 
-function isSuccess(status = 0): boolean {
-  return status >= STATUS_OK && status < STATUS_REDIRECT;
-}
-
 /** What identifies the request when it is sent again, and its prompt, for the log. */
 function describeRequest(call: Call): Record<string, string> {
   return {fingerprint: call.fingerprint(), ...describePrompt(call)};
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -28,6 +28,14 @@
   readonly metrics: DirectRoutingMetrics;
 }
 
+/** What is known of the search for the target of an attempt. */
+interface AttemptSearch {
+  /** Origin of the stream that the call takes up; undefined if it begins one. */
+  readonly origin: StreamOrigin | undefined;
+  /** IDs of targets that did not serve earlier attempts. */
+  readonly excluded: ReadonlySet<string>;
+}
+
 /** Result of a call: answered, or a refusal that remains to be sent. */
 export type CallResult = Result<undefined, Refusal>;
 
@@ -91,7 +99,7 @@
         target.value,
         attemptNumber,
         response,
-        origin,
+        {origin, excluded},
       );
       if (result.isOk) {
         return result;
@@ -116,7 +124,7 @@
     target: TargetAnnouncement,
     attemptNumber: number,
     response: ServerResponse,
-    origin: StreamOrigin | undefined,
+    search: AttemptSearch,
   ): Promise<CallResult> {
     const {sender} = this.options;
     const attempt = sender.startAttempt(call, target, attemptNumber);
@@ -129,7 +137,7 @@
             attempt,
             sent.value,
             response,
-            origin,
+            search,
           );
     } finally {
       attempt.tracker.end(performance.now());
@@ -145,7 +153,7 @@
     attempt: Attempt,
     upstream: TargetResponse,
     response: ServerResponse,
-    origin: StreamOrigin | undefined,
+    search: AttemptSearch,
   ): Promise<CallResult> {
     const {metrics, sender} = this.options;
     const {metadata, message} = upstream;
@@ -158,7 +166,7 @@
       return Result.err(sender.handleRejection(call, attempt, upstream));
     }
     metrics.recordAttempt(call.service.name, hasFailed ? 'failed' : 'answered');
-    const outcome = await this.relay(call, attempt, upstream, response, origin);
+    const outcome = await this.relay(call, attempt, upstream, response, search);
     return outcome === 'lost'
       ? Result.err(createTornResponseRefusal())
       : Result.ok(undefined);
@@ -169,10 +177,12 @@
     attempt: Attempt,
     upstream: TargetResponse,
     response: ServerResponse,
-    origin: StreamOrigin | undefined,
+    {excluded, origin}: AttemptSearch,
   ): Promise<RelayOutcome> {
     const {events, metrics} = this.options;
     const {metadata, route, service, startedAt} = call;
+    const {resumeAfter = 0} = metadata;
+    const isTakenUp = resumeAfter > 0;
     const isStream =
       route.streaming && upstream.message.statusCode === STATUS_OK;
     upstream.message.once('data', () => {
@@ -185,6 +195,7 @@
             this.options,
             call,
             attempt,
+            excluded,
             upstream.isAnnouncedStart,
             origin,
           )
@@ -198,6 +209,9 @@
       outlivesCaller: false,
       signal: call.signal,
       resumer,
+      resumeAfter: isTakenUp ? resumeAfter : undefined,
+      onInvalidStream: after =>
+        events.record('stream-invalid', {after}, metadata.id),
       onFault: ({message}) =>
         events.record('request-error', {message}, metadata.id),
     });
--- a/entry/direct-routing/src/call-stream-resumer.ts
+++ b/entry/direct-routing/src/call-stream-resumer.ts
@@ -34,13 +34,15 @@
     private readonly options: CallStreamResumerOptions,
     private readonly call: Call,
     first: Attempt,
+    /** IDs of targets that did not serve earlier attempts of the call. */
+    excluded: ReadonlySet<string>,
     /** Whether the first attempt's response comes from the announced start of its target. */
     private readonly isAnnouncedStart: Promise<boolean> | undefined,
     /** Origin of the stream that the call takes up; undefined if the call begins it. */
     private readonly origin: StreamOrigin | undefined,
   ) {
     this.begunAt = options.streamOrigins.originAt(call, first.target);
-    this.triedTargets = new Set([first.target.id]);
+    this.triedTargets = new Set([...excluded, first.target.id]);
     this.attemptNumber = first.number;
   }
 
@@ -50,6 +52,25 @@
    */
   async reopen(after: number): Promise<UpstreamResponse | undefined> {
     this.end();
+    const hasBegun = after >= 0;
+    if (hasBegun && (await this.isAnnouncedStart) === false) {
+      return undefined;
+    }
+    for (;;) {
+      const attempt = await this.startAttempt(hasBegun);
+      if (attempt === undefined) {
+        return undefined;
+      }
+      const rest = await this.open(attempt, after);
+      if (rest !== undefined) {
+        return rest;
+      }
+      this.end();
+    }
+  }
+
+  /** Finds a target for the rest of the stream; undefined if there is none, or if no attempt is left. */
+  private async startAttempt(hasBegun: boolean): Promise<Attempt | undefined> {
     const {call, options} = this;
     const isLast = this.attemptNumber >= call.route.maxAttempts;
     if (call.signal.aborted || isLast) {
@@ -58,17 +79,11 @@
     if (!(await options.retryLimiter.acquire(call.service.name, call.signal))) {
       return undefined;
     }
-    const hasBegun = after >= 0;
-    if (hasBegun && (await this.isAnnouncedStart) === false) {
-      return undefined;
-    }
-    const now = performance.now();
-    const origin = this.origin ?? (hasBegun ? this.begunAt : undefined);
     const found = await options.finder.find(
       call,
       this.triedTargets,
-      now,
-      origin,
+      performance.now(),
+      this.origin ?? (hasBegun ? this.begunAt : undefined),
     );
     if (found.isErr) {
       return undefined;
@@ -81,7 +96,7 @@
       target,
       this.attemptNumber,
     );
-    return this.open(this.current, after);
+    return this.current;
   }
 
   cancel(): void {
--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -66,6 +66,8 @@
  * milliseconds, while a lost first packet is resent only after a second.
  */
 const CONNECT_TIMEOUT_MS = 600;
+const STATUS_OK = 200;
+const STATUS_REDIRECT = 300;
 
 /** Sends calls to targets and parses the headers of their responses. */
 export class TargetClient {
@@ -257,6 +259,10 @@
       const reason = 'the response belongs to another call';
       return this.reject(request, message, 'crossed', reason);
     }
+    if (isSuccess(message.statusCode) && !metadata.isAttested) {
+      const reason = 'the target does not attest that the response is its own';
+      return this.reject(request, message, 'broken', reason);
+    }
     return Result.ok({
       metadata,
       method,
@@ -266,6 +272,11 @@
   }
 }
 
+/** Whether a status says that the call ran to a good end. */
+export function isSuccess(status = 0): boolean {
+  return status >= STATUS_OK && status < STATUS_REDIRECT;
+}
+
 /** The refusal that the caller gets for a final failure. */
 export function createRefusalForFailure(failure: TargetFailure): Refusal {
   const {kind, outcome, message} = failure;
--- a/entry/direct-routing/src/wire-format.ts
+++ b/entry/direct-routing/src/wire-format.ts
@@ -55,6 +55,8 @@
 export interface ResponseMetadata {
   /** Whether the response carries the ID of the call that was sent. */
   readonly matchesCallId: boolean;
+  /** Whether the target attests that a successful response and its body are its own. */
+  readonly isAttested: boolean;
   /** Whether the target states that it did not run the call. */
   readonly hasNotRun: boolean;
   /**
--- a/entry/direct-routing/test/blocked-attempts.test.ts
+++ b/entry/direct-routing/test/blocked-attempts.test.ts
@@ -13,6 +13,7 @@
 const WIRE_FORMAT = {
   parseResponseHeaders: () => ({
     matchesCallId: true,
+    isAttested: true,
     hasNotRun: false,
     isMisdirected: false,
   }),
--- a/entry/direct-routing/test/target-client.test.ts
+++ b/entry/direct-routing/test/target-client.test.ts
@@ -11,6 +11,7 @@
 const WIRE_FORMAT = {
   parseResponseHeaders: ({headers}, id) => ({
     matchesCallId: headers['call-id'] === id,
+    isAttested: true,
     hasNotRun: false,
     isMisdirected: false,
   }),
--- a/entry/direct-routing/test/unframed-streams.test.ts
+++ b/entry/direct-routing/test/unframed-streams.test.ts
@@ -13,6 +13,7 @@
 const WIRE_FORMAT = {
   parseResponseHeaders: () => ({
     matchesCallId: true,
+    isAttested: true,
     hasNotRun: false,
     isMisdirected: false,
   }),
--- a/entry/dispatch/src/numbered-event-buffer.ts
+++ b/entry/dispatch/src/numbered-event-buffer.ts
@@ -1,14 +1,12 @@
-const BLANK_LINE = Buffer.from('\n\n');
-const BLANK_LINE_CRLF = Buffer.from('\n\r\n');
-const END_MARKER = Buffer.from('data: [DONE]');
-const NUMBER_FIELD = Buffer.from('id: ');
-const CODE_ZERO = 48;
-const CODE_NINE = 57;
-const EVENT_NUMBER = /^id: ?(\d{1,9})\r?$/m;
+import {findBlockEnd, readEventBlock} from './event-block.js';
+
 const EMPTY = Buffer.alloc(0);
 /** Maximum size of an incomplete event, in bytes. */
 const MAX_EVENT_BYTES = 1_048_576;
 
+/** What the stream is once its first event has arrived. */
+type StreamKind = 'unknown' | 'numbered' | 'unnumbered' | 'invalid';
+
 /**
  * Forwards only complete events of a numbered stream, so that a broken stream
  * can be resumed after the last one. The end marker is held back until the
@@ -16,10 +14,13 @@
  */
 export class NumberedEventBuffer {
   private buffered: Buffer = EMPTY;
-  private lastNumber = -1;
-  private isAtStart = true;
-  private hasNumbers = true;
-  private invalid = false;
+  private kind: StreamKind = 'unknown';
+  private lastNumber: number;
+
+  /** `after` is the number of the last event that the caller has; -1 if none. */
+  constructor(after = -1) {
+    this.lastNumber = after;
+  }
 
   /** Number of the last event that was forwarded; -1 if none. */
   get lastEventNumber(): number {
@@ -28,11 +29,11 @@
 
   /**
    * Whether the received bytes cannot be the rest of the stream: a resumed
-   * stream did not start with the event after the last one, or an event exceeds
-   * the maximum size.
+   * stream did not start with the event after the last one, a number is not
+   * higher than the one before it, or the bytes are no events.
    */
   get isInvalid(): boolean {
-    return this.invalid;
+    return this.kind === 'invalid';
   }
 
   /**
@@ -40,50 +41,48 @@
    * unchanged.
    */
   get isNumbered(): boolean {
-    return this.hasNumbers;
+    return this.kind !== 'unnumbered';
   }
 
   /** Adds received bytes; returns those that can be forwarded. */
   add(chunk: Buffer): Buffer {
-    if (!this.hasNumbers) {
+    if (this.kind === 'unnumbered') {
       return chunk;
     }
     const bytes =
       this.buffered.length === 0
         ? chunk
         : Buffer.concat([this.buffered, chunk]);
-    let end = findEventEnd(bytes, bytes.length + 1);
-    if (this.isAtStart && end > 0) {
-      this.checkFirstNumber(bytes, end);
-    }
-    if (this.invalid || !this.hasNumbers) {
+    const end = this.acceptBlocks(bytes);
+    // `acceptBlocks` may have found that the stream has no numbers.
+    if (!this.isNumbered) {
       this.buffered = EMPTY;
-      return this.invalid ? EMPTY : bytes;
-    }
-    let start = findEventEnd(bytes, end);
-    const marker = bytes.indexOf(END_MARKER, start);
-    if (marker >= 0 && marker < end) {
-      end = start;
-      start = findEventEnd(bytes, end);
+      return bytes;
     }
     if (bytes.length - end > MAX_EVENT_BYTES) {
-      this.invalid = true;
-      this.buffered = EMPTY;
-      return EMPTY;
-    }
-    this.buffered = end === bytes.length ? EMPTY : bytes.subarray(end);
-    if (end > 0) {
-      const number = parseEventNumber(bytes, start, end);
-      this.lastNumber = number ?? this.lastNumber;
+      this.kind = 'invalid';
     }
-    return end === bytes.length ? bytes : bytes.subarray(0, end);
+    this.buffered = this.isInvalid ? EMPTY : bytes.subarray(end);
+    return bytes.subarray(0, end);
   }
 
-  /** Returns the end marker; called once the stream is known to be complete. */
-  flush(): Buffer {
+  /**
+   * Returns what was held back, once the stream is known to be complete: the
+   * end marker, or a body that is no stream. Undefined if the bytes cannot be
+   * the end of the stream.
+   */
+  finish(): Buffer | undefined {
     const {buffered} = this;
     this.buffered = EMPTY;
-    return buffered;
+    if (this.kind === 'unknown' && this.lastNumber < 0) {
+      return buffered;
+    }
+    const {hasEvent, isEndMarker, isValid} = readEventBlock(
+      buffered,
+      0,
+      buffered.length,
+    );
+    return isValid && (isEndMarker || !hasEvent) ? buffered : undefined;
   }
 
   /**
@@ -91,47 +90,47 @@
    */
   restart(): void {
     this.buffered = EMPTY;
-    this.isAtStart = true;
-    this.invalid = false;
+    this.kind = 'unknown';
   }
 
-  private checkFirstNumber(bytes: Buffer, end: number): void {
-    this.isAtStart = false;
-    const number = parseEventNumber(bytes, 0, end);
-    if (this.lastNumber >= 0) {
-      this.invalid = number !== this.lastNumber + 1;
-    } else {
-      this.hasNumbers = number !== undefined;
+  /** Accepts the complete blocks of `bytes` up to the end marker; returns their end. */
+  private acceptBlocks(bytes: Buffer): number {
+    let start = 0;
+    for (;;) {
+      const end = findBlockEnd(bytes, start);
+      if (end === undefined || !this.acceptBlock(bytes, start, end)) {
+        return start;
+      }
+      start = end;
     }
   }
-}
-
-/** End of the last event that ends before `end`; 0 if there is none. */
-function findEventEnd(bytes: Buffer, end: number): number {
-  const lastAfter = (line: Buffer) => {
-    const from = end - 1 - line.length;
-    const at = from < 0 ? -1 : bytes.lastIndexOf(line, from);
-    return at < 0 ? 0 : at + line.length;
-  };
-  return Math.max(lastAfter(BLANK_LINE), lastAfter(BLANK_LINE_CRLF));
-}
 
-/** The number of the event that starts at `start`; undefined if it has none. */
-function parseEventNumber(
-  bytes: Buffer,
-  start: number,
-  end: number,
-): number | undefined {
-  if (!NUMBER_FIELD.every((byte, index) => bytes[start + index] === byte)) {
-    const match = EVENT_NUMBER.exec(bytes.toString('latin1', start, end));
-    return match === null ? undefined : Number(match[1]);
+  /** Whether the block from `start` to before `end` can be forwarded now. */
+  private acceptBlock(bytes: Buffer, start: number, end: number): boolean {
+    const block = readEventBlock(bytes, start, end);
+    const {hasEvent, isEndMarker, isValid, number} = block;
+    const isFirst = this.kind === 'unknown';
+    if (isValid && !hasEvent) {
+      return true;
+    }
+    if (isFirst && this.lastNumber < 0) {
+      this.kind = isValid && number !== undefined ? 'numbered' : 'unnumbered';
+    } else if (!isValid || !this.isNext(number, isFirst)) {
+      this.kind = 'invalid';
+    } else {
+      this.kind = 'numbered';
+    }
+    if (this.kind !== 'numbered' || isEndMarker) {
+      return false;
+    }
+    this.lastNumber = number ?? this.lastNumber;
+    return true;
   }
-  const first = start + NUMBER_FIELD.length;
-  let number = 0;
-  let position = first;
-  while (bytes[position] >= CODE_ZERO && bytes[position] <= CODE_NINE) {
-    number = number * 10 + bytes[position] - CODE_ZERO;
-    position += 1;
+
+  /** Whether an event with this number may follow the last one. */
+  private isNext(number: number | undefined, isFirst: boolean): boolean {
+    return isFirst
+      ? number === this.lastNumber + 1
+      : number === undefined || number > this.lastNumber;
   }
-  return position === first ? undefined : number;
 }
--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -52,6 +52,10 @@
   readonly signal: AbortSignal;
   /** Set if a broken response can be resumed. */
   readonly resumer?: StreamResumer;
+  /** Number of the last event that the caller has, if it takes up a stream. */
+  readonly resumeAfter?: number;
+  /** Called if a target's bytes cannot be the rest of the stream after event `after`. */
+  readonly onInvalidStream?: (after: number) => void;
   /** Called with an unexpected error, which ends the response as broken. */
   readonly onFault?: (fault: Fault) => void;
 }
@@ -110,7 +114,8 @@
     private readonly resolve: (relayed: RelayResult) => void,
   ) {
     this.completenessCheck = this.createCheck(upstream);
-    this.eventBuffer = options.resumer && new NumberedEventBuffer();
+    this.eventBuffer =
+      options.resumer && new NumberedEventBuffer(options.resumeAfter);
     this.status = upstream.message.statusCode ?? 502;
     this.acceptsChunks = response.useChunkedEncodingByDefault;
   }
@@ -177,7 +182,7 @@
     this.completenessCheck.add(chunk);
     this.forward(eventBuffer === undefined ? chunk : eventBuffer.add(chunk));
     if (eventBuffer?.isInvalid === true) {
-      this.handleBreak();
+      this.handleInvalidStream(eventBuffer);
     }
   }
 
@@ -248,12 +253,20 @@
   }
 
   private handleEnd(): void {
+    const {eventBuffer} = this;
     if (!this.completenessCheck.isComplete()) {
       this.handleBreak();
       return;
     }
+    if (eventBuffer !== undefined) {
+      const rest = eventBuffer.finish();
+      if (rest === undefined) {
+        this.handleInvalidStream(eventBuffer);
+        return;
+      }
+      this.forward(rest);
+    }
     this.isComplete = true;
-    this.forward(this.eventBuffer?.flush() ?? Buffer.alloc(0));
     if (this.hasCallerDisconnected) {
       this.settle('whole');
       return;
@@ -276,6 +289,11 @@
       : {'content-length': this.bufferedBytes};
   }
 
+  private handleInvalidStream({lastEventNumber}: NumberedEventBuffer): void {
+    this.options.onInvalidStream?.(lastEventNumber);
+    this.handleBreak();
+  }
+
   private handleBreak(): void {
     if (this.isComplete || this.isSettled) {
       return;
--- a/entry/dispatch/test/resume.test.ts
+++ b/entry/dispatch/test/resume.test.ts
@@ -207,7 +207,7 @@
     const before = Buffer.concat(passed).toString();
     expect(before, `pieces of ${size}`).to.equal(EVENTS[0] + EVENTS[1]);
     expect(events.lastEventNumber).to.equal(1);
-    expect(events.flush().toString()).to.equal(EVENTS[2]);
+    expect(events.finish()?.toString()).to.equal(EVENTS[2]);
   }
 });
 
