Believe no refusal that comes again on a kept connection (REFUSED, TWICE)

Cause here: a response that arrived before its call was written was taken for the answer if the ID fitted, and the call was written after it. A call whose ID was refused over the same connection before can't tell the copy from the answer.

Ruled out: another call gets the copy (the ID differs, the outcome is unknown), and to give up each connection after a refusal, which overloaded targets would pay for.

--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -72,6 +72,11 @@
 /** Sends calls to targets and parses the headers of their responses. */
 export class TargetClient {
   private readonly agent = new TargetHttpAgent();
+  /**
+   * Opens a connection per call, for calls whose earlier refusal might come again
+   * on a kept one.
+   */
+  private readonly singleUseAgent = new http.Agent({keepAlive: false});
 
   constructor(private readonly wireFormat: WireFormat) {}
 
@@ -80,11 +85,19 @@
    * the failure.
    */
   send(call: TargetCall): Promise<Result<TargetResponse, TargetFailure>> {
-    return new TargetExchange(call, this.agent, this.wireFormat).run();
+    const [host, port] = call.address.split(':');
+    const isRepeated = this.agent.hasRefused({host, port}, call.id);
+    return new TargetExchange(
+      call,
+      isRepeated ? this.singleUseAgent : this.agent,
+      this.wireFormat,
+      connection => this.agent.recordRefusal(connection, call.id),
+    ).run();
   }
 
   close(): void {
     this.agent.destroy();
+    this.singleUseAgent.destroy();
   }
 }
 
@@ -100,6 +113,8 @@
     private readonly call: TargetCall,
     private readonly agent: http.Agent,
     private readonly wireFormat: WireFormat,
+    /** Called with the connection over which the call was refused. */
+    private readonly onRefusal: (connection: Socket) => void,
   ) {}
 
   run(): Promise<Result<TargetResponse, TargetFailure>> {
@@ -242,7 +257,8 @@
     request.on('error', () => {});
     message.on('error', () => {});
     this.abort(request, kind);
-    return Result.err({kind, outcome: 'unknown', message: reason});
+    const outcome = this.hasSent ? 'unknown' : 'not-run';
+    return Result.err({kind, outcome, message: reason});
   }
 
   private readResponse(
@@ -250,6 +266,10 @@
     message: http.IncomingMessage,
   ): Result<TargetResponse, TargetFailure> {
     const {id, method} = this.call;
+    if (!this.hasSent) {
+      const reason = 'a response arrived before the call was sent';
+      return this.reject(request, message, 'crossed', reason);
+    }
     const invalid = findInvalidHead(message);
     if (invalid !== undefined) {
       return this.reject(request, message, 'broken', invalid);
@@ -263,6 +283,9 @@
       const reason = 'the target does not attest that the response is its own';
       return this.reject(request, message, 'broken', reason);
     }
+    if (metadata.hasNotRun) {
+      this.onRefusal(message.socket);
+    }
     return Result.ok({
       metadata,
       method,
--- a/entry/direct-routing/test/target-client.test.ts
+++ b/entry/direct-routing/test/target-client.test.ts
@@ -12,7 +12,7 @@
   parseResponseHeaders: ({headers}, id) => ({
     matchesCallId: headers['call-id'] === id,
     isAttested: true,
-    hasNotRun: false,
+    hasNotRun: headers['not-run'] !== undefined,
     isMisdirected: false,
   }),
 } as WireFormat;
@@ -23,17 +23,23 @@
 /** Pieces of the response to each request, in the order of the requests. */
 let scriptedResponses: string[][];
 let connections = 0;
+let sockets: net.Socket[] = [];
+/** IDs of the calls that arrived. */
+let received: string[] = [];
 let port = 0;
 
 beforeEach(done => {
   connections = 0;
+  sockets = [];
+  received = [];
   server = net.createServer(socket => {
     connections += 1;
+    sockets.push(socket);
     socket.on('error', () => {});
-    socket.on(
-      'data',
-      () => void writePieces(socket, scriptedResponses.shift() ?? []),
-    );
+    socket.on('data', bytes => {
+      received.push(/^call-id: (.*)\r$/m.exec(bytes.toString())?.[1] ?? '');
+      void writePieces(socket, scriptedResponses.shift() ?? []);
+    });
   });
   server.listen(0, '127.0.0.1', () => {
     ({port} = server.address() as net.AddressInfo);
@@ -69,7 +75,7 @@
     address: `127.0.0.1:${port}`,
     method: 'GET',
     path: '/',
-    headers: () => ({}),
+    headers: () => ({'call-id': id}),
     isAwaited: () => true,
     body: Buffer.alloc(0),
     signal: new AbortController().signal,
@@ -177,6 +183,66 @@
   client.close();
 });
 
+const refusal = (id: string) => head(id, 'not-run: 1', 'content-length: 0');
+
+/** Sends a call that is refused, and reads the refusal; its connection is kept. */
+async function sendRefused(client: TargetClient, id: string): Promise<void> {
+  await readRefusal(client, id);
+  await pause(40);
+}
+
+async function readRefusal(client: TargetClient, id: string): Promise<void> {
+  const sent = await send(client, id);
+  const {message, metadata} = sent.unwrapOr(undefined)!;
+  expect(metadata.hasNotRun).to.equal(true);
+  message.resume();
+  await new Promise(resolve => message.on('close', resolve));
+}
+
+// Guards against "not run" for a call that runs, or a second run of it elsewhere.
+for (const id of ['one', 'two']) {
+  it(`target client: a refusal that comes again before call "${id}" is sent is not its answer`, async () => {
+    const client = new TargetClient(WIRE_FORMAT);
+    scriptedResponses = [[refusal('one')], [`${head(id)}body`]];
+    await sendRefused(client, 'one');
+    // The copy has arrived, and is read only after the call has got the connection.
+    sockets[0].write(refusal('one'));
+    const sent = await send(client, id);
+    expect(sent.isErr || !sent.value.metadata.hasNotRun).to.equal(true);
+    if (sent.isErr) {
+      expect(sent.error).to.include({kind: 'crossed', outcome: 'not-run'});
+      await pause(60);
+      expect(received).to.deep.equal(['one']);
+    }
+    client.close();
+  });
+
+  it(`target client: a refusal that comes again after call "${id}" was sent is not its answer`, async () => {
+    const client = new TargetClient(WIRE_FORMAT);
+    const body = `${head(id, 'content-length: 4')}body`;
+    scriptedResponses = [[refusal('one')], [refusal('one') + body]];
+    await sendRefused(client, 'one');
+    const sent = await send(client, id);
+    const isRefused = sent.isOk && sent.value.metadata.hasNotRun;
+    expect(isRefused && connections === 1).to.equal(false);
+    expect(sent.isErr && sent.error.outcome === 'not-run').to.equal(false);
+    client.close();
+  });
+}
+
+it('target client: a connection that brought many refusals is not kept', async () => {
+  const client = new TargetClient(WIRE_FORMAT);
+  const count = 300;
+  scriptedResponses = Array.from({length: count}, (_, index) => [
+    refusal(`c${index}`),
+  ]);
+  for (let index = 0; index < count; index += 1) {
+    await readRefusal(client, `c${index}`);
+  }
+  expect(connections).to.be.within(2, 10);
+  client.close();
+});
+
 it('target client: a refused connection proves that nothing ran', async () => {
   const client = new TargetClient(WIRE_FORMAT);
   server.close();
--- a/machines/http-link/src/target-http-agent.ts
+++ b/machines/http-link/src/target-http-agent.ts
@@ -16,6 +16,8 @@
  */
 const KEEP_ALIVE_SHARE = 0.7;
 const MS_PER_SECOND = 1_000;
+/** Number of refused calls after which a connection is not kept; their IDs take memory. */
+const MAX_REFUSED_CALLS = 128;
 
 /**
  * HTTP agent for connections to targets. A connection that receives bytes or
@@ -23,6 +25,8 @@
  */
 export class TargetHttpAgent extends http.Agent {
   private readonly idleListeners = new WeakMap<Duplex, () => void>();
+  /** IDs of the calls that were refused over each connection. */
+  private readonly refusedCalls = new WeakMap<Duplex, Set<string>>();
 
   constructor(options: Pick<http.AgentOptions, 'maxSockets'> = {}) {
     super({
@@ -33,9 +37,25 @@
     });
   }
 
+  /** Records that a call was refused over a connection, where the refusal may come again. */
+  recordRefusal(connection: Duplex, call: string): void {
+    const calls = this.refusedCalls.get(connection) ?? new Set();
+    this.refusedCalls.set(connection, calls.add(call));
+  }
+
+  /** Whether an idle connection to an address has brought a refusal of a call. */
+  hasRefused(address: {host: string; port: string}, call: string): boolean {
+    const {host, port} = address;
+    const idle = this.freeSockets[this.getName({host, port: Number(port)})];
+    return (
+      idle?.some(socket => this.refusedCalls.get(socket)?.has(call)) === true
+    );
+  }
+
   override keepSocketAlive(socket: Duplex): boolean {
     super.keepSocketAlive(socket);
-    if (socket.readableLength > 0) {
+    const refusedCount = this.refusedCalls.get(socket)?.size ?? 0;
+    if (socket.readableLength > 0 || refusedCount >= MAX_REFUSED_CALLS) {
       return false;
     }
     const destroy = () => socket.destroy();
