--- a/contracts/deployment/src/index.ts
+++ b/contracts/deployment/src/index.ts
@@ -98,6 +98,8 @@
   type SoftwareVersions,
   type StreamOrigin,
   type StreamOriginAnswer,
+  type StreamOriginLookup,
+  type VersionEvidence,
 } from './stream-origins.js';
 export {
   FENCE_ANSWER_SCHEMA,
--- a/contracts/deployment/src/stream-origins.ts
+++ b/contracts/deployment/src/stream-origins.ts
@@ -34,17 +34,6 @@
   origins: z.array(STREAM_ORIGIN_SCHEMA).max(MAX_STREAM_ORIGINS),
 });
 
-/** Request for the origin of the stream that a call began. */
-export const STREAM_ORIGIN_LOOKUP_SCHEMA = z.object({call: CALL_ID_SCHEMA});
-
-/** The origin of a stream; absent if the replica does not know it. */
-export const STREAM_ORIGIN_ANSWER_SCHEMA = z.object({
-  origin: STREAM_ORIGIN_SCHEMA.optional(),
-});
-
-/** The origin of a stream; absent if the replica does not know it. */
-export type StreamOriginAnswer = z.infer<typeof STREAM_ORIGIN_ANSWER_SCHEMA>;
-
 /** A software version that targets of a service have, or had. */
 export const SERVICE_VERSION_SCHEMA = TARGET_ANNOUNCEMENT_SCHEMA.pick({
   service: true,
@@ -74,3 +63,41 @@
 
 /** The software versions that targets had lately, as one process saw them. */
 export type SoftwareVersions = z.infer<typeof SOFTWARE_VERSIONS_SCHEMA>;
+
+/** What a replica of control knows of the software versions of a service. */
+export const VERSION_EVIDENCE_SCHEMA = z.object({
+  /**
+   * The versions in the replicated log and the base URLs of all replicas, no older than the
+   * request; absent if no quorum confirmed that.
+   */
+  confirmed: z
+    .object({
+      versions: z.array(SERVICE_VERSION_SCHEMA),
+      replicas: z.array(z.string()),
+    })
+    .optional(),
+  /** The versions that targets announced to the replica lately. */
+  recent: SOFTWARE_VERSIONS_SCHEMA,
+});
+
+/** What a replica of control knows of the software versions of a service. */
+export type VersionEvidence = z.infer<typeof VERSION_EVIDENCE_SCHEMA>;
+
+/** Request for the origin of the stream that a call takes up. */
+export const STREAM_ORIGIN_LOOKUP_SCHEMA = z.object({
+  /** ID of the call that began the stream; absent if the caller does not name it. */
+  call: CALL_ID_SCHEMA.optional(),
+  service: z.string().min(1).max(256),
+});
+
+/** Request for the origin of the stream that a call takes up. */
+export type StreamOriginLookup = z.infer<typeof STREAM_ORIGIN_LOOKUP_SCHEMA>;
+
+/** The origin of a stream; if the replica does not know it, the versions of its service. */
+export const STREAM_ORIGIN_ANSWER_SCHEMA = z.object({
+  origin: STREAM_ORIGIN_SCHEMA.optional(),
+  evidence: VERSION_EVIDENCE_SCHEMA.optional(),
+});
+
+/** The origin of a stream; if the replica does not know it, the versions of its service. */
+export type StreamOriginAnswer = z.infer<typeof STREAM_ORIGIN_ANSWER_SCHEMA>;
--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -250,7 +250,7 @@
     number: 753,
     level: 'info',
     meaning:
-      'The entry has looked up which target began the stream that a caller takes up; `source` tells whether the entry knew it, a replica of control did, or nobody (`unknown`), and `ageMs` is the age of its first event.',
+      'The entry has looked up which target began the stream that a caller takes up; `source` tells whether the entry knew it, a replica of control did, the service certainly has one version alone (`only-version`), or nobody (`unknown`), and `ageMs` is the age of its first event.',
   },
   'stream-origins-shared': {
     number: 754,
--- a/control/control-server/src/stream-origin-handlers.ts
+++ b/control/control-server/src/stream-origin-handlers.ts
@@ -46,13 +46,17 @@
 
 /** Creates the HTTP handler that looks up the origin of a stream. */
 export function createStreamOriginLookupHandler(
-  fleet: Pick<FleetManager, 'findStreamOrigin'>,
+  fleet: Pick<FleetManager, 'findStreamOrigin' | 'findVersionEvidence'>,
 ) {
   return createJsonHandler({
     maxBodyBytes: MAX_LOOKUP_BYTES,
     answer: async (message): Promise<StreamOriginAnswer> => {
-      const {call} = STREAM_ORIGIN_LOOKUP_SCHEMA.parse(message);
-      return {origin: fleet.findStreamOrigin(call)};
+      const {call, service} = STREAM_ORIGIN_LOOKUP_SCHEMA.parse(message);
+      const origin =
+        call === undefined ? undefined : fleet.findStreamOrigin(call);
+      return origin === undefined
+        ? {evidence: await fleet.findVersionEvidence(service)}
+        : {origin};
     },
   });
 }
--- a/control/fleet/src/fleet-manager.ts
+++ b/control/fleet/src/fleet-manager.ts
@@ -9,6 +9,7 @@
   StreamOrigin,
   TargetAnnouncement,
   TargetIncarnation,
+  VersionEvidence,
 } from '@marigoldspur/deployment';
 import type {
   DeploymentState,
@@ -195,6 +196,26 @@
     return this.streamOrigins.find(call);
   }
 
+  /** Returns what is known of the software versions of a service, no older than the call. */
+  async findVersionEvidence(service: string): Promise<VersionEvidence> {
+    const {deployments, log} = this.options;
+    const state = await this.confirmState();
+    const {observedMs, versions} = this.softwareVersions.snapshot(
+      performance.now(),
+    );
+    const isOfService = (version: ServiceVersion) =>
+      version.service === service;
+    return {
+      ...(state.isOk && {
+        confirmed: {
+          versions: deployments.recordedSoftwareVersions().filter(isOfService),
+          replicas: log.status().replicas.map(({url}) => url),
+        },
+      }),
+      recent: {observedMs, versions: versions.filter(isOfService)},
+    };
+  }
+
   /** Handles a target's notice that it ends. */
   leave(id: string, now: number): void {
     const incarnation = this.targets.leave(id, now);
--- a/control/fleet/test/fleet-manager.test.ts
+++ b/control/fleet/test/fleet-manager.test.ts
@@ -16,15 +16,21 @@
 let fleet: FleetManager;
 let deployments: DeploymentState;
 let hasQuorum: boolean;
+/** Whether a quorum confirms reads. */
+let isConfirmed: boolean;
 
 beforeEach(() => {
   deployments = new DeploymentState();
   hasQuorum = true;
+  isConfirmed = true;
   fleet = new FleetManager({
     deployments,
     log: {
-      readBarrier: async () => Result.ok(undefined),
-      status: () => ({replicas: []}),
+      readBarrier: async () =>
+        isConfirmed
+          ? Result.ok(undefined)
+          : Result.err(new Fault('NO_QUORUM', 'no quorum')),
+      status: () => ({replicas: [{url: 'http://r0'}]}),
     } as unknown as FleetManagerOptions['log'],
     commands: {
       recordSoftwareVersion: async (version: ServiceVersion) => {
@@ -108,6 +114,21 @@
   expect(targetsIn(messages)).to.deep.equal(['i1']);
 });
 
+it('fleet manager: the versions of a service are confirmed by a quorum at the time of the question', async () => {
+  announce(1);
+  await new Promise(resolve => setImmediate(resolve));
+  const {confirmed, recent} = await fleet.findVersionEvidence('s');
+  expect(confirmed?.versions.map(each => each.service)).to.deep.equal(['s']);
+  expect(confirmed?.replicas).to.deep.equal(['http://r0']);
+  expect(recent.versions).to.have.length(1);
+  const other = await fleet.findVersionEvidence('other');
+  expect(other.confirmed?.versions).to.deep.equal([]);
+  isConfirmed = false;
+  const unconfirmed = await fleet.findVersionEvidence('s');
+  expect(unconfirmed.confirmed).to.equal(undefined);
+  expect(unconfirmed.recent.versions).to.have.length(1);
+});
+
 it('fleet manager: followers learn versions of engines that announced themselves to other replicas', async () => {
   const origin: StreamOrigin = {
     call: 'c1',
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -13,7 +13,6 @@
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {RetryLimiter} from './retry-limiter.js';
 import {CallStreamResumer} from './call-stream-resumer.js';
-import {mayContinue} from '@marigoldspur/stream-origins';
 import type {StreamOrigins} from './stream-origins.js';
 import type {TargetFinder} from './target-finder.js';
 import type {TargetResponse} from './target-client.js';
@@ -63,11 +62,11 @@
   async run(call: Call, response: ServerResponse): Promise<CallResult> {
     const {finder, retryLimiter, streamOrigins} = this.options;
     retryLimiter.recordCall(call.service.name, performance.now());
-    const resolved = await streamOrigins.resolve(call, performance.now());
+    const resolved = await streamOrigins.resolve(call, () => performance.now());
     if (resolved.isErr) {
       return Result.err(resolved.error);
     }
-    let origin = resolved.value;
+    const origin = resolved.value;
     const excluded = new Set<string>();
     let refusal: Refusal | undefined;
     let mayHaveRun = false;
@@ -82,18 +81,6 @@
         const latest = laterRefusal(refusal, target.error);
         return Result.err(toFinalRefusal(latest, mayHaveRun));
       }
-      if (origin === undefined) {
-        // A second version may have become known during the search.
-        const again = await streamOrigins.resolve(call, performance.now());
-        if (again.isErr) {
-          return Result.err(toFinalRefusal(again.error, mayHaveRun));
-        }
-        origin = again.value;
-        if (origin !== undefined && !mayContinue(target.value, origin)) {
-          excluded.add(target.value.id);
-          continue;
-        }
-      }
       const result = await this.attempt(
         call,
         target.value,
--- a/entry/direct-routing/src/stream-origin-client.ts
+++ b/entry/direct-routing/src/stream-origin-client.ts
@@ -3,6 +3,8 @@
   STREAM_ORIGIN_ANSWER_SCHEMA,
   STREAM_ORIGIN_LOOKUP_PATH,
   type StreamOrigin,
+  type StreamOriginLookup,
+  type VersionEvidence,
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {toFault} from '@marigoldspur/faults';
@@ -23,13 +25,15 @@
 export interface LookupResult {
   /** The origin; undefined if no replica that answered knows it. */
   readonly origin: StreamOrigin | undefined;
-  /** Number of replicas that answered. */
-  readonly answers: number;
+  /** What the replicas that answered know of the versions of the service, by their base URL. */
+  readonly evidence: ReadonlyMap<string, VersionEvidence>;
 }
 
 /** Time for the replicas to answer a lookup, in milliseconds. */
 const LOOKUP_TIMEOUT_MS = 500;
-const MAX_RESPONSE_BYTES = 4_096;
+/** Time for the other replicas to answer once a quorum has confirmed one answer, in milliseconds. */
+const LAST_ANSWERS_MS = 100;
+const MAX_RESPONSE_BYTES = 1_048_576;
 
 /** Sends the origins of streams to all replicas of control, and looks them up there. */
 export class StreamOriginClient {
@@ -59,21 +63,27 @@
     this.uplinks.forEach(uplink => uplink.close());
   }
 
-  /** Looks up the stream that a call began; resolves with the first replica that knows it. */
-  lookUp(call: string): Promise<LookupResult> {
-    const replicas = this.options.replicas();
+  /**
+   * Looks up a stream that a call takes up; resolves with the first replica that knows it, or
+   * with what all replicas that answer in time know of the versions of its service.
+   */
+  lookUp(lookup: StreamOriginLookup): Promise<LookupResult> {
+    const evidence = new Map<string, VersionEvidence>();
     return new Promise(resolve => {
-      let answers = 0;
-      const requests = replicas.map(async replica => {
-        const answer = await this.ask(replica, call);
-        answers += answer === undefined ? 0 : 1;
+      const end = () => resolve({origin: undefined, evidence});
+      const requests = this.options.replicas().map(async replica => {
+        const answer = await this.ask(replica, lookup);
         if (answer?.origin !== undefined) {
-          resolve({origin: answer.origin, answers});
+          resolve({origin: answer.origin, evidence});
+        }
+        if (answer?.evidence !== undefined) {
+          evidence.set(replica, answer.evidence);
+          if (answer.evidence.confirmed !== undefined) {
+            setTimeout(end, LAST_ANSWERS_MS);
+          }
         }
       });
-      void Promise.all(requests).then(() =>
-        resolve({origin: undefined, answers}),
-      );
+      Promise.all(requests).then(end, end);
     });
   }
 
@@ -95,11 +105,11 @@
   }
 
   /** Asks one replica; undefined if it does not answer. */
-  private async ask(replica: string, call: string) {
+  private async ask(replica: string, lookup: StreamOriginLookup) {
     try {
       const answer = await exchangeJson({
         url: new URL(STREAM_ORIGIN_LOOKUP_PATH, replica),
-        body: {call},
+        body: lookup,
         agent: this.options.agent,
         signal: AbortSignal.timeout(LOOKUP_TIMEOUT_MS),
         maxAnswerBytes: MAX_RESPONSE_BYTES,
--- a/entry/direct-routing/src/stream-origins.ts
+++ b/entry/direct-routing/src/stream-origins.ts
@@ -1,13 +1,16 @@
 import {Result} from 'true-myth';
-import type {
-  ServiceVersion,
-  SoftwareVersions,
-  StreamOrigin,
-  TargetAnnouncement,
+import {
+  UNKNOWN_START_TIME,
+  type ServiceVersion,
+  type SoftwareVersions,
+  type StreamOrigin,
+  type TargetAnnouncement,
+  type TargetIncarnation,
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
 import {
+  findOnlyVersion,
   SoftwareVersionHistory,
   StreamOriginLedger,
   type VersionCertainty,
@@ -40,6 +43,8 @@
  * serve that this entry does not know, in milliseconds.
  */
 const UNFOLLOWED_GRACE_MS = 2_000;
+/** Target of a stream that began at any target of the only version. */
+const UNKNOWN_TARGET: TargetIncarnation = {id: '', bornAt: UNKNOWN_START_TIME};
 const NO_BODY = Buffer.alloc(0);
 /** Retry delay for callers while the replicas of control cannot be asked, in seconds. */
 const UNREACHABLE_RETRY_AFTER_SECONDS = 1;
@@ -127,48 +132,49 @@
   /** Returns the origin of a stream whose events come from a target. */
   originAt(call: Call, target: TargetAnnouncement): StreamOrigin {
     const {bornAt, id, service} = target;
-    return {
-      call: call.metadata.id,
-      request: fingerprintWithoutBody(call),
-      id,
-      bornAt,
-      service,
-      softwareVersion: this.options.versionOf(target),
-      ageMs: 0,
-    };
+    const softwareVersion = this.options.versionOf(target);
+    return createOrigin(call, {bornAt, id, service, softwareVersion});
   }
 
   /**
    * Resolves to the origin of the stream that a call takes up; to undefined if the call begins a
-   * stream or any target of its service may continue it; or to the reason why none may.
+   * stream; or to the reason why no target may continue it. What this entry believes may be old,
+   * so an origin that it does not know itself comes from control. `clock` returns the present
+   * time, in milliseconds.
    */
   async resolve(
     call: Call,
-    now: number,
+    clock: () => number,
   ): Promise<Result<StreamOrigin | undefined, Refusal>> {
     const {resumeAfter = 0, resumes} = call.metadata;
-    const isTakenUp = call.route.streaming && resumeAfter > 0;
-    const certainty = this.certaintyOf(call.service.name, now);
-    if (!isTakenUp || certainty === 'one') {
+    if (!call.route.streaming || resumeAfter <= 0) {
       return Result.ok(undefined);
     }
     const known = resumes === undefined ? undefined : this.ledger.find(resumes);
-    const {answers, origin} =
-      known !== undefined || resumes === undefined
-        ? {origin: known, answers: 0}
-        : await this.options.client.lookUp(resumes);
-    const isMatch =
-      origin !== undefined &&
-      origin.service === call.service.name &&
-      origin.request === fingerprintWithoutBody(call);
-    this.record(call, isMatch ? origin : undefined, known !== undefined);
-    if (isMatch) {
+    if (known !== undefined && isOriginOf(known, call)) {
+      this.record(call, known, 'entry');
+      return Result.ok(known);
+    }
+    const service = call.service.name;
+    const {evidence, origin} = await this.options.client.lookUp({
+      call: resumes,
+      service,
+    });
+    if (origin !== undefined && isOriginOf(origin, call)) {
+      this.record(call, origin, 'control');
       return Result.ok(origin);
     }
-    const mayBecomeOne =
-      certainty === 'unknown' && this.options.recordedVersions() === undefined;
-    const isFinal = (answers > 0 && !mayBecomeOne) || resumes === undefined;
-    return Result.err(createUnknownOriginRefusal(isFinal));
+    const only = findOnlyVersion(service, evidence, this.history, clock());
+    if (only !== undefined) {
+      const any = createOrigin(call, {...only, ...UNKNOWN_TARGET});
+      this.record(call, any, 'only-version');
+      return Result.ok(any);
+    }
+    this.record(call, undefined, 'unknown');
+    const isConfirmed = [...evidence.values()].some(
+      ({confirmed}) => confirmed !== undefined,
+    );
+    return Result.err(createUnknownOriginRefusal(isConfirmed));
   }
 
   private certaintyOf(service: string, now: number): VersionCertainty {
@@ -208,14 +214,13 @@
   private record(
     call: Call,
     origin: StreamOrigin | undefined,
-    isLocal: boolean,
+    source: 'entry' | 'control' | 'only-version' | 'unknown',
   ): void {
     this.options.events.record(
       'stream-origin-resolved',
       {
         resumes: call.metadata.resumes ?? '',
-        source:
-          origin === undefined ? 'unknown' : isLocal ? 'entry' : 'control',
+        source,
         ...(origin && {
           target: origin.id,
           version: origin.softwareVersion ?? 'unknown',
@@ -227,6 +232,26 @@
   }
 }
 
+function createOrigin(
+  call: Call,
+  target: TargetIncarnation & ServiceVersion,
+): StreamOrigin {
+  return {
+    call: call.metadata.id,
+    request: fingerprintWithoutBody(call),
+    ...target,
+    ageMs: 0,
+  };
+}
+
+/** Whether an origin is that of the stream that a call takes up. */
+function isOriginOf(origin: StreamOrigin, call: Call): boolean {
+  return (
+    origin.service === call.service.name &&
+    origin.request === fingerprintWithoutBody(call)
+  );
+}
+
 function fingerprintWithoutBody({headers, metadata, method, path}: Call) {
   return fingerprintRequest({
     method,
--- a/entry/direct-routing/test/stream-origin-client.test.ts
+++ b/entry/direct-routing/test/stream-origin-client.test.ts
@@ -100,18 +100,30 @@
   client.stop();
 });
 
+const LOOKUP = {call: 'c1', service: 's'};
+const RECENT = {recent: {observedMs: 1, versions: []}};
+
 it('stream origin client: a lookup ends with the first replica that knows the stream', async () => {
-  answers = [undefined, {}, {origin: origin('c1')}];
+  answers = [undefined, {evidence: RECENT}, {origin: origin('c1')}];
   const client = await start(3);
-  const {origin: found} = await client.lookUp('c1');
+  const {origin: found} = await client.lookUp(LOOKUP);
   expect(found?.softwareVersion).to.equal('v1');
 });
 
-it('stream origin client: a lookup that no replica can answer counts those that answered', async () => {
-  answers = [{}, {}, undefined];
+it('stream origin client: a lookup that no replica can answer gives what those that answered know', async () => {
+  answers = [{evidence: RECENT}, {evidence: RECENT}, undefined];
   const client = await start(3);
-  expect(await client.lookUp('c1')).to.deep.equal({
-    origin: undefined,
-    answers: 2,
-  });
+  const {evidence, origin: found} = await client.lookUp(LOOKUP);
+  expect(found).to.equal(undefined);
+  expect([...evidence.values()]).to.deep.equal([RECENT, RECENT]);
+});
+
+it('stream origin client: a lookup does not wait for all replicas once a quorum has confirmed an answer', async () => {
+  const confirmed = {versions: [], replicas: []};
+  answers = [undefined, {evidence: {...RECENT, confirmed}}, undefined];
+  const client = await start(3);
+  const startedAt = performance.now();
+  const {evidence} = await client.lookUp(LOOKUP);
+  expect(evidence.size).to.equal(1);
+  expect(performance.now() - startedAt).to.be.below(450);
 });
--- a/policy/stream-origins/src/index.ts
+++ b/policy/stream-origins/src/index.ts
@@ -1,3 +1,4 @@
+export {findOnlyVersion} from './find-only-version.js';
 export {mayContinue} from './may-continue.js';
 export {
   SoftwareVersionHistory,
--- a/policy/stream-origins/src/software-version-history.ts
+++ b/policy/stream-origins/src/software-version-history.ts
@@ -97,6 +97,13 @@
     );
   }
 
+  /** The only version of a service at time `now`, in milliseconds; undefined if that is not certain. */
+  onlyVersionOf(service: string, now: number): ServiceVersion | undefined {
+    return this.certaintyOf(service, now) === 'one'
+      ? this.versionsOf(service, now)[0]
+      : undefined;
+  }
+
   /** Whether a service has one version at time `now`, in milliseconds. */
   certaintyOf(service: string, now: number): VersionCertainty {
     const versions = this.versionsOf(service, now);
