--- a/control/consensus/src/configuration.ts
+++ b/control/consensus/src/configuration.ts
@@ -1,6 +1,17 @@
 import {z} from 'zod';
 
-/** ID and base URL of a replica. */
+/** Base URL of a replica, as another process states it. */
+export const REPLICA_URL_SCHEMA = z
+  .string()
+  .max(512)
+  .refine(isReplicaUrl, 'must be an HTTP URL');
+
+/** Whether a replica can be reached at a URL. */
+export function isReplicaUrl(url: string): boolean {
+  return /^https?:/.test(url) && URL.canParse(url);
+}
+
+/** ID and base URL of a replica. The log may hold URLs that were not checked. */
 export const REPLICA_ADDRESS_SCHEMA = z.object({
   /** Replica ID, stored in the replica's data folder. */
   id: z.string().min(1).max(64),
--- a/control/consensus/src/index.ts
+++ b/control/consensus/src/index.ts
@@ -1,9 +1,11 @@
 export {
   CONFIGURATION_SCHEMA,
   EMPTY_CONFIGURATION,
+  isReplicaUrl,
   isVoter,
   majority,
   REPLICA_ADDRESS_SCHEMA,
+  REPLICA_URL_SCHEMA,
   replicasOf,
   type Configuration,
   type ReplicaAddress,
--- a/control/replica-transport/src/replica-service.ts
+++ b/control/replica-transport/src/replica-service.ts
@@ -1,5 +1,9 @@
 import {z} from 'zod';
-import {MESSAGE_SCHEMA, REPLICA_ADDRESS_SCHEMA} from '@marigoldspur/consensus';
+import {
+  MESSAGE_SCHEMA,
+  REPLICA_ADDRESS_SCHEMA,
+  REPLICA_URL_SCHEMA,
+} from '@marigoldspur/consensus';
 
 const MAX_MESSAGES_PER_DELIVERY = 16_384;
 const MESSAGES_SCHEMA = z
@@ -9,7 +13,7 @@
 
 /** A batch of messages from one replica to another. */
 export const DELIVERY_SCHEMA = z.object({
-  from: REPLICA_ADDRESS_SCHEMA,
+  from: REPLICA_ADDRESS_SCHEMA.extend({url: REPLICA_URL_SCHEMA}),
   messages: MESSAGES_SCHEMA,
 });
 
@@ -29,7 +33,7 @@
 export const REQUESTER_IDENTITY_SCHEMA = REPLICA_IDENTITY_SCHEMA.pick({
   id: true,
   group: true,
-}).extend({url: z.string().min(1).max(512)});
+}).extend({url: REPLICA_URL_SCHEMA});
 
 /** Identity and base URL of the replica that queries an identity. */
 export type RequesterIdentity = z.infer<typeof REQUESTER_IDENTITY_SCHEMA>;
--- a/control/replicated-log/src/link-registry.ts
+++ b/control/replicated-log/src/link-registry.ts
@@ -1,5 +1,6 @@
 import type http from 'node:http';
 import {
+  isReplicaUrl,
   replicasOf,
   type Consensus,
   type Message,
@@ -31,10 +32,10 @@
 
   constructor(private readonly options: LinkRegistryOptions) {}
 
-  /** Sends a message if the URL of its receiver is known; otherwise drops it. */
+  /** Sends a message if the URL of its receiver is known and valid; otherwise drops it. */
   send(message: Message): void {
     const url = this.urlOf(message.to);
-    if (url !== undefined && url !== this.options.url) {
+    if (url !== undefined && url !== this.options.url && isReplicaUrl(url)) {
       this.getOrCreateLink(url).enqueue(message);
     }
   }
--- a/control/replicated-log/src/peer-registry.ts
+++ b/control/replicated-log/src/peer-registry.ts
@@ -1,3 +1,5 @@
+import {isReplicaUrl} from '@marigoldspur/consensus';
+
 /** Options of a peer registry. */
 export interface PeerRegistryOptions {
   /** Base URL of this replica. */
@@ -62,9 +64,9 @@
     }
   }
 
-  /** Adds a URL that another replica reported, if unlisted peers are allowed. */
+  /** Adds a URL that another replica reported, if it is valid and unlisted peers are allowed. */
   addDiscovered(url: string): void {
-    if (!this.allowsUnlistedPeers) {
+    if (!this.allowsUnlistedPeers || !isReplicaUrl(url)) {
       return;
     }
     this.discoveredUrls.delete(url);
