Claim no more of an answer without framing than its target did (MIXED)

Cause: since an answer that ends with its connection got a length or chunks. A target that cuts such an answer by an ordinary end can't be told from one that ends it, so a part of a body was framed as the whole.

Change: such an answer is held back until its target has ended, and then goes out in one piece without a length. The end of the entry's process can't cut it, and nothing claims more than the target did. Streams and answers of over 1 MiB go out in chunks still.

--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -5,7 +5,11 @@
 } from 'node:http';
 import {guard} from '@marigoldspur/fault-guard';
 import type {Fault} from '@marigoldspur/faults';
-import {TrailerCheck, type CompletenessCheck} from './completeness-check.js';
+import {
+  isDelimitedByClose,
+  TrailerCheck,
+  type CompletenessCheck,
+} from './completeness-check.js';
 import {responseHeaders} from './attempt-headers.js';
 import type {UpstreamResponse} from './attempt.js';
 import {NumberedEventBuffer} from './numbered-event-buffer.js';
@@ -78,7 +82,7 @@
  * Relays a target's response with backpressure from the caller. Nothing is sent
  * to the caller before more than `maxBufferedBytes` have arrived or the
  * response is complete. An incomplete response never ends cleanly, also if this process ends:
- * the caller always gets chunks or a length.
+ * the caller gets chunks or a length, or, where the target sent neither, the whole body at once.
  */
 export function relayResponse(
   upstream: UpstreamResponse,
@@ -92,6 +96,11 @@
 
 class ResponseRelay {
   private readonly status: number;
+  /**
+   * Whether only the end of the target's connection tells that the body is complete. A length or
+   * chunks would claim more than that.
+   */
+  private readonly isUnframed: boolean;
   /** Whether the caller accepts chunks; HTTP/1.0 has none. */
   private readonly acceptsChunks: boolean;
   private readonly eventBuffer: NumberedEventBuffer | undefined;
@@ -117,6 +126,8 @@
     this.eventBuffer =
       options.resumer && new NumberedEventBuffer(options.resumeAfter);
     this.status = upstream.message.statusCode ?? 502;
+    this.isUnframed =
+      upstream.method !== 'HEAD' && isDelimitedByClose(upstream.message);
     this.acceptsChunks = response.useChunkedEncodingByDefault;
   }
 
@@ -272,12 +283,24 @@
       return;
     }
     if (!this.hasStarted) {
-      this.startResponse(this.lengthHeaders());
+      this.startComplete();
     }
     this.flush();
     this.response.end(() => this.settle('whole'));
   }
 
+  /** Starts a response that has arrived completely. */
+  private startComplete(): void {
+    if (this.isUnframed) {
+      this.response.useChunkedEncodingByDefault = false;
+      this.response.shouldKeepAlive = false;
+    }
+    this.startResponse(this.isUnframed ? {} : this.lengthHeaders());
+    if (this.buffered.length > 1) {
+      this.buffered = [Buffer.concat(this.buffered)];
+    }
+  }
+
   private lengthHeaders(): OutgoingHttpHeaders {
     const {message, method} = this.upstream;
     if (method === 'HEAD') {
