--- a/entry/direct-routing/src/stream-origins.ts
+++ b/entry/direct-routing/src/stream-origins.ts
@@ -166,9 +166,9 @@
     }
     const only = findOnlyVersion(service, evidence, this.history, clock());
     if (only !== undefined) {
-      const any = createOrigin(call, {...only, ...UNKNOWN_TARGET});
-      this.record(call, any, 'only-version');
-      return Result.ok(any);
+      const anywhere = createOrigin(call, {...only, ...UNKNOWN_TARGET});
+      this.record(call, anywhere, 'only-version');
+      return Result.ok(anywhere);
     }
     this.record(call, undefined, 'unknown');
     const isConfirmed = [...evidence.values()].some(
