--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -75,6 +75,24 @@
     meaning:
       'The settings file has changed and its new content is invalid; the last valid content stays in force.',
   },
+  'deployment-announced': {
+    number: 713,
+    level: 'info',
+    meaning:
+      'A replica of control has applied a deployment and sent it to its `followers`; `unreadBytes` is what all of them together have not read yet.',
+  },
+  'fleet-follower-dropped': {
+    number: 714,
+    level: 'warn',
+    meaning:
+      'A replica of control has disconnected an entry that left too many bytes of the fleet stream unread.',
+  },
+  'deployment-received': {
+    number: 715,
+    level: 'info',
+    meaning:
+      'An entry has received a deployment from a replica of control, with the size of the message; `isNew` is false if it knew the deployment already.',
+  },
   'call-refused': {
     number: 720,
     level: 'info',
--- a/control/fleet/src/fleet-manager.ts
+++ b/control/fleet/src/fleet-manager.ts
@@ -97,6 +97,7 @@
       softwareVersions: () => this.softwareVersions.snapshot(performance.now()),
       confirm: async () => (await this.confirmState()).isOk,
       replicas: () => log.status().replicas.map(({url}) => url),
+      events: options.events,
     });
     this.silenceTimer = setInterval(
       () => this.removeSilentTargets(performance.now()),
--- a/control/fleet/src/fleet-stream-server.ts
+++ b/control/fleet/src/fleet-stream-server.ts
@@ -12,6 +12,7 @@
   type TargetLimit,
 } from '@marigoldspur/deployment';
 import type {DeploymentState} from '@marigoldspur/deployment-state';
+import type {EventLog} from '@marigoldspur/event-log';
 import type {TargetRegistry} from '@marigoldspur/target-registry';
 
 /** Options of a fleet stream server. */
@@ -28,6 +29,7 @@
   readonly confirm: () => Promise<boolean>;
   /** Base URLs of all replicas. */
   readonly replicas: () => readonly string[];
+  readonly events: EventLog;
 }
 
 interface Follower {
@@ -99,6 +101,22 @@
         ...(recordedVersions !== undefined && {recordedVersions}),
       });
     }
+    if (isNew) {
+      this.options.events.record('deployment-announced', {
+        revision: deployment.revision,
+        bytes: Buffer.byteLength(deployment.text),
+        followers: this.followers.size,
+        unreadBytes: this.unreadBytes,
+      });
+    }
+  }
+
+  /** Bytes that the followers have not read yet. */
+  private get unreadBytes(): number {
+    return [...this.followers].reduce(
+      (sum, {response}) => sum + response.writableLength,
+      0,
+    );
   }
 
   /** Broadcasts the announcement of a target whose content has changed. */
@@ -141,7 +159,8 @@
     const changed = text !== this.sentReplicas;
     this.sentReplicas = text;
     for (const follower of this.followers) {
-      send(follower, follower.isSynced && changed ? {replicas} : KEEPALIVE);
+      const message = follower.isSynced && changed ? {replicas} : KEEPALIVE;
+      this.send(follower, message);
     }
   }
 
@@ -156,7 +175,7 @@
     }
     follower.isSynced = true;
     const {crashRecords, deployments, limits, replicas, targets} = this.options;
-    send(follower, {
+    this.send(follower, {
       whole: true,
       deployment: deployments.deployment,
       versions: deployments.namedVersions(),
@@ -178,11 +197,21 @@
   private broadcast(message: FleetMessage): void {
     for (const follower of this.followers) {
       if (follower.isSynced) {
-        send(follower, message);
+        this.send(follower, message);
       }
     }
   }
 
+  private send({response}: Follower, message: FleetMessage): void {
+    const unreadBytes = response.writableLength;
+    if (unreadBytes > MAX_UNREAD_BYTES) {
+      this.options.events.record('fleet-follower-dropped', {unreadBytes});
+      response.destroy();
+      return;
+    }
+    response.write(`${JSON.stringify(message)}\n`);
+  }
+
   /** Returns all recorded software versions if there are new ones. */
   private takeNewSoftwareVersions(): ServiceVersion[] | undefined {
     const recorded = this.options.deployments.recordedSoftwareVersions();
@@ -206,11 +235,3 @@
     return changed;
   }
 }
-
-function send({response}: Follower, message: FleetMessage): void {
-  if (response.writableLength > MAX_UNREAD_BYTES) {
-    response.destroy();
-    return;
-  }
-  response.write(`${JSON.stringify(message)}\n`);
-}
--- a/control/fleet/test/fleet-stream-server.test.ts
+++ b/control/fleet/test/fleet-stream-server.test.ts
@@ -18,6 +18,7 @@
   crashRecords: () => ({reports: [], sightings: []}),
   limits: () => [],
   softwareVersions: () => ({observedMs: 0, versions: []}),
+  events: {record: () => {}},
 } as unknown as Omit<FleetStreamServerOptions, 'confirm'>;
 
 /** A follower's connection that emits each message written to it. */
--- a/entry/direct-routing/src/active-routes.ts
+++ b/entry/direct-routing/src/active-routes.ts
@@ -30,6 +30,7 @@
       return;
     }
     const {revision, text} = deployment;
+    const startedAt = performance.now();
     const parsed = this.wireFormat.parseDeployment(text);
     if (parsed.isErr) {
       const reason = formatFindings(parsed.error);
@@ -38,6 +39,7 @@
     }
     this.current = new RouteTable(parsed.value);
     const routes = parsed.value.routes.length;
-    this.events.record('deployment-in-force', {revision, routes});
+    const applyMs = Math.round(performance.now() - startedAt);
+    this.events.record('deployment-in-force', {revision, routes, applyMs});
   }
 }
--- a/entry/direct-routing/src/direct-routing-metrics.ts
+++ b/entry/direct-routing/src/direct-routing-metrics.ts
@@ -19,6 +19,7 @@
   private readonly permits: Counter<'granted'>;
   private readonly limitedTargets: Gauge;
   private readonly running: Gauge;
+  private readonly fleetBytes: Counter<'replica'>;
 
   constructor(registry: Registry) {
     const registers = [registry];
@@ -92,6 +93,12 @@
       help: 'Calls that are running or waiting',
       registers,
     });
+    this.fleetBytes = new Counter({
+      name: 'marigoldspur_fleet_received_bytes_total',
+      help: 'Bytes of the fleet streams, by replica of control',
+      labelNames: ['replica'],
+      registers,
+    });
   }
 
   /** Records that a response ended. */
@@ -146,4 +153,8 @@
   setRunning(count: number): void {
     this.running.set(count);
   }
+
+  recordFleetBytes(replica: string, bytes: number): void {
+    this.fleetBytes.inc({replica}, bytes);
+  }
 }
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -134,6 +134,7 @@
         permitClient.sendLimits(replica, targetLimits.limits(targets, now));
       }
     },
+    onReceived: (replica, bytes) => metrics.recordFleetBytes(replica, bytes),
   });
   const agentUrl = (address: string) =>
     `${security.scheme}://${address.split(':')[0]}:${settings.agentPort}`;
--- a/zones/fleet-client/src/fleet-follower.ts
+++ b/zones/fleet-client/src/fleet-follower.ts
@@ -45,6 +45,8 @@
     limits: readonly TargetLimit[],
     areAll: boolean,
   ) => void;
+  /** Called with the size of each message that a replica sent. */
+  readonly onReceived: (replica: string, bytes: number) => void;
 }
 
 /** A stream counts as lost after three missed messages. */
@@ -162,7 +164,10 @@
       url: new URL(FLEET_PATH, url),
       agent: this.options.agent,
       idleTimeoutMs: IDLE_TIMEOUT_MS,
-      onMessage: message => this.handleMessage(url, stream, message),
+      onMessage: (message, bytes) => {
+        this.options.onReceived(url, bytes);
+        this.handleMessage(url, stream, message, bytes);
+      },
       onEnd: reason => this.handleLoss(url, stream, reason),
     });
   }
@@ -171,6 +176,7 @@
     url: string,
     stream: ReplicaStream,
     raw: unknown,
+    bytes: number,
   ): void {
     const {events} = this.options;
     const {findings, message} = readFleetMessage(raw);
@@ -188,7 +194,18 @@
     if (recordedVersions.length > this.recorded.length) {
       this.recorded = recordedVersions;
     }
-    this.options.onChange(this.view.applyMessage(url, message));
+    const change = this.view.applyMessage(url, message);
+    if (message.deployment !== undefined) {
+      const {revision} = message.deployment;
+      const isNew = change.hasNewDeployment;
+      events.record('deployment-received', {
+        revision,
+        replica: url,
+        bytes,
+        isNew,
+      });
+    }
+    this.options.onChange(change);
     if (message.crashRecords !== undefined) {
       const areAll = message.whole === true;
       this.options.onCrashRecords(url, message.crashRecords, areAll);
--- a/zones/fleet-client/src/line-stream.ts
+++ b/zones/fleet-client/src/line-stream.ts
@@ -7,8 +7,8 @@
   readonly agent: http.Agent;
   /** Time without data after which the stream counts as lost, in milliseconds. */
   readonly idleTimeoutMs: number;
-  /** Called with each message; an exception ends the stream. */
-  readonly onMessage: (message: unknown) => void;
+  /** Called with each message and its size; an exception ends the stream. */
+  readonly onMessage: (message: unknown, bytes: number) => void;
   /** Called once with the reason when the stream has ended. */
   readonly onEnd: (reason: string) => void;
 }
@@ -37,7 +37,9 @@
   const readChunk = (chunk: Buffer) => {
     timer.refresh();
     try {
-      reader.push(chunk).forEach(line => onMessage(JSON.parse(line)));
+      reader
+        .push(chunk)
+        .forEach(line => onMessage(JSON.parse(line), Buffer.byteLength(line)));
     } catch (thrown) {
       end(String(thrown));
     }
