--- a/lab/partition-proxy/src/index.ts
+++ b/lab/partition-proxy/src/index.ts
@@ -5,3 +5,4 @@
   type LinkState,
 } from './partition-proxy.js';
 export {createRedirectVariables} from './redirect-variables.js';
+export {NarrowLink} from './narrow-link.js';
