Fetch deployments as differences from one replica of control at a time (CONFIG, DENIED)

What callers saw: 404 for routes that a confirmed configuration had added, seconds after configApplyMs, and nearly no response in time for ten seconds after a large configuration.

Cause: each of five replicas wrote the whole text of each revision to each of 28 entries. An entry's link of 7 Mbit/s carried each text five times, also revisions that were superseded while they waited; its callers' traffic waited behind them.

Change: the fleet stream carries the revision and digest of a deployment. An entry asks one replica that announced it for the text, and the next one if no answer comes in time; control answers with the difference from the deployment that the entry has, or the whole text, both compressed and computed once for all entries.

The test of the fleet view calls applyDeployment, as messages of replicas carry no text any more.

The same cause elsewhere: the table of routes copied all routes of a host for each one; broadcasts were serialized once for each entry.

--- a/contracts/deployment/src/fleet-messages.ts
+++ b/contracts/deployment/src/fleet-messages.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 import {NAMED_VERSION_SCHEMA} from './adapter-versions.js';
 import {CRASH_RECORDS_SCHEMA} from './crash-records.js';
+import {DEPLOYMENT_HEAD_SCHEMA} from './deployment-transfer.js';
 import {STATED_LIMIT_SCHEMA} from './request-limits.js';
 import {
   SERVICE_VERSION_SCHEMA,
@@ -12,8 +13,8 @@
 } from './target-announcement.js';
 
 /**
- * Path at which a replica of control streams the state of the fleet: the active deployment,
- * the named adapter versions and the targets.
+ * Path at which a replica of control streams the state of the fleet: the head of the active
+ * deployment, the named adapter versions and the targets.
  */
 export const FLEET_PATH = '/fleet';
 
@@ -33,7 +34,8 @@
 export const FLEET_MESSAGE_SCHEMA = z.object({
   /** True in the first message, which holds the whole state and was confirmed by a quorum. */
   whole: z.boolean().optional(),
-  deployment: DEPLOYMENT_TEXT_SCHEMA.optional(),
+  /** The active deployment; its text is fetched from one replica. */
+  deployment: DEPLOYMENT_HEAD_SCHEMA.optional(),
   versions: z.array(NAMED_VERSION_SCHEMA).optional(),
   /** Base URLs of all replicas of control. */
   replicas: z.array(z.string().refine(isUrl, 'must be a URL')).optional(),
--- a/contracts/deployment/src/index.ts
+++ b/contracts/deployment/src/index.ts
@@ -38,6 +38,16 @@
   type DeploymentText,
   type FleetMessage,
 } from './fleet-messages.js';
+export {
+  createDeploymentHead,
+  DEPLOYMENT_HEAD_SCHEMA,
+  DEPLOYMENT_REQUEST_SCHEMA,
+  DEPLOYMENT_TRANSFER_PATH,
+  DEPLOYMENT_TRANSFER_SCHEMA,
+  type DeploymentHead,
+  type DeploymentRequest,
+  type DeploymentTransfer,
+} from './deployment-transfer.js';
 export {readFleetMessage, type ReadFleetMessage} from './read-fleet-message.js';
 export {
   ENGINE_VIEW_PATH,
--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -44,7 +44,7 @@
     number: 707,
     level: 'info',
     meaning:
-      'A replica of control has sent its whole fleet state: the deployment, the named versions and the targets.',
+      'A replica of control has sent its whole fleet state: the head of the deployment, the named versions and the targets.',
   },
   'fleet-lost': {
     number: 708,
@@ -79,7 +79,7 @@
     number: 713,
     level: 'info',
     meaning:
-      'A replica of control has applied a deployment and sent it to its `followers`; `unreadBytes` is what all of them together have not read yet.',
+      'A replica of control has applied a deployment and announced it to its `followers`; `unreadBytes` is what all of them together have not read yet of the fleet stream.',
   },
   'fleet-follower-dropped': {
     number: 714,
@@ -91,7 +91,13 @@
     number: 715,
     level: 'info',
     meaning:
-      'An entry has received a deployment from a replica of control, with the size of the message; `isNew` is false if it knew the deployment already.',
+      'An entry has received a deployment, or its difference from the one before, from a replica of control; `bytes` is its size as transferred.',
+  },
+  'deployment-not-received': {
+    number: 716,
+    level: 'warn',
+    meaning:
+      'A replica of control did not bring the deployment that it announced; the entry asks the next one.',
   },
   'call-refused': {
     number: 720,
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -9,6 +9,7 @@
 import {openReplicatedLog} from '@marigoldspur/replicated-log';
 import {
   CRASH_RECORDS_PATH,
+  DEPLOYMENT_TRANSFER_PATH,
   STREAM_ORIGIN_LOOKUP_PATH,
   TARGET_LEAVES_PATH,
   STREAM_ORIGINS_PATH,
@@ -35,6 +36,7 @@
   createLimitHandler,
   createPermitHandler,
 } from './request-limit-handlers.js';
+import {createDeploymentTransferHandler} from './deployment-transfer-handler.js';
 import {createFenceHandler} from './fence-handler.js';
 import {findStorePolicy} from './store-policy.js';
 
@@ -108,6 +110,7 @@
       [HEARTBEAT_PATH, heartbeats],
       [HEARTBEAT_BATCH_PATH, heartbeats],
       [COMMANDS_PATH, commands.createHandler()],
+      [DEPLOYMENT_TRANSFER_PATH, createDeploymentTransferHandler(fleet)],
       [FENCES_PATH, createFenceHandler(commands)],
       [CRASH_RECORDS_PATH, createCrashRecordHandler(fleet)],
       [TARGET_LEAVES_PATH, createTargetLeaveHandler(fleet)],
--- a/control/fleet/src/fleet-manager.ts
+++ b/control/fleet/src/fleet-manager.ts
@@ -3,7 +3,9 @@
 import {CrashLedger, RequestCrashLedger} from '@marigoldspur/crash-attribution';
 import type {
   CrashRecords,
+  DeploymentRequest,
   DeploymentText,
+  DeploymentTransfer,
   NamedVersion,
   ServiceVersion,
   StreamOrigin,
@@ -15,6 +17,7 @@
   DeploymentState,
   ReplaceOutcome,
 } from '@marigoldspur/deployment-state';
+import {DeploymentArchive} from '@marigoldspur/deployment-transfer';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Fault} from '@marigoldspur/faults';
 import type {ReplicatedLog} from '@marigoldspur/replicated-log';
@@ -67,6 +70,7 @@
     silentAfterMs: SILENT_AFTER_MS,
     endRetentionMs: END_RETENTION_MS,
   });
+  private readonly archive: DeploymentArchive;
   private readonly crashLedger = new CrashLedger();
   private readonly requestCrashLedger = new RequestCrashLedger();
   private readonly streamOrigins = new StreamOriginLedger();
@@ -85,8 +89,10 @@
       events: options.events,
       onLimits: limits => this.streamServer.broadcastLimits(limits),
     });
+    this.archive = new DeploymentArchive(() => deployments.deployment);
     this.streamServer = new FleetStreamServer({
       deployments,
+      archive: this.archive,
       targets: {
         targets: () =>
           this.targets.targets().filter(target => this.isDisclosed(target)),
@@ -124,6 +130,11 @@
     return confirmed.map(() => this.options.deployments.deployment);
   }
 
+  /** Answers an entry that asks for the active deployment. */
+  transferDeployment(request: DeploymentRequest): DeploymentTransfer {
+    return this.archive.answer(request);
+  }
+
   /** Names a new version of an adapter. */
   async nameVersion(named: NamedVersion): Promise<Result<undefined, Fault>> {
     const done = await this.options.commands.nameVersion(named);
--- a/control/fleet/src/fleet-stream-server.ts
+++ b/control/fleet/src/fleet-stream-server.ts
@@ -11,6 +11,7 @@
   type TargetIncarnation,
   type TargetLimit,
 } from '@marigoldspur/deployment';
+import type {DeploymentArchive} from '@marigoldspur/deployment-transfer';
 import type {DeploymentState} from '@marigoldspur/deployment-state';
 import type {EventLog} from '@marigoldspur/event-log';
 import type {TargetRegistry} from '@marigoldspur/target-registry';
@@ -18,6 +19,8 @@
 /** Options of a fleet stream server. */
 export interface FleetStreamServerOptions {
   readonly deployments: DeploymentState;
+  /** Answers requests for the text of the active deployment. */
+  readonly archive: Pick<DeploymentArchive, 'head'>;
   readonly targets: Pick<TargetRegistry, 'ended' | 'targets'>;
   /** Returns all crash records of this replica. */
   readonly crashRecords: () => CrashRecords;
@@ -40,7 +43,7 @@
 
 /** A follower with more unread bytes than this is disconnected; it may reconnect. */
 const MAX_UNREAD_BYTES = 4_194_304;
-const KEEPALIVE: FleetMessage = {};
+const KEEPALIVE = toLine({});
 /** Delay before a failed quorum confirmation is retried, in milliseconds. */
 const CONFIRM_RETRY_DELAY_MS = 50;
 
@@ -96,7 +99,7 @@
     const recordedVersions = this.takeNewSoftwareVersions();
     if (isNew || versions.length > 0 || recordedVersions !== undefined) {
       this.broadcast({
-        ...(isNew && {deployment}),
+        ...(isNew && {deployment: this.options.archive.head()}),
         ...(versions.length > 0 && {versions}),
         ...(recordedVersions !== undefined && {recordedVersions}),
       });
@@ -158,9 +161,9 @@
     const text = replicas.join(' ');
     const changed = text !== this.sentReplicas;
     this.sentReplicas = text;
+    const change = toLine({replicas});
     for (const follower of this.followers) {
-      const message = follower.isSynced && changed ? {replicas} : KEEPALIVE;
-      this.send(follower, message);
+      this.send(follower, follower.isSynced && changed ? change : KEEPALIVE);
     }
   }
 
@@ -174,10 +177,11 @@
       return;
     }
     follower.isSynced = true;
-    const {crashRecords, deployments, limits, replicas, targets} = this.options;
-    this.send(follower, {
+    const {archive, crashRecords, deployments, limits, replicas, targets} =
+      this.options;
+    const state = toLine({
       whole: true,
-      deployment: deployments.deployment,
+      deployment: archive.head(),
       versions: deployments.namedVersions(),
       replicas: [...replicas()],
       targets: targets.targets(),
@@ -187,6 +191,7 @@
       softwareVersions: this.options.softwareVersions(),
       recordedVersions: [...deployments.recordedSoftwareVersions()],
     });
+    this.send(follower, state);
     this.broadcastEntryCount();
   }
 
@@ -195,21 +200,22 @@
   }
 
   private broadcast(message: FleetMessage): void {
+    const line = toLine(message);
     for (const follower of this.followers) {
       if (follower.isSynced) {
-        this.send(follower, message);
+        this.send(follower, line);
       }
     }
   }
 
-  private send({response}: Follower, message: FleetMessage): void {
+  private send({response}: Follower, line: string): void {
     const unreadBytes = response.writableLength;
     if (unreadBytes > MAX_UNREAD_BYTES) {
       this.options.events.record('fleet-follower-dropped', {unreadBytes});
       response.destroy();
       return;
     }
-    response.write(`${JSON.stringify(message)}\n`);
+    response.write(line);
   }
 
   /** Returns all recorded software versions if there are new ones. */
@@ -235,3 +241,7 @@
     return changed;
   }
 }
+
+function toLine(message: FleetMessage): string {
+  return `${JSON.stringify(message)}\n`;
+}
--- a/control/fleet/test/fleet-stream-server.test.ts
+++ b/control/fleet/test/fleet-stream-server.test.ts
@@ -13,6 +13,7 @@
     namedVersions: () => [],
     recordedSoftwareVersions: () => [],
   },
+  archive: {head: () => undefined},
   targets: {targets: () => [], ended: () => []},
   replicas: () => ['http://replica'],
   crashRecords: () => ({reports: [], sightings: []}),
--- a/entry/routes/src/route-table.ts
+++ b/entry/routes/src/route-table.ts
@@ -10,8 +10,12 @@
   constructor(readonly deployment: Deployment) {
     for (const route of deployment.routes) {
       const host = route.host.toLowerCase();
-      const existing = this.routes.get(host) ?? [];
-      this.routes.set(host, [...existing, route]);
+      const existing = this.routes.get(host);
+      if (existing === undefined) {
+        this.routes.set(host, [route]);
+      } else {
+        existing.push(route);
+      }
     }
     for (const routes of this.routes.values()) {
       routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
--- a/zones/fleet-client/src/fleet-follower.ts
+++ b/zones/fleet-client/src/fleet-follower.ts
@@ -1,16 +1,23 @@
 import type http from 'node:http';
 import {
   type CrashRecords,
+  type DeploymentRequest,
+  type DeploymentText,
+  type DeploymentTransfer,
   type ServiceVersion,
   type SoftwareVersions,
   type TargetLimit,
+  DEPLOYMENT_TRANSFER_PATH,
+  DEPLOYMENT_TRANSFER_SCHEMA,
   FLEET_PATH,
   FLEET_MAX_INTERVAL_MS,
   readFleetMessage,
 } from '@marigoldspur/deployment';
+import {DeploymentFetcher} from '@marigoldspur/deployment-transfer';
 import type {EventLog} from '@marigoldspur/event-log';
 import {formatFindings} from '@marigoldspur/faults';
 import {FleetView, type FleetChange} from '@marigoldspur/fleet-view';
+import {exchangeJson} from '@marigoldspur/http-link';
 import {openLineStream} from './line-stream.js';
 
 /** Options of a fleet follower. */
@@ -53,6 +60,7 @@
 const IDLE_TIMEOUT_MS = 3 * FLEET_MAX_INTERVAL_MS;
 const RETRY_DELAY_MS = 200;
 const MAINTENANCE_INTERVAL_MS = 500;
+const MAX_TRANSFER_BYTES = 33_554_432;
 
 interface ReplicaStream {
   close: () => void;
@@ -62,6 +70,7 @@
 /** Keeps a stream open to each known replica of control and merges them into a fleet view. */
 export class FleetFollower {
   readonly view = new FleetView();
+  private readonly fetcher: DeploymentFetcher;
   private readonly replicaStreams = new Map<string, ReplicaStream>();
   /** Replicas whose stream has started at least once. */
   private readonly followedOnce = new Set<string>();
@@ -76,6 +85,14 @@
 
   constructor(private readonly options: FleetFollowerOptions) {
     this.seeds = options.seeds;
+    this.fetcher = new DeploymentFetcher({
+      send: (replica, request, timeoutMs) =>
+        this.requestDeployment(replica, request, timeoutMs),
+      onDeployment: (deployment, replica) =>
+        this.handleDeployment(deployment, replica),
+      onFailure: (replica, {message: reason}) =>
+        options.events.record('deployment-not-received', {replica, reason}),
+    });
     this.updateStreams();
     this.maintenanceTimer = setInterval(
       () => this.maintainStreams(),
@@ -130,6 +147,7 @@
 
   stop(): void {
     this.isStopped = true;
+    this.fetcher.stop();
     clearInterval(this.maintenanceTimer);
     this.retries.forEach(timer => clearTimeout(timer));
     this.replicaStreams.forEach(stream => stream.close());
@@ -166,7 +184,7 @@
       idleTimeoutMs: IDLE_TIMEOUT_MS,
       onMessage: (message, bytes) => {
         this.options.onReceived(url, bytes);
-        this.handleMessage(url, stream, message, bytes);
+        this.handleMessage(url, stream, message);
       },
       onEnd: reason => this.handleLoss(url, stream, reason),
     });
@@ -176,7 +194,6 @@
     url: string,
     stream: ReplicaStream,
     raw: unknown,
-    bytes: number,
   ): void {
     const {events} = this.options;
     const {findings, message} = readFleetMessage(raw);
@@ -194,18 +211,10 @@
     if (recordedVersions.length > this.recorded.length) {
       this.recorded = recordedVersions;
     }
-    const change = this.view.applyMessage(url, message);
+    this.options.onChange(this.view.applyMessage(url, message));
     if (message.deployment !== undefined) {
-      const {revision} = message.deployment;
-      const isNew = change.hasNewDeployment;
-      events.record('deployment-received', {
-        revision,
-        replica: url,
-        bytes,
-        isNew,
-      });
+      this.fetcher.announce(url, message.deployment);
     }
-    this.options.onChange(change);
     if (message.crashRecords !== undefined) {
       const areAll = message.whole === true;
       this.options.onCrashRecords(url, message.crashRecords, areAll);
@@ -224,12 +233,46 @@
     }
   }
 
+  private async requestDeployment(
+    replica: string,
+    request: DeploymentRequest,
+    timeoutMs: number,
+  ): Promise<DeploymentTransfer> {
+    const answer = await exchangeJson({
+      url: new URL(DEPLOYMENT_TRANSFER_PATH, replica),
+      body: request,
+      agent: this.options.agent,
+      signal: AbortSignal.timeout(timeoutMs),
+      maxAnswerBytes: MAX_TRANSFER_BYTES,
+    });
+    const transfer = DEPLOYMENT_TRANSFER_SCHEMA.parse(answer);
+    const bytes = transfer.content?.length ?? 0;
+    this.options.onReceived(replica, bytes);
+    this.options.events.record('deployment-received', {
+      replica,
+      revision: transfer.deployment?.revision ?? 'none',
+      bytes,
+      isDelta: transfer.isDelta === true,
+    });
+    return transfer;
+  }
+
+  private handleDeployment(deployment: DeploymentText, replica: string): void {
+    try {
+      this.options.onChange(this.view.applyDeployment(deployment));
+    } catch (thrown) {
+      const reason = String(thrown);
+      this.options.events.record('deployment-not-received', {replica, reason});
+    }
+  }
+
   private handleLoss(url: string, stream: ReplicaStream, reason: string): void {
     if (stream.isFollowed) {
       this.options.events.record('fleet-lost', {replica: url, reason});
     }
     this.unfollowedMs(performance.now());
     stream.isFollowed = false;
+    this.fetcher.forget(url);
     this.view.markSourceLost(url, performance.now());
     const retry = setTimeout(() => {
       this.retries.delete(retry);
--- a/zones/fleet-view/src/fleet-view.ts
+++ b/zones/fleet-view/src/fleet-view.ts
@@ -92,12 +92,21 @@
     if (message.whole) {
       this.sources.set(source, {targets: new Map()});
     }
-    const hasNewDeployment = this.applyDeployment(message.deployment);
     const versions = this.applyVersions(message);
     this.replicaUrls = message.replicas ?? this.replicaUrls;
     this.entryCount = message.entries ?? this.entryCount;
     const hasChangedTargets = this.applyTargets(source, message);
-    return {hasNewDeployment, versions, hasChangedTargets};
+    return {hasNewDeployment: false, versions, hasChangedTargets};
+  }
+
+  /** Applies a deployment, unless one with the same or a higher revision is known. */
+  applyDeployment(deployment: DeploymentText): FleetChange {
+    const hasNewDeployment =
+      deployment.revision > (this.currentDeployment?.revision ?? -1);
+    if (hasNewDeployment) {
+      this.currentDeployment = deployment;
+    }
+    return {hasNewDeployment, versions: [], hasChangedTargets: false};
   }
 
   /** Records that the stream of a replica was lost at time `now`, in milliseconds; its targets are kept for now. */
@@ -128,17 +137,6 @@
     return this.mergedTargets;
   }
 
-  private applyDeployment(deployment: DeploymentText | undefined): boolean {
-    if (
-      deployment === undefined ||
-      deployment.revision <= (this.currentDeployment?.revision ?? -1)
-    ) {
-      return false;
-    }
-    this.currentDeployment = deployment;
-    return true;
-  }
-
   private applyVersions({versions = []}: FleetMessage): string[] {
     const changed: string[] = [];
     for (const {model, adapter, version} of versions) {
--- a/zones/fleet-view/test/fleet-view.test.ts
+++ b/zones/fleet-view/test/fleet-view.test.ts
@@ -23,10 +23,8 @@
 
 it('fleet view: a lower revision never replaces a higher one', () => {
   const view = new FleetView();
-  view.applyMessage('a', {deployment: {revision: 3, text: 'three'}});
-  const change = view.applyMessage('b', {
-    deployment: {revision: 2, text: 'two'},
-  });
+  view.applyDeployment({revision: 3, text: 'three'});
+  const change = view.applyDeployment({revision: 2, text: 'two'});
   expect(change.hasNewDeployment).to.equal(false);
   expect(view.deployment?.text).to.equal('three');
 });
