Wait for room where a full disk refuses to truncate a failed write (Acks, CONFIG)

What was seen here: where the file system refuses to truncate for lack of space, as copy-on-write file systems do, a replica whose disk was full for some seconds ended, as the error of the truncation was taken for an unknown content of the disk. If the next disk fills before it is back, no majority is left.

The unit test of the log storage failed with ENOSPC before.

Change: a truncation that fails for lack of space counts as a full disk; the write is tried again.

--- a/control/log-storage/src/segment-writer.ts
+++ b/control/log-storage/src/segment-writer.ts
@@ -25,8 +25,8 @@
   const header = encodeFrame(
     encodeRecords([{record: 'segment', sequence, state, lastIndex}]),
   );
-  await handle.truncate(0);
   try {
+    await handle.truncate(0);
     await handle.append(header);
   } catch (thrown) {
     await handle.close();
@@ -79,11 +79,11 @@
    * discarded.
    */
   async append(bytes: Uint8Array): Promise<void> {
-    if (this.hasPartialWrite) {
-      await this.handle.truncate(this.syncedBytes);
-      this.hasPartialWrite = false;
-    }
     try {
+      if (this.hasPartialWrite) {
+        await this.handle.truncate(this.syncedBytes);
+        this.hasPartialWrite = false;
+      }
       await this.handle.append(bytes);
     } catch (thrown) {
       this.hasPartialWrite = true;
--- a/control/log-storage/test/fake-disk.ts
+++ b/control/log-storage/test/fake-disk.ts
@@ -10,6 +10,8 @@
 export class FakeDisk implements FileSystem {
   /** Number of bytes that can still be written. */
   freeBytes = Infinity;
+  /** Whether files can't be truncated for lack of space, as on copy-on-write file systems. */
+  refusesTruncation = false;
   /** Whether file syncs fail. */
   failsSync = false;
   /** Whether folder syncs have no effect, to check that a test depends on them. */
@@ -83,6 +85,9 @@
     return {
       append: async bytes => this.append(file, bytes),
       truncate: async length => {
+        if (this.refusesTruncation) {
+          throw Object.assign(new Error('no space left'), {code: 'ENOSPC'});
+        }
         file.bytes = file.bytes.subarray(0, length);
       },
       sync: async () => {
--- a/control/log-storage/test/log-storage.test.ts
+++ b/control/log-storage/test/log-storage.test.ts
@@ -243,6 +243,24 @@
   expect((await open(disk)).recovered.entries).to.have.length(24);
 });
 
+it('disk full: a disk that refuses to truncate the failed write does not end the process', async () => {
+  const disk = new FakeDisk();
+  const {storage} = await openWithEntries(disk, 5);
+  disk.freeBytes = 20;
+  disk.refusesTruncation = true;
+  const batch = entriesOperation(entry(6));
+  for (let attempt = 0; attempt < 3; attempt += 1) {
+    expect(await errorCodeOf(storage.save(batch))).to.equal('DISK_FULL');
+    const saved = storage.saveSnapshot(snapshotAt(5));
+    expect(await errorCodeOf(saved)).to.equal('DISK_FULL');
+  }
+  disk.freeBytes = Infinity;
+  disk.refusesTruncation = false;
+  await storage.save(batch);
+  disk.losePower();
+  expect((await open(disk)).recovered.entries).to.have.length(6);
+});
+
 it('snapshot: survives a power loss and replaces the log before it', async () => {
   const disk = new FakeDisk();
   const {storage} = await openWithEntries(disk, 40);
--- a/lab/log-trials/src/disk-fault.ts
+++ b/lab/log-trials/src/disk-fault.ts
@@ -7,12 +7,12 @@
 import {fileURLToPath} from 'node:url';
 import {DISK_FAULT_VARIABLE, type DiskFault} from './disk-fault-file.js';
 
-type Method = 'write' | 'datasync' | 'sync';
+type Method = 'write' | 'truncate' | 'datasync' | 'sync';
 
 const FAULT_ERRORS: Readonly<
   Record<DiskFault, {readonly code: string; readonly methods: Method[]}>
 > = {
-  'no room': {code: 'ENOSPC', methods: ['write']},
+  'no room': {code: 'ENOSPC', methods: ['write', 'truncate']},
   'failed sync': {code: 'EIO', methods: ['datasync', 'sync']},
 };
 
@@ -30,7 +30,7 @@
 const prototype = Object.getPrototypeOf(handle) as FileHandle;
 await handle.close();
 
-for (const method of ['write', 'datasync', 'sync'] as const) {
+for (const method of ['write', 'truncate', 'datasync', 'sync'] as const) {
   const original = prototype[method] as (...args: unknown[]) => unknown;
   const withFault = async function (this: FileHandle, ...args: unknown[]) {
     const fault = readCurrentFault();
--- a/lab/log-trials/src/index.ts
+++ b/lab/log-trials/src/index.ts
@@ -10,3 +10,8 @@
   ControlHost,
   type ControlHostGroupOptions,
 } from './control-host-group.js';
+export {
+  DISK_FAULT_VARIABLE,
+  diskFaultNodeOptions,
+  setDiskFault,
+} from './disk-fault-file.js';
