--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -3,6 +3,7 @@
 import {
   BoundedSignal,
   createDisconnectSignal,
+  unlessAborted,
 } from '@marigoldspur/abort-signals';
 import {
   DEFAULT_MAX_BODY_BYTES,
@@ -14,6 +15,7 @@
 import {findInvalidHeader, readBody} from '@marigoldspur/http-link';
 import {chooseBackend, type RouteTable} from '@marigoldspur/routes';
 import type {CallRunner} from './call-runner.js';
+import {createShuttingDownRefusal} from './shutting-down-refusal.js';
 import {createLazyFingerprint} from './request-fingerprint.js';
 import type {CallMetadata, WireFormat} from './wire-format.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
@@ -24,6 +26,8 @@
   readonly routes: () => RouteTable | undefined;
   /** Whether the process has enough time left to serve a new call. */
   readonly acceptsCalls: () => boolean;
+  /** Aborts shortly before the process ends; calls that have not ended by then are given up. */
+  readonly shutdownSignal: AbortSignal;
   readonly wireFormat: WireFormat;
   readonly runner: CallRunner;
   readonly events: EventLog;
@@ -42,12 +46,6 @@
  */
 const NOT_READY_RETRY_AFTER_SECONDS = 1;
 
-/**
- * Retry delay for callers during a shutdown, in seconds; another entry can
- * serve the caller immediately.
- */
-const SHUTDOWN_RETRY_AFTER_SECONDS = 0.05;
-
 /**
  * Handles callers' calls, from routing to the complete response or a refusal.
  */
@@ -105,7 +103,14 @@
       return resolved.error;
     }
     const {route, service} = resolved.value;
-    const body = await readBody(request, this.maxBodyBytes());
+    const body = await unlessAborted(
+      readBody(request, this.maxBodyBytes()),
+      this.options.shutdownSignal,
+    );
+    if (body === undefined || !this.options.acceptsCalls()) {
+      response.setHeader('connection', 'close');
+      return createShuttingDownRefusal();
+    }
     if (body.isErr) {
       response.setHeader('connection', 'close');
       return body.error.code === 'TOO_LARGE'
@@ -114,7 +119,7 @@
     }
     const bounded = new BoundedSignal({
       timeoutMs: route.timeoutMs - (performance.now() - startedAt),
-      parentSignals: [disconnectSignal],
+      parentSignals: [disconnectSignal, this.options.shutdownSignal],
     });
     const call = {
       metadata,
@@ -228,16 +233,6 @@
   );
 }
 
-function createShuttingDownRefusal(): Refusal {
-  return new Refusal(
-    'not-run',
-    503,
-    'shutting_down',
-    'the entry is shutting down',
-    SHUTDOWN_RETRY_AFTER_SECONDS,
-  );
-}
-
 function createInternalErrorRefusal(): Refusal {
   return new Refusal(
     'unknown',
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -6,10 +6,15 @@
   relayResponse,
   type RelayOutcome,
 } from '@marigoldspur/dispatch';
+import type {
+  CallDurations,
+  DrainAdmission,
+} from '@marigoldspur/drain-admission';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
 import type {Attempt, AttemptSender} from './attempt-sender.js';
 import {hasTimeLeft, type Call} from './call.js';
+import {createShuttingDownRefusal} from './shutting-down-refusal.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {RetryLimiter} from './retry-limiter.js';
 import {CallStreamResumer} from './call-stream-resumer.js';
@@ -22,6 +27,9 @@
   readonly finder: TargetFinder;
   readonly sender: AttemptSender;
   readonly retryLimiter: RetryLimiter;
+  /** Decides which calls may still be sent while this entry shuts down. */
+  readonly drainAdmission: Pick<DrainAdmission, 'maySend'>;
+  readonly durations: Pick<CallDurations, 'record'>;
   readonly streamOrigins: Pick<StreamOrigins, 'originAt' | 'resolve'>;
   readonly events: EventLog;
   readonly metrics: DirectRoutingMetrics;
@@ -35,6 +43,12 @@
   readonly excluded: ReadonlySet<string>;
 }
 
+/** The search for the target of an attempt that was sent. */
+interface SentSearch extends AttemptSearch {
+  /** When the attempt was sent, as a `performance.now()` time. */
+  readonly sentAt: number;
+}
+
 /** Result of a call: answered, or a refusal that remains to be sent. */
 export type CallResult = Result<undefined, Refusal>;
 
@@ -45,6 +59,11 @@
 const EXTRA_ATTEMPTS = 2;
 const MAX_BUFFERED_BYTES = 1_048_576;
 const RETRY_AFTER_SECONDS = 0.5;
+/**
+ * Multiple of a route's latency objective that a call is assumed to take before one of the
+ * route has ended.
+ */
+const ASSUMED_DURATION_FACTOR = 2;
 const STATUS_OK = 200;
 const STATUS_SERVER_ERROR = 500;
 const OUTCOME_EVENTS = {
@@ -76,7 +95,17 @@
           toFinalRefusal(refusal ?? createOutOfTimeRefusal(), mayHaveRun),
         );
       }
+      if (!this.mayBeSent(call, performance.now())) {
+        return Result.err(
+          toFinalRefusal(createShuttingDownRefusal(), mayHaveRun),
+        );
+      }
       const target = await finder.find(call, excluded, call.startedAt, origin);
+      if (target.isOk && !this.mayBeSent(call, performance.now())) {
+        return Result.err(
+          toFinalRefusal(createShuttingDownRefusal(), mayHaveRun),
+        );
+      }
       if (target.isErr) {
         const latest = laterRefusal(refusal, target.error);
         return Result.err(toFinalRefusal(latest, mayHaveRun));
@@ -106,6 +135,16 @@
     }
   }
 
+  /** Whether a call that is sent now is expected to end before a shutdown of this entry does. */
+  private mayBeSent({route}: Call, now: number): boolean {
+    const outlook = {
+      route: route.name,
+      isRepeatable: route.idempotent,
+      assumedMs: route.latencyObjectiveMs * ASSUMED_DURATION_FACTOR,
+    };
+    return this.options.drainAdmission.maySend(outlook, now);
+  }
+
   private async attempt(
     call: Call,
     target: TargetAnnouncement,
@@ -115,17 +154,15 @@
   ): Promise<CallResult> {
     const {sender} = this.options;
     const attempt = sender.startAttempt(call, target, attemptNumber);
+    const sentAt = performance.now();
     try {
       const sent = await sender.send(call, attempt);
       return sent.isErr
         ? Result.err(sender.handleFailure(call, attempt, sent.error))
-        : await this.handleResponse(
-            call,
-            attempt,
-            sent.value,
-            response,
-            search,
-          );
+        : await this.handleResponse(call, attempt, sent.value, response, {
+            ...search,
+            sentAt,
+          });
     } finally {
       attempt.tracker.end(performance.now());
     }
@@ -140,9 +177,9 @@
     attempt: Attempt,
     upstream: TargetResponse,
     response: ServerResponse,
-    search: AttemptSearch,
+    search: SentSearch,
   ): Promise<CallResult> {
-    const {metrics, sender} = this.options;
+    const {durations, metrics, sender} = this.options;
     const {metadata, message} = upstream;
     const {idempotent, maxAttempts} = call.route;
     const status = message.statusCode ?? 0;
@@ -154,6 +191,9 @@
     }
     metrics.recordAttempt(call.service.name, hasFailed ? 'failed' : 'answered');
     const outcome = await this.relay(call, attempt, upstream, response, search);
+    if (outcome === 'whole') {
+      durations.record(call.route.name, performance.now() - search.sentAt);
+    }
     return outcome === 'lost'
       ? Result.err(createTornResponseRefusal())
       : Result.ok(undefined);
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import http from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import {CallerServer} from '@marigoldspur/caller-server';
@@ -7,6 +8,7 @@
   type EngineView,
   type TargetAnnouncement,
 } from '@marigoldspur/deployment';
+import {CallDurations, DrainAdmission} from '@marigoldspur/drain-admission';
 import type {EventLog} from '@marigoldspur/event-log';
 import {FleetFollower} from '@marigoldspur/fleet-client';
 import type {FleetChange, FleetView} from '@marigoldspur/fleet-view';
@@ -69,6 +71,8 @@
 const BALANCER_SETTLE_MS = 2_500;
 /** Time reserved for the process to end by itself, in milliseconds. */
 const SHUTDOWN_MARGIN_MS = 400;
+/** Time reserved for the responses to calls that are given up, in milliseconds. */
+const ANSWER_MARGIN_MS = 200;
 
 /**
  * Starts an entry that sends calls directly to targets; `drain` asks the process
@@ -270,6 +274,11 @@
   });
   const loopClock = startLoopClock();
   let acceptsCalls = true;
+  const shutdown = new AbortController();
+  // Each running call listens to it.
+  setMaxListeners(0, shutdown.signal);
+  const durations = new CallDurations();
+  const drainAdmission = new DrainAdmission(durations);
   const isReady = () =>
     !runtime.isDraining &&
     fleetFollower.isConfirmed &&
@@ -277,10 +286,13 @@
   const callHandler = new CallHandler({
     routes: () => activeRoutes.table,
     acceptsCalls: () => acceptsCalls,
+    shutdownSignal: shutdown.signal,
     wireFormat,
     runner: new CallRunner({
       finder,
       sender,
+      drainAdmission,
+      durations,
       retryLimiter: new RetryLimiter({
         allowance: settings.retries,
         entries: () => fleetFollower.view.entries,
@@ -320,11 +332,15 @@
     setSeedUrls: urls => fleetFollower.setSeedUrls(urls),
     async stop() {
       const endAt = performance.now() + settings.graceMs - SHUTDOWN_MARGIN_MS;
+      const answerBy = endAt - ANSWER_MARGIN_MS;
       runtime.beginDrain();
+      drainAdmission.begin(answerBy);
       await pause(Math.min(BALANCER_SETTLE_MS, settings.graceMs / 2));
       acceptsCalls = false;
-      const remainingMs = Math.max(0, endAt - performance.now());
-      await Promise.race([callerServer.close(), pause(remainingMs)]);
+      const closed = callerServer.close();
+      await Promise.race([closed, pauseUntil(answerBy)]);
+      shutdown.abort();
+      await Promise.race([closed, pauseUntil(endAt)]);
       if (callHandler.runningCount > 0) {
         events.record('shutdown-bound-reached', {
           running: callHandler.runningCount,
@@ -344,6 +360,11 @@
   };
 }
 
+/** Resolves at a `performance.now()` time. */
+function pauseUntil(time: number): Promise<void> {
+  return pause(Math.max(0, time - performance.now()));
+}
+
 /** What became of an engine, as control, the agent beside it and its address show. */
 function fateOf(
   target: TargetAnnouncement,
--- a/entry/direct-routing/test/call-handler.test.ts
+++ b/entry/direct-routing/test/call-handler.test.ts
@@ -68,6 +68,7 @@
   const handler = new CallHandler({
     routes: () => new RouteTable(DEPLOYMENT),
     acceptsCalls: () => true,
+    shutdownSignal: new AbortController().signal,
     wireFormat: WIRE_FORMAT,
     runner,
     events: new EventLog({process: 'test'}),
--- a/machines/abort-signals/src/index.ts
+++ b/machines/abort-signals/src/index.ts
@@ -1,3 +1,4 @@
 export {BoundedSignal, type BoundedSignalOptions} from './bounded-signal.js';
 export {createDisconnectSignal} from './create-disconnect-signal.js';
 export {withTimeout} from './with-timeout.js';
+export {unlessAborted} from './unless-aborted.js';
