--- a/control/consensus/src/consensus.ts
+++ b/control/consensus/src/consensus.ts
@@ -295,6 +295,19 @@
     this.state.log.compact(Math.min(index, this.appliedIndex, limit));
   }
 
+  /** Size of the commands that were applied after an index, in bytes. */
+  appliedBytesSince(index: number): number {
+    return this.state.log.bytesBetween(index, this.appliedIndex);
+  }
+
+  /**
+   * The index up to which entries can be dropped so that of those up to `index` at most
+   * `maxCount` are kept, together at most `maxBytes`.
+   */
+  compactionIndex(index: number, maxCount: number, maxBytes: number): number {
+    return this.state.log.indexBefore(index, maxCount, maxBytes);
+  }
+
   /**
    * Whether a replica needs a snapshot that the caller must pass to `provideSnapshot`.
    */
--- a/control/consensus/src/entry-log.ts
+++ b/control/consensus/src/entry-log.ts
@@ -86,6 +86,28 @@
     );
   }
 
+  /** Size of the retained entries after index `from`, up to and including index `to`, in bytes. */
+  bytesBetween(from: number, to: number): number {
+    return this.entriesBetween(from, to).reduce(
+      (sum, {bytes}) => sum + bytes,
+      0,
+    );
+  }
+
+  /**
+   * The lowest index after which the entries up to and including index `to` are at most
+   * `maxCount` and together at most `maxBytes`.
+   */
+  indexBefore(to: number, maxCount: number, maxBytes: number): number {
+    let index = to;
+    let bytes = this.entryAt(index)?.bytes ?? Infinity;
+    while (to - index < maxCount && bytes <= maxBytes) {
+      index -= 1;
+      bytes += this.entryAt(index)?.bytes ?? Infinity;
+    }
+    return index;
+  }
+
   /** Removes the entries from the first new index on, then appends the new entries. */
   truncateAndAppend(entries: readonly Entry[]): void {
     if (entries.length === 0) {
--- a/control/control-server/src/control-settings.ts
+++ b/control/control-server/src/control-settings.ts
@@ -49,6 +49,14 @@
     .min(1)
     .default(10_000)
     .describe('Number of committed commands between snapshots'),
+  snapshotBytes: z.coerce
+    .number()
+    .int()
+    .min(1)
+    .default(16_777_216)
+    .describe(
+      'Size of the committed commands between snapshots, in bytes; the disk needs room for twice as much and two snapshots',
+    ),
   dataFolder: z
     .string()
     .min(1)
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -76,6 +76,7 @@
     heartbeatMs: settings.heartbeatMs,
     proposeTimeoutMs: settings.proposeTimeoutMs,
     snapshotEntries: settings.snapshotEntries,
+    snapshotBytes: settings.snapshotBytes,
     events,
     agent: security.createAgent(),
     onFatal: () => process.exit(DISK_FAILURE_EXIT_CODE),
--- a/control/replicated-log/src/log-replica.ts
+++ b/control/replicated-log/src/log-replica.ts
@@ -39,8 +39,12 @@
   readonly proposeTimeoutMs: number;
   /** Number of applied entries after which a snapshot is saved. */
   readonly snapshotEntries: number;
+  /** Size of the applied entries after which a snapshot is saved, in bytes. */
+  readonly snapshotBytes: number;
   /** Number of entries before a snapshot that are kept for lagging replicas. */
   readonly keptEntries: number;
+  /** Maximum size of the kept entries together, in bytes. */
+  readonly keptBytes: number;
   readonly events: EventLog;
   /** Agent for connections to the other replicas. */
   readonly agent: http.Agent;
@@ -124,7 +128,9 @@
       storage,
       serializeState: () => components.machine.snapshot(),
       snapshotEntries: settings.snapshotEntries,
+      snapshotBytes: settings.snapshotBytes,
       keptEntries: settings.keptEntries,
+      keptBytes: settings.keptBytes,
       events: settings.events,
       onFatal: thrown => this.fail(thrown),
     });
--- a/control/replicated-log/src/open-replicated-log.ts
+++ b/control/replicated-log/src/open-replicated-log.ts
@@ -39,8 +39,12 @@
   readonly proposeTimeoutMs?: number;
   /** Number of applied entries after which a snapshot is saved. */
   readonly snapshotEntries?: number;
+  /** Size of the applied entries after which a snapshot is saved, in bytes. */
+  readonly snapshotBytes?: number;
   /** Number of entries before a snapshot that are kept for lagging replicas. */
   readonly keptEntries?: number;
+  /** Maximum size of the kept entries together, in bytes. */
+  readonly keptBytes?: number;
   /** Size of a log segment from which a new one is started, in bytes. */
   readonly segmentBytes?: number;
   readonly files?: FileSystem;
@@ -57,6 +61,8 @@
   readonly paths: ReadonlyMap<string, http.RequestListener>;
 }
 
+const DEFAULT_SNAPSHOT_BYTES = 16_777_216;
+const DEFAULT_KEPT_BYTES = 16_777_216;
 const DEFAULT_ELECTION_TIMEOUT_MS = 1_000;
 const DEFAULT_HEARTBEAT_MS = 200;
 const DEFAULT_PROPOSE_TIMEOUT_MS = 2_000;
@@ -116,7 +122,9 @@
       electionTimeoutMs,
       proposeTimeoutMs: options.proposeTimeoutMs ?? DEFAULT_PROPOSE_TIMEOUT_MS,
       snapshotEntries: options.snapshotEntries ?? DEFAULT_SNAPSHOT_ENTRIES,
+      snapshotBytes: options.snapshotBytes ?? DEFAULT_SNAPSHOT_BYTES,
       keptEntries: options.keptEntries ?? DEFAULT_KEPT_ENTRIES,
+      keptBytes: options.keptBytes ?? DEFAULT_KEPT_BYTES,
       events,
       agent: options.agent ?? new http.Agent({keepAlive: true}),
       onFatal: options.onFatal,
--- a/control/replicated-log/src/snapshot-manager.ts
+++ b/control/replicated-log/src/snapshot-manager.ts
@@ -11,8 +11,12 @@
   readonly serializeState: () => string;
   /** Number of applied entries after which a snapshot is saved. */
   readonly snapshotEntries: number;
+  /** Size of the applied entries after which a snapshot is saved, in bytes. */
+  readonly snapshotBytes: number;
   /** Number of entries before a snapshot that are kept for lagging replicas. */
   readonly keptEntries: number;
+  /** Maximum size of the kept entries together, in bytes. */
+  readonly keptBytes: number;
   readonly events: EventLog;
   /** Called if the content of the disk is unknown. The process must exit. */
   readonly onFatal: (thrown: unknown) => void;
@@ -48,13 +52,7 @@
 
   /** Saves a snapshot if enough entries were applied since the last one. */
   saveIfDue(now: number): void {
-    const {consensus, snapshotEntries} = this.options;
-    const unsavedEntries = consensus.appliedIndex - this.savedIndex;
-    if (
-      unsavedEntries >= snapshotEntries &&
-      !this.isSaving &&
-      now >= this.retryAt
-    ) {
+    if (!this.isSaving && now >= this.retryAt && this.isDue()) {
       this.isSaving = true;
       void this.save(now).finally(() => {
         this.isSaving = false;
@@ -62,8 +60,16 @@
     }
   }
 
+  private isDue(): boolean {
+    const {consensus, snapshotBytes, snapshotEntries} = this.options;
+    return (
+      consensus.appliedIndex - this.savedIndex >= snapshotEntries ||
+      consensus.appliedBytesSince(this.savedIndex) >= snapshotBytes
+    );
+  }
+
   private async save(now: number): Promise<void> {
-    const {consensus, storage, events, keptEntries} = this.options;
+    const {consensus, storage, events, keptBytes, keptEntries} = this.options;
     const metadata = consensus.snapshotMetadata();
     const data = this.options.serializeState();
     try {
@@ -75,7 +81,10 @@
     const {index} = metadata;
     const {length} = data;
     this.savedIndex = Math.max(this.savedIndex, index);
-    consensus.compact(index - keptEntries, performance.now());
+    consensus.compact(
+      consensus.compactionIndex(index, keptEntries, keptBytes),
+      performance.now(),
+    );
     events.record('snapshot-saved', {index, length});
   }
 
--- a/control/replicated-log/test/replicated-log.test.ts
+++ b/control/replicated-log/test/replicated-log.test.ts
@@ -162,6 +162,22 @@
   expect(machine.words).to.deep.equal(words);
 });
 
+it('log: a few large commands are followed by a snapshot, after which their segments are removed', async () => {
+  const options = {snapshotBytes: 100_000, segmentBytes: 50_000};
+  const {log} = await openLog(new WordList(), options);
+  await waitUntil(isLeader(log));
+  for (let command = 0; command < 40; command += 1) {
+    const proposed = await log.propose('w'.repeat(20_000));
+    expect(proposed.isOk).to.equal(true);
+  }
+  await waitUntil(() => recordedNames().includes('snapshot-saved'));
+  const countSegments = async () =>
+    (await readdir(folder)).filter(name => name.startsWith('log-')).length;
+  while ((await countSegments()) > 4) {
+    await delay(POLL_MS);
+  }
+});
+
 it('log: an empty replica without bootstrap waits to join a group', async () => {
   const {log} = await openLog(new WordList(), {bootstrap: false});
   await waitUntil(() => recordedNames().includes('group-awaited'));
