--- a/policy/drain-admission/src/drain-admission.ts
+++ b/policy/drain-admission/src/drain-admission.ts
@@ -14,7 +14,8 @@
 
 /** Decides which calls may still be sent to targets while a process shuts down. */
 export class DrainAdmission {
-  private endsAt = Infinity;
+  /** Undefined until the shutdown begins. */
+  private endsAt: number | undefined;
 
   constructor(private readonly durations: CallDurations) {}
 
@@ -25,6 +26,9 @@
 
   /** Whether a call that is sent at time `now` is expected to end in time. */
   maySend({assumedMs, isRepeatable, route}: CallOutlook, now: number): boolean {
+    if (this.endsAt === undefined) {
+      return true;
+    }
     const expectedMs = this.durations.expectedMs(route) ?? assumedMs;
     const neededMs = expectedMs * (isRepeatable ? 1 : UNREPEATABLE_FACTOR);
     return now + neededMs <= this.endsAt;
