--- a/lab/partition-proxy/src/narrow-link.ts
+++ b/lab/partition-proxy/src/narrow-link.ts
@@ -13,6 +13,8 @@
 export class NarrowLink {
   private readonly servers: net.Server[] = [];
   private readonly sockets = new Set<net.Socket>();
+  /** Connections that carry nothing any more. */
+  private readonly silent = new WeakSet<net.Socket>();
   private readonly inbound: Lane;
   private readonly outbound: Lane;
 
@@ -37,6 +39,11 @@
     await listen(server, from);
   }
 
+  /** Makes the open connections carry nothing from now on, without closing them; new ones work. */
+  silenceConnections(): void {
+    this.sockets.forEach(socket => this.silent.add(socket));
+  }
+
   /** Closes the connections and stops listening. */
   async close(): Promise<void> {
     this.sockets.forEach(socket => socket.destroy());
@@ -52,6 +59,9 @@
       sink.destroy();
     });
     source.on('data', chunk => {
+      if (this.silent.has(source)) {
+        return;
+      }
       waitingBytes += chunk.length;
       if (waitingBytes > MAX_WAITING_BYTES) {
         source.pause();
