--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -79,7 +79,7 @@
 
   /** Serves a call. A refusal is returned, not sent. */
   async run(call: Call, response: ServerResponse): Promise<CallResult> {
-    const {finder, retryLimiter, streamOrigins} = this.options;
+    const {retryLimiter, streamOrigins} = this.options;
     retryLimiter.recordCall(call.service.name, performance.now());
     const resolved = await streamOrigins.resolve(call, () => performance.now());
     if (resolved.isErr) {
@@ -95,17 +95,7 @@
           toFinalRefusal(refusal ?? createOutOfTimeRefusal(), mayHaveRun),
         );
       }
-      if (!this.mayBeSent(call, performance.now())) {
-        return Result.err(
-          toFinalRefusal(createShuttingDownRefusal(), mayHaveRun),
-        );
-      }
-      const target = await finder.find(call, excluded, call.startedAt, origin);
-      if (target.isOk && !this.mayBeSent(call, performance.now())) {
-        return Result.err(
-          toFinalRefusal(createShuttingDownRefusal(), mayHaveRun),
-        );
-      }
+      const target = await this.findTarget(call, excluded, origin);
       if (target.isErr) {
         const latest = laterRefusal(refusal, target.error);
         return Result.err(toFinalRefusal(latest, mayHaveRun));
@@ -135,6 +125,22 @@
     }
   }
 
+  /** Finds a target, unless the call would outlast a shutdown of this entry, also after the search. */
+  private async findTarget(
+    call: Call,
+    excluded: ReadonlySet<string>,
+    origin: StreamOrigin | undefined,
+  ): Promise<Result<TargetAnnouncement, Refusal>> {
+    const {finder} = this.options;
+    if (!this.mayBeSent(call, performance.now())) {
+      return Result.err(createShuttingDownRefusal());
+    }
+    const target = await finder.find(call, excluded, call.startedAt, origin);
+    return target.isOk && !this.mayBeSent(call, performance.now())
+      ? Result.err(createShuttingDownRefusal())
+      : target;
+  }
+
   /** Whether a call that is sent now is expected to end before a shutdown of this entry does. */
   private mayBeSent({route}: Call, now: number): boolean {
     const outlook = {
--- a/zones/deployment-transfer/src/deployment-fetcher.ts
+++ b/zones/deployment-transfer/src/deployment-fetcher.ts
@@ -29,6 +29,9 @@
 const MAX_TIMEOUT_MS = 6_000;
 /** Delay before a replica that failed is asked again, in milliseconds. */
 const RETRY_DELAY_MS = 100;
+/** Pause after a deployment, as a multiple of the time that it took to apply. */
+const PAUSE_FACTOR = 4;
+const MAX_PAUSE_MS = 500;
 
 /**
  * Fetches each announced deployment from one replica of control at a time. Deployments that
@@ -109,7 +112,11 @@
     this.needsWholeText = false;
     this.failures.clear();
     this.known = fetched.value;
+    const startedAt = performance.now();
     this.options.onDeployment(fetched.value, replica);
+    const applyMs = performance.now() - startedAt;
+    // Deployments in quick succession would leave the process no time for calls.
+    await pause(Math.min(MAX_PAUSE_MS, applyMs * PAUSE_FACTOR));
   }
 
   private async request(
--- a/zones/deployment-transfer/test/deployment-fetcher.test.ts
+++ b/zones/deployment-transfer/test/deployment-fetcher.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'chai';
 import {
   createDeploymentHead,
@@ -19,6 +20,8 @@
   readonly received: number[] = [];
   readonly failed: string[] = [];
   readonly replicas = new Map<string, Answer>();
+  /** Time that applying a deployment takes, in milliseconds. */
+  applyMs = 0;
   private waiting: (() => void) | undefined;
   readonly fetcher = new DeploymentFetcher({
     send: (replica, request, timeoutMs) => {
@@ -27,6 +30,8 @@
       return this.replicas.get(replica)!(request);
     },
     onDeployment: ({revision}) => {
+      const startedAt = performance.now();
+      while (performance.now() - startedAt < this.applyMs);
       this.received.push(revision);
       this.waiting?.();
     },
@@ -145,3 +150,24 @@
   await trial.until(1);
   expect(trial.sent).to.deep.equal(['a', 'b']);
 });
+
+it('deployment fetcher: applying deployments in quick succession leaves the process time for its work', async () => {
+  const trial = new Trial();
+  trial.applyMs = 40;
+  let revision = 0;
+  trial.replicas.set(
+    'a',
+    holder(() => deployment(revision)),
+  );
+  const startedAt = performance.now();
+  while (performance.now() - startedAt < 1_500) {
+    revision += 1;
+    trial.fetcher.announce('a', head(revision));
+    await pause(5);
+  }
+  const share =
+    (trial.received.length * trial.applyMs) / (performance.now() - startedAt);
+  trial.fetcher.stop();
+  expect(share).to.be.below(0.3);
+  expect(trial.received.length).to.be.above(3);
+});
