--- a/contracts/event-catalogue/src/process-events.ts
+++ b/contracts/event-catalogue/src/process-events.ts
@@ -41,4 +41,16 @@
     meaning:
       'An error that no request, connection or stream confines ends the process; `stack` says where it arose.',
   },
+  'buffers-full': {
+    number: 108,
+    level: 'warn',
+    meaning:
+      'The process lacks the memory to buffer `bytes` more of a `kind` and refuses them, the first time since it had room.',
+  },
+  'buffers-freed': {
+    number: 109,
+    level: 'info',
+    meaning:
+      'The process has room again to buffer what it refused `refusals` times.',
+  },
 } as const satisfies Record<string, EventKind>;
--- /dev/null
+++ b/machines/memory-budget/src/index.ts
@@ -0,0 +1,17 @@
+export {
+  MAX_SMALL_BYTES,
+  MemoryBudget,
+  type BudgetOccupancy,
+  type BudgetListener,
+  type MemoryBudgetOptions,
+  type Reservation,
+} from './memory-budget.js';
+export {
+  connectionBytes,
+  MemoryLimit,
+  UNLIMITED,
+  type ByteLimit,
+  type MemoryLimitOptions,
+} from './memory-limit.js';
+export {registerBudgetMetrics} from './register-budget-metrics.js';
+export {ReturnSchedule} from './return-schedule.js';
--- /dev/null
+++ b/machines/memory-budget/src/memory-limit.ts
@@ -0,0 +1,42 @@
+/** Number of bytes that a process may buffer. */
+export interface ByteLimit {
+  /** The limit while the heap takes `heapBytes`. */
+  maxBytes(heapBytes: number): number;
+}
+
+/** Options of a memory limit. */
+export interface MemoryLimitOptions {
+  /** Memory that the process may use in all, in bytes. */
+  readonly memoryBytes: number;
+  /** Memory that connections take besides, in bytes. */
+  readonly connectionBytes: number;
+}
+
+/** Memory of a process for code, stacks and native objects, in bytes. */
+const NATIVE_BYTES = 48_000_000;
+/** Share of the memory that may be buffered however large the heap is. */
+const MIN_SHARE = 0.1;
+
+/** Share of the memory for connections and the heads that arrive over them. */
+const CONNECTION_SHARE = 0.25;
+
+/** Part of a process's memory, in bytes, for connections and the heads that arrive over them. */
+export function connectionBytes(memoryBytes: number): number {
+  return memoryBytes * CONNECTION_SHARE;
+}
+
+/** What a heap of the present size leaves of a process's memory. */
+export class MemoryLimit implements ByteLimit {
+  constructor(private readonly options: MemoryLimitOptions) {}
+
+  maxBytes(heapBytes: number): number {
+    const {connectionBytes, memoryBytes} = this.options;
+    return Math.max(
+      memoryBytes * MIN_SHARE,
+      memoryBytes - NATIVE_BYTES - connectionBytes - heapBytes,
+    );
+  }
+}
+
+/** For a process whose settings state no memory. */
+export const UNLIMITED: ByteLimit = {maxBytes: () => Infinity};
--- a/machines/process-runtime/src/process-runtime.ts
+++ b/machines/process-runtime/src/process-runtime.ts
@@ -1,3 +1,4 @@
+import {getHeapStatistics} from 'node:v8';
 import {
   EventLog,
   createJsonLineSink,
@@ -8,6 +9,13 @@
   type LinkSecurity,
   type LinkSettings,
 } from '@marigoldspur/link-security';
+import {
+  connectionBytes,
+  MemoryBudget,
+  MemoryLimit,
+  registerBudgetMetrics,
+  UNLIMITED,
+} from '@marigoldspur/memory-budget';
 import type {ProcessRole, ProcessStatus} from '@marigoldspur/messages';
 import {createProcessMetrics, type ProcessMetrics} from '@marigoldspur/metrics';
 import {createBootId} from '@marigoldspur/process-lifecycle';
@@ -25,6 +33,8 @@
   /** Port for other processes and operators; 0 selects any free port. */
   readonly port: number;
   readonly logLevel: 'debug' | 'info' | 'warn' | 'error' | 'silent';
+  /** Memory that the process may use, in bytes; no limit if absent. */
+  readonly memoryBytes?: number;
 }
 
 /** What a process serves in addition to its health, metrics, status and events. */
@@ -51,6 +61,8 @@
   /** Boot ID of the process. */
   readonly boot = createBootId();
   readonly metrics: ProcessMetrics;
+  /** Limits what the process buffers. */
+  readonly memory: MemoryBudget;
   private readonly startedAt = performance.now();
   private draining = false;
 
@@ -62,6 +74,8 @@
   ) {
     const {id, zone} = settings;
     this.metrics = createProcessMetrics({process: id, role, zone});
+    this.memory = createMemoryBudget(settings.memoryBytes, events);
+    registerBudgetMetrics(this.metrics.registry, this.memory);
   }
 
   /** Opens the runtime of a process; throws `InvalidInput` if the link settings or keys are invalid. */
@@ -147,3 +161,33 @@
     };
   }
 }
+
+function createMemoryBudget(
+  memoryBytes: number | undefined,
+  events: EventLog,
+): MemoryBudget {
+  const limit =
+    memoryBytes === undefined
+      ? UNLIMITED
+      : new MemoryLimit({
+          memoryBytes,
+          connectionBytes: connectionBytes(memoryBytes),
+        });
+  const heapBytes = () => getHeapStatistics().total_heap_size;
+  return new MemoryBudget({
+    limit,
+    heapBytes,
+    listener: {
+      onFull: (kind, bytes, {heldBytes, maxBytes}) =>
+        events.record('buffers-full', {
+          ...{kind, bytes, heldBytes, maxBytes: Math.round(maxBytes)},
+          heapBytes: heapBytes(),
+          residentBytes: process.memoryUsage.rss(),
+        }),
+      onRoom: (refusals, {heldBytes, maxBytes}) =>
+        events.record('buffers-freed', {
+          ...{refusals, heldBytes, maxBytes: Math.round(maxBytes)},
+        }),
+    },
+  });
+}
