Bound the bytes that an entry buffers by its memory (FAULT)

What callers saw: large bodies at once, each within its limit, took an entry far over the memory of its machine, which ends it with all of its calls. Cause: bodies and responses had a limit each, and none over all of them; entry-server had one, direct-routing had none, and a body was copied into one piece when it was complete. Change: bodies and buffered responses draw from the process's MemoryBudget. A body that does not fit is refused at once as not run, with the time to come back; small ones go on. A body that has not grown for a second gives way. Bodies stay in the pieces that arrived. The size of heads follows the deployment, and connections are limited by the memory for them. Ruled out: the heap, which stays small while buffers grow.

--- a/entry/caller-server/src/caller-server.ts
+++ b/entry/caller-server/src/caller-server.ts
@@ -17,6 +17,8 @@
   readonly requestTimeoutMs: number;
   /** Time after which an idle connection is closed, in milliseconds. */
   readonly idleTimeoutMs: number;
+  /** Maximum number of connections; further ones are closed at once. No limit if absent. */
+  readonly maxConnections?: number;
 }
 
 /** Options of a caller server. */
@@ -89,11 +91,13 @@
     );
   }
 
-  /**
-   * Applies new limits. The header size limit is fixed when the server is
-   * created.
-   */
-  setLimits(limits: Omit<CallerLimits, 'maxHeaderBytes'>): void {
+  /** Applies new limits; that on headers holds for new connections. */
+  setLimits(limits: CallerLimits): void {
+    const server: http.Server & {maxHeaderSize?: number} = this.server;
+    server.maxHeaderSize = limits.maxHeaderBytes;
+    if (limits.maxConnections !== undefined) {
+      server.maxConnections = limits.maxConnections;
+    }
     this.server.headersTimeout = limits.headersTimeoutMs;
     this.server.requestTimeout = limits.requestTimeoutMs;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -273,7 +273,7 @@
         }),
         ...createBodyHeaders(call),
       }),
-      body: call.body,
+      body: call.body.pieces,
       isAwaited: now => hasTimeLeft(call, now),
       signal: cancellation.signal,
       responseHeaderTimeoutMs: route.idempotent
@@ -574,7 +574,7 @@
   const hasBodyHeader =
     headers['content-length'] !== undefined ||
     headers['transfer-encoding'] !== undefined;
-  return hasBodyHeader || body.length > 0
-    ? {'content-length': body.length}
+  return hasBodyHeader || body.byteLength > 0
+    ? {'content-length': body.byteLength}
     : {};
 }
--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -3,7 +3,6 @@
 import {
   BoundedSignal,
   createDisconnectSignal,
-  unlessAborted,
 } from '@marigoldspur/abort-signals';
 import {
   DEFAULT_MAX_BODY_BYTES,
@@ -12,7 +11,13 @@
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal, toFault} from '@marigoldspur/faults';
-import {findInvalidHeader, readBody} from '@marigoldspur/http-link';
+import {findInvalidHeader} from '@marigoldspur/http-link';
+import type {MemoryBudget} from '@marigoldspur/memory-budget';
+import {
+  discardRest,
+  type BodyFailure,
+  type BodyReader,
+} from '@marigoldspur/request-bodies';
 import {chooseBackend, type RouteTable} from '@marigoldspur/routes';
 import type {CallRunner} from './call-runner.js';
 import {createShuttingDownRefusal} from './shutting-down-refusal.js';
@@ -29,6 +34,9 @@
   /** Aborts shortly before the process ends; calls that have not ended by then are given up. */
   readonly shutdownSignal: AbortSignal;
   readonly wireFormat: WireFormat;
+  /** Reads the bodies of calls. */
+  readonly bodies: Pick<BodyReader, 'read'>;
+  readonly memory: Pick<MemoryBudget, 'reserve'>;
   readonly runner: CallRunner;
   readonly events: EventLog;
   readonly metrics: DirectRoutingMetrics;
@@ -45,6 +53,18 @@
  * within a second after the start.
  */
 const NOT_READY_RETRY_AFTER_SECONDS = 1;
+/** Retry delay for callers while too many calls are in progress, in seconds. */
+const FULL_RETRY_AFTER_SECONDS = 1;
+/** Memory that a call takes besides its body and its response, in bytes. */
+const CALL_BYTES = 16_384;
+
+/** How the body of a call ended that is refused. */
+interface BodyEnd {
+  /** Why it was not read; undefined if it was. */
+  readonly failure: BodyFailure | undefined;
+  /** Whether the route's timeout ended the read. */
+  readonly hasTimedOut: boolean;
+}
 
 /**
  * Handles callers' calls, from routing to the complete response or a refusal.
@@ -69,8 +89,12 @@
     const metadata = wireFormat.parseCallHeaders(request.headers);
     this.options.metrics.setRunning((this.runningCalls += 1));
     response.sendDate = false;
+    const reservation = this.options.memory.reserve('call', CALL_BYTES);
     try {
-      const refusal = await this.serve(metadata, startedAt, request, response);
+      const refusal =
+        reservation === undefined
+          ? refuseUnread(request, createFullRefusal())
+          : await this.serve(metadata, startedAt, request, response);
       if (refusal !== undefined) {
         this.refuse(response, metadata, refusal);
       }
@@ -79,6 +103,7 @@
       this.options.events.record('request-error', {message}, metadata.id);
       this.refuse(response, metadata, createInternalErrorRefusal());
     } finally {
+      reservation?.release();
       this.options.metrics.setRunning((this.runningCalls -= 1));
     }
   }
@@ -99,28 +124,26 @@
     }
     const resolved = this.resolveRoute(metadata, request);
     if (resolved.isErr) {
-      request.resume();
-      return resolved.error;
+      return refuseUnread(request, resolved.error);
     }
     const {route, service} = resolved.value;
-    const body = await unlessAborted(
-      readBody(request, this.maxBodyBytes()),
-      this.options.shutdownSignal,
-    );
-    if (body === undefined || !this.options.acceptsCalls()) {
-      response.setHeader('connection', 'close');
-      return createShuttingDownRefusal();
-    }
-    if (body.isErr) {
-      response.setHeader('connection', 'close');
-      return body.error.code === 'TOO_LARGE'
-        ? createNotRunRefusal(413, 'body_too_large', body.error.message)
-        : createNotRunRefusal(400, 'body_broke_off', body.error.message);
-    }
     const bounded = new BoundedSignal({
       timeoutMs: route.timeoutMs - (performance.now() - startedAt),
       parentSignals: [disconnectSignal, this.options.shutdownSignal],
     });
+    const body = await this.options.bodies.read({
+      request,
+      maxBytes: this.maxBodyBytes(),
+      signal: bounded.signal,
+    });
+    if (body.isErr || !this.options.acceptsCalls()) {
+      bounded.dispose();
+      body.map(unused => unused.release());
+      return this.refuseBody(request, response, {
+        failure: body.isErr ? body.error : undefined,
+        hasTimedOut: bounded.hasTimedOut,
+      });
+    }
     const call = {
       metadata,
       startedAt,
@@ -145,10 +168,42 @@
       const details = {resumes: resumes ?? '', after: resumeAfter};
       this.options.events.record('stream-taken-up', details, metadata.id);
     }
-    const result = await this.options.runner
-      .run(call, response)
-      .finally(() => bounded.dispose());
-    return result.isErr ? result.error : undefined;
+    try {
+      const result = await this.options.runner.run(call, response);
+      return result.isErr ? result.error : undefined;
+    } finally {
+      bounded.dispose();
+      body.value.release();
+    }
+  }
+
+  /** Returns the refusal of a call whose body was not read, or read too late. */
+  private refuseBody(
+    request: IncomingMessage,
+    response: ServerResponse,
+    {failure, hasTimedOut}: BodyEnd,
+  ): Refusal {
+    if (failure?.code === 'FULL') {
+      return refuseUnread(request, createFullRefusal(failure));
+    }
+    if (failure?.code === 'TOO_LARGE') {
+      const {message} = failure;
+      return refuseUnread(
+        request,
+        createNotRunRefusal(413, 'body_too_large', message),
+      );
+    }
+    response.setHeader('connection', 'close');
+    if (failure === undefined || this.options.shutdownSignal.aborted) {
+      return createShuttingDownRefusal();
+    }
+    if (hasTimedOut) {
+      const message = 'the body was not complete at the timeout of the route';
+      return createNotRunRefusal(408, 'body_late', message);
+    }
+    return failure.code === 'STALLED'
+      ? createNotRunRefusal(408, 'body_stalled', failure.message)
+      : createNotRunRefusal(400, 'body_broke_off', failure.message);
   }
 
   private resolveRoute(
@@ -215,6 +270,22 @@
   }
 }
 
+/** Has the rest of a refused call read and dropped; returns the refusal. */
+function refuseUnread(request: IncomingMessage, refusal: Refusal): Refusal {
+  discardRest(request);
+  return refusal;
+}
+
+function createFullRefusal(failure?: BodyFailure): Refusal {
+  return new Refusal(
+    'not-run',
+    503,
+    'entry_full',
+    failure?.message ?? 'the entry lacks the memory for another call',
+    failure?.retryAfterSeconds ?? FULL_RETRY_AFTER_SECONDS,
+  );
+}
+
 function createNotRunRefusal(
   status: number,
   reason: string,
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -12,6 +12,7 @@
 } from '@marigoldspur/drain-admission';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
+import type {MemoryBudget} from '@marigoldspur/memory-budget';
 import type {Attempt, AttemptSender} from './attempt-sender.js';
 import {hasTimeLeft, type Call} from './call.js';
 import {createShuttingDownRefusal} from './shutting-down-refusal.js';
@@ -31,6 +32,7 @@
   readonly drainAdmission: Pick<DrainAdmission, 'maySend'>;
   readonly durations: Pick<CallDurations, 'record'>;
   readonly streamOrigins: Pick<StreamOrigins, 'originAt' | 'resolve'>;
+  readonly memory: Pick<MemoryBudget, 'reserve'>;
   readonly events: EventLog;
   readonly metrics: DirectRoutingMetrics;
 }
@@ -212,7 +214,7 @@
     response: ServerResponse,
     {excluded, origin}: AttemptSearch,
   ): Promise<RelayOutcome> {
-    const {events, metrics} = this.options;
+    const {events, memory, metrics} = this.options;
     const {metadata, route, service, startedAt} = call;
     const {resumeAfter = 0} = metadata;
     const isTakenUp = resumeAfter > 0;
@@ -233,6 +235,7 @@
             origin,
           )
         : undefined;
+    const reservation = memory.reserve('response', 0);
     const {outcome, status} = await relayResponse(upstream, response, {
       headers: {},
       maxBufferedBytes: isStream ? 0 : MAX_BUFFERED_BYTES,
@@ -243,11 +246,13 @@
       signal: call.signal,
       resumer,
       resumeAfter: isTakenUp ? resumeAfter : undefined,
+      reservation,
       onInvalidStream: after =>
         events.record('stream-invalid', {after}, metadata.id),
       onFault: ({message}) =>
         events.record('request-error', {message}, metadata.id),
     });
+    reservation?.release();
     resumer?.end();
     const tookMs = Math.round(performance.now() - startedAt);
     const {number, sentAfterMs, target} = attempt;
--- a/entry/direct-routing/src/call.ts
+++ b/entry/direct-routing/src/call.ts
@@ -1,5 +1,6 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Route, Service} from '@marigoldspur/deployment';
+import type {RequestBody} from '@marigoldspur/request-bodies';
 import type {CallMetadata} from './wire-format.js';
 
 /** One call that is being served. */
@@ -13,7 +14,7 @@
   /** Path with its query string. */
   readonly path: string;
   readonly headers: IncomingHttpHeaders;
-  readonly body: Buffer;
+  readonly body: RequestBody;
   /** Returns what identifies the request when it is sent again; computed at the first call. */
   readonly fingerprint: () => string;
   /** Aborts at the route's timeout and when the caller disconnects. */
--- a/entry/direct-routing/src/direct-routing-settings.ts
+++ b/entry/direct-routing/src/direct-routing-settings.ts
@@ -19,6 +19,8 @@
   readonly zone: string;
   /** Port for other processes and operators. */
   readonly port: number;
+  /** Memory that the process may use, in bytes; no limit if absent. */
+  readonly memoryBytes?: number;
   readonly logLevel: 'debug' | 'info' | 'warn' | 'error' | 'silent';
   /** Base URLs of the replicas of control that are known at start. */
   readonly control: readonly string[];
--- a/entry/direct-routing/src/request-fingerprint.ts
+++ b/entry/direct-routing/src/request-fingerprint.ts
@@ -1,4 +1,5 @@
 import {createHash} from 'node:crypto';
+import type {RequestBody} from '@marigoldspur/request-bodies';
 
 /** What makes two requests the same, whatever their request IDs. */
 export interface RequestIdentity {
@@ -8,7 +9,7 @@
   readonly path: string;
   /** Credentials of the caller; undefined if it sent none. */
   readonly credentials: string | undefined;
-  readonly body: Buffer;
+  readonly body: Pick<RequestBody, 'pieces'>;
 }
 
 /** Length of a fingerprint, in hexadecimal digits. */
@@ -23,12 +24,9 @@
   path,
 }: RequestIdentity): string {
   const head = JSON.stringify([method, host, path, credentials]);
-  return createHash('sha256')
-    .update(head)
-    .update('\n')
-    .update(body)
-    .digest('hex')
-    .slice(0, FINGERPRINT_LENGTH);
+  const hash = createHash('sha256').update(head).update('\n');
+  body.pieces.forEach(piece => hash.update(piece));
+  return hash.digest('hex').slice(0, FINGERPRINT_LENGTH);
 }
 
 /** Returns a function that computes the fingerprint of a request once, when it is first needed. */
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -1,7 +1,7 @@
 import {setMaxListeners} from 'node:events';
 import http from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
-import {CallerServer} from '@marigoldspur/caller-server';
+import {CallerServer, type CallerLimits} from '@marigoldspur/caller-server';
 import {
   createCrashRecords,
   type Deployment,
@@ -13,8 +13,10 @@
 import {FleetFollower} from '@marigoldspur/fleet-client';
 import type {FleetChange, FleetView} from '@marigoldspur/fleet-view';
 import {listen, type Address} from '@marigoldspur/http-link';
+import {BodyReader} from '@marigoldspur/request-bodies';
 import {startLoopClock} from '@marigoldspur/loop-clock';
 import type {Task} from '@marigoldspur/process-lifecycle';
+import {connectionBytes} from '@marigoldspur/memory-budget';
 import {ProcessRuntime} from '@marigoldspur/process-runtime';
 import type {RouteTable} from '@marigoldspur/routes';
 import {askStart, StartConfirmer} from '@marigoldspur/target-starts';
@@ -69,6 +71,8 @@
  * readiness every second and removes an entry after two failed checks.
  */
 const BALANCER_SETTLE_MS = 2_500;
+/** Memory of a connection that brings no request, in bytes. */
+const BYTES_PER_IDLE_CONNECTION = 8_192;
 /** Time reserved for the process to end by itself, in milliseconds. */
 const SHUTDOWN_MARGIN_MS = 400;
 /** Time reserved for the responses to calls that are given up, in milliseconds. */
@@ -91,7 +95,9 @@
   const onChange = (change: FleetChange) => {
     activeRoutes.applyChange(change, fleetFollower.view);
     if (activeRoutes.table !== undefined) {
-      callerServer.setLimits(limitsOf(activeRoutes.table.deployment));
+      callerServer.setLimits(
+        limitsOf(activeRoutes.table.deployment, settings.memoryBytes),
+      );
     }
     if (change.hasChangedTargets) {
       withdrawals.update(fleetFollower.view.targets());
@@ -288,6 +294,8 @@
     acceptsCalls: () => acceptsCalls,
     shutdownSignal: shutdown.signal,
     wireFormat,
+    bodies: new BodyReader({budget: runtime.memory, kind: 'request-body'}),
+    memory: runtime.memory,
     runner: new CallRunner({
       finder,
       sender,
@@ -298,6 +306,7 @@
         entries: () => fleetFollower.view.entries,
       }),
       streamOrigins,
+      memory: runtime.memory,
       events,
       metrics,
     }),
@@ -311,7 +320,14 @@
     clock: loopClock.clock,
     isDraining: () => runtime.isDraining,
     createServer: http.createServer,
-    limits: {...INITIAL_LIMITS, maxHeaderBytes: INITIAL_MAX_HEADER_BYTES},
+    limits: {
+      ...INITIAL_LIMITS,
+      maxHeaderBytes: INITIAL_MAX_HEADER_BYTES,
+      maxConnections: maxConnections(
+        settings.memoryBytes,
+        INITIAL_MAX_HEADER_BYTES,
+      ),
+    },
   });
   await listen(callerServer.server, parseAddress(settings.callers));
   const readiness = createReadinessServer(wireFormat.readinessPath, isReady);
@@ -391,14 +407,32 @@
     : 'running';
 }
 
-function limitsOf({limits}: Deployment) {
+function limitsOf(
+  {limits}: Deployment,
+  memoryBytes: number | undefined,
+): CallerLimits {
   return {
+    maxHeaderBytes: limits.maxHeaderBytes,
+    maxConnections: maxConnections(memoryBytes, limits.maxHeaderBytes),
     headersTimeoutMs: limits.headerTimeoutMs,
     requestTimeoutMs: limits.headerTimeoutMs + limits.idleTimeoutMs,
     idleTimeoutMs: limits.idleTimeoutMs,
   };
 }
 
+/** Number of connections whose heads the process has memory for; undefined without a limit. */
+function maxConnections(
+  memoryBytes: number | undefined,
+  maxHeaderBytes: number,
+): number | undefined {
+  return memoryBytes === undefined
+    ? undefined
+    : Math.floor(
+        connectionBytes(memoryBytes) /
+          (maxHeaderBytes + BYTES_PER_IDLE_CONNECTION),
+      );
+}
+
 /** Addresses of the targets that are model engines. */
 function engineAddresses(
   routes: RouteTable | undefined,
--- a/entry/direct-routing/src/stream-origins.ts
+++ b/entry/direct-routing/src/stream-origins.ts
@@ -45,7 +45,7 @@
 const UNFOLLOWED_GRACE_MS = 2_000;
 /** Target of a stream that began at any target of the only version. */
 const UNKNOWN_TARGET: TargetIncarnation = {id: '', bornAt: UNKNOWN_START_TIME};
-const NO_BODY = Buffer.alloc(0);
+const NO_BODY = {pieces: []};
 /** Retry delay for callers while the replicas of control cannot be asked, in seconds. */
 const UNREACHABLE_RETRY_AFTER_SECONDS = 1;
 
--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -27,7 +27,8 @@
   readonly path: string;
   /** Returns the headers for a call that is sent at time `now`, in milliseconds. */
   readonly headers: (now: number) => http.OutgoingHttpHeaders;
-  readonly body: Buffer;
+  /** The body in order; empty if it has no bytes. */
+  readonly body: readonly Buffer[];
   /** Whether the caller still waits for a response at time `now`, in milliseconds. */
   readonly isAwaited: (now: number) => boolean;
   /** Aborts the call. */
@@ -222,7 +223,8 @@
       ([name, value]) => value !== undefined && request.setHeader(name, value),
     );
     this.hasSent = true;
-    request.end(body);
+    body.forEach(piece => request.write(piece));
+    request.end();
   }
 
   /** Ends the call after an unexpected error; one that was not sent cannot be sent to this target. */
--- a/entry/direct-routing/test/blocked-attempts.test.ts
+++ b/entry/direct-routing/test/blocked-attempts.test.ts
@@ -9,6 +9,7 @@
   type WireFormat,
 } from '@marigoldspur/direct-routing';
 import {EventLog} from '@marigoldspur/event-log';
+import {createRequestBody} from '@marigoldspur/request-bodies';
 
 const WIRE_FORMAT = {
   parseResponseHeaders: () => ({
@@ -83,7 +84,7 @@
     method: 'GET',
     path: '/',
     headers: {},
-    body: Buffer.alloc(0),
+    body: createRequestBody(),
     fingerprint: () => 'f',
     startedAt: performance.now(),
     signal: new AbortController().signal,
--- a/entry/direct-routing/test/call-handler.test.ts
+++ b/entry/direct-routing/test/call-handler.test.ts
@@ -12,6 +12,8 @@
 } from '@marigoldspur/direct-routing';
 import {EventLog} from '@marigoldspur/event-log';
 import type {Refusal} from '@marigoldspur/faults';
+import {MemoryBudget} from '@marigoldspur/memory-budget';
+import {BodyReader} from '@marigoldspur/request-bodies';
 import {RouteTable} from '@marigoldspur/routes';
 
 const DEPLOYMENT: Deployment = {
@@ -46,6 +48,11 @@
 } as unknown as WireFormat;
 
 let server: http.Server | undefined;
+let budget: MemoryBudget;
+
+beforeEach(() => {
+  budget = createBudget(1_000_000);
+});
 
 afterEach(() => server?.close());
 
@@ -70,6 +77,8 @@
     acceptsCalls: () => true,
     shutdownSignal: new AbortController().signal,
     wireFormat: WIRE_FORMAT,
+    bodies: new BodyReader({budget, kind: 'request-body'}),
+    memory: budget,
     runner,
     events: new EventLog({process: 'test'}),
     metrics: new DirectRoutingMetrics(new Registry()),
@@ -102,6 +111,13 @@
   };
 }
 
+function createBudget(maxBytes: number): MemoryBudget {
+  return new MemoryBudget({
+    limit: {maxBytes: () => maxBytes},
+    heapBytes: () => 0,
+  });
+}
+
 it('call handler: a call on a route is run', async () => {
   expect(await call('/x/1', {})).to.include({status: 200, ran: true});
 });
@@ -123,3 +139,18 @@
   const large = await call('/x/1', {body: 'more than ten bytes'});
   expect(large).to.include({status: 413, ran: false});
 });
+
+it('call handler: a call that finds no memory for itself or its body is refused at once', async () => {
+  for (const maxBytes of [1_000, 16_384 + 4]) {
+    budget = createBudget(maxBytes);
+    const refused = await call('/x/1', {body: '123456'});
+    expect(refused).to.include({status: 503, ran: false});
+    expect(Number(refused.retryAfter)).to.be.greaterThan(0);
+    expect(budget.occupancy.heldBytes).to.equal(0);
+  }
+});
+
+it('call handler: a call gives back its memory when it ends', async () => {
+  await call('/x/1', {body: '123456'});
+  expect(budget.occupancy.heldBytes).to.equal(0);
+});
--- a/entry/direct-routing/test/endless-responses.test.ts
+++ b/entry/direct-routing/test/endless-responses.test.ts
@@ -69,7 +69,7 @@
     path: '/',
     headers: () => ({}),
     isAwaited: () => true,
-    body: Buffer.alloc(0),
+    body: [],
     signal: new AbortController().signal,
     responseHeaderTimeoutMs: RESPONSE_HEADER_TIMEOUT_MS,
   });
--- a/entry/direct-routing/test/request-crash-monitor.test.ts
+++ b/entry/direct-routing/test/request-crash-monitor.test.ts
@@ -7,13 +7,14 @@
   type BrokenCall,
 } from '@marigoldspur/direct-routing';
 import {EventLog} from '@marigoldspur/event-log';
+import {createRequestBody} from '@marigoldspur/request-bodies';
 
 const IDENTITY = {
   method: 'POST',
   host: 'a.example',
   path: '/x?y=1',
   credentials: undefined,
-  body: Buffer.from('body'),
+  body: createRequestBody('body'),
 };
 
 /** Starts entries that hear each other's records at once. */
@@ -95,9 +96,9 @@
     {...IDENTITY, host: 'b.example'},
     {...IDENTITY, path: '/x?y=2'},
     {...IDENTITY, credentials: 'key'},
-    {...IDENTITY, body: Buffer.from('body2')},
-    {...IDENTITY, body: Buffer.alloc(0)},
-    {...IDENTITY, path: '/x', body: Buffer.from('?y=1body')},
+    {...IDENTITY, body: createRequestBody('body2')},
+    {...IDENTITY, body: createRequestBody()},
+    {...IDENTITY, path: '/x', body: createRequestBody('?y=1body')},
   ].map(identity => fingerprintRequest(identity));
   expect(new Set(fingerprints).size).to.equal(fingerprints.length);
   expect(fingerprintRequest({...IDENTITY})).to.equal(fingerprints[0]);
--- a/entry/direct-routing/test/target-client.test.ts
+++ b/entry/direct-routing/test/target-client.test.ts
@@ -77,7 +77,7 @@
     path: '/',
     headers: () => ({'call-id': id}),
     isAwaited: () => true,
-    body: Buffer.alloc(0),
+    body: [],
     signal: new AbortController().signal,
     responseHeaderTimeoutMs: 2_000,
     ...changes,
--- a/entry/direct-routing/test/unframed-streams.test.ts
+++ b/entry/direct-routing/test/unframed-streams.test.ts
@@ -47,7 +47,7 @@
       path: '/',
       headers: () => ({}),
       isAwaited: () => true,
-      body: Buffer.alloc(0),
+      body: [],
       signal: new AbortController().signal,
       responseHeaderTimeoutMs: 5_000,
     });
--- a/entry/dispatch/src/numbered-event-buffer.ts
+++ b/entry/dispatch/src/numbered-event-buffer.ts
@@ -22,6 +22,11 @@
     this.lastNumber = after;
   }
 
+  /** Size of the incomplete event that is held back, in bytes. */
+  get bufferedBytes(): number {
+    return this.buffered.length;
+  }
+
   /** Number of the last event that was forwarded; -1 if none. */
   get lastEventNumber(): number {
     return this.lastNumber;
--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -5,6 +5,7 @@
 } from 'node:http';
 import {guard} from '@marigoldspur/fault-guard';
 import type {Fault} from '@marigoldspur/faults';
+import type {Reservation} from '@marigoldspur/memory-budget';
 import {
   isDelimitedByClose,
   TrailerCheck,
@@ -60,6 +61,8 @@
   readonly resumeAfter?: number;
   /** Called if a target's bytes cannot be the rest of the stream after event `after`. */
   readonly onInvalidStream?: (after: number) => void;
+  /** Grows with what is buffered for the caller; a response that lacks the memory breaks off. */
+  readonly reservation?: Reservation;
   /** Called with an unexpected error, which ends the response as broken. */
   readonly onFault?: (fault: Fault) => void;
 }
@@ -134,7 +137,10 @@
   start(): void {
     const {upstream, response, options} = this;
     this.readFrom(upstream.message);
-    response.on('drain', () => this.message?.resume());
+    response.on('drain', () => {
+      this.reserveBuffered();
+      this.message?.resume();
+    });
     response.on(
       'close',
       this.guarded(() => this.handleDisconnect()),
@@ -192,11 +198,33 @@
     const {eventBuffer} = this;
     this.completenessCheck.add(chunk);
     this.forward(eventBuffer === undefined ? chunk : eventBuffer.add(chunk));
+    this.reserveBuffered();
     if (eventBuffer?.isInvalid === true) {
       this.handleInvalidStream(eventBuffer);
     }
   }
 
+  /** Starts the response early, or breaks it off, if there is no memory for what is buffered. */
+  private reserveBuffered(): void {
+    const {reservation} = this.options;
+    if (reservation === undefined || reservation.resize(this.heldBytes)) {
+      return;
+    }
+    if (!this.hasStarted && this.bufferedBytes > 0) {
+      this.startEarly();
+    }
+    if (!this.hasStarted || !reservation.resize(this.heldBytes)) {
+      this.fail();
+    }
+  }
+
+  /** Bytes of the response that the caller has not taken yet. */
+  private get heldBytes(): number {
+    const heldBack = this.eventBuffer?.bufferedBytes ?? 0;
+    const buffered = this.hasStarted ? 0 : this.bufferedBytes;
+    return heldBack + buffered + this.response.writableLength;
+  }
+
   private forward(bytes: Buffer): void {
     if (bytes.length === 0) {
       return;
--- /dev/null
+++ b/machines/request-bodies/src/body-reader.ts
@@ -0,0 +1,196 @@
+import type {IncomingMessage} from 'node:http';
+import {Result} from 'true-myth';
+import {
+  MAX_SMALL_BYTES,
+  ReturnSchedule,
+  type MemoryBudget,
+  type Reservation,
+} from '@marigoldspur/memory-budget';
+import {PieceList} from './piece-list.js';
+import type {RequestBody} from './request-body.js';
+
+/**
+ * Why a body was not read: larger than its limit, ended early, refused for lack of memory, or
+ * given up in favour of others because its sender had stalled.
+ */
+export interface BodyFailure {
+  readonly code: 'TOO_LARGE' | 'TORN' | 'FULL' | 'STALLED';
+  readonly message: string;
+  /** Seconds after which the sender should come back, if it was refused for lack of memory. */
+  readonly retryAfterSeconds?: number;
+}
+
+/** Options of a body reader. */
+export interface BodyReaderOptions {
+  readonly budget: MemoryBudget;
+  /** Kind of the reservations. */
+  readonly kind: string;
+  /** Present time, in milliseconds. */
+  readonly now?: () => number;
+}
+
+/** A request whose body is to be read. */
+export interface BodyRequest {
+  readonly request: IncomingMessage;
+  /** Maximum size of the body, in bytes. */
+  readonly maxBytes: number;
+  /** Aborts the read, which then ends as torn. */
+  readonly signal?: AbortSignal;
+}
+
+/** A body that is arriving. */
+interface ArrivingBody {
+  readonly reservation: Reservation;
+  /** When its last bytes arrived, in milliseconds. */
+  progressedAt: number;
+  readonly fail: (failure: BodyFailure) => void;
+}
+
+/** Time without a byte after which a body gives way to others, in milliseconds. */
+const STALL_MS = 1_000;
+
+/** Reads the bodies of requests; all of them together stay within a memory budget. */
+export class BodyReader {
+  private readonly arriving = new Set<ArrivingBody>();
+  private readonly returns = new ReturnSchedule();
+  private readonly now: () => number;
+
+  constructor(private readonly options: BodyReaderOptions) {
+    this.now = options.now ?? (() => performance.now());
+  }
+
+  /** Reads a body; one that cannot be held is refused at once. */
+  read(target: BodyRequest): Promise<Result<RequestBody, BodyFailure>> {
+    const {maxBytes, request} = target;
+    const stated = Number(request.headers['content-length'] ?? 0);
+    if (stated > maxBytes) {
+      return Promise.resolve(Result.err(tooLarge(maxBytes)));
+    }
+    const reservation = this.reserve(stated);
+    return reservation === undefined
+      ? Promise.resolve(Result.err(this.full(stated)))
+      : this.collect(target, reservation);
+  }
+
+  private collect(
+    {maxBytes, request, signal}: BodyRequest,
+    reservation: Reservation,
+  ): Promise<Result<RequestBody, BodyFailure>> {
+    const pieces = new PieceList();
+    return new Promise(resolve => {
+      const end = (result: Result<RequestBody, BodyFailure>) => {
+        this.arriving.delete(body);
+        signal?.removeEventListener('abort', onTorn);
+        request.off('data', onData);
+        resolve(result);
+      };
+      const fail = (failure: BodyFailure) => {
+        reservation.release();
+        end(Result.err(failure));
+      };
+      const body = {reservation, progressedAt: this.now(), fail};
+      const onTorn = () => {
+        if (this.arriving.has(body)) {
+          fail({
+            code: 'TORN',
+            message: 'the body ended before it was complete',
+          });
+        }
+      };
+      const onData = (piece: Buffer) => {
+        body.progressedAt = this.now();
+        pieces.add(piece);
+        if (pieces.byteLength > maxBytes) {
+          fail(tooLarge(maxBytes));
+        } else if (
+          pieces.allocatedBytes > reservation.bytes &&
+          !this.grow(reservation, pieces.allocatedBytes, maxBytes)
+        ) {
+          fail(this.full(pieces.byteLength));
+        }
+      };
+      this.arriving.add(body);
+      signal?.addEventListener('abort', onTorn);
+      request.on('data', onData);
+      request.on('error', onTorn);
+      request.on('close', onTorn);
+      request.on('end', () => {
+        if (!request.complete || !this.arriving.has(body)) {
+          onTorn();
+          return;
+        }
+        const complete = pieces.finish();
+        reservation.resize(pieces.allocatedBytes);
+        end(
+          Result.ok({
+            pieces: complete,
+            byteLength: pieces.byteLength,
+            release: () => reservation.release(),
+          }),
+        );
+      });
+      if (signal?.aborted === true || request.destroyed) {
+        onTorn();
+      }
+    });
+  }
+
+  private reserve(bytes: number): Reservation | undefined {
+    const {budget, kind} = this.options;
+    return (
+      budget.reserve(kind, bytes) ??
+      (this.giveUpStalled(bytes) ? budget.reserve(kind, bytes) : undefined)
+    );
+  }
+
+  /**
+   * Grows the reservation of a body that states no length to `bytes`. One that is not small any
+   * more gets what the largest one takes, so that it is refused early or not at all.
+   */
+  private grow(
+    reservation: Reservation,
+    bytes: number,
+    maxBytes: number,
+  ): boolean {
+    const size = bytes > MAX_SMALL_BYTES ? Math.max(bytes, maxBytes) : bytes;
+    return (
+      reservation.resize(size) ||
+      (this.giveUpStalled(size - reservation.bytes) && reservation.resize(size))
+    );
+  }
+
+  /** Gives up stalled bodies that hold `bytes` together; whether there were as many. */
+  private giveUpStalled(bytes: number): boolean {
+    const now = this.now();
+    let freedBytes = 0;
+    for (const body of this.arriving) {
+      if (freedBytes >= bytes) {
+        break;
+      }
+      if (body.reservation.bytes > 0 && now - body.progressedAt >= STALL_MS) {
+        freedBytes += body.reservation.bytes;
+        body.fail({
+          code: 'STALLED',
+          message: `no byte of the body arrived for ${STALL_MS} ms while memory was short`,
+        });
+      }
+    }
+    return freedBytes >= bytes;
+  }
+
+  private full(bytes: number): BodyFailure {
+    const {maxBytes} = this.options.budget.occupancy;
+    return {
+      code: 'FULL',
+      message: `the process lacks the memory for a body of ${bytes} bytes`,
+      retryAfterSeconds: this.returns.delaySeconds(bytes, maxBytes, this.now()),
+    };
+  }
+}
+
+function tooLarge(maxBytes: number): BodyFailure {
+  return {
+    code: 'TOO_LARGE',
+    message: `the body is larger than ${maxBytes} bytes`,
+  };
+}
--- /dev/null
+++ b/machines/request-bodies/src/index.ts
@@ -0,0 +1,8 @@
+export {
+  BodyReader,
+  type BodyFailure,
+  type BodyReaderOptions,
+  type BodyRequest,
+} from './body-reader.js';
+export {discardRest} from './discard-rest.js';
+export {createRequestBody, type RequestBody} from './request-body.js';
