--- a/contracts/event-catalogue/src/process-events.ts
+++ b/contracts/event-catalogue/src/process-events.ts
@@ -53,4 +53,10 @@
     meaning:
       'The process has room again to buffer what it refused `refusals` times.',
   },
+  'connections-full': {
+    number: 112,
+    level: 'warn',
+    meaning:
+      'Callers have as many connections as the memory of the entry allows; further ones are closed at once.',
+  },
 } as const satisfies Record<string, EventKind>;
--- a/entry/caller-server/src/caller-server.ts
+++ b/entry/caller-server/src/caller-server.ts
@@ -34,6 +34,8 @@
   ) => Promise<void>;
   /** Called with an error of `handle`, whose connection was closed. */
   readonly onFault: (fault: Fault) => void;
+  /** Called with a connection that was closed at once because there are too many. */
+  readonly onConnectionDropped?: () => void;
   /** The turns of this process's event loop. */
   readonly clock: Pick<LoopClock, 'earliestArrival' | 'turns'>;
   /** Whether the process is shutting down. */
@@ -101,6 +103,7 @@
     this.server.on('connection', (socket: Socket) =>
       this.recordConnection(socket),
     );
+    this.server.on('drop', () => this.options.onConnectionDropped?.());
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.refuseConnection(error, socket as Socket),
     );
@@ -229,7 +232,7 @@
   }
 
   private startNext(socket: Socket, queue: RequestQueue): void {
-    const start = queue.waiting.shift();
+    const start = socket.destroyed ? undefined : queue.waiting.shift();
     if (start === undefined) {
       return;
     }
--- a/entry/direct-routing/src/direct-routing-metrics.ts
+++ b/entry/direct-routing/src/direct-routing-metrics.ts
@@ -19,6 +19,7 @@
   private readonly permits: Counter<'granted'>;
   private readonly limitedTargets: Gauge;
   private readonly running: Gauge;
+  private readonly droppedConnections: Counter;
   private readonly fleetBytes: Counter<'replica'>;
 
   constructor(registry: Registry) {
@@ -93,6 +94,11 @@
       help: 'Calls that are running or waiting',
       registers,
     });
+    this.droppedConnections = new Counter({
+      name: 'marigoldspur_dropped_connections_total',
+      help: 'Connections of callers that were closed at once because there were too many',
+      registers,
+    });
     this.fleetBytes = new Counter({
       name: 'marigoldspur_fleet_received_bytes_total',
       help: 'Bytes of the fleet streams, by replica of control',
@@ -154,6 +160,10 @@
     this.running.set(count);
   }
 
+  recordDroppedConnection(): void {
+    this.droppedConnections.inc();
+  }
+
   recordFleetBytes(replica: string, bytes: number): void {
     this.fleetBytes.inc({replica}, bytes);
   }
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -16,7 +16,7 @@
 import {BodyReader} from '@marigoldspur/request-bodies';
 import {startLoopClock} from '@marigoldspur/loop-clock';
 import type {Task} from '@marigoldspur/process-lifecycle';
-import {connectionBytes} from '@marigoldspur/memory-budget';
+import {connectionBytes, RefusalSpell} from '@marigoldspur/memory-budget';
 import {ProcessRuntime} from '@marigoldspur/process-runtime';
 import type {RouteTable} from '@marigoldspur/routes';
 import {askStart, StartConfirmer} from '@marigoldspur/target-starts';
@@ -313,10 +313,19 @@
     events,
     metrics,
   });
+  const connectionSpell = new RefusalSpell(() =>
+    events.record('connections-full', {
+      connections: callerServer.server.maxConnections,
+    }),
+  );
   const callerServer = new CallerServer({
     handle: (request, response, arrivedAt) =>
       callHandler.handle(request, response, arrivedAt),
     onFault: ({message}) => events.record('request-error', {message}),
+    onConnectionDropped: () => {
+      metrics.recordDroppedConnection();
+      connectionSpell.recordRefusal(performance.now());
+    },
     clock: loopClock.clock,
     isDraining: () => runtime.isDraining,
     createServer: http.createServer,
--- a/machines/memory-budget/src/index.ts
+++ b/machines/memory-budget/src/index.ts
@@ -15,4 +15,5 @@
   type MemoryLimitOptions,
 } from './memory-limit.js';
 export {registerBudgetMetrics} from './register-budget-metrics.js';
+export {RefusalSpell} from './refusal-spell.js';
 export {ReturnSchedule} from './return-schedule.js';
--- a/machines/memory-budget/test/memory-budget.test.ts
+++ b/machines/memory-budget/test/memory-budget.test.ts
@@ -3,6 +3,7 @@
 import {
   MemoryBudget,
   MemoryLimit,
+  RefusalSpell,
   registerBudgetMetrics,
   ReturnSchedule,
 } from '@marigoldspur/memory-budget';
@@ -116,3 +117,12 @@
   ]);
   expect(schedule.delaySeconds(LARGE_BYTES, MAX_BYTES, 60_000)).to.equal(0.7);
 });
+
+it('refusal spell: refusals are reported once until there were none for ten seconds', () => {
+  let begun = 0;
+  const spell = new RefusalSpell(() => (begun += 1));
+  [0, 1, 9_000, 18_000].forEach(now => spell.recordRefusal(now));
+  expect(begun).to.equal(1);
+  spell.recordRefusal(28_001);
+  expect(begun).to.equal(2);
+});
