Bound the events that a process keeps by their bytes (FAULT)

What callers saw: 60 callers whose request IDs had 14 kB, all refused with 404, ended an entry after 6,300 calls (SIGABRT, heap limit; 188 MB resident of 350); 120 to 150 rejected configurations of 4,000 routes ended a replica of control with a heap of 200 MB. Cause: the event log keeps the latest 8,192 events, whatever they hold: IDs, paths, findings, the raw body of a rejected heartbeat. The class is that of the bodies: a bound in number, none in bytes.

--- a/machines/event-log/src/event-log.ts
+++ b/machines/event-log/src/event-log.ts
@@ -4,6 +4,7 @@
   type EventName,
 } from '@marigoldspur/event-catalogue';
 import {HybridClock} from './hybrid-clock.js';
+import {boundDetails, boundText, eventBytes} from './event-size.js';
 import type {EventSink} from './json-lines.js';
 
 /** Details of an event, by name. */
@@ -15,23 +16,34 @@
   readonly process: string;
   /** Number of events that are kept in memory. */
   readonly capacity?: number;
+  /** Maximum memory of those events, in bytes. */
+  readonly maxBytes?: number;
   readonly sinks?: readonly EventSink[];
   /** Wall clock, in milliseconds since the epoch. */
   readonly now?: () => number;
 }
 
 const DEFAULT_CAPACITY_EVENTS = 8_192;
+const DEFAULT_MAX_BYTES = 8_388_608;
 
-/** Keeps the latest events of a process in a ring buffer and passes each event to the sinks. */
+/**
+ * Keeps the latest events of a process in a ring buffer, within a maximum memory, and passes each
+ * event to the sinks. Texts from outside are cut to a maximum length.
+ */
 export class EventLog {
   readonly clock = new HybridClock();
-  private readonly ring: Event[] = [];
+  private readonly ring: Array<Event | undefined> = [];
   private sequence = 0;
+  /** Sequence number of the oldest event that is kept. */
+  private oldest = 1;
+  private keptBytes = 0;
   private readonly capacity: number;
+  private readonly maxBytes: number;
   private readonly now: () => number;
 
   constructor(private readonly options: EventLogOptions) {
     this.capacity = options.capacity ?? DEFAULT_CAPACITY_EVENTS;
+    this.maxBytes = options.maxBytes ?? DEFAULT_MAX_BYTES;
     this.now = options.now ?? Date.now;
   }
 
@@ -44,10 +56,10 @@
       ...this.clock.advance(this.now()),
       process: this.options.process,
       sequence: this.sequence,
-      ...(request !== undefined && {request}),
-      details,
+      ...(request !== undefined && {request: boundText(request)}),
+      details: boundDetails(details),
     };
-    this.ring[this.sequence % this.capacity] = event;
+    this.keep(event);
     for (const sink of this.options.sinks ?? []) {
       sink.write(event);
     }
@@ -60,14 +72,33 @@
    */
   eventsAfter(sequence: number, limit: number, request?: string): Event[] {
     const events: Event[] = [];
-    const oldest = Math.max(1, this.sequence - this.capacity + 1);
-    let next = Math.max(oldest, sequence + 1);
+    let next = Math.max(this.oldest, sequence + 1);
     for (; next <= this.sequence && events.length < limit; next += 1) {
       const event = this.ring[next % this.capacity];
-      if (request === undefined || event.request === request) {
+      const isWanted = request === undefined || event?.request === request;
+      if (event !== undefined && isWanted) {
         events.push(event);
       }
     }
     return events;
   }
+
+  private keep(event: Event): void {
+    if (this.sequence - this.oldest >= this.capacity) {
+      this.dropOldest();
+    }
+    this.ring[this.sequence % this.capacity] = event;
+    this.keptBytes += eventBytes(event);
+    while (this.keptBytes > this.maxBytes && this.oldest < this.sequence) {
+      this.dropOldest();
+    }
+  }
+
+  private dropOldest(): void {
+    const index = this.oldest % this.capacity;
+    const event = this.ring[index];
+    this.ring[index] = undefined;
+    this.oldest += 1;
+    this.keptBytes -= event === undefined ? 0 : eventBytes(event);
+  }
 }
