Wait for a port that is in use at the start of a process (FAULT)

Callers saw a host without a program: control, entry and agent exited with status 1 if one of their ports was in use when they started, and again at each restart until it was free.

Cause: `listen` rejected with EADDRINUSE, which ended the start. A port can be held by an earlier process that has not ended, or by an outgoing connection that was given its number. Control had also opened its log before its port, without a lock on the folder, so that two processes could have the files of one replica open.

With the port of an outgoing connection, `listen` rejected with EADDRINUSE before.

Change: a process tries again each 100 ms for as long as it takes. Event 110 says so, at first and once a minute; event 111 follows when it listens. EADDRNOTAVAIL, EMFILE, ENFILE and ENOBUFS are waited for likewise, because they can pass without a change of settings; EACCES and others end the process as before. The port of a process is opened before its log, its fences and all else that depends on it; requests get 503 until the process serves. An entry opens its port for callers last, so that a signal during the wait, which now exits at once with 0, cuts no call. Readiness is false until that port is open.

Ruled out: giving up after some time, since the restarted process would meet the same port; a check of the port before the start, since the port can be lost between the check and its use. A connection bound to a fixed local port does not block a listener on Linux, because both set SO_REUSEADDR; one with a port of the ephemeral range does.

Open: a signal while control waits for its port for operators alone ends it without handing over leadership.

--- a/agent/agent-server/src/start-agent.ts
+++ b/agent/agent-server/src/start-agent.ts
@@ -97,7 +97,7 @@
     fence,
     load: loadReport(),
   });
-  const url = await runtime.serve({
+  const url = runtime.serve({
     fallback: (request, response) => attemptHandler.handle(request, response),
     checkContinue: (request, response) =>
       attemptHandler.handle(request, response, true),
--- a/agent/agent-server/test/fake-control.ts
+++ b/agent/agent-server/test/fake-control.ts
@@ -20,7 +20,7 @@
   PermitRequest,
 } from '@marigoldspur/messages';
 import {createProcessMetrics} from '@marigoldspur/metrics';
-import {startProcessServer} from '@marigoldspur/process-server';
+import {ProcessPort, startProcessServer} from '@marigoldspur/process-server';
 import {
   createEmptyTree,
   type ChangeOutcome,
@@ -52,12 +52,18 @@
   async start(tree: SettingsTree): Promise<void> {
     this.view = {revision: 1, tree};
     const labels = {process: 'control', role: 'control', zone: 'a'};
-    const server = await startProcessServer({
-      address: {host: '127.0.0.1', port: 0},
-      security: await openLinkSecurity(
-        {host: '127.0.0.1'},
-        new EventLog({process: 'control'}),
-      ),
+    const security = await openLinkSecurity(
+      {host: '127.0.0.1'},
+      new EventLog({process: 'control'}),
+    );
+    const port = await ProcessPort.open(
+      {host: '127.0.0.1', port: 0},
+      security,
+      {onAwaited() {}, onOpened() {}},
+    );
+    const server = startProcessServer({
+      port,
+      security,
       metrics: createProcessMetrics(labels),
       onFault: () => {},
       isReady: () => true,
--- a/agent/engine-agent/src/start-engine-agent.ts
+++ b/agent/engine-agent/src/start-engine-agent.ts
@@ -63,7 +63,7 @@
   });
   fenceClient.renew();
   manager.start();
-  const url = await runtime.serve({
+  const url = runtime.serve({
     paths: new Map([
       [
         ENGINE_VIEW_PATH,
--- a/contracts/event-catalogue/src/process-events.ts
+++ b/contracts/event-catalogue/src/process-events.ts
@@ -53,4 +53,15 @@
     meaning:
       'The process has room again to buffer what it refused `refusals` times.',
   },
+  'port-awaited': {
+    number: 110,
+    level: 'warn',
+    meaning:
+      'The process cannot listen at `address` yet, for example because another socket uses the port, and tries again until it can; recorded once a minute meanwhile.',
+  },
+  'port-opened': {
+    number: 111,
+    level: 'info',
+    meaning: 'The process listens at an address for which it has waited.',
+  },
 } as const satisfies Record<string, EventKind>;
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -48,6 +48,8 @@
   readonly fleet: FleetManager;
   readonly events: EventLog;
   readonly metrics: ProcessMetrics;
+  /** Lets a server listen as soon as its address is free. */
+  readonly listen: ProcessRuntime['listen'];
   /** Replaces the base URLs from which the replicas of control are discovered. */
   readonly setSeedUrls: (urls: readonly string[]) => void;
 }
@@ -104,7 +106,7 @@
     events,
   });
   machine.onDeploymentChange(() => fleet.handleDeploymentChange());
-  const url = await runtime.serve({
+  const url = runtime.serve({
     routers: {control: createControlRouter(requestHandler), log: router},
     paths: new Map([
       ...paths,
@@ -147,6 +149,7 @@
     fleet,
     events,
     metrics: runtime.metrics,
+    listen: (server, address) => runtime.listen(server, address),
     setSeedUrls: urls => log.setSeedUrls(urls),
   });
   events.record('process-started', {url, boot});
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -12,7 +12,7 @@
 import type {EventLog} from '@marigoldspur/event-log';
 import {FleetFollower} from '@marigoldspur/fleet-client';
 import type {FleetChange, FleetView} from '@marigoldspur/fleet-view';
-import {listen, type Address} from '@marigoldspur/http-link';
+import type {Address} from '@marigoldspur/http-link';
 import {BodyReader} from '@marigoldspur/request-bodies';
 import {startLoopClock} from '@marigoldspur/loop-clock';
 import type {Task} from '@marigoldspur/process-lifecycle';
@@ -286,6 +286,7 @@
   const durations = new CallDurations();
   const drainAdmission = new DrainAdmission(durations);
   const isReady = () =>
+    callerServer.server.listening &&
     !runtime.isDraining &&
     fleetFollower.isConfirmed &&
     activeRoutes.table !== undefined;
@@ -329,10 +330,7 @@
       ),
     },
   });
-  await listen(callerServer.server, parseAddress(settings.callers));
-  const readiness = createReadinessServer(wireFormat.readinessPath, isReady);
-  await listen(readiness, parseAddress(settings.readiness));
-  const url = await runtime.serve({
+  const url = runtime.serve({
     revision: () => activeRoutes.table?.deployment.revision ?? 0,
     isReady,
     facts: () => ({
@@ -342,6 +340,10 @@
     }),
     drain,
   });
+  const readiness = createReadinessServer(wireFormat.readinessPath, isReady);
+  await runtime.listen(readiness, parseAddress(settings.readiness));
+  // Callers come last: a signal ends a process that has not started without a drain.
+  await runtime.listen(callerServer.server, parseAddress(settings.callers));
   events.record('process-started', {url, callers: settings.callers});
   return {
     events,
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -18,7 +18,6 @@
   TargetDirectory,
   TargetHealthMonitor,
 } from '@marigoldspur/dispatch';
-import {listen} from '@marigoldspur/http-link';
 import {LoadReportStore} from '@marigoldspur/membership';
 import {
   LOAD_REPORTS_PATH,
@@ -148,10 +147,6 @@
     readinessPath: '/readyz',
     clock: loopClock.clock,
   });
-  const callerAddress = await listen(callerServer.server, {
-    host: settings.host,
-    port: settings.callerPort,
-  });
   const loadReports = new LoadReportStore();
   const loadReportServer = new LoadReportServer(loadReports);
   const heartbeatRelay = new HeartbeatRelay(
@@ -159,7 +154,7 @@
     {id: settings.id, boot, zone: settings.zone},
     loadReports,
   );
-  const url = await runtime.serve({
+  const url = runtime.serve({
     fallback: createRelayHandler(heartbeatRelay, loadReportServer),
     revision: () => settingsFollower.settings.revision,
     settings: revision => settingsFollower.deltaAfter(revision),
@@ -173,6 +168,11 @@
     }),
     drain,
   });
+  // Callers come last: a signal ends a process that has not started without a drain.
+  const callerAddress = await runtime.listen(callerServer.server, {
+    host: settings.host,
+    port: settings.callerPort,
+  });
   const member = (): Member => ({
     id: settings.id,
     role: 'entry',
--- a/machines/http-link/src/listen.ts
+++ b/machines/http-link/src/listen.ts
@@ -11,12 +11,18 @@
 /** Starts listening; resolves to the address with the port that was selected, and rejects if the server cannot listen there. */
 export function listen(server: Server, address: Address): Promise<Address> {
   return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(address.port, address.host, () => {
-      server.off('error', reject);
+    const onError = (error: Error) => {
+      server.off('listening', onListening);
+      reject(error);
+    };
+    const onListening = () => {
+      server.off('error', onError);
       const {port} = server.address() as AddressInfo;
       resolve({host: address.host, port});
-    });
+    };
+    server.once('error', onError);
+    server.once('listening', onListening);
+    server.listen(address.port, address.host);
   });
 }
 
--- a/machines/process-lifecycle/src/run-process.ts
+++ b/machines/process-lifecycle/src/run-process.ts
@@ -41,16 +41,19 @@
   }
 }
 
-/** Runs a task until SIGTERM or SIGINT; a second signal exits immediately. */
+/**
+ * Runs a task until SIGTERM or SIGINT; a second signal exits immediately. A signal before the
+ * task has started exits at once, because there is no work to finish.
+ */
 export async function runTask(
   name: string,
   start: (drain: () => void) => Promise<Task>,
 ): Promise<void> {
   try {
     const {stopped, requestStop} = listenForStop();
-    const task = await start(requestStop);
+    const task = await Promise.race([start(requestStop), stopped]);
     await stopped;
-    await task.stop();
+    await task?.stop();
     process.exit(0);
   } catch (thrown) {
     process.exit(reportFailure(name, thrown));
--- a/machines/process-runtime/src/process-runtime.ts
+++ b/machines/process-runtime/src/process-runtime.ts
@@ -1,9 +1,15 @@
+import type {Server} from 'node:net';
 import {getHeapStatistics} from 'node:v8';
 import {
   EventLog,
   createJsonLineSink,
   LineWriter,
 } from '@marigoldspur/event-log';
+import {
+  listenWhenFree,
+  type Address,
+  type PortListener,
+} from '@marigoldspur/http-link';
 import {
   openLinkSecurity,
   type LinkSecurity,
@@ -21,6 +27,7 @@
 import {createBootId} from '@marigoldspur/process-lifecycle';
 import {VERSION} from '@marigoldspur/process-settings';
 import {
+  ProcessPort,
   startProcessServer,
   type ProcessServerOptions,
 } from '@marigoldspur/process-server';
@@ -71,6 +78,7 @@
     private readonly settings: ProcessRuntimeSettings,
     readonly events: EventLog,
     readonly security: LinkSecurity,
+    private readonly port: ProcessPort,
   ) {
     const {id, zone} = settings;
     this.metrics = createProcessMetrics({process: id, role, zone});
@@ -78,7 +86,10 @@
     registerBudgetMetrics(this.metrics.registry, this.memory);
   }
 
-  /** Opens the runtime of a process; throws `InvalidInput` if the link settings or keys are invalid. */
+  /**
+   * Opens the runtime of a process once its port is free; throws `InvalidInput` if the link
+   * settings or keys are invalid.
+   */
   static async open(
     role: ProcessRole,
     settings: ProcessRuntimeSettings,
@@ -96,7 +107,15 @@
       events.record('process-crashed', {message, stack}),
     );
     const security = await openLinkSecurity(settings, events);
-    return new ProcessRuntime(role, settings, events, security);
+    // An earlier process may hold the port and still write to files of this one, so the port
+    // is opened before anything that depends on it.
+    const {host, port} = settings;
+    const processPort = await ProcessPort.open(
+      {host, port},
+      security,
+      createPortListener(events),
+    );
+    return new ProcessRuntime(role, settings, events, security, processPort);
   }
 
   /** Whether the process is shutting down. */
@@ -104,12 +123,11 @@
     return this.draining;
   }
 
-  /** Serves other processes and operators; resolves to the base URL. */
-  async serve(options: ProcessServeOptions): Promise<string> {
-    const {host, port} = this.settings;
+  /** Serves other processes and operators; returns the base URL. */
+  serve(options: ProcessServeOptions): string {
     const {events} = this;
-    const server = await startProcessServer({
-      address: {host, port},
+    const server = startProcessServer({
+      port: this.port,
       security: this.security,
       metrics: this.metrics,
       onFault: ({message}) => events.record('request-error', {message}),
@@ -129,6 +147,11 @@
     return server.url;
   }
 
+  /** Lets a further server listen as soon as its address is free. */
+  listen(server: Server, address: Address): Promise<Address> {
+    return listenWhenFree(server, address, createPortListener(this.events));
+  }
+
   /** Marks the process as shutting down, so that it is no longer ready. */
   beginDrain(): void {
     this.draining = true;
@@ -162,6 +185,20 @@
   }
 }
 
+function createPortListener(events: EventLog): PortListener {
+  const text = ({host, port}: Address) => `${host}:${port}`;
+  return {
+    onAwaited: (address, reason, waitedMs) =>
+      events.record('port-awaited', {
+        ...{address: text(address), reason, waitedMs: Math.round(waitedMs)},
+      }),
+    onOpened: (address, waitedMs) =>
+      events.record('port-opened', {
+        ...{address: text(address), waitedMs: Math.round(waitedMs)},
+      }),
+  };
+}
+
 function createMemoryBudget(
   memoryBytes: number | undefined,
   events: EventLog,
--- a/machines/process-server/src/index.ts
+++ b/machines/process-server/src/index.ts
@@ -1,3 +1,4 @@
+export {ProcessPort} from './process-port.js';
 export {
   startProcessServer,
   type ProcessServer,
--- a/machines/process-server/src/process-server.ts
+++ b/machines/process-server/src/process-server.ts
@@ -4,13 +4,14 @@
 import type {CallContext} from '@marigoldspur/access';
 import {guard} from '@marigoldspur/fault-guard';
 import type {Fault} from '@marigoldspur/faults';
-import {closeServer, listen, type Address} from '@marigoldspur/http-link';
+import {closeServer} from '@marigoldspur/http-link';
 import type {LinkSecurity} from '@marigoldspur/link-security';
 import type {ProcessMetrics} from '@marigoldspur/metrics';
 import {
   createProcessRouter,
   type ProcessService,
 } from '@marigoldspur/process-api';
+import type {ProcessPort} from './process-port.js';
 
 /** Handles requests that the process server does not answer itself; may return a promise. */
 type Handler = (
@@ -20,7 +21,7 @@
 
 /** Options of a process server. */
 export interface ProcessServerOptions {
-  readonly address: Address;
+  readonly port: ProcessPort;
   readonly security: LinkSecurity;
   readonly service: ProcessService;
   readonly metrics: ProcessMetrics;
@@ -55,13 +56,11 @@
 /** Paths of the routers whose procedures check the access of their callers themselves. */
 const SELF_CHECKING_PATHS = new Set(['/trpc/process/', '/trpc/control/']);
 const MAX_TRPC_BODY_BYTES = 33_554_432;
-const HEADERS_TIMEOUT_MS = 10_000;
-const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 
 /** Serves `/healthz`, `/readyz`, `/metrics` and the tRPC routers of a process. */
-export async function startProcessServer(
+export function startProcessServer(
   options: ProcessServerOptions,
-): Promise<ProcessServer> {
+): ProcessServer {
   const routers = {
     process: createProcessRouter(options.service),
     ...options.routers,
@@ -83,8 +82,8 @@
           options.onFault(fault);
         },
       })(request, response);
-  const server = options.security.createServer(
-    {},
+  const {address, server} = options.port;
+  options.port.serve(
     guardRequest((request, response) => {
       const path = (request.url ?? '/').split('?', 1)[0];
       for (const [prefix, handler] of handlers) {
@@ -106,10 +105,6 @@
       ),
     );
   }
-  server.headersTimeout = HEADERS_TIMEOUT_MS;
-  server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
-  server.requestTimeout = 0;
-  const address = await listen(server, options.address);
   return {
     url: `${options.security.scheme}://${address.host}:${address.port}`,
     close: () => closeServer(server),
