Survive errors of accept (FAULT)

What callers would see: all connections of a process end, because one more could not be accepted.

Cause: servers had no handler for errors after they listen. Node.js emits `error` if `accept` fails other than with ECONNABORTED, and an `error` without a handler ends the process. accept(2) also returns network errors that are pending on the new connection (ENETDOWN, EPROTO, EHOSTUNREACH), ENOBUFS and EPERM, and EMFILE if libuv has lost its spare descriptor.

Change: event 112 records the error, and the server goes on listening. Ruled out: a lack of descriptors alone, which libuv handles by closing the new connection.

--- a/agent/agent-server/test/fake-control.ts
+++ b/agent/agent-server/test/fake-control.ts
@@ -59,7 +59,7 @@
     const port = await ProcessPort.open(
       {host: '127.0.0.1', port: 0},
       security,
-      {onAwaited() {}, onOpened() {}},
+      {onAwaited() {}, onOpened() {}, onAcceptFailed() {}},
     );
     const server = startProcessServer({
       port,
--- a/contracts/event-catalogue/src/process-events.ts
+++ b/contracts/event-catalogue/src/process-events.ts
@@ -64,4 +64,10 @@
     level: 'info',
     meaning: 'The process listens at an address for which it has waited.',
   },
+  'accept-failed': {
+    number: 112,
+    level: 'warn',
+    meaning:
+      'The process could not accept a connection at `address`; it goes on listening.',
+  },
 } as const satisfies Record<string, EventKind>;
--- a/machines/http-link/src/listen-when-free.ts
+++ b/machines/http-link/src/listen-when-free.ts
@@ -13,6 +13,8 @@
   ) => void;
   /** Called when the server listens after it has waited. */
   readonly onOpened: (address: Address, waitedMs: number) => void;
+  /** Called when the server could not accept a connection; it goes on listening. */
+  readonly onAcceptFailed: (address: Address, reason: string) => void;
 }
 
 /**
@@ -31,6 +33,10 @@
   for (;;) {
     try {
       const opened = await listen(server, address);
+      // Without a handler, an error of `accept` would end the process.
+      server.on('error', ({message}) =>
+        listener.onAcceptFailed(opened, message),
+      );
       if (hasWaited) {
         listener.onOpened(opened, performance.now() - startedAt);
       }
--- a/machines/http-link/test/listen-when-free.test.ts
+++ b/machines/http-link/test/listen-when-free.test.ts
@@ -19,6 +19,7 @@
       onAwaited();
     },
     onOpened: () => reports.push('opened'),
+    onAcceptFailed: (_address: Address, reason: string) => reports.push(reason),
   };
 }
 
@@ -47,6 +48,18 @@
   await closeServer(server);
 });
 
+// Guards against processes that end because one connection cannot be accepted.
+it('listen when free: an error of accept is reported and the server goes on', async () => {
+  const server = net.createServer(socket => socket.end());
+  const listener = createListener();
+  const {port} = await listenWhenFree(server, {host: HOST, port: 0}, listener);
+  server.emit('error', new Error('accept ENETDOWN'));
+  expect(listener.reports).to.deep.equal(['accept ENETDOWN']);
+  const socket = net.connect(port, HOST).resume();
+  await once(socket, 'end');
+  await closeServer(server);
+});
+
 it('listen when free: an invalid port is an error at once', async () => {
   const address = {host: HOST, port: 70_000};
   const error = await listenWhenFree(
--- a/machines/process-runtime/src/process-runtime.ts
+++ b/machines/process-runtime/src/process-runtime.ts
@@ -196,6 +196,8 @@
       events.record('port-opened', {
         ...{address: text(address), waitedMs: Math.round(waitedMs)},
       }),
+    onAcceptFailed: (address, reason) =>
+      events.record('accept-failed', {address: text(address), reason}),
   };
 }
 
