--- a/contracts/event-catalogue/src/process-events.ts
+++ b/contracts/event-catalogue/src/process-events.ts
@@ -53,9 +53,26 @@
     meaning:
       'The process has room again to buffer what it refused `refusals` times.',
   },
-  'connections-full': {
+  'port-awaited': {
+    number: 110,
+    level: 'warn',
+    meaning:
+      'The process cannot listen at `address` yet, for example because another socket uses the port, and tries again until it can; recorded once a minute meanwhile.',
+  },
+  'port-opened': {
+    number: 111,
+    level: 'info',
+    meaning: 'The process listens at an address for which it has waited.',
+  },
+  'accept-failed': {
     number: 112,
     level: 'warn',
+    meaning:
+      'The process could not accept a connection at `address`; it goes on listening.',
+  },
+  'connections-full': {
+    number: 113,
+    level: 'warn',
     meaning:
       'Callers have as many connections as the memory of the entry allows; further ones are closed at once.',
   },
