Bound the bytes that control and the links between processes buffer (FAULT)

What callers saw: large orders, heartbeats or messages of other processes at once, each within its limit, took a replica of control far over the memory of its machine, or ended it. Cause: bodies had a limit each (16 MiB on every path of the operators' API, 33 MB for messages and tRPC), none over all of them. Each chunk was kept as a buffer of its own, so that a body in chunks of one byte took some hundred times its bytes, on the heap. The tRPC router goes on to buffer a body after it has answered 404. Change: control knows its memory (memoryBytes), and the operators' API, JSON messages with their answers, incomplete lines of streams and tRPC bodies draw from the process's MemoryBudget. What does not fit is refused at once, 503 with Retry-After, and the rest is read and dropped. Connections are limited by the memory for them, heads and requests by time. Pieces are gathered. A body of a stated length in small pieces no longer reserves its maximum. Ruled out (within the memory before too): 3,000 heads that never end 159 MB, 20,000 pipelined heartbeats 117, 400 readers of a configuration that do not read 198.

--- a/agent/engine-agent/src/prepare-handler.ts
+++ b/agent/engine-agent/src/prepare-handler.ts
@@ -5,29 +5,44 @@
   ADAPTER_USAGE_SCHEMA,
   type PrepareAnswer,
 } from '@marigoldspur/deployment';
-import {createJsonHandler, readBody} from '@marigoldspur/http-link';
+import {createJsonHandler, type MessageMemory} from '@marigoldspur/http-link';
+import {discardRest} from '@marigoldspur/request-bodies';
 import type {AdapterManager} from './adapter-manager.js';
 
 const MAX_REQUEST_BYTES = 65_536;
 const STATUS_BAD_REQUEST = 400;
+const STATUS_UNAVAILABLE = 503;
 
 /**
  * Creates the HTTP handler for requests to load an adapter. A request is
  * cancelled when its sender disconnects.
  */
-export function createPrepareHandler(manager: AdapterManager) {
+export function createPrepareHandler(
+  manager: AdapterManager,
+  {bodies}: MessageMemory,
+) {
   return (request: http.IncomingMessage, response: http.ServerResponse) =>
-    prepare(manager, request, response);
+    prepare(manager, bodies, request, response);
 }
 
 async function prepare(
   manager: AdapterManager,
+  bodies: MessageMemory['bodies'],
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): Promise<void> {
   const disconnectSignal = createDisconnectSignal(response);
-  const body = await readBody(request, MAX_REQUEST_BYTES);
-  const prepareRequest = body.isOk ? parse(body.value) : undefined;
+  const body = await bodies.read({request, maxBytes: MAX_REQUEST_BYTES});
+  if (body.isErr && body.error.code === 'FULL') {
+    discardRest(request);
+    response.statusCode = STATUS_UNAVAILABLE;
+    response.setHeader('retry-after', body.error.retryAfterSeconds ?? 1);
+    response.end();
+    return;
+  }
+  const text = body.map(({pieces}) => Buffer.concat(pieces).toString());
+  body.map(read => read.release());
+  const prepareRequest = text.isOk ? parse(text.value) : undefined;
   if (prepareRequest === undefined) {
     response.statusCode = STATUS_BAD_REQUEST;
     response.end();
@@ -41,9 +56,9 @@
   sendAnswer(response, answer);
 }
 
-function parse(body: Buffer) {
+function parse(text: string) {
   try {
-    const parsed = PREPARE_REQUEST_SCHEMA.safeParse(JSON.parse(String(body)));
+    const parsed = PREPARE_REQUEST_SCHEMA.safeParse(JSON.parse(text));
     return parsed.data;
   } catch {
     // Invalid JSON gets the same response as JSON that does not match the
@@ -65,8 +80,12 @@
 }
 
 /** Creates the HTTP handler for the entries' reports of the adapters in use. */
-export function createUsageHandler(manager: AdapterManager) {
+export function createUsageHandler(
+  manager: AdapterManager,
+  memory: MessageMemory,
+) {
   return createJsonHandler({
+    memory,
     maxBodyBytes: MAX_REQUEST_BYTES,
     answer: async message => {
       manager.recordUsage(
--- a/contracts/control-api/src/heartbeat-handler.ts
+++ b/contracts/control-api/src/heartbeat-handler.ts
@@ -4,6 +4,7 @@
   createJsonHandler,
   createJsonStreamHandler,
   type JsonHandlerOptions,
+  type MessageMemory,
 } from '@marigoldspur/http-link';
 import {
   HEARTBEAT_BATCH_PATH,
@@ -26,25 +27,30 @@
 /**
  * Serves single heartbeats and streams of the batches that relays gather, as JSON over plain
  * HTTP. Heartbeats are the most frequent calls of control, and a tRPC call costs its server
- * about four times as much.
+ * about four times as much. `memory` limits what they take; there is no limit if it is absent.
  */
 export function createHeartbeatHandler(
   service: Pick<ControlService, 'heartbeat' | 'heartbeats'>,
+  memory?: MessageMemory,
 ): Handler {
   const handlers = new Map<string, Handler>([
     [
       HEARTBEAT_PATH,
       createJsonHandler(
-        createHandlerOptions(MEMBER_SCHEMA, member =>
-          service.heartbeat(member),
+        createHandlerOptions(
+          MEMBER_SCHEMA,
+          member => service.heartbeat(member),
+          memory,
         ),
       ),
     ],
     [
       HEARTBEAT_BATCH_PATH,
       createJsonStreamHandler(
-        createHandlerOptions(HEARTBEAT_BATCH_SCHEMA, async batch =>
-          omitEmptyLists(await service.heartbeats(batch)),
+        createHandlerOptions(
+          HEARTBEAT_BATCH_SCHEMA,
+          async batch => omitEmptyLists(await service.heartbeats(batch)),
+          memory,
         ),
       ),
     ],
@@ -63,9 +69,11 @@
 function createHandlerOptions<T>(
   schema: z.ZodType<T>,
   answer: (message: T) => Promise<unknown>,
+  memory: MessageMemory | undefined,
 ): JsonHandlerOptions {
   return {
     maxBodyBytes: MAX_BATCH_BYTES,
+    memory,
     answer: async message => {
       const parsed = schema.safeParse(message);
       if (!parsed.success) {
--- a/control/control-server/src/command-forwarder.ts
+++ b/control/control-server/src/command-forwarder.ts
@@ -10,7 +10,11 @@
 import type {ReplaceOutcome} from '@marigoldspur/deployment-state';
 import {Fault, toFault} from '@marigoldspur/faults';
 import type {FleetCommands} from '@marigoldspur/fleet';
-import {exchangeJson, createJsonHandler} from '@marigoldspur/http-link';
+import {
+  exchangeJson,
+  createJsonHandler,
+  type MessageMemory,
+} from '@marigoldspur/http-link';
 import type {ReplicatedLog} from '@marigoldspur/replicated-log';
 import {COMMAND_SCHEMA, type Command, type CommandAnswer} from './command.js';
 
@@ -39,8 +43,9 @@
   constructor(private readonly options: CommandForwarderOptions) {}
 
   /** Creates the HTTP handler for commands forwarded by other replicas. */
-  createHandler() {
+  createHandler(memory: MessageMemory) {
     return createJsonHandler({
+      memory,
       maxBodyBytes: MAX_BODY_BYTES,
       answer: async message => {
         const command = COMMAND_SCHEMA.parse(message);
--- a/control/control-server/src/control-settings.ts
+++ b/control/control-server/src/control-settings.ts
@@ -61,6 +61,13 @@
     .string()
     .min(1)
     .describe('Folder for the durable state of the replica'),
+  memoryBytes: z.coerce
+    .number()
+    .positive()
+    .optional()
+    .describe(
+      'Memory that the process may use, in bytes, which limits what it buffers; no limit by default',
+    ),
   leaseMs: DURATION_MS_SCHEMA.default(3_000).describe(
     'How long a member stays registered without a heartbeat, in milliseconds',
   ),
--- a/control/control-server/src/request-limit-handlers.ts
+++ b/control/control-server/src/request-limit-handlers.ts
@@ -4,14 +4,18 @@
   type PermitAnswer,
 } from '@marigoldspur/deployment';
 import type {FleetManager} from '@marigoldspur/fleet';
-import {createJsonHandler} from '@marigoldspur/http-link';
+import {createJsonHandler, type MessageMemory} from '@marigoldspur/http-link';
 
 const MAX_LIMITS_BYTES = 4_194_304;
 const MAX_PERMIT_REQUEST_BYTES = 4_096;
 
 /** Creates the HTTP handler that takes the limits that targets stated to entries. */
-export function createLimitHandler({limiter}: Pick<FleetManager, 'limiter'>) {
+export function createLimitHandler(
+  {limiter}: Pick<FleetManager, 'limiter'>,
+  memory: MessageMemory,
+) {
   return createJsonHandler({
+    memory,
     maxBodyBytes: MAX_LIMITS_BYTES,
     answer: async message => {
       const {limits} = REQUEST_LIMITS_SCHEMA.parse(message);
@@ -22,8 +26,12 @@
 }
 
 /** Creates the HTTP handler that grants entries permits to send calls to targets with a limit. */
-export function createPermitHandler({limiter}: Pick<FleetManager, 'limiter'>) {
+export function createPermitHandler(
+  {limiter}: Pick<FleetManager, 'limiter'>,
+  memory: MessageMemory,
+) {
   return createJsonHandler({
+    memory,
     maxBodyBytes: MAX_PERMIT_REQUEST_BYTES,
     answer: (message): Promise<PermitAnswer> => {
       const request = PERMIT_REQUEST_SCHEMA.parse(message);
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -21,6 +21,7 @@
 import type {EventLog} from '@marigoldspur/event-log';
 import {FleetManager} from '@marigoldspur/fleet';
 import {HEARTBEAT_BATCH_PATH, HEARTBEAT_PATH} from '@marigoldspur/messages';
+import type {MemoryBudget} from '@marigoldspur/memory-budget';
 import type {ProcessMetrics} from '@marigoldspur/metrics';
 import {CommandForwarder, COMMANDS_PATH} from './command-forwarder.js';
 import {ControlRequestHandler} from './control-request-handler.js';
@@ -48,6 +49,9 @@
   readonly fleet: FleetManager;
   readonly events: EventLog;
   readonly metrics: ProcessMetrics;
+  readonly memory: MemoryBudget;
+  /** Returns the number of connections for which the interface has memory; undefined without a limit. */
+  readonly maxConnections: (maxHeaderBytes: number) => number | undefined;
   /** Replaces the base URLs from which the replicas of control are discovered. */
   readonly setSeedUrls: (urls: readonly string[]) => void;
 }
@@ -95,7 +99,7 @@
     permits,
     events,
   });
-  const heartbeats = createHeartbeatHandler(requestHandler);
+  const heartbeats = createHeartbeatHandler(requestHandler, runtime);
   const commands = new CommandForwarder({log, agent: security.createAgent()});
   const fleet = new FleetManager({
     deployments: machine.deployments,
@@ -110,15 +114,21 @@
       ...paths,
       [HEARTBEAT_PATH, heartbeats],
       [HEARTBEAT_BATCH_PATH, heartbeats],
-      [COMMANDS_PATH, commands.createHandler()],
-      [DEPLOYMENT_TRANSFER_PATH, createDeploymentTransferHandler(fleet)],
-      [FENCES_PATH, createFenceHandler(commands)],
-      [CRASH_RECORDS_PATH, createCrashRecordHandler(fleet)],
-      [TARGET_LEAVES_PATH, createTargetLeaveHandler(fleet)],
-      [STREAM_ORIGINS_PATH, createStreamOriginHandler(fleet)],
-      [STREAM_ORIGIN_LOOKUP_PATH, createStreamOriginLookupHandler(fleet)],
-      [REQUEST_LIMITS_PATH, createLimitHandler(fleet)],
-      [REQUEST_PERMITS_PATH, createPermitHandler(fleet)],
+      [COMMANDS_PATH, commands.createHandler(runtime)],
+      [
+        DEPLOYMENT_TRANSFER_PATH,
+        createDeploymentTransferHandler(fleet, runtime),
+      ],
+      [FENCES_PATH, createFenceHandler(commands, runtime)],
+      [CRASH_RECORDS_PATH, createCrashRecordHandler(fleet, runtime)],
+      [TARGET_LEAVES_PATH, createTargetLeaveHandler(fleet, runtime)],
+      [STREAM_ORIGINS_PATH, createStreamOriginHandler(fleet, runtime)],
+      [
+        STREAM_ORIGIN_LOOKUP_PATH,
+        createStreamOriginLookupHandler(fleet, runtime),
+      ],
+      [REQUEST_LIMITS_PATH, createLimitHandler(fleet, runtime)],
+      [REQUEST_PERMITS_PATH, createPermitHandler(fleet, runtime)],
       [
         FLEET_PATH,
         (request, response) => fleet.streamServer.handle(request, response),
@@ -147,6 +157,8 @@
     fleet,
     events,
     metrics: runtime.metrics,
+    memory: runtime.memory,
+    maxConnections: bytes => runtime.maxConnections(bytes),
     setSeedUrls: urls => log.setSeedUrls(urls),
   });
   events.record('process-started', {url, boot});
--- a/control/control-server/src/stream-origin-handlers.ts
+++ b/control/control-server/src/stream-origin-handlers.ts
@@ -5,7 +5,11 @@
   type StreamOriginAnswer,
 } from '@marigoldspur/deployment';
 import type {FleetManager} from '@marigoldspur/fleet';
-import {createJsonHandler, LineReader} from '@marigoldspur/http-link';
+import {
+  createJsonHandler,
+  LineReader,
+  type MessageMemory,
+} from '@marigoldspur/http-link';
 
 const MAX_ORIGINS_BYTES = 4_194_304;
 const MAX_LOOKUP_BYTES = 4_096;
@@ -17,6 +21,7 @@
  */
 export function createStreamOriginHandler(
   fleet: Pick<FleetManager, 'addStreamOrigins'>,
+  {memory}: MessageMemory,
 ) {
   return (
     request: http.IncomingMessage,
@@ -24,7 +29,9 @@
   ): void => {
     // A request that ends early drops its reference to the socket, so keep one here.
     const {socket} = request;
-    const reader = new LineReader(MAX_ORIGINS_BYTES);
+    const reservation = memory.reserve('message', 0);
+    const reader = new LineReader(MAX_ORIGINS_BYTES, reservation);
+    response.on('close', () => reservation?.release());
     response.on('error', () => socket.destroy());
     response.writeHead(STATUS_OK, {'content-type': 'application/x-ndjson'});
     response.flushHeaders();
@@ -47,8 +54,10 @@
 /** Creates the HTTP handler that looks up the origin of a stream. */
 export function createStreamOriginLookupHandler(
   fleet: Pick<FleetManager, 'findStreamOrigin' | 'findVersionEvidence'>,
+  memory: MessageMemory,
 ) {
   return createJsonHandler({
+    memory,
     maxBodyBytes: MAX_LOOKUP_BYTES,
     answer: async (message): Promise<StreamOriginAnswer> => {
       const {call, service} = STREAM_ORIGIN_LOOKUP_SCHEMA.parse(message);
--- a/machines/http-link/src/index.ts
+++ b/machines/http-link/src/index.ts
@@ -5,6 +5,7 @@
   type JsonCall,
   type JsonHandlerOptions,
 } from './json-exchange.js';
+export {createUnlimitedMemory, type MessageMemory} from './message-memory.js';
 export {createFetch} from './create-fetch.js';
 export {closeServer, listen, type Address} from './listen.js';
 export {openRequest, type OutgoingRequest} from './open-request.js';
--- a/machines/http-link/src/json-exchange.ts
+++ b/machines/http-link/src/json-exchange.ts
@@ -1,5 +1,7 @@
 import type http from 'node:http';
 import {Fault, toFault, type FaultCode} from '@marigoldspur/faults';
+import {discardRest, type BodyFailure} from '@marigoldspur/request-bodies';
+import {createUnlimitedMemory, type MessageMemory} from './message-memory.js';
 import {openRequest} from './open-request.js';
 import {readBody} from './read-body.js';
 
@@ -19,8 +21,11 @@
   readonly maxBodyBytes: number;
   /** Answers a message. A thrown `Fault` is sent to the caller. */
   readonly answer: (message: unknown) => Promise<unknown>;
+  /** Limits the memory for messages and answers; no limit if absent. */
+  readonly memory?: MessageMemory;
 }
 
+const RETRY_AFTER_SECONDS = 1;
 const STATUS_OK = 200;
 const STATUS_UNAVAILABLE = 503;
 
@@ -44,30 +49,66 @@
   return answer;
 }
 
-/** Creates a handler of requests that each contain one JSON message. */
+/**
+ * Creates a handler of requests that each contain one JSON message. A message or an answer that
+ * the process lacks the memory for is refused as `UNAVAILABLE`, with the time to come back.
+ */
 export function createJsonHandler(options: JsonHandlerOptions) {
+  const {bodies, memory} = options.memory ?? createUnlimitedMemory();
   return async (
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> => {
-    const body = await readBody(request, options.maxBodyBytes);
+    const body = await bodies.read({request, maxBytes: options.maxBodyBytes});
     if (body.isErr) {
-      response.setHeader('connection', 'close');
-      sendReply(response, STATUS_UNAVAILABLE, faultMessage(body.error));
+      refuse(response, body.error);
+      discardRest(request);
       return;
     }
-    try {
-      sendReply(
-        response,
-        STATUS_OK,
-        await options.answer(parseJson(body.value)),
-      );
-    } catch (thrown) {
-      sendReply(response, STATUS_UNAVAILABLE, faultMessage(toFault(thrown)));
+    const answer = await answerText(body.value.pieces, options).finally(() =>
+      body.value.release(),
+    );
+    const reservation = memory.reserve('answer', answer.text.length);
+    if (reservation === undefined) {
+      refuse(response, {message: 'the process lacks the memory to answer'});
+      return;
     }
+    response.on('close', () => reservation.release());
+    sendReply(response, answer.status, answer.text);
   };
 }
 
+async function answerText(
+  pieces: readonly Buffer[],
+  options: JsonHandlerOptions,
+): Promise<{readonly status: number; readonly text: string}> {
+  try {
+    const answer = await options.answer(parseJson(joinPieces(pieces)));
+    return {status: STATUS_OK, text: JSON.stringify(answer)};
+  } catch (thrown) {
+    const text = JSON.stringify(faultMessage(toFault(thrown)));
+    return {status: STATUS_UNAVAILABLE, text};
+  }
+}
+
+/** Refuses a message that was not read, or whose answer there is no memory for. */
+function refuse(
+  response: http.ServerResponse,
+  {code, message, retryAfterSeconds}: Partial<BodyFailure>,
+): void {
+  const fault = new Fault(
+    code === 'TOO_LARGE'
+      ? code
+      : code === 'TORN'
+        ? 'TORN_ANSWER'
+        : 'UNAVAILABLE',
+    message ?? '',
+  );
+  response.setHeader('retry-after', retryAfterSeconds ?? RETRY_AFTER_SECONDS);
+  const text = JSON.stringify(faultMessage(fault));
+  sendReply(response, STATUS_UNAVAILABLE, text);
+}
+
 function sendRequest(
   call: JsonCall,
   text: string,
@@ -94,9 +135,8 @@
 function sendReply(
   response: http.ServerResponse,
   status: number,
-  message: unknown,
+  text: string,
 ): void {
-  const text = JSON.stringify(message);
   response.sendDate = false;
   response.writeHead(status, {
     'content-type': 'application/json',
@@ -105,6 +145,10 @@
   response.end(text);
 }
 
+function joinPieces(pieces: readonly Buffer[]): Buffer {
+  return pieces.length === 1 ? pieces[0] : Buffer.concat(pieces);
+}
+
 function parseJson(body: Buffer): unknown {
   try {
     return JSON.parse(body.toString('utf8'));
--- a/machines/http-link/src/json-stream-handler.ts
+++ b/machines/http-link/src/json-stream-handler.ts
@@ -3,21 +3,25 @@
 import type {JsonHandlerOptions} from './json-exchange.js';
 import type {JsonStreamAnswer} from './json-stream.js';
 import {LineReader} from './line-reader.js';
+import {createUnlimitedMemory} from './message-memory.js';
 
 const STATUS_OK = 200;
 
 /**
  * Creates a handler of requests that contain one JSON message per line. A message that is too
- * long, or is sent before the answer to the previous one, closes the connection.
+ * long, needs more memory than there is, or is sent before the answer to the previous one,
+ * closes the connection.
  */
 export function createJsonStreamHandler(options: JsonHandlerOptions) {
+  const {memory} = options.memory ?? createUnlimitedMemory();
   return (
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): void => {
     // A request that ends early drops its reference to the socket, so keep one here.
     const {socket} = request;
-    const reader = new LineReader(options.maxBodyBytes);
+    const reservation = memory.reserve('message', 0);
+    const reader = new LineReader(options.maxBodyBytes, reservation);
     let isAnswering = false;
     const answerNext = async (line: string) => {
       const text = JSON.stringify(await answerLine(line, options));
@@ -26,6 +30,7 @@
         response.write(`${text}\n`);
       }
     };
+    response.on('close', () => reservation?.release());
     response.on('error', () => socket.destroy());
     response.writeHead(STATUS_OK, {'content-type': 'application/x-ndjson'});
     response.flushHeaders();
--- a/machines/http-link/src/read-body.ts
+++ b/machines/http-link/src/read-body.ts
@@ -1,6 +1,7 @@
 import type {Readable} from 'node:stream';
 import {Result} from 'true-myth';
 import {Fault} from '@marigoldspur/faults';
+import {PieceList} from '@marigoldspur/request-bodies';
 
 /** Reads a body of at most `limitBytes`. The fault is `TOO_LARGE`, or `TORN_ANSWER` for an incomplete body. */
 export function readBody(
@@ -8,7 +9,7 @@
   limitBytes: number,
 ): Promise<Result<Buffer, Fault>> {
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
+    let pieces = new PieceList();
     let size = 0;
     let isComplete = false;
     const failIncomplete = () => {
@@ -23,10 +24,10 @@
     stream.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (size <= limitBytes) {
-        chunks.push(chunk);
+        pieces.add(chunk);
         return;
       }
-      chunks.length = 0;
+      pieces = new PieceList();
       stream.pause();
       resolve(
         Result.err(
@@ -40,7 +41,7 @@
         return;
       }
       isComplete = true;
-      resolve(Result.ok(Buffer.concat(chunks)));
+      resolve(Result.ok(Buffer.concat(pieces.finish())));
     });
     stream.on('error', failIncomplete);
     stream.on('close', failIncomplete);
--- a/machines/process-runtime/src/process-runtime.ts
+++ b/machines/process-runtime/src/process-runtime.ts
@@ -1,3 +1,4 @@
+import {maxHeaderSize} from 'node:http';
 import {getHeapStatistics} from 'node:v8';
 import {
   EventLog,
@@ -18,6 +19,7 @@
 } from '@marigoldspur/memory-budget';
 import type {ProcessRole, ProcessStatus} from '@marigoldspur/messages';
 import {createProcessMetrics, type ProcessMetrics} from '@marigoldspur/metrics';
+import {BodyReader} from '@marigoldspur/request-bodies';
 import {createBootId} from '@marigoldspur/process-lifecycle';
 import {VERSION} from '@marigoldspur/process-settings';
 import {
@@ -55,6 +57,9 @@
 }
 
 const STDOUT_DESCRIPTOR = 1;
+/** Share of the memory for connections that those to one server may take. */
+const SERVER_SHARE = 0.5;
+const BYTES_PER_IDLE_CONNECTION = 4_096;
 
 /** The components that every process of the system has: event log, metrics, link security and server. */
 export class ProcessRuntime {
@@ -63,6 +68,8 @@
   readonly metrics: ProcessMetrics;
   /** Limits what the process buffers. */
   readonly memory: MemoryBudget;
+  /** Reads the messages of other processes. */
+  readonly bodies: BodyReader;
   private readonly startedAt = performance.now();
   private draining = false;
 
@@ -75,6 +82,7 @@
     const {id, zone} = settings;
     this.metrics = createProcessMetrics({process: id, role, zone});
     this.memory = createMemoryBudget(settings.memoryBytes, events);
+    this.bodies = new BodyReader({budget: this.memory, kind: 'message'});
     registerBudgetMetrics(this.metrics.registry, this.memory);
   }
 
@@ -107,10 +115,12 @@
   /** Serves other processes and operators; resolves to the base URL. */
   async serve(options: ProcessServeOptions): Promise<string> {
     const {host, port} = this.settings;
-    const {events} = this;
+    const {events, memory} = this;
     const server = await startProcessServer({
       address: {host, port},
       security: this.security,
+      memory,
+      maxConnections: this.maxConnections(maxHeaderSize),
       metrics: this.metrics,
       onFault: ({message}) => events.record('request-error', {message}),
       isReady: () => this.isReady(options),
@@ -129,6 +139,20 @@
     return server.url;
   }
 
+  /**
+   * Number of connections with heads of at most `maxHeaderBytes` for which one server of the
+   * process has memory; undefined without a limit.
+   */
+  maxConnections(maxHeaderBytes: number): number | undefined {
+    const {memoryBytes} = this.settings;
+    return memoryBytes === undefined
+      ? undefined
+      : Math.floor(
+          (connectionBytes(memoryBytes) * SERVER_SHARE) /
+            (maxHeaderBytes + BYTES_PER_IDLE_CONNECTION),
+        );
+  }
+
   /** Marks the process as shutting down, so that it is no longer ready. */
   beginDrain(): void {
     this.draining = true;
--- a/machines/process-server/src/process-server.ts
+++ b/machines/process-server/src/process-server.ts
@@ -6,7 +6,9 @@
 import type {Fault} from '@marigoldspur/faults';
 import {closeServer, listen, type Address} from '@marigoldspur/http-link';
 import type {LinkSecurity} from '@marigoldspur/link-security';
+import type {MemoryBudget} from '@marigoldspur/memory-budget';
 import type {ProcessMetrics} from '@marigoldspur/metrics';
+import {discardRest} from '@marigoldspur/request-bodies';
 import {
   createProcessRouter,
   type ProcessService,
@@ -24,6 +26,10 @@
   readonly security: LinkSecurity;
   readonly service: ProcessService;
   readonly metrics: ProcessMetrics;
+  /** Limits the memory for the bodies of tRPC calls; no limit if absent. */
+  readonly memory?: Pick<MemoryBudget, 'reserve'>;
+  /** Maximum number of connections; further ones are closed at once. No limit if absent. */
+  readonly maxConnections?: number;
   /** Called with an unexpected error of a request, whose connection was closed. */
   readonly onFault: (fault: Fault) => void;
   /** Whether the process takes new work. */
@@ -55,6 +61,9 @@
 /** Paths of the routers whose procedures check the access of their callers themselves. */
 const SELF_CHECKING_PATHS = new Set(['/trpc/process/', '/trpc/control/']);
 const MAX_TRPC_BODY_BYTES = 33_554_432;
+/** Time in which the body of a tRPC call must be complete, in milliseconds. */
+const BODY_TIMEOUT_MS = 10_000;
+const RETRY_AFTER_SECONDS = 1;
 const HEADERS_TIMEOUT_MS = 10_000;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 
@@ -69,10 +78,7 @@
   const handlers = new Map<string, Handler>();
   for (const [name, router] of Object.entries(routers)) {
     const basePath = `/trpc/${name}/`;
-    handlers.set(
-      basePath,
-      createTrpcHandler(basePath, router, options.security),
-    );
+    handlers.set(basePath, createTrpcHandler(basePath, router, options));
   }
   const guardRequest =
     (handler: Handler): Handler =>
@@ -109,6 +115,9 @@
   server.headersTimeout = HEADERS_TIMEOUT_MS;
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   server.requestTimeout = 0;
+  if (options.maxConnections !== undefined) {
+    server.maxConnections = options.maxConnections;
+  }
   const address = await listen(server, options.address);
   return {
     url: `${options.security.scheme}://${address.host}:${address.port}`,
@@ -119,14 +128,18 @@
 function createTrpcHandler(
   basePath: string,
   router: AnyRouter,
-  security: LinkSecurity,
+  {memory, security}: ProcessServerOptions,
 ): Handler {
-  const handler = createHTTPHandler({
+  const trpc = createHTTPHandler({
     router,
     basePath,
     maxBodySize: MAX_TRPC_BODY_BYTES,
     createContext: ({req}): CallContext => ({caller: security.callerOf(req)}),
   });
+  const handler: Handler = (request, response) =>
+    memory === undefined || reserveBody(memory, request, response)
+      ? trpc(request, response)
+      : refuseForMemory(request, response);
   if (SELF_CHECKING_PATHS.has(basePath)) {
     return handler;
   }
@@ -136,6 +149,51 @@
       : sendForbidden(response);
 }
 
+/**
+ * Reserves the memory for the body of a tRPC call until its response has ended; false if there is
+ * not enough. The router buffers a body even after it has answered, so the rest is then dropped. A
+ * body that is not complete in time closes its connection.
+ */
+function reserveBody(
+  memory: Pick<MemoryBudget, 'reserve'>,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): boolean {
+  const {headers} = request;
+  const bytes =
+    headers['transfer-encoding'] === undefined
+      ? Number(headers['content-length'] ?? 0)
+      : MAX_TRPC_BODY_BYTES;
+  const reservation = memory.reserve(
+    'message',
+    Math.min(bytes, MAX_TRPC_BODY_BYTES),
+  );
+  if (reservation === undefined) {
+    return false;
+  }
+  const timer = setTimeout(() => {
+    if (!request.complete) {
+      request.destroy();
+    }
+  }, BODY_TIMEOUT_MS);
+  response.on('close', () => {
+    clearTimeout(timer);
+    reservation.release();
+    discardRest(request);
+  });
+  return true;
+}
+
+function refuseForMemory(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): void {
+  response.statusCode = 503;
+  response.setHeader('retry-after', RETRY_AFTER_SECONDS);
+  response.end('the process lacks the memory for another call\n');
+  discardRest(request);
+}
+
 async function handleRequest(
   path: string,
   options: ProcessServerOptions,
--- a/machines/request-bodies/src/body-reader.ts
+++ b/machines/request-bodies/src/body-reader.ts
@@ -77,6 +77,7 @@
     reservation: Reservation,
   ): Promise<Result<RequestBody, BodyFailure>> {
     const pieces = new PieceList();
+    const isStated = reservation.bytes > 0;
     return new Promise(resolve => {
       const end = (result: Result<RequestBody, BodyFailure>) => {
         this.arriving.delete(body);
@@ -104,7 +105,11 @@
           fail(tooLarge(maxBytes));
         } else if (
           pieces.allocatedBytes > reservation.bytes &&
-          !this.grow(reservation, pieces.allocatedBytes, maxBytes)
+          !this.grow(
+            reservation,
+            pieces.allocatedBytes,
+            isStated ? 0 : maxBytes,
+          )
         ) {
           fail(this.full(pieces.byteLength));
         }
@@ -144,7 +149,7 @@
   }
 
   /**
-   * Grows the reservation of a body that states no length to `bytes`. One that is not small any
+   * Grows the reservation of a body to `bytes`. One that states no length and is not small any
    * more gets what the largest one takes, so that it is refused early or not at all.
    */
   private grow(
--- a/machines/request-bodies/src/index.ts
+++ b/machines/request-bodies/src/index.ts
@@ -5,4 +5,5 @@
   type BodyRequest,
 } from './body-reader.js';
 export {discardRest} from './discard-rest.js';
+export {PieceList} from './piece-list.js';
 export {createRequestBody, type RequestBody} from './request-body.js';
