Bound what the followers of the fleet have not read over all of them (FAULT)

What callers saw: entries that do not read their fleet streams, 100 at once, ended a replica of control with "Reached heap limit Allocation failed". Cause: each follower may leave 4 MiB unread and its whole state besides; the state was created for each one, and there was no bound over all. A state that there is no memory for waits, in order of arrival, and is not created meanwhile. The follower that has not read for the longest time gives way once it has stalled for 3 s.

--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -105,6 +105,7 @@
     deployments: machine.deployments,
     log,
     commands,
+    memory: runtime.memory,
     events,
   });
   machine.onDeploymentChange(() => fleet.handleDeploymentChange());
--- a/control/fleet/src/fleet-manager.ts
+++ b/control/fleet/src/fleet-manager.ts
@@ -20,6 +20,7 @@
 import {DeploymentArchive} from '@marigoldspur/deployment-transfer';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Fault} from '@marigoldspur/faults';
+import type {MemoryBudget} from '@marigoldspur/memory-budget';
 import type {ReplicatedLog} from '@marigoldspur/replicated-log';
 import {
   SoftwareVersionHistory,
@@ -50,6 +51,8 @@
   readonly deployments: DeploymentState;
   readonly log: Pick<ReplicatedLog<unknown, unknown>, 'readBarrier' | 'status'>;
   readonly commands: FleetCommands;
+  /** Limits what followers have not read; no limit if absent. */
+  readonly memory?: Pick<MemoryBudget, 'reserve'>;
   readonly events: EventLog;
 }
 
@@ -103,6 +106,7 @@
       softwareVersions: () => this.softwareVersions.snapshot(performance.now()),
       confirm: async () => (await this.confirmState()).isOk,
       replicas: () => log.status().replicas.map(({url}) => url),
+      memory: options.memory,
       events: options.events,
     });
     this.silenceTimer = setInterval(
--- a/control/fleet/src/fleet-stream-server.ts
+++ b/control/fleet/src/fleet-stream-server.ts
@@ -14,7 +14,9 @@
 import type {DeploymentArchive} from '@marigoldspur/deployment-transfer';
 import type {DeploymentState} from '@marigoldspur/deployment-state';
 import type {EventLog} from '@marigoldspur/event-log';
+import {MemoryBudget, UNLIMITED} from '@marigoldspur/memory-budget';
 import type {TargetRegistry} from '@marigoldspur/target-registry';
+import {FollowerQueue} from './follower-queue.js';
 
 /** Options of a fleet stream server. */
 export interface FleetStreamServerOptions {
@@ -32,11 +34,14 @@
   readonly confirm: () => Promise<boolean>;
   /** Base URLs of all replicas. */
   readonly replicas: () => readonly string[];
+  /** Limits what all followers together have not read; no limit if absent. */
+  readonly memory?: Pick<MemoryBudget, 'reserve'>;
   readonly events: EventLog;
 }
 
 interface Follower {
   readonly response: http.ServerResponse;
+  readonly queue: FollowerQueue;
   /** Whether the full state was sent, after which changes are sent. */
   isSynced: boolean;
 }
@@ -46,6 +51,8 @@
 const KEEPALIVE = toLine({});
 /** Delay before a failed quorum confirmation is retried, in milliseconds. */
 const CONFIRM_RETRY_DELAY_MS = 50;
+/** Time without progress after which a follower gives way to others, in milliseconds. */
+const STALL_MS = 3_000;
 
 /**
  * Streams a replica's view of the fleet as newline-delimited JSON: the full state once a
@@ -54,6 +61,11 @@
  */
 export class FleetStreamServer {
   private readonly followers = new Set<Follower>();
+  /** Followers whose state there was no memory for, the longest waiting one first. */
+  private readonly waiting = new Set<Follower>();
+  private readonly memory: Pick<MemoryBudget, 'reserve'>;
+  /** The state as it was sent last; undefined once it has changed. Followers share it. */
+  private state: Buffer | undefined;
   private readonly timer: NodeJS.Timeout;
   /** Revision of the last broadcast deployment. */
   private sentRevision = -1;
@@ -65,6 +77,9 @@
   private sentReplicas = '';
 
   constructor(private readonly options: FleetStreamServerOptions) {
+    this.memory =
+      options.memory ??
+      new MemoryBudget({limit: UNLIMITED, heapBytes: () => 0});
     this.timer = setInterval(
       () => this.sendKeepalives(),
       FLEET_MAX_INTERVAL_MS,
@@ -74,10 +89,19 @@
   /** Handles a request to `FLEET_PATH`. */
   handle(request: http.IncomingMessage, response: http.ServerResponse): void {
     request.resume();
+    const reservation = this.memory.reserve('fleet', 0);
+    if (reservation === undefined) {
+      response.destroy();
+      return;
+    }
     response.writeHead(200, {'content-type': 'application/x-ndjson'});
-    const follower: Follower = {response, isSynced: false};
+    const now = () => performance.now();
+    const queue = new FollowerQueue({output: response, reservation, now});
+    const follower: Follower = {response, queue, isSynced: false};
     this.followers.add(follower);
     const end = () => {
+      queue.end();
+      this.waiting.delete(follower);
       if (this.followers.delete(follower)) {
         this.broadcastEntryCount();
       }
@@ -117,7 +141,7 @@
   /** Bytes that the followers have not read yet. */
   private get unreadBytes(): number {
     return [...this.followers].reduce(
-      (sum, {response}) => sum + response.writableLength,
+      (sum, {queue}) => sum + queue.unreadBytes,
       0,
     );
   }
@@ -162,6 +186,10 @@
     const changed = text !== this.sentReplicas;
     this.sentReplicas = text;
     const change = toLine({replicas});
+    if (changed || this.waiting.size === 0) {
+      this.state = undefined;
+    }
+    this.sendWaitingState();
     for (const follower of this.followers) {
       this.send(follower, follower.isSynced && changed ? change : KEEPALIVE);
     }
@@ -176,10 +204,33 @@
       setTimeout(() => void this.sendState(follower), CONFIRM_RETRY_DELAY_MS);
       return;
     }
-    follower.isSynced = true;
+    this.waiting.add(follower);
+    if (this.waiting.size === 1) {
+      this.sendWaitingState();
+    }
+  }
+
+  /** Sends the state to the waiting followers, as far as there is memory for it. */
+  private sendWaitingState(): void {
+    for (const follower of this.waiting) {
+      // A state that cannot be held is not created: it may be large.
+      if (!this.makeRoom(follower, this.state?.length ?? 0)) {
+        return;
+      }
+      this.state ??= this.createState();
+      if (!this.push(follower, this.state)) {
+        return;
+      }
+      this.waiting.delete(follower);
+      follower.isSynced = true;
+      this.broadcastEntryCount();
+    }
+  }
+
+  private createState(): Buffer {
     const {archive, crashRecords, deployments, limits, replicas, targets} =
       this.options;
-    const state = toLine({
+    return toLine({
       whole: true,
       deployment: archive.head(),
       versions: deployments.namedVersions(),
@@ -191,16 +242,18 @@
       softwareVersions: this.options.softwareVersions(),
       recordedVersions: [...deployments.recordedSoftwareVersions()],
     });
-    this.send(follower, state);
-    this.broadcastEntryCount();
   }
 
   private broadcastEntryCount(): void {
-    this.broadcast({entries: this.followers.size});
+    this.sendToSynced(toLine({entries: this.followers.size}));
   }
 
   private broadcast(message: FleetMessage): void {
-    const line = toLine(message);
+    this.state = undefined;
+    this.sendToSynced(toLine(message));
+  }
+
+  private sendToSynced(line: Buffer): void {
     for (const follower of this.followers) {
       if (follower.isSynced) {
         this.send(follower, line);
@@ -208,14 +261,52 @@
     }
   }
 
-  private send({response}: Follower, line: string): void {
-    const unreadBytes = response.writableLength;
-    if (unreadBytes > MAX_UNREAD_BYTES) {
-      this.options.events.record('fleet-follower-dropped', {unreadBytes});
-      response.destroy();
+  private send(follower: Follower, line: Buffer): void {
+    const {isEnded, unreadBytes} = follower.queue;
+    if (isEnded) {
       return;
     }
-    response.write(line);
+    if (unreadBytes > MAX_UNREAD_BYTES || !this.push(follower, line)) {
+      this.drop(follower);
+    }
+  }
+
+  /** Queues a line for a follower; those that do not read give way if there is no memory for it. */
+  /** Queues a line for a follower if there is memory for it. */
+  private push(follower: Follower, line: Buffer): boolean {
+    return this.makeRoom(follower, line.length) && follower.queue.push(line);
+  }
+
+  /** Whether there is memory for a line of `bytes`; stalled followers give way to it. */
+  private makeRoom({queue}: Follower, bytes: number): boolean {
+    while (!queue.canHold(bytes)) {
+      const stalled = this.findStalled(performance.now());
+      if (stalled === undefined || stalled.queue === queue) {
+        return false;
+      }
+      this.drop(stalled);
+    }
+    return true;
+  }
+
+  /** Returns the follower that has not read for the longest time, if it has stalled at `now`. */
+  private findStalled(now: number): Follower | undefined {
+    let stalled: Follower | undefined;
+    for (const follower of this.followers) {
+      const {progressedAt} = follower.queue;
+      const isLater = progressedAt >= (stalled?.queue.progressedAt ?? Infinity);
+      if (now - progressedAt >= STALL_MS && !isLater) {
+        stalled = follower;
+      }
+    }
+    return stalled;
+  }
+
+  private drop({queue, response}: Follower): void {
+    const {unreadBytes} = queue;
+    this.options.events.record('fleet-follower-dropped', {unreadBytes});
+    queue.end();
+    response.destroy();
   }
 
   /** Returns all recorded software versions if there are new ones. */
@@ -242,6 +333,6 @@
   }
 }
 
-function toLine(message: FleetMessage): string {
-  return `${JSON.stringify(message)}\n`;
+function toLine(message: FleetMessage): Buffer {
+  return Buffer.from(`${JSON.stringify(message)}\n`);
 }
