Keep one state for an entry that does not read an agent's stream (FAULT)

What callers saw: nothing yet; an entry that does not read makes the agent keep every state. Cause: the stream of engine states had no bound on what a follower has not read. Change: a follower that has not read all gets the latest state once it reads again, and none between.

--- a/agent/engine-agent/src/view-streams.ts
+++ b/agent/engine-agent/src/view-streams.ts
@@ -7,10 +7,16 @@
 /** Minimum interval between messages that change only the load figures. */
 const LOAD_INTERVAL_MS = 250;
 
-/** Streams the state of an engine to entries as JSON lines. */
+/**
+ * Streams the state of an engine to entries as JSON lines. A follower that does not read gets the
+ * latest state once it reads again, and none between.
+ */
 export class ViewStreams {
   private readonly followers = new Set<http.ServerResponse>();
-  private latestLine: string | undefined;
+  /** Followers that have not read all of what they were sent, and have missed a state since. */
+  private readonly behind = new Set<http.ServerResponse>();
+  private latestText = '';
+  private latestLine: Buffer | undefined;
   private latestAdapters = '';
   private sentAt = -Infinity;
 
@@ -20,8 +26,17 @@
     response.writeHead(200, {'content-type': 'application/x-ndjson'});
     response.flushHeaders();
     this.followers.add(response);
-    response.on('close', () => this.followers.delete(response));
-    response.on('error', () => this.followers.delete(response));
+    const end = () => {
+      this.followers.delete(response);
+      this.behind.delete(response);
+    };
+    response.on('close', end);
+    response.on('error', end);
+    response.on('drain', () => {
+      if (this.behind.delete(response)) {
+        response.write(this.latestLine);
+      }
+    });
     if (this.latestLine !== undefined) {
       response.write(this.latestLine);
     }
@@ -32,7 +47,7 @@
    * followers if it is due.
    */
   publish(view: EngineView, now: number): void {
-    const line = `${JSON.stringify(view)}\n`;
+    const text = `${JSON.stringify(view)}\n`;
     const {adapters: held, answers, awaited, bornAt, leaving, loading} = view;
     const adapters = JSON.stringify([
       bornAt,
@@ -44,15 +59,23 @@
     ]);
     const isDue =
       adapters !== this.latestAdapters ||
-      (line !== this.latestLine && now - this.sentAt >= LOAD_INTERVAL_MS) ||
+      (text !== this.latestText && now - this.sentAt >= LOAD_INTERVAL_MS) ||
       now - this.sentAt >= ENGINE_VIEW_MAX_INTERVAL_MS;
     if (!isDue) {
       return;
     }
+    const line = Buffer.from(text);
+    this.latestText = text;
     this.latestLine = line;
     this.latestAdapters = adapters;
     this.sentAt = now;
-    this.followers.forEach(follower => follower.write(line));
+    this.followers.forEach(follower => {
+      if (follower.writableNeedDrain) {
+        this.behind.add(follower);
+      } else {
+        follower.write(line);
+      }
+    });
   }
 
   /** Ends all streams. */
