Read the bodies of the entry with BodyReader

RequestReader counted bodies on its own. It now reads them with BodyReader and a MemoryBudget of `--max-held-bytes`, all of which large bodies may use (`largeShare`), so that the count stands once.

--- a/entry/entry-server/src/request-reader.ts
+++ b/entry/entry-server/src/request-reader.ts
@@ -8,7 +8,13 @@
 import type {CallerAuthenticator} from '@marigoldspur/caller-authentication';
 import type {SettingsFollower} from '@marigoldspur/control-client';
 import {Refusal} from '@marigoldspur/faults';
-import {findInvalidHeader, readBody} from '@marigoldspur/http-link';
+import {findInvalidHeader} from '@marigoldspur/http-link';
+import {MemoryBudget} from '@marigoldspur/memory-budget';
+import {
+  BodyReader,
+  discardRest,
+  type BodyFailure,
+} from '@marigoldspur/request-bodies';
 import {DEFAULT_SETTINGS} from '@marigoldspur/settings-schema';
 import {resolveSettings} from '@marigoldspur/settings-tree';
 import {isRepeatable, type Job} from './job.js';
@@ -33,13 +39,20 @@
 
 const MAX_KEY_LENGTH = 255;
 const RETRY_AFTER_SECONDS = 1;
-const LIMIT_REACHED = 'full';
 
 /** Reads a caller's request into a job. */
 export class RequestReader {
-  private heldBytes = 0;
+  private readonly bodies: BodyReader;
 
-  constructor(private readonly options: RequestReaderOptions) {}
+  constructor(private readonly options: RequestReaderOptions) {
+    const {maxHeldBytes} = options;
+    const budget = new MemoryBudget({
+      limit: {maxBytes: () => maxHeldBytes},
+      heapBytes: () => 0,
+      largeShare: 1,
+    });
+    this.bodies = new BodyReader({budget, kind: 'body'});
+  }
 
   /**
    * Reads the body of a request that arrived at `startedAt`, in milliseconds, at the earliest,
@@ -88,19 +101,17 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<Result<Buffer, Refusal>> {
-    const limitReached = this.countBody(request, response);
-    const body = await Promise.race([
-      limitReached,
-      readBody(request, this.options.maxBodyBytes),
-    ]);
-    if (body === LIMIT_REACHED) {
-      return Result.err(createEntryFullRefusal());
+    const {maxBodyBytes} = this.options;
+    const read = await this.bodies.read({request, maxBytes: maxBodyBytes});
+    if (read.isErr) {
+      return Result.err(createBodyRefusal(read.error));
     }
-    return body.mapErr(({code, message}) =>
-      code === 'TOO_LARGE'
-        ? createNotRunRefusal(413, 'body_too_large', message)
-        : createNotRunRefusal(400, 'body_broke_off', message),
-    );
+    const {pieces, release} = read.value;
+    if (response.closed) {
+      release();
+    }
+    response.on('close', release);
+    return Result.ok(pieces.length === 1 ? pieces[0] : Buffer.concat(pieces));
   }
 
   /** Looks up the requested service or adapter in the settings tree. */
@@ -135,45 +146,6 @@
       key: key.value,
     });
   }
-
-  /**
-   * Counts a request's body against the limit until its response has ended: the
-   * whole body if its length is stated, otherwise the bytes received. Resolves
-   * once the limit is exceeded.
-   */
-  private countBody(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<typeof LIMIT_REACHED> {
-    const {maxBodyBytes, maxHeldBytes} = this.options;
-    let held = 0;
-    response.on('close', () => (this.heldBytes -= held));
-    return new Promise(resolve => {
-      const count = (bytes: number) => {
-        if (this.heldBytes + bytes > maxHeldBytes) {
-          resolve(LIMIT_REACHED);
-          return;
-        }
-        held += bytes;
-        this.heldBytes += bytes;
-      };
-      if (request.headers['transfer-encoding'] === undefined) {
-        const statedLength = Number(request.headers['content-length'] ?? 0);
-        count(Math.min(statedLength, maxBodyBytes));
-      } else {
-        request.on('data', (chunk: Buffer) => count(chunk.length));
-      }
-    });
-  }
-}
-
-/**
- * Reads and discards the rest of the body, so that the caller can read its
- * refusal.
- */
-function discardRest(request: IncomingMessage): void {
-  request.removeAllListeners('data');
-  request.resume();
 }
 
 /**
@@ -219,12 +191,25 @@
   return new Refusal('not-run', status, reason, message);
 }
 
-function createEntryFullRefusal(): Refusal {
-  return new Refusal(
-    'not-run',
-    503,
-    'entry_full',
-    'the entry holds too many request bodies',
-    RETRY_AFTER_SECONDS,
-  );
+function createBodyRefusal({
+  code,
+  message,
+  retryAfterSeconds = RETRY_AFTER_SECONDS,
+}: BodyFailure): Refusal {
+  switch (code) {
+    case 'TOO_LARGE':
+      return createNotRunRefusal(413, 'body_too_large', message);
+    case 'STALLED':
+      return createNotRunRefusal(408, 'body_stalled', message);
+    case 'TORN':
+      return createNotRunRefusal(400, 'body_broke_off', message);
+    case 'FULL':
+      return new Refusal(
+        'not-run',
+        503,
+        'entry_full',
+        'the entry holds too many request bodies',
+        retryAfterSeconds,
+      );
+  }
 }
--- a/machines/memory-budget/src/memory-budget.ts
+++ b/machines/memory-budget/src/memory-budget.ts
@@ -29,12 +29,13 @@
   /** Returns the size of the heap, in bytes. */
   readonly heapBytes: () => number;
   readonly listener?: BudgetListener;
+  /** Share of the budget that reservations above `MAX_SMALL_BYTES` together may use; three quarters if absent. */
+  readonly largeShare?: number;
 }
 
 /** Largest size of a reservation that may use the whole budget, in bytes. */
 export const MAX_SMALL_BYTES = 65_536;
-/** Share of the budget that all larger reservations together may use. */
-const LARGE_SHARE = 0.75;
+const DEFAULT_LARGE_SHARE = 0.75;
 
 /** Limits the bytes that a process buffers, of all kinds together. */
 export class MemoryBudget {
@@ -99,8 +100,8 @@
       return true;
     }
     const {maxBytes} = this.occupancy;
-    const available =
-      size > MAX_SMALL_BYTES ? maxBytes * LARGE_SHARE : maxBytes;
+    const {largeShare = DEFAULT_LARGE_SHARE} = this.options;
+    const available = size > MAX_SMALL_BYTES ? maxBytes * largeShare : maxBytes;
     if (this.held + bytes > available) {
       this.refuse(kind, size);
       return false;
