--- a/entry/caller-server/src/caller-server.ts
+++ b/entry/caller-server/src/caller-server.ts
@@ -17,8 +17,6 @@
   readonly requestTimeoutMs: number;
   /** Time after which an idle connection is closed, in milliseconds. */
   readonly idleTimeoutMs: number;
-  /** Maximum number of connections; further ones are closed at once. No limit if absent. */
-  readonly maxConnections?: number;
 }
 
 /** Options of a caller server. */
@@ -47,6 +45,11 @@
   /** Path at which this server itself answers readiness checks, if any. */
   readonly readinessPath?: string;
   readonly limits?: CallerLimits;
+  /**
+   * Returns the maximum number of connections with heads of at most `maxHeaderBytes`; further ones
+   * are closed at once. No limit if it is absent or returns undefined.
+   */
+  readonly maxConnections?: (maxHeaderBytes: number) => number | undefined;
 }
 
 const DEFAULT_LIMITS: CallerLimits = {
@@ -100,6 +103,7 @@
       },
       (request, response) => this.handleRequest(request, response),
     );
+    this.limitConnections(limits.maxHeaderBytes);
     this.server.on('connection', (socket: Socket) =>
       this.recordConnection(socket),
     );
@@ -113,14 +117,19 @@
   setLimits(limits: CallerLimits): void {
     const server: http.Server & {maxHeaderSize?: number} = this.server;
     server.maxHeaderSize = limits.maxHeaderBytes;
-    if (limits.maxConnections !== undefined) {
-      server.maxConnections = limits.maxConnections;
-    }
+    this.limitConnections(limits.maxHeaderBytes);
     this.server.headersTimeout = limits.headersTimeoutMs;
     this.server.requestTimeout = limits.requestTimeoutMs;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
+  private limitConnections(maxHeaderBytes: number): void {
+    const count = this.options.maxConnections?.(maxHeaderBytes);
+    if (count !== undefined) {
+      this.server.maxConnections = count;
+    }
+  }
+
   /**
    * Stops accepting connections and resolves once all running requests have
    * ended.
--- a/entry/caller-server/test/caller-server.test.ts
+++ b/entry/caller-server/test/caller-server.test.ts
@@ -17,11 +17,13 @@
 let running: http.ServerResponse[];
 let mostRunning: number;
 let onRequest: () => void;
+let maxConnections: number | undefined;
 
 beforeEach(async () => {
   running = [];
   mostRunning = 0;
   onRequest = () => {};
+  maxConnections = undefined;
   callerServer = new CallerServer({
     handle: async (request, response) => {
       running.push(response);
@@ -36,6 +38,7 @@
     isDraining: () => false,
     createServer: http.createServer,
     limits: LIMITS,
+    maxConnections: () => maxConnections,
   });
   address = await listen(callerServer.server, {host: '127.0.0.1', port: 0});
 });
@@ -105,7 +108,8 @@
 
 it('caller server: connections beyond their maximum are closed at once', async () => {
   onRequest = () => running.shift()?.end();
-  callerServer.setLimits({...LIMITS, maxConnections: 1});
+  maxConnections = 1;
+  callerServer.setLimits(LIMITS);
   const kept = net.connect(address.port, address.host);
   await new Promise(resolve => callerServer.server.once('connection', resolve));
   const text = 'GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n';
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -1,7 +1,7 @@
 import {setMaxListeners} from 'node:events';
 import http from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
-import {CallerServer, type CallerLimits} from '@marigoldspur/caller-server';
+import {CallerServer} from '@marigoldspur/caller-server';
 import {
   createCrashRecords,
   type Deployment,
@@ -16,7 +16,7 @@
 import {BodyReader} from '@marigoldspur/request-bodies';
 import {startLoopClock} from '@marigoldspur/loop-clock';
 import type {Task} from '@marigoldspur/process-lifecycle';
-import {connectionBytes, RefusalSpell} from '@marigoldspur/memory-budget';
+import {RefusalSpell} from '@marigoldspur/memory-budget';
 import {ProcessRuntime} from '@marigoldspur/process-runtime';
 import type {RouteTable} from '@marigoldspur/routes';
 import {askStart, StartConfirmer} from '@marigoldspur/target-starts';
@@ -71,8 +71,8 @@
  * readiness every second and removes an entry after two failed checks.
  */
 const BALANCER_SETTLE_MS = 2_500;
-/** Memory of a connection that brings no request, in bytes. */
-const BYTES_PER_IDLE_CONNECTION = 8_192;
+/** Share of the memory for connections that those of callers may take. */
+const CALLER_CONNECTION_SHARE = 0.8;
 /** Time reserved for the process to end by itself, in milliseconds. */
 const SHUTDOWN_MARGIN_MS = 400;
 /** Time reserved for the responses to calls that are given up, in milliseconds. */
@@ -95,9 +95,7 @@
   const onChange = (change: FleetChange) => {
     activeRoutes.applyChange(change, fleetFollower.view);
     if (activeRoutes.table !== undefined) {
-      callerServer.setLimits(
-        limitsOf(activeRoutes.table.deployment, settings.memoryBytes),
-      );
+      callerServer.setLimits(limitsOf(activeRoutes.table.deployment));
     }
     if (change.hasChangedTargets) {
       withdrawals.update(fleetFollower.view.targets());
@@ -330,16 +328,12 @@
     clock: loopClock.clock,
     isDraining: () => runtime.isDraining,
     createServer: http.createServer,
-    limits: {
-      ...INITIAL_LIMITS,
-      maxHeaderBytes: INITIAL_MAX_HEADER_BYTES,
-      maxConnections: maxConnections(
-        settings.memoryBytes,
-        INITIAL_MAX_HEADER_BYTES,
-      ),
-    },
+    limits: {...INITIAL_LIMITS, maxHeaderBytes: INITIAL_MAX_HEADER_BYTES},
+    maxConnections: maxHeaderBytes =>
+      runtime.maxConnections(maxHeaderBytes, CALLER_CONNECTION_SHARE),
   });
   const url = runtime.serve({
+    connectionShare: 1 - CALLER_CONNECTION_SHARE,
     revision: () => activeRoutes.table?.deployment.revision ?? 0,
     isReady,
     facts: () => ({
@@ -418,32 +412,15 @@
     : 'running';
 }
 
-function limitsOf(
-  {limits}: Deployment,
-  memoryBytes: number | undefined,
-): CallerLimits {
+function limitsOf({limits}: Deployment) {
   return {
     maxHeaderBytes: limits.maxHeaderBytes,
-    maxConnections: maxConnections(memoryBytes, limits.maxHeaderBytes),
     headersTimeoutMs: limits.headerTimeoutMs,
     requestTimeoutMs: limits.headerTimeoutMs + limits.idleTimeoutMs,
     idleTimeoutMs: limits.idleTimeoutMs,
   };
 }
 
-/** Number of connections whose heads the process has memory for; undefined without a limit. */
-function maxConnections(
-  memoryBytes: number | undefined,
-  maxHeaderBytes: number,
-): number | undefined {
-  return memoryBytes === undefined
-    ? undefined
-    : Math.floor(
-        connectionBytes(memoryBytes) /
-          (maxHeaderBytes + BYTES_PER_IDLE_CONNECTION),
-      );
-}
-
 /** Addresses of the targets that are model engines. */
 function engineAddresses(
   routes: RouteTable | undefined,
--- a/machines/memory-budget/src/memory-budget.ts
+++ b/machines/memory-budget/src/memory-budget.ts
@@ -31,14 +31,15 @@
   /** Maximum of single kinds, in bytes. */
   readonly maxBytesByKind?: ReadonlyMap<string, number>;
   readonly listener?: BudgetListener;
+  /** Share of the budget that reservations above `MAX_SMALL_BYTES` together may use; three quarters if absent. */
+  readonly largeShare?: number;
 }
 
 /** Kind of what a request takes in the heap, besides its body and its response. */
 export const REQUEST_OBJECTS = 'request-objects';
 /** Largest size of a reservation that may use the whole budget, in bytes. */
 export const MAX_SMALL_BYTES = 65_536;
-/** Share of the budget that all larger reservations together may use. */
-const LARGE_SHARE = 0.75;
+const DEFAULT_LARGE_SHARE = 0.75;
 
 /** Limits the bytes that a process buffers, of all kinds together. */
 export class MemoryBudget {
@@ -103,8 +104,8 @@
       return true;
     }
     const {maxBytes} = this.occupancy;
-    const available =
-      size > MAX_SMALL_BYTES ? maxBytes * LARGE_SHARE : maxBytes;
+    const {largeShare = DEFAULT_LARGE_SHARE} = this.options;
+    const available = size > MAX_SMALL_BYTES ? maxBytes * largeShare : maxBytes;
     const heldOfKind = this.heldByKind.get(kind) ?? 0;
     const maxOfKind = this.options.maxBytesByKind?.get(kind) ?? Infinity;
     if (this.held + bytes > available || heldOfKind + bytes > maxOfKind) {
--- a/machines/process-runtime/src/process-runtime.ts
+++ b/machines/process-runtime/src/process-runtime.ts
@@ -1,3 +1,4 @@
+import {maxHeaderSize} from 'node:http';
 import type {Server} from 'node:net';
 import {getHeapStatistics} from 'node:v8';
 import {
@@ -25,6 +26,7 @@
 } from '@marigoldspur/memory-budget';
 import type {ProcessRole, ProcessStatus} from '@marigoldspur/messages';
 import {createProcessMetrics, type ProcessMetrics} from '@marigoldspur/metrics';
+import {BodyReader} from '@marigoldspur/request-bodies';
 import {createBootId} from '@marigoldspur/process-lifecycle';
 import {VERSION} from '@marigoldspur/process-settings';
 import {
@@ -58,6 +60,8 @@
   readonly facts: () => ProcessStatus['facts'];
   /** Returns the settings after a revision, for processes with an older one. */
   readonly settings?: ProcessServerOptions['service']['settings'];
+  /** Share of the memory for connections that those of other processes may take. */
+  readonly connectionShare?: number;
   /** Starts a graceful shutdown. */
   readonly drain: () => void;
 }
@@ -65,6 +69,9 @@
 const STDOUT_DESCRIPTOR = 1;
 /** Share of the largest heap that requests in progress may take. */
 const REQUEST_OBJECTS_SHARE = 0.4;
+/** Share of the memory for connections that those to one of two servers may take. */
+const DEFAULT_SERVER_SHARE = 0.5;
+const BYTES_PER_IDLE_CONNECTION = 4_096;
 
 /** The components that every process of the system has: event log, metrics, link security and server. */
 export class ProcessRuntime {
@@ -73,6 +80,8 @@
   readonly metrics: ProcessMetrics;
   /** Limits what the process buffers. */
   readonly memory: MemoryBudget;
+  /** Reads the messages of other processes. */
+  readonly bodies: BodyReader;
   private readonly startedAt = performance.now();
   private draining = false;
 
@@ -86,6 +95,7 @@
     const {id, zone} = settings;
     this.metrics = createProcessMetrics({process: id, role, zone});
     this.memory = createMemoryBudget(settings.memoryBytes, events);
+    this.bodies = new BodyReader({budget: this.memory, kind: 'message'});
     registerBudgetMetrics(this.metrics.registry, this.memory);
   }
 
@@ -128,10 +138,15 @@
 
   /** Serves other processes and operators; returns the base URL. */
   serve(options: ProcessServeOptions): string {
-    const {events} = this;
+    const {events, memory} = this;
     const server = startProcessServer({
       port: this.port,
       security: this.security,
+      memory,
+      maxConnections: this.maxConnections(
+        maxHeaderSize,
+        options.connectionShare,
+      ),
       metrics: this.metrics,
       onFault: ({message}) => events.record('request-error', {message}),
       isReady: () => this.isReady(options),
@@ -155,6 +170,23 @@
     return listenWhenFree(server, address, createPortListener(this.events));
   }
 
+  /**
+   * Number of connections with heads of at most `maxHeaderBytes` for which one server of the
+   * process has memory, if it may take a share of that for all servers; undefined without a limit.
+   */
+  maxConnections(
+    maxHeaderBytes: number,
+    share = DEFAULT_SERVER_SHARE,
+  ): number | undefined {
+    const {memoryBytes} = this.settings;
+    return memoryBytes === undefined
+      ? undefined
+      : Math.floor(
+          (connectionBytes(memoryBytes) * share) /
+            (maxHeaderBytes + BYTES_PER_IDLE_CONNECTION),
+        );
+  }
+
   /** Marks the process as shutting down, so that it is no longer ready. */
   beginDrain(): void {
     this.draining = true;
--- a/machines/request-bodies/src/body-reader.ts
+++ b/machines/request-bodies/src/body-reader.ts
@@ -89,6 +89,7 @@
     const pieces = new PieceList(
       length === undefined ? undefined : Number(length),
     );
+    const isStated = reservation.bytes > 0;
     return new Promise(resolve => {
       const end = (result: Result<RequestBody, BodyFailure>) => {
         this.arriving.delete(body);
@@ -116,7 +117,11 @@
           fail(tooLarge(maxBytes));
         } else if (
           pieces.allocatedBytes > reservation.bytes &&
-          !this.grow(reservation, pieces.allocatedBytes, maxBytes)
+          !this.grow(
+            reservation,
+            pieces.allocatedBytes,
+            isStated ? 0 : maxBytes,
+          )
         ) {
           fail(this.full(pieces.byteLength));
         }
@@ -164,7 +169,7 @@
   }
 
   /**
-   * Grows the reservation of a body that states no length to `bytes`. One that is not small any
+   * Grows the reservation of a body to `bytes`. One that states no length and is not small any
    * more gets what the largest one takes, so that it is refused early or not at all.
    */
   private grow(
