Bound what one stream takes of an entry's event loop (FAULT)

Callers saw: while one engine of four wrote numbered events without end, the requests that the same entry sent to the three sound engines got their first event seconds late, or gave up before it.

Cause: a stream's chunks were read as fast as they came, up to 32 reads of 64 KiB in a turn of the event loop, and each event was split into strings and matched by expressions: 4.4 ms for 64 KiB of small events. Nothing bounded the number of events, though the request states its output tokens. An incomplete event was also joined and read anew with each piece: 4,110 ms for one event of 1 MiB in pieces of 32 bytes.

Change: - blocks are read in one pass over the bytes, also when cut anywhere (1.2 to 1.4 ms for 64 KiB; 40 to 47 ms for that event); - after 64 KiB of a response the other connections get their turn, and a stream is read at 256 KiB a second after its first MiB. Bytes are delayed, never dropped, so a sound stream is not cut; - a stream with more events than output tokens, and 16 that may hold none, breaks off without being resumed; its engine is suspected (763). Comments do not count, numbers need not be consecutive, and requests that state no output have no such bound. Each attempt has a count of its own.

Memory was not measured here.

--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -294,6 +294,12 @@
     meaning:
       'The bytes of a target cannot be the rest of a stream after event `after`; they are dropped, and the stream is resumed at another target or breaks off.',
   },
+  'stream-exceeded': {
+    number: 763,
+    level: 'warn',
+    meaning:
+      'A target has written more events on a stream than the request has output tokens (`tokens`); the stream breaks off, and the target is suspected.',
+  },
   'target-start-unconfirmed': {
     number: 760,
     level: 'warn',
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -296,16 +296,16 @@
     if (metadata.hasNotRun || !isSuccess(message.statusCode)) {
       return response;
     }
-    const check = new ResponseProgress(
-      response,
-      isStream(call, message),
-      end =>
+    const check = new ResponseProgress(response, {
+      isStream: isStream(call, message),
+      maxOutputTokens: call.metadata.work?.maxOutputTokens,
+      onEnd: end =>
         this.recordEnd(call, attempt, {
           ...end,
           isAborted: running.cancellation.signal.aborted,
         }),
-      () => void this.recordFirstEvent(call, attempt, response),
-    );
+      onFirstEvent: () => void this.recordFirstEvent(call, attempt, response),
+    });
     running.progress = check;
     return {...response, check};
   }
@@ -330,7 +330,10 @@
   ): void {
     const {events} = this.options;
     const {id} = call.metadata;
-    const {hasEvent, isAborted, isComplete} = end;
+    const {hasEvent, isAborted, isComplete, isExceeded} = end;
+    if (isExceeded) {
+      this.recordExcess(call, target, number);
+    }
     if (isComplete) {
       this.recordCompletion(call);
       return;
@@ -348,6 +351,23 @@
     }
   }
 
+  /** Records a target whose stream holds more events than the request has tokens. */
+  private recordExcess(
+    call: Call,
+    target: TargetAnnouncement,
+    attempt: number,
+  ): void {
+    const {events, selector} = this.options;
+    const {id, work} = call.metadata;
+    const tokens = work?.maxOutputTokens ?? 0;
+    const details = {attempt, target: target.id, tokens};
+    events.record('stream-exceeded', details, id);
+    if (selector.recordFailure(target, 'excess', performance.now())) {
+      const reason = {target: target.id, reason: 'excess'};
+      events.record('target-suspected', reason);
+    }
+  }
+
   private recordCompletion(call: Call): void {
     const {crashMonitor, requestCrashes} = this.options;
     const {work} = call.metadata;
--- a/entry/direct-routing/src/response-progress.ts
+++ b/entry/direct-routing/src/response-progress.ts
@@ -1,4 +1,5 @@
 import {
+  EventBlockScanner,
   FramingCheck,
   isDelimitedByClose,
   type CompletenessCheck,
@@ -11,6 +12,18 @@
   readonly isComplete: boolean;
   /** Whether an event, or a byte of a response that is no stream, arrived. */
   readonly hasEvent: boolean;
+  /** Whether more events arrived than the request allows. */
+  readonly isExceeded: boolean;
+}
+
+/** How a response is followed. */
+export interface ResponseProgressOptions {
+  readonly isStream: boolean;
+  /** Maximum number of output tokens, of which each event holds one at least; no limit if absent. */
+  readonly maxOutputTokens?: number;
+  /** Called once, with how far the response got. */
+  readonly onEnd: (end: ResponseEnd) => void;
+  readonly onFirstEvent?: () => void;
 }
 
 /** The empty line that ends an event, without carriage returns. */
@@ -19,6 +32,8 @@
 const CARRIAGE_RETURN = 13;
 /** Bytes at the end of a stream that can contain the empty line of the last event. */
 const TAIL_BYTES = 4;
+/** Events of a stream that may hold no token, such as its start, its usage and its end. */
+const MAX_TOKENLESS_EVENTS = 16;
 
 /**
  * Follows how far a response gets; reports its end once. A stream that ends inside an event
@@ -30,16 +45,26 @@
   /** Whether the last line that arrived is empty so far. */
   private isLineEmpty = false;
   private tail = '';
+  private readonly scanner = new EventBlockScanner();
+  private readonly maxEvents: number;
+  private eventCount = 0;
 
   constructor(
     private readonly upstream: UpstreamResponse,
-    private readonly isStream: boolean,
-    onEnd: (end: ResponseEnd) => void,
-    private readonly onFirstEvent: () => void = () => {},
+    private readonly options: ResponseProgressOptions,
   ) {
+    const {isStream, maxOutputTokens, onEnd} = options;
     this.framing = new FramingCheck(upstream);
+    this.maxEvents =
+      isStream && maxOutputTokens !== undefined
+        ? maxOutputTokens + MAX_TOKENLESS_EVENTS
+        : Infinity;
     upstream.message.once('close', () =>
-      onEnd({isComplete: this.isComplete(), hasEvent: this.hasArrivedEvent}),
+      onEnd({
+        isComplete: this.isComplete(),
+        hasEvent: this.hasArrivedEvent,
+        isExceeded: this.isExceeded(),
+      }),
     );
   }
 
@@ -51,12 +76,14 @@
   add(chunk: Buffer): void {
     this.framing.add();
     if (!this.hasArrivedEvent) {
-      this.hasArrivedEvent = !this.isStream || this.containsEventEnd(chunk);
+      this.hasArrivedEvent =
+        !this.options.isStream || this.containsEventEnd(chunk);
       if (this.hasArrivedEvent) {
-        this.onFirstEvent();
+        this.options.onFirstEvent?.();
       }
     }
-    if (this.isStream) {
+    this.countEvents(chunk);
+    if (this.options.isStream) {
       const end = chunk.toString(
         'latin1',
         Math.max(0, chunk.length - TAIL_BYTES),
@@ -67,10 +94,29 @@
 
   isComplete(): boolean {
     return (
-      this.framing.isComplete() && (!this.isStream || this.endsBetweenEvents())
+      this.framing.isComplete() &&
+      (!this.options.isStream || this.endsBetweenEvents())
     );
   }
 
+  /** Whether more events arrived than the request allows. */
+  isExceeded(): boolean {
+    return this.eventCount > this.maxEvents;
+  }
+
+  private countEvents(chunk: Buffer): void {
+    const {maxEvents, scanner} = this;
+    if (maxEvents === Infinity) {
+      return;
+    }
+    let end = scanner.findBlockEnd(chunk, 0);
+    while (end !== undefined && !this.isExceeded()) {
+      this.eventCount += scanner.block.hasEvent ? 1 : 0;
+      scanner.startBlock();
+      end = scanner.findBlockEnd(chunk, end);
+    }
+  }
+
   private endsBetweenEvents(): boolean {
     return this.tail === ''
       ? !isDelimitedByClose(this.upstream.message)
--- a/entry/direct-routing/test/unframed-streams.test.ts
+++ b/entry/direct-routing/test/unframed-streams.test.ts
@@ -52,7 +52,10 @@
       responseHeaderTimeoutMs: 5_000,
     });
     const upstream = sent.unwrapOr(undefined)!;
-    const check = new ResponseProgress(upstream, true, () => {});
+    const check = new ResponseProgress(upstream, {
+      isStream: true,
+      onEnd: () => {},
+    });
     return {...upstream, check};
   };
   const resumer: StreamResumer = {
--- a/entry/dispatch/src/attempt-headers.ts
+++ b/entry/dispatch/src/attempt-headers.ts
@@ -84,3 +84,8 @@
   const {headers} = message;
   return endToEndHeaders(headers, {connection: headers.connection});
 }
+
+/** Whether a response is a stream of events. */
+export function isEventStream({headers}: IncomingMessage): boolean {
+  return headers['content-type']?.startsWith('text/event-stream') === true;
+}
--- a/entry/dispatch/src/completeness-check.ts
+++ b/entry/dispatch/src/completeness-check.ts
@@ -13,6 +13,8 @@
   add(chunk: Buffer): void;
   /** Whether the response, at its end, is complete. */
   isComplete(): boolean;
+  /** Whether more has arrived than the response may hold. */
+  isExceeded?(): boolean;
 }
 
 /** Treats a response as complete once its HTTP framing says so. */
--- a/entry/dispatch/src/event-block.ts
+++ b/entry/dispatch/src/event-block.ts
@@ -1,11 +1,19 @@
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
-const END_MARKER = 'data: [DONE]';
-/** A line of an event: a comment, or a field name with an optional value (HTML, 9.2.6). */
-const LINE = /^(?::|[a-z][a-z0-9-]*(?::|$))/;
-const NUMBER = /^id: ?(\d{1,9})$/;
-/** Lines that belong to no event: comments and the reconnection time. */
-const CONTROL_LINE = /^(?::|retry:)/;
+const SPACE = 32;
+const DASH = 45;
+const DIGIT_0 = 48;
+const DIGIT_9 = 57;
+const COLON = 58;
+const LETTER_A = 97;
+const LETTER_Z = 122;
+const END_MARKER = Buffer.from('data: [DONE]');
+const ID_FIELD = Buffer.from('id:');
+const RETRY_FIELD = Buffer.from('retry:');
+/** Maximum number of digits of an event's number. */
+const MAX_DIGITS = 9;
+/** Number of bytes at the start of a line that tell what it is; a longer field name is invalid. */
+const LINE_HEAD_BYTES = 64;
 
 /** The lines of a stream up to an empty one: an event, or comments alone. */
 export interface EventBlock {
@@ -19,38 +27,177 @@
   readonly isEndMarker: boolean;
 }
 
-/** Reads the block in `bytes` from `start` to before `end`. */
-export function readEventBlock(
+/** Reads the blocks of a stream in one pass over bytes that may be cut anywhere. */
+export class EventBlockScanner {
+  private number: number | undefined;
+  private isValid = true;
+  private hasEvent = false;
+  private isEndMarker = false;
+  /** Start of a line whose end has not arrived. */
+  private readonly lineHead = Buffer.alloc(LINE_HEAD_BYTES);
+  private lineHeadBytes = 0;
+  private isLineLong = false;
+
+  /** What is known of the block whose lines are being read. */
+  get block(): EventBlock {
+    const {hasEvent, isEndMarker, isValid, number} = this;
+    return {number, isValid, hasEvent, isEndMarker};
+  }
+
+  /** Starts a new block after the lines that were read. */
+  startBlock(): void {
+    this.number = undefined;
+    this.isValid = true;
+    this.hasEvent = false;
+    this.isEndMarker = false;
+  }
+
+  /**
+   * Reads `bytes` from `start` to the empty line that ends the block; returns the position after
+   * it, or undefined if the block goes on after `bytes`.
+   */
+  findBlockEnd(bytes: Buffer, start: number): number | undefined {
+    let lineStart = start;
+    for (;;) {
+      const lineEnd = findLineEnd(bytes, lineStart);
+      if (lineEnd < 0) {
+        this.keepLineHead(bytes, lineStart);
+        return undefined;
+      }
+      if (this.readLine(bytes, lineStart, lineEnd)) {
+        return lineEnd + 1;
+      }
+      lineStart = lineEnd + 1;
+    }
+  }
+
+  /** Reads the last line, which no line break ends. */
+  finishLine(): void {
+    this.readLine(this.lineHead, 0, 0);
+  }
+
+  private keepLineHead(bytes: Buffer, start: number): void {
+    const end = Math.min(
+      bytes.length,
+      start + LINE_HEAD_BYTES - this.lineHeadBytes,
+    );
+    this.lineHeadBytes += bytes.copy(
+      this.lineHead,
+      this.lineHeadBytes,
+      start,
+      end,
+    );
+    this.isLineLong ||= end < bytes.length;
+  }
+
+  /** Reads a line that ends before `end`; returns whether it is empty. */
+  private readLine(bytes: Buffer, start: number, end: number): boolean {
+    if (this.lineHeadBytes === 0) {
+      return this.readWholeLine(bytes, start, end, false);
+    }
+    this.keepLineHead(bytes.subarray(start, end), 0);
+    const {isLineLong, lineHead, lineHeadBytes} = this;
+    this.lineHeadBytes = 0;
+    this.isLineLong = false;
+    return this.readWholeLine(lineHead, 0, lineHeadBytes, isLineLong);
+  }
+
+  /** `isLong` is set if the line goes on after `lineEnd`. */
+  private readWholeLine(
+    bytes: Buffer,
+    start: number,
+    lineEnd: number,
+    isLong: boolean,
+  ): boolean {
+    const hasReturn = !isLong && bytes[lineEnd - 1] === CARRIAGE_RETURN;
+    const end = hasReturn && lineEnd > start ? lineEnd - 1 : lineEnd;
+    if (end === start) {
+      return true;
+    }
+    if (bytes[start] === COLON) {
+      return false;
+    }
+    this.hasEvent ||= !startsWith(bytes, start, end, RETRY_FIELD);
+    this.isValid &&= isField(bytes, start, end, isLong);
+    if (!isLong) {
+      this.isEndMarker ||=
+        end - start === END_MARKER.length &&
+        startsWith(bytes, start, end, END_MARKER);
+      this.number ??= readNumber(bytes, start, end);
+    }
+    return false;
+  }
+}
+
+/** Position of the next line feed from `start`; -1 if there is none. */
+function findLineEnd(bytes: Buffer, start: number): number {
+  // For short lines a call of `indexOf` costs more than the search.
+  const nearEnd = Math.min(bytes.length, start + LINE_HEAD_BYTES);
+  for (let index = start; index < nearEnd; index += 1) {
+    if (bytes[index] === LINE_FEED) {
+      return index;
+    }
+  }
+  return bytes.indexOf(LINE_FEED, nearEnd);
+}
+
+function startsWith(
   bytes: Buffer,
   start: number,
   end: number,
-): EventBlock {
-  const lines = bytes
-    .toString('latin1', start, end)
-    .split('\n')
-    .map(line => (line.endsWith('\r') ? line.slice(0, -1) : line))
-    .filter(line => line !== '');
-  const numbers = lines.map(line => NUMBER.exec(line)?.[1]).filter(Boolean);
-  return {
-    number: numbers.length === 0 ? undefined : Number(numbers[0]),
-    isValid: lines.every(line => LINE.test(line)),
-    hasEvent: lines.some(line => !CONTROL_LINE.test(line)),
-    isEndMarker: lines.includes(END_MARKER),
-  };
+  text: Buffer,
+): boolean {
+  if (end - start < text.length) {
+    return false;
+  }
+  for (let index = 0; index < text.length; index += 1) {
+    if (bytes[start + index] !== text[index]) {
+      return false;
+    }
+  }
+  return true;
 }
 
-/** End of the first block in `bytes` that starts at `start`; undefined if it has not ended. */
-export function findBlockEnd(bytes: Buffer, start: number): number | undefined {
-  let lineEnd = bytes.indexOf(LINE_FEED, start);
-  while (lineEnd >= 0) {
-    const next = lineEnd + 1;
-    if (bytes[next] === LINE_FEED) {
-      return next + 1;
+/** Whether a line is a field name with an optional value (HTML, 9.2.6). */
+function isField(
+  bytes: Buffer,
+  start: number,
+  end: number,
+  isLong: boolean,
+): boolean {
+  const nameEnd = Math.min(end, start + LINE_HEAD_BYTES);
+  for (let index = start; index < nameEnd; index += 1) {
+    const byte = bytes[index];
+    const isLetter = byte >= LETTER_A && byte <= LETTER_Z;
+    const isOther = byte === DASH || (byte >= DIGIT_0 && byte <= DIGIT_9);
+    if (!isLetter && (index === start || !isOther)) {
+      return byte === COLON && index > start;
     }
-    if (bytes[next] === CARRIAGE_RETURN && bytes[next + 1] === LINE_FEED) {
-      return next + 2;
+  }
+  return nameEnd === end && !isLong;
+}
+
+/** Reads `id: NUMBER`; undefined if the line is another one. */
+function readNumber(
+  bytes: Buffer,
+  start: number,
+  end: number,
+): number | undefined {
+  if (!startsWith(bytes, start, end, ID_FIELD)) {
+    return undefined;
+  }
+  const valueStart = start + ID_FIELD.length;
+  const digits = bytes[valueStart] === SPACE ? valueStart + 1 : valueStart;
+  if (digits >= end || end - digits > MAX_DIGITS) {
+    return undefined;
+  }
+  let number = 0;
+  for (let index = digits; index < end; index += 1) {
+    const byte = bytes[index];
+    if (byte < DIGIT_0 || byte > DIGIT_9) {
+      return undefined;
     }
-    lineEnd = bytes.indexOf(LINE_FEED, next);
+    number = number * 10 + byte - DIGIT_0;
   }
-  return undefined;
+  return number;
 }
--- a/entry/dispatch/src/numbered-event-buffer.ts
+++ b/entry/dispatch/src/numbered-event-buffer.ts
@@ -1,4 +1,4 @@
-import {findBlockEnd, readEventBlock} from './event-block.js';
+import {EventBlockScanner, type EventBlock} from './event-block.js';
 
 const EMPTY = Buffer.alloc(0);
 /** Maximum size of an incomplete event, in bytes. */
@@ -13,7 +13,10 @@
  * stream is known to be complete.
  */
 export class NumberedEventBuffer {
-  private buffered: Buffer = EMPTY;
+  /** The bytes held back, at its start; it grows by doubling, so that small pieces cost little. */
+  private held: Buffer = EMPTY;
+  private heldBytes = 0;
+  private scanner = new EventBlockScanner();
   private kind: StreamKind = 'unknown';
   private lastNumber: number;
 
@@ -24,7 +27,7 @@
 
   /** Size of the incomplete event that is held back, in bytes. */
   get bufferedBytes(): number {
-    return this.buffered.length;
+    return this.heldBytes;
   }
 
   /** Number of the last event that was forwarded; -1 if none. */
@@ -54,21 +57,20 @@
     if (this.kind === 'unnumbered') {
       return chunk;
     }
-    const bytes =
-      this.buffered.length === 0
-        ? chunk
-        : Buffer.concat([this.buffered, chunk]);
-    const end = this.acceptBlocks(bytes);
+    const end = this.acceptBlocks(chunk);
     // `acceptBlocks` may have found that the stream has no numbers.
     if (!this.isNumbered) {
-      this.buffered = EMPTY;
-      return bytes;
+      return this.takeHeld(chunk);
     }
-    if (bytes.length - end > MAX_EVENT_BYTES) {
+    const accepted = end === 0 ? EMPTY : this.takeHeld(chunk.subarray(0, end));
+    this.hold(chunk.subarray(end));
+    if (this.heldBytes > MAX_EVENT_BYTES) {
       this.kind = 'invalid';
     }
-    this.buffered = this.isInvalid ? EMPTY : bytes.subarray(end);
-    return bytes.subarray(0, end);
+    if (this.isInvalid) {
+      this.drop();
+    }
+    return accepted;
   }
 
   /**
@@ -77,42 +79,72 @@
    * the end of the stream.
    */
   finish(): Buffer | undefined {
-    const {buffered} = this;
-    this.buffered = EMPTY;
-    if (this.kind === 'unknown' && this.lastNumber < 0) {
-      return buffered;
+    const rest = this.takeHeld(EMPTY);
+    const isUnread = this.kind === 'unknown' && this.lastNumber < 0;
+    if (isUnread || this.kind === 'unnumbered') {
+      return rest;
     }
-    const {hasEvent, isEndMarker, isValid} = readEventBlock(
-      buffered,
-      0,
-      buffered.length,
-    );
-    return isValid && (isEndMarker || !hasEvent) ? buffered : undefined;
+    this.scanner.finishLine();
+    const {hasEvent, isEndMarker, isValid} = this.scanner.block;
+    return isValid && (isEndMarker || !hasEvent) ? rest : undefined;
   }
 
   /**
    * Drops the buffered bytes; the stream will be resumed after the last event.
    */
   restart(): void {
-    this.buffered = EMPTY;
+    this.drop();
+    this.scanner = new EventBlockScanner();
     this.kind = 'unknown';
   }
 
+  private drop(): void {
+    this.held = EMPTY;
+    this.heldBytes = 0;
+  }
+
+  private hold(bytes: Buffer): void {
+    const length = this.heldBytes + bytes.length;
+    if (length > this.held.length) {
+      const grown = Buffer.allocUnsafe(Math.max(length, 2 * this.held.length));
+      this.held.copy(grown, 0, 0, this.heldBytes);
+      this.held = grown;
+    }
+    bytes.copy(this.held, this.heldBytes);
+    this.heldBytes = length;
+  }
+
+  /** Returns the bytes held back and `bytes` after them; holds back nothing more. */
+  private takeHeld(bytes: Buffer): Buffer {
+    if (this.heldBytes === 0) {
+      return bytes;
+    }
+    const held = this.held.subarray(0, this.heldBytes);
+    this.drop();
+    return bytes.length === 0 ? held : Buffer.concat([held, bytes]);
+  }
+
   /** Accepts the complete blocks of `bytes` up to the end marker; returns their end. */
   private acceptBlocks(bytes: Buffer): number {
-    let start = 0;
-    for (;;) {
-      const end = findBlockEnd(bytes, start);
-      if (end === undefined || !this.acceptBlock(bytes, start, end)) {
-        return start;
+    const {scanner} = this;
+    let accepted = 0;
+    let end = scanner.findBlockEnd(bytes, 0);
+    while (end !== undefined) {
+      // What follows the end marker is read as part of it, and held back like it.
+      if (this.acceptBlock(scanner.block)) {
+        accepted = end;
+        scanner.startBlock();
+      }
+      if (this.kind === 'unnumbered' || this.isInvalid) {
+        return accepted;
       }
-      start = end;
+      end = scanner.findBlockEnd(bytes, end);
     }
+    return accepted;
   }
 
-  /** Whether the block from `start` to before `end` can be forwarded now. */
-  private acceptBlock(bytes: Buffer, start: number, end: number): boolean {
-    const block = readEventBlock(bytes, start, end);
+  /** Whether the block can be forwarded now. */
+  private acceptBlock(block: EventBlock): boolean {
     const {hasEvent, isEndMarker, isValid, number} = block;
     const isFirst = this.kind === 'unknown';
     if (isValid && !hasEvent) {
--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -11,9 +11,10 @@
   TrailerCheck,
   type CompletenessCheck,
 } from './completeness-check.js';
-import {responseHeaders} from './attempt-headers.js';
+import {isEventStream, responseHeaders} from './attempt-headers.js';
 import type {UpstreamResponse} from './attempt.js';
 import {NumberedEventBuffer} from './numbered-event-buffer.js';
+import {ReadPace} from './read-pace.js';
 
 /**
  * How the relay of a response ended: `whole` if complete; `torn` if it broke
@@ -118,6 +119,9 @@
   private hasCallerDisconnected = false;
   private isComplete = false;
   private isSettled = false;
+  private readonly pace: ReadPace;
+  /** Cancels the pause in reading that the pace requires; undefined if there is none. */
+  private cancelPause: (() => void) | undefined;
 
   constructor(
     private readonly upstream: UpstreamResponse,
@@ -132,6 +136,9 @@
     this.isUnframed =
       upstream.method !== 'HEAD' && isDelimitedByClose(upstream.message);
     this.acceptsChunks = response.useChunkedEncodingByDefault;
+    this.pace = new ReadPace(
+      this.eventBuffer !== undefined || isEventStream(upstream.message),
+    );
   }
 
   start(): void {
@@ -139,7 +146,7 @@
     this.readFrom(upstream.message);
     response.on('drain', () => {
       this.reserveBuffered();
-      this.message?.resume();
+      this.resumeReading();
     });
     response.on(
       'close',
@@ -177,11 +184,45 @@
     on('end', () => this.handleEnd());
     on('error', () => this.handleBreak());
     on('close', () => this.handleBreak());
-    if (this.response.writableNeedDrain && !this.hasCallerDisconnected) {
+    if (!this.mayRead) {
       message.pause();
     }
   }
 
+  /** Whether the caller takes more and the pace allows it. */
+  private get mayRead(): boolean {
+    const needsDrain =
+      this.response.writableNeedDrain && !this.hasCallerDisconnected;
+    return !needsDrain && this.cancelPause === undefined;
+  }
+
+  private resumeReading(): void {
+    if (this.mayRead) {
+      this.message?.resume();
+    }
+  }
+
+  /** Stops reading for now if the response has brought its share, so that others get their turn. */
+  private keepPace({length}: Buffer): void {
+    const pauseMs = this.pace.recordBytes(length, performance.now());
+    if (pauseMs === undefined || this.cancelPause !== undefined) {
+      return;
+    }
+    this.message?.pause();
+    const resume = () => {
+      this.cancelPause = undefined;
+      this.pace.startTurn();
+      this.resumeReading();
+    };
+    if (pauseMs === 0) {
+      const immediate = setImmediate(resume);
+      this.cancelPause = () => clearImmediate(immediate);
+    } else {
+      const timer = setTimeout(resume, pauseMs);
+      this.cancelPause = () => clearTimeout(timer);
+    }
+  }
+
   /** Wraps a handler so that an unexpected error ends this response alone. */
   private guarded<Args extends readonly unknown[]>(
     handle: (...args: Args) => unknown,
@@ -197,6 +238,11 @@
   private handleChunk(chunk: Buffer): void {
     const {eventBuffer} = this;
     this.completenessCheck.add(chunk);
+    if (this.completenessCheck.isExceeded?.() === true) {
+      this.fail();
+      return;
+    }
+    this.keepPace(chunk);
     this.forward(eventBuffer === undefined ? chunk : eventBuffer.add(chunk));
     this.reserveBuffered();
     if (eventBuffer?.isInvalid === true) {
@@ -412,7 +458,7 @@
     this.hasCallerDisconnected = true;
     this.buffered = [];
     if (this.options.outlivesCaller && !this.isComplete) {
-      this.message?.resume();
+      this.resumeReading();
       return;
     }
     this.settle(this.options.outlivesCaller ? 'whole' : 'cancelled');
@@ -424,6 +470,7 @@
       return;
     }
     this.isSettled = true;
+    this.cancelPause?.();
     this.options.signal.removeEventListener('abort', this.handleAbort);
     if (outcome !== 'whole') {
       this.options.resumer?.cancel();
--- a/zones/failure-detector/src/failure-detector.ts
+++ b/zones/failure-detector/src/failure-detector.ts
@@ -7,7 +7,9 @@
   /** A started answer stalled. */
   | 'stall'
   /** The connection broke before the answer was complete. */
-  | 'broken';
+  | 'broken'
+  /** The answer brought more than its request allows. */
+  | 'excess';
 
 /** Options of a failure detector. */
 export interface FailureDetectorOptions {
@@ -46,12 +48,16 @@
   isolationShare: 0.8,
 };
 
-/** One failed connection is enough to suspect a target; other evidence has to repeat. */
+/**
+ * One failed connection, or one answer that no sound target writes, is enough to suspect a target;
+ * other evidence has to repeat.
+ */
 const EVIDENCE_WEIGHTS: Readonly<Record<Evidence, number>> = {
   'connect-failed': 1,
   broken: 0.6,
   stall: 0.6,
   timeout: 0.6,
+  excess: 1,
 };
 const SUSPICION_THRESHOLD = 1;
 const TRUST_THRESHOLD = 0.25;
@@ -64,8 +70,8 @@
  *
  * Each piece of evidence adds to a score that decays exponentially. A target is suspected
  * from a score of 1 until an attempt or a probe succeeds or the score decays below 0.25.
- * One failed connection, or two timeouts or stalls within a few seconds, are enough to
- * suspect a target.
+ * One failed connection or answer beyond its bound, or two timeouts or stalls within a few
+ * seconds, are enough to suspect a target.
  *
  * Usage, with one monotonic clock in milliseconds (`performance.now()`) as `now`:
  *
