Close connections whose answers have no end, also between exchanges (FAULT)

Operators saw a faulty engine send bytes without end, in a head or a body, until the caller closed. For the system's own questions (reports, orders, health checks, starts of targets, cancellations) only the time-out closed.

Cause: each caller of `openRequest` had to bound the head and to close what it would not read. Two of them bounded the head; one closed a body that was too large. The others paused it until the time-out (an order of the product's agent: as long as an order may take), or read on: a health check took 96,875,613 bytes from a service within its time-out.

Change: `openRequest` bounds the head of each answer (64 KiB), `readAnswer` closes the connection of a body that cannot be read, and health checks and cancellations read at most 64 KiB of a body that nobody needs.

--- a/agent/agent-server/src/resume-handler.ts
+++ b/agent/agent-server/src/resume-handler.ts
@@ -3,11 +3,7 @@
 import {BoundedSignal} from '@marigoldspur/abort-signals';
 import type {EventLog} from '@marigoldspur/event-log';
 import type {Refusal} from '@marigoldspur/faults';
-import {
-  findInvalidHead,
-  limitResponseHead,
-  openRequest,
-} from '@marigoldspur/http-link';
+import {findInvalidHead, openRequest} from '@marigoldspur/http-link';
 import {HOP_HEADERS, type Hop} from '@marigoldspur/messages';
 import {formatModel} from '@marigoldspur/settings-schema';
 import {
@@ -120,7 +116,6 @@
         pin?.release(performance.now());
         resolve(refusal);
       };
-      limitResponseHead(targetRequest, error => targetRequest.destroy(error));
       let hasResponse = false;
       targetRequest.on('error', error => {
         // The response may be whole although its connection failed.
--- a/agent/agent-server/src/service-monitor.ts
+++ b/agent/agent-server/src/service-monitor.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import {BoundedSignal} from '@marigoldspur/abort-signals';
-import {openRequest} from '@marigoldspur/http-link';
+import {discardBody, openRequest} from '@marigoldspur/http-link';
 
 /** Options of a service monitor. */
 export interface ServiceMonitorOptions {
@@ -72,7 +72,7 @@
       });
       request.on('response', response => {
         const status = response.statusCode ?? 0;
-        response.resume();
+        discardBody(response);
         resolve(status >= 200 && status < 300);
       });
       request.on('error', () => resolve(false));
--- a/agent/agent-server/src/target-forwarder.ts
+++ b/agent/agent-server/src/target-forwarder.ts
@@ -2,7 +2,6 @@
 import {BoundedSignal} from '@marigoldspur/abort-signals';
 import type {EventLog} from '@marigoldspur/event-log';
 import {
-  limitResponseHead,
   openRequest,
   TargetHttpAgent,
   urlForPath,
@@ -122,7 +121,6 @@
         signal: bounded.signal,
       });
       this.trackConnection(targetRequest);
-      limitResponseHead(targetRequest, error => targetRequest.destroy(error));
       let hasResponse = false;
       targetRequest.on('error', error => {
         // The response may be whole although its connection failed.
--- a/agent/agent-server/test/service-monitor.test.ts
+++ b/agent/agent-server/test/service-monitor.test.ts
@@ -1,3 +1,6 @@
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {Readable} from 'node:stream';
 import {expect} from 'chai';
 import {
   startPlainService,
@@ -7,6 +10,8 @@
 import {ServiceMonitor} from '../src/service-monitor.js';
 
 const INTERVAL_MS = 10;
+/** More than the 64 KiB that are read and what the connection holds on its way, in bytes. */
+const MAX_SENT_BYTES = 16_777_216;
 
 let service: StandIn;
 let monitor: ServiceMonitor;
@@ -72,3 +77,36 @@
   await service.stop();
   expect(await next()).to.equal(false);
 });
+
+// Guards against a service that takes the agent's processor for the whole time of a check.
+it('service monitor: the connection of a health response without end is closed early', async () => {
+  const block = Buffer.alloc(65_536, ' ');
+  const endless = http.createServer((_, response) => {
+    const repeat = function* () {
+      for (;;) {
+        yield block;
+      }
+    };
+    Readable.from(repeat()).pipe(response);
+  });
+  await new Promise<void>(resolve =>
+    endless.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const sent = new Promise<number>(resolve =>
+    endless.once('connection', socket => {
+      socket.on('error', () => {});
+      socket.on('close', () => resolve(socket.bytesWritten));
+    }),
+  );
+  const {port} = endless.address() as AddressInfo;
+  monitor = new ServiceMonitor({
+    url: `http://127.0.0.1:${port}`,
+    healthPath: () => '/health',
+    onChange: () => {},
+  });
+  monitor.start(INTERVAL_MS);
+  expect(await sent).to.be.below(MAX_SENT_BYTES);
+  monitor.stop();
+  endless.closeAllConnections();
+  endless.close();
+});
--- a/agent/engine-client/src/engine-client.ts
+++ b/agent/engine-client/src/engine-client.ts
@@ -2,7 +2,11 @@
 import {Result} from 'true-myth';
 import type {z} from 'zod';
 import {Fault, type FaultCode} from '@marigoldspur/faults';
-import {openRequest, readBody, TargetHttpAgent} from '@marigoldspur/http-link';
+import {
+  openRequest,
+  readAnswer,
+  TargetHttpAgent,
+} from '@marigoldspur/http-link';
 import {followCacheEvents, type FollowCacheOptions} from './cache-events.js';
 import {
   BOOT_HEADER,
@@ -181,7 +185,7 @@
 async function readResponse(
   response: http.IncomingMessage,
 ): Promise<Result<EngineResponse, Fault>> {
-  const body = await readBody(response, MAX_RESPONSE_BYTES);
+  const body = await readAnswer(response, MAX_RESPONSE_BYTES);
   const status = response.statusCode ?? 0;
   const boot = response.headers[BOOT_HEADER];
   return body.andThen(bytes => {
--- a/entry/dispatch/src/attempt-client.ts
+++ b/entry/dispatch/src/attempt-client.ts
@@ -4,7 +4,7 @@
 import {Result} from 'true-myth';
 import {BoundedSignal} from '@marigoldspur/abort-signals';
 import {Refusal, type RefusalOutcome} from '@marigoldspur/faults';
-import {openRequest, urlForPath} from '@marigoldspur/http-link';
+import {discardBody, openRequest, urlForPath} from '@marigoldspur/http-link';
 import {
   HOP_HEADERS,
   parsePrefixChanges,
@@ -69,7 +69,7 @@
       agent: this.options.agent,
       signal: timeout.signal,
     });
-    request.on('response', response => response.resume());
+    request.on('response', response => discardBody(response));
     request.on('error', () => {});
     request.on('close', () => timeout.dispose());
     request.end();
--- a/entry/dispatch/src/target-health-monitor.ts
+++ b/entry/dispatch/src/target-health-monitor.ts
@@ -1,6 +1,6 @@
 import type http from 'node:http';
 import type {EventLog} from '@marigoldspur/event-log';
-import {openRequest} from '@marigoldspur/http-link';
+import {discardBody, openRequest} from '@marigoldspur/http-link';
 import {FailureDetector, type Evidence} from '@marigoldspur/failure-detector';
 import type {Destination} from './target-directory.js';
 
@@ -231,7 +231,7 @@
         signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
       });
       request.on('response', response => {
-        response.resume();
+        discardBody(response);
         resolve(response.statusCode === 200);
       });
       request.on('error', () => resolve(false));
--- a/entry/target-starts/src/ask-start.ts
+++ b/entry/target-starts/src/ask-start.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import {openRequest, readBody} from '@marigoldspur/http-link';
+import {openRequest, readAnswer} from '@marigoldspur/http-link';
 
 /** How a process at an address is asked when it started. */
 export interface StartQuestion {
@@ -33,7 +33,7 @@
     });
     request.on('error', () => resolve(undefined));
     request.on('response', response => {
-      void readBody(response, MAX_RESPONSE_BYTES).then(body =>
+      void readAnswer(response, MAX_RESPONSE_BYTES).then(body =>
         resolve(
           response.statusCode === STATUS_OK && body.isOk
             ? parse(body.value)
--- a/machines/http-link/src/index.ts
+++ b/machines/http-link/src/index.ts
@@ -1,3 +1,4 @@
+export {readAnswer} from './read-answer.js';
 export {readBody} from './read-body.js';
 export {
   exchangeJson,
--- a/machines/http-link/src/json-exchange.ts
+++ b/machines/http-link/src/json-exchange.ts
@@ -1,6 +1,7 @@
 import type http from 'node:http';
 import {Fault, toFault, type FaultCode} from '@marigoldspur/faults';
 import {openRequest} from './open-request.js';
+import {readAnswer} from './read-answer.js';
 import {readBody} from './read-body.js';
 
 /** A JSON message to another process, which answers with a JSON message. */
@@ -32,9 +33,8 @@
 export async function exchangeJson(call: JsonCall): Promise<unknown> {
   const text = JSON.stringify(call.body);
   const response = await sendRequest(call, text);
-  const body = await readBody(response, call.maxAnswerBytes);
+  const body = await readAnswer(response, call.maxAnswerBytes);
   if (body.isErr) {
-    response.destroy();
     throw body.error;
   }
   const answer = parseJson(body.value);
--- a/machines/http-link/src/open-request.ts
+++ b/machines/http-link/src/open-request.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import https from 'node:https';
+import {limitResponseHead} from './response-limits.js';
 
 /** One outgoing HTTP request. */
 export interface OutgoingRequest {
@@ -10,13 +11,18 @@
   readonly signal?: AbortSignal;
 }
 
-/** Opens a request; the caller writes its body and ends it. */
+/**
+ * Opens a request; the caller writes its body and ends it. The request fails if the head of the
+ * response exceeds 64 KiB.
+ */
 export function openRequest(options: OutgoingRequest): http.ClientRequest {
   const {request} = options.url.protocol === 'https:' ? https : http;
-  return request(options.url, {
+  const opened = request(options.url, {
     method: options.method,
     headers: options.headers,
     agent: options.agent,
     signal: options.signal,
   });
+  limitResponseHead(opened, error => opened.destroy(error));
+  return opened;
 }
