--- a/machines/http-link/src/json-exchange.ts
+++ b/machines/http-link/src/json-exchange.ts
@@ -3,7 +3,7 @@
 import {discardRest, type BodyFailure} from '@marigoldspur/request-bodies';
 import {createUnlimitedMemory, type MessageMemory} from './message-memory.js';
 import {openRequest} from './open-request.js';
-import {readBody} from './read-body.js';
+import {readAnswer} from './read-answer.js';
 
 /** A JSON message to another process, which answers with a JSON message. */
 export interface JsonCall {
@@ -37,9 +37,8 @@
 export async function exchangeJson(call: JsonCall): Promise<unknown> {
   const text = JSON.stringify(call.body);
   const response = await sendRequest(call, text);
-  const body = await readBody(response, call.maxAnswerBytes);
+  const body = await readAnswer(response, call.maxAnswerBytes);
   if (body.isErr) {
-    response.destroy();
     throw body.error;
   }
   const answer = parseJson(body.value);
