Start a replica after a power loss that undid some removals of covered segments (FAULT)

What callers saw: a replica of control that doesn't come back after a loss of power. When all hosts lose power at once this can hit several.

Until then each removal is kept or lost by itself, so that a later segment may be gone while an earlier one is back. The replay took any gap for a loss of synced data. Class: an order between changes of names that the file system doesn't promise.

Evidence: a model of a disk that loses power after any operation; names that were not synced are kept or lost one by one, writes are present, missing or torn. The case by itself: "log- follows a missing segment", then passes.

Change: the replay begins after the last gap.

--- a/control/log-storage/src/recover.ts
+++ b/control/log-storage/src/recover.ts
@@ -27,6 +27,7 @@
 export interface ReplayedLog {
   state: HardState;
   entries: Entry[];
+  /** The segments; those before a missing one count as empty and may be removed. */
   readonly segments: Segment[];
   /** Length of the valid frames in the last segment, in bytes. */
   validLength: number;
@@ -75,7 +76,9 @@
 
 /**
  * Replays the segments after a snapshot. A torn write at the end of the last segment is
- * ignored. Throws `CORRUPT_DATA` on any other damage, a missing segment or a gap.
+ * ignored, as are segments before a missing one if the snapshot covers them: a power loss
+ * may undo some removals of covered segments and not others. Throws `CORRUPT_DATA` on any
+ * other damage, a missing segment or a gap.
  */
 export async function replaySegments(
   files: FileSystem,
@@ -88,21 +91,22 @@
     .filter(match => match !== null)
     .map(match => Number(match[1]))
     .sort((a, b) => a - b);
+  const first = sequences.findLastIndex(
+    (sequence, position) => sequence !== sequences[position - 1] + 1,
+  );
   const replay = new Replay(snapshot);
-  for (const [position, sequence] of sequences.entries()) {
+  for (const sequence of sequences.slice(first)) {
     const file = segmentFile(folder, sequence);
-    if (sequence !== sequences[0] + position) {
-      throw corruptDataError(file, 'follows a missing segment');
-    }
     const bytes = await files.read(file);
-    replay.readSegment(
-      file,
-      sequence,
-      bytes,
-      position === sequences.length - 1,
-    );
+    replay.readSegment(file, sequence, bytes, sequence === sequences.at(-1));
   }
-  return replay.finish(folder);
+  const leftovers = sequences.slice(0, Math.max(first, 0)).map(sequence => ({
+    sequence,
+    file: segmentFile(folder, sequence),
+    lastIndex: 0,
+  }));
+  const log = replay.finish(folder);
+  return {...log, segments: [...leftovers, ...log.segments]};
 }
 
 /** Replays segments in order and checks that the log is complete. */
--- a/control/log-storage/test/log-storage.test.ts
+++ b/control/log-storage/test/log-storage.test.ts
@@ -274,6 +274,28 @@
   expect(disk.filesWithPrefix('log-').length).to.be.lessThan(before);
 });
 
+it('snapshot: a power loss that undoes some of the removals of covered segments does not keep the replica from starting', async () => {
+  const disk = new FakeDisk();
+  const {storage} = await openWithEntries(disk, 40);
+  const segments = disk.filesWithPrefix('log-');
+  const contents = segments.map(name => disk.contentOf(name));
+  await storage.saveSnapshot(snapshotAt(40));
+  const removed = segments.filter(
+    name => !disk.filesWithPrefix('log-').includes(name),
+  );
+  expect(removed.length).to.be.greaterThan(2);
+  for (const kept of removed.slice(0, -1)) {
+    const restored = disk.copy();
+    await restored.open(kept);
+    restored.setContent(kept, contents[segments.indexOf(kept)]);
+    const {storage: reopened, recovered} = await open(restored);
+    expect(recovered.entries, kept).to.deep.equal([]);
+    await reopened.save(entriesOperation(entry(41)));
+    await reopened.saveSnapshot(snapshotAt(41));
+    expect(restored.filesWithPrefix('log-')).to.not.include(kept);
+  }
+});
+
 it('snapshot: is lost in a power loss if the folder is not synced', async () => {
   const dataAfterPowerLoss = async (
     skipsFolderSync: boolean,
