Sync what a killed replica had written before it counts as stored

What callers saw: nothing yet. A change could be confirmed and lost if all of the core was killed in the middle of a write, came back, and then lost power.

Cause: a process that is killed between a write and its sync finds the write again when it starts, in the page cache, and counts it as stored: it tells the leader that it holds the entries, or that it has voted. Nothing syncs them until the next write. Class: what is read is taken for what is on disk.

Evidence: the model of a disk with kills beside losses of power.

Change: a replica syncs its last segment and its folder when it opens them, once a start. Closed segments need none: each is synced before the next is begun.

--- a/control/log-storage/src/open-log-storage.ts
+++ b/control/log-storage/src/open-log-storage.ts
@@ -116,6 +116,7 @@
     throw corruptDataError(folder, 'contains a replica ID but no log');
   }
   const segment = await reopenSegment(files, folder, last, log);
+  await files.syncFolder(folder);
   const storage = new LogStorage(
     options,
     files,
--- a/control/log-storage/src/segment-writer.ts
+++ b/control/log-storage/src/segment-writer.ts
@@ -38,7 +38,10 @@
   return new SegmentWriter(segment, handle, header.length);
 }
 
-/** Reopens the last segment of a log and truncates a torn write at its end. */
+/**
+ * Reopens the last segment of a log, truncates a torn write at its end and syncs the rest,
+ * which the process may have been killed before syncing.
+ */
 export async function reopenSegment(
   files: FileSystem,
   folder: string,
@@ -53,8 +56,8 @@
   const handle = await files.open(segment.file);
   if (log.tornBytes > 0) {
     await handle.truncate(log.validLength);
-    await handle.sync();
   }
+  await handle.sync();
   return new SegmentWriter(segment, handle, log.validLength);
 }
 
--- a/control/log-storage/test/power-loss.test.ts
+++ b/control/log-storage/test/power-loss.test.ts
@@ -185,7 +185,7 @@
   }
 }
 
-it('power loss: at any point of any history a replica starts with all that it had saved', async function () {
+it('power loss: at any point of any history, after kills too, a replica starts with all that it had saved', async function () {
   this.timeout(TIMEOUT_MS);
   await fc.assert(
     fc.asyncProperty(fc.gen(), async generate => {
@@ -195,7 +195,11 @@
       for (let life = 0; life < LIVES; life += 1) {
         disk.operationsLeft = choose(MAX_OPERATIONS);
         contents = await useUntilPowerLoss(disk, contents, choose);
-        disk.losePower(choose);
+        if (choose(3) === 0) {
+          disk.kill();
+        } else {
+          disk.losePower(choose);
+        }
       }
       disk.operationsLeft = MAX_OPERATIONS;
       await useUntilPowerLoss(disk, contents, choose);
