Set damaged files of a replica aside and let it join again (FAULT)

What callers saw: a replica of control whose files are torn, flipped, emptied or have bytes appended exits at each start with "identity is damaged" and never comes back without a person. The others serve, but a second such replica ends control. A wiped disk heals.

Cause: damaged data (CORRUPT_DATA) ended the process. Class: a part of a loss is handled worse than the whole.

Change: the files are renamed to *.damaged (event 248), the identity first and synced, so that no part of the log is ever read under the former ID. The replica starts empty, under a new ID, and is added as after the loss of its disk. Its identity file says that it replaces another: it forms no group and others form none with it, also with bootstrap set and after restarts. Records with a right checksum that can't be parsed come from another version and are not set aside.

Test replaced: "corrupt data: the log does not open and records an event" asserted what is mended here. Instead the event, the new ID, no group and no word made up are asserted.

Ruled out: the former ID voting or counting: messages name an ID, an empty log does not vote, a learner does not count, and the leader removes the former voter before it adds the new one, as in the group model with replaced disks.

--- a/contracts/event-catalogue/src/control-events.ts
+++ b/contracts/event-catalogue/src/control-events.ts
@@ -51,7 +51,7 @@
     number: 232,
     level: 'error',
     meaning:
-      'The files of the log are damaged or missing, so the process does not start.',
+      'The files of the log are damaged or missing, so the replica sets them aside (248), or another version of the program wrote them, so the process does not start.',
   },
   'log-write-failed': {
     number: 233,
@@ -137,6 +137,12 @@
     meaning:
       'The leader is shutting down and asks another voter to become the leader.',
   },
+  'log-set-aside': {
+    number: 248,
+    level: 'error',
+    meaning:
+      'The replica has renamed its damaged files to `*.damaged` and starts empty, under a new ID. It forms no group and waits to be added to its own; if a majority waits, the group needs its operators.',
+  },
   'claims-lost': {
     number: 250,
     level: 'warn',
--- a/control/log-storage/src/file-system.ts
+++ b/control/log-storage/src/file-system.ts
@@ -15,6 +15,8 @@
   /** Lists the names of the files in a folder. */
   list(folder: string): Promise<string[]>;
   read(file: string): Promise<Uint8Array>;
+  /** Resolves to the length of a file in bytes. */
+  size(file: string): Promise<number>;
   /** Opens a file for appending and creates it if it does not exist. */
   open(file: string): Promise<AppendFile>;
   rename(from: string, to: string): Promise<void>;
--- a/control/log-storage/src/node-file-system.ts
+++ b/control/log-storage/src/node-file-system.ts
@@ -5,6 +5,7 @@
   readFile,
   rename,
   rm,
+  stat,
   type FileHandle,
 } from 'node:fs/promises';
 import type {AppendFile, FileSystem} from './file-system.js';
@@ -23,6 +24,10 @@
     return readFile(file);
   }
 
+  async size(file: string): Promise<number> {
+    return (await stat(file)).size;
+  }
+
   async open(file: string): Promise<AppendFile> {
     return new NodeAppendFile(await open(file, 'a'));
   }
--- a/control/log-storage/src/open-log-storage.ts
+++ b/control/log-storage/src/open-log-storage.ts
@@ -12,8 +12,9 @@
 import {LogStorage, type LogStorageOptions} from './log-storage.js';
 import {NodeFileSystem} from './node-file-system.js';
 import {createSegment, reopenSegment} from './segment-writer.js';
-import {IDENTITY_SCHEMA} from './records.js';
+import {IDENTITY_FILE, IDENTITY_SCHEMA} from './records.js';
 import {readSnapshot, replaySegments, segmentFile} from './recover.js';
+import {isSetAside} from './set-aside.js';
 
 /** Opened log storage and the state recovered from it. */
 export interface OpenedStorage {
@@ -22,6 +23,8 @@
   readonly id: string;
   /** Whether the folder was new. */
   readonly isNew: boolean;
+  /** Whether the replica replaces one whose damaged files were set aside. */
+  readonly isReplacement: boolean;
   readonly recovered: RecoveredState;
   /** The serialized state machine of the recovered snapshot. */
   readonly snapshotData?: string;
@@ -29,7 +32,6 @@
   readonly tornBytes: number;
 }
 
-const IDENTITY_FILE = 'identity';
 const EMPTY_STATE: HardState = {group: '', term: 0, vote: ''};
 
 /**
@@ -58,7 +60,9 @@
   names: readonly string[],
 ): Promise<OpenedStorage> {
   const {folder} = options;
-  const remaining = names.filter(name => !isTemporaryFile(name));
+  const remaining = names.filter(
+    name => !isTemporaryFile(name) && !isSetAside(name),
+  );
   const firstSegment = segmentFile(folder, 1);
   const isUnused = await containsOnlyHeader(files, firstSegment, remaining);
   if (!isUnused) {
@@ -71,13 +75,14 @@
     state: EMPTY_STATE,
     lastIndex: 0,
   });
-  const identity = Buffer.from(JSON.stringify({id}));
+  const isReplacement = names.some(isSetAside);
+  const identity = Buffer.from(JSON.stringify({id, isReplacement}));
   await writeFileAtomically(files, path.join(folder, IDENTITY_FILE), [
     identity,
   ]);
   const storage = new LogStorage(options, files, EMPTY_STATE, 0, [], segment);
   const recovered = {state: EMPTY_STATE, entries: []};
-  return {storage, id, isNew: true, recovered, tornBytes: 0};
+  return {storage, id, isNew: true, isReplacement, recovered, tornBytes: 0};
 }
 
 /**
@@ -108,7 +113,7 @@
   const identityFile = path.join(folder, IDENTITY_FILE);
   const [identity] = await readFrameFile(files, identityFile, 1);
   const text = Buffer.from(identity).toString('utf8');
-  const {id} = IDENTITY_SCHEMA.parse(JSON.parse(text));
+  const {id, isReplacement = false} = IDENTITY_SCHEMA.parse(JSON.parse(text));
   const snapshot = await readSnapshot(files, folder, names);
   const log = await replaySegments(files, folder, names, snapshot);
   const last = log.segments.pop();
@@ -134,6 +139,7 @@
     storage,
     id,
     isNew: false,
+    isReplacement,
     recovered,
     snapshotData: snapshot?.data,
     tornBytes,
--- a/control/log-storage/src/records.ts
+++ b/control/log-storage/src/records.ts
@@ -35,8 +35,15 @@
   configuration: CONFIGURATION_SCHEMA,
 });
 
+/** Name of the identity file. */
+export const IDENTITY_FILE = 'identity';
+
 /** Content of the identity file. */
-export const IDENTITY_SCHEMA = z.object({id: z.string().min(1)});
+export const IDENTITY_SCHEMA = z.object({
+  id: z.string().min(1),
+  /** Whether damaged files were set aside before the ID was created. */
+  isReplacement: z.boolean().optional(),
+});
 
 /** Encodes records as the payload of a frame. */
 export function encodeRecords(records: readonly LogRecord[]): Uint8Array {
--- a/control/log-storage/src/recover.ts
+++ b/control/log-storage/src/recover.ts
@@ -1,5 +1,6 @@
 import path from 'node:path';
 import type {Entry, HardState, SnapshotMetadata} from '@marigoldspur/consensus';
+import {Fault} from '@marigoldspur/faults';
 import {corruptDataError, readFrameFile} from './frame-file.js';
 import type {FileSystem} from './file-system.js';
 import {decodeFrames} from './frame.js';
@@ -232,9 +233,8 @@
   try {
     return decodeRecords(payload);
   } catch (thrown) {
-    throw corruptDataError(
-      file,
-      `contains a malformed record: ${String(thrown)}`,
-    );
+    // The checksum of the frame is right: another version of the program wrote the record.
+    const reason = `contains a malformed record: ${String(thrown)}`;
+    throw new Fault('INTERNAL', `${path.basename(file)} ${reason}`);
   }
 }
--- a/control/log-storage/test/fake-disk.ts
+++ b/control/log-storage/test/fake-disk.ts
@@ -79,6 +79,10 @@
     return Buffer.from(this.fileOf(name).bytes);
   }
 
+  async size(name: string): Promise<number> {
+    return this.fileOf(name).bytes.length;
+  }
+
   async open(name: string): Promise<AppendFile> {
     const file = this.names.get(name) ?? new StoredFile();
     this.names.set(name, file);
--- a/control/log-storage/test/unreliable-disk.ts
+++ b/control/log-storage/test/unreliable-disk.ts
@@ -74,6 +74,10 @@
     return Buffer.from(this.fileOf(name).bytes);
   }
 
+  async size(name: string): Promise<number> {
+    return this.fileOf(name).bytes.length;
+  }
+
   async open(name: string): Promise<AppendFile> {
     const file = this.names.get(name) ?? new StoredFile();
     if (!this.names.has(name)) {
--- a/control/replica-transport/src/replica-service.ts
+++ b/control/replica-transport/src/replica-service.ts
@@ -25,6 +25,11 @@
   id: z.string().min(1).max(64),
   /** ID of the replica's group; empty if it belongs to none. */
   group: z.string().max(64),
+  /**
+   * Whether the replica has lost its data and must be added to the group that it belonged
+   * to; a new group must not be formed with it.
+   */
+  isReplacement: z.boolean().optional(),
   /** URLs of the replicas it knows; absent if only replicas at configured URLs may join. */
   known: z.array(z.string().max(512)).max(256).optional(),
 });
--- a/control/replicated-log/src/group-reconciler.ts
+++ b/control/replicated-log/src/group-reconciler.ts
@@ -204,8 +204,8 @@
   }
 
   /**
-   * Forms the group once all other replicas have answered that they belong to no group.
-   * This prevents a replica that lost its disk from forming a second group.
+   * Forms the group once all other replicas have answered that they never belonged to
+   * one. This prevents a replica that lost its disk from forming a second group.
    */
   private async formGroup(now: number): Promise<void> {
     const {consensus, peers, events} = this.options;
@@ -220,7 +220,9 @@
     }
     const others = seedUrls.filter(peer => peer !== ownUrl);
     const answers = await this.fetchIdentities(others, now);
-    const haveNoGroup = answers.every(answer => answer?.group === '');
+    const haveNoGroup = answers.every(
+      answer => answer?.group === '' && answer.isReplacement !== true,
+    );
     if (consensus.group !== '' || consensus.lastIndex > 0) {
       return;
     }
--- a/control/replicated-log/src/log-replica.ts
+++ b/control/replicated-log/src/log-replica.ts
@@ -35,6 +35,8 @@
 export interface ReplicaSettings {
   readonly peers: PeerRegistry;
   readonly bootstrap: boolean;
+  /** Whether this replica replaces one whose damaged files were set aside. */
+  readonly isReplacement: boolean;
   readonly electionTimeoutMs: number;
   readonly proposeTimeoutMs: number;
   /** Number of applied entries after which a snapshot is saved. */
@@ -142,7 +144,7 @@
     this.reconciler = new GroupReconciler({
       consensus,
       peers: settings.peers,
-      bootstrap: settings.bootstrap,
+      bootstrap: settings.bootstrap && !settings.isReplacement,
       contactTimeoutMs: settings.electionTimeoutMs,
       events: settings.events,
       fetchIdentity: (url, from) =>
@@ -198,7 +200,12 @@
     const known = settings.peers.allowsUnlistedPeers
       ? {known: replicasOf(consensus.configuration).map(({url}) => url)}
       : {};
-    return {id: consensus.id, group: consensus.group, ...known};
+    return {
+      id: consensus.id,
+      group: consensus.group,
+      ...(settings.isReplacement && {isReplacement: true}),
+      ...known,
+    };
   }
 
   setSeedUrls(urls: readonly string[]): void {
--- a/control/replicated-log/src/open-replicated-log.ts
+++ b/control/replicated-log/src/open-replicated-log.ts
@@ -8,7 +8,12 @@
   createReplicaRouter,
   type ReplicaRouter,
 } from '@marigoldspur/replica-transport';
-import {openLogStorage, type FileSystem} from '@marigoldspur/log-storage';
+import {
+  openLogStorage,
+  setAsideLog,
+  type FileSystem,
+  type OpenedStorage,
+} from '@marigoldspur/log-storage';
 import {LogReplica} from './log-replica.js';
 import {PeerRegistry} from './peer-registry.js';
 import type {ReplicatedLog, StateMachine} from './replicated-log.js';
@@ -70,20 +75,15 @@
 const DEFAULT_KEPT_ENTRIES = 1_000;
 
 /**
- * Opens one replica of a replicated log and starts it. Throws `CORRUPT_DATA` if synced
- * data is damaged or missing.
+ * Opens one replica of a replicated log and starts it. A replica whose data is damaged
+ * starts empty, under a new ID, and waits to be added to its group.
  */
 export async function openReplicatedLog<Command, Answer>(
   machine: StateMachine<Command, Answer>,
   options: ReplicatedLogOptions,
 ): Promise<OpenedLog<Command, Answer>> {
-  const {folder, files, segmentBytes, events} = options;
-  const opened = await openLogStorage({folder, files, segmentBytes}).catch(
-    thrown => {
-      events.record('log-corrupt', {reason: toFault(thrown).message});
-      throw thrown;
-    },
-  );
+  const {events} = options;
+  const opened = await openStorage(options);
   if (opened.tornBytes > 0) {
     events.record('log-tail-cut', {bytes: opened.tornBytes});
   }
@@ -119,6 +119,7 @@
         desiredVoters: options.desiredVoters,
       }),
       bootstrap: options.bootstrap,
+      isReplacement: opened.isReplacement,
       electionTimeoutMs,
       proposeTimeoutMs: options.proposeTimeoutMs ?? DEFAULT_PROPOSE_TIMEOUT_MS,
       snapshotEntries: options.snapshotEntries ?? DEFAULT_SNAPSHOT_ENTRIES,
@@ -136,3 +137,25 @@
     paths: new Map([[DELIVERY_PATH, createDeliveryHandler(replica)]]),
   };
 }
+
+/** Opens the storage; damaged files are set aside, and the storage is then empty. */
+async function openStorage(
+  options: Pick<
+    ReplicatedLogOptions,
+    'events' | 'files' | 'folder' | 'segmentBytes'
+  >,
+): Promise<OpenedStorage> {
+  const {events, files, folder, segmentBytes} = options;
+  try {
+    return await openLogStorage({folder, files, segmentBytes});
+  } catch (thrown) {
+    const fault = toFault(thrown);
+    events.record('log-corrupt', {reason: fault.message});
+    if (fault.code !== 'CORRUPT_DATA') {
+      throw thrown;
+    }
+    const setAside = await setAsideLog({folder, files});
+    events.record('log-set-aside', {...setAside});
+    return openLogStorage({folder, files, segmentBytes});
+  }
+}
--- a/control/replicated-log/test/replicated-log.test.ts
+++ b/control/replicated-log/test/replicated-log.test.ts
@@ -10,7 +10,11 @@
 import {EventLog} from '@marigoldspur/event-log';
 import type {Fault} from '@marigoldspur/faults';
 import {listen} from '@marigoldspur/http-link';
-import {NodeFileSystem, type AppendFile} from '@marigoldspur/log-storage';
+import {
+  NodeFileSystem,
+  openLogStorage,
+  type AppendFile,
+} from '@marigoldspur/log-storage';
 import {
   openReplicatedLog,
   type ReplicatedLog,
@@ -249,7 +253,8 @@
   expect(recordedNames()).to.include('log-write-failed');
 });
 
-it('corrupt data: the log does not open and records an event', async () => {
+/** Writes words to a log, stops it and flips a bit of its first segment. */
+async function damageLog(): Promise<void> {
   const {log} = await openLog(new WordList());
   await waitUntil(isLeader(log));
   await log.propose('a');
@@ -261,9 +266,62 @@
   const bytes = Buffer.from(await new NodeFileSystem().read(file));
   bytes[Math.floor(bytes.length / 2)] ^= 1;
   await writeFile(file, bytes);
-  const opened = await openLog(new WordList()).catch(
-    (thrown: Fault) => thrown.code,
+  recorded = [];
+}
+
+it('corrupt data: a replica sets it aside and waits under a new ID, also after a restart and with bootstrap', async () => {
+  await damageLog();
+  const machine = new WordList();
+  const {log} = await openLog(machine);
+  await waitUntil(() => recordedNames().includes('group-awaited'));
+  const {replica} = log.status();
+  expect(recordedNames().slice(0, 3)).to.deep.equal([
+    'log-corrupt',
+    'log-set-aside',
+    'log-opened',
+  ]);
+  expect(log.status()).to.include({role: 'learner', group: '', term: 0});
+  expect(await codeOf(log.propose('c'))).to.equal('NOT_LEADER');
+  await log.stop();
+  recorded = [];
+  const reopened = await openLog(machine);
+  await waitUntil(() => recordedNames().includes('group-awaited'));
+  expect(recordedNames()).to.not.include('log-set-aside');
+  expect(reopened.log.status()).to.include({replica, group: ''});
+  expect(machine.words).to.deep.equal([]);
+});
+
+it('corrupt data: a new replica forms no group with one that has set its files aside', async () => {
+  await damageLog();
+  const {router} = await openLog(new WordList());
+  const server = http.createServer(
+    createHTTPHandler({router, basePath: '/trpc/log/'}),
+  );
+  servers.push(server);
+  const {port} = await listen(server, {host: '127.0.0.1', port: 0});
+  await waitUntil(() => recordedNames().includes('group-awaited'));
+  recorded = [];
+  const {log} = await openLog(new WordList(), {
+    folder: path.join(folder, 'other'),
+    url: 'http://127.0.0.1:0',
+    peers: ['http://127.0.0.1:0', `http://127.0.0.1:${port}`],
+  });
+  await waitUntil(() => recordedNames().includes('group-awaited'));
+  expect(log.status().group).to.equal('');
+  expect(recordedNames()).to.not.include('group-formed');
+});
+
+it('corrupt data: records that another version of the program wrote are not set aside', async () => {
+  const logFolder = path.join(folder, 'log');
+  const {storage} = await openLogStorage({folder: logFolder});
+  const state = {group: 'group', term: 'later', vote: ''};
+  await storage.save([{operation: 'state', state: state as never}]);
+  await storage.close();
+  const names = await readdir(logFolder);
+  const message = await openLog(new WordList()).catch(
+    (thrown: Fault) => thrown.message,
   );
-  expect(opened).to.equal('CORRUPT_DATA');
-  expect(recordedNames()).to.include('log-corrupt');
+  expect(message).to.include('contains a malformed record');
+  expect(recordedNames()).to.deep.equal(['log-corrupt']);
+  expect(await readdir(logFolder)).to.deep.equal(names);
 });
