Give back the memory of answers whose callers have left (FAULT)

Found by review. A reservation for an answer was released when its response closed, but a response whose caller left before it was written, or that waits for earlier ones of a connection that is lost, emits no close any more: control would have refused all answers in the end. onResponseEnd follows the connection too. The new test of message-memory failed before.

--- a/machines/http-link/src/index.ts
+++ b/machines/http-link/src/index.ts
@@ -11,6 +11,7 @@
 export {closeServer, listen, type Address} from './listen.js';
 export {listenWhenFree, type PortListener} from './listen-when-free.js';
 export {PortWait, type PortWaitStep} from './port-wait.js';
+export {onResponseEnd} from './on-response-end.js';
 export {openRequest, type OutgoingRequest} from './open-request.js';
 export {
   endToEndHeaders,
--- a/machines/http-link/src/json-exchange.ts
+++ b/machines/http-link/src/json-exchange.ts
@@ -2,6 +2,7 @@
 import {Fault, toFault, type FaultCode} from '@marigoldspur/faults';
 import {discardRest, type BodyFailure} from '@marigoldspur/request-bodies';
 import {createUnlimitedMemory, type MessageMemory} from './message-memory.js';
+import {onResponseEnd} from './on-response-end.js';
 import {openRequest} from './open-request.js';
 import {readAnswer} from './read-answer.js';
 
@@ -67,12 +68,15 @@
     const answer = await answerText(body.value.pieces, options).finally(() =>
       body.value.release(),
     );
-    const reservation = memory.reserve('answer', answer.text.length);
+    const reservation = memory.reserve(
+      'answer',
+      Buffer.byteLength(answer.text),
+    );
     if (reservation === undefined) {
       refuse(response, {message: 'the process lacks the memory to answer'});
       return;
     }
-    response.on('close', () => reservation.release());
+    onResponseEnd(response, () => reservation.release());
     sendReply(response, answer.status, answer.text);
   };
 }
--- a/machines/http-link/src/json-stream-handler.ts
+++ b/machines/http-link/src/json-stream-handler.ts
@@ -4,6 +4,7 @@
 import type {JsonStreamAnswer} from './json-stream.js';
 import {LineReader} from './line-reader.js';
 import {createUnlimitedMemory} from './message-memory.js';
+import {onResponseEnd} from './on-response-end.js';
 
 const STATUS_OK = 200;
 
@@ -30,7 +31,7 @@
         response.write(`${text}\n`);
       }
     };
-    response.on('close', () => reservation?.release());
+    onResponseEnd(response, () => reservation?.release());
     response.on('error', () => socket.destroy());
     response.writeHead(STATUS_OK, {'content-type': 'application/x-ndjson'});
     response.flushHeaders();
--- a/machines/http-link/test/message-memory.test.ts
+++ b/machines/http-link/test/message-memory.test.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import net from 'node:net';
 import {expect} from 'chai';
 import {
   closeServer,
@@ -91,3 +92,40 @@
   }
   expect(reservation.bytes).to.be.at.most(140_000);
 });
+
+it('message memory: senders that leave before their answer, in a row too, give all memory back', async () => {
+  const answers: Array<() => void> = [];
+  const isLeft = new Promise<void>(resolve => {
+    server.removeAllListeners('request');
+    const handle = createJsonHandler({
+      maxBodyBytes: MAX_BYTES,
+      answer: message =>
+        new Promise(answer => {
+          answers.push(() => answer(message));
+          if (answers.length === 20) {
+            resolve();
+          }
+        }),
+      memory: {
+        memory: budget,
+        bodies: new BodyReader({budget, kind: 'message'}),
+      },
+    });
+    server.on('request', (request, response) => void handle(request, response));
+  });
+  const closed = new Promise<void>(resolve =>
+    server.once('connection', (socket: net.Socket) =>
+      socket.once('close', () => resolve()),
+    ),
+  );
+  const sender = net.connect(Number(url.port), LOOPBACK);
+  sender.on('error', () => {});
+  const post = 'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\n"a"';
+  sender.write(post.repeat(20));
+  await isLeft;
+  sender.resetAndDestroy();
+  await closed;
+  answers.forEach(answer => answer());
+  await new Promise(resolve => setImmediate(resolve));
+  expect(budget.occupancy.heldBytes).to.equal(0);
+});
--- a/machines/process-server/src/process-server.ts
+++ b/machines/process-server/src/process-server.ts
@@ -4,7 +4,7 @@
 import type {CallContext} from '@marigoldspur/access';
 import {guard} from '@marigoldspur/fault-guard';
 import type {Fault} from '@marigoldspur/faults';
-import {closeServer} from '@marigoldspur/http-link';
+import {closeServer, onResponseEnd} from '@marigoldspur/http-link';
 import type {LinkSecurity} from '@marigoldspur/link-security';
 import type {MemoryBudget} from '@marigoldspur/memory-budget';
 import type {ProcessMetrics} from '@marigoldspur/metrics';
@@ -171,7 +171,7 @@
       request.destroy();
     }
   }, BODY_TIMEOUT_MS);
-  response.on('close', () => {
+  onResponseEnd(response, () => {
     clearTimeout(timer);
     reservation.release();
     discardRest(request);
