--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -62,7 +62,7 @@
   readonly resumeAfter?: number;
   /** Called if a target's bytes cannot be the rest of the stream after event `after`. */
   readonly onInvalidStream?: (after: number) => void;
-  /** Grows with what is buffered for the caller; a response that lacks the memory breaks off. */
+  /** Grows with what is buffered for the caller; a response that lacks the memory waits, and breaks off in the end. */
   readonly reservation?: Reservation;
   /** Called with an unexpected error, which ends the response as broken. */
   readonly onFault?: (fault: Fault) => void;
@@ -74,6 +74,9 @@
  */
 const MAX_UNCHUNKED_BYTES = 4_194_304;
 
+/** Time for which a response may wait for the memory for what is buffered, in milliseconds. */
+const MAX_SHORTAGE_MS = 1_000;
+
 /** Result of relaying a response. */
 export interface RelayResult {
   readonly outcome: RelayOutcome;
@@ -122,6 +125,8 @@
   private readonly pace: ReadPace;
   /** Cancels the pause in reading that the pace requires; undefined if there is none. */
   private cancelPause: (() => void) | undefined;
+  /** Runs while there is no memory for what is buffered. */
+  private shortageTimer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly upstream: UpstreamResponse,
@@ -193,7 +198,11 @@
   private get mayRead(): boolean {
     const needsDrain =
       this.response.writableNeedDrain && !this.hasCallerDisconnected;
-    return !needsDrain && this.cancelPause === undefined;
+    return (
+      !needsDrain &&
+      this.cancelPause === undefined &&
+      this.shortageTimer === undefined
+    );
   }
 
   private resumeReading(): void {
@@ -250,25 +259,49 @@
     }
   }
 
-  /** Starts the response early, or breaks it off, if there is no memory for what is buffered. */
+  /**
+   * Starts the response early if there is no memory for what is buffered, and reads no more for
+   * now. A response that still has no memory some time later breaks off.
+   */
   private reserveBuffered(): void {
-    const {reservation} = this.options;
-    if (reservation === undefined || reservation.resize(this.heldBytes)) {
+    if (this.isSettled || this.hasMemory()) {
+      this.endShortage();
       return;
     }
     if (!this.hasStarted && this.bufferedBytes > 0) {
       this.startEarly();
     }
-    if (!this.hasStarted || !reservation.resize(this.heldBytes)) {
+    this.message?.pause();
+    this.shortageTimer ??= setTimeout(
+      this.guarded(() => this.checkShortage()),
+      MAX_SHORTAGE_MS,
+    );
+  }
+
+  private hasMemory(): boolean {
+    return this.options.reservation?.resize(this.heldBytes) !== false;
+  }
+
+  private checkShortage(): void {
+    if (this.hasMemory()) {
+      this.endShortage();
+      this.resumeReading();
+    } else {
       this.fail();
     }
   }
 
-  /** Bytes of the response that the caller has not taken yet. */
+  private endShortage(): void {
+    clearTimeout(this.shortageTimer);
+    this.shortageTimer = undefined;
+  }
+
+  /** Bytes of the response that the caller has not taken yet; a write is under way until the next turn. */
   private get heldBytes(): number {
     const heldBack = this.eventBuffer?.bufferedBytes ?? 0;
     const buffered = this.hasStarted ? 0 : this.bufferedBytes;
-    return heldBack + buffered + this.response.writableLength;
+    const {writableLength, writableNeedDrain} = this.response;
+    return heldBack + buffered + (writableNeedDrain ? writableLength : 0);
   }
 
   private forward(bytes: Buffer): void {
@@ -471,6 +504,7 @@
     }
     this.isSettled = true;
     this.cancelPause?.();
+    this.endShortage();
     this.options.signal.removeEventListener('abort', this.handleAbort);
     if (outcome !== 'whole') {
       this.options.resumer?.cancel();
--- a/entry/dispatch/test/relay-response.test.ts
+++ b/entry/dispatch/test/relay-response.test.ts
@@ -6,6 +6,7 @@
   type RelayOptions,
 } from '@marigoldspur/dispatch';
 import {listen} from '@marigoldspur/http-link';
+import {MemoryBudget} from '@marigoldspur/memory-budget';
 import {createDisconnectSignal} from '@marigoldspur/abort-signals';
 import {
   agentResponse,
@@ -209,3 +210,24 @@
   expect(callerResponse?.status).to.equal(502);
   expect(faults).to.have.length(1);
 });
+
+it('relay: a caller that reads gets the whole response while memory is used up', async () => {
+  const budget = new MemoryBudget({
+    limit: {maxBytes: () => 1_000_000},
+    heapBytes: () => 0,
+  });
+  const held = budget.reserve('other', 750_000);
+  const full = budget.reserve('small', 60_000);
+  const body = 'x'.repeat(900_000);
+  const {callerResponse, relayed} = await relay(
+    agentResponse('application/json', body),
+    {
+      ...OPTIONS,
+      reservation: budget.reserve('response', 0),
+    },
+  );
+  expect(relayed?.outcome).to.equal('whole');
+  expect(callerResponse?.body.length).to.equal(body.length);
+  held?.release();
+  full?.release();
+});
