Refuse calls in a row beyond those that may wait (LOST)

Found by review. Pausing a connection does not keep the server from reading it, and a connection whose requests did not fit among 2,000 that wait was destroyed with those that ran. Now 256 wait for each connection and 1,000 in all; further ones are refused in their order, as not run, and the connection closes after that.

--- a/entry/caller-server/src/caller-server.ts
+++ b/entry/caller-server/src/caller-server.ts
@@ -60,8 +60,11 @@
 };
 /** Maximum number of requests of one connection that are in progress at the same time. */
 const MAX_RUNNING_PER_CONNECTION = 32;
-/** Maximum number of requests that wait for those, of all connections together. */
-const MAX_WAITING_REQUESTS = 2_000;
+/** Maximum number of requests of one connection that wait for those. */
+const MAX_WAITING_PER_CONNECTION = 256;
+/** Maximum number of waiting requests of all connections together. */
+const MAX_WAITING_REQUESTS = 1_000;
+const RETRY_AFTER_SECONDS = 1;
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 const CLOSE_IDLE_INTERVAL_MS = 50;
 
@@ -70,6 +73,8 @@
   running: number;
   /** Start the requests that wait for those that run, in order. */
   waiting: Array<() => void>;
+  /** Whether the connection closes because it brought too many. */
+  isClosing: boolean;
 }
 
 /** HTTP server for callers' connections. */
@@ -150,6 +155,8 @@
   private recordConnection(socket: Socket): void {
     const {clock} = this.options;
     const arrivedAt = clock.earliestArrival(performance.now());
+    // Each request of the connection listens to its end.
+    socket.setMaxListeners(0);
     this.newConnections.set(socket, {arrivedAt, turn: clock.turns});
   }
 
@@ -189,7 +196,7 @@
       this.startNext(socket, queue);
     });
     if (queue.running >= MAX_RUNNING_PER_CONNECTION) {
-      this.enqueue(socket, queue, start);
+      this.enqueue(request, response, queue, start);
     } else {
       queue.running += 1;
       start();
@@ -216,7 +223,7 @@
     if (known !== undefined) {
       return known;
     }
-    const queue: RequestQueue = {running: 0, waiting: []};
+    const queue: RequestQueue = {running: 0, waiting: [], isClosing: false};
     this.queues.set(socket, queue);
     socket.once('close', () => {
       this.waitingCount -= queue.waiting.length;
@@ -225,15 +232,19 @@
     return queue;
   }
 
-  /** Reads no more of a connection until its waiting requests have started. */
   private enqueue(
-    socket: Socket,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
     queue: RequestQueue,
     start: () => void,
   ): void {
-    socket.pause();
-    if (this.waitingCount >= MAX_WAITING_REQUESTS) {
-      socket.destroy();
+    const isFull =
+      queue.waiting.length >= MAX_WAITING_PER_CONNECTION ||
+      this.waitingCount >= MAX_WAITING_REQUESTS;
+    if (isFull || queue.isClosing) {
+      queue.isClosing = true;
+      queue.running += 1;
+      refuseExcess(request, response);
       return;
     }
     this.waitingCount += 1;
@@ -248,9 +259,6 @@
     this.waitingCount -= 1;
     queue.running += 1;
     start();
-    if (queue.waiting.length === 0) {
-      socket.resume();
-    }
   }
 
   /**
@@ -269,6 +277,28 @@
   }
 }
 
+/**
+ * Refuses a request that came without waiting for too many others, as not run. Its connection
+ * closes after the response, so that nothing behind it runs either (RFC 9112, 9.6).
+ */
+function refuseExcess(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): void {
+  request.resume();
+  const message = `the connection has over ${MAX_WAITING_PER_CONNECTION} requests that wait, or all together over ${MAX_WAITING_REQUESTS}`;
+  const body = JSON.stringify({
+    error: {message, reason: 'entry_full', outcome: 'not-run'},
+  });
+  response.writeHead(503, {
+    connection: 'close',
+    'retry-after': String(RETRY_AFTER_SECONDS),
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
 /** Whether the request is still being received, so that it has not run. */
 function isRequestArriving({req, headersSent}: http.ServerResponse): boolean {
   return !req.complete && !headersSent;
