Hold the memory of a body until its target has read it (FAULT)

Found by review. Each send is a use of the body now, and a target that has not read it 2 s after its response loses the connection. Stalled bodies are given up only if that makes enough room.

--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -273,7 +273,7 @@
         }),
         ...createBodyHeaders(call),
       }),
-      body: call.body.pieces,
+      body: call.body,
       isAwaited: now => hasTimeLeft(call, now),
       signal: cancellation.signal,
       responseHeaderTimeoutMs: route.idempotent
--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -8,6 +8,7 @@
   type RefusalOutcome,
 } from '@marigoldspur/faults';
 import type {UpstreamResponse} from '@marigoldspur/dispatch';
+import type {RequestBody} from '@marigoldspur/request-bodies';
 import {guard} from '@marigoldspur/fault-guard';
 import {
   findInvalidHead,
@@ -27,8 +28,7 @@
   readonly path: string;
   /** Returns the headers for a call that is sent at time `now`, in milliseconds. */
   readonly headers: (now: number) => http.OutgoingHttpHeaders;
-  /** The body in order; empty if it has no bytes. */
-  readonly body: readonly Buffer[];
+  readonly body: Pick<RequestBody, 'pieces' | 'use'>;
   /** Whether the caller still waits for a response at time `now`, in milliseconds. */
   readonly isAwaited: (now: number) => boolean;
   /** Aborts the call. */
@@ -67,6 +67,8 @@
  * milliseconds, while a lost first packet is resent only after a second.
  */
 const CONNECT_TIMEOUT_MS = 600;
+/** Time that a target has after its response to read the rest of the request, in milliseconds. */
+const UNREAD_BODY_TIMEOUT_MS = 2_000;
 const STATUS_OK = 200;
 const STATUS_REDIRECT = 300;
 
@@ -223,7 +225,8 @@
       ([name, value]) => value !== undefined && request.setHeader(name, value),
     );
     this.hasSent = true;
-    body.forEach(piece => request.write(piece));
+    request.once('close', body.use());
+    body.pieces.forEach(piece => request.write(piece));
     request.end();
   }
 
@@ -288,6 +291,7 @@
     if (metadata.hasNotRun) {
       this.onRefusal(message.socket);
     }
+    message.once('close', () => closeUnread(request));
     return Result.ok({
       metadata,
       method,
@@ -297,6 +301,14 @@
   }
 }
 
+/** Closes the connection of a request whose body is not read soon after its response has ended. */
+function closeUnread(request: http.ClientRequest): void {
+  if (!request.writableFinished && !request.destroyed) {
+    const timer = setTimeout(() => request.destroy(), UNREAD_BODY_TIMEOUT_MS);
+    request.once('close', () => clearTimeout(timer));
+  }
+}
+
 /** Whether a status says that the call ran to a good end. */
 export function isSuccess(status = 0): boolean {
   return status >= STATUS_OK && status < STATUS_REDIRECT;
--- a/entry/direct-routing/test/endless-responses.test.ts
+++ b/entry/direct-routing/test/endless-responses.test.ts
@@ -9,6 +9,7 @@
   type WireFormat,
 } from '@marigoldspur/direct-routing';
 import {EventLog} from '@marigoldspur/event-log';
+import {createRequestBody} from '@marigoldspur/request-bodies';
 
 const WIRE_FORMAT = {
   parseResponseHeaders: () => ({
@@ -69,7 +70,7 @@
     path: '/',
     headers: () => ({}),
     isAwaited: () => true,
-    body: [],
+    body: createRequestBody(),
     signal: new AbortController().signal,
     responseHeaderTimeoutMs: RESPONSE_HEADER_TIMEOUT_MS,
   });
--- a/entry/direct-routing/test/target-client.test.ts
+++ b/entry/direct-routing/test/target-client.test.ts
@@ -7,6 +7,7 @@
   type TargetCall,
   type WireFormat,
 } from '@marigoldspur/direct-routing';
+import {createRequestBody} from '@marigoldspur/request-bodies';
 
 const WIRE_FORMAT = {
   parseResponseHeaders: ({headers}, id) => ({
@@ -77,7 +78,7 @@
     path: '/',
     headers: () => ({'call-id': id}),
     isAwaited: () => true,
-    body: [],
+    body: createRequestBody(),
     signal: new AbortController().signal,
     responseHeaderTimeoutMs: 2_000,
     ...changes,
@@ -250,3 +251,22 @@
   expect(sent.isErr && sent.error.outcome).to.equal('not-run');
   client.close();
 });
+
+it('target client: a body that the target leaves unread after its response is dropped with its connection', async () => {
+  const client = new TargetClient(WIRE_FORMAT);
+  scriptedResponses = [[`${head('one', 'content-length: 4')}body`]];
+  server.once('connection', socket =>
+    socket.once('data', () => socket.pause()),
+  );
+  const pieces = Array<Buffer>(256).fill(Buffer.alloc(65_536));
+  const ended = new Promise<void>(resolve => {
+    const body = {pieces, use: () => resolve};
+    const headers = () => ({'call-id': 'one', 'content-length': 16_777_216});
+    void send(client, 'one', {method: 'POST', body, headers}).then(sent =>
+      sent.map(({message}) => message.resume()),
+    );
+  });
+  await ended;
+  expect(received).to.deep.equal(['one']);
+  client.close();
+});
--- a/entry/direct-routing/test/unframed-streams.test.ts
+++ b/entry/direct-routing/test/unframed-streams.test.ts
@@ -7,6 +7,7 @@
   TargetClient,
   type WireFormat,
 } from '@marigoldspur/direct-routing';
+import {createRequestBody} from '@marigoldspur/request-bodies';
 
 const HEAD =
   'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n';
@@ -47,7 +48,7 @@
       path: '/',
       headers: () => ({}),
       isAwaited: () => true,
-      body: [],
+      body: createRequestBody(),
       signal: new AbortController().signal,
       responseHeaderTimeoutMs: 5_000,
     });
--- a/machines/memory-budget/src/memory-budget.ts
+++ b/machines/memory-budget/src/memory-budget.ts
@@ -97,18 +97,23 @@
     };
   }
 
+  /** Bytes that are missing so that a reservation of `size` can take `bytes` more; 0 if there is room. */
+  missingBytes(bytes: number, size = bytes): number {
+    const {maxBytes} = this.occupancy;
+    const {largeShare = DEFAULT_LARGE_SHARE} = this.options;
+    const available = size > MAX_SMALL_BYTES ? maxBytes * largeShare : maxBytes;
+    return Math.max(0, this.held + bytes - available);
+  }
+
   /** Takes bytes for a reservation that then has `size` bytes; whether they fit. */
   private take(kind: string, bytes: number, size: number): boolean {
     if (bytes <= 0) {
       this.add(kind, bytes);
       return true;
     }
-    const {maxBytes} = this.occupancy;
-    const {largeShare = DEFAULT_LARGE_SHARE} = this.options;
-    const available = size > MAX_SMALL_BYTES ? maxBytes * largeShare : maxBytes;
     const heldOfKind = this.heldByKind.get(kind) ?? 0;
     const maxOfKind = this.options.maxBytesByKind?.get(kind) ?? Infinity;
-    if (this.held + bytes > available || heldOfKind + bytes > maxOfKind) {
+    if (this.missingBytes(bytes, size) > 0 || heldOfKind + bytes > maxOfKind) {
       this.refuse(kind, size);
       return false;
     }
--- a/machines/request-bodies/src/body-reader.ts
+++ b/machines/request-bodies/src/body-reader.ts
@@ -7,7 +7,7 @@
   type Reservation,
 } from '@marigoldspur/memory-budget';
 import {PieceList} from './piece-list.js';
-import type {RequestBody} from './request-body.js';
+import {holdBody, type RequestBody} from './request-body.js';
 
 /**
  * Why a body was not read: larger than its limit, ended early, refused for lack of memory, or
@@ -139,11 +139,9 @@
         const complete = pieces.finish();
         reservation.resize(pieces.allocatedBytes);
         end(
-          Result.ok({
-            pieces: complete,
-            byteLength: pieces.byteLength,
-            release: () => reservation.release(),
-          }),
+          Result.ok(
+            holdBody(complete, pieces.byteLength, () => reservation.release()),
+          ),
         );
       });
       if (signal?.aborted === true || request.destroyed) {
@@ -164,7 +162,9 @@
     const {budget, kind} = this.options;
     return (
       budget.reserve(kind, bytes) ??
-      (this.giveUpStalled(bytes) ? budget.reserve(kind, bytes) : undefined)
+      (this.giveUpStalled(bytes, bytes)
+        ? budget.reserve(kind, bytes)
+        : undefined)
     );
   }
 
@@ -180,26 +180,38 @@
     const size = bytes > MAX_SMALL_BYTES ? Math.max(bytes, maxBytes) : bytes;
     return (
       reservation.resize(size) ||
-      (this.giveUpStalled(size - reservation.bytes) && reservation.resize(size))
+      (this.giveUpStalled(size - reservation.bytes, size) &&
+        reservation.resize(size))
     );
   }
 
-  /** Gives up stalled bodies that hold `bytes` together; whether there were as many. */
-  private giveUpStalled(bytes: number): boolean {
+  /**
+   * Gives up stalled bodies so that a reservation of `size` can take `bytes` more; gives up none
+   * if they do not hold enough. Whether there is room now.
+   */
+  private giveUpStalled(bytes: number, size: number): boolean {
+    const missing = this.options.budget.missingBytes(bytes, size);
+    const stalled = [...this.arriving].filter(
+      ({quietChecks, reservation}) =>
+        reservation.bytes > 0 && quietChecks >= STALLED_CHECKS,
+    );
+    const held = stalled.reduce((sum, body) => sum + body.reservation.bytes, 0);
+    if (held < missing) {
+      return false;
+    }
     let freedBytes = 0;
-    for (const body of this.arriving) {
-      if (freedBytes >= bytes) {
+    for (const body of stalled) {
+      if (freedBytes >= missing) {
         break;
       }
-      if (body.reservation.bytes > 0 && body.quietChecks >= STALLED_CHECKS) {
-        freedBytes += body.reservation.bytes;
-        body.fail({
-          code: 'STALLED',
-          message: `no byte of the body arrived for ${body.quietChecks * STALL_CHECK_INTERVAL_MS} ms while memory was short`,
-        });
-      }
+      freedBytes += body.reservation.bytes;
+      const quietMs = body.quietChecks * STALL_CHECK_INTERVAL_MS;
+      body.fail({
+        code: 'STALLED',
+        message: `no byte of the body arrived for ${quietMs} ms while memory was short`,
+      });
     }
-    return freedBytes >= bytes;
+    return true;
   }
 
   private full(bytes: number): BodyFailure {
--- a/machines/request-bodies/test/request-bodies.test.ts
+++ b/machines/request-bodies/test/request-bodies.test.ts
@@ -154,3 +154,28 @@
   await answered;
   expect(received).to.contain('first answer');
 });
+
+it('request bodies: a released body keeps its memory until all that send it have ended', async () => {
+  const {read, socket} = await send('content-length: 100');
+  socket.write(Buffer.alloc(100));
+  const body = await read;
+  if (body.isErr) {
+    throw new Error(body.error.message);
+  }
+  const endUse = body.value.use();
+  body.value.release();
+  body.value.release();
+  expect(budget.occupancy.heldBytes).to.equal(100);
+  endUse();
+  expect(budget.occupancy.heldBytes).to.equal(0);
+});
+
+it('request bodies: stalled bodies that would not make enough room are not given up', async () => {
+  const stalled = await send('content-length: 200000');
+  budget.reserve('other', 500_000);
+  [0, 1, 2].forEach(() => reader.checkStalled());
+  const large = await send('content-length: 700000');
+  expect(codeOf(await large.read)).to.equal('FULL');
+  stalled.socket.write(Buffer.alloc(200_000));
+  expect(codeOf(await stalled.read)).to.equal('read');
+});
