Notice that the caller of a call behind others has left (GONE)

Found by review. A response that waits for earlier ones of its connection has no socket of its own, so its call ran until the timeout of its route after the connection was lost.

--- a/machines/abort-signals/src/create-disconnect-signal.ts
+++ b/machines/abort-signals/src/create-disconnect-signal.ts
@@ -7,7 +7,8 @@
  */
 export function createDisconnectSignal(response: ServerResponse): AbortSignal {
   const disconnected = new BoundedSignal({});
-  const {socket} = response;
+  // A response that waits for earlier ones of its connection has no socket yet.
+  const socket = response.socket ?? response.req?.socket;
   const abort = () => {
     if (!response.writableFinished) {
       disconnected.abort();
@@ -15,8 +16,10 @@
   };
   // The server closes its own side some turns of the event loop later.
   socket?.once('end', abort);
+  socket?.once('close', abort);
   response.on('close', () => {
     socket?.off('end', abort);
+    socket?.off('close', abort);
     abort();
   });
   return disconnected.signal;
