--- a/control/fleet/src/fleet-stream-server.ts
+++ b/control/fleet/src/fleet-stream-server.ts
@@ -271,8 +271,7 @@
     }
   }
 
-  /** Queues a line for a follower; those that do not read give way if there is no memory for it. */
-  /** Queues a line for a follower if there is memory for it. */
+  /** Queues a line for a follower if there is memory for it; those that do not read give way. */
   private push(follower: Follower, line: Buffer): boolean {
     return this.makeRoom(follower, line.length) && follower.queue.push(line);
   }
