--- a/control/control-server/src/stream-origin-handlers.ts
+++ b/control/control-server/src/stream-origin-handlers.ts
@@ -8,6 +8,7 @@
 import {
   createJsonHandler,
   LineReader,
+  onResponseEnd,
   type MessageMemory,
 } from '@marigoldspur/http-link';
 
@@ -31,7 +32,7 @@
     const {socket} = request;
     const reservation = memory.reserve('message', 0);
     const reader = new LineReader(MAX_ORIGINS_BYTES, reservation);
-    response.on('close', () => reservation?.release());
+    onResponseEnd(response, () => reservation?.release());
     response.on('error', () => socket.destroy());
     response.writeHead(STATUS_OK, {'content-type': 'application/x-ndjson'});
     response.flushHeaders();
--- a/entry/entry-server/src/request-reader.ts
+++ b/entry/entry-server/src/request-reader.ts
@@ -8,7 +8,7 @@
 import type {CallerAuthenticator} from '@marigoldspur/caller-authentication';
 import type {SettingsFollower} from '@marigoldspur/control-client';
 import {Refusal} from '@marigoldspur/faults';
-import {findInvalidHeader} from '@marigoldspur/http-link';
+import {findInvalidHeader, onResponseEnd} from '@marigoldspur/http-link';
 import {MemoryBudget} from '@marigoldspur/memory-budget';
 import {
   BodyReader,
@@ -107,10 +107,7 @@
       return Result.err(createBodyRefusal(read.error));
     }
     const {pieces, release} = read.value;
-    if (response.closed) {
-      release();
-    }
-    response.on('close', release);
+    onResponseEnd(response, release);
     return Result.ok(pieces.length === 1 ? pieces[0] : Buffer.concat(pieces));
   }
 
