--- a/contracts/deployment/src/deployment.ts
+++ b/contracts/deployment/src/deployment.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {TENANT_SCHEMA} from './tenants.js';
 
 /** Maximum size of a request body if no deployment sets a limit, in bytes. */
 export const DEFAULT_MAX_BODY_BYTES = 4_194_304;
@@ -38,12 +39,32 @@
   priority: z.int().min(0),
   /** Maximum number of targets to which one request may be sent. */
   maxAttempts: z.int().min(1),
+  /** Whether requests need no key although the deployment has tenants. */
+  isPublic: z.boolean().optional(),
   backends: z.array(BACKEND_SCHEMA).min(1),
 });
 
 /** Destination and handling of the requests for one host and path prefix. */
 export type Route = z.infer<typeof ROUTE_SCHEMA>;
 
+/** A model that the engines of a service can hold. Times are absent if the operator states none. */
+export const ENGINE_MODEL_SCHEMA = z.object({
+  name: NAME_SCHEMA,
+  /** Number of adapters of the model. */
+  adapters: z.int().min(0),
+  /** Size of an adapter, in megabytes. */
+  adapterMb: z.number().min(0).optional(),
+  /** Time to load the model from the weight store, in milliseconds. */
+  loadMs: z.number().min(0).optional(),
+  /** Time to load the model from the engine's disk, in milliseconds. */
+  diskLoadMs: z.number().min(0).optional(),
+  /** Time to load the model from the engine's memory, in milliseconds. */
+  memoryLoadMs: z.number().min(0).optional(),
+});
+
+/** A model that the engines of a service can hold. */
+export type EngineModel = z.infer<typeof ENGINE_MODEL_SCHEMA>;
+
 /** Capacity of each model engine of a service. */
 export const ENGINE_CAPACITY_SCHEMA = z.object({
   /** Maximum number of requests in one batch. */
@@ -52,7 +73,9 @@
   tokenMemory: z.number().min(0),
   /** Number of adapters that an engine can hold at the same time. */
   adapterSlots: z.int().min(0),
-  models: z.array(z.object({name: NAME_SCHEMA, adapters: z.int().min(0)})),
+  models: z.array(ENGINE_MODEL_SCHEMA),
+  /** Loads of models per second that the weight store allows over all engines; absent if not stated. */
+  loadsPerSecond: z.number().min(0).optional(),
 });
 
 /** Capacity of each model engine of a service. */
@@ -93,6 +116,8 @@
   routes: z.array(ROUTE_SCHEMA),
   services: z.array(SERVICE_SCHEMA),
   limits: CALLER_LIMITS_SCHEMA,
+  /** Tenants to which requests belong by their keys; absent if requests need no keys. */
+  tenants: z.array(TENANT_SCHEMA).optional(),
 });
 
 /** A complete configuration of routes and services. */
--- a/contracts/deployment/src/index.ts
+++ b/contracts/deployment/src/index.ts
@@ -4,12 +4,14 @@
   DEFAULT_MAX_BODY_BYTES,
   DEPLOYMENT_SCHEMA,
   ENGINE_CAPACITY_SCHEMA,
+  ENGINE_MODEL_SCHEMA,
   ROUTE_SCHEMA,
   SERVICE_SCHEMA,
   type Backend,
   type CallerLimits,
   type Deployment,
   type EngineCapacity,
+  type EngineModel,
   type Route,
   type Service,
 } from './deployment.js';
@@ -117,3 +119,24 @@
   FENCES_PATH,
   type FenceAnswer,
 } from './fence-messages.js';
+export {
+  QUOTA_SCHEMA,
+  TENANT_SCHEMA,
+  type Quota,
+  type Tenant,
+} from './tenants.js';
+export {
+  DEPLOYMENT_CONFIRMATION_PATH,
+  DEPLOYMENT_CONFIRMATION_SCHEMA,
+  type DeploymentConfirmation,
+} from './deployment-confirmation.js';
+export {
+  MAX_QUOTA_GRANTS,
+  QUOTA_ANSWER_SCHEMA,
+  QUOTA_GRANTS_PATH,
+  QUOTA_REQUEST_SCHEMA,
+  type QuotaAmount,
+  type QuotaAnswer,
+  type QuotaDecision,
+  type QuotaRequest,
+} from './quota-grants.js';
--- /dev/null
+++ b/contracts/deployment/src/quota-grants.ts
@@ -0,0 +1,47 @@
+import {z} from 'zod';
+
+/** Path at which a replica of control grants entries units of tenants' quotas. */
+export const QUOTA_GRANTS_PATH = '/quota-grants';
+
+/** Maximum number of grants or returns in a message. */
+export const MAX_QUOTA_GRANTS = 1_024;
+
+/** Units of a tenant's quota. */
+export const QUOTA_AMOUNT_SCHEMA = z.object({
+  /** Name of the tenant. */
+  tenant: z.string().min(1).max(256),
+  /** Units: tokens or requests, as the tenant's quota counts. */
+  amount: z.number().min(0),
+});
+
+/** Units of a tenant's quota. */
+export type QuotaAmount = z.infer<typeof QUOTA_AMOUNT_SCHEMA>;
+
+/** An entry's request for grants; it also returns granted units that were not used. */
+export const QUOTA_REQUEST_SCHEMA = z.object({
+  grants: z.array(QUOTA_AMOUNT_SCHEMA).max(MAX_QUOTA_GRANTS),
+  returns: z.array(QUOTA_AMOUNT_SCHEMA).max(MAX_QUOTA_GRANTS),
+});
+
+/** An entry's request for grants; it also returns granted units that were not used. */
+export type QuotaRequest = z.infer<typeof QUOTA_REQUEST_SCHEMA>;
+
+/** Decision on one requested grant. */
+export const QUOTA_DECISION_SCHEMA = z.object({
+  isGranted: z.boolean(),
+  /** Time until the quota has room for this amount, in milliseconds; 0 if it is granted. */
+  waitMs: z.number().min(0),
+  /** What the replica is to the tenant; `none` if it grants nothing for it. */
+  role: z.enum(['primary', 'stand-in', 'none']),
+});
+
+/** Decision on one requested grant. */
+export type QuotaDecision = z.infer<typeof QUOTA_DECISION_SCHEMA>;
+
+/** Decisions on the requested grants, in their order. */
+export const QUOTA_ANSWER_SCHEMA = z.object({
+  grants: z.array(QUOTA_DECISION_SCHEMA).max(MAX_QUOTA_GRANTS),
+});
+
+/** Decisions on the requested grants, in their order. */
+export type QuotaAnswer = z.infer<typeof QUOTA_ANSWER_SCHEMA>;
--- a/contracts/deployment/src/validate-deployment.ts
+++ b/contracts/deployment/src/validate-deployment.ts
@@ -1,5 +1,6 @@
 import type {Finding} from '@marigoldspur/faults';
 import type {Deployment, Route} from './deployment.js';
+import type {Tenant} from './tenants.js';
 
 /** Returns all findings about a deployment that matches the schema. */
 export function validateDeployment(deployment: Deployment): Finding[] {
@@ -18,6 +19,27 @@
     }
     routeNames.set(hostAndPrefix, route.name);
   }
+  return [...findings, ...validateTenants(deployment.tenants ?? [])];
+}
+
+/** Returns the findings about tenants; they name no key, because keys are secrets. */
+function validateTenants(tenants: readonly Tenant[]): Finding[] {
+  const holders = new Map<string, string>();
+  const names = new Set<string>();
+  const findings: Finding[] = [];
+  for (const {keys, name} of tenants) {
+    const place = `tenants.${name}`;
+    if (names.has(name)) {
+      findings.push({place, reason: 'another tenant has the same name'});
+    }
+    names.add(name);
+    const others = new Set(keys.map(key => holders.get(key) ?? name));
+    others.delete(name);
+    others.forEach(other =>
+      findings.push({place, reason: `shares a key with tenant "${other}"`}),
+    );
+    keys.forEach(key => holders.set(key, name));
+  }
   return findings;
 }
 
