Issue test certificates whose serial numbers every parser accepts (FAULT)

Serial numbers were a zero byte before 8 random bytes; where the first random byte was 0 and the second under 0x80, the encoding kept a redundant zero byte, with 1 in 512 certificates. The first byte is from 0x40 to 0x7f now.

--- a/lab/test-certificates/src/certificate-authority.ts
+++ b/lab/test-certificates/src/certificate-authority.ts
@@ -62,8 +62,7 @@
 ): forge.pki.Certificate {
   const cert = forge.pki.createCertificate();
   cert.publicKey = publicKey;
-  // A leading zero byte keeps the serial number positive.
-  cert.serialNumber = `00${randomBytes(SERIAL_BYTES).toString('hex')}`;
+  cert.serialNumber = formatSerialNumber(randomBytes(SERIAL_BYTES));
   cert.validity.notBefore = new Date(Date.now() - VALIDITY_MS);
   cert.validity.notAfter = new Date(Date.now() + VALIDITY_MS);
   cert.setSubject(subject);
@@ -71,3 +70,12 @@
   cert.setExtensions(extensions);
   return cert;
 }
+
+/**
+ * Formats random bytes as a serial number. Its first byte is from 0x40 to 0x7f: parsers reject
+ * numbers with redundant zero bytes, which random bytes have now and then, and negative ones.
+ */
+export function formatSerialNumber(bytes: Buffer): string {
+  const first = (bytes[0] & 0x3f) | 0x40;
+  return Buffer.from([first, ...bytes.subarray(1)]).toString('hex');
+}
--- a/lab/test-certificates/src/index.ts
+++ b/lab/test-certificates/src/index.ts
@@ -1,5 +1,6 @@
 export {
   createCertificateAuthority,
+  formatSerialNumber,
   type CertificateAuthority,
   type IssuedCertificate,
 } from './certificate-authority.js';
