Check the keys of calls against tenants and confirm the configuration with a quorum

Calls on routes of a configuration with tenants were served without a key, and keys were forwarded to targets. An entry now refuses unknown keys with 401 before it reads the body, replaces the key by the tenant's name for targets and fingerprints, and looks the key up again after each wait and at the last point before the call is written. Where the time of revocation is bounded, it asks replicas of control to confirm its configuration behind a quorum read barrier, and refuses calls with keys with 503 while no confirmation is valid.

--- a/contracts/deployment/src/tenants.ts
+++ b/contracts/deployment/src/tenants.ts
@@ -3,7 +3,10 @@
 const NAME_SCHEMA = z
   .string()
   .max(256)
-  .regex(/^[\x21-\x7e]+$/, 'must consist of visible ASCII characters');
+  .regex(
+    /^[\x21-\x7e]([\x20-\x7e]*[\x21-\x7e])?$/,
+    'must consist of printable ASCII characters, without spaces at its ends',
+  );
 
 /** Maximum use of targets by one tenant, over all entries together. */
 export const QUOTA_SCHEMA = z.object({
--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -336,6 +336,30 @@
     meaning:
       'A target has turned a call away with a `Retry-After` that is no number of seconds (`value`); no pause is kept.',
   },
+  'deployment-confirmed': {
+    number: 770,
+    level: 'info',
+    meaning:
+      'A quorum of control has confirmed that the configuration of this entry (`revision`) is current; calls with keys are served.',
+  },
+  'deployment-unconfirmed': {
+    number: 771,
+    level: 'warn',
+    meaning:
+      'No quorum of control has confirmed the configuration of this entry (`revision`) lately, or a newer one is known to it; calls with keys are refused until one does.',
+  },
+  'deployment-confirmation-failed': {
+    number: 772,
+    level: 'warn',
+    meaning:
+      'A replica of control has not confirmed which configuration is current, the first time since it did; the entry asks another one.',
+  },
+  'deployment-fields-unknown': {
+    number: 773,
+    level: 'warn',
+    meaning:
+      'A valid configuration has fields that this software does not know and ignores; `fields` names them without their values.',
+  },
   'lines-dropped': {
     number: 790,
     level: 'warn',
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -9,6 +9,7 @@
 import {openReplicatedLog} from '@marigoldspur/replicated-log';
 import {
   CRASH_RECORDS_PATH,
+  DEPLOYMENT_CONFIRMATION_PATH,
   DEPLOYMENT_TRANSFER_PATH,
   STREAM_ORIGIN_LOOKUP_PATH,
   TARGET_LEAVES_PATH,
@@ -37,6 +38,7 @@
   createLimitHandler,
   createPermitHandler,
 } from './request-limit-handlers.js';
+import {createDeploymentConfirmationHandler} from './deployment-confirmation-handler.js';
 import {createDeploymentTransferHandler} from './deployment-transfer-handler.js';
 import {createFenceHandler} from './fence-handler.js';
 import {findStorePolicy} from './store-policy.js';
@@ -122,6 +124,10 @@
         DEPLOYMENT_TRANSFER_PATH,
         createDeploymentTransferHandler(fleet, runtime),
       ],
+      [
+        DEPLOYMENT_CONFIRMATION_PATH,
+        createDeploymentConfirmationHandler(fleet, runtime),
+      ],
       [FENCES_PATH, createFenceHandler(commands, runtime)],
       [CRASH_RECORDS_PATH, createCrashRecordHandler(fleet, runtime)],
       [TARGET_LEAVES_PATH, createTargetLeaveHandler(fleet, runtime)],
--- a/control/fleet/src/fleet-manager.ts
+++ b/control/fleet/src/fleet-manager.ts
@@ -3,6 +3,7 @@
 import {CrashLedger, RequestCrashLedger} from '@marigoldspur/crash-attribution';
 import type {
   CrashRecords,
+  DeploymentConfirmation,
   DeploymentRequest,
   DeploymentText,
   DeploymentTransfer,
@@ -29,6 +30,7 @@
 import {TargetRegistry} from '@marigoldspur/target-registry';
 import {FleetStreamServer} from './fleet-stream-server.js';
 import {RequestLimiter} from './request-limiter.js';
+import {SharedBarrier} from './shared-barrier.js';
 
 /** Commits commands, whichever replica receives them. */
 export interface FleetCommands {
@@ -63,6 +65,8 @@
 const SILENCE_CHECK_INTERVAL_MS = 500;
 /** Shorter than one second, after which callers try another replica. */
 const CONFIRM_TIMEOUT_MS = 900;
+/** Bounds the load of confirmations, however many entries ask for them. */
+const CONFIRM_INTERVAL_MS = 100;
 
 /** Handles requests of operators and targets at one replica of control and notifies the entries. */
 export class FleetManager {
@@ -84,6 +88,10 @@
   private readonly undisclosed = new Set<string>();
   /** IDs of targets whose software versions are being committed. */
   private readonly recording = new Set<string>();
+  private readonly confirmations = new SharedBarrier({
+    run: () => this.confirmState(),
+    intervalMs: CONFIRM_INTERVAL_MS,
+  });
   private readonly silenceTimer: NodeJS.Timeout;
 
   constructor(private readonly options: FleetManagerOptions) {
@@ -134,6 +142,16 @@
     return confirmed.map(() => this.options.deployments.deployment);
   }
 
+  /** Returns the revision of the active deployment, no older than the call at time `now`. */
+  async confirmDeployment(
+    now: number,
+  ): Promise<Result<DeploymentConfirmation, Fault>> {
+    const confirmed = await this.confirmations.request(now);
+    return confirmed.map(() => ({
+      revision: this.options.deployments.deployment?.revision ?? null,
+    }));
+  }
+
   /** Answers an entry that asks for the active deployment. */
   transferDeployment(request: DeploymentRequest): DeploymentTransfer {
     return this.archive.answer(request);
--- a/control/fleet/src/index.ts
+++ b/control/fleet/src/index.ts
@@ -7,4 +7,5 @@
   FleetStreamServer,
   type FleetStreamServerOptions,
 } from './fleet-stream-server.js';
+export {SharedBarrier, type SharedBarrierOptions} from './shared-barrier.js';
 export {RequestLimiter, type RequestLimiterOptions} from './request-limiter.js';
--- a/entry/direct-routing/src/active-routes.ts
+++ b/entry/direct-routing/src/active-routes.ts
@@ -39,7 +39,13 @@
     }
     this.current = new RouteTable(parsed.value);
     const routes = parsed.value.routes.length;
+    const tenants = parsed.value.tenants?.length ?? 'none';
     const applyMs = Math.round(performance.now() - startedAt);
-    this.events.record('deployment-in-force', {revision, routes, applyMs});
+    this.events.record('deployment-in-force', {
+      revision,
+      routes,
+      tenants,
+      applyMs,
+    });
   }
 }
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -9,7 +9,14 @@
 import type {CrashMonitor} from './crash-monitor.js';
 import type {CrashWitness} from './crash-witness.js';
 import type {RequestCrashMonitor} from './request-crash-monitor.js';
-import {hasTimeLeft, remainingMs, MIN_REMAINING_MS, type Call} from './call.js';
+import {
+  findDenial,
+  hasTimeLeft,
+  priorityOf,
+  remainingMs,
+  MIN_REMAINING_MS,
+  type Call,
+} from './call.js';
 import {ResponseProgress, type ResponseEnd} from './response-progress.js';
 import type {WireFormat} from './wire-format.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
@@ -71,6 +78,8 @@
   readonly cancellation: BoundedSignal;
   /** How far the response got; undefined before its head arrived. */
   progress?: ResponseProgress;
+  /** Why the call was not sent although its caller waits; undefined if it was. */
+  denial?: Refusal;
 }
 
 /**
@@ -136,7 +145,7 @@
     const sent = await this.exchange(call, attempt, running, resumeAfter);
     if (sent.isErr) {
       this.endAttempt(running);
-      return sent;
+      return Result.err({...sent.error, denial: running.denial});
     }
     sent.value.message.once('close', () => this.endAttempt(running));
     this.recordLimit(attempt, sent.value, sentAt);
@@ -247,11 +256,11 @@
   private exchange(
     call: Call,
     {number, target}: Attempt,
-    {cancellation}: RunningAttempt,
+    running: RunningAttempt,
     resumeAfter: number | undefined,
   ): Promise<Result<TargetResponse, TargetFailure>> {
     const {targetClient, wireFormat, events, finder} = this.options;
-    const {metadata, route} = call;
+    const {access, metadata, route} = call;
     const remaining = remainingMs(call, performance.now());
     const details = {attempt: number, target: target.id};
     events.record('call-sent', details, metadata.id);
@@ -268,14 +277,19 @@
               ? undefined
               : Math.floor(remainingMs(call, now)),
           version: finder.versionFor(metadata.work),
-          priority: Math.min(LOWEST_PRIORITY, route.priority),
+          priority: Math.min(LOWEST_PRIORITY, priorityOf(call)),
+          tenant: access?.tenant?.name,
+          dropsKey: access?.hidesKey,
           resumeAfter,
         }),
         ...createBodyHeaders(call),
       }),
       body: call.body,
-      isAwaited: now => hasTimeLeft(call, now),
-      signal: cancellation.signal,
+      isAwaited: now => {
+        running.denial = findDenial(call);
+        return running.denial === undefined && hasTimeLeft(call, now);
+      },
+      signal: running.cancellation.signal,
       responseHeaderTimeoutMs: route.idempotent
         ? Math.max(
             MIN_SILENCE_MS,
@@ -397,7 +411,7 @@
   /** Records a failure and returns the refusal for the caller. */
   handleFailure(call: Call, attempt: Attempt, failure: TargetFailure): Refusal {
     const {selector, events, metrics} = this.options;
-    const {kind, message, outcome} = failure;
+    const {denial, kind, message, outcome} = failure;
     const {target} = attempt;
     if (kind !== 'ended') {
       const evidence = {
@@ -417,7 +431,10 @@
       this.recordBreak(call, target, {hasHead: false, isAborted});
     }
     metrics.recordAttempt(call.service.name, kind);
-    this.record(call, attempt, kind, outcome, message);
+    this.record(call, attempt, denial?.reason ?? kind, outcome, message);
+    if (denial !== undefined) {
+      return denial;
+    }
     const isCancelled = kind === 'ended' && !call.signal.aborted;
     return isCancelled
       ? this.createCancelledRefusal(call, outcome)
--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -4,6 +4,7 @@
   BoundedSignal,
   createDisconnectSignal,
 } from '@marigoldspur/abort-signals';
+import type {CallAccess, TenantGate} from '@marigoldspur/caller-tenants';
 import {
   DEFAULT_MAX_BODY_BYTES,
   type Route,
@@ -34,6 +35,8 @@
   /** Aborts shortly before the process ends; calls that have not ended by then are given up. */
   readonly shutdownSignal: AbortSignal;
   readonly wireFormat: WireFormat;
+  /** Decides by their keys which calls are served. */
+  readonly tenants: Pick<TenantGate, 'admit'>;
   /** Reads the bodies of calls. */
   readonly bodies: Pick<BodyReader, 'read'>;
   readonly memory: Pick<MemoryBudget, 'reserve'>;
@@ -113,7 +116,7 @@
 
   /** Serves a call; returns a refusal if one remains to be sent. */
   private async serve(
-    metadata: CallMetadata,
+    received: CallMetadata,
     startedAt: number,
     request: IncomingMessage,
     response: ServerResponse,
@@ -125,11 +128,18 @@
       response.setHeader('connection', 'close');
       return createNotRunRefusal(400, 'invalid_header', invalid);
     }
-    const resolved = this.resolveRoute(metadata, request);
+    const resolved = this.resolveRoute(received, request);
     if (resolved.isErr) {
       return refuseUnread(request, resolved.error);
     }
     const {route, service} = resolved.value;
+    const access = this.options.tenants.admit(received.key, route);
+    const denial = access.findRefusal();
+    if (denial !== undefined) {
+      return refuseUnread(request, denial);
+    }
+    const {tenant} = access;
+    const metadata = hideKey(received, access);
     const bounded = new BoundedSignal({
       timeoutMs: route.timeoutMs - (performance.now() - startedAt),
       parentSignals: [disconnectSignal, this.options.shutdownSignal],
@@ -152,6 +162,8 @@
       startedAt,
       route,
       service,
+      tenant,
+      access,
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       headers: request.headers,
@@ -273,6 +285,16 @@
   }
 }
 
+/** Replaces the key of a call by the name of its tenant, where there are tenants. */
+function hideKey(
+  metadata: CallMetadata,
+  {hidesKey, tenant}: CallAccess,
+): CallMetadata {
+  const {credentials, key, ...rest} = metadata;
+  const isKey = hidesKey && key !== undefined;
+  return {...rest, credentials: isKey ? tenant?.name : credentials};
+}
+
 /** Has the rest of a refused call read and dropped; returns the refusal. */
 function refuseUnread(request: IncomingMessage, refusal: Refusal): Refusal {
   discardRest(request);
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -14,7 +14,7 @@
 import {Refusal} from '@marigoldspur/faults';
 import type {MemoryBudget} from '@marigoldspur/memory-budget';
 import type {Attempt, AttemptSender} from './attempt-sender.js';
-import {hasTimeLeft, type Call} from './call.js';
+import {findDenial, hasTimeLeft, type Call} from './call.js';
 import {createShuttingDownRefusal} from './shutting-down-refusal.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {RetryLimiter} from './retry-limiter.js';
@@ -98,6 +98,10 @@
         );
       }
       const target = await this.findTarget(call, excluded, origin);
+      const denial = findDenial(call);
+      if (denial !== undefined) {
+        return Result.err(toFinalRefusal(denial, mayHaveRun));
+      }
       if (target.isErr) {
         const latest = laterRefusal(refusal, target.error);
         return Result.err(toFinalRefusal(latest, mayHaveRun));
@@ -120,6 +124,7 @@
         canRetry(call, refusal, attemptNumber, mayHaveRun);
       if (
         !mayRetry ||
+        findDenial(call) !== undefined ||
         !(await retryLimiter.acquire(call.service.name, call.signal))
       ) {
         return Result.err(toFinalRefusal(refusal, mayHaveRun));
--- a/entry/direct-routing/src/call.ts
+++ b/entry/direct-routing/src/call.ts
@@ -1,6 +1,9 @@
 import type {IncomingHttpHeaders} from 'node:http';
+import type {CallAccess} from '@marigoldspur/caller-tenants';
 import type {Route, Service} from '@marigoldspur/deployment';
+import type {Refusal} from '@marigoldspur/faults';
 import type {RequestBody} from '@marigoldspur/request-bodies';
+import type {TenantProfile} from '@marigoldspur/tenant-access';
 import type {CallMetadata} from './wire-format.js';
 
 /** One call that is being served. */
@@ -10,6 +13,10 @@
   readonly startedAt: number;
   readonly route: Route;
   readonly service: Service;
+  /** Tenant of the call when it arrived; absent if it had none. */
+  readonly tenant?: TenantProfile;
+  /** What the caller's key permits by the newest deployment; absent if keys do not matter. */
+  readonly access?: CallAccess;
   readonly method: string;
   /** Path with its query string. */
   readonly path: string;
@@ -50,3 +57,13 @@
 export function hasTimeLeft(call: Call, now: number): boolean {
   return !call.signal.aborted && remainingMs(call, now) >= MIN_REMAINING_MS;
 }
+
+/** Why a call must not be sent any more; undefined if it may be. Holds only until the next wait. */
+export function findDenial(call: Call): Refusal | undefined {
+  return call.access?.findRefusal();
+}
+
+/** Priority of a call; 0 is the most urgent. */
+export function priorityOf({access, route, tenant}: Call): number {
+  return (access?.tenant ?? tenant)?.priority ?? route.priority;
+}
--- a/entry/direct-routing/src/direct-routing-settings.ts
+++ b/entry/direct-routing/src/direct-routing-settings.ts
@@ -32,6 +32,11 @@
   readonly agentPort: number;
   /** Retries that all entries together may send to one service. */
   readonly retries: RetryAllowance;
+  /**
+   * Time after which no entry may use a removed key, in milliseconds; absent if that is not
+   * bounded.
+   */
+  readonly keyRevocationMs?: number;
   /** Time between the termination signal and a forced end, in milliseconds. */
   readonly graceMs: number;
 }
--- a/entry/direct-routing/src/index.ts
+++ b/entry/direct-routing/src/index.ts
@@ -4,6 +4,7 @@
   type AdapterPreparerOptions,
 } from './adapter-preparer.js';
 export {AttemptSender, type AttemptSenderOptions} from './attempt-sender.js';
+export type {Call} from './call.js';
 export {CallHandler, type CallHandlerOptions} from './call-handler.js';
 export {
   RequestCrashMonitor,
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import {CallerServer} from '@marigoldspur/caller-server';
+import {startTenantGate} from '@marigoldspur/caller-tenants';
 import {
   createCrashRecords,
   type Deployment,
@@ -97,6 +98,9 @@
     if (activeRoutes.table !== undefined) {
       callerServer.setLimits(limitsOf(activeRoutes.table.deployment));
     }
+    if (change.hasNewDeployment) {
+      tenants.handleDeployment();
+    }
     if (change.hasChangedTargets) {
       withdrawals.update(fleetFollower.view.targets());
       streamOrigins.recordTargets(
@@ -276,6 +280,14 @@
     events,
     metrics,
   });
+  const tenants = startTenantGate({
+    deployment: () => activeRoutes.table?.deployment,
+    revokeMs: settings.keyRevocationMs,
+    replicas: () => fleetFollower.urls(),
+    agent: httpAgent,
+    registry: runtime.metrics.registry,
+    events,
+  });
   const loopClock = startLoopClock();
   let acceptsCalls = true;
   const shutdown = new AbortController();
@@ -293,6 +305,7 @@
     acceptsCalls: () => acceptsCalls,
     shutdownSignal: shutdown.signal,
     wireFormat,
+    tenants: tenants.gate,
     bodies: new BodyReader({budget: runtime.memory, kind: 'request-body'}),
     memory: runtime.memory,
     runner: new CallRunner({
@@ -368,6 +381,7 @@
         });
       }
       fleetFollower.stop();
+      tenants.stop();
       engineViews.stop();
       crashMonitor.stop();
       crashWitness.stop();
--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -29,7 +29,10 @@
   /** Returns the headers for a call that is sent at time `now`, in milliseconds. */
   readonly headers: (now: number) => http.OutgoingHttpHeaders;
   readonly body: Pick<RequestBody, 'pieces' | 'use'>;
-  /** Whether the caller still waits for a response at time `now`, in milliseconds. */
+  /**
+   * Whether the call may still be sent at time `now`, in milliseconds: its caller waits for a
+   * response and its key permits it.
+   */
   readonly isAwaited: (now: number) => boolean;
   /** Aborts the call. */
   readonly signal: AbortSignal;
@@ -60,6 +63,8 @@
   /** Whether the call may have run at the target. */
   readonly outcome: RefusalOutcome;
   readonly message: string;
+  /** The refusal for the caller if the call was not sent because of its key. */
+  readonly denial?: Refusal;
 }
 
 /**
--- a/entry/direct-routing/src/target-finder.ts
+++ b/entry/direct-routing/src/target-finder.ts
@@ -10,7 +10,13 @@
 import type {AdapterPreparer} from './adapter-preparer.js';
 import type {CrashMonitor} from './crash-monitor.js';
 import type {RequestCrashMonitor} from './request-crash-monitor.js';
-import {hasTimeLeft, remainingPatienceMs, type Call} from './call.js';
+import {
+  findDenial,
+  hasTimeLeft,
+  priorityOf,
+  remainingPatienceMs,
+  type Call,
+} from './call.js';
 import type {ModelWork} from './wire-format.js';
 import type {TargetLimits} from './target-limits.js';
 import type {
@@ -117,7 +123,7 @@
       origin,
     };
     for (;;) {
-      const blocked = this.refuseBlocked(call);
+      const blocked = findDenial(call) ?? this.refuseBlocked(call);
       if (blocked !== undefined) {
         return Result.err(blocked);
       }
@@ -224,7 +230,7 @@
     if (!targetLimits.isLimited(target)) {
       return 'ready';
     }
-    const {priority} = call.route;
+    const priority = priorityOf(call);
     const seeker = {id, priority, maxWaitMs, signal: call.signal};
     const {isGranted, waitMs} = await targetLimits.acquire(target, seeker);
     if (this.isOutdated(call, choice)) {
@@ -241,6 +247,7 @@
     const {crashMonitor, requestCrashes, selector} = this.options;
     const {version, work} = requirements;
     return (
+      findDenial(call) !== undefined ||
       requestCrashes.findBlock(call) !== undefined ||
       crashMonitor.findBlock(work) !== undefined ||
       !selector.isAvailable(target, requirements, performance.now()) ||
--- a/entry/direct-routing/src/wire-format.ts
+++ b/entry/direct-routing/src/wire-format.ts
@@ -33,6 +33,8 @@
   /** ID of the call that brought the first event of that stream; absent if not stated. */
   readonly resumes?: string;
   readonly work?: ModelWork;
+  /** API key that the caller sent; absent if it sent none, and after the call was admitted. */
+  readonly key?: string;
   /** Credentials by which the caller identifies itself; absent if it sent none. */
   readonly credentials?: string;
 }
@@ -47,6 +49,10 @@
   readonly version?: number;
   /** Priority of the call; 0 is the most urgent. */
   readonly priority: number;
+  /** Name of the call's tenant; absent if it has none. */
+  readonly tenant?: string;
+  /** Whether the key and the tenant that the caller sent are dropped. */
+  readonly dropsKey?: boolean;
   /** Number of the last event received, if a stream is to be resumed. */
   readonly resumeAfter?: number;
 }
--- a/entry/direct-routing/test/call-handler.test.ts
+++ b/entry/direct-routing/test/call-handler.test.ts
@@ -2,10 +2,13 @@
 import type {AddressInfo} from 'node:net';
 import {expect} from 'chai';
 import {Registry} from 'prom-client';
+import {TenantGate} from '@marigoldspur/caller-tenants';
 import type {Deployment} from '@marigoldspur/deployment';
 import {
   CallHandler,
   DirectRoutingMetrics,
+  fingerprintRequest,
+  type Call,
   type CallHandlerOptions,
   type CallRunner,
   type WireFormat,
@@ -40,8 +43,26 @@
     idleTimeoutMs: 1_000,
   },
 };
+const KEY = 'secret-1';
+const TENANT_DEPLOYMENT: Deployment = {
+  ...DEPLOYMENT,
+  routes: [
+    ...DEPLOYMENT.routes,
+    {
+      ...DEPLOYMENT.routes[0],
+      name: 'p',
+      pathPrefix: '/public/',
+      isPublic: true,
+    },
+  ],
+  tenants: [{name: 'ann', keys: [KEY]}],
+};
 const WIRE_FORMAT = {
-  parseCallHeaders: () => ({id: 'c1'}),
+  parseCallHeaders: ({key}: http.IncomingHttpHeaders) => ({
+    id: 'c1',
+    key,
+    credentials: key,
+  }),
   refusalHeaders: (_id: string, {retryAfterSeconds}: Refusal) => ({
     ...(retryAfterSeconds !== undefined && {'retry-after': retryAfterSeconds}),
   }),
@@ -62,21 +83,29 @@
  */
 async function call(
   path: string,
-  options: Partial<CallHandlerOptions> & {body?: string},
+  options: Partial<CallHandlerOptions> & {
+    body?: string;
+    deployment?: Deployment;
+    /** Key of the call. */
+    key?: string;
+    /** Whether control has confirmed the deployment; not asked if absent. */
+    isConfirmed?: boolean;
+  },
 ) {
-  let hasRun = false;
+  let run: Call | undefined;
   const runner = {
-    run: async (_call: unknown, response: http.ServerResponse) => {
-      hasRun = true;
+    run: async (served: Call, response: http.ServerResponse) => {
+      run = served;
       response.end('answer');
       return {isErr: false};
     },
   } as unknown as CallRunner;
   const handler = new CallHandler({
-    routes: () => new RouteTable(DEPLOYMENT),
+    routes: () => new RouteTable(options.deployment ?? DEPLOYMENT),
     acceptsCalls: () => true,
     shutdownSignal: new AbortController().signal,
     wireFormat: WIRE_FORMAT,
+    tenants: createGate(options),
     bodies: new BodyReader({budget, kind: 'request-body'}),
     memory: budget,
     runner,
@@ -95,7 +124,10 @@
         port,
         path,
         method: 'POST',
-        headers: {host: 'a.example'},
+        headers: {
+          host: 'a.example',
+          ...(options.key !== undefined && {key: options.key}),
+        },
         agent: false,
       });
       request.on('response', resolve);
@@ -103,14 +135,33 @@
       request.end(options.body ?? '');
     },
   );
-  received.resume();
+  const body = (await received.toArray()).join('');
   return {
     status: received.statusCode,
     retryAfter: received.headers['retry-after'],
-    ran: hasRun,
+    ran: run !== undefined,
+    run,
+    body,
   };
 }
 
+function createGate({
+  deployment = DEPLOYMENT,
+  isConfirmed,
+}: {
+  deployment?: Deployment;
+  isConfirmed?: boolean;
+}): TenantGate {
+  return new TenantGate({
+    deployment: () => deployment,
+    freshness:
+      isConfirmed === undefined ? undefined : {isFresh: () => isConfirmed},
+    clock: () => ({monotonicMs: 0, wallMs: 0}),
+    onUnconfirmed: () => {},
+    metrics: {recordCall: () => {}},
+  });
+}
+
 function createBudget(maxBytes: number): MemoryBudget {
   return new MemoryBudget({
     limit: {maxBytes: () => maxBytes},
@@ -154,3 +205,88 @@
   await call('/x/1', {body: '123456'});
   expect(budget.occupancy.heldBytes).to.equal(0);
 });
+
+it('call handler: with tenants, a call without a key or with an unknown one gets 401, its body unread', async () => {
+  let reads = 0;
+  const bodies = {
+    read: () => {
+      reads += 1;
+      throw new Error('the body must not be read');
+    },
+  };
+  for (const key of [
+    undefined,
+    '',
+    'other',
+    `${KEY}, ${KEY}`,
+    `Bearer ${KEY}`,
+  ]) {
+    const refused = await call('/x/1', {
+      deployment: TENANT_DEPLOYMENT,
+      key,
+      bodies,
+    });
+    expect(refused).to.include({status: 401, ran: false});
+    expect(JSON.parse(refused.body).error).to.include({
+      reason: 'unknown_key',
+      outcome: 'not-run',
+    });
+    expect(refused.body).to.not.include(KEY);
+  }
+  expect(reads).to.equal(0);
+});
+
+it('call handler: a call with a key runs as its tenant; neither its metadata nor its fingerprint depend on the key', async () => {
+  const {run, status} = await call('/x/1', {
+    deployment: TENANT_DEPLOYMENT,
+    key: KEY,
+  });
+  expect(status).to.equal(200);
+  expect(run?.tenant).to.deep.equal({name: 'ann'});
+  expect(JSON.stringify(run?.metadata)).to.not.include(KEY);
+  expect(run?.fingerprint()).to.equal(
+    fingerprintRequest({
+      method: 'POST',
+      host: 'a.example',
+      path: '/x/1',
+      credentials: 'ann',
+      body: {pieces: []},
+    }),
+  );
+});
+
+it('call handler: on a public route, a call with an unknown key runs without a tenant, one with a known key as its tenant', async () => {
+  const deployment = TENANT_DEPLOYMENT;
+  for (const key of [undefined, 'other']) {
+    const isConfirmed = false;
+    const options = {deployment, key, isConfirmed};
+    const {run, status} = await call('/public/1', options);
+    expect(status).to.equal(200);
+    expect(run?.tenant).to.equal(undefined);
+    expect(run?.metadata.credentials).to.equal(undefined);
+    expect(run?.access?.hidesKey).to.equal(true);
+  }
+  const {run} = await call('/public/1', {deployment, key: KEY});
+  expect(run?.tenant?.name).to.equal('ann');
+});
+
+it('call handler: while the configuration is unconfirmed, calls with known and unknown keys get 503 as not run', async () => {
+  for (const key of [undefined, 'other', KEY]) {
+    const deployment = TENANT_DEPLOYMENT;
+    const isConfirmed = false;
+    const refused = await call('/x/1', {deployment, key, isConfirmed});
+    expect(refused).to.include({status: 503, ran: false});
+    expect(JSON.parse(refused.body).error).to.include({
+      reason: 'configuration_unconfirmed',
+      outcome: 'not-run',
+    });
+    expect(Number(refused.retryAfter)).to.be.greaterThan(0);
+  }
+});
+
+it('call handler: without tenants, a key and its confirmation do not matter', async () => {
+  const {run, status} = await call('/x/1', {key: 'any', isConfirmed: false});
+  expect(status).to.equal(200);
+  expect(run?.metadata.credentials).to.equal('any');
+  expect(run?.access?.hidesKey).to.equal(false);
+});
--- /dev/null
+++ b/policy/tenant-access/src/key-freshness.ts
@@ -0,0 +1,78 @@
+/** A time, read from both clocks of a machine at once. */
+export interface ClockReading {
+  /** Monotonic clock, in milliseconds; it stands still while the machine is suspended. */
+  readonly monotonicMs: number;
+  /** Wall clock, in milliseconds since the epoch; it may be stepped. */
+  readonly wallMs: number;
+}
+
+/** The answer of a quorum that a revision was the newest one when it was asked, or later. */
+interface Confirmation {
+  readonly revision: number;
+  readonly requestedAt: ClockReading;
+}
+
+/** Share of the revocation time for which a confirmation is valid; the rest covers drift of clocks. */
+const VALID_SHARE = 0.9;
+/** Difference between the clocks' progress from which on the machine may have been suspended, in milliseconds. */
+const MAX_DIVERGENCE_MS = 250;
+/** An entry asks 8 times in the revocation time, and a few replicas at once after a failure. */
+const MAX_CONFIRMATIONS = 32;
+
+/**
+ * Decides whether the configuration that an entry applies may still be relied on for keys. A
+ * confirmation counts from the time at which it was requested: a key that was removed later may
+ * be used until `revokeMs` after its removal.
+ */
+export class KeyFreshness {
+  /** Confirmations of which none is both requested later and for a revision not above another's. */
+  private confirmations: readonly Confirmation[] = [];
+
+  constructor(private readonly revokeMs: number) {}
+
+  /** Records that a quorum confirmed a revision in answer to a request sent at `requestedAt`. */
+  recordConfirmation(revision: number, requestedAt: ClockReading): void {
+    const isSuperseded = this.confirmations.some(
+      known =>
+        known.revision <= revision &&
+        known.requestedAt.monotonicMs >= requestedAt.monotonicMs,
+    );
+    if (isSuperseded) {
+      return;
+    }
+    const kept = this.confirmations.filter(
+      known =>
+        known.revision < revision ||
+        known.requestedAt.monotonicMs > requestedAt.monotonicMs,
+    );
+    this.confirmations = [...kept, {revision, requestedAt}].slice(
+      -MAX_CONFIRMATIONS,
+    );
+  }
+
+  /** Whether keys may be used at time `now` by the configuration with the applied revision. */
+  isFresh(appliedRevision: number, now: ClockReading): boolean {
+    return this.ageMs(appliedRevision, now) < Infinity;
+  }
+
+  /**
+   * Time at `now` since the newest valid confirmation of the applied revision was requested, in
+   * milliseconds; infinite if there is none.
+   */
+  ageMs(appliedRevision: number, now: ClockReading): number {
+    const ages = this.confirmations
+      .filter(({revision}) => revision <= appliedRevision)
+      .map(({requestedAt}) => this.validAgeMs(requestedAt, now));
+    return Math.min(Infinity, ...ages);
+  }
+
+  private validAgeMs(requestedAt: ClockReading, now: ClockReading): number {
+    const monotonicMs = now.monotonicMs - requestedAt.monotonicMs;
+    const wallMs = now.wallMs - requestedAt.wallMs;
+    const hasDiverged = Math.abs(wallMs - monotonicMs) > MAX_DIVERGENCE_MS;
+    const ageMs = Math.max(monotonicMs, wallMs);
+    return hasDiverged || ageMs >= VALID_SHARE * this.revokeMs
+      ? Infinity
+      : ageMs;
+  }
+}
