--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -336,6 +336,53 @@
     meaning:
       'A target has turned a call away with a `Retry-After` that is no number of seconds (`value`); no pause is kept.',
   },
+  'quota-roles-changed': {
+    number: 780,
+    level: 'info',
+    meaning:
+      'A replica of control has another number of tenants whose quotas it grants (`primary`) or stands in for (`standIn`), after a deployment or a change of the replicas (`cause`).',
+  },
+  'quota-grants-stopped': {
+    number: 781,
+    level: 'warn',
+    meaning:
+      'A replica of control grants no quotas because no quorum confirms its state.',
+  },
+  'quota-grants-resumed': {
+    number: 782,
+    level: 'info',
+    meaning:
+      'A replica of control grants quotas again because a quorum confirms its state.',
+  },
+  'quota-refusals-began': {
+    number: 783,
+    level: 'info',
+    meaning:
+      'This entry begins to refuse calls of a tenant because its quota has no room (`exceeded`) or because no replica of control grants units of it (`unavailable`); `amount` is what the first such call asked for, and `waitMs` when there will be room.',
+  },
+  'quota-refusals-ended': {
+    number: 784,
+    level: 'info',
+    meaning:
+      'This entry has refused no call of a tenant for that reason for a while; `refused` is how many it refused.',
+  },
+  'quota-replica-failed': {
+    number: 785,
+    level: 'warn',
+    meaning:
+      'A replica of control has not answered a request for units of quotas in time; this entry asks the next one meanwhile.',
+  },
+  'quota-replica-answers': {
+    number: 786,
+    level: 'info',
+    meaning: 'A replica of control answers requests for units of quotas again.',
+  },
+  'quota-figures-unreadable': {
+    number: 787,
+    level: 'error',
+    meaning:
+      'A replica of control cannot read the tenants of a deployment; it grants by the quotas of the one before.',
+  },
   'lines-dropped': {
     number: 790,
     level: 'warn',
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -15,11 +15,17 @@
   STREAM_ORIGINS_PATH,
   FENCES_PATH,
   FLEET_PATH,
+  QUOTA_GRANTS_PATH,
   REQUEST_LIMITS_PATH,
   REQUEST_PERMITS_PATH,
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
-import {FleetManager} from '@marigoldspur/fleet';
+import {
+  FleetManager,
+  QuotaGranter,
+  QuotaGrantMetrics,
+  type QuotaSupport,
+} from '@marigoldspur/fleet';
 import {HEARTBEAT_BATCH_PATH, HEARTBEAT_PATH} from '@marigoldspur/messages';
 import type {MemoryBudget} from '@marigoldspur/memory-budget';
 import type {ProcessMetrics} from '@marigoldspur/metrics';
@@ -39,6 +45,7 @@
 } from './request-limit-handlers.js';
 import {createDeploymentTransferHandler} from './deployment-transfer-handler.js';
 import {createFenceHandler} from './fence-handler.js';
+import {createQuotaGrantHandler} from './quota-grant-handler.js';
 import {findStorePolicy} from './store-policy.js';
 
 const LEASE_CHECK_INTERVAL_MS = 200;
@@ -63,11 +70,15 @@
   context: ControlExtensionContext,
 ) => Promise<Task>;
 
-/** Starts a replica of control, with an additional interface if an extension is given. */
+/**
+ * Starts a replica of control, with an additional interface if an extension is given. It grants
+ * quotas of tenants if it can read them.
+ */
 export async function startControl(
   settings: ControlSettings,
   drain: () => void,
   extension?: ControlExtension,
+  quotas?: QuotaSupport,
 ): Promise<Task> {
   const runtime = await ProcessRuntime.open('control', settings);
   const {boot, events, security} = runtime;
@@ -110,7 +121,20 @@
     memory: runtime.memory,
     events,
   });
-  machine.onDeploymentChange(() => fleet.handleDeploymentChange());
+  const granter =
+    quotas &&
+    new QuotaGranter({
+      ...quotas,
+      deployments: machine.deployments,
+      log,
+      clock: () => ({monotonicMs: performance.now(), wallMs: Date.now()}),
+      events,
+      metrics: new QuotaGrantMetrics(runtime.metrics.registry),
+    });
+  machine.onDeploymentChange(() => {
+    fleet.handleDeploymentChange();
+    granter?.handleDeploymentChange();
+  });
   const url = runtime.serve({
     routers: {control: createControlRouter(requestHandler), log: router},
     paths: new Map([
@@ -132,6 +156,14 @@
       ],
       [REQUEST_LIMITS_PATH, createLimitHandler(fleet, runtime)],
       [REQUEST_PERMITS_PATH, createPermitHandler(fleet, runtime)],
+      ...(granter === undefined
+        ? []
+        : [
+            [
+              QUOTA_GRANTS_PATH,
+              createQuotaGrantHandler(granter, runtime),
+            ] as const,
+          ]),
       [
         FLEET_PATH,
         (request, response) => fleet.streamServer.handle(request, response),
@@ -171,6 +203,7 @@
       runtime.beginDrain();
       clearInterval(leaseTimer);
       await extensionTask?.stop();
+      granter?.stop();
       fleet.stop();
       await log.stop();
       runtime.stop();
--- a/control/fleet/src/index.ts
+++ b/control/fleet/src/index.ts
@@ -8,3 +8,10 @@
   type FleetStreamServerOptions,
 } from './fleet-stream-server.js';
 export {RequestLimiter, type RequestLimiterOptions} from './request-limiter.js';
+export {FreshQuorum, type FreshQuorumOptions} from './fresh-quorum.js';
+export {QuotaGrantMetrics} from './quota-grant-metrics.js';
+export {
+  QuotaGranter,
+  type QuotaGranterOptions,
+  type QuotaSupport,
+} from './quota-granter.js';
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -10,6 +10,7 @@
   CallDurations,
   DrainAdmission,
 } from '@marigoldspur/drain-admission';
+import type {Charge, TenantQuotas} from '@marigoldspur/entry-quotas';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
 import type {MemoryBudget} from '@marigoldspur/memory-budget';
@@ -32,6 +33,7 @@
   readonly drainAdmission: Pick<DrainAdmission, 'maySend'>;
   readonly durations: Pick<CallDurations, 'record'>;
   readonly streamOrigins: Pick<StreamOrigins, 'originAt' | 'resolve'>;
+  readonly quotas: Pick<TenantQuotas, 'open'>;
   readonly memory: Pick<MemoryBudget, 'reserve'>;
   readonly events: EventLog;
   readonly metrics: DirectRoutingMetrics;
@@ -43,6 +45,8 @@
   readonly origin: StreamOrigin | undefined;
   /** IDs of targets that did not serve earlier attempts. */
   readonly excluded: ReadonlySet<string>;
+  /** Units of the tenant's quota that the call uses. */
+  readonly charge: Charge;
 }
 
 /** The search for the target of an attempt that was sent. */
@@ -79,8 +83,22 @@
 export class CallRunner {
   constructor(private readonly options: CallRunnerOptions) {}
 
-  /** Serves a call. A refusal is returned, not sent. */
+  /** Serves a call, charged to its tenant's quota. A refusal is returned, not sent. */
   async run(call: Call, response: ServerResponse): Promise<CallResult> {
+    const {statedTokens} = call.metadata;
+    const charge = this.options.quotas.open(call.tenant, statedTokens);
+    try {
+      return await this.runCharged(call, response, charge);
+    } finally {
+      charge.release();
+    }
+  }
+
+  private async runCharged(
+    call: Call,
+    response: ServerResponse,
+    charge: Charge,
+  ): Promise<CallResult> {
     const {retryLimiter, streamOrigins} = this.options;
     retryLimiter.recordCall(call.service.name, performance.now());
     const resolved = await streamOrigins.resolve(call, () => performance.now());
@@ -97,7 +115,8 @@
           toFinalRefusal(refusal ?? createOutOfTimeRefusal(), mayHaveRun),
         );
       }
-      const target = await this.findTarget(call, excluded, origin);
+      const search = {origin, excluded, charge};
+      const target = await this.findChargedTarget(call, search);
       if (target.isErr) {
         const latest = laterRefusal(refusal, target.error);
         return Result.err(toFinalRefusal(latest, mayHaveRun));
@@ -107,7 +126,7 @@
         target.value,
         attemptNumber,
         response,
-        {origin, excluded},
+        search,
       );
       if (result.isOk) {
         return result;
@@ -127,6 +146,26 @@
     }
   }
 
+  /**
+   * Finds a target for a call that holds units of its tenant's quota. Units expire while the
+   * search waits, and what is found is old once new ones are granted.
+   */
+  private async findChargedTarget(
+    call: Call,
+    {charge, excluded, origin}: AttemptSearch,
+  ): Promise<Result<TargetAnnouncement, Refusal>> {
+    for (;;) {
+      const refusal = await charge.secure();
+      if (refusal !== undefined) {
+        return Result.err(refusal);
+      }
+      const target = await this.findTarget(call, excluded, origin);
+      if (target.isErr || !charge.isDue) {
+        return target;
+      }
+    }
+  }
+
   /** Finds a target, unless the call would outlast a shutdown of this entry, also after the search. */
   private async findTarget(
     call: Call,
@@ -163,14 +202,19 @@
     const {sender} = this.options;
     const attempt = sender.startAttempt(call, target, attemptNumber);
     const sentAt = performance.now();
+    search.charge.spend();
     try {
       const sent = await sender.send(call, attempt);
-      return sent.isErr
+      const result = sent.isErr
         ? Result.err(sender.handleFailure(call, attempt, sent.error))
         : await this.handleResponse(call, attempt, sent.value, response, {
             ...search,
             sentAt,
           });
+      if (result.isErr && result.error.outcome === 'not-run') {
+        search.charge.unspend();
+      }
+      return result;
     } finally {
       attempt.tracker.end(performance.now());
     }
@@ -212,7 +256,7 @@
     attempt: Attempt,
     upstream: TargetResponse,
     response: ServerResponse,
-    {excluded, origin}: AttemptSearch,
+    {charge, excluded, origin}: AttemptSearch,
   ): Promise<RelayOutcome> {
     const {events, memory, metrics} = this.options;
     const {metadata, route, service, startedAt} = call;
@@ -233,6 +277,7 @@
             excluded,
             upstream.isAnnouncedStart,
             origin,
+            charge,
           )
         : undefined;
     const reservation = memory.reserve('response', 0);
--- a/entry/direct-routing/src/call-stream-resumer.ts
+++ b/entry/direct-routing/src/call-stream-resumer.ts
@@ -1,9 +1,10 @@
 import type {StreamResumer, UpstreamResponse} from '@marigoldspur/dispatch';
+import type {Charge} from '@marigoldspur/entry-quotas';
 import type {EventLog} from '@marigoldspur/event-log';
 import type {Attempt, AttemptSender} from './attempt-sender.js';
 import type {Call} from './call.js';
 import type {RetryLimiter} from './retry-limiter.js';
-import type {StreamOrigin} from '@marigoldspur/deployment';
+import type {StreamOrigin, TargetAnnouncement} from '@marigoldspur/deployment';
 import type {StreamOrigins} from './stream-origins.js';
 import type {TargetFinder} from './target-finder.js';
 
@@ -40,6 +41,8 @@
     private readonly isAnnouncedStart: Promise<boolean> | undefined,
     /** Origin of the stream that the call takes up; undefined if the call begins it. */
     private readonly origin: StreamOrigin | undefined,
+    /** Units of the tenant's quota that the call uses. */
+    private readonly charge: Charge,
   ) {
     this.begunAt = options.streamOrigins.originAt(call, first.target);
     this.triedTargets = new Set([...excluded, first.target.id]);
@@ -79,16 +82,10 @@
     if (!(await options.retryLimiter.acquire(call.service.name, call.signal))) {
       return undefined;
     }
-    const found = await options.finder.find(
-      call,
-      this.triedTargets,
-      performance.now(),
-      this.origin ?? (hasBegun ? this.begunAt : undefined),
-    );
-    if (found.isErr) {
+    const target = await this.findTarget(hasBegun);
+    if (target === undefined) {
       return undefined;
     }
-    const target = found.value;
     this.triedTargets.add(target.id);
     this.attemptNumber += 1;
     this.current = options.sender.startAttempt(
@@ -99,6 +96,31 @@
     return this.current;
   }
 
+  /** Finds a target, with units of the tenant's quota that have not expired by then. */
+  private async findTarget(
+    hasBegun: boolean,
+  ): Promise<TargetAnnouncement | undefined> {
+    const {call, charge, options} = this;
+    do {
+      if ((await charge.secure()) !== undefined) {
+        return undefined;
+      }
+      const found = await options.finder.find(
+        call,
+        this.triedTargets,
+        performance.now(),
+        this.origin ?? (hasBegun ? this.begunAt : undefined),
+      );
+      if (found.isErr) {
+        return undefined;
+      }
+      if (!charge.isDue) {
+        return found.value;
+      }
+    } while (!call.signal.aborted);
+    return undefined;
+  }
+
   cancel(): void {
     this.end();
   }
@@ -113,16 +135,20 @@
     attempt: Attempt,
     after: number,
   ): Promise<UpstreamResponse | undefined> {
-    const {call} = this;
+    const {call, charge} = this;
     const {events, sender} = this.options;
     const resumeAfter = after < 0 ? call.metadata.resumeAfter : after;
+    charge.spend();
     const sent = await sender.send(call, attempt, resumeAfter);
-    if (sent.isErr) {
-      sender.handleFailure(call, attempt, sent.error);
-      return undefined;
+    const refusal = sent.isErr
+      ? sender.handleFailure(call, attempt, sent.error)
+      : sent.value.message.statusCode !== STATUS_OK
+        ? sender.handleRejection(call, attempt, sent.value)
+        : undefined;
+    if (refusal?.outcome === 'not-run') {
+      charge.unspend();
     }
-    if (sent.value.message.statusCode !== STATUS_OK) {
-      sender.handleRejection(call, attempt, sent.value);
+    if (sent.isErr || refusal !== undefined) {
       return undefined;
     }
     const {number, sentAfterMs, tracker, target} = attempt;
--- a/entry/direct-routing/src/call.ts
+++ b/entry/direct-routing/src/call.ts
@@ -1,5 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
-import type {Route, Service} from '@marigoldspur/deployment';
+import type {Route, Service, Tenant} from '@marigoldspur/deployment';
 import type {RequestBody} from '@marigoldspur/request-bodies';
 import type {CallMetadata} from './wire-format.js';
 
@@ -10,6 +10,8 @@
   readonly startedAt: number;
   readonly route: Route;
   readonly service: Service;
+  /** The tenant to which the call belongs; absent if it belongs to none. */
+  readonly tenant?: Tenant;
   readonly method: string;
   /** Path with its query string. */
   readonly path: string;
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -9,6 +9,7 @@
   type TargetAnnouncement,
 } from '@marigoldspur/deployment';
 import {CallDurations, DrainAdmission} from '@marigoldspur/drain-admission';
+import {TenantQuotas} from '@marigoldspur/entry-quotas';
 import type {EventLog} from '@marigoldspur/event-log';
 import {FleetFollower} from '@marigoldspur/fleet-client';
 import type {FleetChange, FleetView} from '@marigoldspur/fleet-view';
@@ -276,6 +277,15 @@
     events,
     metrics,
   });
+  const quotas = new TenantQuotas({
+    agent: httpAgent,
+    replicas: () =>
+      fleetFollower.view.replicas.length > 0
+        ? fleetFollower.view.replicas
+        : fleetFollower.urls(),
+    events,
+    registry: runtime.metrics.registry,
+  });
   const loopClock = startLoopClock();
   let acceptsCalls = true;
   const shutdown = new AbortController();
@@ -305,6 +315,7 @@
         entries: () => fleetFollower.view.entries,
       }),
       streamOrigins,
+      quotas,
       memory: runtime.memory,
       events,
       metrics,
@@ -367,6 +378,7 @@
           running: callHandler.runningCount,
         });
       }
+      quotas.stop();
       fleetFollower.stop();
       engineViews.stop();
       crashMonitor.stop();
--- a/entry/direct-routing/src/wire-format.ts
+++ b/entry/direct-routing/src/wire-format.ts
@@ -33,6 +33,8 @@
   /** ID of the call that brought the first event of that stream; absent if not stated. */
   readonly resumes?: string;
   readonly work?: ModelWork;
+  /** Sum of the prompt tokens and the maximum output tokens; absent if not stated. */
+  readonly statedTokens?: number;
   /** Credentials by which the caller identifies itself; absent if it sent none. */
   readonly credentials?: string;
 }
--- /dev/null
+++ b/entry/tenant-quotas/src/call-charge.ts
@@ -0,0 +1,130 @@
+import type {QuotaAmount} from '@marigoldspur/deployment';
+import {Refusal} from '@marigoldspur/faults';
+import type {QuotaOutcome} from './quota-client.js';
+import type {QuotaGrant} from './replica-queue.js';
+
+/** Units of a quota that one call uses. */
+export interface Charge {
+  /** Whether `secure` has to be called before the call is sent. */
+  readonly isDue: boolean;
+  /**
+   * Makes sure that the call holds units for its next attempt. Resolves to the refusal of the
+   * call if there are none.
+   */
+  secure(): Promise<Refusal | undefined>;
+  /** Counts the units as used: the call is sent now. */
+  spend(): void;
+  /** Counts the units that were spent last as not used: that attempt did not run. */
+  unspend(): void;
+  /** Gives back what the call holds; called when the call has ended. */
+  release(): void;
+}
+
+/** The charge of a call without a quota. */
+export const NO_CHARGE: Charge = {
+  isDue: false,
+  secure: () => Promise.resolve(undefined),
+  spend: () => undefined,
+  unspend: () => undefined,
+  release: () => undefined,
+};
+
+/** What a charge needs of the entry's quotas. */
+export interface HeldCharges {
+  request(amount: QuotaAmount): Promise<QuotaOutcome>;
+  giveBack(grant: QuotaGrant): void;
+  /** Whether units may still be used. */
+  isUsable(grant: QuotaGrant): boolean;
+  /** Called when a charge holds units; they are given back if it does not use them in time. */
+  hold(charge: CallCharge): void;
+  drop(charge: CallCharge): void;
+}
+
+/** Retry delay while no replica grants units, in seconds. */
+const UNAVAILABLE_RETRY_AFTER_SECONDS = 0.5;
+const MS_PER_SECOND = 1_000;
+
+/** The charge of a call whose tenant has a quota. */
+export class CallCharge implements Charge {
+  private held: QuotaGrant | undefined;
+  private spent: QuotaGrant | undefined;
+
+  constructor(
+    private readonly quotas: HeldCharges,
+    private readonly amount: QuotaAmount,
+  ) {}
+
+  get isDue(): boolean {
+    return this.held === undefined || !this.quotas.isUsable(this.held);
+  }
+
+  async secure(): Promise<Refusal | undefined> {
+    if (!this.isDue) {
+      return undefined;
+    }
+    this.release();
+    const outcome = await this.quotas.request(this.amount);
+    if (outcome.kind !== 'granted') {
+      return createRefusal(outcome);
+    }
+    this.holdGrant(outcome.grant);
+    return undefined;
+  }
+
+  spend(): void {
+    this.spent = this.held;
+    this.held = undefined;
+    this.quotas.drop(this);
+  }
+
+  unspend(): void {
+    const {spent} = this;
+    this.spent = undefined;
+    if (spent !== undefined) {
+      this.holdGrant(spent);
+      this.releaseIfDue();
+    }
+  }
+
+  release(): void {
+    const {held} = this;
+    this.held = undefined;
+    this.quotas.drop(this);
+    if (held !== undefined) {
+      this.quotas.giveBack(held);
+    }
+  }
+
+  /** Gives back what the call holds if it may no longer be used; returns whether it still holds units. */
+  releaseIfDue(): boolean {
+    if (this.isDue) {
+      this.release();
+    }
+    return this.held !== undefined;
+  }
+
+  private holdGrant(grant: QuotaGrant): void {
+    this.held = grant;
+    this.quotas.hold(this);
+  }
+}
+
+function createRefusal(
+  outcome: Exclude<QuotaOutcome, {readonly kind: 'granted'}>,
+): Refusal {
+  return outcome.kind === 'exceeded'
+    ? new Refusal(
+        'not-run',
+        429,
+        'quota_exceeded',
+        'the quota of the tenant has no room for this call',
+        Math.ceil(outcome.waitMs) / MS_PER_SECOND,
+      )
+    : new Refusal(
+        'not-run',
+        503,
+        'quota_unavailable',
+        'no replica of control grants units of the quota of the tenant',
+        UNAVAILABLE_RETRY_AFTER_SECONDS,
+      );
+}
