--- a/policy/tenant-quotas/src/quota-ledger.ts
+++ b/policy/tenant-quotas/src/quota-ledger.ts
@@ -7,7 +7,7 @@
   Tenant,
 } from '@marigoldspur/deployment';
 import {quotaRole, type QuotaRole} from './quota-role.js';
-import {TokenBucket} from './token-bucket.js';
+import {TokenBucket, type BucketFigures} from './token-bucket.js';
 import {WindowBudget} from './window-budget.js';
 
 /** By how much the use of all entries together may exceed a quota. */
@@ -127,7 +127,8 @@
       if (known === undefined) {
         this.accounts.set(name, this.openAccount(name, quota, since));
       } else {
-        setQuota(known, quota, now);
+        known.quota = quota;
+        known.bucket.setFigures(this.figuresOf(quota), now);
       }
     }
   }
@@ -200,11 +201,27 @@
     }
   }
 
+  /** Figures of the bucket of a tenant; a tenant without a quota takes nothing from it. */
+  private figuresOf(quota: Quota | undefined): BucketFigures {
+    if (quota === undefined) {
+      return {perSecond: 0, burst: 0, spare: 0};
+    }
+    const {burst, perSecond} = quota;
+    const usedLate = (perSecond * USE_WITHIN_MS) / MS_PER_SECOND;
+    const rest = (1 - STAND_IN_SHARE) * this.toleranceOf(quota);
+    return {perSecond, burst, spare: Math.max(0, rest - usedLate)};
+  }
+
   /** Units that the stand-in may grant in any window. */
-  private standInLimit({burst, perSecond}: Quota): number {
+  private standInLimit(quota: Quota): number {
+    return STAND_IN_SHARE * this.toleranceOf(quota);
+  }
+
+  /** Units by which the use in a window may exceed a quota. */
+  private toleranceOf({burst, perSecond}: Quota): number {
     const {ratio, slack, windowMs} = this.options.tolerance;
-    const quota = perSecond * (windowMs / MS_PER_SECOND) + burst;
-    return STAND_IN_SHARE * (ratio * quota + slack);
+    const quota = (perSecond * windowMs) / MS_PER_SECOND + burst;
+    return ratio * quota + slack;
   }
 
   private roleOf(tenant: string): QuotaRole {
@@ -229,7 +246,7 @@
       role,
       // Another process may have granted the whole budget before.
       grantsFrom: startAt + (role === 'stand-in' ? budgetMs : 0),
-      bucket: new TokenBucket(figuresOf(quota), startAt),
+      bucket: new TokenBucket(this.figuresOf(quota), startAt),
       budget: new WindowBudget(budgetMs),
     };
   }
@@ -248,20 +265,6 @@
   return {isGranted: false, waitMs, role: isFresh ? 'none' : 'primary'};
 }
 
-function setQuota(
-  account: Account,
-  quota: Quota | undefined,
-  now: number,
-): void {
-  account.quota = quota;
-  account.bucket.setFigures(figuresOf(quota), now);
-}
-
-/** Figures of the bucket of a tenant; a tenant without a quota takes nothing from it. */
-function figuresOf(quota: Quota | undefined) {
-  return quota ?? {perSecond: 0, burst: 0};
-}
-
 function isSameGroup(a: ReplicaGroup, b: ReplicaGroup): boolean {
   return (
     a.ownUrl === b.ownUrl &&
--- a/policy/tenant-quotas/src/token-bucket.ts
+++ b/policy/tenant-quotas/src/token-bucket.ts
@@ -6,6 +6,11 @@
   readonly perSecond: number;
   /** Maximum number of units that the bucket holds. */
   readonly burst: number;
+  /**
+   * Units by which the bucket and what was taken lately may exceed the burst together when
+   * units are put back.
+   */
+  readonly spare: number;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -45,15 +50,14 @@
 
   /**
    * Puts back units that were taken lately and not used. The bucket and what was taken lately
-   * hold the burst together: otherwise units that callers hold and give back in turns would
-   * pile up, and could all be used at once.
+   * hold little more than the burst together: otherwise units that callers hold and give back
+   * in turns would pile up, and could all be used at once.
    */
   putBack(amount: number, now: number): void {
     this.fill(now);
     this.recentlyTaken.remove(amount, now);
-    const {burst, perSecond} = this.figures;
-    const lately = perSecond * (PUT_BACK_WITHIN_MS / MS_PER_SECOND);
-    const room = Math.max(burst, lately) - this.recentlyTaken.sum(now);
+    const {burst, spare} = this.figures;
+    const room = burst + spare - this.recentlyTaken.sum(now);
     const level = Math.min(this.level + amount, burst, room);
     this.level = Math.max(this.level, level);
   }
