--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -10,6 +10,7 @@
   type TargetAnnouncement,
 } from '@marigoldspur/deployment';
 import {CallDurations, DrainAdmission} from '@marigoldspur/drain-admission';
+import {TenantQuotas} from '@marigoldspur/entry-quotas';
 import type {EventLog} from '@marigoldspur/event-log';
 import {FleetFollower} from '@marigoldspur/fleet-client';
 import type {FleetChange, FleetView} from '@marigoldspur/fleet-view';
@@ -288,6 +289,15 @@
     registry: runtime.metrics.registry,
     events,
   });
+  const quotas = new TenantQuotas({
+    agent: httpAgent,
+    replicas: () =>
+      fleetFollower.view.replicas.length > 0
+        ? fleetFollower.view.replicas
+        : fleetFollower.urls(),
+    events,
+    registry: runtime.metrics.registry,
+  });
   const loopClock = startLoopClock();
   let acceptsCalls = true;
   const shutdown = new AbortController();
@@ -318,6 +328,7 @@
         entries: () => fleetFollower.view.entries,
       }),
       streamOrigins,
+      quotas,
       memory: runtime.memory,
       events,
       metrics,
@@ -380,6 +391,7 @@
           running: callHandler.runningCount,
         });
       }
+      quotas.stop();
       fleetFollower.stop();
       tenants.stop();
       engineViews.stop();
--- a/entry/direct-routing/src/wire-format.ts
+++ b/entry/direct-routing/src/wire-format.ts
@@ -35,6 +35,8 @@
   readonly work?: ModelWork;
   /** API key that the caller sent; absent if it sent none, and after the call was admitted. */
   readonly key?: string;
+  /** Sum of the prompt tokens and the maximum output tokens; absent if not stated. */
+  readonly statedTokens?: number;
   /** Credentials by which the caller identifies itself; absent if it sent none. */
   readonly credentials?: string;
 }
