Choose targets by learned speeds, stated pace and memory in place of constants

The ranking of engines assumed one speed, counted others' waiting requests as a fixed time and ignored the pace that targets state; plain targets were chosen by the number of requests alone. The package expected-cost learns relative speeds of each incarnation and what work costs in each service; the constants are its prior.

--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -104,7 +104,7 @@
     const {agentClient, selector} = this.options;
     const {work} = call.metadata;
     const now = performance.now();
-    const tracker = selector.startCall(target, work, now);
+    const tracker = selector.startCall(target, work, now, call.route);
     const sentAfterMs = Math.round(now - call.startedAt);
     if (work?.adapter === undefined) {
       return {number, target, tracker, sentAfterMs};
@@ -305,6 +305,7 @@
           isAborted: running.cancellation.signal.aborted,
         }),
       onFirstEvent: () => void this.recordFirstEvent(call, attempt, response),
+      onPart: () => attempt.tracker.recordEvent(performance.now()),
     });
     running.progress = check;
     return {...response, check};
--- a/entry/direct-routing/src/engine-candidate.ts
+++ b/entry/direct-routing/src/engine-candidate.ts
@@ -60,7 +60,14 @@
     batchLimit: service.engine?.batchLimit ?? target.slots,
     tokenMemory: service.engine?.tokenMemory ?? 0,
     memoryUsed: view?.memoryUsed ?? 0,
+    promisedTokens:
+      view === undefined
+        ? stats.inFlightTokens
+        : stats.promisedMemory.tokensAt(now),
     failureRate: stats.failureRate,
+    prefillFactor: stats.model.prefill.factor,
+    decodeFactor: stats.model.decode.factor,
+    pace: stats.model.pace.at(now),
   };
 }
 
--- a/entry/direct-routing/src/response-progress.ts
+++ b/entry/direct-routing/src/response-progress.ts
@@ -24,6 +24,8 @@
   /** Called once, with how far the response got. */
   readonly onEnd: (end: ResponseEnd) => void;
   readonly onFirstEvent?: () => void;
+  /** Called with each part that arrives, from that of the first event on. */
+  readonly onPart?: () => void;
 }
 
 /** The empty line that ends an event, without carriage returns. */
@@ -82,6 +84,9 @@
         this.options.onFirstEvent?.();
       }
     }
+    if (this.hasArrivedEvent) {
+      this.options.onPart?.();
+    }
     this.countEvents(chunk);
     if (this.options.isStream) {
       const end = chunk.toString(
--- a/entry/direct-routing/src/slot-release-estimator.ts
+++ b/entry/direct-routing/src/slot-release-estimator.ts
@@ -31,8 +31,11 @@
    * all in use, in milliseconds.
    */
   releaseIntervalMs(service: string, slots: number): number {
-    const meanMs =
-      this.statsByService.get(service)?.meanMs ?? INITIAL_DURATION_MS;
-    return (meanMs * OVERLAP_FACTOR) / Math.max(1, slots);
+    return (this.meanDurationMs(service) * OVERLAP_FACTOR) / Math.max(1, slots);
+  }
+
+  /** Mean duration of a service's latest calls, in milliseconds. */
+  meanDurationMs(service: string): number {
+    return this.statsByService.get(service)?.meanMs ?? INITIAL_DURATION_MS;
   }
 }
--- a/entry/direct-routing/src/target-finder.ts
+++ b/entry/direct-routing/src/target-finder.ts
@@ -42,6 +42,11 @@
  * engine is announced within about a second.
  */
 const NO_TARGET_RETRY_AFTER_SECONDS = 0.5;
+/**
+ * Retry delay for callers while no engine has memory for a call, in seconds. Calls end, and
+ * reports show it, within about this time.
+ */
+const FULL_MEMORY_RETRY_AFTER_SECONDS = 0.4;
 /**
  * Retry delay for calls that crash engines, in seconds. They stay blocked until none has
  * come for half an hour.
@@ -161,6 +166,7 @@
     const {origin, unavailable, waitingSince} = search;
     const requirements = {
       service,
+      route: call.route,
       work: metadata.work,
       version,
       origin,
@@ -184,6 +190,9 @@
           : createNoContinuationRefusal(selector.mayServeLater(requirements)),
       );
     }
+    if (chosen.lacksMemory) {
+      return Result.err(createFullMemoryRefusal(random()));
+    }
     const {processingMs, waitMs} = chosen;
     const patienceMs = remainingPatienceMs(call, waitingSince, now);
     const expectedWait = {processingMs, patienceMs, waitMs};
@@ -335,6 +344,18 @@
   );
 }
 
+/** The refusal of a call for which no engine has memory. */
+function createFullMemoryRefusal(random: number): Refusal {
+  const message = 'no engine has memory for this call now';
+  return new Refusal(
+    'not-run',
+    503,
+    'memory_full',
+    message,
+    FULL_MEMORY_RETRY_AFTER_SECONDS * (1 + LIMITED_JITTER_SHARE * random),
+  );
+}
+
 function createTooLateRefusal(
   {processingMs, patienceMs, waitMs}: ExpectedWait,
   retryDelayMs: number,
--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -1,11 +1,18 @@
 import type {
   EngineView,
+  Route,
   Service,
   StreamOrigin,
   TargetAnnouncement,
 } from '@marigoldspur/deployment';
 import {adapterName, isSameIncarnation} from '@marigoldspur/deployment';
-import {rankEngines} from '@marigoldspur/engine-choice';
+import {chooseEngine, type EngineCandidate} from '@marigoldspur/engine-choice';
+import {
+  CallProgress,
+  plainCost,
+  ServiceModel,
+  statedLoadCosts,
+} from '@marigoldspur/expected-cost';
 import {FailureDetector, type Evidence} from '@marigoldspur/failure-detector';
 import {mayContinue} from '@marigoldspur/stream-origins';
 import type {ResponseMetadata, ModelWork} from './wire-format.js';
@@ -24,11 +31,25 @@
   readonly engineView: (address: string) => EngineView | undefined;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
+  /** Called with the expected and the observed time to the first event of a call, in milliseconds. */
+  readonly onFirstEvent?: (
+    service: string,
+    expectedMs: number,
+    observedMs: number,
+  ) => void;
+  /** Called with a target that takes far longer than its peers, at most once per minute for each. */
+  readonly onSlowTarget?: (target: TargetAnnouncement, factor: number) => void;
 }
 
+/** What the choice of a target depends on of a call's route. */
+export type RouteRequirements = Pick<Route, 'name' | 'streaming'> &
+  Partial<Pick<Route, 'maxGapMs'>>;
+
 /** What a call requires of a target. */
 export interface TargetRequirements {
   readonly service: Service;
+  /** The route of the call; undefined if nothing is known about it. */
+  readonly route?: RouteRequirements;
   readonly work?: ModelWork;
   /**
    * Version of the adapter that must serve the call; any version if undefined.
@@ -55,6 +76,12 @@
    * unknown.
    */
   readonly processingMs: number;
+  /** Expected time until the whole response has arrived, in milliseconds; 0 if unknown. */
+  readonly completionMs: number;
+  /** Expected pause between two events, in milliseconds; 0 if unknown. */
+  readonly pauseMs: number;
+  /** Whether no target is known to have memory for the call. */
+  readonly lacksMemory: boolean;
 }
 
 /** Tracks a call that was sent to a target. */
@@ -69,6 +96,8 @@
    * Records the first event, which shows that the prompt has been processed.
    */
   recordFirstEvent(): void;
+  /** Records that an event, or a part of a response that is no stream, arrived at time `now`. */
+  recordEvent(now: number): void;
   /** Records that the call ended at time `now`. */
   end(now: number): void;
 }
@@ -84,6 +113,14 @@
  * target's slots.
  */
 const OTHER_ZONE_COST = 0.05;
+/** Cost of a target that is full or fails mostly, which is used last. */
+const LAST_COST = 1_000;
+/** Share of failed responses from which a target is used last, as a full one is. */
+const FAILING_SHARE = 0.5;
+/** Age of the agents' reports by which entries decide, in milliseconds. */
+const REPORT_AGE_MS = 250;
+/** Minimum time between two reports of one slow target, in milliseconds. */
+const SLOW_REPORT_INTERVAL_MS = 60_000;
 /**
  * Half-life of suspicion, in milliseconds. There are no probes here, so a
  * suspected target is tried again after twice this time.
@@ -98,6 +135,7 @@
   private readonly statsByIncarnation = new Map<string, TargetStats>();
   /** When the pauses that targets asked for end, by incarnation, in milliseconds. */
   private readonly pauseEnds = new Map<string, number>();
+  private readonly serviceModels = new Map<string, ServiceModel>();
   private readonly slotReleases = new SlotReleaseEstimator();
   private readonly failureDetector = new FailureDetector({
     halfLifeMs: SUSPICION_HALF_LIFE_MS,
@@ -129,7 +167,7 @@
     const targets = serving.filter(target => usable.has(incarnationOf(target)));
     return requirements.service.engine === undefined ||
       requirements.work === undefined
-      ? this.chooseLeastLoaded(targets, now)
+      ? this.choosePlain(targets, requirements, now)
       : this.chooseEngine(targets, requirements, requirements.work, now);
   }
 
@@ -191,38 +229,132 @@
     target: TargetAnnouncement,
     work: ModelWork | undefined,
     now: number,
+    route?: RouteRequirements,
   ): TargetCallTracker {
     const stats = this.statsOf(target);
-    stats.inFlight += 1;
-    let pending = 0;
+    const service = this.serviceModelOf(target.service);
+    const routeName = route?.name ?? '';
+    const {promptTokens, progress, expectedMs} = this.startProgress(
+      {target, work, route},
+      now,
+    );
+    const ownWork = service.relativeWork(routeName, now);
+    const memory = work === undefined ? 0 : memoryTokensOf(work);
+    let pending = promptTokens;
     let hasResponded = false;
-    if (work !== undefined) {
-      const adapter = adapterName(work.model, work.adapter);
-      const cached = stats.promptCache.cachedTokens(adapter, work.parts, now);
-      pending = Math.max(0, work.promptTokens - cached);
-      stats.promptCache.recordPrompt(adapter, work.parts, now);
-    }
+    let hasEvent = false;
+    let hasEnded = false;
+    stats.inFlight += 1;
     stats.pendingTokens += pending;
+    stats.inFlightWork += ownWork;
+    stats.inFlightTokens += memory;
+    stats.promisedMemory.promise(memory);
     const recordFirstEvent = () => {
       stats.pendingTokens -= pending;
       pending = 0;
     };
+    const recordEvent = (at: number) => {
+      recordFirstEvent();
+      progress.recordEvent(at);
+      if (!hasEvent && !hasEnded) {
+        hasEvent = true;
+        stats.promisedMemory.recordStart(memory, at);
+        if (expectedMs > 0) {
+          this.options.onFirstEvent?.(target.service, expectedMs, at - now);
+        }
+      }
+    };
     return {
       recordResponse: (metadata, hasFailed, at) => {
         hasResponded = !hasFailed && !metadata.hasNotRun;
         this.recordResponse(target, metadata, hasFailed, at);
       },
       recordFirstEvent,
+      recordEvent,
       end: at => {
+        hasEnded = true;
         recordFirstEvent();
         stats.inFlight -= 1;
+        stats.inFlightWork -= ownWork;
+        stats.inFlightTokens -= memory;
+        if (!hasEvent) {
+          stats.promisedMemory.withdraw(memory);
+        }
         if (hasResponded) {
           this.slotReleases.recordCall(target.service, at - now);
+          progress.recordEnd(at);
+          this.reportSlowTarget(target, stats, at);
         }
       },
     };
   }
 
+  /** Starts to follow a call that is sent at time `now`, and estimates when its first event comes. */
+  private startProgress(
+    {
+      target,
+      work,
+      route,
+    }: {
+      target: TargetAnnouncement;
+      work: ModelWork | undefined;
+      route: RouteRequirements | undefined;
+    },
+    now: number,
+  ): {promptTokens: number; progress: CallProgress; expectedMs: number} {
+    const {stats, view} = this.snapshotOf(target);
+    const service = this.serviceModelOf(target.service);
+    const {meanPromptTokens} = service.costs(now);
+    const queuedTokens = Math.max(
+      stats.pendingTokens,
+      (view?.waiting ?? 0) * meanPromptTokens,
+    );
+    const running = Math.max(stats.inFlight, view?.running ?? 0);
+    const promptTokens =
+      work === undefined ? 0 : recordPrompt(stats, work, now);
+    if (work !== undefined) {
+      service.recordPrompt(promptTokens);
+    }
+    const isStream = work !== undefined && route?.streaming === true;
+    const progress = new CallProgress({
+      service,
+      target: stats.model,
+      route: route?.name ?? '',
+      sentAt: now,
+      isStream,
+      isPlain: work === undefined,
+      promptTokens,
+      isFirstInQueue: queuedTokens === 0,
+      running: running + 1,
+      workInFront: this.workInFront(stats, now) / target.slots,
+    });
+    const expectedMs = isStream
+      ? service.expectedFirstEventMs(
+          stats.model,
+          {promptTokens: queuedTokens + promptTokens, running},
+          now,
+        )
+      : 0;
+    return {promptTokens, progress, expectedMs};
+  }
+
+  private reportSlowTarget(
+    target: TargetAnnouncement,
+    stats: TargetStats,
+    now: number,
+  ): void {
+    const {onSlowTarget} = this.options;
+    const service = this.serviceModelOf(target.service);
+    if (
+      onSlowTarget !== undefined &&
+      now - stats.slowReportedAt >= SLOW_REPORT_INTERVAL_MS &&
+      service.isSlow(stats.model, now)
+    ) {
+      stats.slowReportedAt = now;
+      onSlowTarget(target, service.slownessOf(stats.model));
+    }
+  }
+
   /**
    * Records that a target did not respond or responded incorrectly. Returns
    * whether the target became suspected.
@@ -270,6 +402,8 @@
     }
     for (const incarnation of this.statsByIncarnation.keys()) {
       if (!known.has(incarnation)) {
+        const {model} = this.statsByIncarnation.get(incarnation)!;
+        this.serviceModels.forEach(service => service.removeTarget(model));
         this.statsByIncarnation.delete(incarnation);
       }
     }
@@ -288,6 +422,9 @@
     if (metadata.load !== undefined) {
       stats.reportedLoad = metadata.load.running + metadata.load.waiting;
       stats.reportedAt = now;
+      if (metadata.load.pace !== undefined) {
+        stats.model.pace.record(metadata.load.pace, now);
+      }
     }
   }
 
@@ -296,25 +433,68 @@
     return this.snapshotOf(target).view?.answers !== false;
   }
 
-  private chooseLeastLoaded(
+  /** Chooses the target at which a plain call is expected to be complete first. */
+  private choosePlain(
     targets: readonly TargetAnnouncement[],
+    {route, service: {name}}: TargetRequirements,
     now: number,
   ): ChosenTarget | undefined {
-    const ranked = targets.map(target => ({
-      target,
-      cost: this.relativeLoad(target, now) + this.options.random() / 1_000,
-    }));
-    ranked.sort((a, b) => a.cost - b.cost);
-    const target = ranked.at(0)?.target;
-    return target && {target, needsAdapter: false, waitMs: 0, processingMs: 0};
+    const service = this.serviceModelOf(name);
+    service.costs(now);
+    const {meanWorkMs} = service;
+    const ownWork = service.relativeWork(route?.name ?? '', now);
+    let target: TargetAnnouncement | undefined;
+    let lowestCost = Infinity;
+    let completionMs = 0;
+    for (const each of targets) {
+      const stats = this.statsOf(each);
+      const workInFront = this.workInFront(stats, now);
+      const work = plainCost({
+        workInFront,
+        slots: each.slots,
+        ownWork,
+        factor: stats.model.response.factor,
+        pace: stats.model.pace.at(now),
+        meanWorkMs,
+      });
+      const isLast =
+        this.loadOf(stats, now) >= each.slots ||
+        stats.failureRate > FAILING_SHARE;
+      const cost =
+        work +
+        (each.zone === this.options.zone ? 0 : OTHER_ZONE_COST) +
+        stats.failureRate +
+        (isLast ? LAST_COST : 0) +
+        this.options.random() / 1_000;
+      if (cost < lowestCost) {
+        target = each;
+        lowestCost = cost;
+        completionMs = work * meanWorkMs;
+      }
+    }
+    return (
+      target && {
+        target,
+        needsAdapter: false,
+        waitMs: 0,
+        processingMs: 0,
+        completionMs,
+        pauseMs: 0,
+        lacksMemory: false,
+      }
+    );
   }
 
-  private relativeLoad(target: TargetAnnouncement, now: number): number {
-    const stats = this.statsOf(target);
+  /** Number of requests at a target, as far as known. */
+  private loadOf(stats: TargetStats, now: number): number {
     const isFresh = now - stats.reportedAt < LOAD_REPORT_TTL_MS;
-    const load = Math.max(stats.inFlight, isFresh ? stats.reportedLoad : 0);
-    const zone = target.zone === this.options.zone ? 0 : OTHER_ZONE_COST;
-    return load / target.slots + zone + stats.failureRate;
+    return Math.max(stats.inFlight, isFresh ? stats.reportedLoad : 0);
+  }
+
+  /** Work of the requests at a target, in units of the service's mean call. */
+  private workInFront(stats: TargetStats, now: number): number {
+    const others = this.loadOf(stats, now) - stats.inFlight;
+    return Math.max(0, stats.inFlightWork) + others;
   }
 
   private chooseEngine(
@@ -324,6 +504,7 @@
     now: number,
   ): ChosenTarget | undefined {
     const adapter = adapterName(work.model, work.adapter);
+    const {route} = requirements;
     const {name, engine} = requirements.service;
     const slotReleaseIntervalMs = this.slotReleases.releaseIntervalMs(
       name,
@@ -335,30 +516,76 @@
       adapter,
       slotReleaseIntervalMs,
     };
+    const service = this.serviceModelOf(name);
+    const costs = {
+      ...service.costs(now),
+      ...statedLoadCosts(engine, work.model),
+    };
     const candidates = targets.map(target =>
       toEngineCandidate(this.snapshotOf(target), engineRequirements, now),
     );
-    const best = rankEngines(
+    const best = chooseEngine(
       {
         affinityKey: adapter,
         zone: this.options.zone,
         promptTokens: work.promptTokens,
-        memoryTokens:
-          work.promptTokens + work.maxOutputTokens * EXPECTED_OUTPUT_SHARE,
+        memoryTokens: memoryTokensOf(work),
+        maxPauseMs: route?.maxGapMs,
       },
       candidates,
-    ).at(0);
-    const index = candidates.findIndex(({name}) => name === best?.name);
+      {
+        costs,
+        hiddenRequests: this.hiddenRequests(name, targets, candidates),
+        random: this.options.random,
+      },
+    );
+    if (best === undefined) {
+      return undefined;
+    }
+    const {hasRoom, index, pauseMs, processingMs, waitMs} = best;
+    const output = route && service.route(route.name).expectedOutput(now);
+    return {
+      target: targets[index],
+      needsAdapter: candidates[index].adapterState !== 'held',
+      waitMs,
+      processingMs,
+      completionMs: waitMs + processingMs + (output?.events ?? 0) * pauseMs,
+      pauseMs,
+      lacksMemory: !hasRoom,
+    };
+  }
+
+  /**
+   * Requests that other entries are expected to have sent to these engines since their agents'
+   * last reports: their requests at the engines are replaced within the mean duration of a call.
+   */
+  private hiddenRequests(
+    service: string,
+    targets: readonly TargetAnnouncement[],
+    candidates: readonly EngineCandidate[],
+  ): number {
+    let reported = 0;
+    let own = 0;
+    for (let index = 0; index < targets.length; index += 1) {
+      reported += candidates[index].running + candidates[index].waiting;
+      own += this.statsOf(targets[index]).inFlight;
+    }
+    const durationMs = this.slotReleases.meanDurationMs(service);
     return (
-      best && {
-        target: targets[index],
-        needsAdapter: candidates[index].adapterState !== 'held',
-        waitMs: best.waitMs,
-        processingMs: best.processingMs,
-      }
+      Math.max(0, reported - own) *
+      Math.min(1, REPORT_AGE_MS / Math.max(1, durationMs))
     );
   }
 
+  private serviceModelOf(name: string): ServiceModel {
+    let model = this.serviceModels.get(name);
+    if (model === undefined) {
+      model = new ServiceModel();
+      this.serviceModels.set(name, model);
+    }
+    return model;
+  }
+
   private snapshotOf(target: TargetAnnouncement): EngineSnapshot {
     const view = this.options.engineView(target.address);
     const isCurrent =
@@ -386,8 +613,12 @@
 
   private statsOf(target: TargetAnnouncement): TargetStats {
     const incarnation = incarnationOf(target);
-    const stats = this.statsByIncarnation.get(incarnation) ?? new TargetStats();
-    this.statsByIncarnation.set(incarnation, stats);
+    let stats = this.statsByIncarnation.get(incarnation);
+    if (stats === undefined) {
+      stats = new TargetStats();
+      this.statsByIncarnation.set(incarnation, stats);
+      this.serviceModelOf(target.service).addTarget(stats.model);
+    }
     return stats;
   }
 
@@ -419,3 +650,20 @@
     return view !== undefined && !isSameIncarnation(view.bornAt, target.bornAt);
   }
 }
+
+/** Tokens of memory that a call is expected to take: its prompt and its output. */
+function memoryTokensOf({maxOutputTokens, promptTokens}: ModelWork): number {
+  return promptTokens + maxOutputTokens * EXPECTED_OUTPUT_SHARE;
+}
+
+/** Records a prompt that is sent to an engine; returns its tokens that were not cached before. */
+function recordPrompt(
+  {promptCache}: TargetStats,
+  work: ModelWork,
+  now: number,
+): number {
+  const adapter = adapterName(work.model, work.adapter);
+  const cached = promptCache.cachedTokens(adapter, work.parts, now);
+  promptCache.recordPrompt(adapter, work.parts, now);
+  return Math.max(0, work.promptTokens - cached);
+}
--- a/entry/direct-routing/src/target-stats.ts
+++ b/entry/direct-routing/src/target-stats.ts
@@ -3,17 +3,27 @@
   PromptCacheEstimator,
   RecentAdapters,
 } from '@marigoldspur/engine-choice';
+import {PromisedMemory, TargetModel} from '@marigoldspur/expected-cost';
 import {addCount} from './counts.js';
 
 /**
  * Time until an engine's view shows that it lacks an adapter, in milliseconds.
  */
 const MISSING_TTL_MS = 400;
+const NO_ADAPTERS: ReadonlySet<string> = new Set();
 
 /**
  * What this process knows about one incarnation of a target from its own calls.
  */
 export class TargetStats {
+  /** How fast the target is. */
+  readonly model = new TargetModel();
+  /** Memory of calls that the engine's reports do not contain yet. */
+  readonly promisedMemory = new PromisedMemory();
+  /** Tokens of calls that were sent and have not ended. */
+  inFlightTokens = 0;
+  /** Work of calls that were sent and have not ended, in units of the service's mean call. */
+  inFlightWork = 0;
   readonly promptCache = new PromptCacheEstimator();
   readonly recentAdapters = new RecentAdapters();
   /** Number of calls that were sent and have not ended. */
@@ -23,6 +33,8 @@
    * arrived.
    */
   pendingTokens = 0;
+  /** When the target was last reported as far slower than its peers, in milliseconds. */
+  slowReportedAt = -Infinity;
   /** Moving average of the share of failed responses, 0 to 1. */
   failureRate = 0;
   /** Number of requests that the target last reported as running or waiting. */
@@ -60,6 +72,9 @@
    * a slot yet.
    */
   queuedAdapters(view: EngineView | undefined): ReadonlySet<string> {
+    if (this.waitingCalls.size === 0 && (view?.awaited.length ?? 0) === 0) {
+      return NO_ADAPTERS;
+    }
     const withSlot = new Set(view?.loading);
     view?.adapters.forEach(([name]) => withSlot.add(name));
     const queued = [...this.waitingCalls.keys()].filter(
--- a/entry/direct-routing/src/wire-format.ts
+++ b/entry/direct-routing/src/wire-format.ts
@@ -77,6 +77,8 @@
     readonly running: number;
     readonly waiting: number;
     readonly slots: number;
+    /** How long work currently takes there; 1 is the usual time. Absent if not stated. */
+    readonly pace?: number;
   };
   /**
    * Requests per second that the target takes from all entries together, if it
--- a/entry/direct-routing/test/blocked-attempts.test.ts
+++ b/entry/direct-routing/test/blocked-attempts.test.ts
@@ -50,7 +50,7 @@
   sender = new AttemptSender({
     finder: {versionFor: () => undefined},
     selector: {
-      startCall: () => ({end: () => {}}),
+      startCall: () => ({end: () => {}, recordEvent: () => {}}),
       recordFailure: () => false,
     },
     targetClient: client,
--- a/policy/engine-choice/src/index.ts
+++ b/policy/engine-choice/src/index.ts
@@ -1,3 +1,8 @@
+export {
+  chooseEngine,
+  type ChosenEngine,
+  type EngineChoiceOptions,
+} from './choose-engine.js';
 export {
   rankEngines,
   type EngineCandidate,
--- a/policy/engine-choice/src/rank-engines.ts
+++ b/policy/engine-choice/src/rank-engines.ts
@@ -1,4 +1,9 @@
-import {rendezvousOrder} from '@marigoldspur/placement';
+import {
+  PRIOR_COSTS,
+  stretchByPace,
+  type ServiceCosts,
+} from '@marigoldspur/expected-cost';
+import {rendezvousRanks} from '@marigoldspur/placement';
 
 /** What a request requires of an engine. */
 export interface EngineRequest {
@@ -12,6 +17,8 @@
   readonly promptTokens: number;
   /** Tokens of the prompt and the expected output. */
   readonly memoryTokens: number;
+  /** Longest pause between two events that the caller accepts, in milliseconds; any if absent. */
+  readonly maxPauseMs?: number;
 }
 
 /** What is known about an engine that could serve a request. */
@@ -50,8 +57,16 @@
   readonly tokenMemory: number;
   /** Share of the token memory that is in use and cannot be freed, 0 to 1. */
   readonly memoryUsed: number;
+  /** Tokens promised to this process's calls that `memoryUsed` does not contain yet. */
+  readonly promisedTokens: number;
   /** Moving average of the share of failed responses, 0 to 1. */
   readonly failureRate: number;
+  /** Time that prompts take relative to the median of the service. */
+  readonly prefillFactor: number;
+  /** Pauses between events relative to the median of the service. */
+  readonly decodeFactor: number;
+  /** How long work currently takes there as the engine states itself; 1 is the usual time. */
+  readonly pace: number;
 }
 
 /** An engine with the expected cost of a request there. */
@@ -71,38 +86,21 @@
    * milliseconds.
    */
   readonly processingMs: number;
+  /** Expected pause between two of its events, in milliseconds; 0 if not known. */
+  readonly pauseMs: number;
+  /** Whether its memory has room for the request, as far as known. */
+  readonly hasRoom: boolean;
 }
 
-/**
- * Prompt tokens that an engine processes per millisecond; the order of
- * magnitude of one accelerator pair with a large model.
- */
-const PREFILL_TOKENS_PER_MS = 35;
-/** Time to fetch an adapter from the store, in milliseconds. */
-const STORE_LOAD_MS = 250;
 /** Time to load an adapter that the engine held recently, in milliseconds. */
 const RECENT_LOAD_MS = 25;
-/**
- * Cost to other loads, in milliseconds: the store serves all engines, so other
- * loads wait for this one.
- */
-const STORE_CONTENTION_MS = 150;
-/** Time to load a base model, in milliseconds. */
-const MODEL_LOAD_MS = 1_000;
-/** Average time until a running load ends, in milliseconds. */
-const REMAINING_LOAD_MS = 125;
+/** Average share of a load that is left if it is running. */
+const REMAINING_LOAD_SHARE = 0.5;
 /**
  * Cost of displacing another adapter that is also in demand, if this is the
  * last idle slot, in milliseconds.
  */
 const DISPLACEMENT_MS = 400;
-/**
- * Time that each running request adds to a step, and so to the first event, in
- * milliseconds.
- */
-const RUNNING_REQUEST_MS = 2;
-/** Time to process the prompt of one waiting request, in milliseconds. */
-const WAITING_PROMPT_MS = 120;
 /** Time until a full batch has a free place, in milliseconds. */
 const FULL_BATCH_MS = 400;
 /**
@@ -111,6 +109,8 @@
 const FULL_MEMORY_MS = 1_500;
 /** Share of the token memory from which it counts as full. */
 const FULL_MEMORY_SHARE = 0.92;
+/** Cost by which an engine without room ranks after all engines with room, in milliseconds. */
+const NO_ROOM_MS = 1e9;
 /** Round-trip time added by another availability zone, in milliseconds. */
 const OTHER_ZONE_MS = 3;
 /**
@@ -123,55 +123,131 @@
  * as a late one.
  */
 const FAILURE_MS = 1_500;
+/**
+ * Cost of pauses twice as long as the caller accepts, in milliseconds; to the caller it is
+ * about as bad as a late response.
+ */
+const LONG_PAUSE_MS = 1_500;
 
 /**
  * Ranks engines by the expected time until a request's first event, lowest cost
- * first. Must handle hundreds of requests per second over dozens of engines.
+ * first.
  */
 export function rankEngines(
   request: EngineRequest,
   candidates: readonly EngineCandidate[],
+  costs: ServiceCosts = PRIOR_COSTS,
 ): RankedEngine[] {
-  return rendezvousOrder(request.affinityKey, candidates)
-    .map((candidate, rank) => estimateCost(request, candidate, rank))
+  const ranks = rendezvousRanks(request.affinityKey, candidates);
+  return candidates
+    .map((candidate, index) =>
+      estimate(request, candidate, ranks[index], costs),
+    )
     .sort((a, b) => a.costMs - b.costMs);
 }
 
-function estimateCost(
+/** The estimate of a request at one engine. */
+export function estimate(
   request: EngineRequest,
   candidate: EngineCandidate,
   rank: number,
+  costs: ServiceCosts,
 ): RankedEngine {
-  const waitMs =
-    promptQueueMs(candidate) + slotWaitMs(candidate) + batchWaitMs(candidate);
-  const uncachedTokens = Math.max(
-    0,
-    request.promptTokens - candidate.cachedTokens,
-  );
-  const processingMs =
-    uncachedTokens / PREFILL_TOKENS_PER_MS + loadMs(candidate);
-  const penaltyMs =
+  return {
+    name: candidate.name,
+    costMs: estimateCostMs(request, candidate, rank, costs),
+    waitMs: estimateWaitMs(candidate, costs),
+    processingMs: estimateProcessingMs(request, candidate, costs),
+    pauseMs: estimatePauseMs(candidate, costs),
+    hasRoom: hasRoom(request, candidate),
+  };
+}
+
+/** Ranking cost of a request at one engine, in milliseconds. */
+export function estimateCostMs(
+  request: EngineRequest,
+  candidate: EngineCandidate,
+  rank: number,
+  costs: ServiceCosts,
+): number {
+  return (
+    estimateWaitMs(candidate, costs) +
+    estimateProcessingMs(request, candidate, costs) +
     rank * RANK_PENALTY_MS +
     displacementMs(candidate) +
-    candidate.running * RUNNING_REQUEST_MS +
+    runningMs(candidate, costs) +
     memoryPenaltyMs(request, candidate) +
+    pausePenaltyMs(request, candidate, costs) +
     (candidate.zone === request.zone ? 0 : OTHER_ZONE_MS) +
-    candidate.failureRate * FAILURE_MS;
-  const costMs = waitMs + processingMs + penaltyMs;
-  return {name: candidate.name, costMs, waitMs, processingMs};
+    candidate.failureRate * FAILURE_MS
+  );
 }
 
 /**
- * Time until the prompts queued before this one are processed. This process's
- * own requests are known immediately, those of other processes later.
+ * The part of an engine's cost that is the same for all requests of its service, with the
+ * processing of one mean prompt, in milliseconds.
  */
-function promptQueueMs({pendingTokens, waiting}: EngineCandidate): number {
-  return Math.max(
-    pendingTokens / PREFILL_TOKENS_PER_MS,
-    waiting * WAITING_PROMPT_MS,
+export function estimateCommonMs(
+  candidate: EngineCandidate,
+  costs: ServiceCosts,
+): number {
+  return (
+    promptMs(
+      candidate,
+      queuedTokens(candidate, costs) + costs.meanPromptTokens,
+      costs,
+    ) +
+    batchWaitMs(candidate) +
+    runningMs(candidate, costs) +
+    candidate.failureRate * FAILURE_MS +
+    (candidate.adapterState === 'no-model' ? costs.modelLoadMs : 0)
+  );
+}
+
+function estimateWaitMs(
+  candidate: EngineCandidate,
+  costs: ServiceCosts,
+): number {
+  return (
+    promptMs(candidate, queuedTokens(candidate, costs), costs) +
+    slotWaitMs(candidate) +
+    batchWaitMs(candidate)
+  );
+}
+
+function estimateProcessingMs(
+  {promptTokens}: EngineRequest,
+  candidate: EngineCandidate,
+  costs: ServiceCosts,
+): number {
+  const uncachedTokens = Math.max(0, promptTokens - candidate.cachedTokens);
+  return (
+    promptMs(candidate, uncachedTokens, costs) +
+    costs.firstEventMs * candidate.prefillFactor +
+    loadMs(candidate, costs)
   );
 }
 
+/** Time that an engine takes for prompts, at its relative speed and its current pace. */
+function promptMs(
+  {pace, prefillFactor}: EngineCandidate,
+  tokens: number,
+  {prefillTokensPerMs}: ServiceCosts,
+): number {
+  return stretchByPace((tokens / prefillTokensPerMs) * prefillFactor, pace);
+}
+
+/**
+ * Prompt tokens queued before the request. This process's own requests are known immediately,
+ * those of other processes later and by their number alone.
+ */
+function queuedTokens(
+  {pendingTokens, waiting}: EngineCandidate,
+  {meanPromptTokens}: ServiceCosts,
+): number {
+  return Math.max(pendingTokens, waiting * meanPromptTokens);
+}
+
 /** Time until a slot is idle for the adapter, if it needs one. */
 function slotWaitMs(candidate: EngineCandidate): number {
   const {adapterState, idleSlots, slotReleaseIntervalMs} = candidate;
@@ -191,18 +267,21 @@
   return running >= batchLimit ? FULL_BATCH_MS : 0;
 }
 
-function loadMs({adapterState}: EngineCandidate): number {
+function loadMs(
+  {adapterState}: EngineCandidate,
+  {modelLoadMs, storeContentionMs, storeLoadMs}: ServiceCosts,
+): number {
   switch (adapterState) {
     case 'held':
       return 0;
     case 'loading':
-      return REMAINING_LOAD_MS;
+      return storeLoadMs * REMAINING_LOAD_SHARE;
     case 'recent':
       return RECENT_LOAD_MS;
     case 'absent':
-      return STORE_LOAD_MS + STORE_CONTENTION_MS;
+      return storeLoadMs + storeContentionMs;
     case 'no-model':
-      return STORE_LOAD_MS + STORE_CONTENTION_MS + MODEL_LOAD_MS;
+      return storeLoadMs + storeContentionMs + modelLoadMs;
   }
 }
 
@@ -213,6 +292,35 @@
     : 0;
 }
 
+/** Time that the running requests add to the first event. */
+function runningMs(
+  {decodeFactor, pace, running}: EngineCandidate,
+  {runningRequestMs}: ServiceCosts,
+): number {
+  return running * runningRequestMs * decodeFactor * pace;
+}
+
+function estimatePauseMs(
+  {decodeFactor, pace, running}: EngineCandidate,
+  {pauseMs, runningRequestMs}: ServiceCosts,
+): number {
+  return pauseMs === 0
+    ? 0
+    : (pauseMs + running * runningRequestMs) * decodeFactor * pace;
+}
+
+/** Cost of pauses that are longer than the caller accepts. */
+function pausePenaltyMs(
+  {maxPauseMs = 0}: EngineRequest,
+  candidate: EngineCandidate,
+  costs: ServiceCosts,
+): number {
+  const pauseMs = maxPauseMs > 0 ? estimatePauseMs(candidate, costs) : 0;
+  return pauseMs > maxPauseMs && maxPauseMs > 0
+    ? LONG_PAUSE_MS * Math.min(1, pauseMs / maxPauseMs - 1)
+    : 0;
+}
+
 function memoryPenaltyMs(
   request: EngineRequest,
   candidate: EngineCandidate,
@@ -220,7 +328,21 @@
   const {memoryUsed, tokenMemory} = candidate;
   const share =
     tokenMemory === 0 ? 0 : memoryUsed + request.memoryTokens / tokenMemory;
-  return share > FULL_MEMORY_SHARE
-    ? FULL_MEMORY_MS * (1 + share - FULL_MEMORY_SHARE)
-    : 0;
+  const fullMs =
+    share > FULL_MEMORY_SHARE
+      ? FULL_MEMORY_MS * (1 + share - FULL_MEMORY_SHARE)
+      : 0;
+  return hasRoom(request, candidate) ? fullMs : fullMs + NO_ROOM_MS;
+}
+
+/** Whether the memory of an engine has room for a request besides what is known and promised. */
+function hasRoom(
+  {memoryTokens}: EngineRequest,
+  {cachedTokens, memoryUsed, promisedTokens, tokenMemory}: EngineCandidate,
+): boolean {
+  const neededTokens = Math.max(0, memoryTokens - cachedTokens);
+  return (
+    tokenMemory === 0 ||
+    memoryUsed * tokenMemory + promisedTokens + neededTokens <= tokenMemory
+  );
 }
--- a/policy/engine-choice/test/engine-choice.test.ts
+++ b/policy/engine-choice/test/engine-choice.test.ts
@@ -30,7 +30,11 @@
     batchLimit: 64,
     tokenMemory: 200_000,
     memoryUsed: 0,
+    promisedTokens: 0,
     failureRate: 0,
+    prefillFactor: 1,
+    decodeFactor: 1,
+    pace: 1,
     ...changes,
   };
 }
--- a/policy/placement/src/index.ts
+++ b/policy/placement/src/index.ts
@@ -11,7 +11,7 @@
 export {LeastLoadedPlacement} from './least-loaded-placement.js';
 export {PrefixAffinityPlacement} from './prefix-affinity-placement.js';
 export {RandomPlacement} from './random-placement.js';
-export {rendezvousOrder} from './rendezvous.js';
+export {rendezvousOrder, rendezvousRanks} from './rendezvous.js';
 export {ResidentFirstPlacement} from './resident-first-placement.js';
 export {
   createPlacementPolicy,
