Spread calls over engines that hidden requests of other entries would fill

42 entries that decide by views up to 250 ms old all chose the same engine, the idle one or the first in the rendezvous order of a shared key. Entries estimate how many requests of others no view shows yet, count engines as filled by them, and choose among those that requests with the same key would fill. Adds metrics of expected and observed first events and the event target-slow.

--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -336,6 +336,12 @@
     meaning:
       'A target has turned a call away with a `Retry-After` that is no number of seconds (`value`); no pause is kept.',
   },
+  'target-slow': {
+    number: 764,
+    level: 'warn',
+    meaning:
+      'Calls take a target at least twice the time (`factor`) that they take the median of its service; written at most once per minute for each target. This entry sends it less work.',
+  },
   'lines-dropped': {
     number: 790,
     level: 'warn',
--- a/entry/direct-routing/src/adapter-preparer.ts
+++ b/entry/direct-routing/src/adapter-preparer.ts
@@ -70,7 +70,7 @@
       timeoutMs: Math.max(0, patienceMs - PROMPT_PROCESSING_MS),
       parentSignals: [call.signal, targetLost.signal],
     });
-    const endWait = selector.startAdapterWait(target, work);
+    const endWait = selector.startAdapterWait(target, work, startedAt);
     this.record('adapter-awaited', call, preparation);
     const {ready, reason} = await agentClient.prepare(
       target.address,
@@ -83,7 +83,7 @@
       },
       waitSignal.signal,
     );
-    endWait();
+    endWait(ready ? performance.now() : undefined);
     clearInterval(checkTimer);
     waitSignal.dispose();
     metrics.recordAdapterWait(ready, performance.now() - startedAt);
--- a/entry/direct-routing/src/direct-routing-metrics.ts
+++ b/entry/direct-routing/src/direct-routing-metrics.ts
@@ -5,12 +5,17 @@
   0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10,
 ];
 
+const RATIO_BUCKETS = [0.25, 0.5, 0.8, 1.25, 2, 4, 8];
+
 /** Metrics of calls that are sent directly to targets. */
 export class DirectRoutingMetrics {
   private readonly calls: Counter<'service' | 'outcome'>;
   private readonly refusals: Counter<'reason'>;
   private readonly attempts: Counter<'service' | 'outcome'>;
   private readonly firstByte: Histogram<'service'>;
+  private readonly expectedFirstEvent: Counter<'service'>;
+  private readonly observedFirstEvent: Counter<'service'>;
+  private readonly firstEventRatio: Histogram<'service'>;
   private readonly adapterWait: Histogram<'ready'>;
   private readonly crashReports: Counter<'stage'>;
   private readonly blockedParts: Gauge;
@@ -49,6 +54,25 @@
       buckets: LATENCY_BUCKETS_SECONDS,
       registers,
     });
+    this.expectedFirstEvent = new Counter({
+      name: 'marigoldspur_expected_first_event_seconds_total',
+      help: 'Sum of the expected times from sending calls to engines to their first event',
+      labelNames: ['service'],
+      registers,
+    });
+    this.observedFirstEvent = new Counter({
+      name: 'marigoldspur_observed_first_event_seconds_total',
+      help: 'Sum of the observed times from sending these calls to their first event',
+      labelNames: ['service'],
+      registers,
+    });
+    this.firstEventRatio = new Histogram({
+      name: 'marigoldspur_first_event_time_ratio',
+      help: 'Observed time to the first event of calls to engines divided by the expected time',
+      labelNames: ['service'],
+      buckets: RATIO_BUCKETS,
+      registers,
+    });
     this.adapterWait = new Histogram({
       name: 'marigoldspur_adapter_wait_seconds',
       help: 'Time that calls waited for an adapter, by whether it became ready',
@@ -128,6 +152,17 @@
     this.firstByte.observe({service}, ms / MS_PER_SECOND);
   }
 
+  /** Records the expected and the observed time from sending a call to its first event. */
+  recordFirstEvent(
+    service: string,
+    expectedMs: number,
+    observedMs: number,
+  ): void {
+    this.expectedFirstEvent.inc({service}, expectedMs / MS_PER_SECOND);
+    this.observedFirstEvent.inc({service}, observedMs / MS_PER_SECOND);
+    this.firstEventRatio.observe({service}, observedMs / expectedMs);
+  }
+
   recordAdapterWait(ready: boolean, ms: number): void {
     this.adapterWait.observe({ready: String(ready)}, ms / MS_PER_SECOND);
   }
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -244,6 +244,12 @@
     targets: () => fleetFollower.view.targets(),
     engineView: address => engineViews.viewOf(address),
     random: Math.random,
+    onFirstEvent: (service, expectedMs, observedMs) =>
+      metrics.recordFirstEvent(service, expectedMs, observedMs),
+    onSlowTarget: ({id, service}, factor) => {
+      const details = {target: id, service, factor: factor.toFixed(1)};
+      events.record('target-slow', details);
+    },
   });
   const finder = new TargetFinder({
     fleetView: fleetFollower.view,
--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -6,7 +6,7 @@
   TargetAnnouncement,
 } from '@marigoldspur/deployment';
 import {adapterName, isSameIncarnation} from '@marigoldspur/deployment';
-import {chooseEngine, type EngineCandidate} from '@marigoldspur/engine-choice';
+import {chooseEngine} from '@marigoldspur/engine-choice';
 import {
   CallProgress,
   plainCost,
@@ -117,8 +117,6 @@
 const LAST_COST = 1_000;
 /** Share of failed responses from which a target is used last, as a full one is. */
 const FAILING_SHARE = 0.5;
-/** Age of the agents' reports by which entries decide, in milliseconds. */
-const REPORT_AGE_MS = 250;
 /** Minimum time between two reports of one slow target, in milliseconds. */
 const SLOW_REPORT_INTERVAL_MS = 60_000;
 /**
@@ -383,12 +381,30 @@
   }
 
   /**
-   * Records that a call waits for an adapter of an engine until the returned
-   * function is called.
+   * Records that a call waits from time `now` for an adapter of an engine until the returned
+   * function is called, with the time at which the adapter became ready if it did.
    */
-  startAdapterWait(target: TargetAnnouncement, work: ModelWork): () => void {
+  startAdapterWait(
+    target: TargetAnnouncement,
+    work: ModelWork,
+    now = 0,
+  ): (readyAt?: number) => void {
     const adapter = adapterName(work.model, work.adapter);
-    return this.statsOf(target).startAdapterWait(adapter);
+    const {stats, view} = this.snapshotOf(target);
+    const isFetched =
+      view !== undefined &&
+      view.awaited.length === 0 &&
+      !stats.queuedAdapters(view).has(adapter) &&
+      !view.loading.includes(adapter) &&
+      !stats.recentAdapters.has(adapter);
+    const endWait = stats.startAdapterWait(adapter);
+    return readyAt => {
+      endWait();
+      if (isFetched && readyAt !== undefined) {
+        const service = this.serviceModelOf(target.service);
+        service.recordStoreLoad(readyAt - now, readyAt);
+      }
+    };
   }
 
   /** Drops the state of targets that are no longer known. */
@@ -441,7 +457,7 @@
   ): ChosenTarget | undefined {
     const service = this.serviceModelOf(name);
     service.costs(now);
-    const {meanWorkMs} = service;
+    const meanWorkMs = service.meanWorkMs(now);
     const ownWork = service.relativeWork(route?.name ?? '', now);
     let target: TargetAnnouncement | undefined;
     let lowestCost = Infinity;
@@ -524,6 +540,9 @@
     const candidates = targets.map(target =>
       toEngineCandidate(this.snapshotOf(target), engineRequirements, now),
     );
+    const {hiddenRequests} = service;
+    this.recordRequests(service, targets);
+    hiddenRequests.recordChoice(adapter, now);
     const best = chooseEngine(
       {
         affinityKey: adapter,
@@ -535,7 +554,10 @@
       candidates,
       {
         costs,
-        hiddenRequests: this.hiddenRequests(name, targets, candidates),
+        hiddenRequests: hiddenRequests.count(
+          this.slotReleases.meanDurationMs(name),
+        ),
+        hiddenShare: hiddenRequests.shareOf(adapter, now),
         random: this.options.random,
       },
     );
@@ -555,26 +577,21 @@
     };
   }
 
-  /**
-   * Requests that other entries are expected to have sent to these engines since their agents'
-   * last reports: their requests at the engines are replaced within the mean duration of a call.
-   */
-  private hiddenRequests(
-    service: string,
+  /** Records what reports say of the requests of this and other entries. */
+  private recordRequests(
+    {hiddenRequests}: ServiceModel,
     targets: readonly TargetAnnouncement[],
-    candidates: readonly EngineCandidate[],
-  ): number {
+  ): void {
     let reported = 0;
     let own = 0;
-    for (let index = 0; index < targets.length; index += 1) {
-      reported += candidates[index].running + candidates[index].waiting;
-      own += this.statsOf(targets[index]).inFlight;
+    for (const target of targets) {
+      const {stats, view} = this.snapshotOf(target);
+      if (view !== undefined) {
+        reported += view.running + view.waiting;
+        own += stats.inFlight;
+      }
     }
-    const durationMs = this.slotReleases.meanDurationMs(service);
-    return (
-      Math.max(0, reported - own) *
-      Math.min(1, REPORT_AGE_MS / Math.max(1, durationMs))
-    );
+    hiddenRequests.recordRequests(reported, own);
   }
 
   private serviceModelOf(name: string): ServiceModel {
--- a/policy/engine-choice/src/choose-engine.ts
+++ b/policy/engine-choice/src/choose-engine.ts
@@ -8,7 +8,7 @@
   type EngineRequest,
   type RankedEngine,
 } from './rank-engines.js';
-import {levelOf} from './water-level.js';
+import {chooseBelow, preferredShare, waterLevel} from './water-level.js';
 
 /** What is known besides the candidates when an engine is chosen. */
 export interface EngineChoiceOptions {
@@ -18,6 +18,8 @@
    * sees them; 0 if it is alone.
    */
   readonly hiddenRequests?: number;
+  /** Share of these requests that have the affinity key of this one, 0 to 1. */
+  readonly hiddenShare?: number;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
 }
@@ -27,63 +29,70 @@
   readonly index: number;
 }
 
+/** Hidden requests below which this process decides as if it were alone. */
+const MIN_HIDDEN_REQUESTS = 0.5;
+
 /**
  * Chooses the engine with the lowest cost; undefined if there is none.
  *
  * Other processes see the same old reports. An engine that looks idle to all of them is
  * filled by the requests that nobody sees yet, up to the level at which it is as loaded as
- * the others. Requests up to that number prefer it; for the rest it counts as filled, so
- * that speed, adapters, caches and the rendezvous order decide.
+ * the others. Hidden requests with other keys count as such a load. Hidden requests with the
+ * same key make the same choice, so that it is made at random among the engines that they
+ * fill, by how much they fill each; if they are few, that is the engine with the lowest cost.
  */
 export function chooseEngine(
   request: EngineRequest,
   candidates: readonly EngineCandidate[],
-  {costs = PRIOR_COSTS, hiddenRequests = 0, random}: EngineChoiceOptions,
+  options: EngineChoiceOptions,
 ): ChosenEngine | undefined {
   if (candidates.length === 0) {
     return undefined;
   }
+  const {costs = PRIOR_COSTS, hiddenRequests = 0} = options;
   const ranks = rendezvousRanks(request.affinityKey, candidates);
   const costsMs = new Float64Array(candidates.length);
   for (let index = 0; index < candidates.length; index += 1) {
     const rank = ranks[index];
     costsMs[index] = estimateCostMs(request, candidates[index], rank, costs);
   }
-  const cheapest = indexOfMinimum(costsMs);
   const index =
-    hiddenRequests > 0
-      ? spreadOver(candidates, costsMs, cheapest, {
-          costs,
-          hiddenRequests,
-          random,
-        })
-      : cheapest;
+    hiddenRequests >= MIN_HIDDEN_REQUESTS
+      ? spreadOver(candidates, costsMs, options)
+      : indexOfMinimum(costsMs);
   const chosen = candidates[index];
   return {...estimate(request, chosen, ranks[index], costs), index};
 }
 
-/** Index of the engine to use if others are expected to use the cheapest one too. */
+/** Index of the engine to use while other processes decide by the same old reports. */
 function spreadOver(
   candidates: readonly EngineCandidate[],
   costsMs: Float64Array,
-  cheapest: number,
-  {costs, hiddenRequests, random}: Required<EngineChoiceOptions>,
+  {
+    costs = PRIOR_COSTS,
+    hiddenRequests = 0,
+    hiddenShare = 0,
+    random,
+  }: EngineChoiceOptions,
 ): number {
+  const requestMs = costs.meanPromptTokens / costs.prefillTokensPerMs;
+  const hiddenMs = hiddenRequests * requestMs;
   const commonMs = new Float64Array(candidates.length);
   for (let index = 0; index < candidates.length; index += 1) {
     commonMs[index] = estimateCommonMs(candidates[index], costs);
   }
-  const requestMs = costs.meanPromptTokens / costs.prefillTokensPerMs;
-  const {levelMs, preferredShare} = levelOf(
-    commonMs,
-    hiddenRequests,
-    requestMs,
-  );
-  for (let index = 0; index < candidates.length; index += 1) {
-    costsMs[index] += Math.max(0, levelMs - commonMs[index]);
+  const levelMs = waterLevel(commonMs, hiddenMs);
+  if (random() >= preferredShare(commonMs, levelMs)) {
+    const otherShare = 1 - hiddenShare;
+    for (let index = 0; index < candidates.length; index += 1) {
+      costsMs[index] += otherShare * Math.max(0, levelMs - commonMs[index]);
+    }
+  }
+  const sameKeyMs = hiddenMs * hiddenShare;
+  if (sameKeyMs < MIN_HIDDEN_REQUESTS * requestMs) {
+    return indexOfMinimum(costsMs);
   }
-  const filled = indexOfMinimum(costsMs);
-  return filled === cheapest || random() < preferredShare ? cheapest : filled;
+  return chooseBelow(costsMs, waterLevel(costsMs, sameKeyMs), random());
 }
 
 function indexOfMinimum(values: Float64Array): number {
--- a/policy/engine-choice/src/rank-engines.ts
+++ b/policy/engine-choice/src/rank-engines.ts
@@ -221,9 +221,9 @@
   costs: ServiceCosts,
 ): number {
   const uncachedTokens = Math.max(0, promptTokens - candidate.cachedTokens);
+  const fixedTokens = costs.firstEventMs * costs.prefillTokensPerMs;
   return (
-    promptMs(candidate, uncachedTokens, costs) +
-    costs.firstEventMs * candidate.prefillFactor +
+    promptMs(candidate, fixedTokens + uncachedTokens, costs) +
     loadMs(candidate, costs)
   );
 }
@@ -302,11 +302,11 @@
 
 function estimatePauseMs(
   {decodeFactor, pace, running}: EngineCandidate,
-  {pauseMs, runningRequestMs}: ServiceCosts,
+  {pauseMs, pausePerRequestMs}: ServiceCosts,
 ): number {
   return pauseMs === 0
     ? 0
-    : (pauseMs + running * runningRequestMs) * decodeFactor * pace;
+    : (pauseMs + running * pausePerRequestMs) * decodeFactor * pace;
 }
 
 /** Cost of pauses that are longer than the caller accepts. */
--- a/policy/engine-choice/src/water-level.ts
+++ b/policy/engine-choice/src/water-level.ts
@@ -1,41 +1,77 @@
-/** The load at which requests that nobody sees yet leave the engines. */
-export interface WaterLevel {
-  /** Cost up to which the engines with less are filled, in milliseconds. */
-  readonly levelMs: number;
-  /** Share of the requests that engines with less load get beyond an equal share. */
-  readonly preferredShare: number;
-}
-
 /** Maximum number of steps to the level; each step leaves out engines above it. */
 const MAX_STEPS = 16;
 
-/** The level to which `requests`, of `requestMs` milliseconds each, fill engines with these costs. */
-export function levelOf(
-  costsMs: Float64Array,
-  requests: number,
-  requestMs: number,
-): WaterLevel {
-  const fillMs = requests * requestMs;
+/**
+ * The cost up to which requests that take `fillMs` together fill the engines with less, in
+ * milliseconds. Requests that each go where the cost is lowest leave the engines at it.
+ */
+export function waterLevel(costsMs: Float64Array, fillMs: number): number {
   let levelMs = Infinity;
   for (let step = 0; step < MAX_STEPS; step += 1) {
     let count = 0;
     let sumMs = fillMs;
-    for (const costMs of costsMs) {
-      if (costMs < levelMs) {
+    for (let index = 0; index < costsMs.length; index += 1) {
+      if (costsMs[index] < levelMs) {
         count += 1;
-        sumMs += costMs;
+        sumMs += costsMs[index];
       }
     }
-    const nextMs = sumMs / count;
-    if (!(nextMs < levelMs)) {
-      break;
+    if (count === 0 || sumMs / count >= levelMs) {
+      return levelMs;
     }
-    levelMs = nextMs;
+    levelMs = sumMs / count;
   }
-  const equalMs = fillMs / costsMs.length;
+  return levelMs;
+}
+
+/**
+ * The share of requests that has to prefer the engines with the lowest costs so that, with
+ * their part of an even spread over the engines below the level, each is filled up to it.
+ */
+export function preferredShare(costsMs: Float64Array, levelMs: number): number {
+  let filled = 0;
+  let fillMs = 0;
+  for (let index = 0; index < costsMs.length; index += 1) {
+    filled += costsMs[index] < levelMs ? 1 : 0;
+    fillMs += Math.max(0, levelMs - costsMs[index]);
+  }
+  const evenMs = fillMs / filled;
+  let preferred = 0;
   let preferredMs = 0;
-  for (const costMs of costsMs) {
-    preferredMs += Math.max(0, levelMs - costMs - equalMs);
+  for (let index = 0; index < costsMs.length; index += 1) {
+    const excessMs = levelMs - costsMs[index] - evenMs;
+    preferred += excessMs > 0 ? 1 : 0;
+    preferredMs += Math.max(0, excessMs);
+  }
+  if (filled <= 1) {
+    return 1;
+  }
+  return preferredMs === 0
+    ? 0
+    : Math.min(1, preferredMs / fillMs / (1 - preferred / filled));
+}
+
+/** Index of an engine below the level, at random by how far it is below; `random` is in [0, 1). */
+export function chooseBelow(
+  costsMs: Float64Array,
+  levelMs: number,
+  random: number,
+): number {
+  let fillMs = 0;
+  for (let index = 0; index < costsMs.length; index += 1) {
+    fillMs += Math.max(0, levelMs - costsMs[index]);
+  }
+  let restMs = random * fillMs;
+  let last = 0;
+  for (let index = 0; index < costsMs.length; index += 1) {
+    const ownMs = levelMs - costsMs[index];
+    if (ownMs > 0) {
+      last = index;
+      restMs -= ownMs;
+      if (restMs < 0) {
+        return index;
+      }
+    }
   }
-  return {levelMs, preferredShare: Math.min(1, preferredMs / fillMs)};
+  return last;
 }
--- a/policy/expected-cost/src/clipped-mean.ts
+++ b/policy/expected-cost/src/clipped-mean.ts
@@ -27,12 +27,6 @@
     this.mean += (clipped - this.mean) / this.observations;
   }
 
-  /** Starts anew from an observation. */
-  restart(value: number): void {
-    this.mean = value;
-    this.observations = 0;
-  }
-
   get value(): number {
     return this.mean;
   }
--- a/policy/expected-cost/src/index.ts
+++ b/policy/expected-cost/src/index.ts
@@ -1,5 +1,6 @@
 export {CallProgress, type SentCall} from './call-progress.js';
 export {ClippedMean} from './clipped-mean.js';
+export {HiddenRequests} from './hidden-requests.js';
 export {plainCost, type PlainLoad} from './plain-cost.js';
 export {PromisedMemory} from './promised-memory.js';
 export {
--- a/policy/expected-cost/src/pause-line.ts
+++ b/policy/expected-cost/src/pause-line.ts
@@ -5,8 +5,8 @@
 const WINDOW = 256;
 /** Largest multiple of the expected pause as which one observation counts. */
 const MAX_MULTIPLE = 3;
-/** Largest factor between the slope and its prior. */
-const MAX_SLOPE_FACTOR = 4;
+/** Largest time that one running request is taken to add to a pause, in milliseconds. */
+const MAX_SLOPE_MS = 64;
 /** Smallest share of the mean pause that is expected at an idle engine. */
 const MIN_PAUSE_SHARE = 0.2;
 
@@ -55,10 +55,7 @@
     const share = this.count / (this.count + PRIOR_WEIGHT);
     const observed = this.covariance / this.variance;
     const slope = prior + share * (observed - prior);
-    return Math.min(
-      prior * MAX_SLOPE_FACTOR,
-      Math.max(prior / MAX_SLOPE_FACTOR, slope),
-    );
+    return Math.min(MAX_SLOPE_MS, Math.max(0, slope));
   }
 
   /** Expected pause while `running` requests run, in milliseconds; 0 if not known. */
--- a/policy/expected-cost/src/service-costs.ts
+++ b/policy/expected-cost/src/service-costs.ts
@@ -22,6 +22,8 @@
   readonly meanPromptTokens: number;
   /** Usual pause between two events at an idle engine, in milliseconds; 0 if unknown. */
   readonly pauseMs: number;
+  /** Time that each running request adds to such a pause, in milliseconds. */
+  readonly pausePerRequestMs: number;
 }
 
 /**
@@ -34,6 +36,7 @@
   runningRequestMs: 2,
   meanPromptTokens: 4_200,
   pauseMs: 0,
+  pausePerRequestMs: 2,
   storeLoadMs: 250,
   storeContentionMs: 150,
   modelLoadMs: 1_000,
--- a/policy/expected-cost/src/service-model.ts
+++ b/policy/expected-cost/src/service-model.ts
@@ -1,4 +1,5 @@
 import {ClippedMean} from './clipped-mean.js';
+import {HiddenRequests} from './hidden-requests.js';
 import {PauseLine} from './pause-line.js';
 import {RobustMean} from './robust-mean.js';
 import {RouteModel} from './route-model.js';
@@ -43,7 +44,7 @@
 /** Observations from which a target counts for the median. */
 const MIN_OBSERVATIONS = 3;
 /** Difference from the median that is taken for noise, as a natural logarithm. */
-const NOISE = 0.06;
+const NOISE = 0.1;
 /** Largest factor between a target and the median. */
 const MAX_RELATIVE_TIME = 3;
 /** Observations from which a target may count as slow. */
@@ -61,6 +62,8 @@
  * average that starts from a prior and is bounded.
  */
 export class ServiceModel {
+  /** Requests of other processes that no report shows yet. */
+  readonly hiddenRequests = new HiddenRequests();
   private readonly targets = new Set<TargetModel>();
   private readonly routes = new Map<string, RouteModel>();
   private readonly prefillMsPerToken = new RobustMean({
@@ -89,8 +92,11 @@
     16,
     256,
   );
-  private readonly workMs = new ClippedMean(1, 0, 256);
-  private hasResponses = false;
+  private readonly workMs = new RobustMean({
+    priorWeight: 0,
+    window: 256,
+    halfLifeMs: SERVICE_HALF_LIFE_MS,
+  });
   private learned = PRIOR_COSTS;
   private refreshedAt = -Infinity;
 
@@ -114,8 +120,8 @@
   }
 
   /** Expected time of the service's mean plain call, in milliseconds; 0 if not known. */
-  get meanWorkMs(): number {
-    return this.hasResponses ? this.workMs.value : 0;
+  meanWorkMs(now: number): number {
+    return this.workMs.countAt(now) > 0 ? this.workMs.valueAt(now) : 0;
   }
 
   /**
@@ -154,12 +160,12 @@
   relativeWork(route: string, now: number): number {
     const model = this.routes.get(route)?.workMs;
     const count = model?.countAt(now) ?? 0;
-    if (model === undefined || count === 0 || !this.hasResponses) {
+    if (model === undefined || count === 0) {
       return 1;
     }
     const share = count / (count + MEDIAN_WEIGHT);
     const work = Math.exp(
-      (model.logValueAt(now) - Math.log(this.workMs.value)) * share,
+      (model.logValueAt(now) - this.workMs.logValueAt(now)) * share,
     );
     return Math.min(2 * MAX_COST_FACTOR, Math.max(1 / MAX_COST_FACTOR, work));
   }
@@ -213,7 +219,7 @@
   ): void {
     const {workMs} = this.route(route);
     const paced = tookMs / target.pace.at(now);
-    const frontMs = workInFront * this.meanWorkMs;
+    const frontMs = workInFront * this.meanWorkMs(now);
     if (workMs.countAt(now) >= MIN_OBSERVATIONS) {
       const expectedMs = frontMs + workMs.valueAt(now);
       target.response.observed.add(paced / expectedMs, now);
@@ -221,11 +227,7 @@
     const usualMs = paced / target.response.factor;
     const ownMs = Math.max(usualMs - frontMs, MIN_OWN_SHARE * usualMs);
     workMs.add(ownMs, now);
-    if (!this.hasResponses) {
-      this.hasResponses = ownMs > 0;
-      this.workMs.restart(ownMs);
-    }
-    this.workMs.add(ownMs);
+    this.workMs.add(ownMs, now);
   }
 
   /** Records how long an idle slot waited for an adapter from the store. */
@@ -267,7 +269,11 @@
       ...PRIOR_COSTS,
       prefillTokensPerMs: 1 / this.msPerToken(now),
       firstEventMs: this.fixedFirstEventMs(now),
-      runningRequestMs: this.pauses.slopeMs,
+      runningRequestMs: clampAround(
+        this.pauses.slopeMs,
+        PRIOR_COSTS.runningRequestMs,
+      ),
+      pausePerRequestMs: this.pauses.slopeMs,
       pauseMs: this.pauses.pauseMs(0),
       meanPromptTokens: Math.max(
         meanPromptTokens / (2 * MAX_COST_FACTOR),
@@ -314,14 +320,19 @@
     const share = known.length < 2 ? 0 : count / (count + MEDIAN_WEIGHT);
     const observed = share === 0 ? 0 : time.observed.logValueAt(now) - median;
     const difference = observed * share;
-    const distinct =
-      Math.sign(difference) * Math.max(0, Math.abs(difference) - NOISE);
-    const limit = Math.log(MAX_RELATIVE_TIME);
     time.observedFactor = Math.exp(observed);
-    time.factor = Math.exp(Math.min(limit, Math.max(-limit, distinct)));
+    time.factor = Math.exp(distinguish(difference));
   }
 }
 
+/** Limits a difference, and leaves out noise: none counts below it, all from twice as much. */
+function distinguish(difference: number): number {
+  const limit = Math.log(MAX_RELATIVE_TIME);
+  const size = Math.abs(difference);
+  const distinct = Math.min(limit, size, Math.max(0, 2 * (size - NOISE)));
+  return Math.sign(difference) * distinct;
+}
+
 function clampAround(value: number, prior: number): number {
   return Math.min(
     prior * MAX_COST_FACTOR,
