Order the calls of equally urgent tenants by the priorities of their routes

A tenant's priority takes precedence over that of the route. Where all tenants have the same one, engines got one priority for all calls, so that urgent and routine ones waited in the order of their arrival. PriorityScale maps both to the ten levels that engines know; without tenants the levels are the routes' priorities, as before.

--- a/entry/direct-routing/src/call.ts
+++ b/entry/direct-routing/src/call.ts
@@ -17,6 +17,8 @@
   readonly tenant?: TenantProfile;
   /** What the caller's key permits by the newest deployment; absent if keys do not matter. */
   readonly access?: CallAccess;
+  /** Priority by its tenant and route, from 0, the most urgent, to 9; that of the route if absent. */
+  readonly priority?: number;
   readonly method: string;
   /** Path with its query string. */
   readonly path: string;
@@ -64,6 +66,6 @@
 }
 
 /** Priority of a call; 0 is the most urgent. */
-export function priorityOf({access, route, tenant}: Call): number {
-  return (access?.tenant ?? tenant)?.priority ?? route.priority;
+export function priorityOf({priority, route}: Call): number {
+  return priority ?? route.priority;
 }
--- a/entry/routes/src/route-table.ts
+++ b/entry/routes/src/route-table.ts
@@ -1,4 +1,5 @@
 import murmurhash from 'murmurhash';
+import {PriorityScale, type PriorityHolder} from '@marigoldspur/call-priority';
 import type {Deployment, Route, Service} from '@marigoldspur/deployment';
 
 /** Finds routes by host and longest path prefix. */
@@ -6,8 +7,10 @@
   /** Routes by host, longest prefix first. */
   private readonly routes = new Map<string, Route[]>();
   private readonly services = new Map<string, Service>();
+  private readonly priorities: PriorityScale;
 
   constructor(readonly deployment: Deployment) {
+    this.priorities = new PriorityScale(deployment.routes, deployment.tenants);
     for (const route of deployment.routes) {
       const host = route.host.toLowerCase();
       const existing = this.routes.get(host);
@@ -36,6 +39,11 @@
       ?.find(route => path.startsWith(route.pathPrefix));
   }
 
+  /** Priority of a call, from 0, the most urgent, to 9; `tenant` is undefined if it has none. */
+  priorityOf(route: Route, tenant: PriorityHolder | undefined): number {
+    return this.priorities.levelOf(route, tenant);
+  }
+
   /** Returns the service with the given name; undefined if there is none. */
   findService(name: string): Service | undefined {
     return this.services.get(name);
--- /dev/null
+++ b/policy/call-priority/src/index.ts
@@ -0,0 +1,1 @@
+export {PriorityScale, type PriorityHolder} from './priority-scale.js';
