Let every replica of control grant an equal share of each quota

One replica granted a tenant's quota, and another one stood in for it with a budget within the tolerance. Each replica now has an equal share of every quota, entries ask them in turn, and collect parts where no single one has room. Two of five may be lost while a tenant uses three fifths of its quota. Nothing has to be handed over, so roles and their waiting times are gone, and a barrier counts for 2 s, which outlasts an election. An entry remembers for a moment for which amounts there was no room, so that a tenant far above its quota costs few queries.

--- a/contracts/deployment/src/index.ts
+++ b/contracts/deployment/src/index.ts
@@ -138,5 +138,6 @@
   type QuotaAmount,
   type QuotaAnswer,
   type QuotaDecision,
+  type QuotaGrantRequest,
   type QuotaRequest,
 } from './quota-grants.js';
--- a/contracts/deployment/src/quota-grants.ts
+++ b/contracts/deployment/src/quota-grants.ts
@@ -17,9 +17,18 @@
 /** Units of a tenant's quota. */
 export type QuotaAmount = z.infer<typeof QUOTA_AMOUNT_SCHEMA>;
 
+/** A requested grant. */
+export const QUOTA_GRANT_REQUEST_SCHEMA = QUOTA_AMOUNT_SCHEMA.extend({
+  /** Whether a part of the amount is of use, because other replicas may grant the rest. */
+  isDivisible: z.boolean(),
+});
+
+/** A requested grant. */
+export type QuotaGrantRequest = z.infer<typeof QUOTA_GRANT_REQUEST_SCHEMA>;
+
 /** An entry's request for grants; it also returns granted units that were not used. */
 export const QUOTA_REQUEST_SCHEMA = z.object({
-  grants: z.array(QUOTA_AMOUNT_SCHEMA).max(MAX_QUOTA_GRANTS),
+  grants: z.array(QUOTA_GRANT_REQUEST_SCHEMA).max(MAX_QUOTA_GRANTS),
   returns: z.array(QUOTA_AMOUNT_SCHEMA).max(MAX_QUOTA_GRANTS),
 });
 
@@ -28,11 +37,13 @@
 
 /** Decision on one requested grant. */
 export const QUOTA_DECISION_SCHEMA = z.object({
-  isGranted: z.boolean(),
-  /** Time until the quota has room for this amount, in milliseconds; 0 if it is granted. */
-  waitMs: z.number().min(0),
-  /** What the replica is to the tenant; `none` if it grants nothing for it. */
-  role: z.enum(['primary', 'stand-in', 'none']),
+  /** Granted units: all, or a part if that is of use, or 0. */
+  granted: z.number().min(0),
+  /**
+   * Expected time until there is room for what is missing, in milliseconds; 0 if nothing is, absent
+   * if the replica does not know the tenant.
+   */
+  waitMs: z.number().min(0).optional(),
 });
 
 /** Decision on one requested grant. */
--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -366,11 +366,11 @@
     meaning:
       'A valid configuration has fields that this software does not know and ignores; `fields` names them without their values.',
   },
-  'quota-roles-changed': {
+  'quota-share-changed': {
     number: 780,
     level: 'info',
     meaning:
-      'A replica of control has another number of tenants whose quotas it grants (`primary`) or stands in for (`standIn`), after a deployment or a change of the replicas (`cause`).',
+      'A replica of control grants another share of the quotas (`share`, 0 to 1), after a deployment or a change of the replicas; all replicas have equal shares.',
   },
   'quota-grants-stopped': {
     number: 781,
--- a/control/fleet/src/fresh-quorum.ts
+++ b/control/fleet/src/fresh-quorum.ts
@@ -8,8 +8,11 @@
   readonly clock: () => ClockReading;
 }
 
-/** Time after its start for which a barrier counts, in milliseconds. */
-const VALID_MS = 1_000;
+/**
+ * Time after its start for which a barrier counts, in milliseconds. It outlasts the election of
+ * another leader, and a lowered quota binds within 2.5 s of its acknowledgement.
+ */
+const VALID_MS = 2_000;
 /** Age of the last barrier at which the next one is started, in milliseconds. */
 const RENEW_AFTER_MS = 400;
 /** Maximum wait for a barrier, in milliseconds; entries wait 300 ms for an answer. */
@@ -18,7 +21,7 @@
 const BARRIER_TIMEOUT_MS = 900;
 
 /**
- * Confirms with a quorum that this replica has applied what was committed one second ago. A
+ * Confirms with a quorum that this replica has applied what was committed two seconds ago. A
  * barrier is shared by all who ask, and the next one starts before it expires; none starts
  * while nobody asks.
  */
@@ -29,7 +32,7 @@
 
   constructor(private readonly options: FreshQuorumOptions) {}
 
-  /** Whether a barrier that started less than a second ago has succeeded. */
+  /** Whether a barrier that started less than two seconds ago has succeeded. */
   get isConfirmed(): boolean {
     return this.ageMs() < VALID_MS;
   }
--- a/control/fleet/src/quota-granter.ts
+++ b/control/fleet/src/quota-granter.ts
@@ -37,10 +37,7 @@
   readonly metrics: QuotaGrantMetrics;
 }
 
-/**
- * Interval at which the list of replicas is read, in milliseconds: a role that was lost and
- * came back must be noticed also while no entry asks.
- */
+/** Interval at which the list of replicas is read, in milliseconds, also while no entry asks. */
 const GROUP_CHECK_INTERVAL_MS = 250;
 
 /** Grants entries units of tenants' quotas, at one replica of control. */
@@ -60,14 +57,10 @@
 
   constructor(private readonly options: QuotaGranterOptions) {
     const {clock, log, tolerance} = options;
-    const now = clock().monotonicMs;
     this.quorum = new FreshQuorum({log, clock});
-    this.ledger = new QuotaLedger(
-      {tolerance, group: groupOf(log.status())},
-      now,
-    );
+    this.ledger = new QuotaLedger({tolerance, group: groupOf(log.status())});
     this.activeRevision = options.deployments.deployment?.revision;
-    this.deploymentSince = now;
+    this.deploymentSince = clock().monotonicMs;
     this.groupTimer = setInterval(
       () => this.updateGroup(),
       GROUP_CHECK_INTERVAL_MS,
@@ -110,9 +103,10 @@
   }
 
   private updateGroup(): void {
-    const group = groupOf(this.options.log.status());
-    if (this.ledger.setGroup(group, this.now())) {
-      this.recordRoles('replicas');
+    const share = this.ledger.currentShare;
+    this.ledger.setGroup(groupOf(this.options.log.status()), this.now());
+    if (this.ledger.currentShare !== share) {
+      this.recordShare();
     }
   }
 
@@ -132,7 +126,7 @@
       return;
     }
     this.setTenants(read.value.tenants ?? []);
-    this.recordRoles('deployment');
+    this.recordShare();
   }
 
   private setTenants(tenants: readonly Tenant[]): void {
@@ -144,14 +138,11 @@
     this.ledger.setTenants(tenants, this.deploymentSince, this.now());
   }
 
-  private recordRoles(cause: 'deployment' | 'replicas'): void {
-    const {primary, 'stand-in': standIn} = this.ledger.roleCounts();
-    const revision = this.readRevision;
-    this.options.events.record('quota-roles-changed', {
-      cause,
-      primary,
-      standIn,
-      revision: revision ?? 'none',
+  private recordShare(): void {
+    this.options.events.record('quota-share-changed', {
+      share: this.ledger.currentShare,
+      tenants: this.tenants.length,
+      revision: this.readRevision ?? 'none',
     });
   }
 
--- a/entry/tenant-quotas/src/call-charge.ts
+++ b/entry/tenant-quotas/src/call-charge.ts
@@ -1,7 +1,6 @@
 import type {QuotaAmount} from '@marigoldspur/deployment';
 import {Refusal} from '@marigoldspur/faults';
-import type {QuotaOutcome} from './quota-client.js';
-import type {QuotaGrant} from './replica-queue.js';
+import type {QuotaGrant, QuotaOutcome} from './quota-client.js';
 
 /** Units of a quota that one call uses. */
 export interface Charge {
@@ -112,19 +111,20 @@
 function createRefusal(
   outcome: Exclude<QuotaOutcome, {readonly kind: 'granted'}>,
 ): Refusal {
-  return outcome.kind === 'exceeded'
+  const {kind, waitMs = 0} = outcome;
+  return kind === 'exceeded'
     ? new Refusal(
         'not-run',
         429,
         'quota_exceeded',
         'the quota of the tenant has no room for this call',
-        Math.ceil(outcome.waitMs) / MS_PER_SECOND,
+        Math.ceil(waitMs) / MS_PER_SECOND,
       )
     : new Refusal(
         'not-run',
         503,
         'quota_unavailable',
-        'no replica of control grants units of the quota of the tenant',
+        'the replicas of control that answer have no room left in the quota of the tenant',
         UNAVAILABLE_RETRY_AFTER_SECONDS,
       );
 }
--- a/entry/tenant-quotas/src/index.ts
+++ b/entry/tenant-quotas/src/index.ts
@@ -7,6 +7,7 @@
 export {
   QuotaClient,
   type QuotaClientOptions,
+  type QuotaGrant,
   type QuotaOutcome,
 } from './quota-client.js';
 export {QuotaMetrics} from './quota-metrics.js';
@@ -14,7 +15,8 @@
 export {
   ReplicaQueue,
   type Exchange,
-  type QuotaGrant,
+  type ReplicaGrant,
   type ReplicaQueueOptions,
 } from './replica-queue.js';
+export {RoomEstimates} from './room-estimates.js';
 export {TenantQuotas, type TenantQuotasOptions} from './tenant-quotas.js';
--- a/entry/tenant-quotas/src/replica-queue.ts
+++ b/entry/tenant-quotas/src/replica-queue.ts
@@ -3,6 +3,7 @@
   QUOTA_ANSWER_SCHEMA,
   type QuotaAmount,
   type QuotaDecision,
+  type QuotaGrantRequest,
   type QuotaRequest,
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
@@ -16,17 +17,22 @@
   request: QuotaRequest,
 ) => Promise<unknown>;
 
-/** Units that a replica granted. */
-export interface QuotaGrant extends QuotaAmount {
+/** Units that one replica granted. */
+export interface ReplicaGrant extends QuotaAmount {
   /** Base URL of the replica. */
   readonly replica: string;
   /** When the query was sent. */
   readonly requestedAt: ClockReading;
 }
 
-/** Decision of a replica, with the grant if there is one. */
-export interface ReplicaDecision extends QuotaDecision {
-  readonly grant?: QuotaGrant;
+/** Decision of a replica. */
+export interface ReplicaDecision {
+  /** What it granted, all or a part; undefined if nothing. */
+  readonly grant?: ReplicaGrant;
+  /** Whether it granted all units. */
+  readonly isComplete: boolean;
+  /** Expected time until there is room, in milliseconds; undefined if it does not know the tenant. */
+  readonly waitMs: number | undefined;
 }
 
 /** Options of a replica queue. */
@@ -40,7 +46,7 @@
 
 /** A request that waits for a query, or for its answer. */
 interface PendingRequest {
-  readonly amount: QuotaAmount;
+  readonly amount: QuotaGrantRequest;
   /** Called with undefined if the replica does not answer in time. */
   readonly settle: (decision: ReplicaDecision | undefined) => void;
 }
@@ -67,22 +73,32 @@
 /** Queries one replica of control for units of quotas, with one query in flight at a time. */
 export class ReplicaQueue {
   private waiting: PendingRequest[] = [];
-  private givenBack: QuotaGrant[] = [];
+  private givenBack: ReplicaGrant[] = [];
   private isQuerying = false;
   private skippedUntil = -Infinity;
   /** Whether the last query was not answered in time. */
-  private hasFailed = false;
+  private hasFailedLast = false;
   private giveBackTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: ReplicaQueueOptions) {}
 
+  /** Base URL of the replica. */
+  get replica(): string {
+    return this.options.replica;
+  }
+
+  /** Whether the last query was not answered in time. */
+  get hasFailed(): boolean {
+    return this.hasFailedLast;
+  }
+
   /** Whether the replica failed lately. */
   get isSkipped(): boolean {
     return this.options.clock().monotonicMs < this.skippedUntil;
   }
 
   /** Asks for units with the next query; resolves to undefined if the replica does not answer in time. */
-  request(amount: QuotaAmount): Promise<ReplicaDecision | undefined> {
+  request(amount: QuotaGrantRequest): Promise<ReplicaDecision | undefined> {
     return new Promise(settle => {
       this.waiting.push({amount, settle});
       this.sendNext();
@@ -90,7 +106,7 @@
   }
 
   /** Gives back units that were not used, with the next query. */
-  giveBack(grant: QuotaGrant): void {
+  giveBack(grant: ReplicaGrant): void {
     this.givenBack.push(grant);
     if (this.givenBack.length > MAX_GIVEN_BACK) {
       this.givenBack.shift();
@@ -168,20 +184,28 @@
 
   private readAnswer(
     raw: unknown,
-    grants: readonly QuotaAmount[],
+    grants: readonly QuotaGrantRequest[],
     requestedAt: ClockReading,
   ): readonly ReplicaDecision[] {
     const answer = QUOTA_ANSWER_SCHEMA.parse(raw);
     if (answer.grants.length !== grants.length) {
       throw new Fault('INVALID_INPUT', 'the answer misses decisions');
     }
+    return answer.grants.map((decision, index) =>
+      this.toDecision(decision, grants[index], requestedAt),
+    );
+  }
+
+  private toDecision(
+    {granted, waitMs}: QuotaDecision,
+    {amount, tenant}: QuotaGrantRequest,
+    requestedAt: ClockReading,
+  ): ReplicaDecision {
     const {replica} = this.options;
-    return answer.grants.map((decision, index) => ({
-      ...decision,
-      ...(decision.isGranted && {
-        grant: {...grants[index], replica, requestedAt},
-      }),
-    }));
+    const units = Math.min(granted, amount);
+    const grant = {tenant, amount: units, replica, requestedAt};
+    const isComplete = units >= amount;
+    return {isComplete, waitMs, ...(units > 0 && {grant})};
   }
 
   /** Units that are still given back, summed for each tenant. */
@@ -207,8 +231,8 @@
 
   private recordAnswer(): void {
     const {events, replica} = this.options;
-    if (this.hasFailed) {
-      this.hasFailed = false;
+    if (this.hasFailedLast) {
+      this.hasFailedLast = false;
       events.record('quota-replica-answers', {replica});
     }
   }
@@ -217,8 +241,8 @@
     const {clock, events, replica} = this.options;
     const skipMs = code === 'NO_QUORUM' ? SKIP_WITHOUT_QUORUM_MS : SKIP_MS;
     this.skippedUntil = clock().monotonicMs + skipMs;
-    if (!this.hasFailed) {
-      this.hasFailed = true;
+    if (!this.hasFailedLast) {
+      this.hasFailedLast = true;
       const details = {replica, reason: message, skipMs};
       events.record('quota-replica-failed', details);
     }
--- a/entry/tenant-quotas/src/tenant-quotas.ts
+++ b/entry/tenant-quotas/src/tenant-quotas.ts
@@ -19,10 +19,14 @@
   type Charge,
   type HeldCharges,
 } from './call-charge.js';
-import {QuotaClient, type QuotaOutcome} from './quota-client.js';
+import {
+  QuotaClient,
+  type QuotaGrant,
+  type QuotaOutcome,
+} from './quota-client.js';
 import {QuotaMetrics} from './quota-metrics.js';
 import {RefusalReporter} from './refusal-reporter.js';
-import type {Exchange, QuotaGrant} from './replica-queue.js';
+import type {Exchange} from './replica-queue.js';
 
 /** Options of the quotas of an entry. */
 export interface TenantQuotasOptions {
@@ -55,6 +59,7 @@
       exchange: createExchange(agent),
       replicas,
       clock: readClock,
+      random: Math.random,
       events,
       metrics: this.metrics,
     });
@@ -81,7 +86,7 @@
     if (outcome.kind === 'granted') {
       this.metrics.recordGranted(tenant, amount.amount);
     } else {
-      const waitMs = outcome.kind === 'exceeded' ? outcome.waitMs : 0;
+      const {waitMs = 0} = outcome;
       const details = {amount: amount.amount, waitMs};
       this.refusals.record(tenant, outcome.kind, details, performance.now());
     }
@@ -93,8 +98,11 @@
     this.client.giveBack(grant);
   }
 
-  isUsable({requestedAt}: QuotaGrant): boolean {
-    return elapsedMs(requestedAt, readClock()) <= USE_WITHIN_MS;
+  isUsable({parts}: QuotaGrant): boolean {
+    const now = readClock();
+    return parts.every(
+      ({requestedAt}) => elapsedMs(requestedAt, now) <= USE_WITHIN_MS,
+    );
   }
 
   hold(charge: CallCharge): void {
--- a/policy/tenant-quotas/src/index.ts
+++ b/policy/tenant-quotas/src/index.ts
@@ -6,13 +6,10 @@
   type QuotaLedgerOptions,
   type QuotaTolerance,
   type ReplicaGroup,
-  type RoleCounts,
 } from './quota-ledger.js';
-export {quotaRole, type QuotaRole} from './quota-role.js';
 export {RecentSum} from './recent-sum.js';
 export {
   PUT_BACK_WITHIN_MS,
   TokenBucket,
   type BucketFigures,
 } from './token-bucket.js';
-export {WindowBudget} from './window-budget.js';
--- a/policy/tenant-quotas/src/quota-ledger.ts
+++ b/policy/tenant-quotas/src/quota-ledger.ts
@@ -3,12 +3,11 @@
   QuotaAmount,
   QuotaAnswer,
   QuotaDecision,
+  QuotaGrantRequest,
   QuotaRequest,
   Tenant,
 } from '@marigoldspur/deployment';
-import {quotaRole, type QuotaRole} from './quota-role.js';
 import {TokenBucket, type BucketFigures} from './token-bucket.js';
-import {WindowBudget} from './window-budget.js';
 
 /** By how much the use of all entries together may exceed a quota. */
 export interface QuotaTolerance {
@@ -34,86 +33,75 @@
   readonly group: ReplicaGroup;
 }
 
-/** Number of tenants by the role of a replica. */
-export type RoleCounts = Readonly<Record<QuotaRole, number>>;
-
 /** What a replica knows about one tenant. */
 interface Account {
   quota: Quota | undefined;
-  readonly role: QuotaRole;
-  /** When the replica may begin to grant in this role. */
-  readonly grantsFrom: number;
   readonly bucket: TokenBucket;
-  readonly budget: WindowBudget;
+}
+
+/** A larger share of the quotas that does not count yet. */
+interface PendingShare {
+  readonly share: number;
+  readonly from: number;
 }
 
 /** Time after its request within which a granted unit is used, in milliseconds. */
 export const USE_WITHIN_MS = 300;
 /**
- * Time after a change of the replicas during which a replica with a new role grants nothing,
- * in milliseconds. Its predecessor may grant for as long as a quorum barrier is valid (1 s),
- * and a change may reach this replica before it is committed.
- */
-const TAKEOVER_MS = 1_500;
-/**
- * Time for which a new primary leaves to the stand-in what its bucket, which was empty, does
- * not hold yet, in milliseconds.
+ * Time after a change of the replicas after which a larger share counts, in milliseconds. Replicas
+ * that do not know of the change may grant by their old share for as long as a quorum barrier is
+ * valid (2 s).
  */
-const FRESH_MS = 2_000;
+const TAKEOVER_MS = 2_500;
+/** Share of the tolerance by which the buckets exceed the burst; the rest is for returned units. */
+const BURST_SHARE = 0.5;
 /**
- * Share of the tolerance that the stand-in may grant. The rest covers units that are used
- * later than they are granted.
- */
-const STAND_IN_SHARE = 0.6;
-/**
- * Wait that is stated for an amount above the burst, in milliseconds. Such a call is refused
- * until the quota is raised, so callers need not come back soon.
+ * Wait that is stated for an amount that no number of replicas can grant, in milliseconds. Such a
+ * call is refused until the quota is raised, so callers need not come back soon.
  */
 const NEVER_MS = 60_000;
 const MS_PER_SECOND = 1_000;
 
 /**
- * Decides the grants of one replica of control: as the primary of a tenant from a token bucket,
- * as its stand-in from a budget within the tolerance. All times are in milliseconds.
+ * Decides the grants of one replica of control, which has an equal share of the quota of each tenant:
+ * a token bucket that starts empty. The sum over all replicas stays within the quota, whichever of
+ * them are lost, cut off or restarted, and they need not agree. All times are in milliseconds.
  */
 export class QuotaLedger {
   private readonly accounts = new Map<string, Account>();
   private group: ReplicaGroup;
-  /** When the group changed last; roles are the same since then. */
-  private groupSince: number;
-  /** Whether the group changed since the start of the process. */
-  private isGroupChanged = false;
+  private share: number;
+  private pendingShare: PendingShare | undefined;
 
-  constructor(
-    private readonly options: QuotaLedgerOptions,
-    now: number,
-  ) {
+  constructor(private readonly options: QuotaLedgerOptions) {
     this.group = options.group;
-    this.groupSince = now;
+    this.share = shareOf(options.group);
+  }
+
+  /** Share of the quotas that this replica grants, 0 to 1. */
+  get currentShare(): number {
+    return this.share;
   }
 
-  /** Replaces the replicas; returns whether the role for a tenant changed. */
-  setGroup(group: ReplicaGroup, now: number): boolean {
-    if (isSameGroup(this.group, group)) {
-      return false;
+  /** Replaces the replicas. A smaller share counts at once. */
+  setGroup(group: ReplicaGroup, now: number): void {
+    this.takeShare(now);
+    const share = shareOf(group);
+    if (share === shareOf(this.group)) {
+      this.group = group;
+      return;
     }
     this.group = group;
-    this.groupSince = now;
-    this.isGroupChanged = true;
-    let hasChanged = false;
-    for (const [name, account] of this.accounts) {
-      const role = this.roleOf(name);
-      if (role !== account.role) {
-        this.accounts.set(name, this.openAccount(name, account.quota, now));
-        hasChanged = true;
-      }
+    this.pendingShare =
+      share > this.share ? {share, from: now + TAKEOVER_MS} : undefined;
+    if (share < this.share) {
+      this.setShare(share, now);
     }
-    return hasChanged;
   }
 
   /**
-   * Replaces the tenants of the deployment, which this replica has had since `since`. The
-   * state of other tenants is dropped.
+   * Replaces the tenants of the deployment, which this replica has had since `since`: the buckets of
+   * new tenants fill from then on. The state of other tenants is dropped.
    */
   setTenants(tenants: readonly Tenant[], since: number, now: number): void {
     const names = new Set(tenants.map(({name}) => name));
@@ -123,12 +111,14 @@
       }
     }
     for (const {name, quota} of tenants) {
+      const figures = this.figuresOf(quota);
       const known = this.accounts.get(name);
       if (known === undefined) {
-        this.accounts.set(name, this.openAccount(name, quota, since));
+        const bucket = new TokenBucket(figures, since);
+        this.accounts.set(name, {quota, bucket});
       } else {
         known.quota = quota;
-        known.bucket.setFigures(this.figuresOf(quota), now);
+        known.bucket.setFigures(figures, now);
       }
     }
   }
@@ -138,137 +128,80 @@
     return this.accounts.has(name);
   }
 
-  /** Number of tenants with a quota, by the role of this replica. */
-  roleCounts(): RoleCounts {
-    const counts = {primary: 0, 'stand-in': 0, none: 0};
-    for (const {quota, role} of this.accounts.values()) {
-      counts[role] += quota === undefined ? 0 : 1;
-    }
-    return counts;
-  }
-
   /** Takes returned units back, then decides the requested grants in their order. */
   decide({grants, returns}: QuotaRequest, now: number): QuotaAnswer {
-    returns.forEach(returned => this.takeBack(returned, now));
+    this.takeShare(now);
+    returns.forEach(({amount, tenant}: QuotaAmount) =>
+      this.accounts.get(tenant)?.bucket.putBack(amount, now),
+    );
     return {grants: grants.map(grant => this.decideOne(grant, now))};
   }
 
-  private decideOne({tenant, amount}: QuotaAmount, now: number): QuotaDecision {
-    const account = this.accounts.get(tenant);
-    if (
-      account === undefined ||
-      account.role === 'none' ||
-      now < account.grantsFrom
-    ) {
-      return {isGranted: false, waitMs: 0, role: 'none'};
-    }
-    const {quota, role} = account;
-    if (quota === undefined) {
-      return {isGranted: true, waitMs: 0, role};
-    }
-    return role === 'primary'
-      ? decideAsPrimary(account, amount, now)
-      : this.decideAsStandIn(account, quota, amount, now);
-  }
-
-  private decideAsStandIn(
-    {budget}: Account,
-    quota: Quota,
-    amount: number,
+  private decideOne(
+    {amount, isDivisible, tenant}: QuotaGrantRequest,
     now: number,
   ): QuotaDecision {
-    const limit = this.standInLimit(quota);
-    if (budget.take(amount, limit, now)) {
-      return {isGranted: true, waitMs: 0, role: 'stand-in'};
-    }
-    const waitMs = budget.waitMs(amount, limit, now);
-    // The primary may grant what is too much for the whole budget.
-    return waitMs === undefined
-      ? {isGranted: false, waitMs: 0, role: 'none'}
-      : {isGranted: false, waitMs, role: 'stand-in'};
-  }
-
-  private takeBack({tenant, amount}: QuotaAmount, now: number): void {
     const account = this.accounts.get(tenant);
-    // Before that time, the units are those of an earlier role.
-    if (account === undefined || now < account.grantsFrom) {
-      return;
+    if (account === undefined) {
+      return {granted: 0};
     }
-    if (account.role === 'primary') {
-      account.bucket.putBack(amount, now);
-    } else if (account.role === 'stand-in') {
-      account.budget.putBack(amount, now);
+    const {bucket, quota} = account;
+    if (quota === undefined || bucket.take(amount, now)) {
+      return {granted: amount, waitMs: 0};
     }
+    const granted = isDivisible ? bucket.takeUpTo(amount, now) : 0;
+    const missing = amount - granted;
+    const waitMs =
+      amount > this.capacityOf(quota)
+        ? NEVER_MS
+        : (missing / quota.perSecond) * MS_PER_SECOND;
+    return {granted, waitMs};
   }
 
-  /** Figures of the bucket of a tenant; a tenant without a quota takes nothing from it. */
+  /** Units that all replicas together hold at most. */
+  private capacityOf(quota: Quota): number {
+    return quota.burst + BURST_SHARE * this.spareOf(quota);
+  }
+
+  /** Figures of this replica's bucket for a quota; a tenant without one takes nothing from it. */
   private figuresOf(quota: Quota | undefined): BucketFigures {
     if (quota === undefined) {
       return {perSecond: 0, burst: 0, spare: 0};
     }
-    const {burst, perSecond} = quota;
-    const usedLate = (perSecond * USE_WITHIN_MS) / MS_PER_SECOND;
-    const rest = (1 - STAND_IN_SHARE) * this.toleranceOf(quota);
-    return {perSecond, burst, spare: Math.max(0, rest - usedLate)};
-  }
-
-  /** Units that the stand-in may grant in any window. */
-  private standInLimit(quota: Quota): number {
-    return STAND_IN_SHARE * this.toleranceOf(quota);
+    const {share} = this;
+    return {
+      perSecond: quota.perSecond * share,
+      burst: this.capacityOf(quota) * share,
+      spare: (1 - BURST_SHARE) * this.spareOf(quota) * share,
+    };
   }
 
-  /** Units by which the use in a window may exceed a quota. */
-  private toleranceOf({burst, perSecond}: Quota): number {
+  /** Units by which the use in a window may exceed a quota, less those that are used late. */
+  private spareOf({burst, perSecond}: Quota): number {
     const {ratio, slack, windowMs} = this.options.tolerance;
     const quota = (perSecond * windowMs) / MS_PER_SECOND + burst;
-    return ratio * quota + slack;
-  }
-
-  private roleOf(tenant: string): QuotaRole {
-    const {ownUrl, urls} = this.group;
-    return ownUrl === undefined ? 'none' : quotaRole(tenant, urls, ownUrl);
+    const usedLate = (perSecond * USE_WITHIN_MS) / MS_PER_SECOND;
+    return Math.max(0, ratio * quota + slack - usedLate);
   }
 
-  /** Opens the account of a tenant whose figures this replica has had since `since`. */
-  private openAccount(
-    name: string,
-    quota: Quota | undefined,
-    since: number,
-  ): Account {
-    const role = this.roleOf(name);
-    const rolesFrom = this.groupSince + (this.isGroupChanged ? TAKEOVER_MS : 0);
-    const {windowMs} = this.options.tolerance;
-    // Units that the stand-in grants may be used a little later.
-    const budgetMs = windowMs + USE_WITHIN_MS;
-    const startAt = Math.max(since, rolesFrom);
-    return {
-      quota,
-      role,
-      // Another process may have granted the whole budget before.
-      grantsFrom: startAt + (role === 'stand-in' ? budgetMs : 0),
-      bucket: new TokenBucket(this.figuresOf(quota), startAt),
-      budget: new WindowBudget(budgetMs),
-    };
+  /** Applies a larger share once it counts. */
+  private takeShare(now: number): void {
+    const {pendingShare} = this;
+    if (pendingShare !== undefined && now >= pendingShare.from) {
+      this.pendingShare = undefined;
+      this.setShare(pendingShare.share, pendingShare.from);
+    }
   }
-}
 
-function decideAsPrimary(
-  {bucket, grantsFrom}: Account,
-  amount: number,
-  now: number,
-): QuotaDecision {
-  if (bucket.take(amount, now)) {
-    return {isGranted: true, waitMs: 0, role: 'primary'};
+  private setShare(share: number, now: number): void {
+    this.share = share;
+    this.accounts.forEach(({bucket, quota}) =>
+      bucket.setFigures(this.figuresOf(quota), now),
+    );
   }
-  const waitMs = bucket.waitMs(amount, now) ?? NEVER_MS;
-  const isFresh = now < grantsFrom + FRESH_MS;
-  return {isGranted: false, waitMs, role: isFresh ? 'none' : 'primary'};
 }
 
-function isSameGroup(a: ReplicaGroup, b: ReplicaGroup): boolean {
-  return (
-    a.ownUrl === b.ownUrl &&
-    a.urls.length === b.urls.length &&
-    [...a.urls].sort().join(' ') === [...b.urls].sort().join(' ')
-  );
+/** Share of one replica among the known ones; 0 if it is not one of them. */
+function shareOf({ownUrl, urls}: ReplicaGroup): number {
+  return ownUrl !== undefined && urls.includes(ownUrl) ? 1 / urls.length : 0;
 }
--- a/policy/tenant-quotas/src/recent-sum.ts
+++ b/policy/tenant-quotas/src/recent-sum.ts
@@ -43,20 +43,6 @@
     return this.slots.reduce((sum, {amount}) => sum + amount, 0);
   }
 
-  /** Time until the sum is at most `limit` if nothing is added. */
-  waitMs(limit: number, now: number): number {
-    let sum = this.sum(now);
-    let waitMs = 0;
-    for (const slot of this.slots) {
-      if (sum <= limit) {
-        break;
-      }
-      sum -= slot.amount;
-      waitMs = this.forgottenAt(slot) - now;
-    }
-    return waitMs;
-  }
-
   private forget(now: number): void {
     while (this.slots.length > 0 && this.forgottenAt(this.slots[0]) <= now) {
       this.slots.shift();
--- a/policy/tenant-quotas/src/token-bucket.ts
+++ b/policy/tenant-quotas/src/token-bucket.ts
@@ -48,6 +48,13 @@
     return true;
   }
 
+  /** Takes as many whole units as there are, up to an amount; returns their number. */
+  takeUpTo(amount: number, now: number): number {
+    this.fill(now);
+    const taken = Math.min(amount, Math.floor(this.level));
+    return taken > 0 && this.take(taken, now) ? taken : 0;
+  }
+
   /**
    * Puts back units that were taken lately and not used. The bucket and what was taken lately
    * hold little more than the burst together: otherwise units that callers hold and give back
@@ -62,15 +69,6 @@
     this.level = Math.max(this.level, level);
   }
 
-  /** Time until the bucket holds an amount; undefined if it can never hold it. */
-  waitMs(amount: number, now: number): number | undefined {
-    this.fill(now);
-    const {burst, perSecond} = this.figures;
-    return amount > burst
-      ? undefined
-      : (Math.max(0, amount - this.level) / perSecond) * MS_PER_SECOND;
-  }
-
   private fill(now: number): void {
     if (now <= this.filledAt) {
       return;
