--- a/control/fleet/test/fleet-manager.test.ts
+++ b/control/fleet/test/fleet-manager.test.ts
@@ -146,3 +146,15 @@
     softwareVersion: 'v1',
   });
 });
+
+it('fleet: the active deployment is confirmed with its revision, and not without a quorum', async () => {
+  const confirm = () => fleet.confirmDeployment(performance.now());
+  const none = await confirm();
+  expect(none.isOk && none.value).to.deep.equal({revision: null});
+  deployments.replace({revision: 3, text: '{}'});
+  const confirmed = await confirm();
+  expect(confirmed.isOk && confirmed.value).to.deep.equal({revision: 3});
+  isConfirmed = false;
+  const refused = await confirm();
+  expect(refused.isErr && refused.error.code).to.equal('NO_QUORUM');
+});
--- a/entry/caller-tenants/src/deployment-confirmer.ts
+++ b/entry/caller-tenants/src/deployment-confirmer.ts
@@ -37,7 +37,8 @@
   private readonly timer: NodeJS.Timeout;
   private current: string | undefined;
   private mayAskEarly = true;
-  private state: 'initial' | 'confirmed' | 'unconfirmed' = 'initial';
+  private state: 'initial' | 'awaited' | 'confirmed' | 'unconfirmed' =
+    'initial';
 
   constructor(private readonly options: DeploymentConfirmerOptions) {
     this.timer = setInterval(
@@ -126,6 +127,11 @@
   private recordState(): void {
     const revision = this.options.appliedRevision();
     const state = this.ageMs() < Infinity ? 'confirmed' : 'unconfirmed';
+    if (state === 'unconfirmed' && this.state === 'initial') {
+      // The first answer may still be on its way.
+      this.state = 'awaited';
+      return;
+    }
     if (revision !== undefined && state !== this.state) {
       this.state = state;
       this.options.events.record(`deployment-${state}`, {revision});
