--- a/control/fleet/test/shared-barrier.test.ts
+++ b/control/fleet/test/shared-barrier.test.ts
@@ -2,6 +2,7 @@
 import {SharedBarrier} from '@marigoldspur/fleet';
 
 const INTERVAL_MS = 40;
+const WAIT_TIMEOUT_MS = 1_500;
 
 /** Start times of the barriers that ran. */
 let starts: number[];
@@ -26,7 +27,11 @@
 
 /** Resolves once `count` barriers have started. */
 async function untilStarted(count: number): Promise<void> {
+  const deadline = performance.now() + WAIT_TIMEOUT_MS;
   while (starts.length < count) {
+    if (performance.now() > deadline) {
+      throw new Error(`${starts.length} of ${count} barriers started`);
+    }
     await new Promise(resolve => setTimeout(resolve, 1));
   }
 }
