--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -131,6 +131,8 @@
  */
 export class TargetSelector {
   private readonly statsByIncarnation = new Map<string, TargetStats>();
+  /** The same by announcement, which is faster than to build the key of the incarnation. */
+  private statsByAnnouncement = new WeakMap<TargetAnnouncement, TargetStats>();
   /** When the pauses that targets asked for end, by incarnation, in milliseconds. */
   private readonly pauseEnds = new Map<string, number>();
   private readonly serviceModels = new Map<string, ServiceModel>();
@@ -421,6 +423,7 @@
         const {model} = this.statsByIncarnation.get(incarnation)!;
         this.serviceModels.forEach(service => service.removeTarget(model));
         this.statsByIncarnation.delete(incarnation);
+        this.statsByAnnouncement = new WeakMap();
       }
     }
   }
@@ -629,6 +632,10 @@
   }
 
   private statsOf(target: TargetAnnouncement): TargetStats {
+    const known = this.statsByAnnouncement.get(target);
+    if (known !== undefined) {
+      return known;
+    }
     const incarnation = incarnationOf(target);
     let stats = this.statsByIncarnation.get(incarnation);
     if (stats === undefined) {
@@ -636,6 +643,7 @@
       this.statsByIncarnation.set(incarnation, stats);
       this.serviceModelOf(target.service).addTarget(stats.model);
     }
+    this.statsByAnnouncement.set(target, stats);
     return stats;
   }
 
@@ -653,6 +661,9 @@
   }
 
   private isPaused(target: TargetAnnouncement, now: number): boolean {
+    if (this.pauseEnds.size === 0) {
+      return false;
+    }
     return now < (this.pauseEnds.get(incarnationOf(target)) ?? -Infinity);
   }
 
--- a/lab/experiment/src/measure-costs.ts
+++ b/lab/experiment/src/measure-costs.ts
@@ -1,4 +1,5 @@
 import {UseRateEstimator} from '@marigoldspur/adapter-use-rates';
+import {chooseEngine, type EngineCandidate} from '@marigoldspur/engine-choice';
 import {createLoadOrder} from '@marigoldspur/load-order';
 import {PermitQueue} from '@marigoldspur/load-permits';
 import {
@@ -24,6 +25,7 @@
 }
 
 const CANDIDATE_COUNTS = [12, 120, 1_200];
+const ENGINE_COUNTS = [33, 120, 1_200];
 const QUEUE_LENGTHS = [10, 100, 1_000];
 const ADAPTER_COUNTS = [3_000, 36_000];
 const SLOTS_PER_ENGINE = 6;
@@ -38,12 +40,16 @@
 const MEASURED_PERMITS = 200;
 const SEED = 1;
 
-/** Measures the CPU time of placement and permit decisions at several input sizes. */
+/** Measures the CPU time of placement, engine and permit decisions at several input sizes. */
 export function measureDecisions(): DecisionCost[] {
   const placements = PLACEMENT_POLICIES.flatMap(name =>
     CANDIDATE_COUNTS.map(size => measurePlacement(name, size)),
   );
-  return [...placements, ...QUEUE_LENGTHS.map(measurePermit)];
+  return [
+    ...placements,
+    ...ENGINE_COUNTS.map(measureEngineChoice),
+    ...QUEUE_LENGTHS.map(measurePermit),
+  ];
 }
 
 /** Measures the memory of use rate estimators; accurate only if Node.js runs with `--expose-gc`. */
@@ -98,6 +104,51 @@
   }));
 }
 
+/** Measures the CPU time to choose an engine while other entries choose by the same reports. */
+function measureEngineChoice(size: number): DecisionCost {
+  const random = new RandomSource(SEED);
+  const candidates = Array.from({length: size}, (_, index) =>
+    createEngineCandidate(index),
+  );
+  const cpuMicroseconds = measureCpuMicroseconds(MEASURED_PLACEMENTS, () => {
+    const adapter = random.integerBelow(size * SLOTS_PER_ENGINE);
+    const request = {
+      affinityKey: `model/adapter-${adapter}`,
+      zone: 'zone-0',
+      promptTokens: 5_000,
+      memoryTokens: 5_100,
+    };
+    chooseEngine(request, candidates, {
+      hiddenRequests: size,
+      hiddenShare: 1 / SLOTS_PER_ENGINE,
+      random: random.uniform,
+    });
+  });
+  return {decision: 'engine-choice', size, cpuMicroseconds};
+}
+
+function createEngineCandidate(index: number): EngineCandidate {
+  return {
+    name: `engine-${index}`,
+    zone: 'zone-0',
+    adapterState: index % SLOTS_PER_ENGINE === 0 ? 'held' : 'absent',
+    idleSlots: 1,
+    slotReleaseIntervalMs: 300,
+    cachedTokens: 0,
+    pendingTokens: 0,
+    running: index % SLOTS_PER_ENGINE,
+    waiting: index % 2,
+    batchLimit: 64,
+    tokenMemory: 200_000,
+    memoryUsed: 0.2,
+    promisedTokens: 0,
+    failureRate: 0,
+    prefillFactor: 1,
+    decodeFactor: 1,
+    pace: 1,
+  };
+}
+
 /**
  * Measures the CPU time to queue a permit request, including the refusals, the grant and
  * the release of the permit that follow.
