Weigh plain targets by their usual load, and test choices by what callers get

An entry rarely has a recent report of a plain target when 42 entries share it: it then takes the load that others usually add, with its spread, in place of none, so that a slower target is neither unused nor as used as the others.

--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -102,8 +102,6 @@
   end(now: number): void;
 }
 
-/** Time for which a load report from a response is used, in milliseconds. */
-const LOAD_REPORT_TTL_MS = 500;
 /** Weight of the latest response in the moving average of the failure rate. */
 const FAILURE_WEIGHT = 0.15;
 /** Expected number of output tokens, as a share of the stated maximum. */
@@ -439,10 +437,10 @@
     stats.failureRate +=
       FAILURE_WEIGHT * ((hasFailed ? 1 : 0) - stats.failureRate);
     if (metadata.load !== undefined) {
-      stats.reportedLoad = metadata.load.running + metadata.load.waiting;
-      stats.reportedAt = now;
-      if (metadata.load.pace !== undefined) {
-        stats.model.pace.record(metadata.load.pace, now);
+      const {pace, running, waiting} = metadata.load;
+      stats.reportedLoad.record(running + waiting, stats.inFlight, now);
+      if (pace !== undefined) {
+        stats.model.pace.record(pace, now);
       }
     }
   }
@@ -467,9 +465,11 @@
     let completionMs = 0;
     for (const each of targets) {
       const stats = this.statsOf(each);
-      const workInFront = this.workInFront(stats, now);
+      const {inFlight, reportedLoad} = stats;
+      const uncertainty =
+        reportedLoad.uncertainty(now) * (this.options.random() - 0.5);
       const work = plainCost({
-        workInFront,
+        workInFront: this.workInFront(stats, now) + uncertainty,
         slots: each.slots,
         ownWork,
         factor: stats.model.response.factor,
@@ -477,8 +477,9 @@
         meanWorkMs,
       });
       const isLast =
-        this.loadOf(stats, now) >= each.slots ||
-        stats.failureRate > FAILING_SHARE;
+        (reportedLoad.isFresh(now)
+          ? reportedLoad.loadAt(inFlight, now)
+          : inFlight) >= each.slots || stats.failureRate > FAILING_SHARE;
       const cost =
         work +
         (each.zone === this.options.zone ? 0 : OTHER_ZONE_COST) +
@@ -504,16 +505,11 @@
     );
   }
 
-  /** Number of requests at a target, as far as known. */
-  private loadOf(stats: TargetStats, now: number): number {
-    const isFresh = now - stats.reportedAt < LOAD_REPORT_TTL_MS;
-    return Math.max(stats.inFlight, isFresh ? stats.reportedLoad : 0);
-  }
-
   /** Work of the requests at a target, in units of the service's mean call. */
   private workInFront(stats: TargetStats, now: number): number {
-    const others = this.loadOf(stats, now) - stats.inFlight;
-    return Math.max(0, stats.inFlightWork) + others;
+    const {inFlight, inFlightWork, reportedLoad} = stats;
+    const others = reportedLoad.loadAt(inFlight, now) - inFlight;
+    return Math.max(0, inFlightWork) + others;
   }
 
   private chooseEngine(
--- a/entry/direct-routing/src/target-stats.ts
+++ b/entry/direct-routing/src/target-stats.ts
@@ -3,7 +3,11 @@
   PromptCacheEstimator,
   RecentAdapters,
 } from '@marigoldspur/engine-choice';
-import {PromisedMemory, TargetModel} from '@marigoldspur/expected-cost';
+import {
+  PromisedMemory,
+  ReportedLoad,
+  TargetModel,
+} from '@marigoldspur/expected-cost';
 import {addCount} from './counts.js';
 
 /**
@@ -37,10 +41,8 @@
   slowReportedAt = -Infinity;
   /** Moving average of the share of failed responses, 0 to 1. */
   failureRate = 0;
-  /** Number of requests that the target last reported as running or waiting. */
-  reportedLoad = 0;
-  /** Time of that report, in milliseconds. */
-  reportedAt = -Infinity;
+  /** Number of requests that the target reports as running or waiting. */
+  readonly reportedLoad = new ReportedLoad();
   /** Adapters that the engine was found not to hold, with the time. */
   private readonly missingSince = new Map<string, number>();
   /**
--- a/entry/direct-routing/test/test-fleet.ts
+++ b/entry/direct-routing/test/test-fleet.ts
@@ -32,6 +32,8 @@
   /** Index of the engine that served it. */
   readonly engine: number;
   readonly firstEventMs: number;
+  /** Longest pause between two of its events, in milliseconds. */
+  longestPauseMs: number;
 }
 
 /** Options of a run. */
@@ -41,6 +43,8 @@
   readonly requests: readonly TestRequest[];
   /** Age of the engines' states that entries see, in milliseconds. */
   readonly viewAgeMs: number;
+  /** Longest pause between two events that callers accept, in milliseconds. */
+  readonly maxGapMs?: number;
   readonly random: () => number;
 }
 
@@ -50,6 +54,8 @@
   remainingTokens: number;
   events: number;
   nextEventAt: number;
+  lastEventAt: number;
+  outcome?: TestOutcome;
 }
 
 const TOKENS_PER_MS = 35;
@@ -69,11 +75,11 @@
     models: [{name: 'm', adapters: 100}],
   },
 };
-const ROUTE = {name: 'r', streaming: true};
 
 /** Serves requests in steps of one millisecond; returns the outcomes. */
 export function runFleet(options: TestFleetOptions): TestOutcome[] {
-  const {engines, requests, viewAgeMs} = options;
+  const {engines, maxGapMs, requests, viewAgeMs} = options;
+  const route = {name: 'r', streaming: true, maxGapMs};
   const targets = engines.map((_, index) => announcement(index));
   const waiting: Job[][] = engines.map(() => []);
   const running: Job[][] = engines.map(() => []);
@@ -106,7 +112,7 @@
       const selector = selectors[request.entry];
       const requirements = {
         service: SERVICE,
-        route: ROUTE,
+        route,
         work,
         excluded: new Set<string>(),
       };
@@ -114,13 +120,14 @@
       const index = targets.indexOf(target);
       const loadMs = needsAdapter ? LOAD_MS : 0;
       held[index].add(`m/${request.adapter}`);
-      const tracker = selector.startCall(target, work, now, ROUTE);
+      const tracker = selector.startCall(target, work, now, route);
       waiting[index].push({
         request,
         tracker,
         remainingTokens: request.promptTokens + loadMs * TOKENS_PER_MS,
         events: 0,
         nextEventAt: 0,
+        lastEventAt: 0,
       });
     }
     engines.forEach((engine, index) => {
@@ -141,7 +148,13 @@
         if (job.events === 0) {
           const {request, tracker} = job;
           const firstEventMs = now - request.at;
-          outcomes.push({request, engine: index, firstEventMs});
+          job.outcome = {
+            request,
+            engine: index,
+            firstEventMs,
+            longestPauseMs: 0,
+          };
+          outcomes.push(job.outcome);
           const load = {
             running: running[index].length,
             waiting: waiting[index].length,
@@ -152,6 +165,13 @@
           };
           tracker.recordResponse(metadata(load), false, now);
         }
+        if (job.outcome !== undefined && job.events > 0) {
+          job.outcome.longestPauseMs = Math.max(
+            job.outcome.longestPauseMs,
+            now - job.lastEventAt,
+          );
+        }
+        job.lastEventAt = now;
         job.tracker.recordEvent(now);
         job.events += 1;
         job.nextEventAt = now + PAUSE_MS * rate;
