--- a/entry/direct-routing/test/target-selector.test.ts
+++ b/entry/direct-routing/test/target-selector.test.ts
@@ -182,3 +182,72 @@
   expect(selector.choose(other, 0)).to.equal(undefined);
   expect(selector.mayServeLater(other)).to.equal(false);
 });
+
+it('target selector: a new start of an engine that stated a slow pace counts as usual', () => {
+  const targets = [engine(0), engine(1)];
+  const selector = new TargetSelector({
+    zone: 'z1',
+    targets: () => targets,
+    engineView: () => view(),
+    random: () => 0.5,
+  });
+  const {work, ...needs} = requirements('a');
+  const base = {...needs, work: {...work, adapter: undefined}};
+  const usual = selector.choose(base, 0)!.target;
+  const tracker = selector.startCall(usual, base.work, 0);
+  const load = {running: 0, waiting: 0, slots: 64, pace: 2.5};
+  tracker.recordResponse(
+    {
+      matchesCallId: true,
+      isAttested: true,
+      hasNotRun: false,
+      isMisdirected: false,
+      isLeaving: false,
+      load,
+    },
+    false,
+    10,
+  );
+  tracker.end(10);
+  const long = {...base, work: {...base.work, promptTokens: 9_000, parts: []}};
+  expect(selector.choose(long, 20)?.target.id).to.not.equal(usual.id);
+  targets[targets.indexOf(usual)] = {...usual, bornAt: 2};
+  selector.removeUnknownTargets();
+  expect(selector.choose(long, 20)?.target.id).to.equal(usual.id);
+});
+
+it('target selector: a target far slower than its peers is reported once a minute', () => {
+  const targets = [0, 1, 2].map(engine);
+  const slow: string[] = [];
+  const selector = new TargetSelector({
+    zone: 'z1',
+    targets: () => targets,
+    engineView: () => undefined,
+    random: () => 0.5,
+    onSlowTarget: ({id}) => slow.push(id),
+  });
+  const {work} = requirements('a');
+  const response = {
+    matchesCallId: true,
+    isAttested: true,
+    hasNotRun: false,
+    isMisdirected: false,
+    isLeaving: false,
+  };
+  for (let now = 0; now < 40_000; now += 1_000) {
+    for (const target of targets) {
+      const call = {
+        ...work,
+        parts: [{id: `${target.id}-${now}`, tokens: 1_000}],
+      };
+      const route = {name: 'r', streaming: true};
+      const tracker = selector.startCall(target, call, now, route);
+      const tookMs = target.id === 'e1' ? 90 : 30;
+      tracker.recordResponse(response, false, now + tookMs);
+      tracker.recordEvent(now + tookMs);
+      tracker.end(now + tookMs);
+    }
+    selector.choose(requirements('a'), now + 500);
+  }
+  expect(slow).to.deep.equal(['e1']);
+});
