--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -164,7 +164,7 @@
       service,
       tenant,
       access,
-      priority: this.options.routes()?.priorityOf(route, tenant),
+      routes: this.options.routes(),
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       headers: request.headers,
--- a/entry/direct-routing/src/call.ts
+++ b/entry/direct-routing/src/call.ts
@@ -3,6 +3,7 @@
 import type {Route, Service} from '@marigoldspur/deployment';
 import type {Refusal} from '@marigoldspur/faults';
 import type {RequestBody} from '@marigoldspur/request-bodies';
+import type {RouteTable} from '@marigoldspur/routes';
 import type {TenantProfile} from '@marigoldspur/tenant-access';
 import type {CallMetadata} from './wire-format.js';
 
@@ -17,8 +18,8 @@
   readonly tenant?: TenantProfile;
   /** What the caller's key permits by the newest deployment; absent if keys do not matter. */
   readonly access?: CallAccess;
-  /** Priority by its tenant and route, from 0, the most urgent, to 9; that of the route if absent. */
-  readonly priority?: number;
+  /** The routes by which the call was resolved; they order calls by urgency. */
+  readonly routes?: Pick<RouteTable, 'priorityOf'>;
   readonly method: string;
   /** Path with its query string. */
   readonly path: string;
@@ -65,7 +66,10 @@
   return call.access?.findRefusal();
 }
 
-/** Priority of a call; 0 is the most urgent. */
-export function priorityOf({priority, route}: Call): number {
-  return priority ?? route.priority;
+/** Priority of a call by its route and the tenant that its key has now; 0 is the most urgent. */
+export function priorityOf({access, route, routes, tenant}: Call): number {
+  const current = access?.tenant ?? tenant;
+  return (
+    routes?.priorityOf(route, current) ?? current?.priority ?? route.priority
+  );
 }
--- a/entry/direct-routing/test/denied-calls.test.ts
+++ b/entry/direct-routing/test/denied-calls.test.ts
@@ -13,6 +13,7 @@
   type TargetHeaderValues,
   type WireFormat,
 } from '@marigoldspur/direct-routing';
+import {NO_CHARGE} from '@marigoldspur/entry-quotas';
 import {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
 import {createRequestBody} from '@marigoldspur/request-bodies';
@@ -128,6 +129,7 @@
     durations: {record: () => {}},
     streamOrigins: {resolve: async () => Result.ok(undefined)},
     memory: {reserve: () => undefined},
+    quotas: {open: () => NO_CHARGE},
     events: new EventLog({process: 'test'}),
     metrics: new DirectRoutingMetrics(new Registry()),
   } as never);
