--- a/control/control-server/src/index.ts
+++ b/control/control-server/src/index.ts
@@ -13,3 +13,4 @@
   type ControlRequestHandlerOptions,
 } from './control-request-handler.js';
 export {ControlStateMachine} from './control-state-machine.js';
+export {createQuotaGrantHandler} from './quota-grant-handler.js';
--- a/control/control-server/src/quota-grant-handler.ts
+++ b/control/control-server/src/quota-grant-handler.ts
@@ -3,7 +3,7 @@
 import {createJsonHandler, type MessageMemory} from '@marigoldspur/http-link';
 
 /** Room for the maximum number of grants and returns with long names. */
-const MAX_REQUEST_BYTES = 1_048_576;
+const MAX_REQUEST_BYTES = 2_097_152;
 
 /** Creates the HTTP handler that grants entries units of tenants' quotas. */
 export function createQuotaGrantHandler(
