--- a/entry/direct-routing/src/index.ts
+++ b/entry/direct-routing/src/index.ts
@@ -26,7 +26,7 @@
   type CrashMonitorOptions,
   type EngineFate,
 } from './crash-monitor.js';
-export type {CallRunner} from './call-runner.js';
+export {CallRunner, type CallRunnerOptions} from './call-runner.js';
 export {DirectRoutingMetrics} from './direct-routing-metrics.js';
 export type {
   ResponseMetadata,
