--- a/control/control-server/src/index.ts
+++ b/control/control-server/src/index.ts
@@ -12,4 +12,5 @@
   ControlRequestHandler,
   type ControlRequestHandlerOptions,
 } from './control-request-handler.js';
+export {createDeploymentConfirmationHandler} from './deployment-confirmation-handler.js';
 export {ControlStateMachine} from './control-state-machine.js';
--- a/entry/direct-routing/src/call.ts
+++ b/entry/direct-routing/src/call.ts
@@ -65,5 +65,6 @@
 
 /** Priority of a call; 0 is the most urgent. */
 export function priorityOf({access, route, tenant}: Call): number {
-  return (access?.tenant ?? tenant)?.priority ?? route.priority;
+  const current = access === undefined ? tenant : access.tenant;
+  return current?.priority ?? route.priority;
 }
--- a/entry/direct-routing/test/denied-calls.test.ts
+++ b/entry/direct-routing/test/denied-calls.test.ts
@@ -102,6 +102,7 @@
       maxAttempts: 3,
     },
     service: {name: 's'},
+    tenant: {name: 'ann', priority: 1},
     method: 'GET',
     path: '/',
     headers: {},
