--- a/control/control-server/src/index.ts
+++ b/control/control-server/src/index.ts
@@ -12,5 +12,6 @@
   ControlRequestHandler,
   type ControlRequestHandlerOptions,
 } from './control-request-handler.js';
+export {createDeploymentConfirmationHandler} from './deployment-confirmation-handler.js';
 export {ControlStateMachine} from './control-state-machine.js';
 export {createQuotaGrantHandler} from './quota-grant-handler.js';
--- a/entry/direct-routing/src/call.ts
+++ b/entry/direct-routing/src/call.ts
@@ -68,7 +68,7 @@
 
 /** Priority of a call by its route and the tenant that its key has now; 0 is the most urgent. */
 export function priorityOf({access, route, routes, tenant}: Call): number {
-  const current = access?.tenant ?? tenant;
+  const current = access === undefined ? tenant : access.tenant;
   return (
     routes?.priorityOf(route, current) ?? current?.priority ?? route.priority
   );
--- a/entry/direct-routing/test/denied-calls.test.ts
+++ b/entry/direct-routing/test/denied-calls.test.ts
@@ -103,6 +103,7 @@
       maxAttempts: 3,
     },
     service: {name: 's'},
+    tenant: {name: 'ann', priority: 1},
     method: 'GET',
     path: '/',
     headers: {},
