Leave calls that are larger than the stated memory to the engine

A call of 110 tokens for an engine of 100 was refused as memory_full where it was served before; found by the whole-path test of the platform, which passes again.

--- a/entry/direct-routing/test/engine-memory.test.ts
+++ b/entry/direct-routing/test/engine-memory.test.ts
@@ -70,7 +70,7 @@
   )!;
 }
 
-function find(selector: TargetSelector) {
+function find(selector: TargetSelector, promptTokens = PROMPT_TOKENS) {
   const finder = new TargetFinder({
     fleetView: {versionOf: () => undefined},
     selector,
@@ -85,7 +85,7 @@
     random: () => 0.5,
   } as never);
   const call = {
-    metadata: {id: 'c', work: WORK},
+    metadata: {id: 'c', work: {...WORK, promptTokens}},
     route: ROUTE,
     service: SERVICE,
     startedAt: performance.now(),
@@ -149,3 +149,8 @@
   const selector = createSelector([view({memoryUsed: 0.5})]);
   expect((await find(selector)).isOk).to.equal(true);
 });
+
+it('engine memory: a call that is larger than the whole stated memory is left to the engine', async () => {
+  const selector = createSelector([view({memoryUsed: 0.1})]);
+  expect((await find(selector, TOKEN_MEMORY + 1)).isOk).to.equal(true);
+});
--- a/policy/engine-choice/src/rank-engines.ts
+++ b/policy/engine-choice/src/rank-engines.ts
@@ -335,7 +335,10 @@
   return hasRoom(request, candidate) ? fullMs : fullMs + NO_ROOM_MS;
 }
 
-/** Whether the memory of an engine has room for a request besides what is known and promised. */
+/**
+ * Whether the memory of an engine has room for a request besides what is known and promised.
+ * Of a request that is larger than the whole memory, the engine itself decides.
+ */
 function hasRoom(
   {memoryTokens}: EngineRequest,
   {cachedTokens, memoryUsed, promisedTokens, tokenMemory}: EngineCandidate,
@@ -343,6 +346,7 @@
   const neededTokens = Math.max(0, memoryTokens - cachedTokens);
   return (
     tokenMemory === 0 ||
+    memoryTokens > tokenMemory ||
     memoryUsed * tokenMemory + promisedTokens + neededTokens <= tokenMemory
   );
 }
