--- a/policy/expected-cost/src/call-progress.ts
+++ b/policy/expected-cost/src/call-progress.ts
@@ -57,8 +57,9 @@
       return;
     }
     if (isPlain) {
-      const {sentAt, workInFront} = call;
-      const response = {route, workInFront, tookMs: now - sentAt};
+      // Up to its last part: a caller that reads slowly holds up the end alone.
+      const tookMs = this.lastEventAt - call.sentAt;
+      const response = {route, workInFront: call.workInFront, tookMs};
       service.recordPlainResponse(target, response, now);
     }
     if (isStream) {
