--- a/control/control-server/test/quota-grant-handler.test.ts
+++ b/control/control-server/test/quota-grant-handler.test.ts
@@ -20,8 +20,11 @@
       if (!hasQuorum) {
         throw new Fault('NO_QUORUM', 'none');
       }
-      const decision = {isGranted: true, waitMs: 0, role: 'primary'} as const;
-      return {grants: request.grants.map(() => decision)};
+      const grants = request.grants.map(({amount}) => ({
+        granted: amount,
+        waitMs: 0,
+      }));
+      return {grants};
     },
   };
   server = http.createServer(
@@ -48,11 +51,16 @@
 
 it('quota grant handler: decisions come in the order of the grants', async () => {
   const grants = [
-    {tenant: 'a', amount: 1},
-    {tenant: 'b', amount: 2},
+    {tenant: 'a', amount: 1, isDivisible: false},
+    {tenant: 'b', amount: 2, isDivisible: true},
   ];
-  const answer = (await send({grants, returns: []})) as {grants: unknown[]};
-  expect(answer.grants).to.have.length(2);
+  const answer = await send({grants, returns: []});
+  expect(answer).to.deep.equal({
+    grants: [
+      {granted: 1, waitMs: 0},
+      {granted: 2, waitMs: 0},
+    ],
+  });
   expect(requests).to.deep.equal([{grants, returns: []}]);
 });
 
@@ -61,7 +69,8 @@
     tenant: '"'.repeat(256),
     amount: 999_999_999_999,
   }));
-  const answer = await send({grants: amounts, returns: amounts});
+  const grants = amounts.map(each => ({...each, isDivisible: false}));
+  const answer = await send({grants, returns: amounts});
   expect(answer).to.have.property('grants').with.length(MAX_QUOTA_GRANTS);
 });
 
@@ -72,9 +81,10 @@
 
 for (const body of [
   {},
-  {grants: [{tenant: 'a', amount: -1}], returns: []},
-  {grants: [{tenant: 'a', amount: 'x'}], returns: []},
-  {grants: [{tenant: '', amount: 1}], returns: []},
+  {grants: [{tenant: 'a', amount: 1}], returns: []},
+  {grants: [{tenant: 'a', amount: -1, isDivisible: false}], returns: []},
+  {grants: [{tenant: 'a', amount: 'x', isDivisible: false}], returns: []},
+  {grants: [{tenant: '', amount: 1, isDivisible: false}], returns: []},
 ]) {
   it(`quota grant handler: ${JSON.stringify(body)} decides nothing`, async () => {
     expect(await send(body)).to.be.a('string');
--- a/entry/tenant-quotas/test/call-charge.test.ts
+++ b/entry/tenant-quotas/test/call-charge.test.ts
@@ -25,7 +25,8 @@
         return refusal;
       }
       const requestedAt = {monotonicMs: 0, wallMs: 0};
-      const grant = {...amount, replica: 'r', requestedAt};
+      const parts = [{...amount, replica: 'r', requestedAt}];
+      const grant = {...amount, parts};
       granted.push(grant);
       return {kind: 'granted', grant};
     },
@@ -97,7 +98,7 @@
     reason: 'quota_exceeded',
     retryAfterSeconds: 1.5,
   });
-  refusal = {kind: 'unavailable'};
+  refusal = {kind: 'unavailable', waitMs: 40};
   const unavailable = await charge.secure();
   expect(unavailable).to.include({
     outcome: 'not-run',
