State the whole wait for a remembered shortage of a quota

A shortage is remembered for 250 ms at most, and that remainder was stated as the time until there is room. A call above the whole quota, which has a wait of 60 s, told the next one to come back in 250 ms.

--- a/entry/tenant-quotas/src/room-estimates.ts
+++ b/entry/tenant-quotas/src/room-estimates.ts
@@ -3,7 +3,10 @@
 /** An amount for which there was no room. */
 interface Shortage {
   readonly amount: number;
+  /** Until when the shortage is assumed. */
   readonly until: number;
+  /** When there is expected to be room. */
+  readonly roomAt: number;
 }
 
 /**
@@ -35,7 +38,7 @@
       known !== undefined && known.until > now && known.amount <= amount;
     if (!isLarger) {
       this.shortages.delete(key);
-      this.shortages.set(key, {amount, until});
+      this.shortages.set(key, {amount, until, roomAt: now + waitMs});
     }
     for (const oldest of this.shortages.keys()) {
       if (this.shortages.size <= MAX_SHORTAGES) {
@@ -45,7 +48,7 @@
     }
   }
 
-  /** Time for which there is no room for an amount; undefined if there may be. */
+  /** Expected time until there is room for an amount; undefined if there may be room. */
   noRoomMs(
     {amount, tenant}: QuotaAmount,
     now: number,
@@ -55,7 +58,7 @@
     return shortage !== undefined &&
       shortage.until > now &&
       amount >= shortage.amount
-      ? shortage.until - now
+      ? shortage.roomAt - now
       : undefined;
   }
 }
--- a/entry/tenant-quotas/test/room-estimates.test.ts
+++ b/entry/tenant-quotas/test/room-estimates.test.ts
@@ -23,7 +23,8 @@
   expect(estimates.noRoomMs(unitsOf(100), 1_079)).to.equal(1);
   expect(estimates.noRoomMs(unitsOf(100), 1_080)).to.equal(undefined);
   estimates.recordNoRoom(unitsOf(100), 60_000, 2_000);
-  expect(estimates.noRoomMs(unitsOf(100), 2_249)).not.to.equal(undefined);
+  // A Retry-After of the 250 ms left would bring callers back before there is room.
+  expect(estimates.noRoomMs(unitsOf(100), 2_249)).to.equal(59_751);
   expect(estimates.noRoomMs(unitsOf(100), 2_250)).to.equal(undefined);
 });
 
