Say that an amount exceeds what all replicas together hold

While parts of such an amount were collected, the replicas that were asked last saw only a small rest and stated a short wait. They now grant no part of it and say so, and the entry need not collect.

--- a/contracts/deployment/src/quota-grants.ts
+++ b/contracts/deployment/src/quota-grants.ts
@@ -44,6 +44,8 @@
    * if the replica does not know the tenant.
    */
   waitMs: z.number().min(0).optional(),
+  /** Whether the amount exceeds what all replicas together hold at most. */
+  isTooLarge: z.boolean().optional(),
 });
 
 /** Decision on one requested grant. */
--- a/policy/tenant-quotas/src/quota-ledger.ts
+++ b/policy/tenant-quotas/src/quota-ledger.ts
@@ -149,13 +149,12 @@
     if (quota === undefined || bucket.take(amount, now)) {
       return {granted: amount, waitMs: 0};
     }
+    if (amount > this.capacityOf(quota)) {
+      return {granted: 0, waitMs: NEVER_MS, isTooLarge: true};
+    }
     const granted = isDivisible ? bucket.takeUpTo(amount, now) : 0;
     const missing = amount - granted;
-    const waitMs =
-      amount > this.capacityOf(quota)
-        ? NEVER_MS
-        : (missing / quota.perSecond) * MS_PER_SECOND;
-    return {granted, waitMs};
+    return {granted, waitMs: (missing / quota.perSecond) * MS_PER_SECOND};
   }
 
   /** Units that all replicas together hold at most. */
--- a/policy/tenant-quotas/test/quota-ledger.test.ts
+++ b/policy/tenant-quotas/test/quota-ledger.test.ts
@@ -64,10 +64,11 @@
 
 it('quota ledger: an amount above what all replicas hold is refused with a long wait', () => {
   const ledger = createLedger();
-  expect(ask(ledger, CAPACITY + 1, 10_000)).to.deep.equal({
-    granted: 0,
-    waitMs: 60_000,
-  });
+  for (const isDivisible of [false, true]) {
+    const decision = ask(ledger, CAPACITY + 1, 10_000, {isDivisible});
+    const refused = {granted: 0, waitMs: 60_000, isTooLarge: true};
+    expect(decision).to.deep.equal(refused);
+  }
 });
 
 it('quota ledger: a bucket starts empty when the deployment became active', () => {
