Bound the wait of a call for units of a quota, and keep its parts usable

- Parts whose 300 ms passed while a silent replica was waited for are given back and collected again; before, the whole grant was due again at once.
- A call that waited for a majority of replicas in vain asks no other one, and none that failed is asked again for parts.
Without a quorum a call waited for each replica, for some of them twice.
- A replica whose query takes over 100 ms comes last, so that calls do not queue behind it.
- A late answer gives its units back and shows that the replica is alive.
After a stall of the entry all answers were late, and all replicas were skipped for 2 s.
- A shortage is also remembered while a replica is lost; each call asked each other replica.

--- a/entry/tenant-quotas/src/quota-client.ts
+++ b/entry/tenant-quotas/src/quota-client.ts
@@ -1,6 +1,10 @@
 import type {QuotaAmount} from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
-import type {ClockReading} from '@marigoldspur/tenant-quotas';
+import {
+  elapsedMs,
+  USE_WITHIN_MS,
+  type ClockReading,
+} from '@marigoldspur/tenant-quotas';
 import type {QuotaMetrics} from './quota-metrics.js';
 import {
   ReplicaQueue,
@@ -39,11 +43,18 @@
 
 /** What the replicas that were asked for one call decided. */
 interface Collection {
-  readonly parts: ReplicaGrant[];
+  readonly tenant: string;
+  parts: ReplicaGrant[];
   missing: number;
   waitMs: number | undefined;
-  /** Whether a replica did not answer. */
-  hasFailure: boolean;
+  /** Whether the amount exceeds what all replicas together hold at most. */
+  isTooLarge: boolean;
+  /** Whether parts expired while others were collected. */
+  hasExpired: boolean;
+  /** Replicas that did not answer, or do not know the tenant; they are not asked again. */
+  readonly failed: Set<ReplicaQueue>;
+  /** Number of replicas that the call waited for in vain. */
+  waitedInVain: number;
 }
 
 /** Asks the replicas of control, which have equal shares of all quotas, for units. */
@@ -55,29 +66,29 @@
 
   /**
    * Asks for units; never rejects. One replica after the other is asked for all of them, and then
-   * for the parts that they have.
+   * for the parts that they have, once more if parts expire while a replica does not answer.
    */
   async request(amount: QuotaAmount): Promise<QuotaOutcome> {
     const queues = this.queuesInTurn();
-    const collection: Collection = {
-      parts: [],
-      missing: amount.amount,
-      waitMs: undefined,
-      hasFailure: queues.length === 0,
-    };
-    await this.collect(queues, amount.tenant, collection, false);
-    if (collection.missing > 0 && !this.isExhausted(amount)) {
-      await this.collect(queues, amount.tenant, collection, true);
+    const collection = createCollection(amount);
+    await this.collect(queues, collection, false);
+    if (this.mayCollectParts(amount, collection)) {
+      await this.collect(queues, collection, true);
+      if (collection.missing > 0 && collection.hasExpired) {
+        await this.collect(queues, collection, true);
+      }
     }
-    const {hasFailure, missing, parts, waitMs} = collection;
+    const {failed, isTooLarge, missing, parts, waitMs} = collection;
     if (missing <= 0) {
       return {kind: 'granted', grant: {...amount, parts}};
     }
     this.giveBackParts(parts);
-    if (waitMs !== undefined && !hasFailure) {
+    if (waitMs !== undefined) {
       this.estimates.recordNoRoom(amount, waitMs, this.now());
     }
-    return {kind: hasFailure ? 'unavailable' : 'exceeded', waitMs};
+    const isUnknown = failed.size > 0 || queues.length === 0;
+    const kind = isUnknown && !isTooLarge ? 'unavailable' : 'exceeded';
+    return {kind, waitMs};
   }
 
   /** Gives back units that were not used. */
@@ -93,60 +104,81 @@
     parts.forEach(part => this.queues.get(part.replica)?.giveBack(part));
   }
 
-  /** Asks replicas until no unit is missing. */
+  /** Whether replicas may have parts that suffice together, as far as is known. */
+  private mayCollectParts(
+    amount: QuotaAmount,
+    {isTooLarge, missing}: Collection,
+  ): boolean {
+    return (
+      missing > 0 &&
+      !isTooLarge &&
+      this.estimates.noRoomMs(amount, this.now()) === undefined
+    );
+  }
+
+  /**
+   * Asks replicas until no unit is missing. Once a majority was waited for in vain there is no
+   * quorum, so that no other one is asked.
+   */
   private async collect(
     queues: readonly ReplicaQueue[],
-    tenant: string,
     collection: Collection,
     isDivisible: boolean,
   ): Promise<void> {
     for (const queue of queues) {
-      const request = {tenant, amount: collection.missing, isDivisible};
-      const scope = isDivisible ? undefined : queue.replica;
-      const noRoomMs =
-        scope === undefined
-          ? undefined
-          : this.estimates.noRoomMs(request, this.now(), scope);
-      if (noRoomMs !== undefined) {
-        collection.waitMs = Math.min(collection.waitMs ?? Infinity, noRoomMs);
-        continue;
-      }
-      const decision = queue.isSkipped
-        ? undefined
-        : await queue.request(request);
-      this.addDecision(collection, decision);
-      if (collection.missing <= 0) {
+      if (
+        collection.missing <= 0 ||
+        collection.waitedInVain > queues.length / 2
+      ) {
         return;
       }
-      if (scope !== undefined && decision?.waitMs !== undefined) {
-        this.estimates.recordNoRoom(
-          request,
-          decision.waitMs,
-          this.now(),
-          scope,
-        );
+      if (!collection.failed.has(queue)) {
+        await this.ask(queue, collection, isDivisible);
+        this.dropExpired(collection);
       }
     }
   }
 
-  private addDecision(
+  /** Asks one replica for what is missing, unless it had no room for that a moment ago. */
+  private async ask(
+    queue: ReplicaQueue,
     collection: Collection,
-    decision: ReplicaDecision | undefined,
-  ): void {
-    collection.hasFailure ||= decision?.waitMs === undefined;
-    if (decision?.grant !== undefined) {
-      collection.parts.push(decision.grant);
-      collection.missing -= decision.grant.amount;
+    isDivisible: boolean,
+  ): Promise<void> {
+    const {missing, tenant} = collection;
+    const request = {tenant, amount: missing, isDivisible};
+    const noRoomMs = isDivisible
+      ? undefined
+      : this.estimates.noRoomMs(request, this.now(), queue.replica);
+    if (noRoomMs !== undefined) {
+      addWait(collection, noRoomMs);
+      return;
     }
-    if (decision?.waitMs !== undefined) {
-      const {waitMs = Infinity} = collection;
-      collection.waitMs = Math.min(waitMs, decision.waitMs);
+    if (queue.isSkipped) {
+      collection.failed.add(queue);
+      return;
+    }
+    const decision = await queue.request(request);
+    addDecision(collection, queue, decision);
+    const {isComplete = false, waitMs} = decision ?? {};
+    if (!isDivisible && !isComplete && waitMs !== undefined) {
+      const {replica} = queue;
+      this.estimates.recordNoRoom(request, waitMs, this.now(), replica);
     }
   }
 
-  /** Whether all replicas together lacked room for such an amount a moment ago. */
-  private isExhausted(amount: QuotaAmount): boolean {
-    return this.estimates.noRoomMs(amount, this.now()) !== undefined;
+  /** Gives back parts that expired while the call waited for others; their units are missing again. */
+  private dropExpired(collection: Collection): void {
+    const now = this.options.clock();
+    const isExpired = ({requestedAt}: ReplicaGrant) =>
+      elapsedMs(requestedAt, now) > USE_WITHIN_MS;
+    const expired = collection.parts.filter(isExpired);
+    if (expired.length > 0) {
+      collection.hasExpired = true;
+      collection.parts = collection.parts.filter(part => !isExpired(part));
+      expired.forEach(({amount}) => (collection.missing += amount));
+      this.giveBackParts(expired);
+    }
   }
 
   private now(): number {
@@ -155,7 +187,7 @@
 
   /**
    * Queues of all replicas, from a random one on, so that their shares are used alike; those that did
-   * not answer last come last, because a call would wait for them.
+   * not answer last, or do not answer now, come last, because a call would wait for them.
    */
   private queuesInTurn(): ReplicaQueue[] {
     const replicas = this.options.replicas();
@@ -165,8 +197,8 @@
       name => this.queueOf(name),
     );
     return [
-      ...queues.filter(queue => !queue.hasFailed),
-      ...queues.filter(queue => queue.hasFailed),
+      ...queues.filter(queue => !queue.isDoubtful),
+      ...queues.filter(queue => queue.isDoubtful),
     ];
   }
 
@@ -191,3 +223,42 @@
     }
   }
 }
+
+function createCollection({amount, tenant}: QuotaAmount): Collection {
+  return {
+    tenant,
+    parts: [],
+    missing: amount,
+    waitMs: undefined,
+    isTooLarge: false,
+    hasExpired: false,
+    failed: new Set(),
+    waitedInVain: 0,
+  };
+}
+
+/** Adds what a replica decided; undefined if it did not answer. */
+function addDecision(
+  collection: Collection,
+  queue: ReplicaQueue,
+  decision: ReplicaDecision | undefined,
+): void {
+  const {grant, isTooLarge = false, waitMs} = decision ?? {};
+  if (decision === undefined) {
+    collection.waitedInVain += 1;
+  }
+  if (grant !== undefined) {
+    collection.parts.push(grant);
+    collection.missing -= grant.amount;
+  }
+  collection.isTooLarge ||= isTooLarge;
+  if (waitMs === undefined) {
+    collection.failed.add(queue);
+  } else {
+    addWait(collection, waitMs);
+  }
+}
+
+function addWait(collection: Collection, waitMs: number): void {
+  collection.waitMs = Math.min(collection.waitMs ?? Infinity, waitMs);
+}
--- a/entry/tenant-quotas/src/replica-queue.ts
+++ b/entry/tenant-quotas/src/replica-queue.ts
@@ -33,6 +33,8 @@
   readonly isComplete: boolean;
   /** Expected time until there is room, in milliseconds; undefined if it does not know the tenant. */
   readonly waitMs: number | undefined;
+  /** Whether the amount exceeds what all replicas together hold at most. */
+  readonly isTooLarge: boolean;
 }
 
 /** Options of a replica queue. */
@@ -60,6 +62,8 @@
  * within an election, after a second or so.
  */
 const SKIP_WITHOUT_QUORUM_MS = 250;
+/** Age of a query from which other replicas are asked first, in milliseconds. */
+const SLOW_QUERY_MS = 100;
 /** Maximum wait of unused units for the next query, in milliseconds. */
 const GIVE_BACK_DELAY_MS = 50;
 /**
@@ -75,10 +79,13 @@
   private waiting: PendingRequest[] = [];
   private givenBack: ReplicaGrant[] = [];
   private isQuerying = false;
+  /** When the query in flight was sent; infinite if there is none. */
+  private queryingSince = Infinity;
   private skippedUntil = -Infinity;
   /** Whether the last query was not answered in time. */
   private hasFailedLast = false;
   private giveBackTimer: NodeJS.Timeout | undefined;
+  private isStopped = false;
 
   constructor(private readonly options: ReplicaQueueOptions) {}
 
@@ -87,9 +94,13 @@
     return this.options.replica;
   }
 
-  /** Whether the last query was not answered in time. */
-  get hasFailed(): boolean {
-    return this.hasFailedLast;
+  /**
+   * Whether the last query was not answered in time, or the present one takes unusually long; a call
+   * would have to wait for it.
+   */
+  get isDoubtful(): boolean {
+    const now = this.options.clock().monotonicMs;
+    return this.hasFailedLast || now - this.queryingSince > SLOW_QUERY_MS;
   }
 
   /** Whether the replica failed lately. */
@@ -107,6 +118,9 @@
 
   /** Gives back units that were not used, with the next query. */
   giveBack(grant: ReplicaGrant): void {
+    if (this.isStopped) {
+      return;
+    }
     this.givenBack.push(grant);
     if (this.givenBack.length > MAX_GIVEN_BACK) {
       this.givenBack.shift();
@@ -118,6 +132,7 @@
   }
 
   stop(): void {
+    this.isStopped = true;
     clearTimeout(this.giveBackTimer);
   }
 
@@ -144,12 +159,14 @@
     const {clock, exchange, metrics, replica} = this.options;
     this.isQuerying = true;
     const requestedAt = clock();
+    this.queryingSince = requestedAt.monotonicMs;
     const grants = pending.map(({amount}) => amount);
     const answer = exchange(replica, {grants, returns: [...returns]}).then(
       raw => this.readAnswer(raw, grants, requestedAt),
     );
     const failure = await this.awaitAnswer(answer, requestedAt);
     this.isQuerying = false;
+    this.queryingSince = Infinity;
     metrics.recordQuery(replica, failure === undefined);
     if (failure === undefined) {
       this.recordAnswer();
@@ -157,10 +174,27 @@
     } else {
       this.recordFailure(failure);
       this.settleAll(pending, undefined);
+      answer.then(
+        decisions => this.handleLateAnswer(decisions),
+        () => undefined,
+      );
     }
     this.sendNext();
   }
 
+  /**
+   * Gives back what a late answer grants, and asks the replica again: it is alive, and if this
+   * process was stalled, the answers of all replicas are late.
+   */
+  private handleLateAnswer(decisions: readonly ReplicaDecision[]): void {
+    this.skippedUntil = -Infinity;
+    for (const {grant} of decisions) {
+      if (grant !== undefined) {
+        this.giveBack(grant);
+      }
+    }
+  }
+
   /** Resolves to why there is no answer in time; undefined if there is one. */
   private async awaitAnswer(
     answer: Promise<readonly ReplicaDecision[]>,
@@ -197,7 +231,7 @@
   }
 
   private toDecision(
-    {granted, waitMs}: QuotaDecision,
+    {granted, isTooLarge = false, waitMs}: QuotaDecision,
     {amount, tenant}: QuotaGrantRequest,
     requestedAt: ClockReading,
   ): ReplicaDecision {
@@ -205,7 +239,7 @@
     const units = Math.min(granted, amount);
     const grant = {tenant, amount: units, replica, requestedAt};
     const isComplete = units >= amount;
-    return {isComplete, waitMs, ...(units > 0 && {grant})};
+    return {isComplete, isTooLarge, waitMs, ...(units > 0 && {grant})};
   }
 
   /** Units that are still given back, summed for each tenant. */
