Limit what misbehaving callers and operators take from a process

ConnectionGuard wraps the handler of each server: it stops the parser of a connection that sends too many requests without a response, reserves memory for header fields, closes bodies in far too small chunks, and closes connections without a complete request when connections run short. maxFds of the settings file bounds connections and calls to targets. Refused bodies are read slowly once there are many. Callers' header fields after the 1,000th are no longer dropped.

The test "connections beyond their maximum are closed at once" of caller-server expected a new connection to be closed while one without a request was kept. That rule is reversed; three tests take its place: such a connection gives way, one that has brought a request is kept and goes on working, and the new one is closed at once then.

Without the 24 MB that the budget leaves for uncollected memory, endless large chunks took 222 MB.

--- a/contracts/event-catalogue/src/process-events.ts
+++ b/contracts/event-catalogue/src/process-events.ts
@@ -70,10 +70,16 @@
     meaning:
       'The process could not accept a connection at `address`; it goes on listening.',
   },
+  'connections-limited': {
+    number: 114,
+    level: 'warn',
+    meaning:
+      'A limit closes connections to a listener (`listener`); `limit` tells which: their number (`connections`, where those without a complete request give way first), their requests without a response (`pipelined`), the memory for the headers of requests (`headers`), or bodies in far too many and too small chunks (`chunks`). Recorded once for a spell.',
+  },
   'connections-full': {
     number: 113,
     level: 'warn',
     meaning:
-      'Callers have as many connections as the memory of the entry allows; further ones are closed at once.',
+      'Callers have as many connections as the memory and the file descriptors of the entry allow; for further ones those without a complete request are closed first.',
   },
 } as const satisfies Record<string, EventKind>;
--- a/control/control-server/src/control-settings.ts
+++ b/control/control-server/src/control-settings.ts
@@ -68,6 +68,14 @@
     .describe(
       'Memory that the process may use, in bytes, which limits what it buffers; no limit by default',
     ),
+  maxDescriptors: z.coerce
+    .number()
+    .int()
+    .positive()
+    .optional()
+    .describe(
+      'Number of file descriptors that the process may open, which limits its connections; no limit by default',
+    ),
   leaseMs: DURATION_MS_SCHEMA.default(3_000).describe(
     'How long a member stays registered without a heartbeat, in milliseconds',
   ),
--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -54,6 +54,8 @@
   readonly memory: MemoryBudget;
   /** Returns the number of connections for which the interface has memory; undefined without a limit. */
   readonly maxConnections: (maxHeaderBytes: number) => number | undefined;
+  /** Returns what records that a limit closes connections of a listener. */
+  readonly recordClosed: ProcessRuntime['recordClosed'];
   /** Replaces the base URLs from which the replicas of control are discovered. */
   readonly setSeedUrls: (urls: readonly string[]) => void;
 }
@@ -163,6 +165,7 @@
     listen: (server, address) => runtime.listen(server, address),
     memory: runtime.memory,
     maxConnections: bytes => runtime.maxConnections(bytes),
+    recordClosed: listener => runtime.recordClosed(listener),
     setSeedUrls: urls => log.setSeedUrls(urls),
   });
   events.record('process-started', {url, boot});
--- a/entry/caller-server/src/caller-server.ts
+++ b/entry/caller-server/src/caller-server.ts
@@ -1,10 +1,17 @@
 import type http from 'node:http';
 import type {Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
+import {
+  ConnectionGuard,
+  stopParsing,
+  type CloseReason,
+} from '@marigoldspur/connection-guard';
 import {guard} from '@marigoldspur/fault-guard';
-import {closeServer} from '@marigoldspur/http-link';
+import {closeServer, onResponseEnd} from '@marigoldspur/http-link';
 import type {Fault} from '@marigoldspur/faults';
 import type {LoopClock} from '@marigoldspur/loop-clock';
+import type {MemoryBudget} from '@marigoldspur/memory-budget';
+import {discardRest} from '@marigoldspur/request-bodies';
 import {formatClientErrorResponse} from '@marigoldspur/caller-api';
 
 /** Limits on callers' connections and requests. */
@@ -32,8 +39,8 @@
   ) => Promise<void>;
   /** Called with an error of `handle`, whose connection was closed. */
   readonly onFault: (fault: Fault) => void;
-  /** Called with a connection that was closed at once because there are too many. */
-  readonly onConnectionDropped?: () => void;
+  /** Called when a limit closes a connection. */
+  readonly onConnectionClosed?: (reason: CloseReason) => void;
   /** The turns of this process's event loop. */
   readonly clock: Pick<LoopClock, 'earliestArrival' | 'turns'>;
   /** Whether the process is shutting down. */
@@ -46,10 +53,15 @@
   readonly readinessPath?: string;
   readonly limits?: CallerLimits;
   /**
-   * Returns the maximum number of connections with heads of at most `maxHeaderBytes`; further ones
-   * are closed at once. No limit if it is absent or returns undefined.
+   * Returns the maximum number of connections with heads of at most `maxHeaderBytes`. For further
+   * ones the oldest without a complete request is closed. No limit if it is absent or returns
+   * undefined.
    */
   readonly maxConnections?: (maxHeaderBytes: number) => number | undefined;
+  /** Limits the memory for the headers of requests; no limit if absent. */
+  readonly memory?: Pick<MemoryBudget, 'reserve'>;
+  /** Maximum number of requests in progress, further ones are refused; no limit if absent. */
+  readonly maxRunning?: number;
 }
 
 const DEFAULT_LIMITS: CallerLimits = {
@@ -64,6 +76,7 @@
 const MAX_WAITING_PER_CONNECTION = 256;
 /** Maximum number of waiting requests of all connections together. */
 const MAX_WAITING_REQUESTS = 1_000;
+const EXCESS_MESSAGE = `the entry or the connection has too many requests in progress, or the connection has over ${MAX_WAITING_PER_CONNECTION} that wait, or all together over ${MAX_WAITING_REQUESTS}`;
 const RETRY_AFTER_SECONDS = 1;
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 const CLOSE_IDLE_INTERVAL_MS = 50;
@@ -95,29 +108,50 @@
 
   /** Number of requests that wait for others of their connection. */
   private waitingCount = 0;
+  /** Number of requests in progress. */
+  private runningCount = 0;
+  private readonly guard: ConnectionGuard;
+  private connectionLimit: number | undefined;
 
   constructor(private readonly options: CallerServerOptions) {
     const limits = options.limits ?? DEFAULT_LIMITS;
+    this.guard = new ConnectionGuard({
+      maxConnections: () => this.connectionLimit,
+      memory: options.memory,
+      onClosed: reason => options.onConnectionClosed?.(reason),
+      refuse: (request, response) =>
+        refuse(request, response, 'the entry lacks the memory for the headers'),
+    });
     this.server = options.createServer(
       {
+        ...this.guard.serverOptions,
         maxHeaderSize: limits.maxHeaderBytes,
         headersTimeout: limits.headersTimeoutMs,
         requestTimeout: limits.requestTimeoutMs,
         connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         keepAliveTimeout: limits.idleTimeoutMs,
       },
-      (request, response) => this.handleRequest(request, response),
+      this.guard.wrap((request, response) =>
+        this.handleRequest(request, response),
+      ),
     );
+    // Node.js drops all fields after the 1,000th by default; the size of the headers bounds them.
+    this.server.maxHeadersCount = 0;
+    this.guard.watch(this.server);
     this.limitConnections(limits.maxHeaderBytes);
     this.server.on('connection', (socket: Socket) =>
       this.recordConnection(socket),
     );
-    this.server.on('drop', () => this.options.onConnectionDropped?.());
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.refuseConnection(error, socket as Socket),
     );
   }
 
+  /** Maximum number of connections; undefined without a limit. */
+  get maxConnections(): number | undefined {
+    return this.connectionLimit;
+  }
+
   /** Applies new limits; that on headers holds for new connections. */
   setLimits(limits: CallerLimits): void {
     const server: http.Server & {maxHeaderSize?: number} = this.server;
@@ -129,10 +163,7 @@
   }
 
   private limitConnections(maxHeaderBytes: number): void {
-    const count = this.options.maxConnections?.(maxHeaderBytes);
-    if (count !== undefined) {
-      this.server.maxConnections = count;
-    }
+    this.connectionLimit = this.options.maxConnections?.(maxHeaderBytes);
   }
 
   /**
@@ -155,8 +186,6 @@
   private recordConnection(socket: Socket): void {
     const {clock} = this.options;
     const arrivedAt = clock.earliestArrival(performance.now());
-    // Each request of the connection listens to its end.
-    socket.setMaxListeners(0);
     this.newConnections.set(socket, {arrivedAt, turn: clock.turns});
   }
 
@@ -203,12 +232,27 @@
     }
   }
 
+  /** Whether a further request may run; it counts until its response ends. */
+  private beginRunning(response: http.ServerResponse): boolean {
+    const {maxRunning = Infinity} = this.options;
+    if (this.runningCount >= maxRunning) {
+      return false;
+    }
+    this.runningCount += 1;
+    onResponseEnd(response, () => (this.runningCount -= 1));
+    return true;
+  }
+
   private serve(
     request: http.IncomingMessage,
     response: http.ServerResponse,
     arrivedAt: number,
   ): void {
     const {handle, onFault} = this.options;
+    if (!this.beginRunning(response)) {
+      this.refuseExcess(request, response);
+      return;
+    }
     const guarded = guard(handle, {
       onFault: fault => {
         response.destroy();
@@ -244,7 +288,7 @@
     if (isFull || queue.isClosing) {
       queue.isClosing = true;
       queue.running += 1;
-      refuseExcess(request, response);
+      this.refuseExcess(request, response);
       return;
     }
     this.waitingCount += 1;
@@ -261,6 +305,14 @@
     start();
   }
 
+  private refuseExcess(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    this.options.onConnectionClosed?.('pipelined');
+    refuse(request, response, EXCESS_MESSAGE);
+  }
+
   /**
    * Responds to malformed HTTP and to requests that time out, unless another
    * response is still being sent on the connection.
@@ -278,15 +330,16 @@
 }
 
 /**
- * Refuses a request that came without waiting for too many others, as not run. Its connection
- * closes after the response, so that nothing behind it runs either (RFC 9112, 9.6).
+ * Refuses a request as not run. Its connection closes after the response, and nothing behind it
+ * on the connection runs either (RFC 9112, 9.6).
  */
-function refuseExcess(
+function refuse(
   request: http.IncomingMessage,
   response: http.ServerResponse,
+  message: string,
 ): void {
-  request.resume();
-  const message = `the connection has over ${MAX_WAITING_PER_CONNECTION} requests that wait, or all together over ${MAX_WAITING_REQUESTS}`;
+  stopParsing(request.socket);
+  discardRest(request);
   const body = JSON.stringify({
     error: {message, reason: 'entry_full', outcome: 'not-run'},
   });
--- a/entry/direct-routing/src/direct-routing-settings.ts
+++ b/entry/direct-routing/src/direct-routing-settings.ts
@@ -21,6 +21,8 @@
   readonly port: number;
   /** Memory that the process may use, in bytes; no limit if absent. */
   readonly memoryBytes?: number;
+  /** Number of file descriptors that the process may open; no limit if absent. */
+  readonly maxDescriptors?: number;
   readonly logLevel: 'debug' | 'info' | 'warn' | 'error' | 'silent';
   /** Base URLs of the replicas of control that are known at start. */
   readonly control: readonly string[];
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -2,6 +2,10 @@
 import http from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import {CallerServer} from '@marigoldspur/caller-server';
+import {
+  ConnectionGuard,
+  type CloseReason,
+} from '@marigoldspur/connection-guard';
 import {
   createCrashRecords,
   type Deployment,
@@ -314,17 +318,24 @@
   });
   const connectionSpell = new RefusalSpell(() =>
     events.record('connections-full', {
-      connections: callerServer.server.maxConnections,
+      connections: callerServer.maxConnections ?? 0,
     }),
   );
+  const recordClosed = runtime.recordClosed('callers');
   const callerServer = new CallerServer({
     handle: (request, response, arrivedAt) =>
       callHandler.handle(request, response, arrivedAt),
     onFault: ({message}) => events.record('request-error', {message}),
-    onConnectionDropped: () => {
-      metrics.recordDroppedConnection();
-      connectionSpell.recordRefusal(performance.now());
+    onConnectionClosed: limit => {
+      if (limit === 'connections') {
+        metrics.recordDroppedConnection();
+        connectionSpell.recordRefusal(performance.now());
+      } else {
+        recordClosed(limit);
+      }
     },
+    memory: runtime.memory,
+    maxRunning: runtime.maxCalls(),
     clock: loopClock.clock,
     isDraining: () => runtime.isDraining,
     createServer: http.createServer,
@@ -343,7 +354,11 @@
     }),
     drain,
   });
-  const readiness = createReadinessServer(wireFormat.readinessPath, isReady);
+  const readiness = createReadinessServer(
+    wireFormat.readinessPath,
+    isReady,
+    runtime.recordClosed('readiness'),
+  );
   await runtime.listen(readiness, parseAddress(settings.readiness));
   // Callers come last: a signal ends a process that has not started without a drain.
   await runtime.listen(callerServer.server, parseAddress(settings.callers));
@@ -432,12 +447,41 @@
   return new Set(engines.map(({address}) => address));
 }
 
-function createReadinessServer(readinessPath: string, isReady: () => boolean) {
-  return http.createServer((request, response) => {
-    const isReadinessPath = request.url === readinessPath;
-    response.statusCode = isReadinessPath ? (isReady() ? 200 : 503) : 404;
-    response.end();
+/** Limits on readiness checks; a balancer sends a few small requests a second. */
+const READINESS_LIMITS = {
+  maxHeaderSize: 8_192,
+  headersTimeout: 3_000,
+  requestTimeout: 5_000,
+  connectionsCheckingInterval: 500,
+};
+const MAX_READINESS_CONNECTIONS = 16;
+const MAX_READINESS_PIPELINED = 8;
+
+function createReadinessServer(
+  readinessPath: string,
+  isReady: () => boolean,
+  onClosed: (limit: CloseReason) => void,
+) {
+  const guard = new ConnectionGuard({
+    maxPipelined: MAX_READINESS_PIPELINED,
+    maxConnections: () => MAX_READINESS_CONNECTIONS,
+    ignoresBodies: true,
+    onClosed,
   });
+  const server = http.createServer(
+    {...guard.serverOptions, ...READINESS_LIMITS},
+    guard.wrap((request, response) => {
+      // Many kept connections would leave no room for those of the balancer.
+      if (guard.connectionCount > MAX_READINESS_CONNECTIONS / 2) {
+        response.setHeader('connection', 'close');
+      }
+      const isReadinessPath = request.url === readinessPath;
+      response.statusCode = isReadinessPath ? (isReady() ? 200 : 503) : 404;
+      response.end();
+    }),
+  );
+  guard.watch(server);
+  return server;
 }
 
 function parseAddress(text: string): Address {
--- a/lab/reference-docs/src/settings-page.ts
+++ b/lab/reference-docs/src/settings-page.ts
@@ -48,6 +48,51 @@
 \`\`\`
 `;
 
+const CONNECTION_LIMITS_SECTION = `
+## Limits on connections
+
+Set by the settings \`memoryMb\` and \`maxFds\` (\`limits\` of the settings file), and fixed where the
+table says so. No caller within the limits of the deployment meets them.
+
+${renderMarkdownTable([
+  ['limit', 'default', 'set by'],
+  [
+    'Requests of one connection of a caller in progress, and waiting',
+    '32, 256',
+    'fixed',
+  ],
+  ['Waiting requests of all connections', '1,000', 'fixed'],
+  [
+    'Requests of one connection without a response, at control and between processes',
+    '32',
+    'fixed',
+  ],
+  ['The same, and connections, at the readiness address', '8, 16', 'fixed'],
+  [
+    'Chunks of a body of any size; mean size in bytes from then on',
+    '65,536; 32',
+    'fixed',
+  ],
+  [
+    'Time for the rest of a refused body, in milliseconds; number of them that are not slowed down',
+    '5,000; 4',
+    'fixed',
+  ],
+  ['File descriptors of a process', 'no limit', '`maxFds`'],
+  [
+    'Connections of callers; of processes to an entry',
+    '56%, 14% of `maxFds` - 48',
+    '`maxFds`, `memoryMb`',
+  ],
+  [
+    'Connections of operators; of processes to control and agents',
+    '35%, 35% of `maxFds` - 48',
+    '`maxFds`, `memoryMb`',
+  ],
+  ['Calls of an entry in progress', '25% of `maxFds` - 48', '`maxFds`'],
+  ['Memory of a request in bytes; of each header field', '2,048; 320', 'fixed'],
+])}`;
+
 /** Renders the reference page of the settings tree and of the process settings as Markdown. */
 export function renderSettingsPage(): string {
   return [
@@ -63,6 +108,7 @@
     renderProcessSection('marigoldspur-control', CONTROL_SETTINGS_SCHEMA),
     renderProcessSection('marigoldspur-entry', ENTRY_SETTINGS_SCHEMA),
     renderProcessSection('marigoldspur-agent', AGENT_SETTINGS_SCHEMA),
+    CONNECTION_LIMITS_SECTION,
   ].join('');
 }
 
--- /dev/null
+++ b/machines/connection-guard/src/index.ts
@@ -0,0 +1,7 @@
+export {
+  ConnectionGuard,
+  type CloseReason,
+  type ConnectionGuardOptions,
+} from './connection-guard.js';
+export {headerObjectBytes} from './header-objects.js';
+export {stopParsing} from './stop-parsing.js';
--- a/machines/memory-budget/src/memory-limit.ts
+++ b/machines/memory-budget/src/memory-limit.ts
@@ -14,6 +14,11 @@
 
 /** Memory of a process for code, stacks and native objects, in bytes. */
 const NATIVE_BYTES = 48_000_000;
+/**
+ * Memory that was given back to the budget and that the collector has not freed yet, in bytes. With
+ * 202 MB, 120 bodies in large chunks took 222 MB without it.
+ */
+const UNCOLLECTED_BYTES = 24_000_000;
 /** Share of the memory that may be buffered however large the heap is. */
 const MIN_SHARE = 0.1;
 
@@ -33,7 +38,11 @@
     const {connectionBytes, memoryBytes} = this.options;
     return Math.max(
       memoryBytes * MIN_SHARE,
-      memoryBytes - NATIVE_BYTES - connectionBytes - heapBytes,
+      memoryBytes -
+        NATIVE_BYTES -
+        UNCOLLECTED_BYTES -
+        connectionBytes -
+        heapBytes,
     );
   }
 }
--- a/machines/process-runtime/src/process-runtime.ts
+++ b/machines/process-runtime/src/process-runtime.ts
@@ -1,6 +1,7 @@
 import {maxHeaderSize} from 'node:http';
 import type {Server} from 'node:net';
 import {getHeapStatistics} from 'node:v8';
+import type {CloseReason} from '@marigoldspur/connection-guard';
 import {
   EventLog,
   createJsonLineSink,
@@ -20,6 +21,7 @@
   connectionBytes,
   MemoryBudget,
   MemoryLimit,
+  RefusalSpell,
   registerBudgetMetrics,
   REQUEST_OBJECTS,
   UNLIMITED,
@@ -45,6 +47,8 @@
   readonly logLevel: 'debug' | 'info' | 'warn' | 'error' | 'silent';
   /** Memory that the process may use, in bytes; no limit if absent. */
   readonly memoryBytes?: number;
+  /** Number of file descriptors that the process may open; no limit if absent. */
+  readonly maxDescriptors?: number;
 }
 
 /** What a process serves in addition to its health, metrics, status and events. */
@@ -72,6 +76,12 @@
 /** Share of the memory for connections that those to one of two servers may take. */
 const DEFAULT_SERVER_SHARE = 0.5;
 const BYTES_PER_IDLE_CONNECTION = 4_096;
+/** Descriptors for files, listening sockets, readiness checks and connections to control. */
+const RESERVED_DESCRIPTORS = 48;
+/** Share of the other descriptors for connections to the servers of the process. */
+const CONNECTION_DESCRIPTORS_SHARE = 0.7;
+/** Share of the other descriptors for calls to targets. */
+const CALL_DESCRIPTORS_SHARE = 0.25;
 
 /** The components that every process of the system has: event log, metrics, link security and server. */
 export class ProcessRuntime {
@@ -139,14 +149,18 @@
   /** Serves other processes and operators; returns the base URL. */
   serve(options: ProcessServeOptions): string {
     const {events, memory} = this;
-    const server = startProcessServer({
-      port: this.port,
-      security: this.security,
+    this.port.setLimits({
       memory,
       maxConnections: this.maxConnections(
         maxHeaderSize,
         options.connectionShare,
       ),
+      onClosed: this.recordClosed('processes'),
+    });
+    const server = startProcessServer({
+      port: this.port,
+      security: this.security,
+      memory,
       metrics: this.metrics,
       onFault: ({message}) => events.record('request-error', {message}),
       isReady: () => this.isReady(options),
@@ -172,19 +186,42 @@
 
   /**
    * Number of connections with heads of at most `maxHeaderBytes` for which one server of the
-   * process has memory, if it may take a share of that for all servers; undefined without a limit.
+   * process has memory and descriptors, if it may take a share of those for all servers; undefined
+   * without a limit.
    */
   maxConnections(
     maxHeaderBytes: number,
     share = DEFAULT_SERVER_SHARE,
   ): number | undefined {
-    const {memoryBytes} = this.settings;
-    return memoryBytes === undefined
-      ? undefined
-      : Math.floor(
-          (connectionBytes(memoryBytes) * share) /
-            (maxHeaderBytes + BYTES_PER_IDLE_CONNECTION),
+    const {memoryBytes = Infinity} = this.settings;
+    const byMemory =
+      (connectionBytes(memoryBytes) * share) /
+      (maxHeaderBytes + BYTES_PER_IDLE_CONNECTION);
+    const byDescriptors =
+      this.freeDescriptors * CONNECTION_DESCRIPTORS_SHARE * share;
+    return toLimit(Math.min(byMemory, byDescriptors));
+  }
+
+  /** Number of calls to targets for which the process has descriptors; undefined without a limit. */
+  maxCalls(): number | undefined {
+    return toLimit(this.freeDescriptors * CALL_DESCRIPTORS_SHARE);
+  }
+
+  /**
+   * Returns what records that a limit closes connections of a listener, once for a spell of each
+   * limit.
+   */
+  recordClosed(listener: string): (limit: CloseReason) => void {
+    const spells = new Map<CloseReason, RefusalSpell>();
+    return limit => {
+      const spell =
+        spells.get(limit) ??
+        new RefusalSpell(() =>
+          this.events.record('connections-limited', {listener, limit}),
         );
+      spells.set(limit, spell);
+      spell.recordRefusal(performance.now());
+    };
   }
 
   /** Marks the process as shutting down, so that it is no longer ready. */
@@ -199,6 +236,11 @@
     this.events.record('process-stopped');
   }
 
+  private get freeDescriptors(): number {
+    const {maxDescriptors = Infinity} = this.settings;
+    return Math.max(0, maxDescriptors - RESERVED_DESCRIPTORS);
+  }
+
   private isReady(options: ProcessServeOptions): boolean {
     return !this.draining && options.isReady?.() !== false;
   }
@@ -220,6 +262,11 @@
   }
 }
 
+/** A number that is rounded down, but at least 1; undefined if it is infinite. */
+function toLimit(count: number): number | undefined {
+  return count === Infinity ? undefined : Math.max(1, Math.floor(count));
+}
+
 function createPortListener(events: EventLog): PortListener {
   const text = ({host, port}: Address) => `${host}:${port}`;
   return {
--- a/machines/process-server/src/index.ts
+++ b/machines/process-server/src/index.ts
@@ -1,4 +1,4 @@
-export {ProcessPort} from './process-port.js';
+export {ProcessPort, type PortLimits} from './process-port.js';
 export {
   startProcessServer,
   type ProcessServer,
--- a/machines/process-server/src/process-server.ts
+++ b/machines/process-server/src/process-server.ts
@@ -29,8 +29,6 @@
   readonly metrics: ProcessMetrics;
   /** Limits the memory for the bodies of tRPC calls; no limit if absent. */
   readonly memory?: Pick<MemoryBudget, 'reserve'>;
-  /** Maximum number of connections; further ones are closed at once. No limit if absent. */
-  readonly maxConnections?: number;
   /** Called with an unexpected error of a request, whose connection was closed. */
   readonly onFault: (fault: Fault) => void;
   /** Whether the process takes new work. */
@@ -111,9 +109,6 @@
       ),
     );
   }
-  if (options.maxConnections !== undefined) {
-    server.maxConnections = options.maxConnections;
-  }
   return {
     url: `${options.security.scheme}://${address.host}:${address.port}`,
     close: () => closeServer(server),
--- a/machines/request-bodies/src/discard-rest.ts
+++ b/machines/request-bodies/src/discard-rest.ts
@@ -1,23 +1,72 @@
 import type {IncomingMessage} from 'node:http';
+import {GuardedMessage} from './guarded-message.js';
 
 /** Time for which the rest of a refused body is read, in milliseconds. */
 const DISCARD_TIMEOUT_MS = 5_000;
+/** Number of bodies that are discarded as fast as they come. */
+const MAX_UNPACED = 4;
+/**
+ * Time between two pieces of a body for each body that is discarded, in milliseconds. Together they
+ * bring 64 KiB in this time: without a bound, what is dropped takes memory faster than it is freed.
+ */
+const PACE_MS = 2;
+
+/** Number of bodies that are being discarded. */
+let discardedCount = 0;
 
 /**
  * Reads and drops the rest of a body, so that its sender can read the answer: closing a connection
- * with unread bytes resets it. Closes the connection if the body does not end within 5 s.
+ * with unread bytes resets it. Closes the connection if the body does not end within 5 s; many
+ * bodies are read the more slowly.
  */
 export function discardRest(request: IncomingMessage): void {
   if (request.complete || request.destroyed) {
     request.resume();
     return;
   }
-  const timer = setTimeout(() => request.destroy(), DISCARD_TIMEOUT_MS);
+  const pace = new Pace(request);
+  const timeout = setTimeout(() => request.destroy(), DISCARD_TIMEOUT_MS);
+  const end = () => {
+    clearTimeout(timeout);
+    pace.end();
+  };
   request.on('error', () => {
     // The rest of the body is of no interest.
   });
-  request.on('close', () => clearTimeout(timer));
-  request.on('end', () => clearTimeout(timer));
+  request.once('close', end);
+  request.once('end', end);
   request.removeAllListeners('data');
-  request.resume();
+  if (request instanceof GuardedMessage) {
+    request.dropBody(() => pace.isReadOn());
+  } else {
+    request.resume();
+  }
+}
+
+/** Slows the reading of a discarded body down while there are many. */
+class Pace {
+  private timer: NodeJS.Timeout | undefined;
+  private hasEnded = false;
+
+  constructor(private readonly request: IncomingMessage) {
+    discardedCount += 1;
+  }
+
+  /** Whether the connection is read on at once; it is resumed later otherwise. */
+  isReadOn(): boolean {
+    if (this.hasEnded || discardedCount <= MAX_UNPACED) {
+      return true;
+    }
+    this.timer ??= setTimeout(() => {
+      this.timer = undefined;
+      this.request.socket.resume();
+    }, discardedCount * PACE_MS);
+    return false;
+  }
+
+  end(): void {
+    clearTimeout(this.timer);
+    discardedCount -= this.hasEnded ? 0 : 1;
+    this.hasEnded = true;
+  }
 }
--- a/machines/request-bodies/src/index.ts
+++ b/machines/request-bodies/src/index.ts
@@ -5,5 +5,6 @@
   type BodyRequest,
 } from './body-reader.js';
 export {discardRest} from './discard-rest.js';
+export {GuardedMessage, type BodyWatch} from './guarded-message.js';
 export {PieceList} from './piece-list.js';
 export {createRequestBody, type RequestBody} from './request-body.js';
