--- a/entry/caller-server/src/caller-server.ts
+++ b/entry/caller-server/src/caller-server.ts
@@ -339,7 +339,7 @@
   message: string,
 ): void {
   stopParsing(request.socket);
-  discardRest(request);
+  discardRest(request, true);
   const body = JSON.stringify({
     error: {message, reason: 'entry_full', outcome: 'not-run'},
   });
--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -275,7 +275,7 @@
 
 /** Has the rest of a refused call read and dropped; returns the refusal. */
 function refuseUnread(request: IncomingMessage, refusal: Refusal): Refusal {
-  discardRest(request);
+  discardRest(request, true);
   return refusal;
 }
 
--- a/lab/reference-docs/src/settings-page.ts
+++ b/lab/reference-docs/src/settings-page.ts
@@ -74,7 +74,7 @@
     'fixed',
   ],
   [
-    'Time for the rest of a refused body, in milliseconds; number of them that are not slowed down',
+    'Time for the rest of a refused body, in milliseconds; number of them that an entry does not slow down',
     '5,000; 4',
     'fixed',
   ],
--- a/machines/request-bodies/src/discard-rest.ts
+++ b/machines/request-bodies/src/discard-rest.ts
@@ -16,19 +16,19 @@
 
 /**
  * Reads and drops the rest of a body, so that its sender can read the answer: closing a connection
- * with unread bytes resets it. Closes the connection if the body does not end within 5 s; many
- * bodies are read the more slowly.
+ * with unread bytes resets it. Closes the connection if the body does not end within 5 s. With
+ * `isPaced`, many bodies are read the more slowly.
  */
-export function discardRest(request: IncomingMessage): void {
+export function discardRest(request: IncomingMessage, isPaced = false): void {
   if (request.complete || request.destroyed) {
     request.resume();
     return;
   }
-  const pace = new Pace(request);
+  const pace = isPaced ? new Pace(request) : undefined;
   const timeout = setTimeout(() => request.destroy(), DISCARD_TIMEOUT_MS);
   const end = () => {
     clearTimeout(timeout);
-    pace.end();
+    pace?.end();
   };
   request.on('error', () => {
     // The rest of the body is of no interest.
@@ -36,8 +36,8 @@
   request.once('close', end);
   request.once('end', end);
   request.removeAllListeners('data');
-  if (request instanceof GuardedMessage) {
-    request.dropBody(() => pace.isReadOn());
+  if (isPaced && request instanceof GuardedMessage) {
+    request.dropBody(() => pace?.isReadOn() ?? true);
   } else {
     request.resume();
   }
