--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -388,7 +388,7 @@
     number: 783,
     level: 'info',
     meaning:
-      'This entry begins to refuse calls of a tenant because its quota has no room (`exceeded`) or because no replica of control grants units of it (`unavailable`); `amount` is what the first such call asked for, and `waitMs` when there will be room.',
+      'This entry begins to refuse calls of a tenant because its quota has no room (`exceeded`) or because replicas of control that may have room do not answer (`unavailable`); `amount` is what the first such call asked for, and `waitMs` when there will be room.',
   },
   'quota-refusals-ended': {
     number: 784,
