--- a/contracts/deployment/src/tenants.ts
+++ b/contracts/deployment/src/tenants.ts
@@ -28,7 +28,7 @@
   name: NAME_SCHEMA,
   /** API keys. They are secrets and must not appear in logs, metrics or errors. */
   keys: z.array(z.string().min(1)),
-  /** Priority that replaces the one of the route; 0 is the most urgent. */
+  /** Priority that takes precedence over the one of the route; 0 is the most urgent. */
   priority: z.int().min(0).optional(),
   /** Absent if the tenant's use is not limited. */
   quota: QUOTA_SCHEMA.optional(),
