--- a/policy/call-priority/src/priority-scale.ts
+++ b/policy/call-priority/src/priority-scale.ts
@@ -38,10 +38,11 @@
     route: Required<PriorityHolder>,
     tenant: PriorityHolder | undefined,
   ): number {
-    const level = Math.min(LOWEST_LEVEL, route.priority);
+    const [first, second] = toPair(route, tenant);
+    const rank = this.ranks.get(`${first}/${second}`);
     return this.tenants === undefined
-      ? level
-      : (this.ranks.get(toPair(route, tenant).join('/')) ?? level);
+      ? Math.min(LOWEST_LEVEL, route.priority)
+      : (rank ?? Math.min(LOWEST_LEVEL, first));
   }
 }
 
