Check the units of a quota right before a call is written

The units counted as used when an attempt began, but the call was written after a connect of up to 600 ms, or later by a process that was frozen, so that units ran long after the 300 ms that the ledger allows for. The attempt now checks them on both clocks right before the write. If they have expired, it ends as not run and gives them back, and the call searches again; its target is not excluded, since the expiry says nothing about it.

--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -41,6 +41,14 @@
   readonly sentAfterMs: number;
 }
 
+/** How one attempt is sent. */
+export interface SendOptions {
+  /** Returns why the call's charge does not cover it any more; undefined if it does. */
+  readonly findChargeRefusal?: () => Refusal | undefined;
+  /** The event after which the stream continues; the one that the caller states by default. */
+  readonly resumeAfter?: number;
+}
+
 /** Options of an attempt sender. */
 export interface AttemptSenderOptions {
   readonly finder: Pick<TargetFinder, 'versionFor'>;
@@ -127,14 +135,14 @@
     return {number, target, tracker: {...tracker, end}, sentAfterMs};
   }
 
-  /**
-   * Sends a call. If `resumeAfter` is given, the stream continues after that
-   * event.
-   */
+  /** Sends a call. */
   async send(
     call: Call,
     attempt: Attempt,
-    resumeAfter = call.metadata.resumeAfter,
+    {
+      findChargeRefusal,
+      resumeAfter = call.metadata.resumeAfter,
+    }: SendOptions = {},
   ): Promise<Result<TargetResponse, TargetFailure>> {
     const running: RunningAttempt = {
       call,
@@ -142,7 +150,10 @@
     };
     this.runningAttempts.add(running);
     const sentAt = performance.now();
-    const sent = await this.exchange(call, attempt, running, resumeAfter);
+    const sent = await this.exchange(call, attempt, running, {
+      findChargeRefusal,
+      resumeAfter,
+    });
     if (sent.isErr) {
       this.endAttempt(running);
       return Result.err({...sent.error, denial: running.denial});
@@ -257,7 +268,7 @@
     call: Call,
     {number, target}: Attempt,
     running: RunningAttempt,
-    resumeAfter: number | undefined,
+    {findChargeRefusal, resumeAfter}: SendOptions,
   ): Promise<Result<TargetResponse, TargetFailure>> {
     const {targetClient, wireFormat, events, finder} = this.options;
     const {access, metadata, route} = call;
@@ -286,7 +297,7 @@
       }),
       body: call.body,
       isAwaited: now => {
-        running.denial = findDenial(call);
+        running.denial = findDenial(call) ?? findChargeRefusal?.();
         return running.denial === undefined && hasTimeLeft(call, now);
       },
       signal: running.cancellation.signal,
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -15,6 +15,7 @@
 import {Refusal} from '@marigoldspur/faults';
 import type {MemoryBudget} from '@marigoldspur/memory-budget';
 import type {Attempt, AttemptSender} from './attempt-sender.js';
+import {findChargeRefusal, hasExpired} from './charge-check.js';
 import {findDenial, hasTimeLeft, type Call} from './call.js';
 import {createShuttingDownRefusal} from './shutting-down-refusal.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
@@ -137,7 +138,9 @@
       }
       refusal = result.error;
       mayHaveRun ||= refusal.outcome !== 'not-run';
-      excluded.add(target.value.id);
+      if (!hasExpired(refusal)) {
+        excluded.add(target.value.id);
+      }
       const mayRetry =
         !response.headersSent &&
         canRetry(call, refusal, attemptNumber, mayHaveRun);
@@ -209,7 +212,9 @@
     const sentAt = performance.now();
     search.charge.spend();
     try {
-      const sent = await sender.send(call, attempt);
+      const sent = await sender.send(call, attempt, {
+        findChargeRefusal: () => findChargeRefusal(search.charge),
+      });
       const result = sent.isErr
         ? Result.err(sender.handleFailure(call, attempt, sent.error))
         : await this.handleResponse(call, attempt, sent.value, response, {
--- a/entry/direct-routing/src/call-stream-resumer.ts
+++ b/entry/direct-routing/src/call-stream-resumer.ts
@@ -3,6 +3,7 @@
 import type {EventLog} from '@marigoldspur/event-log';
 import type {Attempt, AttemptSender} from './attempt-sender.js';
 import type {Call} from './call.js';
+import {findChargeRefusal} from './charge-check.js';
 import type {RetryLimiter} from './retry-limiter.js';
 import type {StreamOrigin, TargetAnnouncement} from '@marigoldspur/deployment';
 import type {StreamOrigins} from './stream-origins.js';
@@ -139,7 +140,10 @@
     const {events, sender} = this.options;
     const resumeAfter = after < 0 ? call.metadata.resumeAfter : after;
     charge.spend();
-    const sent = await sender.send(call, attempt, resumeAfter);
+    const sent = await sender.send(call, attempt, {
+      findChargeRefusal: () => findChargeRefusal(charge),
+      resumeAfter,
+    });
     const refusal = sent.isErr
       ? sender.handleFailure(call, attempt, sent.error)
       : sent.value.message.statusCode !== STATUS_OK
--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -31,7 +31,7 @@
   readonly body: Pick<RequestBody, 'pieces' | 'use'>;
   /**
    * Whether the call may still be sent at time `now`, in milliseconds: its caller waits for a
-   * response and its key permits it.
+   * response, its key permits it, and the units of its tenant's quota have not expired.
    */
   readonly isAwaited: (now: number) => boolean;
   /** Aborts the call. */
@@ -63,7 +63,7 @@
   /** Whether the call may have run at the target. */
   readonly outcome: RefusalOutcome;
   readonly message: string;
-  /** The refusal for the caller if the call was not sent because of its key. */
+  /** The refusal for the caller if the call was not sent because of its key or its quota. */
   readonly denial?: Refusal;
 }
 
--- a/entry/direct-routing/test/charged-calls.test.ts
+++ b/entry/direct-routing/test/charged-calls.test.ts
@@ -42,6 +42,7 @@
     get isDue() {
       return !isHeld;
     },
+    mayBeUsed: true,
     secure: async () => {
       if (!isHeld) {
         steps.push('charge');
--- a/entry/direct-routing/test/denied-calls.test.ts
+++ b/entry/direct-routing/test/denied-calls.test.ts
@@ -13,7 +13,7 @@
   type TargetHeaderValues,
   type WireFormat,
 } from '@marigoldspur/direct-routing';
-import {NO_CHARGE} from '@marigoldspur/entry-quotas';
+import {NO_CHARGE, type Charge} from '@marigoldspur/entry-quotas';
 import {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
 import {createRequestBody} from '@marigoldspur/request-bodies';
@@ -31,6 +31,7 @@
 /** Values of the headers that were sent. */
 let sentValues: TargetHeaderValues[];
 let denial: Refusal | undefined;
+let charge: Charge;
 let tenant: {name: string; priority?: number} | undefined;
 
 beforeEach(async () => {
@@ -38,6 +39,7 @@
   connections = 0;
   sentValues = [];
   denial = undefined;
+  charge = NO_CHARGE;
   tenant = {name: 'ann'};
   wireFormat = {
     parseResponseHeaders: () => ({
@@ -121,7 +123,9 @@
   } as unknown as Call;
 }
 
-function createRunner(find: () => Promise<unknown>): CallRunner {
+function createRunner(
+  find: (...args: unknown[]) => Promise<unknown>,
+): CallRunner {
   return new CallRunner({
     finder: {find},
     sender,
@@ -130,7 +134,7 @@
     durations: {record: () => {}},
     streamOrigins: {resolve: async () => Result.ok(undefined)},
     memory: {reserve: () => undefined},
-    quotas: {open: () => NO_CHARGE},
+    quotas: {open: () => charge},
     events: new EventLog({process: 'test'}),
     metrics: new DirectRoutingMetrics(new Registry()),
   } as never);
@@ -221,3 +225,45 @@
   expect(found.isErr && found.error).to.equal(DENIAL);
   expect(prepared).to.equal(1);
 });
+
+/** A charge whose units expire while the connection opens, the first `expiries` times. */
+function createExpiringCharge(steps: string[], expiries: number): Charge {
+  let left = expiries;
+  return {
+    ...NO_CHARGE,
+    get mayBeUsed() {
+      left -= 1;
+      return left < 0;
+    },
+    spend: () => steps.push('spend'),
+    unspend: () => steps.push('unspend'),
+  } as Charge;
+}
+
+// Guards against units that run far later than they count, after a slow connect or a freeze.
+it('denied calls: a call whose units expire before it is written is not run, and searches again', async () => {
+  const steps: string[] = [];
+  charge = createExpiringCharge(steps, 1);
+  const searched: string[][] = [];
+  const runner = createRunner(async (...args: unknown[]) => {
+    searched.push([...(args[1] as Set<string>)]);
+    return searched.length > 2 ? Result.err(DENIAL) : Result.ok(TARGET);
+  });
+  await runner.run(createCall(), {} as never);
+  expect(steps).to.deep.equal(['spend', 'unspend', 'spend']);
+  expect(searched.slice(0, 2)).to.deep.equal([[], []]);
+  expect(requests).to.equal(1);
+});
+
+it('denied calls: a call whose units expire at each attempt is refused as not run', async () => {
+  charge = createExpiringCharge([], Infinity);
+  const runner = createRunner(async () => Result.ok(TARGET));
+  const result = await runner.run(createCall(), {} as never);
+  expect(requests).to.equal(0);
+  expect(result.isErr && result.error).to.include({
+    outcome: 'not-run',
+    status: 503,
+    reason: 'quota_units_expired',
+    retryAfterSeconds: 0.5,
+  });
+});
--- a/entry/tenant-quotas/src/call-charge.ts
+++ b/entry/tenant-quotas/src/call-charge.ts
@@ -11,6 +11,8 @@
    * call if there are none.
    */
   secure(): Promise<Refusal | undefined>;
+  /** Whether the call may be written to its target with the units that were spent last. */
+  readonly mayBeUsed: boolean;
   /** Counts the units as used: the call is sent now. */
   spend(): void;
   /** Counts the units that were spent last as not used: that attempt did not run. */
@@ -22,6 +24,7 @@
 /** The charge of a call without a quota. */
 export const NO_CHARGE: Charge = {
   isDue: false,
+  mayBeUsed: true,
   secure: () => Promise.resolve(undefined),
   spend: () => undefined,
   unspend: () => undefined,
@@ -57,6 +60,10 @@
     return this.held === undefined || !this.quotas.isUsable(this.held);
   }
 
+  get mayBeUsed(): boolean {
+    return this.spent !== undefined && this.quotas.isUsable(this.spent);
+  }
+
   async secure(): Promise<Refusal | undefined> {
     if (!this.isDue) {
       return undefined;
--- a/entry/tenant-quotas/test/call-charge.test.ts
+++ b/entry/tenant-quotas/test/call-charge.test.ts
@@ -89,6 +89,16 @@
   expect(held.size).to.equal(0);
 });
 
+// Guards against units that are used long after they count.
+it('call charge: units that were spent may be used until they expire', async () => {
+  expect(charge.mayBeUsed).to.equal(false);
+  await charge.secure();
+  charge.spend();
+  expect(charge.mayBeUsed).to.equal(true);
+  expired.add(granted[0]);
+  expect(charge.mayBeUsed).to.equal(false);
+});
+
 it('call charge: refusals say that the call did not run and when to come back', async () => {
   refusal = {kind: 'exceeded', waitMs: 1_499.2};
   const exceeded = await charge.secure();
