--- a/entry/tenant-quotas/src/replica-queue.ts
+++ b/entry/tenant-quotas/src/replica-queue.ts
@@ -193,6 +193,8 @@
         this.giveBack(grant);
       }
     }
+    // The units are nearly too old to be given back.
+    this.sendNext();
   }
 
   /** Resolves to why there is no answer in time; undefined if there is one. */
--- a/entry/tenant-quotas/test/quota-client.test.ts
+++ b/entry/tenant-quotas/test/quota-client.test.ts
@@ -252,6 +252,16 @@
   expect(await askedReplica()).to.equal(A);
 });
 
+// Guards against units that wait for the next message until they are too old to go back.
+it('quota client: units of an answer that comes just before the query ends are given back', async () => {
+  urls = [A];
+  delayMs = 460;
+  expect(await askedReplica()).to.equal('unavailable');
+  delayMs = 0;
+  await pause(300);
+  expect(returnsIn(queries)).to.deep.equal([[A, 1]]);
+});
+
 it('quota client: a replica that does not know the tenant is passed over, and no shortage is assumed', async () => {
   behaviours.set(A, () => ({granted: 0}));
   expect(await askedReplica()).to.equal(B);
