--- a/entry/tenant-quotas/src/call-charge.ts
+++ b/entry/tenant-quotas/src/call-charge.ts
@@ -42,8 +42,8 @@
   drop(charge: CallCharge): void;
 }
 
-/** Retry delay while no replica grants units, in seconds. */
-const UNAVAILABLE_RETRY_AFTER_SECONDS = 0.5;
+/** Minimum retry delay while a replica does not answer, in milliseconds. */
+const MIN_UNAVAILABLE_DELAY_MS = 500;
 const MS_PER_SECOND = 1_000;
 
 /** The charge of a call whose tenant has a quota. */
@@ -132,6 +132,6 @@
         503,
         'quota_unavailable',
         'the replicas of control that answer have no room left in the quota of the tenant',
-        UNAVAILABLE_RETRY_AFTER_SECONDS,
+        Math.ceil(Math.max(MIN_UNAVAILABLE_DELAY_MS, waitMs)) / MS_PER_SECOND,
       );
 }
--- a/entry/tenant-quotas/test/call-charge.test.ts
+++ b/entry/tenant-quotas/test/call-charge.test.ts
@@ -116,4 +116,9 @@
     reason: 'quota_unavailable',
     retryAfterSeconds: 0.5,
   });
+  refusal = {kind: 'unavailable', waitMs: 1_499.2};
+  expect(await charge.secure()).to.include({
+    reason: 'quota_unavailable',
+    retryAfterSeconds: 1.5,
+  });
 });
