--- a/entry/tenant-quotas/src/refusal-reporter.ts
+++ b/entry/tenant-quotas/src/refusal-reporter.ts
@@ -2,6 +2,8 @@
 
 /** Refusals of a tenant's calls for one reason, without long gaps. */
 interface RefusalSpell {
+  readonly tenant: string;
+  readonly cause: RefusalCause;
   refused: number;
   lastAt: number;
 }
@@ -34,7 +36,7 @@
       known.lastAt = now;
       return;
     }
-    this.spells.set(key, {refused: 1, lastAt: now});
+    this.spells.set(key, {tenant, cause, refused: 1, lastAt: now});
     const {amount} = details;
     const waitMs = Math.ceil(details.waitMs);
     const begun = {tenant, cause, amount, waitMs};
@@ -47,10 +49,9 @@
 
   /** Ends the spells without a refusal for a while at time `now`, in milliseconds. */
   endSpells(now: number): void {
-    for (const [key, {lastAt, refused}] of this.spells) {
+    for (const [key, {cause, lastAt, refused, tenant}] of this.spells) {
       if (now - lastAt >= SPELL_GAP_MS) {
         this.spells.delete(key);
-        const [cause, tenant] = key.split(' ');
         const ended = {tenant, cause, refused};
         this.events.record('quota-refusals-ended', ended);
       }
