--- a/entry/tenant-quotas/src/call-charge.ts
+++ b/entry/tenant-quotas/src/call-charge.ts
@@ -11,6 +11,8 @@
    * call if there are none.
    */
   secure(): Promise<Refusal | undefined>;
+  /** Whether the call may be written to its target with the units that were spent last. */
+  readonly mayBeUsed: boolean;
   /** Counts the units as used: the call is sent now. */
   spend(): void;
   /** Counts the units that were spent last as not used: that attempt did not run. */
@@ -22,6 +24,7 @@
 /** The charge of a call without a quota. */
 export const NO_CHARGE: Charge = {
   isDue: false,
+  mayBeUsed: true,
   secure: () => Promise.resolve(undefined),
   spend: () => undefined,
   unspend: () => undefined,
@@ -39,8 +42,8 @@
   drop(charge: CallCharge): void;
 }
 
-/** Retry delay while no replica grants units, in seconds. */
-const UNAVAILABLE_RETRY_AFTER_SECONDS = 0.5;
+/** Minimum retry delay while a replica does not answer, in milliseconds. */
+const MIN_UNAVAILABLE_DELAY_MS = 500;
 const MS_PER_SECOND = 1_000;
 
 /** The charge of a call whose tenant has a quota. */
@@ -57,6 +60,10 @@
     return this.held === undefined || !this.quotas.isUsable(this.held);
   }
 
+  get mayBeUsed(): boolean {
+    return this.spent !== undefined && this.quotas.isUsable(this.spent);
+  }
+
   async secure(): Promise<Refusal | undefined> {
     if (!this.isDue) {
       return undefined;
@@ -125,6 +132,6 @@
         503,
         'quota_unavailable',
         'the replicas of control that answer have no room left in the quota of the tenant',
-        UNAVAILABLE_RETRY_AFTER_SECONDS,
+        Math.ceil(Math.max(MIN_UNAVAILABLE_DELAY_MS, waitMs)) / MS_PER_SECOND,
       );
 }
