Learn the cost of calls from complete responses alone

Broken and cancelled responses taught the models like complete ones, so a target that answered 200 and reset the connection looked fast and attracted calls. The sender now reports a complete response to the tracker, and one that breaks off although nobody ended it raises the failure rate of its target.

--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -340,19 +340,23 @@
 
   private recordEnd(
     call: Call,
-    {number, target}: Attempt,
+    {number, target, tracker}: Attempt,
     end: ResponseEnd & {readonly isAborted: boolean},
   ): void {
     const {events} = this.options;
     const {id} = call.metadata;
-    const {hasEvent, isAborted, isComplete, isExceeded} = end;
+    const {hasEvent, isAborted, isComplete, isExceeded, isStopped} = end;
     if (isExceeded) {
       this.recordExcess(call, target, number);
     }
     if (isComplete) {
+      tracker.recordCompletion(performance.now());
       this.recordCompletion(call);
       return;
     }
+    if (!isAborted && !isStopped) {
+      tracker.recordBreak();
+    }
     const details = {
       attempt: number,
       target: target.id,
--- a/entry/direct-routing/src/response-progress.ts
+++ b/entry/direct-routing/src/response-progress.ts
@@ -14,6 +14,8 @@
   readonly hasEvent: boolean;
   /** Whether more events arrived than the request allows. */
   readonly isExceeded: boolean;
+  /** Whether this process stopped reading before the end. */
+  readonly isStopped: boolean;
 }
 
 /** How a response is followed. */
@@ -66,6 +68,7 @@
         isComplete: this.isComplete(),
         hasEvent: this.hasArrivedEvent,
         isExceeded: this.isExceeded(),
+        isStopped: this.isStopped(),
       }),
     );
   }
@@ -109,6 +112,12 @@
     return this.eventCount > this.maxEvents;
   }
 
+  /** A connection that the target breaks off leaves an error, unlike one that is closed here. */
+  private isStopped(): boolean {
+    const {complete, errored} = this.upstream.message;
+    return !complete && errored === null;
+  }
+
   private countEvents(chunk: Buffer): void {
     const {maxEvents, scanner} = this;
     if (maxEvents === Infinity) {
--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -98,6 +98,10 @@
   recordFirstEvent(): void;
   /** Records that an event, or a part of a response that is no stream, arrived at time `now`. */
   recordEvent(now: number): void;
+  /** Records that the whole of a successful response had arrived at time `now`. */
+  recordCompletion(now: number): void;
+  /** Records that a successful response broke off although nobody cancelled it. */
+  recordBreak(): void;
   /** Records that the call ended at time `now`. */
   end(now: number): void;
 }
@@ -239,7 +243,6 @@
     const ownWork = service.relativeWork(routeName, now);
     const memory = work === undefined ? 0 : memoryTokensOf(work);
     let pending = promptTokens;
-    let hasResponded = false;
     let hasEvent = false;
     let hasEnded = false;
     stats.inFlight += 1;
@@ -264,12 +267,20 @@
     };
     return {
       recordResponse: (metadata, hasFailed, at) => {
-        hasResponded = !hasFailed && !metadata.hasNotRun;
         this.recordResponse(target, metadata, hasFailed, at);
       },
       recordFirstEvent,
       recordEvent,
-      end: at => {
+      recordCompletion: at => {
+        this.slotReleases.recordCall(target.service, at - now);
+        progress.recordCompletion(at);
+        this.reportSlowTarget(target, stats, at);
+      },
+      recordBreak: () => {
+        // The head counted as a success, which the full weight makes up for.
+        stats.failureRate = Math.min(1, stats.failureRate + FAILURE_WEIGHT);
+      },
+      end: () => {
         hasEnded = true;
         recordFirstEvent();
         stats.inFlight -= 1;
@@ -278,11 +289,6 @@
         if (!hasEvent) {
           stats.promisedMemory.withdraw(memory);
         }
-        if (hasResponded) {
-          this.slotReleases.recordCall(target.service, at - now);
-          progress.recordEnd(at);
-          this.reportSlowTarget(target, stats, at);
-        }
       },
     };
   }
--- a/entry/direct-routing/test/blocked-attempts.test.ts
+++ b/entry/direct-routing/test/blocked-attempts.test.ts
@@ -50,7 +50,12 @@
   sender = new AttemptSender({
     finder: {versionFor: () => undefined},
     selector: {
-      startCall: () => ({end: () => {}, recordEvent: () => {}}),
+      startCall: () => ({
+        end: () => {},
+        recordEvent: () => {},
+        recordCompletion: () => {},
+        recordBreak: () => {},
+      }),
       recordFailure: () => false,
     },
     targetClient: client,
--- a/entry/direct-routing/test/plain-targets.test.ts
+++ b/entry/direct-routing/test/plain-targets.test.ts
@@ -92,6 +92,7 @@
           const pace = rateAt[index](at);
           tracker.recordResponse(response(load - 1, pace), false, at);
           tracker.recordEvent(at);
+          tracker.recordCompletion(at);
           tracker.end(at);
         },
       });
@@ -142,6 +143,31 @@
   expect(choices(700)).to.include.members(['t0', 't1']);
 });
 
+it('plain targets: a target that responds at once and breaks off does not attract calls', () => {
+  const targets = targetsOf(2);
+  const selector = createSelector(targets, createRandom(5));
+  let now = 0;
+  for (let call = 0; call < 20; call += 1) {
+    const [broken, sound] = targets.map(target =>
+      selector.startCall(target, undefined, now, ROUTE),
+    );
+    broken.recordResponse(response(0), false, now + 1);
+    broken.recordEvent(now + 1);
+    broken.recordBreak();
+    broken.end(now + 1);
+    sound.recordResponse(response(0), false, now + 90);
+    sound.recordEvent(now + 100);
+    sound.recordCompletion(now + 100);
+    sound.end(now + 100);
+    now += 1_000;
+  }
+  const chosen = Array.from(
+    {length: 100},
+    () => selector.choose(NEEDS, now)!.target.id,
+  );
+  expect(new Set(chosen)).to.deep.equal(new Set(['t1']));
+});
+
 it('plain targets: a full target is used last, however fast the others are', () => {
   const targets = targetsOf(2);
   const selector = createSelector(targets, createRandom(5));
--- a/entry/direct-routing/test/target-selector.test.ts
+++ b/entry/direct-routing/test/target-selector.test.ts
@@ -245,6 +245,7 @@
       const tookMs = target.id === 'e1' ? 90 : 30;
       tracker.recordResponse(response, false, now + tookMs);
       tracker.recordEvent(now + tookMs);
+      tracker.recordCompletion(now + tookMs);
       tracker.end(now + tookMs);
     }
     selector.choose(requirements('a'), now + 500);
--- a/entry/direct-routing/test/test-fleet.ts
+++ b/entry/direct-routing/test/test-fleet.ts
@@ -176,6 +176,7 @@
         job.events += 1;
         job.nextEventAt = now + PAUSE_MS * rate;
         if (job.events === EVENTS) {
+          job.tracker.recordCompletion(now);
           job.tracker.end(now);
         }
         return job.events < EVENTS;
--- a/policy/expected-cost/src/call-progress.ts
+++ b/policy/expected-cost/src/call-progress.ts
@@ -24,7 +24,10 @@
 /** Fewest pauses of a stream from which their length is learned. */
 const MIN_PAUSES = 2;
 
-/** Follows a call at a target and teaches the models what it took. */
+/**
+ * Follows a call at a target and teaches the models what it took once its response is complete. A
+ * response that breaks off or is cancelled says nothing about the speed of its target.
+ */
 export class CallProgress {
   private firstEventAt: number | undefined;
   private lastEventAt = 0;
@@ -45,17 +48,17 @@
     this.lastEventAt = now;
     if (this.firstEventAt === undefined) {
       this.firstEventAt = now;
-      this.learnFirstEvent(now);
     }
   }
 
-  /** Records that a response ended at time `now` that the target did not fail. */
-  recordEnd(now: number): void {
+  /** Records that the whole response had arrived at time `now`. */
+  recordCompletion(now: number): void {
     const {call, eventCount, firstEventAt} = this;
     const {isPlain, isStream, route, running, service, target} = call;
     if (firstEventAt === undefined) {
       return;
     }
+    this.learnFirstEvent(firstEventAt - call.sentAt, now);
     if (isPlain) {
       // Up to its last part: a caller that reads slowly holds up the end alone.
       const tookMs = this.lastEventAt - call.sentAt;
@@ -71,15 +74,11 @@
     }
   }
 
-  private learnFirstEvent(now: number): void {
-    const {isFirstInQueue, isStream, promptTokens, sentAt} = this.call;
+  private learnFirstEvent(tookMs: number, now: number): void {
+    const {isFirstInQueue, isStream, promptTokens} = this.call;
     const {service, target} = this.call;
     if (isStream && isFirstInQueue) {
-      service.recordFirstEvent(
-        target,
-        {promptTokens, tookMs: now - sentAt},
-        now,
-      );
+      service.recordFirstEvent(target, {promptTokens, tookMs}, now);
     }
   }
 }
--- a/policy/expected-cost/test/expected-cost.test.ts
+++ b/policy/expected-cost/test/expected-cost.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {
+  CallProgress,
   HiddenRequests,
   PRIOR_COSTS,
   ServiceModel,
@@ -194,3 +195,30 @@
   expect(hidden.shareOf('m/a', 0)).to.be.within(0.4, 0.5);
   expect(hidden.shareOf('m/c', 0)).to.equal(0);
 });
+
+it('call progress: a response teaches its speed only once it is complete', () => {
+  for (const isPlain of [true, false]) {
+    const service = new ServiceModel();
+    const target = new TargetModel();
+    service.addTarget(target);
+    const progress = new CallProgress({
+      service,
+      target,
+      route: 'r',
+      sentAt: 0,
+      isStream: !isPlain,
+      isPlain,
+      promptTokens: PROMPT_TOKENS,
+      isFirstInQueue: true,
+      running: 1,
+      workInFront: 0,
+    });
+    const learned = (now: number) =>
+      isPlain ? service.meanWorkMs(now) : service.costs(now).prefillTokensPerMs;
+    const before = learned(0);
+    progress.recordEvent(USUAL_MS / 2);
+    expect(learned(20_000)).to.equal(before);
+    progress.recordCompletion(30_000);
+    expect(learned(60_000)).to.be.above(before);
+  }
+});
