--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -442,7 +442,10 @@
     this.failureDetector.recordSuccess(incarnationOf(target));
     stats.failureRate +=
       FAILURE_WEIGHT * ((hasFailed ? 1 : 0) - stats.failureRate);
-    if (metadata.load !== undefined) {
+    // A process that took over the address states its own load.
+    const isOwn =
+      metadata.target === undefined || metadata.target === target.id;
+    if (isOwn && metadata.load !== undefined) {
       const {pace, running, waiting} = metadata.load;
       stats.reportedLoad.record(running + waiting, stats.inFlight, now);
       if (pace !== undefined) {
--- a/entry/direct-routing/test/target-selector.test.ts
+++ b/entry/direct-routing/test/target-selector.test.ts
@@ -252,3 +252,36 @@
   }
   expect(slow).to.deep.equal(['e1']);
 });
+
+it('target selector: the load and the pace that another process at the address states are not taken for the target', () => {
+  const needs = {...requirements('a'), work: undefined};
+  const plain = {...needs, service: {...SERVICE, engine: undefined}};
+  const targets = [engine(0), engine(1)];
+  const choicesAfter = (responder?: string) => {
+    const selector = new TargetSelector({
+      zone: 'z1',
+      targets: () => targets,
+      engineView: () => undefined,
+      random: () => 0.5,
+    });
+    const tracker = selector.startCall(targets[0], undefined, 0);
+    tracker.recordResponse(
+      {
+        matchesCallId: true,
+        isAttested: false,
+        hasNotRun: true,
+        isMisdirected: responder !== undefined,
+        isLeaving: false,
+        target: responder,
+        load: {running: 64, waiting: 10, slots: 64, pace: 3},
+      },
+      false,
+      10,
+    );
+    tracker.end(10);
+    return selector.choose(plain, 20)?.target.id;
+  };
+  expect(choicesAfter('other')).to.equal('e0');
+  expect(choicesAfter('e0')).to.equal('e1');
+  expect(choicesAfter(undefined)).to.equal('e1');
+});
