Bound the load that reports state and the level to which engines are filled

The load header allows 12 digits and the counts in an engine's report have no maximum, so that one absurd report decided the averages of a service and could raise the water level above the cost of engines without room. Loads and counts are now limited to 4 times the slots or the batch limit, and the level to half the additional cost of an engine without room.

--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -8,6 +8,7 @@
 import {adapterName, isSameIncarnation} from '@marigoldspur/deployment';
 import {chooseEngine} from '@marigoldspur/engine-choice';
 import {
+  boundLoad,
   CallProgress,
   plainCost,
   ServiceModel,
@@ -138,6 +139,8 @@
   /** When the pauses that targets asked for end, by incarnation, in milliseconds. */
   private readonly pauseEnds = new Map<string, number>();
   private readonly serviceModels = new Map<string, ServiceModel>();
+  /** Requests that an engine of each service runs at once. */
+  private readonly batchLimits = new Map<string, number>();
   private readonly slotReleases = new SlotReleaseEstimator();
   private readonly failureDetector = new FailureDetector({
     halfLifeMs: SUSPICION_HALF_LIFE_MS,
@@ -447,7 +450,8 @@
       metadata.target === undefined || metadata.target === target.id;
     if (isOwn && metadata.load !== undefined) {
       const {pace, running, waiting} = metadata.load;
-      stats.reportedLoad.record(running + waiting, stats.inFlight, now);
+      const requests = {own: stats.inFlight, slots: target.slots};
+      stats.reportedLoad.record(running + waiting, requests, now);
       if (pace !== undefined) {
         stats.model.pace.record(pace, now);
       }
@@ -540,6 +544,7 @@
       adapter,
       slotReleaseIntervalMs,
     };
+    this.batchLimits.set(name, engine?.batchLimit ?? 0);
     const service = this.serviceModelOf(name);
     const costs = {
       ...service.costs(now),
@@ -618,10 +623,23 @@
     return {
       target,
       stats: this.statsOf(target),
-      view: isCurrent ? view : undefined,
+      view: isCurrent ? this.boundCounts(view, target) : undefined,
     };
   }
 
+  /** Limits the requests that an engine's report states. */
+  private boundCounts(
+    view: EngineView,
+    {service, slots}: TargetAnnouncement,
+  ): EngineView {
+    const limit = this.batchLimits.get(service) ?? slots;
+    const running = boundLoad(view.running, limit);
+    const waiting = boundLoad(view.waiting, limit);
+    return running === view.running && waiting === view.waiting
+      ? view
+      : {...view, running, waiting};
+  }
+
   /** Records which adapters the engine at an address holds. */
   recordEngineView(address: string, view: EngineView): void {
     const target = this.options
--- a/entry/direct-routing/test/target-selector.test.ts
+++ b/entry/direct-routing/test/target-selector.test.ts
@@ -285,3 +285,18 @@
   expect(choicesAfter('e0')).to.equal('e1');
   expect(choicesAfter(undefined)).to.equal('e1');
 });
+
+it('target selector: absurd counts in the report of one engine do not make it unusable for good, or others without room usable', () => {
+  const absurd = view({running: 1e12, waiting: 1e12});
+  const needs = requirements('a');
+  const alone = createSelector([absurd]).choose(needs, 0)!;
+  expect(alone.waitMs).to.be.below(60_000);
+  const selector = createSelector([absurd, view(), view({memoryUsed: 1})]);
+  const tracker = selector.startCall(engine(1), needs.work, 0);
+  tracker.recordCompletion(5_000);
+  tracker.end(5_000);
+  for (let call = 0; call < 10; call += 1) {
+    const {lacksMemory, target} = selector.choose(needs, 5_000 + call)!;
+    expect([target.id, lacksMemory]).to.deep.equal(['e1', false]);
+  }
+});
--- a/policy/engine-choice/src/rank-engines.ts
+++ b/policy/engine-choice/src/rank-engines.ts
@@ -110,7 +110,7 @@
 /** Share of the token memory from which it counts as full. */
 const FULL_MEMORY_SHARE = 0.92;
 /** Cost by which an engine without room ranks after all engines with room, in milliseconds. */
-const NO_ROOM_MS = 1e9;
+export const NO_ROOM_MS = 1e9;
 /** Round-trip time added by another availability zone, in milliseconds. */
 const OTHER_ZONE_MS = 3;
 /**
--- a/policy/engine-choice/src/water-level.ts
+++ b/policy/engine-choice/src/water-level.ts
@@ -1,12 +1,26 @@
+import {NO_ROOM_MS} from './rank-engines.js';
+
 /** Maximum number of steps to the level; each step leaves out engines above it. */
 const MAX_STEPS = 16;
+/**
+ * Largest rise of the level above the lowest cost, in milliseconds. It lies between the costs
+ * of engines with room and the additional one of those without, so that the latter are not
+ * filled as long as another engine has room.
+ */
+const MAX_RISE_MS = NO_ROOM_MS / 2;
 
 /**
  * The cost up to which requests that take `fillMs` together fill the engines with less, in
  * milliseconds. Requests that each go where the cost is lowest leave the engines at it.
  */
 export function waterLevel(costsMs: Float64Array, fillMs: number): number {
-  let levelMs = Infinity;
+  let lowestMs = Infinity;
+  for (let index = 0; index < costsMs.length; index += 1) {
+    if (costsMs[index] < lowestMs) {
+      lowestMs = costsMs[index];
+    }
+  }
+  let levelMs = lowestMs + MAX_RISE_MS;
   for (let step = 0; step < MAX_STEPS; step += 1) {
     let count = 0;
     let sumMs = fillMs;
--- a/policy/engine-choice/test/engine-choice.test.ts
+++ b/policy/engine-choice/test/engine-choice.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {
+  chooseEngine,
   PromptCacheEstimator,
   RecentAdapters,
   rankEngines,
@@ -152,3 +153,13 @@
   );
   expect(best(engines)).to.not.equal(home);
 });
+
+it('engine choice: however many requests are hidden, no engine without room is filled by them', () => {
+  const engines = [engine('free'), engine('full', {memoryUsed: 1})];
+  for (const hiddenShare of [0, 1]) {
+    for (const random of [() => 0, () => 0.999]) {
+      const options = {hiddenRequests: 1e12, hiddenShare, random};
+      expect(chooseEngine(REQUEST, engines, options)?.name).to.equal('free');
+    }
+  }
+});
--- a/policy/expected-cost/src/index.ts
+++ b/policy/expected-cost/src/index.ts
@@ -9,7 +9,7 @@
   type LoadCosts,
   type ServiceCosts,
 } from './service-costs.js';
-export {ReportedLoad} from './reported-load.js';
+export {boundLoad, ReportedLoad} from './reported-load.js';
 export {RobustMean, type RobustMeanOptions} from './robust-mean.js';
 export {RouteModel, type ExpectedOutput} from './route-model.js';
 export {
--- a/policy/expected-cost/src/reported-load.ts
+++ b/policy/expected-cost/src/reported-load.ts
@@ -5,6 +5,17 @@
 /** Time without a report after which the usual load counts half, in milliseconds. */
 const HALF_LIFE_MS = 5_000;
 
+/**
+ * Largest load that a report counts for, as a multiple of the requests that can run at once. A
+ * longer queue does not change the choice, and absurd reports must not spoil averages for long.
+ */
+const MAX_LOAD_FACTOR = 4;
+
+/** Limits the number of requests in a report of a target that runs up to `limit` at once. */
+export function boundLoad(load: number, limit: number): number {
+  return Math.min(load, MAX_LOAD_FACTOR * Math.max(1, limit));
+}
+
 /** Load of a plain target as its responses state it, and what other processes usually add to it. */
 export class ReportedLoad {
   private load = 0;
@@ -12,7 +23,12 @@
   private usualOthers = 0;
 
   /** Records a report at time `now`, while this process has `own` requests at the target. */
-  record(load: number, own: number, now: number): void {
+  record(
+    reported: number,
+    {own, slots}: {own: number; slots: number},
+    now: number,
+  ): void {
+    const load = boundLoad(reported, slots);
     const known = this.usualOthersAt(now);
     this.usualOthers = known + WEIGHT * (Math.max(0, load - own) - known);
     this.load = load;
--- a/policy/expected-cost/test/expected-cost.test.ts
+++ b/policy/expected-cost/test/expected-cost.test.ts
@@ -3,6 +3,7 @@
   CallProgress,
   HiddenRequests,
   PRIOR_COSTS,
+  ReportedLoad,
   ServiceModel,
   StatedPace,
   statedLoadCosts,
@@ -222,3 +223,13 @@
     expect(learned(60_000)).to.be.above(before);
   }
 });
+
+it('reported load: an absurd report counts as a few times the slots and is soon forgotten', () => {
+  const load = new ReportedLoad();
+  load.record(999_999_999_999, {own: 0, slots: 4}, 0);
+  expect(load.loadAt(0, 1)).to.equal(16);
+  for (let now = 100; now <= 3_000; now += 100) {
+    load.record(0, {own: 0, slots: 4}, now);
+  }
+  expect(load.loadAt(0, 4_000)).to.be.below(1);
+});
