--- a/entry/direct-routing/src/target-finder.ts
+++ b/entry/direct-routing/src/target-finder.ts
@@ -75,7 +75,7 @@
 interface TargetSearch {
   /** IDs of targets that must not be used. */
   readonly unavailable: Set<string>;
-  /** IDs of targets with a request limit that are used only if no other one is left. */
+  /** IDs of targets with a request limit that are used only if no other one is left or has memory. */
   readonly postponed: Set<string>;
   /** Since when the caller has waited for an event, as a `performance.now()` time. */
   readonly waitingSince: number;
@@ -86,7 +86,7 @@
 /** A target that was chosen for a call. */
 interface TargetChoice extends ChosenTarget {
   readonly requirements: TargetRequirements;
-  /** Whether only targets with a request limit are left. */
+  /** Whether no other target than those passed over is left or has memory for the call. */
   readonly isLastResort: boolean;
   /** Maximum time that the call waits for a permit of the target, in milliseconds. */
   readonly maxWaitMs: number;
@@ -181,7 +181,8 @@
     const passedOver = this.passedOverTargets(search, now);
     const excluded = new Set([...unavailable, ...passedOver]);
     const preferred = selector.choose({...requirements, excluded}, now);
-    const isLastResort = preferred === undefined && passedOver.length > 0;
+    const isLastResort =
+      passedOver.length > 0 && (preferred?.lacksMemory ?? true);
     const chosen = isLastResort
       ? selector.choose(requirements, now)
       : preferred;
@@ -212,7 +213,7 @@
     return Result.ok({...chosen, requirements, isLastResort, maxWaitMs});
   }
 
-  /** IDs of the targets that are used only if no other one is left. */
+  /** IDs of the targets that are used only if no other one is left or has memory for the call. */
   private passedOverTargets({postponed}: TargetSearch, now: number): string[] {
     return [...postponed, ...this.options.targetLimits.busyTargets(now)];
   }
--- a/entry/direct-routing/test/limited-targets.test.ts
+++ b/entry/direct-routing/test/limited-targets.test.ts
@@ -135,3 +135,43 @@
   });
   expect(found.isOk && found.value.id).to.equal(FREE);
 });
+
+it('limited targets: a passed-over target with room for a call is used before the call is refused for lack of memory', async () => {
+  const target = (id: string) => ({id, address: '10.0.0.1:80'});
+  const findWith = (hasPassedOverRoom: boolean) =>
+    new TargetFinder({
+      fleetView: {versionOf: () => undefined},
+      selector: {
+        choose: ({excluded}: {excluded: ReadonlySet<string>}) => ({
+          target: target(excluded.has(LIMITED) ? FREE : LIMITED),
+          needsAdapter: false,
+          waitMs: 0,
+          processingMs: 0,
+          lacksMemory: excluded.has(LIMITED) || !hasPassedOverRoom,
+        }),
+        isAvailable: () => true,
+      },
+      crashMonitor: {findBlock: () => undefined},
+      requestCrashes: {findBlock: () => undefined, refuse: () => undefined},
+      targetLimits: {
+        isLimited: ({id}: {id: string}) => id === LIMITED,
+        busyTargets: () => [LIMITED],
+        acquire: async () => GRANTED,
+      },
+      random: () => 0,
+    } as never).find(
+      {
+        metadata: {id: 'c'},
+        route: {timeoutMs: 60_000, patienceMs: 2_000, priority: 3},
+        service: {name: 's'},
+        startedAt: performance.now(),
+        signal: new AbortController().signal,
+      } as never,
+      new Set(),
+      performance.now(),
+    );
+  const found = await findWith(true);
+  expect(found.isOk && found.value.id).to.equal(LIMITED);
+  const refused = await findWith(false);
+  expect(refused.isErr && refused.error.reason).to.equal('memory_full');
+});
