Learn the load time of the store from adapter loads into idle slots alone

Loads of a base model and waits for a slot were learned as the time that the store takes for an adapter. A wait now counts only for an adapter, at an engine that holds the model and has an idle slot. The time of the start is required.

--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -139,8 +139,8 @@
   /** When the pauses that targets asked for end, by incarnation, in milliseconds. */
   private readonly pauseEnds = new Map<string, number>();
   private readonly serviceModels = new Map<string, ServiceModel>();
-  /** Requests that an engine of each service runs at once. */
-  private readonly batchLimits = new Map<string, number>();
+  /** Settings of the engines by service, as the last choice had them. */
+  private readonly engineSettings = new Map<string, Service['engine']>();
   private readonly slotReleases = new SlotReleaseEstimator();
   private readonly failureDetector = new FailureDetector({
     halfLifeMs: SUSPICION_HALF_LIFE_MS,
@@ -391,19 +391,25 @@
 
   /**
    * Records that a call waits from time `now` for an adapter of an engine until the returned
-   * function is called, with the time at which the adapter became ready if it did.
+   * function is called, with the time at which the adapter became ready if it did. The wait is
+   * taken for the load time of the store if the engine has the model and an idle slot.
    */
   startAdapterWait(
     target: TargetAnnouncement,
     work: ModelWork,
-    now = 0,
+    now: number,
   ): (readyAt?: number) => void {
     const adapter = adapterName(work.model, work.adapter);
     const {stats, view} = this.snapshotOf(target);
+    const slots = this.engineSettings.get(target.service)?.adapterSlots ?? 0;
+    const queued = stats.queuedAdapters(view);
     const isFetched =
+      work.adapter !== undefined &&
       view !== undefined &&
+      view.models.includes(work.model) &&
       view.awaited.length === 0 &&
-      !stats.queuedAdapters(view).has(adapter) &&
+      view.takenSlots + queued.size < slots &&
+      !queued.has(adapter) &&
       !view.loading.includes(adapter) &&
       !stats.recentAdapters.has(adapter);
     const endWait = stats.startAdapterWait(adapter);
@@ -544,7 +550,7 @@
       adapter,
       slotReleaseIntervalMs,
     };
-    this.batchLimits.set(name, engine?.batchLimit ?? 0);
+    this.engineSettings.set(name, engine);
     const service = this.serviceModelOf(name);
     const costs = {
       ...service.costs(now),
@@ -632,7 +638,7 @@
     view: EngineView,
     {service, slots}: TargetAnnouncement,
   ): EngineView {
-    const limit = this.batchLimits.get(service) ?? slots;
+    const limit = this.engineSettings.get(service)?.batchLimit ?? slots;
     const running = boundLoad(view.running, limit);
     const waiting = boundLoad(view.waiting, limit);
     return running === view.running && waiting === view.waiting
--- a/entry/direct-routing/test/target-selector.test.ts
+++ b/entry/direct-routing/test/target-selector.test.ts
@@ -76,7 +76,7 @@
   for (let index = 0; index < 48; index += 1) {
     const required = requirements(`a${index}`);
     const {target} = selector.choose(required, 0)!;
-    selector.startAdapterWait(target, required.work);
+    selector.startAdapterWait(target, required.work, 0);
     counts.set(target.id, (counts.get(target.id) ?? 0) + 1);
   }
   expect([...counts.values()].every(count => count <= SLOTS)).to.equal(true);
@@ -87,7 +87,7 @@
   const selector = createSelector([view(), view(), view()]);
   const required = requirements('a');
   const first = selector.choose(required, 0)!;
-  selector.startAdapterWait(first.target, required.work);
+  selector.startAdapterWait(first.target, required.work, 0);
   expect(selector.choose(required, 0)?.target).to.equal(first.target);
 });
 
@@ -300,3 +300,30 @@
     expect([target.id, lacksMemory]).to.deep.equal(['e1', false]);
   }
 });
+
+it('target selector: only the load of an adapter into an idle slot is learned as the load time of the store', () => {
+  const TOOK_MS = 2_000;
+  const learnedFrom = (state: Partial<EngineView>, adapter?: string) => {
+    const selector = createSelector([view(state), view()]);
+    const {work} = requirements('a');
+    const awaited = {...work, adapter};
+    selector.choose(requirements('b'), 0);
+    for (let load = 0; load < 8; load += 1) {
+      selector.startAdapterWait(engine(0), awaited, 0)(TOOK_MS);
+    }
+    const {target, processingMs} = selector.choose(
+      {...requirements('b'), excluded: new Set(['e0'])},
+      TOOK_MS,
+    )!;
+    expect(target.id).to.equal('e1');
+    return processingMs;
+  };
+  const usualMs = createSelector([view()]).choose(
+    requirements('b'),
+    0,
+  )!.processingMs;
+  expect(learnedFrom({}, 'a')).to.be.above(usualMs);
+  expect(learnedFrom({}, undefined)).to.equal(usualMs);
+  expect(learnedFrom({models: []}, 'a')).to.equal(usualMs);
+  expect(learnedFrom({takenSlots: SLOTS}, 'a')).to.equal(usualMs);
+});
