Ignore rounding errors and costs that are not numbers in the choice of engines

Differences up to 1e-6 ms are now ignored. A NaN cost of the first engine drew all requests, because no cost is below NaN; the search now starts with no engine and an infinite cost.

--- a/policy/engine-choice/src/choose-engine.ts
+++ b/policy/engine-choice/src/choose-engine.ts
@@ -33,7 +33,7 @@
 const MIN_HIDDEN_REQUESTS = 0.5;
 
 /**
- * Chooses the engine with the lowest cost; undefined if there is none.
+ * Chooses the engine with the lowest cost; undefined if none has a finite cost.
  *
  * Other processes see the same old reports. An engine that looks idle to all of them is
  * filled by the requests that nobody sees yet, up to the level at which it is as loaded as
@@ -60,6 +60,9 @@
     hiddenRequests >= MIN_HIDDEN_REQUESTS
       ? spreadOver(candidates, costsMs, options)
       : indexOfMinimum(costsMs);
+  if (index === undefined) {
+    return undefined;
+  }
   const chosen = candidates[index];
   return {...estimate(request, chosen, ranks[index], costs), index};
 }
@@ -74,7 +77,7 @@
     hiddenShare = 0,
     random,
   }: EngineChoiceOptions,
-): number {
+): number | undefined {
   const requestMs = costs.meanPromptTokens / costs.prefillTokensPerMs;
   const hiddenMs = hiddenRequests * requestMs;
   const commonMs = new Float64Array(candidates.length);
@@ -95,11 +98,14 @@
   return chooseBelow(costsMs, waterLevel(costsMs, sameKeyMs), random());
 }
 
-function indexOfMinimum(values: Float64Array): number {
-  let best = 0;
-  for (let index = 1; index < values.length; index += 1) {
-    if (values[index] < values[best]) {
+/** Index of the lowest value; undefined if none is a finite number. */
+function indexOfMinimum(values: Float64Array): number | undefined {
+  let best: number | undefined;
+  let lowest = Infinity;
+  for (let index = 0; index < values.length; index += 1) {
+    if (values[index] < lowest) {
       best = index;
+      lowest = values[index];
     }
   }
   return best;
--- a/policy/engine-choice/src/water-level.ts
+++ b/policy/engine-choice/src/water-level.ts
@@ -8,6 +8,11 @@
  * filled as long as another engine has room.
  */
 const MAX_RISE_MS = NO_ROOM_MS / 2;
+/**
+ * Difference up to which costs count as equal, in milliseconds. Rounding errors of equal costs
+ * would otherwise make all engines preferred ones.
+ */
+const ROUNDING_MS = 1e-6;
 
 /**
  * The cost up to which requests that take `fillMs` together fill the engines with less, in
@@ -47,15 +52,17 @@
   let fillMs = 0;
   for (let index = 0; index < costsMs.length; index += 1) {
     filled += costsMs[index] < levelMs ? 1 : 0;
-    fillMs += Math.max(0, levelMs - costsMs[index]);
+    fillMs += depthOf(costsMs[index], levelMs);
   }
   const evenMs = fillMs / filled;
   let preferred = 0;
   let preferredMs = 0;
   for (let index = 0; index < costsMs.length; index += 1) {
     const excessMs = levelMs - costsMs[index] - evenMs;
-    preferred += excessMs > 0 ? 1 : 0;
-    preferredMs += Math.max(0, excessMs);
+    if (excessMs > ROUNDING_MS) {
+      preferred += 1;
+      preferredMs += excessMs;
+    }
   }
   if (filled <= 1) {
     return 1;
@@ -65,18 +72,21 @@
     : Math.min(1, preferredMs / fillMs / (1 - preferred / filled));
 }
 
-/** Index of an engine below the level, at random by how far it is below; `random` is in [0, 1). */
+/**
+ * Index of an engine below the level, at random by how far it is below; `random` is in [0, 1).
+ * Undefined if none is below it.
+ */
 export function chooseBelow(
   costsMs: Float64Array,
   levelMs: number,
   random: number,
-): number {
+): number | undefined {
   let fillMs = 0;
   for (let index = 0; index < costsMs.length; index += 1) {
-    fillMs += Math.max(0, levelMs - costsMs[index]);
+    fillMs += depthOf(costsMs[index], levelMs);
   }
   let restMs = random * fillMs;
-  let last = 0;
+  let last: number | undefined;
   for (let index = 0; index < costsMs.length; index += 1) {
     const ownMs = levelMs - costsMs[index];
     if (ownMs > 0) {
@@ -89,3 +99,8 @@
   }
   return last;
 }
+
+/** How far a cost is below the level, in milliseconds; 0 for a cost that is not a number. */
+function depthOf(costMs: number, levelMs: number): number {
+  return costMs < levelMs ? levelMs - costMs : 0;
+}
--- a/policy/engine-choice/test/engine-choice.test.ts
+++ b/policy/engine-choice/test/engine-choice.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {preferredShare, waterLevel} from '../src/water-level.js';
 import {
   chooseEngine,
   PromptCacheEstimator,
@@ -163,3 +164,26 @@
     }
   }
 });
+
+it('engine choice: an engine whose cost is not a number does not attract requests', () => {
+  const engines = [engine('odd', {failureRate: NaN}), engine('sound')];
+  for (const hiddenRequests of [0, 40]) {
+    for (const hiddenShare of [0, 1]) {
+      const options = {hiddenRequests, hiddenShare, random: () => 0};
+      expect(chooseEngine(REQUEST, engines, options)?.name).to.equal('sound');
+      const odd = engines.slice(0, 1);
+      expect(chooseEngine(REQUEST, odd, options)).to.equal(undefined);
+    }
+  }
+});
+
+it('engine choice: rounding noise does not count as a difference between equally loaded engines', () => {
+  for (let engines = 2; engines < 12; engines += 1) {
+    for (let costMs = 0.01; costMs < 40; costMs += 0.1) {
+      const costsMs = new Float64Array(engines).fill(costMs);
+      const levelMs = waterLevel(costsMs, 333.3);
+      expect(preferredShare(costsMs, levelMs)).to.equal(0);
+    }
+  }
+  expect(preferredShare(Float64Array.of(0, 100), 200)).to.be.above(0);
+});
