--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -8,6 +8,7 @@
 import {adapterName, isSameIncarnation} from '@marigoldspur/deployment';
 import {chooseEngine} from '@marigoldspur/engine-choice';
 import {
+  boundLoad,
   CallProgress,
   plainCost,
   ServiceModel,
@@ -98,6 +99,10 @@
   recordFirstEvent(): void;
   /** Records that an event, or a part of a response that is no stream, arrived at time `now`. */
   recordEvent(now: number): void;
+  /** Records that the whole of a successful response had arrived at time `now`. */
+  recordCompletion(now: number): void;
+  /** Records that a successful response broke off although nobody cancelled it. */
+  recordBreak(): void;
   /** Records that the call ended at time `now`. */
   end(now: number): void;
 }
@@ -134,6 +139,8 @@
   /** When the pauses that targets asked for end, by incarnation, in milliseconds. */
   private readonly pauseEnds = new Map<string, number>();
   private readonly serviceModels = new Map<string, ServiceModel>();
+  /** Settings of the engines by service, as the last choice had them. */
+  private readonly engineSettings = new Map<string, Service['engine']>();
   private readonly slotReleases = new SlotReleaseEstimator();
   private readonly failureDetector = new FailureDetector({
     halfLifeMs: SUSPICION_HALF_LIFE_MS,
@@ -239,7 +246,6 @@
     const ownWork = service.relativeWork(routeName, now);
     const memory = work === undefined ? 0 : memoryTokensOf(work);
     let pending = promptTokens;
-    let hasResponded = false;
     let hasEvent = false;
     let hasEnded = false;
     stats.inFlight += 1;
@@ -264,12 +270,20 @@
     };
     return {
       recordResponse: (metadata, hasFailed, at) => {
-        hasResponded = !hasFailed && !metadata.hasNotRun;
         this.recordResponse(target, metadata, hasFailed, at);
       },
       recordFirstEvent,
       recordEvent,
-      end: at => {
+      recordCompletion: at => {
+        this.slotReleases.recordCall(target.service, at - now);
+        progress.recordCompletion(at);
+        this.reportSlowTarget(target, stats, at);
+      },
+      recordBreak: () => {
+        // The head counted as a success, which the full weight makes up for.
+        stats.failureRate = Math.min(1, stats.failureRate + FAILURE_WEIGHT);
+      },
+      end: () => {
         hasEnded = true;
         recordFirstEvent();
         stats.inFlight -= 1;
@@ -278,11 +292,6 @@
         if (!hasEvent) {
           stats.promisedMemory.withdraw(memory);
         }
-        if (hasResponded) {
-          this.slotReleases.recordCall(target.service, at - now);
-          progress.recordEnd(at);
-          this.reportSlowTarget(target, stats, at);
-        }
       },
     };
   }
@@ -382,19 +391,25 @@
 
   /**
    * Records that a call waits from time `now` for an adapter of an engine until the returned
-   * function is called, with the time at which the adapter became ready if it did.
+   * function is called, with the time at which the adapter became ready if it did. The wait is
+   * taken for the load time of the store if the engine has the model and an idle slot.
    */
   startAdapterWait(
     target: TargetAnnouncement,
     work: ModelWork,
-    now = 0,
+    now: number,
   ): (readyAt?: number) => void {
     const adapter = adapterName(work.model, work.adapter);
     const {stats, view} = this.snapshotOf(target);
+    const slots = this.engineSettings.get(target.service)?.adapterSlots ?? 0;
+    const queued = stats.queuedAdapters(view);
     const isFetched =
+      work.adapter !== undefined &&
       view !== undefined &&
+      view.models.includes(work.model) &&
       view.awaited.length === 0 &&
-      !stats.queuedAdapters(view).has(adapter) &&
+      view.takenSlots + queued.size < slots &&
+      !queued.has(adapter) &&
       !view.loading.includes(adapter) &&
       !stats.recentAdapters.has(adapter);
     const endWait = stats.startAdapterWait(adapter);
@@ -436,9 +451,13 @@
     this.failureDetector.recordSuccess(incarnationOf(target));
     stats.failureRate +=
       FAILURE_WEIGHT * ((hasFailed ? 1 : 0) - stats.failureRate);
-    if (metadata.load !== undefined) {
+    // A process that took over the address states its own load.
+    const isOwn =
+      metadata.target === undefined || metadata.target === target.id;
+    if (isOwn && metadata.load !== undefined) {
       const {pace, running, waiting} = metadata.load;
-      stats.reportedLoad.record(running + waiting, stats.inFlight, now);
+      const requests = {own: stats.inFlight, slots: target.slots};
+      stats.reportedLoad.record(running + waiting, requests, now);
       if (pace !== undefined) {
         stats.model.pace.record(pace, now);
       }
@@ -531,6 +550,7 @@
       adapter,
       slotReleaseIntervalMs,
     };
+    this.engineSettings.set(name, engine);
     const service = this.serviceModelOf(name);
     const costs = {
       ...service.costs(now),
@@ -609,10 +629,23 @@
     return {
       target,
       stats: this.statsOf(target),
-      view: isCurrent ? view : undefined,
+      view: isCurrent ? this.boundCounts(view, target) : undefined,
     };
   }
 
+  /** Limits the requests that an engine's report states. */
+  private boundCounts(
+    view: EngineView,
+    {service, slots}: TargetAnnouncement,
+  ): EngineView {
+    const limit = this.engineSettings.get(service)?.batchLimit ?? slots;
+    const running = boundLoad(view.running, limit);
+    const waiting = boundLoad(view.waiting, limit);
+    return running === view.running && waiting === view.waiting
+      ? view
+      : {...view, running, waiting};
+  }
+
   /** Records which adapters the engine at an address holds. */
   recordEngineView(address: string, view: EngineView): void {
     const target = this.options
--- a/entry/direct-routing/test/target-selector.test.ts
+++ b/entry/direct-routing/test/target-selector.test.ts
@@ -76,7 +76,7 @@
   for (let index = 0; index < 48; index += 1) {
     const required = requirements(`a${index}`);
     const {target} = selector.choose(required, 0)!;
-    selector.startAdapterWait(target, required.work);
+    selector.startAdapterWait(target, required.work, 0);
     counts.set(target.id, (counts.get(target.id) ?? 0) + 1);
   }
   expect([...counts.values()].every(count => count <= SLOTS)).to.equal(true);
@@ -87,7 +87,7 @@
   const selector = createSelector([view(), view(), view()]);
   const required = requirements('a');
   const first = selector.choose(required, 0)!;
-  selector.startAdapterWait(first.target, required.work);
+  selector.startAdapterWait(first.target, required.work, 0);
   expect(selector.choose(required, 0)?.target).to.equal(first.target);
 });
 
@@ -245,9 +245,85 @@
       const tookMs = target.id === 'e1' ? 90 : 30;
       tracker.recordResponse(response, false, now + tookMs);
       tracker.recordEvent(now + tookMs);
+      tracker.recordCompletion(now + tookMs);
       tracker.end(now + tookMs);
     }
     selector.choose(requirements('a'), now + 500);
   }
   expect(slow).to.deep.equal(['e1']);
 });
+
+it('target selector: the load and the pace that another process at the address states are not taken for the target', () => {
+  const needs = {...requirements('a'), work: undefined};
+  const plain = {...needs, service: {...SERVICE, engine: undefined}};
+  const targets = [engine(0), engine(1)];
+  const choicesAfter = (responder?: string) => {
+    const selector = new TargetSelector({
+      zone: 'z1',
+      targets: () => targets,
+      engineView: () => undefined,
+      random: () => 0.5,
+    });
+    const tracker = selector.startCall(targets[0], undefined, 0);
+    tracker.recordResponse(
+      {
+        matchesCallId: true,
+        isAttested: false,
+        hasNotRun: true,
+        isMisdirected: responder !== undefined,
+        isLeaving: false,
+        target: responder,
+        load: {running: 64, waiting: 10, slots: 64, pace: 3},
+      },
+      false,
+      10,
+    );
+    tracker.end(10);
+    return selector.choose(plain, 20)?.target.id;
+  };
+  expect(choicesAfter('other')).to.equal('e0');
+  expect(choicesAfter('e0')).to.equal('e1');
+  expect(choicesAfter(undefined)).to.equal('e1');
+});
+
+it('target selector: absurd counts in the report of one engine do not make it unusable for good, or others without room usable', () => {
+  const absurd = view({running: 1e12, waiting: 1e12});
+  const needs = requirements('a');
+  const alone = createSelector([absurd]).choose(needs, 0)!;
+  expect(alone.waitMs).to.be.below(60_000);
+  const selector = createSelector([absurd, view(), view({memoryUsed: 1})]);
+  const tracker = selector.startCall(engine(1), needs.work, 0);
+  tracker.recordCompletion(5_000);
+  tracker.end(5_000);
+  for (let call = 0; call < 10; call += 1) {
+    const {lacksMemory, target} = selector.choose(needs, 5_000 + call)!;
+    expect([target.id, lacksMemory]).to.deep.equal(['e1', false]);
+  }
+});
+
+it('target selector: only the load of an adapter into an idle slot is learned as the load time of the store', () => {
+  const TOOK_MS = 2_000;
+  const learnedFrom = (state: Partial<EngineView>, adapter?: string) => {
+    const selector = createSelector([view(state), view()]);
+    const {work} = requirements('a');
+    const awaited = {...work, adapter};
+    selector.choose(requirements('b'), 0);
+    for (let load = 0; load < 8; load += 1) {
+      selector.startAdapterWait(engine(0), awaited, 0)(TOOK_MS);
+    }
+    const {target, processingMs} = selector.choose(
+      {...requirements('b'), excluded: new Set(['e0'])},
+      TOOK_MS,
+    )!;
+    expect(target.id).to.equal('e1');
+    return processingMs;
+  };
+  const usualMs = createSelector([view()]).choose(
+    requirements('b'),
+    0,
+  )!.processingMs;
+  expect(learnedFrom({}, 'a')).to.be.above(usualMs);
+  expect(learnedFrom({}, undefined)).to.equal(usualMs);
+  expect(learnedFrom({models: []}, 'a')).to.equal(usualMs);
+  expect(learnedFrom({takenSlots: SLOTS}, 'a')).to.equal(usualMs);
+});
--- a/policy/engine-choice/test/engine-choice.test.ts
+++ b/policy/engine-choice/test/engine-choice.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
+import {preferredShare, waterLevel} from '../src/water-level.js';
 import {
+  chooseEngine,
   PromptCacheEstimator,
   RecentAdapters,
   rankEngines,
@@ -152,3 +154,36 @@
   );
   expect(best(engines)).to.not.equal(home);
 });
+
+it('engine choice: however many requests are hidden, no engine without room is filled by them', () => {
+  const engines = [engine('free'), engine('full', {memoryUsed: 1})];
+  for (const hiddenShare of [0, 1]) {
+    for (const random of [() => 0, () => 0.999]) {
+      const options = {hiddenRequests: 1e12, hiddenShare, random};
+      expect(chooseEngine(REQUEST, engines, options)?.name).to.equal('free');
+    }
+  }
+});
+
+it('engine choice: an engine whose cost is not a number does not attract requests', () => {
+  const engines = [engine('odd', {failureRate: NaN}), engine('sound')];
+  for (const hiddenRequests of [0, 40]) {
+    for (const hiddenShare of [0, 1]) {
+      const options = {hiddenRequests, hiddenShare, random: () => 0};
+      expect(chooseEngine(REQUEST, engines, options)?.name).to.equal('sound');
+      const odd = engines.slice(0, 1);
+      expect(chooseEngine(REQUEST, odd, options)).to.equal(undefined);
+    }
+  }
+});
+
+it('engine choice: rounding noise does not count as a difference between equally loaded engines', () => {
+  for (let engines = 2; engines < 12; engines += 1) {
+    for (let costMs = 0.01; costMs < 40; costMs += 0.1) {
+      const costsMs = new Float64Array(engines).fill(costMs);
+      const levelMs = waterLevel(costsMs, 333.3);
+      expect(preferredShare(costsMs, levelMs)).to.equal(0);
+    }
+  }
+  expect(preferredShare(Float64Array.of(0, 100), 200)).to.be.above(0);
+});
