Correct comments on the cost of calls, and name the counted parts as such

A mean whose prior has no weight does not fall back to it, the cost of another zone is in units of the mean call, and the ranking is by cost with penalties. Progress counts the parts of a response as they arrive, which stand for its events.

--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -97,7 +97,7 @@
    * Records the first event, which shows that the prompt has been processed.
    */
   recordFirstEvent(): void;
-  /** Records that an event, or a part of a response that is no stream, arrived at time `now`. */
+  /** Records that a part of the response arrived at time `now`, from that of the first event on. */
   recordEvent(now: number): void;
   /** Records that the whole of a successful response had arrived at time `now`. */
   recordCompletion(now: number): void;
@@ -112,8 +112,8 @@
 /** Expected number of output tokens, as a share of the stated maximum. */
 const EXPECTED_OUTPUT_SHARE = 0.5;
 /**
- * Additional cost of a target in another availability zone, as a share of the
- * target's slots.
+ * Additional cost of a plain target in another availability zone, in units of the
+ * service's mean call.
  */
 const OTHER_ZONE_COST = 0.05;
 /** Cost of a target that is full or fails mostly, which is used last. */
@@ -259,7 +259,7 @@
     };
     const recordEvent = (at: number) => {
       recordFirstEvent();
-      progress.recordEvent(at);
+      progress.recordPart(at);
       if (!hasEvent && !hasEnded) {
         hasEvent = true;
         stats.promisedMemory.recordStart(memory, at);
--- a/policy/engine-choice/src/rank-engines.ts
+++ b/policy/engine-choice/src/rank-engines.ts
@@ -130,8 +130,8 @@
 const LONG_PAUSE_MS = 1_500;
 
 /**
- * Ranks engines by the expected time until a request's first event, lowest cost
- * first.
+ * Ranks engines by cost, the lowest first: the expected time until a request's first event and
+ * penalties, such as for displaced adapters, full memory, long pauses and failures.
  */
 export function rankEngines(
   request: EngineRequest,
--- a/policy/expected-cost/src/call-progress.ts
+++ b/policy/expected-cost/src/call-progress.ts
@@ -21,7 +21,7 @@
   readonly workInFront: number;
 }
 
-/** Fewest pauses of a stream from which their length is learned. */
+/** Fewest pauses between the parts of a stream from which their length is learned. */
 const MIN_PAUSES = 2;
 
 /**
@@ -29,47 +29,48 @@
  * response that breaks off or is cancelled says nothing about the speed of its target.
  */
 export class CallProgress {
-  private firstEventAt: number | undefined;
-  private lastEventAt = 0;
-  private eventCount = 0;
+  private firstPartAt: number | undefined;
+  private lastPartAt = 0;
+  /** Parts as the connection delivered them; one may hold several events, or a piece of one. */
+  private partCount = 0;
 
   constructor(private readonly call: SentCall) {}
 
   /** Time from sending the call to its first event, in milliseconds; undefined before it. */
   get firstEventMs(): number | undefined {
-    return this.firstEventAt === undefined
+    return this.firstPartAt === undefined
       ? undefined
-      : this.firstEventAt - this.call.sentAt;
+      : this.firstPartAt - this.call.sentAt;
   }
 
-  /** Records an event, or a part of a response that is no stream, at time `now`. */
-  recordEvent(now: number): void {
-    this.eventCount += 1;
-    this.lastEventAt = now;
-    if (this.firstEventAt === undefined) {
-      this.firstEventAt = now;
+  /** Records that a part of the response arrived at time `now`, from that of the first event on. */
+  recordPart(now: number): void {
+    this.partCount += 1;
+    this.lastPartAt = now;
+    if (this.firstPartAt === undefined) {
+      this.firstPartAt = now;
     }
   }
 
   /** Records that the whole response had arrived at time `now`. */
   recordCompletion(now: number): void {
-    const {call, eventCount, firstEventAt} = this;
+    const {call, partCount, firstPartAt} = this;
     const {isPlain, isStream, route, running, service, target} = call;
-    if (firstEventAt === undefined) {
+    if (firstPartAt === undefined) {
       return;
     }
-    this.learnFirstEvent(firstEventAt - call.sentAt, now);
+    this.learnFirstEvent(firstPartAt - call.sentAt, now);
     if (isPlain) {
       // Up to its last part: a caller that reads slowly holds up the end alone.
-      const tookMs = this.lastEventAt - call.sentAt;
+      const tookMs = this.lastPartAt - call.sentAt;
       const response = {route, workInFront: call.workInFront, tookMs};
       service.recordPlainResponse(target, response, now);
     }
     if (isStream) {
-      service.route(route).recordEvents(eventCount, now);
+      service.route(route).recordEvents(partCount, now);
     }
-    if (isStream && eventCount > MIN_PAUSES) {
-      const meanMs = (this.lastEventAt - firstEventAt) / (eventCount - 1);
+    if (isStream && partCount > MIN_PAUSES) {
+      const meanMs = (this.lastPartAt - firstPartAt) / (partCount - 1);
       service.recordPauses(target, {meanMs, running}, now);
     }
   }
--- a/policy/expected-cost/src/robust-mean.ts
+++ b/policy/expected-cost/src/robust-mean.ts
@@ -17,7 +17,8 @@
 
 /**
  * Geometric mean of positive observations, in which an outlier counts no more than one at the
- * largest allowed factor. It falls back to its prior as it ages.
+ * largest allowed factor. As it ages, it falls back to its prior if that has a weight; otherwise it
+ * keeps its value and only its count falls.
  */
 export class RobustMean {
   private logMean: number;
@@ -53,7 +54,7 @@
     this.observedAt = now;
   }
 
-  /** The mean, which approaches the prior as observations age. */
+  /** The mean, which approaches the prior as observations age if the prior has a weight. */
   valueAt(now: number): number {
     return Math.exp(this.logValueAt(now));
   }
--- a/policy/expected-cost/src/route-model.ts
+++ b/policy/expected-cost/src/route-model.ts
@@ -22,7 +22,7 @@
   private readonly events = new RobustMean(ROUTE_MEAN);
   private readonly deviation = new RobustMean(ROUTE_MEAN);
 
-  /** Records the number of events of a stream that ended at time `now`. */
+  /** Records the number of events of a stream that ended at time `now`, for which its parts stand. */
   recordEvents(count: number, now: number): void {
     if (this.events.countAt(now) >= 1) {
       const ratio = count / this.events.valueAt(now);
--- a/policy/expected-cost/test/expected-cost.test.ts
+++ b/policy/expected-cost/test/expected-cost.test.ts
@@ -217,7 +217,7 @@
     const learned = (now: number) =>
       isPlain ? service.meanWorkMs(now) : service.costs(now).prefillTokensPerMs;
     const before = learned(0);
-    progress.recordEvent(USUAL_MS / 2);
+    progress.recordPart(USUAL_MS / 2);
     expect(learned(20_000)).to.equal(before);
     progress.recordCompletion(30_000);
     expect(learned(60_000)).to.be.above(before);
