--- a/control/control-server/src/start-control.ts
+++ b/control/control-server/src/start-control.ts
@@ -3,6 +3,7 @@
   createControlRouter,
   createHeartbeatHandler,
 } from '@marigoldspur/control-api';
+import {readClock} from '@marigoldspur/clock-readings';
 import {PermitManager} from '@marigoldspur/load-permits';
 import type {Task} from '@marigoldspur/process-lifecycle';
 import {ProcessRuntime} from '@marigoldspur/process-runtime';
@@ -131,7 +132,7 @@
       ...quotas,
       deployments: machine.deployments,
       log,
-      clock: () => ({monotonicMs: performance.now(), wallMs: Date.now()}),
+      clock: readClock,
       events,
       metrics: new QuotaGrantMetrics(runtime.metrics.registry),
     });
--- a/control/fleet/src/fresh-quorum.ts
+++ b/control/fleet/src/fresh-quorum.ts
@@ -1,6 +1,6 @@
+import {elapsedMs, type ClockReading} from '@marigoldspur/clock-readings';
 import {withTimeout} from '@marigoldspur/abort-signals';
 import type {ReplicatedLog} from '@marigoldspur/replicated-log';
-import {elapsedMs, type ClockReading} from '@marigoldspur/tenant-quotas';
 
 /** Options of a fresh quorum. */
 export interface FreshQuorumOptions {
--- a/control/fleet/src/quota-granter.ts
+++ b/control/fleet/src/quota-granter.ts
@@ -1,3 +1,4 @@
+import type {ClockReading} from '@marigoldspur/clock-readings';
 import type {Result} from 'true-myth';
 import type {
   Deployment,
@@ -11,7 +12,6 @@
 import type {LogStatus, ReplicatedLog} from '@marigoldspur/replicated-log';
 import {
   QuotaLedger,
-  type ClockReading,
   type QuotaTolerance,
   type ReplicaGroup,
 } from '@marigoldspur/tenant-quotas';
--- a/entry/caller-tenants/src/deployment-confirmer.ts
+++ b/entry/caller-tenants/src/deployment-confirmer.ts
@@ -1,7 +1,8 @@
+import type {ClockReading} from '@marigoldspur/clock-readings';
 import type {DeploymentConfirmation} from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {toFault} from '@marigoldspur/faults';
-import type {ClockReading, KeyFreshness} from '@marigoldspur/tenant-access';
+import type {KeyFreshness} from '@marigoldspur/tenant-access';
 
 /** Options of a deployment confirmer. */
 export interface DeploymentConfirmerOptions {
--- a/entry/caller-tenants/src/start-tenant-gate.ts
+++ b/entry/caller-tenants/src/start-tenant-gate.ts
@@ -1,3 +1,4 @@
+import {readClock} from '@marigoldspur/clock-readings';
 import type http from 'node:http';
 import type {Registry} from 'prom-client';
 import {
@@ -7,7 +8,7 @@
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {exchangeJson} from '@marigoldspur/http-link';
-import {KeyFreshness, type ClockReading} from '@marigoldspur/tenant-access';
+import {KeyFreshness} from '@marigoldspur/tenant-access';
 import {DeploymentConfirmer} from './deployment-confirmer.js';
 import {TenantGate} from './tenant-gate.js';
 import {TenantMetrics} from './tenant-metrics.js';
@@ -67,16 +68,16 @@
             return DEPLOYMENT_CONFIRMATION_SCHEMA.parse(answer);
           },
           freshness,
-          clock: readClocks,
+          clock: readClock,
           random: Math.random,
           events,
         });
   const confirmationAgeMs =
-    freshness && (() => freshness.ageMs(appliedRevision() ?? 0, readClocks()));
+    freshness && (() => freshness.ageMs(appliedRevision() ?? 0, readClock()));
   const gate = new TenantGate({
     deployment,
     freshness,
-    clock: readClocks,
+    clock: readClock,
     onUnconfirmed: () => confirmer?.askEarly(),
     metrics: new TenantMetrics(registry, confirmationAgeMs),
   });
@@ -86,7 +87,3 @@
     stop: () => confirmer?.stop(),
   };
 }
-
-function readClocks(): ClockReading {
-  return {monotonicMs: performance.now(), wallMs: Date.now()};
-}
--- a/entry/caller-tenants/src/tenant-gate.ts
+++ b/entry/caller-tenants/src/tenant-gate.ts
@@ -1,9 +1,9 @@
+import type {ClockReading} from '@marigoldspur/clock-readings';
 import type {Deployment, Route} from '@marigoldspur/deployment';
 import {Refusal} from '@marigoldspur/faults';
 import {
   digestKey,
   TenantDirectory,
-  type ClockReading,
   type KeyFreshness,
   type TenantProfile,
 } from '@marigoldspur/tenant-access';
--- a/entry/tenant-quotas/src/quota-client.ts
+++ b/entry/tenant-quotas/src/quota-client.ts
@@ -1,10 +1,7 @@
+import {elapsedMs, type ClockReading} from '@marigoldspur/clock-readings';
 import type {QuotaAmount} from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
-import {
-  elapsedMs,
-  USE_WITHIN_MS,
-  type ClockReading,
-} from '@marigoldspur/tenant-quotas';
+import {USE_WITHIN_MS} from '@marigoldspur/tenant-quotas';
 import type {QuotaMetrics} from './quota-metrics.js';
 import {
   ReplicaQueue,
--- a/entry/tenant-quotas/src/replica-queue.ts
+++ b/entry/tenant-quotas/src/replica-queue.ts
@@ -1,3 +1,4 @@
+import {elapsedMs, type ClockReading} from '@marigoldspur/clock-readings';
 import {
   MAX_QUOTA_GRANTS,
   QUOTA_ANSWER_SCHEMA,
@@ -8,7 +9,6 @@
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Fault, toFault} from '@marigoldspur/faults';
-import {elapsedMs, type ClockReading} from '@marigoldspur/tenant-quotas';
 import type {QuotaMetrics} from './quota-metrics.js';
 
 /** Sends a query to a replica of control; rejects if it gives no answer. */
--- a/entry/tenant-quotas/src/tenant-quotas.ts
+++ b/entry/tenant-quotas/src/tenant-quotas.ts
@@ -1,3 +1,4 @@
+import {elapsedMs, readClock} from '@marigoldspur/clock-readings';
 import type http from 'node:http';
 import type {Registry} from 'prom-client';
 import {
@@ -7,12 +8,7 @@
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {exchangeJson} from '@marigoldspur/http-link';
-import {
-  elapsedMs,
-  quotaCost,
-  USE_WITHIN_MS,
-  type ClockReading,
-} from '@marigoldspur/tenant-quotas';
+import {quotaCost, USE_WITHIN_MS} from '@marigoldspur/tenant-quotas';
 import {
   CallCharge,
   NO_CHARGE,
@@ -144,7 +140,3 @@
       maxAnswerBytes: MAX_ANSWER_BYTES,
     });
 }
-
-function readClock(): ClockReading {
-  return {monotonicMs: performance.now(), wallMs: Date.now()};
-}
--- a/policy/tenant-quotas/src/clock-reading.ts
+++ b/machines/clock-readings/src/clock-reading.ts
@@ -1,14 +1,19 @@
-/** A time on both clocks of a machine. */
+/** A time, read from both clocks of a machine at once. */
 export interface ClockReading {
-  /** A `performance.now()` time, in milliseconds. */
+  /** Monotonic clock, in milliseconds; it stands still while the machine is suspended. */
   readonly monotonicMs: number;
-  /** A `Date.now()` time, in milliseconds. */
+  /** Wall clock, in milliseconds since the epoch; it may be stepped. */
   readonly wallMs: number;
 }
 
-/** Divergence of the clocks above which the machine may have been suspended, in milliseconds. */
+/** Difference between the clocks' progress from which on the machine may have been suspended, in milliseconds. */
 const MAX_DIVERGENCE_MS = 250;
 
+/** Reads both clocks. */
+export function readClock(): ClockReading {
+  return {monotonicMs: performance.now(), wallMs: Date.now()};
+}
+
 /** Time between two readings, in milliseconds; infinite if the machine may have been suspended. */
 export function elapsedMs(from: ClockReading, to: ClockReading): number {
   const monotonicMs = to.monotonicMs - from.monotonicMs;
--- /dev/null
+++ b/machines/clock-readings/src/index.ts
@@ -0,0 +1,1 @@
+export {elapsedMs, readClock, type ClockReading} from './clock-reading.js';
--- a/policy/tenant-access/src/index.ts
+++ b/policy/tenant-access/src/index.ts
@@ -3,4 +3,4 @@
   TenantDirectory,
   type TenantProfile,
 } from './tenant-directory.js';
-export {KeyFreshness, type ClockReading} from './key-freshness.js';
+export {KeyFreshness} from './key-freshness.js';
--- a/policy/tenant-access/src/key-freshness.ts
+++ b/policy/tenant-access/src/key-freshness.ts
@@ -1,10 +1,4 @@
-/** A time, read from both clocks of a machine at once. */
-export interface ClockReading {
-  /** Monotonic clock, in milliseconds; it stands still while the machine is suspended. */
-  readonly monotonicMs: number;
-  /** Wall clock, in milliseconds since the epoch; it may be stepped. */
-  readonly wallMs: number;
-}
+import {elapsedMs, type ClockReading} from '@marigoldspur/clock-readings';
 
 /** The answer of a quorum that a revision was the newest one when it was asked, or later. */
 interface Confirmation {
@@ -14,8 +8,6 @@
 
 /** Share of the revocation time for which a confirmation is valid; the rest covers drift of clocks. */
 const VALID_SHARE = 0.9;
-/** Difference between the clocks' progress from which on the machine may have been suspended, in milliseconds. */
-const MAX_DIVERGENCE_MS = 250;
 /** An entry asks 8 times in the revocation time, and a few replicas at once after a failure. */
 const MAX_CONFIRMATIONS = 32;
 
@@ -67,12 +59,7 @@
   }
 
   private validAgeMs(requestedAt: ClockReading, now: ClockReading): number {
-    const monotonicMs = now.monotonicMs - requestedAt.monotonicMs;
-    const wallMs = now.wallMs - requestedAt.wallMs;
-    const hasDiverged = Math.abs(wallMs - monotonicMs) > MAX_DIVERGENCE_MS;
-    const ageMs = Math.max(monotonicMs, wallMs);
-    return hasDiverged || ageMs >= VALID_SHARE * this.revokeMs
-      ? Infinity
-      : ageMs;
+    const ageMs = elapsedMs(requestedAt, now);
+    return ageMs >= VALID_SHARE * this.revokeMs ? Infinity : ageMs;
   }
 }
--- a/policy/tenant-access/test/key-freshness.test.ts
+++ b/policy/tenant-access/test/key-freshness.test.ts
@@ -1,6 +1,7 @@
+import type {ClockReading} from '@marigoldspur/clock-readings';
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {KeyFreshness, type ClockReading} from '@marigoldspur/tenant-access';
+import {KeyFreshness} from '@marigoldspur/tenant-access';
 
 const SEED = 20261206;
 const RUNS = 3_000;
--- a/policy/tenant-quotas/src/index.ts
+++ b/policy/tenant-quotas/src/index.ts
@@ -1,4 +1,3 @@
-export {elapsedMs, type ClockReading} from './clock-reading.js';
 export {quotaCost} from './quota-cost.js';
 export {
   QuotaLedger,
