Charge calls to the tenant that their key has when they are served

A call was charged to its tenant at arrival, while the target gets the tenant of the newest deployment, so a call could run for one tenant and count for another. The charge now goes to the newest tenant, and an attempt whose tenant changed before the write ends as not run, tenant_changed.

--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -10,12 +10,18 @@
   CallDurations,
   DrainAdmission,
 } from '@marigoldspur/drain-admission';
-import type {Charge, TenantQuotas} from '@marigoldspur/entry-quotas';
+import type {TenantQuotas} from '@marigoldspur/entry-quotas';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
 import type {MemoryBudget} from '@marigoldspur/memory-budget';
 import type {Attempt, AttemptSender} from './attempt-sender.js';
-import {findChargeRefusal, hasExpired} from './charge-check.js';
+import {
+  findChargeRefusal,
+  findTenant,
+  hasExpired,
+  hasOtherTenant,
+  type TenantCharge,
+} from './charge-check.js';
 import {findDenial, hasTimeLeft, type Call} from './call.js';
 import {createShuttingDownRefusal} from './shutting-down-refusal.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
@@ -41,13 +47,11 @@
 }
 
 /** What is known of the search for the target of an attempt. */
-interface AttemptSearch {
+interface AttemptSearch extends TenantCharge {
   /** Origin of the stream that the call takes up; undefined if it begins one. */
   readonly origin: StreamOrigin | undefined;
   /** IDs of targets that did not serve earlier attempts. */
   readonly excluded: ReadonlySet<string>;
-  /** Units of the tenant's quota that the call uses. */
-  readonly charge: Charge;
 }
 
 /** The search for the target of an attempt that was sent. */
@@ -87,9 +91,11 @@
   /** Serves a call, charged to its tenant's quota. A refusal is returned, not sent. */
   async run(call: Call, response: ServerResponse): Promise<CallResult> {
     const {statedTokens} = call.metadata;
-    const charge = this.options.quotas.open(call.tenant, statedTokens);
+    const tenant = findTenant(call);
+    const charge = this.options.quotas.open(tenant, statedTokens);
+    const chargedTenant = tenant?.name;
     try {
-      return await this.runCharged(call, response, charge);
+      return await this.runCharged(call, response, {charge, chargedTenant});
     } finally {
       charge.release();
     }
@@ -98,7 +104,7 @@
   private async runCharged(
     call: Call,
     response: ServerResponse,
-    charge: Charge,
+    tenantCharge: TenantCharge,
   ): Promise<CallResult> {
     const {retryLimiter, streamOrigins} = this.options;
     retryLimiter.recordCall(call.service.name, performance.now());
@@ -116,7 +122,7 @@
           toFinalRefusal(refusal ?? createOutOfTimeRefusal(), mayHaveRun),
         );
       }
-      const search = {origin, excluded, charge};
+      const search = {origin, excluded, ...tenantCharge};
       const target = await this.findChargedTarget(call, search);
       const denial = findDenial(call);
       if (denial !== undefined) {
@@ -143,6 +149,7 @@
       }
       const mayRetry =
         !response.headersSent &&
+        !hasOtherTenant(refusal) &&
         canRetry(call, refusal, attemptNumber, mayHaveRun);
       if (
         !mayRetry ||
@@ -213,7 +220,7 @@
     search.charge.spend();
     try {
       const sent = await sender.send(call, attempt, {
-        findChargeRefusal: () => findChargeRefusal(search.charge),
+        findChargeRefusal: () => findChargeRefusal(call, search),
       });
       const result = sent.isErr
         ? Result.err(sender.handleFailure(call, attempt, sent.error))
@@ -266,9 +273,10 @@
     attempt: Attempt,
     upstream: TargetResponse,
     response: ServerResponse,
-    {charge, excluded, origin}: AttemptSearch,
+    search: AttemptSearch,
   ): Promise<RelayOutcome> {
     const {events, memory, metrics} = this.options;
+    const {excluded, origin} = search;
     const {metadata, route, service, startedAt} = call;
     const {resumeAfter = 0} = metadata;
     const isTakenUp = resumeAfter > 0;
@@ -287,7 +295,7 @@
             excluded,
             upstream.isAnnouncedStart,
             origin,
-            charge,
+            search,
           )
         : undefined;
     const reservation = memory.reserve('response', 0);
--- a/entry/direct-routing/src/call-stream-resumer.ts
+++ b/entry/direct-routing/src/call-stream-resumer.ts
@@ -1,9 +1,8 @@
 import type {StreamResumer, UpstreamResponse} from '@marigoldspur/dispatch';
-import type {Charge} from '@marigoldspur/entry-quotas';
 import type {EventLog} from '@marigoldspur/event-log';
 import type {Attempt, AttemptSender} from './attempt-sender.js';
 import type {Call} from './call.js';
-import {findChargeRefusal} from './charge-check.js';
+import {findChargeRefusal, type TenantCharge} from './charge-check.js';
 import type {RetryLimiter} from './retry-limiter.js';
 import type {StreamOrigin, TargetAnnouncement} from '@marigoldspur/deployment';
 import type {StreamOrigins} from './stream-origins.js';
@@ -43,7 +42,7 @@
     /** Origin of the stream that the call takes up; undefined if the call begins it. */
     private readonly origin: StreamOrigin | undefined,
     /** Units of the tenant's quota that the call uses. */
-    private readonly charge: Charge,
+    private readonly tenantCharge: TenantCharge,
   ) {
     this.begunAt = options.streamOrigins.originAt(call, first.target);
     this.triedTargets = new Set([...excluded, first.target.id]);
@@ -101,7 +100,8 @@
   private async findTarget(
     hasBegun: boolean,
   ): Promise<TargetAnnouncement | undefined> {
-    const {call, charge, options} = this;
+    const {call, options} = this;
+    const {charge} = this.tenantCharge;
     do {
       if ((await charge.secure()) !== undefined) {
         return undefined;
@@ -136,12 +136,13 @@
     attempt: Attempt,
     after: number,
   ): Promise<UpstreamResponse | undefined> {
-    const {call, charge} = this;
+    const {call, tenantCharge} = this;
+    const {charge} = tenantCharge;
     const {events, sender} = this.options;
     const resumeAfter = after < 0 ? call.metadata.resumeAfter : after;
     charge.spend();
     const sent = await sender.send(call, attempt, {
-      findChargeRefusal: () => findChargeRefusal(charge),
+      findChargeRefusal: () => findChargeRefusal(call, tenantCharge),
       resumeAfter,
     });
     const refusal = sent.isErr
--- a/entry/direct-routing/test/denied-calls.test.ts
+++ b/entry/direct-routing/test/denied-calls.test.ts
@@ -32,6 +32,8 @@
 let sentValues: TargetHeaderValues[];
 let denial: Refusal | undefined;
 let charge: Charge;
+/** Tenants that calls were charged to. */
+let charged: (string | undefined)[];
 let tenant: {name: string; priority?: number} | undefined;
 
 beforeEach(async () => {
@@ -40,6 +42,7 @@
   sentValues = [];
   denial = undefined;
   charge = NO_CHARGE;
+  charged = [];
   tenant = {name: 'ann'};
   wireFormat = {
     parseResponseHeaders: () => ({
@@ -134,7 +137,12 @@
     durations: {record: () => {}},
     streamOrigins: {resolve: async () => Result.ok(undefined)},
     memory: {reserve: () => undefined},
-    quotas: {open: () => charge},
+    quotas: {
+      open: (tenant?: {name: string}) => {
+        charged.push(tenant?.name);
+        return charge;
+      },
+    },
     events: new EventLog({process: 'test'}),
     metrics: new DirectRoutingMetrics(new Registry()),
   } as never);
@@ -267,3 +275,31 @@
     retryAfterSeconds: 0.5,
   });
 });
+
+// Guards against calls that run for one tenant and count for another.
+it('denied calls: a call is charged to the tenant that its key has when it is served', async () => {
+  tenant = {name: 'bo'};
+  const runner = createRunner(async () =>
+    requests === 0 ? Result.ok(TARGET) : Result.err(DENIAL),
+  );
+  await runner.run(createCall(), {} as never);
+  expect(charged).to.deep.equal(['bo']);
+  expect(sentValues[0].tenant).to.equal('bo');
+});
+
+it('denied calls: a call whose key changes its tenant after the charge ends as not run, unsent', async () => {
+  let searches = 0;
+  const runner = createRunner(async () => {
+    searches += 1;
+    tenant = {name: 'bo'};
+    return Result.ok(TARGET);
+  });
+  const result = await runner.run(createCall(), {} as never);
+  expect(requests).to.equal(0);
+  expect(searches).to.equal(1);
+  expect(result.isErr && result.error).to.include({
+    outcome: 'not-run',
+    status: 503,
+    reason: 'tenant_changed',
+  });
+});
