Keep the target of a call whose units were granted again at once

A call whose units expired while it waited for a permit of a target with a request limit searched again and lost the permit. It now keeps the target if the new units come within 50 ms and the target is still available. The test that expected another search in each case is replaced by one for each of the three cases.

--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -68,6 +68,8 @@
  * target has run the call.
  */
 const EXTRA_ATTEMPTS = 2;
+/** Time for which a target that was found is kept while units are granted, in milliseconds. */
+const KEEP_TARGET_MS = 50;
 const MAX_BUFFERED_BYTES = 1_048_576;
 const RETRY_AFTER_SECONDS = 0.5;
 /**
@@ -163,12 +165,14 @@
 
   /**
    * Finds a target for a call that holds units of its tenant's quota. Units expire while the
-   * search waits, and what is found is old once new ones are granted.
+   * search waits. What was found is kept, with its permit if it has a request limit, if new ones
+   * come at once.
    */
   private async findChargedTarget(
     call: Call,
     {charge, excluded, origin}: AttemptSearch,
   ): Promise<Result<TargetAnnouncement, Refusal>> {
+    const {finder} = this.options;
     for (;;) {
       const refusal = await charge.secure();
       if (refusal !== undefined) {
@@ -178,6 +182,20 @@
       if (target.isErr || !charge.isDue) {
         return target;
       }
+      const foundAt = performance.now();
+      const refusedSince = await charge.secure();
+      if (refusedSince !== undefined) {
+        return Result.err(refusedSince);
+      }
+      const now = performance.now();
+      if (
+        now - foundAt < KEEP_TARGET_MS &&
+        !charge.isDue &&
+        this.mayBeSent(call, now) &&
+        finder.isAvailable(call, target.value, excluded, origin)
+      ) {
+        return target;
+      }
     }
   }
 
--- a/entry/direct-routing/src/target-finder.ts
+++ b/entry/direct-routing/src/target-finder.ts
@@ -160,6 +160,20 @@
     }
   }
 
+  /** Whether a target that was found may still serve its call after a short wait. */
+  isAvailable(
+    call: Call,
+    target: TargetAnnouncement,
+    excluded: ReadonlySet<string>,
+    origin?: StreamOrigin,
+  ): boolean {
+    const {metadata, route, service} = call;
+    const {work} = metadata;
+    const version = this.versionFor(work);
+    const requirements = {service, route, work, version, origin, excluded};
+    return !this.isOutdated(call, {requirements, target});
+  }
+
   /** Chooses a target, or returns why none is available in time. */
   private choose(
     call: Call,
@@ -251,7 +265,7 @@
   /** Whether a choice does not hold any more after a wait. */
   private isOutdated(
     call: Call,
-    {requirements, target}: TargetChoice,
+    {requirements, target}: Pick<TargetChoice, 'requirements' | 'target'>,
   ): boolean {
     const {crashMonitor, requestCrashes, selector} = this.options;
     const {version, work} = requirements;
--- a/entry/direct-routing/test/charged-calls.test.ts
+++ b/entry/direct-routing/test/charged-calls.test.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import {setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'chai';
 import {Registry} from 'prom-client';
 import {Result} from 'true-myth';
@@ -25,6 +26,10 @@
 let refusals: (Refusal | undefined)[];
 /** Whether units expire during the next search. */
 let isSearchLong: boolean;
+/** Time that a charge takes, in milliseconds. */
+let chargeMs: number;
+/** Whether a target that was found is available after another charge. */
+let isStillAvailable: boolean;
 let opened: unknown[];
 
 beforeEach(() => {
@@ -32,6 +37,8 @@
   outcomes = [];
   refusals = [];
   isSearchLong = false;
+  chargeMs = 0;
+  isStillAvailable = true;
   opened = [];
 });
 
@@ -46,6 +53,7 @@
     secure: async () => {
       if (!isHeld) {
         steps.push('charge');
+        await pause(chargeMs);
         const refusal = refusals.shift();
         isHeld = refusal === undefined;
         return refusal;
@@ -71,6 +79,7 @@
   let charge: Charge;
   const options = {
     finder: {
+      isAvailable: () => isStillAvailable,
       find: async () => {
         steps.push('search');
         if (isSearchLong) {
@@ -143,19 +152,34 @@
   expect(steps.at(-1)).to.equal('refund');
 });
 
-it('charged calls: a call whose units expired during the search is charged again, and searches again', async () => {
+// Guards against a lost permit of a target with a request limit for each call that waited for it.
+it('charged calls: a call whose units expired during the search keeps its target if new ones come at once', async () => {
   isSearchLong = true;
   await run();
-  expect(steps.slice(0, 6)).to.deep.equal([
-    'charge',
-    'search',
-    'charge',
-    'search',
-    'spend',
-    'send',
-  ]);
+  const kept = ['charge', 'search', 'charge', 'spend', 'send'];
+  expect(steps.slice(0, 5)).to.deep.equal(kept);
 });
 
+for (const [name, takesMs, isAvailable] of [
+  ['come late', 60, true],
+  ['come at once but its target is not available any more', 0, false],
+] as const) {
+  it(`charged calls: a call whose units expired during the search searches again if new ones ${name}`, async () => {
+    isSearchLong = true;
+    chargeMs = takesMs;
+    isStillAvailable = isAvailable;
+    await run();
+    expect(steps.slice(0, 6)).to.deep.equal([
+      'charge',
+      'search',
+      'charge',
+      'search',
+      'spend',
+      'send',
+    ]);
+  });
+}
+
 it('charged calls: a call whose units expired is refused if the quota has no room any more', async () => {
   isSearchLong = true;
   refusals = [undefined, EXCEEDED];
