--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -253,6 +253,7 @@
     targets: () => fleetFollower.view.targets(),
     engineView: address => engineViews.viewOf(address),
     random: Math.random,
+    requiresStatedPace: true,
     onFirstEvent: (service, expectedMs, observedMs) =>
       metrics.recordFirstEvent(service, expectedMs, observedMs),
     onSlowTarget: ({id, service}, factor) => {
--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -6,8 +6,9 @@
   TargetAnnouncement,
 } from '@marigoldspur/deployment';
 import {adapterName, isSameIncarnation} from '@marigoldspur/deployment';
-import {chooseEngine} from '@marigoldspur/engine-choice';
+import {chooseEngine, type EngineCandidate} from '@marigoldspur/engine-choice';
 import {
+  PRIOR_COSTS,
   boundLoad,
   CallProgress,
   plainCost,
@@ -32,6 +33,11 @@
   readonly engineView: (address: string) => EngineView | undefined;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
+  /**
+   * Whether learned costs count only for services whose targets state their pace; for all services if
+   * absent. Where no target states one, targets are alike, and the prior figures spread adapters less.
+   */
+  readonly requiresStatedPace?: boolean;
   /** Called with the expected and the observed time to the first event of a call, in milliseconds. */
   readonly onFirstEvent?: (
     service: string,
@@ -116,6 +122,15 @@
  * service's mean call.
  */
 const OTHER_ZONE_COST = 0.05;
+/** A chosen plain target of which no times are known. */
+const UNKNOWN_TIMES = {
+  needsAdapter: false,
+  waitMs: 0,
+  processingMs: 0,
+  completionMs: 0,
+  pauseMs: 0,
+  lacksMemory: false,
+};
 /** Cost of a target that is full or fails mostly, which is used last. */
 const LAST_COST = 1_000;
 /** Share of failed responses from which a target is used last, as a full one is. */
@@ -139,6 +154,8 @@
   /** When the pauses that targets asked for end, by incarnation, in milliseconds. */
   private readonly pauseEnds = new Map<string, number>();
   private readonly serviceModels = new Map<string, ServiceModel>();
+  /** Services of which a target has stated its pace. */
+  private readonly pacedServices = new Set<string>();
   /** Settings of the engines by service, as the last choice had them. */
   private readonly engineSettings = new Map<string, Service['engine']>();
   private readonly slotReleases = new SlotReleaseEstimator();
@@ -459,6 +476,7 @@
       const requests = {own: stats.inFlight, slots: target.slots};
       stats.reportedLoad.record(running + waiting, requests, now);
       if (pace !== undefined) {
+        this.pacedServices.add(target.service);
         stats.model.pace.record(pace, now);
       }
     }
@@ -475,6 +493,9 @@
     {route, service: {name}}: TargetRequirements,
     now: number,
   ): ChosenTarget | undefined {
+    if (!this.usesLearnedCosts(name)) {
+      return this.chooseLeastLoaded(targets, now);
+    }
     const service = this.serviceModelOf(name);
     service.costs(now);
     const meanWorkMs = service.meanWorkMs(now);
@@ -511,17 +532,7 @@
         completionMs = work * meanWorkMs;
       }
     }
-    return (
-      target && {
-        target,
-        needsAdapter: false,
-        waitMs: 0,
-        processingMs: 0,
-        completionMs,
-        pauseMs: 0,
-        lacksMemory: false,
-      }
-    );
+    return target && {...UNKNOWN_TIMES, target, completionMs};
   }
 
   /** Work of the requests at a target, in units of the service's mean call. */
@@ -531,6 +542,37 @@
     return Math.max(0, inFlightWork) + others;
   }
 
+  /** Whether what was learned of the targets of a service decides between them. */
+  private usesLearnedCosts(service: string): boolean {
+    return (
+      this.options.requiresStatedPace !== true ||
+      this.pacedServices.has(service)
+    );
+  }
+
+  /** Chooses the target with the fewest requests for its slots. */
+  private chooseLeastLoaded(
+    targets: readonly TargetAnnouncement[],
+    now: number,
+  ): ChosenTarget | undefined {
+    const ranked = targets.map(target => ({
+      target,
+      cost: this.relativeLoad(target, now) + this.options.random() / 1_000,
+    }));
+    ranked.sort((a, b) => a.cost - b.cost);
+    const target = ranked.at(0)?.target;
+    return target && {...UNKNOWN_TIMES, target};
+  }
+
+  private relativeLoad(target: TargetAnnouncement, now: number): number {
+    const {failureRate, inFlight, reportedLoad} = this.statsOf(target);
+    const load = reportedLoad.isFresh(now)
+      ? reportedLoad.loadAt(inFlight, now)
+      : inFlight;
+    const zone = target.zone === this.options.zone ? 0 : OTHER_ZONE_COST;
+    return load / target.slots + zone + failureRate;
+  }
+
   private chooseEngine(
     targets: readonly TargetAnnouncement[],
     requirements: TargetRequirements,
@@ -552,13 +594,15 @@
     };
     this.engineSettings.set(name, engine);
     const service = this.serviceModelOf(name);
-    const costs = {
-      ...service.costs(now),
-      ...statedLoadCosts(engine, work.model),
-    };
-    const candidates = targets.map(target =>
-      toEngineCandidate(this.snapshotOf(target), engineRequirements, now),
-    );
+    const isLearned = this.usesLearnedCosts(name);
+    const costs = isLearned
+      ? {...service.costs(now), ...statedLoadCosts(engine, work.model)}
+      : PRIOR_COSTS;
+    const candidates = targets.map(target => {
+      const snapshot = this.snapshotOf(target);
+      const candidate = toEngineCandidate(snapshot, engineRequirements, now);
+      return isLearned ? candidate : withoutLearned(candidate);
+    });
     const {hiddenRequests} = service;
     this.recordRequests(service, targets);
     hiddenRequests.recordChoice(adapter, now);
@@ -573,9 +617,9 @@
       candidates,
       {
         costs,
-        hiddenRequests: hiddenRequests.count(
-          this.slotReleases.meanDurationMs(name),
-        ),
+        hiddenRequests: isLearned
+          ? hiddenRequests.count(this.slotReleases.meanDurationMs(name))
+          : 0,
         hiddenShare: hiddenRequests.shareOf(adapter, now),
         random: this.options.random,
       },
@@ -592,7 +636,7 @@
       processingMs,
       completionMs: waitMs + processingMs + (output?.events ?? 0) * pauseMs,
       pauseMs,
-      lacksMemory: !hasRoom,
+      lacksMemory: isLearned && !hasRoom,
     };
   }
 
@@ -724,3 +768,14 @@
   promptCache.recordPrompt(adapter, work.parts, now);
   return Math.max(0, work.promptTokens - cached);
 }
+
+/** A candidate that is taken to be like all others of its service. */
+function withoutLearned(candidate: EngineCandidate): EngineCandidate {
+  return {
+    ...candidate,
+    promisedTokens: 0,
+    prefillFactor: 1,
+    decodeFactor: 1,
+    pace: 1,
+  };
+}
