Resume a connection whose refused body has ended (FAULT)

Bodies of refused requests at callers' listeners are read slowly beyond four at a time: the connection is paused and a timer resumes it. If the body ended first, the timer was cleared and the connection stayed paused, so its next request was not read. The new test fails before the change.

--- a/machines/request-bodies/src/discard-rest.ts
+++ b/machines/request-bodies/src/discard-rest.ts
@@ -65,8 +65,13 @@
   }
 
   end(): void {
-    clearTimeout(this.timer);
     discardedCount -= this.hasEnded ? 0 : 1;
     this.hasEnded = true;
+    if (this.timer !== undefined) {
+      clearTimeout(this.timer);
+      this.timer = undefined;
+      // A paused connection would not bring its next request.
+      this.request.socket.resume();
+    }
   }
 }
