--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -35,7 +35,7 @@
   readonly random: () => number;
   /**
    * Whether learned costs count only for services whose targets state their pace; for all services if
-   * absent. Where no target states one, targets are alike, and the prior figures spread adapters less.
+   * absent.
    */
   readonly requiresStatedPace?: boolean;
   /** Called with the expected and the observed time to the first event of a call, in milliseconds. */
