Keep room for small buffers while the heap grows (FAULT)

Cause: the 24 MB for buffers that the collector has not freed yet were taken from the limit of all buffers, also of small ones, since the limits on misbehaving callers. Large bodies then took three quarters of what was left, the heap's growth took the rest, and calls with small headers were refused.

Change: the 24 MB are taken from the limit of large buffers alone, whose late collection was measured.

Ruled out: the maximum of request-objects (the refusals came from the whole budget, 'buffers-full' names it).

--- a/machines/memory-budget/src/memory-budget.ts
+++ b/machines/memory-budget/src/memory-budget.ts
@@ -99,12 +99,19 @@
 
   /** Bytes that are missing so that a reservation of `size` can take `bytes` more; 0 if there is room. */
   missingBytes(bytes: number, size = bytes): number {
-    const {maxBytes} = this.occupancy;
-    const {largeShare = DEFAULT_LARGE_SHARE} = this.options;
-    const available = size > MAX_SMALL_BYTES ? maxBytes * largeShare : maxBytes;
+    const available =
+      size > MAX_SMALL_BYTES ? this.maxLargeBytes : this.occupancy.maxBytes;
     return Math.max(0, this.held + bytes - available);
   }
 
+  private get maxLargeBytes(): number {
+    const {heapBytes, largeShare = DEFAULT_LARGE_SHARE, limit} = this.options;
+    const heap = heapBytes();
+    return (
+      (limit.maxBytesWithLarge?.(heap) ?? limit.maxBytes(heap)) * largeShare
+    );
+  }
+
   /** Takes bytes for a reservation that then has `size` bytes; whether they fit. */
   private take(kind: string, bytes: number, size: number): boolean {
     if (bytes <= 0) {
--- a/machines/memory-budget/src/memory-limit.ts
+++ b/machines/memory-budget/src/memory-limit.ts
@@ -2,6 +2,8 @@
 export interface ByteLimit {
   /** The limit while the heap takes `heapBytes`. */
   maxBytes(heapBytes: number): number;
+  /** The limit from which the share of large buffers is taken; `maxBytes` if absent. */
+  maxBytesWithLarge?(heapBytes: number): number;
 }
 
 /** Options of a memory limit. */
@@ -15,8 +17,8 @@
 /** Memory of a process for code, stacks and native objects, in bytes. */
 const NATIVE_BYTES = 48_000_000;
 /**
- * Memory that was given back to the budget and that the collector has not freed yet, in bytes. With
- * 202 MB, 120 bodies in large chunks took 222 MB without it.
+ * Memory of large buffers that was given back to the budget and that the collector has not freed
+ * yet, in bytes. With 202 MB, 120 bodies in large chunks took 222 MB without it.
  */
 const UNCOLLECTED_BYTES = 24_000_000;
 /** Share of the memory that may be buffered however large the heap is. */
@@ -36,15 +38,20 @@
 
   maxBytes(heapBytes: number): number {
     const {connectionBytes, memoryBytes} = this.options;
-    return Math.max(
-      memoryBytes * MIN_SHARE,
-      memoryBytes -
-        NATIVE_BYTES -
-        UNCOLLECTED_BYTES -
-        connectionBytes -
-        heapBytes,
+    return this.atLeastMinimum(
+      memoryBytes - NATIVE_BYTES - connectionBytes - heapBytes,
     );
   }
+
+  // Taken from the limit of small buffers too, these bytes let the heap's growth alone use up the
+  // room that large buffers leave: calls without a body were refused.
+  maxBytesWithLarge(heapBytes: number): number {
+    return this.atLeastMinimum(this.maxBytes(heapBytes) - UNCOLLECTED_BYTES);
+  }
+
+  private atLeastMinimum(bytes: number): number {
+    return Math.max(this.options.memoryBytes * MIN_SHARE, bytes);
+  }
 }
 
 /** For a process whose settings state no memory. */
--- a/machines/memory-budget/test/memory-budget.test.ts
+++ b/machines/memory-budget/test/memory-budget.test.ts
@@ -42,6 +42,20 @@
   expect(budget.occupancy.heldBytes).to.be.at.most(MAX_BYTES);
 });
 
+// Guards against calls without a body that are refused because large bodies were admitted before
+// the heap grew.
+it('memory budget: large reservations leave room for small ones although the heap grows', () => {
+  const limit = new MemoryLimit({
+    memoryBytes: 350_000_000,
+    connectionBytes: 87_500_000,
+  });
+  let heapBytes = 40_000_000;
+  budget = new MemoryBudget({limit, heapBytes: () => heapBytes});
+  while (budget.reserve('large', 4_194_304) !== undefined);
+  heapBytes += 50_000_000;
+  expect(budget.reserve('small', 4_096)).to.not.equal(undefined);
+});
+
 it('memory budget: a reservation that grows by small steps is limited as a large one', () => {
   const reservation = budget.reserve('a', 0)!;
   let size = 0;
