Serve calls from a reserve of each entry while replicas of quotas do not answer

Cause: without a quorum of control, calls of tenants with quotas were all refused, for two seconds or more when all replicas are killed, and what was refused came back at once after that.

Change: half of the slack of quotas is divided among the entries; each counts what it takes of its part in any window, and has none in its first window. The replicas keep the rest of the tolerance. Event 780 is recorded only when the share or the number of tenants changes.

--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -370,7 +370,7 @@
     number: 780,
     level: 'info',
     meaning:
-      'A replica of control grants another share of the quotas (`share`, 0 to 1), after a deployment or a change of the replicas; all replicas have equal shares.',
+      'A replica of control grants another share of the quotas (`share`, 0 to 1), or has another number of tenants with quotas (`tenants`); all replicas have equal shares.',
   },
   'quota-grants-stopped': {
     number: 781,
--- a/control/fleet/src/quota-granter.ts
+++ b/control/fleet/src/quota-granter.ts
@@ -52,6 +52,8 @@
   private activeRevision: number | undefined;
   /** When the active deployment became active here, as a `performance.now()` time. */
   private deploymentSince: number;
+  /** What the last event on the share said. */
+  private recordedShare = '';
   /** Whether the last request was refused for lack of a quorum. */
   private isStopped = false;
 
@@ -139,11 +141,16 @@
   }
 
   private recordShare(): void {
-    this.options.events.record('quota-share-changed', {
-      share: this.ledger.currentShare,
-      tenants: this.tenants.length,
-      revision: this.readRevision ?? 'none',
-    });
+    const share = this.ledger.currentShare;
+    const tenants = this.tenants.length;
+    // Most deployments change neither.
+    const recorded = `${share} ${tenants}`;
+    if (recorded !== this.recordedShare) {
+      this.recordedShare = recorded;
+      const revision = this.readRevision ?? 'none';
+      const details = {share, tenants, revision};
+      this.options.events.record('quota-share-changed', details);
+    }
   }
 
   private recordQuorum(isConfirmed: boolean): void {
--- a/entry/direct-routing/src/direct-routing-settings.ts
+++ b/entry/direct-routing/src/direct-routing-settings.ts
@@ -1,4 +1,5 @@
 import type {LinkSettings} from '@marigoldspur/link-security';
+import type {QuotaTolerance} from '@marigoldspur/tenant-quotas';
 
 /**
  * Retries that all entries together may send to one service in a sliding
@@ -39,6 +40,8 @@
    * bounded.
    */
   readonly keyRevocationMs?: number;
+  /** By how much all entries together may exceed the quota of a tenant. */
+  readonly quotaTolerance: QuotaTolerance;
   /** Time between the termination signal and a forced end, in milliseconds. */
   readonly graceMs: number;
 }
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -306,6 +306,11 @@
       fleetFollower.view.replicas.length > 0
         ? fleetFollower.view.replicas
         : fleetFollower.urls(),
+    entries: () =>
+      fleetFollower.isFollowingMajority
+        ? fleetFollower.view.entries
+        : undefined,
+    tolerance: settings.quotaTolerance,
     events,
     registry: runtime.metrics.registry,
   });
--- a/entry/tenant-quotas/src/quota-client.ts
+++ b/entry/tenant-quotas/src/quota-client.ts
@@ -26,6 +26,8 @@
 /** Units that were granted for one call, by one replica or several. */
 export interface QuotaGrant extends QuotaAmount {
   readonly parts: readonly ReplicaGrant[];
+  /** When the units were taken from the reserve of this entry; absent if replicas granted them. */
+  readonly reservedAt?: ClockReading;
 }
 
 /** What became of a request for units. */
--- a/entry/tenant-quotas/src/quota-metrics.ts
+++ b/entry/tenant-quotas/src/quota-metrics.ts
@@ -10,7 +10,7 @@
     const registers = [registry];
     this.charges = new Counter({
       name: 'marigoldspur_quota_charges_total',
-      help: "Requests of calls for units of their tenant's quota, by whether they were granted, exceeded the quota, or found no room while a replica did not answer",
+      help: "Requests of calls for units of their tenant's quota, by whether replicas granted them, they were taken from the reserve of the entry, exceeded the quota, or found no room while a replica did not answer",
       labelNames: ['outcome', 'tenant'],
       registers,
     });
--- a/entry/tenant-quotas/src/tenant-quotas.ts
+++ b/entry/tenant-quotas/src/tenant-quotas.ts
@@ -8,7 +8,12 @@
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import {exchangeJson} from '@marigoldspur/http-link';
-import {quotaCost, USE_WITHIN_MS} from '@marigoldspur/tenant-quotas';
+import {
+  OutageReserve,
+  quotaCost,
+  USE_WITHIN_MS,
+  type QuotaTolerance,
+} from '@marigoldspur/tenant-quotas';
 import {
   CallCharge,
   NO_CHARGE,
@@ -29,6 +34,10 @@
   readonly agent: http.Agent;
   /** Base URLs of the replicas of control. */
   readonly replicas: () => readonly string[];
+  /** Number of entries that follow control, including this one; undefined if it is not known. */
+  readonly entries: () => number | undefined;
+  /** By how much all entries together may exceed a quota. */
+  readonly tolerance: QuotaTolerance;
   readonly events: EventLog;
   readonly registry: Registry;
 }
@@ -42,13 +51,17 @@
 /** Charges calls to the quotas of their tenants. */
 export class TenantQuotas implements HeldCharges {
   private readonly client: QuotaClient;
+  private readonly reserve: OutageReserve;
   private readonly metrics: QuotaMetrics;
   private readonly refusals: RefusalReporter;
   /** Charges of calls that have not been sent, in the order of their grants. */
   private readonly held = new Set<CallCharge>();
   private timer: NodeJS.Timeout | undefined;
 
-  constructor({agent, events, registry, replicas}: TenantQuotasOptions) {
+  constructor(private readonly options: TenantQuotasOptions) {
+    const {agent, events, registry, replicas, tolerance} = options;
+    const startedAt = performance.now();
+    this.reserve = new OutageReserve({tolerance, startedAt});
     this.metrics = new QuotaMetrics(registry);
     this.refusals = new RefusalReporter(events);
     this.client = new QuotaClient({
@@ -76,9 +89,9 @@
   }
 
   async request(amount: QuotaAmount): Promise<QuotaOutcome> {
-    const outcome = await this.client.request(amount);
+    const outcome = await this.requestUnits(amount);
     const {tenant} = amount;
-    this.metrics.recordCharge(tenant, outcome.kind);
+    this.metrics.recordCharge(tenant, toMetric(outcome));
     if (outcome.kind === 'granted') {
       this.metrics.recordGranted(tenant, amount.amount);
     } else {
@@ -91,13 +104,18 @@
 
   giveBack(grant: QuotaGrant): void {
     this.metrics.recordGivenBack(grant.tenant, grant.amount);
-    this.client.giveBack(grant);
+    if (grant.reservedAt === undefined) {
+      this.client.giveBack(grant);
+    } else {
+      this.reserve.putBack(grant, readClock().monotonicMs);
+    }
   }
 
-  isUsable({parts}: QuotaGrant): boolean {
+  isUsable({parts, reservedAt}: QuotaGrant): boolean {
     const now = readClock();
-    return parts.every(
-      ({requestedAt}) => elapsedMs(requestedAt, now) <= USE_WITHIN_MS,
+    const times = parts.map(({requestedAt}) => requestedAt);
+    return [...times, ...(reservedAt === undefined ? [] : [reservedAt])].every(
+      time => elapsedMs(time, now) <= USE_WITHIN_MS,
     );
   }
 
@@ -116,6 +134,22 @@
     this.client.stop();
   }
 
+  /** Asks the replicas, and the reserve if some of them that may have room do not answer. */
+  private async requestUnits(amount: QuotaAmount): Promise<QuotaOutcome> {
+    const entries = this.options.entries();
+    if (entries !== undefined) {
+      this.reserve.recordEntries(entries, readClock().monotonicMs);
+    }
+    const outcome = await this.client.request(amount);
+    if (outcome.kind !== 'unavailable') {
+      return outcome;
+    }
+    const reservedAt = readClock();
+    return this.reserve.take(amount, reservedAt.monotonicMs)
+      ? {kind: 'granted', grant: {...amount, parts: [], reservedAt}}
+      : outcome;
+  }
+
   /** Gives back units of calls that have waited too long for a target. */
   private giveUnusedBack(): void {
     for (const charge of this.held) {
@@ -130,6 +164,13 @@
   }
 }
 
+/** Label of an outcome in the metrics. */
+function toMetric(outcome: QuotaOutcome): string {
+  const isReserved =
+    outcome.kind === 'granted' && outcome.grant.reservedAt !== undefined;
+  return isReserved ? 'reserved' : outcome.kind;
+}
+
 function createExchange(agent: http.Agent): Exchange {
   return async (replica, body) =>
     exchangeJson({
--- a/policy/tenant-quotas/src/index.ts
+++ b/policy/tenant-quotas/src/index.ts
@@ -1,11 +1,11 @@
+export {OutageReserve, type OutageReserveOptions} from './outage-reserve.js';
 export {quotaCost} from './quota-cost.js';
 export {
   QuotaLedger,
-  USE_WITHIN_MS,
   type QuotaLedgerOptions,
-  type QuotaTolerance,
   type ReplicaGroup,
 } from './quota-ledger.js';
+export {USE_WITHIN_MS, type QuotaTolerance} from './quota-tolerance.js';
 export {RecentSum} from './recent-sum.js';
 export {
   PUT_BACK_WITHIN_MS,
--- a/policy/tenant-quotas/src/quota-ledger.ts
+++ b/policy/tenant-quotas/src/quota-ledger.ts
@@ -7,18 +7,9 @@
   QuotaRequest,
   Tenant,
 } from '@marigoldspur/deployment';
+import {spareUnits, type QuotaTolerance} from './quota-tolerance.js';
 import {TokenBucket, type BucketFigures} from './token-bucket.js';
 
-/** By how much the use of all entries together may exceed a quota. */
-export interface QuotaTolerance {
-  /** Window in which the use is counted, in milliseconds. */
-  readonly windowMs: number;
-  /** Share of the quota. */
-  readonly ratio: number;
-  /** Units beyond that share. */
-  readonly slack: number;
-}
-
 /** The replicas of control, as one of them knows them. */
 export interface ReplicaGroup {
   /** Base URL of this replica; undefined if it is not known. */
@@ -45,15 +36,13 @@
   readonly from: number;
 }
 
-/** Time after its request within which a granted unit is used, in milliseconds. */
-export const USE_WITHIN_MS = 300;
 /**
  * Time after a change of the replicas after which a larger share counts, in milliseconds. Replicas
  * that do not know of the change may grant by their old share for as long as a quorum barrier is
  * valid (2 s).
  */
 const TAKEOVER_MS = 2_500;
-/** Share of the tolerance by which the buckets exceed the burst; the rest is for returned units. */
+/** Share of the spare by which the buckets exceed the burst; the rest is for returned units. */
 const BURST_SHARE = 0.5;
 /**
  * Wait that is stated for an amount that no number of replicas can grant, in milliseconds. Such a
@@ -175,12 +164,8 @@
     };
   }
 
-  /** Units by which the use in a window may exceed a quota, less those that are used late. */
-  private spareOf({burst, perSecond}: Quota): number {
-    const {ratio, slack, windowMs} = this.options.tolerance;
-    const quota = (perSecond * windowMs) / MS_PER_SECOND + burst;
-    const usedLate = (perSecond * USE_WITHIN_MS) / MS_PER_SECOND;
-    return Math.max(0, ratio * quota + slack - usedLate);
+  private spareOf(quota: Quota): number {
+    return spareUnits(quota, this.options.tolerance);
   }
 
   /** Applies a larger share once it counts. */
--- a/policy/tenant-quotas/test/quota-ledger.test.ts
+++ b/policy/tenant-quotas/test/quota-ledger.test.ts
@@ -10,9 +10,12 @@
 };
 const TENANT: Tenant = {name: 't', keys: [], quota: QUOTA};
 const URLS = ['http://a', 'http://b', 'http://c', 'http://d'];
-const TOLERANCE = {windowMs: 8_000, ratio: 0.1, slack: 500};
-/** The tolerance, less what is used 300 ms late; half of it adds to the burst. */
-const SPARE = 0.1 * 10_000 + 500 - 300;
+const TOLERANCE = {windowMs: 8_000, ratio: 0.1, slack: 600};
+/**
+ * The tolerance, less half of the slack for the reserves of entries and what is used 300 ms late; half
+ * of it adds to the burst.
+ */
+const SPARE = 0.1 * 10_000 + 600 / 2 - 300;
 const CAPACITY = 2_000 + SPARE / 2;
 const OWN_CAPACITY = CAPACITY / URLS.length;
 
@@ -110,7 +113,7 @@
   const ledger = createLedger();
   const lowered = {...QUOTA, perSecond: 10, burst: 100};
   ledger.setTenants([{...TENANT, quota: lowered}], 0, 10_000);
-  const limit = (100 + (0.1 * 180 + 500 - 3) / 2) / URLS.length;
+  const limit = (100 + (0.1 * 180 + 600 / 2 - 3) / 2) / URLS.length;
   expect(ask(ledger, limit + 1, 10_000).granted).to.equal(0);
   expect(ask(ledger, limit, 10_000).granted).to.equal(limit);
   ledger.setTenants([], 11_000, 11_000);
--- a/policy/tenant-quotas/test/quota-world.ts
+++ b/policy/tenant-quotas/test/quota-world.ts
@@ -1,5 +1,6 @@
 import type {Quota, QuotaRequest, QuotaAnswer} from '@marigoldspur/deployment';
 import {
+  OutageReserve,
   QuotaLedger,
   USE_WITHIN_MS,
   type QuotaTolerance,
@@ -64,7 +65,8 @@
 
 /** Units that one replica granted. */
 interface Part {
-  readonly url: string;
+  /** Undefined if the entry took the units from its reserve. */
+  readonly url: string | undefined;
   readonly sentAt: number;
   readonly amount: number;
 }
@@ -98,9 +100,15 @@
   private readonly commits: Commit[];
   private readonly replicas: Map<string, Replica>;
   private readonly skippedUntil = new Map<string, number>();
+  private readonly reserves: readonly OutageReserve[];
 
   constructor(private readonly options: WorldOptions) {
-    const {calls, disturbances, groups, quotas} = options;
+    const {calls, disturbances, entries, groups, quotas, tolerance} = options;
+    this.reserves = Array.from({length: entries}, () => {
+      const reserve = new OutageReserve({tolerance, startedAt: START_AT});
+      reserve.recordEntries(entries, START_AT);
+      return reserve;
+    });
     this.commits = [{at: START_AT, urls: groups[0], quota: quotas[0]}];
     for (const {at, kind, which} of sortByTime(disturbances)) {
       const last = this.commits.at(-1)!;
@@ -309,6 +317,7 @@
     const parts: Part[] = [];
     let missing = call.amount;
     let waitMs = Infinity;
+    let hasFailed = false;
     const ask = (rank: number): void => {
       const isDivisible = rank >= order.length;
       const url = order[rank % order.length];
@@ -318,6 +327,10 @@
       }
       if (rank >= 2 * order.length) {
         parts.forEach(part => this.giveBack(call, part));
+        if (hasFailed && this.takeReserve(call)) {
+          onGrant([{url: undefined, sentAt: this.now, amount: call.amount}]);
+          return;
+        }
         const isKnown = Number.isFinite(waitMs);
         this.refuse(
           call,
@@ -327,6 +340,7 @@
       }
       const key = `${call.entry} ${url}`;
       if ((this.skippedUntil.get(key) ?? 0) > this.now) {
+        hasFailed = true;
         ask(rank + 1);
         return;
       }
@@ -342,6 +356,7 @@
           }
         });
       const fail = () => {
+        hasFailed = true;
         this.skippedUntil.set(key, this.now + SKIP_MS);
         ask(rank + 1);
       };
@@ -374,6 +389,10 @@
     ask(0);
   }
 
+  private takeReserve({amount, entry}: SimulatedCall): boolean {
+    return this.reserves[entry].take({tenant: TENANT, amount}, this.now);
+  }
+
   /** Searches a target while the units are held; gives them back when they expire. */
   private search(call: SimulatedCall, parts: readonly Part[]): void {
     const sentAt = Math.min(...parts.map(part => part.sentAt));
@@ -423,10 +442,17 @@
     }
   }
 
-  private giveBack({ways}: SimulatedCall, {amount, sentAt, url}: Part): void {
+  private giveBack(
+    {entry, ways}: SimulatedCall,
+    {amount, sentAt, url}: Part,
+  ): void {
     if (this.now - sentAt > GIVE_BACK_WITHIN_MS) {
       return;
     }
+    if (url === undefined) {
+      this.reserves[entry].putBack({tenant: TENANT, amount}, this.now);
+      return;
+    }
     const {thereMs} = ways[2] ?? NO_WAY;
     const request = {grants: [], returns: [{tenant: TENANT, amount}]};
     this.schedule(this.now + thereMs, () =>
