Split the target selector by concern

The selector puts together the statistics of services and targets, the eligibility of targets, the choice among plain targets and among engines, the waits for adapters and the calls that were sent.

--- a/entry/direct-routing/src/adapter-preparer.ts
+++ b/entry/direct-routing/src/adapter-preparer.ts
@@ -5,7 +5,8 @@
 import {remainingPatienceMs, type Call} from './call.js';
 import type {ModelWork} from './wire-format.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
-import type {TargetRequirements, TargetSelector} from './target-selector.js';
+import type {TargetRequirements} from './target-choice.js';
+import type {TargetSelector} from './target-selector.js';
 
 /** Options of an adapter preparer. */
 export interface AdapterPreparerOptions {
--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -20,7 +20,8 @@
 import {ResponseProgress, type ResponseEnd} from './response-progress.js';
 import type {WireFormat} from './wire-format.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
-import type {TargetSelector, TargetCallTracker} from './target-selector.js';
+import type {TargetCallTracker} from './target-calls.js';
+import type {TargetSelector} from './target-selector.js';
 import type {StreamOrigins} from './stream-origins.js';
 import type {TargetFinder} from './target-finder.js';
 import type {TargetLimits} from './target-limits.js';
--- /dev/null
+++ b/entry/direct-routing/src/engine-chooser.ts
@@ -0,0 +1,140 @@
+import {adapterName, type TargetAnnouncement} from '@marigoldspur/deployment';
+import {chooseEngine, type EngineCandidate} from '@marigoldspur/engine-choice';
+import {
+  PRIOR_COSTS,
+  statedLoadCosts,
+  type ServiceModel,
+} from '@marigoldspur/expected-cost';
+import {toEngineCandidate} from './engine-candidate.js';
+import {memoryTokensOf} from './memory-tokens.js';
+import type {ServiceStatsRegistry} from './service-stats.js';
+import type {ChosenTarget, TargetRequirements} from './target-choice.js';
+import type {TargetStatsRegistry} from './target-stats-registry.js';
+import type {ModelWork} from './wire-format.js';
+
+/** Options of a chooser of engines. */
+export interface EngineChooserOptions {
+  /** Availability zone of this process. */
+  readonly zone: string;
+  readonly services: ServiceStatsRegistry;
+  readonly targetStats: Pick<TargetStatsRegistry, 'snapshotOf'>;
+  /** Returns a random number in [0, 1). */
+  readonly random: () => number;
+}
+
+/** Chooses the engines of calls with work for a model. */
+export class EngineChooser {
+  constructor(private readonly options: EngineChooserOptions) {}
+
+  /** Chooses the engine of a call at time `now`; undefined if none can serve it. */
+  choose(
+    targets: readonly TargetAnnouncement[],
+    requirements: TargetRequirements & {readonly work: ModelWork},
+    now: number,
+  ): ChosenTarget | undefined {
+    const {random, services, zone} = this.options;
+    const {route, service, work} = requirements;
+    const {engine, name} = service;
+    const adapter = adapterName(work.model, work.adapter);
+    const stats = services.statsOf(name);
+    const {model} = stats;
+    stats.engine = engine;
+    const isLearned = services.usesLearnedCosts(name);
+    const costs = isLearned
+      ? {...model.costs(now), ...statedLoadCosts(engine, work.model)}
+      : PRIOR_COSTS;
+    const known = this.createCandidates(
+      targets,
+      {...requirements, adapter},
+      now,
+    );
+    const candidates = isLearned ? known : known.map(withoutLearned);
+    const {hiddenRequests} = model;
+    this.recordRequests(model, targets);
+    hiddenRequests.recordChoice(adapter, now);
+    const best = chooseEngine(
+      {
+        affinityKey: adapter,
+        zone,
+        promptTokens: work.promptTokens,
+        memoryTokens: memoryTokensOf(work),
+        maxPauseMs: route?.maxGapMs,
+      },
+      candidates,
+      {
+        costs,
+        hiddenRequests: isLearned
+          ? hiddenRequests.count(services.slotReleases.meanDurationMs(name))
+          : 0,
+        hiddenShare: hiddenRequests.shareOf(adapter, now),
+        random,
+      },
+    );
+    if (best === undefined) {
+      return undefined;
+    }
+    const {hasRoom, index, pauseMs, processingMs, waitMs} = best;
+    const output = route && model.route(route.name).expectedOutput(now);
+    return {
+      target: targets[index],
+      needsAdapter: candidates[index].adapterState !== 'held',
+      waitMs,
+      processingMs,
+      completionMs: waitMs + processingMs + (output?.events ?? 0) * pauseMs,
+      pauseMs,
+      lacksMemory: isLearned && !hasRoom,
+    };
+  }
+
+  private createCandidates(
+    targets: readonly TargetAnnouncement[],
+    requirements: TargetRequirements & {
+      readonly work: ModelWork;
+      readonly adapter: string;
+    },
+    now: number,
+  ): readonly EngineCandidate[] {
+    const {services, targetStats} = this.options;
+    const {engine, name} = requirements.service;
+    const slotReleaseIntervalMs = services.slotReleases.releaseIntervalMs(
+      name,
+      engine?.adapterSlots ?? 0,
+    );
+    const engineRequirements = {...requirements, slotReleaseIntervalMs};
+    return targets.map(target =>
+      toEngineCandidate(
+        targetStats.snapshotOf(target),
+        engineRequirements,
+        now,
+      ),
+    );
+  }
+
+  /** Records what reports say of the requests of this and other entries. */
+  private recordRequests(
+    {hiddenRequests}: ServiceModel,
+    targets: readonly TargetAnnouncement[],
+  ): void {
+    let reported = 0;
+    let own = 0;
+    for (const target of targets) {
+      const {stats, view} = this.options.targetStats.snapshotOf(target);
+      if (view !== undefined) {
+        reported += view.running + view.waiting;
+        own += stats.inFlight;
+      }
+    }
+    hiddenRequests.recordRequests(reported, own);
+  }
+}
+
+/** A candidate that is taken to be like all others of its service. */
+function withoutLearned(candidate: EngineCandidate): EngineCandidate {
+  return {
+    ...candidate,
+    promisedTokens: 0,
+    prefillFactor: 1,
+    decodeFactor: 1,
+    pace: 1,
+  };
+}
--- a/entry/direct-routing/src/index.ts
+++ b/entry/direct-routing/src/index.ts
@@ -52,11 +52,8 @@
 export {RetryLimiter, type RetryLimiterOptions} from './retry-limiter.js';
 export {SlotReleaseEstimator} from './slot-release-estimator.js';
 export {startDirectRouter, type DirectRouter} from './start-direct-router.js';
-export {
-  TargetSelector,
-  type TargetCallTracker,
-  type TargetSelectorOptions,
-} from './target-selector.js';
+export type {TargetCallTracker} from './target-calls.js';
+export {TargetSelector, type TargetSelectorOptions} from './target-selector.js';
 export {TargetFinder, type TargetFinderOptions} from './target-finder.js';
 export {
   TargetClient,
--- a/entry/direct-routing/src/target-finder.ts
+++ b/entry/direct-routing/src/target-finder.ts
@@ -19,11 +19,8 @@
 } from './call.js';
 import type {ModelWork} from './wire-format.js';
 import type {TargetLimits} from './target-limits.js';
-import type {
-  ChosenTarget,
-  TargetRequirements,
-  TargetSelector,
-} from './target-selector.js';
+import type {ChosenTarget, TargetRequirements} from './target-choice.js';
+import type {TargetSelector} from './target-selector.js';
 
 /** Options of a target finder. */
 export interface TargetFinderOptions {
--- a/entry/direct-routing/src/target-stats.ts
+++ b/entry/direct-routing/src/target-stats.ts
@@ -14,6 +14,8 @@
  * Time until an engine's view shows that it lacks an adapter, in milliseconds.
  */
 const MISSING_TTL_MS = 400;
+/** Weight of the latest response in the moving average of the failure rate. */
+const FAILURE_WEIGHT = 0.15;
 const NO_ADAPTERS: ReadonlySet<string> = new Set();
 
 /**
@@ -50,6 +52,33 @@
    */
   private readonly waitingCalls = new Map<string, number>();
 
+  /** Records that the target responded. */
+  recordResponse(hasFailed: boolean): void {
+    this.failureRate +=
+      FAILURE_WEIGHT * ((hasFailed ? 1 : 0) - this.failureRate);
+  }
+
+  /** Records that a response which counted as a success broke off. */
+  recordBreak(): void {
+    // The head counted as a success, which the full weight makes up for.
+    this.failureRate = Math.min(1, this.failureRate + FAILURE_WEIGHT);
+  }
+
+  /** Requests at the target: the reported ones if the report is fresh, otherwise this process's own. */
+  knownLoad(now: number): number {
+    const {inFlight, reportedLoad} = this;
+    return reportedLoad.isFresh(now)
+      ? reportedLoad.loadAt(inFlight, now)
+      : inFlight;
+  }
+
+  /** Work of the requests at the target, in units of the service's mean call. */
+  workInFront(now: number): number {
+    const {inFlight, inFlightWork, reportedLoad} = this;
+    const others = reportedLoad.loadAt(inFlight, now) - inFlight;
+    return Math.max(0, inFlightWork) + others;
+  }
+
   /** Records that the engine does not hold an adapter. */
   recordMissingAdapter(adapter: string, now: number): void {
     this.missingSince.set(adapter, now);
