Move the check of charges to the package of quotas

It gets the name of the tenant that the call counts for in place of the call, so that the package does not depend on the router. Its two predicates are named for what they tell outside of it.

--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -10,19 +10,18 @@
   CallDurations,
   DrainAdmission,
 } from '@marigoldspur/drain-admission';
-import type {TenantQuotas} from '@marigoldspur/entry-quotas';
+import {
+  findChargeRefusal,
+  isExpiredCharge,
+  isTenantChange,
+  type TenantCharge,
+  type TenantQuotas,
+} from '@marigoldspur/entry-quotas';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
 import type {MemoryBudget} from '@marigoldspur/memory-budget';
 import type {Attempt, AttemptSender} from './attempt-sender.js';
-import {
-  findChargeRefusal,
-  findTenant,
-  hasExpired,
-  hasOtherTenant,
-  type TenantCharge,
-} from './charge-check.js';
-import {findDenial, hasTimeLeft, type Call} from './call.js';
+import {findDenial, findTenant, hasTimeLeft, type Call} from './call.js';
 import {createShuttingDownRefusal} from './shutting-down-refusal.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {RetryLimiter} from './retry-limiter.js';
@@ -146,12 +145,12 @@
       }
       refusal = result.error;
       mayHaveRun ||= refusal.outcome !== 'not-run';
-      if (!hasExpired(refusal)) {
+      if (!isExpiredCharge(refusal)) {
         excluded.add(target.value.id);
       }
       const mayRetry =
         !response.headersSent &&
-        !hasOtherTenant(refusal) &&
+        !isTenantChange(refusal) &&
         canRetry(call, refusal, attemptNumber, mayHaveRun);
       if (
         !mayRetry ||
@@ -238,7 +237,8 @@
     search.charge.spend();
     try {
       const sent = await sender.send(call, attempt, {
-        findChargeRefusal: () => findChargeRefusal(call, search),
+        findChargeRefusal: () =>
+          findChargeRefusal(search, findTenant(call)?.name),
       });
       const result = sent.isErr
         ? Result.err(sender.handleFailure(call, attempt, sent.error))
--- a/entry/direct-routing/src/call-stream-resumer.ts
+++ b/entry/direct-routing/src/call-stream-resumer.ts
@@ -1,8 +1,8 @@
 import type {StreamResumer, UpstreamResponse} from '@marigoldspur/dispatch';
+import {findChargeRefusal, type TenantCharge} from '@marigoldspur/entry-quotas';
 import type {EventLog} from '@marigoldspur/event-log';
 import type {Attempt, AttemptSender} from './attempt-sender.js';
-import type {Call} from './call.js';
-import {findChargeRefusal, type TenantCharge} from './charge-check.js';
+import {findTenant, type Call} from './call.js';
 import type {RetryLimiter} from './retry-limiter.js';
 import type {StreamOrigin, TargetAnnouncement} from '@marigoldspur/deployment';
 import type {StreamOrigins} from './stream-origins.js';
@@ -142,7 +142,8 @@
     const resumeAfter = after < 0 ? call.metadata.resumeAfter : after;
     charge.spend();
     const sent = await sender.send(call, attempt, {
-      findChargeRefusal: () => findChargeRefusal(call, tenantCharge),
+      findChargeRefusal: () =>
+        findChargeRefusal(tenantCharge, findTenant(call)?.name),
       resumeAfter,
     });
     const refusal = sent.isErr
--- a/entry/direct-routing/src/call.ts
+++ b/entry/direct-routing/src/call.ts
@@ -66,6 +66,11 @@
   return call.access?.findRefusal();
 }
 
+/** Tenant that a call counts for by the newest deployment. */
+export function findTenant({access, tenant}: Call): TenantProfile | undefined {
+  return access?.tenant ?? tenant;
+}
+
 /** Priority of a call by its route and the tenant that its key has now; 0 is the most urgent. */
 export function priorityOf({access, route, routes, tenant}: Call): number {
   const current = access === undefined ? tenant : access.tenant;
--- a/entry/direct-routing/src/charge-check.ts
+++ b/entry/tenant-quotas/src/charge-check.ts
@@ -1,7 +1,5 @@
-import type {Charge} from '@marigoldspur/entry-quotas';
 import {Refusal} from '@marigoldspur/faults';
-import type {TenantProfile} from '@marigoldspur/tenant-access';
-import type {Call} from './call.js';
+import type {Charge} from './call-charge.js';
 
 /** What a call is charged, and to whom. */
 export interface TenantCharge {
@@ -14,17 +12,15 @@
 const EXPIRED_REASON = 'quota_units_expired';
 const TENANT_REASON = 'tenant_changed';
 
-/** Tenant that a call counts for by the newest deployment. */
-export function findTenant({access, tenant}: Call): TenantProfile | undefined {
-  return access?.tenant ?? tenant;
-}
-
-/** Why a call must not be written to a target with its charge; undefined if it may be. */
+/**
+ * Why a call must not be written to a target with its charge; undefined if it may be. `tenant` is the
+ * name of the tenant that the call counts for now; undefined if it has none.
+ */
 export function findChargeRefusal(
-  call: Call,
   {charge, chargedTenant}: TenantCharge,
+  tenant: string | undefined,
 ): Refusal | undefined {
-  if (findTenant(call)?.name !== chargedTenant) {
+  if (tenant !== chargedTenant) {
     const message = 'the key of the call belongs to another tenant now';
     return createRefusal(TENANT_REASON, message);
   }
@@ -37,12 +33,12 @@
 }
 
 /** Whether an attempt ended because its units expired, which says nothing about its target. */
-export function hasExpired({reason}: Refusal): boolean {
+export function isExpiredCharge({reason}: Refusal): boolean {
   return reason === EXPIRED_REASON;
 }
 
 /** Whether an attempt ended because its call was charged to another tenant; no other one can do better. */
-export function hasOtherTenant({reason}: Refusal): boolean {
+export function isTenantChange({reason}: Refusal): boolean {
   return reason === TENANT_REASON;
 }
 
--- a/entry/tenant-quotas/src/index.ts
+++ b/entry/tenant-quotas/src/index.ts
@@ -4,6 +4,12 @@
   type Charge,
   type HeldCharges,
 } from './call-charge.js';
+export {
+  findChargeRefusal,
+  isExpiredCharge,
+  isTenantChange,
+  type TenantCharge,
+} from './charge-check.js';
 export {
   QuotaClient,
   type QuotaClientOptions,
