--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -20,7 +20,8 @@
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
 import type {MemoryBudget} from '@marigoldspur/memory-budget';
-import type {Attempt, AttemptSender} from './attempt-sender.js';
+import type {AttemptSender} from './attempt-sender.js';
+import type {Attempt} from './attempt.js';
 import {findDenial, findTenant, hasTimeLeft, type Call} from './call.js';
 import {createShuttingDownRefusal} from './shutting-down-refusal.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
--- a/entry/direct-routing/src/call-stream-resumer.ts
+++ b/entry/direct-routing/src/call-stream-resumer.ts
@@ -1,7 +1,8 @@
 import type {StreamResumer, UpstreamResponse} from '@marigoldspur/dispatch';
 import {findChargeRefusal, type TenantCharge} from '@marigoldspur/entry-quotas';
 import type {EventLog} from '@marigoldspur/event-log';
-import type {Attempt, AttemptSender} from './attempt-sender.js';
+import type {AttemptSender} from './attempt-sender.js';
+import type {Attempt} from './attempt.js';
 import {findTenant, type Call} from './call.js';
 import type {RetryLimiter} from './retry-limiter.js';
 import type {StreamOrigin, TargetAnnouncement} from '@marigoldspur/deployment';
