--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -153,10 +153,13 @@
         !response.headersSent &&
         !isTenantChange(refusal) &&
         canRetry(call, refusal, attemptNumber, mayHaveRun);
+      // A call whose units expired was not sent, so the next attempt is no retry.
+      const isRetry = !isExpiredCharge(refusal);
       if (
         !mayRetry ||
         findDenial(call) !== undefined ||
-        !(await retryLimiter.acquire(call.service.name, call.signal))
+        (isRetry &&
+          !(await retryLimiter.acquire(call.service.name, call.signal)))
       ) {
         return Result.err(toFinalRefusal(refusal, mayHaveRun));
       }
--- a/entry/tenant-quotas/src/call-charge.ts
+++ b/entry/tenant-quotas/src/call-charge.ts
@@ -1,5 +1,6 @@
 import type {QuotaAmount} from '@marigoldspur/deployment';
 import {Refusal} from '@marigoldspur/faults';
+import {USE_WITHIN_MS} from '@marigoldspur/tenant-quotas';
 import type {QuotaGrant, QuotaOutcome} from './quota-client.js';
 
 /** Units of a quota that one call uses. */
@@ -35,21 +36,35 @@
 export interface HeldCharges {
   request(amount: QuotaAmount): Promise<QuotaOutcome>;
   giveBack(grant: QuotaGrant): void;
-  /** Whether units may still be used. */
-  isUsable(grant: QuotaGrant): boolean;
+  /** Time since the oldest units of a grant were requested, in milliseconds. */
+  ageMs(grant: QuotaGrant): number;
   /** Called when a charge holds units; they are given back if it does not use them in time. */
   hold(charge: CallCharge): void;
   drop(charge: CallCharge): void;
 }
 
+/** Units that a charge holds or has spent. */
+interface ChargedUnits {
+  readonly grant: QuotaGrant;
+  /** Age of the units when they were granted, in milliseconds. */
+  readonly ageWhenGrantedMs: number;
+}
+
+/**
+ * Age from which units are replaced before a call is sent, in milliseconds. Loading an adapter takes
+ * about as long as units may be used, and connecting to the target takes the rest.
+ */
+const REPLACE_AFTER_MS = 200;
+/** Time for which units are kept that are as old when they are granted, in milliseconds. */
+const KEEP_GRANTED_MS = 50;
 /** Minimum retry delay while a replica does not answer, in milliseconds. */
 const MIN_UNAVAILABLE_DELAY_MS = 500;
 const MS_PER_SECOND = 1_000;
 
 /** The charge of a call whose tenant has a quota. */
 export class CallCharge implements Charge {
-  private held: QuotaGrant | undefined;
-  private spent: QuotaGrant | undefined;
+  private held: ChargedUnits | undefined;
+  private spent: ChargedUnits | undefined;
 
   constructor(
     private readonly quotas: HeldCharges,
@@ -57,11 +72,23 @@
   ) {}
 
   get isDue(): boolean {
-    return this.held === undefined || !this.quotas.isUsable(this.held);
+    const {held} = this;
+    if (held === undefined) {
+      return true;
+    }
+    const ageMs = this.quotas.ageMs(held.grant);
+    const heldMs = ageMs - held.ageWhenGrantedMs;
+    return (
+      ageMs > USE_WITHIN_MS ||
+      (ageMs > REPLACE_AFTER_MS && heldMs > KEEP_GRANTED_MS)
+    );
   }
 
   get mayBeUsed(): boolean {
-    return this.spent !== undefined && this.quotas.isUsable(this.spent);
+    return (
+      this.spent !== undefined &&
+      this.quotas.ageMs(this.spent.grant) <= USE_WITHIN_MS
+    );
   }
 
   async secure(): Promise<Refusal | undefined> {
@@ -73,7 +100,8 @@
     if (outcome.kind !== 'granted') {
       return createRefusal(outcome);
     }
-    this.holdGrant(outcome.grant);
+    const {grant} = outcome;
+    this.hold({grant, ageWhenGrantedMs: this.quotas.ageMs(grant)});
     return undefined;
   }
 
@@ -87,7 +115,7 @@
     const {spent} = this;
     this.spent = undefined;
     if (spent !== undefined) {
-      this.holdGrant(spent);
+      this.hold(spent);
       this.releaseIfDue();
     }
   }
@@ -97,7 +125,7 @@
     this.held = undefined;
     this.quotas.drop(this);
     if (held !== undefined) {
-      this.quotas.giveBack(held);
+      this.quotas.giveBack(held.grant);
     }
   }
 
@@ -109,8 +137,8 @@
     return this.held !== undefined;
   }
 
-  private holdGrant(grant: QuotaGrant): void {
-    this.held = grant;
+  private hold(units: ChargedUnits): void {
+    this.held = units;
     this.quotas.hold(this);
   }
 }
--- a/entry/tenant-quotas/src/tenant-quotas.ts
+++ b/entry/tenant-quotas/src/tenant-quotas.ts
@@ -11,7 +11,6 @@
 import {
   OutageReserve,
   quotaCost,
-  USE_WITHIN_MS,
   type QuotaTolerance,
 } from '@marigoldspur/tenant-quotas';
 import {
@@ -111,12 +110,11 @@
     }
   }
 
-  isUsable({parts, reservedAt}: QuotaGrant): boolean {
+  ageMs({parts, reservedAt}: QuotaGrant): number {
     const now = readClock();
     const times = parts.map(({requestedAt}) => requestedAt);
-    return [...times, ...(reservedAt === undefined ? [] : [reservedAt])].every(
-      time => elapsedMs(time, now) <= USE_WITHIN_MS,
-    );
+    const allTimes = reservedAt === undefined ? times : [...times, reservedAt];
+    return Math.max(0, ...allTimes.map(time => elapsedMs(time, now)));
   }
 
   hold(charge: CallCharge): void {
--- a/entry/tenant-quotas/test/call-charge.test.ts
+++ b/entry/tenant-quotas/test/call-charge.test.ts
@@ -6,9 +6,14 @@
   type QuotaOutcome,
 } from '@marigoldspur/entry-quotas';
 
+/** Age at which units may not be used any more, in milliseconds. */
+const EXPIRED_MS = 301;
+
 let granted: QuotaGrant[];
 let givenBack: QuotaGrant[];
-let expired: Set<QuotaGrant>;
+let ages: Map<QuotaGrant, number>;
+/** Age of units when they are granted, in milliseconds. */
+let grantedAgeMs: number;
 let held: Set<CallCharge>;
 let refusal: QuotaOutcome | undefined;
 let charge: CallCharge;
@@ -16,7 +21,8 @@
 beforeEach(() => {
   granted = [];
   givenBack = [];
-  expired = new Set();
+  ages = new Map();
+  grantedAgeMs = 5;
   held = new Set();
   refusal = undefined;
   const quotas: HeldCharges = {
@@ -31,7 +37,7 @@
       return {kind: 'granted', grant};
     },
     giveBack: grant => givenBack.push(grant),
-    isUsable: grant => !expired.has(grant),
+    ageMs: grant => ages.get(grant) ?? grantedAgeMs,
     hold: each => held.add(each),
     drop: each => held.delete(each),
   };
@@ -70,7 +76,7 @@
 
 it('call charge: units that were held too long are given back, and new ones are needed', async () => {
   await charge.secure();
-  expired.add(granted[0]);
+  ages.set(granted[0], EXPIRED_MS);
   expect(charge.releaseIfDue()).to.equal(false);
   expect(givenBack).to.deep.equal([granted[0]]);
   await charge.secure();
@@ -83,19 +89,40 @@
 it('call charge: an attempt that did not run for long gives its units back at once', async () => {
   await charge.secure();
   charge.spend();
-  expired.add(granted[0]);
+  ages.set(granted[0], EXPIRED_MS);
   charge.unspend();
   expect(givenBack).to.deep.equal(granted);
   expect(held.size).to.equal(0);
 });
 
+// Guards against calls that wait 290 ms for an adapter and whose units expire while they connect.
+it('call charge: units that are about to expire are replaced before the call is sent', async () => {
+  await charge.secure();
+  ages.set(granted[0], 199);
+  expect(charge.isDue).to.equal(false);
+  ages.set(granted[0], 201);
+  expect(charge.isDue).to.equal(true);
+  await charge.secure();
+  expect(givenBack).to.deep.equal([granted[0]]);
+  expect(granted).to.have.length(2);
+});
+
+// Guards against calls that are charged again and again while replicas answer slowly.
+it('call charge: units that are granted late may be sent at once', async () => {
+  grantedAgeMs = 280;
+  await charge.secure();
+  expect(charge.isDue).to.equal(false);
+  charge.spend();
+  expect(charge.mayBeUsed).to.equal(true);
+});
+
 // Guards against units that are used long after they count.
 it('call charge: units that were spent may be used until they expire', async () => {
   expect(charge.mayBeUsed).to.equal(false);
   await charge.secure();
   charge.spend();
   expect(charge.mayBeUsed).to.equal(true);
-  expired.add(granted[0]);
+  ages.set(granted[0], EXPIRED_MS);
   expect(charge.mayBeUsed).to.equal(false);
 });
 
