Find replicas of quotas that are back without a call that waits for them

Cause: an entry skipped a replica for 2 s after a failed query. Replicas that were killed together are back within a second, and calls were refused until the 2 s had passed.

Change: while a replica is skipped, calls that would ask it start a query without grants after 250 ms.

--- a/entry/tenant-quotas/src/quota-client.ts
+++ b/entry/tenant-quotas/src/quota-client.ts
@@ -154,6 +154,7 @@
       return;
     }
     if (queue.isSkipped) {
+      queue.probe();
       collection.failed.add(queue);
       return;
     }
--- a/entry/tenant-quotas/src/replica-queue.ts
+++ b/entry/tenant-quotas/src/replica-queue.ts
@@ -62,6 +62,11 @@
  * within an election, after a second or so.
  */
 const SKIP_WITHOUT_QUORUM_MS = 250;
+/**
+ * Delay after which a skipped replica that calls would ask is queried without a call, in milliseconds.
+ * Replicas that are killed together are back before they would be asked again.
+ */
+const PROBE_DELAY_MS = 250;
 /** Age of a query from which other replicas are asked first, in milliseconds. */
 const SLOW_QUERY_MS = 100;
 /** Maximum wait of unused units for the next query, in milliseconds. */
@@ -85,6 +90,7 @@
   /** Whether the last query was not answered in time. */
   private hasFailedLast = false;
   private giveBackTimer: NodeJS.Timeout | undefined;
+  private probeTimer: NodeJS.Timeout | undefined;
   private isStopped = false;
 
   constructor(private readonly options: ReplicaQueueOptions) {}
@@ -116,6 +122,19 @@
     });
   }
 
+  /** Finds out soon whether a skipped replica answers again, without letting a call wait for it. */
+  probe(): void {
+    if (this.isStopped) {
+      return;
+    }
+    this.probeTimer ??= setTimeout(() => {
+      this.probeTimer = undefined;
+      if (this.isSkipped && !this.isQuerying) {
+        void this.query([], []);
+      }
+    }, PROBE_DELAY_MS);
+  }
+
   /** Gives back units that were not used, with the next query. */
   giveBack(grant: ReplicaGrant): void {
     if (this.isStopped) {
@@ -134,6 +153,7 @@
   stop(): void {
     this.isStopped = true;
     clearTimeout(this.giveBackTimer);
+    clearTimeout(this.probeTimer);
   }
 
   private sendNext(): void {
@@ -267,6 +287,7 @@
 
   private recordAnswer(): void {
     const {events, replica} = this.options;
+    this.skippedUntil = -Infinity;
     if (this.hasFailedLast) {
       this.hasFailedLast = false;
       events.record('quota-replica-answers', {replica});
--- a/entry/tenant-quotas/test/quota-client.test.ts
+++ b/entry/tenant-quotas/test/quota-client.test.ts
@@ -189,6 +189,17 @@
   expect(performance.now() - startedAt).to.be.below(700);
 });
 
+// Guards against calls that are refused for 2 s after all replicas were killed and are back.
+it('quota client: replicas that failed are found soon once they answer again', async () => {
+  urls = [A, B];
+  setAll(new Fault('UNAVAILABLE', 'none'));
+  expect(await askedReplica()).to.equal('unavailable');
+  setAll(grantAll);
+  expect(await askedReplica()).to.equal('unavailable');
+  await pause(400);
+  expect(await askedReplica()).to.equal(A);
+});
+
 // Guards against a call in each 2 s that waits 300 ms for a lost replica while others have room.
 it('quota client: a replica that failed comes last until it has answered again', async () => {
   behaviours.set(A, 'silent');
