Compile the schema of fleet messages once

Cause: an entry built the schema without targets for each message of a fleet stream, and a schema compiles its parser at its first use.

Change: the schema is built once.

--- a/contracts/deployment/src/read-fleet-message.ts
+++ b/contracts/deployment/src/read-fleet-message.ts
@@ -13,6 +13,10 @@
 }
 
 const ENVELOPE_SCHEMA = z.object({targets: z.array(z.unknown()).optional()});
+// A schema compiles its parser at its first use.
+const MESSAGE_WITHOUT_TARGETS_SCHEMA = FLEET_MESSAGE_SCHEMA.omit({
+  targets: true,
+});
 
 /**
  * Reads a message of a fleet stream. Targets whose announcement is invalid are left out, as a
@@ -21,7 +25,7 @@
  */
 export function readFleetMessage(raw: unknown): ReadFleetMessage {
   const {targets} = ENVELOPE_SCHEMA.parse(raw);
-  const message = FLEET_MESSAGE_SCHEMA.omit({targets: true}).parse(raw);
+  const message = MESSAGE_WITHOUT_TARGETS_SCHEMA.parse(raw);
   if (targets === undefined) {
     return {message, findings: []};
   }
