--- a/entry/direct-routing/src/entry-overload.ts
+++ b/entry/direct-routing/src/entry-overload.ts
@@ -38,7 +38,10 @@
 
   /** The refusal of a call that arrives at time `now`, in milliseconds; undefined if it is served. */
   findRefusal(
-    {deadlineMs = Infinity}: Pick<CallMetadata, 'deadlineMs'>,
+    {
+      deadlineMs = Infinity,
+      resumes,
+    }: Pick<CallMetadata, 'deadlineMs' | 'resumes'>,
     route: Route,
     tenant: TenantProfile | undefined,
     now: number,
@@ -46,7 +49,8 @@
     const {clock, hasContention, random, routes} = this.options;
     const table = routes();
     const isShared = table?.deployment.tenants !== undefined || hasContention();
-    if (table === undefined || !isShared) {
+    // Most of the work for a stream that is taken up has been done.
+    if (table === undefined || !isShared || resumes !== undefined) {
       return undefined;
     }
     const priority = table.priorityOf(route, tenant);
--- a/entry/direct-routing/test/entry-overload.test.ts
+++ b/entry/direct-routing/test/entry-overload.test.ts
@@ -31,7 +31,8 @@
   {
     tenants,
     hasContention = false,
-  }: {tenants?: Tenant[]; hasContention?: boolean},
+    resumes,
+  }: {tenants?: Tenant[]; hasContention?: boolean; resumes?: string},
 ): Refusal[] {
   const deployment: Deployment = {
     revision: 1,
@@ -55,7 +56,7 @@
   });
   return Array.from({length: 100}, (_, index) =>
     overload.findRefusal(
-      {deadlineMs: 1_000},
+      {deadlineMs: 1_000, resumes},
       ROUTE,
       undefined,
       index * CALL_INTERVAL_MS,
@@ -77,6 +78,10 @@
   expect(play(200, {tenants: []}).length).to.be.above(0);
 });
 
+it('entry overload: streams that are taken up are not refused', () => {
+  expect(play(200, {hasContention: true, resumes: 'c0'})).to.deep.equal([]);
+});
+
 it('entry overload: an entry that is in time refuses nothing', () => {
   expect(play(20, {hasContention: true})).to.deep.equal([]);
 });
