--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -342,12 +342,6 @@
     meaning:
       'Calls take a target at least twice the time (`factor`) that they take the median of its service; written at most once per minute for each target. This entry sends it less work.',
   },
-  'entry-overloaded': {
-    number: 765,
-    level: 'warn',
-    meaning:
-      'This entry lacks the processor time to serve all calls in time (`turnMs` is how long the turns of its event loop lastingly take) and refuses some, the least urgent first; written again after ten seconds without such a refusal.',
-  },
   'deployment-confirmed': {
     number: 770,
     level: 'info',
--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -21,7 +21,6 @@
 } from '@marigoldspur/request-bodies';
 import {chooseBackend, type RouteTable} from '@marigoldspur/routes';
 import type {CallRunner} from './call-runner.js';
-import type {EntryOverload} from './entry-overload.js';
 import {createShuttingDownRefusal} from './shutting-down-refusal.js';
 import {createLazyFingerprint} from './request-fingerprint.js';
 import type {CallMetadata, WireFormat} from './wire-format.js';
@@ -42,8 +41,6 @@
   readonly bodies: Pick<BodyReader, 'read'>;
   readonly memory: Pick<MemoryBudget, 'reserve'>;
   readonly runner: CallRunner;
-  /** Decides which calls are refused while this process lacks processor time; none if absent. */
-  readonly overload?: Pick<EntryOverload, 'findRefusal'>;
   readonly events: EventLog;
   readonly metrics: DirectRoutingMetrics;
 }
@@ -142,15 +139,6 @@
       return refuseUnread(request, denial);
     }
     const {tenant} = access;
-    const overload = this.options.overload?.findRefusal(
-      received,
-      route,
-      tenant,
-      performance.now(),
-    );
-    if (overload !== undefined) {
-      return refuseUnread(request, overload);
-    }
     const metadata = hideKey(received, access);
     const bounded = new BoundedSignal({
       timeoutMs: route.timeoutMs - (performance.now() - startedAt),
--- a/entry/direct-routing/src/index.ts
+++ b/entry/direct-routing/src/index.ts
@@ -51,7 +51,6 @@
 export {ResponseProgress, type ResponseEnd} from './response-progress.js';
 export {RetryLimiter, type RetryLimiterOptions} from './retry-limiter.js';
 export {SlotReleaseEstimator} from './slot-release-estimator.js';
-export {EntryOverload, type EntryOverloadOptions} from './entry-overload.js';
 export {startDirectRouter, type DirectRouter} from './start-direct-router.js';
 export type {TargetCallTracker} from './target-calls.js';
 export {TargetSelector, type TargetSelectorOptions} from './target-selector.js';
--- a/entry/direct-routing/src/service-stats.ts
+++ b/entry/direct-routing/src/service-stats.ts
@@ -50,11 +50,6 @@
     );
   }
 
-  /** Whether a target of any service has stated its pace. */
-  get hasStatedPace(): boolean {
-    return [...this.statsByName.values()].some(stats => stats.hasStatedPace);
-  }
-
   /** Drops a target from the models of all services. */
   removeTarget(target: TargetModel): void {
     this.statsByName.forEach(({model}) => model.removeTarget(target));
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -38,7 +38,6 @@
 import type {WireFormat} from './wire-format.js';
 import {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {DirectRoutingSettings} from './direct-routing-settings.js';
-import {EntryOverload} from './entry-overload.js';
 import {EngineViewClient} from './engine-view-client.js';
 import {incarnationOf} from './incarnation.js';
 import {ActiveRoutes} from './active-routes.js';
@@ -333,13 +332,6 @@
     shutdownSignal: shutdown.signal,
     wireFormat,
     tenants: tenants.gate,
-    overload: new EntryOverload({
-      clock: loopClock.clock,
-      routes: () => activeRoutes.table,
-      hasContention: () => selector.hasStatedPace,
-      random: Math.random,
-      events,
-    }),
     bodies: new BodyReader({budget: runtime.memory, kind: 'request-body'}),
     memory: runtime.memory,
     runner: new CallRunner({
--- a/entry/direct-routing/src/target-selector.ts
+++ b/entry/direct-routing/src/target-selector.ts
@@ -42,7 +42,6 @@
  * results of this process's own calls.
  */
 export class TargetSelector {
-  private readonly services: ServiceStatsRegistry;
   private readonly targetStats: TargetStatsRegistry;
   private readonly eligibility: TargetEligibility;
   private readonly plainTargets: PlainTargetChooser;
@@ -55,7 +54,6 @@
     const targetStats = new TargetStatsRegistry({...options, services});
     const eligibility = new TargetEligibility({...options, targetStats});
     const parts = {...options, services, targetStats, eligibility};
-    this.services = services;
     this.targetStats = targetStats;
     this.eligibility = eligibility;
     this.plainTargets = new PlainTargetChooser(parts);
@@ -64,11 +62,6 @@
     this.calls = new TargetCalls(parts);
   }
 
-  /** Whether any target has stated its pace, which shows that targets share their hosts with others. */
-  get hasStatedPace(): boolean {
-    return this.services.hasStatedPace;
-  }
-
   /**
    * Chooses the target of a call at time `now`; undefined if no target can
    * serve it.
--- a/machines/loop-clock/src/loop-clock.ts
+++ b/machines/loop-clock/src/loop-clock.ts
@@ -3,17 +3,12 @@
 /** Lateness that does not count, in milliseconds: the clock is no more exact. */
 const TOLERANCE_MS = 3 * INTERVAL_MS;
 
-/** Number of turns that have to be late for the event loop to be lastingly late. */
-const LASTING_TURNS = 3;
-
 /** Records the turns of an event loop. */
 export class LoopClock {
   private turnCount = 0;
   /** When the last two turns were recorded, in milliseconds. */
   private previousAt: number;
   private lastAt: number;
-  /** Duration of the last turns, in milliseconds. */
-  private recentTurnsMs: readonly number[] = [];
 
   constructor(now: number) {
     this.previousAt = now;
@@ -25,21 +20,8 @@
     return this.turnCount;
   }
 
-  /**
-   * Duration of the shortest of the last three turns, in milliseconds; about 20 unless the event loop is
-   * lastingly late. A single long turn, as after a freeze or for a large deployment, does not show in it.
-   */
-  get lastingTurnMs(): number {
-    return this.recentTurnsMs.length < LASTING_TURNS
-      ? INTERVAL_MS
-      : Math.min(...this.recentTurnsMs);
-  }
-
   /** Records a turn at time `now`, in milliseconds. */
   recordTurn(now: number): void {
-    this.recentTurnsMs = [...this.recentTurnsMs, now - this.lastAt].slice(
-      -LASTING_TURNS,
-    );
     this.turnCount += 1;
     this.previousAt = this.lastAt;
     this.lastAt = now;
--- a/policy/overload-protection/src/index.ts
+++ b/policy/overload-protection/src/index.ts
@@ -11,8 +11,3 @@
   lateCallRetryDelayMs,
   type ExpectedWait,
 } from './late-call-retry-delay.js';
-export {
-  LoadShedder,
-  shedCallDelayMs,
-  type ArrivingCall,
-} from './load-shedder.js';
