--- a/contracts/deployment/test/read-fleet-message.test.ts
+++ b/contracts/deployment/test/read-fleet-message.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {readFleetMessage} from '@marigoldspur/deployment';
+import {FLEET_MESSAGE_SCHEMA, readFleetMessage} from '@marigoldspur/deployment';
 
 const TARGET = {
   id: 'i-1',
@@ -37,3 +37,17 @@
   expect(() => readFleetMessage({replicas: ['no URL']})).to.throw();
   expect(() => readFleetMessage({entries: -1})).to.throw();
 });
+
+// Guards against a schema that is built, and its parser compiled, for each message.
+it('fleet message: reading a message builds no schema', () => {
+  const {omit} = FLEET_MESSAGE_SCHEMA;
+  FLEET_MESSAGE_SCHEMA.omit = () => {
+    throw new Error('a schema is built');
+  };
+  try {
+    const {message} = readFleetMessage({entries: 3});
+    expect(message).to.deep.equal({entries: 3});
+  } finally {
+    FLEET_MESSAGE_SCHEMA.omit = omit;
+  }
+});
