Count no attempt of a resumed stream that was not sent for expired units (FAULT)

After a change of the key's tenant, all other attempts were tried in vain.

Change: up to two such attempts count neither as an attempt nor as a retry; a change of the tenant ends the stream. The log states why such an attempt was given up in place of 'socket hang up'.

--- a/entry/direct-routing/src/attempt-failure-recorder.ts
+++ b/entry/direct-routing/src/attempt-failure-recorder.ts
@@ -59,7 +59,10 @@
       });
     }
     metrics.recordAttempt(call.service.name, kind);
-    this.record(call, attempt, denial?.reason ?? kind, outcome, message);
+    // The error of an attempt that was given up only says that its connection was closed.
+    const reason = denial?.reason ?? kind;
+    const explanation = denial?.message ?? message;
+    this.record(call, attempt, reason, outcome, explanation);
     if (denial !== undefined) {
       return denial;
     }
--- a/entry/direct-routing/src/call-stream-resumer.ts
+++ b/entry/direct-routing/src/call-stream-resumer.ts
@@ -1,11 +1,18 @@
+import {Result} from 'true-myth';
+import type {StreamOrigin, TargetAnnouncement} from '@marigoldspur/deployment';
 import type {StreamResumer, UpstreamResponse} from '@marigoldspur/dispatch';
-import {findChargeRefusal, type TenantCharge} from '@marigoldspur/entry-quotas';
+import {
+  findChargeRefusal,
+  isExpiredCharge,
+  isTenantChange,
+  type TenantCharge,
+} from '@marigoldspur/entry-quotas';
 import type {EventLog} from '@marigoldspur/event-log';
+import type {Refusal} from '@marigoldspur/faults';
 import type {AttemptSender} from './attempt-sender.js';
 import type {Attempt} from './attempt.js';
 import {findTenant, type Call} from './call.js';
 import type {RetryLimiter} from './retry-limiter.js';
-import type {StreamOrigin, TargetAnnouncement} from '@marigoldspur/deployment';
 import type {StreamOrigins} from './stream-origins.js';
 import type {TargetFinder} from './target-finder.js';
 
@@ -19,6 +26,8 @@
 }
 
 const STATUS_OK = 200;
+/** Maximum number of attempts that do not count because they were not sent. */
+const MAX_UNSENT = 2;
 
 /** Resumes the broken stream of one call at another target. */
 export class CallStreamResumer implements StreamResumer {
@@ -26,6 +35,10 @@
   private readonly begunAt: StreamOrigin;
   private readonly triedTargets: Set<string>;
   private attemptNumber: number;
+  /** Number of attempts that were not sent because their units had expired. */
+  private unsentCount = 0;
+  /** Whether the retry that was acquired for the last attempt is left, because that one was not sent. */
+  private hasUnusedRetry = false;
   /**
    * The attempt whose stream is being read; undefined while that is the first
    * attempt.
@@ -65,22 +78,42 @@
       if (attempt === undefined) {
         return undefined;
       }
-      const rest = await this.open(attempt, after);
-      if (rest !== undefined) {
-        return rest;
+      const opened = await this.open(attempt, after);
+      if (opened.isOk) {
+        return opened.value;
       }
       this.end();
+      if (isTenantChange(opened.error)) {
+        return undefined;
+      }
+      if (isExpiredCharge(opened.error)) {
+        this.recordUnsent(attempt);
+      }
+    }
+  }
+
+  /** Lets an attempt that was not sent, because its units expired, count neither as one nor as a retry. */
+  private recordUnsent({target}: Attempt): void {
+    this.unsentCount += 1;
+    if (this.unsentCount <= MAX_UNSENT) {
+      this.triedTargets.delete(target.id);
+      this.hasUnusedRetry = true;
     }
   }
 
   /** Finds a target for the rest of the stream; undefined if there is none, or if no attempt is left. */
   private async startAttempt(hasBegun: boolean): Promise<Attempt | undefined> {
     const {call, options} = this;
-    const isLast = this.attemptNumber >= call.route.maxAttempts;
+    const unsent = Math.min(MAX_UNSENT, this.unsentCount);
+    const isLast = this.attemptNumber - unsent >= call.route.maxAttempts;
     if (call.signal.aborted || isLast) {
       return undefined;
     }
-    if (!(await options.retryLimiter.acquire(call.service.name, call.signal))) {
+    const mayRetry =
+      this.hasUnusedRetry ||
+      (await options.retryLimiter.acquire(call.service.name, call.signal));
+    this.hasUnusedRetry = false;
+    if (!mayRetry) {
       return undefined;
     }
     const target = await this.findTarget(hasBegun);
@@ -136,7 +169,7 @@
   private async open(
     attempt: Attempt,
     after: number,
-  ): Promise<UpstreamResponse | undefined> {
+  ): Promise<Result<UpstreamResponse, Refusal>> {
     const {call, tenantCharge} = this;
     const {charge} = tenantCharge;
     const {events, sender} = this.options;
@@ -147,16 +180,11 @@
         findChargeRefusal(tenantCharge, findTenant(call)?.name),
       resumeAfter,
     });
-    const refusal = sent.isErr
-      ? sender.handleFailure(call, attempt, sent.error)
-      : sent.value.message.statusCode !== STATUS_OK
-        ? sender.handleRejection(call, attempt, sent.value)
-        : undefined;
-    if (refusal?.outcome === 'not-run') {
-      charge.unspend();
+    if (sent.isErr) {
+      return this.refuse(sender.handleFailure(call, attempt, sent.error));
     }
-    if (sent.isErr || refusal !== undefined) {
-      return undefined;
+    if (sent.value.message.statusCode !== STATUS_OK) {
+      return this.refuse(sender.handleRejection(call, attempt, sent.value));
     }
     const {number, sentAfterMs, tracker, target} = attempt;
     const details = {
@@ -168,6 +196,14 @@
     };
     events.record('call-resumed', details, call.metadata.id);
     tracker.recordResponse(sent.value.metadata, false, performance.now());
-    return sent.value;
+    return Result.ok(sent.value);
+  }
+
+  /** Ends an attempt without a rest; its units stay for the next one if it did not run. */
+  private refuse(refusal: Refusal): Result<UpstreamResponse, Refusal> {
+    if (refusal.outcome === 'not-run') {
+      this.tenantCharge.charge.unspend();
+    }
+    return Result.err(refusal);
   }
 }
--- a/entry/direct-routing/src/index.ts
+++ b/entry/direct-routing/src/index.ts
@@ -6,6 +6,10 @@
 export {AttemptSender, type AttemptSenderOptions} from './attempt-sender.js';
 export type {Call} from './call.js';
 export {CallHandler, type CallHandlerOptions} from './call-handler.js';
+export {
+  CallStreamResumer,
+  type CallStreamResumerOptions,
+} from './call-stream-resumer.js';
 export {
   RequestCrashMonitor,
   type IdentifiedRequest,
