Log and count how the bodies of responses are delimited and how they end

Events 722 to 725 of a response state it now, and marigoldspur_relayed_responses_total counts responses by framing on both sides, end and outcome. An incomplete response that was framed as whole shows as target framing 'close' with caller framing 'chunks'.

--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -113,12 +113,13 @@
     number: 722,
     level: 'info',
     meaning:
-      'The caller has received the complete response of a target; `version` is the version of its software.',
+      'The caller has received the complete response of a target; `version` is the version of its software, `targetFraming` and `callerFraming` tell how the end of the body was told on each side (`length`, `chunks`, `close` of the connection, `none` without a body, `unsent`), and `end` how the response of the target ended (`ended`, `broken`, or `open` if it was not read to its end).',
   },
   'call-torn': {
     number: 723,
     level: 'warn',
-    meaning: 'A response has broken off after it had started.',
+    meaning:
+      'A response has broken off after it had started; its details are those of 722.',
   },
   'call-cancelled': {
     number: 724,
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -5,6 +5,7 @@
   FramingCheck,
   relayResponse,
   type RelayOutcome,
+  type RelayResult,
 } from '@marigoldspur/dispatch';
 import type {
   CallDurations,
@@ -321,7 +322,7 @@
           )
         : undefined;
     const reservation = memory.reserve('response', 0);
-    const {outcome, status} = await relayResponse(upstream, response, {
+    const relayed = await relayResponse(upstream, response, {
       headers: {},
       maxBufferedBytes: isStream ? 0 : MAX_BUFFERED_BYTES,
       endsWithDone: false,
@@ -339,21 +340,37 @@
     });
     reservation?.release();
     resumer?.end();
-    const tookMs = Math.round(performance.now() - startedAt);
-    const {number, sentAfterMs, target} = attempt;
-    const details = {
-      attempt: number,
-      target: target.id,
-      version: target.softwareVersion ?? 'unknown',
-      sentAfterMs,
-    };
+    this.recordRelay(call, attempt, relayed);
+    return relayed.outcome;
+  }
+
+  private recordRelay(
+    {metadata, service, startedAt}: Call,
+    {number, sentAfterMs, target}: Attempt,
+    relayed: RelayResult,
+  ): void {
+    const {events, metrics} = this.options;
+    const {callerFraming, end, outcome, status, targetFraming} = relayed;
+    const {receivedBytes, sentBytes} = relayed;
     events.record(
       OUTCOME_EVENTS[outcome],
-      {...details, status, tookMs},
+      {
+        attempt: number,
+        target: target.id,
+        version: target.softwareVersion ?? 'unknown',
+        sentAfterMs,
+        status,
+        tookMs: Math.round(performance.now() - startedAt),
+        targetFraming,
+        callerFraming: callerFraming ?? 'unsent',
+        receivedBytes,
+        sentBytes,
+        end,
+      },
       metadata.id,
     );
     metrics.recordResponse(service.name, outcome);
-    return outcome;
+    metrics.recordRelay({targetFraming, callerFraming, end, outcome});
   }
 }
 
--- a/entry/direct-routing/src/direct-routing-metrics.ts
+++ b/entry/direct-routing/src/direct-routing-metrics.ts
@@ -1,4 +1,5 @@
 import {Counter, Gauge, Histogram, type Registry} from 'prom-client';
+import type {RelayResult} from '@marigoldspur/dispatch';
 
 const MS_PER_SECOND = 1_000;
 const LATENCY_BUCKETS_SECONDS = [
@@ -7,9 +8,17 @@
 
 const RATIO_BUCKETS = [0.25, 0.5, 0.8, 1.25, 2, 4, 8];
 
+type RelayLabels = Pick<
+  RelayResult,
+  'callerFraming' | 'end' | 'outcome' | 'targetFraming'
+>;
+
 /** Metrics of calls that are sent directly to targets. */
 export class DirectRoutingMetrics {
   private readonly calls: Counter<'service' | 'outcome'>;
+  private readonly relays: Counter<
+    'target_framing' | 'caller_framing' | 'end' | 'outcome'
+  >;
   private readonly refusals: Counter<'reason'>;
   private readonly attempts: Counter<'service' | 'outcome'>;
   private readonly firstByte: Histogram<'service'>;
@@ -35,6 +44,12 @@
       labelNames: ['service', 'outcome'],
       registers,
     });
+    this.relays = new Counter({
+      name: 'marigoldspur_relayed_responses_total',
+      help: 'Responses of targets, by how the end of their body was told by the target and to the caller, and how they ended',
+      labelNames: ['target_framing', 'caller_framing', 'end', 'outcome'],
+      registers,
+    });
     this.refusals = new Counter({
       name: 'marigoldspur_call_refusals_total',
       help: 'Calls that the entry refused, by refusal reason',
@@ -136,6 +151,16 @@
     this.calls.inc({service, outcome});
   }
 
+  /** Records how the body of a response was delimited on both sides, and how it ended. */
+  recordRelay({callerFraming, end, outcome, targetFraming}: RelayLabels): void {
+    this.relays.inc({
+      target_framing: targetFraming,
+      caller_framing: callerFraming ?? 'unsent',
+      end,
+      outcome,
+    });
+  }
+
   recordRefusal(reason: string): void {
     this.refusals.inc({reason});
   }
--- a/entry/dispatch/src/index.ts
+++ b/entry/dispatch/src/index.ts
@@ -4,6 +4,7 @@
   isDelimitedByClose,
   type CompletenessCheck,
 } from './completeness-check.js';
+export type {BodyFraming} from './body-framing.js';
 export type {Attempt, AttemptResponse, UpstreamResponse} from './attempt.js';
 export {responseHeaders, resumeWindowMs} from './attempt-headers.js';
 export {
@@ -12,6 +13,7 @@
   type RelayOutcome,
   type StreamResumer,
   type RelayOptions,
+  type UpstreamEnd,
 } from './relay-response.js';
 export {PrefixHints, type PrefixHintsOptions} from './prefix-hints.js';
 export {computePromptPrefixes, type PromptPrefix} from './prompt-prefixes.js';
--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -12,6 +12,7 @@
   type CompletenessCheck,
 } from './completeness-check.js';
 import {isEventStream, responseHeaders} from './attempt-headers.js';
+import {framingOf, type BodyFraming} from './body-framing.js';
 import type {UpstreamResponse} from './attempt.js';
 import {NumberedEventBuffer} from './numbered-event-buffer.js';
 import {ReadPace} from './read-pace.js';
@@ -77,10 +78,26 @@
 /** Time for which a response may wait for the memory for what is buffered, in milliseconds. */
 const MAX_SHORTAGE_MS = 1_000;
 
+/**
+ * How a target's response ended: `ended` as its framing says or with its connection, `broken`, or
+ * `open` if the relay did not read to its end.
+ */
+export type UpstreamEnd = 'ended' | 'broken' | 'open';
+
 /** Result of relaying a response. */
 export interface RelayResult {
   readonly outcome: RelayOutcome;
   readonly status: number;
+  /** How the target told the end of the body that was read last. */
+  readonly targetFraming: BodyFraming;
+  /** How the caller was told the end of its body; undefined if the response did not start. */
+  readonly callerFraming: BodyFraming | undefined;
+  /** Bytes of the body that were received, with those of a resumed stream. */
+  readonly receivedBytes: number;
+  /** Bytes of the body that were written to the caller. */
+  readonly sentBytes: number;
+  /** How the response that was read last ended. */
+  readonly end: UpstreamEnd;
   /** The complete body if it fits into `maxStoredBytes`. */
   readonly body: Buffer | undefined;
 }
@@ -119,6 +136,11 @@
   private stored: Buffer[] | undefined = [];
   private storedBytes = 0;
   private hasStarted = false;
+  private targetFraming: BodyFraming;
+  private callerFraming: BodyFraming | undefined;
+  private receivedBytes = 0;
+  private sentBytes = 0;
+  private end: UpstreamEnd = 'open';
   private hasCallerDisconnected = false;
   private isComplete = false;
   private isSettled = false;
@@ -138,6 +160,7 @@
     this.eventBuffer =
       options.resumer && new NumberedEventBuffer(options.resumeAfter);
     this.status = upstream.message.statusCode ?? 502;
+    this.targetFraming = framingOf(upstream.message, upstream.method);
     this.isUnframed =
       upstream.method !== 'HEAD' && isDelimitedByClose(upstream.message);
     this.acceptsChunks = response.useChunkedEncodingByDefault;
@@ -187,8 +210,8 @@
     };
     on('data', chunk => this.handleChunk(chunk));
     on('end', () => this.handleEnd());
-    on('error', () => this.handleBreak());
-    on('close', () => this.handleBreak());
+    on('error', () => this.handleLoss());
+    on('close', () => this.handleLoss());
     if (!this.mayRead) {
       message.pause();
     }
@@ -246,6 +269,7 @@
 
   private handleChunk(chunk: Buffer): void {
     const {eventBuffer} = this;
+    this.receivedBytes += chunk.length;
     this.completenessCheck.add(chunk);
     if (this.completenessCheck.isExceeded?.() === true) {
       this.fail();
@@ -357,6 +381,17 @@
       ...this.options.headers,
     });
     this.hasStarted = true;
+    this.callerFraming = this.framingForCaller(length);
+  }
+
+  private framingForCaller(length: OutgoingHttpHeaders): BodyFraming {
+    if (length['content-length'] !== undefined) {
+      return 'length';
+    }
+    if (this.targetFraming === 'none') {
+      return 'none';
+    }
+    return this.response.useChunkedEncodingByDefault ? 'chunks' : 'close';
   }
 
   private flush(): void {
@@ -365,6 +400,7 @@
   }
 
   private write(chunk: Buffer): void {
+    this.sentBytes += chunk.length;
     if (!this.response.write(chunk)) {
       this.message?.pause();
     }
@@ -372,6 +408,7 @@
 
   private handleEnd(): void {
     const {eventBuffer} = this;
+    this.end = 'ended';
     if (!this.completenessCheck.isComplete()) {
       this.handleBreak();
       return;
@@ -424,6 +461,14 @@
     this.handleBreak();
   }
 
+  /** Handles the end of a connection, before or after that of the response. */
+  private handleLoss(): void {
+    if (this.end === 'open') {
+      this.end = 'broken';
+    }
+    this.handleBreak();
+  }
+
   private handleBreak(): void {
     if (this.isComplete || this.isSettled) {
       return;
@@ -455,6 +500,8 @@
       return;
     }
     this.completenessCheck = this.createCheck(rest);
+    this.targetFraming = framingOf(rest.message, rest.method);
+    this.end = 'open';
     this.readFrom(rest.message);
   }
 
@@ -513,6 +560,17 @@
       outcome === 'whole' && this.stored !== undefined
         ? Buffer.concat(this.stored)
         : undefined;
-    this.resolve({outcome, status: this.status, body});
+    const {callerFraming, end, receivedBytes, sentBytes, status} = this;
+    const {targetFraming} = this;
+    this.resolve({
+      outcome,
+      status,
+      body,
+      targetFraming,
+      callerFraming,
+      receivedBytes,
+      sentBytes,
+      end,
+    });
   }
 }
