--- a/entry/dispatch/test/unframed-responses.test.ts
+++ b/entry/dispatch/test/unframed-responses.test.ts
@@ -3,6 +3,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'chai';
 import {FramingCheck, relayResponse} from '@marigoldspur/dispatch';
+import {MemoryBudget} from '@marigoldspur/memory-budget';
 
 /** How a target frames its response, and how it ends. */
 interface TargetResponse {
@@ -25,15 +26,24 @@
 const MAX_BUFFERED_BYTES = 1_000;
 const PIECE_INTERVAL_MS = 20;
 
-/**
- * Relays a target's response to a caller of an HTTP version. If `cutsCaller`, the caller's
- * connection ends in the middle as it does when the process ends.
- */
+/** What happens while a response is relayed. */
+interface Conditions {
+  /** Whether the caller's connection ends in the middle as it does when the process ends. */
+  readonly cutsCaller?: boolean;
+  /** Memory for buffered responses, in bytes; not limited if absent. */
+  readonly memoryBytes?: number;
+}
+
+/** Relays a target's response to a caller of an HTTP version. */
 async function relay(
   {end, head, pieces}: TargetResponse,
   version: '1.0' | '1.1',
-  options: {cutsCaller?: boolean} = {},
+  {cutsCaller, memoryBytes = Infinity}: Conditions = {},
 ): Promise<Received> {
+  const memory = new MemoryBudget({
+    limit: {maxBytes: () => memoryBytes},
+    heapBytes: () => 0,
+  });
   const target = net.createServer(socket => {
     socket.on('error', () => {});
     socket.once('data', async () => {
@@ -54,7 +64,7 @@
     let isBroken = false;
     targetRequest.on('error', () => (isBroken = true));
     targetRequest.on('response', async message => {
-      if (options.cutsCaller) {
+      if (cutsCaller) {
         setTimeout(() => response.socket?.end(), 3 * PIECE_INTERVAL_MS);
       }
       const {outcome} = await relayResponse(
@@ -68,6 +78,7 @@
           maxStoredBytes: 0,
           outlivesCaller: false,
           signal: new AbortController().signal,
+          reservation: memory.reserve('response', 0),
         },
       );
       if (outcome === 'lost') {
@@ -157,6 +168,17 @@
     expect(body).to.equal('');
   });
 
+  // Guards against a cut response that looks complete because memory was short.
+  it(`unframed responses: one that its target may have cut is not framed while memory is short with HTTP/${version}`, async function () {
+    this.timeout(5_000);
+    const response = {head: UNFRAMED, pieces: ['half', 'half', 'half']};
+    const closed = {...response, end: 'closed'} as const;
+    const {body, head} = await relay(closed, version, {memoryBytes: 5});
+    const isRefused = head.includes(' 502 ');
+    expect(isRefused || !FRAMING.test(head), head).to.equal(true);
+    expect(body).to.equal(isRefused ? '' : 'halfhalfhalf');
+  });
+
   it(`unframed responses: a large one goes on whole with HTTP/${version}`, async () => {
     const response = {head: UNFRAMED, pieces: [LARGE_PIECE, LARGE_PIECE]};
     const closed = {...response, end: 'closed'} as const;
