--- a/scripts/bundle-programs.mjs
+++ b/scripts/bundle-programs.mjs
@@ -1,6 +1,7 @@
-/* Bundles each program of the platform from its sources into one file in target/. */
-import {readdirSync, readFileSync} from 'node:fs';
+/* Bundles each program of the platform from its sources into one file in target/, or in `--outdir`. */
+import {existsSync, readdirSync, readFileSync} from 'node:fs';
 import path from 'node:path';
+import {parseArgs} from 'node:util';
 import {build} from 'esbuild';
 
 const ROOT = path.resolve(import.meta.dirname, '..');
@@ -20,21 +21,32 @@
     return readdirSync(parentFolder).map(name => path.join(parentFolder, name));
   });
   return new Map(
-    folders.map(folder => [
-      `@marigoldspur/${path.basename(folder)}`,
-      path.join(folder, 'src', 'index.ts'),
-    ]),
+    folders
+      .filter(folder => existsSync(path.join(folder, 'package.json')))
+      .map(folder => [readName(folder), path.join(folder, 'src', 'index.ts')]),
   );
 }
 
+function readName(folder) {
+  const manifest = path.join(folder, 'package.json');
+  return JSON.parse(readFileSync(manifest, 'utf8')).name;
+}
+
+const {values: options} = parseArgs({
+  options: {outdir: {type: 'string', default: path.join(ROOT, 'target')}},
+});
+
 const sourcesByName = findPackageSources();
 const workspacePlugin = {
   name: 'workspace',
   setup(bundler) {
-    bundler.onResolve({filter: /^@marigoldspur\//}, ({path: name}) => ({
-      path: sourcesByName.get(name),
-      sideEffects: false,
-    }));
+    bundler.onResolve({filter: /^@marigoldspur\//}, ({path: name}) => {
+      const source = sourcesByName.get(name);
+      // The compiled package, which esbuild would look for, is not there in a clean checkout.
+      return source === undefined
+        ? {errors: [{text: `no workspace package has the name "${name}"`}]}
+        : {path: source, sideEffects: false};
+    });
     // Only the programs import modules for their side effects, so unused modules of packages, and the
     // libraries that they import, can be left out.
     bundler.onResolve({filter: /^\.\/.*\.js$/}, ({importer, path: file}) =>
@@ -68,7 +80,7 @@
   entryPoints: Object.fromEntries(
     PROGRAM_NAMES.map(name => [name, path.join(PROGRAMS_FOLDER, `${name}.ts`)]),
   ),
-  outdir: path.join(ROOT, 'target'),
+  outdir: options.outdir,
   outExtension: {'.js': '.mjs'},
   bundle: true,
   platform: 'node',
