--- a/entry/direct-routing/src/response-progress.ts
+++ b/entry/direct-routing/src/response-progress.ts
@@ -1,7 +1,7 @@
 import {
   EventBlockScanner,
   FramingCheck,
-  isDelimitedByClose,
+  framingOf,
   type CompletenessCheck,
   type UpstreamResponse,
 } from '@marigoldspur/dispatch';
@@ -73,6 +73,10 @@
     );
   }
 
+  get endsByContent(): boolean {
+    return this.options.isStream;
+  }
+
   /** Whether an event, or a byte of a response that is no stream, has arrived. */
   get hasEvent(): boolean {
     return this.hasArrivedEvent;
@@ -132,8 +136,9 @@
   }
 
   private endsBetweenEvents(): boolean {
+    const {message, method} = this.upstream;
     return this.tail === ''
-      ? !isDelimitedByClose(this.upstream.message)
+      ? framingOf(message, method) !== 'close'
       : this.tail.replaceAll('\r', '').endsWith(EVENT_END);
   }
 
--- a/entry/dispatch/src/body-framing.ts
+++ b/entry/dispatch/src/body-framing.ts
@@ -3,7 +3,7 @@
 /** How the end of a body is told (RFC 9112, 6.3); `none` if there is no body. */
 export type BodyFraming = 'none' | 'length' | 'chunks' | 'close';
 
-const BODILESS_STATUSES = new Set([204, 205, 304]);
+const BODILESS_STATUSES = new Set([204, 304]);
 
 /** Returns how the end of a response's body is told; `method` is that of the request. */
 export function framingOf(
--- a/entry/dispatch/src/completeness-check.ts
+++ b/entry/dispatch/src/completeness-check.ts
@@ -1,14 +1,15 @@
-import type {IncomingMessage} from 'node:http';
 import {HOP_HEADERS} from '@marigoldspur/messages';
 import type {UpstreamResponse} from './attempt.js';
+import {framingOf} from './body-framing.js';
 
 const END_MARKER = 'data: [DONE]';
 /** Length of the end marker with the line breaks that may follow it. */
 const TAIL_BYTES = END_MARKER.length + 8;
-const BODILESS_STATUSES = new Set([204, 205, 304]);
 
 /** Decides whether a response has been received completely. */
 export interface CompletenessCheck {
+  /** Whether the body shows by itself that it is complete; false if absent. */
+  readonly endsByContent?: boolean;
   /** Processes the next bytes of the body. */
   add(chunk: Buffer): void;
   /** Whether the response, at its end, is complete. */
@@ -24,29 +25,14 @@
   add(): void {}
 
   isComplete(): boolean {
-    const {isConnectionBroken, message} = this.response;
-    return (
-      message.complete &&
-      !(isDelimitedByClose(message) && isConnectionBroken?.() === true)
-    );
+    const {isConnectionBroken, message, method} = this.response;
+    if (framingOf(message, method) !== 'close') {
+      return message.complete;
+    }
+    return message.complete && isConnectionBroken?.() !== true;
   }
 }
 
-/**
- * Whether the body of a response is delimited by the end of its connection (RFC
- * 9112, 6.3).
- */
-export function isDelimitedByClose({
-  headers,
-  statusCode = 0,
-}: IncomingMessage): boolean {
-  return (
-    !BODILESS_STATUSES.has(statusCode) &&
-    headers['content-length'] === undefined &&
-    headers['transfer-encoding'] === undefined
-  );
-}
-
 /**
  * Compares the received bytes with the byte count that the agent sends in a
  * trailer.
@@ -80,7 +66,8 @@
     if (!message.complete) {
       return false;
     }
-    if (hasNoBody(this.response)) {
+    if (framingOf(message, this.response.method) === 'none') {
+      // Such a response has no trailer either (RFC 9110, 6.4.1).
       return this.bytes === 0;
     }
     const hasExpectedLength =
@@ -92,14 +79,3 @@
     return this.tail.toString('latin1').trimEnd().endsWith(END_MARKER);
   }
 }
-
-/**
- * Whether a response has no body because of its method or status, and therefore
- * no trailer (RFC 9110, 6.4.1).
- */
-function hasNoBody(response: UpstreamResponse): boolean {
-  return (
-    response.method === 'HEAD' ||
-    BODILESS_STATUSES.has(response.message.statusCode ?? 0)
-  );
-}
--- a/entry/dispatch/src/index.ts
+++ b/entry/dispatch/src/index.ts
@@ -1,10 +1,11 @@
 export {AttemptClient, type AttemptClientOptions} from './attempt-client.js';
+export {FramingCheck, type CompletenessCheck} from './completeness-check.js';
+export {framingOf, type BodyFraming} from './body-framing.js';
 export {
-  FramingCheck,
-  isDelimitedByClose,
-  type CompletenessCheck,
-} from './completeness-check.js';
-export type {BodyFraming} from './body-framing.js';
+  chooseCallerFraming,
+  type CallerFraming,
+  type FramingFacts,
+} from './caller-framing.js';
 export type {Attempt, AttemptResponse, UpstreamResponse} from './attempt.js';
 export {responseHeaders, resumeWindowMs} from './attempt-headers.js';
 export {
@@ -12,6 +13,7 @@
   type RelayResult,
   type RelayOutcome,
   type StreamResumer,
+  type RelayBreak,
   type RelayOptions,
   type UpstreamEnd,
 } from './relay-response.js';
--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -6,13 +6,11 @@
 import {guard} from '@marigoldspur/fault-guard';
 import type {Fault} from '@marigoldspur/faults';
 import type {Reservation} from '@marigoldspur/memory-budget';
-import {
-  isDelimitedByClose,
-  TrailerCheck,
-  type CompletenessCheck,
-} from './completeness-check.js';
+import {TrailerCheck, type CompletenessCheck} from './completeness-check.js';
 import {isEventStream, responseHeaders} from './attempt-headers.js';
 import {framingOf, type BodyFraming} from './body-framing.js';
+import {chooseCallerFraming, type CallerFraming} from './caller-framing.js';
+import {MemoryWait} from './memory-wait.js';
 import type {UpstreamResponse} from './attempt.js';
 import {NumberedEventBuffer} from './numbered-event-buffer.js';
 import {ReadPace} from './read-pace.js';
@@ -40,8 +38,8 @@
   /** Headers that are sent to the caller in addition to the target's. */
   readonly headers: OutgoingHttpHeaders;
   /**
-   * Maximum number of bytes that are buffered before the response is started; 0
-   * streams immediately.
+   * Number of bytes that are buffered before a response starts that may start before it is
+   * complete; 0 streams immediately.
    */
   readonly maxBufferedBytes: number;
   /** Whether the response has to end with an engine's `data: [DONE]`. */
@@ -63,20 +61,17 @@
   readonly resumeAfter?: number;
   /** Called if a target's bytes cannot be the rest of the stream after event `after`. */
   readonly onInvalidStream?: (after: number) => void;
-  /** Grows with what is buffered for the caller; a response that lacks the memory waits, and breaks off in the end. */
+  /**
+   * Grows with what is buffered for the caller beyond its first size; a response that lacks the
+   * memory waits, and breaks off in the end.
+   */
   readonly reservation?: Reservation;
   /** Called with an unexpected error, which ends the response as broken. */
   readonly onFault?: (fault: Fault) => void;
 }
 
-/**
- * Maximum number of bytes that are buffered of a response of unknown length for a caller that
- * accepts no chunks.
- */
-const MAX_UNCHUNKED_BYTES = 4_194_304;
-
-/** Time for which a response may wait for the memory for what is buffered, in milliseconds. */
-const MAX_SHORTAGE_MS = 1_000;
+/** Maximum number of bytes that are buffered of a response that must not start before it is complete. */
+const MAX_HELD_BYTES = 4_194_304;
 
 /**
  * How a target's response ended: `ended` as its framing says or with its connection, `broken`, or
@@ -84,6 +79,13 @@
  */
 export type UpstreamEnd = 'ended' | 'broken' | 'open';
 
+/**
+ * Why a response broke off: the `target` cut it or sent what cannot belong to it, this process
+ * lacked the `memory` to buffer it, its `size` exceeded what may be held, its time was up
+ * (`aborted`), or an unexpected error occurred (`fault`).
+ */
+export type RelayBreak = 'target' | 'memory' | 'size' | 'aborted' | 'fault';
+
 /** Result of relaying a response. */
 export interface RelayResult {
   readonly outcome: RelayOutcome;
@@ -98,6 +100,8 @@
   readonly sentBytes: number;
   /** How the response that was read last ended. */
   readonly end: UpstreamEnd;
+  /** Why the response was torn or lost; undefined if it was not. */
+  readonly brokenBy: RelayBreak | undefined;
   /** The complete body if it fits into `maxStoredBytes`. */
   readonly body: Buffer | undefined;
 }
@@ -105,8 +109,8 @@
 /**
  * Relays a target's response with backpressure from the caller. Nothing is sent
  * to the caller before more than `maxBufferedBytes` have arrived or the
- * response is complete. An incomplete response never ends cleanly, also if this process ends:
- * the caller gets chunks or a length, or, where the target sent neither, the whole body at once.
+ * response is complete. An incomplete response never ends cleanly, also if this process ends;
+ * `chooseCallerFraming` decides how the caller can tell.
  */
 export function relayResponse(
   upstream: UpstreamResponse,
@@ -120,13 +124,9 @@
 
 class ResponseRelay {
   private readonly status: number;
-  /**
-   * Whether only the end of the target's connection tells that the body is complete. A length or
-   * chunks would claim more than that.
-   */
-  private readonly isUnframed: boolean;
-  /** Whether the caller accepts chunks; HTTP/1.0 has none. */
-  private readonly acceptsChunks: boolean;
+  private framing: CallerFraming;
+  /** Size of the reservation that the response may use without asking for more, in bytes. */
+  private readonly reservedBytes: number;
   private readonly eventBuffer: NumberedEventBuffer | undefined;
   private completenessCheck: CompletenessCheck;
   /** The response that is being read; undefined while it is being resumed. */
@@ -147,8 +147,8 @@
   private readonly pace: ReadPace;
   /** Cancels the pause in reading that the pace requires; undefined if there is none. */
   private cancelPause: (() => void) | undefined;
-  /** Runs while there is no memory for what is buffered. */
-  private shortageTimer: NodeJS.Timeout | undefined;
+  private readonly memoryWait: MemoryWait;
+  private brokenBy: RelayBreak | undefined;
 
   constructor(
     private readonly upstream: UpstreamResponse,
@@ -161,9 +161,13 @@
       options.resumer && new NumberedEventBuffer(options.resumeAfter);
     this.status = upstream.message.statusCode ?? 502;
     this.targetFraming = framingOf(upstream.message, upstream.method);
-    this.isUnframed =
-      upstream.method !== 'HEAD' && isDelimitedByClose(upstream.message);
-    this.acceptsChunks = response.useChunkedEncodingByDefault;
+    this.framing = this.chooseFraming();
+    this.reservedBytes = options.reservation?.bytes ?? 0;
+    this.memoryWait = new MemoryWait({
+      hasMemory: () => this.hasMemory(),
+      onMemory: this.guarded(() => this.resumeReading()),
+      onTimeout: this.guarded(() => this.fail('memory')),
+    });
     this.pace = new ReadPace(
       this.eventBuffer !== undefined || isEventStream(upstream.message),
     );
@@ -198,6 +202,15 @@
     );
   }
 
+  private chooseFraming(): CallerFraming {
+    return chooseCallerFraming({
+      targetFraming: this.targetFraming,
+      endsByContent: this.completenessCheck.endsByContent === true,
+      acceptsChunks: this.response.useChunkedEncodingByDefault,
+      keepsLength: this.eventBuffer === undefined,
+    });
+  }
+
   private readFrom(message: IncomingMessage): void {
     this.message = message;
     const on = (event: string, handle: (chunk: Buffer) => void) => {
@@ -224,7 +237,7 @@
     return (
       !needsDrain &&
       this.cancelPause === undefined &&
-      this.shortageTimer === undefined
+      !this.memoryWait.isWaiting
     );
   }
 
@@ -262,7 +275,7 @@
     return guard(handle, {
       onFault: fault => {
         this.options.onFault?.(fault);
-        this.fail();
+        this.fail('fault');
       },
     });
   }
@@ -272,7 +285,7 @@
     this.receivedBytes += chunk.length;
     this.completenessCheck.add(chunk);
     if (this.completenessCheck.isExceeded?.() === true) {
-      this.fail();
+      this.fail('target');
       return;
     }
     this.keepPace(chunk);
@@ -284,40 +297,30 @@
   }
 
   /**
-   * Starts the response early if there is no memory for what is buffered, and reads no more for
-   * now. A response that still has no memory some time later breaks off.
+   * Without memory for what is buffered, starts the response if it may start before it is complete,
+   * and otherwise reads no more for now.
    */
   private reserveBuffered(): void {
-    if (this.isSettled || this.hasMemory()) {
-      this.endShortage();
+    if (this.isSettled || this.hasMemory() || this.startForMemory()) {
+      this.memoryWait.stop();
       return;
     }
-    if (!this.hasStarted && this.bufferedBytes > 0) {
-      this.startEarly();
-    }
     this.message?.pause();
-    this.shortageTimer ??= setTimeout(
-      this.guarded(() => this.checkShortage()),
-      MAX_SHORTAGE_MS,
-    );
+    this.memoryWait.start(performance.now());
   }
 
-  private hasMemory(): boolean {
-    return this.options.reservation?.resize(this.heldBytes) !== false;
-  }
-
-  private checkShortage(): void {
-    if (this.hasMemory()) {
-      this.endShortage();
-      this.resumeReading();
-    } else {
-      this.fail();
+  /** Starts the response if it may start early; whether its bytes then need no more memory. */
+  private startForMemory(): boolean {
+    if (this.hasStarted || this.bufferedBytes === 0) {
+      return false;
     }
+    this.startEarly();
+    return this.hasStarted && this.hasMemory();
   }
 
-  private endShortage(): void {
-    clearTimeout(this.shortageTimer);
-    this.shortageTimer = undefined;
+  private hasMemory(): boolean {
+    const bytes = Math.max(this.heldBytes, this.reservedBytes);
+    return this.options.reservation?.resize(bytes) !== false;
   }
 
   /** Bytes of the response that the caller has not taken yet; a write is under way until the next turn. */
@@ -347,25 +350,17 @@
     }
   }
 
-  /** Starts the response before its end if the caller will be able to tell that it is complete. */
+  /** Starts the response before it is complete if it may. */
   private startEarly(): void {
-    const length = this.acceptsChunks ? {} : this.statedLength();
-    if (length !== undefined) {
-      this.startResponse(length);
+    const {early} = this.framing;
+    if (early !== undefined) {
+      this.startResponse(early);
       this.flush();
-    } else if (this.bufferedBytes > MAX_UNCHUNKED_BYTES) {
-      this.fail();
+    } else if (this.bufferedBytes > MAX_HELD_BYTES) {
+      this.fail('size');
     }
   }
 
-  /** The length that the target states; undefined if the response may become another one. */
-  private statedLength(): OutgoingHttpHeaders | undefined {
-    const length = this.upstream.message.headers['content-length'];
-    return length === undefined || this.eventBuffer !== undefined
-      ? undefined
-      : {'content-length': length};
-  }
-
   private store(chunk: Buffer): void {
     this.storedBytes += chunk.length;
     if (this.storedBytes > this.options.maxStoredBytes) {
@@ -374,24 +369,30 @@
     this.stored?.push(chunk);
   }
 
-  private startResponse(length: OutgoingHttpHeaders): void {
+  private startResponse(framing: BodyFraming): void {
+    if (framing === 'close') {
+      this.response.useChunkedEncodingByDefault = false;
+      this.response.shouldKeepAlive = false;
+    }
     this.response.writeHead(this.status, {
       ...responseHeaders(this.upstream.message),
-      ...length,
+      ...this.lengthHeaders(framing),
       ...this.options.headers,
     });
     this.hasStarted = true;
-    this.callerFraming = this.framingForCaller(length);
+    this.callerFraming = framing;
   }
 
-  private framingForCaller(length: OutgoingHttpHeaders): BodyFraming {
-    if (length['content-length'] !== undefined) {
-      return 'length';
-    }
-    if (this.targetFraming === 'none') {
-      return 'none';
+  private lengthHeaders(framing: BodyFraming): OutgoingHttpHeaders {
+    const {message, method} = this.upstream;
+    const stated = message.headers['content-length'];
+    if (framing === 'length') {
+      const length = this.isComplete ? this.bufferedBytes : stated;
+      return {'content-length': length};
     }
-    return this.response.useChunkedEncodingByDefault ? 'chunks' : 'close';
+    return method === 'HEAD' && stated !== undefined
+      ? {'content-length': stated}
+      : {};
   }
 
   private flush(): void {
@@ -427,35 +428,15 @@
       return;
     }
     if (!this.hasStarted) {
-      this.startComplete();
+      this.startResponse(this.framing.complete);
+      if (this.buffered.length > 1) {
+        this.buffered = [Buffer.concat(this.buffered)];
+      }
     }
     this.flush();
     this.response.end(() => this.settle('whole'));
   }
 
-  /** Starts a response that has arrived completely. */
-  private startComplete(): void {
-    if (this.isUnframed) {
-      this.response.useChunkedEncodingByDefault = false;
-      this.response.shouldKeepAlive = false;
-    }
-    this.startResponse(this.isUnframed ? {} : this.lengthHeaders());
-    if (this.buffered.length > 1) {
-      this.buffered = [Buffer.concat(this.buffered)];
-    }
-  }
-
-  private lengthHeaders(): OutgoingHttpHeaders {
-    const {message, method} = this.upstream;
-    if (method === 'HEAD') {
-      const length = message.headers['content-length'];
-      return length === undefined ? {} : {'content-length': length};
-    }
-    return this.status === 204 || this.status === 304
-      ? {}
-      : {'content-length': this.bufferedBytes};
-  }
-
   private handleInvalidStream({lastEventNumber}: NumberedEventBuffer): void {
     this.options.onInvalidStream?.(lastEventNumber);
     this.handleBreak();
@@ -476,7 +457,7 @@
     const {eventBuffer} = this;
     const {resumer} = this.options;
     if (resumer === undefined || eventBuffer?.isNumbered !== true) {
-      this.fail();
+      this.fail('target');
       return;
     }
     this.guarded(() => this.resume(resumer, eventBuffer))();
@@ -496,11 +477,14 @@
       return;
     }
     if (rest === undefined) {
-      this.fail();
+      this.fail('target');
       return;
     }
     this.completenessCheck = this.createCheck(rest);
     this.targetFraming = framingOf(rest.message, rest.method);
+    if (!this.hasStarted) {
+      this.framing = this.chooseFraming();
+    }
     this.end = 'open';
     this.readFrom(rest.message);
   }
@@ -516,14 +500,19 @@
       this.handleDisconnect();
       return;
     }
-    this.fail();
+    this.fail('aborted');
   };
 
-  private fail(): void {
+  private fail(brokenBy: RelayBreak): void {
     if (this.isSettled) {
       return;
     }
+    this.brokenBy = brokenBy;
     this.settle(this.hasStarted ? 'torn' : 'lost');
+    if (this.callerFraming === 'close') {
+      // An ordinary end would look like that of the response.
+      this.response.socket?.resetAndDestroy();
+    }
     if (this.hasStarted) {
       this.response.destroy();
     }
@@ -551,7 +540,7 @@
     }
     this.isSettled = true;
     this.cancelPause?.();
-    this.endShortage();
+    this.memoryWait.stop();
     this.options.signal.removeEventListener('abort', this.handleAbort);
     if (outcome !== 'whole') {
       this.options.resumer?.cancel();
@@ -561,7 +550,7 @@
         ? Buffer.concat(this.stored)
         : undefined;
     const {callerFraming, end, receivedBytes, sentBytes, status} = this;
-    const {targetFraming} = this;
+    const {brokenBy, targetFraming} = this;
     this.resolve({
       outcome,
       status,
@@ -571,6 +560,7 @@
       receivedBytes,
       sentBytes,
       end,
+      brokenBy,
     });
   }
 }
