Count an unframed response that this entry stops reading as incomplete

Node.js sets IncomingMessage.complete of a response without a length or chunks when this process closes the connection. How far such a response got was reported as complete after the entry itself had broken it off, at a deadline or because its request was blocked, which cleared the request of blame for crashes and counted as a completion at its target.

A response that only its connection ends is complete now if its end was read as well.

--- a/entry/direct-routing/src/response-progress.ts
+++ b/entry/direct-routing/src/response-progress.ts
@@ -118,8 +118,8 @@
 
   /** A connection that the target breaks off leaves an error, unlike one that is closed here. */
   private isStopped(): boolean {
-    const {complete, errored} = this.upstream.message;
-    return !complete && errored === null;
+    const {errored, readableEnded} = this.upstream.message;
+    return !readableEnded && errored === null;
   }
 
   private countEvents(chunk: Buffer): void {
--- a/entry/direct-routing/test/response-progress.test.ts
+++ b/entry/direct-routing/test/response-progress.test.ts
@@ -1,5 +1,6 @@
-import {EventEmitter} from 'node:events';
-import type {IncomingMessage} from 'node:http';
+import {EventEmitter, once} from 'node:events';
+import http, {type IncomingMessage} from 'node:http';
+import net, {type AddressInfo} from 'node:net';
 import {expect} from 'chai';
 import {ResponseProgress, type ResponseEnd} from '@marigoldspur/direct-routing';
 
@@ -67,3 +68,35 @@
   expect(endAfter([tokens(5_000)]).isExceeded).to.equal(false);
   expect(endAfter([tokens(5_000)], false, 1).isExceeded).to.equal(false);
 });
+
+// Guards against a response that counts as complete because this process closed its connection.
+it('response progress: an unframed response that this process stops reading is not complete', async () => {
+  const target = net.createServer(socket => {
+    socket.on('error', () => {});
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
+  });
+  await new Promise<void>(resolve => target.listen(0, '127.0.0.1', resolve));
+  const {port} = target.address() as AddressInfo;
+  const stop = async (close: (message: IncomingMessage) => void) => {
+    const request = http.get({port, host: '127.0.0.1', agent: false});
+    request.on('error', () => {});
+    const [message] = (await once(request, 'response')) as [IncomingMessage];
+    message.on('error', () => {});
+    const ended = new Promise<ResponseEnd>(onEnd => {
+      const options = {isStream: false, onEnd};
+      return new ResponseProgress({method: 'GET', message}, options);
+    });
+    close(message);
+    return ended;
+  };
+  const ends = [
+    await stop(message => message.destroy()),
+    await stop(({socket}) => socket.destroy()),
+    await stop(({socket}) => socket.resetAndDestroy()),
+  ];
+  target.close();
+  expect(ends.map(({isComplete}) => isComplete)).to.deep.equal(
+    ends.map(() => false),
+  );
+  expect(ends[0].isStopped).to.equal(true);
+});
--- a/entry/dispatch/src/completeness-check.ts
+++ b/entry/dispatch/src/completeness-check.ts
@@ -29,7 +29,9 @@
     if (framingOf(message, method) !== 'close') {
       return message.complete;
     }
-    return message.complete && isConnectionBroken?.() !== true;
+    // Node.js sets `complete` also if this process closes the connection.
+    const hasEnded = message.complete && message.readableEnded;
+    return hasEnded && isConnectionBroken?.() !== true;
   }
 }
 
