Hold memory for a short response from the admission of its call

A call that had run could lose its response because other calls had taken the memory meanwhile: of a response that must not start early nothing goes out, and its caller gets 502 for work that was done. Where memory is short that should be known before a target runs the call.

Each call holds 4 KiB for its response from its admission on, or is refused then as not run. Further memory is asked for as before. Refusals say why a response broke off: 'response_memory_full' and 'response_too_large' are not sent to another target, which would not help.

--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -21,6 +21,7 @@
 } from '@marigoldspur/request-bodies';
 import {chooseBackend, type RouteTable} from '@marigoldspur/routes';
 import type {CallRunner} from './call-runner.js';
+import type {Call} from './call.js';
 import {createShuttingDownRefusal} from './shutting-down-refusal.js';
 import {createLazyFingerprint} from './request-fingerprint.js';
 import type {CallMetadata, WireFormat} from './wire-format.js';
@@ -60,6 +61,14 @@
 const FULL_RETRY_AFTER_SECONDS = 1;
 /** Memory that a call takes besides its body and its response, in bytes. */
 const CALL_BYTES = 16_384;
+/**
+ * Memory that a call holds for its response from the start, in bytes, so that a short response of
+ * a call that has run does not fail for want of memory.
+ */
+const RESPONSE_BYTES = 4_096;
+
+/** A call whose body has not been read. */
+type Arrival = Pick<Call, 'metadata' | 'responseMemory' | 'startedAt'>;
 
 /** How the body of a call ended that is refused. */
 interface BodyEnd {
@@ -92,15 +101,18 @@
     const metadata = wireFormat.parseCallHeaders(request.headers);
     this.options.metrics.setRunning((this.runningCalls += 1));
     response.sendDate = false;
-    const reservation = this.options.memory.reserve(
-      REQUEST_OBJECTS,
-      CALL_BYTES,
-    );
+    const {memory} = this.options;
+    const callMemory = memory.reserve(REQUEST_OBJECTS, CALL_BYTES);
+    const responseMemory = memory.reserve('response', RESPONSE_BYTES);
     try {
       const refusal =
-        reservation === undefined
+        callMemory === undefined || responseMemory === undefined
           ? refuseUnread(request, createFullRefusal())
-          : await this.serve(metadata, startedAt, request, response);
+          : await this.serve(
+              {metadata, startedAt, responseMemory},
+              request,
+              response,
+            );
       if (refusal !== undefined) {
         this.refuse(response, metadata, refusal);
       }
@@ -109,15 +121,15 @@
       this.options.events.record('request-error', {message}, metadata.id);
       this.refuse(response, metadata, createInternalErrorRefusal());
     } finally {
-      reservation?.release();
+      callMemory?.release();
+      responseMemory?.release();
       this.options.metrics.setRunning((this.runningCalls -= 1));
     }
   }
 
   /** Serves a call; returns a refusal if one remains to be sent. */
   private async serve(
-    received: CallMetadata,
-    startedAt: number,
+    {metadata: received, responseMemory, startedAt}: Arrival,
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<Refusal | undefined> {
@@ -169,6 +181,7 @@
       path: request.url ?? '/',
       headers: request.headers,
       body: body.value,
+      responseMemory,
       fingerprint: createLazyFingerprint({
         method: request.method ?? 'GET',
         host: request.headers.host ?? '',
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -4,7 +4,7 @@
 import {
   FramingCheck,
   relayResponse,
-  type RelayOutcome,
+  type RelayBreak,
   type RelayResult,
 } from '@marigoldspur/dispatch';
 import type {
@@ -20,7 +20,6 @@
 } from '@marigoldspur/entry-quotas';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
-import type {MemoryBudget} from '@marigoldspur/memory-budget';
 import type {AttemptSender} from './attempt-sender.js';
 import type {Attempt} from './attempt.js';
 import {findDenial, findTenant, hasTimeLeft, type Call} from './call.js';
@@ -42,7 +41,6 @@
   readonly durations: Pick<CallDurations, 'record'>;
   readonly streamOrigins: Pick<StreamOrigins, 'originAt' | 'resolve'>;
   readonly quotas: Pick<TenantQuotas, 'open'>;
-  readonly memory: Pick<MemoryBudget, 'reserve'>;
   readonly events: EventLog;
   readonly metrics: DirectRoutingMetrics;
 }
@@ -87,6 +85,26 @@
   lost: 'call-attempt-failed',
 } as const;
 
+const BREAK_REFUSALS = {
+  target: {reason: 'torn_answer', message: 'the response broke off'},
+  aborted: {reason: 'torn_answer', message: 'the response came too late'},
+  fault: {reason: 'torn_answer', message: 'the response could not be sent on'},
+  memory: {
+    reason: 'response_memory_full',
+    message: 'the entry lacks the memory for the response',
+  },
+  size: {
+    reason: 'response_too_large',
+    message:
+      'the response has neither a length nor chunks and exceeds what the entry holds back',
+  },
+} as const satisfies Record<RelayBreak, {reason: string; message: string}>;
+/** Reasons of this entry for which another target would not help. */
+const OWN_BREAK_REASONS: ReadonlySet<string> = new Set([
+  BREAK_REFUSALS.memory.reason,
+  BREAK_REFUSALS.size.reason,
+]);
+
 /** Tries targets one after another until one responds to the call. */
 export class CallRunner {
   constructor(private readonly options: CallRunnerOptions) {}
@@ -282,12 +300,18 @@
       return Result.err(sender.handleRejection(call, attempt, upstream));
     }
     metrics.recordAttempt(call.service.name, hasFailed ? 'failed' : 'answered');
-    const outcome = await this.relay(call, attempt, upstream, response, search);
+    const {brokenBy, outcome} = await this.relay(
+      call,
+      attempt,
+      upstream,
+      response,
+      search,
+    );
     if (outcome === 'whole') {
       durations.record(call.route.name, performance.now() - search.sentAt);
     }
     return outcome === 'lost'
-      ? Result.err(createTornResponseRefusal())
+      ? Result.err(createBrokenResponseRefusal(brokenBy))
       : Result.ok(undefined);
   }
 
@@ -297,8 +321,8 @@
     upstream: TargetResponse,
     response: ServerResponse,
     search: AttemptSearch,
-  ): Promise<RelayOutcome> {
-    const {events, memory, metrics} = this.options;
+  ): Promise<RelayResult> {
+    const {events, metrics} = this.options;
     const {excluded, origin} = search;
     const {metadata, route, service, startedAt} = call;
     const {resumeAfter = 0} = metadata;
@@ -321,7 +345,6 @@
             search,
           )
         : undefined;
-    const reservation = memory.reserve('response', 0);
     const relayed = await relayResponse(upstream, response, {
       headers: {},
       maxBufferedBytes: isStream ? 0 : MAX_BUFFERED_BYTES,
@@ -332,16 +355,15 @@
       signal: call.signal,
       resumer,
       resumeAfter: isTakenUp ? resumeAfter : undefined,
-      reservation,
+      reservation: call.responseMemory,
       onInvalidStream: after =>
         events.record('stream-invalid', {after}, metadata.id),
       onFault: ({message}) =>
         events.record('request-error', {message}, metadata.id),
     });
-    reservation?.release();
     resumer?.end();
     this.recordRelay(call, attempt, relayed);
-    return relayed.outcome;
+    return relayed;
   }
 
   private recordRelay(
@@ -351,7 +373,7 @@
   ): void {
     const {events, metrics} = this.options;
     const {callerFraming, end, outcome, status, targetFraming} = relayed;
-    const {receivedBytes, sentBytes} = relayed;
+    const {brokenBy, receivedBytes, sentBytes} = relayed;
     events.record(
       OUTCOME_EVENTS[outcome],
       {
@@ -366,6 +388,7 @@
         receivedBytes,
         sentBytes,
         end,
+        ...(brokenBy !== undefined && {brokenBy}),
       },
       metadata.id,
     );
@@ -391,6 +414,9 @@
 ): boolean {
   const {idempotent, maxAttempts} = call.route;
   const limit = maxAttempts + (mayHaveRun ? 0 : EXTRA_ATTEMPTS);
+  if (OWN_BREAK_REASONS.has(refusal.reason)) {
+    return false;
+  }
   return attempts < limit && (refusal.outcome === 'not-run' || idempotent);
 }
 
@@ -416,6 +442,8 @@
   );
 }
 
-function createTornResponseRefusal(): Refusal {
-  return new Refusal('unknown', 502, 'torn_answer', 'the response broke off');
+/** The refusal of a call whose response broke off before it had started. */
+function createBrokenResponseRefusal(brokenBy: RelayBreak = 'target'): Refusal {
+  const {message, reason} = BREAK_REFUSALS[brokenBy];
+  return new Refusal('unknown', 502, reason, message);
 }
--- a/entry/direct-routing/src/call.ts
+++ b/entry/direct-routing/src/call.ts
@@ -2,6 +2,7 @@
 import type {CallAccess} from '@marigoldspur/caller-tenants';
 import type {Route, Service} from '@marigoldspur/deployment';
 import type {Refusal} from '@marigoldspur/faults';
+import type {Reservation} from '@marigoldspur/memory-budget';
 import type {RequestBody} from '@marigoldspur/request-bodies';
 import type {RouteTable} from '@marigoldspur/routes';
 import type {TenantProfile} from '@marigoldspur/tenant-access';
@@ -25,6 +26,8 @@
   readonly path: string;
   readonly headers: IncomingHttpHeaders;
   readonly body: RequestBody;
+  /** Memory that the call holds for its response; not limited if absent. */
+  readonly responseMemory?: Reservation;
   /** Returns what identifies the request when it is sent again; computed at the first call. */
   readonly fingerprint: () => string;
   /** Aborts at the route's timeout and when the caller disconnects. */
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -345,7 +345,6 @@
       }),
       streamOrigins,
       quotas,
-      memory: runtime.memory,
       events,
       metrics,
     }),
--- a/entry/direct-routing/test/call-handler.test.ts
+++ b/entry/direct-routing/test/call-handler.test.ts
@@ -192,7 +192,7 @@
 });
 
 it('call handler: a call that finds no memory for itself or its body is refused at once', async () => {
-  for (const maxBytes of [1_000, 16_384 + 4]) {
+  for (const maxBytes of [1_000, 16_384 + 4, 16_384 + 4_096 + 4]) {
     budget = createBudget(maxBytes);
     const refused = await call('/x/1', {body: '123456'});
     expect(refused).to.include({status: 503, ran: false});
--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -62,8 +62,8 @@
   /** Called if a target's bytes cannot be the rest of the stream after event `after`. */
   readonly onInvalidStream?: (after: number) => void;
   /**
-   * Grows with what is buffered for the caller beyond its first size; a response that lacks the
-   * memory waits, and breaks off in the end.
+   * Grows with what is buffered for the caller beyond its first size, and has that size again
+   * afterwards; a response that lacks the memory waits, and breaks off in the end.
    */
   readonly reservation?: Reservation;
   /** Called with an unexpected error, which ends the response as broken. */
@@ -541,6 +541,7 @@
     this.isSettled = true;
     this.cancelPause?.();
     this.memoryWait.stop();
+    this.options.reservation?.resize(this.reservedBytes);
     this.options.signal.removeEventListener('abort', this.handleAbort);
     if (outcome !== 'whole') {
       this.options.resumer?.cancel();
--- a/entry/dispatch/test/unframed-responses.test.ts
+++ b/entry/dispatch/test/unframed-responses.test.ts
@@ -32,18 +32,21 @@
   readonly cutsCaller?: boolean;
   /** Memory for buffered responses, in bytes; not limited if absent. */
   readonly memoryBytes?: number;
+  /** Memory that the response holds from the start, in bytes; none if absent. */
+  readonly reservedBytes?: number;
 }
 
 /** Relays a target's response to a caller of an HTTP version. */
 async function relay(
   {end, head, pieces}: TargetResponse,
   version: '1.0' | '1.1',
-  {cutsCaller, memoryBytes = Infinity}: Conditions = {},
+  {cutsCaller, memoryBytes = Infinity, reservedBytes = 0}: Conditions = {},
 ): Promise<Received> {
   const memory = new MemoryBudget({
     limit: {maxBytes: () => memoryBytes},
     heapBytes: () => 0,
   });
+  const reservation = memory.reserve('response', reservedBytes);
   const target = net.createServer(socket => {
     socket.on('error', () => {});
     socket.once('data', async () => {
@@ -78,7 +81,7 @@
           maxStoredBytes: 0,
           outlivesCaller: false,
           signal: new AbortController().signal,
-          reservation: memory.reserve('response', 0),
+          reservation,
         },
       );
       if (outcome === 'lost') {
@@ -179,6 +182,18 @@
     expect(body).to.equal(isRefused ? '' : 'halfhalfhalf');
   });
 
+  // Guards against the loss of a short response of a call that has run, for want of memory.
+  it(`unframed responses: one that fits the memory it holds goes on whole with HTTP/${version}`, async () => {
+    const response = {head: UNFRAMED, pieces: ['half', 'half']};
+    const closed = {...response, end: 'closed'} as const;
+    const {body, isComplete} = await relay(closed, version, {
+      memoryBytes: 8,
+      reservedBytes: 8,
+    });
+    expect(isComplete).to.equal(true);
+    expect(body).to.equal('halfhalf');
+  });
+
   it(`unframed responses: a large one goes on whole with HTTP/${version}`, async () => {
     const response = {head: UNFRAMED, pieces: [LARGE_PIECE, LARGE_PIECE]};
     const closed = {...response, end: 'closed'} as const;
