--- a/entry/dispatch/test/unframed-responses.test.ts
+++ b/entry/dispatch/test/unframed-responses.test.ts
@@ -237,3 +237,40 @@
   expect(cut.body.length).to.be.above(0);
   expect(cut.isComplete).to.equal(false);
 });
+
+// Guards against half a body that the end of its call makes look whole.
+it('unframed responses: one that is broken off while its caller reads it is reset', async () => {
+  const body = Buffer.alloc(4_000_000, 'x');
+  const target = net.createServer(socket => {
+    socket.on('error', () => {});
+    socket.once('data', () => socket.write(UNFRAMED));
+    socket.once('data', () => socket.end(body));
+  });
+  const ending = new AbortController();
+  const entry = http.createServer((request, response) => {
+    http.get({port: portOf(target), agent: false}, message => {
+      void relayResponse({method: 'GET', message}, response, {
+        headers: {},
+        maxBufferedBytes: MAX_BUFFERED_BYTES,
+        endsWithDone: false,
+        createCheck: relayed => new FramingCheck(relayed),
+        maxStoredBytes: 0,
+        outlivesCaller: false,
+        signal: ending.signal,
+      });
+    });
+  });
+  await Promise.all([target, entry].map(listen));
+  const caller = net.connect(portOf(entry), '127.0.0.1');
+  const isReset = new Promise<boolean>(resolve => {
+    caller.on('error', () => resolve(true));
+    caller.on('end', () => resolve(false));
+  });
+  caller.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+  await new Promise(resolve => caller.once('readable', resolve));
+  ending.abort();
+  caller.resume();
+  expect(await isReset).to.equal(true);
+  target.close();
+  entry.close();
+});
