--- a/machines/memory-budget/src/memory-budget.ts
+++ b/machines/memory-budget/src/memory-budget.ts
@@ -11,6 +11,7 @@
 
 /** How full a budget is. */
 export interface BudgetOccupancy {
+  /** Reserved bytes outside the heap. */
   readonly heldBytes: number;
   readonly maxBytes: number;
 }
@@ -28,8 +29,8 @@
   readonly limit: ByteLimit;
   /** Returns the size of the heap, in bytes. */
   readonly heapBytes: () => number;
-  /** Maximum of single kinds, in bytes. */
-  readonly maxBytesByKind?: ReadonlyMap<string, number>;
+  /** Kinds of objects in the heap, with the maximum of each, in bytes. The size of the heap covers them. */
+  readonly maxBytesByHeapKind?: ReadonlyMap<string, number>;
   readonly listener?: BudgetListener;
   /** Share of the budget that reservations above `MAX_SMALL_BYTES` together may use; three quarters if absent. */
   readonly largeShare?: number;
@@ -45,6 +46,7 @@
 export class MemoryBudget {
   private readonly heldByKind = new Map<string, number>();
   private readonly refusedByKind = new Map<string, number>();
+  /** Reserved bytes outside the heap. */
   private held = 0;
   /** Refusals since the budget was last known to have room; 0 if it has. */
   private refusals = 0;
@@ -106,12 +108,21 @@
 
   private get maxLargeBytes(): number {
     const {heapBytes, largeShare = DEFAULT_LARGE_SHARE, limit} = this.options;
-    const heap = heapBytes();
+    const heap = heapBytes() + this.heapGrowthBytes;
     return (
       (limit.maxBytesWithLarge?.(heap) ?? limit.maxBytes(heap)) * largeShare
     );
   }
 
+  /** Bytes that objects of the heap kinds may still take. */
+  private get heapGrowthBytes(): number {
+    let bytes = 0;
+    this.options.maxBytesByHeapKind?.forEach((maxBytes, kind) => {
+      bytes += maxBytes - (this.heldByKind.get(kind) ?? 0);
+    });
+    return bytes;
+  }
+
   /** Takes bytes for a reservation that then has `size` bytes; whether they fit. */
   private take(kind: string, bytes: number, size: number): boolean {
     if (bytes <= 0) {
@@ -119,7 +130,7 @@
       return true;
     }
     const heldOfKind = this.heldByKind.get(kind) ?? 0;
-    const maxOfKind = this.options.maxBytesByKind?.get(kind) ?? Infinity;
+    const maxOfKind = this.options.maxBytesByHeapKind?.get(kind) ?? Infinity;
     if (this.missingBytes(bytes, size) > 0 || heldOfKind + bytes > maxOfKind) {
       this.refuse(kind, size);
       return false;
@@ -144,7 +155,9 @@
   }
 
   private add(kind: string, bytes: number): void {
-    this.held += bytes;
+    if (this.options.maxBytesByHeapKind?.has(kind) !== true) {
+      this.held += bytes;
+    }
     this.heldByKind.set(kind, (this.heldByKind.get(kind) ?? 0) + bytes);
   }
 }
--- a/machines/memory-budget/test/memory-budget.test.ts
+++ b/machines/memory-budget/test/memory-budget.test.ts
@@ -56,6 +56,26 @@
   expect(budget.reserve('small', 4_096)).to.not.equal(undefined);
 });
 
+it('memory budget: calls in progress leave room for small calls while large bodies are held', () => {
+  const limit = new MemoryLimit({
+    memoryBytes: 350_000_000,
+    connectionBytes: 87_500_000,
+  });
+  let heapBytes = 40_000_000;
+  budget = new MemoryBudget({
+    limit,
+    heapBytes: () => heapBytes,
+    maxBytesByHeapKind: new Map([['call', 57_000_000]]),
+  });
+  while (budget.reserve('large', 4_194_304) !== undefined);
+  for (let call = 0; call < 1_500; call += 1) {
+    expect(budget.reserve('call', 16_384)).to.not.equal(undefined);
+  }
+  heapBytes += 50_000_000;
+  expect(budget.reserve('call', 16_384)).to.not.equal(undefined);
+  expect(budget.reserve('small', 4_096)).to.not.equal(undefined);
+});
+
 it('memory budget: a reservation that grows by small steps is limited as a large one', () => {
   const reservation = budget.reserve('a', 0)!;
   let size = 0;
@@ -72,7 +92,7 @@
   budget = new MemoryBudget({
     limit: {maxBytes: () => MAX_BYTES},
     heapBytes: () => 0,
-    maxBytesByKind: new Map([['call', 100]]),
+    maxBytesByHeapKind: new Map([['call', 100]]),
   });
   expect(budget.reserve('call', 60)).to.not.equal(undefined);
   expect(budget.reserve('call', 60)).to.equal(undefined);
--- a/machines/process-runtime/src/process-runtime.ts
+++ b/machines/process-runtime/src/process-runtime.ts
@@ -298,7 +298,7 @@
   return new MemoryBudget({
     limit,
     heapBytes,
-    maxBytesByKind: new Map([
+    maxBytesByHeapKind: new Map([
       [
         REQUEST_OBJECTS,
         getHeapStatistics().heap_size_limit * REQUEST_OBJECTS_SHARE,
