Apply a deployment again after an error, which has an event of its own (CONFIG)

What callers saw: after an error while an entry applied a deployment, its routes were missing or in force in part until the operator sent another one. The log said 716 deployment-not-received, whose text says that the next replica is asked, which was not so.

Cause: the error was caught after the view had taken the revision over, so that no replica had a newer one to fetch.

Change: the follower applies the same text again after 0.2 s, then after twice as long each time, 5 s at most, until it succeeds or a newer one comes; no bytes are transferred for it. Event 717 deployment-not-applied names the revision, the error and the delay.

--- a/contracts/event-catalogue/src/fleet-events.ts
+++ b/contracts/event-catalogue/src/fleet-events.ts
@@ -99,6 +99,12 @@
     meaning:
       'A replica of control did not bring the deployment that it announced; the entry asks the next one.',
   },
+  'deployment-not-applied': {
+    number: 717,
+    level: 'error',
+    meaning:
+      'An error has occurred while an entry applied a deployment, which may be in force in part or not at all; the entry applies it again after `retryMs`, unless a newer one comes before.',
+  },
   'call-refused': {
     number: 720,
     level: 'info',
--- a/zones/fleet-client/src/fleet-follower.ts
+++ b/zones/fleet-client/src/fleet-follower.ts
@@ -18,6 +18,7 @@
 import {formatFindings} from '@marigoldspur/faults';
 import {FleetView, type FleetChange} from '@marigoldspur/fleet-view';
 import {exchangeJson} from '@marigoldspur/http-link';
+import {DeploymentApplier} from './deployment-applier.js';
 import {openLineStream} from './line-stream.js';
 
 /** Options of a fleet follower. */
@@ -71,6 +72,7 @@
 export class FleetFollower {
   readonly view = new FleetView();
   private readonly fetcher: DeploymentFetcher;
+  private readonly applier: DeploymentApplier;
   private readonly replicaStreams = new Map<string, ReplicaStream>();
   /** Replicas whose stream has started at least once. */
   private readonly followedOnce = new Set<string>();
@@ -88,11 +90,23 @@
     this.fetcher = new DeploymentFetcher({
       send: (replica, request, timeoutMs) =>
         this.requestDeployment(replica, request, timeoutMs),
-      onDeployment: (deployment, replica) =>
-        this.handleDeployment(deployment, replica),
+      onDeployment: deployment => this.handleDeployment(deployment),
       onFailure: (replica, {message: reason}) =>
         options.events.record('deployment-not-received', {replica, reason}),
     });
+    this.applier = new DeploymentApplier({
+      apply: () =>
+        options.onChange({
+          hasNewDeployment: true,
+          versions: [],
+          hasChangedTargets: false,
+        }),
+      onFailure: ({revision}, thrown, retryMs) => {
+        const reason = String(thrown);
+        const details = {revision, reason, retryMs};
+        options.events.record('deployment-not-applied', details);
+      },
+    });
     this.updateStreams();
     this.maintenanceTimer = setInterval(
       () => this.maintainStreams(),
@@ -148,6 +162,7 @@
   stop(): void {
     this.isStopped = true;
     this.fetcher.stop();
+    this.applier.stop();
     clearInterval(this.maintenanceTimer);
     this.retries.forEach(timer => clearTimeout(timer));
     this.replicaStreams.forEach(stream => stream.close());
@@ -257,12 +272,9 @@
     return transfer;
   }
 
-  private handleDeployment(deployment: DeploymentText, replica: string): void {
-    try {
-      this.options.onChange(this.view.applyDeployment(deployment));
-    } catch (thrown) {
-      const reason = String(thrown);
-      this.options.events.record('deployment-not-received', {replica, reason});
+  private handleDeployment(deployment: DeploymentText): void {
+    if (this.view.applyDeployment(deployment).hasNewDeployment) {
+      this.applier.apply(deployment);
     }
   }
 
