--- a/contracts/event-catalogue/src/control-events.ts
+++ b/contracts/event-catalogue/src/control-events.ts
@@ -70,6 +70,12 @@
     level: 'info',
     meaning: 'The disk of the replica has free space again.',
   },
+  'log-removal-failed': {
+    number: 249,
+    level: 'warn',
+    meaning:
+      'The replica could not remove files of the log that it does not need any more, or a temporary file; it tries again later.',
+  },
   'leadership-won': {
     number: 236,
     level: 'info',
--- a/control/log-storage/src/frame-file.ts
+++ b/control/log-storage/src/frame-file.ts
@@ -2,6 +2,7 @@
 import {Fault} from '@marigoldspur/faults';
 import type {FileSystem} from './file-system.js';
 import {encodeFrame, decodeFrames} from './frame.js';
+import {closeQuietly} from './disk-errors.js';
 
 const TEMPORARY_SUFFIX = '.tmp';
 
@@ -31,11 +32,12 @@
     }
     await handle.sync();
   } catch (thrown) {
-    await files.remove(temporary);
+    await closeQuietly(handle);
+    // One that stays is overwritten by the next write, or removed at the next start.
+    await files.remove(temporary).catch(() => {});
     throw thrown;
-  } finally {
-    await handle.close();
   }
+  await closeQuietly(handle);
   await files.rename(temporary, file);
   await files.syncFolder(path.dirname(file));
 }
--- a/control/log-storage/src/log-storage.ts
+++ b/control/log-storage/src/log-storage.ts
@@ -8,11 +8,8 @@
 import {writeFileAtomically} from './frame-file.js';
 import type {FileSystem} from './file-system.js';
 import {encodeFrame} from './frame.js';
-import {
-  createSegment,
-  toDiskError,
-  type SegmentWriter,
-} from './segment-writer.js';
+import {closeQuietly, toDiskError} from './disk-errors.js';
+import {createSegment, type SegmentWriter} from './segment-writer.js';
 import {encodeRecords, type LogRecord} from './records.js';
 import {snapshotFile, snapshotNames, type Segment} from './recover.js';
 
@@ -22,12 +19,16 @@
   readonly files?: FileSystem;
   /** Segment size from which a new segment is started, in bytes. */
   readonly segmentBytes?: number;
+  /** Called with the error if files that are not needed any more could not be removed. */
+  readonly onRemovalFailure?: (thrown: unknown) => void;
 }
 
 const DEFAULT_SEGMENT_BYTES = 4_194_304;
 
 /** Durable storage of one replica: log segments, snapshot and replica ID. */
 export class LogStorage {
+  /** Index up to which a snapshot covers files that could not be removed yet. */
+  private unremovedIndex: number | undefined;
   /** The latest removal of covered files; removals run one after another. */
   private lastRemoval: Promise<void> = Promise.resolve();
 
@@ -84,6 +85,18 @@
     await this.removeCovered(snapshot.index);
   }
 
+  /** Whether there are files that a snapshot covers and that could not be removed. */
+  get hasCoveredFiles(): boolean {
+    return this.unremovedIndex !== undefined;
+  }
+
+  /** Removes the files that a snapshot covers and that could not be removed before. */
+  async removeCoveredFiles(): Promise<void> {
+    if (this.unremovedIndex !== undefined) {
+      await this.removeCovered(this.unremovedIndex);
+    }
+  }
+
   /** Closes the current segment file. */
   async close(): Promise<void> {
     await this.currentSegment.close();
@@ -116,24 +129,37 @@
     }
   }
 
+  /** Removes covered files. Those that can't be removed do no harm and are removed later. */
   private removeCovered(index: number): Promise<void> {
-    const removed = this.lastRemoval.then(() => this.removeUpTo(index));
-    this.lastRemoval = removed.catch(() => {});
-    return removed;
+    this.lastRemoval = this.lastRemoval.then(async () => {
+      try {
+        await this.removeUpTo(index);
+        this.unremovedIndex = undefined;
+      } catch (thrown) {
+        this.unremovedIndex = index;
+        this.options.onRemovalFailure?.(thrown);
+      }
+    });
+    return this.lastRemoval;
   }
 
   private async removeUpTo(index: number): Promise<void> {
     const {folder} = this.options;
     const newest = path.basename(snapshotFile(folder, index));
-    const names = snapshotNames(await this.files.list(folder));
-    for (const name of names.filter(candidate => candidate < newest)) {
+    const names = await this.files.list(folder);
+    const older = snapshotNames(names).filter(name => name < newest);
+    for (const name of older) {
       await this.files.remove(path.join(folder, name));
     }
     while (
       this.closedSegments.length > 0 &&
       this.closedSegments[0].lastIndex <= index
     ) {
-      await this.files.remove(this.closedSegments[0].file);
+      const {file} = this.closedSegments[0];
+      // A removal that failed may have taken effect.
+      if (names.includes(path.basename(file))) {
+        await this.files.remove(file);
+      }
       this.closedSegments.shift();
     }
     await this.files.syncFolder(folder);
@@ -148,14 +174,10 @@
     const {folder} = this.options;
     const sequence = previous.segment.sequence + 1;
     const {state, lastIndex} = this;
-    try {
-      const start = {folder, sequence, state, lastIndex};
-      this.currentSegment = await createSegment(this.files, start);
-    } catch (thrown) {
-      throw toDiskError(thrown);
-    }
+    const start = {folder, sequence, state, lastIndex};
+    this.currentSegment = await createSegment(this.files, start);
     this.closedSegments.push(previous.segment);
-    await previous.close();
+    await closeQuietly(previous);
   }
 }
 
--- a/control/log-storage/src/open-log-storage.ts
+++ b/control/log-storage/src/open-log-storage.ts
@@ -7,6 +7,7 @@
   readFrameFile,
   writeFileAtomically,
 } from './frame-file.js';
+import {closeQuietly, toDiskError} from './disk-errors.js';
 import type {FileSystem} from './file-system.js';
 import {decodeFrames} from './frame.js';
 import {LogStorage, type LogStorageOptions} from './log-storage.js';
@@ -36,24 +37,41 @@
 
 /**
  * Opens the storage of a replica. Throws `CORRUPT_DATA` if synced data is damaged or
- * missing.
+ * missing, and `DISK_FULL` if there is no space; the same call may then be repeated.
  */
 export async function openLogStorage(
   options: LogStorageOptions,
 ): Promise<OpenedStorage> {
   const files = options.files ?? new NodeFileSystem();
   const {folder} = options;
-  await files.makeFolder(folder);
-  await files.syncFolder(path.dirname(folder));
-  const names = await files.list(folder);
-  for (const name of names.filter(isTemporaryFile)) {
-    await files.remove(path.join(folder, name));
+  try {
+    await files.makeFolder(folder);
+    await files.syncFolder(path.dirname(folder));
+  } catch (thrown) {
+    throw toDiskError(thrown);
   }
+  const names = await files.list(folder);
+  await removeTemporaryFiles(options, files, names);
   return names.includes(IDENTITY_FILE)
     ? openExisting(options, files, names)
     : openNew(options, files, names);
 }
 
+/** Removes what interrupted writes left; what can't be removed is ignored, and removed at the next start. */
+async function removeTemporaryFiles(
+  {folder, onRemovalFailure}: LogStorageOptions,
+  files: FileSystem,
+  names: readonly string[],
+): Promise<void> {
+  for (const name of names.filter(isTemporaryFile)) {
+    try {
+      await files.remove(path.join(folder, name));
+    } catch (thrown) {
+      onRemovalFailure?.(thrown);
+    }
+  }
+}
+
 async function openNew(
   options: LogStorageOptions,
   files: FileSystem,
@@ -77,9 +95,14 @@
   });
   const isReplacement = names.some(isSetAside);
   const identity = Buffer.from(JSON.stringify({id, isReplacement}));
-  await writeFileAtomically(files, path.join(folder, IDENTITY_FILE), [
-    identity,
-  ]);
+  try {
+    await writeFileAtomically(files, path.join(folder, IDENTITY_FILE), [
+      identity,
+    ]);
+  } catch (thrown) {
+    await closeQuietly(segment);
+    throw toDiskError(thrown);
+  }
   const storage = new LogStorage(options, files, EMPTY_STATE, 0, [], segment);
   const recovered = {state: EMPTY_STATE, entries: []};
   return {storage, id, isNew: true, isReplacement, recovered, tornBytes: 0};
@@ -131,7 +154,10 @@
     segment,
   );
   if (log.isSupersededBySnapshot && snapshot !== undefined) {
-    await storage.reset(snapshot);
+    await storage.reset(snapshot).catch(async thrown => {
+      await closeQuietly(storage);
+      throw thrown;
+    });
   }
   const recovered = {state: log.state, snapshot, entries: log.entries};
   const {tornBytes} = log;
--- a/control/log-storage/src/segment-writer.ts
+++ b/control/log-storage/src/segment-writer.ts
@@ -1,8 +1,8 @@
-import {Fault} from '@marigoldspur/faults';
 import type {HardState} from '@marigoldspur/consensus';
 import type {AppendFile, FileSystem} from './file-system.js';
 import {encodeFrame} from './frame.js';
 import {encodeRecords} from './records.js';
+import {closeQuietly, isDiskFull, toDiskError} from './disk-errors.js';
 import {segmentFile, type ReplayedLog, type Segment} from './recover.js';
 
 /** Options of a new segment. */
@@ -15,32 +15,36 @@
   readonly lastIndex: number;
 }
 
-/** Creates a segment with its header and syncs the file and its folder. */
+/**
+ * Creates a segment with its header and syncs the file and its folder. Throws `DISK_FULL`
+ * if there is no space; the same call may then be repeated.
+ */
 export async function createSegment(
   files: FileSystem,
   {folder, sequence, state, lastIndex}: NewSegmentOptions,
 ): Promise<SegmentWriter> {
   const file = segmentFile(folder, sequence);
-  const handle = await files.open(file);
   const header = encodeFrame(
     encodeRecords([{record: 'segment', sequence, state, lastIndex}]),
   );
+  let handle: AppendFile | undefined;
   try {
+    handle = await files.open(file);
     await handle.truncate(0);
     await handle.append(header);
+    await handle.sync();
+    await files.syncFolder(folder);
   } catch (thrown) {
-    await handle.close();
-    throw thrown;
+    await closeQuietly(handle);
+    throw toDiskError(thrown);
   }
-  await handle.sync();
-  await files.syncFolder(folder);
   const segment = {sequence, file, lastIndex: 0};
   return new SegmentWriter(segment, handle, header.length);
 }
 
 /**
- * Reopens the last segment of a log, truncates a torn write at its end and syncs the rest,
- * which the process may have been killed before syncing.
+ * Reopens the last segment of a log and syncs it, which the process may have been killed
+ * before. A torn write at its end is truncated, on a full disk before the next write.
  */
 export async function reopenSegment(
   files: FileSystem,
@@ -53,12 +57,24 @@
     const {sequence} = segment;
     return createSegment(files, {folder, sequence, state, lastIndex});
   }
-  const handle = await files.open(segment.file);
-  if (log.tornBytes > 0) {
-    await handle.truncate(log.validLength);
+  let handle: AppendFile;
+  try {
+    handle = await files.open(segment.file);
+  } catch (thrown) {
+    throw toDiskError(thrown);
+  }
+  const writer = new SegmentWriter(segment, handle, log.validLength);
+  try {
+    if (log.tornBytes > 0) {
+      await writer.discardPartialWrite();
+    }
+    // An error here is no full disk: a later sync would not store what this one dropped.
+    await handle.sync();
+  } catch (thrown) {
+    await closeQuietly(handle);
+    throw thrown;
   }
-  await handle.sync();
-  return new SegmentWriter(segment, handle, log.validLength);
+  return writer;
 }
 
 /** Appends to a segment. */
@@ -88,14 +104,28 @@
         this.hasPartialWrite = false;
       }
       await this.handle.append(bytes);
+      // File systems that allocate space late report its lack here.
+      await this.handle.sync();
     } catch (thrown) {
       this.hasPartialWrite = true;
       throw toDiskError(thrown);
     }
-    await this.handle.sync();
     this.syncedBytes += bytes.length;
   }
 
+  /** Truncates what follows the synced bytes, on a full disk before the next write. */
+  async discardPartialWrite(): Promise<void> {
+    this.hasPartialWrite = true;
+    try {
+      await this.handle.truncate(this.syncedBytes);
+      this.hasPartialWrite = false;
+    } catch (thrown) {
+      if (!isDiskFull(toDiskError(thrown))) {
+        throw thrown;
+      }
+    }
+  }
+
   /** Records that the segment holds entries up to an index. */
   recordIndex(index: number): void {
     this.segment.lastIndex = Math.max(this.segment.lastIndex, index);
@@ -105,14 +135,3 @@
     await this.handle.close();
   }
 }
-
-/**
- * Converts a system error for lack of disk space to `DISK_FULL`; returns other errors
- * unchanged.
- */
-export function toDiskError(thrown: unknown): unknown {
-  const code = (thrown as {code?: unknown} | undefined)?.code;
-  return code === 'ENOSPC' || code === 'EDQUOT'
-    ? new Fault('DISK_FULL', 'the disk is full', {cause: thrown})
-    : thrown;
-}
--- a/control/log-storage/src/set-aside.ts
+++ b/control/log-storage/src/set-aside.ts
@@ -1,4 +1,5 @@
 import path from 'node:path';
+import {toDiskError} from './disk-errors.js';
 import {isTemporaryFile} from './frame-file.js';
 import type {FileSystem} from './file-system.js';
 import {NodeFileSystem} from './node-file-system.js';
@@ -36,9 +37,20 @@
  * Sets the files of a damaged log aside under the suffix `.damaged`, in place of those of
  * an earlier damage, so that the folder can be opened as that of a new replica. Keeps the
  * newest files within the limits. The identity goes first: at no point does the folder
- * hold a part of the log under the former replica ID.
+ * hold a part of the log under the former replica ID. Throws `DISK_FULL` if there is no
+ * space; the same call may then be repeated.
  */
-export async function setAsideLog({
+export async function setAsideLog(
+  options: SetAsideOptions,
+): Promise<SetAsideFiles> {
+  try {
+    return await setAside(options);
+  } catch (thrown) {
+    throw toDiskError(thrown);
+  }
+}
+
+async function setAside({
   folder,
   files = new NodeFileSystem(),
   maxBytes = DEFAULT_MAX_BYTES,
@@ -54,9 +66,9 @@
     const file = path.join(folder, name);
     await files.rename(file, file + SUFFIX);
   }
-  const setAside = await removeExcess(files, folder, maxBytes);
+  const kept = await removeExcess(files, folder, maxBytes);
   await files.syncFolder(folder);
-  return setAside;
+  return kept;
 }
 
 async function setIdentityAside(
--- a/control/log-storage/test/fake-disk.ts
+++ b/control/log-storage/test/fake-disk.ts
@@ -4,8 +4,22 @@
 class StoredFile {
   bytes = Buffer.alloc(0);
   synced = Buffer.alloc(0);
+  /** Range of bytes that a failed sync dropped: a later sync stores them only if they are written again. */
+  dropped?: {readonly from: number; readonly to: number};
 }
 
+/** An operation that changes the disk. */
+export type DiskOperation =
+  | 'makeFolder'
+  | 'open'
+  | 'append'
+  | 'truncate'
+  | 'sync'
+  | 'close'
+  | 'rename'
+  | 'remove'
+  | 'syncFolder';
+
 /** An in-memory disk that simulates power loss, lack of space and failing syncs. */
 export class FakeDisk implements FileSystem {
   /** Number of bytes that can still be written. */
@@ -16,6 +30,8 @@
   failsSync = false;
   /** Whether folder syncs have no effect, to check that a test depends on them. */
   skipsFolderSync = false;
+  /** Called before each operation, with the path; an exception makes the operation fail. */
+  beforeOperation: (operation: DiskOperation, name: string) => void = () => {};
   /** Number of file syncs so far. */
   syncCount = 0;
   private readonly names = new Map<string, StoredFile>();
@@ -26,6 +42,7 @@
     this.names.clear();
     for (const [name, file] of this.syncedNames) {
       file.bytes = Buffer.from(file.synced);
+      file.dropped = undefined;
       this.names.set(name, file);
     }
   }
@@ -59,6 +76,7 @@
       const stored = new StoredFile();
       stored.bytes = Buffer.from(file.bytes);
       stored.synced = Buffer.from(file.synced);
+      stored.dropped = file.dropped;
       copy.names.set(name, stored);
       if (this.syncedNames.has(name)) {
         copy.syncedNames.set(name, stored);
@@ -67,7 +85,9 @@
     return copy;
   }
 
-  async makeFolder(): Promise<void> {}
+  async makeFolder(folder: string): Promise<void> {
+    this.beforeOperation('makeFolder', folder);
+  }
 
   async list(folder: string): Promise<string[]> {
     return [...this.names.keys()]
@@ -84,38 +104,56 @@
   }
 
   async open(name: string): Promise<AppendFile> {
+    this.beforeOperation('open', name);
     const file = this.names.get(name) ?? new StoredFile();
     this.names.set(name, file);
     return {
-      append: async bytes => this.append(file, bytes),
+      append: async bytes => {
+        this.beforeOperation('append', name);
+        this.append(file, bytes);
+      },
       truncate: async length => {
+        this.beforeOperation('truncate', name);
         if (this.refusesTruncation) {
           throw Object.assign(new Error('no space left'), {code: 'ENOSPC'});
         }
         file.bytes = file.bytes.subarray(0, length);
+        if (file.dropped !== undefined && length <= file.dropped.from) {
+          file.dropped = undefined;
+        }
       },
       sync: async () => {
+        try {
+          this.beforeOperation('sync', name);
+        } catch (thrown) {
+          file.dropped = {from: file.synced.length, to: file.bytes.length};
+          throw thrown;
+        }
         if (this.failsSync) {
           throw Object.assign(new Error('input/output error'), {code: 'EIO'});
         }
         this.syncCount += 1;
         file.synced = Buffer.from(file.bytes);
+        file.synced.fill(0, file.dropped?.from ?? 0, file.dropped?.to ?? 0);
       },
-      close: async () => {},
+      close: async () => this.beforeOperation('close', name),
     };
   }
 
   async rename(from: string, to: string): Promise<void> {
+    this.beforeOperation('rename', to);
     this.names.set(to, this.fileOf(from));
     this.names.delete(from);
   }
 
   async remove(name: string): Promise<void> {
+    this.beforeOperation('remove', name);
     this.fileOf(name);
     this.names.delete(name);
   }
 
   async syncFolder(folder: string): Promise<void> {
+    this.beforeOperation('syncFolder', folder);
     if (this.skipsFolderSync) {
       return;
     }
--- a/control/replicated-log/src/batch-writer.ts
+++ b/control/replicated-log/src/batch-writer.ts
@@ -15,8 +15,8 @@
   readonly onFatal: (thrown: unknown) => void;
 }
 
-/** Delay before a write to a full disk is retried. */
-const DISK_FULL_RETRY_MS = 250;
+/** Delay before a write to a full disk is retried, in milliseconds. */
+export const DISK_FULL_RETRY_MS = 250;
 
 /**
  * Writes batches to storage one at a time. Operations that arrive during a sync are
--- a/control/replicated-log/src/open-replicated-log.ts
+++ b/control/replicated-log/src/open-replicated-log.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {Consensus} from '@marigoldspur/consensus';
 import type {EventLog} from '@marigoldspur/event-log';
 import {toFault, type Fault} from '@marigoldspur/faults';
@@ -14,6 +15,7 @@
   type FileSystem,
   type OpenedStorage,
 } from '@marigoldspur/log-storage';
+import {DISK_FULL_RETRY_MS} from './batch-writer.js';
 import {LogReplica} from './log-replica.js';
 import {PeerRegistry} from './peer-registry.js';
 import type {ReplicatedLog, StateMachine} from './replicated-log.js';
@@ -57,6 +59,11 @@
   readonly agent?: http.Agent;
 }
 
+type StorageOptions = Pick<
+  ReplicatedLogOptions,
+  'events' | 'files' | 'folder' | 'segmentBytes'
+>;
+
 /** An open log and the endpoints that the other replicas call. */
 export interface OpenedLog<Command, Answer> {
   readonly log: ReplicatedLog<Command, Answer>;
@@ -138,24 +145,54 @@
   };
 }
 
-/** Opens the storage; damaged files are set aside, and the storage is then empty. */
-async function openStorage(
-  options: Pick<
-    ReplicatedLogOptions,
-    'events' | 'files' | 'folder' | 'segmentBytes'
-  >,
-): Promise<OpenedStorage> {
-  const {events, files, folder, segmentBytes} = options;
+/** Opens the storage, once the disk has room; damaged files are set aside, and the storage is then empty. */
+async function openStorage(options: StorageOptions): Promise<OpenedStorage> {
+  const {events} = options;
+  for (let isFull = false; ; isFull = true) {
+    try {
+      const opened = await openOrSetAside(options);
+      if (isFull) {
+        events.record('disk-has-room');
+      }
+      return opened;
+    } catch (thrown) {
+      if (toFault(thrown).code !== 'DISK_FULL') {
+        throw thrown;
+      }
+    }
+    if (!isFull) {
+      events.record('disk-full');
+    }
+    await delay(DISK_FULL_RETRY_MS);
+  }
+}
+
+async function openOrSetAside({
+  events,
+  files,
+  folder,
+  segmentBytes,
+}: StorageOptions): Promise<OpenedStorage> {
+  const storageOptions = {
+    folder,
+    files,
+    segmentBytes,
+    onRemovalFailure: (thrown: unknown) =>
+      events.record('log-removal-failed', {reason: toFault(thrown).message}),
+  };
   try {
-    return await openLogStorage({folder, files, segmentBytes});
+    return await openLogStorage(storageOptions);
   } catch (thrown) {
-    const fault = toFault(thrown);
-    events.record('log-corrupt', {reason: fault.message});
-    if (fault.code !== 'CORRUPT_DATA') {
+    const {code, message: reason} = toFault(thrown);
+    if (code === 'DISK_FULL') {
+      throw thrown;
+    }
+    events.record('log-corrupt', {reason});
+    if (code !== 'CORRUPT_DATA') {
       throw thrown;
     }
     const setAside = await setAsideLog({folder, files});
     events.record('log-set-aside', {...setAside});
-    return openLogStorage({folder, files, segmentBytes});
+    return openLogStorage(storageOptions);
   }
 }
--- a/control/replicated-log/src/snapshot-manager.ts
+++ b/control/replicated-log/src/snapshot-manager.ts
@@ -22,7 +22,7 @@
   readonly onFatal: (thrown: unknown) => void;
 }
 
-/** Delay before a snapshot is retried after the disk was full. */
+/** Delay before a snapshot or removal is retried after the disk was full, in milliseconds. */
 const RETRY_DELAY_MS = 5_000;
 
 /** Saves snapshots of the state machine and provides them to replicas that need one. */
@@ -50,13 +50,31 @@
     }
   }
 
-  /** Saves a snapshot if enough entries were applied since the last one. */
+  /**
+   * Saves a snapshot if enough entries were applied since the last one. Removes files that
+   * the last one covers first, if that failed before: the new one may need their space.
+   */
   saveIfDue(now: number): void {
-    if (!this.isSaving && now >= this.retryAt && this.isDue()) {
-      this.isSaving = true;
-      void this.save(now).finally(() => {
-        this.isSaving = false;
-      });
+    if (this.isSaving || now < this.retryAt) {
+      return;
+    }
+    if (this.options.storage.hasCoveredFiles) {
+      this.retryAt = now + RETRY_DELAY_MS;
+      this.run(this.removeCoveredFiles(now));
+    } else if (this.isDue()) {
+      this.run(this.save(now));
+    }
+  }
+
+  private run(work: Promise<void>): void {
+    this.isSaving = true;
+    void work.finally(() => (this.isSaving = false));
+  }
+
+  private async removeCoveredFiles(now: number): Promise<void> {
+    await this.options.storage.removeCoveredFiles();
+    if (this.isDue()) {
+      await this.save(now);
     }
   }
 
--- a/control/replicated-log/test/replicated-log.test.ts
+++ b/control/replicated-log/test/replicated-log.test.ts
@@ -42,10 +42,22 @@
   }
 }
 
-/** A file system whose writes or syncs fail with the configured error codes. */
+/** A file system whose operations fail with the configured error codes. */
 class FailingFiles extends NodeFileSystem {
   writeError: string | undefined;
   syncError: string | undefined;
+  removeError: string | undefined;
+  folderError: string | undefined;
+
+  override async makeFolder(name: string): Promise<void> {
+    throwIfSet(this.folderError);
+    await super.makeFolder(name);
+  }
+
+  override async remove(file: string): Promise<void> {
+    throwIfSet(this.removeError);
+    await super.remove(file);
+  }
 
   override async open(file: string): Promise<AppendFile> {
     const opened = await super.open(file);
@@ -243,6 +255,48 @@
   expect(fatalErrors).to.deep.equal([]);
 });
 
+for (const code of ['ENOSPC', 'EIO']) {
+  it(`disk full: files that can not be removed do not end the replica (${code}), and are removed later without a command`, async () => {
+    const files = new FailingFiles();
+    const {log} = await openLog(new WordList(), {
+      files,
+      snapshotEntries: 10,
+      segmentBytes: 200,
+    });
+    await waitUntil(isLeader(log));
+    files.removeError = code;
+    for (let count = 0; count < 30; count += 1) {
+      expect((await log.propose('a word')).isOk).to.equal(true);
+    }
+    await waitUntil(() => recordedNames().includes('log-removal-failed'));
+    files.removeError = undefined;
+    const segmentCount = async () => {
+      const names = await readdir(path.join(folder, 'log'));
+      return names.filter(name => name.startsWith('log-')).length;
+    };
+    const before = await segmentCount();
+    while ((await segmentCount()) === before) {
+      await delay(POLL_MS);
+    }
+    expect(fatalErrors).to.deep.equal([]);
+  }).timeout(20_000);
+}
+
+it('disk full: a replica that is started on a full disk waits for room', async () => {
+  const files = new FailingFiles();
+  files.folderError = 'ENOSPC';
+  const opening = openLog(new WordList(), {files});
+  await Promise.race([
+    opening,
+    waitUntil(() => recordedNames().includes('disk-full')),
+  ]);
+  files.folderError = undefined;
+  const {log} = await opening;
+  await waitUntil(isLeader(log));
+  expect(recordedNames()).to.include('disk-has-room');
+  expect(recordedNames()).to.not.include('log-corrupt');
+});
+
 it('failed sync: calls onFatal and accepts no command', async () => {
   const files = new FailingFiles();
   const {log} = await openLog(new WordList(), {files});
