Order no engine to hold more than its memory (LIMIT)

Cause: the sizes of models and the memory of engines were not read; planOrder planned a load of a missing model without regard to memory, and entries took any engine without the model as a candidate.

Change: weightsMb of models and engines is part of a deployment. Requests to prepare an adapter carry the memory and the sizes of the models concerned. The agent counts models and adapters that are held, being loaded or accepted; it unloads adapters or models that no call uses first, and answers at once if models in use leave no room. Agents report unused models; an entry prefers engines that have the model or the memory, then those that have to unload an unused model, and otherwise refuses the call as not run, with the time of a load. A deployment without sizes, or with one model, is handled as before. check-configuration warns of a model that no engine can hold.

Looked at without a change: adapters and slots of the same engine take part in the sum; the product's own agent-server holds one model and counts slots only.

--- a/agent/engine-agent/src/accepted-orders.ts
+++ b/agent/engine-agent/src/accepted-orders.ts
@@ -26,6 +26,9 @@
 export class AcceptedOrders {
   private readonly loads = new Map<string, AcceptedLoad>();
   private readonly unloads = new Set<string>();
+  /** When loads and unloads of models were accepted, by model. */
+  private readonly modelLoads = new Map<string, number>();
+  private readonly modelUnloads = new Map<string, number>();
 
   /** Adapters whose load was accepted but is not visible yet. */
   get loading(): ReadonlySet<string> {
@@ -39,9 +42,19 @@
     return this.unloads;
   }
 
+  /** Models whose load was accepted but is not visible yet. */
+  get loadingModels(): ReadonlySet<string> {
+    return new Set(this.modelLoads.keys());
+  }
+
+  /** Models whose unload was accepted but is not visible yet. */
+  get leavingModels(): ReadonlySet<string> {
+    return new Set(this.modelUnloads.keys());
+  }
+
   /**
-   * Records an order for an adapter that the engine accepted, or whose result
-   * was already in place.
+   * Records an order that the engine accepted, or whose result was already in
+   * place.
    */
   record(
     order: AdapterOrder,
@@ -50,6 +63,11 @@
     now: number,
   ): void {
     if (order.adapter === undefined) {
+      if (order.kind === 'load') {
+        this.modelLoads.set(order.model, now);
+      } else if (isAccepted) {
+        this.modelUnloads.set(order.model, now);
+      }
       return;
     }
     const name = adapterName(order.model, order.adapter);
@@ -76,12 +94,26 @@
         this.unloads.delete(name);
       }
     }
+    const hasFailed = (acceptedAt: number) =>
+      !state.busy && now - acceptedAt > LOAD_TIMEOUT_MS;
+    for (const [model, acceptedAt] of this.modelLoads) {
+      if (state.models.has(model) || hasFailed(acceptedAt)) {
+        this.modelLoads.delete(model);
+      }
+    }
+    for (const [model, acceptedAt] of this.modelUnloads) {
+      if (!state.models.has(model) || hasFailed(acceptedAt)) {
+        this.modelUnloads.delete(model);
+      }
+    }
   }
 
   /** Removes all orders after the engine restarted or became unreachable. */
   clear(): void {
     this.loads.clear();
     this.unloads.clear();
+    this.modelLoads.clear();
+    this.modelUnloads.clear();
   }
 }
 
--- a/agent/engine-agent/src/adapter-manager.ts
+++ b/agent/engine-agent/src/adapter-manager.ts
@@ -8,14 +8,16 @@
 } from '@marigoldspur/deployment';
 import {createEvictionPolicy} from '@marigoldspur/eviction';
 import type {EventLog} from '@marigoldspur/event-log';
-import {
-  isLoaded,
-  planOrder,
-  type PlannedOrder,
-  type RequestedAdapter,
-} from './adapter-plan.js';
+import {isLoaded, planOrder, type PlannedOrder} from './adapter-plan.js';
 import {AcceptedOrders} from './accepted-orders.js';
 import {AdapterUseTracker} from './adapter-use-tracker.js';
+import {EngineMemory} from './engine-memory.js';
+import {
+  unusedModels,
+  type PlanInput,
+  type RequestedAdapter,
+} from './plan-input.js';
+import {planRoom} from './room-plan.js';
 import type {
   AdapterOrder,
   EngineState,
@@ -70,6 +72,7 @@
   private state: EngineState | undefined;
   private target: string | undefined;
   private slots = 0;
+  private memory: EngineMemory | undefined;
   /**
    * An order with unknown outcome that may still be executed. It is repeated
    * until its outcome is known.
@@ -105,6 +108,10 @@
     const name = adapterName(request.model, request.adapter);
     this.slots = request.slots;
     this.target = request.target;
+    if (request.memory !== undefined) {
+      this.memory ??= new EngineMemory();
+      this.memory.update(request.memory, this.neededModels());
+    }
     this.uses.expectUse(name, now);
     return new Promise(resolve => {
       const existing = this.requested.get(name);
@@ -167,6 +174,7 @@
         return;
       }
       this.applyState(read.value, now);
+      this.refuseUnplaceable(read.value, now);
       mayHaveMore = await this.sendNextOrder(read.value, now);
     }
   }
@@ -189,6 +197,7 @@
       const held = [...state.models, ...state.adapters.keys()].join(' ');
       this.options.events.record('engine-found', {bornAt, sequence, held});
       this.clearOrders();
+      this.uses.startObserving(now);
     }
     this.state = state;
     this.acceptedOrders.removeSettled(state, now);
@@ -205,6 +214,25 @@
     this.options.onView(this.createView(state, now));
   }
 
+  /** Names of the models that calls wait for or that the engine holds or loads. */
+  private neededModels(): ReadonlySet<string> {
+    return new Set([
+      ...[...this.requested.values()].map(({model}) => model),
+      ...(this.state?.models ?? []),
+      ...this.acceptedOrders.loadingModels,
+    ]);
+  }
+
+  /** Answers the calls for which the engine has no memory while others use its models. */
+  private refuseUnplaceable(state: EngineState, now: number): void {
+    for (const pending of [...this.requested.values()]) {
+      if (planRoom(this.planInput(state), pending, now).kind === 'none') {
+        const reason = `the engine has no memory for model "${pending.model}" beside what calls use`;
+        this.answerWaiters(pending, {ready: false, reason});
+      }
+    }
+  }
+
   /**
    * Sends the next order; returns false if there is none or the engine is not
    * ready for another one.
@@ -244,18 +272,7 @@
     fence: number,
     now: number,
   ): AdapterOrder | undefined {
-    const planned = planOrder(
-      {
-        state,
-        slots: this.slots,
-        accepted: this.acceptedOrders.loading,
-        leaving: this.acceptedOrders.leaving,
-        requested: [...this.requested.values()],
-        uses: this.uses,
-      },
-      this.eviction,
-      now,
-    );
+    const planned = planOrder(this.planInput(state), this.eviction, now);
     if (planned === undefined) {
       return undefined;
     }
@@ -264,6 +281,21 @@
     return {...toOrderFields(planned), sequence, fence, target};
   }
 
+  private planInput(state: EngineState): PlanInput {
+    const {acceptedOrders, memory, slots, uses} = this;
+    return {
+      state,
+      slots,
+      accepted: acceptedOrders.loading,
+      leaving: acceptedOrders.leaving,
+      loadingModels: acceptedOrders.loadingModels,
+      leavingModels: acceptedOrders.leavingModels,
+      memory,
+      requested: [...this.requested.values()],
+      uses,
+    };
+  }
+
   private handleOutcome(
     order: AdapterOrder,
     outcome: OrderOutcome,
@@ -313,7 +345,10 @@
       bornAt,
       answers: true,
       leaving,
-      models: [...models],
+      models: [...models].filter(
+        model => !this.acceptedOrders.leavingModels.has(model),
+      ),
+      unusedModels: unusedModels(this.planInput(state), now),
       adapters: [...state.adapters].filter(
         ([name]) => !this.acceptedOrders.leaving.has(name),
       ),
@@ -354,6 +389,9 @@
   if (planned.kind === 'load-model') {
     return {kind: 'load', model: planned.model};
   }
+  if (planned.kind === 'unload-model') {
+    return {kind: 'unload', model: planned.model};
+  }
   if (planned.kind === 'load') {
     const {model, adapter, version} = planned.requested;
     return {kind: 'load', model, adapter, version: version || undefined};
--- a/agent/engine-agent/src/adapter-plan.ts
+++ b/agent/engine-agent/src/adapter-plan.ts
@@ -1,43 +1,18 @@
 import type {EvictionPolicy} from '@marigoldspur/eviction';
 import type {EngineState} from './managed-engine.js';
-import type {AdapterUseTracker} from './adapter-use-tracker.js';
-
-/** An adapter, or the model itself, that calls are waiting for. */
-export interface RequestedAdapter {
-  readonly model: string;
-  /** Absent if the model itself is requested. */
-  readonly adapter?: string;
-  /** `model/adapter`, or the name of the model. */
-  readonly name: string;
-  /** Minimum version; any version is sufficient if absent. */
-  readonly version?: number;
-  /** When it was first requested, in milliseconds. */
-  readonly since: number;
-}
-
-/** Input for planning the next order. */
-export interface PlanInput {
-  readonly state: EngineState;
-  /** Maximum number of adapters in the engine. */
-  readonly slots: number;
-  /**
-   * Adapters whose load the engine accepted but that are not visible in its
-   * state yet.
-   */
-  readonly accepted: ReadonlySet<string>;
-  /**
-   * Adapters that the engine unloads once their running requests have ended.
-   */
-  readonly leaving: ReadonlySet<string>;
-  readonly requested: readonly RequestedAdapter[];
-  readonly uses: Pick<AdapterUseTracker, 'isUsed' | 'usedAt'>;
-}
+import {
+  evictableAdapters,
+  type PlanInput,
+  type RequestedAdapter,
+} from './plan-input.js';
+import {planRoom} from './room-plan.js';
 
 /** The next order to send. */
 export type PlannedOrder =
   | {readonly kind: 'load-model'; readonly model: string}
   | {readonly kind: 'load'; readonly requested: RequestedAdapter}
-  | {readonly kind: 'unload'; readonly name: string};
+  | {readonly kind: 'unload'; readonly name: string}
+  | {readonly kind: 'unload-model'; readonly model: string};
 
 /** Maximum number of concurrent adapter loads of one engine. */
 const MAX_CONCURRENT_LOADS = 4;
@@ -57,15 +32,15 @@
 /**
  * Plans the next order for the adapter that was requested first. Returns
  * undefined while no order is possible. Every adapter that is loaded, being
- * loaded, or possibly loaded by an order with unknown outcome occupies a slot.
+ * loaded, or possibly loaded by an order with unknown outcome occupies a slot and memory.
  */
 export function planOrder(
   input: PlanInput,
   eviction: EvictionPolicy,
   now: number,
 ): PlannedOrder | undefined {
-  const {state, slots, accepted, leaving} = input;
-  if (state.busy) {
+  const {state, slots, accepted, leaving, loadingModels, leavingModels} = input;
+  if (state.busy || loadingModels.size > 0 || leavingModels.size > 0) {
     return undefined;
   }
   const loading = new Set([...state.loading, ...accepted]);
@@ -79,6 +54,16 @@
   if (next === undefined) {
     return undefined;
   }
+  const room = planRoom(input, next, now);
+  if (room.kind === 'unload-adapter') {
+    return planEviction(input, loading, eviction, now);
+  }
+  if (room.kind === 'unload-model') {
+    return room;
+  }
+  if (room.kind !== 'free') {
+    return undefined;
+  }
   if (!state.models.has(next.model)) {
     return {kind: 'load-model', model: next.model};
   }
@@ -86,29 +71,23 @@
   if (occupied.has(next.name) || occupied.size < slots) {
     return leaving.has(next.name) ? undefined : {kind: 'load', requested: next};
   }
-  if (leaving.size > 0) {
-    return undefined;
-  }
-  const victim = eviction.chooseVictim(
-    evictableAdapters(input, loading, now),
-    now,
-  );
-  return victim === undefined ? undefined : {kind: 'unload', name: victim};
+  return planEviction(input, loading, eviction, now);
 }
 
-/**
- * Returns the adapters that can be evicted. Adapters with running requests are
- * excluded, because the engine unloads them only after the requests have ended
- * and delays other work in the meantime.
- */
-function evictableAdapters(
+/** Plans the unload of an adapter; returns undefined while another one is being unloaded. */
+function planEviction(
   input: PlanInput,
   loading: ReadonlySet<string>,
+  eviction: EvictionPolicy,
   now: number,
-) {
-  const requested = new Set(input.requested.map(({name}) => name));
-  return [...input.state.adapters.keys()]
-    .filter(name => !loading.has(name) && !requested.has(name))
-    .filter(name => !input.uses.isUsed(name, now))
-    .map(model => ({model, lastUsed: input.uses.usedAt(model)}));
+): PlannedOrder | undefined {
+  if (input.leaving.size > 0) {
+    return undefined;
+  }
+  const victims = evictableAdapters(input, loading, now).map(model => ({
+    model,
+    lastUsed: input.uses.usedAt(model),
+  }));
+  const victim = eviction.chooseVictim(victims, now);
+  return victim === undefined ? undefined : {kind: 'unload', name: victim};
 }
--- a/agent/engine-agent/src/view-streams.ts
+++ b/agent/engine-agent/src/view-streams.ts
@@ -50,6 +50,8 @@
     const text = `${JSON.stringify(view)}\n`;
     const {adapters: held, answers, awaited, bornAt, leaving, loading} = view;
     const adapters = JSON.stringify([
+      view.models,
+      view.unusedModels,
       bornAt,
       answers,
       leaving,
--- a/agent/engine-agent/test/adapter-manager.test.ts
+++ b/agent/engine-agent/test/adapter-manager.test.ts
@@ -18,6 +18,12 @@
   readonly orders: AdapterOrder[] = [];
   readonly adapters = new Map<string, number>();
   readonly models = new Set(['m']);
+  /** Whether it held more models than one at some moment. */
+  wasOverloaded = false;
+  /** A model that is being loaded; the load ends when a test ends it. */
+  loadingModel: string | undefined;
+  /** Whether loads of models take until `finishModelLoad`. */
+  delayModels = false;
   sequence = 0;
   bornAt = 1;
   /**
@@ -31,7 +37,7 @@
     return Result.ok({
       bornAt: this.bornAt,
       sequence: this.sequence,
-      busy: false,
+      busy: this.loadingModel !== undefined,
       models: new Set(this.models),
       adapters: new Map(this.adapters),
       loading: new Set<string>(),
@@ -62,6 +68,13 @@
 
   close(): void {}
 
+  finishModelLoad(): void {
+    if (this.loadingModel !== undefined) {
+      this.models.add(this.loadingModel);
+    }
+    this.loadingModel = undefined;
+  }
+
   private executeOrder({
     kind,
     model,
@@ -69,8 +82,14 @@
     version = 1,
   }: AdapterOrder): void {
     const name = `${model}/${adapter}`;
-    if (adapter === undefined) {
-      this.models.add(model);
+    if (adapter === undefined && kind === 'unload') {
+      this.models.delete(model);
+    } else if (adapter === undefined) {
+      this.wasOverloaded ||= this.models.size > 0;
+      this.loadingModel = model;
+      if (!this.delayModels) {
+        this.finishModelLoad();
+      }
     } else if (kind === 'unload') {
       this.adapters.delete(name);
     } else if (!this.delayReplacement || !this.adapters.has(name)) {
@@ -183,3 +202,54 @@
   expect(views.at(-1)?.takenSlots).to.equal(SLOTS);
   await manager.stop();
 });
+
+const MEMORY = {
+  capacityMb: 35_300,
+  models: ['m', 'n'].map(name => ({name, weightsMb: 34_300, adapterMb: 40})),
+};
+
+function prepareModel(manager: AdapterManager, model: string) {
+  const request = {
+    model,
+    adapter: 'a',
+    slots: SLOTS,
+    target: 't',
+    memory: MEMORY,
+  };
+  const {signal} = new AbortController();
+  return manager.prepare(request, signal, performance.now());
+}
+
+// Guards against agents that order an engine to hold two models where one fits.
+it('adapter manager: a model is refused at once while calls use another one that fills the memory', async () => {
+  const engine = new FakeEngine();
+  const manager = startManager(engine);
+  expect((await prepareModel(manager, 'm')).ready).to.equal(true);
+  const refused = await prepareModel(manager, 'n');
+  expect(refused.reason).to.match(/no memory for model "n"/);
+  expect(engine.orders.map(({model}) => model)).to.deep.equal(['m']);
+  await manager.stop();
+});
+
+it('adapter manager: of two models that are requested at once for an empty engine one is loaded', async () => {
+  const engine = new FakeEngine();
+  engine.models.clear();
+  engine.delayModels = true;
+  const manager = startManager(engine);
+  const first = prepareModel(manager, 'm');
+  const second = prepareModel(manager, 'n');
+  expect((await second).ready).to.equal(false);
+  engine.finishModelLoad();
+  expect((await first).ready).to.equal(true);
+  expect(engine.wasOverloaded).to.equal(false);
+  await manager.stop();
+});
+
+it('adapter manager: views name models without calls, but none right after the start', async () => {
+  const engine = new FakeEngine();
+  const views: EngineView[] = [];
+  const manager = startManager(engine, view => views.push(view));
+  await waitUntil(() => views.length > 0);
+  expect(views[0].unusedModels).to.deep.equal([]);
+  await manager.stop();
+});
--- a/agent/engine-agent/test/adapter-plan.test.ts
+++ b/agent/engine-agent/test/adapter-plan.test.ts
@@ -3,6 +3,7 @@
 import {
   planOrder,
   AdapterUseTracker,
+  EngineMemory,
   type PlanInput,
   type EngineState,
   type RequestedAdapter,
@@ -35,6 +36,9 @@
     slots: 2,
     accepted: new Set(),
     leaving: new Set(),
+    loadingModels: new Set(),
+    leavingModels: new Set(),
+    memory: undefined,
     requested: [],
     uses: new AdapterUseTracker(),
     ...changes,
@@ -119,3 +123,80 @@
   const accepted = new Set(['m/a']);
   expect(plan({accepted, requested: [requested('a')]})).to.equal(undefined);
 });
+
+/** Memory for one of the models with 25 of its adapters. */
+function oneModelMemory(capacityMb = 35_300) {
+  const memory = new EngineMemory();
+  const models = ['m', 'n'].map(name => ({
+    name,
+    weightsMb: 34_300,
+    adapterMb: 40,
+  }));
+  memory.update({capacityMb, models}, new Set());
+  return memory;
+}
+
+const OTHER = {model: 'n', adapter: 'a', name: 'n/a', since: 0};
+
+// Guards against engines that crash because they hold one more model than fits.
+it('adapter plan: a model is not loaded beside one that calls use', () => {
+  const uses = new AdapterUseTracker();
+  uses.expectUse('m/a', NOW - 1_000);
+  const memory = oneModelMemory();
+  expect(plan({memory, uses, requested: [OTHER]})).to.equal(undefined);
+  const both = oneModelMemory(2 * 34_300 + 40);
+  expect(plan({memory: both, uses, requested: [OTHER]})).to.deep.equal({
+    kind: 'load-model',
+    model: 'n',
+  });
+});
+
+it('adapter plan: a model without calls is unloaded before another one is loaded', () => {
+  const unload = {kind: 'unload-model', model: 'm'};
+  const memory = oneModelMemory();
+  expect(plan({memory, requested: [OTHER]})).to.deep.equal(unload);
+  const leavingModels = new Set(['m']);
+  expect(plan({memory, leavingModels, requested: [OTHER]})).to.equal(undefined);
+  const empty = state({models: new Set()});
+  expect(plan({memory, state: empty, requested: [OTHER]})).to.deep.equal({
+    kind: 'load-model',
+    model: 'n',
+  });
+});
+
+it('adapter plan: a model is not unloaded while the engine runs calls that nobody reported', () => {
+  const memory = oneModelMemory();
+  const running = state({running: 1});
+  expect(plan({memory, state: running, requested: [OTHER]})).to.equal(
+    undefined,
+  );
+});
+
+it('adapter plan: a model that is being loaded takes its memory', () => {
+  const memory = oneModelMemory();
+  const empty = state({models: new Set()});
+  const loadingModels = new Set(['m']);
+  const requests = {memory, state: empty, requested: [OTHER]};
+  expect(plan({...requests, loadingModels})).to.equal(undefined);
+});
+
+it('adapter plan: a model of unknown size leaves no memory for another one', () => {
+  const memory = oneModelMemory();
+  const unknown = state({models: new Set(['x'])});
+  expect(plan({memory, state: unknown, requested: [OTHER]})).to.equal(
+    undefined,
+  );
+});
+
+it('adapter plan: adapters are unloaded when memory, not slots, has no room for another one', () => {
+  const memory = oneModelMemory(34_300 + 2 * 40);
+  const uses = new AdapterUseTracker();
+  uses.expectUse('m/a', NOW);
+  const full = {memory, uses, slots: 8, state: FULL};
+  expect(plan({...full, requested: [requested('c')]})).to.deep.equal({
+    kind: 'unload',
+    name: 'm/b',
+  });
+  uses.expectUse('m/b', NOW);
+  expect(plan({...full, requested: [requested('c')]})).to.equal(undefined);
+});
--- a/contracts/deployment/src/deployment.ts
+++ b/contracts/deployment/src/deployment.ts
@@ -52,6 +52,8 @@
   name: NAME_SCHEMA,
   /** Number of adapters of the model. */
   adapters: z.int().min(0),
+  /** Size of its weights, in megabytes; absent if the operator does not state it. */
+  weightsMb: z.number().min(0).optional(),
   /** Size of an adapter, in megabytes. */
   adapterMb: z.number().min(0).optional(),
   /** Time to load the model from the weight store, in milliseconds. */
@@ -73,6 +75,8 @@
   tokenMemory: z.number().min(0),
   /** Number of adapters that an engine can hold at the same time. */
   adapterSlots: z.int().min(0),
+  /** Memory of an engine for weights and adapters together, in megabytes; absent if not stated. */
+  memoryMb: z.number().min(0).optional(),
   models: z.array(ENGINE_MODEL_SCHEMA),
   /** Loads of models per second that the weight store allows over all engines; absent if not stated. */
   loadsPerSecond: z.number().min(0).optional(),
--- a/contracts/deployment/src/engine-view.ts
+++ b/contracts/deployment/src/engine-view.ts
@@ -20,6 +20,8 @@
   leaving: z.string().min(1).max(256).optional(),
   /** Models that the engine holds. */
   models: z.array(z.string()),
+  /** Models among them that no call has used for a while, so that they may be unloaded for another one. */
+  unusedModels: z.array(z.string()).optional(),
   /** Adapters that the engine holds, `model/adapter`, each with its version. */
   adapters: z.array(z.tuple([z.string(), z.int().min(0)])),
   /** Adapters that are being loaded, `model/adapter`. */
@@ -39,6 +41,22 @@
 /** State of an engine, as its agent last read it. */
 export type EngineView = z.infer<typeof ENGINE_VIEW_SCHEMA>;
 
+/** Memory of an engine, and the sizes of models that it holds or is to hold, in megabytes. */
+export const MODEL_MEMORY_SCHEMA = z.object({
+  /** Memory for weights and adapters together. */
+  capacityMb: z.number().min(0),
+  models: z.array(
+    z.object({
+      name: z.string().min(1),
+      weightsMb: z.number().min(0),
+      adapterMb: z.number().min(0),
+    }),
+  ),
+});
+
+/** Memory of an engine, and the sizes of models that it holds or is to hold. */
+export type ModelMemory = z.infer<typeof MODEL_MEMORY_SCHEMA>;
+
 /** Request to an agent to make an adapter, or the model itself, ready for calls. */
 export const PREPARE_REQUEST_SCHEMA = z.object({
   model: z.string().min(1),
@@ -48,6 +66,8 @@
   version: z.int().min(0).optional(),
   /** Number of adapters that the engine can hold. */
   slots: z.int().min(0),
+  /** Absent if the deployment states no memory. */
+  memory: MODEL_MEMORY_SCHEMA.optional(),
   /** ID of the engine that the request is for. */
   target: z.string().min(1),
 });
--- a/contracts/deployment/src/index.ts
+++ b/contracts/deployment/src/index.ts
@@ -57,11 +57,13 @@
   ENGINE_VIEW_SCHEMA,
   PREPARE_ANSWER_SCHEMA,
   PREPARE_PATH,
+  MODEL_MEMORY_SCHEMA,
   PREPARE_REQUEST_SCHEMA,
   ADAPTER_USAGE_PATH,
   ADAPTER_USAGE_SCHEMA,
   type EngineView,
   type PrepareAnswer,
+  type ModelMemory,
   type PrepareRequest,
   type AdapterUsage,
 } from './engine-view.js';
--- a/entry/direct-routing/src/adapter-preparer.ts
+++ b/entry/direct-routing/src/adapter-preparer.ts
@@ -1,8 +1,13 @@
 import {BoundedSignal} from '@marigoldspur/abort-signals';
-import {adapterName, type TargetAnnouncement} from '@marigoldspur/deployment';
+import {
+  adapterName,
+  type EngineView,
+  type TargetAnnouncement,
+} from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
 import type {AdapterAgentClient} from './adapter-agent-client.js';
 import {remainingPatienceMs, type Call} from './call.js';
+import {modelMemoryOf} from './model-room.js';
 import type {ModelWork} from './wire-format.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {TargetRequirements} from './target-choice.js';
@@ -19,6 +24,8 @@
    * reaches the engine.
    */
   readonly isAgentReachable: (address: string, now: number) => boolean;
+  /** Returns the last known state of the engine at an address. */
+  readonly engineView: (address: string) => EngineView | undefined;
 }
 
 /** An engine that a call is to be sent to, and the adapter it needs there. */
@@ -80,6 +87,10 @@
         adapter: work.adapter,
         version: requirements.version,
         slots: call.service.engine?.adapterSlots ?? 0,
+        memory: modelMemoryOf(call.service.engine, [
+          work.model,
+          ...(this.options.engineView(target.address)?.models ?? []),
+        ]),
         target: target.id,
       },
       waitSignal.signal,
--- a/entry/direct-routing/src/engine-chooser.ts
+++ b/entry/direct-routing/src/engine-chooser.ts
@@ -1,4 +1,8 @@
-import {adapterName, type TargetAnnouncement} from '@marigoldspur/deployment';
+import {
+  adapterName,
+  type Service,
+  type TargetAnnouncement,
+} from '@marigoldspur/deployment';
 import {chooseEngine, type EngineCandidate} from '@marigoldspur/engine-choice';
 import {
   PRIOR_COSTS,
@@ -7,6 +11,7 @@
 } from '@marigoldspur/expected-cost';
 import {toEngineCandidate} from './engine-candidate.js';
 import {memoryTokensOf} from './memory-tokens.js';
+import {modelRoomOf} from './model-room.js';
 import type {ServiceStatsRegistry} from './service-stats.js';
 import type {ChosenTarget, TargetRequirements} from './target-choice.js';
 import type {TargetStatsRegistry} from './target-stats-registry.js';
@@ -26,11 +31,58 @@
 export class EngineChooser {
   constructor(private readonly options: EngineChooserOptions) {}
 
-  /** Chooses the engine of a call at time `now`; undefined if none can serve it. */
+  /**
+   * Chooses the engine of a call at time `now`; undefined if none can serve it. An engine that has
+   * to unload another model first is chosen only if no other one can get the model of the call.
+   */
   choose(
     targets: readonly TargetAnnouncement[],
     requirements: TargetRequirements & {readonly work: ModelWork},
     now: number,
+  ): ChosenTarget | undefined {
+    const {free, unloading} = this.groupByModelRoom(targets, requirements);
+    if (free.length > 0 || unloading.length > 0) {
+      const usable = free.length > 0 ? free : unloading;
+      return this.chooseAmong(usable, requirements, now);
+    }
+    const chosen = this.chooseAmong(targets, requirements, now);
+    const {service, work} = requirements;
+    const {modelLoadMs} = statedLoadCosts(service.engine, work.model);
+    return chosen && {...chosen, missingModelLoadMs: modelLoadMs};
+  }
+
+  /** Engines that can get the model of a call, apart from those that unload another one first. */
+  private groupByModelRoom(
+    targets: readonly TargetAnnouncement[],
+    {
+      service: {engine},
+      work,
+    }: {readonly service: Service; readonly work: ModelWork},
+  ): {
+    readonly free: readonly TargetAnnouncement[];
+    readonly unloading: readonly TargetAnnouncement[];
+  } {
+    if (engine?.memoryMb === undefined || engine.models.length <= 1) {
+      return {free: targets, unloading: []};
+    }
+    const free: TargetAnnouncement[] = [];
+    const unloading: TargetAnnouncement[] = [];
+    for (const target of targets) {
+      const {view} = this.options.targetStats.snapshotOf(target);
+      const room = modelRoomOf(engine, view, work);
+      if (room === 'free') {
+        free.push(target);
+      } else if (room === 'after-unload') {
+        unloading.push(target);
+      }
+    }
+    return {free, unloading};
+  }
+
+  private chooseAmong(
+    targets: readonly TargetAnnouncement[],
+    requirements: TargetRequirements & {readonly work: ModelWork},
+    now: number,
   ): ChosenTarget | undefined {
     const {random, services, zone} = this.options;
     const {route, service, work} = requirements;
--- a/entry/direct-routing/src/start-direct-router.ts
+++ b/entry/direct-routing/src/start-direct-router.ts
@@ -271,6 +271,7 @@
       metrics,
       isAgentReachable: (address, now) =>
         engineViews.isAgentReachable(address, now),
+      engineView: address => engineViews.viewOf(address),
     }),
     crashMonitor,
     requestCrashes,
--- a/entry/direct-routing/src/target-choice.ts
+++ b/entry/direct-routing/src/target-choice.ts
@@ -47,4 +47,9 @@
   readonly pauseMs: number;
   /** Whether no target is known to have memory for the call. */
   readonly lacksMemory: boolean;
+  /**
+   * Time in which an engine loads the model of the call, in milliseconds, if all engines lack
+   * the memory for it beside the models that other calls use; undefined otherwise.
+   */
+  readonly missingModelLoadMs?: number;
 }
--- a/entry/direct-routing/src/target-finder.ts
+++ b/entry/direct-routing/src/target-finder.ts
@@ -193,7 +193,10 @@
     const excluded = new Set([...unavailable, ...passedOver]);
     const preferred = selector.choose({...requirements, excluded}, now);
     const isLastResort =
-      passedOver.length > 0 && (preferred?.lacksMemory ?? true);
+      passedOver.length > 0 &&
+      (preferred === undefined ||
+        preferred.lacksMemory ||
+        preferred.missingModelLoadMs !== undefined);
     const chosen = isLastResort
       ? selector.choose(requirements, now)
       : preferred;
@@ -208,6 +211,13 @@
           : createNoContinuationRefusal(selector.mayServeLater(requirements)),
       );
     }
+    const {missingModelLoadMs} = chosen;
+    if (missingModelLoadMs !== undefined) {
+      const model = call.metadata.work?.model ?? '';
+      return Result.err(
+        createNoModelMemoryRefusal(model, missingModelLoadMs, random()),
+      );
+    }
     if (chosen.lacksMemory) {
       return Result.err(createFullMemoryRefusal(random()));
     }
@@ -375,6 +385,27 @@
   );
 }
 
+/**
+ * The refusal of a call while other calls use the models of all engines. An engine that gets room
+ * or joins serves the call once it has loaded the model.
+ */
+function createNoModelMemoryRefusal(
+  model: string,
+  loadMs: number,
+  random: number,
+): Refusal {
+  const delayMs =
+    Math.max(NO_TARGET_RETRY_AFTER_SECONDS * MS_PER_SECOND, loadMs) *
+    (1 + LIMITED_JITTER_SHARE * random);
+  return new Refusal(
+    'not-run',
+    503,
+    'no_model_memory',
+    `no engine has memory for model "${model}" beside the models that other calls use`,
+    delayMs / MS_PER_SECOND,
+  );
+}
+
 function createTooLateRefusal(
   {processingMs, patienceMs, waitMs}: ExpectedWait,
   retryDelayMs: number,
--- a/entry/direct-routing/test/target-finder.test.ts
+++ b/entry/direct-routing/test/target-finder.test.ts
@@ -56,6 +56,7 @@
     events: new EventLog({process: 'test'}),
     metrics: new DirectRoutingMetrics(new Registry()),
     isAgentReachable: () => isAgentReachable,
+    engineView: () => undefined,
   } as never);
   const finder = new TargetFinder({
     fleetView: {versionOf: () => undefined},
@@ -172,6 +173,7 @@
       events: new EventLog({process: 'test'}),
       metrics: new DirectRoutingMetrics(new Registry()),
       isAgentReachable: () => true,
+      engineView: () => undefined,
     } as never),
     crashMonitor: NO_BLOCKED_PARTS,
     requestCrashes: NO_BLOCKED_REQUESTS,
--- a/policy/deployment-review/src/contradicting-limits.ts
+++ b/policy/deployment-review/src/contradicting-limits.ts
@@ -44,17 +44,28 @@
 }
 
 function reviewService({engine, name}: Service): ReviewFinding[] {
-  if (engine === undefined || engine.adapterSlots > 0) {
+  if (engine === undefined) {
     return [];
   }
-  return engine.models
-    .filter(({adapters}) => adapters > 0)
+  const {adapterSlots, memoryMb = Infinity, models} = engine;
+  const place = `services.${name}`;
+  const withoutSlots = models
+    .filter(({adapters}) => adapters > 0 && adapterSlots === 0)
     .map(model =>
       createWarning(
-        `services.${name}`,
+        place,
         `engines have no slot for an adapter, but model "${model.name}" has adapters (${model.adapters})`,
       ),
     );
+  const tooLarge = models
+    .filter(({weightsMb = 0}) => weightsMb > memoryMb)
+    .map(model =>
+      createWarning(
+        place,
+        `model "${model.name}" (${model.weightsMb} MB) is larger than the memory of an engine (${memoryMb} MB), so that no engine can load it`,
+      ),
+    );
+  return [...withoutSlots, ...tooLarge];
 }
 
 function reviewLimits({
--- a/policy/deployment-review/src/describe-entries.ts
+++ b/policy/deployment-review/src/describe-entries.ts
@@ -39,11 +39,13 @@
   batchLimit: 'batch limit',
   tokenMemory: 'memory (tokens)',
   adapterSlots: 'adapter slots',
+  memoryMb: 'memory for weights and adapters (MB)',
   loadsPerSecond: 'loads per second',
 };
 
 const MODEL_LABELS: Labels<Omit<EngineModel, 'name'>> = {
   adapters: 'number of adapters',
+  weightsMb: 'size of the weights (MB)',
   adapterMb: 'size of an adapter (MB)',
   loadMs: 'load time from the store (ms)',
   diskLoadMs: 'load time from disk (ms)',
--- a/policy/deployment-review/test/review-deployment.test.ts
+++ b/policy/deployment-review/test/review-deployment.test.ts
@@ -157,6 +157,15 @@
   ]);
 });
 
+// Guards against models that are stated and that no engine can ever load.
+it('deployment review: a model that is larger than the memory of an engine is a warning', () => {
+  const model = {name: 'base', adapters: 3, weightsMb: 200};
+  expect(reviewEngine({memoryMb: 200, models: [model]})).to.deep.equal([]);
+  expect(reviewEngine({memoryMb: 199, models: [model]})).to.deep.equal([
+    'warning services.plain: model "base" (200 MB) is larger than the memory of an engine (199 MB), so that no engine can load it',
+  ]);
+});
+
 // Guards against limits of connections and engines that cannot both be used.
 it('deployment review: contradicting timeouts of connections and adapters without slots are warnings', () => {
   const limits = {...DEPLOYMENT.limits, headerTimeoutMs: 15_001};
