Wait while a model is unloaded for another one, and unload models that a deployment dropped

A call whose engine accepted the unload of another model (202) would have been refused until the model was gone, and an engine that holds a model which the deployment does not name any more would have loaded no adapter again.

Measured: tests of engine-agent and several-models pass.

--- a/agent/engine-agent/src/room-plan.ts
+++ b/agent/engine-agent/src/room-plan.ts
@@ -10,7 +10,8 @@
  *
  * - `free`: the memory is free.
  * - `unload-adapter`, `unload-model`: something that no call uses is unloaded first.
- * - `wait`: adapters that calls use leave enough memory once the calls have ended.
+ * - `wait`: a model is being unloaded, or adapters that calls use leave enough memory once the
+ *   calls have ended.
  * - `none`: models that calls use take the memory, or a size is not known.
  */
 export type RoomPlan =
@@ -23,7 +24,7 @@
   requested: RequestedAdapter,
   now: number,
 ): RoomPlan {
-  const {accepted, loadingModels, memory, state} = input;
+  const {accepted, leavingModels, loadingModels, memory, state} = input;
   if (memory === undefined) {
     return {kind: 'free'};
   }
@@ -42,30 +43,47 @@
   if (lackingMb <= 0) {
     return {kind: 'free'};
   }
-  if (!Number.isFinite(lackingMb)) {
+  if (!Number.isFinite(neededMb)) {
     return {kind: 'none'};
   }
+  if (leavingModels.size > 0) {
+    return {kind: 'wait'};
+  }
+  const unused = unusedModels(input, now).filter(each => each !== model);
+  const isUnknown = (each: string) => !Number.isFinite(memory.weightsMb(each));
+  if ([...models].some(isUnknown)) {
+    // Models that the deployment does not name any more.
+    return planUnload(input, unused.filter(isUnknown)) ?? {kind: 'none'};
+  }
   const evictable = evictableAdapters(input, loading, now);
   if (totalMb(evictable) >= lackingMb) {
     return {kind: 'unload-adapter'};
   }
-  const unused = unusedModels(input, now).filter(each => each !== model);
   const freeable = [...adapters].filter(
     each => unused.includes(each.split('/')[0]) || evictable.includes(each),
   );
   const freeableMb =
     sum(unused.map(each => memory.weightsMb(each))) + totalMb(freeable);
-  if (freeableMb >= lackingMb) {
-    const {uses} = input;
-    const [oldest] = unused.sort(
-      (a, b) => uses.modelUsedAt(a) - uses.modelUsedAt(b),
-    );
-    return {kind: 'unload-model', model: oldest};
+  const unload =
+    freeableMb >= lackingMb ? planUnload(input, unused) : undefined;
+  if (unload !== undefined) {
+    return unload;
   }
   const canWait = models.has(model) && totalMb(adapters) >= lackingMb;
   return {kind: canWait ? 'wait' : 'none'};
 }
 
+/** Plans the unload of the model that was used last the longest ago; undefined without models. */
+function planUnload(
+  {uses}: PlanInput,
+  unused: readonly string[],
+): RoomPlan | undefined {
+  const [model] = [...unused].sort(
+    (a, b) => uses.modelUsedAt(a) - uses.modelUsedAt(b),
+  );
+  return model === undefined ? undefined : {kind: 'unload-model', model};
+}
+
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
