--- a/agent/engine-agent/test/adapter-plan.test.ts
+++ b/agent/engine-agent/test/adapter-plan.test.ts
@@ -2,7 +2,9 @@
 import {LruEviction} from '@marigoldspur/eviction';
 import {
   planOrder,
+  planRoom,
   AdapterUseTracker,
+  EngineMemory,
   type PlanInput,
   type EngineState,
   type RequestedAdapter,
@@ -35,6 +37,9 @@
     slots: 2,
     accepted: new Set(),
     leaving: new Set(),
+    loadingModels: new Set(),
+    leavingModels: new Set(),
+    memory: undefined,
     requested: [],
     uses: new AdapterUseTracker(),
     ...changes,
@@ -119,3 +124,101 @@
   const accepted = new Set(['m/a']);
   expect(plan({accepted, requested: [requested('a')]})).to.equal(undefined);
 });
+
+/** Memory for one of the models with 25 of its adapters. */
+function oneModelMemory(capacityMb = 35_300) {
+  const memory = new EngineMemory();
+  const models = ['m', 'n'].map(name => ({
+    name,
+    weightsMb: 34_300,
+    adapterMb: 40,
+  }));
+  memory.update({capacityMb, models}, new Set());
+  return memory;
+}
+
+const OTHER = {model: 'n', adapter: 'a', name: 'n/a', since: 0};
+
+// Guards against engines that crash because they hold one more model than fits.
+it('adapter plan: a model is not loaded beside one that calls use', () => {
+  const uses = new AdapterUseTracker();
+  uses.expectUse('m/a', NOW - 1_000);
+  const memory = oneModelMemory();
+  expect(plan({memory, uses, requested: [OTHER]})).to.equal(undefined);
+  const both = oneModelMemory(2 * 34_300 + 40);
+  expect(plan({memory: both, uses, requested: [OTHER]})).to.deep.equal({
+    kind: 'load-model',
+    model: 'n',
+  });
+});
+
+it('adapter plan: a model without calls is unloaded before another one is loaded', () => {
+  const unload = {kind: 'unload-model', model: 'm'};
+  const memory = oneModelMemory();
+  expect(plan({memory, requested: [OTHER]})).to.deep.equal(unload);
+  const leavingModels = new Set(['m']);
+  expect(plan({memory, leavingModels, requested: [OTHER]})).to.equal(undefined);
+  const empty = state({models: new Set()});
+  expect(plan({memory, state: empty, requested: [OTHER]})).to.deep.equal({
+    kind: 'load-model',
+    model: 'n',
+  });
+});
+
+it('adapter plan: a model is not unloaded while the engine runs calls that nobody reported', () => {
+  const memory = oneModelMemory();
+  const running = state({running: 1});
+  expect(plan({memory, state: running, requested: [OTHER]})).to.equal(
+    undefined,
+  );
+});
+
+it('adapter plan: a model that is being loaded takes its memory', () => {
+  const memory = oneModelMemory();
+  const empty = state({models: new Set()});
+  const loadingModels = new Set(['m']);
+  const requests = {memory, state: empty, requested: [OTHER]};
+  expect(plan({...requests, loadingModels})).to.equal(undefined);
+});
+
+it('adapter plan: nothing is loaded beside a model of unknown size, which is unloaded once no call uses it', () => {
+  const memory = oneModelMemory(10 * 34_300);
+  const unknown = state({models: new Set(['m', 'x'])});
+  const uses = new AdapterUseTracker();
+  uses.expectUse('m/a', NOW);
+  const needs = {memory, uses, state: unknown};
+  for (const wanted of [OTHER, requested('c')]) {
+    expect(plan({...needs, requested: [wanted]})).to.deep.equal({
+      kind: 'unload-model',
+      model: 'x',
+    });
+  }
+  uses.expectUse('x/a', NOW);
+  expect(plan({...needs, requested: [OTHER]})).to.equal(undefined);
+});
+
+it('adapter plan: adapters are unloaded when memory, not slots, has no room for another one', () => {
+  const memory = oneModelMemory(34_300 + 2 * 40);
+  const uses = new AdapterUseTracker();
+  uses.expectUse('m/a', NOW);
+  const full = {memory, uses, slots: 8, state: FULL};
+  expect(plan({...full, requested: [requested('c')]})).to.deep.equal({
+    kind: 'unload',
+    name: 'm/b',
+  });
+  uses.expectUse('m/b', NOW);
+  expect(plan({...full, requested: [requested('c')]})).to.equal(undefined);
+});
+
+it('adapter plan: a call waits while a model without calls is unloaded for its model', () => {
+  const memory = oneModelMemory();
+  const needs = {memory, requested: [OTHER]};
+  expect(planRoom(input(needs), OTHER, NOW)).to.deep.equal({
+    kind: 'unload-model',
+    model: 'm',
+  });
+  const leavingModels = new Set(['m']);
+  expect(planRoom(input({...needs, leavingModels}), OTHER, NOW)).to.deep.equal({
+    kind: 'wait',
+  });
+});
