--- a/agent/agent-server/src/attempt-response.ts
+++ b/agent/agent-server/src/attempt-response.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {guard} from '@marigoldspur/fault-guard';
 import {Refusal} from '@marigoldspur/faults';
+import {framingOf, type BodyFraming} from '@marigoldspur/http-link';
 import {HOP_HEADERS, type Hop} from '@marigoldspur/messages';
 import type {
   ResponseCheck,
@@ -13,8 +14,6 @@
 export type RelayEnd = 'whole' | 'cancelled' | ResponseFault;
 
 const RETRY_AFTER_SECONDS = 1;
-const STATUS_NO_CONTENT = 204;
-const STATUS_NOT_MODIFIED = 304;
 
 /**
  * Responds to an attempt with a refusal, or closes the connection if the
@@ -166,21 +165,15 @@
    * ends when the connection closes may be truncated.
    */
   get hasVerifiableEnd(): boolean {
-    const {headers} = this.targetResponse;
-    return (
-      this.isBodiless ||
-      headers['content-length'] !== undefined ||
-      headers['transfer-encoding'] !== undefined
-    );
+    return this.framing !== 'close';
+  }
+
+  private get framing(): BodyFraming {
+    return framingOf(this.targetResponse, this.response.req.method ?? '');
   }
 
   private get isBodiless(): boolean {
-    const {statusCode} = this.targetResponse;
-    return (
-      this.response.req.method === 'HEAD' ||
-      statusCode === STATUS_NO_CONTENT ||
-      statusCode === STATUS_NOT_MODIFIED
-    );
+    return this.framing === 'none';
   }
 
   private writeHead(): void {
--- a/agent/agent-server/test/endless-responses.test.ts
+++ b/agent/agent-server/test/endless-responses.test.ts
@@ -25,6 +25,8 @@
 let repeatedBytes: string;
 /** Resolves when these bytes may start to follow. */
 let mayRepeat: Promise<void>;
+/** Whether the connection ends after the first bytes instead. */
+let hasEnd: boolean;
 let closed: Promise<void>;
 
 function* repeat(block: string): Generator<Buffer> {
@@ -35,6 +37,7 @@
 
 beforeEach(async () => {
   mayRepeat = Promise.resolve();
+  hasEnd = false;
   target = net.createServer(socket => {
     closed = new Promise(resolve => {
       socket.on('error', () => resolve());
@@ -42,6 +45,10 @@
     });
     socket.once('data', () => {
       socket.write(firstBytes);
+      if (hasEnd) {
+        socket.end();
+        return;
+      }
       void mayRepeat.then(() =>
         Readable.from(repeat(repeatedBytes.repeat(100))).pipe(socket),
       );
@@ -109,6 +116,18 @@
   expect(performance.now() - startedAt).to.be.below(CLOSE_WITHIN_MS);
 });
 
+// Guards against half a body that its trailer makes look whole.
+it('target forwarder: a response that only its connection ends is not relayed as complete', async () => {
+  hasEnd = true;
+  for (const header of ['x-a: b', 'transfer-encoding: identity']) {
+    firstBytes = `HTTP/1.1 200 OK\r\n${header}\r\n\r\nhalf`;
+    const text = await fetch(agentUrl, {method: 'POST'})
+      .then(response => response.text())
+      .catch(() => 'broken off');
+    expect(text, header).to.equal('broken off');
+  }
+});
+
 // Guards against an agent that ends because it cannot write the head of one response.
 for (const [name, bytes] of [
   ['a status of 000', WHOLE_RESPONSE.replace('200', '000')],
--- a/entry/direct-routing/src/response-progress.ts
+++ b/entry/direct-routing/src/response-progress.ts
@@ -1,10 +1,10 @@
 import {
   EventBlockScanner,
   FramingCheck,
-  framingOf,
   type CompletenessCheck,
   type UpstreamResponse,
 } from '@marigoldspur/dispatch';
+import {framingOf} from '@marigoldspur/http-link';
 
 /** How far a response got before it ended. */
 export interface ResponseEnd {
--- a/entry/dispatch/src/caller-framing.ts
+++ b/entry/dispatch/src/caller-framing.ts
@@ -1,4 +1,4 @@
-import type {BodyFraming} from './body-framing.js';
+import type {BodyFraming} from '@marigoldspur/http-link';
 
 /** What decides how the caller is told the end of a response. */
 export interface FramingFacts {
--- a/entry/dispatch/src/completeness-check.ts
+++ b/entry/dispatch/src/completeness-check.ts
@@ -1,6 +1,6 @@
+import {framingOf} from '@marigoldspur/http-link';
 import {HOP_HEADERS} from '@marigoldspur/messages';
 import type {UpstreamResponse} from './attempt.js';
-import {framingOf} from './body-framing.js';
 
 const END_MARKER = 'data: [DONE]';
 /** Length of the end marker with the line breaks that may follow it. */
--- a/entry/dispatch/src/index.ts
+++ b/entry/dispatch/src/index.ts
@@ -1,6 +1,5 @@
 export {AttemptClient, type AttemptClientOptions} from './attempt-client.js';
 export {FramingCheck, type CompletenessCheck} from './completeness-check.js';
-export {framingOf, type BodyFraming} from './body-framing.js';
 export {
   chooseCallerFraming,
   type CallerFraming,
--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -5,10 +5,10 @@
 } from 'node:http';
 import {guard} from '@marigoldspur/fault-guard';
 import type {Fault} from '@marigoldspur/faults';
+import {framingOf, type BodyFraming} from '@marigoldspur/http-link';
 import type {Reservation} from '@marigoldspur/memory-budget';
 import {TrailerCheck, type CompletenessCheck} from './completeness-check.js';
 import {isEventStream, responseHeaders} from './attempt-headers.js';
-import {framingOf, type BodyFraming} from './body-framing.js';
 import {chooseCallerFraming, type CallerFraming} from './caller-framing.js';
 import {MemoryWait} from './memory-wait.js';
 import type {UpstreamResponse} from './attempt.js';
--- a/entry/dispatch/test/caller-framing.test.ts
+++ b/entry/dispatch/test/caller-framing.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
-import {chooseCallerFraming, type BodyFraming} from '@marigoldspur/dispatch';
+import {chooseCallerFraming} from '@marigoldspur/dispatch';
+import type {BodyFraming} from '@marigoldspur/http-link';
 
 const FRAMINGS: readonly BodyFraming[] = ['none', 'length', 'chunks', 'close'];
 const ALL_FACTS = FRAMINGS.flatMap(targetFraming =>
--- a/entry/dispatch/test/unframed-responses.test.ts
+++ b/entry/dispatch/test/unframed-responses.test.ts
@@ -194,6 +194,22 @@
     expect(body).to.equal('halfhalf');
   });
 
+  // Guards against half a body in chunks because its target named a coding that frames nothing.
+  it(`unframed responses: one with another transfer coding than chunks is not framed with HTTP/${version}`, async () => {
+    const pieces = [LARGE_PIECE, LARGE_PIECE];
+    for (const codings of ['identity', 'chunked, gzip', '']) {
+      const head = `HTTP/1.1 200 OK\r\ntransfer-encoding: ${codings}\r\n\r\n`;
+      const {body, head: received} = await relay(
+        {head, pieces, end: 'closed'},
+        version,
+      );
+      expect(received, codings).to.not.match(FRAMING);
+      expect(body).to.equal(LARGE_PIECE + LARGE_PIECE);
+      const reset = await relay({head, pieces, end: 'reset'}, version);
+      expect(reset.head, codings).to.not.include(' 200 ');
+    }
+  });
+
   it(`unframed responses: a large one goes on whole with HTTP/${version}`, async () => {
     const response = {head: UNFRAMED, pieces: [LARGE_PIECE, LARGE_PIECE]};
     const closed = {...response, end: 'closed'} as const;
--- a/entry/dispatch/src/body-framing.ts
+++ b/machines/http-link/src/body-framing.ts
@@ -13,8 +13,14 @@
   if (method === 'HEAD' || BODILESS_STATUSES.has(statusCode)) {
     return 'none';
   }
-  if (headers['transfer-encoding'] !== undefined) {
-    return 'chunks';
+  const codings = headers['transfer-encoding'];
+  if (codings !== undefined) {
+    return endsWithChunked(codings) ? 'chunks' : 'close';
   }
   return headers['content-length'] === undefined ? 'close' : 'length';
 }
+
+/** Whether the last of a message's transfer codings is that in chunks; the others frame nothing. */
+function endsWithChunked(codings: string): boolean {
+  return codings.split(',').at(-1)?.trim().toLowerCase() === 'chunked';
+}
--- a/machines/http-link/src/index.ts
+++ b/machines/http-link/src/index.ts
@@ -1,3 +1,4 @@
+export {framingOf, type BodyFraming} from './body-framing.js';
 export {readAnswer} from './read-answer.js';
 export {readBody} from './read-body.js';
 export {
