--- a/entry/caller-server/src/caller-server.ts
+++ b/entry/caller-server/src/caller-server.ts
@@ -208,6 +208,7 @@
     const arrivedAt = this.arrivalTime(request.socket);
     if (this.options.isDraining()) {
       response.setHeader('connection', 'close');
+      stopParsing(request.socket);
     }
     if (request.url === this.options.readinessPath) {
       response.statusCode = this.options.isDraining() ? 503 : 200;
--- a/entry/caller-server/test/caller-server.test.ts
+++ b/entry/caller-server/test/caller-server.test.ts
@@ -22,6 +22,7 @@
 let maxConnections: number | undefined;
 /** Memory for the headers of requests, in bytes. */
 let memoryBytes: number;
+let isDraining: boolean;
 
 beforeEach(async () => {
   running = [];
@@ -29,6 +30,7 @@
   onRequest = () => {};
   maxConnections = undefined;
   memoryBytes = Infinity;
+  isDraining = false;
   callerServer = new CallerServer({
     handle: async (request, response) => {
       running.push(response);
@@ -40,7 +42,7 @@
       throw fault;
     },
     clock: {turns: 0, earliestArrival: now => now},
-    isDraining: () => false,
+    isDraining: () => isDraining,
     createServer: http.createServer,
     limits: LIMITS,
     maxConnections: () => maxConnections,
@@ -191,3 +193,14 @@
   expect(received.toLowerCase()).to.contain('\r\nretry-after: 1\r\n');
   expect(pathsOf(await other).length).to.equal(60);
 });
+
+// Guards against requests that run behind one whose response closes their connection.
+it('caller server: nothing behind a request that comes during a shutdown runs', async () => {
+  isDraining = true;
+  onRequest = () => setImmediate(() => running.shift()?.end());
+  const received = await exchange(
+    'GET /a HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(3),
+  );
+  expect(pathsOf(received)).to.deep.equal(['/a']);
+  expect(mostRunning).to.equal(1);
+});
