--- a/entry/direct-routing/test/target-client.test.ts
+++ b/entry/direct-routing/test/target-client.test.ts
@@ -18,7 +18,7 @@
   }),
 } as WireFormat;
 
-/** A piece of a response that resets the connection instead. */
+/** The end of a piece of a response that resets the connection right behind it. */
 const RESET = 'reset';
 let server: net.Server;
 /** Pieces of the response to each request, in the order of the requests. */
@@ -57,7 +57,8 @@
   pieces: string[],
 ): Promise<void> {
   for (const piece of pieces) {
-    if (piece === RESET) {
+    if (piece.endsWith(RESET)) {
+      socket.write(piece.slice(0, -RESET.length));
       socket.resetAndDestroy();
     } else {
       socket.write(piece);
@@ -112,6 +113,14 @@
   client.close();
 });
 
+// Guards against a reset that arrives with the last bytes and is then reported as an ordinary end.
+it('target client: a response without a length is incomplete after a reset right behind its bytes', async () => {
+  const client = new TargetClient(WIRE_FORMAT);
+  scriptedResponses = [[head('one'), `half of it${RESET}`]];
+  expect(await isReadCompletely(client, 'one')).to.equal(false);
+  client.close();
+});
+
 it('target client: a response of the stated length is complete', async () => {
   const client = new TargetClient(WIRE_FORMAT);
   scriptedResponses = [[`${head('one', 'content-length: 4')}body`]];
