--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -195,6 +195,13 @@
   }
 
   private watchConnection(request: http.ClientRequest, socket: Socket): void {
+    const recordReset = () => {
+      // libuv reports a reset that arrives with the last bytes as an ordinary end. The kernel does
+      // not know the peer of a connection any more that was reset.
+      this.isConnectionBroken ||= socket.remotePort === undefined;
+    };
+    socket.prependListener('end', recordReset);
+    request.once('close', () => socket.off('end', recordReset));
     const send = guard(() => this.sendIfAwaited(request), {
       onFault: ({message}) => this.fail(request, message),
     });
