--- a/entry/dispatch/src/caller-framing.ts
+++ b/entry/dispatch/src/caller-framing.ts
@@ -33,13 +33,12 @@
   if (targetFraming === 'none') {
     return {early: 'none', complete: 'none'};
   }
-  const complete = targetFraming === 'close' ? 'close' : 'length';
   if (targetFraming === 'close' && !endsByContent) {
-    return {early: undefined, complete};
+    return {early: undefined, complete: 'close'};
   }
   if (acceptsChunks) {
-    return {early: 'chunks', complete};
+    return {early: 'chunks', complete: 'length'};
   }
   const hasLength = targetFraming === 'length' && keepsLength;
-  return {early: hasLength ? 'length' : undefined, complete};
+  return {early: hasLength ? 'length' : undefined, complete: 'length'};
 }
--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -72,6 +72,11 @@
 
 /** Maximum number of bytes that are buffered of a response that must not start before it is complete. */
 const MAX_HELD_BYTES = 4_194_304;
+/**
+ * The same if the caller is told its end by the connection alone: what the send buffer of a socket
+ * takes at once, so that a process that is killed does not cut it.
+ */
+const MAX_CLOSE_DELIMITED_BYTES = 32_768;
 
 /**
  * How a target's response ended: `ended` as its framing says or with its connection, `broken`, or
@@ -348,6 +353,7 @@
     if (this.bufferedBytes > this.options.maxBufferedBytes) {
       this.startEarly();
     }
+    this.checkSize();
   }
 
   /** Starts the response before it is complete if it may. */
@@ -356,7 +362,17 @@
     if (early !== undefined) {
       this.startResponse(early);
       this.flush();
-    } else if (this.bufferedBytes > MAX_HELD_BYTES) {
+    }
+  }
+
+  /** Breaks off a response that waits for its end and has become too large for it. */
+  private checkSize(): void {
+    const maxBytes =
+      this.framing.complete === 'close'
+        ? MAX_CLOSE_DELIMITED_BYTES
+        : MAX_HELD_BYTES;
+    const isHeld = !this.hasStarted && this.framing.early === undefined;
+    if (isHeld && this.bufferedBytes > maxBytes) {
       this.fail('size');
     }
   }
