Close a connection in a planned stop only once all its bytes were sent (LOST)

Cause: closeIdleConnections of Node.js counts a connection as idle once its response was ended, also while bytes of it wait in the process, and destroys it; http.Server.close does so too.

Change: closeServer closes the listener alone (net.Server.close), and connections once no response is open, nothing of a further request has arrived and nothing waits to be sent.

Open: the interface for operators closes all connections after 1 s.

--- a/entry/caller-server/src/caller-server.ts
+++ b/entry/caller-server/src/caller-server.ts
@@ -1,6 +1,5 @@
 import type http from 'node:http';
 import type {Socket} from 'node:net';
-import {setTimeout as pause} from 'node:timers/promises';
 import {
   ConnectionGuard,
   stopParsing,
@@ -79,7 +78,6 @@
 const EXCESS_MESSAGE = `the entry or the connection has too many requests in progress, or the connection has over ${MAX_WAITING_PER_CONNECTION} that wait, or all together over ${MAX_WAITING_REQUESTS}`;
 const RETRY_AFTER_SECONDS = 1;
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
-const CLOSE_IDLE_INTERVAL_MS = 50;
 
 /** The requests of a connection that sends them without waiting for responses. */
 interface RequestQueue {
@@ -168,19 +166,10 @@
 
   /**
    * Stops accepting connections and resolves once all running requests have
-   * ended.
+   * ended and their responses were sent.
    */
   async close(): Promise<void> {
-    let isClosed = false;
-    const ended = closeServer(this.server).then(() => {
-      isClosed = true;
-    });
-    // A response that started before the shutdown leaves its connection open
-    // when it ends.
-    while (!isClosed) {
-      this.server.closeIdleConnections();
-      await Promise.race([ended, pause(CLOSE_IDLE_INTERVAL_MS)]);
-    }
+    await closeServer(this.server);
   }
 
   private recordConnection(socket: Socket): void {
--- a/entry/caller-server/test/caller-server.test.ts
+++ b/entry/caller-server/test/caller-server.test.ts
@@ -191,3 +191,60 @@
   expect(received.toLowerCase()).to.contain('\r\nretry-after: 1\r\n');
   expect(pathsOf(await other).length).to.equal(60);
 });
+
+const LARGE_BODY = Buffer.alloc(12_000_000, 'x');
+
+/** Opens a connection that reads nothing until `resume`; `received` resolves to the number of bytes. */
+function connectSlowReader(text: string) {
+  const socket = net.connect(address.port, address.host);
+  socket.pause();
+  socket.write(text);
+  let byteCount = 0;
+  socket.on('data', piece => (byteCount += piece.length));
+  socket.on('error', () => {});
+  const received = new Promise<number>(resolve =>
+    socket.on('close', () => resolve(byteCount)),
+  );
+  return {received, resume: () => socket.resume()};
+}
+
+for (const version of ['1.0', '1.1']) {
+  // Guards against answers whose last bytes a planned stop drops because they were ended.
+  it(`caller server: a slow reader with HTTP/${version} gets the whole of its answer in a planned stop`, async () => {
+    const requested = new Promise<void>(resolve => (onRequest = resolve));
+    const reader = connectSlowReader(
+      `GET / HTTP/${version}\r\nhost: a\r\n\r\n`,
+    );
+    await requested;
+    const head = new Promise<void>(resolve =>
+      running[0].once('finish', resolve),
+    );
+    running[0].end(LARGE_BODY);
+    const closed = callerServer.close();
+    reader.resume();
+    expect(await reader.received).to.be.above(LARGE_BODY.length);
+    await Promise.all([closed, head]);
+  });
+}
+
+it('caller server: a planned stop closes kept connections without a request, and lets a request that arrives end', async () => {
+  onRequest = () => running.at(-1)!.end();
+  const kept = net.connect(address.port, address.host);
+  kept.write('GET /1 HTTP/1.1\r\nhost: a\r\n\r\n');
+  await once(kept, 'data');
+  const partial = net.connect(address.port, address.host);
+  partial.write('GET /2 HTTP/1.1\r\nhost: a\r\n\r\n');
+  await once(partial, 'data');
+  const sockets = [...running].map(({req}) => req.socket);
+  partial.write('GET /3 HTTP/1.1\r\n');
+  const bytesRead = sockets[1].bytesRead;
+  while (sockets[1].bytesRead === bytesRead) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  const closed = callerServer.close();
+  await once(kept, 'close');
+  const answered = once(partial, 'data');
+  partial.write('host: a\r\n\r\n');
+  expect(String((await answered)[0])).to.include('x-path: /3');
+  await closed;
+});
--- a/machines/http-link/src/listen.ts
+++ b/machines/http-link/src/listen.ts
@@ -1,5 +1,5 @@
-import type {Server} from 'node:net';
-import type {AddressInfo} from 'node:net';
+import net, {type AddressInfo, type Server} from 'node:net';
+import {connectionsOf, trackConnections} from './server-connections.js';
 
 /** Address on which a server listens. */
 export interface Address {
@@ -10,6 +10,7 @@
 
 /** Starts listening; resolves to the address with the port that was selected, and rejects if the server cannot listen there. */
 export function listen(server: Server, address: Address): Promise<Address> {
+  trackConnections(server);
   return new Promise((resolve, reject) => {
     const onError = (error: Error) => {
       server.off('listening', onListening);
@@ -26,12 +27,24 @@
   });
 }
 
-/** Stops accepting connections and waits until all open ones have closed. */
-export function closeServer(
-  server: Server & {closeIdleConnections?: () => void},
-): Promise<void> {
-  return new Promise(resolve => {
-    server.close(() => resolve());
-    server.closeIdleConnections?.();
+const CLOSE_IDLE_INTERVAL_MS = 50;
+
+/**
+ * Stops accepting connections and waits until all open ones have closed. Those of an HTTP server
+ * that started with `listen` are closed once they are idle: no request is being read or handled,
+ * and all bytes of the responses were sent.
+ */
+export async function closeServer(server: Server): Promise<void> {
+  const connections = connectionsOf(server);
+  // A connection on which part of a request arrives becomes idle without another event.
+  const timer = setInterval(
+    () => connections?.closeIdle(),
+    CLOSE_IDLE_INTERVAL_MS,
+  ).unref();
+  await new Promise<void>(resolve => {
+    // `http.Server.close` destroys connections whose responses were ended but not sent.
+    net.Server.prototype.close.call(server, () => resolve());
+    connections?.closeIdle();
   });
+  clearInterval(timer);
 }
