Wait for answers that are being sent when the interface for operators stops

Operators and callers of config/get that read slowly got a cut answer while control stopped.

A configuration may have 8 MiB.

--- a/machines/http-link/src/index.ts
+++ b/machines/http-link/src/index.ts
@@ -8,7 +8,12 @@
 } from './json-exchange.js';
 export {createUnlimitedMemory, type MessageMemory} from './message-memory.js';
 export {createFetch} from './create-fetch.js';
-export {closeServer, listen, type Address} from './listen.js';
+export {
+  closeServer,
+  closeServerWithin,
+  listen,
+  type Address,
+} from './listen.js';
 export {listenWhenFree, type PortListener} from './listen-when-free.js';
 export {PortWait, type PortWaitStep} from './port-wait.js';
 export {onResponseEnd} from './on-response-end.js';
--- a/machines/http-link/src/listen.ts
+++ b/machines/http-link/src/listen.ts
@@ -1,3 +1,4 @@
+import type http from 'node:http';
 import net, {type AddressInfo, type Server} from 'node:net';
 import {connectionsOf, trackConnections} from './server-connections.js';
 
@@ -48,3 +49,21 @@
   });
   clearInterval(timer);
 }
+
+/**
+ * Stops accepting connections and waits until all open ones have closed. After `callsMs`, in
+ * milliseconds, closes those on which no ended response is being sent, and after `sendsMs` all.
+ */
+export async function closeServerWithin(
+  server: http.Server,
+  {callsMs, sendsMs}: {readonly callsMs: number; readonly sendsMs: number},
+): Promise<void> {
+  const callsTimer = setTimeout(
+    () => connectionsOf(server)?.closeUnlessSending(),
+    callsMs,
+  );
+  const sendsTimer = setTimeout(() => server.closeAllConnections(), sendsMs);
+  await closeServer(server);
+  clearTimeout(callsTimer);
+  clearTimeout(sendsTimer);
+}
--- a/machines/http-link/src/server-connections.ts
+++ b/machines/http-link/src/server-connections.ts
@@ -2,12 +2,14 @@
 import http from 'node:http';
 import https from 'node:https';
 import type {Server, Socket} from 'node:net';
+import tls from 'node:tls';
 import {onResponseEnd} from './on-response-end.js';
 
 interface ConnectionState {
-  /** Requests whose responses have not been sent completely. */
-  openCount: number;
-  latestRequest: http.IncomingMessage;
+  /** Responses that have not been sent completely. */
+  readonly open: Set<http.ServerResponse>;
+  /** Undefined before the first request. */
+  latestRequest: http.IncomingMessage | undefined;
   /** Number of bytes read when the latest request or response ended. */
   bytesRead: number;
 }
@@ -25,7 +27,7 @@
 let isSubscribed = false;
 
 /**
- * The connections of a server that have brought requests. Node.js itself counts a connection as
+ * The connections of a server, and the requests that they have brought. Node.js itself counts a connection as
  * idle once its response was ended, although bytes of it may still wait to be sent.
  */
 export class ServerConnections {
@@ -38,14 +40,36 @@
     this.states.forEach((_, socket) => this.closeIfIdle(socket));
   }
 
+  /** Closes all connections but those on which a response was ended and is still being sent. */
+  closeUnlessSending(): void {
+    this.states.forEach(({open}, socket) => {
+      if (![...open].some(({writableEnded}) => writableEnded)) {
+        socket.destroy();
+      }
+    });
+  }
+
+  /** Records a new connection. */
+  add(socket: Socket): void {
+    this.states.set(socket, {
+      open: new Set(),
+      latestRequest: undefined,
+      bytesRead: 0,
+    });
+    socket.once('close', () => this.states.delete(socket));
+  }
+
   /** Records that a request has arrived. */
   recordRequest({request, response, socket}: RequestStart): void {
-    const state = this.stateOf(socket, request);
-    state.openCount += 1;
+    const state = this.states.get(socket);
+    if (state === undefined) {
+      return;
+    }
+    state.open.add(response);
     state.latestRequest = request;
     request.once('end', () => (state.bytesRead = socket.bytesRead));
     onResponseEnd(response, () => {
-      state.openCount -= 1;
+      state.open.delete(response);
       state.bytesRead = socket.bytesRead;
       if (this.isClosing) {
         this.closeIfIdle(socket);
@@ -53,20 +77,6 @@
     });
   }
 
-  private stateOf(
-    socket: Socket,
-    latestRequest: http.IncomingMessage,
-  ): ConnectionState {
-    const known = this.states.get(socket);
-    if (known !== undefined) {
-      return known;
-    }
-    const state = {openCount: 0, latestRequest, bytesRead: 0};
-    this.states.set(socket, state);
-    socket.once('close', () => this.states.delete(socket));
-    return state;
-  }
-
   private closeIfIdle(socket: Socket): void {
     const state = this.states.get(socket);
     if (state !== undefined && isIdle(socket, state)) {
@@ -78,11 +88,11 @@
 /** Whether all bytes of the responses were sent, and nothing of a further request has arrived. */
 function isIdle(
   socket: Socket,
-  {bytesRead, latestRequest, openCount}: ConnectionState,
+  {bytesRead, latestRequest, open}: ConnectionState,
 ): boolean {
   return (
-    openCount === 0 &&
-    latestRequest.complete &&
+    open.size === 0 &&
+    latestRequest?.complete === true &&
     socket.bytesRead === bytesRead &&
     socket.writableLength === 0
   );
@@ -95,7 +105,12 @@
   if (!isHttp || trackedServers.has(server)) {
     return;
   }
-  trackedServers.set(server, new ServerConnections());
+  const connections = new ServerConnections();
+  trackedServers.set(server, connections);
+  // Requests come over the sockets of these events.
+  const event =
+    server instanceof tls.Server ? 'secureConnection' : 'connection';
+  server.on(event, (socket: Socket) => connections.add(socket));
   if (!isSubscribed) {
     isSubscribed = true;
     subscribe(REQUEST_START_CHANNEL, message => {
