Answer the requests before malformed HTTP before their connection closes (LOST)

What callers saw: a connection that brought malformed HTTP behind one or more requests was closed at once, although these ran; their answers were lost. With three requests and two stray bytes behind them, none of three was answered.

Cause: refuseConnection closed the connection unless it could respond itself. It closes after the last response that is under way now. The parser reads nothing more of such a connection, so nothing behind the malformed bytes runs; a caller that has closed its side, and a request that times out, close it at once as before.

--- a/entry/caller-server/src/caller-server.ts
+++ b/entry/caller-server/src/caller-server.ts
@@ -99,6 +99,8 @@
     Set<http.ServerResponse>
   >();
 
+  /** Connections that close after a response because malformed HTTP follows its request. */
+  private readonly endingConnections = new WeakSet<Socket>();
   private readonly queues = new WeakMap<Socket, RequestQueue>();
   /** Connections that have brought no request yet, and when they arrived. */
   private readonly newConnections = new WeakMap<
@@ -316,18 +318,31 @@
 
   /**
    * Responds to malformed HTTP and to requests that time out, unless another
-   * response is still being sent on the connection.
+   * response is still being sent on the connection. Requests before malformed
+   * HTTP are answered first.
    */
   private refuseConnection(error: NodeJS.ErrnoException, socket: Socket): void {
     const pending = [...(this.pendingResponses.get(socket) ?? [])];
     const canRespond =
       pending.length === 0 ||
       (pending.length === 1 && isRequestArriving(pending[0]));
+    const last = pending.filter(each => !isRequestArriving(each)).at(-1);
+    if (last !== undefined && isMalformed(error) && !socket.readableEnded) {
+      this.closeAfter(last, socket);
+      return;
+    }
     if (canRespond && socket.writable) {
       socket.end(formatClientErrorResponse(error.code ?? ''));
     }
     socket.destroySoon();
   }
+
+  private closeAfter(response: http.ServerResponse, socket: Socket): void {
+    if (!this.endingConnections.has(socket)) {
+      this.endingConnections.add(socket);
+      response.once('close', () => socket.destroySoon());
+    }
+  }
 }
 
 /**
@@ -353,6 +368,11 @@
   response.end(body);
 }
 
+/** Whether the parser, which reads nothing more after that, found malformed HTTP. */
+function isMalformed({code = ''}: NodeJS.ErrnoException): boolean {
+  return code.startsWith('HPE_');
+}
+
 /** Whether the request is still being received, so that it has not run. */
 function isRequestArriving({req, headersSent}: http.ServerResponse): boolean {
   return !req.complete && !headersSent;
--- a/entry/caller-server/test/caller-server.test.ts
+++ b/entry/caller-server/test/caller-server.test.ts
@@ -204,3 +204,14 @@
   expect(pathsOf(received)).to.deep.equal(['/a']);
   expect(mostRunning).to.equal(1);
 });
+
+// Guards against a request that runs and is not answered because of what comes behind it.
+it('caller server: malformed bytes behind requests close their connection after the responses', async () => {
+  const request = 'GET /a HTTP/1.1\r\nhost: a\r\n\r\n';
+  const ended = exchange(`${request.repeat(3)}\0\0${request}`);
+  await new Promise<void>(resolve => {
+    onRequest = () => running.length === 3 && resolve();
+  });
+  running.forEach(response => response.end());
+  expect(pathsOf(await ended)).to.deep.equal(['/a', '/a', '/a']);
+});
