--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -14,6 +14,7 @@
 import type {UpstreamResponse} from './attempt.js';
 import {NumberedEventBuffer} from './numbered-event-buffer.js';
 import {ReadPace} from './read-pace.js';
+import {resetAtExit, resetConnection} from './reset-at-exit.js';
 
 /**
  * How the relay of a response ended: `whole` if complete; `torn` if it broke
@@ -149,6 +150,7 @@
   private cancelPause: (() => void) | undefined;
   private readonly memoryWait: MemoryWait;
   private brokenBy: RelayBreak | undefined;
+  private endResetAtExit: (() => void) | undefined;
 
   constructor(
     private readonly upstream: UpstreamResponse,
@@ -373,6 +375,7 @@
     if (framing === 'close') {
       this.response.useChunkedEncodingByDefault = false;
       this.response.shouldKeepAlive = false;
+      this.endResetAtExit = resetAtExit(this.response);
     }
     this.response.writeHead(this.status, {
       ...responseHeaders(this.upstream.message),
@@ -511,7 +514,7 @@
     this.settle(this.hasStarted ? 'torn' : 'lost');
     if (this.callerFraming === 'close') {
       // An ordinary end would look like that of the response.
-      this.response.socket?.resetAndDestroy();
+      resetConnection(this.response);
     }
     if (this.hasStarted) {
       this.response.destroy();
@@ -541,6 +544,7 @@
     this.isSettled = true;
     this.cancelPause?.();
     this.memoryWait.stop();
+    this.endResetAtExit?.();
     this.options.reservation?.resize(this.reservedBytes);
     this.options.signal.removeEventListener('abort', this.handleAbort);
     if (outcome !== 'whole') {
