--- a/entry/caller-server/src/caller-server.ts
+++ b/entry/caller-server/src/caller-server.ts
@@ -77,6 +77,8 @@
 const MAX_WAITING_REQUESTS = 1_000;
 const EXCESS_MESSAGE = `the entry or the connection has too many requests in progress, or the connection has over ${MAX_WAITING_PER_CONNECTION} that wait, or all together over ${MAX_WAITING_REQUESTS}`;
 const RETRY_AFTER_SECONDS = 1;
+/** Code of the error with which Node.js reports a request that is late. */
+const REQUEST_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 
 /** The requests of a connection that sends them without waiting for responses. */
@@ -97,6 +99,8 @@
     Set<http.ServerResponse>
   >();
 
+  /** Connections that close after a response because malformed HTTP or a late request follows its request. */
+  private readonly endingConnections = new WeakSet<Socket>();
   private readonly queues = new WeakMap<Socket, RequestQueue>();
   /** Connections that have brought no request yet, and when they arrived. */
   private readonly newConnections = new WeakMap<
@@ -305,18 +309,33 @@
 
   /**
    * Responds to malformed HTTP and to requests that time out, unless another
-   * response is still being sent on the connection.
+   * response is still being sent on the connection. Requests before malformed
+   * HTTP or a late request are answered first.
    */
   private refuseConnection(error: NodeJS.ErrnoException, socket: Socket): void {
     const pending = [...(this.pendingResponses.get(socket) ?? [])];
     const canRespond =
       pending.length === 0 ||
       (pending.length === 1 && isRequestArriving(pending[0]));
+    const last = pending.filter(each => !isRequestArriving(each)).at(-1);
+    const endsWithLast = isMalformed(error) || error.code === REQUEST_TIMEOUT;
+    if (last !== undefined && endsWithLast && !socket.readableEnded) {
+      stopParsing(socket);
+      this.closeAfter(last, socket);
+      return;
+    }
     if (canRespond && socket.writable) {
       socket.end(formatClientErrorResponse(error.code ?? ''));
     }
     socket.destroySoon();
   }
+
+  private closeAfter(response: http.ServerResponse, socket: Socket): void {
+    if (!this.endingConnections.has(socket)) {
+      this.endingConnections.add(socket);
+      response.once('close', () => socket.destroySoon());
+    }
+  }
 }
 
 /**
@@ -342,6 +361,11 @@
   response.end(body);
 }
 
+/** Whether the parser, which reads nothing more after that, found malformed HTTP. */
+function isMalformed({code = ''}: NodeJS.ErrnoException): boolean {
+  return code.startsWith('HPE_');
+}
+
 /** Whether the request is still being received, so that it has not run. */
 function isRequestArriving({req, headersSent}: http.ServerResponse): boolean {
   return !req.complete && !headersSent;
--- a/entry/caller-server/test/caller-server.test.ts
+++ b/entry/caller-server/test/caller-server.test.ts
@@ -261,3 +261,14 @@
   expect(String((await answered)[0])).to.include('x-path: /3');
   await closed;
 });
+
+// Guards against a request that runs and is not answered because of what comes behind it.
+it('caller server: malformed bytes behind requests close their connection after the responses', async () => {
+  const request = 'GET /a HTTP/1.1\r\nhost: a\r\n\r\n';
+  const ended = exchange(`${request.repeat(3)}\0\0${request}`);
+  await new Promise<void>(resolve => {
+    onRequest = () => running.length === 3 && resolve();
+  });
+  running.forEach(response => response.end());
+  expect(pathsOf(await ended)).to.deep.equal(['/a', '/a', '/a']);
+});
--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -11,7 +11,9 @@
 import type {RequestBody} from '@marigoldspur/request-bodies';
 import {guard} from '@marigoldspur/fault-guard';
 import {
+  detectReset,
   findInvalidHead,
+  framingOf,
   limitResponseHead,
   TargetHttpAgent,
 } from '@marigoldspur/http-link';
@@ -195,13 +197,6 @@
   }
 
   private watchConnection(request: http.ClientRequest, socket: Socket): void {
-    const recordReset = () => {
-      // libuv reports a reset that arrives with the last bytes as an ordinary end. The kernel does
-      // not know the peer of a connection any more that was reset.
-      this.isConnectionBroken ||= socket.remotePort === undefined;
-    };
-    socket.prependListener('end', recordReset);
-    request.once('close', () => socket.off('end', recordReset));
     const send = guard(() => this.sendIfAwaited(request), {
       onFault: ({message}) => this.fail(request, message),
     });
@@ -303,6 +298,9 @@
     if (metadata.hasNotRun) {
       this.onRefusal(message.socket);
     }
+    if (framingOf(message, method) === 'close') {
+      detectReset(message.socket, () => (this.isConnectionBroken = true));
+    }
     message.once('close', () => closeUnread(request));
     return Result.ok({
       metadata,
