End a call whose target switches protocols (LOST)

What callers saw: a target that answers 101 with `Upgrade` left its call without an end: not at its timeout either, and the call kept its memory, its units of the quota and its place at the target. The same held for an attempt at the agent and its pin.

Cause: Node.js closes the connection of such a response without `response` and without `error`. The close of a request without a response is a failure with an unknown outcome now, in the entry and in the agent.

That the timeout did not end the call, and what it kept, is by reading.

--- a/agent/agent-server/src/target-forwarder.ts
+++ b/agent/agent-server/src/target-forwarder.ts
@@ -121,32 +121,34 @@
         signal: bounded.signal,
       });
       this.trackConnection(targetRequest);
-      let hasResponse = false;
-      targetRequest.on('error', error => {
+      let hasEnded = false;
+      const fail = (message: string) => {
         // The response may be whole although its connection failed.
-        if (hasResponse) {
+        if (hasEnded) {
           return;
         }
+        hasEnded = true;
         const {hasConnected} = this;
         refuseAttempt(
           hop,
           response,
-          connectionErrorRefusal(
-            hasConnected,
-            bounded.hasTimedOut,
-            error.message,
-          ),
+          connectionErrorRefusal(hasConnected, bounded.hasTimedOut, message),
         );
         resolve(endAfterConnectionError(hasConnected, signal.aborted));
-      });
+      };
+      targetRequest.on('error', error => fail(error.message));
       targetRequest.on('response', targetResponse => {
-        hasResponse = true;
+        hasEnded = true;
         this.openReader(targetResponse);
         this.responseHandler
           .handle(attempt, targetResponse)
           .then(resolve, reject);
       });
-      targetRequest.on('close', () => bounded.dispose());
+      targetRequest.on('close', () => {
+        bounded.dispose();
+        // Without a response, as after a change of protocols, there may be no error.
+        fail('no response came');
+      });
       targetRequest.end(body);
     });
   }
--- a/agent/agent-server/test/endless-responses.test.ts
+++ b/agent/agent-server/test/endless-responses.test.ts
@@ -128,6 +128,15 @@
   }
 });
 
+// Guards against an attempt that never ends, since Node.js reports no error.
+it('target forwarder: a response that switches protocols fails its attempt', async () => {
+  firstBytes = 'HTTP/1.1 101 OK\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n';
+  mayRepeat = new Promise(() => {});
+  const response = await fetch(agentUrl, {method: 'POST'});
+  expect(response.status).to.equal(502);
+  expect(response.headers.get('x-marigoldspur-outcome')).to.equal('unknown');
+});
+
 // Guards against an agent that ends because it cannot write the head of one response.
 for (const [name, bytes] of [
   ['a status of 000', WHOLE_RESPONSE.replace('200', '000')],
--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -152,6 +152,10 @@
           this.isConnectionBroken = true;
           resolve(Result.err(this.createFailure(error.message)));
         });
+        // Without a response, as after a change of protocols, there may be no error.
+        request.on('close', () =>
+          resolve(Result.err(this.createFailure('no response came'))),
+        );
         request.on(
           'response',
           guard(
--- a/entry/direct-routing/test/target-client.test.ts
+++ b/entry/direct-routing/test/target-client.test.ts
@@ -185,6 +185,20 @@
 });
 
 // Guards against a process that ends when it forwards such a head.
+// Guards against a call that never ends, since Node.js reports no error.
+it('target client: a response that switches protocols is broken and may have run', async () => {
+  const client = new TargetClient(WIRE_FORMAT);
+  scriptedResponses = [
+    ['HTTP/1.1 101 OK\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n'],
+  ];
+  const sent = await send(client, 'a');
+  expect(sent.isErr && sent.error).to.include({
+    kind: 'broken',
+    outcome: 'unknown',
+  });
+  client.close();
+});
+
 it('target client: a response whose head cannot be forwarded is broken and may have run', async () => {
   const client = new TargetClient(WIRE_FORMAT);
   const heads = [
