--- a/entry/entry-server/src/attempt-runner.ts
+++ b/entry/entry-server/src/attempt-runner.ts
@@ -10,6 +10,11 @@
   type PromptPrefix,
   type TargetDirectory,
 } from '@marigoldspur/dispatch';
+import {
+  createShuttingDownRefusal,
+  type CallDurations,
+  type DrainAdmission,
+} from '@marigoldspur/drain-admission';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
 import type {Hop, StoredAnswer} from '@marigoldspur/messages';
@@ -32,6 +37,8 @@
   readonly attemptClient: AttemptClient;
   readonly responseSender: ResponseSender;
   readonly retryBudget: RetryBudget;
+  readonly drainAdmission: Pick<DrainAdmission, 'maySend'>;
+  readonly durations: Pick<CallDurations, 'record'>;
   readonly events: EventLog;
   readonly metrics: EntryMetrics;
   /** Base URL of this process, from which agents can pull newer settings. */
@@ -72,6 +79,11 @@
     const refusals: Refusal[] = [];
     const prefixes = prefixesOf(job);
     for (let attempt = 1; ; attempt += 1) {
+      if (!this.maySend(job, performance.now())) {
+        return Result.err(
+          combineRefusals(refusals, createShuttingDownRefusal()),
+        );
+      }
       const destination = this.chooseDestination(job, tried, prefixes);
       if (destination === undefined) {
         return Result.err(refusals.at(-1) ?? createNoTargetRefusal());
@@ -143,6 +155,16 @@
     await pause(pauseMs, undefined, {signal: job.signal}).catch(() => {});
   }
 
+  /** Whether a job that is sent now is expected to end before a shutdown of this entry does. */
+  private maySend(job: Job, now: number): boolean {
+    const outlook = {
+      route: routeOf(job),
+      isRepeatable: isRepeatable(job),
+      assumedMs: job.settings.firstByteTimeoutMs,
+    };
+    return this.options.drainAdmission.maySend(outlook, now);
+  }
+
   private chooseDestination(
     job: Job,
     tried: ReadonlySet<string>,
@@ -173,8 +195,9 @@
     response: ServerResponse,
   ): Promise<RunResult> {
     const {attempt, destination, job} = context;
-    const {responseSender, directory, events} = this.options;
+    const {responseSender, directory, durations, events} = this.options;
     const {target} = destination;
+    const sentAt = performance.now();
     const endAttempt = directory.startAttempt(target);
     events.record('request-dispatched', {attempt, target}, job.id);
     try {
@@ -190,7 +213,16 @@
         destination,
         upstream,
       });
-      return await responseSender.send(job, upstream, response, resumer);
+      const result = await responseSender.send(
+        job,
+        upstream,
+        response,
+        resumer,
+      );
+      if (result.isOk) {
+        durations.record(routeOf(job), performance.now() - sentAt);
+      }
+      return result;
     } finally {
       endAttempt();
     }
@@ -253,6 +285,14 @@
   };
 }
 
+/** The requests of which a job is one: those for its service or adapter. */
+function routeOf({request}: Job): string {
+  const service = `${request.customer}/${request.service}`;
+  return request.kind === 'model'
+    ? `${service}/${formatModel(request.model)}`
+    : service;
+}
+
 /**
  * The prefixes of a job's prompt; none if its service does not use prefix
  * hints.
--- a/entry/entry-server/src/idempotent-runner.ts
+++ b/entry/entry-server/src/idempotent-runner.ts
@@ -1,10 +1,13 @@
 import type {ServerResponse} from 'node:http';
+import {Result} from 'true-myth';
+import {unlessAborted} from '@marigoldspur/abort-signals';
 import {formatRefusalBody} from '@marigoldspur/caller-api';
 import type {EventLog} from '@marigoldspur/event-log';
+import {createShuttingDownRefusal} from '@marigoldspur/drain-admission';
 import type {Refusal} from '@marigoldspur/faults';
 import type {Completion, StoredAnswer} from '@marigoldspur/messages';
 import type {AttemptRunner, RunResult} from './attempt-runner.js';
-import type {ClaimClient} from './claim-client.js';
+import type {ClaimClient, ClaimResult} from './claim-client.js';
 import type {Job} from './job.js';
 
 /** A job whose caller sent an `Idempotency-Key`. */
@@ -16,6 +19,8 @@
 export interface IdempotentRunnerOptions {
   readonly claimClient: ClaimClient;
   readonly runner: AttemptRunner;
+  /** Aborts when requests that still run have to be answered. */
+  readonly shutdownSignal: AbortSignal;
   readonly events: EventLog;
 }
 
@@ -32,15 +37,7 @@
     response: ServerResponse,
   ): Promise<Refusal | undefined> {
     const {claimClient, runner} = this.options;
-    const claimed = await claimClient.acquire({
-      customer: job.request.customer,
-      key: job.key,
-      method: job.method,
-      url: job.request.url,
-      body: job.body,
-      request: job.id,
-      retentionMs: job.settings.claimRetentionMs,
-    });
+    const claimed = await this.claim(job);
     if (claimed.isErr) {
       return claimed.error;
     }
@@ -58,6 +55,32 @@
     }
   }
 
+  /** Claims a job, unless this entry ends first. */
+  private async claim(job: KeyedJob): Promise<Result<ClaimResult, Refusal>> {
+    const {claimClient, shutdownSignal} = this.options;
+    const {claimRetentionMs: retentionMs} = job.settings;
+    const {customer, url} = job.request;
+    const {body, id: request, key, method} = job;
+    const claimed = await unlessAborted(
+      claimClient.acquire({
+        customer,
+        key,
+        method,
+        url,
+        body,
+        request,
+        retentionMs,
+      }),
+      shutdownSignal,
+    );
+    if (claimed !== undefined) {
+      return claimed;
+    }
+    const completion = {customer, key, request, result: 'not-run'} as const;
+    claimClient.complete(completion, retentionMs);
+    return Result.err(createShuttingDownRefusal());
+  }
+
   private replay(
     job: KeyedJob,
     storedAnswer: StoredAnswer,
--- a/entry/entry-server/src/job.ts
+++ b/entry/entry-server/src/job.ts
@@ -21,8 +21,8 @@
   /** Aborts when the caller disconnects. */
   readonly disconnectSignal: AbortSignal;
   /**
-   * Aborts when the run has to end: at the deadline and, if the job may be
-   * repeated, also when the caller disconnects.
+   * Aborts when the run has to end: at the deadline, shortly before the entry
+   * ends and, if the job may be repeated, also when the caller disconnects.
    */
   readonly signal: AbortSignal;
   /**
--- a/entry/entry-server/src/request-handler.ts
+++ b/entry/entry-server/src/request-handler.ts
@@ -1,9 +1,11 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {unlessAborted} from '@marigoldspur/abort-signals';
 import type {AdmissionController} from '@marigoldspur/admission';
 import {listModels, writeRefusal} from '@marigoldspur/caller-api';
 import type {CallerAuthenticator} from '@marigoldspur/caller-authentication';
 import type {SettingsFollower} from '@marigoldspur/control-client';
+import {createShuttingDownRefusal} from '@marigoldspur/drain-admission';
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal, toFault} from '@marigoldspur/faults';
 import type {AttemptRunner} from './attempt-runner.js';
@@ -23,6 +25,8 @@
   readonly admission: AdmissionController;
   readonly runner: AttemptRunner;
   readonly idempotentRunner: IdempotentRunner;
+  /** Aborts when requests that still run have to be answered. */
+  readonly shutdownSignal: AbortSignal;
   readonly events: EventLog;
   readonly metrics: EntryMetrics;
 }
@@ -110,18 +114,26 @@
     job: Job,
     response: ServerResponse,
   ): Promise<Refusal | undefined> {
-    const {confirmations, admission, runner, idempotentRunner} = this.options;
+    const {confirmations, admission, runner, idempotentRunner, shutdownSignal} =
+      this.options;
     const now = performance.now();
     const refusal = refuseIfIsolated(job, confirmations.lastConfirmedAt, now);
     if (refusal !== undefined) {
       return refusal;
     }
-    const admitted = await admission.admit(
+    const permit = admission.admit(
       job.request.customer,
       job.settings,
       job.disconnectSignal,
       now,
     );
+    const admitted = await unlessAborted(permit, shutdownSignal);
+    if (admitted === undefined) {
+      void permit.then(late =>
+        late.map(({release}) => release(performance.now())),
+      );
+      return createShuttingDownRefusal();
+    }
     if (admitted.isErr) {
       return admitted.error;
     }
--- a/entry/entry-server/src/request-reader.ts
+++ b/entry/entry-server/src/request-reader.ts
@@ -7,6 +7,7 @@
 import {readCallerRequest, type CallerRequest} from '@marigoldspur/caller-api';
 import type {CallerAuthenticator} from '@marigoldspur/caller-authentication';
 import type {SettingsFollower} from '@marigoldspur/control-client';
+import {createShuttingDownRefusal} from '@marigoldspur/drain-admission';
 import {Refusal} from '@marigoldspur/faults';
 import {findInvalidHeader, onResponseEnd} from '@marigoldspur/http-link';
 import {MemoryBudget} from '@marigoldspur/memory-budget';
@@ -29,6 +30,10 @@
   readonly maxBodyBytes: number;
   /** Maximum total size of buffered bodies, in bytes. */
   readonly maxHeldBytes: number;
+  /** Whether further requests are served. */
+  readonly acceptsRequests: () => boolean;
+  /** Aborts when requests that still run have to be answered. */
+  readonly shutdownSignal: AbortSignal;
 }
 
 /** The requested service or adapter, with its effective settings. */
@@ -77,13 +82,22 @@
       return Result.err(customer.error);
     }
     const body = await this.readBody(request, response);
+    if (!this.options.acceptsRequests()) {
+      discardRest(request);
+      response.setHeader('connection', 'close');
+      return Result.err(createShuttingDownRefusal());
+    }
     if (body.isErr) {
       discardRest(request);
       return Result.err(body.error);
     }
     const resolved = this.resolve(request, customer.value, body.value);
     return resolved.map(resolvedRequest => {
-      const run = createRunSignal(resolvedRequest, disconnectSignal);
+      const {shutdownSignal} = this.options;
+      const run = createRunSignal(resolvedRequest, [
+        shutdownSignal,
+        ...(isRepeatable(resolvedRequest) ? [disconnectSignal] : []),
+      ]);
       return {
         ...resolvedRequest,
         id,
@@ -101,8 +115,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<Result<Buffer, Refusal>> {
-    const {maxBodyBytes} = this.options;
-    const read = await this.bodies.read({request, maxBytes: maxBodyBytes});
+    const {maxBodyBytes: maxBytes, shutdownSignal: signal} = this.options;
+    const read = await this.bodies.read({request, maxBytes, signal});
     if (read.isErr) {
       return Result.err(createBodyRefusal(read.error));
     }
@@ -145,17 +159,14 @@
   }
 }
 
-/**
- * Signal that ends a run at its deadline, and when the caller disconnects if
- * the run may be repeated.
- */
+/** Signal that ends a run at its deadline, or with one of the parent signals. */
 function createRunSignal(
-  resolvedRequest: ResolvedRequest,
-  disconnectSignal: AbortSignal,
+  {settings}: ResolvedRequest,
+  parentSignals: AbortSignal[],
 ): BoundedSignal {
   return new BoundedSignal({
-    timeoutMs: resolvedRequest.settings.requestTimeoutMs,
-    parentSignals: isRepeatable(resolvedRequest) ? [disconnectSignal] : [],
+    timeoutMs: settings.requestTimeoutMs,
+    parentSignals,
   });
 }
 
--- a/entry/entry-server/src/start-entry.ts
+++ b/entry/entry-server/src/start-entry.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import type http from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import {AdmissionController} from '@marigoldspur/admission';
@@ -18,6 +19,7 @@
   TargetDirectory,
   TargetHealthMonitor,
 } from '@marigoldspur/dispatch';
+import {CallDurations, DrainAdmission} from '@marigoldspur/drain-admission';
 import {LoadReportStore} from '@marigoldspur/membership';
 import {
   LOAD_REPORTS_PATH,
@@ -47,6 +49,9 @@
  */
 const COMPLETIONS_TIMEOUT_MS = 10_000;
 
+/** Time reserved for the responses to requests that are given up, in milliseconds. */
+const ANSWER_MARGIN_MS = 200;
+
 /**
  * Starts an entry that sends requests to the agents beside targets; `drain` asks
  * the process to shut down gracefully.
@@ -96,6 +101,12 @@
     boot,
     random: Math.random,
   });
+  let acceptsRequests = true;
+  const shutdown = new AbortController();
+  // Each running request listens to it.
+  setMaxListeners(0, shutdown.signal);
+  const durations = new CallDurations();
+  const drainAdmission = new DrainAdmission(durations);
   const runner = new AttemptRunner({
     directory: new TargetDirectory(
       () => memberFollower.members(),
@@ -107,6 +118,8 @@
     attemptClient,
     responseSender: new ResponseSender({events, metrics: entryMetrics}),
     retryBudget: new RetryBudget(),
+    drainAdmission,
+    durations,
     events,
     metrics: entryMetrics,
     origin: () => url,
@@ -122,6 +135,8 @@
       authenticator,
       maxBodyBytes: settings.maxBodyBytes,
       maxHeldBytes: settings.maxHeldBytes,
+      acceptsRequests: () => acceptsRequests,
+      shutdownSignal: shutdown.signal,
     }),
     admission: new AdmissionController({
       maxRunning: settings.maxRunning,
@@ -131,8 +146,10 @@
     idempotentRunner: new IdempotentRunner({
       claimClient,
       runner,
+      shutdownSignal: shutdown.signal,
       events,
     }),
+    shutdownSignal: shutdown.signal,
     events,
     metrics: entryMetrics,
   });
@@ -200,9 +217,17 @@
   });
   return {
     async stop() {
+      const {drainMs, settleMs} = settings;
+      const answerMs = Math.min(ANSWER_MARGIN_MS, drainMs / 2);
       runtime.beginDrain();
-      await pause(settings.settleMs);
-      await Promise.race([callerServer.close(), pause(settings.drainMs)]);
+      const endAt = performance.now() + settleMs + drainMs;
+      drainAdmission.begin(endAt - answerMs);
+      await pause(settleMs);
+      acceptsRequests = false;
+      const closed = callerServer.close();
+      await Promise.race([closed, pause(drainMs - answerMs)]);
+      shutdown.abort();
+      await Promise.race([closed, pause(answerMs)]);
       if (requestHandler.runningCount > 0) {
         events.record('shutdown-bound-reached', {
           running: requestHandler.runningCount,
--- a/entry/entry-server/test/request-reader.test.ts
+++ b/entry/entry-server/test/request-reader.test.ts
@@ -26,6 +26,8 @@
     authenticator: {authenticate: () => Result.ok(undefined), stop: () => {}},
     maxBodyBytes: 1_000_000,
     maxHeldBytes: MAX_HELD_BYTES,
+    acceptsRequests: () => true,
+    shutdownSignal: new AbortController().signal,
   });
   server = http.createServer(async (request, response) => {
     onRequest();
--- a/lab/lab/src/start-processes.ts
+++ b/lab/lab/src/start-processes.ts
@@ -75,6 +75,7 @@
         ...['--control', control],
         ...flags,
         ...(options.keys?.entryFlags ?? []),
+        ...(options.entryFlags ?? []),
       ],
       options.network?.createVariables(name),
     );
--- a/lab/lab/src/system-options.ts
+++ b/lab/lab/src/system-options.ts
@@ -61,6 +61,8 @@
   readonly network?: Network;
   /** Time in which a broken stream of an engine can be resumed, in milliseconds; 0 disables it. */
   readonly resumeMs?: number;
+  /** Additional flags of each entry, for example of its shutdown. */
+  readonly entryFlags?: readonly string[];
   /** Additional flags of each engine, for example of its prefix cache. */
   readonly engineFlags?: readonly string[];
 }
