--- a/lab/log-trials/src/disk-fault-file.ts
+++ b/lab/log-trials/src/disk-fault-file.ts
@@ -1,7 +1,7 @@
 import {rm, writeFile} from 'node:fs/promises';
 
 /** Kinds of disk faults. */
-export type DiskFault = 'no room' | 'failed sync';
+export type DiskFault = 'no room' | 'writes refused' | 'failed sync';
 
 /** Environment variable with the path of the file that contains the current fault. */
 export const DISK_FAULT_VARIABLE = 'MARIGOLDSPUR_LAB_DISK_FAULT';
