Send a replica that can't write its log no more entries than fit its memory (Acks, CONFIG)

What callers saw: while large configurations changed in quick succession and one disk was full, that replica of control ended for want of memory, 2.5 s after its disk had filled; with restarts, or the next disk full, changes were refused.

Cause: the leader sent up to 4,096 entries without an answer, whatever their size, and the replica kept all that it could not write.

Change: a replica has at most 4 MiB of unanswered entries, one entry at least; heartbeats go on without entries. Only what was sent by this leader counts, so that a new one sends its first entry at once.

--- a/control/consensus/src/progress.ts
+++ b/control/consensus/src/progress.ts
@@ -4,6 +4,8 @@
   matchIndex: number;
   /** Index of the next entry to send. */
   nextIndex: number;
+  /** Lowest index from which entries were sent; those before it are not on their way. */
+  sentFrom: number;
   /** When the replica last answered, in milliseconds; initially when tracking started. */
   lastAnswerAt: number;
   /** The latest heartbeat round that the replica answered. */
@@ -24,5 +26,11 @@
 
 /** Initial progress of a replica. */
 export function createProgress(lastIndex: number, now: number): Progress {
-  return {matchIndex: 0, nextIndex: lastIndex + 1, lastAnswerAt: now, round: 0};
+  return {
+    matchIndex: 0,
+    nextIndex: lastIndex + 1,
+    sentFrom: lastIndex + 1,
+    lastAnswerAt: now,
+    round: 0,
+  };
 }
--- a/control/consensus/src/replication.ts
+++ b/control/consensus/src/replication.ts
@@ -15,6 +15,8 @@
 const MAX_APPEND_ENTRIES = 512;
 /** A replica with this many unanswered entries is sent no more until it answers. */
 const MAX_UNANSWERED_ENTRIES = 4_096;
+/** The same by their size: a replica that can't write them to its disk keeps them in memory. */
+const MAX_UNANSWERED_BYTES = 4_194_304;
 
 /**
  * Sends entries, the commit index and heartbeats from the leader to the other replicas.
@@ -110,15 +112,25 @@
       this.snapshotSender.start(to, progress, this.round, now);
       return;
     }
-    const entries = this.state.log.entriesFrom(
-      progress.nextIndex,
-      this.options.maxAppendBytes ?? MAX_APPEND_BYTES,
-      MAX_APPEND_ENTRIES,
-    );
+    progress.sentFrom = Math.min(progress.sentFrom, progress.nextIndex);
+    const entries =
+      this.unansweredBytes(progress) < MAX_UNANSWERED_BYTES
+        ? this.state.log.entriesFrom(
+            progress.nextIndex,
+            this.options.maxAppendBytes ?? MAX_APPEND_BYTES,
+            MAX_APPEND_ENTRIES,
+          )
+        : [];
     progress.nextIndex += entries.length;
     this.sendEntries(to, previousIndex, previousTerm, entries);
   }
 
+  /** Size of the entries that were sent to a replica and not answered, in bytes. */
+  private unansweredBytes(progress: Progress): number {
+    const answered = Math.max(progress.matchIndex, progress.sentFrom - 1);
+    return this.state.log.bytesBetween(answered, progress.nextIndex - 1);
+  }
+
   /**
    * Sends a heartbeat to a replica that is receiving a snapshot, or resends a lost
    * part.
