Send all named versions to a starting entry from one replica of control alone (CONFIG)

What callers saw: nothing yet. With 36,000 adapters each of five replicas sent 2.57 MB of versions whenever a stream started, over the link that configurations and callers share: 2.9 s each at 7 Mbit/s.

Cause: the cost of a start grew with the state and with the number of its sources, as that of a change did before deployments came from one replica.

Change: a request for the fleet stream states the digest of the versions that the entry knows; a replica whose own have that digest leaves them out of the state. Until the first state has come, an entry opens one stream at a time, the next after 0.5 s or a failure. Entries and replicas of before understand each other: without the header, all versions are sent.

--- a/contracts/deployment/src/index.ts
+++ b/contracts/deployment/src/index.ts
@@ -32,6 +32,7 @@
   NAMED_VERSION_SCHEMA,
   type NamedVersion,
 } from './adapter-versions.js';
+export {digestVersions, KNOWN_VERSIONS_HEADER} from './known-versions.js';
 export {
   DEPLOYMENT_TEXT_SCHEMA,
   FLEET_MESSAGE_SCHEMA,
--- a/control/fleet/src/fleet-stream-server.ts
+++ b/control/fleet/src/fleet-stream-server.ts
@@ -1,6 +1,8 @@
 import type http from 'node:http';
 import {
   adapterName,
+  digestVersions,
+  KNOWN_VERSIONS_HEADER,
   FLEET_MAX_INTERVAL_MS,
   type CrashRecords,
   type FleetMessage,
@@ -42,10 +44,22 @@
 interface Follower {
   readonly response: http.ServerResponse;
   readonly queue: FollowerQueue;
+  /** Digest of the named versions that it knew when it began to follow, if it stated one. */
+  readonly knownVersions: string | undefined;
   /** Whether the full state was sent, after which changes are sent. */
   isSynced: boolean;
 }
 
+/** The state as followers share it, until it changes. */
+interface SharedState {
+  /** Digest of its named versions. */
+  readonly versions: string;
+  /** With all named versions. */
+  whole?: Buffer;
+  /** For followers that know its named versions. */
+  withoutVersions?: Buffer;
+}
+
 /** A follower with more unread bytes than this is disconnected; it may reconnect. */
 const MAX_UNREAD_BYTES = 4_194_304;
 const KEEPALIVE = toLine({});
@@ -65,7 +79,7 @@
   private readonly waiting = new Set<Follower>();
   private readonly memory: Pick<MemoryBudget, 'reserve'>;
   /** The state as it was sent last; undefined once it has changed. Followers share it. */
-  private state: Buffer | undefined;
+  private state: SharedState | undefined;
   private readonly timer: NodeJS.Timeout;
   /** Revision of the last broadcast deployment. */
   private sentRevision = -1;
@@ -97,7 +111,9 @@
     response.writeHead(200, {'content-type': 'application/x-ndjson'});
     const now = () => performance.now();
     const queue = new FollowerQueue({output: response, reservation, now});
-    const follower: Follower = {response, queue, isSynced: false};
+    const stated = request.headers[KNOWN_VERSIONS_HEADER];
+    const knownVersions = typeof stated === 'string' ? stated : undefined;
+    const follower = {response, queue, knownVersions, isSynced: false};
     this.followers.add(follower);
     const end = () => {
       queue.end();
@@ -213,12 +229,17 @@
   /** Sends the state to the waiting followers, as far as there is memory for it. */
   private sendWaitingState(): void {
     for (const follower of this.waiting) {
+      this.state ??= {versions: this.digestVersions()};
+      const form =
+        follower.knownVersions === this.state.versions
+          ? 'withoutVersions'
+          : 'whole';
       // A state that cannot be held is not created: it may be large.
-      if (!this.makeRoom(follower, this.state?.length ?? 0)) {
+      if (!this.makeRoom(follower, this.state[form]?.length ?? 0)) {
         return;
       }
-      this.state ??= this.createState();
-      if (!this.push(follower, this.state)) {
+      this.state[form] ??= this.createState(form === 'whole');
+      if (!this.push(follower, this.state[form])) {
         return;
       }
       this.waiting.delete(follower);
@@ -227,13 +248,25 @@
     }
   }
 
-  private createState(): Buffer {
+  private digestVersions(): string {
+    const {deployments} = this.options;
+    return digestVersions(
+      deployments
+        .namedVersions()
+        .map(({adapter, model, version}) => [
+          adapterName(model, adapter),
+          version,
+        ]),
+    );
+  }
+
+  private createState(hasVersions: boolean): Buffer {
     const {archive, crashRecords, deployments, limits, replicas, targets} =
       this.options;
     return toLine({
       whole: true,
       deployment: archive.head(),
-      versions: deployments.namedVersions(),
+      ...(hasVersions && {versions: deployments.namedVersions()}),
       replicas: [...replicas()],
       targets: targets.targets(),
       gone: targets.ended(),
--- a/control/fleet/test/fleet-manager.test.ts
+++ b/control/fleet/test/fleet-manager.test.ts
@@ -63,7 +63,7 @@
       },
       destroy: () => {},
     });
-    const request = {resume: () => {}} as http.IncomingMessage;
+    const request = {headers: {}, resume: () => {}} as http.IncomingMessage;
     fleet.streamServer.handle(
       request,
       connection as unknown as http.ServerResponse,
--- a/control/fleet/test/fleet-stream-server.test.ts
+++ b/control/fleet/test/fleet-stream-server.test.ts
@@ -50,7 +50,10 @@
       before.push(message);
     });
   });
-  const request = {resume: () => {}} as http.IncomingMessage;
+  const request = {
+    headers: {},
+    resume: () => {},
+  } as http.IncomingMessage;
   server.handle(request, connection as unknown as http.ServerResponse);
   return followed;
 }
--- a/control/fleet/test/unread-followers.test.ts
+++ b/control/fleet/test/unread-followers.test.ts
@@ -74,7 +74,10 @@
 
 async function follow(): Promise<Connection> {
   const connection = new Connection();
-  const request = {resume: () => {}} as http.IncomingMessage;
+  const request = {
+    headers: {},
+    resume: () => {},
+  } as http.IncomingMessage;
   server.handle(request, connection as unknown as http.ServerResponse);
   await new Promise(resolve => setImmediate(resolve));
   return connection;
--- a/zones/fleet-client/src/fleet-follower.ts
+++ b/zones/fleet-client/src/fleet-follower.ts
@@ -11,6 +11,7 @@
   DEPLOYMENT_TRANSFER_SCHEMA,
   FLEET_PATH,
   FLEET_MAX_INTERVAL_MS,
+  KNOWN_VERSIONS_HEADER,
   readFleetMessage,
 } from '@marigoldspur/deployment';
 import {DeploymentFetcher} from '@marigoldspur/deployment-transfer';
@@ -61,6 +62,7 @@
 const IDLE_TIMEOUT_MS = 3 * FLEET_MAX_INTERVAL_MS;
 const RETRY_DELAY_MS = 200;
 const MAINTENANCE_INTERVAL_MS = 500;
+const MAX_FIRST_STREAM = 1_024;
 const MAX_TRANSFER_BYTES = 33_554_432;
 
 interface ReplicaStream {
@@ -83,6 +85,8 @@
   /** When all known replicas were last followed, as a `performance.now()` time. */
   private followedAllAt = -Infinity;
   private confirmed = false;
+  /** Counts the streams that are opened before the first state comes; which is first is random. */
+  private firstStreams = Math.floor(Math.random() * MAX_FIRST_STREAM);
   private recorded: readonly ServiceVersion[] = [];
 
   constructor(private readonly options: FleetFollowerOptions) {
@@ -179,9 +183,14 @@
 
   private updateStreams(): void {
     const wanted = this.urls();
-    wanted
-      .filter(url => !this.replicaStreams.has(url))
-      .forEach(url => this.open(url));
+    const missing = wanted.filter(url => !this.replicaStreams.has(url));
+    if (this.confirmed) {
+      missing.forEach(url => this.open(url));
+    } else if (missing.length > 0) {
+      // The first state holds all named versions, which the others need not send then.
+      this.open(missing[this.firstStreams % missing.length]);
+      this.firstStreams += 1;
+    }
     for (const [url, stream] of this.replicaStreams) {
       if (!wanted.includes(url) && !stream.isFollowed) {
         stream.close();
@@ -196,6 +205,7 @@
     stream.close = openLineStream({
       url: new URL(FLEET_PATH, url),
       agent: this.options.agent,
+      headers: {[KNOWN_VERSIONS_HEADER]: this.view.versionsDigest},
       idleTimeoutMs: IDLE_TIMEOUT_MS,
       onMessage: (message, bytes) => {
         this.options.onReceived(url, bytes);
@@ -227,6 +237,9 @@
       this.recorded = recordedVersions;
     }
     this.options.onChange(this.view.applyMessage(url, message));
+    if (message.whole) {
+      this.updateStreams();
+    }
     if (message.deployment !== undefined) {
       this.fetcher.announce(url, message.deployment);
     }
--- a/zones/fleet-client/src/line-stream.ts
+++ b/zones/fleet-client/src/line-stream.ts
@@ -5,6 +5,7 @@
 export interface LineStreamOptions {
   readonly url: URL;
   readonly agent: http.Agent;
+  readonly headers?: http.OutgoingHttpHeaders;
   /** Time without data after which the stream counts as lost, in milliseconds. */
   readonly idleTimeoutMs: number;
   /** Called with each message and its size; an exception ends the stream. */
@@ -18,10 +19,10 @@
 
 /** Opens a stream; the returned function ends it without calling `onEnd`. */
 export function openLineStream(options: LineStreamOptions): () => void {
-  const {agent, onEnd, onMessage, idleTimeoutMs, url} = options;
+  const {agent, headers = {}, onEnd, onMessage, idleTimeoutMs, url} = options;
   const reader = new LineReader(MAX_LINE_BYTES);
   let isEnded = false;
-  const request = openRequest({url, method: 'GET', headers: {}, agent});
+  const request = openRequest({url, method: 'GET', headers, agent});
   const close = () => {
     isEnded = true;
     clearTimeout(timer);
--- a/zones/fleet-view/src/fleet-view.ts
+++ b/zones/fleet-view/src/fleet-view.ts
@@ -1,5 +1,6 @@
 import {
   adapterName,
+  digestVersions,
   isNewerAnnouncement,
   type DeploymentText,
   type FleetMessage,
@@ -40,6 +41,8 @@
   /** Last start of each target that said to this process that it leaves, by ID. */
   private readonly leaves = new Map<string, number>();
   private readonly versions = new Map<string, number>();
+  /** Digest of the named versions; undefined once they have changed. */
+  private digest: string | undefined;
   private currentDeployment: DeploymentText | undefined;
   private replicaUrls: readonly string[] = [];
   private entryCount = 1;
@@ -65,6 +68,12 @@
     return this.versions.get(adapterName(model, adapter));
   }
 
+  /** Digest of the newest named version of each adapter. */
+  get versionsDigest(): string {
+    this.digest ??= digestVersions(this.versions);
+    return this.digest;
+  }
+
   /** Whether a target announced its end. */
   hasEnded({id, bornAt}: TargetIncarnation): boolean {
     return bornAt <= (this.endedIncarnations.get(id) ?? -1);
@@ -143,6 +152,7 @@
       const name = adapterName(model, adapter);
       if (version > (this.versions.get(name) ?? -1)) {
         this.versions.set(name, version);
+        this.digest = undefined;
         changed.push(name);
       }
     }
