--- a/control/replicated-log/src/log-replica.ts
+++ b/control/replicated-log/src/log-replica.ts
@@ -232,6 +232,7 @@
     await this.transferLeadership();
     clearInterval(this.periodicTimer);
     this.wakeTimer.stop();
+    await this.snapshots.stop();
     await this.writer.stop();
     this.proposals.failOtherTerms(undefined);
     this.reads.failAll(new Fault('STOPPING', 'the replica is stopping'));
--- a/control/replicated-log/src/snapshot-manager.ts
+++ b/control/replicated-log/src/snapshot-manager.ts
@@ -29,6 +29,9 @@
 export class SnapshotManager {
   private savedIndex: number;
   private isSaving = false;
+  private isStopped = false;
+  /** The latest save or removal. */
+  private lastWork: Promise<void> = Promise.resolve();
   private retryAt = 0;
 
   constructor(private readonly options: SnapshotManagerOptions) {
@@ -55,7 +58,7 @@
    * the last one covers first, if that failed before: the new one may need their space.
    */
   saveIfDue(now: number): void {
-    if (this.isSaving || now < this.retryAt) {
+    if (this.isStopped || this.isSaving || now < this.retryAt) {
       return;
     }
     if (this.options.storage.hasCoveredFiles) {
@@ -66,14 +69,20 @@
     }
   }
 
+  /** Saves nothing more; resolves once what is being saved or removed has ended. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    await this.lastWork;
+  }
+
   private run(work: Promise<void>): void {
     this.isSaving = true;
-    void work.finally(() => (this.isSaving = false));
+    this.lastWork = work.finally(() => (this.isSaving = false));
   }
 
   private async removeCoveredFiles(now: number): Promise<void> {
     await this.options.storage.removeCoveredFiles();
-    if (this.isDue()) {
+    if (!this.isStopped && this.isDue()) {
       await this.save(now);
     }
   }
