--- a/entry/direct-routing/src/attempt-sender.ts
+++ b/entry/direct-routing/src/attempt-sender.ts
@@ -158,7 +158,7 @@
       this.recordWishes(call, attempt, sent.value);
     }
     const response = this.identifyStart(call, attempt, sent.value);
-    const isContinued = (resumeAfter ?? 0) > 0;
+    const isContinued = resumeAfter !== undefined;
     const failure = isContinued
       ? (findTypeFailure(call, response) ?? (await findStartFailure(response)))
       : undefined;
--- a/entry/direct-routing/src/response-recorder.ts
+++ b/entry/direct-routing/src/response-recorder.ts
@@ -55,7 +55,7 @@
     {target}: Attempt,
     {isAnnouncedStart}: TargetResponse,
   ): Promise<void> {
-    const isBegun = (call.metadata.resumeAfter ?? 0) === 0;
+    const isBegun = call.metadata.resumeAfter === undefined;
     if (isBegun && (await isAnnouncedStart)) {
       const {streamOrigins} = this.options;
       streamOrigins.recordFirstEvent(call, target, performance.now());
--- a/entry/direct-routing/src/stream-origins.ts
+++ b/entry/direct-routing/src/stream-origins.ts
@@ -146,8 +146,8 @@
     call: Call,
     clock: () => number,
   ): Promise<Result<StreamOrigin | undefined, Refusal>> {
-    const {resumeAfter = 0, resumes} = call.metadata;
-    if (!call.route.streaming || resumeAfter <= 0) {
+    const {resumeAfter, resumes} = call.metadata;
+    if (!call.route.streaming || resumeAfter === undefined) {
       return Result.ok(undefined);
     }
     const known = resumes === undefined ? undefined : this.ledger.find(resumes);
--- a/entry/direct-routing/test/stream-origins.test.ts
+++ b/entry/direct-routing/test/stream-origins.test.ts
@@ -233,10 +233,18 @@
   expect((await refusalOf('c0'))?.retryAfterSeconds).to.be.above(0);
 });
 
-it('stream origins: a call after event 0 begins a stream', async () => {
+// Guards against streams numbered from 0 that go on at another version after their first event.
+it('stream origins: a call after event 0 takes a stream up, and one that states no event begins one', async () => {
   origins.recordTargets([target('i1', 'v1'), target('i2', 'v2')], NOW);
-  expect((await takeUp('c0', '/x', 0)).isOk).to.equal(true);
-  expect(lookups).to.have.length(0);
+  origins.recordFirstEvent(call('c1'), target('i2', 'v2'), NOW);
+  const taken = await takeUp('c1', '/x', 0);
+  expect(taken.isOk && taken.value?.softwareVersion).to.equal('v2');
+  setEvidence(['v1', 'v2']);
+  expect((await takeUp('c0', '/x', 0)).isErr).to.equal(true);
+  expect(lookups).to.deep.equal(['c0']);
+  const begun = await origins.resolve(call('c2'), () => NOW);
+  expect(begun.isOk && begun.value).to.equal(undefined);
+  expect(lookups).to.have.length(1);
 });
 
 it('stream origins: without a quorum one version is not certain, but what this entry began is known', async () => {
