Let the end of a target hold that is said at any control host (DRAIN)

Cause: TargetRegistry.leave returned nothing for a target that it did not know, and the host answered 200. Entries had the target from the other host until it was silent.

Change: the end of an unknown target is remembered (4,096 at most) and broadcast without a start. An entry ends the start that it knows; in a whole list such an end counts only for targets that state no start, so that a later start under the same ID is kept.

--- a/control/fleet/test/fleet-manager.test.ts
+++ b/control/fleet/test/fleet-manager.test.ts
@@ -158,3 +158,10 @@
   const refused = await confirm();
   expect(refused.isErr && refused.error.code).to.equal('NO_QUORUM');
 });
+
+it('fleet manager: followers learn of the end of a target that announced itself to another replica', async () => {
+  const messages = await follow();
+  fleet.leave('i9', performance.now());
+  const gone = messages.flatMap(message => message.gone ?? []);
+  expect(gone).to.deep.equal([{id: 'i9', bornAt: 0}]);
+});
--- a/zones/fleet-view/src/fleet-view.ts
+++ b/zones/fleet-view/src/fleet-view.ts
@@ -1,6 +1,7 @@
 import {
   adapterName,
   isNewerAnnouncement,
+  UNKNOWN_START_TIME,
   type DeploymentText,
   type FleetMessage,
   type TargetAnnouncement,
@@ -156,9 +157,13 @@
     targets.forEach(target => known.targets.set(target.id, target));
     silent.forEach(incarnation => removeIncarnation(known, incarnation));
     gone.forEach(({id, bornAt}) => {
+      const endedAt =
+        bornAt === UNKNOWN_START_TIME && message.whole !== true
+          ? this.lastKnownStart(id)
+          : bornAt;
       this.endedIncarnations.set(
         id,
-        Math.max(bornAt, this.endedIncarnations.get(id) ?? 0),
+        Math.max(endedAt, this.endedIncarnations.get(id) ?? 0),
       );
       known.targets.delete(id);
     });
@@ -172,6 +177,14 @@
     return isChanged;
   }
 
+  /** Last start of a target that a replica lists. */
+  private lastKnownStart(id: string): number {
+    const starts = [...this.sources.values()].map(
+      ({targets}) => targets.get(id)?.bornAt ?? UNKNOWN_START_TIME,
+    );
+    return Math.max(...starts);
+  }
+
   private mergeTargets(): TargetAnnouncement[] {
     const newest = new Map<string, TargetAnnouncement>();
     for (const {targets} of this.sources.values()) {
--- a/zones/fleet-view/test/fleet-view.test.ts
+++ b/zones/fleet-view/test/fleet-view.test.ts
@@ -1,5 +1,8 @@
 import {expect} from 'chai';
-import type {TargetAnnouncement} from '@marigoldspur/deployment';
+import {
+  UNKNOWN_START_TIME,
+  type TargetAnnouncement,
+} from '@marigoldspur/deployment';
 import {FleetView} from '@marigoldspur/fleet-view';
 
 function target(changes: Partial<TargetAnnouncement> = {}): TargetAnnouncement {
@@ -107,3 +110,19 @@
   view.applyMessage('a', {targets: [target({bornAt: 2_000})]});
   expect(view.targets()[0].leaving).to.equal(false);
 });
+
+// Guards against calls to targets that announced their end to a replica which did not know them.
+it('fleet view: an end without a start ends the start that is known, and no later one', () => {
+  const gone = [{id: 't1', bornAt: UNKNOWN_START_TIME}];
+  for (const bornAt of [UNKNOWN_START_TIME, 1_000]) {
+    const view = new FleetView();
+    view.applyMessage('a', {whole: true, targets: [target({bornAt})]});
+    view.applyMessage('b', {gone});
+    expect(ids(view)).to.deep.equal([]);
+    view.applyMessage('a', {targets: [target({bornAt, sequence: 2})]});
+    expect(ids(view)).to.deep.equal([]);
+    view.applyMessage('a', {targets: [target({bornAt: 2_000})]});
+    view.applyMessage('b', {whole: true, gone});
+    expect(ids(view)).to.deep.equal(['t1']);
+  }
+});
--- a/zones/target-registry/src/target-registry.ts
+++ b/zones/target-registry/src/target-registry.ts
@@ -1,5 +1,6 @@
 import {
   isNewerAnnouncement,
+  UNKNOWN_START_TIME,
   type TargetAnnouncement,
   type TargetIncarnation,
 } from '@marigoldspur/deployment';
@@ -30,6 +31,8 @@
 
 /** Maximum number of targets that are remembered because they said that they leave. */
 const MAX_LEAVES = 4_096;
+/** Maximum number of ended targets that are remembered although they were not known. */
+const MAX_UNKNOWN_ENDS = 4_096;
 
 /**
  * The announced targets. Announcements are ordered by the start time of the target's
@@ -39,6 +42,8 @@
 export class TargetRegistry {
   private readonly rows = new Map<string, Row>();
   private readonly ends = new Map<string, EndedTarget>();
+  /** IDs of ended targets that were not known here. */
+  private readonly unknownEnds = new Set<string>();
   /** Last start of each target that said in an answer that it leaves, by ID. */
   private readonly leaves = new Map<string, number>();
 
@@ -62,6 +67,7 @@
       return 'late';
     }
     this.ends.delete(id);
+    this.unknownEnds.delete(id);
     const agreed = withAgreedVersion(announcement, known?.announcement);
     const leaving = agreed.leaving || this.saysItLeaves(agreed);
     const current = {...agreed, leaving};
@@ -101,15 +107,33 @@
     return bornAt <= (this.leaves.get(id) ?? -1);
   }
 
-  /** Removes a target that ended at time `now`, in milliseconds, and returns it; undefined if it is unknown. */
+  /**
+   * Removes a target that ended at time `now`, in milliseconds, and returns it; undefined if its
+   * end is known. A target that is not known may have announced itself to another replica.
+   */
   leave(id: string, now: number): TargetIncarnation | undefined {
     const known = this.rows.get(id);
     if (known === undefined) {
-      return undefined;
+      return this.ends.has(id) ? undefined : this.recordUnknownEnd(id, now);
     }
     const incarnation = {id, bornAt: known.announcement.bornAt};
     this.rows.delete(id);
+    this.unknownEnds.delete(id);
+    this.ends.set(id, {incarnation, at: now});
+    return incarnation;
+  }
+
+  private recordUnknownEnd(id: string, now: number): TargetIncarnation {
+    const incarnation = {id, bornAt: UNKNOWN_START_TIME};
     this.ends.set(id, {incarnation, at: now});
+    this.unknownEnds.add(id);
+    for (const oldest of this.unknownEnds) {
+      if (this.unknownEnds.size <= MAX_UNKNOWN_ENDS) {
+        break;
+      }
+      this.unknownEnds.delete(oldest);
+      this.ends.delete(oldest);
+    }
     return incarnation;
   }
 
@@ -118,6 +142,7 @@
     for (const [id, end] of this.ends) {
       if (now - end.at > this.options.endRetentionMs) {
         this.ends.delete(id);
+        this.unknownEnds.delete(id);
       }
     }
     const silent = [...this.rows.values()].filter(
--- a/zones/target-registry/test/target-registry.test.ts
+++ b/zones/target-registry/test/target-registry.test.ts
@@ -1,5 +1,8 @@
 import {expect} from 'chai';
-import type {TargetAnnouncement} from '@marigoldspur/deployment';
+import {
+  UNKNOWN_START_TIME,
+  type TargetAnnouncement,
+} from '@marigoldspur/deployment';
 import {TargetRegistry} from '@marigoldspur/target-registry';
 
 function announcement(
@@ -107,3 +110,23 @@
   registry.announce(announcement(), 0);
   expect(registry.find('t1')?.leaving).to.equal(true);
 });
+
+// Guards against ends that hold only at the replica which a target announced itself to.
+it('target registry: the end of a target that was never announced here holds', () => {
+  const registry = createRegistry();
+  const end = {id: 't1', bornAt: UNKNOWN_START_TIME};
+  expect(registry.leave('t1', 0)).to.deep.equal(end);
+  expect(registry.ended()).to.deep.equal([end]);
+  const late = announcement({bornAt: UNKNOWN_START_TIME});
+  expect(registry.announce(late, 1)).to.equal('late');
+  expect(registry.announce(announcement(), 2)).to.equal('changed');
+});
+
+it('target registry: a limited number of ends of unknown targets is remembered', () => {
+  const registry = createRegistry();
+  for (let index = 0; index < 5_000; index += 1) {
+    registry.leave(`unknown-${index}`, 0);
+  }
+  expect(registry.ended()).to.have.length(4_096);
+  expect(registry.ended().at(-1)?.id).to.equal('unknown-4999');
+});
