Sync the folders above the log at the start of a replica (LOST)

What a replica had acknowledged could be gone after a loss of power soon after its first start.

Cause: openLogStorage synced the folder in which the log was created, but not the one above it, in which that folder (control) was created at the same start. Seen by the review in the code; no loss was shown.

Change: all folders in which one was created are synced, and the two above the log at each start, because an earlier start may have ended in between.

--- a/control/log-storage/src/file-system.ts
+++ b/control/log-storage/src/file-system.ts
@@ -11,7 +11,8 @@
 
 /** The file operations of the log; tests replace them to simulate disk faults. */
 export interface FileSystem {
-  makeFolder(folder: string): Promise<void>;
+  /** Creates a folder and those above it; resolves to the first one that was created, if any. */
+  makeFolder(folder: string): Promise<string | undefined>;
   /** Lists the names of the files in a folder. */
   list(folder: string): Promise<string[]>;
   read(file: string): Promise<Uint8Array>;
--- a/control/log-storage/src/node-file-system.ts
+++ b/control/log-storage/src/node-file-system.ts
@@ -12,8 +12,8 @@
 
 /** File system backed by `node:fs`. */
 export class NodeFileSystem implements FileSystem {
-  async makeFolder(folder: string): Promise<void> {
-    await mkdir(folder, {recursive: true});
+  makeFolder(folder: string): Promise<string | undefined> {
+    return mkdir(folder, {recursive: true});
   }
 
   list(folder: string): Promise<string[]> {
--- a/control/log-storage/src/open-log-storage.ts
+++ b/control/log-storage/src/open-log-storage.ts
@@ -43,8 +43,8 @@
 ): Promise<OpenedStorage> {
   const files = options.files ?? new NodeFileSystem();
   const {folder} = options;
-  await files.makeFolder(folder);
-  await files.syncFolder(path.dirname(folder));
+  const firstCreated = await files.makeFolder(folder);
+  await syncFoldersAbove(files, folder, firstCreated);
   const names = await files.list(folder);
   for (const name of names.filter(isTemporaryFile)) {
     await files.remove(path.join(folder, name));
@@ -54,6 +54,32 @@
     : openNew(options, files, names);
 }
 
+/**
+ * Syncs the folders in which the folder and those above it were created. The two above it are
+ * synced in any case, since an earlier start may have ended before it did that.
+ */
+async function syncFoldersAbove(
+  files: FileSystem,
+  folder: string,
+  firstCreated: string | undefined,
+): Promise<void> {
+  const parent = path.dirname(folder);
+  const grandparent = path.dirname(parent);
+  await files.syncFolder(parent);
+  await files.syncFolder(grandparent).catch(thrown => {
+    // A folder that this process may not read was not created by it.
+    if ((thrown as NodeJS.ErrnoException).code !== 'EACCES') {
+      throw thrown;
+    }
+  });
+  const last = firstCreated && path.dirname(path.resolve(firstCreated));
+  let next = path.resolve(grandparent);
+  while (last !== undefined && next !== last && next.startsWith(last)) {
+    next = path.dirname(next);
+    await files.syncFolder(next);
+  }
+}
+
 async function openNew(
   options: LogStorageOptions,
   files: FileSystem,
