--- a/control/log-storage/src/open-log-storage.ts
+++ b/control/log-storage/src/open-log-storage.ts
@@ -45,8 +45,8 @@
   const files = options.files ?? new NodeFileSystem();
   const {folder} = options;
   try {
-    await files.makeFolder(folder);
-    await files.syncFolder(path.dirname(folder));
+    const firstCreated = await files.makeFolder(folder);
+    await syncFoldersAbove(files, folder, firstCreated);
   } catch (thrown) {
     throw toDiskError(thrown);
   }
@@ -72,6 +72,33 @@
   }
 }
 
+/**
+ * Syncs the folders in which the folder and those above it were created. The two above it are
+ * synced in any case, since an earlier start may have ended before it did that.
+ */
+async function syncFoldersAbove(
+  files: FileSystem,
+  folder: string,
+  firstCreated: string | undefined,
+): Promise<void> {
+  const parent = path.dirname(folder);
+  const grandparent = path.dirname(parent);
+  await files.syncFolder(parent);
+  await files.syncFolder(grandparent).catch(thrown => {
+    // A folder above that this process may not open was not created in by it.
+    if (firstCreated === undefined || firstCreated === folder) {
+      return;
+    }
+    throw thrown;
+  });
+  const last = firstCreated && path.dirname(path.resolve(firstCreated));
+  let next = path.resolve(grandparent);
+  while (last !== undefined && next !== last && next.startsWith(last)) {
+    next = path.dirname(next);
+    await files.syncFolder(next);
+  }
+}
+
 async function openNew(
   options: LogStorageOptions,
   files: FileSystem,
--- a/control/log-storage/test/fake-disk.ts
+++ b/control/log-storage/test/fake-disk.ts
@@ -85,8 +85,9 @@
     return copy;
   }
 
-  async makeFolder(folder: string): Promise<void> {
+  async makeFolder(folder: string): Promise<undefined> {
     this.beforeOperation('makeFolder', folder);
+    return undefined;
   }
 
   async list(folder: string): Promise<string[]> {
--- a/control/replicated-log/test/replicated-log.test.ts
+++ b/control/replicated-log/test/replicated-log.test.ts
@@ -49,9 +49,9 @@
   removeError: string | undefined;
   folderError: string | undefined;
 
-  override async makeFolder(name: string): Promise<void> {
+  override async makeFolder(name: string): Promise<string | undefined> {
     throwIfSet(this.folderError);
-    await super.makeFolder(name);
+    return super.makeFolder(name);
   }
 
   override async remove(file: string): Promise<void> {
