Go on writing the log of a process once a full disk has room

What operators saw: a process whose output goes to a file wrote no line any more after the disk of that file had been full once, so that the log said nothing of what followed.

Cause: every error but EAGAIN counted as the end of the reader.

Change: after ENOSPC and EDQUOT the same bytes are written again, as after EAGAIN; lines beyond the buffer are dropped and counted as before.

--- a/machines/event-log/src/line-writer.ts
+++ b/machines/event-log/src/line-writer.ts
@@ -13,6 +13,12 @@
 /** Holds several thousand lines, which is a few seconds of output under load. */
 const DEFAULT_MAX_BUFFERED_CHARACTERS = 1_048_576;
 const RETRY_DELAY_MS = 50;
+/** Errors after which the same bytes may be written later: a slow reader, or a full disk. */
+const TEMPORARY_ERRORS: readonly (string | undefined)[] = [
+  'EAGAIN',
+  'ENOSPC',
+  'EDQUOT',
+];
 
 /**
  * Writes lines without blocking the process. Lines that cannot be written yet are kept in a
@@ -70,7 +76,7 @@
   private writeAll(bytes: Buffer, from: number): void {
     const {descriptor} = this.options;
     fs.write(descriptor, bytes, from, bytes.length - from, (error, written) => {
-      if (error?.code === 'EAGAIN') {
+      if (error !== null && TEMPORARY_ERRORS.includes(error.code)) {
         setTimeout(() => this.writeAll(bytes, from), RETRY_DELAY_MS).unref();
       } else if (error !== null) {
         // Nothing reads the lines any more, and there is no other place to report this.
