Take a torn frame header with zeros behind it for a torn write (FAULT)

Callers see: a replica of control whose power was lost while the header of a frame was written does not start again, with 232 and exit status 1 at each start, if zeros follow the first four bytes.

Cause: a length and a checksum of 0 behind the magic number are those of a valid empty frame, whose record cannot be parsed. That was taken for a file of another version of the program, which is not set aside. Frames are not aligned, so a sector may end between the two.

Change: an empty frame is none; nothing writes one.

--- a/control/log-storage/src/frame.ts
+++ b/control/log-storage/src/frame.ts
@@ -63,6 +63,10 @@
     return undefined;
   }
   const length = file.readUInt32BE(start + LENGTH_OFFSET);
+  // No frame is empty; the checksum of no bytes is 0, as in a file that a torn write left zeros in.
+  if (length === 0) {
+    return undefined;
+  }
   const end = start + HEADER_BYTES + length;
   if (end > file.length) {
     return undefined;
--- a/control/log-storage/test/log-storage.test.ts
+++ b/control/log-storage/test/log-storage.test.ts
@@ -128,6 +128,19 @@
   expect(tornBytes).to.equal(100);
 });
 
+it('torn write: is removed if zeros follow the first bytes of its header', async () => {
+  for (const length of [12, 20, 4_096]) {
+    const disk = new FakeDisk();
+    await openWithEntries(disk, 2);
+    const magic = disk.contentOf(lastSegment(disk)).subarray(0, 4);
+    const torn = Buffer.concat([magic, Buffer.alloc(length - magic.length)]);
+    disk.appendTornWrite(lastSegment(disk), torn);
+    const {recovered, tornBytes} = await open(disk);
+    expect(recovered.entries).to.have.length(2);
+    expect(tornBytes).to.equal(length);
+  }
+});
+
 it('corrupt data: opening fails for any changed byte before the last write', async () => {
   const disk = new FakeDisk();
   const {storage} = await openWithEntries(disk, 3);
