--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -192,8 +192,8 @@
       signal: bounded.signal,
       hasCallerDisconnected: () => disconnectSignal.aborted,
     };
-    const {resumeAfter = 0, resumes} = metadata;
-    if (route.streaming && resumeAfter > 0) {
+    const {resumeAfter, resumes} = metadata;
+    if (route.streaming && resumeAfter !== undefined) {
       const details = {resumes: resumes ?? '', after: resumeAfter};
       this.options.events.record('stream-taken-up', details, metadata.id);
     }
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -325,8 +325,6 @@
     const {events, metrics} = this.options;
     const {excluded, origin} = search;
     const {metadata, route, service, startedAt} = call;
-    const {resumeAfter = 0} = metadata;
-    const isTakenUp = resumeAfter > 0;
     const isStream =
       route.streaming && upstream.message.statusCode === STATUS_OK;
     upstream.message.once('data', () => {
@@ -354,7 +352,7 @@
       outlivesCaller: false,
       signal: call.signal,
       resumer,
-      resumeAfter: isTakenUp ? resumeAfter : undefined,
+      resumeAfter: call.metadata.resumeAfter,
       reservation: call.responseMemory,
       onInvalidStream: after =>
         events.record('stream-invalid', {after}, metadata.id),
