Count a response against memory also if it arrives at once

A response that had arrived completely by its first event was not reserved at all, since 'complete' was asked before the reservation: answers of up to the size of a read from the socket that slow callers do not take would have been held without a bound. The reservation is made first now. The new test saw 0 of 20,000 bytes reserved before.

'one that fits the memory it holds goes on whole' also passed without the memory held from the admission on. It is replaced by one that tries to take that memory while the response is relayed, and fails without it (both versions). Two constants have a comment, and a check stands where it is read first.

--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -85,6 +85,7 @@
   lost: 'call-attempt-failed',
 } as const;
 
+/** What callers are told of a response that broke off before it had started. */
 const BREAK_REFUSALS = {
   target: {reason: 'torn_answer', message: 'the response broke off'},
   aborted: {reason: 'torn_answer', message: 'the response came too late'},
@@ -99,7 +100,7 @@
       'the response has neither a length nor chunks and exceeds what the entry holds back',
   },
 } as const satisfies Record<RelayBreak, {reason: string; message: string}>;
-/** Reasons of this entry for which another target would not help. */
+/** Reasons that lie with this entry, so that another target would not help. */
 const OWN_BREAK_REASONS: ReadonlySet<string> = new Set([
   BREAK_REFUSALS.memory.reason,
   BREAK_REFUSALS.size.reason,
@@ -352,7 +353,7 @@
       outlivesCaller: false,
       signal: call.signal,
       resumer,
-      resumeAfter: call.metadata.resumeAfter,
+      resumeAfter: metadata.resumeAfter,
       reservation: call.responseMemory,
       onInvalidStream: after =>
         events.record('stream-invalid', {after}, metadata.id),
@@ -411,10 +412,10 @@
   mayHaveRun: boolean,
 ): boolean {
   const {idempotent, maxAttempts} = call.route;
-  const limit = maxAttempts + (mayHaveRun ? 0 : EXTRA_ATTEMPTS);
   if (OWN_BREAK_REASONS.has(refusal.reason)) {
     return false;
   }
+  const limit = maxAttempts + (mayHaveRun ? 0 : EXTRA_ATTEMPTS);
   return attempts < limit && (refusal.outcome === 'not-run' || idempotent);
 }
 
--- a/entry/dispatch/src/relay-response.ts
+++ b/entry/dispatch/src/relay-response.ts
@@ -324,12 +324,10 @@
   }
 
   private hasMemory(): boolean {
-    // What has arrived completely is in memory already and cannot grow.
-    if (this.message?.complete === true) {
-      return true;
-    }
     const bytes = Math.max(this.heldBytes, this.reservedBytes);
-    return this.options.reservation?.resize(bytes) !== false;
+    const isReserved = this.options.reservation?.resize(bytes) !== false;
+    // What has arrived completely is in memory already and cannot grow.
+    return isReserved || this.message?.complete === true;
   }
 
   /** Bytes of the response that the caller has not taken yet; a write is under way until the next turn. */
--- a/entry/dispatch/test/relay-response.test.ts
+++ b/entry/dispatch/test/relay-response.test.ts
@@ -211,6 +211,24 @@
   expect(faults).to.have.length(1);
 });
 
+// Guards against responses that take memory without a reservation because they arrive at once.
+it('relay: a response that arrives at once is counted', async () => {
+  const body = 'x'.repeat(20_000);
+  let mostBytes = 0;
+  await relay(agentResponse('application/json', body), {
+    ...OPTIONS,
+    reservation: {
+      bytes: 0,
+      resize: bytes => {
+        mostBytes = Math.max(mostBytes, bytes);
+        return true;
+      },
+      release: () => {},
+    },
+  });
+  expect(mostBytes).to.equal(body.length);
+});
+
 it('relay: a caller that reads gets the whole response while memory is used up', async () => {
   const budget = new MemoryBudget({
     limit: {maxBytes: () => 1_000_000},
--- a/entry/dispatch/test/unframed-responses.test.ts
+++ b/entry/dispatch/test/unframed-responses.test.ts
@@ -34,13 +34,20 @@
   readonly memoryBytes?: number;
   /** Memory that the response holds from the start, in bytes; none if absent. */
   readonly reservedBytes?: number;
+  /** Called after each piece of the response has been relayed. */
+  readonly onPiece?: (memory: MemoryBudget) => void;
 }
 
 /** Relays a target's response to a caller of an HTTP version. */
 async function relay(
   {end, head, pieces}: TargetResponse,
   version: '1.0' | '1.1',
-  {cutsCaller, memoryBytes = Infinity, reservedBytes = 0}: Conditions = {},
+  {
+    cutsCaller,
+    memoryBytes = Infinity,
+    onPiece = () => {},
+    reservedBytes = 0,
+  }: Conditions = {},
 ): Promise<Received> {
   const memory = new MemoryBudget({
     limit: {maxBytes: () => memoryBytes},
@@ -70,6 +77,7 @@
       if (cutsCaller) {
         setTimeout(() => response.socket?.end(), 3 * PIECE_INTERVAL_MS);
       }
+      message.on('data', () => queueMicrotask(() => onPiece(memory)));
       const {outcome} = await relayResponse(
         {method: 'GET', message, isConnectionBroken: () => isBroken},
         response,
@@ -193,15 +201,17 @@
   });
 
   // Guards against the loss of a short response of a call that has run, for want of memory.
-  it(`unframed responses: one that fits the memory it holds goes on whole with HTTP/${version}`, async () => {
+  it(`unframed responses: one keeps the memory that it holds from the start with HTTP/${version}`, async () => {
     const response = {head: UNFRAMED, pieces: ['half', 'half']};
     const closed = {...response, end: 'closed'} as const;
-    const {body, isComplete} = await relay(closed, version, {
+    const taken: boolean[] = [];
+    const {body} = await relay(closed, version, {
       memoryBytes: 8,
       reservedBytes: 8,
+      onPiece: memory => taken.push(memory.reserve('other', 1) !== undefined),
     });
-    expect(isComplete).to.equal(true);
     expect(body).to.equal('halfhalf');
+    expect(taken).to.deep.equal([false, false]);
   });
 
   // Guards against half a body in chunks because its target named a coding that frames nothing.
