Give the memory of engines for models a package of its own

Whether an engine can get a model knows only stated sizes and what the engine reports, and stood in entry/direct-routing, which sends calls. policy/model-memory holds it, with tests of its decisions; those of the choice among engines stay.

--- a/entry/direct-routing/src/adapter-preparer.ts
+++ b/entry/direct-routing/src/adapter-preparer.ts
@@ -5,9 +5,9 @@
   type TargetAnnouncement,
 } from '@marigoldspur/deployment';
 import type {EventLog} from '@marigoldspur/event-log';
+import {modelMemoryOf} from '@marigoldspur/model-memory';
 import type {AdapterAgentClient} from './adapter-agent-client.js';
 import {remainingPatienceMs, type Call} from './call.js';
-import {modelMemoryOf} from './model-room.js';
 import type {ModelWork} from './wire-format.js';
 import type {DirectRoutingMetrics} from './direct-routing-metrics.js';
 import type {TargetRequirements} from './target-choice.js';
--- a/entry/direct-routing/src/engine-chooser.ts
+++ b/entry/direct-routing/src/engine-chooser.ts
@@ -9,9 +9,9 @@
   statedLoadCosts,
   type ServiceModel,
 } from '@marigoldspur/expected-cost';
+import {modelRoomOf} from '@marigoldspur/model-memory';
 import {toEngineCandidate} from './engine-candidate.js';
 import {memoryTokensOf} from './memory-tokens.js';
-import {modelRoomOf} from './model-room.js';
 import type {ServiceStatsRegistry} from './service-stats.js';
 import type {ChosenTarget, TargetRequirements} from './target-choice.js';
 import type {TargetStatsRegistry} from './target-stats-registry.js';
--- /dev/null
+++ b/policy/model-memory/src/index.ts
@@ -0,0 +1,6 @@
+export {
+  modelMemoryOf,
+  modelRoomOf,
+  type ModelRoom,
+  type RequestedModel,
+} from './model-room.js';
--- a/entry/direct-routing/src/model-room.ts
+++ b/policy/model-memory/src/model-room.ts
@@ -3,7 +3,13 @@
   EngineView,
   ModelMemory,
 } from '@marigoldspur/deployment';
-import type {ModelWork} from './wire-format.js';
+
+/** The model that a call asks for. */
+export interface RequestedModel {
+  readonly model: string;
+  /** Absent if the base model itself is requested. */
+  readonly adapter?: string;
+}
 
 /**
  * Whether an engine can get the model of a call: it holds it or has the memory for it, also if
@@ -16,7 +22,7 @@
 export function modelRoomOf(
   engine: EngineCapacity | undefined,
   view: EngineView | undefined,
-  {adapter, model}: ModelWork,
+  {adapter, model}: RequestedModel,
 ): ModelRoom {
   if (engine?.memoryMb === undefined || view === undefined) {
     return 'free';
