Relay no error of an engine as complete that only its connection ends

The agent read an error response of status 4xx up to the end of its connection and sent it on with the trailer that says complete, though its engine may have cut it. The entry gets 502 torn_answer, outcome unknown, as for other responses without framing.

--- a/agent/agent-server/src/target-response.ts
+++ b/agent/agent-server/src/target-response.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {Refusal} from '@marigoldspur/faults';
-import {findInvalidHead, readBody} from '@marigoldspur/http-link';
+import {findInvalidHead, framingOf, readBody} from '@marigoldspur/http-link';
 import {HOP_HEADERS} from '@marigoldspur/messages';
 import {formatModel} from '@marigoldspur/settings-schema';
 import {
@@ -84,12 +84,7 @@
     const body = await readBody(targetResponse, MAX_ERROR_BYTES);
     if (body.isErr) {
       targetResponse.destroy();
-      const torn = unknownOutcomeRefusal(
-        502,
-        'torn_answer',
-        'the response of the engine is incomplete',
-      );
-      refuseAttempt(hop, response, torn);
+      refuseAttempt(hop, response, tornResponse());
       return 'torn';
     }
     const status = targetResponse.statusCode ?? STATUS_SERVER_ERROR;
@@ -101,6 +96,10 @@
       refuseAttempt(hop, response, engineFailure(status));
       return 'failed';
     }
+    if (framingOf(targetResponse, response.req.method ?? '') === 'close') {
+      refuseAttempt(hop, response, tornResponse());
+      return 'torn';
+    }
     sendResponse(hop, targetResponse, body.value, response);
     return 'whole';
   }
@@ -189,6 +188,12 @@
   }
 }
 
+/** The refusal for an error response that is, or may be, incomplete. */
+function tornResponse(): Refusal {
+  const message = 'the response of the engine is incomplete';
+  return unknownOutcomeRefusal(502, 'torn_answer', message);
+}
+
 function engineFailure(status: number): Refusal {
   const message = `the engine responded with status ${status}`;
   const reason = 'target_failed';
--- a/agent/agent-server/test/endless-responses.test.ts
+++ b/agent/agent-server/test/endless-responses.test.ts
@@ -27,6 +27,8 @@
 let mayRepeat: Promise<void>;
 /** Whether the connection ends after the first bytes instead. */
 let hasEnd: boolean;
+/** Whether attempts are for a model. */
+let isForModel: boolean;
 let closed: Promise<void>;
 
 function* repeat(block: string): Generator<Buffer> {
@@ -38,6 +40,7 @@
 beforeEach(async () => {
   mayRepeat = Promise.resolve();
   hasEnd = false;
+  isForModel = false;
   target = net.createServer(socket => {
     closed = new Promise(resolve => {
       socket.on('error', () => resolve());
@@ -66,8 +69,9 @@
     streams: new StreamRegistry({events, stop: () => {}}),
   });
   agent = http.createServer((request, response) => {
+    const hop = createHop({model: 'a@v1'});
     void forwarder.forward({
-      hop: {...createHop({model: 'a@v1'}), model: undefined},
+      hop: isForModel ? hop : {...hop, model: undefined},
       request,
       body: Buffer.alloc(0),
       response,
@@ -137,6 +141,18 @@
   expect(response.headers.get('x-marigoldspur-outcome')).to.equal('unknown');
 });
 
+// Guards against half the body of an engine's error that its trailer makes look whole.
+it('target forwarder: an error of an engine that only its connection ends is not relayed as complete', async () => {
+  hasEnd = true;
+  isForModel = true;
+  firstBytes = 'HTTP/1.1 400 Bad Request\r\n\r\n{"error":';
+  const unframed = await fetch(agentUrl, {method: 'POST'});
+  expect(unframed.status).to.equal(502);
+  firstBytes = 'HTTP/1.1 400 Bad Request\r\ncontent-length: 2\r\n\r\n{}';
+  const framed = await fetch(agentUrl, {method: 'POST'});
+  expect(framed.status).to.equal(400);
+});
+
 // Guards against an agent that ends because it cannot write the head of one response.
 for (const [name, bytes] of [
   ['a status of 000', WHOLE_RESPONSE.replace('200', '000')],
