Say why the sync of a folder above the log may fail, and compare full paths

The folder that was created first comes as a full path, and was compared with the stated one, so that a relative folder made an unreadable folder above it an error.

--- a/control/log-storage/src/open-log-storage.ts
+++ b/control/log-storage/src/open-log-storage.ts
@@ -84,14 +84,16 @@
   const parent = path.dirname(folder);
   const grandparent = path.dirname(parent);
   await files.syncFolder(parent);
+  const first = firstCreated && path.resolve(firstCreated);
+  const hasCreatedParent =
+    first !== undefined && first !== path.resolve(folder);
   await files.syncFolder(grandparent).catch(thrown => {
-    // A folder above that this process may not open was not created in by it.
-    if (firstCreated === undefined || firstCreated === folder) {
-      return;
+    // Where nothing was created in it, this process may not be allowed to open it.
+    if (hasCreatedParent) {
+      throw thrown;
     }
-    throw thrown;
   });
-  const last = firstCreated && path.dirname(path.resolve(firstCreated));
+  const last = first && path.dirname(first);
   let next = path.resolve(grandparent);
   while (last !== undefined && next !== last && next.startsWith(last)) {
     next = path.dirname(next);
