--- a/machines/http-link/src/server-connections.ts
+++ b/machines/http-link/src/server-connections.ts
@@ -51,6 +51,8 @@
 
   /** Records a new connection. */
   add(socket: Socket): void {
+    // Each request in progress listens to its connection; servers limit their number.
+    socket.setMaxListeners(0);
     this.states.set(socket, {
       open: new Set(),
       latestRequest: undefined,
--- a/machines/http-link/test/close-server.test.ts
+++ b/machines/http-link/test/close-server.test.ts
@@ -60,3 +60,15 @@
   await closeServerWithin(server, {callsMs: 0, sendsMs: CALLS_MS});
   slow.destroy();
 });
+
+// Guards against a line of standard error for each connection with requests in a row.
+it('close server: requests in a row on one connection print no warning', async () => {
+  const warnings: string[] = [];
+  const record = ({message}: Error) => warnings.push(message);
+  process.on('warning', record);
+  const socket = await connect('GET / HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(32));
+  await new Promise(resolve => setImmediate(resolve));
+  process.off('warning', record);
+  socket.destroy();
+  expect(warnings).to.deep.equal([]);
+});
