Go on after a failed sync of the log instead of ending control

Cause: any error of the log's disk other than a lack of space ended the replica with 233 and status 3, because a later sync need not store what a failed one has dropped. A disk that fails for a second, as well as a process that has no file descriptors left, therefore took a replica of control away, and a majority of them together the whole group. At the start, such an error ended the process with 232.

Change: EIO, EROFS, EMFILE and the like become DISK_FAILED, which is handled like DISK_FULL: leadership is handed over, changes are refused, and the batch is tried again. The failed write is cut off and written anew, so that no sync depends on dropped pages. After a start that the disk refused, the last segment is copied, for the same reason. A new segment whose folder could not be synced is removed before the next attempt. Files of failed openings are closed. Events 251 and 252 and the status tell it. Other errors still end the process.

--- a/contracts/event-catalogue/src/control-events.ts
+++ b/contracts/event-catalogue/src/control-events.ts
@@ -57,7 +57,7 @@
     number: 233,
     level: 'error',
     meaning:
-      'A write to the log could not be synced to the disk, so the process exits.',
+      'A write to the log failed in a way that leaves the content of the disk unknown, so the process exits.',
   },
   'disk-full': {
     number: 234,
@@ -149,6 +149,17 @@
     meaning:
       'The replica has renamed its damaged files to `*.damaged` and starts empty, under a new ID. It forms no group and waits to be added to its own; if a majority waits, the group needs its operators.',
   },
+  'disk-failed': {
+    number: 251,
+    level: 'error',
+    meaning:
+      'The disk of the replica fails, or the process has no more file descriptors (`reason`), so it stores no log entries and tries again; a leader refuses changes and asks another voter to become the leader.',
+  },
+  'disk-recovered': {
+    number: 252,
+    level: 'info',
+    meaning: 'The disk of the replica works again.',
+  },
   'claims-lost': {
     number: 250,
     level: 'warn',
--- a/contracts/faults/src/fault.ts
+++ b/contracts/faults/src/fault.ts
@@ -13,6 +13,7 @@
   | 'TOO_LARGE'
   | 'CORRUPT_DATA'
   | 'DISK_FULL'
+  | 'DISK_FAILED'
   | 'STOPPING'
   | 'FENCED'
   | 'FORBIDDEN'
--- a/control/control-server/test/control-request-handler.test.ts
+++ b/control/control-server/test/control-request-handler.test.ts
@@ -81,6 +81,7 @@
       appliedIndex: 0,
       replicas: [],
       diskFull: false,
+      diskFailed: false,
     };
   }
 
--- a/control/log-storage/src/frame-file.ts
+++ b/control/log-storage/src/frame-file.ts
@@ -14,21 +14,30 @@
   return name.endsWith(TEMPORARY_SUFFIX);
 }
 
+/** Writes a file of frames atomically. */
+export function writeFileAtomically(
+  files: FileSystem,
+  file: string,
+  payloads: readonly Uint8Array[],
+): Promise<void> {
+  return writeBytesAtomically(files, file, payloads.map(encodeFrame));
+}
+
 /**
  * Writes a file atomically: writes a temporary file, syncs it, renames it and syncs the
- * folder. After a crash the file is either complete or absent.
+ * folder. After a crash the file is complete, or as it was before.
  */
-export async function writeFileAtomically(
+export async function writeBytesAtomically(
   files: FileSystem,
   file: string,
-  payloads: readonly Uint8Array[],
+  parts: readonly Uint8Array[],
 ): Promise<void> {
   const temporary = file + TEMPORARY_SUFFIX;
   const handle = await files.open(temporary);
   try {
     await handle.truncate(0);
-    for (const payload of payloads) {
-      await handle.append(encodeFrame(payload));
+    for (const part of parts) {
+      await handle.append(part);
     }
     await handle.sync();
   } catch (thrown) {
--- a/control/log-storage/src/index.ts
+++ b/control/log-storage/src/index.ts
@@ -1,3 +1,4 @@
+export {isDiskRefusal} from './disk-errors.js';
 export type {AppendFile, FileSystem} from './file-system.js';
 export {LogStorage, type LogStorageOptions} from './log-storage.js';
 export {NodeFileSystem} from './node-file-system.js';
--- a/control/log-storage/src/log-storage.ts
+++ b/control/log-storage/src/log-storage.ts
@@ -21,6 +21,11 @@
   readonly segmentBytes?: number;
   /** Called with the error if files that are not needed any more could not be removed. */
   readonly onRemovalFailure?: (thrown: unknown) => void;
+  /**
+   * Whether an earlier opening failed on a disk that refused an operation. The last segment is
+   * then copied: another sync need not store what a failed one has dropped.
+   */
+  readonly isSyncInDoubt?: boolean;
 }
 
 const DEFAULT_SEGMENT_BYTES = 4_194_304;
@@ -42,9 +47,9 @@
   ) {}
 
   /**
-   * Writes operations durably, with one sync of the log. Throws `DISK_FULL` if there is
-   * no space: the operations are not recorded and the call may be retried. After any other
-   * error the content of the disk is unknown and the process must exit.
+   * Writes operations durably, with one sync of the log. Throws `DISK_FULL` or `DISK_FAILED`
+   * if the disk refuses them: the operations are not recorded and the call may be retried.
+   * After any other error the content of the disk is unknown and the process must exit.
    */
   async save(operations: readonly LogOperation[]): Promise<void> {
     if (operations.length === 0) {
--- a/control/log-storage/src/open-log-storage.ts
+++ b/control/log-storage/src/open-log-storage.ts
@@ -12,7 +12,7 @@
 import {decodeFrames} from './frame.js';
 import {LogStorage, type LogStorageOptions} from './log-storage.js';
 import {NodeFileSystem} from './node-file-system.js';
-import {createSegment, reopenSegment} from './segment-writer.js';
+import {copySegment, createSegment, reopenSegment} from './segment-writer.js';
 import {IDENTITY_FILE, IDENTITY_SCHEMA} from './records.js';
 import {readSnapshot, replaySegments, segmentFile} from './recover.js';
 import {isSetAside} from './set-aside.js';
@@ -37,19 +37,24 @@
 
 /**
  * Opens the storage of a replica. Throws `CORRUPT_DATA` if synced data is damaged or
- * missing, and `DISK_FULL` if there is no space; the same call may then be repeated.
+ * missing, and `DISK_FULL` or `DISK_FAILED` if the disk refuses an operation; the call may
+ * then be repeated with `isSyncInDoubt`.
  */
 export async function openLogStorage(
   options: LogStorageOptions,
 ): Promise<OpenedStorage> {
-  const files = options.files ?? new NodeFileSystem();
-  const {folder} = options;
   try {
-    const firstCreated = await files.makeFolder(folder);
-    await syncFoldersAbove(files, folder, firstCreated);
+    return await openFolder(options);
   } catch (thrown) {
     throw toDiskError(thrown);
   }
+}
+
+async function openFolder(options: LogStorageOptions): Promise<OpenedStorage> {
+  const files = options.files ?? new NodeFileSystem();
+  const {folder} = options;
+  const firstCreated = await files.makeFolder(folder);
+  await syncFoldersAbove(files, folder, firstCreated);
   const names = await files.list(folder);
   await removeTemporaryFiles(options, files, names);
   return names.includes(IDENTITY_FILE)
@@ -130,7 +135,7 @@
     ]);
   } catch (thrown) {
     await closeQuietly(segment);
-    throw toDiskError(thrown);
+    throw thrown;
   }
   const storage = new LogStorage(options, files, EMPTY_STATE, 0, [], segment);
   const recovered = {state: EMPTY_STATE, entries: []};
@@ -172,8 +177,10 @@
   if (last === undefined) {
     throw corruptDataError(folder, 'contains a replica ID but no log');
   }
+  if (options.isSyncInDoubt === true) {
+    await copySegment(files, last, log);
+  }
   const segment = await reopenSegment(files, folder, last, log);
-  await files.syncFolder(folder);
   const storage = new LogStorage(
     options,
     files,
@@ -182,11 +189,14 @@
     log.segments,
     segment,
   );
-  if (log.isSupersededBySnapshot && snapshot !== undefined) {
-    await storage.reset(snapshot).catch(async thrown => {
-      await closeQuietly(storage);
-      throw thrown;
-    });
+  try {
+    await files.syncFolder(folder);
+    if (log.isSupersededBySnapshot && snapshot !== undefined) {
+      await storage.reset(snapshot);
+    }
+  } catch (thrown) {
+    await closeQuietly(storage);
+    throw thrown;
   }
   const recovered = {state: log.state, snapshot, entries: log.entries};
   const {tornBytes} = log;
--- a/control/log-storage/src/segment-writer.ts
+++ b/control/log-storage/src/segment-writer.ts
@@ -1,8 +1,9 @@
 import type {HardState} from '@marigoldspur/consensus';
 import type {AppendFile, FileSystem} from './file-system.js';
+import {writeBytesAtomically} from './frame-file.js';
 import {encodeFrame} from './frame.js';
 import {encodeRecords} from './records.js';
-import {closeQuietly, isDiskFull, toDiskError} from './disk-errors.js';
+import {closeQuietly, isDiskRefusal, toDiskError} from './disk-errors.js';
 import {segmentFile, type ReplayedLog, type Segment} from './recover.js';
 
 /** Options of a new segment. */
@@ -17,7 +18,7 @@
 
 /**
  * Creates a segment with its header and syncs the file and its folder. Throws `DISK_FULL`
- * if there is no space; the same call may then be repeated.
+ * or `DISK_FAILED` if the disk refuses it; the same call may then be repeated.
  */
 export async function createSegment(
   files: FileSystem,
@@ -36,6 +37,8 @@
     await files.syncFolder(folder);
   } catch (thrown) {
     await closeQuietly(handle);
+    // A folder sync that failed may have dropped the name, which the next attempt adds again.
+    await files.remove(file).catch(() => {});
     throw toDiskError(thrown);
   }
   const segment = {sequence, file, lastIndex: 0};
@@ -44,7 +47,7 @@
 
 /**
  * Reopens the last segment of a log and syncs it, which the process may have been killed
- * before. A torn write at its end is truncated, on a full disk before the next write.
+ * before. A torn write at its end is truncated, on a disk that refuses it before the next write.
  */
 export async function reopenSegment(
   files: FileSystem,
@@ -57,18 +60,12 @@
     const {sequence} = segment;
     return createSegment(files, {folder, sequence, state, lastIndex});
   }
-  let handle: AppendFile;
-  try {
-    handle = await files.open(segment.file);
-  } catch (thrown) {
-    throw toDiskError(thrown);
-  }
+  const handle = await files.open(segment.file);
   const writer = new SegmentWriter(segment, handle, log.validLength);
   try {
     if (log.tornBytes > 0) {
       await writer.discardPartialWrite();
     }
-    // An error here is no full disk: a later sync would not store what this one dropped.
     await handle.sync();
   } catch (thrown) {
     await closeQuietly(handle);
@@ -77,6 +74,18 @@
   return writer;
 }
 
+/** Replaces a segment by a copy of its valid frames that is synced anew. */
+export async function copySegment(
+  files: FileSystem,
+  {file}: Segment,
+  {validLength}: ReplayedLog,
+): Promise<void> {
+  if (validLength > 0) {
+    const bytes = await files.read(file);
+    await writeBytesAtomically(files, file, [bytes.subarray(0, validLength)]);
+  }
+}
+
 /** Appends to a segment. */
 export class SegmentWriter {
   /** Whether the file may end with a partial write that failed. */
@@ -94,8 +103,8 @@
   }
 
   /**
-   * Appends and syncs. Throws `DISK_FULL` if there is no space; the failed write is
-   * discarded.
+   * Appends and syncs. Throws `DISK_FULL` or `DISK_FAILED` if the disk refuses it. The failed
+   * write is discarded, since a later sync need not store what a failed one has dropped.
    */
   async append(bytes: Uint8Array): Promise<void> {
     try {
@@ -113,14 +122,14 @@
     this.syncedBytes += bytes.length;
   }
 
-  /** Truncates what follows the synced bytes, on a full disk before the next write. */
+  /** Truncates what follows the synced bytes, on a disk that refuses it before the next write. */
   async discardPartialWrite(): Promise<void> {
     this.hasPartialWrite = true;
     try {
       await this.handle.truncate(this.syncedBytes);
       this.hasPartialWrite = false;
     } catch (thrown) {
-      if (!isDiskFull(toDiskError(thrown))) {
+      if (!isDiskRefusal(toDiskError(thrown))) {
         throw thrown;
       }
     }
--- a/control/log-storage/src/set-aside.ts
+++ b/control/log-storage/src/set-aside.ts
@@ -37,8 +37,8 @@
  * Sets the files of a damaged log aside under the suffix `.damaged`, in place of those of
  * an earlier damage, so that the folder can be opened as that of a new replica. Keeps the
  * newest files within the limits. The identity goes first: at no point does the folder
- * hold a part of the log under the former replica ID. Throws `DISK_FULL` if there is no
- * space; the same call may then be repeated.
+ * hold a part of the log under the former replica ID. Throws `DISK_FULL` or
+ * `DISK_FAILED` if the disk refuses an operation; the same call may then be repeated.
  */
 export async function setAsideLog(
   options: SetAsideOptions,
--- a/control/replicated-log/src/batch-writer.ts
+++ b/control/replicated-log/src/batch-writer.ts
@@ -1,7 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {WriteBatch, Consensus} from '@marigoldspur/consensus';
-import {Fault} from '@marigoldspur/faults';
-import type {LogStorage} from '@marigoldspur/log-storage';
+import type {Fault} from '@marigoldspur/faults';
+import {isDiskRefusal, type LogStorage} from '@marigoldspur/log-storage';
 
 /** Options of a batch writer. */
 export interface BatchWriterOptions {
@@ -9,14 +9,14 @@
   readonly storage: LogStorage;
   /** Called when a batch is durable. */
   readonly onSynced: (batch: WriteBatch) => void;
-  /** Called when the disk becomes full or has space again. */
-  readonly onDiskFull: (isFull: boolean) => void;
+  /** Called when the disk begins to refuse writes, refuses them for another reason, or accepts them again. */
+  readonly onDiskChange: (refusal: Fault | undefined) => void;
   /** Called if the content of the disk is unknown. The process must exit. */
   readonly onFatal: (thrown: unknown) => void;
 }
 
-/** Delay before a write to a full disk is retried, in milliseconds. */
-export const DISK_FULL_RETRY_MS = 250;
+/** Delay before an operation that the disk refused is retried, in milliseconds. */
+export const DISK_RETRY_MS = 250;
 
 /**
  * Writes batches to storage one at a time. Operations that arrive during a sync are
@@ -24,16 +24,16 @@
  */
 export class BatchWriter {
   private isRunning = false;
-  private diskFull = false;
+  private refusal: Fault | undefined;
   private isStopped = false;
   private flushWaiters: Array<() => void> = [];
   private runFinished: Promise<void> = Promise.resolve();
 
   constructor(private readonly options: BatchWriterOptions) {}
 
-  /** Whether the disk is full. */
-  get isDiskFull(): boolean {
-    return this.diskFull;
+  /** Why the disk refuses writes at present. */
+  get diskRefusal(): Fault | undefined {
+    return this.refusal;
   }
 
   /** Starts writing if there are pending operations or flushes. */
@@ -65,7 +65,7 @@
     });
   }
 
-  /** Stops after the current batch; a batch that waits for disk space is abandoned. */
+  /** Stops after the current batch; a batch that waits for the disk is abandoned. */
   async stop(): Promise<void> {
     this.isStopped = true;
     await this.runFinished;
@@ -103,31 +103,32 @@
   }
 
   /**
-   * Writes a batch and retries while the disk is full; false if the writer was stopped.
+   * Writes a batch and retries while the disk refuses it; false if the writer was stopped.
    */
   private async write(batch: WriteBatch): Promise<boolean> {
     for (;;) {
       try {
         await this.options.storage.save(batch.operations);
-        this.setDiskFull(false);
+        this.setRefusal(undefined);
         return true;
       } catch (thrown) {
-        if (!(thrown instanceof Fault) || thrown.code !== 'DISK_FULL') {
+        if (!isDiskRefusal(thrown)) {
           throw thrown;
         }
-        this.setDiskFull(true);
+        this.setRefusal(thrown);
       }
       if (this.isStopped) {
         return false;
       }
-      await delay(DISK_FULL_RETRY_MS);
+      await delay(DISK_RETRY_MS);
     }
   }
 
-  private setDiskFull(isFull: boolean): void {
-    if (isFull !== this.diskFull) {
-      this.diskFull = isFull;
-      this.options.onDiskFull(isFull);
+  private setRefusal(refusal: Fault | undefined): void {
+    const hasChanged = refusal?.code !== this.refusal?.code;
+    this.refusal = refusal;
+    if (hasChanged) {
+      this.options.onDiskChange(refusal);
     }
   }
 }
--- a/control/replicated-log/src/log-replica.ts
+++ b/control/replicated-log/src/log-replica.ts
@@ -18,6 +18,7 @@
 } from '@marigoldspur/replica-transport';
 import type {LogStorage} from '@marigoldspur/log-storage';
 import {BatchWriter} from './batch-writer.js';
+import {DiskEvents} from './disk-events.js';
 import {LeaderTracker} from './leader-tracker.js';
 import {LinkRegistry} from './link-registry.js';
 import {logStatus} from './log-status.js';
@@ -79,6 +80,7 @@
   private readonly proposalHandler: ProposalHandler<Command, Answer>;
   private readonly reads: PendingReads;
   private readonly writer: BatchWriter;
+  private readonly diskEvents: DiskEvents;
   private readonly reconciler: GroupReconciler;
   private readonly links: LinkRegistry;
   private readonly snapshots: SnapshotManager;
@@ -97,6 +99,7 @@
   ) {
     const {consensus, storage} = components;
     this.consensus = consensus;
+    this.diskEvents = new DiskEvents(settings.events);
     this.proposals = new PendingProposals(settings.proposeTimeoutMs);
     this.proposalHandler = new ProposalHandler({
       consensus,
@@ -104,7 +107,7 @@
       url: settings.peers.ownUrl,
       desiredVoters: () => settings.peers.desiredVoters,
       leaderUrl: () => this.leaderUrl(),
-      isDiskFull: () => this.writer.isDiskFull,
+      diskRefusal: () => this.writer.diskRefusal,
       isStopping: () => this.isStopping,
     });
     this.reads = new PendingReads({
@@ -115,7 +118,7 @@
       consensus,
       storage,
       onSynced: batch => this.handleSynced(batch),
-      onDiskFull: isFull => this.handleDiskFull(isFull),
+      onDiskChange: refusal => this.handleDiskChange(refusal),
       onFatal: thrown => this.fail(thrown),
     });
     this.links = new LinkRegistry({
@@ -188,7 +191,8 @@
   status(): LogStatus {
     return logStatus(this.consensus, {
       leaderUrl: this.leaderUrl(),
-      diskFull: this.writer.isDiskFull,
+      diskFull: this.writer.diskRefusal?.code === 'DISK_FULL',
+      diskFailed: this.writer.diskRefusal?.code === 'DISK_FAILED',
     });
   }
 
@@ -363,9 +367,9 @@
 
   // Disk faults.
 
-  private handleDiskFull(isFull: boolean): void {
-    this.settings.events.record(isFull ? 'disk-full' : 'disk-has-room');
-    if (isFull) {
+  private handleDiskChange(refusal: Fault | undefined): void {
+    this.diskEvents.record(refusal);
+    if (refusal !== undefined) {
       this.consensus.transferLeadership(performance.now());
       this.processOutput();
     }
--- a/control/replicated-log/src/log-status.ts
+++ b/control/replicated-log/src/log-status.ts
@@ -4,7 +4,7 @@
 /** Returns the status of a replica. */
 export function logStatus(
   consensus: Consensus,
-  details: Pick<LogStatus, 'leaderUrl' | 'diskFull'>,
+  details: Pick<LogStatus, 'leaderUrl' | 'diskFull' | 'diskFailed'>,
 ): LogStatus {
   return {
     role: roleOf(consensus),
@@ -18,6 +18,7 @@
     appliedIndex: consensus.appliedIndex,
     replicas: replicaStatuses(consensus),
     diskFull: details.diskFull,
+    diskFailed: details.diskFailed,
   };
 }
 
--- a/control/replicated-log/src/open-replicated-log.ts
+++ b/control/replicated-log/src/open-replicated-log.ts
@@ -10,12 +10,14 @@
   type ReplicaRouter,
 } from '@marigoldspur/replica-transport';
 import {
+  isDiskRefusal,
   openLogStorage,
   setAsideLog,
   type FileSystem,
   type OpenedStorage,
 } from '@marigoldspur/log-storage';
-import {DISK_FULL_RETRY_MS} from './batch-writer.js';
+import {DISK_RETRY_MS} from './batch-writer.js';
+import {DiskEvents} from './disk-events.js';
 import {LogReplica} from './log-replica.js';
 import {PeerRegistry} from './peer-registry.js';
 import type {ReplicatedLog, StateMachine} from './replicated-log.js';
@@ -145,25 +147,21 @@
   };
 }
 
-/** Opens the storage, once the disk has room; damaged files are set aside, and the storage is then empty. */
+/** Opens the storage, once the disk allows it; damaged files are set aside, and the storage is then empty. */
 async function openStorage(options: StorageOptions): Promise<OpenedStorage> {
-  const {events} = options;
-  for (let isFull = false; ; isFull = true) {
+  const diskEvents = new DiskEvents(options.events);
+  for (let isSyncInDoubt = false; ; isSyncInDoubt = true) {
     try {
-      const opened = await openOrSetAside(options);
-      if (isFull) {
-        events.record('disk-has-room');
-      }
+      const opened = await openOrSetAside({...options, isSyncInDoubt});
+      diskEvents.record(undefined);
       return opened;
     } catch (thrown) {
-      if (toFault(thrown).code !== 'DISK_FULL') {
+      if (!isDiskRefusal(thrown)) {
         throw thrown;
       }
+      diskEvents.record(thrown);
     }
-    if (!isFull) {
-      events.record('disk-full');
-    }
-    await delay(DISK_FULL_RETRY_MS);
+    await delay(DISK_RETRY_MS);
   }
 }
 
@@ -172,21 +170,23 @@
   files,
   folder,
   segmentBytes,
-}: StorageOptions): Promise<OpenedStorage> {
+  isSyncInDoubt,
+}: StorageOptions & {readonly isSyncInDoubt: boolean}): Promise<OpenedStorage> {
   const storageOptions = {
     folder,
     files,
     segmentBytes,
+    isSyncInDoubt,
     onRemovalFailure: (thrown: unknown) =>
       events.record('log-removal-failed', {reason: toFault(thrown).message}),
   };
   try {
     return await openLogStorage(storageOptions);
   } catch (thrown) {
-    const {code, message: reason} = toFault(thrown);
-    if (code === 'DISK_FULL') {
+    if (isDiskRefusal(thrown)) {
       throw thrown;
     }
+    const {code, message: reason} = toFault(thrown);
     events.record('log-corrupt', {reason});
     if (code !== 'CORRUPT_DATA') {
       throw thrown;
--- a/control/replicated-log/src/proposal-handler.ts
+++ b/control/replicated-log/src/proposal-handler.ts
@@ -13,7 +13,7 @@
   readonly desiredVoters: () => number;
   /** Base URL of the leader, if known. */
   readonly leaderUrl: () => string | undefined;
-  readonly isDiskFull: () => boolean;
+  readonly diskRefusal: () => Fault | undefined;
   readonly isStopping: () => boolean;
 }
 
@@ -38,12 +38,13 @@
   }
 
   private findRejection(bytes: number): Fault | undefined {
-    const {consensus, desiredVoters, isDiskFull, isStopping} = this.options;
+    const {consensus, desiredVoters, diskRefusal, isStopping} = this.options;
     if (consensus.role !== 'leader' || isStopping()) {
       return this.createNotLeaderFault();
     }
-    if (isDiskFull()) {
-      return new Fault('DISK_FULL', 'the disk of the leader is full');
+    const refusal = diskRefusal();
+    if (refusal !== undefined) {
+      return new Fault(refusal.code, `${refusal.message} (leader)`);
     }
     const voterCount = consensus.configuration.voters.length;
     if (voterCount < majority(desiredVoters())) {
--- a/control/replicated-log/src/replicated-log.ts
+++ b/control/replicated-log/src/replicated-log.ts
@@ -47,14 +47,16 @@
   readonly replicas: readonly ReplicaStatus[];
   /** Whether the disk of this replica is full. */
   readonly diskFull: boolean;
+  /** Whether the disk of this replica fails, or the process has no file descriptors left. */
+  readonly diskFailed: boolean;
 }
 
 /** One replica of a replicated log. */
 export interface ReplicatedLog<Command, Answer> {
   /**
    * Appends a command; resolves once it is synced on a majority and applied on this
-   * replica. Errors: `NOT_LEADER` with the URL of the leader, `DISK_FULL` and `TOO_LARGE`
-   * (the command was not appended), `NO_QUORUM` and `TIMEOUT` (the command may still be
+   * replica. Errors: `NOT_LEADER` with the URL of the leader, `DISK_FULL`, `DISK_FAILED`
+   * and `TOO_LARGE` (the command was not appended), `NO_QUORUM` and `TIMEOUT` (the command may still be
    * committed later).
    */
   propose(command: Command): Promise<Result<Answer, Fault>>;
--- a/control/replicated-log/src/snapshot-manager.ts
+++ b/control/replicated-log/src/snapshot-manager.ts
@@ -1,7 +1,6 @@
 import type {Consensus} from '@marigoldspur/consensus';
 import type {EventLog} from '@marigoldspur/event-log';
-import {Fault} from '@marigoldspur/faults';
-import type {LogStorage} from '@marigoldspur/log-storage';
+import {isDiskRefusal, type LogStorage} from '@marigoldspur/log-storage';
 
 /** Options of a snapshot manager. */
 export interface SnapshotManagerOptions {
@@ -116,7 +115,7 @@
   }
 
   private handleSaveError(thrown: unknown, now: number): void {
-    if (thrown instanceof Fault && thrown.code === 'DISK_FULL') {
+    if (isDiskRefusal(thrown)) {
       this.retryAt = now + RETRY_DELAY_MS;
     } else {
       this.options.onFatal(thrown);
--- a/zones/control-client/src/control-client.ts
+++ b/zones/control-client/src/control-client.ts
@@ -207,6 +207,7 @@
     'NOT_LEADER',
     'NO_QUORUM',
     'DISK_FULL',
+    'DISK_FAILED',
     'UNAVAILABLE',
     'TIMEOUT',
     'STOPPING',
