Send a call again to an engine that had unloaded its adapter if no other has room

Cause: an engine can unload an adapter between the answer that it is held and the arrival of a call. Its 421 excluded the engine from the call like any other refusal. Where one engine alone has room for the model, as after the crash of the only engine of a model, callers got 503 (no_model_memory) although the engine would have served them after another load.

Change: such a refusal has the reason adapter_missing. If no target is found for lack of room, those that only lacked the adapter are searched again, within the same number of attempts.

--- a/entry/direct-routing/src/attempt-failure-recorder.ts
+++ b/entry/direct-routing/src/attempt-failure-recorder.ts
@@ -27,6 +27,8 @@
   readonly metrics: DirectRoutingMetrics;
 }
 
+/** Reason of the refusal of a call whose engine has unloaded the call's adapter. */
+export const ADAPTER_MISSING = 'adapter_missing';
 const RETRY_AFTER_SECONDS = 0.5;
 
 /** Records attempts that did not serve their call, and creates the refusals for the callers. */
@@ -83,9 +85,9 @@
   ): Refusal {
     const {metadata, message} = response;
     discardBody(message);
-    if (metadata.isMisdirected) {
+    const lacksAdapter =
+      metadata.isMisdirected &&
       this.recordMisdirection(call, attempt.target, metadata.target);
-    }
     const status = message.statusCode ?? 0;
     const reason = metadata.isMisdirected ? 'misdirected' : `status_${status}`;
     const outcome = metadata.hasNotRun ? 'not-run' : 'failed';
@@ -95,7 +97,11 @@
     return new Refusal(
       outcome,
       metadata.hasNotRun ? 503 : 502,
-      metadata.hasNotRun ? 'target_full' : 'target_failed',
+      lacksAdapter
+        ? ADAPTER_MISSING
+        : metadata.hasNotRun
+          ? 'target_full'
+          : 'target_failed',
       `the target responded with status ${status}`,
       RETRY_AFTER_SECONDS,
     );
@@ -103,13 +109,13 @@
 
   /**
    * Handles a response that shows that another target uses the address, or that
-   * the target lacks the adapter.
+   * the target lacks the adapter. Returns whether it lacks the adapter.
    */
   private recordMisdirection(
     call: Call,
     target: TargetAnnouncement,
     respondingId: string | undefined,
-  ): void {
+  ): boolean {
     const {crashWitness, selector} = this.options;
     const {work} = call.metadata;
     const now = performance.now();
@@ -120,9 +126,10 @@
     }
     if (isOtherTarget || work === undefined) {
       selector.recordFailure(target, 'connect-failed', now);
-    } else {
-      selector.recordMissingAdapter(target, work, now);
+      return false;
     }
+    selector.recordMissingAdapter(target, work, now);
+    return true;
   }
 
   private record(
--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -21,6 +21,7 @@
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
 import type {AttemptSender} from './attempt-sender.js';
+import {ADAPTER_MISSING} from './attempt-failure-recorder.js';
 import type {Attempt} from './attempt.js';
 import {findDenial, findTenant, hasTimeLeft, type Call} from './call.js';
 import {createShuttingDownRefusal} from './shutting-down-refusal.js';
@@ -51,6 +52,8 @@
   readonly origin: StreamOrigin | undefined;
   /** IDs of targets that did not serve earlier attempts. */
   readonly excluded: ReadonlySet<string>;
+  /** IDs of those that only lacked the adapter, and may load it again if no other one has room. */
+  readonly withoutAdapter: ReadonlySet<string>;
 }
 
 /** The search for the target of an attempt that was sent. */
@@ -78,6 +81,12 @@
 const ASSUMED_DURATION_FACTOR = 2;
 const STATUS_OK = 200;
 const STATUS_SERVER_ERROR = 500;
+/** Reasons for which no target is found although one that is excluded may serve the call. */
+const ROOM_REASONS: ReadonlySet<string> = new Set([
+  'no_target',
+  'no_model_memory',
+  'memory_full',
+]);
 const OUTCOME_EVENTS = {
   whole: 'call-answered',
   torn: 'call-torn',
@@ -136,6 +145,7 @@
     }
     const origin = resolved.value;
     const excluded = new Set<string>();
+    const withoutAdapter = new Set<string>();
     let refusal: Refusal | undefined;
     let mayHaveRun = false;
     for (let attemptNumber = 1; ; attemptNumber += 1) {
@@ -144,7 +154,7 @@
           toFinalRefusal(refusal ?? createOutOfTimeRefusal(), mayHaveRun),
         );
       }
-      const search = {origin, excluded, ...tenantCharge};
+      const search = {origin, excluded, withoutAdapter, ...tenantCharge};
       const target = await this.findChargedTarget(call, search);
       const denial = findDenial(call);
       if (denial !== undefined) {
@@ -169,6 +179,11 @@
       if (!isExpiredCharge(refusal)) {
         excluded.add(target.value.id);
       }
+      if (refusal.reason === ADAPTER_MISSING) {
+        withoutAdapter.add(target.value.id);
+      } else {
+        withoutAdapter.delete(target.value.id);
+      }
       const mayRetry =
         !response.headersSent &&
         !isTenantChange(refusal) &&
@@ -193,15 +208,16 @@
    */
   private async findChargedTarget(
     call: Call,
-    {charge, excluded, origin}: AttemptSearch,
+    search: AttemptSearch,
   ): Promise<Result<TargetAnnouncement, Refusal>> {
     const {finder} = this.options;
+    const {charge, origin} = search;
     for (;;) {
       const refusal = await charge.secure();
       if (refusal !== undefined) {
         return Result.err(refusal);
       }
-      const target = await this.findTarget(call, excluded, origin);
+      const target = await this.findTarget(call, search);
       if (target.isErr || !charge.isDue) {
         return target;
       }
@@ -215,7 +231,12 @@
         now - foundAt < KEEP_TARGET_MS &&
         !charge.isDue &&
         this.mayBeSent(call, now) &&
-        finder.isAvailable(call, target.value, excluded, origin)
+        finder.isAvailable(
+          call,
+          target.value,
+          lastingExclusions(search),
+          origin,
+        )
       ) {
         return target;
       }
@@ -225,19 +246,32 @@
   /** Finds a target, unless the call would outlast a shutdown of this entry, also after the search. */
   private async findTarget(
     call: Call,
-    excluded: ReadonlySet<string>,
-    origin: StreamOrigin | undefined,
+    search: AttemptSearch,
   ): Promise<Result<TargetAnnouncement, Refusal>> {
-    const {finder} = this.options;
     if (!this.mayBeSent(call, performance.now())) {
       return Result.err(createShuttingDownRefusal());
     }
-    const target = await finder.find(call, excluded, call.startedAt, origin);
+    const target = await this.findUsableTarget(call, search);
     return target.isOk && !this.mayBeSent(call, performance.now())
       ? Result.err(createShuttingDownRefusal())
       : target;
   }
 
+  /** Finds a target; one that only lacked the adapter is used again if no other one can serve the call. */
+  private async findUsableTarget(
+    call: Call,
+    search: AttemptSearch,
+  ): Promise<Result<TargetAnnouncement, Refusal>> {
+    const {finder} = this.options;
+    const {excluded, origin, withoutAdapter} = search;
+    const {startedAt} = call;
+    const target = await finder.find(call, excluded, startedAt, origin);
+    const isRoomMissing = target.isErr && ROOM_REASONS.has(target.error.reason);
+    return isRoomMissing && withoutAdapter.size > 0
+      ? finder.find(call, lastingExclusions(search), startedAt, origin)
+      : target;
+  }
+
   /** Whether a call that is sent now is expected to end before a shutdown of this entry does. */
   private mayBeSent({route}: Call, now: number): boolean {
     const outlook = {
@@ -396,6 +430,14 @@
   }
 }
 
+/** IDs of the targets that must not be used again for a call. */
+function lastingExclusions({
+  excluded,
+  withoutAdapter,
+}: AttemptSearch): ReadonlySet<string> {
+  return new Set([...excluded].filter(id => !withoutAdapter.has(id)));
+}
+
 /** Of the refusal of the last attempt and that of the next one, the one with the later time to come back. */
 function laterRefusal(last: Refusal | undefined, next: Refusal): Refusal {
   const isLater =
