Start a request of a connection once the response before it keeps the connection

Cause: up to 32 requests that a caller sent without waiting ran at the same time. If the response to one of them closes the connection, by the target's header, for want of framing or after a refusal, those behind it had run, also unsafe ones, and were never answered.

Change: each starts once the head of the response before it has been written and keeps the connection (onResponseHead); bodies may still overlap as before. Requests behind a response that closes the connection do not run. Three tests that counted running requests now send the heads first; their bounds are unchanged.

--- a/entry/caller-server/src/caller-server.ts
+++ b/entry/caller-server/src/caller-server.ts
@@ -6,7 +6,11 @@
   type CloseReason,
 } from '@marigoldspur/connection-guard';
 import {guard} from '@marigoldspur/fault-guard';
-import {closeServer, onResponseEnd} from '@marigoldspur/http-link';
+import {
+  closeServer,
+  onResponseEnd,
+  onResponseHead,
+} from '@marigoldspur/http-link';
 import type {Fault} from '@marigoldspur/faults';
 import type {LoopClock} from '@marigoldspur/loop-clock';
 import type {MemoryBudget} from '@marigoldspur/memory-budget';
@@ -84,6 +88,12 @@
 /** The requests of a connection that sends them without waiting for responses. */
 interface RequestQueue {
   running: number;
+  /**
+   * Whether the next request has to wait until the head of the response to the last one that
+   * started tells that the connection stays open. One that ran behind a response that closes the
+   * connection could not be answered.
+   */
+  awaitsHead: boolean;
   /** Start the requests that wait for those that run, in order. */
   waiting: Array<() => void>;
   /** Whether the connection closes because it brought too many. */
@@ -211,18 +221,25 @@
     const {socket} = request;
     const pending = this.pendingResponses.get(socket) ?? new Set();
     this.pendingResponses.set(socket, pending.add(response));
-    const start = () => this.serve(request, response, arrivedAt);
     const queue = this.queueOf(socket);
+    const start = () => {
+      queue.running += 1;
+      queue.awaitsHead = true;
+      onResponseHead(response, keepsConnection => {
+        queue.awaitsHead = !keepsConnection;
+        this.startNext(socket, queue);
+      });
+      this.serve(request, response, arrivedAt);
+    };
     response.on('close', () => {
       pending.delete(response);
       queue.running -= 1;
       this.startNext(socket, queue);
     });
-    if (queue.running >= MAX_RUNNING_PER_CONNECTION) {
-      this.enqueue(request, response, queue, start);
-    } else {
-      queue.running += 1;
+    if (canStart(queue) && queue.waiting.length === 0) {
       start();
+    } else {
+      this.enqueue(request, response, queue, start);
     }
   }
 
@@ -261,7 +278,12 @@
     if (known !== undefined) {
       return known;
     }
-    const queue: RequestQueue = {running: 0, waiting: [], isClosing: false};
+    const queue: RequestQueue = {
+      running: 0,
+      awaitsHead: false,
+      waiting: [],
+      isClosing: false,
+    };
     this.queues.set(socket, queue);
     socket.once('close', () => {
       this.waitingCount -= queue.waiting.length;
@@ -290,13 +312,12 @@
   }
 
   private startNext(socket: Socket, queue: RequestQueue): void {
-    const start = socket.destroyed ? undefined : queue.waiting.shift();
-    if (start === undefined) {
-      return;
+    const mayStart = !socket.destroyed && canStart(queue);
+    const start = mayStart ? queue.waiting.shift() : undefined;
+    if (start !== undefined) {
+      this.waitingCount -= 1;
+      start();
     }
-    this.waitingCount -= 1;
-    queue.running += 1;
-    start();
   }
 
   private refuseExcess(
@@ -338,6 +359,11 @@
   }
 }
 
+/** Whether a further request of a connection may start. */
+function canStart({awaitsHead, running}: RequestQueue): boolean {
+  return !awaitsHead && running < MAX_RUNNING_PER_CONNECTION;
+}
+
 /**
  * Refuses a request as not run. Its connection closes after the response, and nothing behind it
  * on the connection runs either (RFC 9112, 9.6).
--- a/entry/caller-server/test/caller-server.test.ts
+++ b/entry/caller-server/test/caller-server.test.ts
@@ -19,6 +19,8 @@
 let running: http.ServerResponse[];
 let mostRunning: number;
 let onRequest: () => void;
+/** Whether the heads of responses are sent at once. */
+let sendsHeads: boolean;
 let maxConnections: number | undefined;
 /** Memory for the headers of requests, in bytes. */
 let memoryBytes: number;
@@ -28,6 +30,7 @@
   running = [];
   mostRunning = 0;
   onRequest = () => {};
+  sendsHeads = false;
   maxConnections = undefined;
   memoryBytes = Infinity;
   isDraining = false;
@@ -36,6 +39,9 @@
       running.push(response);
       mostRunning = Math.max(mostRunning, running.length);
       response.setHeader('x-path', request.url ?? '');
+      if (sendsHeads) {
+        response.flushHeaders();
+      }
       onRequest();
     },
     onFault: fault => {
@@ -97,6 +103,7 @@
 
 it('caller server: a request that is served late does not keep those of other connections waiting', async () => {
   const text = 'GET /slow HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(250);
+  sendsHeads = true;
   const slow = net.connect(address.port, address.host, () => slow.write(text));
   await new Promise<void>(resolve => {
     onRequest = () => running.length === 32 && resolve();
@@ -175,6 +182,7 @@
 
 it('caller server: requests beyond those that may wait are refused in their order, and the connection closes', async () => {
   const text = 'GET /many HTTP/1.1\r\nhost: a\r\n\r\n';
+  sendsHeads = true;
   const ended = exchange(text.repeat(1_200));
   await new Promise<void>(resolve => {
     onRequest = () => running.length === 32 && resolve();
@@ -276,6 +284,7 @@
 // Guards against a request that runs and is not answered because of what comes behind it.
 it('caller server: malformed bytes behind requests close their connection after the responses', async () => {
   const request = 'GET /a HTTP/1.1\r\nhost: a\r\n\r\n';
+  sendsHeads = true;
   const ended = exchange(`${request.repeat(3)}\0\0${request}`);
   await new Promise<void>(resolve => {
     onRequest = () => running.length === 3 && resolve();
@@ -283,3 +292,47 @@
   running.forEach(response => response.end());
   expect(pathsOf(await ended)).to.deep.equal(['/a', '/a', '/a']);
 });
+
+it('caller server: a request without waiting starts once the response before it keeps the connection', async () => {
+  const received = exchange(
+    'GET /a HTTP/1.1\r\nhost: a\r\n\r\nGET /b HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n',
+  );
+  await once(callerServer.server, 'request');
+  await new Promise(resolve => setImmediate(resolve));
+  expect(running).to.have.length(1);
+  running[0].write('a');
+  expect(running).to.have.length(2);
+  running[1].end();
+  running[0].end();
+  expect(pathsOf(await received)).to.deep.equal(['/a', '/b']);
+});
+
+/** Responses that close their connection, each for another reason. */
+const LAST_RESPONSES: Readonly<
+  Record<string, (response: http.ServerResponse) => void>
+> = {
+  'a header of the response': response =>
+    response.writeHead(200, {connection: 'close', 'content-length': 0}),
+  'a response without framing': response => {
+    response.removeHeader('transfer-encoding');
+    response.removeHeader('content-length');
+  },
+  'a header that is set before': response =>
+    response.setHeader('connection', 'close'),
+};
+
+for (const [reason, prepare] of Object.entries(LAST_RESPONSES)) {
+  // Guards against requests that run although their connection closes before their response.
+  it(`caller server: nothing runs behind a response that closes its connection, for ${reason}`, async () => {
+    onRequest = () => {
+      const response = running.at(-1)!;
+      prepare(response);
+      response.end('a');
+    };
+    const received = await exchange(
+      'GET /a HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(3),
+    );
+    expect(pathsOf(received)).to.deep.equal(['/a']);
+    expect(running).to.have.length(1);
+  });
+}
--- a/machines/http-link/src/index.ts
+++ b/machines/http-link/src/index.ts
@@ -19,6 +19,7 @@
 export {listenWhenFree, type PortListener} from './listen-when-free.js';
 export {PortWait, type PortWaitStep} from './port-wait.js';
 export {onResponseEnd} from './on-response-end.js';
+export {onResponseHead} from './on-response-head.js';
 export {openRequest, type OutgoingRequest} from './open-request.js';
 export {
   endToEndHeaders,
