Don't tell callers over their quota to come back at once

Cause: the time until there is room was the least that any replica named, and a replica that granted all that was missing named 0. If a part from another replica expired meanwhile, the call was refused as over its quota with Retry-After 0.

Change: only replicas that lacked room count. Where none did, the call is refused as quota_unavailable instead of quota_exceeded.

--- a/entry/tenant-quotas/src/quota-client.ts
+++ b/entry/tenant-quotas/src/quota-client.ts
@@ -34,7 +34,7 @@
 export type QuotaOutcome =
   | {readonly kind: 'granted'; readonly grant: QuotaGrant}
   | {
-      /** Whether all replicas lack room, or some of them did not answer. */
+      /** Whether all replicas lack room, or some of them did not answer, or not in time. */
       readonly kind: 'exceeded' | 'unavailable';
       /** Expected time until there is room, in milliseconds; undefined if not known. */
       readonly waitMs: number | undefined;
@@ -85,7 +85,8 @@
     if (waitMs !== undefined) {
       this.estimates.recordNoRoom(amount, waitMs, this.now());
     }
-    const isUnknown = failed.size > 0 || queues.length === 0;
+    // Without a wait none lacked room: there was no replica, or the units expired.
+    const isUnknown = failed.size > 0 || waitMs === undefined;
     const kind = isUnknown && !isTooLarge ? 'unavailable' : 'exceeded';
     return {kind, waitMs};
   }
@@ -254,7 +255,7 @@
   collection.isTooLarge ||= isTooLarge;
   if (waitMs === undefined) {
     collection.failed.add(queue);
-  } else {
+  } else if (decision?.isComplete === false) {
     addWait(collection, waitMs);
   }
 }
--- a/entry/tenant-quotas/test/quota-client.test.ts
+++ b/entry/tenant-quotas/test/quota-client.test.ts
@@ -324,6 +324,27 @@
   expect(returnsIn(queries)).to.deep.equal([[A, 5]]);
 });
 
+// Guards against refusals that tell their callers to come back at once.
+it('quota client: a replica that grants all that is missing does not shorten the stated time until there is room', async () => {
+  setAll(holding(0, 70));
+  /** Has parts for one call, and answers it after some time. */
+  const holdOnce = (url: string, lateMs: number) =>
+    behaviours.set(url, request => {
+      if (request.isDivisible) {
+        wallOffsetMs += lateMs;
+        behaviours.set(url, holding(0, 70));
+      }
+      return holding(5)(request);
+    });
+  holdOnce(A, 0);
+  behaviours.set(B, request => {
+    wallOffsetMs += request.isDivisible ? 200 : 0;
+    return holding(0, 70)(request);
+  });
+  holdOnce(C, 150);
+  expect(await ask(10)).to.deep.equal({kind: 'exceeded', waitMs: 70});
+});
+
 // Guards against calls that wait for each replica in turn, twice, while there is no quorum.
 it('quota client: after waiting for a majority in vain a call is refused', async () => {
   setAll('silent');
