--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -9,6 +9,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import {performance} from 'node:perf_hooks';
+import {clearTimeout, setTimeout} from 'node:timers';
 
 const ROOT = path.resolve(import.meta.dirname, '..');
 const KNOWN_RED_FILE = path.join(ROOT, 'KNOWN-RED.txt');
@@ -21,6 +22,8 @@
  */
 const CORES_PER_FILE = 2;
 const MS_PER_SECOND = 1_000;
+/** Time for the output of a file to end after its process, in milliseconds. */
+const OUTPUT_END_MS = 5_000;
 
 /**
  * Returns the path of the source of a compiled file. If the source does not exist, the
@@ -110,6 +113,18 @@
     child.on('message', message => {
       outcome = message;
     });
+    child.on('exit', () => {
+      // A process that the file has left behind holds the output open.
+      const timer = setTimeout(() => {
+        outcome = {
+          passed: outcome?.passed ?? 0,
+          failed: [...(outcome?.failed ?? []), 'left a process behind'],
+        };
+        child.stdout.destroy();
+        child.stderr.destroy();
+      }, OUTPUT_END_MS);
+      child.on('close', () => clearTimeout(timer));
+    });
     child.on('close', code => {
       durations[name] = Math.ceil(
         (performance.now() - startedAt) / MS_PER_SECOND,
