--- a/control/log-storage/src/disk-errors.ts
+++ b/control/log-storage/src/disk-errors.ts
@@ -37,6 +37,8 @@
     return new Fault('DISK_FULL', 'the disk is full', {cause: thrown});
   }
   return FAILED_CODES.includes(code)
-    ? new Fault('DISK_FAILED', `the disk failed: ${code}`, {cause: thrown})
+    ? new Fault('DISK_FAILED', `an operation on the disk failed: ${code}`, {
+        cause: thrown,
+      })
     : thrown;
 }
--- a/control/replicated-log/src/proposal-handler.ts
+++ b/control/replicated-log/src/proposal-handler.ts
@@ -44,7 +44,10 @@
     }
     const refusal = diskRefusal();
     if (refusal !== undefined) {
-      return new Fault(refusal.code, `${refusal.message} (leader)`);
+      return new Fault(
+        refusal.code,
+        `the leader cannot store changes: ${refusal.message}`,
+      );
     }
     const voterCount = consensus.configuration.voters.length;
     if (voterCount < majority(desiredVoters())) {
--- a/entry/direct-routing/src/attempt-failure-recorder.ts
+++ b/entry/direct-routing/src/attempt-failure-recorder.ts
@@ -97,11 +97,7 @@
     return new Refusal(
       outcome,
       metadata.hasNotRun ? 503 : 502,
-      lacksAdapter
-        ? ADAPTER_MISSING
-        : metadata.hasNotRun
-          ? 'target_full'
-          : 'target_failed',
+      lacksAdapter ? ADAPTER_MISSING : rejectionReason(metadata.hasNotRun),
       `the target responded with status ${status}`,
       RETRY_AFTER_SECONDS,
     );
@@ -155,3 +151,7 @@
     );
   }
 }
+
+function rejectionReason(hasNotRun: boolean): string {
+  return hasNotRun ? 'target_full' : 'target_failed';
+}
