Let a stream that is taken up use an engine again that had unloaded its adapter

Cause: a stream that broke off left out each target that refused its rest, also one whose refusal only says that it lacks the adapter. Where one engine alone has room for the model, the stream broke off at its caller. The same cause was mended for calls before; streams were left out.

Change: the targets that a call has tried, and which of them only lacked the adapter, are kept by TriedTargets, which calls and streams share.

Measured: the new test of the resumer fails without telling the refusal to it and passes; 178 tests of direct-routing and several-models pass.

--- a/entry/direct-routing/src/call-runner.ts
+++ b/entry/direct-routing/src/call-runner.ts
@@ -21,7 +21,6 @@
 import type {EventLog} from '@marigoldspur/event-log';
 import {Refusal} from '@marigoldspur/faults';
 import type {AttemptSender} from './attempt-sender.js';
-import {ADAPTER_MISSING} from './attempt-failure-recorder.js';
 import type {Attempt} from './attempt.js';
 import {findDenial, findTenant, hasTimeLeft, type Call} from './call.js';
 import {createShuttingDownRefusal} from './shutting-down-refusal.js';
@@ -31,6 +30,7 @@
 import type {StreamOrigins} from './stream-origins.js';
 import type {TargetFinder} from './target-finder.js';
 import type {TargetResponse} from './target-client.js';
+import {TriedTargets} from './tried-targets.js';
 
 /** Options of a call runner. */
 export interface CallRunnerOptions {
@@ -50,10 +50,7 @@
 interface AttemptSearch extends TenantCharge {
   /** Origin of the stream that the call takes up; undefined if it begins one. */
   readonly origin: StreamOrigin | undefined;
-  /** IDs of targets that did not serve earlier attempts. */
-  readonly excluded: ReadonlySet<string>;
-  /** IDs of those that only lacked the adapter, and may load it again if no other one has room. */
-  readonly withoutAdapter: ReadonlySet<string>;
+  readonly tried: TriedTargets;
 }
 
 /** The search for the target of an attempt that was sent. */
@@ -81,12 +78,6 @@
 const ASSUMED_DURATION_FACTOR = 2;
 const STATUS_OK = 200;
 const STATUS_SERVER_ERROR = 500;
-/** Reasons for which no target is found although one that is excluded may serve the call. */
-const ROOM_REASONS: ReadonlySet<string> = new Set([
-  'no_target',
-  'no_model_memory',
-  'memory_full',
-]);
 const OUTCOME_EVENTS = {
   whole: 'call-answered',
   torn: 'call-torn',
@@ -144,8 +135,7 @@
       return Result.err(resolved.error);
     }
     const origin = resolved.value;
-    const excluded = new Set<string>();
-    const withoutAdapter = new Set<string>();
+    const tried = new TriedTargets();
     let refusal: Refusal | undefined;
     let mayHaveRun = false;
     for (let attemptNumber = 1; ; attemptNumber += 1) {
@@ -154,7 +144,7 @@
           toFinalRefusal(refusal ?? createOutOfTimeRefusal(), mayHaveRun),
         );
       }
-      const search = {origin, excluded, withoutAdapter, ...tenantCharge};
+      const search = {origin, tried, ...tenantCharge};
       const target = await this.findChargedTarget(call, search);
       const denial = findDenial(call);
       if (denial !== undefined) {
@@ -177,12 +167,7 @@
       refusal = result.error;
       mayHaveRun ||= refusal.outcome !== 'not-run';
       if (!isExpiredCharge(refusal)) {
-        excluded.add(target.value.id);
-      }
-      if (refusal.reason === ADAPTER_MISSING) {
-        withoutAdapter.add(target.value.id);
-      } else {
-        withoutAdapter.delete(target.value.id);
+        tried.add(target.value.id, refusal);
       }
       const mayRetry =
         !response.headersSent &&
@@ -211,7 +196,7 @@
     search: AttemptSearch,
   ): Promise<Result<TargetAnnouncement, Refusal>> {
     const {finder} = this.options;
-    const {charge, origin} = search;
+    const {charge, origin, tried} = search;
     for (;;) {
       const refusal = await charge.secure();
       if (refusal !== undefined) {
@@ -231,12 +216,7 @@
         now - foundAt < KEEP_TARGET_MS &&
         !charge.isDue &&
         this.mayBeSent(call, now) &&
-        finder.isAvailable(
-          call,
-          target.value,
-          lastingExclusions(search),
-          origin,
-        )
+        finder.isAvailable(call, target.value, tried.unusableIds, origin)
       ) {
         return target;
       }
@@ -246,32 +226,20 @@
   /** Finds a target, unless the call would outlast a shutdown of this entry, also after the search. */
   private async findTarget(
     call: Call,
-    search: AttemptSearch,
+    {origin, tried}: AttemptSearch,
   ): Promise<Result<TargetAnnouncement, Refusal>> {
+    const {finder} = this.options;
     if (!this.mayBeSent(call, performance.now())) {
       return Result.err(createShuttingDownRefusal());
     }
-    const target = await this.findUsableTarget(call, search);
+    const target = await tried.find(excluded =>
+      finder.find(call, excluded, call.startedAt, origin),
+    );
     return target.isOk && !this.mayBeSent(call, performance.now())
       ? Result.err(createShuttingDownRefusal())
       : target;
   }
 
-  /** Finds a target; one that only lacked the adapter is used again if no other one can serve the call. */
-  private async findUsableTarget(
-    call: Call,
-    search: AttemptSearch,
-  ): Promise<Result<TargetAnnouncement, Refusal>> {
-    const {finder} = this.options;
-    const {excluded, origin, withoutAdapter} = search;
-    const {startedAt} = call;
-    const target = await finder.find(call, excluded, startedAt, origin);
-    const isRoomMissing = target.isErr && ROOM_REASONS.has(target.error.reason);
-    return isRoomMissing && withoutAdapter.size > 0
-      ? finder.find(call, lastingExclusions(search), startedAt, origin)
-      : target;
-  }
-
   /** Whether a call that is sent now is expected to end before a shutdown of this entry does. */
   private mayBeSent({route}: Call, now: number): boolean {
     const outlook = {
@@ -358,7 +326,7 @@
     search: AttemptSearch,
   ): Promise<RelayResult> {
     const {events, metrics} = this.options;
-    const {excluded, origin} = search;
+    const {origin, tried} = search;
     const {metadata, route, service, startedAt} = call;
     const isStream =
       route.streaming && upstream.message.statusCode === STATUS_OK;
@@ -372,7 +340,7 @@
             this.options,
             call,
             attempt,
-            excluded,
+            tried,
             upstream.isAnnouncedStart,
             origin,
             search,
@@ -430,14 +398,6 @@
   }
 }
 
-/** IDs of the targets that must not be used again for a call. */
-function lastingExclusions({
-  excluded,
-  withoutAdapter,
-}: AttemptSearch): ReadonlySet<string> {
-  return new Set([...excluded].filter(id => !withoutAdapter.has(id)));
-}
-
 /** Of the refusal of the last attempt and that of the next one, the one with the later time to come back. */
 function laterRefusal(last: Refusal | undefined, next: Refusal): Refusal {
   const isLater =
--- a/entry/direct-routing/src/call-stream-resumer.ts
+++ b/entry/direct-routing/src/call-stream-resumer.ts
@@ -15,6 +15,7 @@
 import type {RetryLimiter} from './retry-limiter.js';
 import type {StreamOrigins} from './stream-origins.js';
 import type {TargetFinder} from './target-finder.js';
+import {TriedTargets} from './tried-targets.js';
 
 /** Options of a call stream resumer. */
 export interface CallStreamResumerOptions {
@@ -33,7 +34,7 @@
 export class CallStreamResumer implements StreamResumer {
   /** Origin of the events that the first attempt brings. */
   private readonly begunAt: StreamOrigin;
-  private readonly triedTargets: Set<string>;
+  private readonly tried: TriedTargets;
   private attemptNumber: number;
   /** Number of attempts that were not sent because their units had expired. */
   private unsentCount = 0;
@@ -49,8 +50,8 @@
     private readonly options: CallStreamResumerOptions,
     private readonly call: Call,
     first: Attempt,
-    /** IDs of targets that did not serve earlier attempts of the call. */
-    excluded: ReadonlySet<string>,
+    /** Targets that did not serve earlier attempts of the call. */
+    tried: TriedTargets,
     /** Whether the first attempt's response comes from the announced start of its target. */
     private readonly isAnnouncedStart: Promise<boolean> | undefined,
     /** Origin of the stream that the call takes up; undefined if the call begins it. */
@@ -59,7 +60,8 @@
     private readonly tenantCharge: TenantCharge,
   ) {
     this.begunAt = options.streamOrigins.originAt(call, first.target);
-    this.triedTargets = new Set([...excluded, first.target.id]);
+    this.tried = new TriedTargets(tried);
+    this.tried.add(first.target.id);
     this.attemptNumber = first.number;
   }
 
@@ -83,6 +85,7 @@
         return opened.value;
       }
       this.end();
+      this.tried.add(attempt.target.id, opened.error);
       if (isTenantChange(opened.error)) {
         return undefined;
       }
@@ -96,7 +99,7 @@
   private recordUnsent({target}: Attempt): void {
     this.unsentCount += 1;
     if (this.unsentCount <= MAX_UNSENT) {
-      this.triedTargets.delete(target.id);
+      this.tried.remove(target.id);
       this.hasUnusedRetry = true;
     }
   }
@@ -120,7 +123,7 @@
     if (target === undefined) {
       return undefined;
     }
-    this.triedTargets.add(target.id);
+    this.tried.add(target.id);
     this.attemptNumber += 1;
     this.current = options.sender.startAttempt(
       call,
@@ -140,11 +143,13 @@
       if ((await charge.secure()) !== undefined) {
         return undefined;
       }
-      const found = await options.finder.find(
-        call,
-        this.triedTargets,
-        performance.now(),
-        this.origin ?? (hasBegun ? this.begunAt : undefined),
+      const found = await this.tried.find(excluded =>
+        options.finder.find(
+          call,
+          excluded,
+          performance.now(),
+          this.origin ?? (hasBegun ? this.begunAt : undefined),
+        ),
       );
       if (found.isErr) {
         return undefined;
--- a/entry/direct-routing/src/index.ts
+++ b/entry/direct-routing/src/index.ts
@@ -10,6 +10,7 @@
   CallStreamResumer,
   type CallStreamResumerOptions,
 } from './call-stream-resumer.js';
+export {TriedTargets} from './tried-targets.js';
 export {
   RequestCrashMonitor,
   type IdentifiedRequest,
--- a/entry/direct-routing/test/call-stream-resumer.test.ts
+++ b/entry/direct-routing/test/call-stream-resumer.test.ts
@@ -2,6 +2,7 @@
 import {Result} from 'true-myth';
 import {
   CallStreamResumer,
+  TriedTargets,
   type CallStreamResumerOptions,
 } from '@marigoldspur/direct-routing';
 import {NO_CHARGE} from '@marigoldspur/entry-quotas';
@@ -18,12 +19,17 @@
 /** Why attempts are not sent, in order; later ones are answered. */
 let reasons: string[];
 let retries: number;
+let maxAttempts: number;
+/** Whether the other target is the only one with room. */
+let isOnlyOne: boolean;
 /** IDs of the targets that each search left out. */
 let excluded: string[][];
 
 beforeEach(() => {
   reasons = [];
   retries = 0;
+  maxAttempts = 2;
+  isOnlyOne = false;
   excluded = [];
 });
 
@@ -38,7 +44,9 @@
     finder: {
       find: async (_call: unknown, tried: ReadonlySet<string>) => {
         excluded.push([...tried]);
-        return Result.ok({id: 'other'});
+        return isOnlyOne && tried.has('other')
+          ? Result.err(new Refusal('not-run', 503, 'no_model_memory', ''))
+          : Result.ok({id: 'other'});
       },
     },
     sender: {
@@ -60,7 +68,7 @@
   } as unknown as CallStreamResumerOptions;
   const call = {
     metadata: {id: 'c'},
-    route: {maxAttempts: 2},
+    route: {maxAttempts},
     service: {name: 's'},
     signal: new AbortController().signal,
   };
@@ -68,7 +76,7 @@
     options,
     call as unknown as Parameters[1],
     createAttempt(1) as unknown as Parameters[2],
-    new Set(),
+    new TriedTargets(),
     undefined,
     undefined,
     {charge: NO_CHARGE, chargedTenant: undefined},
@@ -102,3 +110,12 @@
   expect(await resume()).to.equal(false);
   expect(retries).to.equal(1);
 });
+
+// Guards against streams that break off although the only engine with room would load the adapter.
+it('call stream resumer: the only engine with room loads an adapter again that it had unloaded', async () => {
+  reasons = ['adapter_missing'];
+  maxAttempts = 3;
+  isOnlyOne = true;
+  expect(await resume()).to.equal(true);
+  expect(excluded).to.deep.equal([['t1'], ['t1', 'other'], ['t1']]);
+});
