Read the numbers of events by one rule, and refuse to take a stream up without one

Cause: the header of the last event was read up to 12 digits, events in a response up to 9, resume requests at the agent up to 9. An unreadable header was taken away and the call sent on as one that begins a stream.

Change: parseEventNumber reads all three, up to 2^53 - 1. A call that takes a stream up after anything else gets 400 (invalid_last_event) and does not run. An event whose ID can't be read, or with two IDs, is no part of a numbered stream.

--- a/agent/agent-server/src/attempt-handler.ts
+++ b/agent/agent-server/src/attempt-handler.ts
@@ -6,6 +6,7 @@
 import {
   formatPrefixChanges,
   HOP_HEADERS,
+  parseEventNumber,
   parseHop,
   type Hop,
 } from '@marigoldspur/messages';
@@ -57,7 +58,8 @@
 const STALE_AFTER_MS = 500;
 /** How long to wait for a disconnect that may follow a delayed attempt. */
 const DISCONNECT_WAIT_MS = 250;
-const RESUME_AFTER_PATTERN = /^(-1|\d{1,9})$/;
+/** Number that stands for the beginning of a stream on a resume request. */
+const BEFORE_FIRST_EVENT = -1;
 
 /**
  * Receives attempts from entries, validates them and forwards them to the
@@ -195,19 +197,29 @@
 
   private async resume(
     hop: Hop,
-    after: string,
+    text: string,
     response: ServerResponse,
     deadlineMs: number,
     signal: AbortSignal,
   ): Promise<void> {
-    const resume = {hop, after: Number(after), response, deadlineMs, signal};
-    const refusal = RESUME_AFTER_PATTERN.test(after)
-      ? await this.resumeHandler.resume(resume)
-      : unknownOutcomeRefusal(
-          400,
-          'bad_hop',
-          'the event number of the resume request is not an integer',
-        );
+    const after =
+      text === String(BEFORE_FIRST_EVENT)
+        ? BEFORE_FIRST_EVENT
+        : parseEventNumber(text);
+    const refusal =
+      after === undefined
+        ? unknownOutcomeRefusal(
+            400,
+            'bad_hop',
+            `event number "${text}" of the resume request is not an integer`,
+          )
+        : await this.resumeHandler.resume({
+            hop,
+            after,
+            response,
+            deadlineMs,
+            signal,
+          });
     if (refusal !== undefined) {
       const {attempt, request} = hop;
       const {reason} = refusal;
--- a/contracts/messages/src/index.ts
+++ b/contracts/messages/src/index.ts
@@ -34,6 +34,7 @@
   type RelayedHeartbeat,
   type RelayStamp,
 } from './heartbeat.js';
+export {parseEventNumber} from './event-number.js';
 export {type FenceGrant} from './fence-grant.js';
 export {
   formatHop,
--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -67,6 +67,9 @@
  */
 const RESPONSE_BYTES = 4_096;
 
+/** Maximum length of a header's value in a refusal, in characters. */
+const MAX_QUOTED_LENGTH = 64;
+
 /** A call whose body has not been read. */
 type Arrival = Pick<Call, 'metadata' | 'responseMemory' | 'startedAt'>;
 
@@ -145,6 +148,10 @@
       return refuseUnread(request, resolved.error);
     }
     const {route, service} = resolved.value;
+    const unreadable = findUnreadableEvent(received, route);
+    if (unreadable !== undefined) {
+      return refuseUnread(request, unreadable);
+    }
     const access = this.options.tenants.admit(received.key, route);
     const denial = access.findRefusal();
     if (denial !== undefined) {
@@ -315,6 +322,19 @@
   return refusal;
 }
 
+/** Refuses a stream whose rest would begin at an event that is not known. */
+function findUnreadableEvent(
+  {invalidResumeAfter}: CallMetadata,
+  {streaming}: Route,
+): Refusal | undefined {
+  if (!streaming || invalidResumeAfter === undefined) {
+    return undefined;
+  }
+  const value = invalidResumeAfter.slice(0, MAX_QUOTED_LENGTH);
+  const message = `the last event "${value}" is not a number from 0 to ${Number.MAX_SAFE_INTEGER}`;
+  return createNotRunRefusal(400, 'invalid_last_event', message);
+}
+
 function createFullRefusal(failure?: BodyFailure): Refusal {
   return new Refusal(
     'not-run',
--- a/entry/direct-routing/src/wire-format.ts
+++ b/entry/direct-routing/src/wire-format.ts
@@ -30,6 +30,8 @@
    * Number of the last event that the caller has, if a stream is to be resumed.
    */
   readonly resumeAfter?: number;
+  /** What the caller states in place of such a number, if that can't be read as one. */
+  readonly invalidResumeAfter?: string;
   /** ID of the call that brought the first event of that stream; absent if not stated. */
   readonly resumes?: string;
   readonly work?: ModelWork;
--- a/entry/dispatch/src/event-block.ts
+++ b/entry/dispatch/src/event-block.ts
@@ -1,6 +1,7 @@
+import {parseEventNumber} from '@marigoldspur/messages';
+
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
-const SPACE = 32;
 const DASH = 45;
 const DIGIT_0 = 48;
 const DIGIT_9 = 57;
@@ -10,15 +11,15 @@
 const END_MARKER = Buffer.from('data: [DONE]');
 const ID_FIELD = Buffer.from('id:');
 const RETRY_FIELD = Buffer.from('retry:');
-/** Maximum number of digits of an event's number. */
-const MAX_DIGITS = 9;
 /** Number of bytes at the start of a line that tell what it is; a longer field name is invalid. */
 const LINE_HEAD_BYTES = 64;
 
 /** The lines of a stream up to an empty one: an event, or comments alone. */
 export interface EventBlock {
-  /** Number of the event; undefined if it states none. */
+  /** Number of the event; undefined if it states none, or one that can't be read. */
   readonly number: number | undefined;
+  /** Whether the event states an ID that is not a number, or several IDs. */
+  readonly hasUnreadableId: boolean;
   /** Whether all lines are lines of an event stream. */
   readonly isValid: boolean;
   /** Whether the block holds an event and not only comments or a reconnection time. */
@@ -30,6 +31,7 @@
 /** Reads the blocks of a stream in one pass over bytes that may be cut anywhere. */
 export class EventBlockScanner {
   private number: number | undefined;
+  private hasUnreadableId = false;
   private isValid = true;
   private hasEvent = false;
   private isEndMarker = false;
@@ -40,13 +42,14 @@
 
   /** What is known of the block whose lines are being read. */
   get block(): EventBlock {
-    const {hasEvent, isEndMarker, isValid, number} = this;
-    return {number, isValid, hasEvent, isEndMarker};
+    const {hasEvent, hasUnreadableId, isEndMarker, isValid, number} = this;
+    return {number, hasUnreadableId, isValid, hasEvent, isEndMarker};
   }
 
   /** Starts a new block after the lines that were read. */
   startBlock(): void {
     this.number = undefined;
+    this.hasUnreadableId = false;
     this.isValid = true;
     this.hasEvent = false;
     this.isEndMarker = false;
@@ -123,10 +126,27 @@
       this.isEndMarker ||=
         end - start === END_MARKER.length &&
         startsWith(bytes, start, end, END_MARKER);
-      this.number ??= readNumber(bytes, start, end);
+    }
+    if (startsWith(bytes, start, end, ID_FIELD)) {
+      this.readId(bytes, start + ID_FIELD.length, end, isLong);
     }
     return false;
   }
+
+  private readId(
+    bytes: Buffer,
+    start: number,
+    end: number,
+    isLong: boolean,
+  ): void {
+    const isReadable = !isLong && end - start <= LINE_HEAD_BYTES;
+    const number = isReadable
+      ? parseEventNumber(bytes.toString('latin1', start, end))
+      : undefined;
+    const isChanged = this.number !== undefined && this.number !== number;
+    this.number ??= number;
+    this.hasUnreadableId ||= number === undefined || isChanged;
+  }
 }
 
 /** Position of the next line feed from `start`; -1 if there is none. */
@@ -176,28 +196,3 @@
   }
   return nameEnd === end && !isLong;
 }
-
-/** Reads `id: NUMBER`; undefined if the line is another one. */
-function readNumber(
-  bytes: Buffer,
-  start: number,
-  end: number,
-): number | undefined {
-  if (!startsWith(bytes, start, end, ID_FIELD)) {
-    return undefined;
-  }
-  const valueStart = start + ID_FIELD.length;
-  const digits = bytes[valueStart] === SPACE ? valueStart + 1 : valueStart;
-  if (digits >= end || end - digits > MAX_DIGITS) {
-    return undefined;
-  }
-  let number = 0;
-  for (let index = digits; index < end; index += 1) {
-    const byte = bytes[index];
-    if (byte < DIGIT_0 || byte > DIGIT_9) {
-      return undefined;
-    }
-    number = number * 10 + byte - DIGIT_0;
-  }
-  return number;
-}
--- a/entry/dispatch/src/numbered-event-buffer.ts
+++ b/entry/dispatch/src/numbered-event-buffer.ts
@@ -38,7 +38,7 @@
   /**
    * Whether the received bytes cannot be the rest of the stream: a resumed
    * stream did not start with the event after the last one, a number is not
-   * higher than the one before it, or the bytes are no events.
+   * higher than the one before it or can't be read, or the bytes are no events.
    */
   get isInvalid(): boolean {
     return this.kind === 'invalid';
@@ -145,7 +145,8 @@
 
   /** Whether the block can be forwarded now. */
   private acceptBlock(block: EventBlock): boolean {
-    const {hasEvent, isEndMarker, isValid, number} = block;
+    const {hasEvent, hasUnreadableId, isEndMarker, number} = block;
+    const isValid = block.isValid && !hasUnreadableId;
     const isFirst = this.kind === 'unknown';
     if (isValid && !hasEvent) {
       return true;
