--- a/control/fleet/src/request-limiter.ts
+++ b/control/fleet/src/request-limiter.ts
@@ -1,3 +1,4 @@
+import {MAX_TIMER_MS} from '@marigoldspur/abort-signals';
 import type {
   PermitAnswer,
   PermitRequest,
@@ -106,11 +107,13 @@
     clearTimeout(permits.timer);
     const dueMs = permits.queue.nextDueMs(now);
     if (dueMs !== undefined) {
-      permits.timer = setTimeout(() => {
+      const advance = () => {
         const later = performance.now();
         permits.queue.advance(later);
         this.scheduleAdvance(permits, later);
-      }, Math.ceil(dueMs));
+      };
+      const delayMs = Math.min(MAX_TIMER_MS, Math.ceil(dueMs));
+      permits.timer = setTimeout(advance, delayMs);
     }
   }
 }
--- a/entry/direct-routing/src/call-handler.ts
+++ b/entry/direct-routing/src/call-handler.ts
@@ -148,7 +148,7 @@
       return refuseUnread(request, resolved.error);
     }
     const {route, service} = resolved.value;
-    const unreadable = findUnreadableEvent(received, route);
+    const unreadable = findUnreadableHeader(received, route);
     if (unreadable !== undefined) {
       return refuseUnread(request, unreadable);
     }
@@ -322,17 +322,24 @@
   return refusal;
 }
 
-/** Refuses a stream whose rest would begin at an event that is not known. */
-function findUnreadableEvent(
-  {invalidResumeAfter}: CallMetadata,
+/** Refuses a call that would become another one without a header that can't be read. */
+function findUnreadableHeader(
+  {invalidDeadline, invalidResumeAfter}: CallMetadata,
   {streaming}: Route,
 ): Refusal | undefined {
-  if (!streaming || invalidResumeAfter === undefined) {
-    return undefined;
+  if (invalidDeadline !== undefined) {
+    const message = `the deadline "${quote(invalidDeadline)}" is not a number of milliseconds`;
+    return createNotRunRefusal(400, 'invalid_deadline', message);
   }
-  const value = invalidResumeAfter.slice(0, MAX_QUOTED_LENGTH);
-  const message = `the last event "${value}" is not a number from 0 to ${Number.MAX_SAFE_INTEGER}`;
-  return createNotRunRefusal(400, 'invalid_last_event', message);
+  if (streaming && invalidResumeAfter !== undefined) {
+    const message = `the last event "${quote(invalidResumeAfter)}" is not a number from 0 to ${Number.MAX_SAFE_INTEGER}`;
+    return createNotRunRefusal(400, 'invalid_last_event', message);
+  }
+  return undefined;
+}
+
+function quote(value: string): string {
+  return value.slice(0, MAX_QUOTED_LENGTH);
 }
 
 function createFullRefusal(failure?: BodyFailure): Refusal {
--- a/entry/direct-routing/src/permit-client.ts
+++ b/entry/direct-routing/src/permit-client.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http';
+import {MAX_TIMER_MS} from '@marigoldspur/abort-signals';
 import {
   PERMIT_ANSWER_SCHEMA,
   REQUEST_LIMITS_PATH,
@@ -97,7 +98,9 @@
     body: PermitRequest,
     signal: AbortSignal,
   ): Promise<PermitAnswer | undefined> {
-    const timeout = AbortSignal.timeout(ANSWER_TIMEOUT_MS + body.maxWaitMs);
+    const timeout = AbortSignal.timeout(
+      Math.min(MAX_TIMER_MS, ANSWER_TIMEOUT_MS + body.maxWaitMs),
+    );
     try {
       const answer = await exchangeJson({
         url: new URL(REQUEST_PERMITS_PATH, replica),
--- a/entry/direct-routing/src/target-client.ts
+++ b/entry/direct-routing/src/target-client.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import {Result} from 'true-myth';
+import {MAX_TIMER_MS} from '@marigoldspur/abort-signals';
 import {
   Refusal,
   toFault,
@@ -230,7 +231,7 @@
     clearTimeout(this.timer);
     this.timer = setTimeout(
       () => this.abort(request, 'silent'),
-      responseHeaderTimeoutMs,
+      Math.min(MAX_TIMER_MS, responseHeaderTimeoutMs),
     );
     Object.entries(headers(now)).forEach(
       ([name, value]) => value !== undefined && request.setHeader(name, value),
--- a/entry/direct-routing/src/wire-format.ts
+++ b/entry/direct-routing/src/wire-format.ts
@@ -26,6 +26,8 @@
   readonly id: string;
   /** Time that the caller waits, in milliseconds; undefined if not stated. */
   readonly deadlineMs?: number;
+  /** What the caller states in place of such a time, if that can't be read as one. */
+  readonly invalidDeadline?: string;
   /**
    * Number of the last event that the caller has, if a stream is to be resumed.
    */
--- a/machines/abort-signals/src/bounded-signal.ts
+++ b/machines/abort-signals/src/bounded-signal.ts
@@ -6,6 +6,9 @@
   readonly parentSignals?: readonly AbortSignal[];
 }
 
+/** Longest delay of a timer, in milliseconds; with a longer one it fires at once. */
+export const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** Shared by all aborts, since capturing a stack trace for each reason costs more than the abort. */
 const ABORT_REASON = new Error('the request was aborted');
 
@@ -25,7 +28,8 @@
       signal.addEventListener('abort', this.abort),
     );
     if (timeoutMs !== undefined) {
-      this.timer = setTimeout(() => this.onTimeout(), Math.max(0, timeoutMs));
+      const delayMs = Math.min(MAX_TIMER_MS, Math.max(0, timeoutMs));
+      this.timer = setTimeout(() => this.onTimeout(), delayMs);
     }
   }
 
